--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,71 @@
+import js from '@eslint/js';
+import { defineConfig } from 'eslint/config';
+import tseslint from 'typescript-eslint';
+
+/** Modules that reach the outside world: only adapters, programs and stand-ins may import them. */
+const outsideModules = [
+  'node:http',
+  'node:net',
+  'node:dgram',
+  'node:fs',
+  'node:fs/promises',
+  'undici',
+  'hot-shots',
+  'roarr',
+  'json-rpc-2.0',
+  'yaml',
+  'clipanion',
+];
+
+export default defineConfig(
+  { ignores: ['dist/', 'node_modules/', 'bench/out/'] },
+  js.configs.recommended,
+  tseslint.configs.strictTypeChecked,
+  tseslint.configs.stylisticTypeChecked,
+  {
+    languageOptions: {
+      parserOptions: {
+        projectService: { allowDefaultProject: ['eslint.config.js'] },
+        tsconfigRootDir: import.meta.dirname,
+      },
+    },
+    rules: {
+      '@typescript-eslint/consistent-type-definitions': ['error', 'interface'],
+      '@typescript-eslint/consistent-type-imports': 'error',
+      '@typescript-eslint/switch-exhaustiveness-check': [
+        'error',
+        { considerDefaultExhaustiveForUnions: false },
+      ],
+      '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true }],
+      '@typescript-eslint/no-confusing-void-expression': [
+        'error',
+        { ignoreArrowShorthand: true, ignoreVoidReturningFunctions: true },
+      ],
+      '@typescript-eslint/no-unused-vars': ['error', { argsIgnorePattern: '^_' }],
+      '@typescript-eslint/require-await': 'off',
+      'no-console': 'error',
+    },
+  },
+  {
+    // Decisions and ports stay apart from the encoding of messages and from the outside world.
+    files: ['src/**/*.ts'],
+    ignores: ['src/adapters/**', 'src/programs/**', 'src/**/*.spec.ts', 'src/testing/**'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          paths: outsideModules.map((name) => ({
+            name,
+            message: 'Decisions reach the outside world through a port in src/ports.',
+          })),
+          patterns: [
+            {
+              group: ['**/adapters/**', '**/programs/**', '**/standins/**'],
+              message: 'Decisions must not import adapters; use a port in src/ports.',
+            },
+          ],
+        },
+      ],
+    },
+  },
+);
--- /dev/null
+++ b/src/adapters/http/bearerToken.ts
@@ -0,0 +1,34 @@
+/**
+ * Reads bearer tokens; only their digest goes further.
+ */
+import { createHash, timingSafeEqual } from 'node:crypto';
+import type { IncomingMessage } from 'node:http';
+
+/**
+ * Computes the digest that the inventory holds for a token.
+ *
+ * @param token - the token
+ * @returns SHA-256 in lower-case hexadecimal
+ */
+export const digestToken = (token: string): string =>
+  createHash('sha256').update(token).digest('hex');
+
+/**
+ * Reads the digest of a request's bearer token.
+ *
+ * @param request - the request
+ * @returns the digest, or nothing without a token
+ */
+export const readTokenDigest = (request: IncomingMessage): string | undefined => {
+  const match = /^Bearer ([\x21-\x7e]{1,256})$/i.exec(request.headers.authorization ?? '');
+  return match?.[1] === undefined ? undefined : digestToken(match[1]);
+};
+
+/**
+ * Compares digests in constant time.
+ *
+ * @param digest - digest of the token that was sent
+ * @param expected - digest of the token that is right
+ */
+export const isSameDigest = (digest: string | undefined, expected: string): boolean =>
+  digest?.length === expected.length && timingSafeEqual(Buffer.from(digest), Buffer.from(expected));
--- /dev/null
+++ b/src/adapters/http/readJsonBody.ts
@@ -0,0 +1,88 @@
+/**
+ * Reads a JSON body within limits on bytes and nesting.
+ */
+import type { IncomingMessage } from 'node:http';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { createProblem } from '../../errors/problem.js';
+import type { Problem } from '../../errors/problem.js';
+
+export const maxNesting = 32;
+
+/**
+ * Reads a body as JSON.
+ *
+ * @param request - the request
+ * @param maxBytes - the largest body that is accepted
+ * @returns the parsed value, or an `invalid-request` or `too-large` problem
+ */
+export const readJsonBody = async (
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<Result<unknown, Problem>> => {
+  const announced = Number(request.headers['content-length'] ?? 0);
+  if (announced > maxBytes) {
+    return Err(tooLarge(maxBytes));
+  }
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    bytes += chunk.length;
+    if (bytes > maxBytes) {
+      return Err(tooLarge(maxBytes));
+    }
+    chunks.push(chunk);
+  }
+  const text = Buffer.concat(chunks).toString('utf8');
+  if (!isNestingBounded(text)) {
+    return Err(
+      createProblem('invalid-request', `The body nests deeper than ${maxNesting} levels.`),
+    );
+  }
+  return parseJson(text);
+};
+
+/**
+ * Parses JSON text.
+ *
+ * @param text - the text
+ * @returns the value, or an `invalid-request` problem
+ */
+export const parseJson = (text: string): Result<unknown, Problem> => {
+  try {
+    return Ok(JSON.parse(text));
+  } catch {
+    return Err(createProblem('invalid-request', 'The body is not valid JSON.'));
+  }
+};
+
+/** Counts open brackets outside of strings before the text is parsed. */
+const isNestingBounded = (text: string): boolean => {
+  let depth = 0;
+  let isInString = false;
+  for (let i = 0; i < text.length; i += 1) {
+    const char = text[i];
+    if (isInString) {
+      if (char === '\\') {
+        i += 1;
+      } else if (char === '"') {
+        isInString = false;
+      }
+      continue;
+    }
+    if (char === '"') {
+      isInString = true;
+    } else if (char === '{' || char === '[') {
+      depth += 1;
+      if (depth > maxNesting) {
+        return false;
+      }
+    } else if (char === '}' || char === ']') {
+      depth -= 1;
+    }
+  }
+  return true;
+};
+
+const tooLarge = (maxBytes: number): Problem =>
+  createProblem('too-large', `The body must have at most ${maxBytes} bytes.`);
--- /dev/null
+++ b/src/adapters/http/sendJson.ts
@@ -0,0 +1,70 @@
+/**
+ * Writes whole JSON answers and problem details.
+ */
+import type { ServerResponse } from 'node:http';
+import { errorAnswers } from '../../errors/errorKinds.js';
+import type { Problem } from '../../errors/problem.js';
+import type { TaskState } from '../../jobs/types.js';
+
+/** Headers that an answer carries beside its content type and length. */
+export interface ExtraHeaders {
+  readonly owner?: string;
+  readonly location?: string;
+}
+
+/**
+ * Sends a value as one whole JSON answer.
+ *
+ * @param response - where to
+ * @param status - the HTTP status
+ * @param value - the body
+ * @param headers - further headers
+ */
+export const sendJson = (
+  response: ServerResponse,
+  status: number,
+  value: unknown,
+  headers: ExtraHeaders = {},
+): void => send(response, status, 'application/json', value, headers);
+
+/**
+ * Sends a problem as RFC 9457 problem details.
+ *
+ * @param response - where to
+ * @param problem - the problem
+ * @param headers - further headers
+ * @param taskStates - what is known of each task, for a job that failed
+ */
+export const sendProblem = (
+  response: ServerResponse,
+  problem: Problem,
+  headers: ExtraHeaders = {},
+  taskStates?: readonly TaskState[],
+): void => {
+  const { httpStatus, title, retry } = errorAnswers[problem.kind];
+  if (problem.retryAfterMs !== undefined) {
+    response.setHeader('retry-after', Math.ceil(problem.retryAfterMs / 1_000));
+  }
+  const { kind, detail, ...rest } = problem;
+  const type = `urn:toucandyke:problem:${kind}`;
+  const body = { type, title, status: httpStatus, detail, kind, retry, ...rest, taskStates };
+  send(response, httpStatus, 'application/problem+json', body, headers);
+};
+
+const send = (
+  response: ServerResponse,
+  status: number,
+  contentType: string,
+  value: unknown,
+  headers: ExtraHeaders,
+): void => {
+  const body = Buffer.from(JSON.stringify(value));
+  if (headers.owner !== undefined) {
+    response.setHeader('toucandyke-owner', headers.owner);
+  }
+  if (headers.location !== undefined) {
+    response.setHeader('location', headers.location);
+  }
+  response.writeHead(status, { 'content-type': contentType, 'content-length': body.length });
+  response.end(body);
+};
--- /dev/null
+++ b/src/adapters/operatorHttp/operatorHttpServer.ts
@@ -0,0 +1,87 @@
+/**
+ * The operators' interface: health, status and planned stops over HTTP and JSON.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { createProblem } from '../../errors/problem.js';
+import type { Logger } from '../../ports/logger.js';
+import type { OperatorService } from '../../ports/operators.js';
+import { digestToken, isSameDigest, readTokenDigest } from '../http/bearerToken.js';
+import { HttpServer } from '../http/httpServer.js';
+import { sendJson, sendProblem } from '../http/sendJson.js';
+
+const maxConnections = 64;
+
+export interface OperatorHttpServerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly token: string;
+  readonly service: OperatorService;
+  readonly logger: Logger;
+}
+
+export class OperatorHttpServer {
+  private server!: HttpServer;
+  private readonly logger: Logger;
+  private readonly tokenDigest: string;
+
+  private constructor(private readonly options: OperatorHttpServerOptions) {
+    this.logger = options.logger.forPart('operators');
+    this.tokenDigest = digestToken(options.token);
+  }
+
+  static async create(options: OperatorHttpServerOptions): Promise<OperatorHttpServer> {
+    const operators = new OperatorHttpServer(options);
+    operators.server = await HttpServer.create({
+      host: options.host,
+      port: options.port,
+      maxConnections,
+      handle: (request, response) => operators.serve(request, response),
+    });
+    return operators;
+  }
+
+  get address(): string {
+    return this.server.address;
+  }
+
+  close(): Promise<void> {
+    return this.server.close();
+  }
+
+  kill(): Promise<void> {
+    return this.server.kill();
+  }
+
+  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { service } = this.options;
+    const path = (request.url ?? '').split('?', 1)[0];
+    if (request.method === 'GET' && path === '/livez') {
+      sendJson(response, 200, { live: true });
+      return;
+    }
+    if (request.method === 'GET' && path === '/readyz') {
+      const isReady = service.isReady();
+      sendJson(response, isReady ? 200 : 503, { ready: isReady });
+      return;
+    }
+    if (!isSameDigest(readTokenDigest(request), this.tokenDigest)) {
+      sendProblem(response, createProblem('unauthorized', "The operators' token is needed."));
+      return;
+    }
+    this.serveOperator(`${request.method ?? ''} ${path ?? ''}`, response);
+  }
+
+  private serveOperator(resource: string, response: ServerResponse): void {
+    const { service } = this.options;
+    switch (resource) {
+      case 'GET /v1/status':
+        return sendJson(response, 200, service.describe());
+      case 'POST /v1/drain':
+        this.logger.info('An operator asked for a planned stop.');
+        service.drain();
+        return sendJson(response, 202, { state: 'leaving' });
+      default:
+        return sendProblem(response, createProblem('not-found', 'There is no such resource.'));
+    }
+  }
+}
--- /dev/null
+++ b/src/adapters/peerRpc/peerRpcClient.ts
@@ -0,0 +1,134 @@
+/**
+ * Links to peers: JSON-RPC 2.0 over kept-alive HTTP connections.
+ */
+import { JSONRPCClient, JSONRPCErrorException } from 'json-rpc-2.0';
+import type { JSONRPCResponse } from 'json-rpc-2.0';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { Pool } from 'undici';
+import type { z } from 'zod';
+import type { ConfigurationRecord } from '../../configuration/types.js';
+import type { Heartbeat } from '../../membership/types.js';
+import { peerMethods } from '../../ports/peers.js';
+import type {
+  ForwardedSubmission,
+  PeerConnector,
+  PeerError,
+  PeerLink,
+  SubmitOutcome,
+} from '../../ports/peers.js';
+import { requestJson } from '../http/requestJson.js';
+import { peerRpcPath } from './peerRpcMessages.js';
+
+const maxReplyBytes = 33_554_432;
+const connectTimeoutMs = 1_000;
+const maxConnectionsPerPeer = 256;
+
+/** Thrown inside the JSON-RPC client where the transport failed. */
+class TransportError extends Error {
+  constructor(readonly peerError: PeerError) {
+    super(peerError.detail);
+  }
+}
+
+type MethodName = keyof typeof peerMethods;
+
+class PeerRpcLink implements PeerLink {
+  private readonly pool: Pool;
+  private readonly client: JSONRPCClient<AbortSignal>;
+
+  constructor(
+    address: string,
+    private readonly token: string,
+  ) {
+    this.pool = new Pool(`http://${address}`, {
+      connections: maxConnectionsPerPeer,
+      connect: { timeout: connectTimeoutMs },
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    this.client = new JSONRPCClient<AbortSignal>((payload, signal) => this.send(payload, signal));
+  }
+
+  heartbeat(own: Heartbeat, signal: AbortSignal): Promise<Result<Heartbeat, PeerError>> {
+    return this.call('heartbeat', own, signal);
+  }
+
+  forward(
+    request: ForwardedSubmission,
+    signal: AbortSignal,
+  ): Promise<Result<SubmitOutcome, PeerError>> {
+    return this.call('forward', request, signal);
+  }
+
+  async fetchConfiguration(
+    signal: AbortSignal,
+  ): Promise<Result<ConfigurationRecord | null, PeerError>> {
+    const reply = await this.call('fetchConfiguration', {}, signal);
+    return reply.map(({ record }) => record);
+  }
+
+  async close(): Promise<void> {
+    await this.pool.destroy();
+  }
+
+  private async call<M extends MethodName>(
+    method: M,
+    params: z.infer<(typeof peerMethods)[M]['params']>,
+    signal: AbortSignal,
+  ): Promise<Result<z.infer<(typeof peerMethods)[M]['result']>, PeerError>> {
+    try {
+      const reply: unknown = await this.client.request(method, params, signal);
+      const parsed = peerMethods[method].result.safeParse(reply);
+      return parsed.success
+        ? Ok(parsed.data as z.infer<(typeof peerMethods)[M]['result']>)
+        : Err({ kind: 'broken', detail: `The peer's answer to ${method} is not valid.` });
+    } catch (error) {
+      return Err(toPeerError(error));
+    }
+  }
+
+  private async send(payload: unknown, signal: AbortSignal): Promise<void> {
+    const exchange = await requestJson(this.pool, {
+      method: 'POST',
+      path: peerRpcPath,
+      body: payload,
+      token: this.token,
+      maxBytes: maxReplyBytes,
+      signal,
+    });
+    if (exchange.kind !== 'answered') {
+      throw new TransportError(exchange);
+    }
+    if (exchange.status !== 200) {
+      const detail = `The peer answered ${exchange.status}.`;
+      throw new TransportError({ kind: 'refused', detail });
+    }
+    this.client.receive(exchange.body as JSONRPCResponse);
+  }
+}
+
+export class PeerRpcConnector implements PeerConnector {
+  private constructor(private readonly token: string) {}
+
+  /**
+   * Creates a connector.
+   *
+   * @param token - the bearer token that all daemons share
+   */
+  static create(token: string): PeerRpcConnector {
+    return new PeerRpcConnector(token);
+  }
+
+  connect(address: string): PeerLink {
+    return new PeerRpcLink(address, this.token);
+  }
+}
+
+const toPeerError = (error: unknown): PeerError => {
+  if (error instanceof TransportError) {
+    return error.peerError;
+  }
+  const kind = error instanceof JSONRPCErrorException ? 'refused' : 'broken';
+  return { kind, detail: String(error) };
+};
--- /dev/null
+++ b/src/adapters/peerRpc/peerRpcServer.ts
@@ -0,0 +1,121 @@
+/**
+ * The peers' interface: JSON-RPC 2.0 over HTTP.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { JSONRPCErrorException, JSONRPCServer } from 'json-rpc-2.0';
+import type { JSONRPCRequest } from 'json-rpc-2.0';
+import { createProblem } from '../../errors/problem.js';
+import { problemFromZod } from '../../errors/zodProblem.js';
+import type { Logger } from '../../ports/logger.js';
+import { peerMethods } from '../../ports/peers.js';
+import type { PeerService } from '../../ports/peers.js';
+import { digestToken, isSameDigest, readTokenDigest } from '../http/bearerToken.js';
+import { HttpServer } from '../http/httpServer.js';
+import { readJsonBody } from '../http/readJsonBody.js';
+import { sendJson, sendProblem } from '../http/sendJson.js';
+import { peerRpcPath } from './peerRpcMessages.js';
+
+const maxBodyBytes = 4_194_304;
+const maxConnections = 4_096;
+const invalidParamsCode = -32602;
+
+export interface PeerRpcServerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly token: string;
+  readonly service: PeerService;
+  readonly logger: Logger;
+}
+
+export class PeerRpcServer {
+  private server!: HttpServer;
+  private readonly logger: Logger;
+  private readonly tokenDigest: string;
+  private readonly rpc: JSONRPCServer;
+
+  private constructor(options: PeerRpcServerOptions) {
+    this.logger = options.logger.forPart('peers');
+    this.tokenDigest = digestToken(options.token);
+    this.rpc = createRpcServer(options.service, this.logger);
+  }
+
+  static async create(options: PeerRpcServerOptions): Promise<PeerRpcServer> {
+    const peers = new PeerRpcServer(options);
+    peers.server = await HttpServer.create({
+      host: options.host,
+      port: options.port,
+      maxConnections,
+      handle: (request, response) => peers.serve(request, response),
+    });
+    return peers;
+  }
+
+  get address(): string {
+    return this.server.address;
+  }
+
+  close(): Promise<void> {
+    return this.server.close();
+  }
+
+  kill(): Promise<void> {
+    return this.server.kill();
+  }
+
+  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    try {
+      await this.answer(request, response);
+    } catch (error) {
+      this.logger.warn('A request of a peer failed.', { reason: String(error) });
+      response.destroy();
+    }
+  }
+
+  private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (!isSameDigest(readTokenDigest(request), this.tokenDigest)) {
+      sendProblem(response, createProblem('unauthorized', 'The token of the peers is needed.'));
+      return;
+    }
+    if (request.method !== 'POST' || request.url !== peerRpcPath) {
+      const detail = `This daemon serves its peers at ${peerRpcPath} only.`;
+      sendProblem(response, createProblem('not-found', detail));
+      return;
+    }
+    const body = await readJsonBody(request, maxBodyBytes);
+    if (body.isErr()) {
+      sendProblem(response, body.error);
+      return;
+    }
+    // The library checks that the value is a JSON-RPC request.
+    const reply = await this.rpc.receive(body.value as JSONRPCRequest);
+    sendJson(response, 200, reply);
+  }
+}
+
+const createRpcServer = (service: PeerService, logger: Logger): JSONRPCServer => {
+  const rpc = new JSONRPCServer({
+    errorListener: (message) => logger.warn('A peer sent a bad request.', { reason: message }),
+  });
+  rpc.addMethod('heartbeat', (params) =>
+    service.heartbeat(checkParams(peerMethods.heartbeat.params, params)),
+  );
+  rpc.addMethod('forward', (params) =>
+    service.forward(checkParams(peerMethods.forward.params, params)),
+  );
+  rpc.addMethod('fetchConfiguration', () => ({ record: service.fetchConfiguration() }));
+  return rpc;
+};
+
+type ParamsSchema = (typeof peerMethods)[keyof typeof peerMethods]['params'];
+
+const checkParams = <S extends ParamsSchema>(
+  schema: S,
+  params: unknown,
+): ReturnType<S['parse']> => {
+  const parsed = schema.safeParse(params);
+  if (!parsed.success) {
+    const { detail, where } = problemFromZod(parsed.error);
+    throw new JSONRPCErrorException(`${where ?? 'params'}: ${detail}`, invalidParamsCode);
+  }
+  return parsed.data as ReturnType<S['parse']>;
+};
--- /dev/null
+++ b/src/adapters/system/roarrLogger.ts
@@ -0,0 +1,56 @@
+/**
+ * The structured log: one JSON line for each sentence, by `roarr`, to the standard output.
+ */
+import { ROARR, Roarr } from 'roarr';
+
+import { logLevelSchema } from '../../config/settings.js';
+import type { LogLevel } from '../../config/settings.js';
+import type { LogContext, Logger } from '../../ports/logger.js';
+
+const levelOrder: readonly LogLevel[] = logLevelSchema.options;
+
+export class RoarrLogger implements Logger {
+  private constructor(
+    private readonly level: LogLevel,
+    private readonly prefix: string,
+    private readonly vmId: string,
+  ) {}
+
+  /**
+   * Creates the log of a process.
+   *
+   * @param level - the lowest level that is written
+   * @param vmId - the VM that every line names
+   */
+  static create(level: LogLevel, vmId: string): RoarrLogger {
+    ROARR.write = (line) => void process.stdout.write(`${line}\n`);
+    return new RoarrLogger(level, '', vmId);
+  }
+
+  forPart(prefix: string): Logger {
+    return new RoarrLogger(this.level, `${prefix}: `, this.vmId);
+  }
+
+  debug(sentence: string, context?: LogContext): void {
+    this.write('debug', sentence, context);
+  }
+
+  info(sentence: string, context?: LogContext): void {
+    this.write('info', sentence, context);
+  }
+
+  warn(sentence: string, context?: LogContext): void {
+    this.write('warn', sentence, context);
+  }
+
+  error(sentence: string, context?: LogContext): void {
+    this.write('error', sentence, context);
+  }
+
+  private write(level: Exclude<LogLevel, 'off'>, sentence: string, context?: LogContext): void {
+    if (levelOrder.indexOf(level) < levelOrder.indexOf(this.level)) {
+      return;
+    }
+    Roarr[level]({ vmId: this.vmId, ...context }, `${this.prefix}${sentence}`);
+  }
+}
--- /dev/null
+++ b/src/adapters/system/systemClock.ts
@@ -0,0 +1,42 @@
+/**
+ * The clock of the operating system.
+ */
+import { performance } from 'node:perf_hooks';
+import type { Clock } from '../../ports/clock.js';
+
+/** Longest delay that a timer takes, in milliseconds. */
+const maxTimerMs = 2_147_483_647;
+
+export class SystemClock implements Clock {
+  private constructor() {
+    // Built by create.
+  }
+
+  static create(): SystemClock {
+    return new SystemClock();
+  }
+
+  nowMs(): number {
+    return performance.now();
+  }
+
+  wallMs(): number {
+    return Date.now();
+  }
+
+  sleep(durationMs: number, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      if (signal?.aborted === true) {
+        resolve();
+        return;
+      }
+      const end = () => {
+        clearTimeout(timer);
+        signal?.removeEventListener('abort', end);
+        resolve();
+      };
+      const timer = setTimeout(end, Math.min(Math.max(durationMs, 0), maxTimerMs));
+      signal?.addEventListener('abort', end);
+    });
+  }
+}
--- /dev/null
+++ b/src/adapters/system/systemRandom.ts
@@ -0,0 +1,26 @@
+/**
+ * Random numbers and identifiers of the operating system.
+ */
+import { randomBytes } from 'node:crypto';
+import type { Random } from '../../ports/random.js';
+
+const idBytes = 8;
+const unitRange = 2 ** 32;
+
+export class SystemRandom implements Random {
+  private constructor() {
+    // Built by create.
+  }
+
+  static create(): SystemRandom {
+    return new SystemRandom();
+  }
+
+  next(): number {
+    return randomBytes(4).readUInt32BE() / unitRange;
+  }
+
+  id(): string {
+    return randomBytes(idBytes).toString('hex');
+  }
+}
--- /dev/null
+++ b/src/configuration/configurationStore.ts
@@ -0,0 +1,65 @@
+/**
+ * The configuration in force in this daemon; it never goes back to a lower version.
+ */
+import { InventoryIndex } from '../inventory/inventoryIndex.js';
+import type { ConfigurationRecord, Rules } from './types.js';
+
+/** A configuration record with its lookups. */
+export interface ActiveConfiguration {
+  readonly record: ConfigurationRecord;
+  readonly inventory: InventoryIndex;
+  readonly rules: Rules;
+}
+
+export type ConfigurationListener = (active: ActiveConfiguration) => void;
+
+export class ConfigurationStore {
+  private active: ActiveConfiguration | undefined;
+  private readonly listeners: ConfigurationListener[] = [];
+
+  private constructor() {
+    // Built by create.
+  }
+
+  static create(): ConfigurationStore {
+    return new ConfigurationStore();
+  }
+
+  /** @returns the configuration in force, or nothing before the first */
+  get current(): ActiveConfiguration | undefined {
+    return this.active;
+  }
+
+  /** @returns the version in force, 0 before the first */
+  get version(): number {
+    return this.active?.record.version ?? 0;
+  }
+
+  /**
+   * Puts a record in force unless its version is not higher than the one in force.
+   *
+   * @param record - an accepted record
+   * @returns whether it came into force
+   */
+  apply(record: ConfigurationRecord): boolean {
+    if (record.version <= this.version) {
+      return false;
+    }
+    const { inventory, rules } = record.configuration;
+    const active = { record, inventory: InventoryIndex.create(inventory), rules };
+    this.active = active;
+    for (const listener of this.listeners) {
+      listener(active);
+    }
+    return true;
+  }
+
+  /**
+   * Calls a listener with every configuration that comes into force from now on.
+   *
+   * @param listener - the listener
+   */
+  onChange(listener: ConfigurationListener): void {
+    this.listeners.push(listener);
+  }
+}
--- /dev/null
+++ b/src/jobs/jobRunner.ts
@@ -0,0 +1,159 @@
+/**
+ * Runs one job: starts its tasks, waits for all of them, and assembles the whole answer.
+ */
+import { createProblem } from '../errors/problem.js';
+import type { Problem, ProblemOptions } from '../errors/problem.js';
+import { unreachable } from '../errors/unreachable.js';
+import type { InventoryIndex } from '../inventory/inventoryIndex.js';
+import type { Caller } from '../inventory/types.js';
+import type { Scheduler } from '../placement/scheduler.js';
+import type { Task } from '../placement/types.js';
+import type { Clock } from '../ports/clock.js';
+import type { RunningJob } from '../submissions/types.js';
+import { createDeferred } from '../utils/deferred.js';
+import type { JobAnswer, Submission, TaskOutcome, TaskState } from './types.js';
+
+export interface JobRunnerOptions {
+  readonly clock: Clock;
+  readonly scheduler: Scheduler;
+}
+
+/** What a job needs to start. */
+export interface JobStart {
+  readonly jobId: string;
+  readonly caller: Caller;
+  readonly submission: Submission;
+  /** Monotonic time of this process, in milliseconds. */
+  readonly deadlineAtMs: number;
+  readonly inventory: InventoryIndex;
+}
+
+/** Why a job ends before all its tasks have. */
+type EarlyEnd = 'deadline' | 'cancelled' | 'failed';
+
+export class JobRunner {
+  private constructor(private readonly options: JobRunnerOptions) {}
+
+  static create(options: JobRunnerOptions): JobRunner {
+    return new JobRunner(options);
+  }
+
+  /**
+   * Starts a job.
+   *
+   * @param start - the checked submission and who sent it
+   * @returns the running job
+   */
+  start(start: JobStart): RunningJob {
+    const cancelled = createDeferred<EarlyEnd>();
+    const answer = this.runJob(start, cancelled.promise);
+    return { jobId: start.jobId, answer, cancel: () => cancelled.resolve('cancelled') };
+  }
+
+  private async runJob(start: JobStart, cancelled: Promise<EarlyEnd>): Promise<JobAnswer> {
+    const { scheduler } = this.options;
+    const failed = createDeferred<EarlyEnd>();
+    const running = createTasks(start).map(async (task) => {
+      const outcome = await scheduler.run(task);
+      if (outcome.kind !== 'done') {
+        failed.resolve('failed');
+      }
+      return outcome;
+    });
+    const timer = new AbortController();
+    const all = Promise.all(running);
+    const end = await Promise.race([
+      all.then(() => 'all' as const),
+      failed.promise,
+      cancelled,
+      this.deadline(start.deadlineAtMs, timer.signal),
+    ]);
+    timer.abort();
+    if (end !== 'all') {
+      scheduler.withdraw(start.jobId);
+    }
+    return assembleAnswer(await all, end === 'all' ? 'failed' : end);
+  }
+
+  private async deadline(deadlineAtMs: number, signal: AbortSignal): Promise<EarlyEnd> {
+    const { clock } = this.options;
+    await clock.sleep(deadlineAtMs - clock.nowMs(), signal);
+    return 'deadline';
+  }
+}
+
+const createTasks = ({ jobId, caller, submission, deadlineAtMs, inventory }: JobStart): Task[] =>
+  submission.tasks.map((spec, index) => {
+    const operation = inventory.operations.get(spec.operation);
+    if (operation === undefined) {
+      throw new Error(`Operation ${spec.operation} was not checked before the start.`);
+    }
+    return {
+      taskId: `${jobId}-${index}`,
+      jobId,
+      callerId: caller.callerId,
+      teamId: caller.teamId,
+      callerClass: caller.class,
+      operation,
+      input: spec.input,
+      deadlineAtMs,
+    };
+  });
+
+/**
+ * Assembles the answer of a job: complete only if every task is done.
+ *
+ * @param outcomes - the outcome of each task
+ * @param end - why the job ended, if not by its tasks
+ * @returns the answer
+ */
+const assembleAnswer = (outcomes: readonly TaskOutcome[], end: EarlyEnd): JobAnswer => {
+  const results = outcomes.flatMap((outcome) => (outcome.kind === 'done' ? [outcome.result] : []));
+  if (results.length === outcomes.length) {
+    return { status: 'complete', results };
+  }
+  const taskStates = outcomes.map(toTaskState);
+  return { status: 'failed', problem: explainFailure(outcomes, taskStates, end), taskStates };
+};
+
+const toTaskState = (outcome: TaskOutcome): TaskState => outcome.kind;
+
+const explainFailure = (
+  outcomes: readonly TaskOutcome[],
+  taskStates: readonly TaskState[],
+  end: EarlyEnd,
+): Problem => {
+  const isNotRun = taskStates.every((state) => state === 'not-run');
+  const options: ProblemOptions = isNotRun ? { runState: 'not-run' } : {};
+  switch (end) {
+    case 'deadline':
+      return createProblem(
+        'deadline-exceeded',
+        'The job did not end before its deadline.',
+        options,
+      );
+    case 'cancelled':
+      return createProblem('cancelled', 'The caller cancelled the job.', options);
+    case 'failed':
+      return explainTaskFailure(outcomes, options);
+    default:
+      return unreachable(end);
+  }
+};
+
+const explainTaskFailure = (outcomes: readonly TaskOutcome[], options: ProblemOptions): Problem => {
+  const index = outcomes.findIndex((outcome) => outcome.kind === 'failed');
+  const failed = outcomes[index];
+  if (failed?.kind === 'failed') {
+    return createProblem('task-failed', failed.detail, { where: `tasks[${index}]` });
+  }
+  const unknown = outcomes.findIndex((outcome) => outcome.kind === 'outcome-unknown');
+  if (unknown >= 0) {
+    const where = `tasks[${unknown}]`;
+    return createProblem('outcome-unknown', 'The outcome of a task is not known.', { where });
+  }
+  const refused = outcomes.find((outcome) => outcome.kind === 'not-run');
+  return refused?.kind === 'not-run'
+    ? { ...refused.problem, ...options }
+    : createProblem('internal', 'The job failed without a failed task.');
+};
--- /dev/null
+++ b/src/membership/types.ts
@@ -0,0 +1,19 @@
+/**
+ * Schemas of what the daemons tell one another about themselves.
+ */
+import { z } from 'zod';
+
+export const daemonStateSchema = z.enum(['active', 'leaving']);
+export type DaemonState = z.infer<typeof daemonStateSchema>;
+
+export const heartbeatSchema = z.object({
+  vmId: z.string().max(64),
+  incarnation: z.string().max(32),
+  failureDomainId: z.string().max(64),
+  state: daemonStateSchema,
+  weight: z.number().positive(),
+  freeSlots: z.number().int().nonnegative(),
+  waitingTasks: z.number().int().nonnegative(),
+  configurationVersion: z.number().int().nonnegative(),
+});
+export type Heartbeat = z.infer<typeof heartbeatSchema>;
--- /dev/null
+++ b/src/placement/scheduler.ts
@@ -0,0 +1,267 @@
+/**
+ * Brings waiting tasks and free slots together. Each slot is served by one async function.
+ */
+import { createProblem } from '../errors/problem.js';
+import { unreachable } from '../errors/unreachable.js';
+import type { PlacedEndpoint } from '../inventory/inventoryIndex.js';
+import { fits } from '../inventory/inventoryIndex.js';
+import type { TaskOutcome } from '../jobs/types.js';
+import type { Clock } from '../ports/clock.js';
+import type { EndpointPort, EndpointReply } from '../ports/endpoints.js';
+import type { Logger } from '../ports/logger.js';
+import { createDeferred } from '../utils/deferred.js';
+import type { Deferred } from '../utils/deferred.js';
+import { TaskQueue } from './taskQueue.js';
+import type { WaitingTask } from './taskQueue.js';
+import type { Task } from './types.js';
+
+const busyPauseMs = 20;
+const maxAttempts = 5;
+
+export interface SchedulerOptions {
+  readonly incarnation: string;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly endpoints: EndpointPort;
+}
+
+/** A slot that waits for a task. */
+interface IdleSlot {
+  readonly placed: PlacedEndpoint;
+  readonly next: Deferred<WaitingTask | undefined>;
+}
+
+/** A task on an endpoint. */
+interface RunningTask {
+  readonly entry: WaitingTask;
+  readonly placed: PlacedEndpoint;
+  readonly stop: AbortController;
+}
+
+/** An endpoint that this daemon dispatches to. */
+interface ServedEndpoint {
+  placed: PlacedEndpoint;
+  readonly stop: AbortController;
+  readonly done: Promise<unknown>;
+}
+
+export class Scheduler {
+  private readonly queue = TaskQueue.create();
+  private readonly idle = new Set<IdleSlot>();
+  private readonly served = new Map<string, ServedEndpoint>();
+  private readonly running = new Map<string, RunningTask>();
+  private readonly draining = new Set<Promise<unknown>>();
+
+  private constructor(private readonly options: SchedulerOptions) {}
+
+  static create(options: SchedulerOptions): Scheduler {
+    return new Scheduler(options);
+  }
+
+  get freeSlots(): number {
+    return this.idle.size;
+  }
+
+  get waitingTasks(): number {
+    return this.queue.size;
+  }
+
+  /**
+   * Runs a task on the first fitting slot.
+   *
+   * @param task - the task
+   * @returns how it ended
+   */
+  run(task: Task): Promise<TaskOutcome> {
+    const entry: WaitingTask = { task, outcome: createDeferred<TaskOutcome>(), attempts: 0 };
+    this.place(entry);
+    return entry.outcome.promise;
+  }
+
+  /**
+   * Ends a job: waiting tasks leave the queue in one pass, running ones are stopped with one
+   * message for each endpoint.
+   *
+   * @param jobId - the job
+   */
+  withdraw(jobId: string): void {
+    const notRun = createProblem('cancelled', 'The job ended before this task started.', {
+      runState: 'not-run',
+    });
+    for (const entry of this.queue.withdraw(jobId)) {
+      entry.outcome.resolve({ kind: 'not-run', problem: notRun });
+    }
+    this.stopRunning(jobId);
+  }
+
+  /**
+   * Sets the endpoints that this daemon dispatches to. Others finish what they run.
+   *
+   * @param endpoints - the endpoints
+   */
+  serve(endpoints: readonly PlacedEndpoint[]): void {
+    const wanted = new Map(endpoints.map((placed) => [placed.endpoint.endpointId, placed]));
+    for (const [endpointId, served] of this.served) {
+      if (wanted.get(endpointId) === served.placed) {
+        continue;
+      }
+      this.served.delete(endpointId);
+      served.stop.abort();
+      this.releaseIdle(served.placed);
+      this.draining.add(served.done);
+      void served.done.then(() => this.draining.delete(served.done));
+    }
+    for (const [endpointId, placed] of wanted) {
+      if (!this.served.has(endpointId)) {
+        this.served.set(endpointId, this.startServing(placed));
+      }
+    }
+  }
+
+  async close(): Promise<void> {
+    this.serve([]);
+    await Promise.all(this.draining);
+  }
+
+  private startServing(placed: PlacedEndpoint): ServedEndpoint {
+    const stop = new AbortController();
+    const slots = Array.from({ length: placed.worker.slots }, () =>
+      this.serveSlot(placed, stop.signal),
+    );
+    return { placed, stop, done: Promise.all(slots) };
+  }
+
+  private async serveSlot(placed: PlacedEndpoint, signal: AbortSignal): Promise<void> {
+    for (;;) {
+      const entry = await this.takeFor(placed, signal);
+      if (entry === undefined) {
+        return;
+      }
+      const reply = await this.attempt(placed, entry);
+      if (this.settle(entry, reply) === 'again') {
+        await this.options.clock.sleep(busyPauseMs, signal);
+        this.place(entry);
+      }
+    }
+  }
+
+  private async takeFor(
+    placed: PlacedEndpoint,
+    signal: AbortSignal,
+  ): Promise<WaitingTask | undefined> {
+    if (signal.aborted) {
+      return undefined;
+    }
+    const waiting = this.queue.take((task) => fits(task.operation, placed));
+    if (waiting !== undefined) {
+      return waiting;
+    }
+    const slot: IdleSlot = { placed, next: createDeferred() };
+    this.idle.add(slot);
+    return slot.next.promise;
+  }
+
+  /** Ends the wait of an endpoint's idle slots. */
+  private releaseIdle(placed: PlacedEndpoint): void {
+    for (const slot of this.idle) {
+      if (slot.placed === placed) {
+        this.idle.delete(slot);
+        slot.next.resolve(undefined);
+      }
+    }
+  }
+
+  private place(entry: WaitingTask): void {
+    for (const slot of this.idle) {
+      if (fits(entry.task.operation, slot.placed)) {
+        this.idle.delete(slot);
+        slot.next.resolve(entry);
+        return;
+      }
+    }
+    this.queue.push(entry);
+  }
+
+  private async attempt(placed: PlacedEndpoint, entry: WaitingTask): Promise<EndpointReply> {
+    const { task } = entry;
+    const { clock, endpoints, incarnation } = this.options;
+    const leaseMs = task.deadlineAtMs - clock.nowMs();
+    if (leaseMs <= 0) {
+      entry.outcome.resolve({ kind: 'not-run', problem: pastDeadline() });
+      return { kind: 'not-started', reason: 'busy' };
+    }
+    entry.attempts += 1;
+    const stop = new AbortController();
+    this.running.set(task.taskId, { entry, placed, stop });
+    const start = {
+      incarnation,
+      taskId: task.taskId,
+      attempt: entry.attempts,
+      operation: task.operation.operationId,
+      input: task.input,
+      leaseMs,
+    };
+    const reply = await endpoints.run(placed.endpoint, start, stop.signal);
+    this.running.delete(task.taskId);
+    return reply;
+  }
+
+  /** Resolves the outcome, or asks for another attempt where the task certainly did not start. */
+  private settle(entry: WaitingTask, reply: EndpointReply): 'settled' | 'again' {
+    switch (reply.kind) {
+      case 'done':
+        entry.outcome.resolve({ kind: 'done', result: reply.result });
+        return 'settled';
+      case 'failed':
+        entry.outcome.resolve({ kind: 'failed', detail: reply.detail });
+        return 'settled';
+      case 'unknown':
+        entry.outcome.resolve({
+          kind: 'outcome-unknown',
+          problem: createProblem(
+            'outcome-unknown',
+            `The endpoint gave no answer: ${reply.reason}.`,
+          ),
+        });
+        return 'settled';
+      case 'not-started':
+        return this.settleNotStarted(entry);
+      default:
+        return unreachable(reply);
+    }
+  }
+
+  private settleNotStarted(entry: WaitingTask): 'settled' | 'again' {
+    if (entry.task.deadlineAtMs <= this.options.clock.nowMs()) {
+      entry.outcome.resolve({ kind: 'not-run', problem: pastDeadline() });
+      return 'settled';
+    }
+    if (entry.attempts >= maxAttempts) {
+      const problem = createProblem('overloaded', 'Every endpoint that was tried was busy.');
+      entry.outcome.resolve({ kind: 'not-run', problem });
+      return 'settled';
+    }
+    return 'again';
+  }
+
+  private stopRunning(jobId: string): void {
+    const byEndpoint = new Map<PlacedEndpoint, string[]>();
+    for (const { entry, placed, stop } of this.running.values()) {
+      if (entry.task.jobId !== jobId) {
+        continue;
+      }
+      byEndpoint.set(placed, [...(byEndpoint.get(placed) ?? []), entry.task.taskId]);
+      const problem = createProblem('outcome-unknown', 'The job ended while this task ran.');
+      entry.outcome.resolve({ kind: 'outcome-unknown', problem });
+      stop.abort();
+    }
+    for (const [placed, taskIds] of byEndpoint) {
+      void this.options.endpoints.cancel(placed.endpoint, taskIds, AbortSignal.timeout(1_000));
+    }
+  }
+}
+
+const pastDeadline = () =>
+  createProblem('deadline-exceeded', 'The deadline passed before this task started.', {
+    runState: 'not-run',
+  });
--- /dev/null
+++ b/src/ports/logger.ts
@@ -0,0 +1,26 @@
+/** Fields that a log line carries beside its sentence. */
+export interface LogContext {
+  readonly jobId?: string;
+  readonly callerId?: string;
+  readonly endpointId?: string;
+  readonly vmId?: string;
+  readonly version?: number;
+  readonly durationMs?: number;
+  readonly count?: number;
+  readonly reason?: string;
+}
+
+/** Port to the structured log; each part of the daemon has its own with a fixed prefix. */
+export interface Logger {
+  debug(sentence: string, context?: LogContext): void;
+  info(sentence: string, context?: LogContext): void;
+  warn(sentence: string, context?: LogContext): void;
+  error(sentence: string, context?: LogContext): void;
+  /**
+   * Creates the log of one part.
+   *
+   * @param prefix - name of the part, such as `intake`
+   * @returns a log whose sentences start with the prefix
+   */
+  forPart(prefix: string): Logger;
+}
--- /dev/null
+++ b/src/ports/metrics.ts
@@ -0,0 +1,6 @@
+/** Port to the metrics. */
+export interface Metrics {
+  count(name: string, value?: number, tags?: readonly string[]): void;
+  gauge(name: string, value: number, tags?: readonly string[]): void;
+  durationMs(name: string, valueMs: number, tags?: readonly string[]): void;
+}
--- /dev/null
+++ b/src/programs/toucandyke/demo/demoLoad.ts
@@ -0,0 +1,97 @@
+/**
+ * The mixed load of the demo: jobs and lookups of paying and trial callers.
+ */
+import { CallerSession } from '../../../adapters/callerHttp/callerSession.js';
+import type { CallerOutcome } from '../../../adapters/callerHttp/callerHttpClient.js';
+import type { Caller, Inventory, Operation } from '../../../inventory/types.js';
+import type { Submission } from '../../../jobs/types.js';
+import type { Clock } from '../../../ports/clock.js';
+import type { Random } from '../../../ports/random.js';
+import type { DemoTally } from './demoTally.js';
+
+const deadlineMs = 20_000;
+const maxTasks = 30;
+const pauseMs = 40;
+const lookupShare = 0.3;
+const sessionsPerCaller = 4;
+const roundTripMs = 1;
+
+export interface DemoLoadOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly inventory: Inventory;
+  readonly tally: DemoTally;
+  readonly balance: () => string;
+  /** Speed of the fastest endpoint. */
+  readonly topSpeed: number;
+  readonly signal: AbortSignal;
+}
+
+/**
+ * Runs the load until the signal ends it; requests under way are waited for.
+ *
+ * @param options - whom to load, and where the counts go
+ */
+export const runDemoLoad = async (options: DemoLoadOptions): Promise<void> => {
+  const sessions = options.inventory.callers.flatMap((caller) =>
+    Array.from({ length: sessionsPerCaller }, () => runSession(options, caller)),
+  );
+  await Promise.all(sessions);
+};
+
+const runSession = async (options: DemoLoadOptions, caller: Caller): Promise<void> => {
+  const { clock, random, signal, balance } = options;
+  const session = CallerSession.create({
+    token: `${caller.callerId}-example-token`,
+    balance,
+    createSuffix: () => random.id(),
+  });
+  while (!signal.aborted) {
+    await runRequest(options, caller, session);
+    await clock.sleep(pauseMs * random.next() * 2, signal);
+  }
+  await session.close();
+};
+
+const runRequest = async (
+  { clock, random, inventory, tally, topSpeed }: DemoLoadOptions,
+  caller: Caller,
+  session: CallerSession,
+): Promise<void> => {
+  const isLookup = random.next() < lookupShare;
+  const kind = isLookup ? 'repeatable' : 'once';
+  const operations = inventory.operations.filter((operation) => operation.kind === kind);
+  const submission = createSubmission(random, operations);
+  const startedAtMs = clock.nowMs();
+  const signal = AbortSignal.timeout(deadlineMs * 2);
+  const { outcome } = isLookup
+    ? await session.lookup(submission, signal)
+    : await session.submit(submission, signal);
+  const responseMs = clock.nowMs() - startedAtMs;
+  const idealMs = roundTripMs + longestRunTimeMs(submission, operations) / topSpeed;
+  tally.record({ callerClass: caller.class, outcome, responseMs, idealMs });
+  if (!isOwnAnswer(outcome, submission)) {
+    tally.wrongAnswers += 1;
+  }
+};
+
+const createSubmission = (random: Random, operations: readonly Operation[]): Submission => ({
+  deadlineMs,
+  tasks: Array.from({ length: 1 + Math.floor(random.next() ** 3 * maxTasks) }, () => ({
+    operation: operations[Math.floor(random.next() * operations.length)]?.operationId ?? '',
+    input: { number: random.id() },
+  })),
+});
+
+const longestRunTimeMs = (submission: Submission, operations: readonly Operation[]): number =>
+  Math.max(
+    ...submission.tasks.map(
+      (task) => operations.find((o) => o.operationId === task.operation)?.declaredRunTimeMs ?? 0,
+    ),
+  );
+
+/** The endpoints echo the numbered input, so a crossed answer shows. */
+const isOwnAnswer = (outcome: CallerOutcome, submission: Submission): boolean =>
+  outcome.kind !== 'complete' ||
+  JSON.stringify(outcome.results) ===
+    JSON.stringify(submission.tasks.map(({ operation, input }) => ({ operation, input })));
--- /dev/null
+++ b/src/programs/toucandyke/main.ts
@@ -0,0 +1,21 @@
+#!/usr/bin/env node
+/**
+ * The operators' command-line tool.
+ */
+import { Builtins, Cli } from 'clipanion';
+import { ConfigCheckCommand } from './commands/configCheckCommand.js';
+import { ConfigPublishCommand } from './commands/configPublishCommand.js';
+import { DemoCommand } from './commands/demoCommand.js';
+
+const cli = new Cli({
+  binaryLabel: 'toucandyke',
+  binaryName: 'toucandyke',
+  binaryVersion: '0.1.0',
+});
+cli.register(Builtins.HelpCommand);
+cli.register(Builtins.VersionCommand);
+cli.register(ConfigCheckCommand);
+cli.register(ConfigPublishCommand);
+cli.register(DemoCommand);
+
+process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
--- /dev/null
+++ b/src/programs/toucandyked/daemonProcess.ts
@@ -0,0 +1,91 @@
+/**
+ * Wires one daemon to its adapters.
+ */
+import { CallerHttpServer } from '../../adapters/callerHttp/callerHttpServer.js';
+import { EndpointHttpClient } from '../../adapters/endpointHttp/endpointHttpClient.js';
+import { LogHttpClient } from '../../adapters/logHttp/logHttpClient.js';
+import { OperatorHttpServer } from '../../adapters/operatorHttp/operatorHttpServer.js';
+import { PeerRpcConnector } from '../../adapters/peerRpc/peerRpcClient.js';
+import { PeerRpcServer } from '../../adapters/peerRpc/peerRpcServer.js';
+import { noMetrics } from '../../adapters/system/noMetrics.js';
+import { RoarrLogger } from '../../adapters/system/roarrLogger.js';
+import { StatsdMetrics } from '../../adapters/system/statsdMetrics.js';
+import { SystemClock } from '../../adapters/system/systemClock.js';
+import { SystemRandom } from '../../adapters/system/systemRandom.js';
+import { VmListHttpClient } from '../../adapters/vmListHttp/vmListHttpClient.js';
+import { splitAddress } from '../../config/settings.js';
+import type { Settings } from '../../config/settings.js';
+import { Daemon } from '../../daemon/daemon.js';
+import type { Ports } from '../../ports/ports.js';
+
+export class DaemonProcess {
+  private constructor(
+    readonly daemon: Daemon,
+    readonly callers: CallerHttpServer,
+    readonly operators: OperatorHttpServer,
+    readonly peers: PeerRpcServer,
+  ) {}
+
+  /**
+   * Starts a daemon with all its interfaces.
+   *
+   * @param settings - the checked settings
+   * @returns the running daemon
+   */
+  static async create(settings: Settings): Promise<DaemonProcess> {
+    const ports = createPorts(settings);
+    const daemon = Daemon.create(settings, ports);
+    const { logger } = ports;
+    const { listen, tokens } = settings;
+    const callers = await CallerHttpServer.create({
+      ...splitAddress(listen.callers),
+      service: daemon,
+      logger,
+    });
+    const operators = await OperatorHttpServer.create({
+      ...splitAddress(listen.operators),
+      token: tokens.operators,
+      service: daemon,
+      logger,
+    });
+    const peers = await PeerRpcServer.create({
+      ...splitAddress(listen.peers),
+      token: tokens.peers,
+      service: daemon,
+      logger,
+    });
+    return new DaemonProcess(daemon, callers, operators, peers);
+  }
+
+  /** Stops as planned: takes nothing new, ends what runs, answers it, then closes. */
+  async close(): Promise<void> {
+    this.daemon.drain();
+    await this.callers.close();
+    await this.daemon.close();
+    await this.peers.close();
+    await this.operators.close();
+  }
+
+  /** Cuts every connection at once, as a killed process does. */
+  async kill(): Promise<void> {
+    await Promise.all([this.callers.kill(), this.peers.kill(), this.operators.kill()]);
+    await this.daemon.kill();
+  }
+}
+
+const createPorts = (settings: Settings): Ports => {
+  const clock = SystemClock.create();
+  return {
+    clock,
+    random: SystemRandom.create(),
+    logger: RoarrLogger.create(settings.logLevel, settings.vmId),
+    metrics:
+      settings.metrics === undefined
+        ? noMetrics
+        : StatsdMetrics.create({ ...splitAddress(settings.metrics), vmId: settings.vmId }),
+    endpoints: EndpointHttpClient.create(clock),
+    logService: LogHttpClient.create(settings.platform.logService),
+    vmList: VmListHttpClient.create(settings.platform.vmList),
+    peers: PeerRpcConnector.create(settings.tokens.peers),
+  };
+};
--- /dev/null
+++ b/src/submissions/digest.ts
@@ -0,0 +1,14 @@
+/**
+ * Digest of a submission's tasks, to tell a resubmission from another submission.
+ */
+import { createHash } from 'node:crypto';
+import type { Submission } from '../jobs/types.js';
+
+/**
+ * Computes the digest; the deadline is left out, since a resubmission may state another.
+ *
+ * @param submission - the submission
+ * @returns SHA-256 in base64url
+ */
+export const digestSubmission = (submission: Submission): string =>
+  createHash('sha256').update(JSON.stringify(submission.tasks)).digest('base64url');
--- /dev/null
+++ b/src/submissions/submissionKey.ts
@@ -0,0 +1,62 @@
+/**
+ * The two forms of submission key: owned by one daemon process, or the caller's own stable id.
+ */
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { createProblem } from '../errors/problem.js';
+import type { Problem } from '../errors/problem.js';
+
+export const maxKeyLength = 128;
+
+const ownedPattern = /^([0-9a-z]{1,32})\.(\d{1,9})~([A-Za-z0-9._:-]{1,80})$/;
+const plainPattern = /^[A-Za-z0-9._:-]+$/;
+
+/** A checked key; the form is part of the identity. */
+export type SubmissionKey =
+  | {
+      readonly form: 'owned';
+      readonly text: string;
+      /** The daemon process that alone may start the submission. */
+      readonly incarnation: string;
+      readonly epoch: number;
+    }
+  | { readonly form: 'plain'; readonly text: string };
+
+/** The owner part of a key: a daemon's incarnation and the numbered epoch. */
+export interface Owner {
+  readonly incarnation: string;
+  readonly epoch: number;
+}
+
+/**
+ * Writes the owner part of a key.
+ *
+ * @param owner - incarnation and epoch
+ * @returns the text before the `~` of an owned key
+ */
+export const formatOwner = (owner: Owner): string => `${owner.incarnation}.${owner.epoch}`;
+
+/**
+ * Checks a key.
+ *
+ * @param text - the value of the `Idempotency-Key` header
+ * @returns the key, or an `invalid-request` problem
+ */
+export const parseSubmissionKey = (text: string): Result<SubmissionKey, Problem> => {
+  if (text.length === 0 || text.length > maxKeyLength) {
+    return Err(keyProblem(`The key must have 1 to ${maxKeyLength} characters.`));
+  }
+  if (!text.includes('~')) {
+    return plainPattern.test(text)
+      ? Ok({ form: 'plain', text })
+      : Err(keyProblem('A plain key has only letters, digits and . _ : -'));
+  }
+  const match = ownedPattern.exec(text);
+  if (match?.[1] === undefined || match[2] === undefined) {
+    return Err(keyProblem('An owned key reads OWNER~SUFFIX with an OWNER from GET /v1/owner.'));
+  }
+  return Ok({ form: 'owned', text, incarnation: match[1], epoch: Number(match[2]) });
+};
+
+const keyProblem = (detail: string): Problem =>
+  createProblem('invalid-request', detail, { where: 'Idempotency-Key' });
--- /dev/null
+++ b/src/testing/fakeVmList.ts
@@ -0,0 +1,29 @@
+/**
+ * A VM list in memory.
+ */
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import type { VmList, VmListError, VmRecord } from '../ports/vmList.js';
+
+export class FakeVmList implements VmList {
+  vms: VmRecord[] = [];
+  isOut = false;
+
+  private constructor() {
+    // Built by create.
+  }
+
+  static create(): FakeVmList {
+    return new FakeVmList();
+  }
+
+  list(_signal: AbortSignal): Promise<Result<readonly VmRecord[], VmListError>> {
+    return Promise.resolve(
+      this.isOut ? Err({ kind: 'unreachable', detail: 'The VM list is out.' }) : Ok(this.vms),
+    );
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+}
--- /dev/null
+++ b/src/testing/silentLogger.ts
@@ -0,0 +1,12 @@
+/**
+ * A log that goes nowhere.
+ */
+import type { Logger } from '../ports/logger.js';
+
+export const silentLogger: Logger = {
+  debug: () => undefined,
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+  forPart: () => silentLogger,
+};
