Part the scheduler into queue order and endpoint choice

Cause: queue order and endpoint choice are two matters; both were in one loop. Change: TaskQueue decides which task, EndpointPool which slot, Scheduler.dispatch joins them. Conclusion: both can grow apart.

--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -4,13 +4,12 @@
 import { createProblem } from '../errors/problem.js';
 import { unreachable } from '../errors/unreachable.js';
 import type { PlacedEndpoint } from '../inventory/inventoryIndex.js';
-import { fits } from '../inventory/inventoryIndex.js';
 import type { TaskOutcome } from '../jobs/types.js';
 import type { Clock } from '../ports/clock.js';
 import type { EndpointPort, EndpointReply } from '../ports/endpoints.js';
 import type { Logger } from '../ports/logger.js';
 import { createDeferred } from '../utils/deferred.js';
-import type { Deferred } from '../utils/deferred.js';
+import { EndpointPool } from './endpointPool.js';
 import { TaskQueue } from './taskQueue.js';
 import type { WaitingTask } from './taskQueue.js';
 import type { Task } from './types.js';
@@ -25,12 +24,6 @@
   readonly endpoints: EndpointPort;
 }
 
-/** A slot that waits for a task. */
-interface IdleSlot {
-  readonly placed: PlacedEndpoint;
-  readonly next: Deferred<WaitingTask | undefined>;
-}
-
 /** A task on an endpoint. */
 interface RunningTask {
   readonly entry: WaitingTask;
@@ -47,7 +40,7 @@
 
 export class Scheduler {
   private readonly queue = TaskQueue.create();
-  private readonly idle = new Set<IdleSlot>();
+  private readonly pool = EndpointPool.create();
   private readonly served = new Map<string, ServedEndpoint>();
   private readonly running = new Map<string, RunningTask>();
   private readonly draining = new Set<Promise<unknown>>();
@@ -59,7 +52,7 @@
   }
 
   get freeSlots(): number {
-    return this.idle.size;
+    return this.pool.freeSlots;
   }
 
   get waitingTasks(): number {
@@ -107,7 +100,7 @@
       }
       this.served.delete(endpointId);
       served.stop.abort();
-      this.releaseIdle(served.placed);
+      this.pool.release(served.placed);
       this.draining.add(served.done);
       void served.done.then(() => this.draining.delete(served.done));
     }
@@ -131,55 +124,49 @@
     return { placed, stop, done: Promise.all(slots) };
   }
 
+  /** Serves one slot of an endpoint: one task after the other, until the endpoint is not served. */
   private async serveSlot(placed: PlacedEndpoint, signal: AbortSignal): Promise<void> {
-    for (;;) {
-      const entry = await this.takeFor(placed, signal);
+    while (!signal.aborted) {
+      const slot = this.pool.addIdle(placed);
+      this.dispatch();
+      const entry = await slot.next.promise;
       if (entry === undefined) {
         return;
       }
-      const reply = await this.attempt(placed, entry);
-      if (this.settle(entry, reply) === 'again') {
-        await this.options.clock.sleep(busyPauseMs, signal);
-        this.place(entry);
-      }
+      await this.runOn(placed, entry, signal);
     }
   }
 
-  private async takeFor(
+  private async runOn(
     placed: PlacedEndpoint,
+    entry: WaitingTask,
     signal: AbortSignal,
-  ): Promise<WaitingTask | undefined> {
-    if (signal.aborted) {
-      return undefined;
-    }
-    const waiting = this.queue.take((task) => fits(task.operation, placed));
-    if (waiting !== undefined) {
-      return waiting;
+  ): Promise<void> {
+    const { clock } = this.options;
+    const startedAtMs = clock.nowMs();
+    const reply = await this.attempt(placed, entry);
+    this.queue.ended(entry, clock.nowMs() - startedAtMs);
+    if (this.settle(entry, reply) === 'again') {
+      await clock.sleep(busyPauseMs, signal);
+      this.place(entry);
     }
-    const slot: IdleSlot = { placed, next: createDeferred() };
-    this.idle.add(slot);
-    return slot.next.promise;
   }
 
-  /** Ends the wait of an endpoint's idle slots. */
-  private releaseIdle(placed: PlacedEndpoint): void {
-    for (const slot of this.idle) {
-      if (slot.placed === placed) {
-        this.idle.delete(slot);
-        slot.next.resolve(undefined);
-      }
-    }
+  private place(entry: WaitingTask): void {
+    this.queue.push(entry);
+    this.dispatch();
   }
 
-  private place(entry: WaitingTask): void {
-    for (const slot of this.idle) {
-      if (fits(entry.task.operation, slot.placed)) {
-        this.idle.delete(slot);
-        slot.next.resolve(entry);
+  /** Brings waiting tasks to idle slots until one of both runs out. */
+  private dispatch(): void {
+    for (;;) {
+      const entry = this.queue.take((operation) => this.pool.hasFree(operation));
+      const slot = entry === undefined ? undefined : this.pool.take(entry.task.operation);
+      if (entry === undefined || slot === undefined) {
         return;
       }
+      slot.next.resolve(entry);
     }
-    this.queue.push(entry);
   }
 
   private async attempt(placed: PlacedEndpoint, entry: WaitingTask): Promise<EndpointReply> {
--- a/src/placement/taskQueue.ts
+++ b/src/placement/taskQueue.ts
@@ -1,7 +1,7 @@
 /**
  * The waiting tasks of one daemon: paying work before trial work.
  */
-import type { CallerClass } from '../inventory/types.js';
+import type { CallerClass, Operation } from '../inventory/types.js';
 import type { TaskOutcome } from '../jobs/types.js';
 import type { Deferred } from '../utils/deferred.js';
 import type { Task } from './types.js';
@@ -36,15 +36,15 @@
   }
 
   /**
-   * Takes the next task that a test accepts.
+   * Takes the next task whose operation can run now.
    *
-   * @param accepts - tells whether the free slot can run the task
+   * @param canRun - tells whether a free slot fits the operation
    * @returns the task, or nothing
    */
-  take(accepts: (task: Task) => boolean): WaitingTask | undefined {
+  take(canRun: (operation: Operation) => boolean): WaitingTask | undefined {
     for (const callerClass of classOrder) {
       const list = this.waiting[callerClass];
-      const index = list.findIndex((entry) => accepts(entry.task));
+      const index = list.findIndex((entry) => canRun(entry.task.operation));
       if (index >= 0) {
         return list.splice(index, 1)[0];
       }
@@ -52,6 +52,16 @@
     return undefined;
   }
 
+  /**
+   * Notes that a task which was taken has left its slot.
+   *
+   * @param _entry - the task
+   * @param _slotTimeMs - how long it held the slot, in milliseconds
+   */
+  ended(_entry: WaitingTask, _slotTimeMs: number): void {
+    // Shares and caps are not counted yet.
+  }
+
   /**
    * Takes out every waiting task of a job in one pass.
    *
