--- a/src/programs/toucandyked/daemonProcess.ts
+++ b/src/programs/toucandyked/daemonProcess.ts
@@ -30,10 +30,11 @@
    * Starts a daemon with all its interfaces.
    *
    * @param settings - the checked settings
+   * @param overrides - ports that take the place of those to the real outside
    * @returns the running daemon
    */
-  static async create(settings: Settings): Promise<DaemonProcess> {
-    const ports = createPorts(settings);
+  static async create(settings: Settings, overrides: Partial<Ports> = {}): Promise<DaemonProcess> {
+    const ports = { ...createPorts(settings), ...overrides };
     const daemon = Daemon.create(settings, ports);
     const { logger } = ports;
     const { listen, tokens } = settings;
