--- a/standins/load/loadTally.ts
+++ b/standins/load/loadTally.ts
@@ -3,9 +3,12 @@
  */
 import { build } from 'hdr-histogram-js';
 import type { Histogram } from 'hdr-histogram-js';
+import { z } from 'zod';
 import type { CallerOutcome } from '../../src/adapters/callerHttp/callerHttpClient.js';
+import { errorKindSchema } from '../../src/errors/errorKinds.js';
 import type { ErrorKind } from '../../src/errors/errorKinds.js';
 import { unreachable } from '../../src/errors/unreachable.js';
+import { callerClassSchema } from '../../src/inventory/types.js';
 import type { CallerClass } from '../../src/inventory/types.js';
 
 /** Response over ideal is recorded in thousandths. */
@@ -31,24 +34,19 @@
   readonly idealMs: number;
 }
 
-/** Requests of one kind of error. */
-export interface FailureCount {
-  readonly kind: ErrorKind;
-  readonly count: number;
-}
-
 /** What one class of callers got. */
-export interface ClassSummary {
-  readonly callerClass: CallerClass;
-  readonly accepted: number;
-  readonly answered: number;
-  readonly answeredTasks: number;
+export const classSummarySchema = z.object({
+  callerClass: callerClassSchema,
+  accepted: z.number(),
+  answered: z.number(),
+  answeredTasks: z.number(),
   /** Requests that ended without any answer. */
-  readonly lost: number;
-  readonly failures: readonly FailureCount[];
-  readonly medianOverIdeal: number;
-  readonly p99OverIdeal: number;
-}
+  lost: z.number(),
+  failures: z.array(z.object({ kind: errorKindSchema, count: z.number() })),
+  medianOverIdeal: z.number(),
+  p99OverIdeal: z.number(),
+});
+export type ClassSummary = z.infer<typeof classSummarySchema>;
 
 export class LoadTally {
   private readonly classes: Record<CallerClass, ClassTally> = {
