--- a/standins/load/openLoopLoad.ts
+++ b/standins/load/openLoopLoad.ts
@@ -128,7 +128,11 @@
     const signal = AbortSignal.timeout(submission.deadlineMs + patienceMs);
     const owner = await first.owner(signal);
     const key = `${owner ?? 'unknown'}~${random.id()}`;
-    const firstOutcome = await first.submit(key, submission, AbortSignal.timeout(afterMs));
+    const firstOutcome = await first.submit(
+      key,
+      submission,
+      AbortSignal.timeout(Math.ceil(afterMs)),
+    );
     const others = Array.from({ length: copies }, connect);
     const outcomes = await Promise.all(others.map((one) => one.submit(key, submission, signal)));
     await Promise.all([first, ...others].map((client) => client.close()));
