Order the queue by class, fair team shares, remaining work and longest task

Cause: the queue was a list for each class, searched from its head: a short job waited behind a 230-task job, teams did not share, and a take looked at every task whose operation could not run.

Change: src/queue holds one index by operation at two levels (teams of a class, jobs of a team) on heaps that can change keys. The team that was given the least slot-time goes next (expected slot-time is charged at take, corrected in ended), then the job with the least remaining work less what its team was given since it came, then its longest expected task.

--- /dev/null
+++ b/src/queue/keyedHeap.ts
@@ -0,0 +1,111 @@
+/**
+ * A binary heap whose entries can change their key or leave at any place.
+ */
+
+/** An entry of the heap; `position` and `keyMs` belong to the heap. */
+export interface HeapNode<T> {
+  readonly item: T;
+  /** Breaks ties between equal keys: first in, first out. */
+  readonly order: number;
+  keyMs: number;
+  position: number;
+}
+
+export class KeyedHeap<T> {
+  private readonly nodes: HeapNode<T>[] = [];
+  private pushed = 0;
+
+  private constructor() {
+    // Built by create.
+  }
+
+  static create<T>(): KeyedHeap<T> {
+    return new KeyedHeap<T>();
+  }
+
+  get size(): number {
+    return this.nodes.length;
+  }
+
+  /** @returns the entry with the least key, if any */
+  peek(): HeapNode<T> | undefined {
+    return this.nodes[0];
+  }
+
+  /**
+   * Adds an item.
+   *
+   * @param item - the item
+   * @param keyMs - its key in milliseconds
+   * @returns the entry, by which the item is moved or removed
+   */
+  push(item: T, keyMs: number): HeapNode<T> {
+    this.pushed += 1;
+    const node = { item, keyMs, order: this.pushed, position: this.nodes.length };
+    this.nodes.push(node);
+    this.rise(node);
+    return node;
+  }
+
+  /**
+   * Changes the key of an entry.
+   *
+   * @param node - the entry
+   * @param keyMs - the new key in milliseconds
+   */
+  update(node: HeapNode<T>, keyMs: number): void {
+    node.keyMs = keyMs;
+    this.rise(node);
+    this.sink(node);
+  }
+
+  /** Removes an entry. */
+  remove(node: HeapNode<T>): void {
+    const last = this.nodes.pop();
+    if (last === undefined || last === node) {
+      return;
+    }
+    this.place(last, node.position);
+    this.rise(last);
+    this.sink(last);
+  }
+
+  private rise(node: HeapNode<T>): void {
+    while (node.position > 0) {
+      const parent = this.nodes[(node.position - 1) >> 1];
+      if (parent === undefined || !precedes(node, parent)) {
+        return;
+      }
+      this.swap(node, parent);
+    }
+  }
+
+  private sink(node: HeapNode<T>): void {
+    for (let child = this.leastChild(node); child !== undefined; child = this.leastChild(node)) {
+      if (!precedes(child, node)) {
+        return;
+      }
+      this.swap(child, node);
+    }
+  }
+
+  private leastChild(node: HeapNode<T>): HeapNode<T> | undefined {
+    const left = this.nodes[2 * node.position + 1];
+    const right = this.nodes[2 * node.position + 2];
+    return left !== undefined && right !== undefined && precedes(right, left) ? right : left;
+  }
+
+  private swap(a: HeapNode<T>, b: HeapNode<T>): void {
+    const position = a.position;
+    this.place(a, b.position);
+    this.place(b, position);
+  }
+
+  private place(node: HeapNode<T>, position: number): void {
+    this.nodes[position] = node;
+    node.position = position;
+  }
+}
+
+const precedes = <T>(a: HeapNode<T>, b: HeapNode<T>): boolean =>
+  a.keyMs < b.keyMs || (a.keyMs === b.keyMs && a.order < b.order);
--- /dev/null
+++ b/src/queue/teamQueue.ts
@@ -0,0 +1,110 @@
+/**
+ * The waiting jobs of one team in one class: least remaining work first, with ageing.
+ */
+import type { Operation } from '../inventory/types.js';
+import { OperationIndex } from './operationIndex.js';
+import type { IsRunnable, QueuedTask } from './types.js';
+import { WaitingJob } from './waitingJob.js';
+
+export class TeamQueue {
+  /** Slot-time that counts against the team's share; the team with the least goes next. */
+  chargedMs = 0;
+  private readonly jobs = new Map<string, WaitingJob>();
+  private readonly order = OperationIndex.create<WaitingJob>();
+  private readonly tasksOf = new Map<Operation, number>();
+  private servedMs = 0;
+  private totalMs = 0;
+  private tasks = 0;
+
+  private constructor(readonly teamId: string) {}
+
+  static create(teamId: string): TeamQueue {
+    return new TeamQueue(teamId);
+  }
+
+  /** Expected slot-time of all tasks that wait. */
+  get waitingMs(): number {
+    return this.totalMs;
+  }
+
+  get waitingTasks(): number {
+    return this.tasks;
+  }
+
+  get waitingJobs(): number {
+    return this.jobs.size;
+  }
+
+  waitsFor(operation: Operation): boolean {
+    return this.tasksOf.has(operation);
+  }
+
+  hasJob(jobId: string): boolean {
+    return this.jobs.has(jobId);
+  }
+
+  push(queued: QueuedTask): void {
+    const { jobId, operation } = queued.entry.task;
+    const job = this.jobs.get(jobId) ?? WaitingJob.create(jobId, this.servedMs);
+    this.jobs.set(jobId, job);
+    job.push(queued);
+    this.order.add(job, operation, job.keyMs);
+    this.order.rekey(job, job.keyMs);
+    this.count(queued, 1);
+  }
+
+  /**
+   * Takes the next task whose operation can run now.
+   *
+   * @param isRunnable - tells which operations can run
+   * @returns the task, or nothing
+   */
+  take(isRunnable: IsRunnable): QueuedTask | undefined {
+    const job = this.order.first(isRunnable);
+    const queued = job?.take(isRunnable);
+    if (job === undefined || queued === undefined) {
+      return undefined;
+    }
+    const { operation } = queued.entry.task;
+    if (!job.has(operation)) {
+      this.order.delete(job, operation);
+    }
+    this.order.rekey(job, job.keyMs);
+    if (job.isEmpty) {
+      this.jobs.delete(job.jobId);
+    }
+    this.count(queued, -1);
+    this.servedMs += queued.expectedMs;
+    return queued;
+  }
+
+  /**
+   * Takes out every waiting task of a job.
+   *
+   * @param jobId - the job
+   * @returns the tasks
+   */
+  withdraw(jobId: string): QueuedTask[] {
+    const job = this.jobs.get(jobId);
+    if (job === undefined) {
+      return [];
+    }
+    this.jobs.delete(jobId);
+    this.order.deleteAll(job);
+    const taken = job.list();
+    taken.forEach((queued) => this.count(queued, -1));
+    return taken;
+  }
+
+  private count({ entry, expectedMs }: QueuedTask, sign: 1 | -1): void {
+    const { operation } = entry.task;
+    const left = (this.tasksOf.get(operation) ?? 0) + sign;
+    if (left === 0) {
+      this.tasksOf.delete(operation);
+    } else {
+      this.tasksOf.set(operation, left);
+    }
+    this.tasks += sign;
+    this.totalMs = this.tasks === 0 ? 0 : this.totalMs + sign * expectedMs;
+  }
+}
--- /dev/null
+++ b/src/queue/types.ts
@@ -0,0 +1,24 @@
+/**
+ * Types of the queue of waiting tasks.
+ */
+import type { Operation } from '../inventory/types.js';
+import type { TaskOutcome } from '../jobs/types.js';
+import type { Task } from '../placement/types.js';
+import type { Deferred } from '../utils/deferred.js';
+
+/** A task that waits, with the promise of its outcome. */
+export interface WaitingTask {
+  readonly task: Task;
+  readonly outcome: Deferred<TaskOutcome>;
+  /** Attempts so far that certainly did not start. */
+  attempts: number;
+}
+
+/** A waiting task with the slot-time that it is expected to take. */
+export interface QueuedTask {
+  readonly entry: WaitingTask;
+  readonly expectedMs: number;
+}
+
+/** Tells whether a task of the operation can start now. */
+export type IsRunnable = (operation: Operation) => boolean;
--- /dev/null
+++ b/src/testing/queueFixtures.ts
@@ -0,0 +1,51 @@
+/**
+ * Waiting tasks for tests of the queue.
+ */
+import type { CallerClass, Operation } from '../inventory/types.js';
+import type { TaskOutcome } from '../jobs/types.js';
+import type { WaitingTask } from '../queue/types.js';
+import { createDeferred } from '../utils/deferred.js';
+
+export interface WaitingTaskFixtureOptions {
+  readonly jobId: string;
+  readonly teamId?: string;
+  readonly callerClass?: CallerClass;
+  readonly operation: Operation;
+  readonly index?: number;
+}
+
+/** Creates an operation with a declared run time. */
+export const createQueueOperation = (
+  operationId: string,
+  declaredRunTimeMs: number,
+): Operation => ({
+  operationId,
+  kind: 'once',
+  declaredRunTimeMs,
+  maxInputBytes: 65_536,
+  cores: 1,
+  memoryMb: 1,
+  accelerators: 0,
+});
+
+/** Creates a task that waits. */
+export const createWaitingTask = ({
+  jobId,
+  teamId = 'members',
+  callerClass = 'paying',
+  operation,
+  index = 0,
+}: WaitingTaskFixtureOptions): WaitingTask => ({
+  task: {
+    taskId: `${jobId}-${index}`,
+    jobId,
+    callerId: `${teamId}-caller`,
+    teamId,
+    callerClass,
+    operation,
+    input: index,
+    deadlineAtMs: 60_000,
+  },
+  outcome: createDeferred<TaskOutcome>(),
+  attempts: 0,
+});
