Own keys by incarnation and epoch, with forwarding and hand-over

Cause: the thin path remembered every submission for ever, forwarded once without a bound, answered status and cancel only at the owner, and forgot everything at a planned stop. Change: epochs with a window and a memory bound; bodies with faults travel to the owner, so that their refusal sticks; status and cancel go to the owner; a stopping daemon freezes its table and hands it to an heir in batches, which peers find through a version in the heir's heartbeat.

--- a/src/adapters/peerRpc/peerRpcClient.ts
+++ b/src/adapters/peerRpc/peerRpcClient.ts
@@ -11,10 +11,16 @@
 import type { Heartbeat } from '../../membership/types.js';
 import { peerMethods } from '../../ports/peers.js';
 import type {
+  ForwardedStatus,
   ForwardedSubmission,
+  HandOverBatch,
+  HandOverReply,
+  Inheritance,
   PeerConnector,
   PeerError,
   PeerLink,
+  StatusReply,
+  SubmissionRef,
   SubmitOutcome,
 } from '../../ports/peers.js';
 import { requestJson } from '../http/requestJson.js';
@@ -61,6 +67,22 @@
     return this.call('forward', request, signal);
   }
 
+  status(request: ForwardedStatus, signal: AbortSignal): Promise<Result<StatusReply, PeerError>> {
+    return this.call('status', request, signal);
+  }
+
+  cancel(request: SubmissionRef, signal: AbortSignal): Promise<Result<StatusReply, PeerError>> {
+    return this.call('cancel', request, signal);
+  }
+
+  handOver(batch: HandOverBatch, signal: AbortSignal): Promise<Result<HandOverReply, PeerError>> {
+    return this.call('handOver', batch, signal);
+  }
+
+  fetchInheritance(signal: AbortSignal): Promise<Result<Inheritance, PeerError>> {
+    return this.call('fetchInheritance', {}, signal);
+  }
+
   async fetchConfiguration(
     signal: AbortSignal,
   ): Promise<Result<ConfigurationRecord | null, PeerError>> {
--- a/src/adapters/peerRpc/peerRpcServer.ts
+++ b/src/adapters/peerRpc/peerRpcServer.ts
@@ -102,6 +102,16 @@
   rpc.addMethod('forward', (params) =>
     service.forward(checkParams(peerMethods.forward.params, params)),
   );
+  rpc.addMethod('status', (params) =>
+    service.statusForwarded(checkParams(peerMethods.status.params, params)),
+  );
+  rpc.addMethod('cancel', (params) =>
+    service.cancelForwarded(checkParams(peerMethods.cancel.params, params)),
+  );
+  rpc.addMethod('handOver', (params) =>
+    service.handOver(checkParams(peerMethods.handOver.params, params)),
+  );
+  rpc.addMethod('fetchInheritance', () => service.fetchInheritance());
   rpc.addMethod('fetchConfiguration', () => ({ record: service.fetchConfiguration() }));
   return rpc;
 };
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -15,13 +15,32 @@
 import { Scheduler } from '../placement/scheduler.js';
 import type { CallerService, JobStatus } from '../ports/callers.js';
 import type { DaemonStatus, OperatorService } from '../ports/operators.js';
-import type { ForwardedSubmission, PeerService, SubmitOutcome } from '../ports/peers.js';
+import type {
+  ForwardedStatus,
+  ForwardedSubmission,
+  HandOverBatch,
+  HandOverReply,
+  Inheritance,
+  PeerService,
+  StatusReply,
+  SubmissionRef,
+  SubmitOutcome,
+} from '../ports/peers.js';
 import type { Ports } from '../ports/ports.js';
+import { depart } from '../submissions/departure.js';
+import { HeirDirectory } from '../submissions/heirDirectory.js';
+import { InheritedTables } from '../submissions/inheritedTables.js';
 import { Intake } from '../submissions/intake.js';
+import { OwnerRouter } from '../submissions/ownerRouter.js';
+import { OwnSubmissions } from '../submissions/ownSubmissions.js';
 import { formatOwner } from '../submissions/submissionKey.js';
-import type { Owner } from '../submissions/submissionKey.js';
 import { SubmissionTable } from '../submissions/submissionTable.js';
 
+const maxTableBytes = 64 * 1_048_576;
+const maxInheritedBytes = 64 * 1_048_576;
+/** Window until the first configuration is in force. */
+const defaultResubmissionWindowMs = 600_000;
+
 /** Who a daemon is; from its settings. */
 export interface DaemonIdentity {
   readonly vmId: string;
@@ -31,9 +50,11 @@
 }
 
 export class Daemon implements CallerService, OperatorService, PeerService {
-  private readonly owned: Owner;
+  readonly incarnation: string;
   private readonly configuration = ConfigurationStore.create();
-  private readonly table = SubmissionTable.create();
+  private readonly table: SubmissionTable;
+  private readonly inherited: InheritedTables;
+  private readonly own: OwnSubmissions;
   private readonly scheduler: Scheduler;
   private readonly peers: PeerSet;
   private readonly intake: Intake;
@@ -45,8 +66,12 @@
     private readonly ports: Ports,
   ) {
     const { clock, logger, random } = ports;
-    this.owned = { incarnation: random.id(), epoch: 1 };
-    const { incarnation } = this.owned;
+    const incarnation = random.id();
+    this.incarnation = incarnation;
+    const windowMs = () =>
+      this.configuration.current?.rules.resubmissionWindowMs ?? defaultResubmissionWindowMs;
+    this.table = SubmissionTable.create({ incarnation, clock, maxBytes: maxTableBytes, windowMs });
+    this.inherited = InheritedTables.create({ clock, maxBytes: maxInheritedBytes, windowMs });
     this.scheduler = Scheduler.create({ incarnation, clock, logger, endpoints: ports.endpoints });
     this.peers = PeerSet.create({
       vmId: identity.vmId,
@@ -56,15 +81,12 @@
       connector: ports.peers,
       ownHeartbeat: () => this.composeHeartbeat(),
     });
-    this.intake = Intake.create({
-      owner: this.owned,
-      clock,
-      random,
-      configuration: this.configuration,
-      runner: JobRunner.create({ clock, scheduler: this.scheduler }),
-      table: this.table,
-      peers: this.peers,
-    });
+    const { configuration, table, inherited, peers } = this;
+    const runner = JobRunner.create({ clock, scheduler: this.scheduler });
+    this.own = OwnSubmissions.create({ clock, random, configuration, runner, table });
+    const heirs = HeirDirectory.create(peers, clock);
+    const router = OwnerRouter.create({ clock, peers, heirs });
+    this.intake = Intake.create({ incarnation, configuration, own: this.own, inherited, router });
     this.configuration.onChange(() => this.assignEndpoints());
     this.peers.onChange(() => this.assignEndpoints());
     this.follower = ConfigurationFollower.create({
@@ -83,16 +105,12 @@
     return this.configuration.version;
   }
 
-  get incarnation(): string {
-    return this.owned.incarnation;
-  }
-
   authenticate(tokenSha256: string): Caller | undefined {
     return this.configuration.current?.inventory.callerByToken(tokenSha256);
   }
 
   owner(): string {
-    return formatOwner(this.owned);
+    return formatOwner(this.table.owner);
   }
 
   isReady(): boolean {
@@ -127,6 +145,22 @@
     return this.intake.submitForwarded(request);
   }
 
+  statusForwarded(request: ForwardedStatus): Promise<StatusReply> {
+    return this.intake.statusForwarded(request);
+  }
+
+  cancelForwarded(request: SubmissionRef): Promise<StatusReply> {
+    return this.intake.cancelForwarded(request);
+  }
+
+  handOver(batch: HandOverBatch): HandOverReply {
+    return this.inherited.accept(batch);
+  }
+
+  fetchInheritance(): Inheritance {
+    return { incarnations: this.inherited.incarnations() };
+  }
+
   fetchConfiguration(): ConfigurationRecord | null {
     return this.configuration.current?.record ?? null;
   }
@@ -134,7 +168,7 @@
   /** Stops taking new submissions; what runs goes on. */
   drain(): void {
     this.state = 'leaving';
-    this.intake.freeze();
+    this.own.stopTaking();
   }
 
   describe(): DaemonStatus {
@@ -153,8 +187,12 @@
     await this.ports.vmList.close();
   }
 
+  /** Stops as planned: what runs ends, and a peer takes the memory of submissions over. */
   async close(): Promise<void> {
     this.drain();
+    const { clock, logger } = this.ports;
+    const { peers, own, table, inherited } = this;
+    await depart({ clock, logger: logger.forPart('departure'), peers, own, table, inherited });
     await this.follower.close();
     await this.peers.close();
     await this.scheduler.close();
@@ -166,13 +204,14 @@
   private composeHeartbeat(): Heartbeat {
     return {
       vmId: this.identity.vmId,
-      incarnation: this.owned.incarnation,
+      incarnation: this.incarnation,
       failureDomainId: this.identity.failureDomainId,
       state: this.state,
       weight: this.identity.weight,
       freeSlots: this.scheduler.freeSlots,
       waitingTasks: this.scheduler.waitingTasks,
       configurationVersion: this.configuration.version,
+      inheritanceVersion: this.inherited.version,
     };
   }
 
--- a/src/membership/peerSet.ts
+++ b/src/membership/peerSet.ts
@@ -1,15 +1,9 @@
 /**
  * The other daemons: one async function keeps the link to each and exchanges heartbeats.
  */
-import { createProblem } from '../errors/problem.js';
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
-import type {
-  ForwardedSubmission,
-  PeerConnector,
-  PeerLink,
-  SubmitOutcome,
-} from '../ports/peers.js';
+import type { PeerConnector, PeerLink } from '../ports/peers.js';
 import type { VmList, VmRecord } from '../ports/vmList.js';
 import type { Heartbeat } from './types.js';
 
@@ -74,21 +68,15 @@
   }
 
   /**
-   * Forwards a submission to the incarnation that owns its key.
+   * Finds the link to an incarnation.
    *
-   * @param incarnation - the owner
-   * @param request - the submission
-   * @returns the owner's outcome, or `outcome-unknown` if the owner gave none
+   * @param incarnation - the daemon process
+   * @returns the link to the peer that last said it was this incarnation
    */
-  async forward(incarnation: string, request: ForwardedSubmission): Promise<SubmitOutcome> {
-    const peer = [...this.peers.values()].find(
+  linkTo(incarnation: string): PeerLink | undefined {
+    return [...this.peers.values()].find(
       ({ heard }) => heard?.heartbeat.incarnation === incarnation,
-    );
-    if (peer === undefined) {
-      return ownerGone('The daemon that owns the key is not known.');
-    }
-    const outcome = await peer.link.forward(request, peer.stop.signal);
-    return outcome.isOk() ? outcome.value : ownerGone('The daemon that owns the key is gone.');
+    )?.link;
   }
 
   async close(): Promise<void> {
@@ -171,8 +159,3 @@
     }
   }
 }
-
-const ownerGone = (detail: string): SubmitOutcome => ({
-  kind: 'refused',
-  problem: createProblem('outcome-unknown', detail),
-});
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -15,5 +15,7 @@
   freeSlots: z.number().int().nonnegative(),
   waitingTasks: z.number().int().nonnegative(),
   configurationVersion: z.number().int().nonnegative(),
+  /** Grows whenever the set of tables taken over from stopped daemons changes. */
+  inheritanceVersion: z.number().int().nonnegative().default(0),
 });
 export type Heartbeat = z.infer<typeof heartbeatSchema>;
--- a/src/ports/callers.ts
+++ b/src/ports/callers.ts
@@ -2,14 +2,10 @@
 import type { Result } from 'ts-results-es';
 import type { Problem } from '../errors/problem.js';
 import type { Caller } from '../inventory/types.js';
-import type { JobAnswer, Submission } from '../jobs/types.js';
-import type { SubmitOutcome } from './peers.js';
+import type { Submission } from '../jobs/types.js';
+import type { JobStatus, SubmitOutcome } from './peers.js';
 
-/** What is known of a job when a caller asks. */
-export type JobStatus =
-  | { readonly state: 'running' }
-  | { readonly state: 'answered'; readonly answer: JobAnswer }
-  | { readonly state: 'refused'; readonly problem: Problem };
+export type { JobStatus } from './peers.js';
 
 export interface CallerService {
   /**
--- a/src/submissions/intake.ts
+++ b/src/submissions/intake.ts
@@ -1,5 +1,6 @@
 /**
- * Takes submissions: looks up the key, forwards to its owner, refuses, or starts the job.
+ * Takes submissions and questions about them, and brings each to the daemon process that owns its
+ * key: this one, a peer, or the heir of a daemon that has stopped.
  */
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
@@ -8,48 +9,40 @@
 import type { Problem } from '../errors/problem.js';
 import { unreachable } from '../errors/unreachable.js';
 import type { Caller } from '../inventory/types.js';
-import type { JobRunner } from '../jobs/jobRunner.js';
 import type { Submission } from '../jobs/types.js';
-import type { PeerSet } from '../membership/peerSet.js';
-import type { JobStatus } from '../ports/callers.js';
-import type { Clock } from '../ports/clock.js';
-import type { ForwardedSubmission, SubmitOutcome } from '../ports/peers.js';
-import type { Random } from '../ports/random.js';
-import { checkSubmission } from './admission.js';
-import { digestSubmission } from './digest.js';
+import type {
+  ForwardedStatus,
+  ForwardedSubmission,
+  JobStatus,
+  StatusReply,
+  SubmissionBody,
+  SubmissionRef,
+  SubmitOutcome,
+} from '../ports/peers.js';
+import type { InheritedTables } from './inheritedTables.js';
+import type { OwnerRouter } from './ownerRouter.js';
+import type { OwnSubmissions } from './ownSubmissions.js';
+import { ownerGone, refused, unknown } from './replies.js';
 import { parseSubmissionKey } from './submissionKey.js';
-import type { Owner, SubmissionKey } from './submissionKey.js';
-import type { SubmissionTable } from './submissionTable.js';
-import type { SubmissionRecord } from './types.js';
 
 export interface IntakeOptions {
-  readonly owner: Owner;
-  readonly clock: Clock;
-  readonly random: Random;
+  readonly incarnation: string;
   readonly configuration: ConfigurationStore;
-  readonly runner: JobRunner;
-  readonly table: SubmissionTable;
-  readonly peers: PeerSet;
+  readonly own: OwnSubmissions;
+  readonly inherited: InheritedTables;
+  readonly router: OwnerRouter;
 }
 
-export class Intake {
-  private stopping = false;
+/** Where the owner of a key is, seen from this daemon. */
+type OwnerPlace = 'here' | 'inherited' | 'elsewhere';
 
+export class Intake {
   private constructor(private readonly options: IntakeOptions) {}
 
   static create(options: IntakeOptions): Intake {
     return new Intake(options);
   }
 
-  /** Refuses new submissions from now on. */
-  freeze(): void {
-    this.stopping = true;
-  }
-
-  get isFrozen(): boolean {
-    return this.stopping;
-  }
-
   async submit(
     caller: Caller,
     keyText: string,
@@ -60,8 +53,15 @@
       return refused(key.error);
     }
     switch (key.value.form) {
-      case 'owned':
-        return this.submitOwned(caller, key.value, body);
+      case 'owned': {
+        const { text, owner } = key.value;
+        return this.submitTo({
+          callerId: caller.callerId,
+          key: text,
+          owner,
+          body: toBody(body),
+        });
+      }
       case 'plain':
         return refused(createProblem('unavailable', 'Plain keys are not served yet.'));
       default:
@@ -69,14 +69,38 @@
     }
   }
 
-  /** Serves a submission that another daemon forwarded to this owner. */
+  /** Serves a submission that another daemon forwarded; it is not forwarded again. */
   async submitForwarded(request: ForwardedSubmission): Promise<SubmitOutcome> {
-    const caller = this.options.configuration.current?.inventory.callerById(request.callerId);
-    const key = parseSubmissionKey(request.key);
-    if (caller === undefined || key.isErr() || !this.owns(key.value)) {
-      return refused(createProblem('outcome-unknown', 'This daemon does not own the key.'));
+    switch (this.locate(request)) {
+      case 'here':
+        return this.options.own.submit(request);
+      case 'inherited':
+        return this.options.inherited.submit(request);
+      case 'elsewhere':
+        return refused(notOwned());
+    }
+  }
+
+  async statusForwarded(request: ForwardedStatus): Promise<StatusReply> {
+    switch (this.locate(request)) {
+      case 'here':
+        return this.options.own.status(request);
+      case 'inherited':
+        return this.options.inherited.status(request);
+      case 'elsewhere':
+        return unknown(notOwned());
+    }
+  }
+
+  async cancelForwarded(request: SubmissionRef): Promise<StatusReply> {
+    switch (this.locate(request)) {
+      case 'here':
+        return this.options.own.cancel(request);
+      case 'inherited':
+        return this.options.inherited.status(request);
+      case 'elsewhere':
+        return unknown(notOwned());
     }
-    return this.submitHere(caller, key.value, Ok(request.submission));
   }
 
   async status(
@@ -84,26 +108,28 @@
     keyText: string,
     waitMs: number,
   ): Promise<Result<JobStatus, Problem>> {
-    const record = this.options.table.find(caller.callerId, keyText);
-    if (record === undefined) {
-      return Err(createProblem('not-found', 'No job is known under this key.'));
-    }
-    if (record.state === 'running') {
-      await this.waitForAnswer(record, waitMs);
+    const ref = this.resolve(caller, keyText);
+    if (ref.isErr()) {
+      return ref;
     }
-    return Ok(toStatus(this.options.table.find(caller.callerId, keyText) ?? record));
+    const request = { ...ref.value, waitMs };
+    const reply =
+      this.locate(request) === 'elsewhere'
+        ? ((await this.options.router.status(request)) ?? this.askAgain(request))
+        : await this.statusForwarded(request);
+    return toResult(reply);
   }
 
   async cancel(caller: Caller, keyText: string): Promise<Result<JobStatus, Problem>> {
-    const record = this.options.table.find(caller.callerId, keyText);
-    if (record === undefined) {
-      return Err(createProblem('not-found', 'No job is known under this key.'));
-    }
-    if (record.state === 'running') {
-      record.job.cancel();
-      await record.job.answer;
+    const ref = this.resolve(caller, keyText);
+    if (ref.isErr()) {
+      return ref;
     }
-    return Ok(toStatus(this.options.table.find(caller.callerId, keyText) ?? record));
+    const reply =
+      this.locate(ref.value) === 'elsewhere'
+        ? ((await this.options.router.cancel(ref.value)) ?? this.askAgain(ref.value))
+        : await this.cancelForwarded(ref.value);
+    return toResult(reply);
   }
 
   /** Runs repeatable operations; they need no key and no memory. */
@@ -111,65 +137,56 @@
     if (body.isErr()) {
       return refused(body.error);
     }
-    const problem = this.check(body.value) ?? this.checkRepeatable(body.value);
+    const problem = this.options.own.check(body.value) ?? this.checkRepeatable(body.value);
     if (problem !== undefined) {
       return refused(problem);
     }
-    const job = this.startJob(caller, body.value);
+    const job = this.options.own.startJob(caller, body.value);
     return { kind: 'answered', answer: await job.answer };
   }
 
-  private submitOwned(
-    caller: Caller,
-    key: Extract<SubmissionKey, { form: 'owned' }>,
-    body: Result<Submission, Problem>,
-  ): Promise<SubmitOutcome> {
-    if (this.owns(key)) {
-      return this.submitHere(caller, key, body);
+  /** Brings a submission to its owner; where no answer came, looks once more into what is here. */
+  private async submitTo(request: ForwardedSubmission): Promise<SubmitOutcome> {
+    if (this.locate(request) !== 'elsewhere') {
+      return this.submitForwarded(request);
     }
-    if (body.isErr()) {
-      return Promise.resolve(refused({ ...body.error, runState: 'outcome-unknown' }));
+    const outcome = await this.options.router.submit(request);
+    if (outcome !== undefined) {
+      return outcome;
     }
-    const request = { callerId: caller.callerId, key: key.text, submission: body.value };
-    return this.options.peers.forward(key.incarnation, request);
+    const { inherited } = this.options;
+    return inherited.has(request.owner.incarnation)
+      ? inherited.submit(request)
+      : refused(ownerGone());
   }
 
-  private async submitHere(
-    caller: Caller,
-    key: SubmissionKey,
-    body: Result<Submission, Problem>,
-  ): Promise<SubmitOutcome> {
-    const { table } = this.options;
-    const digest = body.isOk() ? digestSubmission(body.value) : '';
-    const known = table.find(caller.callerId, key.text);
-    if (known !== undefined) {
-      return attach(known, digest);
-    }
-    const problem = body.isErr() ? body.error : this.check(body.value);
-    if (problem !== undefined) {
-      table.remember(caller.callerId, key.text, { state: 'refused', digest, problem });
-      return refused(problem);
-    }
-    const job = this.startJob(caller, body.unwrap());
-    table.remember(caller.callerId, key.text, { state: 'running', digest, job });
-    const answer = await job.answer;
-    table.remember(caller.callerId, key.text, { state: 'answered', digest, answer });
-    return { kind: 'answered', answer };
+  private askAgain(request: SubmissionRef): StatusReply {
+    const { inherited } = this.options;
+    return inherited.has(request.owner.incarnation)
+      ? inherited.status(request)
+      : unknown(ownerGone());
   }
 
-  private owns(key: SubmissionKey): boolean {
-    return key.form === 'owned' && key.incarnation === this.options.owner.incarnation;
+  private locate({ owner }: SubmissionRef): OwnerPlace {
+    if (owner.incarnation === this.options.incarnation) {
+      return 'here';
+    }
+    return this.options.inherited.isComplete(owner.incarnation) ? 'inherited' : 'elsewhere';
   }
 
-  private check(submission: Submission): Problem | undefined {
-    if (this.stopping) {
-      return createProblem('stopping', 'This daemon takes no new submissions.');
+  private resolve(caller: Caller, keyText: string): Result<SubmissionRef, Problem> {
+    const key = parseSubmissionKey(keyText);
+    if (key.isErr()) {
+      return key;
     }
-    const active = this.options.configuration.current;
-    if (active === undefined) {
-      return createProblem('overloaded', 'This daemon has no configuration yet.');
+    switch (key.value.form) {
+      case 'owned':
+        return Ok({ callerId: caller.callerId, key: key.value.text, owner: key.value.owner });
+      case 'plain':
+        return Err(createProblem('not-found', 'No job is known under this key.'));
+      default:
+        return unreachable(key.value);
     }
-    return checkSubmission(submission, active);
   }
 
   private checkRepeatable(submission: Submission): Problem | undefined {
@@ -183,59 +200,23 @@
     const detail = 'Only repeatable operations may be looked up.';
     return createProblem('invalid-request', detail, { where: `tasks[${index}].operation` });
   }
-
-  private startJob(caller: Caller, submission: Submission) {
-    const { clock, random, runner, configuration } = this.options;
-    if (configuration.current === undefined) {
-      throw new Error('A job was started without a configuration.');
-    }
-    return runner.start({
-      jobId: random.id(),
-      caller,
-      submission,
-      deadlineAtMs: clock.nowMs() + submission.deadlineMs,
-      inventory: configuration.current.inventory,
-    });
-  }
-
-  private async waitForAnswer(
-    record: Extract<SubmissionRecord, { state: 'running' }>,
-    waitMs: number,
-  ): Promise<void> {
-    const timer = new AbortController();
-    await Promise.race([record.job.answer, this.options.clock.sleep(waitMs, timer.signal)]);
-    timer.abort();
-  }
 }
 
-const refused = (problem: Problem): SubmitOutcome => ({ kind: 'refused', problem });
-
-/** Gives a resubmission what became of the first copy. */
-const attach = async (record: SubmissionRecord, digest: string): Promise<SubmitOutcome> => {
-  if (record.digest !== digest && record.digest !== '') {
-    return refused(createProblem('key-conflict', 'The key was used with other tasks.'));
-  }
-  switch (record.state) {
-    case 'running':
-      return { kind: 'answered', answer: await record.job.answer };
-    case 'answered':
-      return { kind: 'answered', answer: record.answer };
-    case 'refused':
-      return refused(record.problem);
+const toBody = (body: Result<Submission, Problem>): SubmissionBody =>
+  body.isOk()
+    ? { kind: 'valid', submission: body.value }
+    : { kind: 'invalid', problem: body.error };
+
+const toResult = (reply: StatusReply): Result<JobStatus, Problem> => {
+  switch (reply.kind) {
+    case 'known':
+      return Ok(reply.status);
+    case 'unknown':
+      return Err(reply.problem);
     default:
-      return unreachable(record);
+      return unreachable(reply);
   }
 };
 
-const toStatus = (record: SubmissionRecord): JobStatus => {
-  switch (record.state) {
-    case 'running':
-      return { state: 'running' };
-    case 'answered':
-      return { state: 'answered', answer: record.answer };
-    case 'refused':
-      return { state: 'refused', problem: record.problem };
-    default:
-      return unreachable(record);
-  }
-};
+const notOwned = (): Problem =>
+  createProblem('outcome-unknown', 'This daemon does not own the key.');
--- /dev/null
+++ b/src/submissions/ownSubmissions.ts
@@ -0,0 +1,192 @@
+/**
+ * The submissions that this daemon process owns: it alone starts them, each at most once.
+ */
+import type {
+  ActiveConfiguration,
+  ConfigurationStore,
+} from '../configuration/configurationStore.js';
+import { createProblem } from '../errors/problem.js';
+import type { Problem } from '../errors/problem.js';
+import { unreachable } from '../errors/unreachable.js';
+import type { JobRunner } from '../jobs/jobRunner.js';
+import type { JobAnswer, Submission } from '../jobs/types.js';
+import type { Caller } from '../inventory/types.js';
+import type { Clock } from '../ports/clock.js';
+import type {
+  ForwardedStatus,
+  ForwardedSubmission,
+  StatusReply,
+  SubmissionRef,
+  SubmitOutcome,
+} from '../ports/peers.js';
+import type { Random } from '../ports/random.js';
+import { checkSubmission } from './admission.js';
+import { attach, digestBody, forgotten, known, neverStarted, refused, unknown } from './replies.js';
+import type { SubmissionTable } from './submissionTable.js';
+import type { RunningJob, SubmissionRecord } from './types.js';
+
+export interface OwnSubmissionsOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly configuration: ConfigurationStore;
+  readonly runner: JobRunner;
+  readonly table: SubmissionTable;
+}
+
+export class OwnSubmissions {
+  private readonly running = new Set<Promise<JobAnswer>>();
+  private stopping = false;
+
+  private constructor(private readonly options: OwnSubmissionsOptions) {}
+
+  static create(options: OwnSubmissionsOptions): OwnSubmissions {
+    return new OwnSubmissions(options);
+  }
+
+  /** Refuses new submissions from now on; each refusal is remembered. */
+  stopTaking(): void {
+    this.stopping = true;
+  }
+
+  /** Waits until nothing runs, then freezes the table for good. */
+  async finish(): Promise<void> {
+    this.stopTaking();
+    while (this.running.size > 0) {
+      await Promise.all(this.running);
+    }
+    this.options.table.freeze();
+  }
+
+  /**
+   * Starts a submission, or attaches to what became of an earlier copy. The lookup precedes every
+   * check, and nothing runs between it and the record of the start.
+   *
+   * @param request - the submission, whose owner is this process
+   */
+  async submit(request: ForwardedSubmission): Promise<SubmitOutcome> {
+    const { owner, callerId, key, body } = request;
+    const found = this.options.table.find(owner.epoch, callerId, key);
+    switch (found.kind) {
+      case 'known':
+        return attach(found.record, digestBody(body));
+      case 'never-started':
+        return refused(neverStarted());
+      case 'forgotten':
+        return refused(forgotten());
+      case 'absent':
+        return this.startOrRefuse(request);
+      default:
+        return unreachable(found);
+    }
+  }
+
+  async status(request: ForwardedStatus): Promise<StatusReply> {
+    const record = this.find(request);
+    if (record === undefined) {
+      return unknown(this.explainAbsence(request));
+    }
+    if (record.state === 'running') {
+      await this.waitForAnswer(record.job, request.waitMs);
+    }
+    return known(this.find(request) ?? record);
+  }
+
+  async cancel(request: SubmissionRef): Promise<StatusReply> {
+    const record = this.find(request);
+    if (record === undefined) {
+      return unknown(this.explainAbsence(request));
+    }
+    if (record.state !== 'running') {
+      return known(record);
+    }
+    record.job.cancel();
+    const answer = await record.job.answer;
+    return known({ state: 'answered', digest: record.digest, answer });
+  }
+
+  /**
+   * Checks a submission against the state of this daemon and the configuration in force.
+   *
+   * @param submission - the submission
+   * @returns why it is refused, or nothing
+   */
+  check(submission: Submission): Problem | undefined {
+    if (this.stopping) {
+      return createProblem('stopping', 'This daemon takes no new submissions.');
+    }
+    const active = this.options.configuration.current;
+    return active === undefined ? noConfiguration() : checkSubmission(submission, active);
+  }
+
+  /**
+   * Starts a job that was checked.
+   *
+   * @param caller - who submitted it
+   * @param submission - the job
+   */
+  startJob(caller: Caller, submission: Submission): RunningJob {
+    const { clock, random, runner } = this.options;
+    const job = runner.start({
+      jobId: random.id(),
+      caller,
+      submission,
+      deadlineAtMs: clock.nowMs() + submission.deadlineMs,
+      inventory: this.active().inventory,
+    });
+    this.running.add(job.answer);
+    void job.answer.finally(() => this.running.delete(job.answer));
+    return job;
+  }
+
+  private async startOrRefuse(request: ForwardedSubmission): Promise<SubmitOutcome> {
+    const { body, callerId } = request;
+    const digest = digestBody(body);
+    const problem = body.kind === 'invalid' ? body.problem : this.check(body.submission);
+    if (problem !== undefined || body.kind === 'invalid') {
+      const reason = problem ?? noConfiguration();
+      this.remember(request, { state: 'refused', digest, problem: reason });
+      return refused(reason);
+    }
+    const caller = this.active().inventory.callerById(callerId);
+    if (caller === undefined) {
+      return refused(createProblem('outcome-unknown', 'The caller is not known to the owner.'));
+    }
+    const job = this.startJob(caller, body.submission);
+    this.remember(request, { state: 'running', digest, job });
+    const answer = await job.answer;
+    this.remember(request, { state: 'answered', digest, answer });
+    return { kind: 'answered', answer };
+  }
+
+  private find({ owner, callerId, key }: SubmissionRef): SubmissionRecord | undefined {
+    const found = this.options.table.find(owner.epoch, callerId, key);
+    return found.kind === 'known' ? found.record : undefined;
+  }
+
+  private remember({ owner, callerId, key }: SubmissionRef, record: SubmissionRecord): void {
+    this.options.table.remember(owner.epoch, callerId, key, record);
+  }
+
+  private explainAbsence({ owner, callerId, key }: SubmissionRef): Problem {
+    return this.options.table.find(owner.epoch, callerId, key).kind === 'forgotten'
+      ? forgotten()
+      : createProblem('not-found', 'No job is known under this key.');
+  }
+
+  private active(): ActiveConfiguration {
+    const { current } = this.options.configuration;
+    if (current === undefined) {
+      throw new Error('A job was started without a configuration.');
+    }
+    return current;
+  }
+
+  private async waitForAnswer(job: RunningJob, waitMs: number): Promise<void> {
+    const timer = new AbortController();
+    await Promise.race([job.answer, this.options.clock.sleep(waitMs, timer.signal)]);
+    timer.abort();
+  }
+}
+
+const noConfiguration = (): Problem =>
+  createProblem('overloaded', 'This daemon has no configuration yet.');
--- a/src/submissions/submissionKey.ts
+++ b/src/submissions/submissionKey.ts
@@ -5,6 +5,7 @@
 import type { Result } from 'ts-results-es';
 import { createProblem } from '../errors/problem.js';
 import type { Problem } from '../errors/problem.js';
+import type { Owner } from '../ports/peers.js';
 
 export const maxKeyLength = 128;
 
@@ -16,18 +17,11 @@
   | {
       readonly form: 'owned';
       readonly text: string;
-      /** The daemon process that alone may start the submission. */
-      readonly incarnation: string;
-      readonly epoch: number;
+      /** The daemon process and epoch that alone may start the submission. */
+      readonly owner: Owner;
     }
   | { readonly form: 'plain'; readonly text: string };
 
-/** The owner part of a key: a daemon's incarnation and the numbered epoch. */
-export interface Owner {
-  readonly incarnation: string;
-  readonly epoch: number;
-}
-
 /**
  * Writes the owner part of a key.
  *
@@ -55,7 +49,8 @@
   if (match?.[1] === undefined || match[2] === undefined) {
     return Err(keyProblem('An owned key reads OWNER~SUFFIX with an OWNER from GET /v1/owner.'));
   }
-  return Ok({ form: 'owned', text, incarnation: match[1], epoch: Number(match[2]) });
+  const owner = { incarnation: match[1], epoch: Number(match[2]) };
+  return Ok({ form: 'owned', text, owner });
 };
 
 const keyProblem = (detail: string): Problem =>
--- a/src/submissions/types.ts
+++ b/src/submissions/types.ts
@@ -1,8 +1,8 @@
 /**
- * What the table of submissions remembers.
+ * What the tables of submissions remember.
  */
-import type { Problem } from '../errors/problem.js';
 import type { JobAnswer } from '../jobs/types.js';
+import type { FinishedRecord } from '../ports/peers.js';
 
 /** A job that runs now; any number of requests may wait for its answer. */
 export interface RunningJob {
@@ -14,6 +14,14 @@
 
 /** What became of one submission. */
 export type SubmissionRecord =
-  | { readonly state: 'running'; readonly digest: string; readonly job: RunningJob }
-  | { readonly state: 'answered'; readonly digest: string; readonly answer: JobAnswer }
-  | { readonly state: 'refused'; readonly digest: string; readonly problem: Problem };
+  { readonly state: 'running'; readonly digest: string; readonly job: RunningJob } | FinishedRecord;
+
+/** What a table can prove about one key. */
+export type Lookup =
+  | { readonly kind: 'known'; readonly record: SubmissionRecord }
+  /** Never started; its epoch is open. */
+  | { readonly kind: 'absent' }
+  /** Never started, and never will: its epoch is closed and complete. */
+  | { readonly kind: 'never-started' }
+  /** Records that could tell are gone. */
+  | { readonly kind: 'forgotten' };
--- a/src/testing/fakePeerNetwork.ts
+++ b/src/testing/fakePeerNetwork.ts
@@ -54,6 +54,10 @@
     return {
       heartbeat: (own) => call((service) => service.heartbeat(own)),
       forward: (request) => call((service) => service.forward(request)),
+      status: (request) => call((service) => service.statusForwarded(request)),
+      cancel: (request) => call((service) => service.cancelForwarded(request)),
+      handOver: (batch) => call((service) => service.handOver(structuredClone(batch))),
+      fetchInheritance: () => call((service) => service.fetchInheritance()),
       fetchConfiguration: () => call((service) => service.fetchConfiguration()),
       close: () => Promise.resolve(),
     };
