--- a/src/jobs/jobRunner.ts
+++ b/src/jobs/jobRunner.ts
@@ -154,6 +154,6 @@
   }
   const refused = outcomes.find((outcome) => outcome.kind === 'not-run');
   return refused?.kind === 'not-run'
-    ? { ...refused.problem, ...options }
+    ? { ...refused.problem, runState: options.runState ?? 'failed' }
     : createProblem('internal', 'The job failed without a failed task.');
 };
--- a/src/submissions/ownSubmissions.ts
+++ b/src/submissions/ownSubmissions.ts
@@ -85,7 +85,7 @@
     if (record === undefined) {
       return unknown(this.explainAbsence(request));
     }
-    if (record.state === 'running') {
+    if (record.state === 'running' && request.waitMs > 0) {
       await this.waitForAnswer(record.job, request.waitMs);
     }
     return known(this.find(request) ?? record);
--- a/src/testing/daemonFixture.ts
+++ b/src/testing/daemonFixture.ts
@@ -88,6 +88,13 @@
     this.daemons.delete(vmId);
   }
 
+  /** Stops a daemon as planned; the clock has to be advanced meanwhile. */
+  async stop(vmId: string): Promise<void> {
+    await this.daemon(vmId).close();
+    this.network.remove(vmId);
+    this.daemons.delete(vmId);
+  }
+
   async close(): Promise<void> {
     const closed = Promise.all([...this.daemons.values()].map((daemon) => daemon.close()));
     await this.clock.advance(120_000);
