--- /dev/null
+++ b/bench/peakStarts.ts
@@ -0,0 +1,218 @@
+/**
+ * `npm run bench:peak`: task starts a second that one daemon carries on one core, next to a bare
+ * `undici` loop to the same endpoints.
+ */
+import { once } from 'node:events';
+import type { Worker } from 'node:worker_threads';
+import { parseArgs } from 'node:util';
+import { CallerHttpClient } from '../src/adapters/callerHttp/callerHttpClient.js';
+import { LogHttpClient } from '../src/adapters/logHttp/logHttpClient.js';
+import { SystemClock } from '../src/adapters/system/systemClock.js';
+import { readYamlFile } from '../src/adapters/yaml/readYamlFile.js';
+import { checkConfiguration } from '../src/configuration/checkConfiguration.js';
+import { publishConfiguration } from '../src/configuration/publisher.js';
+import type { Configuration } from '../src/configuration/types.js';
+import { LogServiceStandIn } from '../standins/logServiceStandIn.js';
+import { VmListStandIn } from '../standins/vmListStandIn.js';
+import {
+  carriedSchema,
+  daemonReadySchema,
+  endpointsReadySchema,
+  usageSchema,
+} from './peak/messages.js';
+import type {
+  BareLoopOrder,
+  Carried,
+  DaemonOrder,
+  EndpointsOrder,
+  Usage,
+} from './peak/messages.js';
+import { startThread } from './threads/startThread.js';
+
+const host = '127.0.0.1';
+const anyPort = '127.0.0.1:0';
+const endpointThreads = 3;
+const endpointsPerThread = 4;
+const slotsPerEndpoint = 8;
+const runTimeMs = 1;
+const tasksPerJob = 50;
+const jobsInFlight = 24;
+const deadlineMs = 20_000;
+const warmUpMs = 2_000;
+const readyPollMs = 50;
+const token = 'counter-muenchen-example-token';
+const configurationFile = 'examples/verband.yaml';
+
+const { values } = parseArgs({
+  options: {
+    seconds: { type: 'string', default: '5' },
+    json: { type: 'boolean', default: false },
+  },
+});
+const durationMs = Number(values.seconds) * 1_000;
+const clock = SystemClock.create();
+
+const receive = async (thread: Worker): Promise<unknown> => {
+  const [message] = (await once(thread, 'message')) as unknown[];
+  return message;
+};
+
+const startEndpoints = async (): Promise<Worker> => {
+  const order: EndpointsOrder = { count: endpointsPerThread, runTimeMs };
+  return startThread(new URL('./peak/endpointsThread.ts', import.meta.url), order);
+};
+
+/** One failure domain whose endpoints are the ones that run. */
+const createConfiguration = (addresses: readonly string[]): Configuration => {
+  const configuration = readYamlFile(configurationFile, checkConfiguration).expect('It is valid.');
+  const { inventory, rules } = configuration;
+  const endpoints = inventory.endpoints.slice(0, addresses.length);
+  const [rack] = inventory.racks;
+  return {
+    rules: { ...rules, quotas: [] },
+    inventory: {
+      ...inventory,
+      operations: inventory.operations.map((o) => ({ ...o, declaredRunTimeMs: runTimeMs })),
+      workers: inventory.workers.map((worker) => ({
+        ...worker,
+        rackId: rack?.rackId ?? '',
+        slots: slotsPerEndpoint,
+      })),
+      endpoints: endpoints.map((e, index) => ({ ...e, address: addresses[index] ?? '' })),
+    },
+  };
+};
+
+const measureBareLoop = async (addresses: string[]): Promise<Carried> => {
+  const order: BareLoopOrder = { addresses, connectionsPerEndpoint: slotsPerEndpoint, durationMs };
+  const thread = startThread(new URL('./peak/bareLoopThread.ts', import.meta.url), order);
+  const carried = carriedSchema.parse(await receive(thread));
+  await thread.terminate();
+  return carried;
+};
+
+const askUsage = async (thread: Worker): Promise<Usage> => {
+  thread.postMessage('usage');
+  return usageSchema.parse(await receive(thread));
+};
+
+/** Keeps a fixed number of jobs under way and counts the tasks that were answered. */
+class JobLoad {
+  answeredTasks = 0;
+  failedJobs = 0;
+  private readonly stop = new AbortController();
+  private readonly done: Promise<unknown>;
+
+  constructor(private readonly client: CallerHttpClient) {
+    this.done = Promise.all(Array.from({ length: jobsInFlight }, (_, i) => this.sendJobs(i)));
+  }
+
+  async end(): Promise<void> {
+    this.stop.abort();
+    await this.done;
+  }
+
+  private async sendJobs(loop: number): Promise<void> {
+    const owner = await this.client.owner(this.stop.signal);
+    const tasks = Array.from({ length: tasksPerJob }, (_, number) => ({
+      operation: 'fit',
+      input: { number },
+    }));
+    for (let job = 0; !this.stop.signal.aborted; job += 1) {
+      const signal = AbortSignal.timeout(deadlineMs);
+      const key = `${owner ?? ''}~${loop}-${job}`;
+      const outcome = await this.client.submit(key, { deadlineMs, tasks }, signal);
+      this.answeredTasks += outcome.kind === 'complete' ? tasksPerJob : 0;
+      this.failedJobs += outcome.kind === 'complete' ? 0 : 1;
+    }
+  }
+}
+
+/** What the daemon carried, with what else was seen. */
+interface DaemonCarried extends Carried {
+  readonly failedJobs: number;
+  readonly heapMb: number;
+}
+
+const measureDaemon = async (addresses: readonly string[]): Promise<DaemonCarried> => {
+  const log = await LogServiceStandIn.create({ host, port: 0, clock, retainedRecords: 1_000 });
+  const vmList = await VmListStandIn.create({ host, port: 0, clock, lagMs: 0 });
+  const logClient = LogHttpClient.create(log.address);
+  const configuration = createConfiguration(addresses);
+  const publication = { configuration, publishedBy: 'bench' };
+  await publishConfiguration(logClient, publication, AbortSignal.timeout(deadlineMs));
+  await logClient.close();
+  const thread = startDaemon(log.address, vmList.address);
+  const ready = daemonReadySchema.parse(await receive(thread));
+  const client = CallerHttpClient.create(ready.callersAddress, token);
+  await waitUntilServed(client);
+  const load = new JobLoad(client);
+  await clock.sleep(warmUpMs);
+  const before = await askUsage(thread);
+  const startedAtMs = clock.nowMs();
+  const answeredBefore = load.answeredTasks;
+  await clock.sleep(durationMs);
+  const after = await askUsage(thread);
+  const elapsedMs = clock.nowMs() - startedAtMs;
+  const starts = load.answeredTasks - answeredBefore;
+  await load.end();
+  await client.close();
+  await thread.terminate();
+  await log.close();
+  await vmList.close();
+  const { failedJobs } = load;
+  return { starts, elapsedMs, cpuMs: after.cpuMs - before.cpuMs, failedJobs, heapMb: after.heapMb };
+};
+
+const startDaemon = (logService: string, vmList: string): Worker => {
+  const order: DaemonOrder = {
+    settings: {
+      vmId: 'muenchen-vm1',
+      failureDomainId: 'muenchen',
+      weight: 1,
+      listen: { callers: anyPort, operators: anyPort, peers: anyPort },
+      platform: { logService, vmList },
+      tokens: { peers: 'peer-token-of-the-bench', operators: 'operator-token-of-the-bench' },
+      logLevel: 'off',
+    },
+  };
+  return startThread(new URL('./peak/daemonThread.ts', import.meta.url), order);
+};
+
+const waitUntilServed = async (client: CallerHttpClient): Promise<void> => {
+  const task = { operation: 'tag-lookup', input: {} };
+  const tryOnce = (): ReturnType<CallerHttpClient['lookup']> =>
+    client.lookup({ deadlineMs: 1_000, tasks: [task] }, AbortSignal.timeout(deadlineMs));
+  while ((await tryOnce()).kind !== 'complete') {
+    await clock.sleep(readyPollMs);
+  }
+};
+
+const perS = ({ starts, elapsedMs }: Carried): number => (starts * 1_000) / elapsedMs;
+const perCoreS = ({ starts, cpuMs }: Carried): number => (starts * 1_000) / cpuMs;
+
+const describe = (name: string, carried: Carried): string =>
+  `${name}: ${perS(carried).toFixed(0)} starts/s, ` +
+  `${perCoreS(carried).toFixed(0)} for each second of its core ` +
+  `(${((carried.cpuMs / carried.elapsedMs) * 100).toFixed(0)}% busy)`;
+
+const main = async (): Promise<void> => {
+  const endpoints = await Promise.all(Array.from({ length: endpointThreads }, startEndpoints));
+  const ready = await Promise.all(endpoints.map((thread) => receive(thread)));
+  const addresses = ready.flatMap((message) => endpointsReadySchema.parse(message).addresses);
+  const bare = await measureBareLoop(addresses);
+  const daemon = await measureDaemon(addresses);
+  await Promise.all(endpoints.map((thread) => thread.terminate()));
+  const share = perCoreS(daemon) / perCoreS(bare);
+  const lines = values.json
+    ? [JSON.stringify({ bare, daemon, share })]
+    : [
+        describe('bare undici loop', bare),
+        describe('daemon', daemon),
+        `share of the limit: ${share.toFixed(2)}; failed jobs ${daemon.failedJobs}; ` +
+          `heap ${daemon.heapMb.toFixed(0)} MB`,
+      ];
+  process.stdout.write(`${lines.join('\n')}\n`);
+};
+
+await main();
