--- a/src/programs/toucandyked/daemonProcess.ts
+++ b/src/programs/toucandyked/daemonProcess.ts
@@ -11,6 +11,7 @@
 import { RoarrLogger } from '../../adapters/system/roarrLogger.js';
 import { StatsdMetrics } from '../../adapters/system/statsdMetrics.js';
 import { SystemClock } from '../../adapters/system/systemClock.js';
+import { SystemProcessLoad } from '../../adapters/system/systemProcessLoad.js';
 import { SystemRandom } from '../../adapters/system/systemRandom.js';
 import { VmListHttpClient } from '../../adapters/vmListHttp/vmListHttpClient.js';
 import { splitAddress } from '../../config/settings.js';
@@ -87,5 +88,6 @@
     logService: LogHttpClient.create(settings.platform.logService),
     vmList: VmListHttpClient.create(settings.platform.vmList),
     peers: PeerRpcConnector.create(settings.tokens.peers),
+    processLoad: SystemProcessLoad.create(),
   };
 };
