Decide the configuration stream alike for every reader

Cause: a reader took the oldest retained record as in force, so a daemon that started on a truncated log could take a refused publication, and the publisher and the follower each had their own rule. Change: one rule (decideEntry) and one reader for both; publications carry an id; checkpoints say up to which offset the stream was decided, and only such a checkpoint proves a truncated stream. One daemon repeats the record in force before retention drops it. The publisher reads its record back. Ruled out: trusting the oldest retained record, since it may be one that lost a race.

--- a/src/adapters/peerRpc/peerRpcClient.ts
+++ b/src/adapters/peerRpc/peerRpcClient.ts
@@ -7,7 +7,7 @@
 import type { Result } from 'ts-results-es';
 import { Pool } from 'undici';
 import type { z } from 'zod';
-import type { ConfigurationRecord } from '../../configuration/types.js';
+import type { ConfigurationCheckpoint } from '../../configuration/types.js';
 import type { Heartbeat } from '../../membership/types.js';
 import { peerMethods } from '../../ports/peers.js';
 import type {
@@ -39,23 +39,13 @@
 
 type MethodName = keyof typeof peerMethods;
 
-/**
- * Sees every message to a peer before it is sent.
- *
- * @returns whether the message may be sent; one that may not ends as `broken`
- */
-export type PeerMessageFilter = (address: string, method: string) => boolean;
-
-const passAll: PeerMessageFilter = () => true;
-
 class PeerRpcLink implements PeerLink {
   private readonly pool: Pool;
   private readonly client: JSONRPCClient<AbortSignal>;
 
   constructor(
-    private readonly address: string,
+    address: string,
     private readonly token: string,
-    private readonly filter: PeerMessageFilter,
   ) {
     this.pool = new Pool(`http://${address}`, {
       connections: maxConnectionsPerPeer,
@@ -95,9 +85,9 @@
 
   async fetchConfiguration(
     signal: AbortSignal,
-  ): Promise<Result<ConfigurationRecord | null, PeerError>> {
+  ): Promise<Result<ConfigurationCheckpoint | null, PeerError>> {
     const reply = await this.call('fetchConfiguration', {}, signal);
-    return reply.map(({ record }) => record);
+    return reply.map(({ checkpoint }) => checkpoint);
   }
 
   async close(): Promise<void> {
@@ -109,9 +99,6 @@
     params: z.infer<(typeof peerMethods)[M]['params']>,
     signal: AbortSignal,
   ): Promise<Result<z.infer<(typeof peerMethods)[M]['result']>, PeerError>> {
-    if (!this.filter(this.address, method)) {
-      return Err({ kind: 'broken', detail: 'The link to the peer is cut.' });
-    }
     try {
       const reply: unknown = await this.client.request(method, params, signal);
       const parsed = peerMethods[method].result.safeParse(reply);
@@ -144,23 +131,19 @@
 }
 
 export class PeerRpcConnector implements PeerConnector {
-  private constructor(
-    private readonly token: string,
-    private readonly filter: PeerMessageFilter,
-  ) {}
+  private constructor(private readonly token: string) {}
 
   /**
    * Creates a connector.
    *
    * @param token - the bearer token that all daemons share
-   * @param filter - sees every message before it is sent
    */
-  static create(token: string, filter: PeerMessageFilter = passAll): PeerRpcConnector {
-    return new PeerRpcConnector(token, filter);
+  static create(token: string): PeerRpcConnector {
+    return new PeerRpcConnector(token);
   }
 
   connect(address: string): PeerLink {
-    return new PeerRpcLink(address, this.token, this.filter);
+    return new PeerRpcLink(address, this.token);
   }
 }
 
--- a/src/adapters/peerRpc/peerRpcServer.ts
+++ b/src/adapters/peerRpc/peerRpcServer.ts
@@ -112,7 +112,7 @@
     service.handOver(checkParams(peerMethods.handOver.params, params)),
   );
   rpc.addMethod('fetchInheritance', () => service.fetchInheritance());
-  rpc.addMethod('fetchConfiguration', () => ({ record: service.fetchConfiguration() }));
+  rpc.addMethod('fetchConfiguration', () => ({ checkpoint: service.fetchConfiguration() }));
   return rpc;
 };
 
--- a/src/configuration/configurationStore.ts
+++ b/src/configuration/configurationStore.ts
@@ -46,7 +46,8 @@
       return false;
     }
     const { inventory, rules } = record.configuration;
-    const active = { record, inventory: InventoryIndex.create(inventory), rules };
+    const index = InventoryIndex.create(inventory, this.active?.inventory);
+    const active = { record, inventory: index, rules };
     this.active = active;
     for (const listener of this.listeners) {
       listener(active);
--- a/src/configuration/types.ts
+++ b/src/configuration/types.ts
@@ -46,11 +46,41 @@
 });
 export type Configuration = z.infer<typeof configurationSchema>;
 
-/** The record on the log: a configuration with its version and the version that it replaces. */
+/** One version of the configuration. */
 export const configurationRecordSchema = z.strictObject({
   version: z.number().int().positive(),
   baseVersion: z.number().int().nonnegative(),
+  /** Tells this publication from any other one of the same version. */
+  publicationId: z.string().min(1).max(64),
   publishedBy: z.string().max(128),
   configuration: configurationSchema,
 });
 export type ConfigurationRecord = z.infer<typeof configurationRecordSchema>;
+
+const offsetSchema = z.number().int().nonnegative();
+
+/**
+ * One entry of the configuration stream.
+ *
+ * - `publication`: an operator's record; it counts if it names the version then in force as its base.
+ * - `checkpoint`: a daemon's word that the record was in force before `upToOffset`, so that readers
+ *   can start there once older entries are dropped.
+ * - `reset`: an operator's new start where no checkpoint and no daemon knows the version in force.
+ */
+export const configurationEntrySchema = z.discriminatedUnion('kind', [
+  z.strictObject({ kind: z.literal('publication'), record: configurationRecordSchema }),
+  z.strictObject({
+    kind: z.literal('checkpoint'),
+    upToOffset: offsetSchema,
+    record: configurationRecordSchema,
+  }),
+  z.strictObject({ kind: z.literal('reset'), record: configurationRecordSchema }),
+]);
+export type ConfigurationEntry = z.infer<typeof configurationEntrySchema>;
+
+/** The record in force and, where known, the offset before which the stream is decided. */
+export const configurationCheckpointSchema = z.object({
+  record: configurationRecordSchema,
+  upToOffset: offsetSchema.optional(),
+});
+export type ConfigurationCheckpoint = z.infer<typeof configurationCheckpointSchema>;
--- a/src/ports/logger.ts
+++ b/src/ports/logger.ts
@@ -7,6 +7,7 @@
   readonly version?: number;
   readonly durationMs?: number;
   readonly count?: number;
+  readonly offset?: number;
   readonly reason?: string;
 }
 
--- a/src/ports/peers.ts
+++ b/src/ports/peers.ts
@@ -1,8 +1,8 @@
 /** Port to the other daemons: what one daemon asks of another. */
 import type { Result } from 'ts-results-es';
 import { z } from 'zod';
-import type { ConfigurationRecord } from '../configuration/types.js';
-import { configurationRecordSchema } from '../configuration/types.js';
+import type { ConfigurationCheckpoint } from '../configuration/types.js';
+import { configurationCheckpointSchema } from '../configuration/types.js';
 import { problemSchema } from '../errors/problem.js';
 import { jobAnswerSchema, submissionSchema } from '../jobs/types.js';
 import type { Heartbeat } from '../membership/types.js';
@@ -116,7 +116,7 @@
   fetchInheritance: { params: z.object({}), result: inheritanceSchema },
   fetchConfiguration: {
     params: z.object({}),
-    result: z.object({ record: configurationRecordSchema.nullable() }),
+    result: z.object({ checkpoint: configurationCheckpointSchema.nullable() }),
   },
 } as const;
 
@@ -137,7 +137,9 @@
   cancel(request: SubmissionRef, signal: AbortSignal): Promise<Result<StatusReply, PeerError>>;
   handOver(batch: HandOverBatch, signal: AbortSignal): Promise<Result<HandOverReply, PeerError>>;
   fetchInheritance(signal: AbortSignal): Promise<Result<Inheritance, PeerError>>;
-  fetchConfiguration(signal: AbortSignal): Promise<Result<ConfigurationRecord | null, PeerError>>;
+  fetchConfiguration(
+    signal: AbortSignal,
+  ): Promise<Result<ConfigurationCheckpoint | null, PeerError>>;
   close(): Promise<void>;
 }
 
@@ -159,5 +161,5 @@
   cancelForwarded(request: SubmissionRef): Promise<StatusReply>;
   handOver(batch: HandOverBatch): HandOverReply;
   fetchInheritance(): Inheritance;
-  fetchConfiguration(): ConfigurationRecord | null;
+  fetchConfiguration(): ConfigurationCheckpoint | null;
 }
--- a/src/programs/toucandyke/commands/configPublishCommand.ts
+++ b/src/programs/toucandyke/commands/configPublishCommand.ts
@@ -4,6 +4,8 @@
 import { userInfo } from 'node:os';
 import { Command, Option } from 'clipanion';
 import { LogHttpClient } from '../../../adapters/logHttp/logHttpClient.js';
+import { SystemClock } from '../../../adapters/system/systemClock.js';
+import { SystemRandom } from '../../../adapters/system/systemRandom.js';
 import { formatFault, readYamlFile } from '../../../adapters/yaml/readYamlFile.js';
 import { checkConfiguration } from '../../../configuration/checkConfiguration.js';
 import { publishConfiguration } from '../../../configuration/publisher.js';
@@ -44,9 +46,14 @@
     const request = {
       configuration,
       publishedBy: userInfo().username,
+      publicationId: SystemRandom.create().id(),
       ...(this.base === undefined ? {} : { baseVersion: Number(this.base) }),
     };
-    const version = await publishConfiguration(log, request, AbortSignal.timeout(timeoutMs));
+    const version = await publishConfiguration(
+      { logService: log, clock: SystemClock.create() },
+      request,
+      AbortSignal.timeout(timeoutMs),
+    );
     await log.close();
     if (version.isErr()) {
       this.context.stderr.write(`${describe(version.error)}\n`);
@@ -63,6 +70,10 @@
       return `Version ${error.version} is in force; base the change on it and publish again.`;
     case 'log-unavailable':
       return `The log service gave no answer: ${error.detail}`;
+    case 'history-lost':
+      return 'The log has dropped the version in force; see docs/design/configuration.md.';
+    case 'outcome-unknown':
+      return `The publication may yet take effect: ${error.detail}`;
     default:
       return unreachable(error);
   }
--- a/src/testing/daemonFixture.ts
+++ b/src/testing/daemonFixture.ts
@@ -2,7 +2,7 @@
  * Daemons on fakes: a fake clock, endpoints, log, VM list and links in memory.
  */
 import { noMetrics } from '../adapters/system/noMetrics.js';
-import { configurationStream } from '../configuration/configurationFollower.js';
+import { configurationStream } from '../configuration/configurationReader.js';
 import type { Configuration } from '../configuration/types.js';
 import { Daemon } from '../daemon/daemon.js';
 import type { VmRecord } from '../ports/vmList.js';
@@ -10,9 +10,8 @@
 import { FakeEndpoints } from './fakeEndpoints.js';
 import { FakeLogService } from './fakeLogService.js';
 import { FakePeerNetwork } from './fakePeerNetwork.js';
-import { FakeProcessLoad } from './fakeProcessLoad.js';
 import { FakeVmList } from './fakeVmList.js';
-import { createConfiguration } from './fixtures.js';
+import { createConfiguration, createRecord } from './fixtures.js';
 import { SeededRandom } from './seededRandom.js';
 import { silentLogger } from './silentLogger.js';
 
@@ -27,6 +26,8 @@
   readonly vmList = FakeVmList.create();
   readonly network = FakePeerNetwork.create();
   readonly daemons = new Map<string, Daemon>();
+  /** VMs whose daemons do not reach the log. */
+  readonly cutOffFromLog = new Set<string>();
   private started = 0;
 
   private constructor(private readonly seed: number) {}
@@ -49,8 +50,9 @@
   }
 
   async publish(version: number, configuration: Configuration): Promise<void> {
-    const record = { version, baseVersion: version - 1, publishedBy: 'test', configuration };
-    await this.log.append(configurationStream, [record], AbortSignal.timeout(1_000));
+    const record = createRecord(version, configuration);
+    const entry = { kind: 'publication', record };
+    await this.log.append(configurationStream, [entry], AbortSignal.timeout(1_000));
   }
 
   start(vmId: string): Daemon {
@@ -64,10 +66,9 @@
         logger: silentLogger,
         metrics: noMetrics,
         endpoints: this.endpoints,
-        logService: this.log,
+        logService: this.log.reachedBy(() => this.cutOffFromLog.has(vmId)),
         vmList: this.vmList,
         peers: this.network.connectorOf(vmId),
-        processLoad: FakeProcessLoad.create(),
       },
     );
     this.daemons.set(vmId, daemon);
--- a/src/testing/fakeLogService.ts
+++ b/src/testing/fakeLogService.ts
@@ -73,6 +73,23 @@
     return Ok({ records, oldestOffset, endOffset: stream.endOffset });
   }
 
+  /**
+   * Creates the log as one daemon reaches it.
+   *
+   * @param isCut - tells whether the daemon is cut off from the log now
+   */
+  reachedBy(isCut: () => boolean): LogService {
+    return {
+      append: (name, values, signal) =>
+        isCut() ? Promise.resolve(Err(unreachable)) : this.append(name, values, signal),
+      read: async (name, fromOffset, waitMs, signal) => {
+        const page = isCut() ? Err(unreachable) : await this.read(name, fromOffset, waitMs, signal);
+        return isCut() ? Err(unreachable) : page;
+      },
+      close: () => Promise.resolve(),
+    };
+  }
+
   close(): Promise<void> {
     return Promise.resolve();
   }
--- a/src/testing/fixtures.ts
+++ b/src/testing/fixtures.ts
@@ -2,7 +2,7 @@
  * Small inventories and submissions for tests.
  */
 import { createHash } from 'node:crypto';
-import type { Configuration } from '../configuration/types.js';
+import type { Configuration, ConfigurationRecord } from '../configuration/types.js';
 import type { CallerClass, Caller } from '../inventory/types.js';
 import type { Submission } from '../jobs/types.js';
 
@@ -76,6 +76,21 @@
   };
 };
 
+/**
+ * Creates a record that replaces the version before it.
+ */
+export const createRecord = (
+  version: number,
+  configuration: Configuration = createConfiguration(),
+  publicationId = `publication-${version}`,
+): ConfigurationRecord => ({
+  version,
+  baseVersion: version - 1,
+  publicationId,
+  publishedBy: 'test',
+  configuration,
+});
+
 /**
  * Creates a submission with numbered inputs.
  */
