Exchange one heartbeat for each pair, catch up from peers, hand endpoints over

Cause: every daemon called every other one each second and did not learn from being called; a daemon without the log kept its version; the dispatcher of each endpoint was computed anew after every heartbeat and changed at once; each configuration change restarted every endpoint; queued work of a removed caller ran on. Change: one exchange for each pair and period, from which both sides learn; between failure domains two daemons of each exchange every second and the others every 30 s; a peer that is ahead is asked for its checkpoint; endpoints are assigned on changes only, and a new dispatcher waits while the former one lives; unchanged endpoints are kept over versions; waiting tasks of removed callers and operations are not run.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -3,16 +3,17 @@
  */
 import type { Result } from 'ts-results-es';
 import { ConfigurationFollower } from '../configuration/configurationFollower.js';
+import { PeerCatchUp } from '../configuration/peerCatchUp.js';
 import { ConfigurationStore } from '../configuration/configurationStore.js';
-import type { ConfigurationRecord } from '../configuration/types.js';
+import type { ConfigurationCheckpoint } from '../configuration/types.js';
 import type { Problem } from '../errors/problem.js';
 import type { Caller } from '../inventory/types.js';
+import { followConfiguration } from '../jobs/configurationEffects.js';
 import { JobRunner } from '../jobs/jobRunner.js';
 import type { Submission } from '../jobs/types.js';
+import { DispatchAssignment } from '../membership/dispatchAssignment.js';
 import { PeerSet } from '../membership/peerSet.js';
-import { chooseOwner } from '../membership/rendezvous.js';
 import type { DaemonState, Heartbeat } from '../membership/types.js';
-import { followLimits } from '../limits/followLimits.js';
 import { Scheduler } from '../placement/scheduler.js';
 import type { CallerService, JobStatus } from '../ports/callers.js';
 import type { DaemonStatus, OperatorService } from '../ports/operators.js';
@@ -31,8 +32,6 @@
 import { depart } from '../submissions/departure.js';
 import { HeirDirectory } from '../submissions/heirDirectory.js';
 import { InheritedTables } from '../submissions/inheritedTables.js';
-import { TaskQueue } from '../queue/taskQueue.js';
-import { Admission } from '../submissions/admission.js';
 import { Intake } from '../submissions/intake.js';
 import { OwnerRouter } from '../submissions/ownerRouter.js';
 import { OwnSubmissions } from '../submissions/ownSubmissions.js';
@@ -58,11 +57,12 @@
   private readonly table: SubmissionTable;
   private readonly inherited: InheritedTables;
   private readonly own: OwnSubmissions;
-  private readonly queue = TaskQueue.create();
   private readonly scheduler: Scheduler;
   private readonly peers: PeerSet;
   private readonly intake: Intake;
   private readonly follower: ConfigurationFollower;
+  private readonly catchUp: PeerCatchUp;
+  private readonly assignment: DispatchAssignment;
   private state: DaemonState = 'active';
 
   private constructor(
@@ -76,16 +76,10 @@
       this.configuration.current?.rules.resubmissionWindowMs ?? defaultResubmissionWindowMs;
     this.table = SubmissionTable.create({ incarnation, clock, maxBytes: maxTableBytes, windowMs });
     this.inherited = InheritedTables.create({ clock, maxBytes: maxInheritedBytes, windowMs });
-    this.scheduler = Scheduler.create({
-      incarnation,
-      clock,
-      logger,
-      endpoints: ports.endpoints,
-      queue: this.queue,
-    });
-    followLimits(this.configuration, this.queue);
+    this.scheduler = Scheduler.create({ incarnation, clock, logger, endpoints: ports.endpoints });
     this.peers = PeerSet.create({
       vmId: identity.vmId,
+      failureDomainId: identity.failureDomainId,
       clock,
       logger,
       vmList: ports.vmList,
@@ -94,22 +88,33 @@
     });
     const { configuration, table, inherited, peers } = this;
     const runner = JobRunner.create({ clock, scheduler: this.scheduler });
-    const admission = Admission.create({
-      queue: this.queue,
-      processLoad: ports.processLoad,
-      spareSlots: () => this.countSpareSlots(),
-    });
-    this.own = OwnSubmissions.create({ clock, random, configuration, runner, table, admission });
+    followConfiguration(configuration, runner);
+    this.own = OwnSubmissions.create({ clock, random, configuration, runner, table });
     const heirs = HeirDirectory.create(peers, clock);
     const router = OwnerRouter.create({ clock, peers, heirs });
     this.intake = Intake.create({ incarnation, configuration, own: this.own, inherited, router });
-    this.configuration.onChange(() => this.assignEndpoints());
-    this.peers.onChange(() => this.assignEndpoints());
+    this.assignment = DispatchAssignment.create({
+      failureDomainId: identity.failureDomainId,
+      clock,
+      logger,
+      configuration: this.configuration,
+      peers: this.peers,
+      ownHeartbeat: () => this.composeHeartbeat(),
+      serve: (endpoints) => this.scheduler.serve(endpoints),
+    });
     this.follower = ConfigurationFollower.create({
       logService: ports.logService,
       clock,
       logger,
       store: this.configuration,
+      checkpointRank: () => this.peers.rankOf('checkpoint'),
+    });
+    this.catchUp = PeerCatchUp.create({
+      clock,
+      logger,
+      store: this.configuration,
+      follower: this.follower,
+      peers: this.peers,
     });
   }
 
@@ -153,7 +158,8 @@
     return this.intake.lookup(caller, body);
   }
 
-  heartbeat(_theirs: Heartbeat): Heartbeat {
+  heartbeat(theirs: Heartbeat): Heartbeat {
+    this.peers.receive(theirs);
     return this.composeHeartbeat();
   }
 
@@ -177,20 +183,23 @@
     return { incarnations: this.inherited.incarnations() };
   }
 
-  fetchConfiguration(): ConfigurationRecord | null {
-    return this.configuration.current?.record ?? null;
+  fetchConfiguration(): ConfigurationCheckpoint | null {
+    return this.follower.checkpoint() ?? null;
   }
 
   /** Stops taking new submissions; what runs goes on. */
   drain(): void {
     this.state = 'leaving';
     this.own.stopTaking();
+    this.assignment.refresh();
   }
 
   describe(): DaemonStatus {
     return {
       own: this.composeHeartbeat(),
       peers: this.peers.heard(),
+      unheardVmIds: this.peers.unheardVmIds(),
+      endpoints: this.assignment.describe(),
       rememberedSubmissions: this.table.size,
     };
   }
@@ -198,10 +207,11 @@
   /** Drops everything at once, as a killed process does. */
   async kill(): Promise<void> {
     await Promise.all([this.ports.endpoints.close(), this.ports.logService.close()]);
+    await this.catchUp.close();
+    await this.assignment.close();
     await this.follower.close();
     await this.peers.close();
     await this.ports.vmList.close();
-    this.ports.processLoad.close();
   }
 
   /** Stops as planned: what runs ends, and a peer takes the memory of submissions over. */
@@ -210,21 +220,14 @@
     const { clock, logger } = this.ports;
     const { peers, own, table, inherited } = this;
     await depart({ clock, logger: logger.forPart('departure'), peers, own, table, inherited });
+    await this.catchUp.close();
+    await this.assignment.close();
     await this.follower.close();
     await this.peers.close();
     await this.scheduler.close();
     await this.ports.endpoints.close();
     await this.ports.logService.close();
     await this.ports.vmList.close();
-    this.ports.processLoad.close();
-  }
-
-  /** Free slots that the daemons of this failure domain have told. */
-  private countSpareSlots(): number {
-    return this.peers
-      .heard()
-      .filter(({ failureDomainId }) => failureDomainId === this.identity.failureDomainId)
-      .reduce((sum, { freeSlots }) => sum + freeSlots, 0);
   }
 
   private composeHeartbeat(): Heartbeat {
@@ -232,7 +235,7 @@
       vmId: this.identity.vmId,
       incarnation: this.incarnation,
       failureDomainId: this.identity.failureDomainId,
-      state: this.state,
+      state: this.peers.isLeaving(this.identity.vmId) ? 'leaving' : this.state,
       weight: this.identity.weight,
       freeSlots: this.scheduler.freeSlots,
       waitingTasks: this.scheduler.waitingTasks,
@@ -240,23 +243,4 @@
       inheritanceVersion: this.inherited.version,
     };
   }
-
-  /** Serves the endpoints of this failure domain whose rendezvous owner is this daemon. */
-  private assignEndpoints(): void {
-    const active = this.configuration.current;
-    if (active === undefined) {
-      return;
-    }
-    const members = [this.composeHeartbeat(), ...this.peers.heard()].filter(
-      (member) =>
-        member.state === 'active' && member.failureDomainId === this.identity.failureDomainId,
-    );
-    const mine = [...active.inventory.endpoints.values()].filter(
-      (placed) =>
-        placed.failureDomainId === this.identity.failureDomainId &&
-        placed.endpoint.state === 'active' &&
-        chooseOwner(placed.endpoint.endpointId, members)?.incarnation === this.incarnation,
-    );
-    this.scheduler.serve(mine);
-  }
 }
--- a/src/inventory/inventoryIndex.ts
+++ b/src/inventory/inventoryIndex.ts
@@ -1,6 +1,7 @@
 /**
  * Lookups over one inventory, computed once for each version.
  */
+import { isDeepStrictEqual } from 'node:util';
 import type { Caller, Endpoint, Inventory, Operation, Rack, Worker } from './types.js';
 
 /** An endpoint with the worker and the failure domain it belongs to. */
@@ -13,18 +14,36 @@
 export class InventoryIndex {
   readonly operations: ReadonlyMap<string, Operation>;
   readonly endpoints: ReadonlyMap<string, PlacedEndpoint>;
+  private readonly endpointsByFailureDomain: ReadonlyMap<string, readonly PlacedEndpoint[]>;
   private readonly callersByToken: ReadonlyMap<string, Caller>;
   private readonly callersById: ReadonlyMap<string, Caller>;
 
-  private constructor(inventory: Inventory) {
+  private constructor(inventory: Inventory, previous: InventoryIndex | undefined) {
     this.operations = new Map(inventory.operations.map((o) => [o.operationId, o]));
     this.callersByToken = new Map(inventory.callers.map((c) => [c.tokenSha256, c]));
     this.callersById = new Map(inventory.callers.map((c) => [c.callerId, c]));
-    this.endpoints = placeEndpoints(inventory);
+    this.endpoints = placeEndpoints(inventory, previous);
+    this.endpointsByFailureDomain = groupByFailureDomain(this.endpoints);
   }
 
-  static create(inventory: Inventory): InventoryIndex {
-    return new InventoryIndex(inventory);
+  /**
+   * Computes the lookups.
+   *
+   * @param inventory - the inventory
+   * @param previous - lookups of the version before; endpoints that did not change stay the same
+   *   objects, so that nobody stops serving them
+   */
+  static create(inventory: Inventory, previous?: InventoryIndex): InventoryIndex {
+    return new InventoryIndex(inventory, previous);
+  }
+
+  /**
+   * Finds the endpoints of one failure domain.
+   *
+   * @param failureDomainId - the failure domain
+   */
+  endpointsOf(failureDomainId: string): readonly PlacedEndpoint[] {
+    return this.endpointsByFailureDomain.get(failureDomainId) ?? [];
   }
 
   callerByToken(tokenSha256: string): Caller | undefined {
@@ -63,7 +82,10 @@
   placed.worker.memoryMb >= operation.memoryMb &&
   placed.worker.accelerators >= operation.accelerators;
 
-const placeEndpoints = (inventory: Inventory): ReadonlyMap<string, PlacedEndpoint> => {
+const placeEndpoints = (
+  inventory: Inventory,
+  previous: InventoryIndex | undefined,
+): ReadonlyMap<string, PlacedEndpoint> => {
   const racks = new Map<string, Rack>(inventory.racks.map((r) => [r.rackId, r]));
   const workers = new Map<string, Worker>(inventory.workers.map((w) => [w.workerId, w]));
   const placed = new Map<string, PlacedEndpoint>();
@@ -73,7 +95,22 @@
     if (worker === undefined || rack === undefined) {
       continue;
     }
-    placed.set(endpoint.endpointId, { endpoint, worker, failureDomainId: rack.failureDomainId });
+    const next = { endpoint, worker, failureDomainId: rack.failureDomainId };
+    const known = previous?.endpoints.get(endpoint.endpointId);
+    const isUnchanged = known !== undefined && isDeepStrictEqual(known, next);
+    placed.set(endpoint.endpointId, isUnchanged ? known : next);
   }
   return placed;
 };
+
+const groupByFailureDomain = (
+  endpoints: ReadonlyMap<string, PlacedEndpoint>,
+): ReadonlyMap<string, readonly PlacedEndpoint[]> => {
+  const groups = new Map<string, PlacedEndpoint[]>();
+  for (const placed of endpoints.values()) {
+    const group = groups.get(placed.failureDomainId) ?? [];
+    group.push(placed);
+    groups.set(placed.failureDomainId, group);
+  }
+  return groups;
+};
--- a/src/jobs/jobRunner.ts
+++ b/src/jobs/jobRunner.ts
@@ -28,10 +28,15 @@
   readonly inventory: InventoryIndex;
 }
 
+/** What a configuration has no longer. */
+export type RemovedPart = 'caller' | 'operation';
+
 /** Why a job ends before all its tasks have. */
 type EarlyEnd = 'deadline' | 'cancelled' | 'failed';
 
 export class JobRunner {
+  private readonly running = new Set<JobStart>();
+
   private constructor(private readonly options: JobRunnerOptions) {}
 
   static create(options: JobRunnerOptions): JobRunner {
@@ -46,10 +51,25 @@
    */
   start(start: JobStart): RunningJob {
     const cancelled = createDeferred<EarlyEnd>();
-    const answer = this.runJob(start, cancelled.promise);
+    this.running.add(start);
+    const answer = this.runJob(start, cancelled.promise).finally(() => this.running.delete(start));
     return { jobId: start.jobId, answer, cancel: () => cancelled.resolve('cancelled') };
   }
 
+  /**
+   * Takes the waiting tasks of jobs out of the queue; what runs goes on.
+   *
+   * @param findRemoved - tells what a job misses, if anything
+   */
+  removeWaiting(findRemoved: (job: JobStart) => RemovedPart | undefined): void {
+    for (const job of this.running) {
+      const removed = findRemoved(job);
+      if (removed !== undefined) {
+        this.options.scheduler.withdrawWaiting(job.jobId, explainRemoval(removed));
+      }
+    }
+  }
+
   private async runJob(start: JobStart, cancelled: Promise<EarlyEnd>): Promise<JobAnswer> {
     const { scheduler } = this.options;
     const failed = createDeferred<EarlyEnd>();
@@ -82,6 +102,18 @@
   }
 }
 
+const explainRemoval = (removed: RemovedPart): Problem => {
+  const options: ProblemOptions = { runState: 'not-run' };
+  switch (removed) {
+    case 'caller':
+      return createProblem('unauthorized', 'The caller was taken out of the inventory.', options);
+    case 'operation':
+      return createProblem('unknown-operation', 'An operation was taken out.', options);
+    default:
+      return unreachable(removed);
+  }
+};
+
 const createTasks = ({ jobId, caller, submission, deadlineAtMs, inventory }: JobStart): Task[] =>
   submission.tasks.map((spec, index) => {
     const operation = inventory.operations.get(spec.operation);
--- a/src/membership/peerSet.ts
+++ b/src/membership/peerSet.ts
@@ -1,20 +1,29 @@
 /**
  * The other daemons: one async function keeps the link to each and exchanges heartbeats.
  */
+import { Err } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import type { ConfigurationCheckpoint } from '../configuration/types.js';
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
-import type { PeerConnector, PeerLink } from '../ports/peers.js';
+import type { PeerConnector, PeerError, PeerLink } from '../ports/peers.js';
 import type { VmList, VmRecord } from '../ports/vmList.js';
+import { periodOf, relate, unheardPeriods } from './heartbeatPeriod.js';
+import { Peer } from './peer.js';
+import type { PeerRoute } from './peer.js';
+import { rankOwner } from './rendezvous.js';
 import type { Heartbeat } from './types.js';
 
-const heartbeatPeriodMs = 1_000;
 const heartbeatTimeoutMs = 1_000;
 const vmListPeriodMs = 1_000;
-/** A peer that was not heard for this long counts as gone. */
-const unheardAfterMs = 3_000;
+/** Pause between tries to reach a peer that is not heard. */
+const retryPeriodMs = 5_000;
+/** The peer whose turn it is may miss this many periods before this daemon calls. */
+const missedPeriods = 2;
 
 export interface PeerSetOptions {
   readonly vmId: string;
+  readonly failureDomainId: string;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly vmList: VmList;
@@ -23,22 +32,19 @@
   readonly ownHeartbeat: () => Heartbeat;
 }
 
-/** One peer and what it last said. */
-interface Peer {
-  readonly vm: VmRecord;
-  readonly link: PeerLink;
-  readonly stop: AbortController;
-  heard: { readonly heartbeat: Heartbeat; readonly atMs: number } | undefined;
-}
-
 export type MembershipListener = () => void;
+export type HeartbeatListener = (heartbeat: Heartbeat) => void;
+type ListedRoute = Extract<PeerRoute, { kind: 'listed' }>;
 
 export class PeerSet {
   private readonly peers = new Map<string, Peer>();
   private readonly tasks = new Set<Promise<void>>();
   private readonly stop = new AbortController();
   private readonly listeners: MembershipListener[] = [];
+  private readonly heartbeatListeners: HeartbeatListener[] = [];
   private readonly logger: Logger;
+  private vms: readonly VmRecord[] = [];
+  private leaving: ReadonlySet<string> = new Set();
 
   private constructor(private readonly options: PeerSetOptions) {
     this.logger = options.logger.forPart('membership');
@@ -52,14 +58,36 @@
 
   /** @returns the last heartbeat of every peer heard of late */
   heard(): Heartbeat[] {
-    const nowMs = this.options.clock.nowMs();
-    return [...this.peers.values()].flatMap(({ heard }) =>
-      heard !== undefined && nowMs - heard.atMs < unheardAfterMs ? [heard.heartbeat] : [],
+    return [...this.peers.values()].flatMap((peer) => this.memberOf(peer) ?? []);
+  }
+
+  /** @returns the VMs that the VM list names and whose daemons are not heard */
+  unheardVmIds(): string[] {
+    return [...this.peers.values()].flatMap((peer) =>
+      this.memberOf(peer) === undefined ? [peer.vmId] : [],
     );
   }
 
   /**
-   * Calls a listener whenever a peer may have come, gone or changed its state.
+   * Tells whether the VM list says that a VM goes.
+   *
+   * @param vmId - a VM of the system, or of an endpoint
+   */
+  isLeaving(vmId: string): boolean {
+    return this.leaving.has(vmId);
+  }
+
+  /**
+   * Counts the members that go before this daemon for a duty that one of them has.
+   *
+   * @param duty - name of the duty
+   */
+  rankOf(duty: string): number {
+    return rankOwner(duty, this.options.ownHeartbeat(), this.heard());
+  }
+
+  /**
+   * Calls a listener whenever a member comes, goes, or changes its state or weight.
    *
    * @param listener - the listener
    */
@@ -67,6 +95,29 @@
     this.listeners.push(listener);
   }
 
+  /**
+   * Calls a listener with every heartbeat.
+   *
+   * @param listener - the listener
+   */
+  onHeartbeat(listener: HeartbeatListener): void {
+    this.heartbeatListeners.push(listener);
+  }
+
+  /**
+   * Takes the heartbeat of a peer that began an exchange.
+   *
+   * @param theirs - its heartbeat
+   */
+  receive(theirs: Heartbeat): void {
+    if (theirs.vmId === this.options.vmId || this.stop.signal.aborted) {
+      return;
+    }
+    const peer = this.peers.get(theirs.vmId) ?? this.addPeer(theirs.vmId);
+    peer.noteCall(this.options.clock.nowMs());
+    this.hear(peer, theirs);
+  }
+
   /**
    * Finds the link to an incarnation.
    *
@@ -74,14 +125,28 @@
    * @returns the link to the peer that last said it was this incarnation
    */
   linkTo(incarnation: string): PeerLink | undefined {
-    return [...this.peers.values()].find(
-      ({ heard }) => heard?.heartbeat.incarnation === incarnation,
-    )?.link;
+    return this.routeTo(incarnation)?.link;
+  }
+
+  /**
+   * Asks a peer for the configuration that it runs.
+   *
+   * @param incarnation - the peer
+   * @param signal - gives up
+   */
+  async fetchConfiguration(
+    incarnation: string,
+    signal: AbortSignal,
+  ): Promise<Result<ConfigurationCheckpoint | null, PeerError>> {
+    const route = this.routeTo(incarnation);
+    return route === undefined
+      ? Err({ kind: 'not-sent', detail: 'The peer is not known.' })
+      : route.link.fetchConfiguration(AbortSignal.any([signal, route.stop.signal]));
   }
 
   async close(): Promise<void> {
     this.stop.abort();
-    await Promise.all([...this.peers.keys()].map((vmId) => this.drop(vmId)));
+    await Promise.all([...this.peers.values()].map((peer) => this.drop(peer)));
     await Promise.all(this.tasks);
   }
 
@@ -97,60 +162,141 @@
       if (listed.isOk()) {
         await this.reconcile(listed.value);
       }
+      this.peers.forEach((peer) => this.noteChange(peer));
       await clock.sleep(vmListPeriodMs, this.stop.signal);
     }
   }
 
   private async reconcile(vms: readonly VmRecord[]): Promise<void> {
+    this.vms = vms;
     const listed = new Map(vms.map((vm) => [vm.vmId, vm]));
-    for (const [vmId, peer] of this.peers) {
-      if (listed.get(vmId)?.peerAddress !== peer.vm.peerAddress) {
-        await this.drop(vmId);
-      }
+    for (const peer of [...this.peers.values()]) {
+      await this.dropIfGone(peer, listed.get(peer.vmId));
     }
     for (const vm of vms) {
-      if (vm.vmId !== this.options.vmId && !this.peers.has(vm.vmId)) {
-        this.add(vm);
+      if (vm.vmId !== this.options.vmId && !this.stop.signal.aborted) {
+        this.addListed(vm);
       }
     }
+    this.takeLeaving(vms);
   }
 
-  private add(vm: VmRecord): void {
-    const link = this.options.connector.connect(vm.peerAddress);
-    const peer: Peer = { vm, link, stop: new AbortController(), heard: undefined };
-    this.peers.set(vm.vmId, peer);
-    this.keep(this.keepPeer(peer));
+  /** A peer that is still heard stays, since the list lags; another address is another VM. */
+  private async dropIfGone(peer: Peer, vm: VmRecord | undefined): Promise<void> {
+    const { route } = peer;
+    const hasMoved =
+      vm !== undefined && route.kind === 'listed' && route.vm.peerAddress !== vm.peerAddress;
+    if (hasMoved || (vm === undefined && this.memberOf(peer) === undefined)) {
+      await this.drop(peer);
+    }
   }
 
-  private async drop(vmId: string): Promise<void> {
-    const peer = this.peers.get(vmId);
-    if (peer === undefined) {
+  private addListed(vm: VmRecord): void {
+    if (vm.peerAddress === undefined) {
       return;
     }
-    this.peers.delete(vmId);
-    peer.stop.abort();
-    await peer.link.close();
-    this.notify();
+    const peer = this.peers.get(vm.vmId) ?? this.addPeer(vm.vmId);
+    peer.periodMs = periodOf(relate(this.options, vm, this.vms));
+    peer.isListedLeaving = vm.state === 'leaving';
+    if (peer.route.kind === 'unlisted') {
+      const link = this.options.connector.connect(vm.peerAddress);
+      const route: ListedRoute = { kind: 'listed', vm, link, stop: new AbortController() };
+      peer.route = route;
+      this.keep(this.keepPeer(peer, route));
+    }
+    this.noteChange(peer);
   }
 
-  private async keepPeer(peer: Peer): Promise<void> {
-    const { clock, ownHeartbeat } = this.options;
-    while (!peer.stop.signal.aborted) {
-      const timeout = AbortSignal.any([peer.stop.signal, AbortSignal.timeout(heartbeatTimeoutMs)]);
-      const reply = await peer.link.heartbeat(ownHeartbeat(), timeout);
-      if (reply.isOk()) {
-        this.hear(peer, reply.value);
-      }
+  private addPeer(vmId: string): Peer {
+    const peer = Peer.create(vmId);
+    this.peers.set(vmId, peer);
+    return peer;
+  }
+
+  private takeLeaving(vms: readonly VmRecord[]): void {
+    const leaving = new Set(vms.flatMap((vm) => (vm.state === 'leaving' ? [vm.vmId] : [])));
+    const hasChanged = [...leaving].join(' ') !== [...this.leaving].join(' ');
+    this.leaving = leaving;
+    if (hasChanged) {
+      this.notify();
+    }
+  }
+
+  private async drop(peer: Peer): Promise<void> {
+    this.peers.delete(peer.vmId);
+    await peer.disconnect();
+    if (peer.hasChanged(undefined)) {
       this.notify();
-      await clock.sleep(heartbeatPeriodMs, peer.stop.signal);
+    }
+  }
+
+  /** Keeps the link to one peer: greets it, then exchanges heartbeats whenever it is the turn. */
+  private async keepPeer(peer: Peer, route: ListedRoute): Promise<void> {
+    const { clock } = this.options;
+    const { signal } = route.stop;
+    await this.exchange(peer, route);
+    while (!signal.aborted) {
+      const isHeard = this.memberOf(peer) !== undefined;
+      const pauseMs = isHeard ? peer.periodMs : Math.min(peer.periodMs, retryPeriodMs);
+      await clock.sleep(pauseMs, signal);
+      if (this.hasTurn(peer)) {
+        await this.exchange(peer, route);
+      }
+      this.noteChange(peer);
+    }
+  }
+
+  /** The daemon with the lower name calls; the other one does where no call comes. */
+  private hasTurn(peer: Peer): boolean {
+    const sinceCalledMs = peer.sinceCalledMs(this.options.clock.nowMs());
+    return this.options.vmId < peer.vmId || sinceCalledMs >= missedPeriods * peer.periodMs;
+  }
+
+  private async exchange(peer: Peer, { link, stop }: ListedRoute): Promise<void> {
+    if (stop.signal.aborted) {
+      return;
+    }
+    const timeout = AbortSignal.any([stop.signal, AbortSignal.timeout(heartbeatTimeoutMs)]);
+    const reply = await link.heartbeat(this.options.ownHeartbeat(), timeout);
+    if (reply.isOk()) {
+      this.hear(peer, reply.value);
     }
   }
 
   private hear(peer: Peer, heartbeat: Heartbeat): void {
-    if (peer.heard?.heartbeat.incarnation !== heartbeat.incarnation) {
-      this.logger.info('A peer is a member.', { vmId: peer.vm.vmId });
+    if (heartbeat.vmId !== peer.vmId) {
+      return;
+    }
+    peer.hear(heartbeat, this.options.clock.nowMs());
+    this.noteChange(peer);
+    for (const listener of this.heartbeatListeners) {
+      listener(heartbeat);
+    }
+  }
+
+  private noteChange(peer: Peer): void {
+    const member = this.memberOf(peer);
+    if (!peer.hasChanged(member)) {
+      return;
+    }
+    const { vmId } = peer;
+    const sentence = member === undefined ? 'A peer is not heard.' : `A peer is ${member.state}.`;
+    this.logger.info(sentence, { vmId });
+    this.notify();
+  }
+
+  private memberOf(peer: Peer): Heartbeat | undefined {
+    const periodMs = peer.periodMs === 0 ? retryPeriodMs : peer.periodMs;
+    return peer.member(this.options.clock.nowMs(), unheardPeriods * periodMs);
+  }
+
+  private routeTo(incarnation: string): ListedRoute | undefined {
+    for (const { heard, route } of this.peers.values()) {
+      if (heard?.heartbeat.incarnation === incarnation && route.kind === 'listed') {
+        return route;
+      }
     }
-    peer.heard = { heartbeat, atMs: this.options.clock.nowMs() };
+    return undefined;
   }
 
   private notify(): void {
--- a/src/membership/rendezvous.ts
+++ b/src/membership/rendezvous.ts
@@ -34,6 +34,23 @@
   return best;
 };
 
+/**
+ * Counts the members that go before one of them for a name.
+ *
+ * @param name - what is owned
+ * @param own - the member
+ * @param others - the other live members, in any order
+ * @returns 0 for the owner
+ */
+export const rankOwner = (
+  name: string,
+  own: WeightedMember,
+  others: readonly WeightedMember[],
+): number => {
+  const ownScore = computeScore(name, own);
+  return others.filter((other) => computeScore(name, other) > ownScore).length;
+};
+
 /** Score of the logarithmic method: -weight / ln(hash), hash evenly spread over (0, 1). */
 const computeScore = (name: string, { incarnation, weight }: WeightedMember): number => {
   const digest = createHash('sha256').update(`${name} ${incarnation}`).digest();
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -2,6 +2,7 @@
  * Brings waiting tasks and free slots together. Each slot is served by one async function.
  */
 import { createProblem } from '../errors/problem.js';
+import type { Problem } from '../errors/problem.js';
 import { unreachable } from '../errors/unreachable.js';
 import type { PlacedEndpoint } from '../inventory/inventoryIndex.js';
 import type { TaskOutcome } from '../jobs/types.js';
@@ -22,8 +23,6 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly endpoints: EndpointPort;
-  /** The waiting tasks; an empty queue by default. */
-  readonly queue?: TaskQueue;
 }
 
 /** A task on an endpoint. */
@@ -41,15 +40,13 @@
 }
 
 export class Scheduler {
-  private readonly queue: TaskQueue;
+  private readonly queue = TaskQueue.create();
   private readonly pool = EndpointPool.create();
   private readonly served = new Map<string, ServedEndpoint>();
   private readonly running = new Map<string, RunningTask>();
   private readonly draining = new Set<Promise<unknown>>();
 
-  private constructor(private readonly options: SchedulerOptions) {
-    this.queue = options.queue ?? TaskQueue.create();
-  }
+  private constructor(private readonly options: SchedulerOptions) {}
 
   static create(options: SchedulerOptions): Scheduler {
     return new Scheduler(options);
@@ -85,10 +82,20 @@
     const notRun = createProblem('cancelled', 'The job ended before this task started.', {
       runState: 'not-run',
     });
+    this.withdrawWaiting(jobId, notRun);
+    this.stopRunning(jobId);
+  }
+
+  /**
+   * Takes the waiting tasks of a job out of the queue; what runs goes on.
+   *
+   * @param jobId - the job
+   * @param problem - why they are not run
+   */
+  withdrawWaiting(jobId: string, problem: Problem): void {
     for (const entry of this.queue.withdraw(jobId)) {
-      entry.outcome.resolve({ kind: 'not-run', problem: notRun });
+      entry.outcome.resolve({ kind: 'not-run', problem });
     }
-    this.stopRunning(jobId);
   }
 
   /**
@@ -97,7 +104,6 @@
    * @param endpoints - the endpoints
    */
   serve(endpoints: readonly PlacedEndpoint[]): void {
-    this.queue.trialCap.setEndpoints(endpoints);
     const wanted = new Map(endpoints.map((placed) => [placed.endpoint.endpointId, placed]));
     for (const [endpointId, served] of this.served) {
       if (wanted.get(endpointId) === served.placed) {
--- a/src/ports/vmList.ts
+++ b/src/ports/vmList.ts
@@ -5,8 +5,8 @@
 export const vmRecordSchema = z.object({
   vmId: z.string(),
   failureDomainId: z.string(),
-  /** Address of the peers' interface: IP number and port. */
-  peerAddress: z.string(),
+  /** Address of the peers' interface: IP number and port; missing where no daemon runs. */
+  peerAddress: z.string().optional(),
   state: z.enum(['live', 'leaving']),
   /** Relative size of the VM. */
   weight: z.number().positive(),
--- a/src/queue/classQueue.ts
+++ b/src/queue/classQueue.ts
@@ -4,7 +4,6 @@
  * Deficit round robin with a quantum of one task: the team that was given the least goes next.
  */
 import type { Operation } from '../inventory/types.js';
-import { OperationCounts } from './operationCounts.js';
 import { OperationIndex } from './operationIndex.js';
 import { TeamQueue } from './teamQueue.js';
 import type { IsRunnable, QueuedTask } from './types.js';
@@ -15,13 +14,13 @@
 const maxCatchUpMs = 2_000;
 
 export class ClassQueue {
-  /** The tasks that wait. */
-  readonly waiting = OperationCounts.create();
   private readonly teams = new Map<string, TeamQueue>();
   private readonly order = OperationIndex.create<TeamQueue>();
   /** Charge of the team that was served last: where a team that comes anew starts. */
   private floorMs = 0;
-  private teamsWaiting = 0;
+  private waiting = 0;
+  private tasks = 0;
+  private totalMs = 0;
 
   private constructor() {
     // Built by create.
@@ -31,9 +30,18 @@
     return new ClassQueue();
   }
 
+  get waitingTasks(): number {
+    return this.tasks;
+  }
+
+  /** Expected slot-time of all tasks that wait. */
+  get waitingMs(): number {
+    return this.totalMs;
+  }
+
   /** Teams with a task that waits. */
   get waitingTeams(): number {
-    return this.teamsWaiting;
+    return this.waiting;
   }
 
   team(teamId: string): TeamQueue | undefined {
@@ -41,16 +49,15 @@
   }
 
   push(queued: QueuedTask): void {
-    const { teamId, entry } = queued;
-    const { operation } = entry.task;
+    const { teamId, operation } = queued.entry.task;
     const team = this.teams.get(teamId) ?? this.addTeam(teamId);
-    if (team.waiting.total === 0) {
-      this.teamsWaiting += 1;
+    if (team.waitingTasks === 0) {
+      this.waiting += 1;
       team.chargedMs = Math.max(team.chargedMs, this.floorMs);
     }
     team.push(queued);
     this.order.add(team, operation, team.chargedMs);
-    this.waiting.add(operation, 1);
+    this.count(queued, 1);
   }
 
   /**
@@ -67,9 +74,8 @@
     }
     const startMs = Math.max(team.chargedMs, this.floorMs - maxCatchUpMs);
     this.floorMs = Math.max(this.floorMs, startMs);
-    const { operation } = queued.entry.task;
-    this.waiting.add(operation, -1);
-    this.removeIdle(team, [operation]);
+    this.count(queued, -1);
+    this.removeIdle(team, [queued.entry.task.operation]);
     this.charge(team, startMs + queued.expectedMs);
     return queued;
   }
@@ -100,7 +106,7 @@
     if (team === undefined || taken.length === 0) {
       return [];
     }
-    taken.forEach(({ entry }) => this.waiting.add(entry.task.operation, -1));
+    taken.forEach((queued) => this.count(queued, -1));
     this.removeIdle(team, new Set(taken.map(({ entry }) => entry.task.operation)));
     return taken;
   }
@@ -117,7 +123,7 @@
   /** A team without debt starts at the floor anyway, so nothing is lost with it. */
   private forgetIdleTeams(): void {
     for (const [teamId, team] of this.teams) {
-      if (team.waiting.total === 0 && team.chargedMs <= this.floorMs) {
+      if (team.waitingTasks === 0 && team.chargedMs <= this.floorMs) {
         this.teams.delete(teamId);
       }
     }
@@ -130,12 +136,17 @@
 
   private removeIdle(team: TeamQueue, operations: Iterable<Operation>): void {
     for (const operation of operations) {
-      if (!team.waiting.has(operation)) {
+      if (!team.waitsFor(operation)) {
         this.order.delete(team, operation);
       }
     }
-    if (team.waiting.total === 0) {
-      this.teamsWaiting -= 1;
+    if (team.waitingTasks === 0) {
+      this.waiting -= 1;
     }
   }
+
+  private count({ expectedMs }: QueuedTask, sign: 1 | -1): void {
+    this.tasks += sign;
+    this.totalMs = this.tasks === 0 ? 0 : this.totalMs + sign * expectedMs;
+  }
 }
--- a/src/queue/teamQueue.ts
+++ b/src/queue/teamQueue.ts
@@ -1,7 +1,7 @@
 /**
  * The waiting jobs of one team in one class: least remaining work first, with ageing.
  */
-import { OperationCounts } from './operationCounts.js';
+import type { Operation } from '../inventory/types.js';
 import { OperationIndex } from './operationIndex.js';
 import type { IsRunnable, QueuedTask } from './types.js';
 import { WaitingJob } from './waitingJob.js';
@@ -9,11 +9,12 @@
 export class TeamQueue {
   /** Slot-time that counts against the team's share; the team with the least goes next. */
   chargedMs = 0;
-  /** The tasks that wait. */
-  readonly waiting = OperationCounts.create();
   private readonly jobs = new Map<string, WaitingJob>();
   private readonly order = OperationIndex.create<WaitingJob>();
+  private readonly tasksOf = new Map<Operation, number>();
   private servedMs = 0;
+  private totalMs = 0;
+  private tasks = 0;
 
   private constructor(readonly teamId: string) {}
 
@@ -21,10 +22,23 @@
     return new TeamQueue(teamId);
   }
 
+  /** Expected slot-time of all tasks that wait. */
+  get waitingMs(): number {
+    return this.totalMs;
+  }
+
+  get waitingTasks(): number {
+    return this.tasks;
+  }
+
   get waitingJobs(): number {
     return this.jobs.size;
   }
 
+  waitsFor(operation: Operation): boolean {
+    return this.tasksOf.has(operation);
+  }
+
   hasJob(jobId: string): boolean {
     return this.jobs.has(jobId);
   }
@@ -36,7 +50,7 @@
     job.push(queued);
     this.order.add(job, operation, job.keyMs);
     this.order.rekey(job, job.keyMs);
-    this.waiting.add(operation, 1);
+    this.count(queued, 1);
   }
 
   /**
@@ -59,7 +73,7 @@
     if (job.isEmpty) {
       this.jobs.delete(job.jobId);
     }
-    this.waiting.add(operation, -1);
+    this.count(queued, -1);
     this.servedMs += queued.expectedMs;
     return queued;
   }
@@ -78,7 +92,19 @@
     this.jobs.delete(jobId);
     this.order.deleteAll(job);
     const taken = job.list();
-    taken.forEach(({ entry }) => this.waiting.add(entry.task.operation, -1));
+    taken.forEach((queued) => this.count(queued, -1));
     return taken;
   }
+
+  private count({ entry, expectedMs }: QueuedTask, sign: 1 | -1): void {
+    const { operation } = entry.task;
+    const left = (this.tasksOf.get(operation) ?? 0) + sign;
+    if (left === 0) {
+      this.tasksOf.delete(operation);
+    } else {
+      this.tasksOf.set(operation, left);
+    }
+    this.tasks += sign;
+    this.totalMs = this.tasks === 0 ? 0 : this.totalMs + sign * expectedMs;
+  }
 }
--- a/src/testing/fakePeerNetwork.ts
+++ b/src/testing/fakePeerNetwork.ts
@@ -9,7 +9,11 @@
 export type LinkFault = 'none' | 'cut' | 'answer-lost';
 
 export class FakePeerNetwork {
+  /** Heartbeats that were sent. */
+  heartbeatCount = 0;
   private readonly services = new Map<string, PeerService>();
+  /** How often each address was removed; a removed daemon reaches nobody. */
+  private readonly removals = new Map<string, number>();
   private readonly faults = new Map<string, LinkFault>();
 
   private constructor() {
@@ -25,8 +29,9 @@
     this.services.set(address, service);
   }
 
-  /** Makes a daemon unreachable, as if it was killed. */
+  /** Makes a daemon unreachable and unable to reach others, as if it was killed. */
   remove(address: string): void {
+    this.removals.set(address, this.removalsOf(address) + 1);
     this.services.delete(address);
   }
 
@@ -46,13 +51,23 @@
    * @param from - the daemon's own address
    */
   connectorOf(from: string): PeerConnector {
-    return { connect: (to) => this.link(from, to) };
+    const removals = this.removalsOf(from);
+    const isRemoved = (): boolean => this.removalsOf(from) !== removals;
+    return { connect: (to) => this.link(from, to, isRemoved) };
   }
 
-  private link(from: string, to: string): PeerLink {
-    const call = <T>(serve: (service: PeerService) => T | Promise<T>) => this.call(from, to, serve);
+  private removalsOf(address: string): number {
+    return this.removals.get(address) ?? 0;
+  }
+
+  private link(from: string, to: string, isRemoved: () => boolean): PeerLink {
+    const call = <T>(serve: (service: PeerService) => T | Promise<T>) =>
+      isRemoved() ? Promise.resolve(Err(removed)) : this.call(from, to, serve);
     return {
-      heartbeat: (own) => call((service) => service.heartbeat(own)),
+      heartbeat: (own) => {
+        this.heartbeatCount += 1;
+        return call((service) => service.heartbeat(own));
+      },
       forward: (request) => call((service) => service.forward(request)),
       status: (request) => call((service) => service.statusForwarded(request)),
       cancel: (request) => call((service) => service.cancelForwarded(request)),
@@ -81,3 +96,5 @@
     return this.faults.get(`${from} ${to}`) ?? 'none';
   }
 }
+
+const removed: PeerError = { kind: 'not-sent', detail: 'The calling daemon was killed.' };
