--- a/src/adapters/peerRpc/peerRpcClient.ts
+++ b/src/adapters/peerRpc/peerRpcClient.ts
@@ -39,13 +39,23 @@
 
 type MethodName = keyof typeof peerMethods;
 
+/**
+ * Sees every message to a peer before it is sent.
+ *
+ * @returns whether the message may be sent; one that may not ends as `broken`
+ */
+export type PeerMessageFilter = (address: string, method: string) => boolean;
+
+const passAll: PeerMessageFilter = () => true;
+
 class PeerRpcLink implements PeerLink {
   private readonly pool: Pool;
   private readonly client: JSONRPCClient<AbortSignal>;
 
   constructor(
-    address: string,
+    private readonly address: string,
     private readonly token: string,
+    private readonly filter: PeerMessageFilter,
   ) {
     this.pool = new Pool(`http://${address}`, {
       connections: maxConnectionsPerPeer,
@@ -99,6 +109,9 @@
     params: z.infer<(typeof peerMethods)[M]['params']>,
     signal: AbortSignal,
   ): Promise<Result<z.infer<(typeof peerMethods)[M]['result']>, PeerError>> {
+    if (!this.filter(this.address, method)) {
+      return Err({ kind: 'broken', detail: 'The link to the peer is cut.' });
+    }
     try {
       const reply: unknown = await this.client.request(method, params, signal);
       const parsed = peerMethods[method].result.safeParse(reply);
@@ -131,19 +144,23 @@
 }
 
 export class PeerRpcConnector implements PeerConnector {
-  private constructor(private readonly token: string) {}
+  private constructor(
+    private readonly token: string,
+    private readonly filter: PeerMessageFilter,
+  ) {}
 
   /**
    * Creates a connector.
    *
    * @param token - the bearer token that all daemons share
+   * @param filter - sees every message before it is sent
    */
-  static create(token: string): PeerRpcConnector {
-    return new PeerRpcConnector(token);
+  static create(token: string, filter: PeerMessageFilter = passAll): PeerRpcConnector {
+    return new PeerRpcConnector(token, filter);
   }
 
   connect(address: string): PeerLink {
-    return new PeerRpcLink(address, this.token);
+    return new PeerRpcLink(address, this.token, this.filter);
   }
 }
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -14,6 +14,7 @@
 import { DispatchAssignment } from '../membership/dispatchAssignment.js';
 import { PeerSet } from '../membership/peerSet.js';
 import type { DaemonState, Heartbeat } from '../membership/types.js';
+import { followLimits } from '../limits/followLimits.js';
 import { Scheduler } from '../placement/scheduler.js';
 import type { CallerService, JobStatus } from '../ports/callers.js';
 import type { DaemonStatus, OperatorService } from '../ports/operators.js';
@@ -32,6 +33,8 @@
 import { depart } from '../submissions/departure.js';
 import { HeirDirectory } from '../submissions/heirDirectory.js';
 import { InheritedTables } from '../submissions/inheritedTables.js';
+import { TaskQueue } from '../queue/taskQueue.js';
+import { Admission } from '../submissions/admission.js';
 import { Intake } from '../submissions/intake.js';
 import { OwnerRouter } from '../submissions/ownerRouter.js';
 import { OwnSubmissions } from '../submissions/ownSubmissions.js';
@@ -57,6 +60,7 @@
   private readonly table: SubmissionTable;
   private readonly inherited: InheritedTables;
   private readonly own: OwnSubmissions;
+  private readonly queue = TaskQueue.create();
   private readonly scheduler: Scheduler;
   private readonly peers: PeerSet;
   private readonly intake: Intake;
@@ -76,7 +80,14 @@
       this.configuration.current?.rules.resubmissionWindowMs ?? defaultResubmissionWindowMs;
     this.table = SubmissionTable.create({ incarnation, clock, maxBytes: maxTableBytes, windowMs });
     this.inherited = InheritedTables.create({ clock, maxBytes: maxInheritedBytes, windowMs });
-    this.scheduler = Scheduler.create({ incarnation, clock, logger, endpoints: ports.endpoints });
+    this.scheduler = Scheduler.create({
+      incarnation,
+      clock,
+      logger,
+      endpoints: ports.endpoints,
+      queue: this.queue,
+    });
+    followLimits(this.configuration, this.queue);
     this.peers = PeerSet.create({
       vmId: identity.vmId,
       failureDomainId: identity.failureDomainId,
@@ -89,7 +100,12 @@
     const { configuration, table, inherited, peers } = this;
     const runner = JobRunner.create({ clock, scheduler: this.scheduler });
     followConfiguration(configuration, runner);
-    this.own = OwnSubmissions.create({ clock, random, configuration, runner, table });
+    const admission = Admission.create({
+      queue: this.queue,
+      processLoad: ports.processLoad,
+      spareSlots: () => this.countSpareSlots(),
+    });
+    this.own = OwnSubmissions.create({ clock, random, configuration, runner, table, admission });
     const heirs = HeirDirectory.create(peers, clock);
     const router = OwnerRouter.create({ clock, peers, heirs });
     this.intake = Intake.create({ incarnation, configuration, own: this.own, inherited, router });
@@ -212,6 +228,7 @@
     await this.follower.close();
     await this.peers.close();
     await this.ports.vmList.close();
+    this.ports.processLoad.close();
   }
 
   /** Stops as planned: what runs ends, and a peer takes the memory of submissions over. */
@@ -228,6 +245,15 @@
     await this.ports.endpoints.close();
     await this.ports.logService.close();
     await this.ports.vmList.close();
+    this.ports.processLoad.close();
+  }
+
+  /** Free slots that the daemons of this failure domain have told. */
+  private countSpareSlots(): number {
+    return this.peers
+      .heard()
+      .filter(({ failureDomainId }) => failureDomainId === this.identity.failureDomainId)
+      .reduce((sum, { freeSlots }) => sum + freeSlots, 0);
   }
 
   private composeHeartbeat(): Heartbeat {
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -23,6 +23,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly endpoints: EndpointPort;
+  /** The waiting tasks; an empty queue by default. */
+  readonly queue?: TaskQueue;
 }
 
 /** A task on an endpoint. */
@@ -40,13 +42,15 @@
 }
 
 export class Scheduler {
-  private readonly queue = TaskQueue.create();
+  private readonly queue: TaskQueue;
   private readonly pool = EndpointPool.create();
   private readonly served = new Map<string, ServedEndpoint>();
   private readonly running = new Map<string, RunningTask>();
   private readonly draining = new Set<Promise<unknown>>();
 
-  private constructor(private readonly options: SchedulerOptions) {}
+  private constructor(private readonly options: SchedulerOptions) {
+    this.queue = options.queue ?? TaskQueue.create();
+  }
 
   static create(options: SchedulerOptions): Scheduler {
     return new Scheduler(options);
@@ -104,6 +108,7 @@
    * @param endpoints - the endpoints
    */
   serve(endpoints: readonly PlacedEndpoint[]): void {
+    this.queue.trialCap.setEndpoints(endpoints);
     const wanted = new Map(endpoints.map((placed) => [placed.endpoint.endpointId, placed]));
     for (const [endpointId, served] of this.served) {
       if (wanted.get(endpointId) === served.placed) {
--- a/src/ports/ports.ts
+++ b/src/ports/ports.ts
@@ -5,6 +5,7 @@
 import type { LogService } from './logService.js';
 import type { Metrics } from './metrics.js';
 import type { PeerConnector } from './peers.js';
+import type { ProcessLoad } from './processLoad.js';
 import type { Random } from './random.js';
 import type { VmList } from './vmList.js';
 
@@ -17,4 +18,5 @@
   readonly logService: LogService;
   readonly vmList: VmList;
   readonly peers: PeerConnector;
+  readonly processLoad: ProcessLoad;
 }
--- a/src/programs/toucandyke/commands/demoCommand.ts
+++ b/src/programs/toucandyke/commands/demoCommand.ts
@@ -9,8 +9,8 @@
 import type { Configuration } from '../../../configuration/types.js';
 import { Deployment } from '../../../../standins/deployment.js';
 import { topSpeed } from '../../../../standins/fleet.js';
+import { LoadTally } from '../../../../standins/load/loadTally.js';
 import { runDemoLoad } from '../demo/demoLoad.js';
-import { DemoTally } from '../demo/demoTally.js';
 
 const usageExitCode = 2;
 const daemonsPerFailureDomain = 2;
@@ -45,7 +45,7 @@
     const deployment = await Deployment.create({ clock, configuration, daemonsPerFailureDomain });
     const { fleet } = deployment;
     this.say(`${deployment.daemons.length} daemons and ${fleet.endpoints.size} endpoints are up.`);
-    const tally = DemoTally.create();
+    const tally = LoadTally.create();
     const stop = new AbortController();
     const random = SystemRandom.create();
     const load = runDemoLoad({
@@ -85,7 +85,7 @@
 
   private async showProgress(
     clock: SystemClock,
-    tally: DemoTally,
+    tally: LoadTally,
     signal: AbortSignal,
   ): Promise<void> {
     while (!signal.aborted) {
@@ -94,7 +94,7 @@
     }
   }
 
-  private report(deployment: Deployment, tally: DemoTally): number {
+  private report(deployment: Deployment, tally: LoadTally): number {
     for (const line of tally.formatLines()) {
       this.say(line);
     }
--- a/src/programs/toucandyke/demo/demoLoad.ts
+++ b/src/programs/toucandyke/demo/demoLoad.ts
@@ -2,25 +2,27 @@
  * The mixed load of the demo: jobs and lookups of paying and trial callers.
  */
 import { CallerSession } from '../../../adapters/callerHttp/callerSession.js';
-import type { CallerOutcome } from '../../../adapters/callerHttp/callerHttpClient.js';
-import type { Caller, Inventory, Operation } from '../../../inventory/types.js';
-import type { Submission } from '../../../jobs/types.js';
+import type { Caller, Inventory } from '../../../inventory/types.js';
 import type { Clock } from '../../../ports/clock.js';
 import type { Random } from '../../../ports/random.js';
-import type { DemoTally } from './demoTally.js';
+import type { LoadTally } from '../../../../standins/load/loadTally.js';
+import {
+  computeIdealMs,
+  createSubmission,
+  isOwnAnswer,
+} from '../../../../standins/load/submissions.js';
 
 const deadlineMs = 20_000;
 const maxTasks = 30;
 const pauseMs = 40;
 const lookupShare = 0.3;
 const sessionsPerCaller = 4;
-const roundTripMs = 1;
 
 export interface DemoLoadOptions {
   readonly clock: Clock;
   readonly random: Random;
   readonly inventory: Inventory;
-  readonly tally: DemoTally;
+  readonly tally: LoadTally;
   readonly balance: () => string;
   /** Speed of the fastest endpoint. */
   readonly topSpeed: number;
@@ -61,37 +63,22 @@
   const isLookup = random.next() < lookupShare;
   const kind = isLookup ? 'repeatable' : 'once';
   const operations = inventory.operations.filter((operation) => operation.kind === kind);
-  const submission = createSubmission(random, operations);
+  const submission = createSubmission({
+    random,
+    operations,
+    taskCount: 1 + Math.floor(random.next() ** 3 * maxTasks),
+    deadlineMs,
+  });
   const startedAtMs = clock.nowMs();
   const signal = AbortSignal.timeout(deadlineMs * 2);
   const { outcome } = isLookup
     ? await session.lookup(submission, signal)
     : await session.submit(submission, signal);
   const responseMs = clock.nowMs() - startedAtMs;
-  const idealMs = roundTripMs + longestRunTimeMs(submission, operations) / topSpeed;
-  tally.record({ callerClass: caller.class, outcome, responseMs, idealMs });
+  const idealMs = computeIdealMs(submission, operations, topSpeed);
+  const taskCount = submission.tasks.length;
+  tally.record({ callerClass: caller.class, taskCount, outcome, responseMs, idealMs });
   if (!isOwnAnswer(outcome, submission)) {
     tally.wrongAnswers += 1;
   }
 };
-
-const createSubmission = (random: Random, operations: readonly Operation[]): Submission => ({
-  deadlineMs,
-  tasks: Array.from({ length: 1 + Math.floor(random.next() ** 3 * maxTasks) }, () => ({
-    operation: operations[Math.floor(random.next() * operations.length)]?.operationId ?? '',
-    input: { number: random.id() },
-  })),
-});
-
-const longestRunTimeMs = (submission: Submission, operations: readonly Operation[]): number =>
-  Math.max(
-    ...submission.tasks.map(
-      (task) => operations.find((o) => o.operationId === task.operation)?.declaredRunTimeMs ?? 0,
-    ),
-  );
-
-/** The endpoints echo the numbered input, so a crossed answer shows. */
-const isOwnAnswer = (outcome: CallerOutcome, submission: Submission): boolean =>
-  outcome.kind !== 'complete' ||
-  JSON.stringify(outcome.results) ===
-    JSON.stringify(submission.tasks.map(({ operation, input }) => ({ operation, input })));
--- a/src/programs/toucandyked/daemonProcess.ts
+++ b/src/programs/toucandyked/daemonProcess.ts
@@ -11,6 +11,7 @@
 import { RoarrLogger } from '../../adapters/system/roarrLogger.js';
 import { StatsdMetrics } from '../../adapters/system/statsdMetrics.js';
 import { SystemClock } from '../../adapters/system/systemClock.js';
+import { SystemProcessLoad } from '../../adapters/system/systemProcessLoad.js';
 import { SystemRandom } from '../../adapters/system/systemRandom.js';
 import { VmListHttpClient } from '../../adapters/vmListHttp/vmListHttpClient.js';
 import { splitAddress } from '../../config/settings.js';
@@ -30,10 +31,11 @@
    * Starts a daemon with all its interfaces.
    *
    * @param settings - the checked settings
+   * @param overrides - ports that take the place of those to the real outside
    * @returns the running daemon
    */
-  static async create(settings: Settings): Promise<DaemonProcess> {
-    const ports = createPorts(settings);
+  static async create(settings: Settings, overrides: Partial<Ports> = {}): Promise<DaemonProcess> {
+    const ports = { ...createPorts(settings), ...overrides };
     const daemon = Daemon.create(settings, ports);
     const { logger } = ports;
     const { listen, tokens } = settings;
@@ -87,5 +89,6 @@
     logService: LogHttpClient.create(settings.platform.logService),
     vmList: VmListHttpClient.create(settings.platform.vmList),
     peers: PeerRpcConnector.create(settings.tokens.peers),
+    processLoad: SystemProcessLoad.create(),
   };
 };
--- a/src/queue/classQueue.ts
+++ b/src/queue/classQueue.ts
@@ -4,6 +4,7 @@
  * Deficit round robin with a quantum of one task: the team that was given the least goes next.
  */
 import type { Operation } from '../inventory/types.js';
+import { OperationCounts } from './operationCounts.js';
 import { OperationIndex } from './operationIndex.js';
 import { TeamQueue } from './teamQueue.js';
 import type { IsRunnable, QueuedTask } from './types.js';
@@ -14,13 +15,13 @@
 const maxCatchUpMs = 2_000;
 
 export class ClassQueue {
+  /** The tasks that wait. */
+  readonly waiting = OperationCounts.create();
   private readonly teams = new Map<string, TeamQueue>();
   private readonly order = OperationIndex.create<TeamQueue>();
   /** Charge of the team that was served last: where a team that comes anew starts. */
   private floorMs = 0;
-  private waiting = 0;
-  private tasks = 0;
-  private totalMs = 0;
+  private teamsWaiting = 0;
 
   private constructor() {
     // Built by create.
@@ -30,18 +31,9 @@
     return new ClassQueue();
   }
 
-  get waitingTasks(): number {
-    return this.tasks;
-  }
-
-  /** Expected slot-time of all tasks that wait. */
-  get waitingMs(): number {
-    return this.totalMs;
-  }
-
   /** Teams with a task that waits. */
   get waitingTeams(): number {
-    return this.waiting;
+    return this.teamsWaiting;
   }
 
   team(teamId: string): TeamQueue | undefined {
@@ -49,15 +41,16 @@
   }
 
   push(queued: QueuedTask): void {
-    const { teamId, operation } = queued.entry.task;
+    const { teamId, entry } = queued;
+    const { operation } = entry.task;
     const team = this.teams.get(teamId) ?? this.addTeam(teamId);
-    if (team.waitingTasks === 0) {
-      this.waiting += 1;
+    if (team.waiting.total === 0) {
+      this.teamsWaiting += 1;
       team.chargedMs = Math.max(team.chargedMs, this.floorMs);
     }
     team.push(queued);
     this.order.add(team, operation, team.chargedMs);
-    this.count(queued, 1);
+    this.waiting.add(operation, 1);
   }
 
   /**
@@ -74,8 +67,9 @@
     }
     const startMs = Math.max(team.chargedMs, this.floorMs - maxCatchUpMs);
     this.floorMs = Math.max(this.floorMs, startMs);
-    this.count(queued, -1);
-    this.removeIdle(team, [queued.entry.task.operation]);
+    const { operation } = queued.entry.task;
+    this.waiting.add(operation, -1);
+    this.removeIdle(team, [operation]);
     this.charge(team, startMs + queued.expectedMs);
     return queued;
   }
@@ -106,7 +100,7 @@
     if (team === undefined || taken.length === 0) {
       return [];
     }
-    taken.forEach((queued) => this.count(queued, -1));
+    taken.forEach(({ entry }) => this.waiting.add(entry.task.operation, -1));
     this.removeIdle(team, new Set(taken.map(({ entry }) => entry.task.operation)));
     return taken;
   }
@@ -123,7 +117,7 @@
   /** A team without debt starts at the floor anyway, so nothing is lost with it. */
   private forgetIdleTeams(): void {
     for (const [teamId, team] of this.teams) {
-      if (team.waitingTasks === 0 && team.chargedMs <= this.floorMs) {
+      if (team.waiting.total === 0 && team.chargedMs <= this.floorMs) {
         this.teams.delete(teamId);
       }
     }
@@ -136,17 +130,12 @@
 
   private removeIdle(team: TeamQueue, operations: Iterable<Operation>): void {
     for (const operation of operations) {
-      if (!team.waitsFor(operation)) {
+      if (!team.waiting.has(operation)) {
         this.order.delete(team, operation);
       }
     }
-    if (team.waitingTasks === 0) {
-      this.waiting -= 1;
+    if (team.waiting.total === 0) {
+      this.teamsWaiting -= 1;
     }
   }
-
-  private count({ expectedMs }: QueuedTask, sign: 1 | -1): void {
-    this.tasks += sign;
-    this.totalMs = this.tasks === 0 ? 0 : this.totalMs + sign * expectedMs;
-  }
 }
--- a/src/queue/taskQueue.spec.ts
+++ b/src/queue/taskQueue.spec.ts
@@ -92,6 +92,19 @@
   assert.is(queue.take((operation) => operation === fit)?.task.jobId, 'trial-fit');
 });
 
+test('moves waiting work of a caller whose class or team has changed', () => {
+  const queue = TaskQueue.create();
+  pushJob(queue, 'moved', 3, { teamId: 'a' });
+  pushJob(queue, 'kept', 3, { teamId: 'b' });
+  queue.setStandings((callerId) =>
+    callerId === 'a-caller' ? { callerClass: 'trial', teamId: 'c' } : undefined,
+  );
+  assert.is(queue.waitingOf('trial').waiting.total, 3);
+  assert.equal(takeJobs(queue, 5), ['kept', 'kept', 'kept', 'moved', 'none']);
+  pushJob(queue, 'later', 1, { teamId: 'a' });
+  assert.is(queue.waitingOf('trial').team('c')?.waiting.total, 3);
+});
+
 /** One step of a random session with the queue. */
 const stepArbitrary = fc.oneof(
   fc.record({
--- a/src/queue/taskQueue.ts
+++ b/src/queue/taskQueue.ts
@@ -7,16 +7,18 @@
 import { TrialCap } from '../limits/trialCap.js';
 import { ClassQueue } from './classQueue.js';
 import { RunTimeEstimates } from './runTimeEstimates.js';
-import type { IsRunnable, QueuedTask, WaitingTask } from './types.js';
+import type { IsRunnable, QueuedTask, Standing, WaitingTask } from './types.js';
 
 const classOrder: readonly CallerClass[] = ['paying', 'trial'];
 
 /** Where the waiting tasks of a job stand. */
-interface JobPlace {
-  readonly callerClass: CallerClass;
-  readonly teamId: string;
+interface JobPlace extends Standing {
+  readonly callerId: string;
 }
 
+/** Tells the class and team of a caller, if the configuration in force has the caller. */
+export type StandingOf = (callerId: string) => Standing | undefined;
+
 export class TaskQueue {
   readonly trialCap = TrialCap.create();
   readonly estimates = RunTimeEstimates.create();
@@ -26,6 +28,7 @@
   };
   private readonly places = new Map<string, JobPlace>();
   private readonly running = new Map<WaitingTask, QueuedTask>();
+  private standingOf: StandingOf = () => undefined;
 
   private constructor() {
     // Built by create.
@@ -36,13 +39,35 @@
   }
 
   get size(): number {
-    return this.classes.paying.waitingTasks + this.classes.trial.waitingTasks;
+    return this.classes.paying.waiting.total + this.classes.trial.waiting.total;
   }
 
   push(entry: WaitingTask): void {
-    const { callerClass, jobId, teamId, operation } = entry.task;
-    this.places.set(jobId, { callerClass, teamId });
-    this.classes[callerClass].push({ entry, expectedMs: this.estimates.expectedMs(operation) });
+    const { callerId, jobId, operation } = entry.task;
+    const { callerClass, teamId } = this.standingOf(callerId) ?? entry.task;
+    this.places.set(jobId, { callerId, callerClass, teamId });
+    const expectedMs = this.estimates.expectedMs(operation);
+    this.classes[callerClass].push({ entry, expectedMs, callerClass, teamId });
+  }
+
+  /** @returns the waiting work of one class */
+  waitingOf(callerClass: CallerClass): ClassQueue {
+    return this.classes[callerClass];
+  }
+
+  /**
+   * Moves the waiting jobs of callers whose class or team has changed; what runs stays as it is.
+   *
+   * @param standingOf - tells class and team by the configuration in force
+   */
+  setStandings(standingOf: StandingOf): void {
+    this.standingOf = standingOf;
+    for (const [jobId, place] of this.places) {
+      const standing = standingOf(place.callerId) ?? place;
+      if (standing.callerClass !== place.callerClass || standing.teamId !== place.teamId) {
+        this.withdraw(jobId).forEach((entry) => this.push(entry));
+      }
+    }
   }
 
   /**
@@ -75,7 +100,8 @@
       return;
     }
     this.running.delete(entry);
-    const { callerClass, teamId, operation } = entry.task;
+    const { callerClass, teamId } = queued;
+    const { operation } = entry.task;
     this.estimates.observe(operation, slotTimeMs);
     this.classes[callerClass].correct(teamId, slotTimeMs - queued.expectedMs);
     if (callerClass === 'trial') {
@@ -111,7 +137,8 @@
   }
 
   private start(queued: QueuedTask): void {
-    const { callerClass, jobId, teamId, operation } = queued.entry.task;
+    const { callerClass, teamId } = queued;
+    const { jobId, operation } = queued.entry.task;
     this.running.set(queued.entry, queued);
     if (this.classes[callerClass].team(teamId)?.hasJob(jobId) !== true) {
       this.places.delete(jobId);
--- a/src/queue/teamQueue.ts
+++ b/src/queue/teamQueue.ts
@@ -1,7 +1,7 @@
 /**
  * The waiting jobs of one team in one class: least remaining work first, with ageing.
  */
-import type { Operation } from '../inventory/types.js';
+import { OperationCounts } from './operationCounts.js';
 import { OperationIndex } from './operationIndex.js';
 import type { IsRunnable, QueuedTask } from './types.js';
 import { WaitingJob } from './waitingJob.js';
@@ -9,12 +9,11 @@
 export class TeamQueue {
   /** Slot-time that counts against the team's share; the team with the least goes next. */
   chargedMs = 0;
+  /** The tasks that wait. */
+  readonly waiting = OperationCounts.create();
   private readonly jobs = new Map<string, WaitingJob>();
   private readonly order = OperationIndex.create<WaitingJob>();
-  private readonly tasksOf = new Map<Operation, number>();
   private servedMs = 0;
-  private totalMs = 0;
-  private tasks = 0;
 
   private constructor(readonly teamId: string) {}
 
@@ -22,23 +21,10 @@
     return new TeamQueue(teamId);
   }
 
-  /** Expected slot-time of all tasks that wait. */
-  get waitingMs(): number {
-    return this.totalMs;
-  }
-
-  get waitingTasks(): number {
-    return this.tasks;
-  }
-
   get waitingJobs(): number {
     return this.jobs.size;
   }
 
-  waitsFor(operation: Operation): boolean {
-    return this.tasksOf.has(operation);
-  }
-
   hasJob(jobId: string): boolean {
     return this.jobs.has(jobId);
   }
@@ -50,7 +36,7 @@
     job.push(queued);
     this.order.add(job, operation, job.keyMs);
     this.order.rekey(job, job.keyMs);
-    this.count(queued, 1);
+    this.waiting.add(operation, 1);
   }
 
   /**
@@ -73,7 +59,7 @@
     if (job.isEmpty) {
       this.jobs.delete(job.jobId);
     }
-    this.count(queued, -1);
+    this.waiting.add(operation, -1);
     this.servedMs += queued.expectedMs;
     return queued;
   }
@@ -92,19 +78,7 @@
     this.jobs.delete(jobId);
     this.order.deleteAll(job);
     const taken = job.list();
-    taken.forEach((queued) => this.count(queued, -1));
+    taken.forEach(({ entry }) => this.waiting.add(entry.task.operation, -1));
     return taken;
   }
-
-  private count({ entry, expectedMs }: QueuedTask, sign: 1 | -1): void {
-    const { operation } = entry.task;
-    const left = (this.tasksOf.get(operation) ?? 0) + sign;
-    if (left === 0) {
-      this.tasksOf.delete(operation);
-    } else {
-      this.tasksOf.set(operation, left);
-    }
-    this.tasks += sign;
-    this.totalMs = this.tasks === 0 ? 0 : this.totalMs + sign * expectedMs;
-  }
 }
--- a/src/queue/types.ts
+++ b/src/queue/types.ts
@@ -1,7 +1,7 @@
 /**
  * Types of the queue of waiting tasks.
  */
-import type { Operation } from '../inventory/types.js';
+import type { CallerClass, Operation } from '../inventory/types.js';
 import type { TaskOutcome } from '../jobs/types.js';
 import type { Task } from '../placement/types.js';
 import type { Deferred } from '../utils/deferred.js';
@@ -14,8 +14,14 @@
   attempts: number;
 }
 
-/** A waiting task with the slot-time that it is expected to take. */
-export interface QueuedTask {
+/** Class and team that a caller's work counts to. */
+export interface Standing {
+  readonly callerClass: CallerClass;
+  readonly teamId: string;
+}
+
+/** A waiting task with its standing and the slot-time that it is expected to take. */
+export interface QueuedTask extends Standing {
   readonly entry: WaitingTask;
   readonly expectedMs: number;
 }
--- /dev/null
+++ b/src/submissions/admission.spec.ts
@@ -0,0 +1,186 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { ConfigurationStore } from '../configuration/configurationStore.js';
+import type { ActiveConfiguration } from '../configuration/configurationStore.js';
+import type { CallerClass } from '../inventory/types.js';
+import { TaskQueue } from '../queue/taskQueue.js';
+import { FakeProcessLoad } from '../testing/fakeProcessLoad.js';
+import {
+  createCaller,
+  createConfiguration,
+  createRecord,
+  createSubmission,
+} from '../testing/fixtures.js';
+import { createWaitingTask } from '../testing/queueFixtures.js';
+import { Admission } from './admission.js';
+
+const counter = createCaller('counter');
+const petshop = createCaller('petshop', 'trial');
+/** Two workers with four slots each, of which trial work takes two. */
+const slots = 8;
+
+interface AdmissionFixture {
+  readonly active: ActiveConfiguration;
+  readonly queue: TaskQueue;
+  readonly load: FakeProcessLoad;
+  readonly admission: Admission;
+}
+
+const createFixture = (spareSlots = 0): AdmissionFixture => {
+  const configuration = createConfiguration({ slots: slots / 2 });
+  const store = ConfigurationStore.create();
+  store.apply(createRecord(1, configuration));
+  const active = store.current;
+  assert.ok(active);
+  const queue = TaskQueue.create();
+  queue.trialCap.setEndpoints([...active.inventory.endpoints.values()]);
+  queue.trialCap.setShare(active.rules.trialSlotShare);
+  const load = FakeProcessLoad.create();
+  const admission = Admission.create({ queue, processLoad: load, spareSlots: () => spareSlots });
+  return { active, queue, load, admission };
+};
+
+const tasksPerJob = 220;
+
+/** Lets jobs of tasks of 100 ms wait. */
+const pushWaiting = (
+  { active, queue }: AdmissionFixture,
+  count: number,
+  teamId: string,
+  callerClass: CallerClass = 'paying',
+): void => {
+  const operation = active.inventory.operations.get('fit');
+  assert.ok(operation);
+  for (let index = 0; index < count; index += 1) {
+    const jobId = `${teamId}-${callerClass}-job${Math.floor(index / tasksPerJob)}`;
+    queue.push(createWaitingTask({ jobId, teamId, callerClass, operation, index }));
+  }
+};
+
+test('refuses work that cannot meet its deadline, with the time to wait', () => {
+  const fixture = createFixture();
+  pushWaiting(fixture, 80, 'counter-team');
+  const large = createSubmission('fit', new Array(100).fill(0), 600);
+  const problem = fixture.admission.check(counter, large, fixture.active);
+  assert.ok(problem);
+  assert.is(problem.kind, 'deadline-too-short');
+  assert.is(problem.runState, 'not-run');
+  // 80 tasks of 100 ms on 8 slots are 1,000 ms, and 400 ms later they are 600 ms.
+  assert.is(problem.retryAfterMs, 400);
+  const patient = { ...large, deadlineMs: 1_000 };
+  assert.is(fixture.admission.check(counter, patient, fixture.active), undefined);
+});
+
+test('refuses beyond the longest queue, with the time to wait', () => {
+  const fixture = createFixture();
+  pushWaiting(fixture, 780, 'counter-team');
+  const large = createSubmission('fit', new Array(230).fill(0), 60_000);
+  assert.is(fixture.admission.check(counter, large, fixture.active), undefined);
+  pushWaiting(fixture, 1_000, 'other-team');
+  const problem = fixture.admission.check(counter, large, fixture.active);
+  assert.ok(problem);
+  assert.is(problem.kind, 'overloaded');
+  // 780 and 1,000 tasks of 100 ms on 8 slots are 22,250 ms, of which 10,000 ms may wait.
+  assert.is(problem.retryAfterMs, 12_250);
+});
+
+test('takes a short job of one team while another has flooded the queue', () => {
+  const fixture = createFixture();
+  pushWaiting(fixture, 700, 'flood-team');
+  const short = createSubmission('fit', [1], 300);
+  assert.is(fixture.admission.check(counter, short, fixture.active), undefined);
+  const own = { ...counter, teamId: 'flood-team' };
+  const large = createSubmission('fit', new Array(230).fill(0), 300);
+  assert.is(fixture.admission.check(own, large, fixture.active)?.kind, 'deadline-too-short');
+});
+
+test('counts the paying work ahead of trial work, but no trial work ahead of paying', () => {
+  const fixture = createFixture();
+  pushWaiting(fixture, 40, 'petshop-team', 'trial');
+  const short = createSubmission('fit', [1], 150);
+  assert.is(fixture.admission.check(counter, short, fixture.active), undefined);
+  assert.is(fixture.admission.check(petshop, short, fixture.active), undefined);
+  pushWaiting(fixture, 40, 'counter-team');
+  assert.is(fixture.admission.check(counter, short, fixture.active), undefined);
+  const problem = fixture.admission.check(petshop, short, fixture.active);
+  assert.ok(problem);
+  assert.is(problem.kind, 'deadline-too-short');
+});
+
+test('holds a declared run time against nobody before one was observed', () => {
+  const fixture = createFixture();
+  const grade = fixture.active.inventory.operations.get('grade');
+  assert.ok(grade);
+  const tight = createSubmission('grade', [1], 200);
+  assert.is(fixture.admission.check(counter, tight, fixture.active), undefined);
+  fixture.queue.estimates.observe(grade, 400);
+  const problem = fixture.admission.check(counter, tight, fixture.active);
+  assert.ok(problem);
+  assert.is(problem.kind, 'deadline-too-short');
+  assert.is(problem.retryAfterMs, undefined);
+});
+
+test('counts the free slots of peers', () => {
+  const alone = createFixture();
+  const helped = createFixture(8);
+  const large = createSubmission('fit', new Array(100).fill(0), 600);
+  for (const fixture of [alone, helped]) {
+    pushWaiting(fixture, 80, 'counter-team');
+  }
+  assert.is(alone.admission.check(counter, large, alone.active)?.kind, 'deadline-too-short');
+  assert.is(helped.admission.check(counter, large, helped.active), undefined);
+});
+
+test('sheds trial work first, then all, by event loop, memory, queue time and held inputs', () => {
+  const short = createSubmission('fit', [1]);
+  const kinds = (fixture: AdmissionFixture) =>
+    [petshop, counter].map(
+      (caller) => fixture.admission.check(caller, short, fixture.active)?.kind ?? 'taken',
+    );
+  const none = ['taken', 'taken'];
+  const trial = ['overloaded', 'taken'];
+  const all = ['overloaded', 'overloaded'];
+  const fixture = createFixture();
+  assert.equal(kinds(fixture), none);
+  fixture.load.delayMs = 60;
+  assert.equal(kinds(fixture), trial);
+  fixture.load.delayMs = 300;
+  assert.equal(kinds(fixture), all);
+  fixture.load.delayMs = 0;
+  fixture.load.usedShare = 0.7;
+  assert.equal(kinds(fixture), trial);
+  fixture.load.usedShare = 0.9;
+  assert.equal(kinds(fixture), all);
+  fixture.load.usedShare = 0;
+  pushWaiting(fixture, 401, 'flood-team');
+  assert.equal(kinds(fixture), trial);
+});
+
+test('bounds the bytes of inputs that are held, and lets them go with the answer', async () => {
+  const { admission, active } = createFixture();
+  const short = createSubmission('fit', [1]);
+  const large = createSubmission('fit', ['x'.repeat(1_048_576)]);
+  let answer!: () => void;
+  const answered = new Promise<void>((resolve) => {
+    answer = resolve;
+  });
+  for (let i = 0; i < 64; i += 1) {
+    admission.hold(large, answered);
+  }
+  assert.is(admission.check(counter, short, active)?.kind, 'overloaded');
+  answer();
+  await answered;
+  await Promise.resolve();
+  assert.is(admission.check(petshop, short, active), undefined);
+});
+
+test('refuses an input that is larger than its operation takes', () => {
+  const { admission, active } = createFixture();
+  const submission = createSubmission('fit', [1, 'x'.repeat(65_536)]);
+  const problem = admission.check(counter, submission, active);
+  assert.ok(problem);
+  assert.is(problem.kind, 'too-large');
+  assert.is(problem.where, 'tasks[1].input');
+});
+
+test.run();
--- a/src/submissions/admission.ts
+++ b/src/submissions/admission.ts
@@ -1,10 +1,111 @@
 /**
- * Checks whether a new submission can be taken at all.
+ * Decides whether a new submission is taken: it must be valid, fit somewhere, and have a fair
+ * expectation to be answered in time.
  */
+import type { ActiveConfiguration } from '../configuration/configurationStore.js';
 import { createProblem } from '../errors/problem.js';
 import type { Problem } from '../errors/problem.js';
-import type { ActiveConfiguration } from '../configuration/configurationStore.js';
-import type { Submission } from '../jobs/types.js';
+import type { Caller, Operation } from '../inventory/types.js';
+import type { Submission, TaskSpec } from '../jobs/types.js';
+import { expectPayingWaitMs, expectTimes } from '../limits/expectedWait.js';
+import type { ExpectedTimes } from '../limits/expectedWait.js';
+import { HeldInputs, sizeOfInput } from '../limits/heldInputs.js';
+import { checkOverload, judgeLoad } from '../limits/overload.js';
+import type { ProcessLoad } from '../ports/processLoad.js';
+import type { TaskQueue } from '../queue/taskQueue.js';
+
+export interface AdmissionOptions {
+  readonly queue: TaskQueue;
+  readonly processLoad: ProcessLoad;
+  /** Free slots of other daemons that may take work over. */
+  readonly spareSlots: () => number;
+}
+
+export class Admission {
+  private readonly held = HeldInputs.create();
+
+  private constructor(private readonly options: AdmissionOptions) {}
+
+  static create(options: AdmissionOptions): Admission {
+    return new Admission(options);
+  }
+
+  /**
+   * Checks a new submission.
+   *
+   * @param caller - who submits
+   * @param submission - the submission
+   * @param active - the configuration in force
+   * @returns why it is refused, or nothing
+   */
+  check(caller: Caller, submission: Submission, active: ActiveConfiguration): Problem | undefined {
+    return (
+      checkSubmission(submission, active) ??
+      this.checkLoad(caller, active) ??
+      this.checkTimes(caller, submission, active)
+    );
+  }
+
+  /**
+   * Counts the inputs of an accepted job as held until it has its answer.
+   *
+   * @param submission - the job
+   * @param answer - settles with the job's answer
+   */
+  hold(submission: Submission, answer: Promise<unknown>): void {
+    this.held.hold(submission, answer);
+  }
+
+  private checkLoad(caller: Caller, { rules }: ActiveConfiguration): Problem | undefined {
+    const { queue, processLoad, spareSlots } = this.options;
+    const overload = judgeLoad({
+      queueMs: expectPayingWaitMs(queue, spareSlots()),
+      maxQueueMs: rules.maxQueueMs,
+      eventLoopDelayMs: processLoad.eventLoopDelayMs(),
+      memoryShare: processLoad.memoryShare(),
+      heldInputBytes: this.held.bytes,
+    });
+    return checkOverload(overload, caller.class);
+  }
+
+  private checkTimes(
+    caller: Caller,
+    submission: Submission,
+    { inventory, rules }: ActiveConfiguration,
+  ): Problem | undefined {
+    const operations = submission.tasks.flatMap(
+      ({ operation }) => inventory.operations.get(operation) ?? [],
+    );
+    const standing = { callerClass: caller.class, teamId: caller.teamId };
+    const { queue, spareSlots } = this.options;
+    const times = expectTimes(queue, spareSlots(), { standing, operations });
+    return checkDeadline(times, submission.deadlineMs) ?? checkQueue(times, rules.maxQueueMs);
+  }
+}
+
+const checkDeadline = (
+  { waitMs, runMs }: ExpectedTimes,
+  deadlineMs: number,
+): Problem | undefined => {
+  if (waitMs + runMs <= deadlineMs) {
+    return undefined;
+  }
+  if (runMs > deadlineMs) {
+    const detail = `The job takes about ${Math.ceil(runMs)} ms on idle endpoints.`;
+    return createProblem('deadline-too-short', detail, { where: 'deadlineMs' });
+  }
+  const retryAfterMs = Math.ceil(waitMs + runMs - deadlineMs);
+  return createProblem('deadline-too-short', 'Too much work waits to meet the deadline.', {
+    retryAfterMs,
+  });
+};
+
+const checkQueue = ({ waitMs }: ExpectedTimes, maxQueueMs: number): Problem | undefined =>
+  waitMs <= maxQueueMs
+    ? undefined
+    : createProblem('overloaded', 'Too much work waits.', {
+        retryAfterMs: Math.ceil(waitMs - maxQueueMs),
+      });
 
 /**
  * Checks a submission against the configuration in force.
@@ -22,7 +123,7 @@
     return createProblem('invalid-request', detail, { where: 'deadlineMs' });
   }
   for (const [index, task] of submission.tasks.entries()) {
-    const problem = checkTask(task.operation, `tasks[${index}].operation`, active);
+    const problem = checkTask(task, `tasks[${index}]`, active);
     if (problem !== undefined) {
       return problem;
     }
@@ -31,18 +132,25 @@
 };
 
 const checkTask = (
-  operationId: string,
+  { operation: operationId, input }: TaskSpec,
   where: string,
   { inventory }: ActiveConfiguration,
 ): Problem | undefined => {
   const operation = inventory.operations.get(operationId);
   if (operation === undefined) {
     return createProblem('unknown-operation', `Operation ${operationId} is not declared.`, {
-      where,
+      where: `${where}.operation`,
     });
   }
   if (!inventory.fitsSomewhere(operation)) {
-    return createProblem('no-fitting-endpoint', `No endpoint can run ${operationId}.`, { where });
+    return createProblem('no-fitting-endpoint', `No endpoint can run ${operationId}.`, {
+      where: `${where}.operation`,
+    });
   }
-  return undefined;
+  return checkInput(operation, input, `${where}.input`);
 };
+
+const checkInput = (operation: Operation, input: unknown, where: string): Problem | undefined =>
+  sizeOfInput(input) <= operation.maxInputBytes
+    ? undefined
+    : createProblem('too-large', `An input may have ${operation.maxInputBytes} bytes.`, { where });
--- a/src/submissions/intake.ts
+++ b/src/submissions/intake.ts
@@ -137,7 +137,8 @@
     if (body.isErr()) {
       return refused(body.error);
     }
-    const problem = this.options.own.check(body.value) ?? this.checkRepeatable(body.value);
+    const problem =
+      this.options.own.check(caller.callerId, body.value) ?? this.checkRepeatable(body.value);
     if (problem !== undefined) {
       return refused(problem);
     }
--- a/src/submissions/ownSubmissions.ts
+++ b/src/submissions/ownSubmissions.ts
@@ -20,7 +20,7 @@
   SubmitOutcome,
 } from '../ports/peers.js';
 import type { Random } from '../ports/random.js';
-import { checkSubmission } from './admission.js';
+import type { Admission } from './admission.js';
 import { attach, digestBody, forgotten, known, neverStarted, refused, unknown } from './replies.js';
 import type { SubmissionTable } from './submissionTable.js';
 import type { RunningJob, SubmissionRecord } from './types.js';
@@ -31,6 +31,7 @@
   readonly configuration: ConfigurationStore;
   readonly runner: JobRunner;
   readonly table: SubmissionTable;
+  readonly admission: Admission;
 }
 
 export class OwnSubmissions {
@@ -107,15 +108,22 @@
   /**
    * Checks a submission against the state of this daemon and the configuration in force.
    *
+   * @param callerId - who submits; a caller that is not known is left to the start
    * @param submission - the submission
    * @returns why it is refused, or nothing
    */
-  check(submission: Submission): Problem | undefined {
+  check(callerId: string, submission: Submission): Problem | undefined {
     if (this.stopping) {
       return createProblem('stopping', 'This daemon takes no new submissions.');
     }
     const active = this.options.configuration.current;
-    return active === undefined ? noConfiguration() : checkSubmission(submission, active);
+    if (active === undefined) {
+      return noConfiguration();
+    }
+    const caller = active.inventory.callerById(callerId);
+    return caller === undefined
+      ? undefined
+      : this.options.admission.check(caller, submission, active);
   }
 
   /**
@@ -125,7 +133,7 @@
    * @param submission - the job
    */
   startJob(caller: Caller, submission: Submission): RunningJob {
-    const { clock, random, runner } = this.options;
+    const { clock, random, runner, admission } = this.options;
     const job = runner.start({
       jobId: random.id(),
       caller,
@@ -133,6 +141,7 @@
       deadlineAtMs: clock.nowMs() + submission.deadlineMs,
       inventory: this.active().inventory,
     });
+    admission.hold(submission, job.answer);
     this.running.add(job.answer);
     void job.answer.finally(() => this.running.delete(job.answer));
     return job;
@@ -141,7 +150,7 @@
   private async startOrRefuse(request: ForwardedSubmission): Promise<SubmitOutcome> {
     const { body, callerId } = request;
     const digest = digestBody(body);
-    const problem = body.kind === 'invalid' ? body.problem : this.check(body.submission);
+    const problem = body.kind === 'invalid' ? body.problem : this.check(callerId, body.submission);
     if (problem !== undefined || body.kind === 'invalid') {
       const reason = problem ?? noConfiguration();
       this.remember(request, { state: 'refused', digest, problem: reason });
--- a/src/testing/daemonFixture.ts
+++ b/src/testing/daemonFixture.ts
@@ -10,6 +10,7 @@
 import { FakeEndpoints } from './fakeEndpoints.js';
 import { FakeLogService } from './fakeLogService.js';
 import { FakePeerNetwork } from './fakePeerNetwork.js';
+import { FakeProcessLoad } from './fakeProcessLoad.js';
 import { FakeVmList } from './fakeVmList.js';
 import { createConfiguration, createRecord } from './fixtures.js';
 import { SeededRandom } from './seededRandom.js';
@@ -69,6 +70,7 @@
         logService: this.log.reachedBy(() => this.cutOffFromLog.has(vmId)),
         vmList: this.vmList,
         peers: this.network.connectorOf(vmId),
+        processLoad: FakeProcessLoad.create(),
       },
     );
     this.daemons.set(vmId, daemon);
--- a/standins/deployment.ts
+++ b/standins/deployment.ts
@@ -2,12 +2,16 @@
  * A whole deployment in this process: stand-ins and several daemons in each failure domain.
  */
 import { LogHttpClient } from '../src/adapters/logHttp/logHttpClient.js';
+import { PeerRpcConnector } from '../src/adapters/peerRpc/peerRpcClient.js';
+import { VmListHttpClient } from '../src/adapters/vmListHttp/vmListHttpClient.js';
 import { publishConfiguration } from '../src/configuration/publisher.js';
 import type { Configuration } from '../src/configuration/types.js';
 import type { Clock } from '../src/ports/clock.js';
+import type { Ports } from '../src/ports/ports.js';
 import type { VmRecord } from '../src/ports/vmList.js';
 import { DaemonProcess } from '../src/programs/toucandyked/daemonProcess.js';
 import { Fleet } from './fleet.js';
+import { CuttableLogService, CuttableVmList, LinkCuts } from './linkCuts.js';
 
 const anyPort = '127.0.0.1:0';
 const peerToken = 'peer-token-of-the-stand-ins';
@@ -29,6 +33,10 @@
 
 export class Deployment {
   readonly daemons: DeployedDaemon[] = [];
+  readonly cuts = LinkCuts.create();
+  /** Messages to peers so far, by method. */
+  readonly peerMessages = new Map<string, number>();
+  private readonly domainsByPeerAddress = new Map<string, string>();
 
   private constructor(
     readonly fleet: Fleet,
@@ -70,16 +78,20 @@
   }
 
   async startDaemon(vmId: string, failureDomainId: string): Promise<DeployedDaemon> {
-    const process = await DaemonProcess.create({
-      vmId,
-      failureDomainId,
-      weight: 1,
-      listen: { callers: anyPort, operators: anyPort, peers: anyPort },
-      platform: { logService: this.fleet.log.address, vmList: this.fleet.vmList.address },
-      tokens: { peers: peerToken, operators: operatorToken },
-      logLevel: 'off',
-    });
+    const process = await DaemonProcess.create(
+      {
+        vmId,
+        failureDomainId,
+        weight: 1,
+        listen: { callers: anyPort, operators: anyPort, peers: anyPort },
+        platform: { logService: this.fleet.log.address, vmList: this.fleet.vmList.address },
+        tokens: { peers: peerToken, operators: operatorToken },
+        logLevel: 'off',
+      },
+      this.createCuttablePorts(failureDomainId),
+    );
     const peerAddress = process.peers.address;
+    this.domainsByPeerAddress.set(peerAddress, failureDomainId);
     const vm = { vmId, failureDomainId, peerAddress, state: 'live' as const, weight: 1 };
     const daemon = { vm, process };
     this.daemons.push(daemon);
@@ -95,6 +107,26 @@
     await this.fleet.close();
   }
 
+  /** Links that `cuts` can cut between this failure domain, the others and the platform. */
+  private createCuttablePorts(failureDomainId: string): Partial<Ports> {
+    const { cuts, fleet } = this;
+    return {
+      logService: CuttableLogService.create(
+        LogHttpClient.create(fleet.log.address),
+        () => !cuts.isCutOff(failureDomainId),
+      ),
+      vmList: CuttableVmList.create(
+        VmListHttpClient.create(fleet.vmList.address),
+        () => !cuts.isCutOff(failureDomainId),
+      ),
+      peers: PeerRpcConnector.create(peerToken, (address, method) => {
+        this.peerMessages.set(method, (this.peerMessages.get(method) ?? 0) + 1);
+        const theirs = this.domainsByPeerAddress.get(address) ?? failureDomainId;
+        return cuts.isOpen(failureDomainId, theirs);
+      }),
+    };
+  }
+
   private async publish(): Promise<void> {
     const log = LogHttpClient.create(this.fleet.log.address);
     const { configuration } = this.fleet;
--- a/standins/endpointStandIn.ts
+++ b/standins/endpointStandIn.ts
@@ -14,6 +14,8 @@
 import { unreachable } from '../src/errors/unreachable.js';
 import type { Clock } from '../src/ports/clock.js';
 import type { EndpointFault } from './faults.js';
+import { createMessageCounts } from './messageCounts.js';
+import type { MessageCounts } from './messageCounts.js';
 import type { StartLedger } from './startLedger.js';
 
 const maxBodyBytes = 1_048_576;
@@ -40,7 +42,7 @@
   private server!: HttpServer;
   private fault: EndpointFault = { kind: 'none' };
   private readonly running = new Map<string, AbortController>();
-  private requests = 0;
+  private readonly counts = createMessageCounts();
 
   private constructor(private readonly options: EndpointStandInOptions) {}
 
@@ -59,9 +61,9 @@
     return this.server.address;
   }
 
-  /** @returns the number of requests so far */
-  get requestCount(): number {
-    return this.requests;
+  /** @returns what was received so far */
+  get messageCounts(): MessageCounts {
+    return { ...this.counts };
   }
 
   /**
@@ -81,8 +83,8 @@
   }
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    this.requests += 1;
     if (this.fault.kind === 'dead') {
+      this.counts.cut += 1;
       response.destroy();
       return;
     }
@@ -95,12 +97,14 @@
       case '/v1/tasks':
         return this.serveTask(taskRequestSchema.parse(body.value), response);
       case '/v1/cancellations':
+        this.counts.cancellations += 1;
         cancellationSchema.parse(body.value).taskIds.forEach((id) => this.running.get(id)?.abort());
         {
           sendJson(response, 200, {});
           return;
         }
       case '/v1/leases': {
+        this.counts.renewals += 1;
         const { taskId } = leaseRenewalSchema.parse(body.value);
         sendJson(response, 200, { held: this.running.has(taskId) });
         return;
@@ -114,6 +118,7 @@
 
   private async serveTask(task: TaskRequest, response: ServerResponse): Promise<void> {
     if (this.fault.kind === 'busy' || this.running.size >= this.options.slots) {
+      this.counts.busy += 1;
       sendJson(response, 200, { kind: 'not-started', reason: 'busy', ...identify(task) });
       return;
     }
@@ -124,6 +129,7 @@
   private async run(task: TaskRequest): Promise<TaskReply> {
     const { clock, ledger } = this.options;
     const { fault } = this;
+    this.counts.started += 1;
     ledger.record(task.operation, task.input);
     const stop = new AbortController();
     this.running.set(task.taskId, stop);
--- a/standins/fleet.ts
+++ b/standins/fleet.ts
@@ -19,6 +19,13 @@
 /** Speed of the fastest endpoint. */
 export const topSpeed = Math.max(...speeds);
 
+/**
+ * Gives the speed of an endpoint by its position in the inventory.
+ *
+ * @param index - position, from 0
+ */
+export const speedOf = (index: number): number => speeds[index % speeds.length] ?? 1;
+
 export interface FleetOptions {
   readonly clock: Clock;
   readonly configuration: Configuration;
@@ -92,7 +99,7 @@
     ledger,
     slots: worker?.slots ?? 1,
     connections: worker?.connections ?? 1,
-    speed: speeds[index % speeds.length] ?? 1,
+    speed: speedOf(index),
     runTimes: operations.map(({ operationId, declaredRunTimeMs }) => ({
       operationId,
       runTimeMs: declaredRunTimeMs,
--- /dev/null
+++ b/standins/messageCounts.ts
@@ -0,0 +1,40 @@
+/**
+ * Counts of what endpoints received, by cause.
+ */
+
+/** Requests that one or more endpoints received. */
+export interface MessageCounts {
+  /** Tasks that started. */
+  started: number;
+  /** Tasks that were refused because every slot was taken. */
+  busy: number;
+  cancellations: number;
+  renewals: number;
+  /** Requests whose connection was cut, because the endpoint was dead. */
+  cut: number;
+}
+
+export const createMessageCounts = (): MessageCounts => ({
+  started: 0,
+  busy: 0,
+  cancellations: 0,
+  renewals: 0,
+  cut: 0,
+});
+
+/**
+ * Adds up the counts of several endpoints.
+ *
+ * @param all - the counts of each
+ */
+export const sumMessageCounts = (all: Iterable<MessageCounts>): MessageCounts => {
+  const sum = createMessageCounts();
+  for (const counts of all) {
+    sum.started += counts.started;
+    sum.busy += counts.busy;
+    sum.cancellations += counts.cancellations;
+    sum.renewals += counts.renewals;
+    sum.cut += counts.cut;
+  }
+  return sum;
+};
--- a/standins/startLedger.ts
+++ b/standins/startLedger.ts
@@ -3,6 +3,8 @@
  */
 export class StartLedger {
   private readonly starts = new Map<string, number>();
+  private readonly repeatableWork = new Set<string>();
+  private repeated = 0;
 
   private constructor(private readonly onceOperationIds: ReadonlySet<string>) {}
 
@@ -23,10 +25,12 @@
    * @param input - the task's input
    */
   record(operationId: string, input: unknown): void {
+    const work = JSON.stringify([operationId, input]);
     if (!this.onceOperationIds.has(operationId)) {
+      this.repeated += this.repeatableWork.has(work) ? 1 : 0;
+      this.repeatableWork.add(work);
       return;
     }
-    const work = JSON.stringify([operationId, input]);
     this.starts.set(work, (this.starts.get(work) ?? 0) + 1);
   }
 
@@ -35,6 +39,11 @@
     return this.starts.get(JSON.stringify([operationId, input])) ?? 0;
   }
 
+  /** @returns starts of repeatable work beyond the first */
+  get repeatedLookups(): number {
+    return this.repeated;
+  }
+
   /** @returns how much work started more than once */
   get startedTwice(): number {
     return [...this.starts.values()].filter((count) => count > 1).length;
