Stop planned without cutting off a request on an idle connection

Cause: the close of node:http cuts idle connections at once, so a request that a client had just sent on one was cut off; a stopping daemon kept its connections, so callers got 'stopping' again and again. Change: drain closes each connection with its next answer; the close waits for idle connections to end by the keep-alive timeout that clients know; callers go to another daemon with a new key; bodies that are too large are answered, not cut; answers that nobody reads are cut after 20 s.

--- a/src/adapters/callerHttp/callerHttpServer.ts
+++ b/src/adapters/callerHttp/callerHttpServer.ts
@@ -2,6 +2,7 @@
  * The callers' interface over HTTP and JSON.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { setImmediate as setImmediatePromise } from 'node:timers/promises';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { createProblem } from '../../errors/problem.js';
@@ -54,6 +55,11 @@
     return this.server.address;
   }
 
+  /** Closes each connection with its next answer from now on. */
+  drain(): void {
+    this.server.drain();
+  }
+
   close(): Promise<void> {
     return this.server.close();
   }
@@ -115,11 +121,15 @@
     }
     const body = await readSubmission(request);
     const outcome = this.options.service.submit(caller, key, body);
-    if (request.headers.prefer !== 'respond-async') {
-      this.sendOutcome(response, await outcome);
+    const isAsync = request.headers.prefer === 'respond-async';
+    const first = isAsync ? await Promise.race([outcome, afterRefusals()]) : await outcome;
+    if (first !== undefined) {
+      this.sendOutcome(response, first);
       return;
     }
-    void outcome.catch(() => undefined);
+    outcome.catch((error: unknown) =>
+      this.logger.error('A job failed inside the daemon.', { reason: String(error) }),
+    );
     const location = `/v1/jobs/${encodeURIComponent(key)}`;
     sendJson(response, 202, { state: 'running' }, { ...this.headers(), location });
   }
@@ -206,3 +216,9 @@
   const parsed = submissionSchema.safeParse(body.value);
   return parsed.success ? Ok(parsed.data) : Err(problemFromZod(parsed.error));
 };
+
+/** Resolves after a submission that is refused without waiting has been refused. */
+const afterRefusals = async (): Promise<undefined> => {
+  await setImmediatePromise();
+  return undefined;
+};
--- a/src/adapters/callerHttp/callerSession.ts
+++ b/src/adapters/callerHttp/callerSession.ts
@@ -35,18 +35,22 @@
   }
 
   /**
-   * Submits a job, and submits it again under the same key after a broken connection.
+   * Submits a job, again under the same key after a broken connection, and under a new key where a
+   * stopping daemon refused it.
    *
    * @param submission - the job
    * @param signal - gives up
    */
   async submit(submission: Submission, signal: AbortSignal): Promise<SessionOutcome> {
-    const owner = await this.findOwner(signal);
-    if (owner === undefined) {
-      return { outcome: { kind: 'not-sent' }, resubmissions: 0 };
+    let resubmissions = 0;
+    for (let keys = 1; ; keys += 1) {
+      const result = await this.submitUnderNewKey(submission, signal);
+      resubmissions += result.resubmissions;
+      if (!isStopping(result.outcome) || keys === maxTries) {
+        return { outcome: result.outcome, resubmissions };
+      }
+      await this.reconnect();
     }
-    const key = `${owner}~${this.options.createSuffix()}`;
-    return this.retry(() => this.client.submit(key, submission, signal));
   }
 
   async lookup(submission: Submission, signal: AbortSignal): Promise<SessionOutcome> {
@@ -57,6 +61,18 @@
     return this.client.close();
   }
 
+  private async submitUnderNewKey(
+    submission: Submission,
+    signal: AbortSignal,
+  ): Promise<SessionOutcome> {
+    const owner = await this.findOwner(signal);
+    if (owner === undefined) {
+      return { outcome: { kind: 'not-sent' }, resubmissions: 0 };
+    }
+    const key = `${owner}~${this.options.createSuffix()}`;
+    return this.retry(() => this.client.submit(key, submission, signal));
+  }
+
   private async findOwner(signal: AbortSignal): Promise<string | undefined> {
     for (let tries = 0; this.ownerText === undefined && tries < maxTries; tries += 1) {
       this.ownerText = await this.client.owner(signal);
@@ -86,3 +102,6 @@
 
 const isAnswer = (outcome: CallerOutcome): boolean =>
   outcome.kind === 'complete' || outcome.kind === 'failed';
+
+const isStopping = (outcome: CallerOutcome): boolean =>
+  outcome.kind === 'failed' && outcome.errorKind === 'stopping' && outcome.runState === 'not-run';
--- a/src/adapters/http/httpServer.ts
+++ b/src/adapters/http/httpServer.ts
@@ -3,13 +3,17 @@
  */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { Server as NetServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
 
 const maxHeaderBytes = 8_192;
 const maxHeaders = 64;
 const headersTimeoutMs = 5_000;
 const requestTimeoutMs = 15_000;
-const keepAliveTimeoutMs = 30_000;
+/** Sent to clients, which then do not reuse a connection that was idle for as long. */
+const keepAliveTimeoutMs = 5_000;
+/** Time that a client has to read an answer once it is written. */
+const readTimeoutMs = 20_000;
 
 /** Serves one request; it must not reject. */
 export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
@@ -24,6 +28,7 @@
 
 export class HttpServer {
   private isClosing = false;
+  private readonly openResponses = new Set<ServerResponse>();
   private listening = '';
   private server!: Server;
 
@@ -63,12 +68,24 @@
     return this.listening;
   }
 
-  /** Stops accepting, lets open requests end, and closes each connection after its answer. */
-  async close(): Promise<void> {
+  /** Closes each connection with its next answer from now on; new ones are still accepted. */
+  drain(): void {
     this.isClosing = true;
+    for (const response of this.openResponses) {
+      response.shouldKeepAlive = false;
+    }
+  }
+
+  /**
+   * Stops as planned: accepts no connection, answers every open request and closes its connection.
+   * Idle connections end by the keep-alive timeout that the clients know, so no request that a
+   * client has just sent on one is cut off.
+   */
+  async close(): Promise<void> {
+    this.drain();
     await new Promise<void>((resolve) => {
-      this.server.close(() => resolve());
-      this.server.closeIdleConnections();
+      // The close of `node:http` would cut idle connections at once.
+      NetServer.prototype.close.call(this.server, () => resolve());
     });
   }
 
@@ -80,14 +97,18 @@
   }
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    response.once('close', () => this.closeIdle());
-    await this.options.handle(request, response);
-  }
-
-  /** An answer that was under way when the close began still kept its connection open. */
-  private closeIdle(): void {
+    this.openResponses.add(response);
+    response.once('close', () => this.openResponses.delete(response));
     if (this.isClosing) {
-      setImmediate(() => this.server.closeIdleConnections());
+      response.shouldKeepAlive = false;
     }
+    await this.options.handle(request, response);
+    boundReadTime(response);
   }
 }
+
+/** Cuts the connection of a client that does not read its answer. */
+const boundReadTime = (response: ServerResponse): void => {
+  const timer = setTimeout(() => response.destroy(), readTimeoutMs);
+  response.once('close', () => clearTimeout(timer));
+};
--- a/src/adapters/http/readJsonBody.ts
+++ b/src/adapters/http/readJsonBody.ts
@@ -24,16 +24,11 @@
   if (announced > maxBytes) {
     return Err(tooLarge(maxBytes));
   }
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    bytes += chunk.length;
-    if (bytes > maxBytes) {
-      return Err(tooLarge(maxBytes));
-    }
-    chunks.push(chunk);
+  const body = await readText(request, maxBytes);
+  if (body.isErr()) {
+    return body;
   }
-  const text = Buffer.concat(chunks).toString('utf8');
+  const text = body.value;
   if (!isNestingBounded(text)) {
     return Err(
       createProblem('invalid-request', `The body nests deeper than ${maxNesting} levels.`),
@@ -42,6 +37,28 @@
   return parseJson(text);
 };
 
+/** Stops reading, but keeps the connection for the answer, once the body is too large. */
+const readText = async (
+  request: IncomingMessage,
+  maxBytes: number,
+): Promise<Result<string, Problem>> => {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  try {
+    for await (const chunk of request.iterator({ destroyOnReturn: false })) {
+      const part = chunk as Buffer;
+      bytes += part.length;
+      if (bytes > maxBytes) {
+        return Err(tooLarge(maxBytes));
+      }
+      chunks.push(part);
+    }
+  } catch {
+    return Err(createProblem('invalid-request', 'The body was cut off.'));
+  }
+  return Ok(Buffer.concat(chunks).toString('utf8'));
+};
+
 /**
  * Parses JSON text.
  *
--- a/src/adapters/http/sendJson.ts
+++ b/src/adapters/http/sendJson.ts
@@ -65,6 +65,10 @@
   if (headers.location !== undefined) {
     response.setHeader('location', headers.location);
   }
+  if (!response.req.complete) {
+    // The rest of the body is not read.
+    response.shouldKeepAlive = false;
+  }
   response.writeHead(status, { 'content-type': contentType, 'content-length': body.length });
   response.end(body);
 };
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -29,6 +29,8 @@
   }),
   platform: z.strictObject({ logService: addressSchema, vmList: addressSchema }),
   tokens: z.strictObject({ peers: tokenSchema, operators: tokenSchema }),
+  /** Time between failing readiness and refusing connections at a planned stop. */
+  drainGraceMs: z.number().int().nonnegative().max(600_000).default(2_000),
   logLevel: logLevelSchema.default('info'),
   /** Where StatsD metrics go; none are sent without it. */
   metrics: addressSchema.optional(),
--- a/src/programs/toucandyked/daemonProcess.ts
+++ b/src/programs/toucandyked/daemonProcess.ts
@@ -16,6 +16,7 @@
 import { splitAddress } from '../../config/settings.js';
 import type { Settings } from '../../config/settings.js';
 import { Daemon } from '../../daemon/daemon.js';
+import type { Clock } from '../../ports/clock.js';
 import type { Ports } from '../../ports/ports.js';
 
 export class DaemonProcess {
@@ -24,6 +25,8 @@
     readonly callers: CallerHttpServer,
     readonly operators: OperatorHttpServer,
     readonly peers: PeerRpcServer,
+    private readonly clock: Clock,
+    private readonly drainGraceMs: number,
   ) {}
 
   /**
@@ -54,12 +57,14 @@
       service: daemon,
       logger,
     });
-    return new DaemonProcess(daemon, callers, operators, peers);
+    return new DaemonProcess(daemon, callers, operators, peers, ports.clock, settings.drainGraceMs);
   }
 
   /** Stops as planned: takes nothing new, ends what runs, answers it, then closes. */
   async close(): Promise<void> {
     this.daemon.drain();
+    this.callers.drain();
+    await this.clock.sleep(this.drainGraceMs);
     await this.callers.close();
     await this.daemon.close();
     await this.peers.close();
--- a/standins/deployment.ts
+++ b/standins/deployment.ts
@@ -14,6 +14,7 @@
 export const operatorToken = 'operator-token-of-the-stand-ins';
 const startTimeoutMs = 10_000;
 const pollMs = 20;
+const drainGraceMs = 500;
 
 export interface DeploymentOptions {
   readonly clock: Clock;
@@ -77,6 +78,7 @@
       listen: { callers: anyPort, operators: anyPort, peers: anyPort },
       platform: { logService: this.fleet.log.address, vmList: this.fleet.vmList.address },
       tokens: { peers: peerToken, operators: operatorToken },
+      drainGraceMs,
       logLevel: 'off',
     });
     const peerAddress = process.peers.address;
