--- a/src/adapters/peerRpc/peerRpcServer.ts
+++ b/src/adapters/peerRpc/peerRpcServer.ts
@@ -3,7 +3,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { JSONRPCErrorException, JSONRPCServer } from 'json-rpc-2.0';
-import type { JSONRPCRequest } from 'json-rpc-2.0';
+import { z } from 'zod';
 import { createProblem } from '../../errors/problem.js';
 import { problemFromZod } from '../../errors/zodProblem.js';
 import type { Logger } from '../../ports/logger.js';
@@ -19,6 +19,14 @@
 const maxConnections = 4_096;
 const invalidParamsCode = -32602;
 
+/** One JSON-RPC call; daemons send no batches and no notifications. */
+const callSchema = z.object({
+  jsonrpc: z.literal('2.0'),
+  id: z.union([z.string().max(64), z.number()]),
+  method: z.string().max(64),
+  params: z.unknown().optional(),
+});
+
 export interface PeerRpcServerOptions {
   readonly host: string;
   readonly port: number;
@@ -86,9 +94,12 @@
       sendProblem(response, body.error);
       return;
     }
-    // The library checks that the value is a JSON-RPC request.
-    const reply = await this.rpc.receive(body.value as JSONRPCRequest);
-    sendJson(response, 200, reply);
+    const call = callSchema.safeParse(body.value);
+    if (!call.success) {
+      sendProblem(response, problemFromZod(call.error));
+      return;
+    }
+    sendJson(response, 200, await this.rpc.receive(call.data));
   }
 }
 
