--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -12,16 +12,38 @@
 import { PeerSet } from '../membership/peerSet.js';
 import { chooseOwner } from '../membership/rendezvous.js';
 import type { DaemonState, Heartbeat } from '../membership/types.js';
+import { followLimits } from '../limits/followLimits.js';
 import { Scheduler } from '../placement/scheduler.js';
 import type { CallerService, JobStatus } from '../ports/callers.js';
 import type { DaemonStatus, OperatorService } from '../ports/operators.js';
-import type { ForwardedSubmission, PeerService, SubmitOutcome } from '../ports/peers.js';
+import type {
+  ForwardedStatus,
+  ForwardedSubmission,
+  HandOverBatch,
+  HandOverReply,
+  Inheritance,
+  PeerService,
+  StatusReply,
+  SubmissionRef,
+  SubmitOutcome,
+} from '../ports/peers.js';
 import type { Ports } from '../ports/ports.js';
+import { depart } from '../submissions/departure.js';
+import { HeirDirectory } from '../submissions/heirDirectory.js';
+import { InheritedTables } from '../submissions/inheritedTables.js';
+import { TaskQueue } from '../queue/taskQueue.js';
+import { Admission } from '../submissions/admission.js';
 import { Intake } from '../submissions/intake.js';
+import { OwnerRouter } from '../submissions/ownerRouter.js';
+import { OwnSubmissions } from '../submissions/ownSubmissions.js';
 import { formatOwner } from '../submissions/submissionKey.js';
-import type { Owner } from '../submissions/submissionKey.js';
 import { SubmissionTable } from '../submissions/submissionTable.js';
 
+const maxTableBytes = 64 * 1_048_576;
+const maxInheritedBytes = 64 * 1_048_576;
+/** Window until the first configuration is in force. */
+const defaultResubmissionWindowMs = 600_000;
+
 /** Who a daemon is; from its settings. */
 export interface DaemonIdentity {
   readonly vmId: string;
@@ -31,9 +53,12 @@
 }
 
 export class Daemon implements CallerService, OperatorService, PeerService {
-  private readonly owned: Owner;
+  readonly incarnation: string;
   private readonly configuration = ConfigurationStore.create();
-  private readonly table = SubmissionTable.create();
+  private readonly table: SubmissionTable;
+  private readonly inherited: InheritedTables;
+  private readonly own: OwnSubmissions;
+  private readonly queue = TaskQueue.create();
   private readonly scheduler: Scheduler;
   private readonly peers: PeerSet;
   private readonly intake: Intake;
@@ -45,9 +70,20 @@
     private readonly ports: Ports,
   ) {
     const { clock, logger, random } = ports;
-    this.owned = { incarnation: random.id(), epoch: 1 };
-    const { incarnation } = this.owned;
-    this.scheduler = Scheduler.create({ incarnation, clock, logger, endpoints: ports.endpoints });
+    const incarnation = random.id();
+    this.incarnation = incarnation;
+    const windowMs = () =>
+      this.configuration.current?.rules.resubmissionWindowMs ?? defaultResubmissionWindowMs;
+    this.table = SubmissionTable.create({ incarnation, clock, maxBytes: maxTableBytes, windowMs });
+    this.inherited = InheritedTables.create({ clock, maxBytes: maxInheritedBytes, windowMs });
+    this.scheduler = Scheduler.create({
+      incarnation,
+      clock,
+      logger,
+      endpoints: ports.endpoints,
+      queue: this.queue,
+    });
+    followLimits(this.configuration, this.queue);
     this.peers = PeerSet.create({
       vmId: identity.vmId,
       clock,
@@ -56,15 +92,17 @@
       connector: ports.peers,
       ownHeartbeat: () => this.composeHeartbeat(),
     });
-    this.intake = Intake.create({
-      owner: this.owned,
-      clock,
-      random,
-      configuration: this.configuration,
-      runner: JobRunner.create({ clock, scheduler: this.scheduler }),
-      table: this.table,
-      peers: this.peers,
+    const { configuration, table, inherited, peers } = this;
+    const runner = JobRunner.create({ clock, scheduler: this.scheduler });
+    const admission = Admission.create({
+      queue: this.queue,
+      processLoad: ports.processLoad,
+      spareSlots: () => this.countSpareSlots(),
     });
+    this.own = OwnSubmissions.create({ clock, random, configuration, runner, table, admission });
+    const heirs = HeirDirectory.create(peers, clock);
+    const router = OwnerRouter.create({ clock, peers, heirs });
+    this.intake = Intake.create({ incarnation, configuration, own: this.own, inherited, router });
     this.configuration.onChange(() => this.assignEndpoints());
     this.peers.onChange(() => this.assignEndpoints());
     this.follower = ConfigurationFollower.create({
@@ -83,16 +121,12 @@
     return this.configuration.version;
   }
 
-  get incarnation(): string {
-    return this.owned.incarnation;
-  }
-
   authenticate(tokenSha256: string): Caller | undefined {
     return this.configuration.current?.inventory.callerByToken(tokenSha256);
   }
 
   owner(): string {
-    return formatOwner(this.owned);
+    return formatOwner(this.table.owner);
   }
 
   isReady(): boolean {
@@ -127,6 +161,22 @@
     return this.intake.submitForwarded(request);
   }
 
+  statusForwarded(request: ForwardedStatus): Promise<StatusReply> {
+    return this.intake.statusForwarded(request);
+  }
+
+  cancelForwarded(request: SubmissionRef): Promise<StatusReply> {
+    return this.intake.cancelForwarded(request);
+  }
+
+  handOver(batch: HandOverBatch): HandOverReply {
+    return this.inherited.accept(batch);
+  }
+
+  fetchInheritance(): Inheritance {
+    return { incarnations: this.inherited.incarnations() };
+  }
+
   fetchConfiguration(): ConfigurationRecord | null {
     return this.configuration.current?.record ?? null;
   }
@@ -134,7 +184,7 @@
   /** Stops taking new submissions; what runs goes on. */
   drain(): void {
     this.state = 'leaving';
-    this.intake.freeze();
+    this.own.stopTaking();
   }
 
   describe(): DaemonStatus {
@@ -151,28 +201,43 @@
     await this.follower.close();
     await this.peers.close();
     await this.ports.vmList.close();
+    this.ports.processLoad.close();
   }
 
+  /** Stops as planned: what runs ends, and a peer takes the memory of submissions over. */
   async close(): Promise<void> {
     this.drain();
+    const { clock, logger } = this.ports;
+    const { peers, own, table, inherited } = this;
+    await depart({ clock, logger: logger.forPart('departure'), peers, own, table, inherited });
     await this.follower.close();
     await this.peers.close();
     await this.scheduler.close();
     await this.ports.endpoints.close();
     await this.ports.logService.close();
     await this.ports.vmList.close();
+    this.ports.processLoad.close();
+  }
+
+  /** Free slots that the daemons of this failure domain have told. */
+  private countSpareSlots(): number {
+    return this.peers
+      .heard()
+      .filter(({ failureDomainId }) => failureDomainId === this.identity.failureDomainId)
+      .reduce((sum, { freeSlots }) => sum + freeSlots, 0);
   }
 
   private composeHeartbeat(): Heartbeat {
     return {
       vmId: this.identity.vmId,
-      incarnation: this.owned.incarnation,
+      incarnation: this.incarnation,
       failureDomainId: this.identity.failureDomainId,
       state: this.state,
       weight: this.identity.weight,
       freeSlots: this.scheduler.freeSlots,
       waitingTasks: this.scheduler.waitingTasks,
       configurationVersion: this.configuration.version,
+      inheritanceVersion: this.inherited.version,
     };
   }
 
--- a/src/testing/daemonFixture.ts
+++ b/src/testing/daemonFixture.ts
@@ -10,6 +10,7 @@
 import { FakeEndpoints } from './fakeEndpoints.js';
 import { FakeLogService } from './fakeLogService.js';
 import { FakePeerNetwork } from './fakePeerNetwork.js';
+import { FakeProcessLoad } from './fakeProcessLoad.js';
 import { FakeVmList } from './fakeVmList.js';
 import { createConfiguration } from './fixtures.js';
 import { SeededRandom } from './seededRandom.js';
@@ -66,6 +67,7 @@
         logService: this.log,
         vmList: this.vmList,
         peers: this.network.connectorOf(vmId),
+        processLoad: FakeProcessLoad.create(),
       },
     );
     this.daemons.set(vmId, daemon);
@@ -88,6 +90,13 @@
     this.daemons.delete(vmId);
   }
 
+  /** Stops a daemon as planned; the clock has to be advanced meanwhile. */
+  async stop(vmId: string): Promise<void> {
+    await this.daemon(vmId).close();
+    this.network.remove(vmId);
+    this.daemons.delete(vmId);
+  }
+
   async close(): Promise<void> {
     const closed = Promise.all([...this.daemons.values()].map((daemon) => daemon.close()));
     await this.clock.advance(120_000);
