--- a/src/adapters/peerRpc/peerRpcClient.ts
+++ b/src/adapters/peerRpc/peerRpcClient.ts
@@ -7,7 +7,7 @@
 import type { Result } from 'ts-results-es';
 import { Pool } from 'undici';
 import type { z } from 'zod';
-import type { ConfigurationRecord } from '../../configuration/types.js';
+import type { ConfigurationCheckpoint } from '../../configuration/types.js';
 import type { Heartbeat } from '../../membership/types.js';
 import { peerMethods } from '../../ports/peers.js';
 import type {
@@ -95,9 +95,9 @@
 
   async fetchConfiguration(
     signal: AbortSignal,
-  ): Promise<Result<ConfigurationRecord | null, PeerError>> {
+  ): Promise<Result<ConfigurationCheckpoint | null, PeerError>> {
     const reply = await this.call('fetchConfiguration', {}, signal);
-    return reply.map(({ record }) => record);
+    return reply.map(({ checkpoint }) => checkpoint);
   }
 
   async close(): Promise<void> {
--- a/standins/deployment.ts
+++ b/standins/deployment.ts
@@ -18,6 +18,7 @@
 export const operatorToken = 'operator-token-of-the-stand-ins';
 const startTimeoutMs = 10_000;
 const pollMs = 20;
+const drainGraceMs = 500;
 
 export interface DeploymentOptions {
   readonly clock: Clock;
@@ -86,6 +87,7 @@
         listen: { callers: anyPort, operators: anyPort, peers: anyPort },
         platform: { logService: this.fleet.log.address, vmList: this.fleet.vmList.address },
         tokens: { peers: peerToken, operators: operatorToken },
+        drainGraceMs,
         logLevel: 'off',
       },
       this.createCuttablePorts(failureDomainId),
@@ -131,7 +133,9 @@
     const log = LogHttpClient.create(this.fleet.log.address);
     const { configuration } = this.fleet;
     const signal = AbortSignal.timeout(startTimeoutMs);
-    const version = await publishConfiguration(log, { configuration, publishedBy: 'demo' }, signal);
+    const publisher = { logService: log, clock: this.clock };
+    const request = { configuration, publishedBy: 'demo', publicationId: 'demo' };
+    const version = await publishConfiguration(publisher, request, signal);
     await log.close();
     version.expect('The first configuration is published.');
   }
