--- a/bench/peakStarts.ts
+++ b/bench/peakStarts.ts
@@ -6,13 +6,12 @@
 import type { Worker } from 'node:worker_threads';
 import { parseArgs } from 'node:util';
 import { CallerHttpClient } from '../src/adapters/callerHttp/callerHttpClient.js';
-import { LogHttpClient } from '../src/adapters/logHttp/logHttpClient.js';
 import { SystemClock } from '../src/adapters/system/systemClock.js';
 import { readYamlFile } from '../src/adapters/yaml/readYamlFile.js';
 import { checkConfiguration } from '../src/configuration/checkConfiguration.js';
-import { publishConfiguration } from '../src/configuration/publisher.js';
 import type { Configuration } from '../src/configuration/types.js';
 import { LogServiceStandIn } from '../standins/logServiceStandIn.js';
+import { publishFirst } from '../standins/publishFirst.js';
 import { VmListStandIn } from '../standins/vmListStandIn.js';
 import {
   carriedSchema,
@@ -137,11 +136,8 @@
 const measureDaemon = async (addresses: readonly string[]): Promise<DaemonCarried> => {
   const log = await LogServiceStandIn.create({ host, port: 0, clock, retainedRecords: 1_000 });
   const vmList = await VmListStandIn.create({ host, port: 0, clock, lagMs: 0 });
-  const logClient = LogHttpClient.create(log.address);
   const configuration = createConfiguration(addresses);
-  const publication = { configuration, publishedBy: 'bench' };
-  await publishConfiguration(logClient, publication, AbortSignal.timeout(deadlineMs));
-  await logClient.close();
+  await publishFirst({ logAddress: log.address, clock, configuration });
   const thread = startDaemon(log.address, vmList.address);
   const ready = daemonReadySchema.parse(await receive(thread));
   const client = CallerHttpClient.create(ready.callersAddress, token);
@@ -173,6 +169,7 @@
       listen: { callers: anyPort, operators: anyPort, peers: anyPort },
       platform: { logService, vmList },
       tokens: { peers: 'peer-token-of-the-bench', operators: 'operator-token-of-the-bench' },
+      drainGraceMs: 0,
       logLevel: 'off',
     },
   };
--- a/standins/deployment.ts
+++ b/standins/deployment.ts
@@ -4,7 +4,6 @@
 import { LogHttpClient } from '../src/adapters/logHttp/logHttpClient.js';
 import { PeerRpcConnector } from '../src/adapters/peerRpc/peerRpcClient.js';
 import { VmListHttpClient } from '../src/adapters/vmListHttp/vmListHttpClient.js';
-import { publishConfiguration } from '../src/configuration/publisher.js';
 import type { Configuration } from '../src/configuration/types.js';
 import type { Clock } from '../src/ports/clock.js';
 import type { Ports } from '../src/ports/ports.js';
@@ -12,6 +11,7 @@
 import { DaemonProcess } from '../src/programs/toucandyked/daemonProcess.js';
 import { Fleet } from './fleet.js';
 import { CuttableLogService, CuttableVmList, LinkCuts } from './linkCuts.js';
+import { publishFirst } from './publishFirst.js';
 
 const anyPort = '127.0.0.1:0';
 const peerToken = 'peer-token-of-the-stand-ins';
@@ -53,7 +53,8 @@
     const { clock, configuration, daemonsPerFailureDomain } = options;
     const fleet = await Fleet.create({ clock, configuration, useFreePorts: true });
     const deployment = new Deployment(fleet, clock);
-    await deployment.publish();
+    const logAddress = fleet.log.address;
+    await publishFirst({ logAddress, clock, configuration: fleet.configuration });
     for (const { failureDomainId } of configuration.inventory.failureDomains) {
       for (let i = 1; i <= daemonsPerFailureDomain; i += 1) {
         await deployment.startDaemon(`${failureDomainId}-vm${i}`, failureDomainId);
@@ -129,17 +130,6 @@
     };
   }
 
-  private async publish(): Promise<void> {
-    const log = LogHttpClient.create(this.fleet.log.address);
-    const { configuration } = this.fleet;
-    const signal = AbortSignal.timeout(startTimeoutMs);
-    const publisher = { logService: log, clock: this.clock };
-    const request = { configuration, publishedBy: 'demo', publicationId: 'demo' };
-    const version = await publishConfiguration(publisher, request, signal);
-    await log.close();
-    version.expect('The first configuration is published.');
-  }
-
   private async waitUntilReady(): Promise<void> {
     const peersPerDaemon = this.daemons.length - 1;
     const isUp = ({ process: { daemon } }: DeployedDaemon): boolean =>
