Choose endpoints by expected completion, in buckets

Cause: the first idle slot was taken by a scan over all slots, whatever the endpoint's speed. Change: observed run times per endpoint and operation, buckets of idle endpoints per operation, bounded hold-back for a faster endpoint that is soon free, baselines as variants of PlacementPolicy, attempts noted before they start so that the end of a job always finds them, busy answers no longer use up a count of attempts. Seen failing: the withdrawal between slot and start (the task ran), and learning of a run time ten times off before untried endpoints were ranked hopefully.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -12,6 +12,7 @@
 import { PeerSet } from '../membership/peerSet.js';
 import { chooseOwner } from '../membership/rendezvous.js';
 import type { DaemonState, Heartbeat } from '../membership/types.js';
+import { defaultPlacementRules } from '../placement/types.js';
 import { Scheduler } from '../placement/scheduler.js';
 import type { CallerService, JobStatus } from '../ports/callers.js';
 import type { DaemonStatus, OperatorService } from '../ports/operators.js';
@@ -47,7 +48,10 @@
     const { clock, logger, random } = ports;
     this.owned = { incarnation: random.id(), epoch: 1 };
     const { incarnation } = this.owned;
-    this.scheduler = Scheduler.create({ incarnation, clock, logger, endpoints: ports.endpoints });
+    this.scheduler = Scheduler.create({
+      ...{ incarnation, clock, random, logger, endpoints: ports.endpoints },
+      rules: () => this.configuration.current?.rules ?? defaultPlacementRules,
+    });
     this.peers = PeerSet.create({
       vmId: identity.vmId,
       clock,
--- /dev/null
+++ b/src/placement/attempts.ts
@@ -0,0 +1,160 @@
+/**
+ * The attempts that run on endpoints now.
+ */
+import { createProblem } from '../errors/problem.js';
+import type { PlacedEndpoint } from '../inventory/inventoryIndex.js';
+import type { TaskOutcome } from '../jobs/types.js';
+import type { Clock } from '../ports/clock.js';
+import type { EndpointPort, EndpointReply } from '../ports/endpoints.js';
+import type { WaitingTask } from './taskQueue.js';
+
+const cancelTimeoutMs = 1_000;
+
+export interface AttemptsOptions {
+  readonly incarnation: string;
+  readonly clock: Clock;
+  readonly endpoints: EndpointPort;
+}
+
+/** How an attempt ended. */
+export type AttemptEnd =
+  | { readonly kind: 'replied'; readonly reply: EndpointReply; readonly elapsedMs: number }
+  /** Stopped from here: the job ended, or another attempt answered first. */
+  | { readonly kind: 'stopped'; readonly elapsedMs: number }
+  /** The deadline had passed before the start, so nothing was sent. */
+  | { readonly kind: 'past-deadline' };
+
+/** One attempt to run a task, from the moment it is given a slot. */
+export interface Attempt {
+  readonly entry: WaitingTask;
+  readonly placed: PlacedEndpoint;
+  readonly stop: AbortController;
+  /** Whether the endpoint may have been told. */
+  isStarted: boolean;
+}
+
+export class Attempts {
+  private readonly running = new Map<WaitingTask, Set<Attempt>>();
+
+  private constructor(private readonly options: AttemptsOptions) {}
+
+  static create(options: AttemptsOptions): Attempts {
+    return new Attempts(options);
+  }
+
+  /** Tells whether an attempt of a task runs. */
+  isRunning(entry: WaitingTask): boolean {
+    return this.running.has(entry);
+  }
+
+  /**
+   * Notes an attempt before it runs, so that the end of its job finds it.
+   *
+   * @param placed - where
+   * @param entry - the task
+   */
+  prepare(placed: PlacedEndpoint, entry: WaitingTask): Attempt {
+    const attempt: Attempt = { entry, placed, stop: new AbortController(), isStarted: false };
+    const ofTask = this.running.get(entry) ?? new Set();
+    ofTask.add(attempt);
+    this.running.set(entry, ofTask);
+    return attempt;
+  }
+
+  /**
+   * Runs a prepared attempt; reads the clock again right before.
+   *
+   * @param attempt - the attempt
+   */
+  async run(attempt: Attempt): Promise<AttemptEnd> {
+    const end = attempt.stop.signal.aborted
+      ? ({ kind: 'stopped', elapsedMs: 0 } as const)
+      : await this.send(attempt);
+    this.delete(attempt);
+    return end;
+  }
+
+  private async send(attempt: Attempt): Promise<AttemptEnd> {
+    const { entry, placed, stop } = attempt;
+    const { task } = entry;
+    const { clock, endpoints, incarnation } = this.options;
+    const startedAtMs = clock.nowMs();
+    const leaseMs = task.deadlineAtMs - startedAtMs;
+    if (leaseMs <= 0) {
+      return { kind: 'past-deadline' };
+    }
+    entry.attempts += 1;
+    attempt.isStarted = true;
+    const start = {
+      incarnation,
+      taskId: task.taskId,
+      attempt: entry.attempts,
+      operation: task.operation.operationId,
+      input: task.input,
+      leaseMs,
+    };
+    const reply = await endpoints.run(placed.endpoint, start, stop.signal);
+    const elapsedMs = clock.nowMs() - startedAtMs;
+    return stop.signal.aborted
+      ? { kind: 'stopped', elapsedMs }
+      : { kind: 'replied', reply, elapsedMs };
+  }
+
+  /**
+   * Ends a job: its attempts are stopped with one message for each endpoint.
+   *
+   * @param jobId - the job
+   */
+  stopJob(jobId: string): void {
+    const attempts = [...this.running.values()]
+      .flatMap((ofTask) => [...ofTask])
+      .filter(({ entry }) => entry.task.jobId === jobId);
+    for (const { entry, isStarted } of attempts) {
+      entry.outcome.resolve(isStarted ? stoppedWhileRunning() : stoppedBeforeStart());
+    }
+    this.stop(attempts);
+  }
+
+  /** Stops what still runs of a task that is answered. */
+  stopOthers(entry: WaitingTask): void {
+    this.stop([...(this.running.get(entry) ?? [])]);
+  }
+
+  private stop(attempts: readonly Attempt[]): void {
+    const byEndpoint = new Map<PlacedEndpoint, string[]>();
+    for (const { entry, placed, stop, isStarted } of attempts) {
+      stop.abort();
+      if (!isStarted) {
+        continue;
+      }
+      const taskIds = byEndpoint.get(placed) ?? [];
+      taskIds.push(entry.task.taskId);
+      byEndpoint.set(placed, taskIds);
+    }
+    for (const [placed, taskIds] of byEndpoint) {
+      const signal = AbortSignal.timeout(cancelTimeoutMs);
+      void this.options.endpoints.cancel(placed.endpoint, taskIds, signal);
+    }
+  }
+
+  private delete(attempt: Attempt): void {
+    const ofTask = this.running.get(attempt.entry);
+    ofTask?.delete(attempt);
+    if (ofTask?.size === 0) {
+      this.running.delete(attempt.entry);
+    }
+  }
+}
+
+/** @returns the outcome of a task that was stopped before any start */
+export const stoppedBeforeStart = (): TaskOutcome => ({
+  kind: 'not-run',
+  problem: createProblem('cancelled', 'The job ended before this task started.', {
+    runState: 'not-run',
+  }),
+});
+
+const stoppedWhileRunning = (): TaskOutcome => ({
+  kind: 'outcome-unknown',
+  problem: createProblem('outcome-unknown', 'The job ended while this task ran.'),
+});
--- a/src/placement/endpointPool.ts
+++ b/src/placement/endpointPool.ts
@@ -1,82 +1,277 @@
 /**
- * The idle slots of the endpoints that this daemon dispatches to.
+ * The slots of the endpoints that this daemon dispatches to, and the choice among the idle ones.
+ *
+ * Each operation has its endpoints in buckets, so that a choice looks at buckets and not at
+ * endpoints.
  */
+import { unreachable } from '../errors/unreachable.js';
 import { fits } from '../inventory/inventoryIndex.js';
 import type { PlacedEndpoint } from '../inventory/inventoryIndex.js';
 import type { Operation } from '../inventory/types.js';
+import type { Clock } from '../ports/clock.js';
+import type { Random } from '../ports/random.js';
 import { createDeferred } from '../utils/deferred.js';
-import type { Deferred } from '../utils/deferred.js';
-import type { WaitingTask } from './taskQueue.js';
-
-/** A slot that waits for a task. */
-export interface IdleSlot {
-  readonly placed: PlacedEndpoint;
-  /** Resolved with the next task, or with nothing when the endpoint is no longer served. */
-  readonly next: Deferred<WaitingTask | undefined>;
+import type { Attempt } from './attempts.js';
+import { OperationSlots } from './operationSlots.js';
+import type { BucketPlace } from './operationSlots.js';
+import type { Assignment, Availability, IdleSlot, PooledEndpoint } from './pooledEndpoint.js';
+import { bucketCount, bucketOf } from './runTimeBuckets.js';
+import type { RunTimes } from './runTimes.js';
+import { chooseSlot } from './slotChoice.js';
+import type { SlotChoice } from './slotChoice.js';
+import type { PlacementPolicy } from './types.js';
+
+export interface EndpointPoolOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly policy: PlacementPolicy;
+  readonly runTimes: RunTimes;
+}
+
+/** The endpoints of one operation, with the declaration that they were chosen by. */
+interface IndexedOperation {
+  readonly operation: Operation;
+  readonly slots: OperationSlots;
 }
 
 export class EndpointPool {
-  private readonly idle = new Set<IdleSlot>();
+  private readonly endpoints = new Set<PooledEndpoint>();
+  private readonly operations = new Map<string, IndexedOperation>();
+  private openSlots = 0;
 
-  private constructor() {
-    // Built by create.
-  }
+  private constructor(private readonly options: EndpointPoolOptions) {}
 
-  static create(): EndpointPool {
-    return new EndpointPool();
+  static create(options: EndpointPoolOptions): EndpointPool {
+    return new EndpointPool(options);
   }
 
+  /** @returns idle slots of the endpoints that get tasks */
   get freeSlots(): number {
-    return this.idle.size;
+    return this.openSlots;
+  }
+
+  get endpointCount(): number {
+    return this.endpoints.size;
+  }
+
+  /**
+   * Adds an endpoint, without slots at first.
+   *
+   * @param placed - the endpoint
+   */
+  add(placed: PlacedEndpoint): PooledEndpoint {
+    const pooled: PooledEndpoint = {
+      placed,
+      memberships: new Map(),
+      idleSlots: [],
+      availability: { kind: 'open' },
+      busySlots: 0,
+      busyEndSumMs: 0,
+    };
+    this.endpoints.add(pooled);
+    for (const indexed of this.operations.values()) {
+      this.join(pooled, indexed);
+    }
+    return pooled;
+  }
+
+  /** Takes an endpoint out and ends the wait of its idle slots. */
+  remove(pooled: PooledEndpoint): void {
+    this.detach(pooled);
+    this.endpoints.delete(pooled);
+    pooled.memberships.clear();
+    for (const slot of pooled.idleSlots.splice(0)) {
+      slot.next.resolve(undefined);
+    }
   }
 
   /**
    * Adds an idle slot.
    *
-   * @param placed - the endpoint that has the slot
    * @returns the slot, whose `next` resolves with a task
    */
-  addIdle(placed: PlacedEndpoint): IdleSlot {
-    const slot: IdleSlot = { placed, next: createDeferred() };
-    this.idle.add(slot);
+  addIdle(pooled: PooledEndpoint): IdleSlot {
+    const slot: IdleSlot = { next: createDeferred() };
+    this.update(pooled, () => pooled.idleSlots.push(slot));
     return slot;
   }
 
-  /** Tells whether an idle slot can run an operation. */
-  hasFree(operation: Operation): boolean {
-    return this.find(operation) !== undefined;
+  /**
+   * Chooses an idle slot for the next task of an operation.
+   *
+   * @param operation - the operation
+   * @param waitingTasks - how many tasks wait for a slot
+   */
+  choose(operation: Operation, waitingTasks: number): SlotChoice {
+    const { clock, random, policy, runTimes } = this.options;
+    return chooseSlot({
+      operation,
+      slots: this.slotsOf(operation),
+      waitingTasks,
+      untriedMs: runTimes.untriedMs(operation),
+      nowMs: clock.nowMs(),
+      random,
+      policy,
+    });
   }
 
   /**
-   * Takes the best idle slot for an operation.
+   * Gives a task to an idle slot of an endpoint.
    *
-   * @param operation - the operation
-   * @returns the slot, or nothing if none fits
+   * @param pooled - the endpoint, from `choose`
+   * @param attempt - the attempt that the slot runs
+   * @param kind - whether another attempt runs already
+   * @returns what the slot got
    */
-  take(operation: Operation): IdleSlot | undefined {
-    const slot = this.find(operation);
-    if (slot !== undefined) {
-      this.idle.delete(slot);
+  assign(pooled: PooledEndpoint, attempt: Attempt, kind: Assignment['kind']): Assignment {
+    const { clock, runTimes } = this.options;
+    const { operation } = attempt.entry.task;
+    const expectedMs = runTimes.expectedMs(pooled.placed.endpoint.endpointId, operation);
+    const expectedEndAtMs = clock.nowMs() + expectedMs;
+    const assignment: Assignment = { kind, attempt, expectedMs, expectedEndAtMs };
+    this.update(pooled, () => {
+      const slot = pooled.idleSlots.pop();
+      pooled.busySlots += 1;
+      pooled.busyEndSumMs += expectedEndAtMs;
+      pooled.availability =
+        pooled.availability.kind === 'probe' ? { kind: 'closed' } : pooled.availability;
+      slot?.next.resolve(assignment);
+    });
+    return assignment;
+  }
+
+  /** Notes that a task has left its slot; the slot is not idle before `addIdle`. */
+  ended(pooled: PooledEndpoint, assignment: Assignment): void {
+    this.update(pooled, () => {
+      pooled.busySlots -= 1;
+      pooled.busyEndSumMs -= assignment.expectedEndAtMs;
+    });
+  }
+
+  /** Notes the run time of an operation on an endpoint, in milliseconds. */
+  observe(pooled: PooledEndpoint, operation: Operation, runTimeMs: number): void {
+    const { endpointId } = pooled.placed.endpoint;
+    this.update(pooled, () => this.options.runTimes.observe(endpointId, operation, runTimeMs));
+  }
+
+  /** Sets whether an endpoint gets tasks. */
+  setAvailability(pooled: PooledEndpoint, availability: Availability): void {
+    this.update(pooled, () => {
+      pooled.availability = availability;
+    });
+  }
+
+  private slotsOf(operation: Operation): OperationSlots {
+    const known = this.operations.get(operation.operationId);
+    if (known !== undefined && hasSameNeeds(known.operation, operation)) {
+      return known.slots;
     }
-    return slot;
+    const indexed: IndexedOperation = { operation, slots: OperationSlots.create() };
+    this.operations.set(operation.operationId, indexed);
+    for (const pooled of this.endpoints) {
+      this.update(pooled, () => {
+        pooled.memberships.delete(operation.operationId);
+        this.join(pooled, indexed);
+      });
+    }
+    return indexed.slots;
   }
 
-  /** Ends the wait of an endpoint's idle slots. */
-  release(placed: PlacedEndpoint): void {
-    for (const slot of this.idle) {
-      if (slot.placed === placed) {
-        this.idle.delete(slot);
-        slot.next.resolve(undefined);
+  private join(pooled: PooledEndpoint, { operation, slots }: IndexedOperation): void {
+    if (fits(operation, pooled.placed)) {
+      const place = this.placeOf(pooled, operation);
+      pooled.memberships.set(operation.operationId, { operation, slots, place });
+    }
+  }
+
+  private update(pooled: PooledEndpoint, change: () => void): void {
+    this.detach(pooled);
+    change();
+    this.attach(pooled);
+  }
+
+  private detach(pooled: PooledEndpoint): void {
+    if (!this.endpoints.has(pooled)) {
+      return;
+    }
+    this.openSlots -= countOpenSlots(pooled);
+    for (const { slots, place } of pooled.memberships.values()) {
+      const bucket = slots.at(place);
+      bucket.idle.delete(pooled);
+      if (pooled.availability.kind === 'open') {
+        bucket.busySlots -= pooled.busySlots;
+        bucket.busyEndSumMs -= pooled.busyEndSumMs;
       }
+      slots.probes.delete(pooled);
     }
   }
 
-  private find(operation: Operation): IdleSlot | undefined {
-    for (const slot of this.idle) {
-      if (fits(operation, slot.placed)) {
-        return slot;
+  private attach(pooled: PooledEndpoint): void {
+    if (!this.endpoints.has(pooled)) {
+      return;
+    }
+    this.openSlots += countOpenSlots(pooled);
+    for (const membership of pooled.memberships.values()) {
+      const { operation, slots } = membership;
+      membership.place = this.placeOf(pooled, operation);
+      const bucket = slots.at(membership.place);
+      if (pooled.availability.kind === 'open') {
+        bucket.busySlots += pooled.busySlots;
+        bucket.busyEndSumMs += pooled.busyEndSumMs;
+      }
+      if (pooled.idleSlots.length > 0) {
+        offer(pooled, operation, slots, membership.place);
+      }
+    }
+  }
+
+  /** Tells the bucket of an endpoint; the lowest bucket with an idle slot is chosen first. */
+  private placeOf(pooled: PooledEndpoint, operation: Operation): BucketPlace {
+    const { policy, runTimes } = this.options;
+    switch (policy.kind) {
+      case 'expected-completion': {
+        const ms = runTimes.observedMs(pooled.placed.endpoint.endpointId, operation);
+        return ms === undefined ? { kind: 'untried' } : { kind: 'observed', index: bucketOf(ms) };
       }
+      case 'least-connections':
+        return { kind: 'observed', index: Math.min(pooled.busySlots, bucketCount - 1) };
+      case 'random':
+        return { kind: 'observed', index: 0 };
+      default:
+        return unreachable(policy);
     }
-    return undefined;
   }
 }
+
+const countOpenSlots = ({ availability, idleSlots }: PooledEndpoint): number =>
+  availability.kind === 'open' ? idleSlots.length : 0;
+
+const offer = (
+  pooled: PooledEndpoint,
+  operation: Operation,
+  slots: OperationSlots,
+  place: BucketPlace,
+): void => {
+  const { availability } = pooled;
+  switch (availability.kind) {
+    case 'open':
+      slots.at(place).idle.add(pooled);
+      return;
+    case 'closed':
+      return;
+    case 'probe':
+      if (availability.accepts === 'any' || operation.kind === 'repeatable') {
+        slots.probes.add(pooled);
+      }
+      return;
+    default:
+      return unreachable(availability);
+  }
+};
+
+const hasSameNeeds = (a: Operation, b: Operation): boolean =>
+  a === b ||
+  (a.kind === b.kind &&
+    a.cores === b.cores &&
+    a.memoryMb === b.memoryMb &&
+    a.accelerators === b.accelerators);
--- /dev/null
+++ b/src/placement/holdBack.ts
@@ -0,0 +1,60 @@
+/**
+ * Bounds how long tasks wait for a faster endpoint while a slower one is idle.
+ */
+import type { Operation } from '../inventory/types.js';
+import type { Clock } from '../ports/clock.js';
+import type { SlotChoice } from './slotChoice.js';
+
+export class HoldBack {
+  private readonly sinceMs = new Map<string, number>();
+  private readonly timers = new Set<string>();
+
+  private constructor(
+    private readonly clock: Clock,
+    private readonly wake: () => void,
+    private readonly signal: AbortSignal,
+  ) {}
+
+  /**
+   * Creates the bound.
+   *
+   * @param clock - the time of this process
+   * @param wake - called when the wait of an operation has come to its bound
+   * @param signal - ends the waits
+   */
+  static create(clock: Clock, wake: () => void, signal: AbortSignal): HoldBack {
+    return new HoldBack(clock, wake, signal);
+  }
+
+  /**
+   * Tells whether the tasks of an operation still wait; at most as long as the idle slot would
+   * have taken.
+   */
+  isHeld(operation: Operation, choice: Extract<SlotChoice, { kind: 'hold' }>): boolean {
+    const { operationId } = operation;
+    const nowMs = this.clock.nowMs();
+    const sinceMs = this.sinceMs.get(operationId) ?? nowMs;
+    this.sinceMs.set(operationId, sinceMs);
+    const leftMs = sinceMs + choice.idleCompletionMs - nowMs;
+    if (leftMs <= 0) {
+      return false;
+    }
+    void this.wakeAfter(operationId, leftMs);
+    return true;
+  }
+
+  /** Notes that a task of an operation got a slot. */
+  placed(operation: Operation): void {
+    this.sinceMs.delete(operation.operationId);
+  }
+
+  private async wakeAfter(operationId: string, durationMs: number): Promise<void> {
+    if (this.timers.has(operationId)) {
+      return;
+    }
+    this.timers.add(operationId);
+    await this.clock.sleep(durationMs, this.signal);
+    this.timers.delete(operationId);
+    this.wake();
+  }
+}
--- /dev/null
+++ b/src/placement/runTimeBuckets.ts
@@ -0,0 +1,28 @@
+/**
+ * Numbered ranges of run times; each range is a fixed factor wider than the one before.
+ */
+const shortestMs = 0.5;
+const rangesPerDoubling = 4;
+
+/** Number of buckets; the last one starts above ten minutes. */
+export const bucketCount = 84;
+
+/**
+ * Tells the bucket of a run time.
+ *
+ * @param runTimeMs - in milliseconds
+ */
+export const bucketOf = (runTimeMs: number): number => {
+  const bucket = Math.floor(
+    Math.log2(Math.max(runTimeMs, shortestMs) / shortestMs) * rangesPerDoubling,
+  );
+  return Math.min(bucket, bucketCount - 1);
+};
+
+/**
+ * Tells the run time in the middle of a bucket.
+ *
+ * @returns milliseconds
+ */
+export const runTimeOf = (bucket: number): number =>
+  shortestMs * 2 ** ((bucket + 0.5) / rangesPerDoubling);
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -1,51 +1,56 @@
 /**
  * Brings waiting tasks and free slots together. Each slot is served by one async function.
  */
-import { createProblem } from '../errors/problem.js';
 import { unreachable } from '../errors/unreachable.js';
 import type { PlacedEndpoint } from '../inventory/inventoryIndex.js';
+import type { Operation } from '../inventory/types.js';
 import type { TaskOutcome } from '../jobs/types.js';
 import type { Clock } from '../ports/clock.js';
-import type { EndpointPort, EndpointReply } from '../ports/endpoints.js';
+import type { EndpointPort } from '../ports/endpoints.js';
 import type { Logger } from '../ports/logger.js';
+import type { Random } from '../ports/random.js';
 import { createDeferred } from '../utils/deferred.js';
+import { Attempts, stoppedBeforeStart } from './attempts.js';
+import type { AttemptEnd } from './attempts.js';
 import { EndpointPool } from './endpointPool.js';
+import { HoldBack } from './holdBack.js';
+import type { Assignment, PooledEndpoint } from './pooledEndpoint.js';
+import { RetryBudget } from './retryBudget.js';
+import { RunTimes } from './runTimes.js';
+import { ServedEndpoint } from './servedEndpoint.js';
+import { settle } from './settlement.js';
 import { TaskQueue } from './taskQueue.js';
 import type { WaitingTask } from './taskQueue.js';
-import type { Task } from './types.js';
-
-const busyPauseMs = 20;
-const maxAttempts = 5;
+import type { PlacementPolicy, PlacementRules, Task } from './types.js';
 
 export interface SchedulerOptions {
   readonly incarnation: string;
   readonly clock: Clock;
+  readonly random: Random;
   readonly logger: Logger;
   readonly endpoints: EndpointPort;
-}
-
-/** A task on an endpoint. */
-interface RunningTask {
-  readonly entry: WaitingTask;
-  readonly placed: PlacedEndpoint;
-  readonly stop: AbortController;
-}
-
-/** An endpoint that this daemon dispatches to. */
-interface ServedEndpoint {
-  placed: PlacedEndpoint;
-  readonly stop: AbortController;
-  readonly done: Promise<unknown>;
+  readonly policy?: PlacementPolicy;
+  /** Rules in force now. */
+  readonly rules: () => PlacementRules;
 }
 
 export class Scheduler {
   private readonly queue = TaskQueue.create();
-  private readonly pool = EndpointPool.create();
+  private readonly pool: EndpointPool;
+  private readonly attempts: Attempts;
+  private readonly holdBack: HoldBack;
+  private readonly budget = RetryBudget.create();
   private readonly served = new Map<string, ServedEndpoint>();
-  private readonly running = new Map<string, RunningTask>();
-  private readonly draining = new Set<Promise<unknown>>();
+  private readonly draining = new Set<Promise<void>>();
+  private readonly stop = new AbortController();
 
-  private constructor(private readonly options: SchedulerOptions) {}
+  private constructor(private readonly options: SchedulerOptions) {
+    const { clock, random } = options;
+    const policy = options.policy ?? { kind: 'expected-completion' };
+    this.pool = EndpointPool.create({ clock, random, policy, runTimes: RunTimes.create() });
+    this.attempts = Attempts.create(options);
+    this.holdBack = HoldBack.create(clock, () => this.dispatch(), this.stop.signal);
+  }
 
   static create(options: SchedulerOptions): Scheduler {
     return new Scheduler(options);
@@ -60,13 +65,14 @@
   }
 
   /**
-   * Runs a task on the first fitting slot.
+   * Runs a task on a fitting slot.
    *
    * @param task - the task
    * @returns how it ended
    */
   run(task: Task): Promise<TaskOutcome> {
     const entry: WaitingTask = { task, outcome: createDeferred<TaskOutcome>(), attempts: 0 };
+    this.budget.firstTry(this.options.rules().retryShare);
     this.place(entry);
     return entry.outcome.promise;
   }
@@ -78,13 +84,10 @@
    * @param jobId - the job
    */
   withdraw(jobId: string): void {
-    const notRun = createProblem('cancelled', 'The job ended before this task started.', {
-      runState: 'not-run',
-    });
     for (const entry of this.queue.withdraw(jobId)) {
-      entry.outcome.resolve({ kind: 'not-run', problem: notRun });
+      entry.outcome.resolve(stoppedBeforeStart());
     }
-    this.stopRunning(jobId);
+    this.attempts.stopJob(jobId);
   }
 
   /**
@@ -95,14 +98,10 @@
   serve(endpoints: readonly PlacedEndpoint[]): void {
     const wanted = new Map(endpoints.map((placed) => [placed.endpoint.endpointId, placed]));
     for (const [endpointId, served] of this.served) {
-      if (wanted.get(endpointId) === served.placed) {
-        continue;
+      const placed = wanted.get(endpointId);
+      if (placed === undefined || !served.isFor(placed)) {
+        this.release(endpointId, served);
       }
-      this.served.delete(endpointId);
-      served.stop.abort();
-      this.pool.release(served.placed);
-      this.draining.add(served.done);
-      void served.done.then(() => this.draining.delete(served.done));
     }
     for (const [endpointId, placed] of wanted) {
       if (!this.served.has(endpointId)) {
@@ -114,42 +113,24 @@
   async close(): Promise<void> {
     this.serve([]);
     await Promise.all(this.draining);
+    this.stop.abort();
   }
 
   private startServing(placed: PlacedEndpoint): ServedEndpoint {
-    const stop = new AbortController();
-    const slots = Array.from({ length: placed.worker.slots }, () =>
-      this.serveSlot(placed, stop.signal),
-    );
-    return { placed, stop, done: Promise.all(slots) };
-  }
-
-  /** Serves one slot of an endpoint: one task after the other, until the endpoint is not served. */
-  private async serveSlot(placed: PlacedEndpoint, signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      const slot = this.pool.addIdle(placed);
-      this.dispatch();
-      const entry = await slot.next.promise;
-      if (entry === undefined) {
-        return;
-      }
-      await this.runOn(placed, entry, signal);
-    }
+    return ServedEndpoint.create(placed, {
+      clock: this.options.clock,
+      pool: this.pool,
+      attempts: this.attempts,
+      dispatch: () => this.dispatch(),
+      ended: (assignment, pooled, end) => this.ended(assignment, pooled, end),
+    });
   }
 
-  private async runOn(
-    placed: PlacedEndpoint,
-    entry: WaitingTask,
-    signal: AbortSignal,
-  ): Promise<void> {
-    const { clock } = this.options;
-    const startedAtMs = clock.nowMs();
-    const reply = await this.attempt(placed, entry);
-    this.queue.ended(entry, clock.nowMs() - startedAtMs);
-    if (this.settle(entry, reply) === 'again') {
-      await clock.sleep(busyPauseMs, signal);
-      this.place(entry);
-    }
+  private release(endpointId: string, served: ServedEndpoint): void {
+    this.served.delete(endpointId);
+    const closed = served.close();
+    this.draining.add(closed);
+    void closed.then(() => this.draining.delete(closed));
   }
 
   private place(entry: WaitingTask): void {
@@ -160,95 +141,62 @@
   /** Brings waiting tasks to idle slots until one of both runs out. */
   private dispatch(): void {
     for (;;) {
-      const entry = this.queue.take((operation) => this.pool.hasFree(operation));
-      const slot = entry === undefined ? undefined : this.pool.take(entry.task.operation);
-      if (entry === undefined || slot === undefined) {
+      const chosen = new Map<Operation, PooledEndpoint>();
+      const entry = this.queue.take((operation) => {
+        const pooled = this.choose(operation);
+        if (pooled !== undefined) {
+          chosen.set(operation, pooled);
+        }
+        return pooled !== undefined;
+      });
+      const pooled = entry === undefined ? undefined : chosen.get(entry.task.operation);
+      if (entry === undefined || pooled === undefined) {
         return;
       }
-      slot.next.resolve(entry);
+      this.holdBack.placed(entry.task.operation);
+      this.pool.assign(pooled, this.attempts.prepare(pooled.placed, entry), 'first');
     }
   }
 
-  private async attempt(placed: PlacedEndpoint, entry: WaitingTask): Promise<EndpointReply> {
-    const { task } = entry;
-    const { clock, endpoints, incarnation } = this.options;
-    const leaseMs = task.deadlineAtMs - clock.nowMs();
-    if (leaseMs <= 0) {
-      entry.outcome.resolve({ kind: 'not-run', problem: pastDeadline() });
-      return { kind: 'not-started', reason: 'busy' };
-    }
-    entry.attempts += 1;
-    const stop = new AbortController();
-    this.running.set(task.taskId, { entry, placed, stop });
-    const start = {
-      incarnation,
-      taskId: task.taskId,
-      attempt: entry.attempts,
-      operation: task.operation.operationId,
-      input: task.input,
-      leaseMs,
-    };
-    const reply = await endpoints.run(placed.endpoint, start, stop.signal);
-    this.running.delete(task.taskId);
-    return reply;
-  }
-
-  /** Resolves the outcome, or asks for another attempt where the task certainly did not start. */
-  private settle(entry: WaitingTask, reply: EndpointReply): 'settled' | 'again' {
-    switch (reply.kind) {
-      case 'done':
-        entry.outcome.resolve({ kind: 'done', result: reply.result });
-        return 'settled';
-      case 'failed':
-        entry.outcome.resolve({ kind: 'failed', detail: reply.detail });
-        return 'settled';
-      case 'unknown':
-        entry.outcome.resolve({
-          kind: 'outcome-unknown',
-          problem: createProblem(
-            'outcome-unknown',
-            `The endpoint gave no answer: ${reply.reason}.`,
-          ),
-        });
-        return 'settled';
-      case 'not-started':
-        return this.settleNotStarted(entry);
+  private choose(operation: Operation): PooledEndpoint | undefined {
+    const choice = this.pool.choose(operation, this.queue.size);
+    switch (choice.kind) {
+      case 'idle':
+        return choice.pooled;
+      case 'hold':
+        return this.holdBack.isHeld(operation, choice) ? undefined : choice.pooled;
+      case 'none':
+        return undefined;
       default:
-        return unreachable(reply);
-    }
-  }
-
-  private settleNotStarted(entry: WaitingTask): 'settled' | 'again' {
-    if (entry.task.deadlineAtMs <= this.options.clock.nowMs()) {
-      entry.outcome.resolve({ kind: 'not-run', problem: pastDeadline() });
-      return 'settled';
-    }
-    if (entry.attempts >= maxAttempts) {
-      const problem = createProblem('overloaded', 'Every endpoint that was tried was busy.');
-      entry.outcome.resolve({ kind: 'not-run', problem });
-      return 'settled';
+        return unreachable(choice);
     }
-    return 'again';
   }
 
-  private stopRunning(jobId: string): void {
-    const byEndpoint = new Map<PlacedEndpoint, string[]>();
-    for (const { entry, placed, stop } of this.running.values()) {
-      if (entry.task.jobId !== jobId) {
-        continue;
-      }
-      byEndpoint.set(placed, [...(byEndpoint.get(placed) ?? []), entry.task.taskId]);
-      const problem = createProblem('outcome-unknown', 'The job ended while this task ran.');
-      entry.outcome.resolve({ kind: 'outcome-unknown', problem });
-      stop.abort();
+  /** Answers a task whose attempt ended, or lets it wait for another attempt. */
+  private ended({ attempt }: Assignment, pooled: PooledEndpoint, end: AttemptEnd): void {
+    const { entry } = attempt;
+    const { operation } = entry.task;
+    this.queue.ended(entry, end.kind === 'past-deadline' ? 0 : end.elapsedMs);
+    if (end.kind === 'replied' && end.reply.kind === 'done') {
+      this.pool.observe(pooled, operation, end.elapsedMs);
     }
-    for (const [placed, taskIds] of byEndpoint) {
-      void this.options.endpoints.cancel(placed.endpoint, taskIds, AbortSignal.timeout(1_000));
+    const settlement = settle(operation, end);
+    switch (settlement.kind) {
+      case 'answered':
+        entry.outcome.resolve(settlement.outcome);
+        return;
+      case 'not-started':
+        this.place(entry);
+        return;
+      case 'repeatable':
+        if (this.budget.take()) {
+          this.place(entry);
+          return;
+        }
+        entry.outcome.resolve(settlement.otherwise);
+        return;
+      default:
+        return unreachable(settlement);
     }
   }
 }
-
-const pastDeadline = () =>
-  createProblem('deadline-exceeded', 'The deadline passed before this task started.', {
-    runState: 'not-run',
-  });
--- /dev/null
+++ b/src/placement/settlement.ts
@@ -0,0 +1,75 @@
+/**
+ * What the end of an attempt means for its task.
+ */
+import { createProblem } from '../errors/problem.js';
+import type { Problem } from '../errors/problem.js';
+import { unreachable } from '../errors/unreachable.js';
+import type { Operation } from '../inventory/types.js';
+import type { TaskOutcome } from '../jobs/types.js';
+import type { EndpointReply } from '../ports/endpoints.js';
+import type { AttemptEnd } from './attempts.js';
+
+export type Settlement =
+  | { readonly kind: 'answered'; readonly outcome: TaskOutcome }
+  /** The task certainly did not start; another attempt costs no promise. */
+  | { readonly kind: 'not-started' }
+  /** The task may be repeated if the retry budget allows; else this is its outcome. */
+  | { readonly kind: 'repeatable'; readonly otherwise: TaskOutcome };
+
+/**
+ * Tells what the end of an attempt means.
+ *
+ * @param operation - what the task runs
+ * @param end - how the attempt ended
+ */
+export const settle = (operation: Operation, end: AttemptEnd): Settlement => {
+  switch (end.kind) {
+    case 'past-deadline':
+      return { kind: 'answered', outcome: { kind: 'not-run', problem: pastDeadline() } };
+    case 'stopped':
+      return { kind: 'answered', outcome: unknown('The task was stopped.') };
+    case 'replied':
+      return settleReply(operation, end.reply);
+    default:
+      return unreachable(end);
+  }
+};
+
+const settleReply = (operation: Operation, reply: EndpointReply): Settlement => {
+  switch (reply.kind) {
+    case 'done':
+      return { kind: 'answered', outcome: { kind: 'done', result: reply.result } };
+    case 'failed': {
+      const outcome: TaskOutcome = { kind: 'failed', detail: reply.detail };
+      return reply.fault === 'task' ? { kind: 'answered', outcome } : fallBack(operation, outcome);
+    }
+    case 'unknown':
+      return fallBack(operation, unknown(`The endpoint gave no answer: ${reply.reason}.`));
+    case 'not-started':
+      return { kind: 'not-started' };
+    default:
+      return unreachable(reply);
+  }
+};
+
+const fallBack = (operation: Operation, outcome: TaskOutcome): Settlement => {
+  switch (operation.kind) {
+    case 'once':
+      return { kind: 'answered', outcome };
+    case 'repeatable':
+      return { kind: 'repeatable', otherwise: outcome };
+    default:
+      return unreachable(operation.kind);
+  }
+};
+
+const unknown = (detail: string): TaskOutcome => ({
+  kind: 'outcome-unknown',
+  problem: createProblem('outcome-unknown', detail),
+});
+
+/** @returns the problem of a task whose deadline passed before its start */
+export const pastDeadline = (): Problem =>
+  createProblem('deadline-exceeded', 'The deadline passed before this task started.', {
+    runState: 'not-run',
+  });
--- /dev/null
+++ b/src/placement/slotChoice.ts
@@ -0,0 +1,98 @@
+/**
+ * The choice of a slot for the next task of one operation: a slot that is idle now, or a faster one
+ * that is soon free.
+ */
+import { unreachable } from '../errors/unreachable.js';
+import type { Operation } from '../inventory/types.js';
+import type { Random } from '../ports/random.js';
+import type { OperationSlots } from './operationSlots.js';
+import type { PooledEndpoint } from './pooledEndpoint.js';
+import { bucketOf } from './runTimeBuckets.js';
+import type { PlacementPolicy } from './types.js';
+
+/** A wait for a faster endpoint must end this much earlier, as a share of the slower run time. */
+const holdGain = 0.9;
+/** Least time after which a busy slot may be expected to end, as a share of its run time. */
+const minResidualShare = 0.1;
+
+export type SlotChoice =
+  /** An idle slot, and the expected run time there. */
+  | { readonly kind: 'idle'; readonly pooled: PooledEndpoint; readonly completionMs: number }
+  /** A busy endpoint is expected to complete the task earlier than the best idle one. */
+  | {
+      readonly kind: 'hold';
+      readonly pooled: PooledEndpoint;
+      readonly completionMs: number;
+      readonly idleCompletionMs: number;
+    }
+  /** No slot is idle; the expected completion is infinite where no endpoint fits. */
+  | { readonly kind: 'none'; readonly completionMs: number };
+
+export interface SlotChoiceInput {
+  readonly operation: Operation;
+  readonly slots: OperationSlots;
+  readonly waitingTasks: number;
+  /** Rank of the endpoints that were not tried yet, in milliseconds. */
+  readonly untriedMs: number;
+  readonly nowMs: number;
+  readonly random: Random;
+  readonly policy: PlacementPolicy;
+}
+
+/**
+ * Chooses a slot.
+ *
+ * @param input - the endpoints of the operation and the work that waits
+ */
+export const chooseSlot = (input: SlotChoiceInput): SlotChoice => {
+  const { operation, slots, random } = input;
+  const probe = slots.probes.draw(random.next());
+  if (probe !== undefined && operation.kind === 'repeatable') {
+    return { kind: 'idle', pooled: probe, completionMs: input.untriedMs };
+  }
+  const choice = chooseFromBuckets(input);
+  return choice.kind === 'none' && probe !== undefined
+    ? { kind: 'idle', pooled: probe, completionMs: input.untriedMs }
+    : choice;
+};
+
+const chooseFromBuckets = (input: SlotChoiceInput): SlotChoice => {
+  const { slots, waitingTasks, nowMs, random, policy } = input;
+  let busySlots = 0;
+  let busyEndSumMs = 0;
+  let soonestMs = Infinity;
+  for (const { bucket, runTimeMs } of slots.inOrder(bucketOf(input.untriedMs))) {
+    const pooled = bucket.idle.draw(random.next());
+    if (pooled !== undefined) {
+      return weigh(policy, pooled, runTimeMs, soonestMs);
+    }
+    if (bucket.busySlots === 0) {
+      continue;
+    }
+    busySlots += bucket.busySlots;
+    busyEndSumMs += bucket.busyEndSumMs;
+    const residualMs = Math.max(busyEndSumMs / busySlots - nowMs, runTimeMs * minResidualShare);
+    const waitMs = (2 * residualMs * Math.max(waitingTasks, 1)) / (busySlots + 1);
+    soonestMs = Math.min(soonestMs, waitMs + runTimeMs);
+  }
+  return { kind: 'none', completionMs: soonestMs };
+};
+
+const weigh = (
+  policy: PlacementPolicy,
+  pooled: PooledEndpoint,
+  runTimeMs: number,
+  soonestMs: number,
+): SlotChoice => {
+  switch (policy.kind) {
+    case 'expected-completion':
+      return soonestMs < runTimeMs * holdGain
+        ? { kind: 'hold', pooled, completionMs: soonestMs, idleCompletionMs: runTimeMs }
+        : { kind: 'idle', pooled, completionMs: runTimeMs };
+    case 'random':
+    case 'least-connections':
+      return { kind: 'idle', pooled, completionMs: runTimeMs };
+    default:
+      return unreachable(policy);
+  }
+};
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -1,6 +1,7 @@
 /**
  * Types of the placement of tasks on endpoints.
  */
+import type { Objective } from '../configuration/types.js';
 import type { CallerClass, Operation } from '../inventory/types.js';
 
 /** One task of a job, as the scheduler sees it. */
@@ -21,3 +22,13 @@
   | { readonly kind: 'expected-completion' }
   | { readonly kind: 'random' }
   | { readonly kind: 'least-connections' };
+
+/** The rules that placement follows. */
+export interface PlacementRules {
+  readonly objective: Objective;
+  /** Retries and hedges allowed per first try, between 0 and 1. */
+  readonly retryShare: number;
+}
+
+/** Rules before the first configuration. */
+export const defaultPlacementRules: PlacementRules = { objective: 'messages', retryShare: 0 };
--- a/src/testing/fakeEndpoints.ts
+++ b/src/testing/fakeEndpoints.ts
@@ -12,6 +12,8 @@
 
 export class FakeEndpoints implements EndpointPort {
   readonly starts: TaskStart[] = [];
+  /** Endpoint of every message that asks for a start, in order. */
+  readonly endpointIds: string[] = [];
   readonly cancelled: string[] = [];
   /** Set to change what the endpoints do. A behaviour that starts the task calls `begin`. */
   behaviour: EndpointBehaviour = (_endpoint, start) => this.runFor(start, defaultRunTimeMs);
@@ -23,6 +25,7 @@
   }
 
   run(endpoint: Endpoint, start: TaskStart, signal: AbortSignal): Promise<EndpointReply> {
+    this.endpointIds.push(endpoint.endpointId);
     const givenUp = new Promise<EndpointReply>((resolve) => {
       const giveUp = () => resolve({ kind: 'unknown', reason: 'no-answer' });
       signal.addEventListener('abort', giveUp, { once: true });
