Decide plain keys by claims on the log

Plain keys were refused. Now the first record of a key on the claims stream names its owner or its refusal; claims are appended in groups under a shared budget, and a daemon starts one only if its own reading proves that no earlier claim exists.

--- /dev/null
+++ b/src/claims/claimFollower.ts
@@ -0,0 +1,73 @@
+/**
+ * Follows the stream of claims into the index.
+ */
+import type { Clock } from '../ports/clock.js';
+import type { Logger } from '../ports/logger.js';
+import type { LogPage, LogService } from '../ports/logService.js';
+import type { ClaimIndex } from './claimIndex.js';
+import { claimRecordSchema, claimStream } from './types.js';
+
+const readWaitMs = 2_000;
+const retryPauseMs = 250;
+
+export interface ClaimFollowerOptions {
+  readonly logService: LogService;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly index: ClaimIndex;
+}
+
+export class ClaimFollower {
+  private readonly stop = new AbortController();
+  private readonly done: Promise<void>;
+  private nextOffset = 0;
+
+  private constructor(private readonly options: ClaimFollowerOptions) {
+    this.done = this.follow();
+  }
+
+  static create(options: ClaimFollowerOptions): ClaimFollower {
+    return new ClaimFollower(options);
+  }
+
+  async close(): Promise<void> {
+    this.stop.abort();
+    await this.done;
+  }
+
+  private async follow(): Promise<void> {
+    const { logService, clock } = this.options;
+    const { signal } = this.stop;
+    while (!signal.aborted) {
+      const waitMs = this.options.index.isRead ? readWaitMs : 0;
+      const page = await logService.read(claimStream, this.nextOffset, waitMs, signal);
+      if (page.isOk()) {
+        this.take(page.value);
+      } else {
+        await clock.sleep(retryPauseMs, signal);
+      }
+    }
+  }
+
+  private take(page: LogPage): void {
+    const { index, logger } = this.options;
+    if (page.oldestOffset > this.nextOffset || page.endOffset < this.nextOffset) {
+      logger.warn('The log dropped claims before they were read.', { count: page.oldestOffset });
+      index.noteGap();
+      this.nextOffset = page.oldestOffset;
+    }
+    for (const { offset, value } of page.records) {
+      const parsed = claimRecordSchema.safeParse(value);
+      if (parsed.success) {
+        index.add(offset, parsed.data);
+      } else {
+        logger.warn('A claim is not valid and is passed over.', { count: offset });
+      }
+      this.nextOffset = offset + 1;
+    }
+    if (this.nextOffset >= page.endOffset) {
+      index.noteEnd();
+    }
+    index.prune(page.oldestOffset);
+  }
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -2,6 +2,7 @@
  * One daemon: wires the decisions to the ports and gives the front ends their services.
  */
 import type { Result } from 'ts-results-es';
+import { Claims } from '../claims/claims.js';
 import { ConfigurationFollower } from '../configuration/configurationFollower.js';
 import { ConfigurationStore } from '../configuration/configurationStore.js';
 import type { ConfigurationRecord } from '../configuration/types.js';
@@ -33,6 +34,7 @@
 import { Intake } from '../submissions/intake.js';
 import { OwnerRouter } from '../submissions/ownerRouter.js';
 import { OwnSubmissions } from '../submissions/ownSubmissions.js';
+import { PlainKeys } from '../submissions/plainKeys.js';
 import { formatOwner } from '../submissions/submissionKey.js';
 import { SubmissionTable } from '../submissions/submissionTable.js';
 
@@ -55,6 +57,7 @@
   private readonly table: SubmissionTable;
   private readonly inherited: InheritedTables;
   private readonly own: OwnSubmissions;
+  private readonly claims: Claims;
   private readonly scheduler: Scheduler;
   private readonly peers: PeerSet;
   private readonly intake: Intake;
@@ -86,7 +89,16 @@
     this.own = OwnSubmissions.create({ clock, random, configuration, runner, table });
     const heirs = HeirDirectory.create(peers, clock);
     const router = OwnerRouter.create({ clock, peers, heirs });
-    this.intake = Intake.create({ incarnation, configuration, own: this.own, inherited, router });
+    this.claims = Claims.create({
+      logService: ports.logService,
+      clock,
+      logger,
+      windowMs,
+      countDaemons: () => peers.heard().length + 1,
+    });
+    const { own, claims } = this;
+    const plainKeys = PlainKeys.create({ clock, claims, own });
+    this.intake = Intake.create({ incarnation, configuration, own, inherited, router, plainKeys });
     this.configuration.onChange(() => this.assignEndpoints());
     this.peers.onChange(() => this.assignEndpoints());
     this.follower = ConfigurationFollower.create({
@@ -182,7 +194,7 @@
   /** Drops everything at once, as a killed process does. */
   async kill(): Promise<void> {
     await Promise.all([this.ports.endpoints.close(), this.ports.logService.close()]);
-    await this.follower.close();
+    await Promise.all([this.follower.close(), this.claims.close()]);
     await this.peers.close();
     await this.ports.vmList.close();
   }
@@ -193,7 +205,7 @@
     const { clock, logger } = this.ports;
     const { peers, own, table, inherited } = this;
     await depart({ clock, logger: logger.forPart('departure'), peers, own, table, inherited });
-    await this.follower.close();
+    await Promise.all([this.follower.close(), this.claims.close()]);
     await this.peers.close();
     await this.scheduler.close();
     await this.ports.endpoints.close();
--- a/src/submissions/intake.ts
+++ b/src/submissions/intake.ts
@@ -22,6 +22,7 @@
 import type { InheritedTables } from './inheritedTables.js';
 import type { OwnerRouter } from './ownerRouter.js';
 import type { OwnSubmissions } from './ownSubmissions.js';
+import type { PlainKeys, PlainOwner } from './plainKeys.js';
 import { ownerGone, refused, unknown } from './replies.js';
 import { parseSubmissionKey } from './submissionKey.js';
 
@@ -31,6 +32,13 @@
   readonly own: OwnSubmissions;
   readonly inherited: InheritedTables;
   readonly router: OwnerRouter;
+  readonly plainKeys: PlainKeys;
+}
+
+/** A question about a job, as it is put here and to another daemon. */
+interface Question {
+  here(ref: SubmissionRef): Promise<StatusReply>;
+  elsewhere(ref: SubmissionRef): Promise<StatusReply | undefined>;
 }
 
 /** Where the owner of a key is, seen from this daemon. */
@@ -44,7 +52,7 @@
   }
 
   async submit(
-    caller: Caller,
+    { callerId }: Caller,
     keyText: string,
     body: Result<Submission, Problem>,
   ): Promise<SubmitOutcome> {
@@ -55,15 +63,10 @@
     switch (key.value.form) {
       case 'owned': {
         const { text, owner } = key.value;
-        return this.submitTo({
-          callerId: caller.callerId,
-          key: text,
-          owner,
-          body: toBody(body),
-        });
+        return this.submitTo({ callerId, key: text, owner, body: toBody(body) });
       }
       case 'plain':
-        return refused(createProblem('unavailable', 'Plain keys are not served yet.'));
+        return this.submitPlain(callerId, key.value.text, toBody(body));
       default:
         return unreachable(key.value);
     }
@@ -73,7 +76,7 @@
   async submitForwarded(request: ForwardedSubmission): Promise<SubmitOutcome> {
     switch (this.locate(request)) {
       case 'here':
-        return this.options.own.submit(request);
+        return this.options.own.submit(request, this.isProvenOwner(request));
       case 'inherited':
         return this.options.inherited.submit(request);
       case 'elsewhere':
@@ -108,28 +111,17 @@
     keyText: string,
     waitMs: number,
   ): Promise<Result<JobStatus, Problem>> {
-    const ref = this.resolve(caller, keyText);
-    if (ref.isErr()) {
-      return ref;
-    }
-    const request = { ...ref.value, waitMs };
-    const reply =
-      this.locate(request) === 'elsewhere'
-        ? ((await this.options.router.status(request)) ?? this.askAgain(request))
-        : await this.statusForwarded(request);
-    return toResult(reply);
+    return this.ask(caller, keyText, {
+      here: (ref) => this.statusForwarded({ ...ref, waitMs }),
+      elsewhere: (ref) => this.options.router.status({ ...ref, waitMs }),
+    });
   }
 
   async cancel(caller: Caller, keyText: string): Promise<Result<JobStatus, Problem>> {
-    const ref = this.resolve(caller, keyText);
-    if (ref.isErr()) {
-      return ref;
-    }
-    const reply =
-      this.locate(ref.value) === 'elsewhere'
-        ? ((await this.options.router.cancel(ref.value)) ?? this.askAgain(ref.value))
-        : await this.cancelForwarded(ref.value);
-    return toResult(reply);
+    return this.ask(caller, keyText, {
+      here: (ref) => this.cancelForwarded(ref),
+      elsewhere: (ref) => this.options.router.cancel(ref),
+    });
   }
 
   /** Runs repeatable operations; they need no key and no memory. */
@@ -145,6 +137,41 @@
     return { kind: 'answered', answer: await job.answer };
   }
 
+  private async submitPlain(
+    callerId: string,
+    key: string,
+    body: SubmissionBody,
+  ): Promise<SubmitOutcome> {
+    const route = await this.options.plainKeys.route(callerId, key, body);
+    switch (route.kind) {
+      case 'owner':
+        return this.submitTo(route.request);
+      case 'refusal':
+        return refused(route.problem);
+      default:
+        return unreachable(route);
+    }
+  }
+
+  /** An owned key proves its owner; a plain key needs a claim that is the first. */
+  private isProvenOwner(request: SubmissionRef): boolean {
+    const key = parseSubmissionKey(request.key);
+    if (key.isErr()) {
+      return false;
+    }
+    switch (key.value.form) {
+      case 'owned':
+        return (
+          key.value.owner.incarnation === request.owner.incarnation &&
+          key.value.owner.epoch === request.owner.epoch
+        );
+      case 'plain':
+        return this.options.plainKeys.isProvenFirst(request);
+      default:
+        return unreachable(key.value);
+    }
+  }
+
   /** Brings a submission to its owner; where no answer came, looks once more into what is here. */
   private async submitTo(request: ForwardedSubmission): Promise<SubmitOutcome> {
     if (this.locate(request) !== 'elsewhere') {
@@ -160,11 +187,31 @@
       : refused(ownerGone());
   }
 
-  private askAgain(request: SubmissionRef): StatusReply {
+  /** Asks the owner of a key; where no answer came, looks once more into what is here. */
+  private async ask(
+    caller: Caller,
+    keyText: string,
+    question: Question,
+  ): Promise<Result<JobStatus, Problem>> {
+    const found = this.findOwner(caller.callerId, keyText);
+    if (found.kind === 'refusal') {
+      return Ok({ state: 'refused', problem: found.problem });
+    }
+    if (found.kind === 'unclaimed') {
+      return Err(createProblem('not-found', 'No job is known under this key.'));
+    }
+    const { ref } = found;
+    if (this.locate(ref) !== 'elsewhere') {
+      return toResult(await question.here(ref));
+    }
+    const reply = await question.elsewhere(ref);
+    if (reply !== undefined) {
+      return toResult(reply);
+    }
     const { inherited } = this.options;
-    return inherited.has(request.owner.incarnation)
-      ? inherited.status(request)
-      : unknown(ownerGone());
+    return inherited.has(ref.owner.incarnation)
+      ? toResult(inherited.status(ref))
+      : Err(ownerGone());
   }
 
   private locate({ owner }: SubmissionRef): OwnerPlace {
@@ -174,16 +221,16 @@
     return this.options.inherited.isComplete(owner.incarnation) ? 'inherited' : 'elsewhere';
   }
 
-  private resolve(caller: Caller, keyText: string): Result<SubmissionRef, Problem> {
+  private findOwner(callerId: string, keyText: string): PlainOwner {
     const key = parseSubmissionKey(keyText);
     if (key.isErr()) {
-      return key;
+      return { kind: 'refusal', problem: key.error };
     }
     switch (key.value.form) {
       case 'owned':
-        return Ok({ callerId: caller.callerId, key: key.value.text, owner: key.value.owner });
+        return { kind: 'owner', ref: { callerId, key: key.value.text, owner: key.value.owner } };
       case 'plain':
-        return Err(createProblem('not-found', 'No job is known under this key.'));
+        return this.options.plainKeys.find(callerId, key.value.text);
       default:
         return unreachable(key.value);
     }
--- a/src/submissions/ownSubmissions.ts
+++ b/src/submissions/ownSubmissions.ts
@@ -15,13 +15,23 @@
 import type {
   ForwardedStatus,
   ForwardedSubmission,
+  Owner,
   StatusReply,
   SubmissionRef,
   SubmitOutcome,
 } from '../ports/peers.js';
 import type { Random } from '../ports/random.js';
 import { checkSubmission } from './admission.js';
-import { attach, digestBody, forgotten, known, neverStarted, refused, unknown } from './replies.js';
+import {
+  attach,
+  digestBody,
+  forgotten,
+  known,
+  neverStarted,
+  ownerUnproven,
+  refused,
+  unknown,
+} from './replies.js';
 import type { SubmissionTable } from './submissionTable.js';
 import type { RunningJob, SubmissionRecord } from './types.js';
 
@@ -43,6 +53,11 @@
     return new OwnSubmissions(options);
   }
 
+  /** @returns the owner of submissions that start here now */
+  get owner(): Owner {
+    return this.options.table.owner;
+  }
+
   /** Refuses new submissions from now on; each refusal is remembered. */
   stopTaking(): void {
     this.stopping = true;
@@ -62,8 +77,9 @@
    * check, and nothing runs between it and the record of the start.
    *
    * @param request - the submission, whose owner is this process
+   * @param mayStart - whether the owner is proven; otherwise only what is known is answered
    */
-  async submit(request: ForwardedSubmission): Promise<SubmitOutcome> {
+  async submit(request: ForwardedSubmission, mayStart: boolean): Promise<SubmitOutcome> {
     const { owner, callerId, key, body } = request;
     const found = this.options.table.find(owner.epoch, callerId, key);
     switch (found.kind) {
@@ -74,7 +90,7 @@
       case 'forgotten':
         return refused(forgotten());
       case 'absent':
-        return this.startOrRefuse(request);
+        return mayStart ? this.startOrRefuse(request) : refused(ownerUnproven());
       default:
         return unreachable(found);
     }
--- a/src/submissions/ownerRouter.ts
+++ b/src/submissions/ownerRouter.ts
@@ -15,6 +15,7 @@
 } from '../ports/peers.js';
 import { within } from '../utils/within.js';
 import type { HeirDirectory, PeerLinks } from './heirDirectory.js';
+import { withTimeLeft } from './timeLeft.js';
 
 const maxTries = 5;
 const firstPauseMs = 50;
@@ -48,7 +49,7 @@
     const { body, owner } = request;
     const boundMs = body.kind === 'valid' ? body.submission.deadlineMs : refusalTimeoutMs;
     return this.send(owner.incarnation, boundMs, (link, leftMs, signal) =>
-      link.forward(withDeadline(request, leftMs), signal),
+      link.forward({ ...request, body: withTimeLeft(body, leftMs) }, signal),
     );
   }
 
@@ -105,13 +106,3 @@
     return tries % 2 === 0 ? (heir ?? owner) : (owner ?? heir);
   }
 }
-
-/** The owner counts the deadline from the arrival, so the time spent so far is taken off. */
-const withDeadline = (request: ForwardedSubmission, leftMs: number): ForwardedSubmission => {
-  const { body } = request;
-  if (body.kind === 'invalid') {
-    return request;
-  }
-  const submission = { ...body.submission, deadlineMs: Math.max(1, Math.floor(leftMs)) };
-  return { ...request, body: { kind: 'valid', submission } };
-};
--- a/src/submissions/replies.ts
+++ b/src/submissions/replies.ts
@@ -72,3 +72,11 @@
 /** No daemon that could tell what became of the key can be reached. */
 export const ownerGone = (): Problem =>
   createProblem('outcome-unknown', 'The daemon that owns the key gave no answer.');
+
+/** A claim names this daemon, but an earlier claim may exist. */
+export const ownerUnproven = (): Problem =>
+  createProblem('outcome-unknown', 'An earlier claim of the key may exist.');
+
+/** The log, which decides plain keys, gave no answer. */
+export const logUnavailable = (): Problem =>
+  createProblem('unavailable', 'The log that decides plain keys cannot be reached.');
--- a/src/testing/fakeLogService.ts
+++ b/src/testing/fakeLogService.ts
@@ -21,6 +21,8 @@
   fault: FakeLogFault = 'none';
   /** Records that a stream keeps. */
   retainedRecords = Infinity;
+  /** Time that an append takes before it takes effect, in milliseconds. */
+  appendDelayMs = 0;
   appendCount = 0;
   private readonly streams = new Map<string, FakeStream>();
 
@@ -30,13 +32,16 @@
     return new FakeLogService(clock);
   }
 
-  append(
+  async append(
     name: string,
     values: readonly unknown[],
     _signal: AbortSignal,
   ): Promise<Result<number, LogServiceError>> {
+    if (this.appendDelayMs > 0) {
+      await this.clock.sleep(this.appendDelayMs);
+    }
     if (this.fault === 'outage') {
-      return Promise.resolve(Err(unreachable));
+      return Err(unreachable);
     }
     this.appendCount += 1;
     const stream = this.stream(name);
@@ -49,7 +54,7 @@
     stream.endOffset += added.length;
     stream.appended.resolve();
     stream.appended = createDeferred();
-    return Promise.resolve(this.fault === 'answer-lost' ? Err(unreachable) : Ok(firstOffset));
+    return this.fault === 'answer-lost' ? Err(unreachable) : Ok(firstOffset);
   }
 
   async read(
