--- a/src/submissions/plainKeys.ts
+++ b/src/submissions/plainKeys.ts
@@ -48,7 +48,7 @@
     const { clock, claims } = this.options;
     const arrivedAtMs = clock.nowMs();
     const boundMs = body.kind === 'valid' ? body.submission.deadlineMs : refusalBoundMs;
-    const problem = this.findFault(body);
+    const problem = this.findFault(callerId, body);
     const verdict = await claims.decide(this.compose(callerId, key, problem), boundMs);
     const leftMs = boundMs - (clock.nowMs() - arrivedAtMs);
     if (leftMs <= 0) {
@@ -82,8 +82,10 @@
     return this.options.claims.isProvenFirst({ kind: 'claim', callerId, key, owner });
   }
 
-  private findFault(body: SubmissionBody): Problem | undefined {
-    return body.kind === 'invalid' ? body.problem : this.options.own.check(body.submission);
+  private findFault(callerId: string, body: SubmissionBody): Problem | undefined {
+    return body.kind === 'invalid'
+      ? body.problem
+      : this.options.own.check(callerId, body.submission);
   }
 
   private compose(callerId: string, key: string, problem: Problem | undefined): ClaimRecord {
