--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -4,14 +4,16 @@
 import type { Result } from 'ts-results-es';
 import { Claims } from '../claims/claims.js';
 import { ConfigurationFollower } from '../configuration/configurationFollower.js';
+import { PeerCatchUp } from '../configuration/peerCatchUp.js';
 import { ConfigurationStore } from '../configuration/configurationStore.js';
-import type { ConfigurationRecord } from '../configuration/types.js';
+import type { ConfigurationCheckpoint } from '../configuration/types.js';
 import type { Problem } from '../errors/problem.js';
 import type { Caller } from '../inventory/types.js';
+import { followConfiguration } from '../jobs/configurationEffects.js';
 import { JobRunner } from '../jobs/jobRunner.js';
 import type { Submission } from '../jobs/types.js';
+import { DispatchAssignment } from '../membership/dispatchAssignment.js';
 import { PeerSet } from '../membership/peerSet.js';
-import { chooseOwner } from '../membership/rendezvous.js';
 import type { DaemonState, Heartbeat } from '../membership/types.js';
 import { followLimits } from '../limits/followLimits.js';
 import { Scheduler } from '../placement/scheduler.js';
@@ -66,6 +68,8 @@
   private readonly peers: PeerSet;
   private readonly intake: Intake;
   private readonly follower: ConfigurationFollower;
+  private readonly catchUp: PeerCatchUp;
+  private readonly assignment: DispatchAssignment;
   private state: DaemonState = 'active';
 
   private constructor(
@@ -89,6 +93,7 @@
     followLimits(this.configuration, this.queue);
     this.peers = PeerSet.create({
       vmId: identity.vmId,
+      failureDomainId: identity.failureDomainId,
       clock,
       logger,
       vmList: ports.vmList,
@@ -97,6 +102,7 @@
     });
     const { configuration, table, inherited, peers } = this;
     const runner = JobRunner.create({ clock, scheduler: this.scheduler });
+    followConfiguration(configuration, runner);
     const admission = Admission.create({
       queue: this.queue,
       processLoad: ports.processLoad,
@@ -115,13 +121,28 @@
     const { own, claims } = this;
     const plainKeys = PlainKeys.create({ clock, claims, own });
     this.intake = Intake.create({ incarnation, configuration, own, inherited, router, plainKeys });
-    this.configuration.onChange(() => this.assignEndpoints());
-    this.peers.onChange(() => this.assignEndpoints());
+    this.assignment = DispatchAssignment.create({
+      failureDomainId: identity.failureDomainId,
+      clock,
+      logger,
+      configuration: this.configuration,
+      peers: this.peers,
+      ownHeartbeat: () => this.composeHeartbeat(),
+      serve: (endpoints) => this.scheduler.serve(endpoints),
+    });
     this.follower = ConfigurationFollower.create({
       logService: ports.logService,
       clock,
       logger,
       store: this.configuration,
+      checkpointRank: () => this.peers.rankOf('checkpoint'),
+    });
+    this.catchUp = PeerCatchUp.create({
+      clock,
+      logger,
+      store: this.configuration,
+      follower: this.follower,
+      peers: this.peers,
     });
   }
 
@@ -165,7 +186,8 @@
     return this.intake.lookup(caller, body);
   }
 
-  heartbeat(_theirs: Heartbeat): Heartbeat {
+  heartbeat(theirs: Heartbeat): Heartbeat {
+    this.peers.receive(theirs);
     return this.composeHeartbeat();
   }
 
@@ -189,20 +211,23 @@
     return { incarnations: this.inherited.incarnations() };
   }
 
-  fetchConfiguration(): ConfigurationRecord | null {
-    return this.configuration.current?.record ?? null;
+  fetchConfiguration(): ConfigurationCheckpoint | null {
+    return this.follower.checkpoint() ?? null;
   }
 
   /** Stops taking new submissions; what runs goes on. */
   drain(): void {
     this.state = 'leaving';
     this.own.stopTaking();
+    this.assignment.refresh();
   }
 
   describe(): DaemonStatus {
     return {
       own: this.composeHeartbeat(),
       peers: this.peers.heard(),
+      unheardVmIds: this.peers.unheardVmIds(),
+      endpoints: this.assignment.describe(),
       rememberedSubmissions: this.table.size,
     };
   }
@@ -210,6 +235,8 @@
   /** Drops everything at once, as a killed process does. */
   async kill(): Promise<void> {
     await Promise.all([this.ports.endpoints.close(), this.ports.logService.close()]);
+    await this.catchUp.close();
+    await this.assignment.close();
     await Promise.all([this.follower.close(), this.claims.close()]);
     await this.peers.close();
     await this.ports.vmList.close();
@@ -222,6 +249,8 @@
     const { clock, logger } = this.ports;
     const { peers, own, table, inherited } = this;
     await depart({ clock, logger: logger.forPart('departure'), peers, own, table, inherited });
+    await this.catchUp.close();
+    await this.assignment.close();
     await Promise.all([this.follower.close(), this.claims.close()]);
     await this.peers.close();
     await this.scheduler.close();
@@ -244,7 +273,7 @@
       vmId: this.identity.vmId,
       incarnation: this.incarnation,
       failureDomainId: this.identity.failureDomainId,
-      state: this.state,
+      state: this.peers.isLeaving(this.identity.vmId) ? 'leaving' : this.state,
       weight: this.identity.weight,
       freeSlots: this.scheduler.freeSlots,
       waitingTasks: this.scheduler.waitingTasks,
@@ -252,23 +281,4 @@
       inheritanceVersion: this.inherited.version,
     };
   }
-
-  /** Serves the endpoints of this failure domain whose rendezvous owner is this daemon. */
-  private assignEndpoints(): void {
-    const active = this.configuration.current;
-    if (active === undefined) {
-      return;
-    }
-    const members = [this.composeHeartbeat(), ...this.peers.heard()].filter(
-      (member) =>
-        member.state === 'active' && member.failureDomainId === this.identity.failureDomainId,
-    );
-    const mine = [...active.inventory.endpoints.values()].filter(
-      (placed) =>
-        placed.failureDomainId === this.identity.failureDomainId &&
-        placed.endpoint.state === 'active' &&
-        chooseOwner(placed.endpoint.endpointId, members)?.incarnation === this.incarnation,
-    );
-    this.scheduler.serve(mine);
-  }
 }
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -2,6 +2,7 @@
  * Brings waiting tasks and free slots together. Each slot is served by one async function.
  */
 import { createProblem } from '../errors/problem.js';
+import type { Problem } from '../errors/problem.js';
 import { unreachable } from '../errors/unreachable.js';
 import type { PlacedEndpoint } from '../inventory/inventoryIndex.js';
 import type { TaskOutcome } from '../jobs/types.js';
@@ -85,10 +86,20 @@
     const notRun = createProblem('cancelled', 'The job ended before this task started.', {
       runState: 'not-run',
     });
+    this.withdrawWaiting(jobId, notRun);
+    this.stopRunning(jobId);
+  }
+
+  /**
+   * Takes the waiting tasks of a job out of the queue; what runs goes on.
+   *
+   * @param jobId - the job
+   * @param problem - why they are not run
+   */
+  withdrawWaiting(jobId: string, problem: Problem): void {
     for (const entry of this.queue.withdraw(jobId)) {
-      entry.outcome.resolve({ kind: 'not-run', problem: notRun });
+      entry.outcome.resolve({ kind: 'not-run', problem });
     }
-    this.stopRunning(jobId);
   }
 
   /**
--- a/src/submissions/admission.spec.ts
+++ b/src/submissions/admission.spec.ts
@@ -5,7 +5,12 @@
 import type { CallerClass } from '../inventory/types.js';
 import { TaskQueue } from '../queue/taskQueue.js';
 import { FakeProcessLoad } from '../testing/fakeProcessLoad.js';
-import { createCaller, createConfiguration, createSubmission } from '../testing/fixtures.js';
+import {
+  createCaller,
+  createConfiguration,
+  createRecord,
+  createSubmission,
+} from '../testing/fixtures.js';
 import { createWaitingTask } from '../testing/queueFixtures.js';
 import { Admission } from './admission.js';
 
@@ -24,7 +29,7 @@
 const createFixture = (spareSlots = 0): AdmissionFixture => {
   const configuration = createConfiguration({ slots: slots / 2 });
   const store = ConfigurationStore.create();
-  store.apply({ version: 1, baseVersion: 0, publishedBy: 'test', configuration });
+  store.apply(createRecord(1, configuration));
   const active = store.current;
   assert.ok(active);
   const queue = TaskQueue.create();
