--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -2,27 +2,53 @@
  * One daemon: wires the decisions to the ports and gives the front ends their services.
  */
 import type { Result } from 'ts-results-es';
+import { Claims } from '../claims/claims.js';
 import { ConfigurationFollower } from '../configuration/configurationFollower.js';
+import { PeerCatchUp } from '../configuration/peerCatchUp.js';
 import { ConfigurationStore } from '../configuration/configurationStore.js';
-import type { ConfigurationRecord } from '../configuration/types.js';
+import type { ConfigurationCheckpoint } from '../configuration/types.js';
 import type { Problem } from '../errors/problem.js';
 import type { Caller } from '../inventory/types.js';
+import { followConfiguration } from '../jobs/configurationEffects.js';
 import { JobRunner } from '../jobs/jobRunner.js';
 import type { Submission } from '../jobs/types.js';
+import { DispatchAssignment } from '../membership/dispatchAssignment.js';
 import { PeerSet } from '../membership/peerSet.js';
-import { chooseOwner } from '../membership/rendezvous.js';
 import type { DaemonState, Heartbeat } from '../membership/types.js';
 import { defaultPlacementRules } from '../placement/types.js';
+import { followLimits } from '../limits/followLimits.js';
 import { Scheduler } from '../placement/scheduler.js';
 import type { CallerService, JobStatus } from '../ports/callers.js';
 import type { DaemonStatus, OperatorService } from '../ports/operators.js';
-import type { ForwardedSubmission, PeerService, SubmitOutcome } from '../ports/peers.js';
+import type {
+  ForwardedStatus,
+  ForwardedSubmission,
+  HandOverBatch,
+  HandOverReply,
+  Inheritance,
+  PeerService,
+  StatusReply,
+  SubmissionRef,
+  SubmitOutcome,
+} from '../ports/peers.js';
 import type { Ports } from '../ports/ports.js';
+import { depart } from '../submissions/departure.js';
+import { HeirDirectory } from '../submissions/heirDirectory.js';
+import { InheritedTables } from '../submissions/inheritedTables.js';
+import { TaskQueue } from '../queue/taskQueue.js';
+import { Admission } from '../submissions/admission.js';
 import { Intake } from '../submissions/intake.js';
+import { OwnerRouter } from '../submissions/ownerRouter.js';
+import { OwnSubmissions } from '../submissions/ownSubmissions.js';
+import { PlainKeys } from '../submissions/plainKeys.js';
 import { formatOwner } from '../submissions/submissionKey.js';
-import type { Owner } from '../submissions/submissionKey.js';
 import { SubmissionTable } from '../submissions/submissionTable.js';
 
+const maxTableBytes = 64 * 1_048_576;
+const maxInheritedBytes = 64 * 1_048_576;
+/** Window until the first configuration is in force. */
+const defaultResubmissionWindowMs = 600_000;
+
 /** Who a daemon is; from its settings. */
 export interface DaemonIdentity {
   readonly vmId: string;
@@ -32,13 +58,19 @@
 }
 
 export class Daemon implements CallerService, OperatorService, PeerService {
-  private readonly owned: Owner;
+  readonly incarnation: string;
   private readonly configuration = ConfigurationStore.create();
-  private readonly table = SubmissionTable.create();
+  private readonly table: SubmissionTable;
+  private readonly inherited: InheritedTables;
+  private readonly own: OwnSubmissions;
+  private readonly claims: Claims;
+  private readonly queue = TaskQueue.create();
   private readonly scheduler: Scheduler;
   private readonly peers: PeerSet;
   private readonly intake: Intake;
   private readonly follower: ConfigurationFollower;
+  private readonly catchUp: PeerCatchUp;
+  private readonly assignment: DispatchAssignment;
   private state: DaemonState = 'active';
 
   private constructor(
@@ -46,36 +78,74 @@
     private readonly ports: Ports,
   ) {
     const { clock, logger, random } = ports;
-    this.owned = { incarnation: random.id(), epoch: 1 };
-    const { incarnation } = this.owned;
+    const incarnation = random.id();
+    this.incarnation = incarnation;
+    const windowMs = () =>
+      this.configuration.current?.rules.resubmissionWindowMs ?? defaultResubmissionWindowMs;
+    this.table = SubmissionTable.create({ incarnation, clock, maxBytes: maxTableBytes, windowMs });
+    this.inherited = InheritedTables.create({ clock, maxBytes: maxInheritedBytes, windowMs });
     this.scheduler = Scheduler.create({
-      ...{ incarnation, clock, random, logger, endpoints: ports.endpoints },
+      incarnation,
+      clock,
+      random,
+      logger,
+      endpoints: ports.endpoints,
+      queue: this.queue,
       rules: () => this.configuration.current?.rules ?? defaultPlacementRules,
     });
+    followLimits(this.configuration, this.queue);
     this.peers = PeerSet.create({
       vmId: identity.vmId,
+      failureDomainId: identity.failureDomainId,
       clock,
       logger,
       vmList: ports.vmList,
       connector: ports.peers,
       ownHeartbeat: () => this.composeHeartbeat(),
     });
-    this.intake = Intake.create({
-      owner: this.owned,
+    const { configuration, table, inherited, peers } = this;
+    const runner = JobRunner.create({ clock, scheduler: this.scheduler });
+    followConfiguration(configuration, runner);
+    const admission = Admission.create({
+      queue: this.queue,
+      processLoad: ports.processLoad,
+      spareSlots: () => this.countSpareSlots(),
+    });
+    this.own = OwnSubmissions.create({ clock, random, configuration, runner, table, admission });
+    const heirs = HeirDirectory.create(peers, clock);
+    const router = OwnerRouter.create({ clock, peers, heirs });
+    this.claims = Claims.create({
+      logService: ports.logService,
       clock,
-      random,
+      logger,
+      windowMs,
+      countDaemons: () => peers.heard().length + 1,
+    });
+    const { own, claims } = this;
+    const plainKeys = PlainKeys.create({ clock, claims, own });
+    this.intake = Intake.create({ incarnation, configuration, own, inherited, router, plainKeys });
+    this.assignment = DispatchAssignment.create({
+      failureDomainId: identity.failureDomainId,
+      clock,
+      logger,
       configuration: this.configuration,
-      runner: JobRunner.create({ clock, scheduler: this.scheduler }),
-      table: this.table,
       peers: this.peers,
+      ownHeartbeat: () => this.composeHeartbeat(),
+      serve: (endpoints) => this.scheduler.serve(endpoints),
     });
-    this.configuration.onChange(() => this.assignEndpoints());
-    this.peers.onChange(() => this.assignEndpoints());
     this.follower = ConfigurationFollower.create({
       logService: ports.logService,
       clock,
       logger,
       store: this.configuration,
+      checkpointRank: () => this.peers.rankOf('checkpoint'),
+    });
+    this.catchUp = PeerCatchUp.create({
+      clock,
+      logger,
+      store: this.configuration,
+      follower: this.follower,
+      peers: this.peers,
     });
   }
 
@@ -87,16 +157,12 @@
     return this.configuration.version;
   }
 
-  get incarnation(): string {
-    return this.owned.incarnation;
-  }
-
   authenticate(tokenSha256: string): Caller | undefined {
     return this.configuration.current?.inventory.callerByToken(tokenSha256);
   }
 
   owner(): string {
-    return formatOwner(this.owned);
+    return formatOwner(this.table.owner);
   }
 
   isReady(): boolean {
@@ -123,7 +189,8 @@
     return this.intake.lookup(caller, body);
   }
 
-  heartbeat(_theirs: Heartbeat): Heartbeat {
+  heartbeat(theirs: Heartbeat): Heartbeat {
+    this.peers.receive(theirs);
     return this.composeHeartbeat();
   }
 
@@ -131,20 +198,39 @@
     return this.intake.submitForwarded(request);
   }
 
-  fetchConfiguration(): ConfigurationRecord | null {
-    return this.configuration.current?.record ?? null;
+  statusForwarded(request: ForwardedStatus): Promise<StatusReply> {
+    return this.intake.statusForwarded(request);
+  }
+
+  cancelForwarded(request: SubmissionRef): Promise<StatusReply> {
+    return this.intake.cancelForwarded(request);
+  }
+
+  handOver(batch: HandOverBatch): HandOverReply {
+    return this.inherited.accept(batch);
+  }
+
+  fetchInheritance(): Inheritance {
+    return { incarnations: this.inherited.incarnations() };
+  }
+
+  fetchConfiguration(): ConfigurationCheckpoint | null {
+    return this.follower.checkpoint() ?? null;
   }
 
   /** Stops taking new submissions; what runs goes on. */
   drain(): void {
     this.state = 'leaving';
-    this.intake.freeze();
+    this.own.stopTaking();
+    this.assignment.refresh();
   }
 
   describe(): DaemonStatus {
     return {
       own: this.composeHeartbeat(),
       peers: this.peers.heard(),
+      unheardVmIds: this.peers.unheardVmIds(),
+      endpoints: this.assignment.describe(),
       rememberedSubmissions: this.table.size,
     };
   }
@@ -152,50 +238,50 @@
   /** Drops everything at once, as a killed process does. */
   async kill(): Promise<void> {
     await Promise.all([this.ports.endpoints.close(), this.ports.logService.close()]);
-    await this.follower.close();
+    await this.catchUp.close();
+    await this.assignment.close();
+    await Promise.all([this.follower.close(), this.claims.close()]);
     await this.peers.close();
     await this.ports.vmList.close();
+    this.ports.processLoad.close();
   }
 
+  /** Stops as planned: what runs ends, and a peer takes the memory of submissions over. */
   async close(): Promise<void> {
     this.drain();
-    await this.follower.close();
+    const { clock, logger } = this.ports;
+    const { peers, own, table, inherited } = this;
+    await depart({ clock, logger: logger.forPart('departure'), peers, own, table, inherited });
+    await this.catchUp.close();
+    await this.assignment.close();
+    await Promise.all([this.follower.close(), this.claims.close()]);
     await this.peers.close();
     await this.scheduler.close();
     await this.ports.endpoints.close();
     await this.ports.logService.close();
     await this.ports.vmList.close();
+    this.ports.processLoad.close();
+  }
+
+  /** Free slots that the daemons of this failure domain have told. */
+  private countSpareSlots(): number {
+    return this.peers
+      .heard()
+      .filter(({ failureDomainId }) => failureDomainId === this.identity.failureDomainId)
+      .reduce((sum, { freeSlots }) => sum + freeSlots, 0);
   }
 
   private composeHeartbeat(): Heartbeat {
     return {
       vmId: this.identity.vmId,
-      incarnation: this.owned.incarnation,
+      incarnation: this.incarnation,
       failureDomainId: this.identity.failureDomainId,
-      state: this.state,
+      state: this.peers.isLeaving(this.identity.vmId) ? 'leaving' : this.state,
       weight: this.identity.weight,
       freeSlots: this.scheduler.freeSlots,
       waitingTasks: this.scheduler.waitingTasks,
       configurationVersion: this.configuration.version,
+      inheritanceVersion: this.inherited.version,
     };
   }
-
-  /** Serves the endpoints of this failure domain whose rendezvous owner is this daemon. */
-  private assignEndpoints(): void {
-    const active = this.configuration.current;
-    if (active === undefined) {
-      return;
-    }
-    const members = [this.composeHeartbeat(), ...this.peers.heard()].filter(
-      (member) =>
-        member.state === 'active' && member.failureDomainId === this.identity.failureDomainId,
-    );
-    const mine = [...active.inventory.endpoints.values()].filter(
-      (placed) =>
-        placed.failureDomainId === this.identity.failureDomainId &&
-        placed.endpoint.state === 'active' &&
-        chooseOwner(placed.endpoint.endpointId, members)?.incarnation === this.incarnation,
-    );
-    this.scheduler.serve(mine);
-  }
 }
--- a/src/placement/attempts.ts
+++ b/src/placement/attempts.ts
@@ -2,6 +2,7 @@
  * The attempts that run on endpoints now.
  */
 import { createProblem } from '../errors/problem.js';
+import type { Problem } from '../errors/problem.js';
 import type { PlacedEndpoint } from '../inventory/inventoryIndex.js';
 import type { TaskOutcome } from '../jobs/types.js';
 import type { Clock } from '../ports/clock.js';
@@ -146,13 +147,11 @@
   }
 }
 
-/** @returns the outcome of a task that was stopped before any start */
-export const stoppedBeforeStart = (): TaskOutcome => ({
-  kind: 'not-run',
-  problem: createProblem('cancelled', 'The job ended before this task started.', {
-    runState: 'not-run',
-  }),
-});
+/** @returns the problem of a task whose job ended before any start */
+export const withdrawnProblem = (): Problem =>
+  createProblem('cancelled', 'The job ended before this task started.', { runState: 'not-run' });
+
+const stoppedBeforeStart = (): TaskOutcome => ({ kind: 'not-run', problem: withdrawnProblem() });
 
 const stoppedWhileRunning = (): TaskOutcome => ({
   kind: 'outcome-unknown',
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -1,6 +1,7 @@
 /**
  * Brings waiting tasks and free slots together. Each slot is served by one async function.
  */
+import type { Problem } from '../errors/problem.js';
 import { unreachable } from '../errors/unreachable.js';
 import type { PlacedEndpoint } from '../inventory/inventoryIndex.js';
 import type { Operation } from '../inventory/types.js';
@@ -10,7 +11,7 @@
 import type { Logger } from '../ports/logger.js';
 import type { Random } from '../ports/random.js';
 import { createDeferred } from '../utils/deferred.js';
-import { Attempts, stoppedBeforeStart } from './attempts.js';
+import { Attempts, withdrawnProblem } from './attempts.js';
 import type { AttemptEnd } from './attempts.js';
 import { EndpointPool } from './endpointPool.js';
 import { HoldBack } from './holdBack.js';
@@ -29,13 +30,15 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly endpoints: EndpointPort;
+  /** The waiting tasks; an empty queue by default. */
+  readonly queue?: TaskQueue;
   readonly policy?: PlacementPolicy;
   /** Rules in force now. */
   readonly rules: () => PlacementRules;
 }
 
 export class Scheduler {
-  private readonly queue = TaskQueue.create();
+  private readonly queue: TaskQueue;
   private readonly pool: EndpointPool;
   private readonly attempts: Attempts;
   private readonly holdBack: HoldBack;
@@ -47,6 +50,7 @@
   private constructor(private readonly options: SchedulerOptions) {
     const { clock, random } = options;
     const policy = options.policy ?? { kind: 'expected-completion' };
+    this.queue = options.queue ?? TaskQueue.create();
     this.pool = EndpointPool.create({ clock, random, policy, runTimes: RunTimes.create() });
     this.attempts = Attempts.create(options);
     this.holdBack = HoldBack.create(clock, () => this.dispatch(), this.stop.signal);
@@ -84,10 +88,20 @@
    * @param jobId - the job
    */
   withdraw(jobId: string): void {
+    this.withdrawWaiting(jobId, withdrawnProblem());
+    this.attempts.stopJob(jobId);
+  }
+
+  /**
+   * Takes the waiting tasks of a job out of the queue; what runs goes on.
+   *
+   * @param jobId - the job
+   * @param problem - why they are not run
+   */
+  withdrawWaiting(jobId: string, problem: Problem): void {
     for (const entry of this.queue.withdraw(jobId)) {
-      entry.outcome.resolve(stoppedBeforeStart());
+      entry.outcome.resolve({ kind: 'not-run', problem });
     }
-    this.attempts.stopJob(jobId);
   }
 
   /**
@@ -96,6 +110,7 @@
    * @param endpoints - the endpoints
    */
   serve(endpoints: readonly PlacedEndpoint[]): void {
+    this.queue.trialCap.setEndpoints(endpoints);
     const wanted = new Map(endpoints.map((placed) => [placed.endpoint.endpointId, placed]));
     for (const [endpointId, served] of this.served) {
       const placed = wanted.get(endpointId);
--- a/src/placement/servedEndpoint.ts
+++ b/src/placement/servedEndpoint.ts
@@ -1,7 +1,6 @@
 /**
  * One endpoint that this daemon dispatches to: one async function serves each of its slots.
  */
-import { isDeepStrictEqual } from 'node:util';
 import type { PlacedEndpoint } from '../inventory/inventoryIndex.js';
 import type { Clock } from '../ports/clock.js';
 import type { AttemptEnd, Attempts } from './attempts.js';
@@ -38,9 +37,9 @@
     return served;
   }
 
-  /** Tells whether a published endpoint is this one, unchanged. */
+  /** Tells whether a published endpoint is this one; unchanged ones stay the same objects. */
   isFor(placed: PlacedEndpoint): boolean {
-    return placed === this.placed || isDeepStrictEqual(placed, this.placed);
+    return placed === this.placed;
   }
 
   /** Takes no more tasks, and waits for those that run. */
--- a/src/programs/toucandyked/daemonProcess.ts
+++ b/src/programs/toucandyked/daemonProcess.ts
@@ -11,11 +11,13 @@
 import { RoarrLogger } from '../../adapters/system/roarrLogger.js';
 import { StatsdMetrics } from '../../adapters/system/statsdMetrics.js';
 import { SystemClock } from '../../adapters/system/systemClock.js';
+import { SystemProcessLoad } from '../../adapters/system/systemProcessLoad.js';
 import { SystemRandom } from '../../adapters/system/systemRandom.js';
 import { VmListHttpClient } from '../../adapters/vmListHttp/vmListHttpClient.js';
 import { splitAddress } from '../../config/settings.js';
 import type { Settings } from '../../config/settings.js';
 import { Daemon } from '../../daemon/daemon.js';
+import type { Clock } from '../../ports/clock.js';
 import type { Ports } from '../../ports/ports.js';
 
 export class DaemonProcess {
@@ -24,16 +26,19 @@
     readonly callers: CallerHttpServer,
     readonly operators: OperatorHttpServer,
     readonly peers: PeerRpcServer,
+    private readonly clock: Clock,
+    private readonly drainGraceMs: number,
   ) {}
 
   /**
    * Starts a daemon with all its interfaces.
    *
    * @param settings - the checked settings
+   * @param overrides - ports that take the place of those to the real outside
    * @returns the running daemon
    */
-  static async create(settings: Settings): Promise<DaemonProcess> {
-    const ports = createPorts(settings);
+  static async create(settings: Settings, overrides: Partial<Ports> = {}): Promise<DaemonProcess> {
+    const ports = { ...createPorts(settings), ...overrides };
     const daemon = Daemon.create(settings, ports);
     const { logger } = ports;
     const { listen, tokens } = settings;
@@ -54,12 +59,14 @@
       service: daemon,
       logger,
     });
-    return new DaemonProcess(daemon, callers, operators, peers);
+    return new DaemonProcess(daemon, callers, operators, peers, ports.clock, settings.drainGraceMs);
   }
 
   /** Stops as planned: takes nothing new, ends what runs, answers it, then closes. */
   async close(): Promise<void> {
     this.daemon.drain();
+    this.callers.drain();
+    await this.clock.sleep(this.drainGraceMs);
     await this.callers.close();
     await this.daemon.close();
     await this.peers.close();
@@ -87,5 +94,6 @@
     logService: LogHttpClient.create(settings.platform.logService),
     vmList: VmListHttpClient.create(settings.platform.vmList),
     peers: PeerRpcConnector.create(settings.tokens.peers),
+    processLoad: SystemProcessLoad.create(),
   };
 };
