Keep the starts and slots of a team within a limit in the queue

Cause: rules name quotas that nothing enforced.

Change: a token bucket and a count of slots for each team; a team that may start nothing is parked out of the order, so it costs nobody a look, and one async function waits for the next opening.

--- a/bench/queueDecisions.ts
+++ b/bench/queueDecisions.ts
@@ -2,6 +2,7 @@
  * Prints what one push and one take cost against the number of waiting tasks.
  */
 import { performance } from 'node:perf_hooks';
+import { SystemClock } from '../src/adapters/system/systemClock.js';
 import { TaskQueue } from '../src/placement/taskQueue.js';
 import type { WaitingTask } from '../src/placement/taskQueue.js';
 import { createQueueOperation, createWaitingTask } from '../src/testing/queueFixtures.js';
@@ -49,7 +50,7 @@
 
 /** Takes one task and pushes it again, over and over; the number that waits stays as it is. */
 const measurePairUs = (waiting: number, scenario: Scenario): number => {
-  const queue = TaskQueue.create();
+  const queue = TaskQueue.create(SystemClock.create());
   createTasks(waiting).forEach((entry) => queue.push(entry));
   const last = operations[operationCount - 1];
   const canRun = (operation: (typeof operations)[number]) =>
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -60,7 +60,7 @@
   private readonly table: SubmissionTable;
   private readonly inherited: InheritedTables;
   private readonly own: OwnSubmissions;
-  private readonly queue = TaskQueue.create();
+  private readonly queue: TaskQueue;
   private readonly scheduler: Scheduler;
   private readonly peers: PeerSet;
   private readonly intake: Intake;
@@ -80,6 +80,7 @@
       this.configuration.current?.rules.resubmissionWindowMs ?? defaultResubmissionWindowMs;
     this.table = SubmissionTable.create({ incarnation, clock, maxBytes: maxTableBytes, windowMs });
     this.inherited = InheritedTables.create({ clock, maxBytes: maxInheritedBytes, windowMs });
+    this.queue = TaskQueue.create(clock);
     this.scheduler = Scheduler.create({
       incarnation,
       clock,
@@ -242,6 +243,7 @@
     await this.follower.close();
     await this.peers.close();
     await this.scheduler.close();
+    await this.queue.close();
     await this.ports.endpoints.close();
     await this.ports.logService.close();
     await this.ports.vmList.close();
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -49,7 +49,8 @@
   private readonly draining = new Set<Promise<unknown>>();
 
   private constructor(private readonly options: SchedulerOptions) {
-    this.queue = options.queue ?? TaskQueue.create();
+    this.queue = options.queue ?? TaskQueue.create(options.clock);
+    this.queue.onOpening(() => this.dispatch());
   }
 
   static create(options: SchedulerOptions): Scheduler {
--- a/src/queue/classQueue.ts
+++ b/src/queue/classQueue.ts
@@ -19,6 +19,8 @@
   readonly waiting = OperationCounts.create();
   private readonly teams = new Map<string, TeamQueue>();
   private readonly order = OperationIndex.create<TeamQueue>();
+  /** Teams whose quota lets nothing start now; they stand in no order. */
+  private readonly parked = new Set<string>();
   /** Charge of the team that was served last: where a team that comes anew starts. */
   private floorMs = 0;
   private teamsWaiting = 0;
@@ -49,7 +51,9 @@
       team.chargedMs = Math.max(team.chargedMs, this.floorMs);
     }
     team.push(queued);
-    this.order.add(team, operation, team.chargedMs);
+    if (!this.parked.has(teamId)) {
+      this.order.add(team, operation, team.chargedMs);
+    }
     this.waiting.add(operation, 1);
   }
 
@@ -74,6 +78,29 @@
     return queued;
   }
 
+  /** Leaves a team out until it is opened again. */
+  park(teamId: string): void {
+    const team = this.teams.get(teamId);
+    this.parked.add(teamId);
+    if (team !== undefined) {
+      this.order.deleteAll(team);
+    }
+  }
+
+  /** Lets a team take its turn again. */
+  open(teamId: string): void {
+    if (!this.parked.delete(teamId)) {
+      return;
+    }
+    const team = this.teams.get(teamId);
+    if (team === undefined) {
+      return;
+    }
+    for (const operation of team.waiting.operations) {
+      this.order.add(team, operation, team.chargedMs);
+    }
+  }
+
   /**
    * Corrects the charge of a team once the true slot-time of a task is known.
    *
--- a/src/queue/operationCounts.ts
+++ b/src/queue/operationCounts.ts
@@ -20,6 +20,11 @@
     return this.sum;
   }
 
+  /** The operations that any task has. */
+  get operations(): IterableIterator<Operation> {
+    return this.counts.keys();
+  }
+
   has(operation: Operation): boolean {
     return this.counts.has(operation);
   }
--- a/src/queue/taskQueue.spec.ts
+++ b/src/queue/taskQueue.spec.ts
@@ -2,6 +2,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { CallerClass, Operation } from '../inventory/types.js';
+import { FakeClock } from '../testing/fakeClock.js';
 import { createQueueOperation, createWaitingTask } from '../testing/queueFixtures.js';
 import { TaskQueue } from './taskQueue.js';
 import type { WaitingTask } from './types.js';
@@ -26,7 +27,7 @@
   Array.from({ length: count }, () => queue.take(() => true)?.task.jobId ?? 'none');
 
 test('serves a short job before the rest of a 230-task job', () => {
-  const queue = TaskQueue.create();
+  const queue = TaskQueue.create(FakeClock.create());
   pushJob(queue, 'long', 230);
   assert.equal(takeJobs(queue, 3), ['long', 'long', 'long']);
   pushJob(queue, 'short', 2);
@@ -34,7 +35,7 @@
 });
 
 test('ages: newer short jobs overtake a job only for as long as its own work', () => {
-  const queue = TaskQueue.create();
+  const queue = TaskQueue.create(FakeClock.create());
   pushJob(queue, 'long', 10);
   let overtaken = 0;
   for (let i = 0; i < 100 && queue.size > 0; i += 1) {
@@ -48,7 +49,7 @@
 });
 
 test('starts the longest expected task of a job first', () => {
-  const queue = TaskQueue.create();
+  const queue = TaskQueue.create(FakeClock.create());
   for (const [index, operation] of [fit, lookup, grade, fit].entries()) {
     queue.push(createWaitingTask({ jobId: 'job', operation, index }));
   }
@@ -57,7 +58,7 @@
 });
 
 test('charges the true slot-time, so that wrong run times do not skew the shares', () => {
-  const queue = TaskQueue.create();
+  const queue = TaskQueue.create(FakeClock.create());
   const slow = createQueueOperation('slow', 100);
   pushJob(queue, 'a', 200, { teamId: 'a', operation: slow });
   pushJob(queue, 'b', 200, { teamId: 'b' });
@@ -77,7 +78,7 @@
 });
 
 test('asks once for each operation and withdraws only the tasks of the job', () => {
-  const queue = TaskQueue.create();
+  const queue = TaskQueue.create(FakeClock.create());
   for (const operation of operations) {
     pushJob(queue, `job-${operation.operationId}`, 50, { operation });
     pushJob(queue, `trial-${operation.operationId}`, 50, { operation, callerClass: 'trial' });
@@ -93,7 +94,7 @@
 });
 
 test('moves waiting work of a caller whose class or team has changed', () => {
-  const queue = TaskQueue.create();
+  const queue = TaskQueue.create(FakeClock.create());
   pushJob(queue, 'moved', 3, { teamId: 'a' });
   pushJob(queue, 'kept', 3, { teamId: 'b' });
   queue.setStandings((callerId) =>
@@ -125,7 +126,7 @@
 
 test('loses and doubles nothing, idles no slot, puts no trial task before a paying one', () => {
   const property = fc.property(fc.array(stepArbitrary, { maxLength: 120 }), (steps) => {
-    const queue = TaskQueue.create();
+    const queue = TaskQueue.create(FakeClock.create());
     const waiting = new Set<WaitingTask>();
     const running: WaitingTask[] = [];
     const leave = (entry: WaitingTask) => assert.ok(waiting.delete(entry), 'left twice');
@@ -186,7 +187,7 @@
     { minLength: 1, maxLength: 5 },
   );
   const property = fc.property(fc.array(teamArbitrary, { minLength: 2, maxLength: 6 }), (teams) => {
-    const queue = TaskQueue.create();
+    const queue = TaskQueue.create(FakeClock.create());
     const servedMs = teams.map(() => 0);
     teams.forEach((jobs, team) =>
       jobs.forEach(({ count, operation }, job) =>
--- a/src/queue/taskQueue.ts
+++ b/src/queue/taskQueue.ts
@@ -4,8 +4,12 @@
  */
 import { unreachable } from '../errors/unreachable.js';
 import type { CallerClass, Operation } from '../inventory/types.js';
+import { QuotaGate } from '../limits/quotaGate.js';
+import type { QuotaLimit } from '../limits/quotaGate.js';
 import { TrialCap } from '../limits/trialCap.js';
+import type { Clock } from '../ports/clock.js';
 import { ClassQueue } from './classQueue.js';
+import { Openings } from './openings.js';
 import { RunTimeEstimates } from './runTimeEstimates.js';
 import type { IsRunnable, QueuedTask, Standing, WaitingTask } from './types.js';
 
@@ -30,12 +34,17 @@
   private readonly running = new Map<WaitingTask, QueuedTask>();
   private standingOf: StandingOf = () => undefined;
 
-  private constructor() {
-    // Built by create.
+  private readonly quotas: QuotaGate;
+  private readonly openings: Openings;
+  private readonly openingListeners: (() => void)[] = [];
+
+  private constructor(clock: Clock) {
+    this.quotas = QuotaGate.create(clock);
+    this.openings = Openings.create(clock, () => this.openDue());
   }
 
-  static create(): TaskQueue {
-    return new TaskQueue();
+  static create(clock: Clock): TaskQueue {
+    return new TaskQueue(clock);
   }
 
   get size(): number {
@@ -70,6 +79,37 @@
     }
   }
 
+  /**
+   * Sets what a team with a quota may use, also for its waiting work.
+   *
+   * @param teamId - the team
+   * @param limit - its limit on this daemon, or nothing without quota
+   */
+  setQuota(teamId: string, limit: QuotaLimit | undefined): void {
+    const running = [...this.running.values()].filter((queued) => queued.teamId === teamId);
+    this.quotas.setLimit(teamId, limit, running.length);
+    this.regate(teamId);
+    this.openDue();
+  }
+
+  /** What the teams with quotas use and may use. */
+  get quotaGate(): QuotaGate {
+    return this.quotas;
+  }
+
+  /**
+   * Calls a listener when a team that its quota kept back may start tasks again.
+   *
+   * @param listener - the listener
+   */
+  onOpening(listener: () => void): void {
+    this.openingListeners.push(listener);
+  }
+
+  close(): Promise<void> {
+    return this.openings.close();
+  }
+
   /**
    * Takes the next task whose operation can run now.
    *
@@ -107,6 +147,8 @@
     if (callerClass === 'trial') {
       this.trialCap.ended(operation);
     }
+    this.quotas.ended(teamId);
+    this.regate(teamId);
   }
 
   /**
@@ -146,6 +188,26 @@
     if (callerClass === 'trial') {
       this.trialCap.started(operation);
     }
+    this.quotas.started(teamId);
+    this.regate(teamId);
+  }
+
+  private openDue(): void {
+    this.openings.takeDue().forEach((teamId) => this.regate(teamId));
+    this.openingListeners.forEach((listener) => listener());
+  }
+
+  /** Parks a team that may start nothing now, or opens it. */
+  private regate(teamId: string): void {
+    const openAtMs = this.quotas.openAtMs(teamId);
+    const isOpen = this.openings.set(teamId, openAtMs);
+    for (const callerClass of classOrder) {
+      if (isOpen) {
+        this.classes[callerClass].open(teamId);
+      } else {
+        this.classes[callerClass].park(teamId);
+      }
+    }
   }
 }
 
--- a/src/submissions/admission.spec.ts
+++ b/src/submissions/admission.spec.ts
@@ -4,6 +4,7 @@
 import type { ActiveConfiguration } from '../configuration/configurationStore.js';
 import type { CallerClass } from '../inventory/types.js';
 import { TaskQueue } from '../queue/taskQueue.js';
+import { FakeClock } from '../testing/fakeClock.js';
 import { FakeProcessLoad } from '../testing/fakeProcessLoad.js';
 import {
   createCaller,
@@ -32,7 +33,7 @@
   store.apply(createRecord(1, configuration));
   const active = store.current;
   assert.ok(active);
-  const queue = TaskQueue.create();
+  const queue = TaskQueue.create(FakeClock.create());
   queue.trialCap.setEndpoints([...active.inventory.endpoints.values()]);
   queue.trialCap.setShare(active.rules.trialSlotShare);
   const load = FakeProcessLoad.create();
