--- a/src/limits/quotaGate.ts
+++ b/src/limits/quotaGate.ts
@@ -9,9 +9,19 @@
   readonly slots: number;
 }
 
+/** A limit that holds up to a time, and the one that holds from then on. */
+export interface TimedLimit {
+  readonly limit: QuotaLimit;
+  readonly untilMs: number;
+  readonly afterwards: QuotaLimit;
+}
+
 /** What one team uses on this daemon. */
 interface TeamUse {
   limit: QuotaLimit;
+  /** Monotonic time at which `afterwards` takes the place of the limit. */
+  untilMs: number;
+  afterwards: QuotaLimit;
   running: number;
   /** Starts that are allowed at `filledAtMs`. */
   tokens: number;
@@ -50,23 +60,23 @@
    * Sets what a team may use from now on.
    *
    * @param teamId - the team
-   * @param limit - its limit on this daemon; nothing for a team without quota
+   * @param timed - its limit on this daemon; nothing for a team without quota
    * @param running - tasks that hold a slot, for a team that had no quota before
    */
-  setLimit(teamId: string, limit: QuotaLimit | undefined, running: number): void {
-    if (limit === undefined) {
+  setLimit(teamId: string, timed: TimedLimit | undefined, running: number): void {
+    if (timed === undefined) {
       this.teams.delete(teamId);
       return;
     }
     const use = this.teams.get(teamId);
     if (use === undefined) {
       const filledAtMs = this.clock.nowMs();
-      this.teams.set(teamId, { limit, running, tokens: capacityOf(limit), filledAtMs });
+      this.teams.set(teamId, { ...timed, running, tokens: capacityOf(timed.limit), filledAtMs });
       return;
     }
     this.refill(use);
-    use.limit = limit;
-    use.tokens = Math.min(use.tokens, capacityOf(limit));
+    Object.assign(use, timed);
+    use.tokens = Math.min(use.tokens, capacityOf(use.limit));
   }
 
   /**
@@ -81,7 +91,7 @@
       return nowMs;
     }
     this.refill(use);
-    if (use.running >= use.limit.slots) {
+    if (use.running >= use.limit.slots || use.limit.startsPerS === 0) {
       return Infinity;
     }
     const missing = 1 - use.tokens;
@@ -104,13 +114,24 @@
     }
   }
 
+  /** A process that was paused finds the limit over before it starts anything. */
   private refill(use: TeamUse): void {
     const nowMs = this.clock.nowMs();
-    const added = ((nowMs - use.filledAtMs) / msPerS) * use.limit.startsPerS;
-    use.tokens = Math.min(use.tokens + added, capacityOf(use.limit));
-    use.filledAtMs = nowMs;
+    if (nowMs >= use.untilMs) {
+      addTokens(use, use.untilMs);
+      use.limit = use.afterwards;
+      use.untilMs = Infinity;
+    }
+    addTokens(use, nowMs);
   }
 }
 
+const addTokens = (use: TeamUse, nowMs: number): void => {
+  const addedMs = Math.max(nowMs - use.filledAtMs, 0);
+  const tokens = use.tokens + (addedMs / msPerS) * use.limit.startsPerS;
+  use.tokens = Math.min(tokens, capacityOf(use.limit));
+  use.filledAtMs = nowMs;
+};
+
 const capacityOf = ({ startsPerS }: QuotaLimit): number =>
   Math.max(1, (startsPerS * burstMs) / msPerS);
--- a/src/queue/taskQueue.ts
+++ b/src/queue/taskQueue.ts
@@ -5,7 +5,7 @@
 import { unreachable } from '../errors/unreachable.js';
 import type { CallerClass, Operation } from '../inventory/types.js';
 import { QuotaGate } from '../limits/quotaGate.js';
-import type { QuotaLimit } from '../limits/quotaGate.js';
+import type { TimedLimit } from '../limits/quotaGate.js';
 import { TrialCap } from '../limits/trialCap.js';
 import type { Clock } from '../ports/clock.js';
 import { ClassQueue } from './classQueue.js';
@@ -83,13 +83,25 @@
    * Sets what a team with a quota may use, also for its waiting work.
    *
    * @param teamId - the team
-   * @param limit - its limit on this daemon, or nothing without quota
+   * @param timed - its limit on this daemon, or nothing without quota
    */
-  setQuota(teamId: string, limit: QuotaLimit | undefined): void {
-    const running = [...this.running.values()].filter((queued) => queued.teamId === teamId);
-    this.quotas.setLimit(teamId, limit, running.length);
+  setQuota(teamId: string, timed: TimedLimit | undefined): void {
+    const isNew = this.quotas.limitOf(teamId) === undefined;
+    this.quotas.setLimit(teamId, timed, isNew ? this.countRunning(teamId) : 0);
+    const wasParked = this.classes.paying.isParked(teamId);
     this.regate(teamId);
-    this.openDue();
+    const isOpened = wasParked && !this.classes.paying.isParked(teamId);
+    if (isOpened && this.waitingOfTeam(teamId) > 0) {
+      this.notifyOpening();
+    }
+  }
+
+  /** @returns tasks of a team that wait, of both classes */
+  waitingOfTeam(teamId: string): number {
+    return classOrder.reduce(
+      (sum, callerClass) => sum + (this.classes[callerClass].team(teamId)?.waiting.total ?? 0),
+      0,
+    );
   }
 
   /** What the teams with quotas use and may use. */
@@ -192,8 +204,16 @@
     this.regate(teamId);
   }
 
+  private countRunning(teamId: string): number {
+    return [...this.running.values()].filter((queued) => queued.teamId === teamId).length;
+  }
+
   private openDue(): void {
     this.openings.takeDue().forEach((teamId) => this.regate(teamId));
+    this.notifyOpening();
+  }
+
+  private notifyOpening(): void {
     this.openingListeners.forEach((listener) => listener());
   }
 
