Wire quotas: shares, loans in heartbeats, over-quota with the time to wait

Cause: a quota held for one daemon only, so N daemons gave a team N times as much, or a fixed N-th where all its work came to one of them.

Change: each daemon has an equal share (by failure domain from the configuration, then by the daemons that the VM list names or that were heard). A smaller share holds at once; a larger one after the view was whole and unchanged for 4 s. What a daemon does not use it lends for 3 s, counted on both sides from the borrower's numbered notice, so that the borrower stops before the lender goes on. The notice is in a heartbeat only where a quota is short or lent.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -15,6 +15,7 @@
 import { PeerSet } from '../membership/peerSet.js';
 import type { DaemonState, Heartbeat } from '../membership/types.js';
 import { followLimits } from '../limits/followLimits.js';
+import { QuotaKeeper } from '../limits/quotaKeeper.js';
 import { Scheduler } from '../placement/scheduler.js';
 import type { CallerService, JobStatus } from '../ports/callers.js';
 import type { DaemonStatus, OperatorService } from '../ports/operators.js';
@@ -61,6 +62,7 @@
   private readonly inherited: InheritedTables;
   private readonly own: OwnSubmissions;
   private readonly queue: TaskQueue;
+  private readonly quotas: QuotaKeeper;
   private readonly scheduler: Scheduler;
   private readonly peers: PeerSet;
   private readonly intake: Intake;
@@ -88,7 +90,6 @@
       endpoints: ports.endpoints,
       queue: this.queue,
     });
-    followLimits(this.configuration, this.queue);
     this.peers = PeerSet.create({
       vmId: identity.vmId,
       failureDomainId: identity.failureDomainId,
@@ -97,7 +98,17 @@
       vmList: ports.vmList,
       connector: ports.peers,
       ownHeartbeat: () => this.composeHeartbeat(),
+      sentHeartbeat: () => this.composeSentHeartbeat(),
     });
+    this.quotas = QuotaKeeper.create({
+      ...identity,
+      incarnation,
+      clock,
+      queue: this.queue,
+      members: () => this.peers.domainMembers(),
+    });
+    followLimits(this.configuration, this.queue, this.quotas);
+    this.peers.onHeartbeat((heard) => this.quotas.hear(heard.incarnation, heard.quota));
     const { configuration, table, inherited, peers } = this;
     const runner = JobRunner.create({ clock, scheduler: this.scheduler });
     followConfiguration(configuration, runner);
@@ -105,6 +116,7 @@
       queue: this.queue,
       processLoad: ports.processLoad,
       spareSlots: () => this.countSpareSlots(),
+      quotaOf: (teamId) => this.quotas.reachOf(teamId),
     });
     this.own = OwnSubmissions.create({ clock, random, configuration, runner, table, admission });
     const heirs = HeirDirectory.create(peers, clock);
@@ -177,7 +189,7 @@
 
   heartbeat(theirs: Heartbeat): Heartbeat {
     this.peers.receive(theirs);
-    return this.composeHeartbeat();
+    return this.composeSentHeartbeat();
   }
 
   forward(request: ForwardedSubmission): Promise<SubmitOutcome> {
@@ -243,6 +255,7 @@
     await this.follower.close();
     await this.peers.close();
     await this.scheduler.close();
+    await this.quotas.close();
     await this.queue.close();
     await this.ports.endpoints.close();
     await this.ports.logService.close();
@@ -258,6 +271,10 @@
       .reduce((sum, { freeSlots }) => sum + freeSlots, 0);
   }
 
+  private composeSentHeartbeat(): Heartbeat {
+    return { ...this.composeHeartbeat(), quota: this.quotas.composeNotice() };
+  }
+
   private composeHeartbeat(): Heartbeat {
     return {
       vmId: this.identity.vmId,
--- /dev/null
+++ b/src/limits/quotaKeeper.spec.ts
@@ -0,0 +1,74 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { ConfigurationStore } from '../configuration/configurationStore.js';
+import { TaskQueue } from '../queue/taskQueue.js';
+import { FakeClock } from '../testing/fakeClock.js';
+import { createConfiguration } from '../testing/fixtures.js';
+import { QuotaKeeper } from './quotaKeeper.js';
+import { shareOf } from './quotaShares.js';
+import type { DomainMembers } from './types.js';
+
+const teamId = 'counter-team';
+
+test('takes a smaller share at once and a larger one only after a settled view', async () => {
+  const clock = FakeClock.create();
+  const queue = TaskQueue.create(clock);
+  let members: DomainMembers = { vmIds: ['vm1', 'vm2'], isWhole: true };
+  const configuration = createConfiguration();
+  configuration.rules.quotas = [{ teamId, startsPerS: 60, slots: 12 }];
+  const store = ConfigurationStore.create();
+  store.apply({ version: 1, baseVersion: 0, publishedBy: 'test', configuration });
+  assert.ok(store.current);
+  const keeper = QuotaKeeper.create({
+    incarnation: 'one',
+    vmId: 'vm1',
+    failureDomainId: 'muenchen',
+    clock,
+    queue,
+    members: () => members,
+  });
+  const slots = () => queue.quotaGate.limitOf(teamId)?.slots;
+  keeper.apply(store.current);
+  assert.is(slots(), 0, 'a new daemon has no share');
+  await clock.advance(3_500);
+  assert.is(slots(), 0);
+  await clock.advance(1_000);
+  assert.is(slots(), 6);
+  members = { vmIds: ['vm1', 'vm2', 'vm3'], isWhole: true };
+  await clock.advance(500);
+  assert.is(slots(), 4, 'a third daemon is known');
+  members = { vmIds: ['vm1'], isWhole: false };
+  await clock.advance(60_000);
+  assert.is(slots(), 4, 'somebody listed is not heard');
+  members = { vmIds: ['vm1'], isWhole: true };
+  await clock.advance(3_500);
+  assert.is(slots(), 4);
+  await clock.advance(1_500);
+  assert.is(slots(), 12);
+  await keeper.close();
+  await queue.close();
+});
+
+test('splits a quota without rest, and to those who know more daemons it gives less', () => {
+  const quota = { teamId, startsPerS: 10, slots: 7 };
+  const failureDomainIds = ['a', 'b', 'c'];
+  const sum = (vmIds: readonly string[], isKnown: (vmId: string) => boolean) =>
+    failureDomainIds
+      .flatMap((failureDomainId) =>
+        vmIds
+          .filter(isKnown)
+          .map((vmId) => shareOf(quota, { failureDomainIds, failureDomainId, vmIds, vmId })),
+      )
+      .reduce((slots, share) => slots + share.slots, 0);
+  assert.is(
+    sum(['x', 'y'], () => true),
+    7,
+  );
+  assert.is(
+    sum(['v', 'w', 'x', 'y', 'z'], () => true),
+    7,
+  );
+  assert.ok(sum(['w', 'x', 'y'], (vmId) => vmId !== 'w') <= 7);
+});
+
+test.run();
--- a/src/limits/quotaKeeper.ts
+++ b/src/limits/quotaKeeper.ts
@@ -198,13 +198,13 @@
   }
 
   private listDemands(): QuotaDemand[] {
-    const { queue, clock } = this.options;
+    const { queue } = this.options;
     const demands: QuotaDemand[] = [];
     for (const [teamId, { share }] of this.kept) {
       const own = subtractLimits(share, this.lent.lentOf(teamId));
       const borrowedSlots = Math.max(queue.quotaGate.runningOf(teamId) - own.slots, 0);
       const waitingTasks = queue.waitingOfTeam(teamId);
-      const isShort = waitingTasks > 0 && queue.quotaGate.openAtMs(teamId) > clock.nowMs();
+      const isShort = waitingTasks > 0 && queue.isParked(teamId);
       if (isShort || borrowedSlots > 0) {
         demands.push({ teamId, waitingTasks, borrowedSlots });
       }
@@ -214,14 +214,19 @@
     );
   }
 
-  /** What this daemon's own work of a team leaves of its share, before any loan. */
+  /**
+   * What this daemon's own work of a team leaves of its share, before any loan. The last of several
+   * slots is kept, since after a cut a lent slot comes back late.
+   */
   private idleShareOf(teamId: string): QuotaLimit {
     const { queue } = this.options;
     const share = this.kept.get(teamId)?.share ?? noShare;
     if (queue.waitingOfTeam(teamId) > 0) {
       return noShare;
     }
-    return subtractLimits(share, { startsPerS: 0, slots: queue.quotaGate.runningOf(teamId) });
+    const keptSlots = share.slots > 1 ? 1 : 0;
+    const slots = Math.max(queue.quotaGate.runningOf(teamId), keptSlots);
+    return subtractLimits(share, { startsPerS: 0, slots });
   }
 
   private reportOf(borrower: string, teamId: string): BorrowerReport | undefined {
--- a/src/membership/peerSet.ts
+++ b/src/membership/peerSet.ts
@@ -4,6 +4,7 @@
 import { Err } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import type { ConfigurationCheckpoint } from '../configuration/types.js';
+import type { DomainMembers } from '../limits/types.js';
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
 import type { PeerConnector, PeerError, PeerLink } from '../ports/peers.js';
@@ -30,6 +31,8 @@
   readonly connector: PeerConnector;
   /** Composes this daemon's own heartbeat. */
   readonly ownHeartbeat: () => Heartbeat;
+  /** Composes the heartbeat that is sent to a peer. */
+  readonly sentHeartbeat: () => Heartbeat;
 }
 
 export type MembershipListener = () => void;
@@ -68,6 +71,20 @@
     );
   }
 
+  /** @returns the daemons of this failure domain that the VM list names or that are heard */
+  domainMembers(): DomainMembers {
+    const { vmId, failureDomainId } = this.options;
+    const listed = this.vms
+      .filter((vm) => vm.failureDomainId === failureDomainId && vm.peerAddress !== undefined)
+      .map((vm) => vm.vmId);
+    const heard = this.heard()
+      .filter((member) => member.failureDomainId === failureDomainId)
+      .map((member) => member.vmId);
+    const isWhole =
+      listed.includes(vmId) && listed.every((one) => one === vmId || heard.includes(one));
+    return { vmIds: [...new Set([vmId, ...listed, ...heard])].sort(), isWhole };
+  }
+
   /**
    * Tells whether the VM list says that a VM goes.
    *
@@ -257,7 +274,7 @@
       return;
     }
     const timeout = AbortSignal.any([stop.signal, AbortSignal.timeout(heartbeatTimeoutMs)]);
-    const reply = await link.heartbeat(this.options.ownHeartbeat(), timeout);
+    const reply = await link.heartbeat(this.options.sentHeartbeat(), timeout);
     if (reply.isOk()) {
       this.hear(peer, reply.value);
     }
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -2,6 +2,7 @@
  * Schemas of what the daemons tell one another about themselves.
  */
 import { z } from 'zod';
+import { quotaNoticeSchema } from '../limits/types.js';
 
 export const daemonStateSchema = z.enum(['active', 'leaving']);
 export type DaemonState = z.infer<typeof daemonStateSchema>;
@@ -17,5 +18,7 @@
   configurationVersion: z.number().int().nonnegative(),
   /** Grows whenever the set of tables taken over from stopped daemons changes. */
   inheritanceVersion: z.number().int().nonnegative().default(0),
+  /** Sent only where a quota is short or lent. */
+  quota: quotaNoticeSchema.optional(),
 });
 export type Heartbeat = z.infer<typeof heartbeatSchema>;
--- a/src/queue/taskQueue.ts
+++ b/src/queue/taskQueue.ts
@@ -88,14 +88,18 @@
   setQuota(teamId: string, timed: TimedLimit | undefined): void {
     const isNew = this.quotas.limitOf(teamId) === undefined;
     this.quotas.setLimit(teamId, timed, isNew ? this.countRunning(teamId) : 0);
-    const wasParked = this.classes.paying.isParked(teamId);
+    const wasParked = this.isParked(teamId);
     this.regate(teamId);
-    const isOpened = wasParked && !this.classes.paying.isParked(teamId);
-    if (isOpened && this.waitingOfTeam(teamId) > 0) {
+    if (wasParked && !this.isParked(teamId) && this.waitingOfTeam(teamId) > 0) {
       this.notifyOpening();
     }
   }
 
+  /** Tells whether its quota lets a team start nothing now. */
+  isParked(teamId: string): boolean {
+    return this.classes.paying.isParked(teamId);
+  }
+
   /** @returns tasks of a team that wait, of both classes */
   waitingOfTeam(teamId: string): number {
     return classOrder.reduce(
--- a/src/submissions/admission.spec.ts
+++ b/src/submissions/admission.spec.ts
@@ -3,6 +3,7 @@
 import { ConfigurationStore } from '../configuration/configurationStore.js';
 import type { ActiveConfiguration } from '../configuration/configurationStore.js';
 import type { CallerClass } from '../inventory/types.js';
+import type { QuotaLimit } from '../limits/quotaGate.js';
 import { TaskQueue } from '../queue/taskQueue.js';
 import { FakeClock } from '../testing/fakeClock.js';
 import { FakeProcessLoad } from '../testing/fakeProcessLoad.js';
@@ -27,7 +28,7 @@
   readonly admission: Admission;
 }
 
-const createFixture = (spareSlots = 0): AdmissionFixture => {
+const createFixture = (spareSlots = 0, quota?: QuotaLimit): AdmissionFixture => {
   const configuration = createConfiguration({ slots: slots / 2 });
   const store = ConfigurationStore.create();
   store.apply(createRecord(1, configuration));
@@ -37,7 +38,12 @@
   queue.trialCap.setEndpoints([...active.inventory.endpoints.values()]);
   queue.trialCap.setShare(active.rules.trialSlotShare);
   const load = FakeProcessLoad.create();
-  const admission = Admission.create({ queue, processLoad: load, spareSlots: () => spareSlots });
+  const admission = Admission.create({
+    queue,
+    processLoad: load,
+    spareSlots: () => spareSlots,
+    quotaOf: () => quota,
+  });
   return { active, queue, load, admission };
 };
 
@@ -175,6 +181,23 @@
   assert.is(admission.check(petshop, short, active), undefined);
 });
 
+test('refuses a job that the quota of its team lets not end in time, with the time to wait', () => {
+  const fixture = createFixture(0, { startsPerS: 50, slots: 4 });
+  const fit = fixture.active.inventory.operations.get('fit');
+  assert.ok(fit);
+  fixture.queue.estimates.observe(fit, 100);
+  const small = createSubmission('fit', new Array(40).fill(0), 1_000);
+  assert.is(fixture.admission.check(counter, small, fixture.active), undefined);
+  pushWaiting(fixture, 40, 'counter-team');
+  const problem = fixture.admission.check(counter, small, fixture.active);
+  assert.ok(problem);
+  assert.is(problem.kind, 'over-quota');
+  // 80 tasks of 100 ms on 4 slots are 2,000 ms, 1,000 ms more than the deadline.
+  assert.is(problem.retryAfterMs, 1_000);
+  const other = { ...counter, teamId: 'other-team' };
+  assert.is(fixture.admission.check(other, small, fixture.active), undefined);
+});
+
 test('refuses an input that is larger than its operation takes', () => {
   const { admission, active } = createFixture();
   const submission = createSubmission('fit', [1, 'x'.repeat(65_536)]);
--- a/src/submissions/admission.ts
+++ b/src/submissions/admission.ts
@@ -11,6 +11,8 @@
 import type { ExpectedTimes } from '../limits/expectedWait.js';
 import { HeldInputs, sizeOfInput } from '../limits/heldInputs.js';
 import { checkOverload, judgeLoad } from '../limits/overload.js';
+import type { QuotaLimit } from '../limits/quotaGate.js';
+import { checkQuota } from '../limits/quotaWait.js';
 import type { ProcessLoad } from '../ports/processLoad.js';
 import type { TaskQueue } from '../queue/taskQueue.js';
 
@@ -19,6 +21,8 @@
   readonly processLoad: ProcessLoad;
   /** Free slots of other daemons that may take work over. */
   readonly spareSlots: () => number;
+  /** What a team with a quota may use here at most. */
+  readonly quotaOf: (teamId: string) => QuotaLimit | undefined;
 }
 
 export class Admission {
@@ -76,10 +80,14 @@
     const operations = submission.tasks.flatMap(
       ({ operation }) => inventory.operations.get(operation) ?? [],
     );
-    const standing = { callerClass: caller.class, teamId: caller.teamId };
-    const { queue, spareSlots } = this.options;
-    const times = expectTimes(queue, spareSlots(), { standing, operations });
-    return checkDeadline(times, submission.deadlineMs) ?? checkQueue(times, rules.maxQueueMs);
+    const { deadlineMs } = submission;
+    const demand = { standing: { callerClass: caller.class, teamId: caller.teamId }, operations };
+    const { queue, spareSlots, quotaOf } = this.options;
+    const quota = quotaOf(caller.teamId);
+    const overQuota =
+      quota === undefined ? undefined : checkQuota(queue, quota, demand, deadlineMs);
+    const times = expectTimes(queue, spareSlots(), demand);
+    return overQuota ?? checkDeadline(times, deadlineMs) ?? checkQueue(times, rules.maxQueueMs);
   }
 }
 
