--- a/bench/queueDecisions.ts
+++ b/bench/queueDecisions.ts
@@ -3,8 +3,8 @@
  */
 import { performance } from 'node:perf_hooks';
 import { SystemClock } from '../src/adapters/system/systemClock.js';
-import { TaskQueue } from '../src/placement/taskQueue.js';
-import type { WaitingTask } from '../src/placement/taskQueue.js';
+import { TaskQueue } from '../src/queue/taskQueue.js';
+import type { WaitingTask } from '../src/queue/types.js';
 import { createQueueOperation, createWaitingTask } from '../src/testing/queueFixtures.js';
 import { SeededRandom } from '../src/testing/seededRandom.js';
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -2,6 +2,7 @@
  * One daemon: wires the decisions to the ports and gives the front ends their services.
  */
 import type { Result } from 'ts-results-es';
+import { Claims } from '../claims/claims.js';
 import { ConfigurationFollower } from '../configuration/configurationFollower.js';
 import { PeerCatchUp } from '../configuration/peerCatchUp.js';
 import { ConfigurationStore } from '../configuration/configurationStore.js';
@@ -14,6 +15,7 @@
 import { DispatchAssignment } from '../membership/dispatchAssignment.js';
 import { PeerSet } from '../membership/peerSet.js';
 import type { DaemonState, Heartbeat } from '../membership/types.js';
+import { defaultPlacementRules } from '../placement/types.js';
 import { followLimits } from '../limits/followLimits.js';
 import { QuotaKeeper } from '../limits/quotaKeeper.js';
 import { Scheduler } from '../placement/scheduler.js';
@@ -39,6 +41,7 @@
 import { Intake } from '../submissions/intake.js';
 import { OwnerRouter } from '../submissions/ownerRouter.js';
 import { OwnSubmissions } from '../submissions/ownSubmissions.js';
+import { PlainKeys } from '../submissions/plainKeys.js';
 import { formatOwner } from '../submissions/submissionKey.js';
 import { SubmissionTable } from '../submissions/submissionTable.js';
 
@@ -61,6 +64,7 @@
   private readonly table: SubmissionTable;
   private readonly inherited: InheritedTables;
   private readonly own: OwnSubmissions;
+  private readonly claims: Claims;
   private readonly queue: TaskQueue;
   private readonly quotas: QuotaKeeper;
   private readonly scheduler: Scheduler;
@@ -86,9 +90,11 @@
     this.scheduler = Scheduler.create({
       incarnation,
       clock,
+      random,
       logger,
       endpoints: ports.endpoints,
       queue: this.queue,
+      rules: () => this.configuration.current?.rules ?? defaultPlacementRules,
     });
     this.peers = PeerSet.create({
       vmId: identity.vmId,
@@ -121,7 +127,16 @@
     this.own = OwnSubmissions.create({ clock, random, configuration, runner, table, admission });
     const heirs = HeirDirectory.create(peers, clock);
     const router = OwnerRouter.create({ clock, peers, heirs });
-    this.intake = Intake.create({ incarnation, configuration, own: this.own, inherited, router });
+    this.claims = Claims.create({
+      logService: ports.logService,
+      clock,
+      logger,
+      windowMs,
+      countDaemons: () => peers.heard().length + 1,
+    });
+    const { own, claims } = this;
+    const plainKeys = PlainKeys.create({ clock, claims, own });
+    this.intake = Intake.create({ incarnation, configuration, own, inherited, router, plainKeys });
     this.assignment = DispatchAssignment.create({
       failureDomainId: identity.failureDomainId,
       clock,
@@ -238,7 +253,7 @@
     await Promise.all([this.ports.endpoints.close(), this.ports.logService.close()]);
     await this.catchUp.close();
     await this.assignment.close();
-    await this.follower.close();
+    await Promise.all([this.follower.close(), this.claims.close()]);
     await this.peers.close();
     await this.ports.vmList.close();
     this.ports.processLoad.close();
@@ -252,7 +267,7 @@
     await depart({ clock, logger: logger.forPart('departure'), peers, own, table, inherited });
     await this.catchUp.close();
     await this.assignment.close();
-    await this.follower.close();
+    await Promise.all([this.follower.close(), this.claims.close()]);
     await this.peers.close();
     await this.scheduler.close();
     await this.quotas.close();
--- a/src/limits/quotaKeeper.spec.ts
+++ b/src/limits/quotaKeeper.spec.ts
@@ -3,7 +3,7 @@
 import { ConfigurationStore } from '../configuration/configurationStore.js';
 import { TaskQueue } from '../queue/taskQueue.js';
 import { FakeClock } from '../testing/fakeClock.js';
-import { createConfiguration } from '../testing/fixtures.js';
+import { createConfiguration, createRecord } from '../testing/fixtures.js';
 import { QuotaKeeper } from './quotaKeeper.js';
 import { shareOf } from './quotaShares.js';
 import type { DomainMembers } from './types.js';
@@ -17,7 +17,7 @@
   const configuration = createConfiguration();
   configuration.rules.quotas = [{ teamId, startsPerS: 60, slots: 12 }];
   const store = ConfigurationStore.create();
-  store.apply({ version: 1, baseVersion: 0, publishedBy: 'test', configuration });
+  store.apply(createRecord(1, configuration));
   assert.ok(store.current);
   const keeper = QuotaKeeper.create({
     incarnation: 'one',
--- a/src/limits/quotaWait.ts
+++ b/src/limits/quotaWait.ts
@@ -29,7 +29,7 @@
   const ownMs = expectQuotaMs(queue, quota, demand, 0, 0);
   const { callerClass, teamId } = demand.standing;
   const waiting = queue.waitingOf(callerClass).team(teamId)?.waiting;
-  const waitingMs = waiting?.slotTimeMs((one) => queue.estimates.expectedMs(one)) ?? 0;
+  const waitingMs = waiting?.slotTimeMs((one) => queue.runTimes.typicalMs(one)) ?? 0;
   const endMs = expectQuotaMs(queue, quota, demand, waiting?.total ?? 0, waitingMs);
   if (endMs <= deadlineMs) {
     return undefined;
@@ -51,8 +51,8 @@
     return Infinity;
   }
   const jobMs = operations
-    .filter((operation) => queue.estimates.isObserved(operation))
-    .reduce((sumMs, operation) => sumMs + queue.estimates.expectedMs(operation), 0);
+    .filter((operation) => queue.runTimes.isObserved(operation))
+    .reduce((sumMs, operation) => sumMs + queue.runTimes.typicalMs(operation), 0);
   const startsMs = ((waitingTasks + operations.length - 1) / quota.startsPerS) * msPerS;
   return Math.max(startsMs, (waitingMs + jobMs) / quota.slots);
 };
--- a/src/queue/taskQueue.ts
+++ b/src/queue/taskQueue.ts
@@ -7,10 +7,10 @@
 import { QuotaGate } from '../limits/quotaGate.js';
 import type { TimedLimit } from '../limits/quotaGate.js';
 import { TrialCap } from '../limits/trialCap.js';
+import { RunTimes } from '../placement/runTimes.js';
 import type { Clock } from '../ports/clock.js';
 import { ClassQueue } from './classQueue.js';
 import { Openings } from './openings.js';
-import { RunTimeEstimates } from './runTimeEstimates.js';
 import type { IsRunnable, QueuedTask, Standing, WaitingTask } from './types.js';
 
 const classOrder: readonly CallerClass[] = ['paying', 'trial'];
@@ -25,7 +25,6 @@
 
 export class TaskQueue {
   readonly trialCap = TrialCap.create();
-  readonly estimates = RunTimeEstimates.create();
   private readonly classes: Readonly<Record<CallerClass, ClassQueue>> = {
     paying: ClassQueue.create(),
     trial: ClassQueue.create(),
@@ -38,13 +37,17 @@
   private readonly openings: Openings;
   private readonly openingListeners: (() => void)[] = [];
 
-  private constructor(clock: Clock) {
+  private constructor(
+    clock: Clock,
+    /** Gives the slot-time that a task is expected to take. */
+    readonly runTimes: RunTimes,
+  ) {
     this.quotas = QuotaGate.create(clock);
     this.openings = Openings.create(clock, () => this.openDue());
   }
 
-  static create(clock: Clock): TaskQueue {
-    return new TaskQueue(clock);
+  static create(clock: Clock, runTimes = RunTimes.create()): TaskQueue {
+    return new TaskQueue(clock, runTimes);
   }
 
   get size(): number {
@@ -55,7 +58,7 @@
     const { callerId, jobId, operation } = entry.task;
     const { callerClass, teamId } = this.standingOf(callerId) ?? entry.task;
     this.places.set(jobId, { callerId, callerClass, teamId });
-    const expectedMs = this.estimates.expectedMs(operation);
+    const expectedMs = this.runTimes.typicalMs(operation);
     this.classes[callerClass].push({ entry, expectedMs, callerClass, teamId });
   }
 
@@ -158,7 +161,6 @@
     this.running.delete(entry);
     const { callerClass, teamId } = queued;
     const { operation } = entry.task;
-    this.estimates.observe(operation, slotTimeMs);
     this.classes[callerClass].correct(teamId, slotTimeMs - queued.expectedMs);
     if (callerClass === 'trial') {
       this.trialCap.ended(operation);
--- a/src/submissions/admission.spec.ts
+++ b/src/submissions/admission.spec.ts
@@ -120,7 +120,7 @@
   assert.ok(grade);
   const tight = createSubmission('grade', [1], 200);
   assert.is(fixture.admission.check(counter, tight, fixture.active), undefined);
-  fixture.queue.estimates.observe(grade, 400);
+  fixture.queue.runTimes.observe('endpoint', grade, 400);
   const problem = fixture.admission.check(counter, tight, fixture.active);
   assert.ok(problem);
   assert.is(problem.kind, 'deadline-too-short');
@@ -185,7 +185,7 @@
   const fixture = createFixture(0, { startsPerS: 50, slots: 4 });
   const fit = fixture.active.inventory.operations.get('fit');
   assert.ok(fit);
-  fixture.queue.estimates.observe(fit, 100);
+  fixture.queue.runTimes.observe('endpoint', fit, 100);
   const small = createSubmission('fit', new Array(40).fill(0), 1_000);
   assert.is(fixture.admission.check(counter, small, fixture.active), undefined);
   pushWaiting(fixture, 40, 'counter-team');
