--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -17,6 +17,7 @@
 import type { DaemonState, Heartbeat } from '../membership/types.js';
 import { defaultPlacementRules } from '../placement/types.js';
 import { followLimits } from '../limits/followLimits.js';
+import { QuotaKeeper } from '../limits/quotaKeeper.js';
 import { Scheduler } from '../placement/scheduler.js';
 import type { CallerService, JobStatus } from '../ports/callers.js';
 import type { DaemonStatus, OperatorService } from '../ports/operators.js';
@@ -64,7 +65,8 @@
   private readonly inherited: InheritedTables;
   private readonly own: OwnSubmissions;
   private readonly claims: Claims;
-  private readonly queue = TaskQueue.create();
+  private readonly queue: TaskQueue;
+  private readonly quotas: QuotaKeeper;
   private readonly scheduler: Scheduler;
   private readonly peers: PeerSet;
   private readonly intake: Intake;
@@ -84,6 +86,7 @@
       this.configuration.current?.rules.resubmissionWindowMs ?? defaultResubmissionWindowMs;
     this.table = SubmissionTable.create({ incarnation, clock, maxBytes: maxTableBytes, windowMs });
     this.inherited = InheritedTables.create({ clock, maxBytes: maxInheritedBytes, windowMs });
+    this.queue = TaskQueue.create(clock);
     this.scheduler = Scheduler.create({
       incarnation,
       clock,
@@ -93,7 +96,6 @@
       queue: this.queue,
       rules: () => this.configuration.current?.rules ?? defaultPlacementRules,
     });
-    followLimits(this.configuration, this.queue);
     this.peers = PeerSet.create({
       vmId: identity.vmId,
       failureDomainId: identity.failureDomainId,
@@ -102,7 +104,17 @@
       vmList: ports.vmList,
       connector: ports.peers,
       ownHeartbeat: () => this.composeHeartbeat(),
+      sentHeartbeat: () => this.composeSentHeartbeat(),
     });
+    this.quotas = QuotaKeeper.create({
+      ...identity,
+      incarnation,
+      clock,
+      queue: this.queue,
+      members: () => this.peers.domainMembers(),
+    });
+    followLimits(this.configuration, this.queue, this.quotas);
+    this.peers.onHeartbeat((heard) => this.quotas.hear(heard.incarnation, heard.quota));
     const { configuration, table, inherited, peers } = this;
     const runner = JobRunner.create({ clock, scheduler: this.scheduler });
     followConfiguration(configuration, runner);
@@ -110,6 +122,7 @@
       queue: this.queue,
       processLoad: ports.processLoad,
       spareSlots: () => this.countSpareSlots(),
+      quotaOf: (teamId) => this.quotas.reachOf(teamId),
     });
     this.own = OwnSubmissions.create({ clock, random, configuration, runner, table, admission });
     const heirs = HeirDirectory.create(peers, clock);
@@ -191,7 +204,7 @@
 
   heartbeat(theirs: Heartbeat): Heartbeat {
     this.peers.receive(theirs);
-    return this.composeHeartbeat();
+    return this.composeSentHeartbeat();
   }
 
   forward(request: ForwardedSubmission): Promise<SubmitOutcome> {
@@ -257,6 +270,8 @@
     await Promise.all([this.follower.close(), this.claims.close()]);
     await this.peers.close();
     await this.scheduler.close();
+    await this.quotas.close();
+    await this.queue.close();
     await this.ports.endpoints.close();
     await this.ports.logService.close();
     await this.ports.vmList.close();
@@ -271,6 +286,10 @@
       .reduce((sum, { freeSlots }) => sum + freeSlots, 0);
   }
 
+  private composeSentHeartbeat(): Heartbeat {
+    return { ...this.composeHeartbeat(), quota: this.quotas.composeNotice() };
+  }
+
   private composeHeartbeat(): Heartbeat {
     return {
       vmId: this.identity.vmId,
--- a/src/limits/expectedWait.ts
+++ b/src/limits/expectedWait.ts
@@ -34,8 +34,8 @@
 ): ExpectedTimes => {
   const slots = slotsWith(queue, spareSlots);
   const observedMs = demand.operations
-    .filter((operation) => queue.estimates.isObserved(operation))
-    .map((operation) => queue.estimates.expectedMs(operation));
+    .filter((operation) => queue.runTimes.isObserved(operation))
+    .map((operation) => queue.runTimes.typicalMs(operation));
   const workMs = observedMs.reduce((sumMs, taskMs) => sumMs + taskMs, 0);
   const runMs = Math.max(...observedMs, slots === 0 ? 0 : workMs / slots);
   return { waitMs: slots === 0 ? 0 : expectWaitMs(queue, spareSlots, demand), runMs };
@@ -110,11 +110,11 @@
  * each other team at most as much as its own team gets until then.
  */
 const fairAheadMs = (queue: TaskQueue, { standing, operations }: JobDemand): number => {
-  const { estimates } = queue;
-  const jobMs = operations.reduce((sumMs, one) => sumMs + estimates.expectedMs(one), 0);
+  const { runTimes } = queue;
+  const jobMs = operations.reduce((sumMs, one) => sumMs + runTimes.typicalMs(one), 0);
   const waiting = queue.waitingOf(standing.callerClass);
   const team = waiting.team(standing.teamId);
-  const teamMs = team?.waiting.slotTimeMs((one) => estimates.expectedMs(one)) ?? 0;
+  const teamMs = team?.waiting.slotTimeMs((one) => runTimes.typicalMs(one)) ?? 0;
   const ownMs = Math.min(teamMs, (team?.waitingJobs ?? 0) * jobMs);
   const otherTeams = waiting.waitingTeams - (teamMs > 0 ? 1 : 0);
   const othersMs = waitingMs(queue, standing.callerClass) - teamMs;
@@ -124,4 +124,4 @@
 const waitingMs = (queue: TaskQueue, callerClass: CallerClass, operationId?: string): number =>
   queue
     .waitingOf(callerClass)
-    .waiting.slotTimeMs((operation) => queue.estimates.expectedMs(operation), operationId);
+    .waiting.slotTimeMs((operation) => queue.runTimes.typicalMs(operation), operationId);
--- a/src/placement/runTimes.ts
+++ b/src/placement/runTimes.ts
@@ -71,6 +71,11 @@
     return this.typicalMs(operation) * untriedShare;
   }
 
+  /** Tells whether an operation was observed anywhere; declared figures are often far off. */
+  isObserved(operation: Operation): boolean {
+    return this.byOperation.has(operation.operationId);
+  }
+
   /** @returns the observed or else the typical run time, in milliseconds */
   expectedMs(placeId: string, operation: Operation): number {
     return this.observedMs(placeId, operation) ?? this.typicalMs(operation);
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -17,11 +17,10 @@
 import { HoldBack } from './holdBack.js';
 import type { Assignment, PooledEndpoint } from './pooledEndpoint.js';
 import { RetryBudget } from './retryBudget.js';
-import { RunTimes } from './runTimes.js';
 import { ServedEndpoint } from './servedEndpoint.js';
 import { settle } from './settlement.js';
-import { TaskQueue } from './taskQueue.js';
-import type { WaitingTask } from './taskQueue.js';
+import { TaskQueue } from '../queue/taskQueue.js';
+import type { WaitingTask } from '../queue/types.js';
 import type { PlacementPolicy, PlacementRules, Task } from './types.js';
 
 export interface SchedulerOptions {
@@ -50,8 +49,9 @@
   private constructor(private readonly options: SchedulerOptions) {
     const { clock, random } = options;
     const policy = options.policy ?? { kind: 'expected-completion' };
-    this.queue = options.queue ?? TaskQueue.create();
-    this.pool = EndpointPool.create({ clock, random, policy, runTimes: RunTimes.create() });
+    this.queue = options.queue ?? TaskQueue.create(clock);
+    this.queue.onOpening(() => this.dispatch());
+    this.pool = EndpointPool.create({ clock, random, policy, runTimes: this.queue.runTimes });
     this.attempts = Attempts.create(options);
     this.holdBack = HoldBack.create(clock, () => this.dispatch(), this.stop.signal);
   }
--- a/src/queue/taskQueue.ts
+++ b/src/queue/taskQueue.ts
@@ -4,9 +4,13 @@
  */
 import { unreachable } from '../errors/unreachable.js';
 import type { CallerClass, Operation } from '../inventory/types.js';
+import { QuotaGate } from '../limits/quotaGate.js';
+import type { TimedLimit } from '../limits/quotaGate.js';
 import { TrialCap } from '../limits/trialCap.js';
+import { RunTimes } from '../placement/runTimes.js';
+import type { Clock } from '../ports/clock.js';
 import { ClassQueue } from './classQueue.js';
-import { RunTimeEstimates } from './runTimeEstimates.js';
+import { Openings } from './openings.js';
 import type { IsRunnable, QueuedTask, Standing, WaitingTask } from './types.js';
 
 const classOrder: readonly CallerClass[] = ['paying', 'trial'];
@@ -21,7 +25,6 @@
 
 export class TaskQueue {
   readonly trialCap = TrialCap.create();
-  readonly estimates = RunTimeEstimates.create();
   private readonly classes: Readonly<Record<CallerClass, ClassQueue>> = {
     paying: ClassQueue.create(),
     trial: ClassQueue.create(),
@@ -30,12 +33,21 @@
   private readonly running = new Map<WaitingTask, QueuedTask>();
   private standingOf: StandingOf = () => undefined;
 
-  private constructor() {
-    // Built by create.
+  private readonly quotas: QuotaGate;
+  private readonly openings: Openings;
+  private readonly openingListeners: (() => void)[] = [];
+
+  private constructor(
+    clock: Clock,
+    /** Gives the slot-time that a task is expected to take. */
+    readonly runTimes: RunTimes,
+  ) {
+    this.quotas = QuotaGate.create(clock);
+    this.openings = Openings.create(clock, () => this.openDue());
   }
 
-  static create(): TaskQueue {
-    return new TaskQueue();
+  static create(clock: Clock, runTimes = RunTimes.create()): TaskQueue {
+    return new TaskQueue(clock, runTimes);
   }
 
   get size(): number {
@@ -46,7 +58,7 @@
     const { callerId, jobId, operation } = entry.task;
     const { callerClass, teamId } = this.standingOf(callerId) ?? entry.task;
     this.places.set(jobId, { callerId, callerClass, teamId });
-    const expectedMs = this.estimates.expectedMs(operation);
+    const expectedMs = this.runTimes.typicalMs(operation);
     this.classes[callerClass].push({ entry, expectedMs, callerClass, teamId });
   }
 
@@ -70,6 +82,53 @@
     }
   }
 
+  /**
+   * Sets what a team with a quota may use, also for its waiting work.
+   *
+   * @param teamId - the team
+   * @param timed - its limit on this daemon, or nothing without quota
+   */
+  setQuota(teamId: string, timed: TimedLimit | undefined): void {
+    const isNew = this.quotas.limitOf(teamId) === undefined;
+    this.quotas.setLimit(teamId, timed, isNew ? this.countRunning(teamId) : 0);
+    const wasParked = this.isParked(teamId);
+    this.regate(teamId);
+    if (wasParked && !this.isParked(teamId) && this.waitingOfTeam(teamId) > 0) {
+      this.notifyOpening();
+    }
+  }
+
+  /** Tells whether its quota lets a team start nothing now. */
+  isParked(teamId: string): boolean {
+    return this.classes.paying.isParked(teamId);
+  }
+
+  /** @returns tasks of a team that wait, of both classes */
+  waitingOfTeam(teamId: string): number {
+    return classOrder.reduce(
+      (sum, callerClass) => sum + (this.classes[callerClass].team(teamId)?.waiting.total ?? 0),
+      0,
+    );
+  }
+
+  /** What the teams with quotas use and may use. */
+  get quotaGate(): QuotaGate {
+    return this.quotas;
+  }
+
+  /**
+   * Calls a listener when a team that its quota kept back may start tasks again.
+   *
+   * @param listener - the listener
+   */
+  onOpening(listener: () => void): void {
+    this.openingListeners.push(listener);
+  }
+
+  close(): Promise<void> {
+    return this.openings.close();
+  }
+
   /**
    * Takes the next task whose operation can run now.
    *
@@ -102,11 +161,12 @@
     this.running.delete(entry);
     const { callerClass, teamId } = queued;
     const { operation } = entry.task;
-    this.estimates.observe(operation, slotTimeMs);
     this.classes[callerClass].correct(teamId, slotTimeMs - queued.expectedMs);
     if (callerClass === 'trial') {
       this.trialCap.ended(operation);
     }
+    this.quotas.ended(teamId);
+    this.regate(teamId);
   }
 
   /**
@@ -146,6 +206,34 @@
     if (callerClass === 'trial') {
       this.trialCap.started(operation);
     }
+    this.quotas.started(teamId);
+    this.regate(teamId);
+  }
+
+  private countRunning(teamId: string): number {
+    return [...this.running.values()].filter((queued) => queued.teamId === teamId).length;
+  }
+
+  private openDue(): void {
+    this.openings.takeDue().forEach((teamId) => this.regate(teamId));
+    this.notifyOpening();
+  }
+
+  private notifyOpening(): void {
+    this.openingListeners.forEach((listener) => listener());
+  }
+
+  /** Parks a team that may start nothing now, or opens it. */
+  private regate(teamId: string): void {
+    const openAtMs = this.quotas.openAtMs(teamId);
+    const isOpen = this.openings.set(teamId, openAtMs);
+    for (const callerClass of classOrder) {
+      if (isOpen) {
+        this.classes[callerClass].open(teamId);
+      } else {
+        this.classes[callerClass].park(teamId);
+      }
+    }
   }
 }
 
