--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -9,6 +9,9 @@
 import type { ConfigurationCheckpoint } from '../configuration/types.js';
 import type { Problem } from '../errors/problem.js';
 import type { Caller } from '../inventory/types.js';
+import { JobTraces } from '../explain/jobTraces.js';
+import { TracedEndpoints } from '../explain/tracedEndpoints.js';
+import type { JobTrace } from '../explain/types.js';
 import { followConfiguration } from '../jobs/configurationEffects.js';
 import { JobRunner } from '../jobs/jobRunner.js';
 import type { Submission } from '../jobs/types.js';
@@ -46,6 +49,8 @@
 import { SubmissionTable } from '../submissions/submissionTable.js';
 
 const maxTableBytes = 64 * 1_048_576;
+/** Events of jobs that are kept to explain them. */
+const maxTraceEvents = 200_000;
 const maxInheritedBytes = 64 * 1_048_576;
 /** Window until the first configuration is in force. */
 const defaultResubmissionWindowMs = 600_000;
@@ -65,6 +70,7 @@
   private readonly inherited: InheritedTables;
   private readonly own: OwnSubmissions;
   private readonly claims: Claims;
+  private readonly traces: JobTraces;
   private readonly queue: TaskQueue;
   private readonly quotas: QuotaKeeper;
   private readonly scheduler: Scheduler;
@@ -87,12 +93,14 @@
     this.table = SubmissionTable.create({ incarnation, clock, maxBytes: maxTableBytes, windowMs });
     this.inherited = InheritedTables.create({ clock, maxBytes: maxInheritedBytes, windowMs });
     this.queue = TaskQueue.create(clock);
+    this.traces = JobTraces.create(clock, maxTraceEvents);
+    const { traces } = this;
     this.scheduler = Scheduler.create({
       incarnation,
       clock,
       random,
       logger,
-      endpoints: ports.endpoints,
+      endpoints: TracedEndpoints.create({ endpoints: ports.endpoints, traces, clock }),
       queue: this.queue,
       rules: () => this.configuration.current?.rules ?? defaultPlacementRules,
     });
@@ -124,7 +132,15 @@
       spareSlots: () => this.countSpareSlots(),
       quotaOf: (teamId) => this.quotas.reachOf(teamId),
     });
-    this.own = OwnSubmissions.create({ clock, random, configuration, runner, table, admission });
+    this.own = OwnSubmissions.create({
+      clock,
+      random,
+      configuration,
+      runner,
+      table,
+      admission,
+      traces,
+    });
     const heirs = HeirDirectory.create(peers, clock);
     const router = OwnerRouter.create({ clock, peers, heirs });
     this.claims = Claims.create({
@@ -248,6 +264,10 @@
     };
   }
 
+  jobTraces(name: string): JobTrace[] {
+    return this.traces.find(name);
+  }
+
   /** Drops everything at once, as a killed process does. */
   async kill(): Promise<void> {
     await Promise.all([this.ports.endpoints.close(), this.ports.logService.close()]);
--- a/src/ports/operators.ts
+++ b/src/ports/operators.ts
@@ -1,4 +1,5 @@
 /** Inbound port: what the operators' interface asks of a daemon. */
+import type { JobTrace } from '../explain/types.js';
 import type { AssignedEndpoint } from '../membership/dispatchAssignment.js';
 import type { Heartbeat } from '../membership/types.js';
 
@@ -16,6 +17,12 @@
 export interface OperatorService {
   isReady(): boolean;
   describe(): DaemonStatus;
+  /**
+   * Finds what this daemon remembers of jobs.
+   *
+   * @param name - a submission key or a job id
+   */
+  jobTraces(name: string): readonly JobTrace[];
   /** Starts a planned stop. */
   drain(): void;
 }
--- a/src/submissions/ownSubmissions.ts
+++ b/src/submissions/ownSubmissions.ts
@@ -8,6 +8,7 @@
 import { createProblem } from '../errors/problem.js';
 import type { Problem } from '../errors/problem.js';
 import { unreachable } from '../errors/unreachable.js';
+import type { JobTraces } from '../explain/jobTraces.js';
 import type { JobRunner } from '../jobs/jobRunner.js';
 import type { JobAnswer, Submission } from '../jobs/types.js';
 import type { Caller } from '../inventory/types.js';
@@ -42,6 +43,7 @@
   readonly runner: JobRunner;
   readonly table: SubmissionTable;
   readonly admission: Admission;
+  readonly traces: JobTraces;
 }
 
 export class OwnSubmissions {
@@ -85,6 +87,7 @@
     const found = this.options.table.find(owner.epoch, callerId, key);
     switch (found.kind) {
       case 'known':
+        this.options.traces.resubmitted(request);
         return attach(found.record, digestBody(body));
       case 'never-started':
         return refused(neverStarted());
@@ -165,11 +168,16 @@
 
   private async startOrRefuse(request: ForwardedSubmission): Promise<SubmitOutcome> {
     const { body, callerId } = request;
+    const { traces } = this.options;
     const digest = digestBody(body);
+    if (body.kind !== 'invalid') {
+      traces.received(request, body.submission);
+    }
     const problem = body.kind === 'invalid' ? body.problem : this.check(callerId, body.submission);
     if (problem !== undefined || body.kind === 'invalid') {
       const reason = problem ?? noConfiguration();
       this.remember(request, { state: 'refused', digest, problem: reason });
+      traces.refused(request, reason);
       return refused(reason);
     }
     const caller = this.active().inventory.callerById(callerId);
@@ -178,8 +186,10 @@
     }
     const job = this.startJob(caller, body.submission);
     this.remember(request, { state: 'running', digest, job });
+    traces.started(request, job.jobId);
     const answer = await job.answer;
     this.remember(request, { state: 'answered', digest, answer });
+    traces.answered(request, answer);
     return { kind: 'answered', answer };
   }
 
