--- a/src/submissions/atMostOnce.spec.ts
+++ b/src/submissions/atMostOnce.spec.ts
@@ -68,6 +68,37 @@
   await fixture.close();
 });
 
+test('starts nothing again after the resubmission window', async () => {
+  const configuration = createConfiguration();
+  const rules = { ...configuration.rules, maxDeadlineMs: 20_000, resubmissionWindowMs: 20_000 };
+  const fixture = await DaemonFixture.create([first], { ...configuration, rules });
+  const daemon = fixture.daemon(first);
+  const key = `${daemon.owner()}~a`;
+  const outcome = daemon.submit(counter, key, Ok(fit));
+  await fixture.clock.advance(12_000);
+  assert.equal(await daemon.submit(counter, key, Ok(fit)), await outcome);
+  assert.is(daemon.owner().endsWith('.2'), true);
+  await fixture.clock.advance(60_000);
+  assert.is(runStateOf(await daemon.submit(counter, key, Ok(fit))), 'outcome-unknown');
+  assert.is(fixture.endpoints.startsOf(1), 1);
+  await fixture.close();
+});
+
+test('ends and answers what waits when a stop is planned', async () => {
+  const fixture = await DaemonFixture.create([first, second]);
+  const owner = fixture.daemon(first);
+  const inputs = Array.from({ length: 200 }, (_, i) => i);
+  const key = `${owner.owner()}~a`;
+  const outcome = owner.submit(counter, key, Ok(createSubmission('fit', inputs)));
+  await fixture.clock.settle();
+  const stopped = fixture.stop(first);
+  await fixture.clock.advance(30_000);
+  await stopped;
+  assert.is(runStateOf(await outcome), 'complete');
+  assertTrue(fixture, inputs, [await outcome]);
+  await fixture.close();
+});
+
 test('sends a submission again over a broken link, to the same owner only', async () => {
   const fixture = await DaemonFixture.create([first, second]);
   const key = `${fixture.daemon(first).owner()}~a`;
--- a/src/testing/fakePeerNetwork.ts
+++ b/src/testing/fakePeerNetwork.ts
@@ -11,6 +11,8 @@
 export class FakePeerNetwork {
   /** Heartbeats that were sent. */
   heartbeatCount = 0;
+  /** Submissions that daemons forwarded. */
+  forwardCount = 0;
   private readonly services = new Map<string, PeerService>();
   /** How often each address was removed; a removed daemon reaches nobody. */
   private readonly removals = new Map<string, number>();
@@ -68,7 +70,10 @@
         this.heartbeatCount += 1;
         return call((service) => service.heartbeat(own));
       },
-      forward: (request) => call((service) => service.forward(request)),
+      forward: (request) => {
+        this.forwardCount += 1;
+        return call((service) => service.forward(request));
+      },
       status: (request) => call((service) => service.statusForwarded(request)),
       cancel: (request) => call((service) => service.cancelForwarded(request)),
       handOver: (batch) => call((service) => service.handOver(structuredClone(batch))),
