Show the rollout of a version and the state of the fleet to operators

Cause: publish told a conflict only by a version, nobody saw which daemons ran a version, and the operators' interface had no schema and no client. The VM list has its own follower, so that an unlisted peer that goes is noticed while the list is out. Before: with that notice left out the test of an unlisted peer fails. After: all pass.

--- a/src/adapters/operatorHttp/operatorHttpServer.ts
+++ b/src/adapters/operatorHttp/operatorHttpServer.ts
@@ -68,20 +68,29 @@
       sendProblem(response, createProblem('unauthorized', "The operators' token is needed."));
       return;
     }
-    this.serveOperator(`${request.method ?? ''} ${path ?? ''}`, response);
+    await this.serveOperator(`${request.method ?? ''} ${path ?? ''}`, response);
   }
 
-  private serveOperator(resource: string, response: ServerResponse): void {
+  private async serveOperator(resource: string, response: ServerResponse): Promise<void> {
     const { service } = this.options;
     switch (resource) {
       case 'GET /v1/status':
-        return sendJson(response, 200, service.describe());
+        await service.refreshPeers();
+        {
+          sendJson(response, 200, service.describe());
+          return;
+        }
       case 'POST /v1/drain':
         this.logger.info('An operator asked for a planned stop.');
         service.drain();
-        return sendJson(response, 202, { state: 'leaving' });
-      default:
-        return sendProblem(response, createProblem('not-found', 'There is no such resource.'));
+        {
+          sendJson(response, 202, { state: 'leaving' });
+          return;
+        }
+      default: {
+        sendProblem(response, createProblem('not-found', 'There is no such resource.'));
+        return;
+      }
     }
   }
 }
--- a/src/configuration/peerCatchUp.ts
+++ b/src/configuration/peerCatchUp.ts
@@ -85,8 +85,8 @@
 
   private async fetchFrom({ incarnation, vmId }: Heartbeat): Promise<void> {
     const timeout = AbortSignal.any([this.stop.signal, AbortSignal.timeout(fetchTimeoutMs)]);
-    const reply = await this.options.peers.fetchConfiguration(incarnation, timeout);
-    if (reply.isErr() || reply.value === null) {
+    const reply = await this.options.peers.linkTo(incarnation)?.fetchConfiguration(timeout);
+    if (reply === undefined || reply.isErr() || reply.value === null) {
       this.logger.warn('A peer with a higher version did not send it.', { vmId });
       return;
     }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -203,6 +203,10 @@
     return this.follower.checkpoint() ?? null;
   }
 
+  refreshPeers(): Promise<void> {
+    return this.peers.refresh();
+  }
+
   /** Stops taking new submissions; what runs goes on. */
   drain(): void {
     this.state = 'leaving';
--- a/src/membership/dispatchAssignment.ts
+++ b/src/membership/dispatchAssignment.ts
@@ -9,7 +9,7 @@
 import { createDeferred } from '../utils/deferred.js';
 import type { PeerSet } from './peerSet.js';
 import { chooseOwner } from './rendezvous.js';
-import type { Heartbeat } from './types.js';
+import type { AssignedEndpoint, Heartbeat } from './types.js';
 
 /** Time that the former dispatcher of an endpoint gets to finish what it runs there. */
 const handOverMs = 1_000;
@@ -27,14 +27,6 @@
   readonly serve: (endpoints: readonly PlacedEndpoint[]) => void;
 }
 
-/** An endpoint of the failure domain and who dispatches to it. */
-export interface AssignedEndpoint {
-  readonly endpointId: string;
-  /** VM of the dispatcher, as this daemon sees the members. */
-  readonly dispatcher: string | null;
-  readonly state: 'active' | 'leaving';
-}
-
 export class DispatchAssignment {
   private readonly stop = new AbortController();
   private readonly done: Promise<void>;
--- a/src/membership/peerSet.ts
+++ b/src/membership/peerSet.ts
@@ -1,21 +1,18 @@
 /**
  * The other daemons: one async function keeps the link to each and exchanges heartbeats.
  */
-import { Err } from 'ts-results-es';
-import type { Result } from 'ts-results-es';
-import type { ConfigurationCheckpoint } from '../configuration/types.js';
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
-import type { PeerConnector, PeerError, PeerLink } from '../ports/peers.js';
+import type { PeerConnector, PeerLink } from '../ports/peers.js';
 import type { VmList, VmRecord } from '../ports/vmList.js';
 import { periodOf, relate, unheardPeriods } from './heartbeatPeriod.js';
 import { Peer } from './peer.js';
 import type { PeerRoute } from './peer.js';
 import { rankOwner } from './rendezvous.js';
 import type { Heartbeat } from './types.js';
+import { VmListFollower } from './vmListFollower.js';
 
 const heartbeatTimeoutMs = 1_000;
-const vmListPeriodMs = 1_000;
 /** Pause between tries to reach a peer that is not heard. */
 const retryPeriodMs = 5_000;
 /** The peer whose turn it is may miss this many periods before this daemon calls. */
@@ -43,17 +40,22 @@
   private readonly listeners: MembershipListener[] = [];
   private readonly heartbeatListeners: HeartbeatListener[] = [];
   private readonly logger: Logger;
+  private readonly vmList: VmListFollower;
+  private refreshing: Promise<void> | undefined;
   private vms: readonly VmRecord[] = [];
-  private leaving: ReadonlySet<string> = new Set();
 
   private constructor(private readonly options: PeerSetOptions) {
     this.logger = options.logger.forPart('membership');
+    this.vmList = VmListFollower.create({
+      clock: options.clock,
+      vmList: options.vmList,
+      onList: (vms) => this.reconcile(vms),
+      onLeavingChange: () => this.notify(),
+    });
   }
 
   static create(options: PeerSetOptions): PeerSet {
-    const peers = new PeerSet(options);
-    peers.keep(peers.followVmList());
-    return peers;
+    return new PeerSet(options);
   }
 
   /** @returns the last heartbeat of every peer heard of late */
@@ -74,7 +76,7 @@
    * @param vmId - a VM of the system, or of an endpoint
    */
   isLeaving(vmId: string): boolean {
-    return this.leaving.has(vmId);
+    return this.vmList.isLeaving(vmId);
   }
 
   /**
@@ -128,24 +130,17 @@
     return this.routeTo(incarnation)?.link;
   }
 
-  /**
-   * Asks a peer for the configuration that it runs.
-   *
-   * @param incarnation - the peer
-   * @param signal - gives up
-   */
-  async fetchConfiguration(
-    incarnation: string,
-    signal: AbortSignal,
-  ): Promise<Result<ConfigurationCheckpoint | null, PeerError>> {
-    const route = this.routeTo(incarnation);
-    return route === undefined
-      ? Err({ kind: 'not-sent', detail: 'The peer is not known.' })
-      : route.link.fetchConfiguration(AbortSignal.any([signal, route.stop.signal]));
+  /** Exchanges heartbeats with every peer now; calls at the same time share the exchanges. */
+  refresh(): Promise<void> {
+    this.refreshing ??= this.exchangeWithAll().finally(() => {
+      this.refreshing = undefined;
+    });
+    return this.refreshing;
   }
 
   async close(): Promise<void> {
     this.stop.abort();
+    await this.vmList.close();
     await Promise.all([...this.peers.values()].map((peer) => this.drop(peer)));
     await Promise.all(this.tasks);
   }
@@ -155,18 +150,6 @@
     void task.then(() => this.tasks.delete(task));
   }
 
-  private async followVmList(): Promise<void> {
-    const { vmList, clock } = this.options;
-    while (!this.stop.signal.aborted) {
-      const listed = await vmList.list(this.stop.signal);
-      if (listed.isOk()) {
-        await this.reconcile(listed.value);
-      }
-      this.peers.forEach((peer) => this.noteChange(peer));
-      await clock.sleep(vmListPeriodMs, this.stop.signal);
-    }
-  }
-
   private async reconcile(vms: readonly VmRecord[]): Promise<void> {
     this.vms = vms;
     const listed = new Map(vms.map((vm) => [vm.vmId, vm]));
@@ -178,7 +161,7 @@
         this.addListed(vm);
       }
     }
-    this.takeLeaving(vms);
+    this.peers.forEach((peer) => this.noteChange(peer));
   }
 
   /** A peer that is still heard stays, since the list lags; another address is another VM. */
@@ -213,15 +196,6 @@
     return peer;
   }
 
-  private takeLeaving(vms: readonly VmRecord[]): void {
-    const leaving = new Set(vms.flatMap((vm) => (vm.state === 'leaving' ? [vm.vmId] : [])));
-    const hasChanged = [...leaving].join(' ') !== [...this.leaving].join(' ');
-    this.leaving = leaving;
-    if (hasChanged) {
-      this.notify();
-    }
-  }
-
   private async drop(peer: Peer): Promise<void> {
     this.peers.delete(peer.vmId);
     await peer.disconnect();
@@ -246,6 +220,15 @@
     }
   }
 
+  private async exchangeWithAll(): Promise<void> {
+    const exchanges = [...this.peers.values()].map(async (peer) => {
+      if (peer.route.kind === 'listed') {
+        await this.exchange(peer, peer.route);
+      }
+    });
+    await Promise.all(exchanges);
+  }
+
   /** The daemon with the lower name calls; the other one does where no call comes. */
   private hasTurn(peer: Peer): boolean {
     const sinceCalledMs = peer.sinceCalledMs(this.options.clock.nowMs());
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -19,3 +19,12 @@
   inheritanceVersion: z.number().int().nonnegative().default(0),
 });
 export type Heartbeat = z.infer<typeof heartbeatSchema>;
+
+/** An endpoint of a failure domain and who dispatches to it. */
+export const assignedEndpointSchema = z.object({
+  endpointId: z.string(),
+  /** VM of the dispatcher, as the daemon that tells it sees the members. */
+  dispatcher: z.string().nullable(),
+  state: z.enum(['active', 'leaving']),
+});
+export type AssignedEndpoint = z.infer<typeof assignedEndpointSchema>;
--- a/src/programs/toucandyke/commands/configPublishCommand.ts
+++ b/src/programs/toucandyke/commands/configPublishCommand.ts
@@ -10,70 +10,174 @@
 import { checkConfiguration } from '../../../configuration/checkConfiguration.js';
 import { publishConfiguration } from '../../../configuration/publisher.js';
 import type { PublishError } from '../../../configuration/publisher.js';
+import { describeRollout } from '../../../configuration/rollout.js';
+import type { Rollout, RolloutRow } from '../../../configuration/rollout.js';
 import type { Configuration } from '../../../configuration/types.js';
 import { unreachable } from '../../../errors/unreachable.js';
+import { exitCodes } from '../exitCodes.js';
+import { askStatus } from '../operatorAccess.js';
+import { formatTable } from '../output/formatTable.js';
 
-const failureExitCode = 1;
-const faultExitCode = 2;
-const timeoutMs = 10_000;
+const publishTimeoutMs = 10_000;
+const lookPauseMs = 500;
 
 export class ConfigPublishCommand extends Command {
   static override paths = [['config', 'publish']];
   static override usage = Command.Usage({
     description: 'Publishes a configuration as the next version.',
+    details: `
+      Exit codes: 0 published (with --wait: in force on every daemon), 1 not published or not
+      known, 2 the file is not valid, 3 conflict with another operator, 4 published but not in
+      force on every daemon within the time.
+    `,
     examples: [
       ['Publish', 'toucandyke config publish examples/verband.yaml --log 127.0.0.1:40001'],
+      [
+        'Publish a change to version 7 and wait until every daemon runs it',
+        'toucandyke config publish new.yaml --log 10.0.0.9:4000 --base 7 --wait --operators 10.0.0.1:4102',
+      ],
     ],
   });
 
   file = Option.String();
   log = Option.String('--log', { required: true, description: 'Address of the log service' });
   base = Option.String('--base', { description: 'The version that was changed' });
+  reset = Option.Boolean('--reset', false, {
+    description: 'Start anew above --base where the log has dropped the version in force',
+  });
+  wait = Option.Boolean('--wait', false, { description: 'Wait until every daemon runs it' });
+  waitSeconds = Option.String('--wait-seconds', '10', { description: 'How long to wait' });
+  operators = Option.String('--operators', '', {
+    description: "Addresses of daemons' operators' interfaces, with commas between",
+  });
+  token = Option.String('--token', '', {
+    env: 'TOUCANDYKE_OPERATOR_TOKEN',
+    description: "The operators' token",
+  });
+  json = Option.Boolean('--json', false, { description: 'Print the result as JSON' });
 
   async execute(): Promise<number> {
+    const fault = this.findUsageFault();
+    if (fault !== undefined) {
+      this.context.stderr.write(`${fault}\n`);
+      return exitCodes.invalid;
+    }
     const configuration = readYamlFile(this.file, checkConfiguration);
     if (configuration.isErr()) {
-      for (const fault of configuration.error) {
-        this.context.stderr.write(`${formatFault(this.file, fault)}\n`);
+      for (const found of configuration.error) {
+        this.context.stderr.write(`${formatFault(this.file, found)}\n`);
       }
-      return faultExitCode;
+      return exitCodes.invalid;
     }
     return this.publish(configuration.value);
   }
 
+  private findUsageFault(): string | undefined {
+    if (this.base !== undefined && !/^\d{1,15}$/.test(this.base)) {
+      return '--base must be a version, such as 7.';
+    }
+    if (this.reset && this.base === undefined) {
+      return '--reset needs --base: the highest version that any daemon runs.';
+    }
+    if (this.wait && this.operators === '') {
+      return '--wait needs --operators.';
+    }
+    return /^\d{1,6}$/.test(this.waitSeconds) ? undefined : '--wait-seconds must be a number.';
+  }
+
   private async publish(configuration: Configuration): Promise<number> {
     const log = LogHttpClient.create(this.log);
+    const publisher = { logService: log, clock: SystemClock.create() };
     const request = {
       configuration,
       publishedBy: userInfo().username,
       publicationId: SystemRandom.create().id(),
+      reset: this.reset,
       ...(this.base === undefined ? {} : { baseVersion: Number(this.base) }),
     };
-    const version = await publishConfiguration(
-      { logService: log, clock: SystemClock.create() },
-      request,
-      AbortSignal.timeout(timeoutMs),
-    );
+    const signal = AbortSignal.timeout(publishTimeoutMs);
+    const version = await publishConfiguration(publisher, request, signal);
     await log.close();
     if (version.isErr()) {
-      this.context.stderr.write(`${describe(version.error)}\n`);
-      return failureExitCode;
+      return this.reportError(version.error);
+    }
+    return this.wait ? this.waitUntilInForce(version.value) : this.reportVersion(version.value);
+  }
+
+  private reportVersion(version: number): number {
+    this.context.stdout.write(
+      this.json ? `${JSON.stringify({ version })}\n` : `Version ${version} is published.\n`,
+    );
+    return exitCodes.done;
+  }
+
+  private reportError(error: PublishError): number {
+    if (this.json) {
+      this.context.stdout.write(`${JSON.stringify({ error })}\n`);
+    }
+    this.context.stderr.write(`${describeError(error)}\n`);
+    return error.kind === 'conflict' ? exitCodes.conflict : exitCodes.failed;
+  }
+
+  private async waitUntilInForce(version: number): Promise<number> {
+    const clock = SystemClock.create();
+    const endAtMs = clock.nowMs() + Number(this.waitSeconds) * 1_000;
+    for (;;) {
+      const status = await askStatus(this.operators, this.token);
+      const rollout = status.map((value) => describeRollout(version, value));
+      const isDone = rollout.isOk() && rollout.value.isInForceEverywhere;
+      if (!isDone && clock.nowMs() < endAtMs) {
+        await clock.sleep(lookPauseMs);
+        continue;
+      }
+      if (rollout.isErr()) {
+        const detail = `Version ${version} is published, but no daemon answered`;
+        this.context.stderr.write(`${detail}: ${rollout.error}\n`);
+        return exitCodes.notEverywhere;
+      }
+      return this.reportRollout(rollout.value);
     }
-    this.context.stdout.write(`Version ${version.value} is published.\n`);
-    return 0;
+  }
+
+  private reportRollout(rollout: Rollout): number {
+    const { version, rows, isInForceEverywhere } = rollout;
+    if (this.json) {
+      this.context.stdout.write(`${JSON.stringify(rollout)}\n`);
+    } else {
+      const end = isInForceEverywhere ? 'in force on every daemon' : 'not in force everywhere';
+      this.context.stdout.write(
+        formatTable(['VM', 'FAILURE DOMAIN', 'VERSION'], rows.map(toCells)),
+      );
+      this.context.stdout.write(`Version ${version} is published and ${end}.\n`);
+    }
+    return isInForceEverywhere ? exitCodes.done : exitCodes.notEverywhere;
   }
 }
 
-const describe = (error: PublishError): string => {
+const toCells = (row: RolloutRow): string[] => {
+  switch (row.kind) {
+    case 'heard':
+      return [row.vmId, row.failureDomainId, String(row.version)];
+    case 'unheard':
+      return [row.vmId, '-', 'not heard'];
+    default:
+      return unreachable(row);
+  }
+};
+
+const describeError = (error: PublishError): string => {
   switch (error.kind) {
     case 'conflict':
-      return `Version ${error.version} is in force; base the change on it and publish again.`;
+      return (
+        `Conflict: version ${error.version} by ${error.publishedBy || 'nobody'} is in force. ` +
+        'Base the change on it and publish again.'
+      );
     case 'log-unavailable':
-      return `The log service gave no answer: ${error.detail}`;
+      return `Nothing was published; the log service gave no answer: ${error.detail}`;
     case 'history-lost':
-      return 'The log has dropped the version in force; see docs/design/configuration.md.';
+      return 'The log has dropped the version in force. Wait for a daemon to repeat it, or see --reset.';
     case 'outcome-unknown':
-      return `The publication may yet take effect: ${error.detail}`;
+      return `The publication may yet take effect; look with config show. ${error.detail}`;
     default:
       return unreachable(error);
   }
--- /dev/null
+++ b/src/programs/toucandyke/commands/statusCommand.ts
@@ -0,0 +1,79 @@
+/**
+ * `toucandyke status`: daemons with their versions, and endpoints with their dispatchers.
+ */
+import { Command, Option } from 'clipanion';
+import type { Heartbeat } from '../../../membership/types.js';
+import type { DaemonStatus } from '../../../ports/operators.js';
+import { exitCodes } from '../exitCodes.js';
+import { askStatus } from '../operatorAccess.js';
+import { formatTable } from '../output/formatTable.js';
+
+export class StatusCommand extends Command {
+  static override paths = [['status']];
+  static override usage = Command.Usage({
+    description: 'Shows the daemons and, for one failure domain, the endpoints.',
+    details: `
+      Asks the daemons in turn until one answers; it tells of itself, of the peers it hears, and of
+      the endpoints of its own failure domain. Exit codes: 0 shown, 1 no daemon answered.
+    `,
+    examples: [
+      ['Show as tables', 'toucandyke status --operators 10.0.0.1:4102,10.0.0.2:4102'],
+      ['Show as JSON', 'toucandyke status --operators 10.0.0.1:4102 --json'],
+    ],
+  });
+
+  operators = Option.String('--operators', {
+    required: true,
+    description: "Addresses of daemons' operators' interfaces, with commas between",
+  });
+  token = Option.String('--token', '', {
+    env: 'TOUCANDYKE_OPERATOR_TOKEN',
+    description: "The operators' token",
+  });
+  json = Option.Boolean('--json', false, { description: 'Print the status as JSON' });
+
+  async execute(): Promise<number> {
+    const status = await askStatus(this.operators, this.token);
+    if (status.isErr()) {
+      this.context.stderr.write(`No daemon answered: ${status.error}\n`);
+      return exitCodes.failed;
+    }
+    this.context.stdout.write(
+      this.json ? `${JSON.stringify(status.value)}\n` : formatStatus(status.value),
+    );
+    return exitCodes.done;
+  }
+}
+
+const daemonHeader = [
+  'VM',
+  'FAILURE DOMAIN',
+  'INCARNATION',
+  'STATE',
+  'VERSION',
+  'FREE SLOTS',
+  'WAITING',
+];
+
+const formatStatus = ({ own, peers, unheardVmIds, endpoints }: DaemonStatus): string => {
+  const heard = [own, ...peers].sort((a, b) => (a.vmId < b.vmId ? -1 : 1));
+  const unheard = unheardVmIds.map((vmId) => [vmId, '-', '-', 'not heard', '-', '-', '-']);
+  const daemons = formatTable(daemonHeader, [...heard.map(toDaemonCells), ...unheard]);
+  const served = endpoints.map(({ endpointId, state, dispatcher }) => [
+    endpointId,
+    state,
+    dispatcher ?? '-',
+  ]);
+  const title = `\nEndpoints of ${own.failureDomainId}, as ${own.vmId} sees them:\n`;
+  return `${daemons}${title}${formatTable(['ENDPOINT', 'STATE', 'DISPATCHER'], served)}`;
+};
+
+const toDaemonCells = (daemon: Heartbeat): string[] => [
+  daemon.vmId,
+  daemon.failureDomainId,
+  daemon.incarnation,
+  daemon.state,
+  String(daemon.configurationVersion),
+  String(daemon.freeSlots),
+  String(daemon.waitingTasks),
+];
--- a/src/programs/toucandyke/main.ts
+++ b/src/programs/toucandyke/main.ts
@@ -5,7 +5,9 @@
 import { Builtins, Cli } from 'clipanion';
 import { ConfigCheckCommand } from './commands/configCheckCommand.js';
 import { ConfigPublishCommand } from './commands/configPublishCommand.js';
+import { ConfigShowCommand } from './commands/configShowCommand.js';
 import { DemoCommand } from './commands/demoCommand.js';
+import { StatusCommand } from './commands/statusCommand.js';
 
 const cli = new Cli({
   binaryLabel: 'toucandyke',
@@ -16,6 +18,8 @@
 cli.register(Builtins.VersionCommand);
 cli.register(ConfigCheckCommand);
 cli.register(ConfigPublishCommand);
+cli.register(ConfigShowCommand);
 cli.register(DemoCommand);
+cli.register(StatusCommand);
 
 process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
