--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -2,6 +2,7 @@
  * One daemon: wires the decisions to the ports and gives the front ends their services.
  */
 import type { Result } from 'ts-results-es';
+import { Claims } from '../claims/claims.js';
 import { ConfigurationFollower } from '../configuration/configurationFollower.js';
 import { PeerCatchUp } from '../configuration/peerCatchUp.js';
 import { ConfigurationStore } from '../configuration/configurationStore.js';
@@ -14,7 +15,9 @@
 import { DispatchAssignment } from '../membership/dispatchAssignment.js';
 import { PeerSet } from '../membership/peerSet.js';
 import type { DaemonState, Heartbeat } from '../membership/types.js';
+import { defaultPlacementRules } from '../placement/types.js';
 import { followLimits } from '../limits/followLimits.js';
+import { QuotaKeeper } from '../limits/quotaKeeper.js';
 import { Scheduler } from '../placement/scheduler.js';
 import type { CallerService, JobStatus } from '../ports/callers.js';
 import type { DaemonStatus, OperatorService } from '../ports/operators.js';
@@ -38,6 +41,7 @@
 import { Intake } from '../submissions/intake.js';
 import { OwnerRouter } from '../submissions/ownerRouter.js';
 import { OwnSubmissions } from '../submissions/ownSubmissions.js';
+import { PlainKeys } from '../submissions/plainKeys.js';
 import { formatOwner } from '../submissions/submissionKey.js';
 import { SubmissionTable } from '../submissions/submissionTable.js';
 
@@ -60,7 +64,9 @@
   private readonly table: SubmissionTable;
   private readonly inherited: InheritedTables;
   private readonly own: OwnSubmissions;
-  private readonly queue = TaskQueue.create();
+  private readonly claims: Claims;
+  private readonly queue: TaskQueue;
+  private readonly quotas: QuotaKeeper;
   private readonly scheduler: Scheduler;
   private readonly peers: PeerSet;
   private readonly intake: Intake;
@@ -80,14 +86,16 @@
       this.configuration.current?.rules.resubmissionWindowMs ?? defaultResubmissionWindowMs;
     this.table = SubmissionTable.create({ incarnation, clock, maxBytes: maxTableBytes, windowMs });
     this.inherited = InheritedTables.create({ clock, maxBytes: maxInheritedBytes, windowMs });
+    this.queue = TaskQueue.create(clock);
     this.scheduler = Scheduler.create({
       incarnation,
       clock,
+      random,
       logger,
       endpoints: ports.endpoints,
       queue: this.queue,
+      rules: () => this.configuration.current?.rules ?? defaultPlacementRules,
     });
-    followLimits(this.configuration, this.queue);
     this.peers = PeerSet.create({
       vmId: identity.vmId,
       failureDomainId: identity.failureDomainId,
@@ -96,7 +104,17 @@
       vmList: ports.vmList,
       connector: ports.peers,
       ownHeartbeat: () => this.composeHeartbeat(),
+      sentHeartbeat: () => this.composeSentHeartbeat(),
     });
+    this.quotas = QuotaKeeper.create({
+      ...identity,
+      incarnation,
+      clock,
+      queue: this.queue,
+      members: () => this.peers.domainMembers(),
+    });
+    followLimits(this.configuration, this.queue, this.quotas);
+    this.peers.onHeartbeat((heard) => this.quotas.hear(heard.incarnation, heard.quota));
     const { configuration, table, inherited, peers } = this;
     const runner = JobRunner.create({ clock, scheduler: this.scheduler });
     followConfiguration(configuration, runner);
@@ -104,11 +122,21 @@
       queue: this.queue,
       processLoad: ports.processLoad,
       spareSlots: () => this.countSpareSlots(),
+      quotaOf: (teamId) => this.quotas.reachOf(teamId),
     });
     this.own = OwnSubmissions.create({ clock, random, configuration, runner, table, admission });
     const heirs = HeirDirectory.create(peers, clock);
     const router = OwnerRouter.create({ clock, peers, heirs });
-    this.intake = Intake.create({ incarnation, configuration, own: this.own, inherited, router });
+    this.claims = Claims.create({
+      logService: ports.logService,
+      clock,
+      logger,
+      windowMs,
+      countDaemons: () => peers.heard().length + 1,
+    });
+    const { own, claims } = this;
+    const plainKeys = PlainKeys.create({ clock, claims, own });
+    this.intake = Intake.create({ incarnation, configuration, own, inherited, router, plainKeys });
     this.assignment = DispatchAssignment.create({
       failureDomainId: identity.failureDomainId,
       clock,
@@ -176,7 +204,7 @@
 
   heartbeat(theirs: Heartbeat): Heartbeat {
     this.peers.receive(theirs);
-    return this.composeHeartbeat();
+    return this.composeSentHeartbeat();
   }
 
   forward(request: ForwardedSubmission): Promise<SubmitOutcome> {
@@ -229,7 +257,7 @@
     await Promise.all([this.ports.endpoints.close(), this.ports.logService.close()]);
     await this.catchUp.close();
     await this.assignment.close();
-    await this.follower.close();
+    await Promise.all([this.follower.close(), this.claims.close()]);
     await this.peers.close();
     await this.ports.vmList.close();
     this.ports.processLoad.close();
@@ -243,9 +271,11 @@
     await depart({ clock, logger: logger.forPart('departure'), peers, own, table, inherited });
     await this.catchUp.close();
     await this.assignment.close();
-    await this.follower.close();
+    await Promise.all([this.follower.close(), this.claims.close()]);
     await this.peers.close();
     await this.scheduler.close();
+    await this.quotas.close();
+    await this.queue.close();
     await this.ports.endpoints.close();
     await this.ports.logService.close();
     await this.ports.vmList.close();
@@ -260,6 +290,10 @@
       .reduce((sum, { freeSlots }) => sum + freeSlots, 0);
   }
 
+  private composeSentHeartbeat(): Heartbeat {
+    return { ...this.composeHeartbeat(), quota: this.quotas.composeNotice() };
+  }
+
   private composeHeartbeat(): Heartbeat {
     return {
       vmId: this.identity.vmId,
--- a/src/membership/peerSet.ts
+++ b/src/membership/peerSet.ts
@@ -1,6 +1,7 @@
 /**
  * The other daemons: one async function keeps the link to each and exchanges heartbeats.
  */
+import type { DomainMembers } from '../limits/types.js';
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
 import type { PeerConnector, PeerLink } from '../ports/peers.js';
@@ -27,6 +28,8 @@
   readonly connector: PeerConnector;
   /** Composes this daemon's own heartbeat. */
   readonly ownHeartbeat: () => Heartbeat;
+  /** Composes the heartbeat that is sent to a peer. */
+  readonly sentHeartbeat: () => Heartbeat;
 }
 
 export type MembershipListener = () => void;
@@ -70,6 +73,20 @@
     );
   }
 
+  /** @returns the daemons of this failure domain that the VM list names or that are heard */
+  domainMembers(): DomainMembers {
+    const { vmId, failureDomainId } = this.options;
+    const listed = this.vms
+      .filter((vm) => vm.failureDomainId === failureDomainId && vm.peerAddress !== undefined)
+      .map((vm) => vm.vmId);
+    const heard = this.heard()
+      .filter((member) => member.failureDomainId === failureDomainId)
+      .map((member) => member.vmId);
+    const isWhole =
+      listed.includes(vmId) && listed.every((one) => one === vmId || heard.includes(one));
+    return { vmIds: [...new Set([vmId, ...listed, ...heard])].sort(), isWhole };
+  }
+
   /**
    * Tells whether the VM list says that a VM goes.
    *
@@ -240,7 +257,7 @@
       return;
     }
     const timeout = AbortSignal.any([stop.signal, AbortSignal.timeout(heartbeatTimeoutMs)]);
-    const reply = await link.heartbeat(this.options.ownHeartbeat(), timeout);
+    const reply = await link.heartbeat(this.options.sentHeartbeat(), timeout);
     if (reply.isOk()) {
       this.hear(peer, reply.value);
     }
