--- /dev/null
+++ b/src/adapters/operatorHttp/operatorHttpClient.ts
@@ -0,0 +1,83 @@
+/**
+ * Client of a daemon's operators' interface, for the command-line tool.
+ */
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { Pool } from 'undici';
+import { z } from 'zod';
+import { daemonStatusSchema, tracesReplySchema } from '../../ports/operators.js';
+import type { DaemonStatus, TracesReply } from '../../ports/operators.js';
+import { requestJson } from '../http/requestJson.js';
+
+const connectTimeoutMs = 1_000;
+const requestTimeoutMs = 5_000;
+const maxReplyBytes = 33_554_432;
+
+const drainReplySchema = z.object({ state: z.literal('leaving') });
+export type DrainReply = z.infer<typeof drainReplySchema>;
+
+export class OperatorHttpClient {
+  private readonly pool: Pool;
+
+  private constructor(
+    readonly address: string,
+    private readonly token: string,
+  ) {
+    this.pool = new Pool(`http://${address}`, { connect: { timeout: connectTimeoutMs } });
+  }
+
+  /**
+   * Creates a client.
+   *
+   * @param address - IP number and port of the operators' interface
+   * @param token - the operators' bearer token
+   */
+  static create(address: string, token: string): OperatorHttpClient {
+    return new OperatorHttpClient(address, token);
+  }
+
+  /** @returns what the daemon tells about itself and its peers, or why it told nothing */
+  status(): Promise<Result<DaemonStatus, string>> {
+    return this.ask('GET', '/v1/status', 200, daemonStatusSchema);
+  }
+
+  /**
+   * Asks what the daemon remembers of a job.
+   *
+   * @param name - a submission key or a job id
+   */
+  jobTraces(name: string): Promise<Result<TracesReply, string>> {
+    return this.ask('GET', `/v1/jobs/${name}`, 200, tracesReplySchema);
+  }
+
+  /** Asks for a planned stop. */
+  drain(): Promise<Result<DrainReply, string>> {
+    return this.ask('POST', '/v1/drain', 202, drainReplySchema);
+  }
+
+  async close(): Promise<void> {
+    await this.pool.destroy();
+  }
+
+  private async ask<S extends z.ZodType>(
+    method: 'GET' | 'POST',
+    path: string,
+    expectedStatus: number,
+    schema: S,
+  ): Promise<Result<z.infer<S>, string>> {
+    const exchange = await requestJson(this.pool, {
+      method,
+      path,
+      token: this.token,
+      maxBytes: maxReplyBytes,
+      signal: AbortSignal.timeout(requestTimeoutMs),
+    });
+    if (exchange.kind !== 'answered') {
+      return Err(`${this.address}: ${exchange.detail}`);
+    }
+    const parsed = schema.safeParse(exchange.body);
+    return exchange.status === expectedStatus && parsed.success
+      ? Ok(parsed.data)
+      : Err(`${this.address} answered ${exchange.status}.`);
+  }
+}
--- a/src/adapters/operatorHttp/operatorHttpServer.ts
+++ b/src/adapters/operatorHttp/operatorHttpServer.ts
@@ -4,12 +4,13 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createProblem } from '../../errors/problem.js';
 import type { Logger } from '../../ports/logger.js';
-import type { OperatorService } from '../../ports/operators.js';
+import type { OperatorService, TracesReply } from '../../ports/operators.js';
 import { digestToken, isSameDigest, readTokenDigest } from '../http/bearerToken.js';
 import { HttpServer } from '../http/httpServer.js';
 import { sendJson, sendProblem } from '../http/sendJson.js';
 
 const maxConnections = 64;
+const jobsPrefix = 'GET /v1/jobs/';
 
 export interface OperatorHttpServerOptions {
   readonly host: string;
@@ -68,20 +69,40 @@
       sendProblem(response, createProblem('unauthorized', "The operators' token is needed."));
       return;
     }
-    this.serveOperator(`${request.method ?? ''} ${path ?? ''}`, response);
+    await this.serveOperator(`${request.method ?? ''} ${path ?? ''}`, response);
   }
 
-  private serveOperator(resource: string, response: ServerResponse): void {
+  private async serveOperator(resource: string, response: ServerResponse): Promise<void> {
     const { service } = this.options;
     switch (resource) {
       case 'GET /v1/status':
-        return sendJson(response, 200, service.describe());
+        await service.refreshPeers();
+        {
+          sendJson(response, 200, service.describe());
+          return;
+        }
       case 'POST /v1/drain':
         this.logger.info('An operator asked for a planned stop.');
         service.drain();
-        return sendJson(response, 202, { state: 'leaving' });
-      default:
-        return sendProblem(response, createProblem('not-found', 'There is no such resource.'));
+        {
+          sendJson(response, 202, { state: 'leaving' });
+          return;
+        }
+      default: {
+        if (resource.startsWith(jobsPrefix)) {
+          this.serveTraces(resource.slice(jobsPrefix.length), response);
+          return;
+        }
+        sendProblem(response, createProblem('not-found', 'There is no such resource.'));
+        return;
+      }
     }
   }
+
+  /** An unknown name has no traces; that is an answer, since another daemon may know it. */
+  private serveTraces(name: string, response: ServerResponse): void {
+    const { service } = this.options;
+    const { vmId } = service.describe().own;
+    sendJson(response, 200, { vmId, traces: service.jobTraces(name) } satisfies TracesReply);
+  }
 }
--- a/src/ports/operators.ts
+++ b/src/ports/operators.ts
@@ -1,18 +1,25 @@
 /** Inbound port: what the operators' interface asks of a daemon. */
+import { z } from 'zod';
+import { jobTraceSchema } from '../explain/types.js';
 import type { JobTrace } from '../explain/types.js';
-import type { AssignedEndpoint } from '../membership/dispatchAssignment.js';
-import type { Heartbeat } from '../membership/types.js';
+import { assignedEndpointSchema, heartbeatSchema } from '../membership/types.js';
 
 /** What a daemon tells operators about itself. */
-export interface DaemonStatus {
-  readonly own: Heartbeat;
-  readonly peers: readonly Heartbeat[];
+export const daemonStatusSchema = z.object({
+  own: heartbeatSchema,
+  /** The last heartbeat of every peer heard of late. */
+  peers: z.array(heartbeatSchema),
   /** VMs that the VM list names and whose daemons are not heard. */
-  readonly unheardVmIds: readonly string[];
+  unheardVmIds: z.array(z.string()),
   /** The endpoints of the daemon's failure domain. */
-  readonly endpoints: readonly AssignedEndpoint[];
-  readonly rememberedSubmissions: number;
-}
+  endpoints: z.array(assignedEndpointSchema),
+  rememberedSubmissions: z.number().int().nonnegative(),
+});
+export type DaemonStatus = z.infer<typeof daemonStatusSchema>;
+
+/** What a daemon remembers of the jobs of one name. */
+export const tracesReplySchema = z.object({ vmId: z.string(), traces: z.array(jobTraceSchema) });
+export type TracesReply = z.infer<typeof tracesReplySchema>;
 
 export interface OperatorService {
   isReady(): boolean;
@@ -22,7 +29,9 @@
    *
    * @param name - a submission key or a job id
    */
-  jobTraces(name: string): readonly JobTrace[];
+  jobTraces(name: string): JobTrace[];
+  /** Hears the peers again whose heartbeats come seldom, so that `describe` tells of now. */
+  refreshPeers(): Promise<void>;
   /** Starts a planned stop. */
   drain(): void;
 }
