--- /dev/null
+++ b/ci/importRule.spec.ts
@@ -0,0 +1,25 @@
+import { resolve } from 'node:path';
+import { ESLint } from 'eslint';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+const root = resolve(import.meta.dirname, '..');
+const decisionFile = resolve(root, 'src/jobs/jobRunner.ts');
+const adapterFile = resolve(root, 'src/adapters/http/requestJson.ts');
+
+const findBreaches = async (file: string, line: string): Promise<number> => {
+  const eslint = new ESLint({ cwd: root });
+  const [result] = await eslint.lintText(`${line}\n`, { filePath: file });
+  const messages = result?.messages ?? [];
+  return messages.filter(({ ruleId }) => ruleId === 'no-restricted-imports').length;
+};
+
+test('the linter keeps decisions from importing adapters and the outside world', async () => {
+  assert.is(await findBreaches(decisionFile, "import '../adapters/system/systemClock.js';"), 1);
+  assert.is(await findBreaches(decisionFile, "import 'undici';"), 1);
+  assert.is(await findBreaches(decisionFile, "import 'node:http';"), 1);
+  assert.is(await findBreaches(decisionFile, "import '../ports/clock.js';"), 0);
+  assert.is(await findBreaches(adapterFile, "import 'undici';"), 0);
+});
+
+test.run();
--- /dev/null
+++ b/ci/writeOpenApi.ts
@@ -0,0 +1,9 @@
+/**
+ * Writes the OpenAPI description that is committed: `npm run openapi`.
+ */
+import { writeFileSync } from 'node:fs';
+import { resolve } from 'node:path';
+import { describeCallerInterface } from '../src/adapters/callerHttp/openApi.js';
+
+const file = resolve(import.meta.dirname, '../docs/openapi.json');
+writeFileSync(file, `${JSON.stringify(describeCallerInterface(), null, 2)}\n`);
--- a/src/adapters/callerHttp/callerHttpClient.ts
+++ b/src/adapters/callerHttp/callerHttpClient.ts
@@ -3,22 +3,20 @@
  */
 import { Pool } from 'undici';
 import { z } from 'zod';
-import { errorKindSchema } from '../../errors/errorKinds.js';
-import type { ErrorKind } from '../../errors/errorKinds.js';
+import type { ErrorKind, RunState } from '../../errors/errorKinds.js';
 import { jobAnswerSchema } from '../../jobs/types.js';
 import type { Submission } from '../../jobs/types.js';
 import { unreachable } from '../../errors/unreachable.js';
+import { problemBodySchema } from '../http/problemBody.js';
 import { requestJson } from '../http/requestJson.js';
 import type { HttpExchange } from '../http/requestJson.js';
 
 const maxReplyBytes = 16_777_216;
 
-const problemBodySchema = z.object({ kind: errorKindSchema, runState: z.string() });
-
 /** What a caller gets. */
 export type CallerOutcome =
   | { readonly kind: 'complete'; readonly results: readonly unknown[] }
-  | { readonly kind: 'failed'; readonly errorKind: ErrorKind; readonly runState: string }
+  | { readonly kind: 'failed'; readonly errorKind: ErrorKind; readonly runState: RunState }
   | { readonly kind: 'broken' }
   | { readonly kind: 'not-sent' };
 
--- /dev/null
+++ b/src/adapters/http/problemBody.ts
@@ -0,0 +1,37 @@
+/**
+ * The body of every error: problem details by RFC 9457 with the project's own members.
+ */
+import { z } from 'zod';
+import { errorAnswers, retryAdviceSchema } from '../../errors/errorKinds.js';
+import { problemSchema } from '../../errors/problem.js';
+import type { Problem } from '../../errors/problem.js';
+import { taskStateSchema } from '../../jobs/types.js';
+import type { TaskState } from '../../jobs/types.js';
+
+export const problemBodySchema = problemSchema.extend({
+  type: z.string(),
+  title: z.string(),
+  status: z.number().int(),
+  retry: retryAdviceSchema,
+  /** What is known of each task, for a job that failed. */
+  taskStates: z.array(taskStateSchema).optional(),
+});
+export type ProblemBody = z.infer<typeof problemBodySchema>;
+
+/**
+ * Composes the body.
+ *
+ * @param problem - the problem
+ * @param taskStates - what is known of each task, for a job that failed
+ * @returns the body
+ */
+export const createProblemBody = (
+  problem: Problem,
+  taskStates?: readonly TaskState[],
+): ProblemBody => {
+  const { httpStatus, title, retry } = errorAnswers[problem.kind];
+  const { kind, detail, ...rest } = problem;
+  const type = `urn:toucandyke:problem:${kind}`;
+  const states = taskStates === undefined ? {} : { taskStates: [...taskStates] };
+  return { type, title, status: httpStatus, detail, kind, retry, ...rest, ...states };
+};
--- a/src/adapters/http/sendJson.ts
+++ b/src/adapters/http/sendJson.ts
@@ -2,9 +2,9 @@
  * Writes whole JSON answers and problem details.
  */
 import type { ServerResponse } from 'node:http';
-import { errorAnswers } from '../../errors/errorKinds.js';
 import type { Problem } from '../../errors/problem.js';
 import type { TaskState } from '../../jobs/types.js';
+import { createProblemBody } from './problemBody.js';
 
 /** Headers that an answer carries beside its content type and length. */
 export interface ExtraHeaders {
@@ -41,14 +41,11 @@
   headers: ExtraHeaders = {},
   taskStates?: readonly TaskState[],
 ): void => {
-  const { httpStatus, title, retry } = errorAnswers[problem.kind];
   if (problem.retryAfterMs !== undefined) {
     response.setHeader('retry-after', Math.ceil(problem.retryAfterMs / 1_000));
   }
-  const { kind, detail, ...rest } = problem;
-  const type = `urn:toucandyke:problem:${kind}`;
-  const body = { type, title, status: httpStatus, detail, kind, retry, ...rest, taskStates };
-  send(response, httpStatus, 'application/problem+json', body, headers);
+  const body = createProblemBody(problem, taskStates);
+  send(response, body.status, 'application/problem+json', body, headers);
 };
 
 const send = (
