Keep the choice of endpoint out of the golden sessions

Cause: a session with two endpoints changed when placement learnt to choose. Change: one endpoint; placement has tests of its own.

--- a/src/testing/goldenSession.ts
+++ b/src/testing/goldenSession.ts
@@ -8,6 +8,7 @@
 import type { CallerService } from '../ports/callers.js';
 import type { TaskStart } from '../ports/endpoints.js';
 import { DaemonFixture } from './daemonFixture.js';
+import { createConfiguration } from './fixtures.js';
 import { silentLogger } from './silentLogger.js';
 
 const goldenFolder = resolve(import.meta.dirname, '../../golden');
@@ -56,12 +57,13 @@
   }
 
   /**
-   * Starts daemons on fakes behind the real callers' interface.
+   * Starts daemons on fakes behind the real callers' interface, with one endpoint.
    *
    * @param vmIds - the VMs of the daemons
    */
   static async create(vmIds: readonly string[]): Promise<GoldenSession> {
-    const fixture = await DaemonFixture.create(vmIds);
+    const configuration = createConfiguration({ workersPerFailureDomain: 1 });
+    const fixture = await DaemonFixture.create(vmIds, configuration);
     const servers = new Map<string, CallerHttpServer>();
     const pending = new PendingCalls();
     for (const vmId of vmIds) {
