Put back tasks without cost, keep passed tasks out of quotas, bound waiting tasks

Cause: passing tasks to peers takes tasks out and puts some back; each round would have used up a start of the team's quota, and a passed task would have counted on both daemons. Work without any slots had no bound but its bytes.

Change: putBack refunds the start and the charge; tasks that a peer passed here make a team of their own without quota; 50,000 waiting tasks shed trial work, 100,000 shed all. Parking by quota is a module of its own.

--- a/src/limits/overload.ts
+++ b/src/limits/overload.ts
@@ -7,7 +7,8 @@
 import type { CallerClass } from '../inventory/types.js';
 
 /** What overloads a daemon. */
-export type OverloadCause = 'queue time' | 'event loop' | 'memory' | 'held inputs';
+export type OverloadCause =
+  'queue time' | 'waiting tasks' | 'event loop' | 'memory' | 'held inputs';
 
 /** What a daemon turns away. */
 export type Overload =
@@ -20,6 +21,7 @@
   /** Expected wait of paying work. */
   readonly queueMs: number;
   readonly maxQueueMs: number;
+  readonly waitingTasks: number;
   readonly eventLoopDelayMs: number;
   readonly memoryShare: number;
   readonly heldInputBytes: number;
@@ -36,6 +38,8 @@
 const trialShareOfQueue = 0.5;
 const trialEventLoopDelayMs = 50;
 const maxEventLoopDelayMs = 250;
+const trialWaitingTasks = 50_000;
+const maxWaitingTasks = 100_000;
 const trialMemoryShare = 0.6;
 const maxMemoryShare = 0.8;
 const trialHeldInputBytes = 32 * 1_048_576;
@@ -88,6 +92,12 @@
     // Beyond this the expected wait of each job decides.
     allLimit: Infinity,
   },
+  {
+    cause: 'waiting tasks',
+    value: reading.waitingTasks,
+    trialLimit: trialWaitingTasks,
+    allLimit: maxWaitingTasks,
+  },
   {
     cause: 'event loop',
     value: reading.eventLoopDelayMs,
--- a/src/limits/quotaGate.ts
+++ b/src/limits/quotaGate.ts
@@ -107,6 +107,16 @@
     }
   }
 
+  /** Takes back a start that did not happen. */
+  undoStart(teamId: string): void {
+    const use = this.teams.get(teamId);
+    if (use !== undefined) {
+      this.refill(use);
+      use.running = Math.max(use.running - 1, 0);
+      use.tokens = Math.min(use.tokens + 1, capacityOf(use.limit));
+    }
+  }
+
   ended(teamId: string): void {
     const use = this.teams.get(teamId);
     if (use !== undefined) {
--- a/src/limits/quotaKeeper.spec.ts
+++ b/src/limits/quotaKeeper.spec.ts
@@ -27,7 +27,7 @@
     queue,
     members: () => members,
   });
-  const slots = () => queue.quotaGate.limitOf(teamId)?.slots;
+  const slots = () => queue.quotas.gate.limitOf(teamId)?.slots;
   keeper.apply(store.current);
   assert.is(slots(), 0, 'a new daemon has no share');
   await clock.advance(3_500);
--- a/src/limits/quotaKeeper.ts
+++ b/src/limits/quotaKeeper.ts
@@ -202,9 +202,9 @@
     const demands: QuotaDemand[] = [];
     for (const [teamId, { share }] of this.kept) {
       const own = subtractLimits(share, this.lent.lentOf(teamId));
-      const borrowedSlots = Math.max(queue.quotaGate.runningOf(teamId) - own.slots, 0);
+      const borrowedSlots = Math.max(queue.quotas.gate.runningOf(teamId) - own.slots, 0);
       const waitingTasks = queue.waitingOfTeam(teamId);
-      const isShort = waitingTasks > 0 && queue.isParked(teamId);
+      const isShort = waitingTasks > 0 && queue.quotas.isParked(teamId);
       if (isShort || borrowedSlots > 0) {
         demands.push({ teamId, waitingTasks, borrowedSlots });
       }
@@ -225,7 +225,7 @@
       return noShare;
     }
     const keptSlots = share.slots > 1 ? 1 : 0;
-    const slots = Math.max(queue.quotaGate.runningOf(teamId), keptSlots);
+    const slots = Math.max(queue.quotas.gate.runningOf(teamId), keptSlots);
     return subtractLimits(share, { startsPerS: 0, slots });
   }
 
--- a/src/queue/classQueue.ts
+++ b/src/queue/classQueue.ts
@@ -78,10 +78,6 @@
     return queued;
   }
 
-  isParked(teamId: string): boolean {
-    return this.parked.has(teamId);
-  }
-
   /** Leaves a team out until it is opened again. */
   park(teamId: string): void {
     const team = this.teams.get(teamId);
--- a/src/queue/taskQueue.spec.ts
+++ b/src/queue/taskQueue.spec.ts
@@ -106,6 +106,29 @@
   assert.is(queue.waitingOf('trial').team('c')?.waiting.total, 3);
 });
 
+test('refunds a task that is put back, and counts no quota for one that a peer passed', () => {
+  const queue = TaskQueue.create(FakeClock.create());
+  const limit = { startsPerS: 10, slots: 2 };
+  queue.setQuota('members', { limit, untilMs: Infinity, afterwards: limit });
+  pushJob(queue, 'job', 5);
+  for (let i = 0; i < 20; i += 1) {
+    const entry = queue.take(() => true);
+    assert.ok(entry);
+    assert.is(
+      queue.take(() => true),
+      undefined,
+      'the bucket holds one start',
+    );
+    queue.putBack(entry);
+  }
+  assert.is(queue.size, 5);
+  assert.ok(queue.take(() => true));
+  const passed = createWaitingTask({ jobId: 'passed', operation: fit });
+  queue.push({ ...passed, task: { ...passed.task, isPassed: true } });
+  queue.setStandings(() => ({ callerClass: 'paying', teamId: 'members' }));
+  assert.equal(takeJobs(queue, 2), ['passed', 'none']);
+});
+
 /** One step of a random session with the queue. */
 const stepArbitrary = fc.oneof(
   fc.record({
--- a/src/queue/taskQueue.ts
+++ b/src/queue/taskQueue.ts
@@ -4,20 +4,23 @@
  */
 import { unreachable } from '../errors/unreachable.js';
 import type { CallerClass, Operation } from '../inventory/types.js';
-import { QuotaGate } from '../limits/quotaGate.js';
 import type { TimedLimit } from '../limits/quotaGate.js';
 import { TrialCap } from '../limits/trialCap.js';
 import { RunTimes } from '../placement/runTimes.js';
 import type { Clock } from '../ports/clock.js';
 import { ClassQueue } from './classQueue.js';
-import { Openings } from './openings.js';
+import { QuotaParking } from './quotaParking.js';
 import type { IsRunnable, QueuedTask, Standing, WaitingTask } from './types.js';
 
+/** Marks the team of tasks that a peer passed here; their quota is counted at the peer. */
+const passedMark = ' (passed)';
+
 const classOrder: readonly CallerClass[] = ['paying', 'trial'];
 
 /** Where the waiting tasks of a job stand. */
 interface JobPlace extends Standing {
   readonly callerId: string;
+  readonly isPassed: boolean;
 }
 
 /** Tells the class and team of a caller, if the configuration in force has the caller. */
@@ -33,17 +36,15 @@
   private readonly running = new Map<WaitingTask, QueuedTask>();
   private standingOf: StandingOf = () => undefined;
 
-  private readonly quotas: QuotaGate;
-  private readonly openings: Openings;
-  private readonly openingListeners: (() => void)[] = [];
+  /** Keeps teams within their quotas. */
+  readonly quotas: QuotaParking;
 
   private constructor(
     clock: Clock,
     /** Gives the slot-time that a task is expected to take. */
     readonly runTimes: RunTimes,
   ) {
-    this.quotas = QuotaGate.create(clock);
-    this.openings = Openings.create(clock, () => this.openDue());
+    this.quotas = QuotaParking.create(clock, Object.values(this.classes));
   }
 
   static create(clock: Clock, runTimes = RunTimes.create()): TaskQueue {
@@ -55,9 +56,9 @@
   }
 
   push(entry: WaitingTask): void {
-    const { callerId, jobId, operation } = entry.task;
-    const { callerClass, teamId } = this.standingOf(callerId) ?? entry.task;
-    this.places.set(jobId, { callerId, callerClass, teamId });
+    const { callerId, jobId, operation, isPassed = false } = entry.task;
+    const { callerClass, teamId } = place(this.standingOf(callerId) ?? entry.task, isPassed);
+    this.places.set(jobId, { callerId, callerClass, teamId, isPassed });
     const expectedMs = this.runTimes.typicalMs(operation);
     this.classes[callerClass].push({ entry, expectedMs, callerClass, teamId });
   }
@@ -74,9 +75,10 @@
    */
   setStandings(standingOf: StandingOf): void {
     this.standingOf = standingOf;
-    for (const [jobId, place] of this.places) {
-      const standing = standingOf(place.callerId) ?? place;
-      if (standing.callerClass !== place.callerClass || standing.teamId !== place.teamId) {
+    for (const [jobId, before] of [...this.places]) {
+      const standing = standingOf(before.callerId);
+      const after = standing === undefined ? before : place(standing, before.isPassed);
+      if (after.callerClass !== before.callerClass || after.teamId !== before.teamId) {
         this.withdraw(jobId).forEach((entry) => this.push(entry));
       }
     }
@@ -89,18 +91,8 @@
    * @param timed - its limit on this daemon, or nothing without quota
    */
   setQuota(teamId: string, timed: TimedLimit | undefined): void {
-    const isNew = this.quotas.limitOf(teamId) === undefined;
+    const isNew = this.quotas.gate.limitOf(teamId) === undefined;
     this.quotas.setLimit(teamId, timed, isNew ? this.countRunning(teamId) : 0);
-    const wasParked = this.isParked(teamId);
-    this.regate(teamId);
-    if (wasParked && !this.isParked(teamId) && this.waitingOfTeam(teamId) > 0) {
-      this.notifyOpening();
-    }
-  }
-
-  /** Tells whether its quota lets a team start nothing now. */
-  isParked(teamId: string): boolean {
-    return this.classes.paying.isParked(teamId);
   }
 
   /** @returns tasks of a team that wait, of both classes */
@@ -111,22 +103,17 @@
     );
   }
 
-  /** What the teams with quotas use and may use. */
-  get quotaGate(): QuotaGate {
-    return this.quotas;
-  }
-
   /**
    * Calls a listener when a team that its quota kept back may start tasks again.
    *
    * @param listener - the listener
    */
   onOpening(listener: () => void): void {
-    this.openingListeners.push(listener);
+    this.quotas.onOpening(listener);
   }
 
   close(): Promise<void> {
-    return this.openings.close();
+    return this.quotas.close();
   }
 
   /**
@@ -154,19 +141,23 @@
    * @param slotTimeMs - how long it held the slot, in milliseconds
    */
   ended(entry: WaitingTask, slotTimeMs: number): void {
-    const queued = this.running.get(entry);
-    if (queued === undefined) {
-      return;
+    const queued = this.release(entry, slotTimeMs);
+    if (queued !== undefined) {
+      this.quotas.ended(queued.teamId);
     }
-    this.running.delete(entry);
-    const { callerClass, teamId } = queued;
-    const { operation } = entry.task;
-    this.classes[callerClass].correct(teamId, slotTimeMs - queued.expectedMs);
-    if (callerClass === 'trial') {
-      this.trialCap.ended(operation);
+  }
+
+  /**
+   * Lets a task wait again that was taken and certainly did not start.
+   *
+   * @param entry - the task
+   */
+  putBack(entry: WaitingTask): void {
+    const queued = this.release(entry, 0);
+    if (queued !== undefined) {
+      this.quotas.undoStart(queued.teamId);
     }
-    this.quotas.ended(teamId);
-    this.regate(teamId);
+    this.push(entry);
   }
 
   /**
@@ -176,12 +167,12 @@
    * @returns the tasks taken out
    */
   withdraw(jobId: string): WaitingTask[] {
-    const place = this.places.get(jobId);
-    if (place === undefined) {
+    const known = this.places.get(jobId);
+    if (known === undefined) {
       return [];
     }
     this.places.delete(jobId);
-    const taken = this.classes[place.callerClass].withdraw(place.teamId, jobId);
+    const taken = this.classes[known.callerClass].withdraw(known.teamId, jobId);
     return taken.map(({ entry }) => entry);
   }
 
@@ -196,6 +187,21 @@
     }
   }
 
+  /** Takes a task out of those that hold a slot, and charges its team the true slot-time. */
+  private release(entry: WaitingTask, slotTimeMs: number): QueuedTask | undefined {
+    const queued = this.running.get(entry);
+    if (queued === undefined) {
+      return undefined;
+    }
+    this.running.delete(entry);
+    const { callerClass, teamId, expectedMs } = queued;
+    this.classes[callerClass].correct(teamId, slotTimeMs - expectedMs);
+    if (callerClass === 'trial') {
+      this.trialCap.ended(entry.task.operation);
+    }
+    return queued;
+  }
+
   private start(queued: QueuedTask): void {
     const { callerClass, teamId } = queued;
     const { jobId, operation } = queued.entry.task;
@@ -207,36 +213,19 @@
       this.trialCap.started(operation);
     }
     this.quotas.started(teamId);
-    this.regate(teamId);
   }
 
   private countRunning(teamId: string): number {
     return [...this.running.values()].filter((queued) => queued.teamId === teamId).length;
   }
-
-  private openDue(): void {
-    this.openings.takeDue().forEach((teamId) => this.regate(teamId));
-    this.notifyOpening();
-  }
-
-  private notifyOpening(): void {
-    this.openingListeners.forEach((listener) => listener());
-  }
-
-  /** Parks a team that may start nothing now, or opens it. */
-  private regate(teamId: string): void {
-    const openAtMs = this.quotas.openAtMs(teamId);
-    const isOpen = this.openings.set(teamId, openAtMs);
-    for (const callerClass of classOrder) {
-      if (isOpen) {
-        this.classes[callerClass].open(teamId);
-      } else {
-        this.classes[callerClass].park(teamId);
-      }
-    }
-  }
 }
 
+/** Tasks that a peer passed here make a team of their own. */
+const place = ({ callerClass, teamId }: Standing, isPassed: boolean): Standing => ({
+  callerClass,
+  teamId: isPassed ? `${teamId}${passedMark}` : teamId,
+});
+
 const rememberAnswers = (canRun: IsRunnable): IsRunnable => {
   const answers = new Map<Operation, boolean>();
   return (operation) => {
--- a/src/submissions/admission.ts
+++ b/src/submissions/admission.ts
@@ -65,6 +65,7 @@
     const overload = judgeLoad({
       queueMs: expectPayingWaitMs(queue, spareSlots()),
       maxQueueMs: rules.maxQueueMs,
+      waitingTasks: queue.size,
       eventLoopDelayMs: processLoad.eventLoopDelayMs(),
       memoryShare: processLoad.memoryShare(),
       heldInputBytes: this.held.bytes,
