Pass waiting tasks to peers with free slots

Cause: a job that reached one daemon used only the endpoints which that daemon dispatches. Change: passTasks between daemons, one message for the tasks of a job that go to one peer; the peer recognises task and pass, so a broken exchange is asked again of the same incarnation and ends as outcome-unknown where that is gone. The choice weighs idle slots, slots that are soon free and the peers' observed times; the objective sets how much earlier a peer must be. Passed tasks do not travel on, trial work stays, another failure domain is used only past the deadline here. The wait for busy slots is estimated from the spread of their expected ends.

--- a/src/adapters/peerRpc/peerRpcClient.ts
+++ b/src/adapters/peerRpc/peerRpcClient.ts
@@ -19,6 +19,9 @@
   PeerConnector,
   PeerError,
   PeerLink,
+  PassTasksReply,
+  PassTasksRequest,
+  WithdrawPassed,
   StatusReply,
   SubmissionRef,
   SubmitOutcome,
@@ -93,6 +96,17 @@
     return this.call('fetchInheritance', {}, signal);
   }
 
+  passTasks(
+    request: PassTasksRequest,
+    signal: AbortSignal,
+  ): Promise<Result<PassTasksReply, PeerError>> {
+    return this.call('passTasks', request, signal);
+  }
+
+  async withdrawPassed(request: WithdrawPassed, signal: AbortSignal): Promise<void> {
+    await this.call('withdrawPassed', request, signal);
+  }
+
   async fetchConfiguration(
     signal: AbortSignal,
   ): Promise<Result<ConfigurationCheckpoint | null, PeerError>> {
--- a/src/adapters/peerRpc/peerRpcServer.ts
+++ b/src/adapters/peerRpc/peerRpcServer.ts
@@ -122,6 +122,13 @@
   rpc.addMethod('handOver', (params) =>
     service.handOver(checkParams(peerMethods.handOver.params, params)),
   );
+  rpc.addMethod('passTasks', (params) =>
+    service.passTasks(checkParams(peerMethods.passTasks.params, params)),
+  );
+  rpc.addMethod('withdrawPassed', (params) => {
+    service.withdrawPassed(checkParams(peerMethods.withdrawPassed.params, params));
+    return {};
+  });
   rpc.addMethod('fetchInheritance', () => service.fetchInheritance());
   rpc.addMethod('fetchConfiguration', () => ({ checkpoint: service.fetchConfiguration() }));
   return rpc;
--- a/src/configuration/peerCatchUp.spec.ts
+++ b/src/configuration/peerCatchUp.spec.ts
@@ -70,6 +70,8 @@
     cancelForwarded: (request) => honest.cancelForwarded(request),
     handOver: (batch) => honest.handOver(batch),
     fetchInheritance: () => honest.fetchInheritance(),
+    passTasks: () => Promise.resolve({ kind: 'other-incarnation' }),
+    withdrawPassed: () => undefined,
     fetchConfiguration: () => ({ record }),
   };
   fixture.network.add('muenchen-vm2', broken);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -15,6 +15,9 @@
 import { DispatchAssignment } from '../membership/dispatchAssignment.js';
 import { PeerSet } from '../membership/peerSet.js';
 import type { DaemonState, Heartbeat } from '../membership/types.js';
+import { PassedTasks } from '../passing/passedTasks.js';
+import { PeerSlots } from '../passing/peerSlots.js';
+import { TaskPasser } from '../passing/taskPasser.js';
 import { defaultPlacementRules } from '../placement/types.js';
 import { followLimits } from '../limits/followLimits.js';
 import { Scheduler } from '../placement/scheduler.js';
@@ -26,10 +29,13 @@
   HandOverBatch,
   HandOverReply,
   Inheritance,
+  PassTasksReply,
+  PassTasksRequest,
   PeerService,
   StatusReply,
   SubmissionRef,
   SubmitOutcome,
+  WithdrawPassed,
 } from '../ports/peers.js';
 import type { Ports } from '../ports/ports.js';
 import { depart } from '../submissions/departure.js';
@@ -67,6 +73,7 @@
   private readonly queue = TaskQueue.create();
   private readonly scheduler: Scheduler;
   private readonly peers: PeerSet;
+  private readonly passedTasks: PassedTasks;
   private readonly intake: Intake;
   private readonly follower: ConfigurationFollower;
   private readonly catchUp: PeerCatchUp;
@@ -84,6 +91,17 @@
       this.configuration.current?.rules.resubmissionWindowMs ?? defaultResubmissionWindowMs;
     this.table = SubmissionTable.create({ incarnation, clock, maxBytes: maxTableBytes, windowMs });
     this.inherited = InheritedTables.create({ clock, maxBytes: maxInheritedBytes, windowMs });
+    this.peers = PeerSet.create({
+      vmId: identity.vmId,
+      failureDomainId: identity.failureDomainId,
+      clock,
+      logger,
+      vmList: ports.vmList,
+      connector: ports.peers,
+      ownHeartbeat: () => this.composeHeartbeat(),
+    });
+    const { failureDomainId } = identity;
+    const slots = PeerSlots.create({ failureDomainId, peers: this.peers });
     this.scheduler = Scheduler.create({
       incarnation,
       clock,
@@ -91,17 +109,16 @@
       logger,
       endpoints: ports.endpoints,
       queue: this.queue,
+      passing: { slots, passer: TaskPasser.create({ clock, peers: this.peers, slots }) },
       rules: () => this.configuration.current?.rules ?? defaultPlacementRules,
     });
     followLimits(this.configuration, this.queue);
-    this.peers = PeerSet.create({
-      vmId: identity.vmId,
-      failureDomainId: identity.failureDomainId,
+    this.passedTasks = PassedTasks.create({
+      incarnation,
       clock,
-      logger,
-      vmList: ports.vmList,
-      connector: ports.peers,
-      ownHeartbeat: () => this.composeHeartbeat(),
+      scheduler: this.scheduler,
+      configuration: this.configuration,
+      isTaking: () => this.state === 'active',
     });
     const { configuration, table, inherited, peers } = this;
     const runner = JobRunner.create({ clock, scheduler: this.scheduler });
@@ -214,6 +231,14 @@
     return { incarnations: this.inherited.incarnations() };
   }
 
+  passTasks(request: PassTasksRequest): Promise<PassTasksReply> {
+    return this.passedTasks.receive(request);
+  }
+
+  withdrawPassed({ jobId }: WithdrawPassed): void {
+    this.scheduler.withdraw(jobId);
+  }
+
   fetchConfiguration(): ConfigurationCheckpoint | null {
     return this.follower.checkpoint() ?? null;
   }
--- a/src/placement/attempts.ts
+++ b/src/placement/attempts.ts
@@ -151,9 +151,14 @@
 export const withdrawnProblem = (): Problem =>
   createProblem('cancelled', 'The job ended before this task started.', { runState: 'not-run' });
 
-const stoppedBeforeStart = (): TaskOutcome => ({ kind: 'not-run', problem: withdrawnProblem() });
+/** @returns the outcome of a task that was stopped before any start */
+export const stoppedBeforeStart = (): TaskOutcome => ({
+  kind: 'not-run',
+  problem: withdrawnProblem(),
+});
 
-const stoppedWhileRunning = (): TaskOutcome => ({
+/** @returns the outcome of a task that may have run when it was stopped */
+export const stoppedWhileRunning = (): TaskOutcome => ({
   kind: 'outcome-unknown',
   problem: createProblem('outcome-unknown', 'The job ended while this task ran.'),
 });
--- a/src/placement/endpointPool.ts
+++ b/src/placement/endpointPool.ts
@@ -67,6 +67,7 @@
       availability: { kind: 'open' },
       busySlots: 0,
       busyEndSumMs: 0,
+      busyRunSumMs: 0,
     };
     this.endpoints.add(pooled);
     for (const indexed of this.operations.values()) {
@@ -108,7 +109,10 @@
       operation,
       slots: this.slotsOf(operation),
       waitingTasks,
-      untriedMs: runTimes.untriedMs(operation),
+      untried: {
+        rankMs: runTimes.untriedMs(operation),
+        runTimeMs: runTimes.typicalMs(operation),
+      },
       nowMs: clock.nowMs(),
       random,
       policy,
@@ -133,6 +137,7 @@
       const slot = pooled.idleSlots.pop();
       pooled.busySlots += 1;
       pooled.busyEndSumMs += expectedEndAtMs;
+      pooled.busyRunSumMs += expectedMs;
       pooled.availability =
         pooled.availability.kind === 'probe' ? { kind: 'closed' } : pooled.availability;
       slot?.next.resolve(assignment);
@@ -145,6 +150,7 @@
     this.update(pooled, () => {
       pooled.busySlots -= 1;
       pooled.busyEndSumMs -= assignment.expectedEndAtMs;
+      pooled.busyRunSumMs -= assignment.expectedMs;
     });
   }
 
@@ -201,6 +207,7 @@
       if (pooled.availability.kind === 'open') {
         bucket.busySlots -= pooled.busySlots;
         bucket.busyEndSumMs -= pooled.busyEndSumMs;
+        bucket.busyRunSumMs -= pooled.busyRunSumMs;
       }
       slots.probes.delete(pooled);
     }
@@ -218,6 +225,7 @@
       if (pooled.availability.kind === 'open') {
         bucket.busySlots += pooled.busySlots;
         bucket.busyEndSumMs += pooled.busyEndSumMs;
+        bucket.busyRunSumMs += pooled.busyRunSumMs;
       }
       if (pooled.idleSlots.length > 0) {
         offer(pooled, operation, slots, membership.place);
--- a/src/placement/operationSlots.ts
+++ b/src/placement/operationSlots.ts
@@ -2,7 +2,7 @@
  * The endpoints that can run one operation, in buckets by expected run time.
  */
 import { IndexedSet } from '../utils/indexedSet.js';
-import { bucketCount, runTimeOf } from './runTimeBuckets.js';
+import { bucketCount, bucketOf, runTimeOf } from './runTimeBuckets.js';
 import type { PooledEndpoint } from './pooledEndpoint.js';
 
 /** Endpoints of one bucket. */
@@ -12,15 +12,26 @@
   busySlots: number;
   /** Sum of the times at which the busy slots are expected to end, in milliseconds. */
   busyEndSumMs: number;
+  /** Sum of the expected run times of what runs, in milliseconds. */
+  busyRunSumMs: number;
 }
 
 /** Where an endpoint stands: a bucket by observed run time, or the endpoints not tried yet. */
 export type BucketPlace =
   { readonly kind: 'observed'; readonly index: number } | { readonly kind: 'untried' };
 
-/** The bucket that a choice found. */
+/** A bucket in the order of choice. */
 export interface FoundBucket {
   readonly bucket: Bucket;
+  /** Run time by which the bucket is ranked, in milliseconds. */
+  readonly rankMs: number;
+  /** Expected run time of a task, in milliseconds. */
+  readonly runTimeMs: number;
+}
+
+/** Run times of endpoints that were not tried yet. */
+export interface UntriedRunTimes {
+  readonly rankMs: number;
   readonly runTimeMs: number;
 }
 
@@ -47,17 +58,19 @@
   }
 
   /**
-   * Lists the buckets by run time; endpoints not tried yet stand where a typical one would.
+   * Lists the buckets with slots in the order of choice.
    *
-   * @param untriedIndex - bucket of the typical run time
+   * @param untried - where the endpoints stand that were not tried yet
    */
-  *inOrder(untriedIndex: number): Generator<FoundBucket> {
+  *inOrder(untried: UntriedRunTimes): Generator<FoundBucket> {
+    const untriedIndex = bucketOf(untried.rankMs);
     for (const [index, bucket] of this.observed.entries()) {
       if (index === untriedIndex && hasSlots(this.untried)) {
-        yield { bucket: this.untried, runTimeMs: runTimeOf(index) };
+        yield { bucket: this.untried, ...untried };
       }
       if (hasSlots(bucket)) {
-        yield { bucket, runTimeMs: runTimeOf(index) };
+        const runTimeMs = runTimeOf(index);
+        yield { bucket, rankMs: runTimeMs, runTimeMs };
       }
     }
   }
@@ -66,5 +79,5 @@
 const hasSlots = ({ idle, busySlots }: Bucket): boolean => idle.size > 0 || busySlots > 0;
 
 function createBucket(): Bucket {
-  return { idle: IndexedSet.create(), busySlots: 0, busyEndSumMs: 0 };
+  return { idle: IndexedSet.create(), busySlots: 0, busyEndSumMs: 0, busyRunSumMs: 0 };
 }
--- a/src/placement/pooledEndpoint.ts
+++ b/src/placement/pooledEndpoint.ts
@@ -45,4 +45,6 @@
   busySlots: number;
   /** Sum of the times at which the busy slots are expected to end, in milliseconds. */
   busyEndSumMs: number;
+  /** Sum of the expected run times of what runs, in milliseconds. */
+  busyRunSumMs: number;
 }
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -10,20 +10,43 @@
 import type { EndpointPort } from '../ports/endpoints.js';
 import type { Logger } from '../ports/logger.js';
 import type { Random } from '../ports/random.js';
+import type { PeerSlots } from '../passing/peerSlots.js';
+import type { TaskPasser } from '../passing/taskPasser.js';
 import { createDeferred } from '../utils/deferred.js';
-import { Attempts, withdrawnProblem } from './attempts.js';
+import { RecentNames } from '../utils/recentNames.js';
+import { Attempts, stoppedBeforeStart, withdrawnProblem } from './attempts.js';
 import type { AttemptEnd } from './attempts.js';
 import { EndpointPool } from './endpointPool.js';
 import { HoldBack } from './holdBack.js';
 import type { Assignment, PooledEndpoint } from './pooledEndpoint.js';
+import { PlaceChooser, mayTravel } from './placeChoice.js';
+import type { Place } from './placeChoice.js';
 import { RetryBudget } from './retryBudget.js';
 import { RunTimes } from './runTimes.js';
 import { ServedEndpoint } from './servedEndpoint.js';
-import { settle } from './settlement.js';
+import { settle, settlePassed } from './settlement.js';
+import type { Settlement } from './settlement.js';
 import { TaskQueue } from './taskQueue.js';
 import type { WaitingTask } from './taskQueue.js';
 import type { PlacementPolicy, PlacementRules, Task } from './types.js';
 
+/** Tasks that one round of decisions takes and puts back at most. */
+const maxSetAside = 4;
+/** Ended jobs that are recognised when a task of theirs comes back late. */
+const maxWithdrawnJobs = 4_096;
+
+/** How tasks go to peers. */
+export interface Passing {
+  readonly slots: PeerSlots;
+  readonly passer: TaskPasser;
+}
+
+/** A task with the place that was chosen for it. */
+interface PlacedTask {
+  readonly entry: WaitingTask;
+  readonly place: Place;
+}
+
 export interface SchedulerOptions {
   readonly incarnation: string;
   readonly clock: Clock;
@@ -33,6 +56,8 @@
   /** The waiting tasks; an empty queue by default. */
   readonly queue?: TaskQueue;
   readonly policy?: PlacementPolicy;
+  /** Left out where tasks are not passed to peers. */
+  readonly passing?: Passing;
   /** Rules in force now. */
   readonly rules: () => PlacementRules;
 }
@@ -42,6 +67,8 @@
   private readonly pool: EndpointPool;
   private readonly attempts: Attempts;
   private readonly holdBack: HoldBack;
+  private readonly chooser: PlaceChooser;
+  private readonly withdrawn = RecentNames.create(maxWithdrawnJobs);
   private readonly budget = RetryBudget.create();
   private readonly served = new Map<string, ServedEndpoint>();
   private readonly draining = new Set<Promise<void>>();
@@ -51,9 +78,17 @@
     const { clock, random } = options;
     const policy = options.policy ?? { kind: 'expected-completion' };
     this.queue = options.queue ?? TaskQueue.create();
-    this.pool = EndpointPool.create({ clock, random, policy, runTimes: RunTimes.create() });
+    const runTimes = RunTimes.create();
+    this.pool = EndpointPool.create({ clock, random, policy, runTimes });
     this.attempts = Attempts.create(options);
     this.holdBack = HoldBack.create(clock, () => this.dispatch(), this.stop.signal);
+    this.chooser = PlaceChooser.create({
+      pool: this.pool,
+      holdBack: this.holdBack,
+      runTimes,
+      peerSlots: options.passing?.slots,
+      objective: () => options.rules().objective,
+    });
   }
 
   static create(options: SchedulerOptions): Scheduler {
@@ -89,6 +124,8 @@
    */
   withdraw(jobId: string): void {
     this.withdrawWaiting(jobId, withdrawnProblem());
+    this.withdrawn.add(jobId);
+    this.options.passing?.passer.withdraw(jobId);
     this.attempts.stopJob(jobId);
   }
 
@@ -129,6 +166,7 @@
     this.serve([]);
     await Promise.all(this.draining);
     this.stop.abort();
+    this.options.passing?.passer.close();
   }
 
   private startServing(placed: PlacedEndpoint): ServedEndpoint {
@@ -153,59 +191,108 @@
     this.dispatch();
   }
 
-  /** Brings waiting tasks to idle slots until one of both runs out. */
+  /** Brings waiting tasks to places until one of both runs out. */
   private dispatch(): void {
-    for (;;) {
-      const chosen = new Map<Operation, PooledEndpoint>();
-      const entry = this.queue.take((operation) => {
-        const pooled = this.choose(operation);
-        if (pooled !== undefined) {
-          chosen.set(operation, pooled);
-        }
-        return pooled !== undefined;
-      });
-      const pooled = entry === undefined ? undefined : chosen.get(entry.task.operation);
-      if (entry === undefined || pooled === undefined) {
-        return;
+    const setAside: WaitingTask[] = [];
+    while (setAside.length < maxSetAside) {
+      const chosen = this.takeNext();
+      if (chosen === undefined) {
+        break;
+      }
+      if (!this.start(chosen.entry, chosen.place)) {
+        setAside.push(chosen.entry);
       }
-      this.holdBack.placed(entry.task.operation);
-      this.pool.assign(pooled, this.attempts.prepare(pooled.placed, entry), 'first');
     }
+    setAside.forEach((entry) => this.queue.putBack(entry));
   }
 
-  private choose(operation: Operation): PooledEndpoint | undefined {
-    const choice = this.pool.choose(operation, this.queue.size);
-    switch (choice.kind) {
-      case 'idle':
-        return choice.pooled;
-      case 'hold':
-        return this.holdBack.isHeld(operation, choice) ? undefined : choice.pooled;
-      case 'none':
-        return undefined;
+  private takeNext(): PlacedTask | undefined {
+    const places = new Map<Operation, Place>();
+    const entry = this.queue.take((operation) => {
+      const place = this.chooser.choose(operation, this.queue.size);
+      if (place !== undefined) {
+        places.set(operation, place);
+      }
+      return place !== undefined;
+    });
+    const place = entry === undefined ? undefined : places.get(entry.task.operation);
+    return entry === undefined || place === undefined ? undefined : { entry, place };
+  }
+
+  /** Starts a task, unless it may not go to the place. */
+  private start(entry: WaitingTask, place: Place): boolean {
+    switch (place.kind) {
+      case 'slot':
+        this.startOn(place.pooled, entry);
+        return true;
+      case 'peer': {
+        if (mayTravel(entry.task, place, this.options.clock.nowMs())) {
+          void this.runAtPeer(entry, place.incarnation);
+          return true;
+        }
+        if (place.instead !== undefined) {
+          this.startOn(place.instead, entry);
+        }
+        return place.instead !== undefined;
+      }
       default:
-        return unreachable(choice);
+        return unreachable(place);
+    }
+  }
+
+  private startOn(pooled: PooledEndpoint, entry: WaitingTask): void {
+    this.holdBack.placed(entry.task.operation);
+    this.pool.assign(pooled, this.attempts.prepare(pooled.placed, entry), 'first');
+  }
+
+  private async runAtPeer(entry: WaitingTask, incarnation: string): Promise<void> {
+    const end = await this.options.passing?.passer.pass(entry, incarnation);
+    if (end === undefined || end.kind === 'not-started') {
+      this.waitAgain(entry);
+      return;
     }
+    this.queue.ended(entry, end.kind === 'ended' ? end.elapsedMs : 0);
+    this.finish(entry, settlePassed(entry.task.operation, end));
   }
 
-  /** Answers a task whose attempt ended, or lets it wait for another attempt. */
+  /** Takes the end of an attempt. */
   private ended({ attempt }: Assignment, pooled: PooledEndpoint, end: AttemptEnd): void {
     const { entry } = attempt;
     const { operation } = entry.task;
+    if (end.kind === 'replied' && end.reply.kind === 'not-started') {
+      this.waitAgain(entry);
+      return;
+    }
     this.queue.ended(entry, end.kind === 'past-deadline' ? 0 : end.elapsedMs);
     if (end.kind === 'replied' && end.reply.kind === 'done') {
       this.pool.observe(pooled, operation, end.elapsedMs);
     }
-    const settlement = settle(operation, end);
+    this.finish(entry, settle(operation, end));
+  }
+
+  /** Lets a task wait again that certainly did not start, unless its job ended meanwhile. */
+  private waitAgain(entry: WaitingTask): void {
+    if (this.withdrawn.has(entry.task.jobId)) {
+      this.queue.ended(entry, 0);
+      entry.outcome.resolve(stoppedBeforeStart());
+      return;
+    }
+    this.queue.putBack(entry);
+    this.dispatch();
+  }
+
+  /** Answers a task, or lets it wait for another attempt. */
+  private finish(entry: WaitingTask, settlement: Settlement): void {
     switch (settlement.kind) {
       case 'answered':
         entry.outcome.resolve(settlement.outcome);
         return;
       case 'not-started':
-        this.place(entry);
+        this.waitAgain(entry);
         return;
       case 'repeatable':
         if (this.budget.take()) {
-          this.place(entry);
+          this.waitAgain(entry);
           return;
         }
         entry.outcome.resolve(settlement.otherwise);
--- a/src/placement/settlement.ts
+++ b/src/placement/settlement.ts
@@ -6,7 +6,9 @@
 import { unreachable } from '../errors/unreachable.js';
 import type { Operation } from '../inventory/types.js';
 import type { TaskOutcome } from '../jobs/types.js';
+import type { PassedEnd } from '../passing/taskPasser.js';
 import type { EndpointReply } from '../ports/endpoints.js';
+import { stoppedBeforeStart, stoppedWhileRunning } from './attempts.js';
 import type { AttemptEnd } from './attempts.js';
 
 export type Settlement =
@@ -27,7 +29,7 @@
     case 'past-deadline':
       return { kind: 'answered', outcome: { kind: 'not-run', problem: pastDeadline() } };
     case 'stopped':
-      return { kind: 'answered', outcome: unknown('The task was stopped.') };
+      return { kind: 'answered', outcome: stoppedWhileRunning() };
     case 'replied':
       return settleReply(operation, end.reply);
     default:
@@ -35,6 +37,30 @@
   }
 };
 
+/**
+ * Tells what the end of a passed task means.
+ *
+ * @param operation - what the task runs
+ * @param end - how it ended at the peer
+ */
+export const settlePassed = (operation: Operation, end: PassedEnd): Settlement => {
+  switch (end.kind) {
+    case 'ended':
+      return { kind: 'answered', outcome: end.outcome };
+    case 'not-started':
+      return { kind: 'not-started' };
+    case 'lost':
+      return fallBack(operation, unknown('The peer that ran the task gave no answer.'));
+    case 'withdrawn':
+      return {
+        kind: 'answered',
+        outcome: end.isSent ? stoppedWhileRunning() : stoppedBeforeStart(),
+      };
+    default:
+      return unreachable(end);
+  }
+};
+
 const settleReply = (operation: Operation, reply: EndpointReply): Settlement => {
   switch (reply.kind) {
     case 'done':
--- a/src/placement/slotChoice.ts
+++ b/src/placement/slotChoice.ts
@@ -5,15 +5,13 @@
 import { unreachable } from '../errors/unreachable.js';
 import type { Operation } from '../inventory/types.js';
 import type { Random } from '../ports/random.js';
-import type { OperationSlots } from './operationSlots.js';
+import type { OperationSlots, UntriedRunTimes } from './operationSlots.js';
 import type { PooledEndpoint } from './pooledEndpoint.js';
-import { bucketOf } from './runTimeBuckets.js';
+import { estimateWaitMs } from './slotWait.js';
 import type { PlacementPolicy } from './types.js';
 
 /** A wait for a faster endpoint must end this much earlier, as a share of the slower run time. */
 const holdGain = 0.9;
-/** Least time after which a busy slot may be expected to end, as a share of its run time. */
-const minResidualShare = 0.1;
 
 export type SlotChoice =
   /** An idle slot, and the expected run time there. */
@@ -32,8 +30,7 @@
   readonly operation: Operation;
   readonly slots: OperationSlots;
   readonly waitingTasks: number;
-  /** Rank of the endpoints that were not tried yet, in milliseconds. */
-  readonly untriedMs: number;
+  readonly untried: UntriedRunTimes;
   readonly nowMs: number;
   readonly random: Random;
   readonly policy: PlacementPolicy;
@@ -48,32 +45,28 @@
   const { operation, slots, random } = input;
   const probe = slots.probes.draw(random.next());
   if (probe !== undefined && operation.kind === 'repeatable') {
-    return { kind: 'idle', pooled: probe, completionMs: input.untriedMs };
+    return { kind: 'idle', pooled: probe, completionMs: input.untried.runTimeMs };
   }
   const choice = chooseFromBuckets(input);
   return choice.kind === 'none' && probe !== undefined
-    ? { kind: 'idle', pooled: probe, completionMs: input.untriedMs }
+    ? { kind: 'idle', pooled: probe, completionMs: input.untried.runTimeMs }
     : choice;
 };
 
 const chooseFromBuckets = (input: SlotChoiceInput): SlotChoice => {
-  const { slots, waitingTasks, nowMs, random, policy } = input;
-  let busySlots = 0;
-  let busyEndSumMs = 0;
+  const { slots, untried, nowMs, random, policy } = input;
+  const waitingTasks = Math.max(input.waitingTasks, 1);
+  const busy = { slots: 0, endSumMs: 0, runSumMs: 0 };
   let soonestMs = Infinity;
-  for (const { bucket, runTimeMs } of slots.inOrder(bucketOf(input.untriedMs))) {
+  for (const { bucket, rankMs, runTimeMs } of slots.inOrder(untried)) {
     const pooled = bucket.idle.draw(random.next());
     if (pooled !== undefined) {
-      return weigh(policy, pooled, runTimeMs, soonestMs);
+      return weigh(policy, pooled, rankMs, soonestMs);
     }
-    if (bucket.busySlots === 0) {
-      continue;
-    }
-    busySlots += bucket.busySlots;
-    busyEndSumMs += bucket.busyEndSumMs;
-    const residualMs = Math.max(busyEndSumMs / busySlots - nowMs, runTimeMs * minResidualShare);
-    const waitMs = (2 * residualMs * Math.max(waitingTasks, 1)) / (busySlots + 1);
-    soonestMs = Math.min(soonestMs, waitMs + runTimeMs);
+    busy.slots += bucket.busySlots;
+    busy.endSumMs += bucket.busyEndSumMs;
+    busy.runSumMs += bucket.busyRunSumMs;
+    soonestMs = Math.min(soonestMs, estimateWaitMs(busy, waitingTasks, nowMs) + runTimeMs);
   }
   return { kind: 'none', completionMs: soonestMs };
 };
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -15,6 +15,8 @@
   readonly input: unknown;
   /** Monotonic time of this process, in milliseconds. */
   readonly deadlineAtMs: number;
+  /** Whether a peer passed the task here; such a task does not travel on. */
+  readonly isPassed?: boolean;
 }
 
 /** How the endpoint of a task is chosen; the last two are baselines. */
--- a/src/ports/peers.ts
+++ b/src/ports/peers.ts
@@ -4,7 +4,13 @@
 import type { ConfigurationCheckpoint } from '../configuration/types.js';
 import { configurationCheckpointSchema } from '../configuration/types.js';
 import { problemSchema } from '../errors/problem.js';
-import { jobAnswerSchema, submissionSchema } from '../jobs/types.js';
+import { callerClassSchema } from '../inventory/types.js';
+import {
+  jobAnswerSchema,
+  maxTasksPerJob,
+  submissionSchema,
+  taskOutcomeSchema,
+} from '../jobs/types.js';
 import type { Heartbeat } from '../membership/types.js';
 import { heartbeatSchema } from '../membership/types.js';
 
@@ -106,6 +112,57 @@
 export const inheritanceSchema = z.object({ incarnations: z.array(z.string().max(32)).max(4_096) });
 export type Inheritance = z.infer<typeof inheritanceSchema>;
 
+/** Tasks in one message between daemons at most. */
+export const maxPassedTasks = maxTasksPerJob;
+
+/** A waiting task that goes to a daemon with free slots. */
+export const passedTaskSchema = z.object({
+  taskId: z.string().max(64),
+  /** Grows each time that the task is passed anew, after it certainly did not start. */
+  pass: z.number().int().nonnegative(),
+  jobId: z.string().max(64),
+  callerId: z.string().max(64),
+  teamId: z.string().max(64),
+  callerClass: callerClassSchema,
+  operationId: z.string().max(64),
+  input: z.unknown(),
+  /** Time until the deadline, in milliseconds. */
+  timeLeftMs: z.number().positive().max(600_000),
+});
+export type PassedTask = z.infer<typeof passedTaskSchema>;
+
+/** Tasks for one incarnation; sent again, they are recognised by task id and pass. */
+export const passTasksRequestSchema = z.object({
+  incarnation: z.string().max(32),
+  tasks: z.array(passedTaskSchema).min(1).max(maxPassedTasks),
+});
+export type PassTasksRequest = z.infer<typeof passTasksRequestSchema>;
+
+/** How a passed task ended. */
+export const passedTaskEndSchema = z.object({
+  taskId: z.string().max(64),
+  outcome: taskOutcomeSchema,
+  /** Time from arrival to end, in milliseconds. */
+  elapsedMs: z.number().nonnegative(),
+});
+export type PassedTaskEnd = z.infer<typeof passedTaskEndSchema>;
+
+/** The answer to passed tasks, when all of them have ended. */
+export const passTasksReplySchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal('ended'),
+    ends: z.array(passedTaskEndSchema).max(maxPassedTasks),
+    freeSlots: z.number().int().nonnegative(),
+  }),
+  /** The process that was meant is gone; this one started nothing. */
+  z.object({ kind: z.literal('other-incarnation') }),
+]);
+export type PassTasksReply = z.infer<typeof passTasksReplySchema>;
+
+/** Stops the passed tasks of a job that has ended. */
+export const withdrawPassedSchema = z.object({ jobId: z.string().max(64) });
+export type WithdrawPassed = z.infer<typeof withdrawPassedSchema>;
+
 /** Requests between daemons; the answer of each is in `peerMethods`. */
 export const peerMethods = {
   heartbeat: { params: heartbeatSchema, result: heartbeatSchema },
@@ -114,6 +171,8 @@
   cancel: { params: submissionRefSchema, result: statusReplySchema },
   handOver: { params: handOverBatchSchema, result: handOverReplySchema },
   fetchInheritance: { params: z.object({}), result: inheritanceSchema },
+  passTasks: { params: passTasksRequestSchema, result: passTasksReplySchema },
+  withdrawPassed: { params: withdrawPassedSchema, result: z.object({}) },
   fetchConfiguration: {
     params: z.object({}),
     result: z.object({ checkpoint: configurationCheckpointSchema.nullable() }),
@@ -137,6 +196,11 @@
   cancel(request: SubmissionRef, signal: AbortSignal): Promise<Result<StatusReply, PeerError>>;
   handOver(batch: HandOverBatch, signal: AbortSignal): Promise<Result<HandOverReply, PeerError>>;
   fetchInheritance(signal: AbortSignal): Promise<Result<Inheritance, PeerError>>;
+  passTasks(
+    request: PassTasksRequest,
+    signal: AbortSignal,
+  ): Promise<Result<PassTasksReply, PeerError>>;
+  withdrawPassed(request: WithdrawPassed, signal: AbortSignal): Promise<void>;
   fetchConfiguration(
     signal: AbortSignal,
   ): Promise<Result<ConfigurationCheckpoint | null, PeerError>>;
@@ -161,5 +225,7 @@
   cancelForwarded(request: SubmissionRef): Promise<StatusReply>;
   handOver(batch: HandOverBatch): HandOverReply;
   fetchInheritance(): Inheritance;
+  passTasks(request: PassTasksRequest): Promise<PassTasksReply>;
+  withdrawPassed(request: WithdrawPassed): void;
   fetchConfiguration(): ConfigurationCheckpoint | null;
 }
--- a/src/queue/taskQueue.ts
+++ b/src/queue/taskQueue.ts
@@ -109,6 +109,23 @@
     }
   }
 
+  /**
+   * Lets a task wait again that was taken and certainly did not start.
+   *
+   * @param entry - the task
+   */
+  putBack(entry: WaitingTask): void {
+    const queued = this.running.get(entry);
+    if (queued !== undefined) {
+      this.running.delete(entry);
+      this.classes[queued.callerClass].correct(queued.teamId, -queued.expectedMs);
+      if (queued.callerClass === 'trial') {
+        this.trialCap.ended(entry.task.operation);
+      }
+    }
+    this.push(entry);
+  }
+
   /**
    * Takes out every waiting task of a job, without a look at any other job.
    *
--- a/src/testing/fakePeerNetwork.ts
+++ b/src/testing/fakePeerNetwork.ts
@@ -72,6 +72,10 @@
       status: (request) => call((service) => service.statusForwarded(request)),
       cancel: (request) => call((service) => service.cancelForwarded(request)),
       handOver: (batch) => call((service) => service.handOver(structuredClone(batch))),
+      passTasks: (request) => call((service) => service.passTasks(structuredClone(request))),
+      withdrawPassed: async (request) => {
+        await call((service) => service.withdrawPassed(request));
+      },
       fetchInheritance: () => call((service) => service.fetchInheritance()),
       fetchConfiguration: () => call((service) => service.fetchConfiguration()),
       close: () => Promise.resolve(),
