--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -20,6 +20,7 @@
 import { TaskPasser } from '../passing/taskPasser.js';
 import { defaultPlacementRules } from '../placement/types.js';
 import { followLimits } from '../limits/followLimits.js';
+import { QuotaKeeper } from '../limits/quotaKeeper.js';
 import { Scheduler } from '../placement/scheduler.js';
 import type { CallerService, JobStatus } from '../ports/callers.js';
 import type { DaemonStatus, OperatorService } from '../ports/operators.js';
@@ -70,7 +71,8 @@
   private readonly inherited: InheritedTables;
   private readonly own: OwnSubmissions;
   private readonly claims: Claims;
-  private readonly queue = TaskQueue.create();
+  private readonly queue: TaskQueue;
+  private readonly quotas: QuotaKeeper;
   private readonly scheduler: Scheduler;
   private readonly peers: PeerSet;
   private readonly passedTasks: PassedTasks;
@@ -91,6 +93,7 @@
       this.configuration.current?.rules.resubmissionWindowMs ?? defaultResubmissionWindowMs;
     this.table = SubmissionTable.create({ incarnation, clock, maxBytes: maxTableBytes, windowMs });
     this.inherited = InheritedTables.create({ clock, maxBytes: maxInheritedBytes, windowMs });
+    this.queue = TaskQueue.create(clock);
     this.peers = PeerSet.create({
       vmId: identity.vmId,
       failureDomainId: identity.failureDomainId,
@@ -99,6 +102,7 @@
       vmList: ports.vmList,
       connector: ports.peers,
       ownHeartbeat: () => this.composeHeartbeat(),
+      sentHeartbeat: () => this.composeSentHeartbeat(),
     });
     const { failureDomainId } = identity;
     const slots = PeerSlots.create({ failureDomainId, peers: this.peers });
@@ -112,7 +116,6 @@
       passing: { slots, passer: TaskPasser.create({ clock, peers: this.peers, slots }) },
       rules: () => this.configuration.current?.rules ?? defaultPlacementRules,
     });
-    followLimits(this.configuration, this.queue);
     this.passedTasks = PassedTasks.create({
       incarnation,
       clock,
@@ -120,6 +123,15 @@
       configuration: this.configuration,
       isTaking: () => this.state === 'active',
     });
+    this.quotas = QuotaKeeper.create({
+      ...identity,
+      incarnation,
+      clock,
+      queue: this.queue,
+      members: () => this.peers.domainMembers(),
+    });
+    followLimits(this.configuration, this.queue, this.quotas);
+    this.peers.onHeartbeat((heard) => this.quotas.hear(heard.incarnation, heard.quota));
     const { configuration, table, inherited, peers } = this;
     const runner = JobRunner.create({ clock, scheduler: this.scheduler });
     followConfiguration(configuration, runner);
@@ -127,6 +139,7 @@
       queue: this.queue,
       processLoad: ports.processLoad,
       spareSlots: () => this.countSpareSlots(),
+      quotaOf: (teamId) => this.quotas.reachOf(teamId),
     });
     this.own = OwnSubmissions.create({ clock, random, configuration, runner, table, admission });
     const heirs = HeirDirectory.create(peers, clock);
@@ -208,7 +221,7 @@
 
   heartbeat(theirs: Heartbeat): Heartbeat {
     this.peers.receive(theirs);
-    return this.composeHeartbeat();
+    return this.composeSentHeartbeat();
   }
 
   forward(request: ForwardedSubmission): Promise<SubmitOutcome> {
@@ -243,6 +256,10 @@
     return this.follower.checkpoint() ?? null;
   }
 
+  refreshPeers(): Promise<void> {
+    return this.peers.refresh();
+  }
+
   /** Stops taking new submissions; what runs goes on. */
   drain(): void {
     this.state = 'leaving';
@@ -282,6 +299,8 @@
     await Promise.all([this.follower.close(), this.claims.close()]);
     await this.peers.close();
     await this.scheduler.close();
+    await this.quotas.close();
+    await this.queue.close();
     await this.ports.endpoints.close();
     await this.ports.logService.close();
     await this.ports.vmList.close();
@@ -296,6 +315,10 @@
       .reduce((sum, { freeSlots }) => sum + freeSlots, 0);
   }
 
+  private composeSentHeartbeat(): Heartbeat {
+    return { ...this.composeHeartbeat(), quota: this.quotas.composeNotice() };
+  }
+
   private composeHeartbeat(): Heartbeat {
     return {
       vmId: this.identity.vmId,
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -2,6 +2,7 @@
  * Schemas of what the daemons tell one another about themselves.
  */
 import { z } from 'zod';
+import { quotaNoticeSchema } from '../limits/types.js';
 
 export const daemonStateSchema = z.enum(['active', 'leaving']);
 export type DaemonState = z.infer<typeof daemonStateSchema>;
@@ -17,5 +18,16 @@
   configurationVersion: z.number().int().nonnegative(),
   /** Grows whenever the set of tables taken over from stopped daemons changes. */
   inheritanceVersion: z.number().int().nonnegative().default(0),
+  /** Sent only where a quota is short or lent. */
+  quota: quotaNoticeSchema.optional(),
 });
 export type Heartbeat = z.infer<typeof heartbeatSchema>;
+
+/** An endpoint of a failure domain and who dispatches to it. */
+export const assignedEndpointSchema = z.object({
+  endpointId: z.string(),
+  /** VM of the dispatcher, as the daemon that tells it sees the members. */
+  dispatcher: z.string().nullable(),
+  state: z.enum(['active', 'leaving']),
+});
+export type AssignedEndpoint = z.infer<typeof assignedEndpointSchema>;
--- a/src/passing/passedTasks.ts
+++ b/src/passing/passedTasks.ts
@@ -75,9 +75,12 @@
       return { taskId, outcome: refusal(), elapsedMs: 0 };
     }
     const startedAtMs = clock.nowMs();
-    const who = { taskId, jobId, callerId, teamId, callerClass };
+    // Counted to the quota of the team where the job came in, and not here again.
+    const standing = { callerId: `${callerId}/passed`, teamId: `${teamId}/passed`, callerClass };
     const outcome = await scheduler.run({
-      ...who,
+      ...standing,
+      taskId,
+      jobId,
       operation,
       input,
       deadlineAtMs,
--- a/src/placement/attempts.ts
+++ b/src/placement/attempts.ts
@@ -7,7 +7,7 @@
 import type { TaskOutcome } from '../jobs/types.js';
 import type { Clock } from '../ports/clock.js';
 import type { EndpointPort, EndpointReply } from '../ports/endpoints.js';
-import type { WaitingTask } from './taskQueue.js';
+import type { WaitingTask } from '../queue/types.js';
 
 const cancelTimeoutMs = 1_000;
 
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -22,12 +22,11 @@
 import { PlaceChooser, mayTravel } from './placeChoice.js';
 import type { Place } from './placeChoice.js';
 import { RetryBudget } from './retryBudget.js';
-import { RunTimes } from './runTimes.js';
 import { ServedEndpoint } from './servedEndpoint.js';
 import { settle, settlePassed } from './settlement.js';
 import type { Settlement } from './settlement.js';
-import { TaskQueue } from './taskQueue.js';
-import type { WaitingTask } from './taskQueue.js';
+import { TaskQueue } from '../queue/taskQueue.js';
+import type { WaitingTask } from '../queue/types.js';
 import type { PlacementPolicy, PlacementRules, Task } from './types.js';
 
 /** Tasks that one round of decisions takes and puts back at most. */
@@ -77,8 +76,9 @@
   private constructor(private readonly options: SchedulerOptions) {
     const { clock, random } = options;
     const policy = options.policy ?? { kind: 'expected-completion' };
-    this.queue = options.queue ?? TaskQueue.create();
-    const runTimes = RunTimes.create();
+    this.queue = options.queue ?? TaskQueue.create(clock);
+    this.queue.onOpening(() => this.dispatch());
+    const { runTimes } = this.queue;
     this.pool = EndpointPool.create({ clock, random, policy, runTimes });
     this.attempts = Attempts.create(options);
     this.holdBack = HoldBack.create(clock, () => this.dispatch(), this.stop.signal);
@@ -203,7 +203,7 @@
         setAside.push(chosen.entry);
       }
     }
-    setAside.forEach((entry) => this.queue.putBack(entry));
+    setAside.forEach((entry) => this.putBack(entry));
   }
 
   private takeNext(): PlacedTask | undefined {
@@ -277,10 +277,15 @@
       entry.outcome.resolve(stoppedBeforeStart());
       return;
     }
-    this.queue.putBack(entry);
+    this.putBack(entry);
     this.dispatch();
   }
 
+  private putBack(entry: WaitingTask): void {
+    this.queue.ended(entry, 0);
+    this.queue.push(entry);
+  }
+
   /** Answers a task, or lets it wait for another attempt. */
   private finish(entry: WaitingTask, settlement: Settlement): void {
     switch (settlement.kind) {
