--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -18,6 +18,9 @@
 import { DispatchAssignment } from '../membership/dispatchAssignment.js';
 import { PeerSet } from '../membership/peerSet.js';
 import type { DaemonState, Heartbeat } from '../membership/types.js';
+import { PassedTasks } from '../passing/passedTasks.js';
+import { PeerSlots } from '../passing/peerSlots.js';
+import { TaskPasser } from '../passing/taskPasser.js';
 import { defaultPlacementRules } from '../placement/types.js';
 import { followLimits } from '../limits/followLimits.js';
 import { QuotaKeeper } from '../limits/quotaKeeper.js';
@@ -30,10 +33,13 @@
   HandOverBatch,
   HandOverReply,
   Inheritance,
+  PassTasksReply,
+  PassTasksRequest,
   PeerService,
   StatusReply,
   SubmissionRef,
   SubmitOutcome,
+  WithdrawPassed,
 } from '../ports/peers.js';
 import type { Ports } from '../ports/ports.js';
 import { depart } from '../submissions/departure.js';
@@ -75,6 +81,7 @@
   private readonly quotas: QuotaKeeper;
   private readonly scheduler: Scheduler;
   private readonly peers: PeerSet;
+  private readonly passedTasks: PassedTasks;
   private readonly intake: Intake;
   private readonly follower: ConfigurationFollower;
   private readonly catchUp: PeerCatchUp;
@@ -95,6 +102,18 @@
     this.queue = TaskQueue.create(clock);
     this.traces = JobTraces.create(clock, maxTraceEvents);
     const { traces } = this;
+    this.peers = PeerSet.create({
+      vmId: identity.vmId,
+      failureDomainId: identity.failureDomainId,
+      clock,
+      logger,
+      vmList: ports.vmList,
+      connector: ports.peers,
+      ownHeartbeat: () => this.composeHeartbeat(),
+      sentHeartbeat: () => this.composeSentHeartbeat(),
+    });
+    const { failureDomainId } = identity;
+    const slots = PeerSlots.create({ failureDomainId, peers: this.peers });
     this.scheduler = Scheduler.create({
       incarnation,
       clock,
@@ -102,17 +121,15 @@
       logger,
       endpoints: TracedEndpoints.create({ endpoints: ports.endpoints, traces, clock }),
       queue: this.queue,
+      passing: { slots, passer: TaskPasser.create({ clock, peers: this.peers, slots }) },
       rules: () => this.configuration.current?.rules ?? defaultPlacementRules,
     });
-    this.peers = PeerSet.create({
-      vmId: identity.vmId,
-      failureDomainId: identity.failureDomainId,
+    this.passedTasks = PassedTasks.create({
+      incarnation,
       clock,
-      logger,
-      vmList: ports.vmList,
-      connector: ports.peers,
-      ownHeartbeat: () => this.composeHeartbeat(),
-      sentHeartbeat: () => this.composeSentHeartbeat(),
+      scheduler: this.scheduler,
+      configuration: this.configuration,
+      isTaking: () => this.state === 'active',
     });
     this.quotas = QuotaKeeper.create({
       ...identity,
@@ -243,6 +260,14 @@
     return { incarnations: this.inherited.incarnations() };
   }
 
+  passTasks(request: PassTasksRequest): Promise<PassTasksReply> {
+    return this.passedTasks.receive(request);
+  }
+
+  withdrawPassed({ jobId }: WithdrawPassed): void {
+    this.scheduler.withdraw(jobId);
+  }
+
   fetchConfiguration(): ConfigurationCheckpoint | null {
     return this.follower.checkpoint() ?? null;
   }
