Let peers carry what nests as deep as a caller may send

Cause: the peers' interface had the callers' limit of 32 levels, although a forwarded body is wrapped in three more; such a submission was refused at its owner, and one deep answer made a whole hand-over fail. Peers now take 64 levels, and an answer that nests deeper is handed over as outcome-unknown.

--- a/src/adapters/http/readJsonBody.ts
+++ b/src/adapters/http/readJsonBody.ts
@@ -6,6 +6,7 @@
 import type { Result } from 'ts-results-es';
 import { createProblem } from '../../errors/problem.js';
 import type { Problem } from '../../errors/problem.js';
+import { isNestingBounded } from '../../utils/jsonNesting.js';
 
 export const maxNesting = 32;
 
@@ -14,11 +15,13 @@
  *
  * @param request - the request
  * @param maxBytes - the largest body that is accepted
+ * @param maxDepth - the deepest nesting that is accepted
  * @returns the parsed value, or an `invalid-request` or `too-large` problem
  */
 export const readJsonBody = async (
   request: IncomingMessage,
   maxBytes: number,
+  maxDepth = maxNesting,
 ): Promise<Result<unknown, Problem>> => {
   const announced = Number(request.headers['content-length'] ?? 0);
   if (announced > maxBytes) {
@@ -29,10 +32,8 @@
     return body;
   }
   const text = body.value;
-  if (!isNestingBounded(text)) {
-    return Err(
-      createProblem('invalid-request', `The body nests deeper than ${maxNesting} levels.`),
-    );
+  if (!isNestingBounded(text, maxDepth)) {
+    return Err(createProblem('invalid-request', `The body nests deeper than ${maxDepth} levels.`));
   }
   return parseJson(text);
 };
@@ -73,33 +74,5 @@
   }
 };
 
-/** Counts open brackets outside of strings before the text is parsed. */
-const isNestingBounded = (text: string): boolean => {
-  let depth = 0;
-  let isInString = false;
-  for (let i = 0; i < text.length; i += 1) {
-    const char = text[i];
-    if (isInString) {
-      if (char === '\\') {
-        i += 1;
-      } else if (char === '"') {
-        isInString = false;
-      }
-      continue;
-    }
-    if (char === '"') {
-      isInString = true;
-    } else if (char === '{' || char === '[') {
-      depth += 1;
-      if (depth > maxNesting) {
-        return false;
-      }
-    } else if (char === '}' || char === ']') {
-      depth -= 1;
-    }
-  }
-  return true;
-};
-
 const tooLarge = (maxBytes: number): Problem =>
   createProblem('too-large', `The body must have at most ${maxBytes} bytes.`);
--- a/src/adapters/peerRpc/peerRpcServer.ts
+++ b/src/adapters/peerRpc/peerRpcServer.ts
@@ -7,7 +7,7 @@
 import { createProblem } from '../../errors/problem.js';
 import { problemFromZod } from '../../errors/zodProblem.js';
 import type { Logger } from '../../ports/logger.js';
-import { peerMethods } from '../../ports/peers.js';
+import { maxPeerNesting, peerMethods } from '../../ports/peers.js';
 import type { PeerService } from '../../ports/peers.js';
 import { digestToken, isSameDigest, readTokenDigest } from '../http/bearerToken.js';
 import { HttpServer } from '../http/httpServer.js';
@@ -89,7 +89,7 @@
       sendProblem(response, createProblem('not-found', detail));
       return;
     }
-    const body = await readJsonBody(request, maxBodyBytes);
+    const body = await readJsonBody(request, maxBodyBytes, maxPeerNesting);
     if (body.isErr()) {
       sendProblem(response, body.error);
       return;
--- a/src/ports/peers.ts
+++ b/src/ports/peers.ts
@@ -11,6 +11,9 @@
 /** Version of the peers' messages; a peer with another version is refused. */
 export const peerProtocolVersion = 1;
 
+/** Nesting of a message between daemons at most; a caller's body is wrapped in a few levels more. */
+export const maxPeerNesting = 64;
+
 /** The daemon process and epoch that alone may start a submission. */
 export const ownerSchema = z.object({
   incarnation: z.string().max(32),
--- a/src/submissions/handOver.ts
+++ b/src/submissions/handOver.ts
@@ -4,27 +4,34 @@
 import { createProblem } from '../errors/problem.js';
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
-import { maxHandOverRecords } from '../ports/peers.js';
+import { maxHandOverRecords, maxPeerNesting } from '../ports/peers.js';
 import type { FinishedRecord, HandOverBatch, PeerLink } from '../ports/peers.js';
+import { isNestingBounded } from '../utils/jsonNesting.js';
 import { within } from '../utils/within.js';
 import { countFinishedChars } from './epochRecords.js';
+import type { NamedRecord } from './epochRecords.js';
 import type { PeerLinks } from './heirDirectory.js';
 import type { InheritedTableContent } from './inheritedTables.js';
 import type { SubmissionTable } from './submissionTable.js';
 import type { SubmissionRecord } from './types.js';
 
 const maxBatchChars = 524_288;
+/** A record is wrapped in a few levels more when it travels. */
+const maxRecordNesting = maxPeerNesting - 8;
 const batchTimeoutMs = 2_000;
 const triesPerBatch = 2;
 
 type HandOverRecord = HandOverBatch['records'][number];
 
+/** One submission of a frozen table. */
+type FrozenRecord = NamedRecord & { readonly epoch: number };
+
 /** A frozen table, ready to be sent. */
 interface FrozenTable {
   readonly incarnation: string;
   readonly oldestEpoch: number;
   readonly newestEpoch: number;
-  readonly records: readonly HandOverRecord[];
+  readonly records: readonly FrozenRecord[];
 }
 
 export interface HandOverOptions {
@@ -62,24 +69,14 @@
  */
 export const freezeOwn = (table: SubmissionTable): FrozenTable => {
   const { owner, oldestEpoch } = table;
-  const records = [...table.all()].map(({ epoch, callerId, key, record }) => ({
-    epoch,
-    callerId,
-    key,
-    record: toFinished(record),
-  }));
-  return { incarnation: owner.incarnation, oldestEpoch, newestEpoch: owner.epoch, records };
+  const { incarnation, epoch } = owner;
+  return { incarnation, oldestEpoch, newestEpoch: epoch, records: [...table.all()] };
 };
 
 /** Reads an inherited table, which goes on to the next heir. */
 export const freezeInherited = ({ incarnation, table }: InheritedTableContent): FrozenTable => {
-  const records = [...table.epochs.values()].flatMap((epoch) =>
-    [...epoch.all()].map(({ callerId, key, record }) => ({
-      epoch: epoch.epoch,
-      callerId,
-      key,
-      record: toFinished(record),
-    })),
+  const records = [...table.epochs.values()].flatMap((records) =>
+    [...records.all()].map((named) => ({ ...named, epoch: records.epoch })),
   );
   const { oldestEpoch, newestEpoch } = table;
   return { incarnation, oldestEpoch, newestEpoch, records };
@@ -87,13 +84,18 @@
 
 /** A record that cannot travel is replaced by one that claims nothing. */
 const toFinished = (record: SubmissionRecord): FinishedRecord => {
-  if (record.state !== 'running' && countFinishedChars(record) <= maxBatchChars) {
+  if (record.state !== 'running' && canTravel(record)) {
     return record;
   }
   const problem = createProblem('outcome-unknown', 'The answer could not be handed over.');
   return { state: 'refused', digest: record.digest, problem };
 };
 
+const canTravel = (record: FinishedRecord): boolean => {
+  const text = JSON.stringify(record);
+  return text.length <= maxBatchChars && isNestingBounded(text, maxRecordNesting);
+};
+
 const sendTables = async (
   tables: readonly FrozenTable[],
   link: PeerLink,
@@ -139,8 +141,9 @@
   const { incarnation, oldestEpoch, newestEpoch, records } = table;
   const parts: HandOverRecord[][] = [[]];
   let chars = 0;
-  for (const entry of records) {
-    const entryChars = countFinishedChars(entry.record) + entry.key.length;
+  for (const { epoch, callerId, key, record } of records) {
+    const entry = { epoch, callerId, key, record: toFinished(record) };
+    const entryChars = countFinishedChars(entry.record) + key.length;
     const last = parts.at(-1);
     if (last?.length === maxHandOverRecords || chars + entryChars > maxBatchChars) {
       parts.push([entry]);
