--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -22,3 +22,12 @@
   quota: quotaNoticeSchema.optional(),
 });
 export type Heartbeat = z.infer<typeof heartbeatSchema>;
+
+/** An endpoint of a failure domain and who dispatches to it. */
+export const assignedEndpointSchema = z.object({
+  endpointId: z.string(),
+  /** VM of the dispatcher, as the daemon that tells it sees the members. */
+  dispatcher: z.string().nullable(),
+  state: z.enum(['active', 'leaving']),
+});
+export type AssignedEndpoint = z.infer<typeof assignedEndpointSchema>;
