--- a/bench/heartbeats.ts
+++ b/bench/heartbeats.ts
@@ -42,6 +42,8 @@
   handOver: notServed,
   fetchInheritance: notServed,
   fetchConfiguration: notServed,
+  passTasks: notServed,
+  withdrawPassed: notServed,
 };
 
 const sockets: Socket[] = [];
