Quarantine endpoints that fail what they start, pause those that start nothing

Cause: an endpoint that fails at once is the idle one, and drew task after task. Busy and unreachable pause the whole endpoint with growing pauses, so a retry goes elsewhere and no slot loop is blocked. A task's own fault counts for the endpoint, not against it. Passed lookups with a broken link are tried elsewhere at once; free slots heard from a peer are used at once.

--- a/src/passing/peerSlots.ts
+++ b/src/passing/peerSlots.ts
@@ -26,6 +26,7 @@
 
 export class PeerSlots {
   private readonly known = new Map<string, KnownPeer>();
+  private readonly freeListeners: (() => void)[] = [];
   private readonly runTimes = RunTimes.create();
 
   private constructor(private readonly options: PeerSlotsOptions) {
@@ -59,6 +60,15 @@
     return best;
   }
 
+  /**
+   * Calls a listener when a peer says that it has free slots.
+   *
+   * @param listener - the listener
+   */
+  onFree(listener: () => void): void {
+    this.freeListeners.push(listener);
+  }
+
   /** Counts a task that goes to a peer. */
   reserve(incarnation: string): void {
     const peer = this.known.get(incarnation);
@@ -82,6 +92,9 @@
 
   private hear(heartbeat: Heartbeat): void {
     this.known.set(heartbeat.incarnation, { heartbeat, freeSlots: heartbeat.freeSlots });
+    if (heartbeat.freeSlots > 0) {
+      this.freeListeners.forEach((listener) => listener());
+    }
   }
 
   private prune(): void {
--- a/src/passing/taskPasser.ts
+++ b/src/passing/taskPasser.ts
@@ -148,9 +148,17 @@
     this.sent.delete(batch);
   }
 
-  /** Asks the same incarnation, which recognises the tasks; any other would start them again. */
+  /**
+   * Asks the same incarnation, which recognises the tasks; any other would start them again.
+   * Repeatable tasks are tried elsewhere at once.
+   */
   private async askAgain(batch: Batch): Promise<void> {
     this.options.slots.setFree(batch.incarnation, 0);
+    for (const { entry, end } of batch.passages) {
+      if (entry.task.operation.kind === 'repeatable') {
+        end.resolve({ kind: 'lost' });
+      }
+    }
     for (let ask = 0; ask < maxAsks && this.sent.has(batch); ask += 1) {
       await this.options.clock.sleep(firstAskPauseMs * 2 ** ask, this.stop.signal);
       const result = await this.sendOnce(batch);
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -21,6 +21,7 @@
 import type { Assignment, PooledEndpoint } from './pooledEndpoint.js';
 import { PlaceChooser, mayTravel } from './placeChoice.js';
 import type { Place } from './placeChoice.js';
+import { Quarantine } from './quarantine.js';
 import { RetryBudget } from './retryBudget.js';
 import { ServedEndpoint } from './servedEndpoint.js';
 import { settle, settlePassed } from './settlement.js';
@@ -64,6 +65,7 @@
 export class Scheduler {
   private readonly queue: TaskQueue;
   private readonly pool: EndpointPool;
+  private readonly quarantine: Quarantine;
   private readonly attempts: Attempts;
   private readonly holdBack: HoldBack;
   private readonly chooser: PlaceChooser;
@@ -78,8 +80,10 @@
     const policy = options.policy ?? { kind: 'expected-completion' };
     this.queue = options.queue ?? TaskQueue.create(clock);
     this.queue.onOpening(() => this.dispatch());
+    options.passing?.slots.onFree(() => this.dispatch());
     const { runTimes } = this.queue;
     this.pool = EndpointPool.create({ clock, random, policy, runTimes });
+    this.quarantine = Quarantine.create(() => this.pool.endpointCount);
     this.attempts = Attempts.create(options);
     this.holdBack = HoldBack.create(clock, () => this.dispatch(), this.stop.signal);
     this.chooser = PlaceChooser.create({
@@ -174,6 +178,7 @@
       clock: this.options.clock,
       pool: this.pool,
       attempts: this.attempts,
+      quarantine: this.quarantine,
       dispatch: () => this.dispatch(),
       ended: (assignment, pooled, end) => this.ended(assignment, pooled, end),
     });
@@ -253,6 +258,7 @@
     }
     this.queue.ended(entry, end.kind === 'ended' ? end.elapsedMs : 0);
     this.finish(entry, settlePassed(entry.task.operation, end));
+    this.dispatch();
   }
 
   /** Takes the end of an attempt. */
--- a/src/placement/servedEndpoint.ts
+++ b/src/placement/servedEndpoint.ts
@@ -1,18 +1,24 @@
 /**
  * One endpoint that this daemon dispatches to: one async function serves each of its slots.
  */
+import { unreachable } from '../errors/unreachable.js';
 import type { PlacedEndpoint } from '../inventory/inventoryIndex.js';
 import type { Clock } from '../ports/clock.js';
 import type { AttemptEnd, Attempts } from './attempts.js';
+import { EndpointHealth } from './endpointHealth.js';
+import type { HealthVerdict } from './endpointHealth.js';
 import type { EndpointPool } from './endpointPool.js';
 import type { Assignment, PooledEndpoint } from './pooledEndpoint.js';
+import type { Quarantine } from './quarantine.js';
 
-const busyPauseMs = 20;
+/** Time for which a probe waits for a repeatable task before it takes any other. */
+const repeatableProbeMs = 1_000;
 
 export interface ServedEndpointOptions {
   readonly clock: Clock;
   readonly pool: EndpointPool;
   readonly attempts: Attempts;
+  readonly quarantine: Quarantine;
   /** Looks for tasks when a slot becomes idle. */
   readonly dispatch: () => void;
   /** Takes the end of an attempt. */
@@ -22,7 +28,10 @@
 export class ServedEndpoint {
   private readonly stop = new AbortController();
   private readonly pooled: PooledEndpoint;
+  private readonly health = EndpointHealth.create();
   private slots: Promise<void>[] = [];
+  /** Time before which the endpoint gets nothing, in milliseconds. */
+  private closedUntilMs = -Infinity;
 
   private constructor(
     private readonly placed: PlacedEndpoint,
@@ -46,12 +55,13 @@
   async close(): Promise<void> {
     this.stop.abort();
     this.options.pool.remove(this.pooled);
+    this.options.quarantine.leave(this.pooled);
     await Promise.all(this.slots);
   }
 
   /** Runs one task after the other, until the endpoint is not served. */
   private async serveSlot(): Promise<void> {
-    const { clock, pool, dispatch } = this.options;
+    const { pool, dispatch } = this.options;
     while (!this.stop.signal.aborted) {
       const slot = pool.addIdle(this.pooled);
       dispatch();
@@ -59,18 +69,73 @@
       if (assignment === undefined) {
         return;
       }
-      const end = await this.runAttempt(assignment);
-      if (end.kind === 'replied' && end.reply.kind === 'not-started') {
-        await clock.sleep(busyPauseMs, this.stop.signal);
-      }
+      await this.runAttempt(assignment);
     }
   }
 
-  private async runAttempt(assignment: Assignment): Promise<AttemptEnd> {
+  private async runAttempt(assignment: Assignment): Promise<void> {
     const { attempts, pool, ended } = this.options;
     const end = await attempts.run(assignment.attempt);
     pool.ended(this.pooled, assignment);
+    this.judge(end);
     ended(assignment, this.pooled, end);
-    return end;
+  }
+
+  /** Decides whether the endpoint goes on getting tasks; what is stopped here says nothing. */
+  private judge(end: AttemptEnd): void {
+    const verdict: HealthVerdict =
+      end.kind === 'replied' ? this.health.note(end.reply) : { kind: 'open' };
+    switch (verdict.kind) {
+      case 'open':
+        this.open();
+        return;
+      case 'pause':
+        void this.closeFor(verdict.durationMs, () => this.open());
+        return;
+      case 'quarantine':
+        if (this.options.quarantine.enter(this.pooled)) {
+          void this.closeFor(verdict.durationMs, () => void this.offerProbe());
+        }
+        return;
+      default:
+        return unreachable(verdict);
+    }
+  }
+
+  private open(): void {
+    this.closedUntilMs = -Infinity;
+    this.options.quarantine.leave(this.pooled);
+    if (this.pooled.availability.kind !== 'open') {
+      this.options.pool.setAvailability(this.pooled, { kind: 'open' });
+      this.options.dispatch();
+    }
+  }
+
+  /** Closes the endpoint for a time, unless it is closed for longer already. */
+  private async closeFor(durationMs: number, reopen: () => void): Promise<void> {
+    const { clock, pool } = this.options;
+    const untilMs = clock.nowMs() + durationMs;
+    if (untilMs <= this.closedUntilMs) {
+      return;
+    }
+    this.closedUntilMs = untilMs;
+    pool.setAvailability(this.pooled, { kind: 'closed' });
+    await clock.sleep(durationMs, this.stop.signal);
+    if (this.closedUntilMs === untilMs && !this.stop.signal.aborted) {
+      reopen();
+    }
+  }
+
+  /** Lets one task try the endpoint: a repeatable one at first, since its failure costs least. */
+  private async offerProbe(): Promise<void> {
+    const { clock, pool, dispatch } = this.options;
+    const offered = { kind: 'probe', accepts: 'repeatable' } as const;
+    pool.setAvailability(this.pooled, offered);
+    dispatch();
+    await clock.sleep(repeatableProbeMs, this.stop.signal);
+    if (this.pooled.availability === offered && !this.stop.signal.aborted) {
+      pool.setAvailability(this.pooled, { kind: 'probe', accepts: 'any' });
+      dispatch();
+    }
   }
 }
