--- a/bench/heartbeats.ts
+++ b/bench/heartbeats.ts
@@ -41,6 +41,8 @@
   cancelForwarded: notServed,
   handOver: notServed,
   fetchInheritance: notServed,
+  passTasks: notServed,
+  withdrawPassed: notServed,
   fetchConfiguration: notServed,
 };
 
