--- a/src/limits/quotaKeeper.spec.ts
+++ b/src/limits/quotaKeeper.spec.ts
@@ -5,7 +5,7 @@
 import { FakeClock } from '../testing/fakeClock.js';
 import { createConfiguration, createRecord } from '../testing/fixtures.js';
 import { QuotaKeeper } from './quotaKeeper.js';
-import { shareOf } from './quotaShares.js';
+import { findPlace, shareOf } from './quotaShares.js';
 import type { DomainMembers } from './types.js';
 
 const teamId = 'counter-team';
@@ -57,7 +57,9 @@
       .flatMap((failureDomainId) =>
         vmIds
           .filter(isKnown)
-          .map((vmId) => shareOf(quota, { failureDomainIds, failureDomainId, vmIds, vmId })),
+          .map((vmId) =>
+            shareOf(quota, findPlace({ failureDomainIds, failureDomainId, vmIds, vmId })),
+          ),
       )
       .reduce((slots, share) => slots + share.slots, 0);
   assert.is(
--- a/src/limits/quotaKeeper.ts
+++ b/src/limits/quotaKeeper.ts
@@ -10,8 +10,9 @@
 import { addLimits, LentQuota, subtractLimits } from './lentQuota.js';
 import type { BorrowerReport } from './lentQuota.js';
 import { QuotaLender } from './quotaLender.js';
-import type { QuotaLimit } from './quotaGate.js';
-import { noShare, shareOf } from './quotaShares.js';
+import type { QuotaLimit, TimedLimit } from './quotaGate.js';
+import { findPlace, noShare, shareOf } from './quotaShares.js';
+import type { SharePlace } from './quotaShares.js';
 import { maxDemands } from './types.js';
 import type { DomainMembers, QuotaDemand, QuotaNotice } from './types.js';
 
@@ -35,6 +36,8 @@
 interface KeptQuota {
   readonly quota: Quota;
   share: QuotaLimit;
+  /** What the queue was last given. */
+  given: TimedLimit | undefined;
 }
 
 export class QuotaKeeper {
@@ -47,6 +50,7 @@
   private failureDomainIds: readonly string[] = [];
   private maxTaskMs = 0;
   private view = '';
+  private place: SharePlace = { domainCount: 0, domainRank: -1, daemonCount: 0, daemonRank: -1 };
   private settledFromMs = Infinity;
 
   private constructor(private readonly options: QuotaKeeperOptions) {
@@ -72,10 +76,9 @@
       }
     }
     for (const [teamId, quota] of quotas) {
-      this.kept.set(teamId, {
-        quota,
-        share: this.kept.get(teamId)?.share ?? this.firstShare(quota),
-      });
+      const known = this.kept.get(teamId);
+      const share = known?.share ?? this.firstShare(quota);
+      this.kept.set(teamId, { quota, share, given: known?.given });
     }
     this.refresh();
   }
@@ -120,13 +123,11 @@
    */
   reachOf(teamId: string): QuotaLimit | undefined {
     const kept = this.kept.get(teamId);
-    const { vmId, failureDomainId, members } = this.options;
     if (kept === undefined) {
       return undefined;
     }
-    const { vmIds, isWhole } = members();
-    const place = { failureDomainIds: this.failureDomainIds, failureDomainId, vmId };
-    return shareOf(kept.quota, { ...place, vmIds: isWhole ? [vmId] : vmIds });
+    const { vmIds, isWhole } = this.options.members();
+    return shareOf(kept.quota, this.findPlace(isWhole ? [this.options.vmId] : vmIds));
   }
 
   /** Brings the limits up to date with the members, the loans and the time. */
@@ -134,12 +135,12 @@
     const nowMs = this.options.clock.nowMs();
     this.readView();
     this.lent.settle(nowMs, this.maxTaskMs, (borrower, teamId) => this.reportOf(borrower, teamId));
+    const untilMs = this.borrowed.nextEndAtMs() ?? Infinity;
     for (const [teamId, kept] of this.kept) {
       kept.share = this.nextShare(kept);
       const own = subtractLimits(kept.share, this.lent.lentOf(teamId));
       const limit = addLimits(own, this.borrowed.borrowedOf(teamId, nowMs));
-      const untilMs = this.borrowed.nextEndAtMs() ?? Infinity;
-      this.options.queue.setQuota(teamId, { limit, untilMs, afterwards: own });
+      this.give(teamId, kept, { limit, untilMs, afterwards: own });
     }
   }
 
@@ -155,10 +156,18 @@
     }
   }
 
+  private give(teamId: string, kept: KeptQuota, timed: TimedLimit): void {
+    if (kept.given === undefined || !isSameLimit(kept.given, timed)) {
+      kept.given = timed;
+      this.options.queue.setQuota(teamId, timed);
+    }
+  }
+
   /** Notes since when the view of the failure domain is whole and unchanged. */
   private readView(): void {
     const { vmIds, isWhole } = this.options.members();
     const view = [...this.failureDomainIds, '', ...vmIds].join(' ');
+    this.place = this.findPlace(vmIds);
     if (!isWhole) {
       this.settledFromMs = Infinity;
     } else if (view !== this.view || this.settledFromMs === Infinity) {
@@ -167,17 +176,22 @@
     this.view = view;
   }
 
+  private findPlace(vmIds: readonly string[]): SharePlace {
+    const { vmId, failureDomainId } = this.options;
+    return findPlace({ failureDomainIds: this.failureDomainIds, failureDomainId, vmIds, vmId });
+  }
+
   private get isSettled(): boolean {
     return this.options.clock.nowMs() >= this.settledFromMs;
   }
 
   /** A team that had no quota before is only ever held to less, by every daemon. */
   private firstShare(quota: Quota): QuotaLimit {
-    return this.isSettled ? this.wantedShare(quota) : noShare;
+    return this.isSettled ? shareOf(quota, this.place) : noShare;
   }
 
   private nextShare({ quota, share }: KeptQuota): QuotaLimit {
-    const wanted = this.wantedShare(quota);
+    const wanted = shareOf(quota, this.place);
     return this.isSettled
       ? wanted
       : {
@@ -186,17 +200,6 @@
         };
   }
 
-  private wantedShare(quota: Quota): QuotaLimit {
-    const { vmId, failureDomainId, members } = this.options;
-    const { vmIds } = members();
-    return shareOf(quota, {
-      failureDomainIds: this.failureDomainIds,
-      failureDomainId,
-      vmIds,
-      vmId,
-    });
-  }
-
   private listDemands(): QuotaDemand[] {
     const { queue } = this.options;
     const demands: QuotaDemand[] = [];
@@ -233,3 +236,10 @@
     return this.lender.reportOf(borrower, teamId);
   }
 }
+
+const isSameLimit = (a: TimedLimit, b: TimedLimit): boolean =>
+  a.untilMs === b.untilMs &&
+  a.limit.startsPerS === b.limit.startsPerS &&
+  a.limit.slots === b.limit.slots &&
+  a.afterwards.startsPerS === b.afterwards.startsPerS &&
+  a.afterwards.slots === b.afterwards.slots;
--- a/src/limits/quotaShares.ts
+++ b/src/limits/quotaShares.ts
@@ -9,14 +9,34 @@
 
 export const noShare: QuotaLimit = { startsPerS: 0, slots: 0 };
 
-/** Place of a daemon among those that share. */
-export interface SharePlace {
+/** A daemon among those that share. */
+export interface Sharer {
   readonly failureDomainIds: readonly string[];
   readonly failureDomainId: string;
   readonly vmIds: readonly string[];
   readonly vmId: string;
 }
 
+/** Place of a daemon among those that share; ranks are below 0 where it does not stand there. */
+export interface SharePlace {
+  readonly domainCount: number;
+  readonly domainRank: number;
+  readonly daemonCount: number;
+  readonly daemonRank: number;
+}
+
+/**
+ * Finds the place of a daemon, which is the same for every quota.
+ *
+ * @param sharer - the daemon, and all those that it knows
+ */
+export const findPlace = (sharer: Sharer): SharePlace => ({
+  domainCount: sharer.failureDomainIds.length,
+  domainRank: [...sharer.failureDomainIds].sort().indexOf(sharer.failureDomainId),
+  daemonCount: sharer.vmIds.length,
+  daemonRank: [...sharer.vmIds].sort().indexOf(sharer.vmId),
+});
+
 /**
  * Computes the share of one daemon: the quota is split over failure domains, then over the daemons
  * of each.
@@ -24,18 +44,17 @@
  * @param quota - the quota of a team
  * @param place - where the daemon stands
  */
-export const shareOf = (quota: Quota, place: SharePlace): QuotaLimit => {
-  const domains = [...place.failureDomainIds].sort();
-  const vmIds = [...place.vmIds].sort();
-  const domainRank = domains.indexOf(place.failureDomainId);
-  const rank = vmIds.indexOf(place.vmId);
-  if (domainRank < 0 || rank < 0) {
+export const shareOf = (
+  quota: Quota,
+  { domainCount, domainRank, daemonCount, daemonRank }: SharePlace,
+): QuotaLimit => {
+  if (domainRank < 0 || daemonRank < 0) {
     return noShare;
   }
-  const domainSlots = splitWhole(quota.slots, domains.length, domainRank);
+  const domainSlots = splitWhole(quota.slots, domainCount, domainRank);
   return {
-    startsPerS: quota.startsPerS / domains.length / vmIds.length,
-    slots: splitWhole(domainSlots, vmIds.length, rank),
+    startsPerS: quota.startsPerS / domainCount / daemonCount,
+    slots: splitWhole(domainSlots, daemonCount, daemonRank),
   };
 };
 
