--- /dev/null
+++ b/src/limits/storms.spec.ts
@@ -0,0 +1,76 @@
+import { Ok } from 'ts-results-es';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { Caller } from '../inventory/types.js';
+import { DaemonFixture } from '../testing/daemonFixture.js';
+import { createCaller, createConfiguration, createSubmission } from '../testing/fixtures.js';
+
+const counter = createCaller('counter');
+const member = createCaller('member');
+/** Two workers with four slots each, of which trial work may take two. */
+const slots = 8;
+const fitMs = 100;
+
+const createStormFixture = async (counterNow: Caller = counter) => {
+  const configuration = createConfiguration({ slots: slots / 2 });
+  configuration.inventory.callers = [counterNow, member];
+  const fixture = await DaemonFixture.create(['muenchen-vm1'], configuration);
+  const daemon = fixture.daemon('muenchen-vm1');
+  const submit = (key: string, tasks: number, caller: Caller = counter) => {
+    const submission = createSubmission('fit', new Array(tasks).fill(key), 30_000);
+    return daemon.submit(caller, `${daemon.owner()}~${key}`, Ok(submission));
+  };
+  return { fixture, daemon, submit, configuration };
+};
+
+test('attaches a storm of resubmissions without new work', async () => {
+  const { fixture, daemon, submit } = await createStormFixture();
+  const outcomes = Array.from({ length: 1_000 }, () => submit('one', 20));
+  await fixture.clock.settle();
+  assert.is(daemon.describe().own.waitingTasks, 20 - slots);
+  await fixture.clock.advance(1_000);
+  const answers = await Promise.all(outcomes);
+  assert.ok(answers.every((outcome) => outcome.kind === 'answered'));
+  assert.is(fixture.endpoints.starts.length, 20);
+  await fixture.close();
+});
+
+test('takes out what waits when cancellations come in a wave', async () => {
+  const { fixture, daemon, submit } = await createStormFixture();
+  const keys = Array.from({ length: 50 }, (_, i) => `job${i}`);
+  const outcomes = keys.map((key) => submit(key, 10));
+  await fixture.clock.settle();
+  const started = fixture.endpoints.starts.length;
+  const kept = submit('kept', 3, member);
+  const cancelled = keys.map((key) => daemon.cancel(counter, `${daemon.owner()}~${key}`));
+  await Promise.all(cancelled);
+  await fixture.clock.advance(fitMs * 2);
+  assert.is((await kept).kind, 'answered');
+  assert.is(daemon.describe().own.waitingTasks, 0);
+  assert.is(fixture.endpoints.starts.length, started + 3);
+  for (const outcome of await Promise.all(outcomes)) {
+    assert.is(outcome.kind === 'answered' && outcome.answer.status, 'failed');
+  }
+  await fixture.close();
+});
+
+test('puts waiting work behind paying work once its caller is on trial', async () => {
+  const { fixture, submit, configuration } = await createStormFixture();
+  void submit('large', 200);
+  await fixture.clock.advance(fitMs * 2);
+  configuration.inventory.callers = [{ ...counter, class: 'trial' }, member];
+  await fixture.publish(2, configuration);
+  await fixture.clock.advance(fitMs * 10);
+  const before = fixture.endpoints.startsOf('large');
+  const startedAtMs = fixture.clock.nowMs();
+  const paying = submit('paying', (slots * 3) / 4, member);
+  await fixture.clock.advance(fitMs);
+  assert.is((await paying).kind, 'answered');
+  assert.is(fixture.clock.nowMs() - startedAtMs, fitMs);
+  await fixture.clock.advance(fitMs * 9);
+  const trialStarts = fixture.endpoints.startsOf('large') - before;
+  assert.ok(trialStarts > 0 && trialStarts <= (slots / 4) * 10, `${trialStarts} starts`);
+  await fixture.close();
+});
+
+test.run();
