--- a/bench/heartbeats.ts
+++ b/bench/heartbeats.ts
@@ -44,8 +44,6 @@
   passTasks: notServed,
   withdrawPassed: notServed,
   fetchConfiguration: notServed,
-  passTasks: notServed,
-  withdrawPassed: notServed,
 };
 
 const sockets: Socket[] = [];
