Bound the reading time of open answers only

Cause: an answer that was read whole before its handler returned had closed already, so the timer that cuts slow readers was never cleared: one timer of 30 s for each such request, which kept a closed process alive. Found with async_hooks: 34 of them after a deployment was closed. Change: the timer is set only for answers that are open. After: none is left in the same probe; the 4 tests of httpServer pass. Ruled out: unref, which would keep the timers.

--- a/src/adapters/http/httpServer.ts
+++ b/src/adapters/http/httpServer.ts
@@ -103,7 +103,9 @@
       response.shouldKeepAlive = false;
     }
     await this.options.handle(request, response);
-    boundReadTime(response);
+    if (this.openResponses.has(response)) {
+      boundReadTime(response);
+    }
   }
 }
 
