Write the log

Cause: roarr drops every line unless ROARR_LOG is set when it is first imported; a daemon run by hand under load wrote nothing. Ruled out: the level, the writer.

--- a/src/adapters/system/roarrLogger.ts
+++ b/src/adapters/system/roarrLogger.ts
@@ -1,6 +1,7 @@
 /**
  * The structured log: one JSON line for each sentence, by `roarr`, to the standard output.
  */
+import './enableRoarr.js';
 import { ROARR, Roarr } from 'roarr';
 
 import { logLevelSchema } from '../../config/settings.js';
@@ -9,6 +10,11 @@
 
 const levelOrder: readonly LogLevel[] = logLevelSchema.options;
 
+/** Takes one line of the log. */
+export type LineWriter = (line: string) => void;
+
+const writeLine: LineWriter = (line) => void process.stdout.write(`${line}\n`);
+
 export class RoarrLogger implements Logger {
   private constructor(
     private readonly level: LogLevel,
@@ -21,9 +27,10 @@
    *
    * @param level - the lowest level that is written
    * @param vmId - the VM that every line names
+   * @param write - takes each line
    */
-  static create(level: LogLevel, vmId: string): RoarrLogger {
-    ROARR.write = (line) => void process.stdout.write(`${line}\n`);
+  static create(level: LogLevel, vmId: string, write: LineWriter = writeLine): RoarrLogger {
+    ROARR.write = write;
     return new RoarrLogger(level, '', vmId);
   }
 
