Stop the timers of a killed daemon

Cause: kill left the scheduler, the quotas and the queue open, so the loop of the quotas kept the process alive (the tests never ended). Change: kill closes them too.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -284,6 +284,9 @@
     await this.assignment.close();
     await Promise.all([this.follower.close(), this.claims.close()]);
     await this.peers.close();
+    await this.scheduler.close();
+    await this.quotas.close();
+    await this.queue.close();
     await this.ports.vmList.close();
     this.ports.processLoad.close();
   }
