--- a/src/adapters/operatorHttp/operatorHttpClient.ts
+++ b/src/adapters/operatorHttp/operatorHttpClient.ts
@@ -4,14 +4,18 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { Pool } from 'undici';
-import { daemonStatusSchema } from '../../ports/operators.js';
-import type { DaemonStatus } from '../../ports/operators.js';
+import { z } from 'zod';
+import { daemonStatusSchema, tracesReplySchema } from '../../ports/operators.js';
+import type { DaemonStatus, TracesReply } from '../../ports/operators.js';
 import { requestJson } from '../http/requestJson.js';
 
 const connectTimeoutMs = 1_000;
 const requestTimeoutMs = 5_000;
 const maxReplyBytes = 33_554_432;
 
+const drainReplySchema = z.object({ state: z.literal('leaving') });
+export type DrainReply = z.infer<typeof drainReplySchema>;
+
 export class OperatorHttpClient {
   private readonly pool: Pool;
 
@@ -33,10 +37,37 @@
   }
 
   /** @returns what the daemon tells about itself and its peers, or why it told nothing */
-  async status(): Promise<Result<DaemonStatus, string>> {
+  status(): Promise<Result<DaemonStatus, string>> {
+    return this.ask('GET', '/v1/status', 200, daemonStatusSchema);
+  }
+
+  /**
+   * Asks what the daemon remembers of a job.
+   *
+   * @param name - a submission key or a job id
+   */
+  jobTraces(name: string): Promise<Result<TracesReply, string>> {
+    return this.ask('GET', `/v1/jobs/${name}`, 200, tracesReplySchema);
+  }
+
+  /** Asks for a planned stop. */
+  drain(): Promise<Result<DrainReply, string>> {
+    return this.ask('POST', '/v1/drain', 202, drainReplySchema);
+  }
+
+  async close(): Promise<void> {
+    await this.pool.destroy();
+  }
+
+  private async ask<S extends z.ZodType>(
+    method: 'GET' | 'POST',
+    path: string,
+    expectedStatus: number,
+    schema: S,
+  ): Promise<Result<z.infer<S>, string>> {
     const exchange = await requestJson(this.pool, {
-      method: 'GET',
-      path: '/v1/status',
+      method,
+      path,
       token: this.token,
       maxBytes: maxReplyBytes,
       signal: AbortSignal.timeout(requestTimeoutMs),
@@ -44,13 +75,9 @@
     if (exchange.kind !== 'answered') {
       return Err(`${this.address}: ${exchange.detail}`);
     }
-    const parsed = daemonStatusSchema.safeParse(exchange.body);
-    return exchange.status === 200 && parsed.success
+    const parsed = schema.safeParse(exchange.body);
+    return exchange.status === expectedStatus && parsed.success
       ? Ok(parsed.data)
       : Err(`${this.address} answered ${exchange.status}.`);
   }
-
-  async close(): Promise<void> {
-    await this.pool.destroy();
-  }
 }
