--- a/src/inventory/inventoryIndex.ts
+++ b/src/inventory/inventoryIndex.ts
@@ -15,6 +15,8 @@
   readonly operations: ReadonlyMap<string, Operation>;
   readonly endpoints: ReadonlyMap<string, PlacedEndpoint>;
   private readonly endpointsByFailureDomain: ReadonlyMap<string, readonly PlacedEndpoint[]>;
+  /** Operations that some endpoint can run. */
+  private readonly runnable: ReadonlySet<string>;
   private readonly callersByToken: ReadonlyMap<string, Caller>;
   private readonly callersById: ReadonlyMap<string, Caller>;
 
@@ -23,6 +25,7 @@
     this.callersByToken = new Map(inventory.callers.map((c) => [c.tokenSha256, c]));
     this.callersById = new Map(inventory.callers.map((c) => [c.callerId, c]));
     this.endpoints = placeEndpoints(inventory, previous);
+    this.runnable = findRunnable(this.operations, this.endpoints);
     this.endpointsByFailureDomain = groupByFailureDomain(this.endpoints);
   }
 
@@ -60,12 +63,7 @@
    * @param operation - the operation
    */
   fitsSomewhere(operation: Operation): boolean {
-    for (const placed of this.endpoints.values()) {
-      if (fits(operation, placed)) {
-        return true;
-      }
-    }
-    return false;
+    return this.runnable.has(operation.operationId);
   }
 }
 
@@ -82,6 +80,22 @@
   placed.worker.memoryMb >= operation.memoryMb &&
   placed.worker.accelerators >= operation.accelerators;
 
+const findRunnable = (
+  operations: ReadonlyMap<string, Operation>,
+  endpoints: ReadonlyMap<string, PlacedEndpoint>,
+): ReadonlySet<string> => {
+  const runnable = new Set<string>();
+  for (const placed of endpoints.values()) {
+    for (const operationId of placed.endpoint.operationIds) {
+      const operation = operations.get(operationId);
+      if (operation !== undefined && fits(operation, placed)) {
+        runnable.add(operationId);
+      }
+    }
+  }
+  return runnable;
+};
+
 const placeEndpoints = (
   inventory: Inventory,
   previous: InventoryIndex | undefined,
--- a/src/placement/attempts.ts
+++ b/src/placement/attempts.ts
@@ -6,7 +6,8 @@
 import type { PlacedEndpoint } from '../inventory/inventoryIndex.js';
 import type { TaskOutcome } from '../jobs/types.js';
 import type { Clock } from '../ports/clock.js';
-import type { EndpointPort, EndpointReply } from '../ports/endpoints.js';
+import type { EndpointPort, EndpointReply, TaskStart } from '../ports/endpoints.js';
+import { firstLeaseMs, keepLease } from '../leases/leaseKeeper.js';
 import type { WaitingTask } from '../queue/types.js';
 
 const cancelTimeoutMs = 1_000;
@@ -76,12 +77,12 @@
   }
 
   private async send(attempt: Attempt): Promise<AttemptEnd> {
-    const { entry, placed, stop } = attempt;
+    const { entry, stop } = attempt;
     const { task } = entry;
-    const { clock, endpoints, incarnation } = this.options;
+    const { clock, incarnation } = this.options;
     const startedAtMs = clock.nowMs();
-    const leaseMs = task.deadlineAtMs - startedAtMs;
-    if (leaseMs <= 0) {
+    const timeLeftMs = task.deadlineAtMs - startedAtMs;
+    if (timeLeftMs <= 0) {
       return { kind: 'past-deadline' };
     }
     entry.attempts += 1;
@@ -92,15 +93,34 @@
       attempt: entry.attempts,
       operation: task.operation.operationId,
       input: task.input,
-      leaseMs,
+      leaseMs: firstLeaseMs(timeLeftMs),
     };
-    const reply = await endpoints.run(placed.endpoint, start, stop.signal);
+    const reply = await this.runUnderLease(attempt, start);
     const elapsedMs = clock.nowMs() - startedAtMs;
     return stop.signal.aborted
       ? { kind: 'stopped', elapsedMs }
       : { kind: 'replied', reply, elapsedMs };
   }
 
+  /** Waits for the reply; a lapsed lease without an answer is `unknown`, and never a restart. */
+  private async runUnderLease(
+    { entry, placed, stop }: Attempt,
+    start: TaskStart,
+  ): Promise<EndpointReply> {
+    const { endpoints } = this.options;
+    const answered = new AbortController();
+    const { deadlineAtMs } = entry.task;
+    const reply = endpoints.run(placed.endpoint, start, stop.signal);
+    if (this.options.clock.nowMs() + start.leaseMs >= deadlineAtMs) {
+      return reply;
+    }
+    const lease = keepLease(this.options, placed.endpoint, start, deadlineAtMs, answered.signal);
+    const lapsed = lease.then((end) => (end === 'lapsed' ? lapsedReply : reply));
+    const first = await Promise.race([reply, lapsed]);
+    answered.abort();
+    return first;
+  }
+
   /**
    * Ends a job: its attempts are stopped with one message for each endpoint.
    *
@@ -147,6 +167,8 @@
   }
 }
 
+const lapsedReply: EndpointReply = { kind: 'unknown', reason: 'lease-lapsed' };
+
 /** @returns the problem of a task whose job ended before any start */
 export const withdrawnProblem = (): Problem =>
   createProblem('cancelled', 'The job ended before this task started.', { runState: 'not-run' });
--- a/src/testing/fakeEndpoints.ts
+++ b/src/testing/fakeEndpoints.ts
@@ -18,6 +18,9 @@
   /** Set to change what the endpoints do. A behaviour that starts the task calls `begin`. */
   behaviour: EndpointBehaviour = (_endpoint, start) => this.runFor(start, defaultRunTimeMs);
 
+  /** Answers every renewal of a lease. */
+  renewal: () => Promise<boolean> = () => Promise.resolve(true);
+
   private constructor(private readonly clock: Clock) {}
 
   static create(clock: Clock): FakeEndpoints {
@@ -57,7 +60,7 @@
   }
 
   renew(_endpoint: Endpoint, _start: TaskStart, _signal: AbortSignal): Promise<boolean> {
-    return Promise.resolve(true);
+    return this.renewal();
   }
 
   close(): Promise<void> {
