--- a/src/adapters/operatorHttp/operatorHttpServer.ts
+++ b/src/adapters/operatorHttp/operatorHttpServer.ts
@@ -4,12 +4,13 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createProblem } from '../../errors/problem.js';
 import type { Logger } from '../../ports/logger.js';
-import type { OperatorService } from '../../ports/operators.js';
+import type { OperatorService, TracesReply } from '../../ports/operators.js';
 import { digestToken, isSameDigest, readTokenDigest } from '../http/bearerToken.js';
 import { HttpServer } from '../http/httpServer.js';
 import { sendJson, sendProblem } from '../http/sendJson.js';
 
 const maxConnections = 64;
+const jobsPrefix = 'GET /v1/jobs/';
 
 export interface OperatorHttpServerOptions {
   readonly host: string;
@@ -88,9 +89,20 @@
           return;
         }
       default: {
+        if (resource.startsWith(jobsPrefix)) {
+          this.serveTraces(resource.slice(jobsPrefix.length), response);
+          return;
+        }
         sendProblem(response, createProblem('not-found', 'There is no such resource.'));
         return;
       }
     }
   }
+
+  /** An unknown name has no traces; that is an answer, since another daemon may know it. */
+  private serveTraces(name: string, response: ServerResponse): void {
+    const { service } = this.options;
+    const { vmId } = service.describe().own;
+    sendJson(response, 200, { vmId, traces: service.jobTraces(name) } satisfies TracesReply);
+  }
 }
--- a/src/ports/operators.ts
+++ b/src/ports/operators.ts
@@ -1,5 +1,7 @@
 /** Inbound port: what the operators' interface asks of a daemon. */
 import { z } from 'zod';
+import { jobTraceSchema } from '../explain/types.js';
+import type { JobTrace } from '../explain/types.js';
 import { assignedEndpointSchema, heartbeatSchema } from '../membership/types.js';
 
 /** What a daemon tells operators about itself. */
@@ -15,9 +17,19 @@
 });
 export type DaemonStatus = z.infer<typeof daemonStatusSchema>;
 
+/** What a daemon remembers of the jobs of one name. */
+export const tracesReplySchema = z.object({ vmId: z.string(), traces: z.array(jobTraceSchema) });
+export type TracesReply = z.infer<typeof tracesReplySchema>;
+
 export interface OperatorService {
   isReady(): boolean;
   describe(): DaemonStatus;
+  /**
+   * Finds what this daemon remembers of jobs.
+   *
+   * @param name - a submission key or a job id
+   */
+  jobTraces(name: string): JobTrace[];
   /** Hears the peers again whose heartbeats come seldom, so that `describe` tells of now. */
   refreshPeers(): Promise<void>;
   /** Starts a planned stop. */
--- a/src/programs/toucandyke/main.ts
+++ b/src/programs/toucandyke/main.ts
@@ -7,6 +7,8 @@
 import { ConfigPublishCommand } from './commands/configPublishCommand.js';
 import { ConfigShowCommand } from './commands/configShowCommand.js';
 import { DemoCommand } from './commands/demoCommand.js';
+import { DrainCommand } from './commands/drainCommand.js';
+import { ExplainCommand } from './commands/explainCommand.js';
 import { StatusCommand } from './commands/statusCommand.js';
 
 const cli = new Cli({
@@ -20,6 +22,8 @@
 cli.register(ConfigPublishCommand);
 cli.register(ConfigShowCommand);
 cli.register(DemoCommand);
+cli.register(DrainCommand);
+cli.register(ExplainCommand);
 cli.register(StatusCommand);
 
 process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
