Report service-level burn from minute sums on the log

Change: each daemon counts jobs by class and why they were bad, writes every minute (idle ones too) to a log stream, keeps at most 60 minutes through an outage; report burn joins the log with what the daemons still hold, shows lost minutes as missing, as table, JSON and page. The demo and the bench wait 5 s until quotas are shared out; callers get a new owner on epoch-closed.

--- a/bench/toucandykeSystem.ts
+++ b/bench/toucandykeSystem.ts
@@ -29,7 +29,9 @@
   }
 
   static async create(options: SystemOptions): Promise<ToucandykeSystem> {
-    return new ToucandykeSystem(options.clock, await Deployment.create(options));
+    const deployment = await Deployment.create(options);
+    await deployment.settle();
+    return new ToucandykeSystem(options.clock, deployment);
   }
 
   get fleet(): Fleet {
--- a/src/adapters/callerHttp/callerSession.ts
+++ b/src/adapters/callerHttp/callerSession.ts
@@ -46,7 +46,7 @@
     for (let keys = 1; ; keys += 1) {
       const result = await this.submitUnderNewKey(submission, signal);
       resubmissions += result.resubmissions;
-      if (!isStopping(result.outcome) || keys === maxTries) {
+      if (!needsNewOwner(result.outcome) || keys === maxTries) {
         return { outcome: result.outcome, resubmissions };
       }
       await this.reconnect();
@@ -103,5 +103,8 @@
 const isAnswer = (outcome: CallerOutcome): boolean =>
   outcome.kind === 'complete' || outcome.kind === 'failed';
 
-const isStopping = (outcome: CallerOutcome): boolean =>
-  outcome.kind === 'failed' && outcome.errorKind === 'stopping' && outcome.runState === 'not-run';
+/** The owner of the key starts nothing more, and nothing ran: a new key is safe. */
+const needsNewOwner = (outcome: CallerOutcome): boolean =>
+  outcome.kind === 'failed' &&
+  outcome.runState === 'not-run' &&
+  (outcome.errorKind === 'stopping' || outcome.errorKind === 'epoch-closed');
--- a/src/adapters/operatorHttp/operatorHttpClient.ts
+++ b/src/adapters/operatorHttp/operatorHttpClient.ts
@@ -5,8 +5,12 @@
 import type { Result } from 'ts-results-es';
 import { Pool } from 'undici';
 import { z } from 'zod';
-import { daemonStatusSchema, tracesReplySchema } from '../../ports/operators.js';
-import type { DaemonStatus, TracesReply } from '../../ports/operators.js';
+import {
+  daemonStatusSchema,
+  serviceLevelsSchema,
+  tracesReplySchema,
+} from '../../ports/operators.js';
+import type { DaemonStatus, ServiceLevels, TracesReply } from '../../ports/operators.js';
 import { requestJson } from '../http/requestJson.js';
 
 const connectTimeoutMs = 1_000;
@@ -50,6 +54,11 @@
     return this.ask('GET', `/v1/jobs/${name}`, 200, tracesReplySchema);
   }
 
+  /** @returns the minute sums that the log does not have yet */
+  serviceLevels(): Promise<Result<ServiceLevels, string>> {
+    return this.ask('GET', '/v1/service-levels', 200, serviceLevelsSchema);
+  }
+
   /** Asks for a planned stop. */
   drain(): Promise<Result<DrainReply, string>> {
     return this.ask('POST', '/v1/drain', 202, drainReplySchema);
--- a/src/adapters/operatorHttp/operatorHttpServer.ts
+++ b/src/adapters/operatorHttp/operatorHttpServer.ts
@@ -77,17 +77,16 @@
     switch (resource) {
       case 'GET /v1/status':
         await service.refreshPeers();
-        {
-          sendJson(response, 200, service.describe());
-          return;
-        }
+        sendJson(response, 200, service.describe());
+        return;
+      case 'GET /v1/service-levels':
+        sendJson(response, 200, service.serviceLevels());
+        return;
       case 'POST /v1/drain':
         this.logger.info('An operator asked for a planned stop.');
         service.drain();
-        {
-          sendJson(response, 202, { state: 'leaving' });
-          return;
-        }
+        sendJson(response, 202, { state: 'leaving' });
+        return;
       default: {
         if (resource.startsWith(jobsPrefix)) {
           this.serveTraces(resource.slice(jobsPrefix.length), response);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -26,7 +26,7 @@
 import { QuotaKeeper } from '../limits/quotaKeeper.js';
 import { Scheduler } from '../placement/scheduler.js';
 import type { CallerService, JobStatus } from '../ports/callers.js';
-import type { DaemonStatus, OperatorService } from '../ports/operators.js';
+import type { DaemonStatus, OperatorService, ServiceLevels } from '../ports/operators.js';
 import type {
   ForwardedStatus,
   ForwardedSubmission,
@@ -42,6 +42,7 @@
   WithdrawPassed,
 } from '../ports/peers.js';
 import type { Ports } from '../ports/ports.js';
+import { ServiceLevelReport } from '../report/serviceLevelReport.js';
 import { depart } from '../submissions/departure.js';
 import { HeirDirectory } from '../submissions/heirDirectory.js';
 import { InheritedTables } from '../submissions/inheritedTables.js';
@@ -77,6 +78,7 @@
   private readonly own: OwnSubmissions;
   private readonly claims: Claims;
   private readonly traces: JobTraces;
+  private readonly report: ServiceLevelReport;
   private readonly queue: TaskQueue;
   private readonly quotas: QuotaKeeper;
   private readonly scheduler: Scheduler;
@@ -101,7 +103,15 @@
     this.inherited = InheritedTables.create({ clock, maxBytes: maxInheritedBytes, windowMs });
     this.queue = TaskQueue.create(clock);
     this.traces = JobTraces.create(clock, maxTraceEvents);
-    const { traces } = this;
+    this.report = ServiceLevelReport.create({
+      vmId: identity.vmId,
+      incarnation,
+      clock,
+      logger,
+      logService: ports.logService,
+      configuration: this.configuration,
+    });
+    const { traces, report } = this;
     this.peers = PeerSet.create({
       vmId: identity.vmId,
       failureDomainId: identity.failureDomainId,
@@ -157,6 +167,7 @@
       table,
       admission,
       traces,
+      report,
     });
     const heirs = HeirDirectory.create(peers, clock);
     const router = OwnerRouter.create({ clock, peers, heirs });
@@ -297,9 +308,15 @@
     return this.traces.find(name);
   }
 
+  serviceLevels(): ServiceLevels {
+    const objectives = this.configuration.current?.rules.serviceLevelObjectives ?? [];
+    return { vmId: this.identity.vmId, objectives, sums: this.report.unwritten() };
+  }
+
   /** Drops everything at once, as a killed process does. */
   async kill(): Promise<void> {
     await Promise.all([this.ports.endpoints.close(), this.ports.logService.close()]);
+    await this.report.kill();
     await this.catchUp.close();
     await this.assignment.close();
     await Promise.all([this.follower.close(), this.claims.close()]);
@@ -317,6 +334,7 @@
     const { clock, logger } = this.ports;
     const { peers, own, table, inherited } = this;
     await depart({ clock, logger: logger.forPart('departure'), peers, own, table, inherited });
+    await this.report.close();
     await this.catchUp.close();
     await this.assignment.close();
     await Promise.all([this.follower.close(), this.claims.close()]);
--- a/src/ports/operators.ts
+++ b/src/ports/operators.ts
@@ -1,7 +1,9 @@
 /** Inbound port: what the operators' interface asks of a daemon. */
 import { z } from 'zod';
+import { serviceLevelObjectiveSchema } from '../configuration/types.js';
 import { jobTraceSchema } from '../explain/types.js';
 import type { JobTrace } from '../explain/types.js';
+import { minuteSumSchema } from '../report/types.js';
 import { assignedEndpointSchema, heartbeatSchema } from '../membership/types.js';
 
 /** What a daemon tells operators about itself. */
@@ -21,6 +23,14 @@
 export const tracesReplySchema = z.object({ vmId: z.string(), traces: z.array(jobTraceSchema) });
 export type TracesReply = z.infer<typeof tracesReplySchema>;
 
+/** The minute sums that the log does not have yet, and the objectives in force. */
+export const serviceLevelsSchema = z.object({
+  vmId: z.string(),
+  objectives: z.array(serviceLevelObjectiveSchema),
+  sums: z.array(minuteSumSchema),
+});
+export type ServiceLevels = z.infer<typeof serviceLevelsSchema>;
+
 export interface OperatorService {
   isReady(): boolean;
   describe(): DaemonStatus;
@@ -30,6 +40,7 @@
    * @param name - a submission key or a job id
    */
   jobTraces(name: string): JobTrace[];
+  serviceLevels(): ServiceLevels;
   /** Hears the peers again whose heartbeats come seldom, so that `describe` tells of now. */
   refreshPeers(): Promise<void>;
   /** Starts a planned stop. */
--- a/src/programs/toucandyke/commands/demoCommand.ts
+++ b/src/programs/toucandyke/commands/demoCommand.ts
@@ -43,6 +43,7 @@
   private async runDemo(configuration: Configuration): Promise<number> {
     const clock = SystemClock.create();
     const deployment = await Deployment.create({ clock, configuration, daemonsPerFailureDomain });
+    await deployment.settle();
     const { fleet } = deployment;
     this.say(`${deployment.daemons.length} daemons and ${fleet.endpoints.size} endpoints are up.`);
     const tally = LoadTally.create();
--- /dev/null
+++ b/src/programs/toucandyke/commands/reportBurnCommand.ts
@@ -0,0 +1,89 @@
+/**
+ * `toucandyke report burn`: how fast each class uses up its error budget.
+ */
+import { writeFileSync } from 'node:fs';
+import { Command, Option } from 'clipanion';
+import { LogHttpClient } from '../../../adapters/logHttp/logHttpClient.js';
+import type { ServiceLevelObjective } from '../../../configuration/types.js';
+import { burnWindows, computeBurn } from '../../../report/computeBurn.js';
+import { minuteMs } from '../../../report/minuteWriter.js';
+import { readSums } from '../../../report/readSums.js';
+import type { MinuteSum } from '../../../report/types.js';
+import { exitCodes } from '../exitCodes.js';
+import { collectServiceLevels } from '../operatorAccess.js';
+import type { CollectedServiceLevels } from '../operatorAccess.js';
+import { formatBurn } from '../output/formatBurn.js';
+import type { BurnReport } from '../output/formatBurn.js';
+import { renderBurnPage } from '../output/renderBurnPage.js';
+
+const timeoutMs = 30_000;
+
+export class ReportBurnCommand extends Command {
+  static override paths = [['report', 'burn']];
+  static override usage = Command.Usage({
+    description: 'Reports how fast each class uses up its error budget.',
+    details: `
+      Takes the minute sums on the log and those that the daemons still hold. Sums that are not
+      there are shown as missing and count neither as good nor as bad. Exit codes: 0 reported,
+      1 neither the log nor a daemon told anything.
+    `,
+    examples: [
+      [
+        'Report as a table',
+        'toucandyke report burn --log 10.0.0.9:40001 --operators 10.0.0.1:4102,10.0.0.2:4102',
+      ],
+      [
+        'Write a page with plots',
+        'toucandyke report burn --log 10.0.0.9:40001 --operators 10.0.0.1:4102 --html burn.html',
+      ],
+    ],
+  });
+
+  log = Option.String('--log', { required: true, description: 'Address of the log service' });
+  operators = Option.String('--operators', {
+    required: true,
+    description: "Addresses of daemons' operators' interfaces, with commas between",
+  });
+  token = Option.String('--token', '', {
+    env: 'TOUCANDYKE_OPERATOR_TOKEN',
+    description: "The operators' token",
+  });
+  json = Option.Boolean('--json', false, { description: 'Print the report as JSON' });
+  html = Option.String('--html', { description: 'Write a page with plots to this file' });
+
+  async execute(): Promise<number> {
+    const collected = await collectServiceLevels(this.operators, this.token);
+    const nowMinute = Math.floor(Date.now() / minuteMs);
+    const logged = await this.readLog(nowMinute - Math.max(...burnWindows.map((w) => w.minutes)));
+    const objectives = findObjectives(collected);
+    if (objectives.length === 0) {
+      const reason = collected.failures.join(' ');
+      this.context.stderr.write(`No daemon told its objectives. ${reason}\n`);
+      return exitCodes.failed;
+    }
+    const sums = [...logged.sums, ...collected.answers.flatMap((answer) => answer.sums)];
+    const unheard = [...collected.failures, ...logged.failures];
+    this.print({ classes: computeBurn(sums, objectives, nowMinute), unheard });
+    return exitCodes.done;
+  }
+
+  private async readLog(firstMinute: number): Promise<{ sums: MinuteSum[]; failures: string[] }> {
+    const log = LogHttpClient.create(this.log);
+    const sums = await readSums(log, firstMinute, AbortSignal.timeout(timeoutMs));
+    await log.close();
+    return sums.isOk()
+      ? { sums: sums.value, failures: [] }
+      : { sums: [], failures: [`The log service: ${sums.error.detail}`] };
+  }
+
+  private print(report: BurnReport): void {
+    if (this.html !== undefined) {
+      writeFileSync(this.html, renderBurnPage(report));
+    }
+    this.context.stdout.write(this.json ? `${JSON.stringify(report)}\n` : formatBurn(report));
+  }
+}
+
+/** All daemons that are up to date have the same objectives. */
+const findObjectives = ({ answers }: CollectedServiceLevels): readonly ServiceLevelObjective[] =>
+  answers.find(({ objectives }) => objectives.length > 0)?.objectives ?? [];
--- a/src/programs/toucandyke/main.ts
+++ b/src/programs/toucandyke/main.ts
@@ -9,6 +9,7 @@
 import { DemoCommand } from './commands/demoCommand.js';
 import { DrainCommand } from './commands/drainCommand.js';
 import { ExplainCommand } from './commands/explainCommand.js';
+import { ReportBurnCommand } from './commands/reportBurnCommand.js';
 import { StatusCommand } from './commands/statusCommand.js';
 
 const cli = new Cli({
@@ -24,6 +25,7 @@
 cli.register(DemoCommand);
 cli.register(DrainCommand);
 cli.register(ExplainCommand);
+cli.register(ReportBurnCommand);
 cli.register(StatusCommand);
 
 process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
--- a/src/programs/toucandyke/operatorAccess.ts
+++ b/src/programs/toucandyke/operatorAccess.ts
@@ -5,7 +5,7 @@
 import type { Result } from 'ts-results-es';
 import { OperatorHttpClient } from '../../adapters/operatorHttp/operatorHttpClient.js';
 import type { DaemonTrace } from '../../explain/explainJob.js';
-import type { DaemonStatus } from '../../ports/operators.js';
+import type { DaemonStatus, ServiceLevels } from '../../ports/operators.js';
 
 /**
  * Asks the daemons in turn until one answers.
@@ -49,14 +49,7 @@
   token: string,
   name: string,
 ): Promise<CollectedTraces> => {
-  const replies = await Promise.all(
-    addresses.split(',').map(async (address) => {
-      const client = OperatorHttpClient.create(address, token);
-      const reply = await client.jobTraces(name);
-      await client.close();
-      return reply;
-    }),
-  );
+  const replies = await askAll(addresses, token, (client) => client.jobTraces(name));
   return {
     traces: replies.flatMap((reply) =>
       reply.isOk() ? reply.value.traces.map((trace) => ({ vmId: reply.value.vmId, trace })) : [],
@@ -64,3 +57,41 @@
     failures: replies.flatMap((reply) => (reply.isErr() ? [reply.error] : [])),
   };
 };
+
+/** What several daemons count for the report on service-level burn. */
+export interface CollectedServiceLevels {
+  readonly answers: readonly ServiceLevels[];
+  /** Why daemons did not answer. */
+  readonly failures: readonly string[];
+}
+
+/**
+ * Asks every daemon for its sums that the log does not have yet.
+ *
+ * @param addresses - addresses of operators' interfaces, with commas between
+ * @param token - the operators' bearer token
+ */
+export const collectServiceLevels = async (
+  addresses: string,
+  token: string,
+): Promise<CollectedServiceLevels> => {
+  const replies = await askAll(addresses, token, (client) => client.serviceLevels());
+  return {
+    answers: replies.flatMap((reply) => (reply.isOk() ? [reply.value] : [])),
+    failures: replies.flatMap((reply) => (reply.isErr() ? [reply.error] : [])),
+  };
+};
+
+const askAll = <T>(
+  addresses: string,
+  token: string,
+  ask: (client: OperatorHttpClient) => Promise<Result<T, string>>,
+): Promise<Result<T, string>[]> =>
+  Promise.all(
+    addresses.split(',').map(async (address) => {
+      const client = OperatorHttpClient.create(address, token);
+      const reply = await ask(client);
+      await client.close();
+      return reply;
+    }),
+  );
--- a/src/submissions/ownSubmissions.ts
+++ b/src/submissions/ownSubmissions.ts
@@ -22,6 +22,7 @@
   SubmitOutcome,
 } from '../ports/peers.js';
 import type { Random } from '../ports/random.js';
+import type { ServiceLevelReport } from '../report/serviceLevelReport.js';
 import type { Admission } from './admission.js';
 import {
   attach,
@@ -44,6 +45,7 @@
   readonly table: SubmissionTable;
   readonly admission: Admission;
   readonly traces: JobTraces;
+  readonly report: ServiceLevelReport;
 }
 
 export class OwnSubmissions {
@@ -161,6 +163,7 @@
       inventory: this.active().inventory,
     });
     admission.hold(submission, job.answer);
+    void this.options.report.follow(caller, submission, job.answer);
     this.running.add(job.answer);
     void job.answer.finally(() => this.running.delete(job.answer));
     return job;
@@ -178,6 +181,7 @@
       const reason = problem ?? noConfiguration();
       this.remember(request, { state: 'refused', digest, problem: reason });
       traces.refused(request, reason);
+      this.options.report.refused(callerId, reason);
       return refused(reason);
     }
     const caller = this.active().inventory.callerById(callerId);
--- a/standins/deployment.ts
+++ b/standins/deployment.ts
@@ -19,6 +19,7 @@
 const startTimeoutMs = 10_000;
 const pollMs = 20;
 const drainGraceMs = 500;
+const quotaSettleMs = 5_000;
 
 export interface DeploymentOptions {
   readonly clock: Clock;
@@ -65,6 +66,11 @@
     return deployment;
   }
 
+  /** Waits until daemons that started together have shared out the quotas. */
+  async settle(): Promise<void> {
+    await this.clock.sleep(quotaSettleMs);
+  }
+
   /** Cuts a daemon off as if its process was killed; the VM list learns of it later. */
   async kill(daemon: DeployedDaemon): Promise<void> {
     this.daemons.splice(this.daemons.indexOf(daemon), 1);
