--- a/bench/measures.ts
+++ b/bench/measures.ts
@@ -49,9 +49,17 @@
     { promise: 'wrong answers', count: run.wrongAnswers },
     { promise: 'false not-run', count: run.falseNotRun },
     { promise: 'without any answer', count: lost },
+    { promise: 'failed inside a daemon', count: countInternal(run) },
   ];
   const broken = counts.filter(({ count }) => count > 0);
   return run.request.system.kind === 'toucandyke'
     ? broken.map(({ promise, count }) => `${run.request.scenario.kind}: ${count} ${promise}`)
     : [];
 };
+
+/** A fault of our own code must not pass for an answer. */
+const countInternal = (run: RunMeasure): number =>
+  run.classes
+    .flatMap(({ failedByKind }) => failedByKind)
+    .filter(({ kind }) => kind === 'internal')
+    .reduce((sum, { count }) => sum + count, 0);
--- a/src/programs/toucandyke/commands/configPublishCommand.ts
+++ b/src/programs/toucandyke/commands/configPublishCommand.ts
@@ -31,7 +31,7 @@
       force on every daemon within the time.
     `,
     examples: [
-      ['Publish', 'toucandyke config publish examples/verband.yaml --log 127.0.0.1:40001'],
+      ['Publish', 'toucandyke config publish examples/verband.yaml --log 127.0.0.1:14001'],
       [
         'Publish a change to version 7 and wait until every daemon runs it',
         'toucandyke config publish new.yaml --log 10.0.0.9:4000 --base 7 --wait --operators 10.0.0.1:4102',
--- a/src/programs/toucandyke/commands/reportBurnCommand.ts
+++ b/src/programs/toucandyke/commands/reportBurnCommand.ts
@@ -30,11 +30,11 @@
     examples: [
       [
         'Report as a table',
-        'toucandyke report burn --log 10.0.0.9:40001 --operators 10.0.0.1:4102,10.0.0.2:4102',
+        'toucandyke report burn --log 10.0.0.9:14001 --operators 10.0.0.1:4102,10.0.0.2:4102',
       ],
       [
         'Write a page with plots',
-        'toucandyke report burn --log 10.0.0.9:40001 --operators 10.0.0.1:4102 --html burn.html',
+        'toucandyke report burn --log 10.0.0.9:14001 --operators 10.0.0.1:4102 --html burn.html',
       ],
     ],
   });
--- a/standins/main.ts
+++ b/standins/main.ts
@@ -8,8 +8,8 @@
 import { vmRecordSchema } from '../src/ports/vmList.js';
 import { Fleet } from './fleet.js';
 
-const logPort = 40_001;
-const vmListPort = 40_002;
+const logPort = 14_001;
+const vmListPort = 14_002;
 const usageExitCode = 2;
 
 const vmsSchema = z.array(vmRecordSchema);
