--- a/bench/measures.ts
+++ b/bench/measures.ts
@@ -60,6 +60,6 @@
 /** A fault of our own code must not pass for an answer. */
 const countInternal = (run: RunMeasure): number =>
   run.classes
-    .flatMap(({ failedByKind }) => failedByKind)
+    .flatMap(({ failures }) => failures)
     .filter(({ kind }) => kind === 'internal')
     .reduce((sum, { count }) => sum + count, 0);
