Use an idle failure domain early where response time weighs more

Ruled out: the passing inside the domain, which was in place; quotas, which paying teams do not have. Change: under response-time a task goes to another domain if it is expected to be completed there in less than half the local time; under messages nothing changes. This departs from the design's 'only when the local one cannot meet the deadline'. The new test fails without the change.

--- /dev/null
+++ b/src/passing/passWorth.spec.ts
@@ -0,0 +1,45 @@
+import { Ok } from 'ts-results-es';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { Objective } from '../configuration/types.js';
+import { DaemonFixture } from '../testing/daemonFixture.js';
+import { createCaller, createConfiguration, createSubmission } from '../testing/fixtures.js';
+
+const inputs = Array.from({ length: 32 }, (_, i) => i);
+
+/** Runs one job in a domain of four slots beside a domain that is idle. */
+const runJob = async (objective: Objective) => {
+  const configuration = createConfiguration({
+    failureDomains: ['muenchen', 'augsburg'],
+    workersPerFailureDomain: 2,
+    slots: 2,
+  });
+  const rules = { ...configuration.rules, objective };
+  const vmIds = ['muenchen-vm1', 'augsburg-vm1'];
+  const fixture = await DaemonFixture.create(vmIds, { ...configuration, rules });
+  const daemon = fixture.daemon('muenchen-vm1');
+  const job = createSubmission('fit', inputs);
+  const outcome = daemon.submit(createCaller('counter'), `${daemon.owner()}~a`, Ok(job));
+  await fixture.clock.advance(5_000);
+  const { kind } = await outcome;
+  const { endpointIds, starts } = fixture.endpoints;
+  const spilled = endpointIds.filter((id) => id.startsWith('augsburg')).length;
+  await fixture.close();
+  return { kind, spilled, starts: starts.length };
+};
+
+test('uses an idle failure domain where response time weighs more', async () => {
+  const { kind, spilled, starts } = await runJob('response-time');
+  assert.is(kind, 'answered');
+  assert.ok(spilled > 0);
+  assert.is(starts, inputs.length);
+});
+
+test('stays in the failure domain where messages weigh more', async () => {
+  const { kind, spilled, starts } = await runJob('messages');
+  assert.is(kind, 'answered');
+  assert.is(spilled, 0);
+  assert.is(starts, inputs.length);
+});
+
+test.run();
--- a/src/passing/passWorth.ts
+++ b/src/passing/passWorth.ts
@@ -4,6 +4,10 @@
 import type { Objective } from '../configuration/types.js';
 import { unreachable } from '../errors/unreachable.js';
 
+/** A message to a peer of another failure domain and its answer, in milliseconds. */
+const domainRoundTripMs = 3;
+/** Largest share of the local time that the time in another failure domain may have. */
+const maxSpillShare = 0.5;
 /** A message to a peer and its answer, in milliseconds. */
 const roundTripMs = 1;
 
@@ -28,3 +32,21 @@
       return unreachable(objective);
   }
 };
+
+/**
+ * Tells whether a task should go to another failure domain because it is completed sooner there.
+ *
+ * @param objective - what the deployment weighs more
+ * @param localMs - expected time until it is completed in this failure domain
+ * @param peerMs - expected time until the peer has completed it
+ */
+export const isWorthSpilling = (objective: Objective, localMs: number, peerMs: number): boolean => {
+  switch (objective) {
+    case 'response-time':
+      return peerMs + domainRoundTripMs < localMs * maxSpillShare;
+    case 'messages':
+      return false;
+    default:
+      return unreachable(objective);
+  }
+};
--- a/src/placement/placeChoice.ts
+++ b/src/placement/placeChoice.ts
@@ -5,7 +5,7 @@
 import { unreachable } from '../errors/unreachable.js';
 import type { Operation } from '../inventory/types.js';
 import type { PeerOffer, PeerSlots } from '../passing/peerSlots.js';
-import { isWorthPassing } from '../passing/passWorth.js';
+import { isWorthPassing, isWorthSpilling } from '../passing/passWorth.js';
 import type { EndpointPool } from './endpointPool.js';
 import type { HoldBack } from './holdBack.js';
 import type { PooledEndpoint } from './pooledEndpoint.js';
@@ -13,7 +13,7 @@
 import type { SlotChoice } from './slotChoice.js';
 import type { Task } from './types.js';
 
-/** Another failure domain is thought of only when work here takes at least this long. */
+/** A deadline is thought of only when work here takes at least this long, in milliseconds. */
 const minSpillMs = 500;
 
 export type Place =
@@ -23,7 +23,8 @@
       readonly incarnation: string;
       /** Expected time until the task would be completed here, in milliseconds. */
       readonly localMs: number;
-      readonly area: 'own' | 'other';
+      /** `sooner`: completed earlier there. `deadline`: only if it would be late here. */
+      readonly reason: 'sooner' | 'deadline';
       /** Slot for a task that may not go. */
       readonly instead: PooledEndpoint | undefined;
     };
@@ -57,7 +58,7 @@
     if (offer !== undefined) {
       const instead = local.kind === 'none' ? undefined : local.pooled;
       const { incarnation } = offer;
-      return { kind: 'peer', incarnation, localMs: local.completionMs, area: 'own', instead };
+      return { kind: 'peer', incarnation, localMs: local.completionMs, reason: 'sooner', instead };
     }
     const slot = this.slotOf(operation, local);
     return slot ?? this.spill(operation, local);
@@ -88,20 +89,18 @@
 
   /** Looks for another failure domain where this one is late. */
   private spill(operation: Operation, { completionMs }: SlotChoice): Place | undefined {
-    const { peerSlots, runTimes } = this.options;
-    if (peerSlots === undefined || completionMs < minSpillMs) {
+    const { peerSlots, runTimes, objective } = this.options;
+    const offer = peerSlots?.best(operation, runTimes.typicalMs(operation), 'other');
+    if (offer === undefined) {
+      return undefined;
+    }
+    const isSooner = isWorthSpilling(objective(), completionMs, offer.expectedMs);
+    if (!isSooner && completionMs < minSpillMs) {
       return undefined;
     }
-    const offer = peerSlots.best(operation, runTimes.typicalMs(operation), 'other');
-    return offer === undefined
-      ? undefined
-      : {
-          kind: 'peer',
-          incarnation: offer.incarnation,
-          localMs: completionMs,
-          area: 'other',
-          instead: undefined,
-        };
+    const { incarnation } = offer;
+    const reason = isSooner ? 'sooner' : 'deadline';
+    return { kind: 'peer', incarnation, localMs: completionMs, reason, instead: undefined };
   }
 }
 
@@ -125,5 +124,5 @@
   if (task.callerClass === 'trial' && place.localMs < Infinity) {
     return false;
   }
-  return place.area === 'own' || nowMs + place.localMs > task.deadlineAtMs;
+  return place.reason === 'sooner' || nowMs + place.localMs > task.deadlineAtMs;
 };
