Cut only the connection of a request whose handler rejects

Cause: a handler that rejected (the operators' interface has no catch of its own) ended the process by an unhandled rejection. Seen: the new test ended the run before the change. Change: the server cuts that connection and goes on.

--- a/src/adapters/http/httpServer.spec.ts
+++ b/src/adapters/http/httpServer.spec.ts
@@ -78,4 +78,22 @@
   await server.kill();
 });
 
+test('cuts only the connection of a request whose handler rejects', async () => {
+  let calls = 0;
+  const server = await createServer(async (_request, response) => {
+    calls += 1;
+    if (calls === 1) {
+      throw new Error('The handler failed.');
+    }
+    response.end('ok');
+  });
+  const first = await open(server);
+  first.write(request);
+  assert.is(await readOne(first), '');
+  const second = await open(server);
+  second.write(request);
+  assert.match(await readOne(second), '200 OK');
+  await server.kill();
+});
+
 test.run();
--- a/src/adapters/http/httpServer.ts
+++ b/src/adapters/http/httpServer.ts
@@ -15,7 +15,7 @@
 /** Time that a client has to read an answer once it is written. */
 const readTimeoutMs = 20_000;
 
-/** Serves one request; it must not reject. */
+/** Serves one request; where it rejects, the connection is cut. */
 export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
 
 export interface HttpServerOptions {
@@ -102,7 +102,12 @@
     if (this.isClosing) {
       response.shouldKeepAlive = false;
     }
-    await this.options.handle(request, response);
+    try {
+      await this.options.handle(request, response);
+    } catch {
+      // A fault while serving one request must not end the process.
+      response.destroy();
+    }
     if (this.openResponses.has(response)) {
       boundReadTime(response);
     }
