Send metrics of jobs and refusals; print the demo's messages per task

Cause: metrics had an adapter and no sender; the demo did not print messages per task. Change: jobs, response and refusals by class, status and kind; one line in the demo.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -110,6 +110,7 @@
       logger,
       logService: ports.logService,
       configuration: this.configuration,
+      metrics: ports.metrics,
     });
     const { traces, report } = this;
     this.peers = PeerSet.create({
--- a/src/programs/toucandyke/commands/demoCommand.ts
+++ b/src/programs/toucandyke/commands/demoCommand.ts
@@ -8,12 +8,14 @@
 import { checkConfiguration } from '../../../configuration/checkConfiguration.js';
 import type { Configuration } from '../../../configuration/types.js';
 import { Deployment } from '../../../../standins/deployment.js';
+import { sumMessageCounts } from '../../../../standins/messageCounts.js';
 import { topSpeed } from '../../../../standins/fleet.js';
 import { LoadTally } from '../../../../standins/load/loadTally.js';
 import { runDemoLoad } from '../demo/demoLoad.js';
 
 const usageExitCode = 2;
 const daemonsPerFailureDomain = 2;
+const messagesPerExchange = 2;
 const progressPeriodMs = 3_000;
 
 export class DemoCommand extends Command {
@@ -99,6 +101,7 @@
     for (const line of tally.formatLines()) {
       this.say(line);
     }
+    this.say(`messages per task: ${countMessagesPerTask(deployment).toFixed(2)} (the least is 2)`);
     const { startedTwice } = deployment.fleet.ledger;
     this.say(`started twice: ${startedTwice}; wrong answers: ${tally.wrongAnswers}`);
     const isKept = startedTwice === 0 && tally.wrongAnswers === 0 && tally.lost === 0;
@@ -114,3 +117,13 @@
 /** The balancer of the demo: any live daemon. */
 const chooseAddress = ({ daemons }: Deployment, unit: number): string =>
   daemons[Math.floor(unit * daemons.length)]?.process.callers.address ?? '127.0.0.1:1';
+
+/** Requests and answers with endpoints and between daemons, heartbeats left out. */
+const countMessagesPerTask = ({ fleet, peerMessages }: Deployment): number => {
+  const counts = sumMessageCounts([...fleet.endpoints.values()].map((e) => e.messageCounts));
+  const { started, busy, cancellations, renewals, cut } = counts;
+  const passed = [...peerMessages].filter(([method]) => method !== 'heartbeat');
+  const exchanges = passed.reduce((sum, [, count]) => sum + count, 0);
+  const all = started + busy + cancellations + renewals + cut + exchanges;
+  return (all * messagesPerExchange) / Math.max(1, started);
+};
--- a/src/report/serviceLevelReport.ts
+++ b/src/report/serviceLevelReport.ts
@@ -8,6 +8,7 @@
 import type { Clock } from '../ports/clock.js';
 import type { LogService } from '../ports/logService.js';
 import type { Logger } from '../ports/logger.js';
+import type { Metrics } from '../ports/metrics.js';
 import { MinuteCounter, idealResponseMs, isCallersOwn } from './minuteCounter.js';
 import { MinuteWriter } from './minuteWriter.js';
 import type { MinuteSum } from './types.js';
@@ -19,6 +20,7 @@
   readonly logger: Logger;
   readonly logService: LogService;
   readonly configuration: ConfigurationStore;
+  readonly metrics: Metrics;
 }
 
 export class ServiceLevelReport {
@@ -41,7 +43,7 @@
    * @param answer - its answer
    */
   async follow(caller: Caller, submission: Submission, answer: Promise<JobAnswer>): Promise<void> {
-    const { clock, configuration } = this.options;
+    const { clock, configuration, metrics } = this.options;
     const startedAtMs = clock.nowMs();
     const { current } = configuration;
     const operations = submission.tasks.flatMap(
@@ -52,6 +54,9 @@
       return;
     }
     const responseMs = clock.nowMs() - startedAtMs;
+    const tags = [`class:${caller.class}`, `status:${ended.status}`];
+    metrics.count('jobs', 1, tags);
+    metrics.durationMs('response', responseMs, tags);
     const idealMs = idealResponseMs(operations);
     const job = { callerClass: caller.class, answer: ended, responseMs, idealMs };
     this.counter.record(job, current.rules);
@@ -65,6 +70,7 @@
    */
   refused(callerId: string, problem: Problem): void {
     const caller = this.options.configuration.current?.inventory.callerById(callerId);
+    this.options.metrics.count('refusals', 1, [`kind:${problem.kind}`]);
     if (caller !== undefined && !isCallersOwn(problem.kind)) {
       this.counter.recordRefusal(caller.class, problem.kind);
     }
