Write the ends of a daemon and the operators' options once

Cause: kill and close of a daemon each listed every part; kill had once missed three of them, so a killed daemon's loops went on. Five commands wrote the same options; an answered request was checked twice before its read timer. Change: closeParts serves both; operatorOptions.ts serves the commands; one check is left.

--- a/src/adapters/http/httpServer.ts
+++ b/src/adapters/http/httpServer.ts
@@ -116,9 +116,6 @@
 
 /** Cuts the connection of a client that does not read its answer. */
 const boundReadTime = (response: ServerResponse): void => {
-  if (response.closed || response.writableFinished) {
-    return;
-  }
   const timer = setTimeout(() => response.destroy(), readTimeoutMs);
   response.once('close', () => clearTimeout(timer));
 };
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -316,17 +316,9 @@
 
   /** Drops everything at once, as a killed process does. */
   async kill(): Promise<void> {
-    await Promise.all([this.ports.endpoints.close(), this.ports.logService.close()]);
+    await this.closeConnections();
     await this.report.kill();
-    await this.catchUp.close();
-    await this.assignment.close();
-    await Promise.all([this.follower.close(), this.claims.close()]);
-    await this.peers.close();
-    await this.scheduler.close();
-    await this.quotas.close();
-    await this.queue.close();
-    await this.ports.vmList.close();
-    this.ports.processLoad.close();
+    await this.closeParts();
   }
 
   /** Stops as planned: what runs ends, and a peer takes the memory of submissions over. */
@@ -336,6 +328,12 @@
     const { peers, own, table, inherited } = this;
     await depart({ clock, logger: logger.forPart('departure'), peers, own, table, inherited });
     await this.report.close();
+    await this.closeParts();
+    await this.closeConnections();
+  }
+
+  /** Ends every loop and timer; both ways to end a daemon need all of them. */
+  private async closeParts(): Promise<void> {
     await this.catchUp.close();
     await this.assignment.close();
     await Promise.all([this.follower.close(), this.claims.close()]);
@@ -343,12 +341,15 @@
     await this.scheduler.close();
     await this.quotas.close();
     await this.queue.close();
-    await this.ports.endpoints.close();
-    await this.ports.logService.close();
     await this.ports.vmList.close();
     this.ports.processLoad.close();
   }
 
+  /** Cuts what runs on endpoints and waits for the log. */
+  private async closeConnections(): Promise<void> {
+    await Promise.all([this.ports.endpoints.close(), this.ports.logService.close()]);
+  }
+
   /** Free slots that the daemons of this failure domain have told. */
   private countSpareSlots(): number {
     return this.peers
--- a/src/programs/toucandyke/commands/configPublishCommand.ts
+++ b/src/programs/toucandyke/commands/configPublishCommand.ts
@@ -17,6 +17,7 @@
 import { exitCodes } from '../exitCodes.js';
 import { askStatus } from '../operatorAccess.js';
 import { formatTable } from '../output/formatTable.js';
+import { tokenOption } from '../operatorOptions.js';
 
 const publishTimeoutMs = 10_000;
 const lookPauseMs = 500;
@@ -50,10 +51,7 @@
   operators = Option.String('--operators', '', {
     description: "Addresses of daemons' operators' interfaces, with commas between",
   });
-  token = Option.String('--token', '', {
-    env: 'TOUCANDYKE_OPERATOR_TOKEN',
-    description: "The operators' token",
-  });
+  token = tokenOption();
   json = Option.Boolean('--json', false, { description: 'Print the result as JSON' });
 
   async execute(): Promise<number> {
--- a/src/programs/toucandyke/commands/drainCommand.ts
+++ b/src/programs/toucandyke/commands/drainCommand.ts
@@ -4,6 +4,7 @@
 import { Command, Option } from 'clipanion';
 import { OperatorHttpClient } from '../../../adapters/operatorHttp/operatorHttpClient.js';
 import { exitCodes } from '../exitCodes.js';
+import { tokenOption } from '../operatorOptions.js';
 
 export class DrainCommand extends Command {
   static override paths = [['drain']];
@@ -20,10 +21,7 @@
     required: true,
     description: "Address of the daemon's operators' interface",
   });
-  token = Option.String('--token', '', {
-    env: 'TOUCANDYKE_OPERATOR_TOKEN',
-    description: "The operators' token",
-  });
+  token = tokenOption();
 
   async execute(): Promise<number> {
     const client = OperatorHttpClient.create(this.operator, this.token);
--- a/src/programs/toucandyke/commands/explainCommand.ts
+++ b/src/programs/toucandyke/commands/explainCommand.ts
@@ -6,6 +6,7 @@
 import type { DaemonTrace } from '../../../explain/explainJob.js';
 import { exitCodes } from '../exitCodes.js';
 import { collectTraces } from '../operatorAccess.js';
+import { operatorsOption, tokenOption } from '../operatorOptions.js';
 
 export class ExplainCommand extends Command {
   static override paths = [['explain']];
@@ -24,14 +25,8 @@
   });
 
   job = Option.String();
-  operators = Option.String('--operators', {
-    required: true,
-    description: "Addresses of daemons' operators' interfaces, with commas between",
-  });
-  token = Option.String('--token', '', {
-    env: 'TOUCANDYKE_OPERATOR_TOKEN',
-    description: "The operators' token",
-  });
+  operators = operatorsOption();
+  token = tokenOption();
   json = Option.Boolean('--json', false, { description: 'Print the events as JSON' });
 
   async execute(): Promise<number> {
--- a/src/programs/toucandyke/commands/reportBurnCommand.ts
+++ b/src/programs/toucandyke/commands/reportBurnCommand.ts
@@ -15,6 +15,7 @@
 import { formatBurn } from '../output/formatBurn.js';
 import type { BurnReport } from '../output/formatBurn.js';
 import { renderBurnPage } from '../output/renderBurnPage.js';
+import { operatorsOption, tokenOption } from '../operatorOptions.js';
 
 const timeoutMs = 30_000;
 
@@ -40,14 +41,8 @@
   });
 
   log = Option.String('--log', { required: true, description: 'Address of the log service' });
-  operators = Option.String('--operators', {
-    required: true,
-    description: "Addresses of daemons' operators' interfaces, with commas between",
-  });
-  token = Option.String('--token', '', {
-    env: 'TOUCANDYKE_OPERATOR_TOKEN',
-    description: "The operators' token",
-  });
+  operators = operatorsOption();
+  token = tokenOption();
   json = Option.Boolean('--json', false, { description: 'Print the report as JSON' });
   html = Option.String('--html', { description: 'Write a page with plots to this file' });
 
--- a/src/programs/toucandyke/commands/statusCommand.ts
+++ b/src/programs/toucandyke/commands/statusCommand.ts
@@ -7,6 +7,7 @@
 import { exitCodes } from '../exitCodes.js';
 import { askStatus } from '../operatorAccess.js';
 import { formatTable } from '../output/formatTable.js';
+import { operatorsOption, tokenOption } from '../operatorOptions.js';
 
 export class StatusCommand extends Command {
   static override paths = [['status']];
@@ -22,14 +23,8 @@
     ],
   });
 
-  operators = Option.String('--operators', {
-    required: true,
-    description: "Addresses of daemons' operators' interfaces, with commas between",
-  });
-  token = Option.String('--token', '', {
-    env: 'TOUCANDYKE_OPERATOR_TOKEN',
-    description: "The operators' token",
-  });
+  operators = operatorsOption();
+  token = tokenOption();
   json = Option.Boolean('--json', false, { description: 'Print the status as JSON' });
 
   async execute(): Promise<number> {
