Lay down the path on the users' platform: ports, core types, dispatch, adapters

The folders and types for work that asks for cores and memory (resources, routing, workers, dispatch, fleet, bestEffort) and the adapters of the users' platform in platform/.

--- /dev/null
+++ b/src/adapters/fleetRpc/fleetRpcClient.ts
@@ -0,0 +1,55 @@
+/**
+ * Links to the other daemons of a fleet.
+ */
+import type { Result } from 'ts-results-es';
+import type { BatchEnd } from '../../dispatch/types.js';
+import type { FleetHeartbeat } from '../../fleet/types.js';
+import { fleetMethods } from '../../ports/fleetPeers.js';
+import type { AskedBatch, FleetConnector, FleetLink, Withdrawal } from '../../ports/fleetPeers.js';
+import type { PeerError } from '../../ports/peers.js';
+import type { Routing } from '../../routing/types.js';
+import { JsonRpcCaller } from '../jsonRpc/jsonRpcCaller.js';
+import { fleetRpcPath } from './fleetRpcPath.js';
+
+class FleetRpcLink implements FleetLink {
+  private readonly caller: JsonRpcCaller<typeof fleetMethods>;
+
+  constructor(address: string) {
+    this.caller = JsonRpcCaller.create({ address, path: fleetRpcPath, methods: fleetMethods });
+  }
+
+  beat(own: FleetHeartbeat, signal: AbortSignal): Promise<Result<FleetHeartbeat, PeerError>> {
+    return this.caller.call('beat', own, signal);
+  }
+
+  runBatch(asked: AskedBatch, signal: AbortSignal): Promise<Result<BatchEnd, PeerError>> {
+    return this.caller.call('runBatch', asked, signal);
+  }
+
+  withdrawBatch(withdrawal: Withdrawal, signal: AbortSignal): Promise<Result<unknown, PeerError>> {
+    return this.caller.call('withdrawBatch', withdrawal, signal);
+  }
+
+  async fetchRouting(signal: AbortSignal): Promise<Result<Routing | null, PeerError>> {
+    const reply = await this.caller.call('fetchRouting', {}, signal);
+    return reply.map(({ routing }) => routing);
+  }
+
+  close(): Promise<void> {
+    return this.caller.close();
+  }
+}
+
+export class FleetRpcConnector implements FleetConnector {
+  private constructor() {
+    // Built by create.
+  }
+
+  static create(): FleetRpcConnector {
+    return new FleetRpcConnector();
+  }
+
+  connect(address: string): FleetLink {
+    return new FleetRpcLink(address);
+  }
+}
--- a/src/adapters/http/httpServer.ts
+++ b/src/adapters/http/httpServer.ts
@@ -11,7 +11,7 @@
 const headersTimeoutMs = 5_000;
 const requestTimeoutMs = 15_000;
 /** Sent to clients, which then do not reuse a connection that was idle for as long. */
-const keepAliveTimeoutMs = 5_000;
+const defaultKeepAliveTimeoutMs = 5_000;
 /** Time that a client has to read an answer once it is written. */
 const readTimeoutMs = 20_000;
 
@@ -23,6 +23,8 @@
   /** 0 takes a free port. */
   readonly port: number;
   readonly maxConnections: number;
+  /** Time after which an idle connection is closed; 5 s by default. */
+  readonly keepAliveTimeoutMs?: number;
   readonly handle: RequestHandler;
 }
 
@@ -47,7 +49,7 @@
         maxHeaderSize: maxHeaderBytes,
         headersTimeout: headersTimeoutMs,
         requestTimeout: requestTimeoutMs,
-        keepAliveTimeout: keepAliveTimeoutMs,
+        keepAliveTimeout: options.keepAliveTimeoutMs ?? defaultKeepAliveTimeoutMs,
         noDelay: true,
       },
       (request, response) => void http.serve(request, response),
--- a/src/adapters/http/requestJson.ts
+++ b/src/adapters/http/requestJson.ts
@@ -1,5 +1,5 @@
 /**
- * Sends one JSON request through an `undici` pool and reads the whole answer.
+ * Sends one request through an `undici` pool and reads the whole answer.
  */
 import type { Dispatcher, Pool } from 'undici';
 
@@ -9,6 +9,11 @@
   | { readonly kind: 'not-sent'; readonly detail: string }
   | { readonly kind: 'broken'; readonly detail: string };
 
+/** How an exchange ended whose answer is not read as JSON. */
+export type RawExchange =
+  | { readonly kind: 'answered'; readonly status: number; readonly bytes: Buffer }
+  | Exclude<HttpExchange, { kind: 'answered' }>;
+
 export interface JsonRequest {
   readonly method: Dispatcher.HttpMethod;
   readonly path: string;
@@ -28,13 +33,33 @@
 ]);
 
 /**
- * Sends a request and reads the whole answer.
+ * Sends a request and reads the whole answer as JSON.
  *
  * @param pool - the connections to the other side
  * @param request - what to send
  * @returns the answer; `not-sent` only where the other side certainly saw nothing
  */
 export const requestJson = async (pool: Pool, request: JsonRequest): Promise<HttpExchange> => {
+  const exchange = await requestBytes(pool, request);
+  if (exchange.kind !== 'answered') {
+    return exchange;
+  }
+  try {
+    const body = JSON.parse(exchange.bytes.toString('utf8')) as unknown;
+    return { kind: 'answered', status: exchange.status, body };
+  } catch (error) {
+    return { kind: 'broken', detail: String(error) };
+  }
+};
+
+/**
+ * Sends a request and reads the whole answer.
+ *
+ * @param pool - the connections to the other side
+ * @param request - what to send
+ * @returns the answer; `not-sent` only where the other side certainly saw nothing
+ */
+export const requestBytes = async (pool: Pool, request: JsonRequest): Promise<RawExchange> => {
   if (request.signal.aborted) {
     return { kind: 'not-sent', detail: 'The request was given up before it was sent.' };
   }
@@ -46,8 +71,8 @@
       body: request.body === undefined ? null : JSON.stringify(request.body),
       signal: request.signal,
     });
-    const text = await readText(body, request.maxBytes);
-    return { kind: 'answered', status: statusCode, body: JSON.parse(text) as unknown };
+    const bytes = await readBytes(body, request.maxBytes);
+    return { kind: 'answered', status: statusCode, bytes };
   } catch (error) {
     const kind = notSentCodes.has(readCode(error)) ? 'not-sent' : 'broken';
     return { kind, detail: String(error) };
@@ -60,7 +85,7 @@
   ...headers,
 });
 
-const readText = async (body: AsyncIterable<Buffer>, maxBytes: number): Promise<string> => {
+const readBytes = async (body: AsyncIterable<Buffer>, maxBytes: number): Promise<Buffer> => {
   const chunks: Buffer[] = [];
   let bytes = 0;
   for await (const chunk of body) {
@@ -70,7 +95,7 @@
     }
     chunks.push(chunk);
   }
-  return Buffer.concat(chunks).toString('utf8');
+  return Buffer.concat(chunks);
 };
 
 const readCode = (error: unknown): string =>
--- a/src/adapters/peerRpc/peerRpcClient.ts
+++ b/src/adapters/peerRpc/peerRpcClient.ts
@@ -1,11 +1,8 @@
 /**
  * Links to peers: JSON-RPC 2.0 over kept-alive HTTP connections.
  */
-import { JSONRPCClient, JSONRPCErrorException } from 'json-rpc-2.0';
-import type { JSONRPCResponse } from 'json-rpc-2.0';
-import { Err, Ok } from 'ts-results-es';
+import { Err } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
-import { Pool } from 'undici';
 import type { z } from 'zod';
 import type { ConfigurationCheckpoint } from '../../configuration/types.js';
 import type { Heartbeat } from '../../membership/types.js';
@@ -26,20 +23,9 @@
   SubmissionRef,
   SubmitOutcome,
 } from '../../ports/peers.js';
-import { requestJson } from '../http/requestJson.js';
+import { JsonRpcCaller } from '../jsonRpc/jsonRpcCaller.js';
 import { peerRpcPath } from './peerRpcMessages.js';
 
-const maxReplyBytes = 33_554_432;
-const connectTimeoutMs = 1_000;
-const maxConnectionsPerPeer = 256;
-
-/** Thrown inside the JSON-RPC client where the transport failed. */
-class TransportError extends Error {
-  constructor(readonly peerError: PeerError) {
-    super(peerError.detail);
-  }
-}
-
 type MethodName = keyof typeof peerMethods;
 
 /**
@@ -52,21 +38,14 @@
 const passAll: PeerMessageFilter = () => true;
 
 class PeerRpcLink implements PeerLink {
-  private readonly pool: Pool;
-  private readonly client: JSONRPCClient<AbortSignal>;
+  private readonly caller: JsonRpcCaller<typeof peerMethods>;
 
   constructor(
     private readonly address: string,
-    private readonly token: string,
+    token: string,
     private readonly filter: PeerMessageFilter,
   ) {
-    this.pool = new Pool(`http://${address}`, {
-      connections: maxConnectionsPerPeer,
-      connect: { timeout: connectTimeoutMs },
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
-    this.client = new JSONRPCClient<AbortSignal>((payload, signal) => this.send(payload, signal));
+    this.caller = JsonRpcCaller.create({ address, path: peerRpcPath, methods: peerMethods, token });
   }
 
   heartbeat(own: Heartbeat, signal: AbortSignal): Promise<Result<Heartbeat, PeerError>> {
@@ -114,46 +93,19 @@
     return reply.map(({ checkpoint }) => checkpoint);
   }
 
-  async close(): Promise<void> {
-    await this.pool.destroy();
+  close(): Promise<void> {
+    return this.caller.close();
   }
 
   private async call<M extends MethodName>(
     method: M,
-    params: z.infer<(typeof peerMethods)[M]['params']>,
+    params: z.input<(typeof peerMethods)[M]['params']>,
     signal: AbortSignal,
   ): Promise<Result<z.infer<(typeof peerMethods)[M]['result']>, PeerError>> {
     if (!this.filter(this.address, method)) {
       return Err({ kind: 'broken', detail: 'The link to the peer is cut.' });
     }
-    try {
-      const reply: unknown = await this.client.request(method, params, signal);
-      const parsed = peerMethods[method].result.safeParse(reply);
-      return parsed.success
-        ? Ok(parsed.data as z.infer<(typeof peerMethods)[M]['result']>)
-        : Err({ kind: 'broken', detail: `The peer's answer to ${method} is not valid.` });
-    } catch (error) {
-      return Err(toPeerError(error));
-    }
-  }
-
-  private async send(payload: unknown, signal: AbortSignal): Promise<void> {
-    const exchange = await requestJson(this.pool, {
-      method: 'POST',
-      path: peerRpcPath,
-      body: payload,
-      token: this.token,
-      maxBytes: maxReplyBytes,
-      signal,
-    });
-    if (exchange.kind !== 'answered') {
-      throw new TransportError(exchange);
-    }
-    if (exchange.status !== 200) {
-      const detail = `The peer answered ${exchange.status}.`;
-      throw new TransportError({ kind: 'refused', detail });
-    }
-    this.client.receive(exchange.body as JSONRPCResponse);
+    return this.caller.call(method, params, signal);
   }
 }
 
@@ -177,11 +129,3 @@
     return new PeerRpcLink(address, this.token, this.filter);
   }
 }
-
-const toPeerError = (error: unknown): PeerError => {
-  if (error instanceof TransportError) {
-    return error.peerError;
-  }
-  const kind = error instanceof JSONRPCErrorException ? 'refused' : 'broken';
-  return { kind, detail: String(error) };
-};
--- a/src/adapters/peerRpc/peerRpcServer.ts
+++ b/src/adapters/peerRpc/peerRpcServer.ts
@@ -2,8 +2,7 @@
  * The peers' interface: JSON-RPC 2.0 over HTTP.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { JSONRPCErrorException, JSONRPCServer } from 'json-rpc-2.0';
-import { z } from 'zod';
+import { JSONRPCServer } from 'json-rpc-2.0';
 import { createProblem } from '../../errors/problem.js';
 import { problemFromZod } from '../../errors/zodProblem.js';
 import type { Logger } from '../../ports/logger.js';
@@ -13,19 +12,11 @@
 import { HttpServer } from '../http/httpServer.js';
 import { readJsonBody } from '../http/readJsonBody.js';
 import { sendJson, sendProblem } from '../http/sendJson.js';
+import { callSchema, checkParams } from '../jsonRpc/jsonRpcCall.js';
 import { peerRpcPath } from './peerRpcMessages.js';
 
 const maxBodyBytes = 4_194_304;
 const maxConnections = 4_096;
-const invalidParamsCode = -32602;
-
-/** One JSON-RPC call; daemons send no batches and no notifications. */
-const callSchema = z.object({
-  jsonrpc: z.literal('2.0'),
-  id: z.union([z.string().max(64), z.number()]),
-  method: z.string().max(64),
-  params: z.unknown().optional(),
-});
 
 export interface PeerRpcServerOptions {
   readonly host: string;
@@ -133,17 +124,3 @@
   rpc.addMethod('fetchConfiguration', () => ({ checkpoint: service.fetchConfiguration() }));
   return rpc;
 };
-
-type ParamsSchema = (typeof peerMethods)[keyof typeof peerMethods]['params'];
-
-const checkParams = <S extends ParamsSchema>(
-  schema: S,
-  params: unknown,
-): ReturnType<S['parse']> => {
-  const parsed = schema.safeParse(params);
-  if (!parsed.success) {
-    const { detail, where } = problemFromZod(parsed.error);
-    throw new JSONRPCErrorException(`${where ?? 'params'}: ${detail}`, invalidParamsCode);
-  }
-  return parsed.data as ReturnType<S['parse']>;
-};
--- /dev/null
+++ b/src/bestEffort/batchRouter.ts
@@ -0,0 +1,116 @@
+/**
+ * Brings batches to their dispatchers: to this daemon's own, or to another daemon's by a request that
+ * is sent again on another connection when it stays without an answer.
+ */
+import type { Dispatcher } from '../dispatch/dispatcher.js';
+import type { Batch } from '../dispatch/types.js';
+import type { FleetPeer } from '../fleet/fleetPeer.js';
+import type { FleetPeers } from '../fleet/fleetPeers.js';
+import type { Clock } from '../ports/clock.js';
+import { createDeferred } from '../utils/deferred.js';
+import type { Deferred } from '../utils/deferred.js';
+import { within } from '../utils/within.js';
+import type { FleetView } from './fleetView.js';
+import type { BatchResult, BatchSender } from './jobRun.js';
+
+/** A request is sent again when it has no answer after the expected time and this much more. */
+const resendSlackMs = 400;
+/** Expected times are off by about this factor. */
+const expectationFactor = 2;
+const withdrawTimeoutMs = 400;
+const maxSends = 6;
+
+export interface BatchRouterOptions {
+  readonly clock: Clock;
+  readonly ownId: string;
+  readonly dispatcher: Dispatcher;
+  readonly peers: () => FleetPeers;
+  readonly view: FleetView;
+}
+
+/** A batch at another daemon. */
+interface RemoteBatch {
+  readonly dispatcherId: string;
+  /** Resolved when the daemon is lost. */
+  readonly lost: Deferred<string>;
+}
+
+export class BatchRouter implements BatchSender {
+  private readonly remote = new Map<string, RemoteBatch>();
+
+  private constructor(private readonly options: BatchRouterOptions) {}
+
+  static create(options: BatchRouterOptions): BatchRouter {
+    return new BatchRouter(options);
+  }
+
+  async run(dispatcherId: string, batch: Batch): Promise<BatchResult> {
+    const { ownId, dispatcher, peers } = this.options;
+    if (dispatcherId === ownId) {
+      return { kind: 'ended', end: await dispatcher.run(ownId, batch) };
+    }
+    const peer = peers().find(dispatcherId);
+    if (peer === undefined) {
+      return { kind: 'lost', reason: 'it is not heard' };
+    }
+    const remote: RemoteBatch = { dispatcherId, lost: createDeferred() };
+    this.remote.set(batch.batchId, remote);
+    const lost = remote.lost.promise.then((reason): BatchResult => ({ kind: 'lost', reason }));
+    const result = await Promise.race([this.runAt(peer, dispatcherId, batch), lost]);
+    this.remote.delete(batch.batchId);
+    return result;
+  }
+
+  withdraw(dispatcherId: string, batchId: string): void {
+    const { ownId, dispatcher, clock, peers } = this.options;
+    if (dispatcherId === ownId) {
+      dispatcher.withdraw(batchId);
+      return;
+    }
+    // A withdrawal that is lost is made good by the next heartbeat, which does not ask for the batch.
+    this.remote.get(batchId)?.lost.resolve('it was withdrawn');
+    this.remote.delete(batchId);
+    const peer = peers().find(dispatcherId);
+    if (peer !== undefined) {
+      void within(clock, withdrawTimeoutMs, (signal) =>
+        peer.link.withdrawBatch({ batchId }, signal),
+      );
+    }
+  }
+
+  /** @returns the batches that a daemon is still asked to run */
+  askedOf(dispatcherId: string | undefined): string[] {
+    return [...this.remote].flatMap(([batchId, remote]) =>
+      remote.dispatcherId === dispatcherId ? [batchId] : [],
+    );
+  }
+
+  /** Ends the wait for a daemon that is no longer heard. */
+  noteLost(dispatcherId: string): void {
+    for (const { dispatcherId: id, lost } of this.remote.values()) {
+      if (id === dispatcherId) {
+        lost.resolve('it is no longer heard');
+      }
+    }
+  }
+
+  private async runAt(peer: FleetPeer, dispatcherId: string, batch: Batch): Promise<BatchResult> {
+    const { clock, ownId, view } = this.options;
+    const patienceMs = batch.estimatedMs * expectationFactor + resendSlackMs;
+    let reason = 'no answer';
+    for (let sends = 0; sends < maxSends && this.remote.has(batch.batchId); sends += 1) {
+      const reply = await within(clock, patienceMs, (signal) =>
+        peer.link.runBatch({ askedBy: ownId, batch }, signal),
+      );
+      if (reply?.isOk() === true) {
+        view.hear(dispatcherId, reply.value.load, view.distanceOf(dispatcherId));
+        return { kind: 'ended', end: reply.value };
+      }
+      reason = reply?.isErr() === true ? reply.error.detail : reason;
+      if (reply !== undefined) {
+        await clock.sleep(withdrawTimeoutMs / 8);
+      }
+    }
+    return { kind: 'lost', reason };
+  }
+}
--- /dev/null
+++ b/src/fleet/fleetDaemon.ts
@@ -0,0 +1,327 @@
+/**
+ * A daemon of a fleet: takes jobs from callers, divides them among the dispatchers, and is the
+ * dispatcher of some workers itself.
+ */
+import { BatchRouter } from '../bestEffort/batchRouter.js';
+import { FleetView } from '../bestEffort/fleetView.js';
+import { JobPlanner } from '../bestEffort/jobPlanner.js';
+import { RunningJobs } from '../bestEffort/runningJobs.js';
+import { Dispatcher } from '../dispatch/dispatcher.js';
+import type { BatchEnd } from '../dispatch/types.js';
+import type { Clock } from '../ports/clock.js';
+import type { AskedBatch, FleetConnector, FleetService, Withdrawal } from '../ports/fleetPeers.js';
+import type { FleetStore } from '../ports/fleetStore.js';
+import type { JobEnd, JobRequest, JobService, JobState, RouteMatch } from '../ports/jobs.js';
+import type { Logger } from '../ports/logger.js';
+import type { Random } from '../ports/random.js';
+import type { WorkerPort } from '../ports/workers.js';
+import { RoutingFollower } from '../routing/routingFollower.js';
+import { RoutingStore } from '../routing/routingStore.js';
+import type { Route, Routing } from '../routing/types.js';
+import { within } from '../utils/within.js';
+import { WorkerDirectory } from '../workers/workerDirectory.js';
+import { FleetPeers, maxPeerSilenceMs } from './fleetPeers.js';
+import { ShardKeeper, shardOf } from './shardKeeper.js';
+import type { FleetHeartbeat, Member, ShardGrant } from './types.js';
+
+/** Cost of reaching a dispatcher of the same and of another failure domain, in milliseconds. */
+const nearDistanceMs = 1;
+const farDistanceMs = 4;
+/** Batches that are younger may have been sent after the heartbeat that does not name them. */
+const minUnaskedAgeMs = 600;
+const askerCheckPeriodMs = 100;
+const routingFetchTimeoutMs = 500;
+/** Time to wait before a job is sent again that this system cannot run. */
+const unsupportedRetryAfterMs = 60_000;
+const fallbackBodyBytes = 262_144;
+
+export interface FleetPorts {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly store: FleetStore;
+  readonly workers: WorkerPort;
+  readonly connector: FleetConnector;
+}
+
+export interface FleetIdentity {
+  readonly member: Member;
+  readonly failureDomainIds: readonly string[];
+  readonly leaseMs: number;
+  readonly farRackFactor: number;
+}
+
+export class FleetDaemon implements FleetService, JobService {
+  private readonly routing = RoutingStore.create();
+  private readonly directory: WorkerDirectory;
+  private readonly follower: RoutingFollower;
+  private readonly dispatcher: Dispatcher;
+  private readonly peers: FleetPeers;
+  private readonly router: BatchRouter;
+  private readonly view: FleetView;
+  private readonly jobs: RunningJobs;
+  private readonly shards: ShardKeeper;
+  private readonly logger: Logger;
+  private readonly stop = new AbortController();
+  private grant: ShardGrant = { generation: 0, shards: [] };
+  private isLeaving = false;
+  private isFetchingRouting = false;
+  private batchNumber = 0;
+
+  private constructor(
+    private readonly identity: FleetIdentity,
+    private readonly ports: FleetPorts,
+  ) {
+    const { clock, random, logger, store, workers, connector } = ports;
+    const { member, leaseMs, farRackFactor } = identity;
+    this.logger = logger.forPart('jobs');
+    this.dispatcher = Dispatcher.create({
+      clock,
+      random,
+      logger,
+      workers,
+      leaseMs,
+      farRackFactor,
+    });
+    this.directory = WorkerDirectory.create({
+      clock,
+      logger,
+      store,
+      onChange: () => void this.serveOwnWorkers(),
+    });
+    this.follower = RoutingFollower.create({ clock, logger, store, routing: this.routing });
+    this.view = FleetView.create({
+      clock,
+      ownId: member.incarnation,
+      ownLoad: () => this.dispatcher.load(),
+      findWorker: (workerId) => this.directory.get(workerId),
+    });
+    this.router = BatchRouter.create({
+      clock,
+      ownId: member.incarnation,
+      dispatcher: this.dispatcher,
+      peers: () => this.peers,
+      view: this.view,
+    });
+    const planner = JobPlanner.create({ clock, random, view: this.view, farRackFactor });
+    this.jobs = RunningJobs.create({
+      clock,
+      logger: this.logger,
+      planner,
+      sender: this.router,
+      nextBatchId: () => this.nextBatchId(),
+    });
+    this.shards = ShardKeeper.create({
+      clock,
+      logger,
+      store,
+      member,
+      onGrant: (grant) => this.takeGrant(grant),
+    });
+    this.peers = FleetPeers.create({
+      clock,
+      logger,
+      connector,
+      store,
+      own: member,
+      failureDomainIds: identity.failureDomainIds,
+      compose: (peer) => this.composeHeartbeat(peer),
+      onHeartbeat: (heartbeat) => this.hear(heartbeat),
+      onLost: (incarnation) => this.noteLost(incarnation),
+    });
+    void this.watchAskers();
+  }
+
+  static create(identity: FleetIdentity, ports: FleetPorts): FleetDaemon {
+    return new FleetDaemon(identity, ports);
+  }
+
+  isReady(): boolean {
+    return !this.isLeaving && this.routing.current !== undefined;
+  }
+
+  maxBodyBytes(): number {
+    return this.routing.current?.routing.maxBodyBytes ?? fallbackBodyBytes;
+  }
+
+  findRoute(host: string, path: string): RouteMatch {
+    const active = this.routing.current;
+    if (active === undefined) {
+      return { kind: 'unconfigured' };
+    }
+    const route = active.table.find(host, path);
+    return route === undefined ? { kind: 'unknown' } : { kind: 'found', route };
+  }
+
+  async submit(
+    route: Route,
+    request: JobRequest,
+    deadlineMs: number,
+    signal: AbortSignal,
+  ): Promise<JobEnd> {
+    const { jobId, unsupported } = request;
+    const { routeId } = route;
+    if (unsupported.length > 0) {
+      const reason = `not supported: ${unsupported.join(', ')}`;
+      this.logger.warn('A job is refused.', { jobId, routeId, reason });
+      return { kind: 'refused', reason, retryAfterMs: unsupportedRetryAfterMs };
+    }
+    if (this.canNeverRun(route, request)) {
+      const reason = 'no worker of the service is large enough';
+      this.logger.info('A job can never run.', { jobId, routeId, reason });
+      return { kind: 'failed', reason };
+    }
+    return this.jobs.submit(route, request, deadlineMs, signal);
+  }
+
+  state(jobId: string): JobState {
+    return this.jobs.state(jobId);
+  }
+
+  cancel(jobId: string): boolean {
+    return this.jobs.cancel(jobId);
+  }
+
+  countWaiting(routeId: string): number {
+    return this.jobs.countWaiting(routeId);
+  }
+
+  /** Stops every job; for a process that did not run for a while and whose callers have gone on. */
+  abandonJobs(): void {
+    this.jobs.cancelAll();
+  }
+
+  beat(theirs: FleetHeartbeat): FleetHeartbeat {
+    this.peers.hear(theirs);
+    return this.composeHeartbeat(theirs.member.incarnation);
+  }
+
+  runBatch({ askedBy, batch }: AskedBatch): Promise<BatchEnd> {
+    return this.dispatcher.run(askedBy, batch);
+  }
+
+  withdrawBatch({ batchId }: Withdrawal): void {
+    this.dispatcher.withdraw(batchId);
+  }
+
+  fetchRouting(): Routing | null {
+    return this.routing.current?.routing ?? null;
+  }
+
+  /** Begins a planned stop: takes no new callers and hands the workers over as their runs end. */
+  async drain(): Promise<void> {
+    this.isLeaving = true;
+    await this.dispatcher.serve([], this.grant.generation);
+    await this.shards.leave();
+  }
+
+  /** @returns jobs that have not ended */
+  get jobCount(): number {
+    return this.jobs.size;
+  }
+
+  async close(): Promise<void> {
+    this.stop.abort();
+    await Promise.all([this.shards.close(), this.peers.close(), this.follower.close()]);
+    await this.directory.close();
+    await this.dispatcher.close();
+    await Promise.all([this.ports.workers.close(), this.ports.store.close()]);
+  }
+
+  private canNeverRun({ serviceId }: Route, { steps }: JobRequest): boolean {
+    return steps.some(
+      ({ needs }) =>
+        this.directory.canEverRun(serviceId, needs.resources, needs.requiredLabel) === false,
+    );
+  }
+
+  private nextBatchId(): string {
+    this.batchNumber += 1;
+    return `${this.identity.member.incarnation}-${this.batchNumber}`;
+  }
+
+  private takeGrant(grant: ShardGrant): Promise<unknown> {
+    this.grant = grant;
+    return this.serveOwnWorkers();
+  }
+
+  private serveOwnWorkers(): Promise<unknown> {
+    if (this.isLeaving) {
+      return Promise.resolve();
+    }
+    const { failureDomainId } = this.identity.member;
+    const { shardCount } = this.ports.store;
+    const shards = new Set(this.grant.shards);
+    const own = this.directory
+      .list()
+      .filter(
+        (worker) =>
+          worker.failureDomainId === failureDomainId &&
+          shards.has(shardOf(worker.workerId, shardCount)),
+      );
+    return this.dispatcher.serve(own, this.grant.generation);
+  }
+
+  private composeHeartbeat(peer: string | undefined): FleetHeartbeat {
+    return {
+      member: this.identity.member,
+      heardAddresses: this.peers.heard().map(({ address }) => address),
+      routingVersion: this.routing.version,
+      isLeaving: this.isLeaving,
+      load: this.dispatcher.load(),
+      askedBatchIds: this.router.askedOf(peer),
+    };
+  }
+
+  private hear({ member, load, askedBatchIds, routingVersion }: FleetHeartbeat): void {
+    const { incarnation, failureDomainId } = member;
+    const isNear = failureDomainId === this.identity.member.failureDomainId;
+    this.view.hear(incarnation, load, isNear ? nearDistanceMs : farDistanceMs);
+    const asked = new Set(askedBatchIds);
+    this.dispatcher.withdrawUnasked(incarnation, (id) => asked.has(id), minUnaskedAgeMs);
+    if (routingVersion > this.routing.version) {
+      void this.fetchRoutingFrom(incarnation);
+    }
+  }
+
+  /** Takes a newer routing configuration from a daemon that has it, without the store. */
+  private async fetchRoutingFrom(incarnation: string): Promise<void> {
+    const peer = this.peers.find(incarnation);
+    if (this.isFetchingRouting || peer === undefined) {
+      return;
+    }
+    this.isFetchingRouting = true;
+    const reply = await within(this.ports.clock, routingFetchTimeoutMs, (signal) =>
+      peer.link.fetchRouting(signal),
+    );
+    this.isFetchingRouting = false;
+    const routing = reply?.isOk() === true ? reply.value : null;
+    if (routing !== null && this.routing.apply(routing)) {
+      const { version } = routing;
+      this.logger.info('A routing configuration came from a daemon.', {
+        version,
+        nodeId: incarnation,
+      });
+    }
+  }
+
+  private noteLost(incarnation: string): void {
+    this.view.forget(incarnation);
+    this.router.noteLost(incarnation);
+    this.dispatcher.withdrawUnasked(incarnation, () => false, 0);
+  }
+
+  /** Stops the batches of daemons that are not heard, also of those that never were. */
+  private async watchAskers(): Promise<void> {
+    const { clock } = this.ports;
+    while (!this.stop.signal.aborted) {
+      await clock.sleep(askerCheckPeriodMs, this.stop.signal);
+      for (const asker of this.dispatcher.askers()) {
+        const isOwn = asker === this.identity.member.incarnation;
+        if (!isOwn && this.peers.find(asker) === undefined) {
+          this.dispatcher.withdrawUnasked(asker, () => false, maxPeerSilenceMs);
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/fleet/types.ts
@@ -0,0 +1,58 @@
+/**
+ * Schemas of the daemons that form one fleet, and of what they tell each other.
+ */
+import { z } from 'zod';
+import { resourcesSchema } from '../resources/resources.js';
+
+/** A daemon of the fleet. */
+export const memberSchema = z.object({
+  /** New at every start of the process. */
+  incarnation: z.string(),
+  /** Address of the peers' interface: IP number and port. */
+  address: z.string(),
+  failureDomainId: z.string(),
+  /** Relative size of the VM. */
+  weight: z.number().positive(),
+});
+export type Member = z.infer<typeof memberSchema>;
+
+/** The shards of workers that a member holds. */
+export const shardGrantSchema = z.object({
+  /** Rises with every change among the members; also the fencing token for the shards' workers. */
+  generation: z.number().int().nonnegative(),
+  shards: z.array(z.number().int().nonnegative()),
+});
+export type ShardGrant = z.infer<typeof shardGrantSchema>;
+
+/** A worker as its dispatcher tells of it. */
+export const workerLoadSchema = z.object({
+  workerId: z.string(),
+  free: resourcesSchema,
+  /** Run time there over the declared run time. */
+  slowness: z.number().positive(),
+  /** Whether it gets tasks now. */
+  isOpen: z.boolean(),
+  /** Expected time until something that runs there ends, in milliseconds. */
+  nextEndInMs: z.number().nonnegative(),
+});
+export type WorkerLoad = z.infer<typeof workerLoadSchema>;
+
+/** The workers of one daemon and the work that waits for them. */
+export const memberLoadSchema = z.object({
+  workers: z.array(workerLoadSchema),
+  /** Expected time of the waiting tasks times the cores that they ask for, in core-milliseconds. */
+  waitingCoreMs: z.number().nonnegative(),
+});
+export type MemberLoad = z.infer<typeof memberLoadSchema>;
+
+export const heartbeatSchema = z.object({
+  member: memberSchema,
+  /** Other members that the sender hears, so that members find each other without the store. */
+  heardAddresses: z.array(z.string()),
+  routingVersion: z.number().int(),
+  isLeaving: z.boolean(),
+  load: memberLoadSchema,
+  /** Batches that the sender still asks the receiver to run. */
+  askedBatchIds: z.array(z.string()),
+});
+export type FleetHeartbeat = z.infer<typeof heartbeatSchema>;
--- /dev/null
+++ b/src/ports/fleetPeers.ts
@@ -0,0 +1,52 @@
+/** Port to the other daemons of the fleet. */
+import type { Result } from 'ts-results-es';
+import { z } from 'zod';
+import { batchEndSchema, batchSchema } from '../dispatch/types.js';
+import type { Batch, BatchEnd } from '../dispatch/types.js';
+import { heartbeatSchema } from '../fleet/types.js';
+import type { FleetHeartbeat } from '../fleet/types.js';
+import { routingSchema } from '../routing/types.js';
+import type { Routing } from '../routing/types.js';
+import type { PeerError } from './peers.js';
+
+/** A batch with the daemon that asks for it. */
+export const askedBatchSchema = z.object({ askedBy: z.string(), batch: batchSchema });
+export type AskedBatch = z.infer<typeof askedBatchSchema>;
+
+/** Ends a batch whose job has ended. */
+export const withdrawalSchema = z.object({ batchId: z.string() });
+export type Withdrawal = z.infer<typeof withdrawalSchema>;
+
+/** Requests between the daemons of a fleet, each with its answer. */
+export const fleetMethods = {
+  beat: { params: heartbeatSchema, result: heartbeatSchema },
+  runBatch: { params: askedBatchSchema, result: batchEndSchema },
+  withdrawBatch: { params: withdrawalSchema, result: z.object({}) },
+  fetchRouting: { params: z.object({}), result: z.object({ routing: routingSchema.nullable() }) },
+} as const;
+
+/** The link to one daemon. */
+export interface FleetLink {
+  beat(own: FleetHeartbeat, signal: AbortSignal): Promise<Result<FleetHeartbeat, PeerError>>;
+  runBatch(asked: AskedBatch, signal: AbortSignal): Promise<Result<BatchEnd, PeerError>>;
+  withdrawBatch(withdrawal: Withdrawal, signal: AbortSignal): Promise<Result<unknown, PeerError>>;
+  fetchRouting(signal: AbortSignal): Promise<Result<Routing | null, PeerError>>;
+  close(): Promise<void>;
+}
+
+export interface FleetConnector {
+  /**
+   * Opens a link.
+   *
+   * @param address - IP number and port of the peers' interface
+   */
+  connect(address: string): FleetLink;
+}
+
+/** What a daemon serves to the others. */
+export interface FleetService {
+  beat(theirs: FleetHeartbeat): FleetHeartbeat;
+  runBatch(asked: AskedBatch): Promise<BatchEnd>;
+  withdrawBatch(withdrawal: Withdrawal): void;
+  fetchRouting(): Routing | null;
+}
--- a/src/ports/logger.ts
+++ b/src/ports/logger.ts
@@ -9,6 +9,26 @@
   readonly count?: number;
   readonly offset?: number;
   readonly reason?: string;
+  readonly routeId?: string;
+  readonly batchId?: string;
+  /** Name of a task on the workers. */
+  readonly taskName?: string;
+  /** Number of the run of a task. */
+  readonly run?: number;
+  readonly workerId?: string;
+  readonly state?: string;
+  /** Incarnation of a daemon. */
+  readonly nodeId?: string;
+  readonly address?: string;
+  readonly generation?: number;
+  /** Fencing token. */
+  readonly token?: number;
+  readonly expectedMs?: number;
+  readonly leftMs?: number;
+  /** Age of what a decision was based on, in milliseconds. */
+  readonly ageMs?: number;
+  readonly dispatchers?: number;
+  readonly outcome?: string;
 }
 
 /** Port to the structured log; each part of the daemon has its own with a fixed prefix. */
--- a/src/programs/toucandyked/main.ts
+++ b/src/programs/toucandyked/main.ts
@@ -1,31 +1,24 @@
 #!/usr/bin/env node
 /**
- * The daemon: `toucandyked SETTINGS.yaml`.
+ * The daemon: `toucandyked SETTINGS.yaml`, or `toucandyked --platform` on the users' platform, where
+ * the platform names the settings file. Each variant loads only what it needs.
  */
-import { formatFault, readYamlFile } from '../../adapters/yaml/readYamlFile.js';
-import { checkSettings } from '../../config/checkSettings.js';
-import { DaemonProcess } from './daemonProcess.js';
-
 const usageExitCode = 2;
+const usage = 'Usage: toucandyked SETTINGS.yaml | toucandyked --platform\n';
 
-const main = async (file: string | undefined): Promise<void> => {
-  if (file === undefined || file.startsWith('-')) {
-    process.stderr.write('Usage: toucandyked SETTINGS.yaml\n');
-    process.exitCode = file === '--help' ? 0 : usageExitCode;
+const main = async (argument: string | undefined): Promise<void> => {
+  if (argument === '--platform') {
+    const { runOnPlatform } = await import('./runOnPlatform.js');
+    await runOnPlatform();
     return;
   }
-  const settings = readYamlFile(file, checkSettings);
-  if (settings.isErr()) {
-    for (const fault of settings.error) {
-      process.stderr.write(`${formatFault(file, fault)}\n`);
-    }
-    process.exitCode = usageExitCode;
+  if (argument === undefined || argument.startsWith('-')) {
+    process.stderr.write(usage);
+    process.exitCode = argument === '--help' ? 0 : usageExitCode;
     return;
   }
-  const daemon = await DaemonProcess.create(settings.value);
-  const stop = (): void => void daemon.close();
-  process.once('SIGTERM', stop);
-  process.once('SIGINT', stop);
+  const { runWithSettings } = await import('./runWithSettings.js');
+  await runWithSettings(argument);
 };
 
 await main(process.argv[2]);
--- /dev/null
+++ b/src/programs/toucandyked/platformProcess.ts
@@ -0,0 +1,99 @@
+/**
+ * Wires one daemon to the users' platform.
+ */
+import { WorkerClient } from '../../../platform/workerClient.js';
+import { JobFront } from '../../../platform/jobFront.js';
+import type { PlatformSettings } from '../../../platform/settings.js';
+import { StoreClient } from '../../../platform/storeClient.js';
+import { FleetRpcConnector } from '../../adapters/fleetRpc/fleetRpcClient.js';
+import { FleetRpcServer } from '../../adapters/fleetRpc/fleetRpcServer.js';
+import { RoarrLogger } from '../../adapters/system/roarrLogger.js';
+import { SystemClock } from '../../adapters/system/systemClock.js';
+import { SystemRandom } from '../../adapters/system/systemRandom.js';
+import { splitAddress } from '../../config/settings.js';
+import { FleetDaemon } from '../../fleet/fleetDaemon.js';
+import type { Clock } from '../../ports/clock.js';
+import type { Logger } from '../../ports/logger.js';
+
+/** The platform notices within this time that a VM takes no new connections. */
+const noticeMs = 2_600;
+const pollMs = 50;
+/** Time before the kill at which the process ends in any case. */
+const killMarginMs = 500;
+/** The store takes a member for gone after this time, in milliseconds. */
+const memberTtlMs = 2_000;
+
+export class PlatformProcess {
+  private constructor(
+    private readonly settings: PlatformSettings,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+    private readonly daemon: FleetDaemon,
+    private readonly front: JobFront,
+    private readonly peers: FleetRpcServer,
+  ) {}
+
+  /** Starts a daemon with all its interfaces. */
+  static async create(settings: PlatformSettings): Promise<PlatformProcess> {
+    const clock = SystemClock.create();
+    const random = SystemRandom.create();
+    const logger = RoarrLogger.create('info', settings.vmId);
+    const { failureDomainId, failureDomainIds, weight, listen } = settings;
+    const member = { incarnation: random.id(), address: listen.peers, failureDomainId, weight };
+    const store = StoreClient.create({
+      address: settings.storeAddress,
+      shardCount: settings.shardCount,
+      memberTtlMs: Math.max(memberTtlMs, settings.minMemberTtlMs),
+    });
+    const daemon = FleetDaemon.create(
+      {
+        member,
+        failureDomainIds,
+        leaseMs: settings.maxLeaseMs,
+        farRackFactor: settings.farRackFactor,
+      },
+      {
+        clock,
+        random,
+        logger,
+        store,
+        workers: WorkerClient.create(),
+        connector: FleetRpcConnector.create(),
+      },
+    );
+    const peers = await FleetRpcServer.create({
+      ...splitAddress(listen.peers),
+      service: daemon,
+      logger,
+    });
+    const front = await JobFront.create({
+      callers: splitAddress(listen.callers),
+      readiness: splitAddress(listen.readiness),
+      service: daemon,
+    });
+    const log = logger.forPart('process');
+    log.info('The daemon has started.', { nodeId: member.incarnation, address: listen.callers });
+    return new PlatformProcess(settings, clock, log, daemon, front, peers);
+  }
+
+  /** Stops as planned: takes no new callers, hands the workers over, answers what runs. */
+  async close(): Promise<void> {
+    const { clock, daemon, front, settings } = this;
+    const killAtMs = clock.nowMs() + settings.stopGraceMs - killMarginMs;
+    this.logger.info('The daemon stops as planned.', { count: daemon.jobCount });
+    const handedOver = daemon.drain();
+    front.drain();
+    await clock.sleep(noticeMs);
+    const closed = front.close();
+    while (daemon.jobCount > 0 && clock.nowMs() < killAtMs) {
+      await clock.sleep(pollMs);
+    }
+    await Promise.race([
+      Promise.all([handedOver, closed]),
+      clock.sleep(Math.max(killAtMs - clock.nowMs(), 0)),
+    ]);
+    this.logger.info('The daemon has stopped.', { count: daemon.jobCount });
+    await Promise.race([daemon.close(), clock.sleep(pollMs)]);
+    await Promise.race([this.peers.kill(), clock.sleep(pollMs)]);
+  }
+}
--- /dev/null
+++ b/src/resources/resources.ts
@@ -0,0 +1,33 @@
+/**
+ * What tasks ask of a worker and what a worker has.
+ */
+import { z } from 'zod';
+
+export const resourcesSchema = z.object({
+  /** Thousandths of a processor core. */
+  cpuMillis: z.number().int().nonnegative(),
+  memoryMb: z.number().int().nonnegative(),
+  accelerators: z.number().int().nonnegative(),
+});
+export type Resources = z.infer<typeof resourcesSchema>;
+
+export const noResources: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
+
+/** Tells whether needs fit into what is free. */
+export const fitsInto = (needs: Resources, free: Resources): boolean =>
+  needs.cpuMillis <= free.cpuMillis &&
+  needs.memoryMb <= free.memoryMb &&
+  needs.accelerators <= free.accelerators;
+
+export const addResources = (a: Resources, b: Resources): Resources => ({
+  cpuMillis: a.cpuMillis + b.cpuMillis,
+  memoryMb: a.memoryMb + b.memoryMb,
+  accelerators: a.accelerators + b.accelerators,
+});
+
+/** Takes `b` out of `a`; what would fall below zero is zero. */
+export const subtractResources = (a: Resources, b: Resources): Resources => ({
+  cpuMillis: Math.max(a.cpuMillis - b.cpuMillis, 0),
+  memoryMb: Math.max(a.memoryMb - b.memoryMb, 0),
+  accelerators: Math.max(a.accelerators - b.accelerators, 0),
+});
