Learn run lengths from deadlines, read small answers without streams, add the platform's stand-in

The logs show that the deadline tells the length within 20%, so each route's length is now fitted to declared time and deadline. Ruled out: slow workers (the ratio of run time to declared time spreads alike on all).

--- a/src/adapters/http/readJsonBody.ts
+++ b/src/adapters/http/readJsonBody.ts
@@ -39,26 +39,25 @@
 };
 
 /** Stops reading, but keeps the connection for the answer, once the body is too large. */
-const readText = async (
-  request: IncomingMessage,
-  maxBytes: number,
-): Promise<Result<string, Problem>> => {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  try {
-    for await (const chunk of request.iterator({ destroyOnReturn: false })) {
-      const part = chunk as Buffer;
-      bytes += part.length;
+const readText = (request: IncomingMessage, maxBytes: number): Promise<Result<string, Problem>> =>
+  new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    request.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
       if (bytes > maxBytes) {
-        return Err(tooLarge(maxBytes));
+        request.pause();
+        resolve(Err(tooLarge(maxBytes)));
+        return;
       }
-      chunks.push(part);
-    }
-  } catch {
-    return Err(createProblem('invalid-request', 'The body was cut off.'));
-  }
-  return Ok(Buffer.concat(chunks).toString('utf8'));
-};
+      chunks.push(chunk);
+    });
+    request.once('end', () => resolve(Ok(Buffer.concat(chunks).toString('utf8'))));
+    const cutOff = (): void =>
+      resolve(Err(createProblem('invalid-request', 'The body was cut off.')));
+    request.once('error', cutOff);
+    request.once('close', cutOff);
+  });
 
 /**
  * Parses JSON text.
--- a/src/adapters/http/requestJson.ts
+++ b/src/adapters/http/requestJson.ts
@@ -21,7 +21,10 @@
   readonly token?: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly maxBytes: number;
-  readonly signal: AbortSignal;
+  /** Gives the exchange up. */
+  readonly signal?: AbortSignal;
+  /** Time after which the exchange is given up, in milliseconds. */
+  readonly timeoutMs?: number;
 }
 
 /** Codes of failures before a connection stood, so that nothing was sent. */
@@ -59,25 +62,102 @@
  * @param request - what to send
  * @returns the answer; `not-sent` only where the other side certainly saw nothing
  */
-export const requestBytes = async (pool: Pool, request: JsonRequest): Promise<RawExchange> => {
-  if (request.signal.aborted) {
-    return { kind: 'not-sent', detail: 'The request was given up before it was sent.' };
+export const requestBytes = (pool: Pool, request: JsonRequest): Promise<RawExchange> =>
+  request.signal?.aborted === true
+    ? Promise.resolve({
+        kind: 'not-sent',
+        detail: 'The request was given up before it was sent.',
+      })
+    : ExchangeHandler.send(pool, request);
+
+/**
+ * Takes the events of one exchange. `undici` also offers a stream for each answer, which costs several
+ * times as much for the small answers that are read here.
+ */
+class ExchangeHandler implements Dispatcher.DispatchHandler {
+  private readonly chunks: Buffer[] = [];
+  private bytes = 0;
+  private status = 0;
+  private controller: Dispatcher.DispatchController | undefined;
+  private isOver = false;
+  private readonly timer: NodeJS.Timeout | undefined;
+  private readonly giveUp = (): void => this.abort('The request was given up.');
+
+  private constructor(
+    private readonly request: JsonRequest,
+    private readonly resolve: (exchange: RawExchange) => void,
+  ) {
+    request.signal?.addEventListener('abort', this.giveUp);
+    this.timer =
+      request.timeoutMs === undefined
+        ? undefined
+        : setTimeout(() => this.abort('The time for the answer is over.'), request.timeoutMs);
   }
-  try {
-    const { statusCode, body } = await pool.request({
-      method: request.method,
-      path: request.path,
-      headers: createHeaders(request),
-      body: request.body === undefined ? null : JSON.stringify(request.body),
-      signal: request.signal,
+
+  static send(pool: Pool, request: JsonRequest): Promise<RawExchange> {
+    return new Promise((resolve) => {
+      pool.dispatch(
+        {
+          method: request.method,
+          path: request.path,
+          headers: createHeaders(request),
+          body: request.body === undefined ? null : JSON.stringify(request.body),
+        },
+        new ExchangeHandler(request, resolve),
+      );
     });
-    const bytes = await readBytes(body, request.maxBytes);
-    return { kind: 'answered', status: statusCode, bytes };
-  } catch (error) {
-    const kind = notSentCodes.has(readCode(error)) ? 'not-sent' : 'broken';
-    return { kind, detail: String(error) };
   }
-};
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.isOver) {
+      controller.abort(new Error('The request was given up before it was sent.'));
+    }
+  }
+
+  onResponseStart(_controller: Dispatcher.DispatchController, statusCode: number): void {
+    this.status = statusCode;
+  }
+
+  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.bytes += chunk.length;
+    if (this.bytes > this.request.maxBytes) {
+      controller.abort(new Error(`The answer has more than ${this.request.maxBytes} bytes.`));
+      return;
+    }
+    this.chunks.push(chunk);
+  }
+
+  onResponseEnd(): void {
+    const [first] = this.chunks;
+    const bytes =
+      first !== undefined && this.chunks.length === 1 ? first : Buffer.concat(this.chunks);
+    this.end({ kind: 'answered', status: this.status, bytes });
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    const isNotSent = this.controller === undefined || notSentCodes.has(readCode(error));
+    this.end({ kind: isNotSent ? 'not-sent' : 'broken', detail: String(error) });
+  }
+
+  private abort(detail: string): void {
+    if (this.controller === undefined) {
+      this.end({ kind: 'not-sent', detail });
+      return;
+    }
+    this.controller.abort(new Error(detail));
+  }
+
+  private end(exchange: RawExchange): void {
+    if (this.isOver) {
+      return;
+    }
+    this.isOver = true;
+    clearTimeout(this.timer);
+    this.request.signal?.removeEventListener('abort', this.giveUp);
+    this.resolve(exchange);
+  }
+}
 
 const createHeaders = ({ token, headers }: JsonRequest): Record<string, string> => ({
   'content-type': 'application/json',
@@ -85,18 +165,5 @@
   ...headers,
 });
 
-const readBytes = async (body: AsyncIterable<Buffer>, maxBytes: number): Promise<Buffer> => {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of body) {
-    bytes += chunk.length;
-    if (bytes > maxBytes) {
-      throw new Error(`The answer has more than ${maxBytes} bytes.`);
-    }
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks);
-};
-
 const readCode = (error: unknown): string =>
   error instanceof Error && 'code' in error ? String(error.code) : '';
--- a/src/bestEffort/jobRun.ts
+++ b/src/bestEffort/jobRun.ts
@@ -9,7 +9,14 @@
 import type { Logger } from '../ports/logger.js';
 import type { Route } from '../routing/types.js';
 import type { JobPlanner, StepPlan } from './jobPlanner.js';
-import { admissionAllowanceMs, objectiveMs, retryAfterMs, timeAfterStepMs } from './objective.js';
+import type { LengthHints, RunLengths } from './runLengths.js';
+import {
+  admissionAllowanceMs,
+  objectiveMs,
+  retryAfterMs,
+  timeAfterStepMs,
+  worthlessAfterMs,
+} from './objective.js';
 
 /** Times that the tasks of a step are given to other dispatchers after one gave them back. */
 const maxReplacements = 4;
@@ -32,6 +39,7 @@
   readonly logger: Logger;
   readonly planner: JobPlanner;
   readonly sender: BatchSender;
+  readonly lengths: RunLengths;
   /** Gives the name of the next batch. */
   readonly nextBatchId: () => string;
 }
@@ -59,16 +67,23 @@
   private wasOffered = false;
   private isEnded = false;
 
+  /** The steps with the run times that are expected of their tasks. */
+  private readonly steps: readonly JobStep[];
+
   private constructor(
     private readonly options: JobRunOptions,
     readonly route: Route,
     readonly request: JobRequest,
-    deadlineMs: number,
+    private readonly deadlineMs: number,
   ) {
     this.startedAtMs = options.clock.nowMs();
-    const objective = objectiveMs(route, request.steps);
+    this.steps = request.steps.map((step) => ({
+      ...step,
+      estimatedMs: options.lengths.predictMs(route.routeId, this.hintsOf(step)),
+    }));
+    const objective = objectiveMs(route, this.steps);
     this.objectiveAtMs = this.startedAtMs + objective;
-    this.giveUpAtMs = this.startedAtMs + Math.min(deadlineMs, route.timeoutMs);
+    this.giveUpAtMs = this.startedAtMs + Math.min(deadlineMs, worthlessAfterMs(objective));
   }
 
   static create(
@@ -80,6 +95,11 @@
     return new JobRun(options, route, request, deadlineMs);
   }
 
+  /** @returns time until the job should have ended, from its arrival, in milliseconds */
+  get expectedMs(): number {
+    return Math.round(this.objectiveAtMs - this.startedAtMs);
+  }
+
   /** Tells whether a dispatcher may have started something. */
   get hasStarted(): boolean {
     return this.open.size > 0 || this.wasOffered;
@@ -110,7 +130,7 @@
 
   private async runSteps(): Promise<JobEnd> {
     const done = new Map<number, Promise<StepEnd>>();
-    for (const [index, step] of this.request.steps.entries()) {
+    for (const [index, step] of this.steps.entries()) {
       done.set(index, this.runAfter(step, index, done));
     }
     const ends = [...done.values()];
@@ -129,8 +149,8 @@
     index: number,
     done: ReadonlyMap<number, Promise<StepEnd>>,
   ): Promise<StepEnd> {
-    const before = await Promise.all(step.after.map((earlier) => done.get(earlier)));
-    const bad = before.find((end) => end !== undefined && end.kind !== 'done');
+    const before = await Promise.all(step.after.flatMap((earlier) => done.get(earlier) ?? []));
+    const bad = before.find(({ kind }) => kind !== 'done');
     return bad ?? this.runStep(step, index);
   }
 
@@ -171,7 +191,7 @@
   }
 
   private demandOf(step: JobStep, index: number): TaskDemand {
-    const laterMs = timeAfterStepMs(this.request.steps, index);
+    const laterMs = timeAfterStepMs(this.steps, index);
     return {
       needs: step.needs,
       estimatedMs: step.estimatedMs,
@@ -231,6 +251,7 @@
       return { kind: 'bad', end: { kind: 'given-up', reason } };
     }
     this.wasOffered ||= result.end.wasOffered;
+    result.end.ends.forEach((end) => this.learn(stepIndex, end));
     const bad = result.end.ends.map(findFailure).find((end) => end !== undefined);
     if (bad !== undefined) {
       return { kind: 'bad', end: bad };
@@ -239,6 +260,18 @@
     return { kind: 'good', dispatcherId, returned };
   }
 
+  private hintsOf({ estimatedMs }: JobStep): LengthHints {
+    return { declaredMs: estimatedMs, deadlineMs: this.deadlineMs };
+  }
+
+  /** Learns the length of the route's tasks from one that was done. */
+  private learn(stepIndex: number, end: TaskEnd): void {
+    const step = this.request.steps[stepIndex];
+    if (end.kind === 'done' && step !== undefined) {
+      this.options.lengths.observe(this.route.routeId, this.hintsOf(step), end.lengthMs);
+    }
+  }
+
   private composeBatch(step: JobStep, stepIndex: number, tasks: BatchTask[]): Batch {
     const demand = this.demandOf(step, stepIndex);
     const nowMs = this.options.clock.nowMs();
@@ -249,7 +282,7 @@
       serviceId: this.route.serviceId,
       spec: this.request.spec,
       needs: step.needs,
-      estimatedMs: step.estimatedMs,
+      estimatedMs: Math.max(Math.round(step.estimatedMs), 1),
       objectiveInMs: Math.round(demand.objectiveAtMs - nowMs),
       giveUpInMs: Math.round(demand.giveUpAtMs - nowMs),
       priority: this.route.priority,
--- a/src/bestEffort/objective.ts
+++ b/src/bestEffort/objective.ts
@@ -1,11 +1,13 @@
 /**
- * When a job should have ended, by its declared run times.
+ * When a job should have ended, by the expected run times of its tasks.
  */
 import type { JobStep } from '../ports/jobs.js';
 import type { Route } from '../routing/types.js';
 
 /** A job that is expected to end this share of its objective too late is still taken. */
 const admissionStretch = 0.15;
+/** A job is worth nothing to its caller after this many times its objective. */
+const worthlessFactor = 3;
 /** Shortest time after which a refused caller should come back, in milliseconds. */
 const minRetryAfterMs = 1_000;
 
@@ -37,6 +39,9 @@
 export const timeAfterStepMs = (steps: readonly JobStep[], index: number): number =>
   (chainsMs(steps)[index] ?? 0) - (steps[index]?.estimatedMs ?? 0);
 
+/** Tells after which time a job is worth nothing any more, in milliseconds. */
+export const worthlessAfterMs = (objective: number): number => objective * worthlessFactor;
+
 /** Tells how much later than its objective a job may be expected to end and is still taken. */
 export const admissionAllowanceMs = (objective: number): number => objective * admissionStretch;
 
--- a/src/bestEffort/runningJobs.ts
+++ b/src/bestEffort/runningJobs.ts
@@ -95,7 +95,7 @@
       jobId: request.jobId,
       routeId: route.routeId,
       count: request.steps.reduce((sum, { taskCount }) => sum + taskCount, 0),
-      expectedMs: request.steps[0]?.estimatedMs ?? 0,
+      expectedMs: run.expectedMs,
       leftMs: Math.round(deadlineMs),
     });
     const stop = new AbortController();
--- a/src/dispatch/dispatchedWorker.ts
+++ b/src/dispatch/dispatchedWorker.ts
@@ -202,10 +202,10 @@
   /** Starts nothing more; resolves when nothing runs there and it is let go. */
   async drain(): Promise<void> {
     this.isDraining = true;
-    while (this.runs.size > 0 && this.isDraining && !this.isClosed) {
+    while (this.runs.size > 0 && this.mayBeLetGo()) {
       await this.options.clock.sleep(takeOverPauseMs);
     }
-    if (this.isDraining) {
+    if (this.mayBeLetGo()) {
       await this.close();
     }
   }
@@ -221,6 +221,10 @@
     await this.serving;
   }
 
+  private mayBeLetGo(): boolean {
+    return this.isDraining && !this.isClosed;
+  }
+
   private async serve(): Promise<void> {
     while (!this.isClosed) {
       if (this.token <= this.refusedToken) {
@@ -349,6 +353,9 @@
 
   /** Takes a report that was asked for at a time. */
   private apply(report: WorkerReport, sentAtMs: number): void {
+    if (this.isClosed) {
+      return;
+    }
     if (this.misses >= maxMisses) {
       this.logger.info('The worker answers again.', { workerId: this.workerId });
     }
@@ -551,13 +558,13 @@
   /** Reads the worker's report beside the hold that waits. */
   private async look(): Promise<void> {
     const { clock, workers } = this.options;
-    if (this.token <= this.refusedToken || this.isClosed) {
+    if (this.token <= this.refusedToken) {
       return;
     }
     const sentAtMs = clock.nowMs();
     const order = { fencingToken: this.token, lastSeenEnd: this.lastSeenEnd, waitMs: 0 };
     const reply: HoldReply = await workers.hold(this.record, order, lookTimeoutMs);
-    if (reply.kind === 'held' && !this.isClosed) {
+    if (reply.kind === 'held') {
       this.apply(reply.report, sentAtMs);
     }
   }
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -72,18 +72,18 @@
    */
   serve(records: readonly WorkerRecord[], fencingToken: number): Promise<unknown> {
     const wanted = new Map(records.map((record) => [record.workerId, record]));
-    const released = [...this.served].map(([workerId, worker]) => {
+    const released: Promise<void>[] = [];
+    for (const [workerId, worker] of this.served) {
       const record = wanted.get(workerId);
       if (record === undefined) {
-        return this.release(workerId, worker);
-      }
-      if (!worker.isFor(record)) {
+        released.push(this.release(workerId, worker));
+      } else if (worker.isFor(record)) {
+        worker.update(record, fencingToken);
+      } else {
         this.served.delete(workerId);
-        return worker.close();
+        released.push(worker.close());
       }
-      worker.update(record, fencingToken);
-      return undefined;
-    });
+    }
     for (const [workerId, record] of wanted) {
       if (!this.served.has(workerId)) {
         this.served.set(workerId, this.startServing(record, fencingToken));
@@ -345,6 +345,7 @@
   /** Takes the end of a run. */
   private ended(worker: DispatchedWorker, run: ActiveRun, outcome: RunOutcome): void {
     const { task } = run;
+    const slowness = worker.speed.slowness(this.options.clock.nowMs());
     this.noteStanding(worker, run, outcome);
     this.logger.info('A run has ended.', {
       taskName: run.taskName,
@@ -360,7 +361,11 @@
     }
     switch (outcome.kind) {
       case 'done':
-        this.settle(task, { kind: 'done', index: task.index });
+        this.settle(task, {
+          kind: 'done',
+          index: task.index,
+          lengthMs: Math.round(outcome.runTimeMs / slowness),
+        });
         return;
       case 'invalid':
         this.settle(task, { kind: 'failed', index: task.index, reason: outcome.reason });
--- a/src/dispatch/types.ts
+++ b/src/dispatch/types.ts
@@ -35,7 +35,7 @@
   serviceId: z.string(),
   spec: z.string(),
   needs: placementNeedsSchema,
-  /** Declared run time of a task; often far off. */
+  /** Expected run time of a task on a typical worker. */
   estimatedMs: z.number().positive(),
   /** Time until the tasks should have ended, in milliseconds. */
   objectiveInMs: z.number(),
@@ -49,7 +49,12 @@
 
 /** How a task of a batch ended. */
 export const taskEndSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('done'), index: z.number().int() }),
+  z.object({
+    kind: z.literal('done'),
+    index: z.number().int(),
+    /** Its run time over the slowness of its worker, in milliseconds. */
+    lengthMs: z.number().nonnegative(),
+  }),
   /** Failed as often as its route allows, or the worker finds the order not valid. */
   z.object({ kind: z.literal('failed'), index: z.number().int(), reason: z.string() }),
   /** Runs nowhere; another dispatcher may take it. */
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -5,6 +5,7 @@
 import { BatchRouter } from '../bestEffort/batchRouter.js';
 import { FleetView } from '../bestEffort/fleetView.js';
 import { JobPlanner } from '../bestEffort/jobPlanner.js';
+import { RunLengths } from '../bestEffort/runLengths.js';
 import { RunningJobs } from '../bestEffort/runningJobs.js';
 import { Dispatcher } from '../dispatch/dispatcher.js';
 import type { BatchEnd } from '../dispatch/types.js';
@@ -109,6 +110,7 @@
       logger: this.logger,
       planner,
       sender: this.router,
+      lengths: RunLengths.create(),
       nextBatchId: () => this.nextBatchId(),
     });
     this.shards = ShardKeeper.create({
@@ -117,6 +119,7 @@
       store,
       member,
       onGrant: (grant) => this.takeGrant(grant),
+      onBack: () => this.follower.refresh(),
     });
     this.peers = FleetPeers.create({
       clock,
@@ -220,6 +223,11 @@
     return this.jobs.size;
   }
 
+  /** @returns workers that this daemon orders and that may get tasks */
+  get openWorkerCount(): number {
+    return this.dispatcher.load().workers.filter(({ isOpen }) => isOpen).length;
+  }
+
   async close(): Promise<void> {
     this.stop.abort();
     await Promise.all([this.shards.close(), this.peers.close(), this.follower.close()]);
--- a/src/fleet/fleetPeers.ts
+++ b/src/fleet/fleetPeers.ts
@@ -64,7 +64,7 @@
   /** Takes a heartbeat, from a request or an answer. */
   hear(heartbeat: FleetHeartbeat): void {
     const { address, incarnation } = heartbeat.member;
-    if (address === this.options.own.address) {
+    if (address === this.options.own.address || this.stop.signal.aborted) {
       return;
     }
     const peer = this.add(address);
@@ -115,7 +115,7 @@
         const reply = await within(clock, beatTimeoutMs, (signal) =>
           peer.link.beat(compose(peer.incarnation), signal),
         );
-        if (reply?.isOk() === true && !peer.stop.signal.aborted) {
+        if (reply?.isOk() === true) {
           this.hear(reply.value);
         }
       }
--- a/src/fleet/shardKeeper.ts
+++ b/src/fleet/shardKeeper.ts
@@ -23,6 +23,8 @@
    * @returns a promise that resolves when the workers of lost shards are let go
    */
   readonly onGrant: (grant: ShardGrant) => Promise<unknown>;
+  /** Called when the store answers again. */
+  readonly onBack: () => void;
 }
 
 export class ShardKeeper {
@@ -67,9 +69,13 @@
     while (!this.stop.signal.aborted) {
       await this.renew();
       await clock.sleep(renewPeriodMs, this.wake.signal);
-      if (this.wake.signal.aborted && !this.stop.signal.aborted) {
-        this.wake = new AbortController();
-      }
+      this.renewWake();
+    }
+  }
+
+  private renewWake(): void {
+    if (this.wake.signal.aborted && !this.stop.signal.aborted) {
+      this.wake = new AbortController();
     }
   }
 
@@ -80,7 +86,10 @@
       this.dependency.noteLost(joined.error.detail);
       return;
     }
-    this.dependency.noteReached();
+    if (this.dependency.isLost) {
+      this.dependency.noteReached();
+      this.options.onBack();
+    }
     if (!this.stop.signal.aborted && !isSameGrant(this.grant, joined.value)) {
       this.take(joined.value);
     }
--- a/src/ports/fleetPeers.ts
+++ b/src/ports/fleetPeers.ts
@@ -2,7 +2,7 @@
 import type { Result } from 'ts-results-es';
 import { z } from 'zod';
 import { batchEndSchema, batchSchema } from '../dispatch/types.js';
-import type { Batch, BatchEnd } from '../dispatch/types.js';
+import type { BatchEnd } from '../dispatch/types.js';
 import { heartbeatSchema } from '../fleet/types.js';
 import type { FleetHeartbeat } from '../fleet/types.js';
 import { routingSchema } from '../routing/types.js';
--- a/src/ports/fleetStore.ts
+++ b/src/ports/fleetStore.ts
@@ -50,13 +50,14 @@
   /** Reads the newest routing configuration. */
   readRouting(): Promise<Result<RoutingReading, StoreError>>;
   /**
-   * Waits for a configuration after an offset, up to a time.
+   * Waits for a configuration after an offset, up to a time or until it is given up.
    *
    * @returns nothing where the store has dropped the records; read the newest instead
    */
   awaitRouting(
     offset: number,
     waitMs: number,
+    signal: AbortSignal,
   ): Promise<Result<RoutingReading | undefined, StoreError>>;
   /** Lists every worker. */
   listWorkers(): Promise<Result<WorkerChanges, StoreError>>;
--- /dev/null
+++ b/src/programs/toucandyked/platformProcess.spec.ts
@@ -0,0 +1,199 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { PlatformFixture } from '../../../standins/platform/platformFixture.js';
+import type { PlatformFixtureOptions } from '../../../standins/platform/platformFixture.js';
+
+const twoZones: PlatformFixtureOptions = {
+  daemons: ['east', 'east', 'west'],
+  workers: ['east', 'east', 'west', 'west'],
+};
+
+const withPlatform = async (
+  options: PlatformFixtureOptions,
+  run: (fixture: PlatformFixture) => Promise<void>,
+): Promise<void> => {
+  const fixture = await PlatformFixture.create(options);
+  try {
+    await run(fixture);
+  } finally {
+    await fixture.close();
+  }
+};
+
+const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
+const jobId = (number: number): string => number.toString(16).padStart(16, '0');
+
+test('a job is divided among the workers of all dispatchers and answered when it has ended', () =>
+  withPlatform(twoZones, async (fixture) => {
+    const [daemon] = fixture.daemons;
+    assert.ok(daemon);
+    const answer = await fixture.submit(daemon, jobId(1), { tasks: 8, runMs: 100 });
+    assert.is(answer.status, 200);
+    assert.equal(answer.body, { state: 'completed' });
+    const starts = fixture.starts();
+    assert.is(starts.length, 8);
+    assert.is(new Set(starts.map(({ workerId }) => workerId)).size, 4);
+    assert.ok(starts.every(({ how }) => how === 'done'));
+  }));
+
+test('each worker is ordered by one daemon, under a token that its successor raises', () =>
+  withPlatform(twoZones, async (fixture) => {
+    const [daemon, leaving] = fixture.daemons;
+    assert.ok(daemon && leaving);
+    await fixture.submit(daemon, jobId(1), { tasks: 8, runMs: 60 });
+    const before = Math.max(...fixture.starts().map(({ token }) => token));
+    await leaving.close();
+    fixture.daemons.splice(1, 1);
+    await fixture.untilServing(4);
+    const answer = await fixture.submit(daemon, jobId(2), { tasks: 8, runMs: 60 });
+    assert.is(answer.status, 200);
+    const eastern = fixture
+      .starts()
+      .filter(
+        ({ task, workerId }) => task.startsWith(jobId(2)) && ['i-0', 'i-1'].includes(workerId),
+      );
+    assert.ok(eastern.every(({ token }) => token > before));
+  }));
+
+test('what cannot be decoded is refused and starts nothing', () =>
+  withPlatform({ daemons: ['east'], workers: ['east'] }, async (fixture) => {
+    const [daemon] = fixture.daemons;
+    assert.ok(daemon);
+    const step = { count: 1, cpu: 1_000, estimatedMs: 50 };
+    const job = { taskSpec: '{}', steps: [step], bestEffort: true };
+    const send = async (path: string, body: unknown): Promise<number> =>
+      (await fixture.post(daemon, path, body)).status;
+    assert.is(await send('/fit/0123', job), 400);
+    assert.is(await send(`/fit/${jobId(1)}`, '{"steps":'), 400);
+    assert.is(await send(`/fit/${jobId(1)}`, { ...job, steps: [] }), 400);
+    assert.is(await send(`/fit/${jobId(1)}`, { ...job, steps: [{ ...step, count: -1 }] }), 400);
+    assert.is(await send(`/fit/${jobId(1)}`, { ...job, steps: [{ ...step, after: [0] }] }), 400);
+    assert.is(await send(`/fit/${jobId(1)}`, { ...job, taskSpec: 'x'.repeat(4_001) }), 413);
+    assert.is(await send(`/fit/${jobId(1)}`, { ...job, taskSpec: 'x'.repeat(300_000) }), 413);
+    assert.is(await send(`/elsewhere/${jobId(1)}`, job), 404);
+    const stored = await fixture.post(daemon, `/fit/${jobId(1)}`, { ...job, bestEffort: false });
+    assert.is(stored.status, 503);
+    assert.ok(Number(stored.retryAfter) > 0);
+    assert.is(fixture.starts().length, 0);
+  }));
+
+test('a job that fits no worker has failed at once; tasks that fail everywhere fail their job', () =>
+  withPlatform({ daemons: ['east'], workers: ['east', 'east', 'east'] }, async (fixture) => {
+    const [daemon] = fixture.daemons;
+    assert.ok(daemon);
+    const huge = await fixture.submit(daemon, jobId(1), { tasks: 1, runMs: 50, cpu: 64_000 });
+    assert.is((huge.body as { state: string }).state, 'failed');
+    assert.is(fixture.starts().length, 0);
+    const failing = await fixture.submit(daemon, jobId(2), { tasks: 1, runMs: 20, fails: true });
+    assert.is((failing.body as { state: string }).state, 'failed');
+    assert.is(fixture.starts().length, 3);
+  }));
+
+test('a caller that leaves has its runs stopped at once', () =>
+  withPlatform(twoZones, async (fixture) => {
+    const [daemon] = fixture.daemons;
+    assert.ok(daemon);
+    const left = new AbortController();
+    const answer = fixture
+      .submit(daemon, jobId(1), { tasks: 6, runMs: 1_000 }, left.signal)
+      .catch(() => undefined);
+    await sleep(200);
+    left.abort();
+    await answer;
+    await sleep(200);
+    assert.is(fixture.starts().length, 6);
+    assert.ok(fixture.starts().every(({ how }) => how === 'stopped'));
+  }));
+
+test('the runs of a daemon that is killed are stopped before its callers come back', () =>
+  withPlatform(twoZones, async (fixture) => {
+    const [killed, other] = fixture.daemons;
+    assert.ok(killed && other);
+    const answer = fixture
+      .submit(killed, jobId(1), { tasks: 8, runMs: 1_400 })
+      .catch(() => undefined);
+    await sleep(200);
+    await killed.kill();
+    await answer;
+    fixture.daemons.splice(0, 1);
+    await sleep(1_300);
+    assert.ok(fixture.starts().every(({ how }) => how !== undefined));
+    const again = await fixture.submit(other, jobId(1), { tasks: 4, runMs: 50 });
+    assert.is(again.status, 200);
+    assert.equal(fixture.doubled(), []);
+  }));
+
+test('a start without an answer is never carried out beside its repetition', () =>
+  withPlatform({ daemons: ['east'], workers: ['east', 'east'] }, async (fixture) => {
+    const [daemon] = fixture.daemons;
+    const [late] = fixture.workers;
+    assert.ok(daemon && late);
+    late.fault = { kind: 'late-starts', delayMs: 700 };
+    const answer = await fixture.submit(daemon, jobId(1), { tasks: 2, runMs: 500 });
+    assert.is(answer.status, 200);
+    await sleep(700);
+    assert.equal(fixture.doubled(), []);
+  }));
+
+test('a worker that fails, hangs or falls silent has its tasks run elsewhere', () =>
+  withPlatform({ daemons: ['east'], workers: ['east', 'east', 'east'] }, async (fixture) => {
+    const [daemon] = fixture.daemons;
+    const [first] = fixture.workers;
+    assert.ok(daemon && first);
+    first.fault = { kind: 'failing' };
+    const afterFailing = await fixture.submit(daemon, jobId(1), { tasks: 4, runMs: 60 });
+    assert.equal(afterFailing.body, { state: 'completed' });
+    first.fault = { kind: 'none' };
+    await sleep(1_000);
+    first.fault = { kind: 'hanging' };
+    const afterHanging = await fixture.submit(daemon, jobId(2), { tasks: 4, runMs: 60 });
+    assert.equal(afterHanging.body, { state: 'completed' });
+    assert.equal(fixture.doubled(), []);
+  }));
+
+test('serving goes on without the store, and a newer configuration is taken when it is back', () =>
+  withPlatform(twoZones, async (fixture) => {
+    const [daemon] = fixture.daemons;
+    assert.ok(daemon);
+    fixture.store.fault = 'silent';
+    await sleep(2_500);
+    const answer = await fixture.submit(daemon, jobId(1), { tasks: 4, runMs: 60 });
+    assert.equal(answer.body, { state: 'completed' });
+    fixture.publishRoutes(2);
+    fixture.store.fault = 'none';
+    await sleep(1_500);
+    const job = { taskSpec: '{}', steps: [{ count: 1 }], bestEffort: false };
+    const found = await fixture.post(daemon, `/route-1/${jobId(2)}`, job);
+    assert.is(found.status, 503);
+  }));
+
+test('an entry that names no worker is passed over, and a draining worker gets nothing new', () =>
+  withPlatform({ daemons: ['east'], workers: ['east', 'east'] }, async (fixture) => {
+    const [daemon] = fixture.daemons;
+    const [first] = fixture.workers;
+    assert.ok(daemon && first);
+    fixture.announceRaw('i-odd', Buffer.from('{"service":7}'));
+    fixture.announceRaw('i-worse', Buffer.from([0xff, 0xfe]));
+    fixture.announce(first, 'draining');
+    await sleep(1_300);
+    const answer = await fixture.submit(daemon, jobId(1), { tasks: 2, runMs: 60 });
+    assert.equal(answer.body, { state: 'completed' });
+    assert.is(first.starts.length, 0);
+  }));
+
+test('work that cannot meet its objective is refused at once, with the time to come back', () =>
+  withPlatform({ daemons: ['east'], workers: ['east'] }, async (fixture) => {
+    const [daemon] = fixture.daemons;
+    assert.ok(daemon);
+    const long = fixture.submit(daemon, jobId(1), { tasks: 2, runMs: 800 });
+    await sleep(100);
+    const sentAtMs = performance.now();
+    const refused = await fixture.submit(daemon, jobId(2), { tasks: 1, runMs: 60 });
+    assert.is(refused.status, 503);
+    assert.ok(Number(refused.retryAfter) >= 1);
+    assert.ok(performance.now() - sentAtMs < 100);
+    assert.is((await long).status, 200);
+    assert.is(fixture.starts().length, 2);
+  }));
+
+test.run();
--- a/src/programs/toucandyked/platformProcess.ts
+++ b/src/programs/toucandyked/platformProcess.ts
@@ -8,6 +8,7 @@
 import { FleetRpcConnector } from '../../adapters/fleetRpc/fleetRpcClient.js';
 import { FleetRpcServer } from '../../adapters/fleetRpc/fleetRpcServer.js';
 import { RoarrLogger } from '../../adapters/system/roarrLogger.js';
+import type { LineWriter } from '../../adapters/system/roarrLogger.js';
 import { SystemClock } from '../../adapters/system/systemClock.js';
 import { SystemRandom } from '../../adapters/system/systemRandom.js';
 import { splitAddress } from '../../config/settings.js';
@@ -33,11 +34,16 @@
     private readonly peers: FleetRpcServer,
   ) {}
 
-  /** Starts a daemon with all its interfaces. */
-  static async create(settings: PlatformSettings): Promise<PlatformProcess> {
+  /**
+   * Starts a daemon with all its interfaces.
+   *
+   * @param settings - what the platform says
+   * @param writeLog - takes the log's lines; they go to the standard output without it
+   */
+  static async create(settings: PlatformSettings, writeLog?: LineWriter): Promise<PlatformProcess> {
     const clock = SystemClock.create();
     const random = SystemRandom.create();
-    const logger = RoarrLogger.create('info', settings.vmId);
+    const logger = RoarrLogger.create('info', settings.vmId, writeLog);
     const { failureDomainId, failureDomainIds, weight, listen } = settings;
     const member = { incarnation: random.id(), address: listen.peers, failureDomainId, weight };
     const store = StoreClient.create({
@@ -76,6 +82,26 @@
     return new PlatformProcess(settings, clock, log, daemon, front, peers);
   }
 
+  get isReady(): boolean {
+    return this.daemon.isReady();
+  }
+
+  /** @returns IP number and port that callers reach */
+  get callersAddress(): string {
+    return this.front.address;
+  }
+
+  /** @returns workers that this daemon orders and that may get tasks */
+  get openWorkerCount(): number {
+    return this.daemon.openWorkerCount;
+  }
+
+  /** Drops everything at once, as a killed process does. */
+  async kill(): Promise<void> {
+    await Promise.all([this.front.kill(), this.peers.kill()]);
+    await this.daemon.close();
+  }
+
   /** Stops as planned: takes no new callers, hands the workers over, answers what runs. */
   async close(): Promise<void> {
     const { clock, daemon, front, settings } = this;
--- a/src/routing/routingFollower.ts
+++ b/src/routing/routingFollower.ts
@@ -23,6 +23,8 @@
   private readonly logger: Logger;
   private readonly dependency: Dependency;
   private nextOffset: number | undefined;
+  /** Ends the wait for the next record. */
+  private wait = new AbortController();
   private readonly following: Promise<void>;
 
   private constructor(private readonly options: RoutingFollowerOptions) {
@@ -35,16 +37,23 @@
     return new RoutingFollower(options);
   }
 
+  /** Reads at once; for when the store is back, which a wait on an old connection does not see. */
+  refresh(): void {
+    this.wait.abort();
+  }
+
   async close(): Promise<void> {
     this.stop.abort();
-    await Promise.race([this.following, this.options.clock.sleep(0)]);
+    this.wait.abort();
+    await this.following;
   }
 
   private async follow(): Promise<void> {
     const { clock } = this.options;
     while (!this.stop.signal.aborted) {
+      this.wait = new AbortController();
       const isRead = await this.readOnce();
-      if (!isRead) {
+      if (!isRead && !this.wait.signal.aborted) {
         await clock.sleep(retryPauseMs, this.stop.signal);
       }
     }
@@ -55,9 +64,11 @@
     const reading =
       this.nextOffset === undefined
         ? await store.readRouting()
-        : await store.awaitRouting(this.nextOffset, waitMs);
+        : await store.awaitRouting(this.nextOffset, waitMs, this.wait.signal);
     if (reading.isErr()) {
-      this.dependency.noteLost(reading.error.detail);
+      if (!this.wait.signal.aborted) {
+        this.dependency.noteLost(reading.error.detail);
+      }
       return false;
     }
     this.dependency.noteReached();
--- /dev/null
+++ b/standins/platform/storeStandIn.ts
@@ -0,0 +1,131 @@
+/**
+ * Stands in for the platform's store: keyed topics, and groups that share partitions.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { HttpServer } from '../../src/adapters/http/httpServer.js';
+import { readJsonBody } from '../../src/adapters/http/readJsonBody.js';
+import { sendJson } from '../../src/adapters/http/sendJson.js';
+import { KeyedLog } from './keyedLog.js';
+import { MemberGroup } from './memberGroup.js';
+
+const maxBodyBytes = 1_048_576;
+const defaultTtlMs = 2_000;
+
+/** What is wrong with the store. */
+export type StoreFault = 'none' | 'busy' | 'silent';
+
+interface JoinBody {
+  readonly group: string;
+  readonly member: string;
+  readonly topics: readonly string[];
+  readonly ttlMs?: number;
+  readonly generation?: number;
+}
+
+export class StoreStandIn {
+  fault: StoreFault = 'none';
+  /** Calls so far, by path. */
+  readonly calls = new Map<string, number>();
+  private server!: HttpServer;
+  private readonly logs = new Map<string, KeyedLog>();
+  private readonly groups = new Map<string, MemberGroup>();
+
+  private constructor(private readonly partCount: number) {}
+
+  static async create(partCount: number): Promise<StoreStandIn> {
+    const store = new StoreStandIn(partCount);
+    store.server = await HttpServer.create({
+      host: '127.0.0.1',
+      port: 0,
+      maxConnections: 512,
+      keepAliveTimeoutMs: 30_000,
+      handle: (request, response) => store.serve(request, response),
+    });
+    return store;
+  }
+
+  get address(): string {
+    return this.server.address;
+  }
+
+  /** @returns a keyed topic, made at its first use */
+  log(topic: string): KeyedLog {
+    const log = this.logs.get(topic) ?? KeyedLog.create();
+    this.logs.set(topic, log);
+    return log;
+  }
+
+  close(): Promise<void> {
+    return this.server.kill();
+  }
+
+  private group(name: string): MemberGroup {
+    const group = this.groups.get(name) ?? MemberGroup.create(this.partCount);
+    this.groups.set(name, group);
+    return group;
+  }
+
+  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '', 'http://store');
+    this.calls.set(url.pathname, (this.calls.get(url.pathname) ?? 0) + 1);
+    if (this.fault === 'silent') {
+      return;
+    }
+    if (this.fault === 'busy') {
+      sendJson(response, 503, {});
+      return;
+    }
+    switch (url.pathname) {
+      case '/-/log-newest': {
+        const log = this.log(url.searchParams.get('topic') ?? '');
+        sendJson(response, 200, { items: log.items(), more: false, end: log.end });
+        return;
+      }
+      case '/-/log-read':
+        return this.serveRead(url, response);
+      case '/-/log-join':
+        return this.serveJoin(request, response);
+      case '/-/log-leave': {
+        const { group, member } = await readBody(request);
+        this.group(group).leave(member);
+        sendJson(response, 200, {});
+        return;
+      }
+      case '/-/log-owners': {
+        const name = url.searchParams.get('group') ?? '';
+        const parts = this.group(name)
+          .rows()
+          .map(({ part, member }) => [name, part, member, 0]);
+        sendJson(response, 200, { parts });
+        return;
+      }
+      default:
+        sendJson(response, 404, {});
+    }
+  }
+
+  private async serveRead(url: URL, response: ServerResponse): Promise<void> {
+    const log = this.log(url.searchParams.get('topic') ?? '');
+    const from = Number(url.searchParams.get('from'));
+    const body = await log.read(from, Number(url.searchParams.get('waitMs') ?? 0));
+    if (body === undefined) {
+      sendJson(response, 410, { first: log.end });
+      return;
+    }
+    response.writeHead(200, { 'content-length': body.length });
+    response.end(body);
+  }
+
+  private async serveJoin(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { group, member, topics, generation, ttlMs } = await readBody(request);
+    const joined = this.group(group);
+    const parts = joined.join(member, generation ?? 0, ttlMs ?? defaultTtlMs);
+    const rows = parts.map((part) => [topics[0], part, 0]);
+    sendJson(response, 200, { generation: joined.generation, ttlMs, parts: rows });
+  }
+}
+
+const readBody = async (request: IncomingMessage): Promise<JoinBody> => {
+  const body = await readJsonBody(request, maxBodyBytes);
+  return body.unwrap() as JoinBody;
+};
