Renew the lease of a run whose start was not answered; cheaper heartbeats and bodies

Cause: the function that renews a worker's leases slept on while nothing ran there, and only the answer to a start woke it. A start whose answer was lost ran without renewals and lapsed after 1 s.

--- a/src/adapters/fleetRpc/fleetRpcClient.ts
+++ b/src/adapters/fleetRpc/fleetRpcClient.ts
@@ -18,20 +18,20 @@
     this.caller = JsonRpcCaller.create({ address, path: fleetRpcPath, methods: fleetMethods });
   }
 
-  beat(own: FleetHeartbeat, signal: AbortSignal): Promise<Result<FleetHeartbeat, PeerError>> {
-    return this.caller.call('beat', own, signal);
+  beat(own: FleetHeartbeat, timeoutMs: number): Promise<Result<FleetHeartbeat, PeerError>> {
+    return this.caller.call('beat', own, { timeoutMs });
   }
 
-  runBatch(asked: AskedBatch, signal: AbortSignal): Promise<Result<BatchEnd, PeerError>> {
-    return this.caller.call('runBatch', asked, signal);
+  runBatch(asked: AskedBatch, timeoutMs: number): Promise<Result<BatchEnd, PeerError>> {
+    return this.caller.call('runBatch', asked, { timeoutMs });
   }
 
-  withdrawBatch(withdrawal: Withdrawal, signal: AbortSignal): Promise<Result<unknown, PeerError>> {
-    return this.caller.call('withdrawBatch', withdrawal, signal);
+  withdrawBatch(withdrawal: Withdrawal, timeoutMs: number): Promise<Result<unknown, PeerError>> {
+    return this.caller.call('withdrawBatch', withdrawal, { timeoutMs });
   }
 
-  async fetchRouting(signal: AbortSignal): Promise<Result<Routing | null, PeerError>> {
-    const reply = await this.caller.call('fetchRouting', {}, signal);
+  async fetchRouting(timeoutMs: number): Promise<Result<Routing | null, PeerError>> {
+    const reply = await this.caller.call('fetchRouting', {}, { timeoutMs });
     return reply.map(({ routing }) => routing);
   }
 
--- a/src/adapters/http/readJsonBody.ts
+++ b/src/adapters/http/readJsonBody.ts
@@ -52,9 +52,13 @@
       }
       chunks.push(chunk);
     });
-    request.once('end', () => resolve(Ok(Buffer.concat(chunks).toString('utf8'))));
     const cutOff = (): void =>
       resolve(Err(createProblem('invalid-request', 'The body was cut off.')));
+    request.once('end', () => {
+      // An error value captures a stack, so none is made for a body that is whole.
+      request.off('close', cutOff);
+      resolve(Ok(Buffer.concat(chunks).toString('utf8')));
+    });
     request.once('error', cutOff);
     request.once('close', cutOff);
   });
--- a/src/adapters/http/sendJson.ts
+++ b/src/adapters/http/sendJson.ts
@@ -55,7 +55,7 @@
   value: unknown,
   headers: ExtraHeaders,
 ): void => {
-  const body = Buffer.from(JSON.stringify(value));
+  const body = JSON.stringify(value);
   if (headers.owner !== undefined) {
     response.setHeader('toucandyke-owner', headers.owner);
   }
@@ -66,6 +66,9 @@
     // The rest of the body is not read.
     response.shouldKeepAlive = false;
   }
-  response.writeHead(status, { 'content-type': contentType, 'content-length': body.length });
+  response.writeHead(status, {
+    'content-type': contentType,
+    'content-length': Buffer.byteLength(body),
+  });
   response.end(body);
 };
--- a/src/adapters/jsonRpc/jsonRpcCaller.ts
+++ b/src/adapters/jsonRpc/jsonRpcCaller.ts
@@ -9,6 +9,7 @@
 import type { z } from 'zod';
 import type { PeerError } from '../../ports/peers.js';
 import { requestJson } from '../http/requestJson.js';
+import type { JsonRequest } from '../http/requestJson.js';
 
 const maxReplyBytes = 33_554_432;
 const connectTimeoutMs = 1_000;
@@ -21,6 +22,9 @@
   Record<string, { readonly params: z.ZodType; readonly result: z.ZodType }>
 >;
 
+/** When a call is given up. */
+export type CallBound = Pick<JsonRequest, 'signal' | 'timeoutMs'>;
+
 export interface JsonRpcCallerOptions<T extends MethodTable> {
   /** IP number and port. */
   readonly address: string;
@@ -39,7 +43,7 @@
 
 export class JsonRpcCaller<T extends MethodTable> {
   private readonly pool: Pool;
-  private readonly client: JSONRPCClient<AbortSignal>;
+  private readonly client: JSONRPCClient<CallBound>;
 
   private constructor(private readonly options: JsonRpcCallerOptions<T>) {
     this.pool = new Pool(`http://${options.address}`, {
@@ -49,7 +53,7 @@
       headersTimeout: 0,
       bodyTimeout: 0,
     });
-    this.client = new JSONRPCClient<AbortSignal>((payload, signal) => this.send(payload, signal));
+    this.client = new JSONRPCClient<CallBound>((payload, bound) => this.send(payload, bound));
   }
 
   static create<T extends MethodTable>(options: JsonRpcCallerOptions<T>): JsonRpcCaller<T> {
@@ -61,15 +65,15 @@
    *
    * @param method - its name in the table
    * @param params - its parameters
-   * @param signal - gives the call up
+   * @param bound - when it is given up
    */
   async call<M extends keyof T & string>(
     method: M,
     params: z.input<T[M]['params']>,
-    signal: AbortSignal,
+    bound: CallBound,
   ): Promise<Result<z.output<T[M]['result']>, PeerError>> {
     try {
-      const reply: unknown = await this.client.request(method, params, signal);
+      const reply: unknown = await this.client.request(method, params, bound);
       const parsed = this.options.methods[method]?.result.safeParse(reply);
       return parsed?.success === true
         ? Ok(parsed.data as z.output<T[M]['result']>)
@@ -83,7 +87,7 @@
     await this.pool.destroy();
   }
 
-  private async send(payload: unknown, signal: AbortSignal): Promise<void> {
+  private async send(payload: unknown, bound: CallBound): Promise<void> {
     const { path, token } = this.options;
     const exchange = await requestJson(this.pool, {
       method: 'POST',
@@ -91,7 +95,7 @@
       body: payload,
       ...(token === undefined ? {} : { token }),
       maxBytes: maxReplyBytes,
-      signal,
+      ...bound,
     });
     if (exchange.kind !== 'answered') {
       throw new TransportError(exchange);
--- a/src/adapters/peerRpc/peerRpcClient.ts
+++ b/src/adapters/peerRpc/peerRpcClient.ts
@@ -105,7 +105,7 @@
     if (!this.filter(this.address, method)) {
       return Err({ kind: 'broken', detail: 'The link to the peer is cut.' });
     }
-    return this.caller.call(method, params, signal);
+    return this.caller.call(method, params, { signal });
   }
 }
 
--- a/src/adapters/system/systemRandom.ts
+++ b/src/adapters/system/systemRandom.ts
@@ -5,7 +5,6 @@
 import type { Random } from '../../ports/random.js';
 
 const idBytes = 8;
-const unitRange = 2 ** 32;
 
 export class SystemRandom implements Random {
   private constructor() {
@@ -17,7 +16,7 @@
   }
 
   next(): number {
-    return randomBytes(4).readUInt32BE() / unitRange;
+    return Math.random();
   }
 
   id(): string {
--- a/src/bestEffort/batchRouter.ts
+++ b/src/bestEffort/batchRouter.ts
@@ -9,7 +9,6 @@
 import type { Clock } from '../ports/clock.js';
 import { createDeferred } from '../utils/deferred.js';
 import type { Deferred } from '../utils/deferred.js';
-import { within } from '../utils/within.js';
 import type { FleetView } from './fleetView.js';
 import type { BatchResult, BatchSender } from './jobRun.js';
 
@@ -17,6 +16,8 @@
 const resendSlackMs = 400;
 /** Expected times are off by about this factor. */
 const expectationFactor = 2;
+/** A request that failed at once is sent again after this time, in milliseconds. */
+const minResendMs = 50;
 const withdrawTimeoutMs = 400;
 const maxSends = 6;
 
@@ -62,7 +63,7 @@
   }
 
   withdraw(dispatcherId: string, batchId: string): void {
-    const { ownId, dispatcher, clock, peers } = this.options;
+    const { ownId, dispatcher, peers } = this.options;
     if (dispatcherId === ownId) {
       dispatcher.withdraw(batchId);
       return;
@@ -72,9 +73,7 @@
     this.remote.delete(batchId);
     const peer = peers().find(dispatcherId);
     if (peer !== undefined) {
-      void within(clock, withdrawTimeoutMs, (signal) =>
-        peer.link.withdrawBatch({ batchId }, signal),
-      );
+      void peer.link.withdrawBatch({ batchId }, withdrawTimeoutMs);
     }
   }
 
@@ -95,21 +94,22 @@
   }
 
   private async runAt(peer: FleetPeer, dispatcherId: string, batch: Batch): Promise<BatchResult> {
-    const { clock, ownId, view } = this.options;
+    const { clock, ownId, view, dispatcher, peers } = this.options;
     const patienceMs = batch.estimatedMs * expectationFactor + resendSlackMs;
     let reason = 'no answer';
     for (let sends = 0; sends < maxSends && this.remote.has(batch.batchId); sends += 1) {
-      const reply = await within(clock, patienceMs, (signal) =>
-        peer.link.runBatch({ askedBy: ownId, batch }, signal),
+      const sentAtMs = clock.nowMs();
+      const reply = await peer.link.runBatch(
+        { askedBy: ownId, batch, load: dispatcher.load() },
+        patienceMs,
       );
-      if (reply?.isOk() === true) {
-        view.hear(dispatcherId, reply.value.load, view.distanceOf(dispatcherId));
+      if (reply.isOk()) {
+        peers().noteHeard(dispatcherId);
+        view.refresh(dispatcherId, reply.value.load);
         return { kind: 'ended', end: reply.value };
       }
-      reason = reply?.isErr() === true ? reply.error.detail : reason;
-      if (reply !== undefined) {
-        await clock.sleep(withdrawTimeoutMs / 8);
-      }
+      reason = reply.error.detail;
+      await clock.sleep(Math.max(sentAtMs + minResendMs - clock.nowMs(), 0));
     }
     return { kind: 'lost', reason };
   }
--- a/src/bestEffort/fleetView.ts
+++ b/src/bestEffort/fleetView.ts
@@ -74,9 +74,12 @@
     });
   }
 
-  /** @returns cost of reaching a dispatcher that is known, in milliseconds */
-  distanceOf(dispatcherId: string): number {
-    return this.loads.get(dispatcherId)?.distanceMs ?? 0;
+  /** Takes the newest word of a dispatcher that is known; of others only heartbeats are taken. */
+  refresh(dispatcherId: string, load: MemberLoad): void {
+    const known = this.loads.get(dispatcherId);
+    if (known !== undefined) {
+      this.hear(dispatcherId, load, known.distanceMs);
+    }
   }
 
   forget(dispatcherId: string): void {
--- a/src/bestEffort/jobRun.ts
+++ b/src/bestEffort/jobRun.ts
@@ -9,6 +9,7 @@
 import type { Logger } from '../ports/logger.js';
 import type { Route } from '../routing/types.js';
 import type { JobPlanner, StepPlan } from './jobPlanner.js';
+import { abortQuietly } from '../utils/abortQuietly.js';
 import type { LengthHints, RunLengths } from './runLengths.js';
 import {
   admissionAllowanceMs,
@@ -116,7 +117,7 @@
     });
     const timer = new AbortController();
     const end = await Promise.race([this.runSteps(), left, this.timeUp(timer.signal)]);
-    timer.abort();
+    abortQuietly(timer);
     this.isEnded = true;
     this.withdrawOpen();
     return end;
--- /dev/null
+++ b/src/dispatch/dispatchedWorker.spec.ts
@@ -0,0 +1,177 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { FakeClock } from '../testing/fakeClock.js';
+import { ScriptedWorkers } from '../testing/scriptedWorkers.js';
+import { silentLogger } from '../testing/silentLogger.js';
+import type { ReportedRun, WorkerRecord } from '../workers/types.js';
+import type { RunOutcome } from './activeRun.js';
+import { DispatchedWorker } from './dispatchedWorker.js';
+import { OpenBatch } from './openBatch.js';
+import type { Batch } from './types.js';
+
+const leaseMs = 1_000;
+const needs = { cpuMillis: 14_000, memoryMb: 64, accelerators: 0 };
+
+const record: WorkerRecord = {
+  workerId: 'i-1',
+  address: '127.0.0.1:1',
+  serviceId: 'fit',
+  failureDomainId: 'east',
+  state: 'ready',
+  bornAtMs: 5,
+  capacity: { cpuMillis: 32_000, memoryMb: 65_536, accelerators: 0 },
+  labels: [],
+};
+
+const content: Batch = {
+  batchId: 'b-1',
+  jobId: '0000000000000001',
+  stepIndex: 0,
+  serviceId: 'fit',
+  spec: '',
+  needs: { resources: needs },
+  estimatedMs: 100,
+  objectiveInMs: 300,
+  giveUpInMs: 900,
+  priority: 0,
+  maxFailedRuns: 3,
+  tasks: [{ index: 0, nextRun: 1, failedRuns: 0 }],
+};
+
+const running = (taskName: string, run = 1): ReportedRun => ({
+  taskName,
+  run,
+  progressPercent: 10,
+});
+
+interface Fixture {
+  readonly clock: FakeClock;
+  readonly workers: ScriptedWorkers;
+  readonly worker: DispatchedWorker;
+  readonly outcomes: RunOutcome[];
+  start(taskName: string): void;
+}
+
+const createFixture = (): Fixture => {
+  const clock = FakeClock.create();
+  const workers = ScriptedWorkers.create(clock);
+  const outcomes: RunOutcome[] = [];
+  const worker = DispatchedWorker.create({
+    record,
+    fencingToken: 7,
+    clock,
+    workers,
+    logger: silentLogger,
+    leaseMs,
+    onEnd: (_worker, _run, outcome) => void outcomes.push(outcome),
+    onRoom: () => undefined,
+  });
+  const start = (taskName: string): void => {
+    const [task] = OpenBatch.create('vm', content, clock.nowMs()).tasks;
+    assert.ok(task);
+    worker.start(task, taskName, needs, 100);
+  };
+  return { clock, workers, worker, outcomes, start };
+};
+
+test('what an earlier dispatcher left is stopped before any lease is renewed', async () => {
+  const { clock, workers, worker } = createFixture();
+  workers.report = { workerClockMs: 0, running: [running('old.0.0.0', 4)], ends: [] };
+  await clock.advance(100);
+  assert.not.ok(worker.isOpen);
+  assert.equal(workers.stops[0], { taskName: 'old.0.0.0', run: 4, fencingToken: 7 });
+  workers.report = { workerClockMs: 0, running: [], ends: [] };
+  await clock.advance(100);
+  assert.ok(worker.isOpen);
+  assert.ok(workers.holds.every(({ leaseEndWorkerMs }) => leaseEndWorkerMs === undefined));
+  await worker.close();
+});
+
+test('a token that was refused is not tried again; a higher one is', async () => {
+  const { clock, workers, worker } = createFixture();
+  workers.onHold = ({ fencingToken }) =>
+    fencingToken < 9
+      ? { kind: 'stale-token' }
+      : { kind: 'held', report: { workerClockMs: 0, running: [], ends: [] } };
+  await clock.advance(6_000);
+  assert.is(workers.holds.length, 1);
+  worker.update(record, 9);
+  await clock.advance(100);
+  assert.ok(worker.isOpen);
+  await worker.close();
+});
+
+test('a start without an answer that the worker shows goes on', async () => {
+  const { clock, workers, worker, outcomes, start } = createFixture();
+  await clock.advance(50);
+  workers.onStart = () => ({ kind: 'no-answer', detail: '' });
+  workers.report = { workerClockMs: 0, running: [running('t.0.0.0')], ends: [] };
+  start('t.0.0.0');
+  await clock.advance(500);
+  assert.is(workers.stops.length, 0);
+  assert.is(worker.runCount, 1);
+  const end = { endNumber: 1, taskName: 't.0.0.0', run: 1, how: 'done' as const };
+  workers.report = { workerClockMs: 0, running: [], ends: [end] };
+  await clock.advance(400);
+  assert.is(outcomes[0]?.kind, 'done');
+  await worker.close();
+});
+
+test('a start without an answer that the worker does not show is stopped before it is given back', async () => {
+  const { clock, workers, outcomes, worker, start } = createFixture();
+  await clock.advance(50);
+  workers.onStart = () => ({ kind: 'no-answer', detail: '' });
+  start('t.0.0.0');
+  await clock.advance(600);
+  assert.is(workers.stops[0]?.taskName, 't.0.0.0');
+  assert.is(outcomes[0]?.kind, 'lost');
+  await worker.close();
+});
+
+test('the runs of a worker that falls silent are given back only when their leases have ended', async () => {
+  const { clock, workers, outcomes, worker, start } = createFixture();
+  await clock.advance(50);
+  workers.report = { workerClockMs: 0, running: [running('t.0.0.0')], ends: [] };
+  start('t.0.0.0');
+  await clock.advance(320);
+  workers.onHold = () => ({ kind: 'no-answer', detail: '' });
+  const silentAtMs = clock.nowMs();
+  while (outcomes.length === 0 && clock.nowMs() < silentAtMs + 4_000) {
+    await clock.advance(20);
+  }
+  const renewals = workers.seen.filter(
+    (one) => one.kind === 'hold' && one.order.leaseEndWorkerMs !== undefined,
+  );
+  const lastRenewalAtMs = Math.max(...renewals.map(({ atMs }) => atMs));
+  assert.is(outcomes[0]?.kind, 'lost');
+  assert.ok(clock.nowMs() >= lastRenewalAtMs + leaseMs * 1.02);
+  await worker.close();
+});
+
+test('a worker that was born anew has lost its runs, and its ends count anew', async () => {
+  const { clock, workers, outcomes, worker, start } = createFixture();
+  await clock.advance(50);
+  start('t.0.0.0');
+  workers.report = { workerClockMs: 0, bornAtMs: 6, running: [], ends: [] };
+  await clock.advance(400);
+  assert.is(outcomes[0]?.kind, 'lost');
+  assert.is(workers.holds.at(-1)?.lastSeenEnd, 0);
+  await worker.close();
+});
+
+test('an end is taken once, and acknowledged by the next hold', async () => {
+  const { clock, workers, outcomes, worker, start } = createFixture();
+  await clock.advance(50);
+  start('t.0.0.0');
+  const end = { endNumber: 3, taskName: 't.0.0.0', run: 1, how: 'failed' as const };
+  workers.report = { workerClockMs: 0, running: [], ends: [end] };
+  await clock.advance(2_000);
+  assert.equal(
+    outcomes.map(({ kind }) => kind),
+    ['failed'],
+  );
+  assert.is(workers.holds.at(-1)?.lastSeenEnd, 3);
+  await worker.close();
+});
+
+test.run();
--- a/src/dispatch/dispatchedWorker.ts
+++ b/src/dispatch/dispatchedWorker.ts
@@ -9,6 +9,7 @@
 import { addResources, fitsInto, noResources, subtractResources } from '../resources/resources.js';
 import type { Resources } from '../resources/resources.js';
 import type { ReportedEnd, WorkerRecord, WorkerReport } from '../workers/types.js';
+import { abortQuietly } from '../utils/abortQuietly.js';
 import { WorkerSpeed } from '../workers/workerSpeed.js';
 import type { ActiveRun, RunOutcome } from './activeRun.js';
 import { LeaseClock } from './leaseClock.js';
@@ -428,7 +429,10 @@
   }
 
   private confirm(run: ActiveRun): void {
-    run.startedAtMs ??= this.options.clock.nowMs();
+    if (run.startedAtMs === undefined) {
+      run.startedAtMs = this.options.clock.nowMs();
+      this.wakeUp();
+    }
     if (run.phase === 'starting') {
       run.phase = 'running';
     }
@@ -472,7 +476,6 @@
       case 'started':
         this.leases.read(reply.workerClockMs);
         this.confirm(run);
-        this.wakeUp();
         return;
       case 'refused':
         this.leases.read(reply.workerClockMs);
@@ -585,7 +588,7 @@
   }
 
   private wakeUp(): void {
-    this.wake.abort();
+    abortQuietly(this.wake);
   }
 
   private renewWake(): void {
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -22,8 +22,8 @@
 const maxBlocked = 6;
 /** Period in which waiting tasks are looked at that no end makes room for, in milliseconds. */
 const reviewPeriodMs = 25;
-/** Ended batches are remembered for a request that is sent again. */
-const rememberMs = 3_000;
+/** Batches are remembered from their arrival for a request that is sent again. */
+const rememberMs = 10_000;
 /** Numbers that are passed over when a worker has ended a run under the next one. */
 const usedNumberStep = 8;
 /** Share of a run's expected time by which it should start ahead of the last moment. */
@@ -191,17 +191,21 @@
 
   private open(askedBy: string, content: Batch): OpenBatch {
     const batch = OpenBatch.create(askedBy, content, this.options.clock.nowMs());
+    this.forgetEnded(batch.arrivedAtMs);
     this.batches.set(content.batchId, batch);
-    void this.forgetAfterEnd(batch);
     batch.tasks.forEach((task) => this.enqueue(task));
     this.review();
     return batch;
   }
 
-  private async forgetAfterEnd(batch: OpenBatch): Promise<void> {
-    await batch.allEnds;
-    await this.options.clock.sleep(rememberMs, this.stop.signal);
-    this.batches.delete(batch.batchId);
+  /** Forgets the oldest batches, if they ended long ago. */
+  private forgetEnded(nowMs: number): void {
+    for (const batch of this.batches.values()) {
+      if (!batch.isOver || nowMs - batch.arrivedAtMs < rememberMs) {
+        return;
+      }
+      this.batches.delete(batch.batchId);
+    }
   }
 
   private enqueue(task: BatchedTask): void {
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -19,7 +19,6 @@
 import { RoutingFollower } from '../routing/routingFollower.js';
 import { RoutingStore } from '../routing/routingStore.js';
 import type { Route, Routing } from '../routing/types.js';
-import { within } from '../utils/within.js';
 import { WorkerDirectory } from '../workers/workerDirectory.js';
 import { FleetPeers, maxPeerSilenceMs } from './fleetPeers.js';
 import { ShardKeeper, shardOf } from './shardKeeper.js';
@@ -199,7 +198,9 @@
     return this.composeHeartbeat(theirs.member.incarnation);
   }
 
-  runBatch({ askedBy, batch }: AskedBatch): Promise<BatchEnd> {
+  runBatch({ askedBy, batch, load }: AskedBatch): Promise<BatchEnd> {
+    this.peers.noteHeard(askedBy);
+    this.view.refresh(askedBy, load);
     return this.dispatcher.run(askedBy, batch);
   }
 
@@ -299,11 +300,9 @@
       return;
     }
     this.isFetchingRouting = true;
-    const reply = await within(this.ports.clock, routingFetchTimeoutMs, (signal) =>
-      peer.link.fetchRouting(signal),
-    );
+    const reply = await peer.link.fetchRouting(routingFetchTimeoutMs);
     this.isFetchingRouting = false;
-    const routing = reply?.isOk() === true ? reply.value : null;
+    const routing = reply.unwrapOr(null);
     if (routing !== null && this.routing.apply(routing)) {
       const { version } = routing;
       this.logger.info('A routing configuration came from a daemon.', {
--- a/src/fleet/fleetPeers.ts
+++ b/src/fleet/fleetPeers.ts
@@ -5,18 +5,18 @@
 import type { FleetConnector } from '../ports/fleetPeers.js';
 import type { FleetStore } from '../ports/fleetStore.js';
 import type { Logger } from '../ports/logger.js';
-import { within } from '../utils/within.js';
 import { FleetPeer } from './fleetPeer.js';
 import type { FleetHeartbeat, Member } from './types.js';
 
-const beatPeriodMs = 200;
-const beatTimeoutMs = 400;
+const beatPeriodMs = 300;
+const beatTimeoutMs = 350;
 /** Longest silence after which a peer still counts as heard, in milliseconds. */
-export const maxPeerSilenceMs = 800;
+export const maxPeerSilenceMs = 900;
 /** A peer that is not heard for this long is forgotten, in milliseconds. */
 const forgetAfterMs = 20_000;
 /** Pause between tries to reach a peer that is not heard. */
 const retryPeriodMs = 500;
+const watchPeriodMs = 100;
 /** The store is asked for members this often, until peers are heard, and then seldom. */
 const searchPeriodMs = 700;
 const refreshPeriodMs = 5_000;
@@ -78,10 +78,18 @@
     if (isNew) {
       this.logger.info('A daemon is heard.', { nodeId: incarnation, address });
     }
-    heartbeat.heardAddresses.forEach((other) => this.add(other));
+    this.addAll(heartbeat.heardAddresses);
     this.options.onHeartbeat(heartbeat);
   }
 
+  /** Notes that a process was heard in another message than a heartbeat. */
+  noteHeard(incarnation: string): void {
+    const peer = this.find(incarnation);
+    if (peer !== undefined) {
+      peer.heardAtMs = this.options.clock.nowMs();
+    }
+  }
+
   async close(): Promise<void> {
     this.stop.abort();
     await Promise.all([...this.peers.values()].map((peer) => peer.close()));
@@ -91,6 +99,12 @@
     return peer.isHeard(this.options.clock.nowMs(), maxPeerSilenceMs);
   }
 
+  private addAll(addresses: readonly string[]): void {
+    addresses
+      .filter((address) => address !== this.options.own.address)
+      .forEach((address) => this.add(address));
+  }
+
   private add(address: string): FleetPeer {
     const known = this.peers.get(address);
     if (known !== undefined) {
@@ -98,10 +112,8 @@
     }
     const { connector, clock } = this.options;
     const peer = FleetPeer.create(address, connector.connect(address), clock.nowMs());
-    if (address !== this.options.own.address && !this.stop.signal.aborted) {
-      this.peers.set(address, peer);
-      void this.keepPeer(peer);
-    }
+    this.peers.set(address, peer);
+    void this.keepPeer(peer);
     return peer;
   }
 
@@ -112,10 +124,8 @@
     while (!peer.stop.signal.aborted) {
       const isHeard = this.isHeard(peer);
       if (isCaller || !isHeard) {
-        const reply = await within(clock, beatTimeoutMs, (signal) =>
-          peer.link.beat(compose(peer.incarnation), signal),
-        );
-        if (reply?.isOk() === true) {
+        const reply = await peer.link.beat(compose(peer.incarnation), beatTimeoutMs);
+        if (reply.isOk()) {
           this.hear(reply.value);
         }
       }
@@ -128,7 +138,7 @@
     const { clock } = this.options;
     const silent = new Set<string>();
     while (!this.stop.signal.aborted) {
-      await clock.sleep(beatPeriodMs / 2, this.stop.signal);
+      await clock.sleep(watchPeriodMs, this.stop.signal);
       const nowMs = clock.nowMs();
       for (const peer of [...this.peers.values()]) {
         this.watchPeer(peer, silent, nowMs);
@@ -160,7 +170,7 @@
     while (!this.stop.signal.aborted) {
       for (const failureDomainId of failureDomainIds) {
         const members = await store.listMembers(failureDomainId);
-        members.unwrapOr([]).forEach(({ address }) => this.add(address));
+        this.addAll(members.unwrapOr([]).map(({ address }) => address));
       }
       const isAlone = this.heard().length === 0;
       await clock.sleep(isAlone ? searchPeriodMs : refreshPeriodMs, this.stop.signal);
--- /dev/null
+++ b/src/fleet/shardKeeper.spec.ts
@@ -0,0 +1,47 @@
+import { Ok } from 'ts-results-es';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { FleetStore } from '../ports/fleetStore.js';
+import { FakeClock } from '../testing/fakeClock.js';
+import { silentLogger } from '../testing/silentLogger.js';
+import { createDeferred } from '../utils/deferred.js';
+import { ShardKeeper, shardOf } from './shardKeeper.js';
+import type { ShardGrant } from './types.js';
+
+const member = { incarnation: 'a', address: '127.0.0.1:1', failureDomainId: 'east', weight: 1 };
+
+test('a lost shard is given up only when its workers are let go', async () => {
+  const clock = FakeClock.create();
+  const named: number[] = [];
+  let granted: ShardGrant = { generation: 1, shards: [0, 1] };
+  const released = createDeferred<void>();
+  const store = {
+    join: async (_member: unknown, generation: number) => {
+      named.push(generation);
+      return Ok(granted);
+    },
+  } as unknown as FleetStore;
+  const keeper = ShardKeeper.create({
+    clock,
+    logger: silentLogger,
+    store,
+    member,
+    onGrant: ({ generation }) => (generation === 2 ? released.promise : Promise.resolve()),
+    onBack: () => undefined,
+  });
+  await clock.advance(700);
+  granted = { generation: 2, shards: [0] };
+  await clock.advance(1_500);
+  assert.is(named.at(-1), 1);
+  released.resolve();
+  await clock.advance(700);
+  assert.is(named.at(-1), 2);
+  await keeper.close();
+});
+
+test('workers are spread over all shards', () => {
+  const shards = new Set(Array.from({ length: 400 }, (_, i) => shardOf(`i-${i}`, 32)));
+  assert.is(shards.size, 32);
+});
+
+test.run();
--- a/src/fleet/shardKeeper.ts
+++ b/src/fleet/shardKeeper.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../ports/clock.js';
 import type { FleetStore } from '../ports/fleetStore.js';
 import type { Logger } from '../ports/logger.js';
+import { abortQuietly } from '../utils/abortQuietly.js';
 import { Dependency } from '../utils/dependency.js';
 import type { Member, ShardGrant } from './types.js';
 
@@ -110,7 +111,7 @@
     await Promise.race([onGrant(grant), clock.sleep(maxReleaseMs, this.stop.signal)]);
     if (grant.generation > this.confirmedGeneration && this.grant === grant) {
       this.confirmedGeneration = grant.generation;
-      this.wake.abort();
+      abortQuietly(this.wake);
     }
   }
 }
--- a/src/ports/fleetPeers.ts
+++ b/src/ports/fleetPeers.ts
@@ -3,14 +3,19 @@
 import { z } from 'zod';
 import { batchEndSchema, batchSchema } from '../dispatch/types.js';
 import type { BatchEnd } from '../dispatch/types.js';
-import { heartbeatSchema } from '../fleet/types.js';
+import { heartbeatSchema, memberLoadSchema } from '../fleet/types.js';
 import type { FleetHeartbeat } from '../fleet/types.js';
 import { routingSchema } from '../routing/types.js';
 import type { Routing } from '../routing/types.js';
 import type { PeerError } from './peers.js';
 
 /** A batch with the daemon that asks for it. */
-export const askedBatchSchema = z.object({ askedBy: z.string(), batch: batchSchema });
+export const askedBatchSchema = z.object({
+  askedBy: z.string(),
+  batch: batchSchema,
+  /** The room at the daemon that asks. */
+  load: memberLoadSchema,
+});
 export type AskedBatch = z.infer<typeof askedBatchSchema>;
 
 /** Ends a batch whose job has ended. */
@@ -25,12 +30,12 @@
   fetchRouting: { params: z.object({}), result: z.object({ routing: routingSchema.nullable() }) },
 } as const;
 
-/** The link to one daemon. */
+/** The link to one daemon; each call is given up after a time. */
 export interface FleetLink {
-  beat(own: FleetHeartbeat, signal: AbortSignal): Promise<Result<FleetHeartbeat, PeerError>>;
-  runBatch(asked: AskedBatch, signal: AbortSignal): Promise<Result<BatchEnd, PeerError>>;
-  withdrawBatch(withdrawal: Withdrawal, signal: AbortSignal): Promise<Result<unknown, PeerError>>;
-  fetchRouting(signal: AbortSignal): Promise<Result<Routing | null, PeerError>>;
+  beat(own: FleetHeartbeat, timeoutMs: number): Promise<Result<FleetHeartbeat, PeerError>>;
+  runBatch(asked: AskedBatch, timeoutMs: number): Promise<Result<BatchEnd, PeerError>>;
+  withdrawBatch(withdrawal: Withdrawal, timeoutMs: number): Promise<Result<unknown, PeerError>>;
+  fetchRouting(timeoutMs: number): Promise<Result<Routing | null, PeerError>>;
   close(): Promise<void>;
 }
 
--- /dev/null
+++ b/src/routing/routingStore.spec.ts
@@ -0,0 +1,45 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { RoutingStore } from './routingStore.js';
+import type { Route, Routing } from './types.js';
+
+const route = (routeId: string, pathPrefix: string): Route => ({
+  routeId,
+  host: 'Jobs.example',
+  pathPrefix,
+  serviceId: 'fit',
+  priority: 0,
+  maxFailedRuns: 3,
+  timeoutMs: 1_500,
+  objectiveStretch: 1.6,
+  objectiveSlackMs: 60,
+});
+
+const routing = (version: number, routes: readonly Route[]): Routing => ({
+  version,
+  routes: [...routes],
+  services: [],
+  maxBodyBytes: 1_000,
+});
+
+test('an older version is never put in force again', () => {
+  const store = RoutingStore.create();
+  assert.ok(store.apply(routing(7, [route('a', '/a/')])));
+  assert.not.ok(store.apply(routing(4, [])));
+  assert.not.ok(store.apply(routing(7, [])));
+  assert.is(store.current?.routing.routes.length, 1);
+  assert.ok(store.apply(routing(12, [])));
+  assert.is(store.version, 12);
+});
+
+test('the longest prefix of the host decides', () => {
+  const store = RoutingStore.create();
+  store.apply(routing(1, [route('short', '/a/'), route('long', '/a/b/')]));
+  const find = (host: string, path: string) => store.current?.table.find(host, path)?.routeId;
+  assert.is(find('jobs.example', '/a/b/1'), 'long');
+  assert.is(find('JOBS.EXAMPLE', '/a/c'), 'short');
+  assert.is(find('jobs.example', '/c/'), undefined);
+  assert.is(find('other.example', '/a/'), undefined);
+});
+
+test.run();
--- a/src/utils/within.ts
+++ b/src/utils/within.ts
@@ -2,6 +2,7 @@
  * Bounds an operation by a time.
  */
 import type { Clock } from '../ports/clock.js';
+import { abortQuietly } from './abortQuietly.js';
 
 /**
  * Runs an operation for a time at most; its signal is aborted when the time is up.
@@ -22,7 +23,7 @@
   try {
     return await Promise.race([run(operation.signal), timeUp]);
   } finally {
-    timer.abort();
-    operation.abort();
+    abortQuietly(timer);
+    abortQuietly(operation);
   }
 };
