Stop as planned: refuse jobs and close idle connections before the process ends

Jobs are refused from 2.7 s on, idle connections are closed, and what has not ended is answered before the end.

--- a/src/adapters/http/httpServer.ts
+++ b/src/adapters/http/httpServer.ts
@@ -91,6 +91,11 @@
     });
   }
 
+  /** Closes the connections on which no request has been read that is not answered. */
+  closeIdle(): void {
+    this.server.closeIdleConnections();
+  }
+
   /** Cuts every connection at once, as a killed process does. */
   async kill(): Promise<void> {
     const closed = this.close();
--- a/src/bestEffort/jobRun.ts
+++ b/src/bestEffort/jobRun.ts
@@ -9,6 +9,7 @@
 import type { Logger } from '../ports/logger.js';
 import type { Route } from '../routing/types.js';
 import type { JobPlanner, StepPlan } from './jobPlanner.js';
+import { createDeferred } from '../utils/deferred.js';
 import { abortQuietly } from '../utils/abortQuietly.js';
 import type { LengthHints, RunLengths } from './runLengths.js';
 import {
@@ -65,6 +66,7 @@
   private readonly startedAtMs: number;
   private readonly objectiveAtMs: number;
   private readonly giveUpAtMs: number;
+  private readonly givenUp = createDeferred<JobEnd>();
   private wasOffered = false;
   private isEnded = false;
 
@@ -106,6 +108,11 @@
     return this.open.size > 0 || this.wasOffered;
   }
 
+  /** Ends the job; what runs is stopped. */
+  giveUp(reason: string): void {
+    this.givenUp.resolve({ kind: 'given-up', reason });
+  }
+
   /**
    * Runs the job.
    *
@@ -116,7 +123,12 @@
       signal.addEventListener('abort', () => resolve({ kind: 'cancelled' }), { once: true });
     });
     const timer = new AbortController();
-    const end = await Promise.race([this.runSteps(), left, this.timeUp(timer.signal)]);
+    const end = await Promise.race([
+      this.runSteps(),
+      left,
+      this.givenUp.promise,
+      this.timeUp(timer.signal),
+    ]);
     abortQuietly(timer);
     this.isEnded = true;
     this.withdrawOpen();
--- a/src/bestEffort/runningJobs.ts
+++ b/src/bestEffort/runningJobs.ts
@@ -77,9 +77,9 @@
     return job !== undefined;
   }
 
-  /** Stops every job, as after a time in which this process did not run. */
-  cancelAll(): void {
-    this.jobs.forEach(({ stop }) => stop.abort());
+  /** Ends every job; its caller is told that it was given up. */
+  giveUpAll(reason: string): void {
+    this.jobs.forEach(({ run }) => run.giveUp(reason));
   }
 
   /** Counts the jobs of a route of which nothing has started. */
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -33,6 +33,8 @@
 const routingFetchTimeoutMs = 500;
 /** Time to wait before a job is sent again that this system cannot run. */
 const unsupportedRetryAfterMs = 60_000;
+/** Time to wait before a job is sent again to another daemon. */
+const stoppingRetryAfterMs = 1_000;
 const fallbackBodyBytes = 262_144;
 
 export interface FleetPorts {
@@ -65,6 +67,7 @@
   private readonly stop = new AbortController();
   private grant: ShardGrant = { generation: 0, shards: [] };
   private isLeaving = false;
+  private isTaking = true;
   private isFetchingRouting = false;
   private batchNumber = 0;
 
@@ -168,6 +171,9 @@
       this.logger.warn('A job is refused.', { jobId, routeId, reason });
       return { kind: 'refused', reason, retryAfterMs: unsupportedRetryAfterMs };
     }
+    if (!this.isTaking) {
+      return { kind: 'refused', reason: 'the daemon stops', retryAfterMs: stoppingRetryAfterMs };
+    }
     if (this.canNeverRun(route, request)) {
       const reason = 'no worker of the service is large enough';
       this.logger.info('A job can never run.', { jobId, routeId, reason });
@@ -188,11 +194,6 @@
     return this.jobs.countWaiting(routeId);
   }
 
-  /** Stops every job; for a process that did not run for a while and whose callers have gone on. */
-  abandonJobs(): void {
-    this.jobs.cancelAll();
-  }
-
   beat(theirs: FleetHeartbeat): FleetHeartbeat {
     this.peers.hear(theirs);
     return this.composeHeartbeat(theirs.member.incarnation);
@@ -212,6 +213,16 @@
     return this.routing.current?.routing ?? null;
   }
 
+  /** Refuses new jobs from now on. */
+  stopTaking(): void {
+    this.isTaking = false;
+  }
+
+  /** Answers every job that has not ended. */
+  giveUpJobs(): void {
+    this.jobs.giveUpAll('the daemon stops');
+  }
+
   /** Begins a planned stop: takes no new callers and hands the workers over as their runs end. */
   async drain(): Promise<void> {
     this.isLeaving = true;
--- a/src/programs/toucandyked/platformProcess.spec.ts
+++ b/src/programs/toucandyked/platformProcess.spec.ts
@@ -1,3 +1,5 @@
+import { once } from 'node:events';
+import { connect } from 'node:net';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { PlatformFixture } from '../../../standins/platform/platformFixture.js';
@@ -181,6 +183,30 @@
     assert.is(first.starts.length, 0);
   }));
 
+test('a planned stop answers what runs, and closes idle connections before it ends', () =>
+  withPlatform(twoZones, async (fixture) => {
+    const [daemon, other] = fixture.daemons;
+    assert.ok(daemon && other);
+    const idle = connect(Number(daemon.callersAddress.split(':')[1]), '127.0.0.1');
+    const idleClosed = once(idle, 'close');
+    idle.write('GET /fit/ HTTP/1.1\r\nhost: jobs.example\r\n\r\n');
+    await once(idle, 'data');
+    const early = fixture.submit(daemon, jobId(1), { tasks: 4, runMs: 500 });
+    await sleep(50);
+    const stoppedAtMs = performance.now();
+    const closed = daemon.close();
+    assert.not.ok(daemon.isReady);
+    const late = fixture.submit(daemon, jobId(2), { tasks: 4, runMs: 100 });
+    assert.equal((await early).body, { state: 'completed' });
+    assert.equal((await late).body, { state: 'completed' });
+    await idleClosed;
+    await closed;
+    assert.ok(performance.now() - stoppedAtMs < 5_500);
+    fixture.daemons.splice(0, 1);
+    await fixture.untilServing(4);
+    assert.is((await fixture.submit(other, jobId(3), { tasks: 8, runMs: 50 })).status, 200);
+  }));
+
 test('work that cannot meet its objective is refused at once, with the time to come back', () =>
   withPlatform({ daemons: ['east'], workers: ['east'] }, async (fixture) => {
     const [daemon] = fixture.daemons;
--- a/src/programs/toucandyked/platformProcess.ts
+++ b/src/programs/toucandyked/platformProcess.ts
@@ -17,10 +17,10 @@
 import type { Logger } from '../../ports/logger.js';
 
 /** The platform notices within this time that a VM takes no new connections. */
-const noticeMs = 2_600;
+const noticeMs = 2_700;
 const pollMs = 50;
-/** Time before the kill at which the process ends in any case. */
-const killMarginMs = 500;
+/** Time before the kill at which jobs are answered that have not ended. */
+const killMarginMs = 700;
 /** The store takes a member for gone after this time, in milliseconds. */
 const memberTtlMs = 2_000;
 
@@ -105,19 +105,25 @@
   /** Stops as planned: takes no new callers, hands the workers over, answers what runs. */
   async close(): Promise<void> {
     const { clock, daemon, front, settings } = this;
-    const killAtMs = clock.nowMs() + settings.stopGraceMs - killMarginMs;
+    const endAtMs = clock.nowMs() + settings.stopGraceMs - killMarginMs;
     this.logger.info('The daemon stops as planned.', { count: daemon.jobCount });
     const handedOver = daemon.drain();
     front.drain();
     await clock.sleep(noticeMs);
+    daemon.stopTaking();
     const closed = front.close();
-    while (daemon.jobCount > 0 && clock.nowMs() < killAtMs) {
+    while (daemon.jobCount > 0 && clock.nowMs() < endAtMs) {
+      front.closeIdle();
       await clock.sleep(pollMs);
     }
+    daemon.giveUpJobs();
+    await clock.sleep(pollMs);
+    front.closeIdle();
     await Promise.race([
       Promise.all([handedOver, closed]),
-      clock.sleep(Math.max(killAtMs - clock.nowMs(), 0)),
+      clock.sleep(Math.max(endAtMs - clock.nowMs(), pollMs)),
     ]);
+    await this.front.kill();
     this.logger.info('The daemon has stopped.', { count: daemon.jobCount });
     await Promise.race([daemon.close(), clock.sleep(pollMs)]);
     await Promise.race([this.peers.kill(), clock.sleep(pollMs)]);
