--- a/src/adapters/http/httpServer.ts
+++ b/src/adapters/http/httpServer.ts
@@ -115,7 +115,7 @@
       // A fault while serving one request must not end the process.
       response.destroy();
     }
-    if (this.openResponses.has(response)) {
+    if (this.openResponses.has(response) && (response.socket?.writableLength ?? 0) > 0) {
       boundReadTime(response);
     }
   }
--- a/src/bestEffort/batchRouter.ts
+++ b/src/bestEffort/batchRouter.ts
@@ -34,6 +34,7 @@
   readonly dispatcherId: string;
   /** Resolved when the daemon is lost. */
   readonly lost: Deferred<string>;
+  isAsked: boolean;
 }
 
 export class BatchRouter implements BatchSender {
@@ -54,7 +55,11 @@
     if (peer === undefined) {
       return { kind: 'lost', reason: 'it is not heard' };
     }
-    const remote: RemoteBatch = { dispatcherId, lost: createDeferred() };
+    const remote: RemoteBatch = {
+      dispatcherId,
+      lost: createDeferred(),
+      isAsked: true,
+    };
     this.remote.set(batch.batchId, remote);
     const lost = remote.lost.promise.then((reason): BatchResult => ({ kind: 'lost', reason }));
     const result = await Promise.race([this.runAt(peer, dispatcherId, batch), lost]);
@@ -69,8 +74,10 @@
       return;
     }
     // A withdrawal that is lost is made good by the next heartbeat, which does not ask for the batch.
-    this.remote.get(batchId)?.lost.resolve('it was withdrawn');
-    this.remote.delete(batchId);
+    const remote = this.remote.get(batchId);
+    if (remote !== undefined) {
+      remote.isAsked = false;
+    }
     const peer = peers().find(dispatcherId);
     if (peer !== undefined) {
       void peer.link.withdrawBatch({ batchId }, withdrawTimeoutMs);
@@ -80,7 +87,7 @@
   /** @returns the batches that a daemon is still asked to run */
   askedOf(dispatcherId: string | undefined): string[] {
     return [...this.remote].flatMap(([batchId, remote]) =>
-      remote.dispatcherId === dispatcherId ? [batchId] : [],
+      remote.isAsked && remote.dispatcherId === dispatcherId ? [batchId] : [],
     );
   }
 
@@ -97,7 +104,11 @@
     const { clock, ownId, view, dispatcher, peers } = this.options;
     const patienceMs = batch.estimatedMs * expectationFactor + resendSlackMs;
     let reason = 'no answer';
-    for (let sends = 0; sends < maxSends && this.remote.has(batch.batchId); sends += 1) {
+    for (
+      let sends = 0;
+      sends < maxSends && this.remote.get(batch.batchId)?.isAsked === true;
+      sends += 1
+    ) {
       const sentAtMs = clock.nowMs();
       const reply = await peer.link.runBatch(
         { askedBy: ownId, batch, load: dispatcher.load() },
--- a/src/bestEffort/fleetView.ts
+++ b/src/bestEffort/fleetView.ts
@@ -2,39 +2,43 @@
  * What this daemon knows of the room at every dispatcher: the last word of each, less what was sent
  * there since.
  */
-import type { MemberLoad } from '../fleet/types.js';
+import type { Candidate } from '../dispatch/workerChoice.js';
+import { RoomProfile } from '../dispatch/roomProfile.js';
+import type { MemberLoad, WorkerLoad } from '../fleet/types.js';
 import type { Clock } from '../ports/clock.js';
-import { addResources, subtractResources } from '../resources/resources.js';
+import { fitsInto } from '../resources/resources.js';
 import type { Resources } from '../resources/resources.js';
-import type { Candidate } from '../dispatch/workerChoice.js';
 import type { WorkerRecord } from '../workers/types.js';
 
 /** Age at which the word of a dispatcher no longer counts, in milliseconds. */
-const maxAgeMs = 900;
+const maxAgeMs = 1_000;
+/** A word may have been written before what was sent this shortly before it came, in milliseconds. */
+const inFlightMs = 6;
 
 /** A dispatcher's worker, with the room that is thought to be left. */
-export interface SeenWorker extends Candidate {
+export interface SeenWorker extends Omit<Candidate, 'startsInMs'> {
   readonly dispatcherId: string;
   readonly capacity: Resources;
-  free: Resources;
+  readonly profile: RoomProfile;
 }
 
-/** A dispatcher as a place where a task may wait. */
-export interface SeenDispatcher {
+/** Room that a task was sent for. */
+export interface Reservation {
   readonly dispatcherId: string;
-  readonly distanceMs: number;
-  readonly workers: readonly SeenWorker[];
-  readonly nextEndInMs: number;
-  waitingCoreMs: number;
+  readonly workerId: string;
+  readonly cpuMillis: number;
+  readonly runMs: number;
 }
 
 interface HeardLoad {
   readonly load: MemberLoad;
   readonly distanceMs: number;
   readonly heardAtMs: number;
-  /** Room that was promised to tasks since. */
-  readonly reserved: Map<string, Resources>;
-  sentCoreMs: number;
+  readonly reservations: readonly TimedReservation[];
+}
+
+interface TimedReservation extends Reservation {
+  readonly atMs: number;
 }
 
 export interface FleetViewOptions {
@@ -60,18 +64,14 @@
    * Takes the newest word of a dispatcher.
    *
    * @param dispatcherId - incarnation of the daemon
-   * @param load - its workers and waiting work
+   * @param load - its workers and their room
    * @param distanceMs - cost of reaching it, in milliseconds
    */
   hear(dispatcherId: string, load: MemberLoad, distanceMs: number): void {
     const heardAtMs = this.options.clock.nowMs();
-    this.loads.set(dispatcherId, {
-      load,
-      distanceMs,
-      heardAtMs,
-      reserved: new Map(),
-      sentCoreMs: 0,
-    });
+    const before = this.loads.get(dispatcherId)?.reservations ?? [];
+    const reservations = before.filter(({ atMs }) => heardAtMs - atMs < inFlightMs);
+    this.loads.set(dispatcherId, { load, distanceMs, heardAtMs, reservations });
   }
 
   /** Takes the newest word of a dispatcher that is known; of others only heartbeats are taken. */
@@ -87,50 +87,63 @@
   }
 
   /** Takes off the room that a task was sent for. */
-  reserve(
-    dispatcherId: string,
-    workerId: string | undefined,
-    needs: Resources,
-    coreMs: number,
-  ): void {
-    const heard = this.loads.get(dispatcherId);
-    if (heard === undefined) {
-      return;
-    }
-    if (workerId === undefined) {
-      heard.sentCoreMs += coreMs;
+  reserve(reservation: Reservation): void {
+    const heard = this.loads.get(reservation.dispatcherId);
+    if (heard === undefined || reservation.dispatcherId === this.options.ownId) {
       return;
     }
-    const before = heard.reserved.get(workerId);
-    heard.reserved.set(workerId, before === undefined ? needs : addResources(before, needs));
+    const timed = { ...reservation, atMs: this.options.clock.nowMs() };
+    const reservations = [...heard.reservations, timed];
+    this.loads.set(reservation.dispatcherId, { ...heard, reservations });
   }
 
-  /** @returns the dispatchers that are heard, with workers of a service that get tasks */
-  dispatchers(serviceId: string): SeenDispatcher[] {
+  /** @returns the workers of a service that get tasks, at the dispatchers that are heard */
+  workers(serviceId: string): SeenWorker[] {
     const { clock, ownId, ownLoad } = this.options;
     this.hear(ownId, ownLoad(), 0);
     const oldestMs = clock.nowMs() - maxAgeMs;
     return [...this.loads].flatMap(([dispatcherId, heard]) =>
-      heard.heardAtMs < oldestMs ? [] : [this.see(dispatcherId, heard, serviceId)],
+      heard.heardAtMs < oldestMs
+        ? []
+        : heard.load.workers.flatMap(
+            (worker) => this.see(dispatcherId, heard, worker, serviceId) ?? [],
+          ),
     );
   }
 
-  private see(dispatcherId: string, heard: HeardLoad, serviceId: string): SeenDispatcher {
-    const { load, distanceMs, reserved, sentCoreMs } = heard;
-    const workers: SeenWorker[] = [];
-    let nextEndInMs = Infinity;
-    for (const { workerId, free, slowness, isOpen, nextEndInMs: endInMs } of load.workers) {
-      const record = this.options.findWorker(workerId);
-      if (!isOpen || record?.serviceId !== serviceId) {
-        continue;
+  private see(
+    dispatcherId: string,
+    { distanceMs, reservations }: HeardLoad,
+    { workerId, free, slowness, isOpen, releases }: WorkerLoad,
+    serviceId: string,
+  ): SeenWorker | undefined {
+    const record = this.options.findWorker(workerId);
+    if (!isOpen || record?.serviceId !== serviceId) {
+      return undefined;
+    }
+    const profile = RoomProfile.create(free.cpuMillis, releases);
+    for (const reserved of reservations) {
+      if (reserved.workerId === workerId) {
+        profile.take(reserved.cpuMillis, reserved.runMs);
       }
-      const taken = reserved.get(workerId);
-      const left = taken === undefined ? free : subtractResources(free, taken);
-      const { labels, capacity } = record;
-      workers.push({ dispatcherId, workerId, labels, capacity, free: left, slowness, distanceMs });
-      nextEndInMs = Math.min(nextEndInMs, endInMs);
     }
-    const waitingCoreMs = load.waitingCoreMs + sentCoreMs;
-    return { dispatcherId, distanceMs, workers, nextEndInMs, waitingCoreMs };
+    const { labels, capacity } = record;
+    return { dispatcherId, workerId, labels, capacity, free, profile, slowness, distanceMs };
   }
 }
+
+/**
+ * Tells when a worker has room for a task.
+ *
+ * @param worker - the worker
+ * @param needs - what the task takes
+ * @returns time from now in milliseconds; infinite if it never fits
+ */
+export const roomInMs = ({ capacity, free, profile }: SeenWorker, needs: Resources): number => {
+  if (!fitsInto(needs, capacity)) {
+    return Infinity;
+  }
+  const startsInMs = profile.startsInMs(needs.cpuMillis);
+  const isFreeNow = startsInMs === 0 && fitsInto({ ...needs, cpuMillis: 0 }, free);
+  return isFreeNow ? 0 : Math.max(startsInMs, 1);
+};
--- a/src/bestEffort/jobPlanner.ts
+++ b/src/bestEffort/jobPlanner.ts
@@ -1,13 +1,13 @@
 /**
  * Divides the tasks of a step among the dispatchers, and tells when the last is expected to end.
  */
-import { chooseWorker, expectedRunMs, hasRequiredLabel, isLate } from '../dispatch/workerChoice.js';
-import type { TaskDemand } from '../dispatch/workerChoice.js';
+import { chooseWorker } from '../dispatch/workerChoice.js';
+import type { Candidate, TaskDemand } from '../dispatch/workerChoice.js';
 import type { BatchTask } from '../dispatch/types.js';
-import { fitsInto, subtractResources } from '../resources/resources.js';
 import type { Clock } from '../ports/clock.js';
 import type { Random } from '../ports/random.js';
-import type { FleetView, SeenDispatcher, SeenWorker } from './fleetView.js';
+import { roomInMs } from './fleetView.js';
+import type { FleetView, Reservation, SeenWorker } from './fleetView.js';
 
 /** Tasks that go to one dispatcher. */
 export interface PlannedBatch {
@@ -20,21 +20,21 @@
   readonly batches: readonly PlannedBatch[];
   /** When the last task is expected to end, on this process's monotonic clock. */
   readonly lastEndAtMs: number;
+  /** Whether there is room for one of the tasks now. */
+  readonly startsNow: boolean;
   /** The room that the plan counts on. */
-  readonly places: readonly PlannedPlace[];
+  readonly reservations: readonly Reservation[];
 }
 
-/** Room at a worker, or work that waits at a dispatcher. */
-export interface PlannedPlace {
-  readonly dispatcherId: string;
-  readonly workerId: string | undefined;
+interface PlannedCandidate extends Candidate {
+  readonly seen: SeenWorker;
 }
 
-/** A place for one task. */
+/** Where one task goes. */
 interface Place {
-  readonly dispatcher: SeenDispatcher;
-  readonly worker: SeenWorker | undefined;
-  readonly endAtMs: number;
+  readonly worker: SeenWorker;
+  readonly startsInMs: number;
+  readonly runMs: number;
 }
 
 export interface JobPlannerOptions {
@@ -58,7 +58,7 @@
    * @param demand - what each task asks for
    * @param tasks - the tasks
    * @param avoided - dispatchers that gave the tasks back
-   * @returns the plan, or nothing if no dispatcher that is heard has a worker for it
+   * @returns the plan, or nothing if no dispatcher that is heard can have a task done in time
    */
   plan(
     serviceId: string,
@@ -66,121 +66,67 @@
     tasks: readonly BatchTask[],
     avoided: ReadonlySet<string>,
   ): StepPlan | undefined {
-    const { clock, view } = this.options;
-    const nowMs = clock.nowMs();
-    const dispatchers = view
-      .dispatchers(serviceId)
-      .filter(({ dispatcherId, workers }) => !avoided.has(dispatcherId) && workers.length > 0);
+    const nowMs = this.options.clock.nowMs();
+    const workers = this.options.view
+      .workers(serviceId)
+      .filter(({ dispatcherId }) => !avoided.has(dispatcherId));
     const batches = new Map<string, PlannedBatch>();
-    const places: PlannedPlace[] = [];
+    const reservations: Reservation[] = [];
     let lastEndAtMs = nowMs;
+    let startsNow = false;
     for (const task of tasks) {
-      const place = this.choose(demand, dispatchers, nowMs);
+      const place = this.choose(demand, workers, nowMs);
       if (place === undefined) {
         return undefined;
       }
-      const { dispatcherId } = place.dispatcher;
+      const { dispatcherId, workerId, distanceMs, profile } = place.worker;
       const batch = batches.get(dispatcherId) ?? { dispatcherId, tasks: [] };
       batch.tasks.push(task);
       batches.set(dispatcherId, batch);
-      lastEndAtMs = Math.max(lastEndAtMs, place.endAtMs);
-      places.push({ dispatcherId, workerId: place.worker?.workerId });
-      take(place, demand);
+      const endAtMs = nowMs + Math.max(place.startsInMs, distanceMs) + place.runMs;
+      lastEndAtMs = Math.max(lastEndAtMs, endAtMs);
+      startsNow ||= place.startsInMs === 0;
+      const { cpuMillis } = demand.needs.resources;
+      profile.take(cpuMillis, place.runMs);
+      reservations.push({ dispatcherId, workerId, cpuMillis, runMs: place.runMs });
     }
-    return { batches: [...batches.values()], lastEndAtMs, places };
+    return { batches: [...batches.values()], lastEndAtMs, startsNow, reservations };
   }
 
   /** Keeps the room of a plan that is carried out from the plans that follow. */
-  commit({ places }: StepPlan, { needs, estimatedMs }: TaskDemand): void {
-    const coreMs = (estimatedMs * needs.resources.cpuMillis) / 1_000;
-    for (const { dispatcherId, workerId } of places) {
-      this.options.view.reserve(dispatcherId, workerId, needs.resources, coreMs);
-    }
+  commit({ reservations }: StepPlan): void {
+    reservations.forEach((reservation) => this.options.view.reserve(reservation));
   }
 
   private choose(
     demand: TaskDemand,
-    dispatchers: readonly SeenDispatcher[],
+    workers: readonly SeenWorker[],
     nowMs: number,
   ): Place | undefined {
-    const now = this.placeNow(demand, dispatchers, nowMs);
-    if (now !== undefined && !now.isLate) {
-      return now.place;
-    }
-    const later = this.placeLater(demand, dispatchers, nowMs);
-    if (now === undefined || later === undefined) {
-      return now?.place ?? later;
-    }
-    return later.endAtMs < now.place.endAtMs ? later : now.place;
-  }
-
-  private placeNow(
-    demand: TaskDemand,
-    dispatchers: readonly SeenDispatcher[],
-    nowMs: number,
-  ): { readonly place: Place; readonly isLate: boolean } | undefined {
     const { random, farRackFactor } = this.options;
-    const workers = dispatchers.flatMap((dispatcher) => dispatcher.workers);
-    const chosen = chooseWorker(demand, workers, {
+    const candidates: PlannedCandidate[] = [];
+    for (const seen of workers) {
+      const startsInMs = roomInMs(seen, demand.needs.resources);
+      if (startsInMs < Infinity) {
+        candidates.push({ ...seen, free: freeOf(seen), startsInMs, seen });
+      }
+    }
+    const chosen = chooseWorker(demand, candidates, {
       nowMs,
       farRackFactor,
       random: () => random.next(),
     });
-    const dispatcher = dispatchers.find(
-      ({ dispatcherId }) => dispatcherId === chosen?.candidate.dispatcherId,
-    );
-    if (chosen === undefined || dispatcher === undefined) {
-      return undefined;
-    }
-    const worker = chosen.candidate;
-    const endAtMs = nowMs + worker.distanceMs + chosen.expectedMs;
-    return { place: { dispatcher, worker, endAtMs }, isLate: isLate(demand, chosen, nowMs) };
-  }
-
-  /** Finds the dispatcher where a task that has to wait is expected to end first. */
-  private placeLater(
-    demand: TaskDemand,
-    dispatchers: readonly SeenDispatcher[],
-    nowMs: number,
-  ): Place | undefined {
-    let best: Place | undefined;
-    for (const dispatcher of dispatchers) {
-      const endAtMs = this.endAfterWait(demand, dispatcher, nowMs);
-      if (endAtMs !== undefined && (best === undefined || endAtMs < best.endAtMs)) {
-        best = { dispatcher, worker: undefined, endAtMs };
-      }
-    }
-    return best;
-  }
-
-  private endAfterWait(
-    demand: TaskDemand,
-    { workers, distanceMs, nextEndInMs, waitingCoreMs }: SeenDispatcher,
-    nowMs: number,
-  ): number | undefined {
-    const { needs } = demand;
-    const fitting = workers.filter(
-      ({ capacity, labels }) =>
-        fitsInto(needs.resources, capacity) && hasRequiredLabel(needs, labels),
-    );
-    const runTimesMs = fitting.map((worker) =>
-      expectedRunMs(demand, worker, this.options.farRackFactor),
-    );
-    if (runTimesMs.length === 0) {
-      return undefined;
-    }
-    const cores = workers.reduce((sum, { capacity }) => sum + capacity.cpuMillis / 1_000, 0);
-    const waitMs = nextEndInMs + waitingCoreMs / cores;
-    return nowMs + distanceMs + waitMs + Math.min(...runTimesMs);
+    return chosen === undefined
+      ? undefined
+      : {
+          worker: chosen.candidate.seen,
+          startsInMs: chosen.candidate.startsInMs,
+          runMs: Math.round(chosen.expectedMs),
+        };
   }
 }
 
-/** Takes the room of a place off what the next task of the same plan sees. */
-const take = ({ dispatcher, worker }: Place, demand: TaskDemand): void => {
-  const { resources } = demand.needs;
-  if (worker !== undefined) {
-    worker.free = subtractResources(worker.free, resources);
-    return;
-  }
-  dispatcher.waitingCoreMs += (demand.estimatedMs * resources.cpuMillis) / 1_000;
-};
+const freeOf = ({ free, profile }: SeenWorker): SeenWorker['free'] => ({
+  ...free,
+  cpuMillis: profile.free,
+});
--- a/src/bestEffort/jobRun.ts
+++ b/src/bestEffort/jobRun.ts
@@ -8,7 +8,7 @@
 import type { JobEnd, JobRequest, JobStep } from '../ports/jobs.js';
 import type { Logger } from '../ports/logger.js';
 import type { Route } from '../routing/types.js';
-import type { JobPlanner, StepPlan } from './jobPlanner.js';
+import type { JobPlanner, PlannedBatch, StepPlan } from './jobPlanner.js';
 import { createDeferred } from '../utils/deferred.js';
 import { abortQuietly } from '../utils/abortQuietly.js';
 import type { LengthHints, RunLengths } from './runLengths.js';
@@ -23,6 +23,8 @@
 /** Times that the tasks of a step are given to other dispatchers after one gave them back. */
 const maxReplacements = 4;
 const replacementPauseMs = 20;
+/** Time for the dispatchers to tell whether they offered anything of a job that is given up. */
+const withdrawalWaitMs = 100;
 
 /** How a batch ended at its dispatcher. */
 export type BatchResult =
@@ -132,7 +134,19 @@
     abortQuietly(timer);
     this.isEnded = true;
     this.withdrawOpen();
-    return end;
+    return end.kind === 'given-up' ? this.refuseIfUnoffered(end.reason) : end;
+  }
+
+  /** Tells the truth about a job that is given up: it may come back if nothing of it was offered. */
+  private async refuseIfUnoffered(reason: string): Promise<JobEnd> {
+    const { clock } = this.options;
+    const untilMs = clock.nowMs() + withdrawalWaitMs;
+    while (this.open.size > 0 && clock.nowMs() < untilMs) {
+      await clock.sleep(withdrawalWaitMs / 10);
+    }
+    return this.hasStarted
+      ? { kind: 'given-up', reason }
+      : { kind: 'refused', reason, retryAfterMs: retryAfterMs(0) };
   }
 
   private async timeUp(signal: AbortSignal): Promise<JobEnd> {
@@ -182,7 +196,7 @@
         return plan;
       }
       const results = await Promise.all(
-        plan.plan.batches.map((batch) => this.send(step, index, batch.dispatcherId, batch.tasks)),
+        plan.plan.batches.map((batch) => this.send(step, index, batch, plan.plan.startsNow)),
       );
       const bad = results.find((result) => result.kind === 'bad');
       if (bad?.kind === 'bad') {
@@ -237,15 +251,15 @@
       dispatchers: plan.batches.length,
       expectedMs: Math.round(plan.lastEndAtMs - clock.nowMs()),
     });
-    planner.commit(plan, demand);
+    planner.commit(plan);
     return { kind: 'planned', plan };
   }
 
   private async send(
     step: JobStep,
     stepIndex: number,
-    dispatcherId: string,
-    tasks: BatchTask[],
+    { dispatcherId, tasks }: PlannedBatch,
+    startsNow: boolean,
   ): Promise<
     | { readonly kind: 'good'; readonly dispatcherId: string; readonly returned: BatchTask[] }
     | { readonly kind: 'bad'; readonly end: StepEnd }
@@ -253,12 +267,13 @@
     if (this.isEnded) {
       return { kind: 'bad', end: { kind: 'given-up', reason: 'the job has ended' } };
     }
-    const batch = this.composeBatch(step, stepIndex, tasks);
+    const batch = this.composeBatch(step, stepIndex, tasks, startsNow);
     const sent: SentBatch = { dispatcherId, batchId: batch.batchId };
     this.open.add(sent);
     const result = await this.options.sender.run(dispatcherId, batch);
     this.open.delete(sent);
     if (result.kind === 'lost') {
+      // Nobody knows whether it offered anything.
       this.wasOffered = true;
       const reason = `its dispatcher was lost: ${result.reason}`;
       return { kind: 'bad', end: { kind: 'given-up', reason } };
@@ -285,9 +300,17 @@
     }
   }
 
-  private composeBatch(step: JobStep, stepIndex: number, tasks: BatchTask[]): Batch {
+  private composeBatch(
+    step: JobStep,
+    stepIndex: number,
+    tasks: BatchTask[],
+    startsNow: boolean,
+  ): Batch {
     const demand = this.demandOf(step, stepIndex);
     const nowMs = this.options.clock.nowMs();
+    const isOffered = startsNow || this.wasOffered;
+    const allowanceMs = admissionAllowanceMs(this.objectiveAtMs - this.startedAtMs);
+    const expiresAtMs = demand.objectiveAtMs + allowanceMs;
     return {
       batchId: this.options.nextBatchId(),
       jobId: this.request.jobId,
@@ -298,6 +321,7 @@
       estimatedMs: Math.max(Math.round(step.estimatedMs), 1),
       objectiveInMs: Math.round(demand.objectiveAtMs - nowMs),
       giveUpInMs: Math.round(demand.giveUpAtMs - nowMs),
+      expiresInMs: Math.round((isOffered ? demand.giveUpAtMs : expiresAtMs) - nowMs),
       priority: this.route.priority,
       maxFailedRuns: this.route.maxFailedRuns,
       tasks,
--- a/src/bestEffort/objective.ts
+++ b/src/bestEffort/objective.ts
@@ -6,8 +6,8 @@
 
 /** A job that is expected to end this share of its objective too late is still taken. */
 const admissionStretch = 0.15;
-/** A job is worth nothing to its caller after this many times its objective. */
-const worthlessFactor = 3;
+/** A job is given up after this many times its objective; its length is known to a fifth. */
+const worthlessFactor = 3.6;
 /** Shortest time after which a refused caller should come back, in milliseconds. */
 const minRetryAfterMs = 1_000;
 
--- a/src/bestEffort/runLengths.ts
+++ b/src/bestEffort/runLengths.ts
@@ -2,8 +2,11 @@
  * Learns how long the tasks of each route run, from what callers say of their jobs.
  *
  * Callers give a declared run time, which is often far off, and a deadline, which on many routes says
- * more. The prediction is linear in both; recent jobs weigh most.
+ * more. The prediction is linear in both. Daemons share their sums, so that each learns from the jobs
+ * of all, and a route with few observations borrows from the others.
  */
+import { addSums, emptySums, solveSums, sumsOf } from './lengthSums.js';
+import type { LengthSums } from './lengthSums.js';
 
 /** What a caller says of a job. */
 export interface LengthHints {
@@ -13,26 +16,24 @@
 
 /** Weight that the observations before one keep. */
 const memory = 0.995;
-/** Relative errors of observations, which the weight of the declared time is set against. */
-const priorWeight = 4;
+/** Without observations, the declared time is believed, with this weight. */
+const declaredOnly: readonly number[] = [0, 1, 0];
+const declaredWeight = 0.5;
+/** Observations that a route borrows from all routes. */
+const borrowedObservations = 6;
 const msPerUnit = 1_000;
 /** A prediction stays within this factor of the declared time. */
-const maxCorrection = 6;
+const maxCorrection = 8;
 const minLengthMs = 1;
-const featureCount = 3;
-/** Observations after which a prediction is computed anew. */
+/** Changes after which predictions are computed anew. */
 const refitEvery = 4;
-
-/** Sums of the weighted least squares of one route. */
-interface RouteSums {
-  readonly products: number[][];
-  readonly targets: number[];
-  coefficients: readonly number[];
-  observations: number;
-}
+const allRoutes = '';
 
 export class RunLengths {
-  private readonly routes = new Map<string, RouteSums>();
+  private readonly own = new Map<string, LengthSums>();
+  private readonly heard = new Map<string, readonly LengthSums[]>();
+  private readonly coefficients = new Map<string, readonly number[]>();
+  private changes = 0;
 
   private constructor() {
     // Built by create.
@@ -49,17 +50,14 @@
    * @param hints - what its caller says
    */
   predictMs(routeId: string, hints: LengthHints): number {
-    const known = this.routes.get(routeId);
-    if (known === undefined) {
-      return Math.max(hints.declaredMs, minLengthMs);
-    }
-    const features = featuresOf(hints);
-    const units = features.reduce(
-      (sum, feature, index) => sum + feature * (known.coefficients[index] ?? 0),
+    const coefficients = this.coefficientsOf(routeId);
+    const units = featuresOf(hints).reduce(
+      (sum, feature, index) => sum + feature * (coefficients[index] ?? 0),
       0,
     );
     const lowMs = Math.max(hints.declaredMs / maxCorrection, minLengthMs);
-    return Math.min(Math.max(units * msPerUnit, lowMs), hints.declaredMs * maxCorrection);
+    const highMs = Math.max(hints.declaredMs * maxCorrection, lowMs);
+    return Math.min(Math.max(units * msPerUnit, lowMs), highMs);
   }
 
   /**
@@ -70,24 +68,50 @@
    * @param lengthMs - its run time over the slowness of its worker, in milliseconds
    */
   observe(routeId: string, hints: LengthHints, lengthMs: number): void {
-    const sums = this.routes.get(routeId) ?? createSums();
-    this.routes.set(routeId, sums);
     const target = Math.max(lengthMs, minLengthMs) / msPerUnit;
-    const features = featuresOf(hints);
-    const weight = 1 / target ** 2;
-    for (let row = 0; row < featureCount; row += 1) {
-      for (let column = 0; column < featureCount; column += 1) {
-        const product = weight * (features[row] ?? 0) * (features[column] ?? 0);
-        const line = sums.products[row] ?? [];
-        line[column] = (line[column] ?? 0) * memory + product;
-      }
-      sums.targets[row] =
-        (sums.targets[row] ?? 0) * memory + weight * (features[row] ?? 0) * target;
+    const observed = sumsOf(routeId, featuresOf(hints), target);
+    const before = this.own.get(routeId) ?? emptySums(routeId);
+    this.own.set(routeId, addSums(observed, before, memory));
+    this.noteChange();
+  }
+
+  /** @returns what this daemon has observed itself */
+  share(): LengthSums[] {
+    return [...this.own.values()];
+  }
+
+  /** Takes what another daemon has observed. */
+  hear(incarnation: string, sums: readonly LengthSums[]): void {
+    this.heard.set(incarnation, sums);
+    this.noteChange();
+  }
+
+  forget(incarnation: string): void {
+    this.heard.delete(incarnation);
+  }
+
+  private noteChange(): void {
+    this.changes += 1;
+    if (this.changes >= refitEvery) {
+      this.changes = 0;
+      this.coefficients.clear();
     }
-    sums.observations += 1;
-    if (sums.observations % refitEvery === 0) {
-      sums.coefficients = fit(sums);
+  }
+
+  private coefficientsOf(routeId: string): readonly number[] {
+    const known = this.coefficients.get(routeId);
+    if (known !== undefined) {
+      return known;
     }
+    const everything = [...this.own.values(), ...[...this.heard.values()].flat()];
+    const total = (of: readonly LengthSums[]): LengthSums =>
+      of.reduce((sum, one) => addSums(sum, one), emptySums(allRoutes));
+    const all = total(everything);
+    const ofRoute = total(everything.filter((sums) => sums.routeId === routeId));
+    const share = borrowedObservations / Math.max(all.observations, borrowedObservations);
+    const fitted = solveSums(addSums(ofRoute, all, share), declaredOnly, declaredWeight);
+    this.coefficients.set(routeId, fitted);
+    return fitted;
   }
 }
 
@@ -96,49 +120,3 @@
   declaredMs / msPerUnit,
   deadlineMs / msPerUnit,
 ];
-
-/** Without observations, the declared time is believed. */
-const declaredOnly: readonly number[] = [0, 1, 0];
-
-const createSums = (): RouteSums => ({
-  products: Array.from({ length: featureCount }, () => new Array<number>(featureCount).fill(0)),
-  targets: new Array<number>(featureCount).fill(0),
-  coefficients: declaredOnly,
-  observations: 0,
-});
-
-/** Solves the least squares, drawn towards the declared time while observations are few. */
-const fit = ({ products, targets }: RouteSums): readonly number[] => {
-  const rows = products.map((line, row) => {
-    const own = [...line, targets[row] ?? 0];
-    own[row] = (own[row] ?? 0) + priorWeight;
-    own[featureCount] = (own[featureCount] ?? 0) + priorWeight * (declaredOnly[row] ?? 0);
-    return own;
-  });
-  return solve(rows);
-};
-
-/** Gaussian elimination; each row holds its coefficients and its right-hand side. */
-const solve = (rows: number[][]): readonly number[] => {
-  const size = rows.length;
-  for (let pivot = 0; pivot < size; pivot += 1) {
-    const pivotRow = rows[pivot] ?? [];
-    for (let row = pivot + 1; row < size; row += 1) {
-      const line = rows[row] ?? [];
-      const factor = (line[pivot] ?? 0) / (pivotRow[pivot] ?? 1);
-      for (let column = pivot; column <= size; column += 1) {
-        line[column] = (line[column] ?? 0) - factor * (pivotRow[column] ?? 0);
-      }
-    }
-  }
-  const solution = new Array<number>(size).fill(0);
-  for (let row = size - 1; row >= 0; row -= 1) {
-    const line = rows[row] ?? [];
-    let rest = line[size] ?? 0;
-    for (let column = row + 1; column < size; column += 1) {
-      rest -= (line[column] ?? 0) * (solution[column] ?? 0);
-    }
-    solution[row] = rest / (line[row] ?? 1);
-  }
-  return solution;
-};
--- a/src/dispatch/dispatchedWorker.spec.ts
+++ b/src/dispatch/dispatchedWorker.spec.ts
@@ -33,6 +33,7 @@
   estimatedMs: 100,
   objectiveInMs: 300,
   giveUpInMs: 900,
+  expiresInMs: 400,
   priority: 0,
   maxFailedRuns: 3,
   tasks: [{ index: 0, nextRun: 1, failedRuns: 0 }],
--- a/src/dispatch/dispatchedWorker.ts
+++ b/src/dispatch/dispatchedWorker.ts
@@ -14,6 +14,7 @@
 import type { ActiveRun, RunOutcome } from './activeRun.js';
 import { LeaseClock } from './leaseClock.js';
 import type { BatchedTask } from './openBatch.js';
+import type { Release } from './roomProfile.js';
 import { StrayRuns } from './strayRuns.js';
 import { WorkerStanding } from './workerStanding.js';
 
@@ -36,6 +37,9 @@
 /** Ends are acknowledged within this time where nothing else runs there. */
 const acknowledgeMs = 1_000;
 
+/** Share of its expected time that a run is thought to need still when that time is over. */
+const overtimeShare = 0.2;
+
 export interface DispatchedWorkerOptions {
   readonly record: WorkerRecord;
   readonly fencingToken: number;
@@ -129,13 +133,13 @@
     return [...this.runs.keys()].filter((name) => name.startsWith(`${stepName}.`)).length;
   }
 
-  /** @returns expected time until something there ends, in milliseconds */
-  nextEndInMs(): number {
+  /** @returns when the cores of what runs there are expected to be free */
+  releases(): Release[] {
     const nowMs = this.options.clock.nowMs();
-    const ends = [...this.runs.values()].map(({ orderedAtMs, expectedMs }) =>
-      Math.max(orderedAtMs + expectedMs - nowMs, 0),
-    );
-    return ends.length === 0 ? 0 : Math.min(...ends);
+    return [...this.runs.values()].map((run) => ({
+      inMs: Math.round(remainingMs(run, nowMs)),
+      cpuMillis: run.needs.cpuMillis,
+    }));
   }
 
   /**
@@ -598,6 +602,10 @@
   }
 }
 
+/** Expected time until a run ends; one that takes longer than expected is thought to take on. */
+const remainingMs = ({ orderedAtMs, expectedMs }: ActiveRun, nowMs: number): number =>
+  Math.max(orderedAtMs + expectedMs - nowMs, expectedMs * overtimeShare);
+
 /** Tells whether a run that a report does not show is certainly gone. */
 const isMissing = (run: ActiveRun, sentAtMs: number): boolean => {
   switch (run.phase) {
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -13,6 +13,7 @@
 import { DispatchedWorker } from './dispatchedWorker.js';
 import { OpenBatch } from './openBatch.js';
 import type { BatchedTask } from './openBatch.js';
+import { RoomProfile } from './roomProfile.js';
 import type { Batch, BatchEnd, TaskEnd } from './types.js';
 import { WaitingTasks } from './waitingTasks.js';
 import { chooseWorker, expectedRunMs, hasRequiredLabel, isLate } from './workerChoice.js';
@@ -38,6 +39,13 @@
   readonly farRackFactor: number;
 }
 
+/** A worker of this daemon with its room. */
+interface WorkerRoom {
+  readonly worker: DispatchedWorker;
+  readonly slowness: number;
+  readonly profile: RoomProfile;
+}
+
 /** A worker of this daemon as a candidate. */
 interface OwnCandidate extends Candidate {
   readonly worker: DispatchedWorker;
@@ -150,17 +158,20 @@
   /** Tells the other daemons of the room here. */
   load(): MemberLoad {
     const nowMs = this.options.clock.nowMs();
-    const workers = [...this.served.values()].map((worker) => ({
+    const rooms = [...this.served.values()].map((worker) => ({
+      worker,
+      slowness: worker.speed.slowness(nowMs),
+      profile: RoomProfile.create(worker.free.cpuMillis, worker.releases()),
+    }));
+    this.waiting.list().forEach((task) => this.placeWaiting(task, rooms));
+    const workers = rooms.map(({ worker, slowness, profile }) => ({
       workerId: worker.workerId,
-      free: worker.free,
-      slowness: round(worker.speed.slowness(nowMs)),
+      free: { ...worker.free, cpuMillis: profile.free },
+      slowness: round(slowness),
       isOpen: worker.isOpen,
-      nextEndInMs: Math.round(worker.nextEndInMs()),
+      releases: [...profile.releases],
     }));
-    const waitingCoreMs = this.waiting
-      .list()
-      .reduce((sum, { batch }) => sum + coreMsOf(batch.content), 0);
-    return { workers, waitingCoreMs: Math.round(waitingCoreMs) };
+    return { workers };
   }
 
   async close(): Promise<void> {
@@ -168,6 +179,22 @@
     await Promise.all([...this.served.values()].map((worker) => worker.close()));
   }
 
+  /** Takes the room that a waiting task will get first. */
+  private placeWaiting({ batch }: BatchedTask, rooms: readonly WorkerRoom[]): void {
+    const { needs, estimatedMs } = batch.content;
+    const { cpuMillis } = needs.resources;
+    let best: WorkerRoom | undefined;
+    let bestEndMs = Infinity;
+    for (const room of rooms) {
+      const endMs = room.profile.startsInMs(cpuMillis) + estimatedMs * room.slowness;
+      if (room.worker.isOpen && endMs < bestEndMs) {
+        best = room;
+        bestEndMs = endMs;
+      }
+    }
+    best?.profile.take(cpuMillis, Math.round(estimatedMs * best.slowness));
+  }
+
   private startServing(record: WorkerRecord, fencingToken: number): DispatchedWorker {
     const { clock, workers, leaseMs } = this.options;
     return DispatchedWorker.create({
@@ -289,7 +316,8 @@
       this.giveBack(task, 'no worker here is in service for it');
       return true;
     }
-    if (nowMs + fastestMs > demand.giveUpAtMs) {
+    const lastEndAtMs = task.batch.wasOffered ? demand.giveUpAtMs : task.batch.expiresAtMs;
+    if (nowMs + fastestMs > lastEndAtMs) {
       this.waiting.remove(task);
       this.settle(task, { kind: 'expired', index: task.index });
       return true;
@@ -339,6 +367,7 @@
         workerId: worker.workerId,
         labels: worker.current.labels,
         free: worker.free,
+        startsInMs: 0,
         slowness: worker.speed.slowness(nowMs),
         distanceMs: 0,
       });
@@ -453,7 +482,4 @@
   giveUpAtMs: batch.giveUpAtMs,
 });
 
-const coreMsOf = ({ estimatedMs, needs }: Batch): number =>
-  (estimatedMs * needs.resources.cpuMillis) / 1_000;
-
 const round = (value: number): number => Math.round(value * 100) / 100;
--- a/src/dispatch/openBatch.ts
+++ b/src/dispatch/openBatch.ts
@@ -19,6 +19,8 @@
   readonly tasks: readonly BatchedTask[];
   readonly objectiveAtMs: number;
   readonly giveUpAtMs: number;
+  /** A batch of which nothing was offered ends when it cannot end by then. */
+  readonly expiresAtMs: number;
   /** Whether a worker was asked to start one of the tasks. */
   wasOffered = false;
   private readonly taskEnds: TaskEnd[] = [];
@@ -31,6 +33,7 @@
   ) {
     this.objectiveAtMs = arrivedAtMs + content.objectiveInMs;
     this.giveUpAtMs = arrivedAtMs + content.giveUpInMs;
+    this.expiresAtMs = arrivedAtMs + content.expiresInMs;
     this.tasks = content.tasks.map(({ index, nextRun, failedRuns }) => ({
       batch: this,
       index,
--- a/src/dispatch/types.ts
+++ b/src/dispatch/types.ts
@@ -41,6 +41,8 @@
   objectiveInMs: z.number(),
   /** Time until the answer is worth nothing, in milliseconds. */
   giveUpInMs: z.number(),
+  /** Time until the tasks must have ended if nothing of their job was offered, in milliseconds. */
+  expiresInMs: z.number(),
   priority: z.number().int(),
   maxFailedRuns: z.number().int().positive(),
   tasks: z.array(batchTaskSchema).min(1),
--- a/src/dispatch/workerChoice.spec.ts
+++ b/src/dispatch/workerChoice.spec.ts
@@ -9,6 +9,7 @@
   workerId,
   labels: [],
   free: { cpuMillis: 32_000, memoryMb: 4_096, accelerators: 0 },
+  startsInMs: 0,
   slowness: 1,
   distanceMs: 0,
   ...changes,
--- a/src/dispatch/workerChoice.ts
+++ b/src/dispatch/workerChoice.ts
@@ -18,6 +18,8 @@
   readonly workerId: string;
   readonly labels: readonly string[];
   readonly free: Resources;
+  /** Time until there is room for the task, in milliseconds. */
+  readonly startsInMs: number;
   readonly slowness: number;
   /** Cost of reaching the worker from here, in milliseconds. */
   readonly distanceMs: number;
@@ -64,7 +66,7 @@
 ): boolean => requiredLabel === undefined || labels.includes(requiredLabel);
 
 /**
- * Chooses among workers with room. A worker on which the task would be late is taken only when no
+ * Chooses among workers with room now or later. A worker on which the task would be late is taken only when no
  * other can have it in time any more.
  *
  * @param demand - the task
@@ -84,11 +86,12 @@
   let best: RatedCandidate<C> | undefined;
   for (const candidate of candidates) {
     const { needs } = demand;
-    if (!fitsInto(needs.resources, candidate.free) || !hasRequiredLabel(needs, candidate.labels)) {
+    const hasRoom = candidate.startsInMs > 0 || fitsInto(needs.resources, candidate.free);
+    if (!hasRoom || !hasRequiredLabel(needs, candidate.labels)) {
       continue;
     }
     const expectedMs = expectedRunMs(demand, candidate, context.farRackFactor);
-    if (context.nowMs + candidate.distanceMs + expectedMs > demand.giveUpAtMs) {
+    if (context.nowMs + delayMs(candidate) + expectedMs > demand.giveUpAtMs) {
       continue;
     }
     const cost =
@@ -106,9 +109,10 @@
   expectedMs: number,
   nowMs: number,
 ): number => {
-  const leftMs = demand.objectiveAtMs - nowMs - candidate.distanceMs;
-  const leftoverCores = (candidate.free.cpuMillis - demand.needs.resources.cpuMillis) / 1_000;
-  const shared = candidate.distanceMs + leftoverCores * leftoverCoreCost;
+  const leftMs = demand.objectiveAtMs - nowMs - delayMs(candidate);
+  const leftover = Math.max(candidate.free.cpuMillis - demand.needs.resources.cpuMillis, 0);
+  const shared =
+    candidate.distanceMs + candidate.startsInMs + (leftover / 1_000) * leftoverCoreCost;
   if (expectedMs > leftMs) {
     return lateCost + expectedMs + shared;
   }
@@ -123,4 +127,7 @@
   { objectiveAtMs }: TaskDemand,
   { expectedMs, candidate }: RatedCandidate<Candidate>,
   nowMs: number,
-): boolean => nowMs + candidate.distanceMs + expectedMs > objectiveAtMs;
+): boolean => nowMs + delayMs(candidate) + expectedMs > objectiveAtMs;
+
+/** Time until a task runs on a worker: it travels while it waits for room. */
+const delayMs = ({ distanceMs, startsInMs }: Candidate): number => Math.max(distanceMs, startsInMs);
--- a/src/dispatch/workerStanding.ts
+++ b/src/dispatch/workerStanding.ts
@@ -8,9 +8,9 @@
 import type { ActiveRun } from './activeRun.js';
 
 /** A run is overdue after this many times its expected length ... */
-const overdueFactor = 2.5;
+const overdueFactor = 2;
 /** ... and this long more, in milliseconds. */
-const overdueSlackMs = 150;
+const overdueSlackMs = 120;
 /** The report that shows the room is at most this old when the worker refused a start for room. */
 const busyPauseMs = 40;
 
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -55,6 +55,7 @@
 
 export class FleetDaemon implements FleetService, JobService {
   private readonly routing = RoutingStore.create();
+  private readonly lengths = RunLengths.create();
   private readonly directory: WorkerDirectory;
   private readonly follower: RoutingFollower;
   private readonly dispatcher: Dispatcher;
@@ -112,7 +113,7 @@
       logger: this.logger,
       planner,
       sender: this.router,
-      lengths: RunLengths.create(),
+      lengths: this.lengths,
       nextBatchId: () => this.nextBatchId(),
     });
     this.shards = ShardKeeper.create({
@@ -130,9 +131,10 @@
       store,
       own: member,
       failureDomainIds: identity.failureDomainIds,
-      compose: (peer) => this.composeHeartbeat(peer),
+      compose: (peer, isFull) => this.composeHeartbeat(peer, isFull),
       onHeartbeat: (heartbeat) => this.hear(heartbeat),
       onLost: (incarnation) => this.noteLost(incarnation),
+      onSuspect: (incarnation) => this.view.forget(incarnation),
     });
     void this.watchAskers();
   }
@@ -196,7 +198,7 @@
 
   beat(theirs: FleetHeartbeat): FleetHeartbeat {
     this.peers.hear(theirs);
-    return this.composeHeartbeat(theirs.member.incarnation);
+    return this.composeHeartbeat(theirs.member.incarnation, theirs.lengths !== undefined);
   }
 
   runBatch({ askedBy, batch, load }: AskedBatch): Promise<BatchEnd> {
@@ -282,7 +284,7 @@
     return this.dispatcher.serve(own, this.grant.generation);
   }
 
-  private composeHeartbeat(peer: string | undefined): FleetHeartbeat {
+  private composeHeartbeat(peer: string | undefined, isFull: boolean): FleetHeartbeat {
     return {
       member: this.identity.member,
       heardAddresses: this.peers.heard().map(({ address }) => address),
@@ -290,13 +292,17 @@
       isLeaving: this.isLeaving,
       load: this.dispatcher.load(),
       askedBatchIds: this.router.askedOf(peer),
+      ...(isFull ? { lengths: this.lengths.share() } : {}),
     };
   }
 
-  private hear({ member, load, askedBatchIds, routingVersion }: FleetHeartbeat): void {
+  private hear({ member, load, askedBatchIds, routingVersion, lengths }: FleetHeartbeat): void {
     const { incarnation, failureDomainId } = member;
     const isNear = failureDomainId === this.identity.member.failureDomainId;
     this.view.hear(incarnation, load, isNear ? nearDistanceMs : farDistanceMs);
+    if (lengths !== undefined) {
+      this.lengths.hear(incarnation, lengths);
+    }
     const asked = new Set(askedBatchIds);
     this.dispatcher.withdrawUnasked(incarnation, (id) => asked.has(id), minUnaskedAgeMs);
     if (routingVersion > this.routing.version) {
--- a/src/fleet/fleetPeer.ts
+++ b/src/fleet/fleetPeer.ts
@@ -8,6 +8,8 @@
   /** The last heartbeat. */
   heartbeat: FleetHeartbeat | undefined;
   heardAtMs = -Infinity;
+  /** Heartbeats that were sent. */
+  beatCount = 0;
   readonly stop = new AbortController();
 
   private constructor(
--- a/src/fleet/fleetPeers.ts
+++ b/src/fleet/fleetPeers.ts
@@ -9,7 +9,9 @@
 import type { FleetHeartbeat, Member } from './types.js';
 
 const beatPeriodMs = 300;
-const beatTimeoutMs = 350;
+const beatTimeoutMs = 250;
+/** One heartbeat in this many tells what was learned of run times. */
+const fullBeatEvery = 5;
 /** Longest silence after which a peer still counts as heard, in milliseconds. */
 export const maxPeerSilenceMs = 900;
 /** A peer that is not heard for this long is forgotten, in milliseconds. */
@@ -28,11 +30,13 @@
   readonly store: FleetStore;
   readonly own: Member;
   readonly failureDomainIds: readonly string[];
-  /** Composes the heartbeat for one peer. */
-  readonly compose: (peer: string | undefined) => FleetHeartbeat;
+  /** Composes the heartbeat for one peer; a full one tells what was learned of run times. */
+  readonly compose: (peer: string | undefined, isFull: boolean) => FleetHeartbeat;
   readonly onHeartbeat: (heartbeat: FleetHeartbeat) => void;
   /** Called when a process is no longer heard, or another one has taken its place. */
   readonly onLost: (incarnation: string) => void;
+  /** Called when a process did not answer in time; it may be heard again soon. */
+  readonly onSuspect: (incarnation: string) => void;
 }
 
 export class FleetPeers {
@@ -119,20 +123,29 @@
 
   /** Exchanges heartbeats with one peer; of each pair, the lower address calls. */
   private async keepPeer(peer: FleetPeer): Promise<void> {
-    const { clock, own, compose } = this.options;
+    const { clock, own } = this.options;
     const isCaller = own.address < peer.address;
     while (!peer.stop.signal.aborted) {
       const isHeard = this.isHeard(peer);
       if (isCaller || !isHeard) {
-        const reply = await peer.link.beat(compose(peer.incarnation), beatTimeoutMs);
-        if (reply.isOk()) {
-          this.hear(reply.value);
-        }
+        await this.exchange(peer);
       }
       await clock.sleep(this.isHeard(peer) ? beatPeriodMs : retryPeriodMs, peer.stop.signal);
     }
   }
 
+  private async exchange(peer: FleetPeer): Promise<void> {
+    const isFull = peer.beatCount % fullBeatEvery === 0;
+    peer.beatCount += 1;
+    const own = this.options.compose(peer.incarnation, isFull);
+    const reply = await peer.link.beat(own, beatTimeoutMs);
+    if (reply.isOk()) {
+      this.hear(reply.value);
+    } else if (peer.incarnation !== undefined) {
+      this.options.onSuspect(peer.incarnation);
+    }
+  }
+
   /** Notices peers that fall silent. */
   private async watch(): Promise<void> {
     const { clock } = this.options;
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -2,6 +2,8 @@
  * Schemas of the daemons that form one fleet, and of what they tell each other.
  */
 import { z } from 'zod';
+import { lengthSumsSchema } from '../bestEffort/lengthSums.js';
+import { releaseSchema } from '../dispatch/roomProfile.js';
 import { resourcesSchema } from '../resources/resources.js';
 
 /** A daemon of the fleet. */
@@ -32,17 +34,13 @@
   slowness: z.number().positive(),
   /** Whether it gets tasks now. */
   isOpen: z.boolean(),
-  /** Expected time until something that runs there ends, in milliseconds. */
-  nextEndInMs: z.number().nonnegative(),
+  /** Cores that become free, when the tasks that wait at the dispatcher have their places. */
+  releases: z.array(releaseSchema),
 });
 export type WorkerLoad = z.infer<typeof workerLoadSchema>;
 
-/** The workers of one daemon and the work that waits for them. */
-export const memberLoadSchema = z.object({
-  workers: z.array(workerLoadSchema),
-  /** Expected time of the waiting tasks times the cores that they ask for, in core-milliseconds. */
-  waitingCoreMs: z.number().nonnegative(),
-});
+/** The workers of one daemon. */
+export const memberLoadSchema = z.object({ workers: z.array(workerLoadSchema) });
 export type MemberLoad = z.infer<typeof memberLoadSchema>;
 
 export const heartbeatSchema = z.object({
@@ -54,5 +52,7 @@
   load: memberLoadSchema,
   /** Batches that the sender still asks the receiver to run. */
   askedBatchIds: z.array(z.string()),
+  /** What the sender has learned of run times; in some heartbeats only. */
+  lengths: z.array(lengthSumsSchema).optional(),
 });
 export type FleetHeartbeat = z.infer<typeof heartbeatSchema>;
--- a/src/programs/toucandyked/platformProcess.spec.ts
+++ b/src/programs/toucandyked/platformProcess.spec.ts
@@ -132,7 +132,7 @@
     assert.ok(daemon && late);
     late.fault = { kind: 'late-starts', delayMs: 700 };
     const answer = await fixture.submit(daemon, jobId(1), { tasks: 2, runMs: 500 });
-    assert.is(answer.status, 200);
+    assert.equal(answer.body, { state: 'completed' });
     await sleep(700);
     assert.equal(fixture.doubled(), []);
   }));
