Start a refused task again at once

Cause: a start that the worker refused (used number, no room, not reachable) put its task back into the queue, but only a report of a worker looked at the queue again. On a quiet dispatcher the task waited until its job was given up. Seen as one failure in three of the test of a killed daemon, then traced by its log; the new test fails without the change.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -405,7 +405,7 @@
         return;
       case 'used-number':
         task.nextRun += usedNumberStep;
-        this.enqueue(task);
+        this.tryAgain(task);
         return;
       case 'failed':
         this.retryFailed(worker, task);
@@ -413,7 +413,7 @@
       case 'not-started':
       case 'lost':
         task.avoidedWorkerIds.add(worker.workerId);
-        this.enqueue(task);
+        this.tryAgain(task);
         return;
       default:
         return unreachable(outcome);
@@ -428,7 +428,12 @@
       this.settle(task, { kind: 'failed', index: task.index, reason });
       return;
     }
+    this.tryAgain(task);
+  }
+
+  private tryAgain(task: BatchedTask): void {
     this.enqueue(task);
+    this.review();
   }
 
   private noteStanding(worker: DispatchedWorker, run: ActiveRun, outcome: RunOutcome): void {
--- a/src/programs/toucandyked/platformProcess.spec.ts
+++ b/src/programs/toucandyked/platformProcess.spec.ts
@@ -125,6 +125,17 @@
     assert.equal(fixture.doubled(), []);
   }));
 
+test('a task whose number the worker has used before is started again at once', () =>
+  withPlatform({ daemons: ['east'], workers: ['east'] }, async (fixture) => {
+    const [daemon] = fixture.daemons;
+    assert.ok(daemon);
+    const job = { tasks: 2, runMs: 60 };
+    assert.equal((await fixture.submit(daemon, jobId(1), job)).body, { state: 'completed' });
+    const sentAtMs = performance.now();
+    assert.equal((await fixture.submit(daemon, jobId(1), job)).body, { state: 'completed' });
+    assert.ok(performance.now() - sentAtMs < 300);
+  }));
+
 test('a start without an answer is never carried out beside its repetition', () =>
   withPlatform({ daemons: ['east'], workers: ['east', 'east'] }, async (fixture) => {
     const [daemon] = fixture.daemons;
