--- a/src/bestEffort/jobPlanner.ts
+++ b/src/bestEffort/jobPlanner.ts
@@ -22,6 +22,8 @@
   readonly lastEndAtMs: number;
   /** Whether there is room for one of the tasks now. */
   readonly startsNow: boolean;
+  /** Longest time that a task waits for room, in milliseconds. */
+  readonly longestWaitMs: number;
   /** The room that the plan counts on. */
   readonly reservations: readonly Reservation[];
 }
@@ -74,6 +76,7 @@
     const reservations: Reservation[] = [];
     let lastEndAtMs = nowMs;
     let startsNow = false;
+    let longestWaitMs = 0;
     for (const task of tasks) {
       const place = this.choose(demand, workers, nowMs);
       if (place === undefined) {
@@ -86,11 +89,12 @@
       const endAtMs = nowMs + Math.max(place.startsInMs, distanceMs) + place.runMs;
       lastEndAtMs = Math.max(lastEndAtMs, endAtMs);
       startsNow ||= place.startsInMs === 0;
+      longestWaitMs = Math.max(longestWaitMs, place.startsInMs);
       const { cpuMillis } = demand.needs.resources;
       profile.take(cpuMillis, place.runMs);
       reservations.push({ dispatcherId, workerId, cpuMillis, runMs: place.runMs });
     }
-    return { batches: [...batches.values()], lastEndAtMs, startsNow, reservations };
+    return { batches: [...batches.values()], lastEndAtMs, startsNow, longestWaitMs, reservations };
   }
 
   /** Keeps the room of a plan that is carried out from the plans that follow. */
--- a/src/bestEffort/jobRun.ts
+++ b/src/bestEffort/jobRun.ts
@@ -241,7 +241,9 @@
       return { kind: 'refused', reason: 'no dispatcher has a worker for it', waitMs: 0 };
     }
     const lateMs = plan.lastEndAtMs - demand.objectiveAtMs;
-    const isTooLate = lateMs > admissionAllowanceMs(this.objectiveAtMs - this.startedAtMs);
+    const isTooLate =
+      plan.longestWaitMs > 0 &&
+      lateMs > admissionAllowanceMs(this.objectiveAtMs - this.startedAtMs);
     if (isTooLate && !this.hasStarted) {
       return { kind: 'refused', reason: 'its objective cannot be met', waitMs: lateMs };
     }
--- a/src/bestEffort/lengthSums.ts
+++ b/src/bestEffort/lengthSums.ts
@@ -33,18 +33,21 @@
 });
 
 /**
- * Computes the sums of one observation, so weighted that errors count relative to the target.
+ * Computes the sums of one observation.
  *
  * @param routeId - the route
  * @param features - what is known beforehand
- * @param target - what was observed; above zero
+ * @param target - what was observed
+ * @param scale - size of the target as it was expected, relative to which errors count; the target
+ *   itself would favour observations that came out small
  */
 export const sumsOf = (
   routeId: string,
   features: readonly number[],
   target: number,
+  scale: number,
 ): LengthSums => {
-  const weight = 1 / target ** 2;
+  const weight = 1 / scale ** 2;
   return {
     routeId,
     observations: 1,
--- a/src/bestEffort/runLengths.spec.ts
+++ b/src/bestEffort/runLengths.spec.ts
@@ -27,6 +27,24 @@
   }
 });
 
+test('a rare route learns from the others, and from what other daemons have seen', () => {
+  const here = RunLengths.create();
+  const there = RunLengths.create();
+  const random = SeededRandom.create(9);
+  const noise = () => 0.55 + 0.9 * random.next();
+  const hintsOf = (trueMs: number) => ({
+    declaredMs: trueMs * (0.4 + 1.6 * random.next()),
+    deadlineMs: 1_680 + 4.8 * trueMs,
+  });
+  for (let i = 0; i < 400; i += 1) {
+    const trueMs = 40 + 250 * random.next();
+    there.observe('common', hintsOf(trueMs), trueMs * noise());
+  }
+  here.hear('there', there.share());
+  const ratio = here.predictMs('rare', hintsOf(900)) / 900;
+  assert.ok(ratio > 0.75 && ratio < 1.3, `predicted ${ratio.toFixed(2)} of the true time`);
+});
+
 test('a deadline that tells nothing leaves the declared time, corrected by its usual error', () => {
   const lengths = RunLengths.create();
   const random = SeededRandom.create(8);
--- a/src/bestEffort/runLengths.ts
+++ b/src/bestEffort/runLengths.ts
@@ -25,6 +25,8 @@
 /** A prediction stays within this factor of the declared time. */
 const maxCorrection = 8;
 const minLengthMs = 1;
+/** Errors of shorter tasks do not count more. */
+const minScaleMs = 20;
 /** Changes after which predictions are computed anew. */
 const refitEvery = 4;
 const allRoutes = '';
@@ -69,7 +71,8 @@
    */
   observe(routeId: string, hints: LengthHints, lengthMs: number): void {
     const target = Math.max(lengthMs, minLengthMs) / msPerUnit;
-    const observed = sumsOf(routeId, featuresOf(hints), target);
+    const scale = Math.max(this.predictMs(routeId, hints), minScaleMs) / msPerUnit;
+    const observed = sumsOf(routeId, featuresOf(hints), target, scale);
     const before = this.own.get(routeId) ?? emptySums(routeId);
     this.own.set(routeId, addSums(observed, before, memory));
     this.noteChange();
