Serve metrics, write logs in batches that never block, keep platform/ apart by lint

A test failed once with EADDRINUSE: the fixture took ports from the range of outgoing connections and another connection got one in between.

--- a/ci/importRule.spec.ts
+++ b/ci/importRule.spec.ts
@@ -7,6 +7,8 @@
 const decisionFile = resolve(root, 'src/jobs/jobRunner.ts');
 const adapterFile = resolve(root, 'src/adapters/http/requestJson.ts');
 
+const platformFile = resolve(root, 'platform/storeClient.ts');
+
 const findBreaches = async (file: string, line: string): Promise<number> => {
   const eslint = new ESLint({ cwd: root });
   const [result] = await eslint.lintText(`${line}\n`, { filePath: file });
@@ -18,6 +20,10 @@
   assert.is(await findBreaches(decisionFile, "import '../adapters/system/systemClock.js';"), 1);
   assert.is(await findBreaches(decisionFile, "import 'undici';"), 1);
   assert.is(await findBreaches(decisionFile, "import 'node:http';"), 1);
+  assert.is(await findBreaches(decisionFile, "import '../../platform/storeClient.js';"), 1);
+  assert.is(await findBreaches(adapterFile, "import '../../../platform/storeClient.js';"), 1);
+  assert.is(await findBreaches(platformFile, "import '../src/dispatch/dispatcher.js';"), 1);
+  assert.is(await findBreaches(platformFile, "import '../src/ports/workers.js';"), 0);
   assert.is(await findBreaches(decisionFile, "import '../ports/clock.js';"), 0);
   assert.is(await findBreaches(adapterFile, "import 'undici';"), 0);
 });
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -60,7 +60,7 @@
           })),
           patterns: [
             {
-              group: ['**/adapters/**', '**/programs/**', '**/standins/**'],
+              group: ['**/adapters/**', '**/programs/**', '**/standins/**', '**/platform/**'],
               message: 'Decisions must not import adapters; use a port in src/ports.',
             },
           ],
@@ -68,4 +68,37 @@
       ],
     },
   },
+  {
+    // The platform's names stay in platform/: only the program that wires them knows the folder.
+    files: ['src/adapters/**/*.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [{ group: ['**/platform/**'], message: 'Adapters must not import platform/.' }],
+        },
+      ],
+    },
+  },
+  {
+    // platform/ holds names, formats and calls; it must not reach for what decides.
+    files: ['platform/**/*.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            {
+              group: ['**/dispatch/**', '**/bestEffort/**', '**/placement/**', '**/queue/**'],
+              message: 'platform/ decides nothing; it implements ports.',
+            },
+            {
+              group: ['**/fleet/fleet*', '**/fleet/shard*'],
+              message: 'platform/ decides nothing.',
+            },
+          ],
+        },
+      ],
+    },
+  },
 );
--- /dev/null
+++ b/src/adapters/system/lineBuffer.spec.ts
@@ -0,0 +1,41 @@
+import { closeSync, mkdtempSync, openSync, readFileSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { LineBuffer } from './lineBuffer.js';
+
+const withFile = (run: (fd: number, read: () => string) => void): void => {
+  const folder = mkdtempSync(join(tmpdir(), 'toucandyke-'));
+  const path = join(folder, 'log');
+  const fd = openSync(path, 'w');
+  try {
+    run(fd, () => readFileSync(path, 'utf8'));
+  } finally {
+    closeSync(fd);
+    rmSync(folder, { recursive: true });
+  }
+};
+
+test('lines are written in their order when the buffer is closed', () =>
+  withFile((fd, read) => {
+    const buffer = LineBuffer.create(fd);
+    buffer.add('one');
+    buffer.add('two');
+    buffer.close();
+    assert.is(read(), 'one\ntwo\n');
+  }));
+
+test('lines beyond the bound are dropped and counted', () =>
+  withFile((fd, read) => {
+    const buffer = LineBuffer.create(fd);
+    const line = 'x'.repeat(1_000);
+    for (let i = 0; i < 600; i += 1) {
+      buffer.add(line);
+    }
+    buffer.close();
+    assert.is(read().split('\n').length - 1 + buffer.dropped, 600);
+    assert.ok(buffer.dropped > 0);
+  }));
+
+test.run();
--- a/src/adapters/system/roarrLogger.ts
+++ b/src/adapters/system/roarrLogger.ts
@@ -3,6 +3,7 @@
  */
 import './enableRoarr.js';
 import { ROARR, Roarr } from 'roarr';
+import { LineBuffer } from './lineBuffer.js';
 
 import { logLevelSchema } from '../../config/settings.js';
 import type { LogLevel } from '../../config/settings.js';
@@ -13,7 +14,10 @@
 /** Takes one line of the log. */
 export type LineWriter = (line: string) => void;
 
-const writeLine: LineWriter = (line) => void process.stdout.write(`${line}\n`);
+const standardOutput = LineBuffer.create();
+process.once('exit', () => standardOutput.close());
+
+const writeLine: LineWriter = (line) => standardOutput.add(line);
 
 export class RoarrLogger implements Logger {
   private constructor(
--- a/src/bestEffort/jobRun.ts
+++ b/src/bestEffort/jobRun.ts
@@ -7,6 +7,7 @@
 import type { Clock } from '../ports/clock.js';
 import type { JobEnd, JobRequest, JobStep } from '../ports/jobs.js';
 import type { Logger } from '../ports/logger.js';
+import type { Metrics } from '../ports/metrics.js';
 import type { Route } from '../routing/types.js';
 import type { JobPlanner, PlannedBatch, StepPlan } from './jobPlanner.js';
 import { createDeferred } from '../utils/deferred.js';
@@ -41,6 +42,7 @@
 export interface JobRunOptions {
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly planner: JobPlanner;
   readonly sender: BatchSender;
   readonly lengths: RunLengths;
--- a/src/bestEffort/runningJobs.ts
+++ b/src/bestEffort/runningJobs.ts
@@ -110,11 +110,16 @@
     const { jobId } = run.request;
     const end = await run.run(signal);
     this.jobs.delete(jobId);
+    const { routeId } = run.route;
+    const durationMs = Math.round(this.clock.nowMs() - startedAtMs);
+    const { metrics } = this.options;
+    metrics.count('jobs', 1, [`route:${routeId}`, `outcome:${end.kind}`]);
+    metrics.durationMs('job', durationMs, [`route:${routeId}`]);
     this.logger.info('A job has ended.', {
       jobId,
-      routeId: run.route.routeId,
+      routeId,
       outcome: end.kind,
-      durationMs: Math.round(this.clock.nowMs() - startedAtMs),
+      durationMs,
       ...('reason' in end ? { reason: end.reason } : {}),
     });
     return end;
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -4,6 +4,7 @@
 import type { MemberLoad } from '../fleet/types.js';
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
+import type { Metrics } from '../ports/metrics.js';
 import type { Random } from '../ports/random.js';
 import type { WorkerPort } from '../ports/workers.js';
 import { unreachable } from '../errors/unreachable.js';
@@ -34,6 +35,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly workers: WorkerPort;
   readonly leaseMs: number;
   readonly farRackFactor: number;
@@ -380,6 +382,7 @@
     const { task } = run;
     const slowness = worker.speed.slowness(this.options.clock.nowMs());
     this.noteStanding(worker, run, outcome);
+    this.options.metrics.count('runs', 1, [`outcome:${outcome.kind}`]);
     this.logger.info('A run has ended.', {
       taskName: run.taskName,
       run: run.run,
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -14,6 +14,7 @@
 import type { FleetStore } from '../ports/fleetStore.js';
 import type { JobEnd, JobRequest, JobService, JobState, RouteMatch } from '../ports/jobs.js';
 import type { Logger } from '../ports/logger.js';
+import type { Metrics } from '../ports/metrics.js';
 import type { Random } from '../ports/random.js';
 import type { WorkerPort } from '../ports/workers.js';
 import { RoutingFollower } from '../routing/routingFollower.js';
@@ -41,6 +42,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly store: FleetStore;
   readonly workers: WorkerPort;
   readonly connector: FleetConnector;
@@ -76,13 +78,14 @@
     private readonly identity: FleetIdentity,
     private readonly ports: FleetPorts,
   ) {
-    const { clock, random, logger, store, workers, connector } = ports;
+    const { clock, random, logger, metrics, store, workers, connector } = ports;
     const { member, leaseMs, farRackFactor } = identity;
     this.logger = logger.forPart('jobs');
     this.dispatcher = Dispatcher.create({
       clock,
       random,
       logger,
+      metrics,
       workers,
       leaseMs,
       farRackFactor,
@@ -111,6 +114,7 @@
     this.jobs = RunningJobs.create({
       clock,
       logger: this.logger,
+      metrics,
       planner,
       sender: this.router,
       lengths: this.lengths,
--- a/src/programs/toucandyked/platformProcess.ts
+++ b/src/programs/toucandyked/platformProcess.ts
@@ -7,6 +7,8 @@
 import { StoreClient } from '../../../platform/storeClient.js';
 import { FleetRpcConnector } from '../../adapters/fleetRpc/fleetRpcClient.js';
 import { FleetRpcServer } from '../../adapters/fleetRpc/fleetRpcServer.js';
+import { MeteredWorkers } from '../../adapters/metered/meteredWorkers.js';
+import { PromMetrics } from '../../adapters/system/promMetrics.js';
 import { RoarrLogger } from '../../adapters/system/roarrLogger.js';
 import type { LineWriter } from '../../adapters/system/roarrLogger.js';
 import { SystemClock } from '../../adapters/system/systemClock.js';
@@ -32,6 +34,7 @@
     private readonly daemon: FleetDaemon,
     private readonly front: JobFront,
     private readonly peers: FleetRpcServer,
+    private readonly metrics: PromMetrics,
   ) {}
 
   /**
@@ -42,6 +45,7 @@
    */
   static async create(settings: PlatformSettings, writeLog?: LineWriter): Promise<PlatformProcess> {
     const clock = SystemClock.create();
+    const metrics = PromMetrics.create();
     const random = SystemRandom.create();
     const logger = RoarrLogger.create('info', settings.vmId, writeLog);
     const { failureDomainId, failureDomainIds, weight, listen } = settings;
@@ -63,7 +67,8 @@
         random,
         logger,
         store,
-        workers: WorkerClient.create(),
+        metrics,
+        workers: MeteredWorkers.create({ workers: WorkerClient.create(), metrics, clock }),
         connector: FleetRpcConnector.create(),
       },
     );
@@ -77,9 +82,10 @@
       readiness: splitAddress(listen.readiness),
       service: daemon,
     });
+    await metrics.serve(splitAddress(settings.metricsAddress));
     const log = logger.forPart('process');
     log.info('The daemon has started.', { nodeId: member.incarnation, address: listen.callers });
-    return new PlatformProcess(settings, clock, log, daemon, front, peers);
+    return new PlatformProcess(settings, clock, log, daemon, front, peers, metrics);
   }
 
   get isReady(): boolean {
@@ -98,7 +104,7 @@
 
   /** Drops everything at once, as a killed process does. */
   async kill(): Promise<void> {
-    await Promise.all([this.front.kill(), this.peers.kill()]);
+    await Promise.all([this.front.kill(), this.peers.kill(), this.metrics.close()]);
     await this.daemon.close();
   }
 
@@ -126,6 +132,9 @@
     await this.front.kill();
     this.logger.info('The daemon has stopped.', { count: daemon.jobCount });
     await Promise.race([daemon.close(), clock.sleep(pollMs)]);
-    await Promise.race([this.peers.kill(), clock.sleep(pollMs)]);
+    await Promise.race([
+      Promise.all([this.peers.kill(), this.metrics.close()]),
+      clock.sleep(pollMs),
+    ]);
   }
 }
--- a/standins/platform/platformFixture.ts
+++ b/standins/platform/platformFixture.ts
@@ -2,7 +2,6 @@
  * A small platform with daemons of the product, all in one process: for tests and for profiles.
  */
 import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { PlatformProcess } from '../../src/programs/toucandyked/platformProcess.js';
 import type { PlatformSettings } from '../../platform/settings.js';
 import type { LineWriter } from '../../src/adapters/system/roarrLogger.js';
@@ -208,10 +207,31 @@
   }
 }
 
+/** Ports below those that the system gives to outgoing connections. */
+const firstPort = 12_000;
+const portRange = 18_000;
+const portsPerProcess = 40;
+let portOffset = (process.pid * portsPerProcess) % portRange;
+
+/** @returns an address on which nothing listens */
 const freeAddress = async (): Promise<string> => {
+  for (;;) {
+    const port = firstPort + portOffset;
+    portOffset = (portOffset + 1) % portRange;
+    if (await isFree(port)) {
+      return `127.0.0.1:${port}`;
+    }
+  }
+};
+
+const isFree = async (port: number): Promise<boolean> => {
   const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return `127.0.0.1:${port}`;
+  const isListening = await new Promise<boolean>((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => resolve(true));
+  });
+  if (isListening) {
+    await new Promise((resolve) => server.close(resolve));
+  }
+  return isListening;
 };
