--- a/src/adapters/http/requestJson.ts
+++ b/src/adapters/http/requestJson.ts
@@ -18,6 +18,8 @@
   readonly method: Dispatcher.HttpMethod;
   readonly path: string;
   readonly body?: unknown;
+  /** A body that is no JSON. */
+  readonly bytes?: Buffer;
   readonly token?: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly maxBytes: number;
@@ -101,7 +103,7 @@
           method: request.method,
           path: request.path,
           headers: createHeaders(request),
-          body: request.body === undefined ? null : JSON.stringify(request.body),
+          body: request.bytes ?? (request.body === undefined ? null : JSON.stringify(request.body)),
         },
         new ExchangeHandler(request, resolve),
       );
--- a/src/bestEffort/batchRouter.ts
+++ b/src/bestEffort/batchRouter.ts
@@ -3,14 +3,14 @@
  * is sent again on another connection when it stays without an answer.
  */
 import type { Dispatcher } from '../dispatch/dispatcher.js';
-import type { Batch } from '../dispatch/types.js';
+import type { Batch, BatchEnd } from '../dispatch/types.js';
 import type { FleetPeer } from '../fleet/fleetPeer.js';
 import type { FleetPeers } from '../fleet/fleetPeers.js';
 import type { Clock } from '../ports/clock.js';
 import { createDeferred } from '../utils/deferred.js';
 import type { Deferred } from '../utils/deferred.js';
 import type { FleetView } from './fleetView.js';
-import type { BatchResult, BatchSender } from './jobRun.js';
+import type { BatchResult, BatchSender } from './batchSender.js';
 
 /** A request is sent again when it has no answer after the expected time and this much more. */
 const resendSlackMs = 400;
@@ -49,7 +49,7 @@
   async run(dispatcherId: string, batch: Batch): Promise<BatchResult> {
     const { ownId, dispatcher, peers } = this.options;
     if (dispatcherId === ownId) {
-      return { kind: 'ended', end: await dispatcher.run(ownId, batch) };
+      return toResult(await dispatcher.run(ownId, batch));
     }
     const peer = peers().find(dispatcherId);
     if (peer === undefined) {
@@ -117,7 +117,7 @@
       if (reply.isOk()) {
         peers().noteHeard(dispatcherId);
         view.refresh(dispatcherId, reply.value.load);
-        return { kind: 'ended', end: reply.value };
+        return toResult(reply.value);
       }
       reason = reply.error.detail;
       await clock.sleep(Math.max(sentAtMs + minResendMs - clock.nowMs(), 0));
@@ -125,3 +125,11 @@
     return { kind: 'lost', reason };
   }
 }
+
+const toResult = (end: BatchEnd): BatchResult =>
+  end.isPartial
+    ? {
+        kind: 'partial',
+        returned: end.ends.flatMap((one) => (one.kind === 'returned' ? [one.task] : [])),
+      }
+    : { kind: 'ended', end };
--- a/src/bestEffort/runLengths.ts
+++ b/src/bestEffort/runLengths.ts
@@ -89,6 +89,15 @@
     this.noteChange();
   }
 
+  /**
+   * Takes what was saved in an earlier life of a daemon.
+   *
+   * @param savedBy - address of the daemon; what it says itself from now on adds to it
+   */
+  hearSaved(savedBy: string, sums: readonly LengthSums[]): void {
+    this.hear(savedBy, sums.map(halve));
+  }
+
   forget(incarnation: string): void {
     this.heard.delete(incarnation);
   }
@@ -118,6 +127,9 @@
   }
 }
 
+/** What was saved counts half: much of it is told by living daemons too. */
+const halve = (sums: LengthSums): LengthSums => addSums(emptySums(sums.routeId), sums, 1 / 2);
+
 const featuresOf = ({ declaredMs, deadlineMs }: LengthHints): readonly number[] => [
   1,
   declaredMs / msPerUnit,
--- a/src/bestEffort/runningJobs.ts
+++ b/src/bestEffort/runningJobs.ts
@@ -95,7 +95,7 @@
       jobId: request.jobId,
       routeId: route.routeId,
       count: request.steps.reduce((sum, { taskCount }) => sum + taskCount, 0),
-      expectedMs: run.expectedMs,
+      expectedMs: run.objectiveMs,
       leftMs: Math.round(deadlineMs),
     });
     const stop = new AbortController();
@@ -107,7 +107,7 @@
 
   private async finish(run: JobRun, signal: AbortSignal): Promise<JobEnd> {
     const startedAtMs = this.clock.nowMs();
-    const { jobId } = run.request;
+    const { jobId } = run;
     const end = await run.run(signal);
     this.jobs.delete(jobId);
     const { routeId } = run.route;
--- a/src/dispatch/dispatchedWorker.spec.ts
+++ b/src/dispatch/dispatchedWorker.spec.ts
@@ -34,6 +34,7 @@
   objectiveInMs: 300,
   giveUpInMs: 900,
   expiresInMs: 400,
+  maxWaitMs: 100,
   priority: 0,
   maxFailedRuns: 3,
   tasks: [{ index: 0, nextRun: 1, failedRuns: 0 }],
--- a/src/dispatch/dispatchedWorker.ts
+++ b/src/dispatch/dispatchedWorker.ts
@@ -47,6 +47,8 @@
   readonly workers: WorkerPort;
   readonly logger: Logger;
   readonly leaseMs: number;
+  /** What an earlier dispatcher found. */
+  readonly rememberedSlowness?: number | undefined;
   /** Called when a run certainly runs no more. */
   readonly onEnd: (worker: DispatchedWorker, run: ActiveRun, outcome: RunOutcome) => void;
   /** Called when something may start there that could not before. */
@@ -54,7 +56,7 @@
 }
 
 export class DispatchedWorker {
-  readonly speed = WorkerSpeed.create();
+  readonly speed: WorkerSpeed;
   readonly standing: WorkerStanding;
   private readonly runs = new Map<string, ActiveRun>();
   private readonly leases: LeaseClock;
@@ -79,6 +81,7 @@
     this.record = options.record;
     this.token = options.fencingToken;
     this.logger = options.logger;
+    this.speed = WorkerSpeed.create(options.rememberedSlowness);
     this.leases = LeaseClock.create(options.clock, options.leaseMs);
     this.standing = WorkerStanding.create(options.clock);
     this.strays = StrayRuns.create((stray) => this.sendStop(stray.taskName, stray.run));
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -9,6 +9,7 @@
 import type { WorkerPort } from '../ports/workers.js';
 import { unreachable } from '../errors/unreachable.js';
 import { fitsInto } from '../resources/resources.js';
+import type { SpeedMemory } from '../workers/speedMemory.js';
 import type { WorkerRecord } from '../workers/types.js';
 import type { ActiveRun, RunOutcome } from './activeRun.js';
 import { DispatchedWorker } from './dispatchedWorker.js';
@@ -39,6 +40,8 @@
   readonly workers: WorkerPort;
   readonly leaseMs: number;
   readonly farRackFactor: number;
+  /** What is remembered of workers. */
+  readonly speeds: SpeedMemory;
 }
 
 /** A worker of this daemon with its room. */
@@ -111,9 +114,12 @@
    * @returns how its tasks ended
    */
   async run(askedBy: string, content: Batch): Promise<BatchEnd> {
-    const batch = this.batches.get(content.batchId) ?? this.open(askedBy, content);
-    const ends = await batch.allEnds;
-    return { ends: [...ends], wasOffered: batch.wasOffered, load: this.load() };
+    const known = this.batches.get(content.batchId);
+    const batch = known ?? this.open(askedBy, content);
+    if (known === undefined && this.returnForRoom(batch) && !batch.isOver) {
+      return this.answer(batch, batch.ends, true);
+    }
+    return this.answer(batch, await batch.allEnds, false);
   }
 
   /** Ends a batch whose job has ended: nothing of it starts, and what runs is stopped. */
@@ -159,12 +165,7 @@
 
   /** Tells the other daemons of the room here. */
   load(): MemberLoad {
-    const nowMs = this.options.clock.nowMs();
-    const rooms = [...this.served.values()].map((worker) => ({
-      worker,
-      slowness: worker.speed.slowness(nowMs),
-      profile: RoomProfile.create(worker.free.cpuMillis, worker.releases()),
-    }));
+    const rooms = this.rooms();
     this.waiting.list().forEach((task) => this.placeWaiting(task, rooms));
     const workers = rooms.map(({ worker, slowness, profile }) => ({
       workerId: worker.workerId,
@@ -181,8 +182,12 @@
     await Promise.all([...this.served.values()].map((worker) => worker.close()));
   }
 
-  /** Takes the room that a waiting task will get first. */
-  private placeWaiting({ batch }: BatchedTask, rooms: readonly WorkerRoom[]): void {
+  /**
+   * Takes the room that a waiting task will get first.
+   *
+   * @returns its expected wait, in milliseconds
+   */
+  private placeWaiting({ batch }: BatchedTask, rooms: readonly WorkerRoom[]): number {
     const { needs, estimatedMs } = batch.content;
     const { cpuMillis } = needs.resources;
     let best: WorkerRoom | undefined;
@@ -194,7 +199,43 @@
         bestEndMs = endMs;
       }
     }
-    best?.profile.take(cpuMillis, Math.round(estimatedMs * best.slowness));
+    if (best === undefined) {
+      return Infinity;
+    }
+    const waitMs = best.profile.startsInMs(cpuMillis);
+    best.profile.take(cpuMillis, Math.round(estimatedMs * best.slowness));
+    return waitMs;
+  }
+
+  private answer(batch: OpenBatch, ends: readonly TaskEnd[], isPartial: boolean): BatchEnd {
+    return { isPartial, ends: [...ends], wasOffered: batch.wasOffered, load: this.load() };
+  }
+
+  /**
+   * Gives the tasks of a new batch back that would wait too long for room here.
+   *
+   * @returns whether there were any
+   */
+  private returnForRoom(batch: OpenBatch): boolean {
+    const rooms = this.rooms();
+    const late = this.waiting
+      .list()
+      .filter((task) => this.placeWaiting(task, rooms) > task.batch.content.maxWaitMs)
+      .filter((task) => task.batch === batch);
+    for (const task of late) {
+      this.waiting.remove(task);
+      this.giveBack(task, 'no room');
+    }
+    return late.length > 0;
+  }
+
+  private rooms(): WorkerRoom[] {
+    const nowMs = this.options.clock.nowMs();
+    return [...this.served.values()].map((worker) => ({
+      worker,
+      slowness: worker.speed.slowness(nowMs),
+      profile: RoomProfile.create(worker.free.cpuMillis, worker.releases()),
+    }));
   }
 
   private startServing(record: WorkerRecord, fencingToken: number): DispatchedWorker {
@@ -205,6 +246,7 @@
       clock,
       workers,
       leaseMs,
+      rememberedSlowness: this.options.speeds.get(record.workerId),
       logger: this.logger,
       onEnd: (worker, run, outcome) => this.ended(worker, run, outcome),
       onRoom: () => this.review(),
--- a/src/dispatch/openBatch.ts
+++ b/src/dispatch/openBatch.ts
@@ -62,6 +62,11 @@
     return this.ended.promise;
   }
 
+  /** @returns how tasks ended so far */
+  get ends(): readonly TaskEnd[] {
+    return this.taskEnds;
+  }
+
   get isOver(): boolean {
     return this.taskEnds.length === this.tasks.length;
   }
--- a/src/dispatch/types.ts
+++ b/src/dispatch/types.ts
@@ -43,6 +43,8 @@
   giveUpInMs: z.number(),
   /** Time until the tasks must have ended if nothing of their job was offered, in milliseconds. */
   expiresInMs: z.number(),
+  /** A task that would wait longer for room comes back at once, in milliseconds. */
+  maxWaitMs: z.number().nonnegative(),
   priority: z.number().int(),
   maxFailedRuns: z.number().int().positive(),
   tasks: z.array(batchTaskSchema).min(1),
@@ -68,8 +70,10 @@
 ]);
 export type TaskEnd = z.infer<typeof taskEndSchema>;
 
-/** The answer to a batch, when each of its tasks has ended. */
+/** The answer to a batch, when each of its tasks has ended, or at once if some came back. */
 export const batchEndSchema = z.object({
+  /** Whether tasks are left; the batch is then sent again, for the answer to all of them. */
+  isPartial: z.boolean(),
   ends: z.array(taskEndSchema),
   /** Whether any worker was asked to start one of its tasks. */
   wasOffered: z.boolean(),
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -20,8 +20,10 @@
 import { RoutingFollower } from '../routing/routingFollower.js';
 import { RoutingStore } from '../routing/routingStore.js';
 import type { Route, Routing } from '../routing/types.js';
+import { SpeedMemory } from '../workers/speedMemory.js';
 import { WorkerDirectory } from '../workers/workerDirectory.js';
 import { FleetPeers, maxPeerSilenceMs } from './fleetPeers.js';
+import { LearnedKeeper } from './learned.js';
 import { ShardKeeper, shardOf } from './shardKeeper.js';
 import type { FleetHeartbeat, Member, ShardGrant } from './types.js';
 
@@ -58,6 +60,8 @@
 export class FleetDaemon implements FleetService, JobService {
   private readonly routing = RoutingStore.create();
   private readonly lengths = RunLengths.create();
+  private readonly speeds = SpeedMemory.create();
+  private readonly learned: LearnedKeeper;
   private readonly directory: WorkerDirectory;
   private readonly follower: RoutingFollower;
   private readonly dispatcher: Dispatcher;
@@ -89,6 +93,7 @@
       workers,
       leaseMs,
       farRackFactor,
+      speeds: this.speeds,
     });
     this.directory = WorkerDirectory.create({
       clock,
@@ -120,6 +125,8 @@
       lengths: this.lengths,
       nextBatchId: () => this.nextBatchId(),
     });
+    const { lengths, speeds } = this;
+    this.learned = LearnedKeeper.create({ clock, logger, store, member, lengths, speeds });
     this.shards = ShardKeeper.create({
       clock,
       logger,
@@ -249,6 +256,7 @@
   async close(): Promise<void> {
     this.stop.abort();
     await Promise.all([this.shards.close(), this.peers.close(), this.follower.close()]);
+    await this.learned.close();
     await this.directory.close();
     await this.dispatcher.close();
     await Promise.all([this.ports.workers.close(), this.ports.store.close()]);
@@ -289,21 +297,31 @@
   }
 
   private composeHeartbeat(peer: string | undefined, isFull: boolean): FleetHeartbeat {
+    const load = this.dispatcher.load();
+    load.workers.forEach((worker) => this.speeds.note(worker));
+    const isNear = peer !== undefined && this.isNear(this.peers.find(peer)?.heartbeat?.member);
     return {
       member: this.identity.member,
       heardAddresses: this.peers.heard().map(({ address }) => address),
       routingVersion: this.routing.version,
       isLeaving: this.isLeaving,
-      load: this.dispatcher.load(),
+      load,
       askedBatchIds: this.router.askedOf(peer),
       ...(isFull ? { lengths: this.lengths.share() } : {}),
+      ...(isFull && isNear ? { speeds: this.speeds.list() } : {}),
     };
   }
 
-  private hear({ member, load, askedBatchIds, routingVersion, lengths }: FleetHeartbeat): void {
-    const { incarnation, failureDomainId } = member;
-    const isNear = failureDomainId === this.identity.member.failureDomainId;
-    this.view.hear(incarnation, load, isNear ? nearDistanceMs : farDistanceMs);
+  private isNear(member: Member | undefined): boolean {
+    return member?.failureDomainId === this.identity.member.failureDomainId;
+  }
+
+  private hear(heartbeat: FleetHeartbeat): void {
+    const { member, load, askedBatchIds, routingVersion, lengths, speeds } = heartbeat;
+    const { incarnation } = member;
+    this.view.hear(incarnation, load, this.isNear(member) ? nearDistanceMs : farDistanceMs);
+    load.workers.forEach((worker) => this.speeds.note(worker));
+    speeds?.forEach((speed) => this.speeds.noteRemembered(speed));
     if (lengths !== undefined) {
       this.lengths.hear(incarnation, lengths);
     }
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -3,6 +3,7 @@
  */
 import { z } from 'zod';
 import { lengthSumsSchema } from '../bestEffort/lengthSums.js';
+import { workerSlownessSchema } from '../workers/speedMemory.js';
 import { releaseSchema } from '../dispatch/roomProfile.js';
 import { resourcesSchema } from '../resources/resources.js';
 
@@ -54,5 +55,7 @@
   askedBatchIds: z.array(z.string()),
   /** What the sender has learned of run times; in some heartbeats only. */
   lengths: z.array(lengthSumsSchema).optional(),
+  /** What the sender remembers of workers; with \`lengths\`, within a failure domain. */
+  speeds: z.array(workerSlownessSchema).optional(),
 });
 export type FleetHeartbeat = z.infer<typeof heartbeatSchema>;
--- a/src/ports/fleetStore.ts
+++ b/src/ports/fleetStore.ts
@@ -1,5 +1,6 @@
 /** Port to the platform's store: shards of workers, the routing configuration, the workers. */
 import type { Result } from 'ts-results-es';
+import type { Learned } from '../fleet/learned.js';
 import type { Member, ShardGrant } from '../fleet/types.js';
 import type { Routing } from '../routing/types.js';
 import type { WorkerRecord } from '../workers/types.js';
@@ -32,6 +33,13 @@
   readonly faults: readonly string[];
 }
 
+/** What a daemon has saved. */
+export interface SavedLearned {
+  /** Address of the daemon. */
+  readonly savedBy: string;
+  readonly learned: Learned;
+}
+
 export interface FleetStore {
   /** Shards that the workers of each failure domain are spread over. */
   readonly shardCount: number;
@@ -67,5 +75,9 @@
    * @returns nothing where the store has dropped the records; list all workers instead
    */
   readWorkerChanges(offset: number): Promise<Result<WorkerChanges | undefined, StoreError>>;
+  /** Keeps what a daemon has learned, in place of what it saved before. */
+  saveLearned(member: Member, learned: Learned): Promise<Result<void, StoreError>>;
+  /** Reads what the daemons of the fleet have saved. */
+  readLearned(): Promise<Result<readonly SavedLearned[], StoreError>>;
   close(): Promise<void>;
 }
--- a/src/programs/toucandyked/platformProcess.spec.ts
+++ b/src/programs/toucandyked/platformProcess.spec.ts
@@ -218,6 +218,22 @@
     assert.is((await fixture.submit(other, jobId(3), { tasks: 8, runMs: 50 })).status, 200);
   }));
 
+test('what was learned of a worker outlives all daemons', () =>
+  withPlatform({ daemons: ['east'], workers: ['east'] }, async (fixture) => {
+    const [daemon] = fixture.daemons;
+    assert.ok(daemon);
+    await fixture.submit(daemon, jobId(1), { tasks: 2, runMs: 60 });
+    await sleep(8_500);
+    await daemon.kill();
+    fixture.daemons.splice(0, 1);
+    const saved = fixture.store.log('keyed.learned').items();
+    assert.is(saved.length, 1);
+    const lines: string[] = [];
+    await fixture.addDaemon('vm-9', 'east', (line) => void lines.push(line));
+    await fixture.untilServing(1);
+    assert.ok(lines.some((line) => line.includes('What was learned before is read.')));
+  }));
+
 test('work that cannot meet its objective is refused at once, with the time to come back', () =>
   withPlatform({ daemons: ['east'], workers: ['east'] }, async (fixture) => {
     const [daemon] = fixture.daemons;
--- a/src/workers/workerSpeed.ts
+++ b/src/workers/workerSpeed.ts
@@ -4,8 +4,10 @@
 
 /** Share of a new observation in the mean. */
 const observationWeight = 0.15;
-/** A worker that was not tried yet is taken for a typical one. */
-const typicalSlowness = 1;
+/** A worker of which nothing is known is taken for a little slower than a typical one. */
+const unknownSlowness = 1.1;
+/** Weight of what an earlier dispatcher found, in observations. */
+const rememberedObservations = 4;
 /** Observations beyond this range say more of the declared time than of the worker. */
 const minRatio = 0.2;
 const maxRatio = 12;
@@ -15,16 +17,18 @@
 const forgetMs = 2_500;
 
 export class WorkerSpeed {
-  private mean = typicalSlowness;
   private observations = 0;
   private observedAtMs = 0;
 
-  private constructor() {
-    // Built by create.
-  }
+  private constructor(private mean: number) {}
 
-  static create(): WorkerSpeed {
-    return new WorkerSpeed();
+  /**
+   * @param remembered - what an earlier dispatcher found
+   */
+  static create(remembered?: number): WorkerSpeed {
+    const speed = new WorkerSpeed(remembered ?? unknownSlowness);
+    speed.observations = remembered === undefined ? 0 : rememberedObservations;
+    return speed;
   }
 
   /**
--- a/standins/platform/storeStandIn.ts
+++ b/standins/platform/storeStandIn.ts
@@ -81,6 +81,12 @@
         sendJson(response, 200, { items: log.items(), more: false, end: log.end });
         return;
       }
+      case '/-/log-append': {
+        const log = this.log(url.searchParams.get('topic') ?? '');
+        appendRecords(log, await readBytes(request));
+        sendJson(response, 200, { offset: log.end - 1, end: log.end });
+        return;
+      }
       case '/-/log-read':
         return this.serveRead(url, response);
       case '/-/log-join':
@@ -129,3 +135,23 @@
   const body = await readJsonBody(request, maxBodyBytes);
   return body.unwrap() as JoinBody;
 };
+
+const readBytes = async (request: IncomingMessage): Promise<Buffer> => {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) {
+    chunks.push(chunk as Buffer);
+  }
+  return Buffer.concat(chunks);
+};
+
+/** Appends records that follow their lengths; each has the length of its key, key, value. */
+const appendRecords = (log: KeyedLog, bytes: Buffer): void => {
+  let position = 0;
+  while (position < bytes.length) {
+    const length = bytes.readUInt32BE(position);
+    const content = bytes.subarray(position + 4, position + 4 + length);
+    const keyEnd = 1 + content.readUInt8(0);
+    log.append(content.subarray(1, keyEnd).toString('utf8'), content.subarray(keyEnd));
+    position += 4 + length;
+  }
+};
