--- a/src/bestEffort/fleetView.ts
+++ b/src/bestEffort/fleetView.ts
@@ -18,6 +18,8 @@
 /** A dispatcher's worker, with the room that is thought to be left. */
 export interface SeenWorker extends Omit<Candidate, 'startsInMs'> {
   readonly dispatcherId: string;
+  /** When its dispatcher was heard last, on this process's monotonic clock. */
+  readonly heardAtMs: number;
   readonly capacity: Resources;
   readonly profile: RoomProfile;
 }
@@ -113,7 +115,7 @@
 
   private see(
     dispatcherId: string,
-    { distanceMs, reservations }: HeardLoad,
+    { distanceMs, reservations, heardAtMs }: HeardLoad,
     { workerId, free, slowness, isOpen, releases }: WorkerLoad,
     serviceId: string,
   ): SeenWorker | undefined {
@@ -128,7 +130,17 @@
       }
     }
     const { labels, capacity } = record;
-    return { dispatcherId, workerId, labels, capacity, free, profile, slowness, distanceMs };
+    return {
+      dispatcherId,
+      heardAtMs,
+      workerId,
+      labels,
+      capacity,
+      free,
+      profile,
+      slowness,
+      distanceMs,
+    };
   }
 }
 
--- a/src/bestEffort/jobPlanner.ts
+++ b/src/bestEffort/jobPlanner.ts
@@ -24,6 +24,8 @@
   readonly startsNow: boolean;
   /** Longest time that a task waits for room, in milliseconds. */
   readonly longestWaitMs: number;
+  /** Age of the oldest word of a dispatcher that the plan relies on, in milliseconds. */
+  readonly oldestWordMs: number;
   /** The room that the plan counts on. */
   readonly reservations: readonly Reservation[];
 }
@@ -77,12 +79,14 @@
     let lastEndAtMs = nowMs;
     let startsNow = false;
     let longestWaitMs = 0;
+    let oldestWordMs = 0;
     for (const task of tasks) {
       const place = this.choose(demand, workers, nowMs);
       if (place === undefined) {
         return undefined;
       }
-      const { dispatcherId, workerId, distanceMs, profile } = place.worker;
+      const { dispatcherId, workerId, distanceMs, profile, heardAtMs } = place.worker;
+      oldestWordMs = Math.max(oldestWordMs, Math.round(nowMs - heardAtMs));
       const batch = batches.get(dispatcherId) ?? { dispatcherId, tasks: [] };
       batch.tasks.push(task);
       batches.set(dispatcherId, batch);
@@ -94,7 +98,14 @@
       profile.take(cpuMillis, place.runMs);
       reservations.push({ dispatcherId, workerId, cpuMillis, runMs: place.runMs });
     }
-    return { batches: [...batches.values()], lastEndAtMs, startsNow, longestWaitMs, reservations };
+    return {
+      batches: [...batches.values()],
+      lastEndAtMs,
+      startsNow,
+      longestWaitMs,
+      oldestWordMs,
+      reservations,
+    };
   }
 
   /** Keeps the room of a plan that is carried out from the plans that follow. */
--- a/src/bestEffort/stepRun.ts
+++ b/src/bestEffort/stepRun.ts
@@ -4,6 +4,7 @@
 import type { Batch, BatchTask, TaskEnd } from '../dispatch/types.js';
 import { unreachable } from '../errors/unreachable.js';
 import type { Clock } from '../ports/clock.js';
+import type { Logger } from '../ports/logger.js';
 import type { BatchResult, BatchSender } from './batchSender.js';
 import type { JobPlanner, PlannedBatch, StepPlan } from './jobPlanner.js';
 import type { JobState, SentBatch } from './jobState.js';
@@ -30,6 +31,7 @@
 
 export interface StepRunOptions {
   readonly clock: Clock;
+  readonly logger: Logger;
   readonly planner: JobPlanner;
   readonly sender: BatchSender;
   /** Gives the name of the next batch. */
@@ -99,6 +101,14 @@
     const lateMs = plan.lastEndAtMs - demand.objectiveAtMs;
     const isTooLate = plan.longestWaitMs > 0 && plan.lastEndAtMs > this.job.admissibleEndAtMs;
     if (isTooLate && !this.job.hasStarted) {
+      const nowMs = this.options.clock.nowMs();
+      this.options.logger.info('No room is free in time.', {
+        jobId: this.job.request.jobId,
+        count: tasks.length,
+        expectedMs: Math.round(plan.lastEndAtMs - nowMs),
+        leftMs: Math.round(demand.objectiveAtMs - nowMs),
+        ageMs: plan.oldestWordMs,
+      });
       return { kind: 'refused', reason: 'its objective cannot be met', waitMs: lateMs };
     }
     planner.commit(plan);
@@ -114,6 +124,13 @@
     const batch = this.composeBatch(tasks, plan, placement);
     const sent: SentBatch = { dispatcherId, batchId: batch.batchId };
     this.job.open.add(sent);
+    this.options.logger.info('Tasks go to a dispatcher.', {
+      jobId: batch.jobId,
+      batchId: batch.batchId,
+      nodeId: dispatcherId,
+      count: tasks.length,
+      ageMs: plan.oldestWordMs,
+    });
     const first = await sender.run(dispatcherId, batch);
     if (first.kind !== 'partial') {
       this.job.open.delete(sent);
