--- a/src/adapters/system/systemClock.ts
+++ b/src/adapters/system/systemClock.ts
@@ -1,9 +1,11 @@
 /**
  * The clock of the operating system.
  */
+import { uptime } from 'node:os';
 import { performance } from 'node:perf_hooks';
 import type { Clock } from '../../ports/clock.js';
 
+const msPerSecond = 1_000;
 /** Longest delay that a timer takes, in milliseconds. */
 const maxTimerMs = 2_147_483_647;
 
@@ -24,6 +26,10 @@
     return Date.now();
   }
 
+  bootMs(): number {
+    return uptime() * msPerSecond;
+  }
+
   sleep(durationMs: number, signal?: AbortSignal): Promise<void> {
     return new Promise((resolve) => {
       if (signal?.aborted === true) {
--- a/src/bestEffort/batchRouter.ts
+++ b/src/bestEffort/batchRouter.ts
@@ -103,6 +103,7 @@
   private async runAt(peer: FleetPeer, dispatcherId: string, batch: Batch): Promise<BatchResult> {
     const { clock, ownId, view, dispatcher, peers } = this.options;
     const patienceMs = batch.estimatedMs * expectationFactor + resendSlackMs;
+    const isNear = view.nearnessOf(dispatcherId) === 'near';
     let reason = 'no answer';
     for (
       let sends = 0;
@@ -110,10 +111,8 @@
       sends += 1
     ) {
       const sentAtMs = clock.nowMs();
-      const reply = await peer.link.runBatch(
-        { askedBy: ownId, batch, load: dispatcher.load() },
-        patienceMs,
-      );
+      const load = isNear ? { load: dispatcher.load() } : {};
+      const reply = await peer.link.runBatch({ askedBy: ownId, batch, ...load }, patienceMs);
       if (reply.isOk()) {
         peers().noteHeard(dispatcherId);
         view.refresh(dispatcherId, reply.value.load);
--- a/src/bestEffort/fleetView.ts
+++ b/src/bestEffort/fleetView.ts
@@ -15,9 +15,16 @@
 /** A word may have been written before what was sent this shortly before it came, in milliseconds. */
 const inFlightMs = 6;
 
+/** Whether a dispatcher is this daemon itself, in its failure domain, or in another one. */
+export type Nearness = 'own' | 'near' | 'far';
+
+/** Time in which a task reaches a dispatcher, in milliseconds. */
+const distancesMs: Readonly<Record<Nearness, number>> = { own: 0, near: 1, far: 4 };
+
 /** A dispatcher's worker, with the room that is thought to be left. */
-export interface SeenWorker extends Omit<Candidate, 'startsInMs'> {
+export interface SeenWorker extends Omit<Candidate, 'startsInMs' | 'reachCost'> {
   readonly dispatcherId: string;
+  readonly nearness: Nearness;
   /** When its dispatcher was heard last, on this process's monotonic clock. */
   readonly heardAtMs: number;
   readonly capacity: Resources;
@@ -34,7 +41,7 @@
 
 interface HeardLoad {
   readonly load: MemberLoad;
-  readonly distanceMs: number;
+  readonly nearness: Nearness;
   readonly heardAtMs: number;
   readonly reservations: readonly TimedReservation[];
 }
@@ -67,23 +74,27 @@
    *
    * @param dispatcherId - incarnation of the daemon
    * @param load - its workers and their room
-   * @param distanceMs - cost of reaching it, in milliseconds
+   * @param nearness - where it is
    */
-  hear(dispatcherId: string, load: MemberLoad, distanceMs: number): void {
+  hear(dispatcherId: string, load: MemberLoad, nearness: Nearness): void {
     const heardAtMs = this.options.clock.nowMs();
     const before = this.loads.get(dispatcherId)?.reservations ?? [];
     const reservations = before.filter(({ atMs }) => heardAtMs - atMs < inFlightMs);
-    this.loads.set(dispatcherId, { load, distanceMs, heardAtMs, reservations });
+    this.loads.set(dispatcherId, { load, nearness, heardAtMs, reservations });
   }
 
   /** Takes the newest word of a dispatcher that is known; of others only heartbeats are taken. */
   refresh(dispatcherId: string, load: MemberLoad): void {
     const known = this.loads.get(dispatcherId);
     if (known !== undefined) {
-      this.hear(dispatcherId, load, known.distanceMs);
+      this.hear(dispatcherId, load, known.nearness);
     }
   }
 
+  nearnessOf(dispatcherId: string): Nearness | undefined {
+    return this.loads.get(dispatcherId)?.nearness;
+  }
+
   forget(dispatcherId: string): void {
     this.loads.delete(dispatcherId);
   }
@@ -102,7 +113,7 @@
   /** @returns the workers of a service that get tasks, at the dispatchers that are heard */
   workers(serviceId: string): SeenWorker[] {
     const { clock, ownId, ownLoad } = this.options;
-    this.hear(ownId, ownLoad(), 0);
+    this.hear(ownId, ownLoad(), 'own');
     const oldestMs = clock.nowMs() - maxAgeMs;
     return [...this.loads].flatMap(([dispatcherId, heard]) =>
       heard.heardAtMs < oldestMs
@@ -115,7 +126,7 @@
 
   private see(
     dispatcherId: string,
-    { distanceMs, reservations, heardAtMs }: HeardLoad,
+    { nearness, reservations, heardAtMs }: HeardLoad,
     { workerId, free, slowness, isOpen, releases }: WorkerLoad,
     serviceId: string,
   ): SeenWorker | undefined {
@@ -139,7 +150,8 @@
       free,
       profile,
       slowness,
-      distanceMs,
+      nearness,
+      distanceMs: distancesMs[nearness],
     };
   }
 }
--- /dev/null
+++ b/src/bestEffort/jobPlanner.spec.ts
@@ -0,0 +1,103 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { TaskDemand } from '../dispatch/workerChoice.js';
+import type { MemberLoad } from '../fleet/types.js';
+import { FakeClock } from '../testing/fakeClock.js';
+import { SeededRandom } from '../testing/seededRandom.js';
+import type { WorkerRecord } from '../workers/types.js';
+import { FleetView } from './fleetView.js';
+import { JobPlanner } from './jobPlanner.js';
+
+const record = (workerId: string): WorkerRecord => ({
+  workerId,
+  address: '127.0.0.1:1',
+  serviceId: 'fit',
+  failureDomainId: 'east',
+  state: 'ready',
+  bornAtMs: 1,
+  capacity: { cpuMillis: 32_000, memoryMb: 65_536, accelerators: 0 },
+  labels: [],
+});
+
+/** A dispatcher with one worker, of which so much is free. */
+const load = (workerId: string, freeCpuMillis: number, endsInMs = 100): MemberLoad => ({
+  workers: [
+    {
+      workerId,
+      free: { cpuMillis: freeCpuMillis, memoryMb: 60_000, accelerators: 0 },
+      slowness: 1,
+      isOpen: true,
+      releases: [{ inMs: endsInMs, cpuMillis: 32_000 - freeCpuMillis }],
+    },
+  ],
+});
+
+const demand: TaskDemand = {
+  needs: { resources: { cpuMillis: 14_000, memoryMb: 64, accelerators: 0 } },
+  estimatedMs: 100,
+  objectiveAtMs: 300,
+  giveUpAtMs: 900,
+};
+
+const tasksOf = (count: number) =>
+  Array.from({ length: count }, (_, index) => ({ index, nextRun: 1, failedRuns: 0 }));
+
+const createFixture = (ownFreeCpuMillis: number) => {
+  const clock = FakeClock.create();
+  const view = FleetView.create({
+    clock,
+    ownId: 'own',
+    ownLoad: () => load('w-own', ownFreeCpuMillis),
+    findWorker: record,
+  });
+  const random = SeededRandom.create(1);
+  const planner = JobPlanner.create({ clock, random, view, farRackFactor: 1.5 });
+  const plan = (count: number) => planner.plan('fit', demand, tasksOf(count), new Set());
+  return { clock, view, planner, plan };
+};
+
+test('the own dispatcher is taken while it has room, then the others', () => {
+  const { view, plan } = createFixture(32_000);
+  view.hear('near', load('w-near', 32_000), 'near');
+  assert.equal(
+    plan(2)?.batches.map(({ dispatcherId, tasks }) => [dispatcherId, tasks.length]),
+    [['own', 2]],
+  );
+  assert.equal(
+    plan(4)?.batches.map(({ dispatcherId, tasks }) => [dispatcherId, tasks.length]),
+    [
+      ['own', 2],
+      ['near', 2],
+    ],
+  );
+});
+
+test('room that a plan counts on is not seen by the next one', () => {
+  const { view, planner, plan } = createFixture(0);
+  view.hear('near', load('w-near', 28_000), 'near');
+  const first = plan(2);
+  assert.ok(first);
+  assert.is(first.longestWaitMs, 0);
+  planner.commit(first);
+  assert.ok((plan(2)?.longestWaitMs ?? 0) > 0);
+});
+
+test('a dispatcher that is not heard for a while gets nothing', async () => {
+  const { clock, view, plan } = createFixture(0);
+  view.hear('near', load('w-near', 32_000), 'near');
+  await clock.advance(1_500);
+  assert.equal(
+    plan(1)?.batches.map(({ dispatcherId }) => dispatcherId),
+    ['own'],
+  );
+});
+
+test('without room, the wait until something ends is part of the plan', () => {
+  const { plan } = createFixture(0);
+  const planned = plan(2);
+  assert.is(planned?.longestWaitMs, 100);
+  assert.is(planned?.lastEndAtMs, 200);
+  assert.not.ok(planned?.startsNow);
+});
+
+test.run();
--- a/src/bestEffort/jobPlanner.ts
+++ b/src/bestEffort/jobPlanner.ts
@@ -7,7 +7,7 @@
 import type { Clock } from '../ports/clock.js';
 import type { Random } from '../ports/random.js';
 import { roomInMs } from './fleetView.js';
-import type { FleetView, Reservation, SeenWorker } from './fleetView.js';
+import type { FleetView, Nearness, Reservation, SeenWorker } from './fleetView.js';
 
 /** Tasks that go to one dispatcher. */
 export interface PlannedBatch {
@@ -30,6 +30,9 @@
   readonly reservations: readonly Reservation[];
 }
 
+/** Cost of the first task of a plan that goes to a dispatcher; further ones travel with it. */
+const reachCosts: Readonly<Record<Nearness, number>> = { own: 0, near: 6, far: 14 };
+
 interface PlannedCandidate extends Candidate {
   readonly seen: SeenWorker;
 }
@@ -81,7 +84,7 @@
     let longestWaitMs = 0;
     let oldestWordMs = 0;
     for (const task of tasks) {
-      const place = this.choose(demand, workers, nowMs);
+      const place = this.choose(demand, workers, batches, nowMs);
       if (place === undefined) {
         return undefined;
       }
@@ -116,6 +119,7 @@
   private choose(
     demand: TaskDemand,
     workers: readonly SeenWorker[],
+    batches: ReadonlyMap<string, PlannedBatch>,
     nowMs: number,
   ): Place | undefined {
     const { random, farRackFactor } = this.options;
@@ -123,7 +127,8 @@
     for (const seen of workers) {
       const startsInMs = roomInMs(seen, demand.needs.resources);
       if (startsInMs < Infinity) {
-        candidates.push({ ...seen, free: freeOf(seen), startsInMs, seen });
+        const reachCost = batches.has(seen.dispatcherId) ? 0 : reachCosts[seen.nearness];
+        candidates.push({ ...seen, free: freeOf(seen), startsInMs, reachCost, seen });
       }
     }
     const chosen = chooseWorker(demand, candidates, {
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -414,6 +414,7 @@
         startsInMs: 0,
         slowness: worker.speed.slowness(nowMs),
         distanceMs: 0,
+        reachCost: 0,
       });
     }
     return candidates;
--- a/src/dispatch/workerChoice.spec.ts
+++ b/src/dispatch/workerChoice.spec.ts
@@ -12,6 +12,7 @@
   startsInMs: 0,
   slowness: 1,
   distanceMs: 0,
+  reachCost: 0,
   ...changes,
 });
 
@@ -57,7 +58,7 @@
     free: { cpuMillis: 14_000, memoryMb: 64, accelerators: 0 },
   });
   assert.is(choose(demand(), [candidate('wide'), tight]), 'tight');
-  assert.is(choose(demand(), [candidate('far', { distanceMs: 4 }), candidate('here')]), 'here');
+  assert.is(choose(demand(), [candidate('far', { reachCost: 4 }), candidate('here')]), 'here');
 });
 
 test.run();
--- a/src/dispatch/workerChoice.ts
+++ b/src/dispatch/workerChoice.ts
@@ -21,8 +21,10 @@
   /** Time until there is room for the task, in milliseconds. */
   readonly startsInMs: number;
   readonly slowness: number;
-  /** Cost of reaching the worker from here, in milliseconds. */
+  /** Time in which a task reaches the worker from here, in milliseconds. */
   readonly distanceMs: number;
+  /** Cost of the messages to its dispatcher, against a wait in milliseconds. */
+  readonly reachCost: number;
 }
 
 /** A candidate with what a task would get there. */
@@ -111,8 +113,7 @@
 ): number => {
   const leftMs = demand.objectiveAtMs - nowMs - delayMs(candidate);
   const leftover = Math.max(candidate.free.cpuMillis - demand.needs.resources.cpuMillis, 0);
-  const shared =
-    candidate.distanceMs + candidate.startsInMs + (leftover / 1_000) * leftoverCoreCost;
+  const shared = candidate.reachCost + candidate.startsInMs + (leftover / 1_000) * leftoverCoreCost;
   if (expectedMs > leftMs) {
     return lateCost + expectedMs + shared;
   }
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -25,11 +25,9 @@
 import { FleetPeers, maxPeerSilenceMs } from './fleetPeers.js';
 import { LearnedKeeper } from './learned.js';
 import { ShardKeeper, shardOf } from './shardKeeper.js';
+import { SuspendWatch } from './suspendWatch.js';
 import type { FleetHeartbeat, Member, ShardGrant } from './types.js';
 
-/** Cost of reaching a dispatcher of the same and of another failure domain, in milliseconds. */
-const nearDistanceMs = 1;
-const farDistanceMs = 4;
 /** Batches that are younger may have been sent after the heartbeat that does not name them. */
 const minUnaskedAgeMs = 600;
 const askerCheckPeriodMs = 100;
@@ -70,6 +68,7 @@
   private readonly view: FleetView;
   private readonly jobs: RunningJobs;
   private readonly shards: ShardKeeper;
+  private readonly suspendWatch: SuspendWatch;
   private readonly logger: Logger;
   private readonly stop = new AbortController();
   private grant: ShardGrant = { generation: 0, shards: [] };
@@ -147,6 +146,11 @@
       onLost: (incarnation) => this.noteLost(incarnation),
       onSuspect: (incarnation) => this.view.forget(incarnation),
     });
+    this.suspendWatch = SuspendWatch.create({
+      clock,
+      logger,
+      onSuspended: () => this.forgetWork('the VM was suspended'),
+    });
     void this.watchAskers();
   }
 
@@ -214,7 +218,9 @@
 
   runBatch({ askedBy, batch, load }: AskedBatch): Promise<BatchEnd> {
     this.peers.noteHeard(askedBy);
-    this.view.refresh(askedBy, load);
+    if (load !== undefined) {
+      this.view.refresh(askedBy, load);
+    }
     return this.dispatcher.run(askedBy, batch);
   }
 
@@ -236,6 +242,14 @@
     this.jobs.giveUpAll('the daemon stops');
   }
 
+  /** Ends all jobs and batches: their callers and askers have gone on without this daemon. */
+  private forgetWork(reason: string): void {
+    this.jobs.giveUpAll(reason);
+    this.dispatcher.askers().forEach((asker) => {
+      this.dispatcher.withdrawUnasked(asker, () => false, 0);
+    });
+  }
+
   /** Begins a planned stop: takes no new callers and hands the workers over as their runs end. */
   async drain(): Promise<void> {
     this.isLeaving = true;
@@ -256,7 +270,7 @@
   async close(): Promise<void> {
     this.stop.abort();
     await Promise.all([this.shards.close(), this.peers.close(), this.follower.close()]);
-    await this.learned.close();
+    await Promise.all([this.learned.close(), this.suspendWatch.close()]);
     await this.directory.close();
     await this.dispatcher.close();
     await Promise.all([this.ports.workers.close(), this.ports.store.close()]);
@@ -319,7 +333,7 @@
   private hear(heartbeat: FleetHeartbeat): void {
     const { member, load, askedBatchIds, routingVersion, lengths, speeds } = heartbeat;
     const { incarnation } = member;
-    this.view.hear(incarnation, load, this.isNear(member) ? nearDistanceMs : farDistanceMs);
+    this.view.hear(incarnation, load, this.isNear(member) ? 'near' : 'far');
     load.workers.forEach((worker) => this.speeds.note(worker));
     speeds?.forEach((speed) => this.speeds.noteRemembered(speed));
     if (lengths !== undefined) {
--- a/src/ports/clock.ts
+++ b/src/ports/clock.ts
@@ -4,6 +4,8 @@
   nowMs(): number;
   /** Wall-clock time in milliseconds since the epoch; for logs and reports only. */
   wallMs(): number;
+  /** Time since the VM booted in milliseconds, in which suspensions count. */
+  bootMs(): number;
   /**
    * Waits.
    *
--- a/src/ports/fleetPeers.ts
+++ b/src/ports/fleetPeers.ts
@@ -13,8 +13,8 @@
 export const askedBatchSchema = z.object({
   askedBy: z.string(),
   batch: batchSchema,
-  /** The room at the daemon that asks. */
-  load: memberLoadSchema,
+  /** The room at the daemon that asks; within a failure domain. */
+  load: memberLoadSchema.optional(),
 });
 export type AskedBatch = z.infer<typeof askedBatchSchema>;
 
--- a/src/testing/fakeClock.ts
+++ b/src/testing/fakeClock.ts
@@ -33,6 +33,10 @@
     return this.timeMs;
   }
 
+  bootMs(): number {
+    return this.timeMs;
+  }
+
   sleep(durationMs: number, signal?: AbortSignal): Promise<void> {
     return new Promise((resolve) => {
       if (signal?.aborted === true) {
