--- a/src/bestEffort/jobPlanner.spec.ts
+++ b/src/bestEffort/jobPlanner.spec.ts
@@ -32,12 +32,12 @@
   ],
 });
 
-const demand: TaskDemand = {
+const demandAt = (nowMs: number): TaskDemand => ({
   needs: { resources: { cpuMillis: 14_000, memoryMb: 64, accelerators: 0 } },
   estimatedMs: 100,
-  objectiveAtMs: 300,
-  giveUpAtMs: 900,
-};
+  objectiveAtMs: nowMs + 300,
+  giveUpAtMs: nowMs + 900,
+});
 
 const tasksOf = (count: number) =>
   Array.from({ length: count }, (_, index) => ({ index, nextRun: 1, failedRuns: 0 }));
@@ -52,7 +52,8 @@
   });
   const random = SeededRandom.create(1);
   const planner = JobPlanner.create({ clock, random, view, farRackFactor: 1.5 });
-  const plan = (count: number) => planner.plan('fit', demand, tasksOf(count), new Set());
+  const plan = (count: number) =>
+    planner.plan('fit', demandAt(clock.nowMs()), tasksOf(count), new Set());
   return { clock, view, planner, plan };
 };
 
