--- /dev/null
+++ b/src/dispatch/taskNames.ts
@@ -0,0 +1,21 @@
+/**
+ * Names and demands of the tasks of a batch.
+ */
+import type { BatchedTask, OpenBatch } from './openBatch.js';
+import type { TaskDemand } from './workerChoice.js';
+
+/** Name of a step on the workers; the second part numbers occurrences of jobs that repeat. */
+export const stepNameOf = ({ content }: OpenBatch): string =>
+  `${content.jobId}.0.${content.stepIndex}`;
+
+/** Name of a task on the workers. */
+export const taskNameOf = ({ batch, index }: BatchedTask): string =>
+  `${stepNameOf(batch)}.${index}`;
+
+/** What a task asks of a worker. */
+export const demandOf = ({ batch }: BatchedTask): TaskDemand => ({
+  needs: batch.content.needs,
+  estimatedMs: batch.content.estimatedMs,
+  objectiveAtMs: batch.objectiveAtMs,
+  giveUpAtMs: batch.giveUpAtMs,
+});
