--- a/src/dispatch/dispatchedWorker.spec.ts
+++ b/src/dispatch/dispatchedWorker.spec.ts
@@ -51,7 +51,7 @@
   readonly workers: ScriptedWorkers;
   readonly worker: DispatchedWorker;
   readonly outcomes: RunOutcome[];
-  start(taskName: string): void;
+  readonly start: (taskName: string) => void;
 }
 
 const createFixture = (): Fixture => {
--- a/src/explain/explainLogs.ts
+++ b/src/explain/explainLogs.ts
@@ -59,7 +59,7 @@
     context.workerId === undefined ? '' : `on ${context.workerId}`,
     context.nodeId === undefined ? '' : `at daemon ${context.nodeId}`,
     context.count === undefined ? '' : `${context.count} tasks`,
-    context.outcome === undefined ? '' : context.outcome,
+    context.outcome ?? '',
     context.durationMs === undefined ? '' : `after ${context.durationMs} ms`,
     context.expectedMs === undefined ? '' : `expected ${context.expectedMs} ms`,
     context.leftMs === undefined ? '' : `${context.leftMs} ms left`,
--- a/src/fleet/shardKeeper.spec.ts
+++ b/src/fleet/shardKeeper.spec.ts
@@ -14,7 +14,7 @@
   const clock = FakeClock.create();
   const named: number[] = [];
   let granted: ShardGrant = { generation: 1, shards: [0, 1] };
-  const released = createDeferred<void>();
+  const released = createDeferred<undefined>();
   const store = {
     join: async (_member: unknown, generation: number) => {
       named.push(generation);
@@ -33,7 +33,7 @@
   granted = { generation: 2, shards: [0] };
   await clock.advance(1_500);
   assert.is(named.at(-1), 1);
-  released.resolve();
+  released.resolve(undefined);
   await clock.advance(700);
   assert.is(named.at(-1), 2);
   await keeper.close();
--- a/src/fleet/suspendWatch.spec.ts
+++ b/src/fleet/suspendWatch.spec.ts
@@ -9,7 +9,7 @@
   readonly fake: FakeClock;
   readonly watch: SuspendWatch;
   readonly suspensions: number[];
-  shift(wallMs: number, bootMs: number): void;
+  readonly shift: (wallMs: number, bootMs: number) => void;
 }
 
 const createFixture = (): Fixture => {
