--- a/src/adapters/fleetRpc/fleetRpcServer.ts
+++ b/src/adapters/fleetRpc/fleetRpcServer.ts
@@ -1,22 +1,17 @@
 /**
  * The interface to the other daemons of a fleet: JSON-RPC 2.0 over HTTP.
  */
-import type { IncomingMessage, ServerResponse } from 'node:http';
 import { JSONRPCServer } from 'json-rpc-2.0';
-import { createProblem } from '../../errors/problem.js';
-import { problemFromZod } from '../../errors/zodProblem.js';
 import type { Logger } from '../../ports/logger.js';
-import { maxPeerNesting } from '../../ports/peers.js';
 import { fleetMethods } from '../../ports/fleetPeers.js';
 import type { FleetService } from '../../ports/fleetPeers.js';
 import { HttpServer } from '../http/httpServer.js';
-import { readJsonBody } from '../http/readJsonBody.js';
-import { sendJson, sendProblem } from '../http/sendJson.js';
-import { callSchema, checkParams } from '../jsonRpc/jsonRpcCall.js';
+import { answerJsonRpc } from '../jsonRpc/answerJsonRpc.js';
+import { checkParams } from '../jsonRpc/jsonRpcCall.js';
 import { fleetRpcPath } from './fleetRpcPath.js';
 
-const maxBodyBytes = 4_194_304;
 const maxConnections = 2_048;
+const keepAliveTimeoutMs = 10_000;
 
 export interface FleetRpcServerOptions {
   readonly host: string;
@@ -41,8 +36,9 @@
       host: options.host,
       port: options.port,
       maxConnections,
-      keepAliveTimeoutMs: 10_000,
-      handle: (request, response) => fleet.answer(request, response),
+      keepAliveTimeoutMs,
+      handle: (request, response) => answerJsonRpc(fleet.rpc, fleetRpcPath, request, response),
+      onFault: (reason) => fleet.logger.warn('A request of a daemon failed.', { reason }),
     });
     return fleet;
   }
@@ -55,25 +51,6 @@
   kill(): Promise<void> {
     return this.server.kill();
   }
-
-  private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    if (request.method !== 'POST' || request.url !== fleetRpcPath) {
-      const detail = `This daemon serves the others at ${fleetRpcPath} only.`;
-      sendProblem(response, createProblem('not-found', detail));
-      return;
-    }
-    const body = await readJsonBody(request, maxBodyBytes, maxPeerNesting);
-    if (body.isErr()) {
-      sendProblem(response, body.error);
-      return;
-    }
-    const call = callSchema.safeParse(body.value);
-    if (!call.success) {
-      sendProblem(response, problemFromZod(call.error));
-      return;
-    }
-    sendJson(response, 200, await this.rpc.receive(call.data));
-  }
 }
 
 const createRpcServer = (service: FleetService, logger: Logger): JSONRPCServer => {
--- a/src/adapters/http/httpServer.ts
+++ b/src/adapters/http/httpServer.ts
@@ -26,6 +26,8 @@
   /** Time after which an idle connection is closed; 5 s by default. */
   readonly keepAliveTimeoutMs?: number;
   readonly handle: RequestHandler;
+  /** Called when serving a request has failed; its connection is then cut. */
+  readonly onFault?: (reason: string) => void;
 }
 
 export class HttpServer {
@@ -111,8 +113,9 @@
     }
     try {
       await this.options.handle(request, response);
-    } catch {
+    } catch (error) {
       // A fault while serving one request must not end the process.
+      this.options.onFault?.(String(error));
       response.destroy();
     }
     if (this.openResponses.has(response) && (response.socket?.writableLength ?? 0) > 0) {
--- a/src/adapters/peerRpc/peerRpcServer.ts
+++ b/src/adapters/peerRpc/peerRpcServer.ts
@@ -4,18 +4,16 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { JSONRPCServer } from 'json-rpc-2.0';
 import { createProblem } from '../../errors/problem.js';
-import { problemFromZod } from '../../errors/zodProblem.js';
 import type { Logger } from '../../ports/logger.js';
-import { maxPeerNesting, peerMethods } from '../../ports/peers.js';
+import { peerMethods } from '../../ports/peers.js';
 import type { PeerService } from '../../ports/peers.js';
 import { digestToken, isSameDigest, readTokenDigest } from '../http/bearerToken.js';
 import { HttpServer } from '../http/httpServer.js';
-import { readJsonBody } from '../http/readJsonBody.js';
-import { sendJson, sendProblem } from '../http/sendJson.js';
-import { callSchema, checkParams } from '../jsonRpc/jsonRpcCall.js';
+import { sendProblem } from '../http/sendJson.js';
+import { answerJsonRpc } from '../jsonRpc/answerJsonRpc.js';
+import { checkParams } from '../jsonRpc/jsonRpcCall.js';
 import { peerRpcPath } from './peerRpcMessages.js';
 
-const maxBodyBytes = 4_194_304;
 const maxConnections = 4_096;
 
 export interface PeerRpcServerOptions {
@@ -75,22 +73,7 @@
       sendProblem(response, createProblem('unauthorized', 'The token of the peers is needed.'));
       return;
     }
-    if (request.method !== 'POST' || request.url !== peerRpcPath) {
-      const detail = `This daemon serves its peers at ${peerRpcPath} only.`;
-      sendProblem(response, createProblem('not-found', detail));
-      return;
-    }
-    const body = await readJsonBody(request, maxBodyBytes, maxPeerNesting);
-    if (body.isErr()) {
-      sendProblem(response, body.error);
-      return;
-    }
-    const call = callSchema.safeParse(body.value);
-    if (!call.success) {
-      sendProblem(response, problemFromZod(call.error));
-      return;
-    }
-    sendJson(response, 200, await this.rpc.receive(call.data));
+    await answerJsonRpc(this.rpc, peerRpcPath, request, response);
   }
 }
 
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -12,18 +12,18 @@
 import type { Clock } from '../ports/clock.js';
 import type { AskedBatch, FleetConnector, FleetService, Withdrawal } from '../ports/fleetPeers.js';
 import type { FleetStore } from '../ports/fleetStore.js';
-import type { JobEnd, JobRequest, JobService, JobState, RouteMatch } from '../ports/jobs.js';
 import type { Logger } from '../ports/logger.js';
 import type { Metrics } from '../ports/metrics.js';
 import type { Random } from '../ports/random.js';
 import type { WorkerPort } from '../ports/workers.js';
 import { RoutingFollower } from '../routing/routingFollower.js';
 import { RoutingStore } from '../routing/routingStore.js';
-import type { Route, Routing } from '../routing/types.js';
+import type { Routing } from '../routing/types.js';
 import { SpeedMemory } from '../workers/speedMemory.js';
 import { WorkerDirectory } from '../workers/workerDirectory.js';
 import { FleetPeers, maxPeerSilenceMs } from './fleetPeers.js';
-import { LearnedKeeper } from './learned.js';
+import { JobIntake } from './jobIntake.js';
+import { LearnedKeeper } from './learnedKeeper.js';
 import { ShardKeeper, shardOf } from './shardKeeper.js';
 import { SuspendWatch } from './suspendWatch.js';
 import type { FleetHeartbeat, Member, ShardGrant } from './types.js';
@@ -32,11 +32,6 @@
 const minUnaskedAgeMs = 600;
 const askerCheckPeriodMs = 100;
 const routingFetchTimeoutMs = 500;
-/** Time to wait before a job is sent again that this system cannot run. */
-const unsupportedRetryAfterMs = 60_000;
-/** Time to wait before a job is sent again to another daemon. */
-const stoppingRetryAfterMs = 1_000;
-const fallbackBodyBytes = 262_144;
 
 export interface FleetPorts {
   readonly clock: Clock;
@@ -55,7 +50,9 @@
   readonly farRackFactor: number;
 }
 
-export class FleetDaemon implements FleetService, JobService {
+export class FleetDaemon implements FleetService {
+  /** What the front end for callers asks. */
+  readonly intake: JobIntake;
   private readonly routing = RoutingStore.create();
   private readonly lengths = RunLengths.create();
   private readonly speeds = SpeedMemory.create();
@@ -73,7 +70,6 @@
   private readonly stop = new AbortController();
   private grant: ShardGrant = { generation: 0, shards: [] };
   private isLeaving = false;
-  private isTaking = true;
   private isFetchingRouting = false;
   private batchNumber = 0;
 
@@ -124,7 +120,8 @@
       lengths: this.lengths,
       nextBatchId: () => this.nextBatchId(),
     });
-    const { lengths, speeds } = this;
+    const { lengths, speeds, routing, directory, jobs } = this;
+    this.intake = JobIntake.create({ logger: this.logger, routing, directory, jobs });
     this.learned = LearnedKeeper.create({ clock, logger, store, member, lengths, speeds });
     this.shards = ShardKeeper.create({
       clock,
@@ -158,59 +155,6 @@
     return new FleetDaemon(identity, ports);
   }
 
-  isReady(): boolean {
-    return !this.isLeaving && this.routing.current !== undefined;
-  }
-
-  maxBodyBytes(): number {
-    return this.routing.current?.routing.maxBodyBytes ?? fallbackBodyBytes;
-  }
-
-  findRoute(host: string, path: string): RouteMatch {
-    const active = this.routing.current;
-    if (active === undefined) {
-      return { kind: 'unconfigured' };
-    }
-    const route = active.table.find(host, path);
-    return route === undefined ? { kind: 'unknown' } : { kind: 'found', route };
-  }
-
-  async submit(
-    route: Route,
-    request: JobRequest,
-    deadlineMs: number,
-    signal: AbortSignal,
-  ): Promise<JobEnd> {
-    const { jobId, unsupported } = request;
-    const { routeId } = route;
-    if (unsupported.length > 0) {
-      const reason = `not supported: ${unsupported.join(', ')}`;
-      this.logger.warn('A job is refused.', { jobId, routeId, reason });
-      return { kind: 'refused', reason, retryAfterMs: unsupportedRetryAfterMs };
-    }
-    if (!this.isTaking) {
-      return { kind: 'refused', reason: 'the daemon stops', retryAfterMs: stoppingRetryAfterMs };
-    }
-    if (this.canNeverRun(route, request)) {
-      const reason = 'no worker of the service is large enough';
-      this.logger.info('A job can never run.', { jobId, routeId, reason });
-      return { kind: 'failed', reason };
-    }
-    return this.jobs.submit(route, request, deadlineMs, signal);
-  }
-
-  state(jobId: string): JobState {
-    return this.jobs.state(jobId);
-  }
-
-  cancel(jobId: string): boolean {
-    return this.jobs.cancel(jobId);
-  }
-
-  countWaiting(routeId: string): number {
-    return this.jobs.countWaiting(routeId);
-  }
-
   beat(theirs: FleetHeartbeat): FleetHeartbeat {
     this.peers.hear(theirs);
     return this.composeHeartbeat(theirs.member.incarnation, theirs.lengths !== undefined);
@@ -234,7 +178,7 @@
 
   /** Refuses new jobs from now on. */
   stopTaking(): void {
-    this.isTaking = false;
+    this.intake.close();
   }
 
   /** Answers every job that has not ended. */
@@ -253,6 +197,7 @@
   /** Begins a planned stop: takes no new callers and hands the workers over as their runs end. */
   async drain(): Promise<void> {
     this.isLeaving = true;
+    this.intake.leave();
     await this.dispatcher.serve([], this.grant.generation);
     await this.shards.leave();
   }
@@ -276,13 +221,6 @@
     await Promise.all([this.ports.workers.close(), this.ports.store.close()]);
   }
 
-  private canNeverRun({ serviceId }: Route, { steps }: JobRequest): boolean {
-    return steps.some(
-      ({ needs }) =>
-        this.directory.canEverRun(serviceId, needs.resources, needs.requiredLabel) === false,
-    );
-  }
-
   private nextBatchId(): string {
     this.batchNumber += 1;
     return `${this.identity.member.incarnation}-${this.batchNumber}`;
--- a/src/fleet/fleetPeers.ts
+++ b/src/fleet/fleetPeers.ts
@@ -183,6 +183,9 @@
     while (!this.stop.signal.aborted) {
       for (const failureDomainId of failureDomainIds) {
         const members = await store.listMembers(failureDomainId);
+        if (members.isErr()) {
+          this.logger.debug('The members cannot be listed.', { reason: members.error.detail });
+        }
         this.addAll(members.unwrapOr([]).map(({ address }) => address));
       }
       const isAlone = this.heard().length === 0;
--- a/src/programs/toucandyked/platformProcess.ts
+++ b/src/programs/toucandyked/platformProcess.ts
@@ -80,7 +80,8 @@
     const front = await JobFront.create({
       callers: splitAddress(listen.callers),
       readiness: splitAddress(listen.readiness),
-      service: daemon,
+      service: daemon.intake,
+      logger,
     });
     await metrics.serve(splitAddress(settings.metricsAddress));
     const log = logger.forPart('process');
@@ -89,7 +90,7 @@
   }
 
   get isReady(): boolean {
-    return this.daemon.isReady();
+    return this.daemon.intake.isReady();
   }
 
   /** @returns IP number and port that callers reach */
