--- a/eslint.config.js
+++ b/eslint.config.js
@@ -18,7 +18,7 @@
 ];
 
 export default defineConfig(
-  { ignores: ['dist/', 'node_modules/', 'bench/out/'] },
+  { ignores: ['dist/', 'node_modules/', 'bench/out/', 'soak/out/', 'target/'] },
   js.configs.recommended,
   tseslint.configs.strictTypeChecked,
   tseslint.configs.stylisticTypeChecked,
--- a/src/adapters/http/requestJson.ts
+++ b/src/adapters/http/requestJson.ts
@@ -93,7 +93,7 @@
     this.timer =
       request.timeoutMs === undefined
         ? undefined
-        : setTimeout(() => this.abort('The time for the answer is over.'), request.timeoutMs);
+        : setTimeout(() => this.timeUp(), request.timeoutMs);
   }
 
   static send(pool: Pool, request: JsonRequest): Promise<RawExchange> {
@@ -142,6 +142,11 @@
     this.end({ kind: isNotSent ? 'not-sent' : 'broken', detail: String(error) });
   }
 
+  /** After a stall of this process the answer may be there already; it is read first. */
+  private timeUp(): void {
+    setImmediate(() => this.abort('The time for the answer is over.'));
+  }
+
   private abort(detail: string): void {
     if (this.controller === undefined) {
       this.end({ kind: 'not-sent', detail });
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -27,6 +27,7 @@
 import { JobIntake } from './jobIntake.js';
 import { LearnedKeeper } from './learnedKeeper.js';
 import { ShardKeeper, shardOf } from './shardKeeper.js';
+import { isNeededAsDispatcher } from './standby.js';
 import { SuspendWatch } from './suspendWatch.js';
 import type { FleetHeartbeat, Member, ShardGrant } from '../types/fleet.js';
 
@@ -120,14 +121,6 @@
     const { lengths, speeds, routing, directory, jobs } = this;
     this.intake = JobIntake.create({ logger: this.logger, routing, directory, jobs });
     this.learned = LearnedKeeper.create({ clock, logger, store, member, lengths, speeds });
-    this.shards = ShardKeeper.create({
-      clock,
-      logger,
-      store,
-      member,
-      onGrant: (grant) => this.takeGrant(grant),
-      onBack: () => this.follower.refresh(),
-    });
     const { view, router, dispatcher } = this;
     this.exchange = FleetExchange.create({
       own: member,
@@ -153,6 +146,15 @@
       onLost: (incarnation) => this.exchange.noteLost(incarnation),
       onSuspect: (incarnation) => this.view.forget(incarnation),
     });
+    this.shards = ShardKeeper.create({
+      clock,
+      logger,
+      store,
+      member,
+      onGrant: (grant) => this.takeGrant(grant),
+      onBack: () => this.follower.refresh(),
+      isNeeded: () => isNeededAsDispatcher(member, this.peers.nearMembers()),
+    });
     this.suspendWatch = SuspendWatch.create({
       clock,
       logger,
--- a/src/fleet/fleetPeers.ts
+++ b/src/fleet/fleetPeers.ts
@@ -17,6 +17,8 @@
 const fullBeatEvery = 5;
 /** Longest silence after which a peer still counts as heard, in milliseconds. */
 export const maxPeerSilenceMs = 900;
+/** Silence after which others take the duties of a peer over, in milliseconds. */
+const maxAbsenceMs = 3_000;
 /** A peer that nobody hears or names for this long is forgotten, in milliseconds. */
 const forgetAfterMs = 20_000;
 /** Pause between tries to reach a peer that is not heard. */
@@ -82,6 +84,16 @@
     return this.heard().map(({ known }) => known);
   }
 
+  /** @returns the other daemons of the failure domain that were heard a short while ago or since */
+  nearMembers(): Member[] {
+    const nowMs = this.options.clock.nowMs();
+    return [...this.peers.values()].flatMap((peer) =>
+      this.isNear(peer) && peer.isHeard(nowMs, maxAbsenceMs) && peer.heartbeat !== undefined
+        ? [peer.heartbeat.member]
+        : [],
+    );
+  }
+
   /** Takes the heartbeat of a peer that began an exchange. */
   receive(heartbeat: FleetHeartbeat): void {
     this.hear(heartbeat);
@@ -110,7 +122,11 @@
     if (address === this.options.own.address || this.stop.signal.aborted) {
       return;
     }
-    const peer = this.add({ address, failureDomainId });
+    this.addAll([{ address, failureDomainId }]);
+    const peer = this.peers.get(address);
+    if (peer === undefined) {
+      return;
+    }
     const before = peer.incarnation;
     const isNew = before !== incarnation || !this.isHeard(peer);
     peer.heartbeat = heartbeat;
@@ -136,26 +152,44 @@
   }
 
   private addAll(members: readonly KnownMember[]): void {
-    const nowMs = this.options.clock.nowMs();
-    for (const member of members) {
-      if (member.address !== this.options.own.address) {
-        this.add(member).namedAtMs = nowMs;
-      }
+    const { clock, own } = this.options;
+    const others = members.filter(({ address }) => address !== own.address);
+    const isNew = others
+      .filter(({ address }) => !this.peers.has(address))
+      .map((one) => this.add(one));
+    others.forEach(({ address }) => this.noteNamed(address, clock.nowMs()));
+    if (isNew.length > 0) {
+      this.refreshContacts();
+      isNew.forEach((peer) => void this.keepPeer(peer));
     }
   }
 
-  private add(member: KnownMember): FleetPeer {
-    const known = this.peers.get(member.address);
-    if (known !== undefined) {
-      return known;
+  private noteNamed(address: string, nowMs: number): void {
+    const peer = this.peers.get(address);
+    if (peer !== undefined) {
+      peer.namedAtMs = nowMs;
     }
+  }
+
+  private add(member: KnownMember): FleetPeer {
     const { connector, clock } = this.options;
     const peer = FleetPeer.create(member, connector.connect(member.address), clock.nowMs());
     this.peers.set(member.address, peer);
-    void this.keepPeer(peer);
     return peer;
   }
 
+  private refreshContacts(): void {
+    const far = [...this.peers.values()].filter((peer) => !this.isNear(peer));
+    this.contacts = chooseContacts(
+      this.options.own.address,
+      far.map((peer) => ({
+        ...peer.known,
+        isHeard: this.isHeard(peer),
+        failures: peer.failures,
+      })),
+    );
+  }
+
   /** Exchanges heartbeats with one peer. */
   private async keepPeer(peer: FleetPeer): Promise<void> {
     const { clock } = this.options;
@@ -207,18 +241,10 @@
 
   /** Chooses contacts, and notices peers that fall silent. */
   private async watch(): Promise<void> {
-    const { clock, own } = this.options;
+    const { clock } = this.options;
     while (!this.stop.signal.aborted) {
       await clock.sleep(watchPeriodMs, this.stop.signal);
-      const far = [...this.peers.values()].filter((peer) => !this.isNear(peer));
-      this.contacts = chooseContacts(
-        own.address,
-        far.map((peer) => ({
-          ...peer.known,
-          isHeard: this.isHeard(peer),
-          failures: peer.failures,
-        })),
-      );
+      this.refreshContacts();
       for (const peer of [...this.peers.values()]) {
         this.watchPeer(peer, clock.nowMs());
       }
--- a/src/fleet/shardKeeper.spec.ts
+++ b/src/fleet/shardKeeper.spec.ts
@@ -28,6 +28,7 @@
     member,
     onGrant: ({ generation }) => (generation === 2 ? released.promise : Promise.resolve()),
     onBack: () => undefined,
+    isNeeded: () => true,
   });
   await clock.advance(700);
   granted = { generation: 2, shards: [0] };
@@ -39,6 +40,41 @@
   await keeper.close();
 });
 
+test('a daemon that is not needed lets its workers go, then leaves, and comes back when it is', async () => {
+  const clock = FakeClock.create();
+  const events: string[] = [];
+  let isNeeded = true;
+  const store = {
+    join: async () => {
+      events.push('join');
+      return Ok({ generation: 1, shards: [0] });
+    },
+    leave: async () => {
+      events.push('leave');
+      return Ok(undefined);
+    },
+  } as unknown as FleetStore;
+  const keeper = ShardKeeper.create({
+    clock,
+    logger: silentLogger,
+    store,
+    member,
+    onGrant: async ({ shards }) => events.push(`${shards.length} shards`),
+    onBack: () => undefined,
+    isNeeded: () => isNeeded,
+  });
+  await clock.advance(100);
+  assert.ok(events.includes('1 shards'));
+  isNeeded = false;
+  events.length = 0;
+  await clock.advance(3_000);
+  assert.equal(events, ['0 shards', 'leave']);
+  isNeeded = true;
+  await clock.advance(700);
+  assert.ok(events.includes('join'));
+  await keeper.close();
+});
+
 test('workers are spread over all shards', () => {
   const shards = new Set(Array.from({ length: 400 }, (_, i) => shardOf(`i-${i}`, 32)));
   assert.is(shards.size, 32);
--- a/src/fleet/shardKeeper.ts
+++ b/src/fleet/shardKeeper.ts
@@ -26,12 +26,15 @@
   readonly onGrant: (grant: ShardGrant) => Promise<unknown>;
   /** Called when the store answers again. */
   readonly onBack: () => void;
+  /** Tells whether this daemon should have shards. */
+  readonly isNeeded: () => boolean;
 }
 
 export class ShardKeeper {
   private grant: ShardGrant = { generation: 0, shards: [] };
   /** Generation whose losses are carried out. */
   private confirmedGeneration = 0;
+  private isMember = false;
   private readonly stop = new AbortController();
   private readonly logger: Logger;
   private readonly dependency: Dependency;
@@ -51,6 +54,10 @@
   /** Gives all shards up; call it when nothing runs on their workers. */
   async leave(): Promise<void> {
     await this.close();
+    await this.tellLeaving();
+  }
+
+  private async tellLeaving(): Promise<void> {
     const left = await this.options.store.leave(this.options.member);
     if (left.isErr()) {
       this.logger.warn('The store was not told that this daemon leaves.', {
@@ -68,7 +75,11 @@
   private async keep(): Promise<void> {
     const { clock } = this.options;
     while (!this.stop.signal.aborted) {
-      await this.renew();
+      if (this.options.isNeeded()) {
+        await this.renew();
+      } else if (this.isMember) {
+        await this.standBy();
+      }
       await clock.sleep(renewPeriodMs, this.wake.signal);
       this.renewWake();
     }
@@ -80,8 +91,20 @@
     }
   }
 
+  /** Lets the workers go as their runs end, then gives the shards back. */
+  private async standBy(): Promise<void> {
+    const { clock, onGrant } = this.options;
+    const { generation } = this.grant;
+    this.logger.info('This daemon gives its shards to larger ones.', { generation });
+    this.grant = { generation, shards: [] };
+    await Promise.race([onGrant(this.grant), clock.sleep(maxReleaseMs, this.stop.signal)]);
+    await this.tellLeaving();
+    this.isMember = false;
+  }
+
   private async renew(): Promise<void> {
     const { store, member } = this.options;
+    this.isMember = true;
     const joined = await store.join(member, this.confirmedGeneration);
     if (joined.isErr()) {
       this.dependency.noteLost(joined.error.detail);
--- a/src/programs/toucandyked/runOnPlatform.ts
+++ b/src/programs/toucandyked/runOnPlatform.ts
@@ -1,12 +1,13 @@
 /**
  * Runs the daemon on the users' platform, with the settings file that the platform gives.
  */
+import { once } from 'node:events';
 import { readPlatformSettings, settingsPathVariable } from '../../../platform/settings.js';
 import { PlatformProcess } from './platformProcess.js';
 
 const usageExitCode = 2;
 
-/** Starts the daemon; it stops on SIGTERM. */
+/** Runs the daemon until SIGTERM. */
 export const runOnPlatform = async (): Promise<void> => {
   const path = process.env[settingsPathVariable] ?? '';
   const settings = readPlatformSettings(path);
@@ -15,6 +16,10 @@
     process.exitCode = usageExitCode;
     return;
   }
+  // A signal that comes while the daemon starts ends it when it has started.
+  const stopped = once(process, 'SIGTERM');
   const daemon = await PlatformProcess.create(settings.value);
-  process.once('SIGTERM', () => void daemon.close().then(() => process.exit(0)));
+  await stopped;
+  await daemon.close();
+  process.exit(0);
 };
--- a/standins/platform/platformFixture.ts
+++ b/standins/platform/platformFixture.ts
@@ -5,17 +5,16 @@
 import { PlatformProcess } from '../../src/programs/toucandyked/platformProcess.js';
 import type { PlatformSettings } from '../../platform/settings.js';
 import type { LineWriter } from '../../src/adapters/system/roarrLogger.js';
+import { composeRoutes, fixtureHost, fixturePrefix, fixtureService } from './routes.js';
 import { StoreStandIn } from './storeStandIn.js';
 import { WorkerStandIn } from './workerStandIn.js';
+import { findDoubled } from './standInRun.js';
 import type { StartRecord } from './standInRun.js';
 
 const shardCount = 32;
 const workerTopic = 'keyed.servers';
 const operatorTopic = 'keyed.op';
 const readyPollMs = 20;
-export const fixtureHost = 'jobs.example';
-export const fixturePrefix = '/fit/';
-const service = 'fit';
 
 export interface PlatformFixtureOptions {
   /** Failure domain of each daemon. */
@@ -55,6 +54,7 @@
   }
 
   async addWorker(workerId: string, zone: string, cpu: number, slowness = 1): Promise<void> {
+    const service = fixtureService;
     const worker = await WorkerStandIn.create({ workerId, service, zone, cpu, slowness });
     this.workers.push(worker);
     this.store.log(workerTopic).append(workerId, worker.entry());
@@ -99,24 +99,7 @@
    */
   publishRoutes(count: number): number {
     this.version += 3;
-    const routes = Array.from({ length: count }, (_, index) => ({
-      name: `r-${index}`,
-      host: fixtureHost,
-      pathPrefix: index === 0 ? fixturePrefix : `/route-${index}/`,
-      kind: 'unsafe',
-      timeoutMs: 1_500,
-      targetLatencyMs: 60,
-      service,
-      maxAttempts: 3,
-      stretch: 1.6,
-    }));
-    const document = {
-      version: this.version,
-      routes,
-      services: [{ name: service, admissionCheck: true }],
-      limits: { maxBodyBytes: 262_144 },
-    };
-    this.store.log(operatorTopic).append('config', Buffer.from(JSON.stringify(document)));
+    this.store.log(operatorTopic).append('config', composeRoutes(this.version, count));
     return this.version;
   }
 
@@ -186,18 +169,7 @@
 
   /** @returns tasks of which two runs went on at the same time */
   doubled(): string[] {
-    const starts = this.starts();
-    return starts
-      .filter((a) =>
-        starts.some(
-          (b) =>
-            b !== a &&
-            b.task === a.task &&
-            b.startedAtMs >= a.startedAtMs &&
-            b.startedAtMs < (a.endedAtMs ?? Infinity),
-        ),
-      )
-      .map(({ task }) => task);
+    return findDoubled(this.starts());
   }
 
   async close(): Promise<void> {
--- a/standins/platform/standInRun.ts
+++ b/standins/platform/standInRun.ts
@@ -39,3 +39,18 @@
   endedAtMs: number | undefined;
   how: StandInEnd | undefined;
 }
+
+/** @returns tasks of which two runs went on at the same time */
+export const findDoubled = (starts: readonly StartRecord[]): string[] => {
+  const inOrder = [...starts].sort((a, b) => a.startedAtMs - b.startedAtMs);
+  const runningUntilMs = new Map<string, number>();
+  const doubled: string[] = [];
+  for (const { task, startedAtMs, endedAtMs } of inOrder) {
+    const untilMs = runningUntilMs.get(task) ?? -Infinity;
+    if (startedAtMs < untilMs) {
+      doubled.push(task);
+    }
+    runningUntilMs.set(task, Math.max(untilMs, endedAtMs ?? Infinity));
+  }
+  return doubled;
+};
--- a/standins/platform/workerStandIn.ts
+++ b/standins/platform/workerStandIn.ts
@@ -81,13 +81,22 @@
     return this.options.workerId;
   }
 
-  /** @returns the entry by which the worker registers itself */
-  entry(state: 'ready' | 'draining' = 'ready'): Buffer {
+  get address(): string {
+    return this.server.address;
+  }
+
+  /**
+   * Composes the entry by which the worker registers itself.
+   *
+   * @param state - whether it takes new work
+   * @param address - where it says that it is reached
+   */
+  entry(state: 'ready' | 'draining' = 'ready', address = this.address): Buffer {
     const { service, zone, cpu } = this.options;
     return Buffer.from(
       JSON.stringify({
         service,
-        address: this.server.address,
+        address,
         zone,
         version: 'v1',
         slots: 8,
