Count ends of jobs and runs by cause, also of jobs that are not taken

The label is the reason without its details, so that there are few of them; the log has the rest. Jobs that are not taken at all are counted now too.

--- a/src/bestEffort/runningJobs.ts
+++ b/src/bestEffort/runningJobs.ts
@@ -5,6 +5,7 @@
 import type { JobEnd, JobRequest, JobState } from '../ports/jobs.js';
 import type { Logger } from '../ports/logger.js';
 import type { Route } from '../types/routing.js';
+import { countJobEnd } from './countJobEnd.js';
 import { JobRun } from './jobRun.js';
 import type { JobRunOptions } from './jobRun.js';
 
@@ -113,7 +114,7 @@
     const { routeId } = run.route;
     const durationMs = Math.round(this.clock.nowMs() - startedAtMs);
     const { metrics } = this.options;
-    metrics.count('jobs', 1, [`route:${routeId}`, `outcome:${end.kind}`]);
+    countJobEnd(metrics, routeId, end);
     metrics.durationMs('job', durationMs, [`route:${routeId}`]);
     this.logger.info('A job has ended.', {
       jobId,
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -2,6 +2,7 @@
  * Runs batches of tasks on the workers that this daemon alone orders.
  */
 import { unreachable } from '../errors/unreachable.js';
+import { causeLabel } from '../explain/causeLabel.js';
 import type { MemberLoad } from '../types/fleet.js';
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
@@ -165,7 +166,8 @@
     const nowMs = this.options.clock.nowMs();
     const slowness = worker.speed.slowness(nowMs);
     this.noteStanding(worker, run, outcome);
-    this.options.metrics.count('runs', 1, [`outcome:${outcome.kind}`]);
+    const cause = causeLabel(outcome);
+    this.options.metrics.count('runs', 1, [`outcome:${outcome.kind}`, `cause:${cause}`]);
     this.logger.info('A run has ended.', {
       taskName: run.taskName,
       run: run.run,
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -119,7 +119,7 @@
       nextBatchId: () => this.nextBatchId(),
     });
     const { lengths, speeds, routing, directory, jobs } = this;
-    this.intake = JobIntake.create({ logger: this.logger, routing, directory, jobs });
+    this.intake = JobIntake.create({ logger: this.logger, metrics, routing, directory, jobs });
     this.learned = LearnedKeeper.create({ clock, logger, store, member, lengths, speeds });
     const { view, router, dispatcher } = this;
     this.exchange = FleetExchange.create({
--- a/src/fleet/jobIntake.ts
+++ b/src/fleet/jobIntake.ts
@@ -1,9 +1,11 @@
 /**
  * Takes the jobs of callers: finds their route, refuses what cannot be run here, and runs the rest.
  */
+import { countJobEnd } from '../bestEffort/countJobEnd.js';
 import type { RunningJobs } from '../bestEffort/runningJobs.js';
 import type { JobEnd, JobRequest, JobService, JobState, RouteMatch } from '../ports/jobs.js';
 import type { Logger } from '../ports/logger.js';
+import type { Metrics } from '../ports/metrics.js';
 import type { RoutingStore } from '../routing/routingStore.js';
 import type { Route } from '../types/routing.js';
 import type { WorkerDirectory } from '../workers/workerDirectory.js';
@@ -16,6 +18,7 @@
 
 export interface JobIntakeOptions {
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly routing: RoutingStore;
   readonly directory: WorkerDirectory;
   readonly jobs: RunningJobs;
@@ -66,25 +69,17 @@
     deadlineMs: number,
     signal: AbortSignal,
   ): Promise<JobEnd> {
-    const { logger, jobs } = this.options;
-    const { jobId, unsupported } = request;
-    const { routeId } = route;
-    if (unsupported.length > 0) {
-      const reason = `not supported: ${unsupported.join(', ')}`;
-      logger.warn('A job is refused.', { jobId, routeId, reason });
-      return { kind: 'refused', reason, retryAfterMs: unsupportedRetryAfterMs };
+    const { logger, metrics, jobs } = this.options;
+    const end = this.endAtOnce(route, request);
+    if (end === undefined) {
+      return jobs.submit(route, request, deadlineMs, signal);
     }
-    if (this.intake === 'closed') {
-      const reason = 'the daemon stops';
-      logger.info('A job is refused.', { jobId, routeId, reason });
-      return { kind: 'refused', reason, retryAfterMs: stoppingRetryAfterMs };
-    }
-    if (this.canNeverRun(route, request)) {
-      const reason = 'no worker of the service is large enough';
-      logger.info('A job can never run.', { jobId, routeId, reason });
-      return { kind: 'failed', reason };
-    }
-    return jobs.submit(route, request, deadlineMs, signal);
+    const { jobId } = request;
+    const { routeId } = route;
+    const { kind: outcome, reason } = end;
+    logger.info('A job is not taken.', { jobId, routeId, outcome, reason });
+    countJobEnd(metrics, routeId, end);
+    return end;
   }
 
   state(jobId: string): JobState {
@@ -99,6 +94,25 @@
     return this.options.jobs.countWaiting(routeId);
   }
 
+  /** @returns the end of a job that is not taken, or nothing for one that is */
+  private endAtOnce(
+    route: Route,
+    request: JobRequest,
+  ): Extract<JobEnd, { kind: 'refused' | 'failed' }> | undefined {
+    const { unsupported } = request;
+    if (unsupported.length > 0) {
+      const reason = `not supported: ${unsupported.join(', ')}`;
+      return { kind: 'refused', reason, retryAfterMs: unsupportedRetryAfterMs };
+    }
+    if (this.intake === 'closed') {
+      const reason = 'the daemon stops';
+      return { kind: 'refused', reason, retryAfterMs: stoppingRetryAfterMs };
+    }
+    return this.canNeverRun(route, request)
+      ? { kind: 'failed', reason: 'no worker of the service is large enough' }
+      : undefined;
+  }
+
   private canNeverRun({ serviceId }: Route, { steps }: JobRequest): boolean {
     return steps.some(
       ({ needs }) =>
