One parser for outside JSON, one call meter, one way to wait and be woken; drop what nothing calls

Read-through of the whole change; behaviour is meant to stay as it is. - Written again: five copies of JSON.parse in a try (utils/parseJson), the measuring of worker and store calls (adapters/metered/callMeter), the wakeable wait in ShardKeeper (utils/wakeableSleep), create and topics of the stand-ins, four sleeps of the soak (node:timers/promises). - Simpler: a planned candidate is the worker itself, not a copy that holds another copy; addAll of FleetPeers in one pass; Dispatcher.withdrawAll for its three callers. - Work done again and again: the rank of a possible contact was hashed for each peer each 100 ms; it never changes and is now computed once. - Dead: RoutingStore.onChange, RunLengths.forget.

Tests keep their assertions; contacts.spec computes the rank in its fixture.

--- a/soak/faultyProxy.ts
+++ b/soak/faultyProxy.ts
@@ -4,6 +4,7 @@
  */
 import { connect, createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { unreachable } from '../src/errors/unreachable.js';
 import { createDeferred } from '../src/utils/deferred.js';
 import type { Deferred } from '../src/utils/deferred.js';
@@ -98,7 +99,7 @@
     }
     if (this.fault.kind === 'delayed') {
       const { delayMs } = this.fault;
-      await new Promise((resolve) => setTimeout(resolve, delayMs));
+      await sleep(delayMs);
     }
   }
 }
--- a/soak/injector.ts
+++ b/soak/injector.ts
@@ -1,6 +1,7 @@
 /**
  * Carries out the planned faults: one async function for each, from its beginning until it is healed.
  */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { unreachable } from '../src/errors/unreachable.js';
 import type { FaultyProxy } from './faultyProxy.js';
 import type { Fault, LinkPlace, PlannedFault } from './faults.js';
@@ -144,5 +145,3 @@
     return worker;
   }
 }
-
-const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
--- a/soak/runSeed.ts
+++ b/soak/runSeed.ts
@@ -3,6 +3,7 @@
  */
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { routePrefix } from '../standins/platform/routes.js';
 import { findBroken, isCompleted } from './checks.js';
 import { planFaults } from './faults.js';
@@ -116,5 +117,3 @@
   workers
     .filter(({ worker }) => !worker.starts.some(({ startedAtMs }) => startedAtMs >= sinceMs))
     .map(({ worker }) => worker.workerId);
-
-const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
--- a/soak/soakCallers.ts
+++ b/soak/soakCallers.ts
@@ -2,6 +2,7 @@
  * The callers of a soak: each sends one job after the other over connections that it keeps, and sends
  * a job again at another daemon when its connection breaks.
  */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { Pool } from 'undici';
 import { SeededRandom } from '../src/testing/seededRandom.js';
 import { fixtureHost, fixturePrefix } from '../standins/platform/routes.js';
@@ -172,5 +173,3 @@
     return pool;
   }
 }
-
-const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -4,14 +4,12 @@
 import { composeRoutes, fixtureService } from '../standins/platform/routes.js';
 import type { StartRecord } from '../standins/platform/standInRun.js';
 import { StoreStandIn } from '../standins/platform/storeStandIn.js';
+import { operatorTopic, shardCount, workerTopic } from '../standins/platform/topics.js';
 import { WorkerStandIn } from '../standins/platform/workerStandIn.js';
 import { DaemonChild } from './daemonChild.js';
 import { FaultyProxy } from './faultyProxy.js';
 import { Troubles } from './troubles.js';
 
-const shardCount = 32;
-const workerTopic = 'keyed.servers';
-const operatorTopic = 'keyed.op';
 const zones = ['east', 'west'];
 const daemonZones = ['east', 'east', 'west', 'west'];
 const workerZones = ['east', 'east', 'east', 'west', 'west', 'west'];
--- a/src/adapters/metered/meteredWorkers.ts
+++ b/src/adapters/metered/meteredWorkers.ts
@@ -13,6 +13,7 @@
   WorkerPort,
   WorkerTarget,
 } from '../../ports/workers.js';
+import { CallMeter } from './callMeter.js';
 
 export interface MeteredWorkersOptions {
   readonly workers: WorkerPort;
@@ -21,25 +22,26 @@
 }
 
 export class MeteredWorkers implements WorkerPort {
-  private constructor(private readonly options: MeteredWorkersOptions) {}
+  private readonly meter: CallMeter<{ readonly kind: string }>;
+
+  private constructor(private readonly options: MeteredWorkersOptions) {
+    this.meter = CallMeter.create({ ...options, callee: 'worker' }, ({ kind }) => kind);
+  }
 
   static create(options: MeteredWorkersOptions): MeteredWorkers {
     return new MeteredWorkers(options);
   }
 
   start(target: WorkerTarget, order: RunOrder, timeoutMs: number): Promise<StartReply> {
-    return this.measure('start', this.options.workers.start(target, order, timeoutMs));
+    return this.meter.measure('start', this.options.workers.start(target, order, timeoutMs));
   }
 
   stop(target: WorkerTarget, order: StopOrder, timeoutMs: number): Promise<StopReply> {
-    return this.measure('stop', this.options.workers.stop(target, order, timeoutMs));
+    return this.meter.measure('stop', this.options.workers.stop(target, order, timeoutMs));
   }
 
-  async hold(target: WorkerTarget, order: HoldOrder, timeoutMs: number): Promise<HoldReply> {
-    // A hold takes as long as it is told to wait, so only its outcome is counted.
-    const reply = await this.options.workers.hold(target, order, timeoutMs);
-    this.options.metrics.count('worker_calls', 1, ['call:hold', `outcome:${reply.kind}`]);
-    return reply;
+  hold(target: WorkerTarget, order: HoldOrder, timeoutMs: number): Promise<HoldReply> {
+    return this.meter.count('hold', this.options.workers.hold(target, order, timeoutMs));
   }
 
   release(target: WorkerTarget): Promise<void> {
@@ -49,16 +51,4 @@
   close(): Promise<void> {
     return this.options.workers.close();
   }
-
-  private async measure<R extends { readonly kind: string }>(
-    call: string,
-    reply: Promise<R>,
-  ): Promise<R> {
-    const { clock, metrics } = this.options;
-    const sentAtMs = clock.nowMs();
-    const answered = await reply;
-    metrics.count('worker_calls', 1, [`call:${call}`, `outcome:${answered.kind}`]);
-    metrics.durationMs('worker_call', clock.nowMs() - sentAtMs, [`call:${call}`]);
-    return answered;
-  }
 }
--- a/src/bestEffort/jobPlanner.ts
+++ b/src/bestEffort/jobPlanner.ts
@@ -35,8 +35,7 @@
 const reachCosts: Readonly<Record<Nearness, number>> = { own: 0, near: 6, far: 14 };
 
 /** A worker as a candidate, which changes as tasks of the plan get their places. */
-interface PlannedCandidate extends Candidate {
-  readonly seen: SeenWorker;
+interface PlannedCandidate extends SeenWorker, Candidate {
   free: Resources;
   startsInMs: number;
   reachCost: number;
@@ -111,7 +110,7 @@
         return undefined;
       }
       const { candidate, startsInMs, runMs } = place;
-      const { dispatcherId, workerId, distanceMs, heardAtMs } = candidate.seen;
+      const { dispatcherId, workerId, distanceMs, heardAtMs } = candidate;
       oldestWordMs = Math.max(oldestWordMs, Math.round(nowMs - heardAtMs));
       const batch = batches.get(dispatcherId) ?? { dispatcherId, tasks: [] };
       batch.tasks.push(task);
@@ -164,17 +163,18 @@
 
 /** @returns the worker as a candidate, with room of its own to take; nothing if a task never fits */
 const toCandidate = (seen: SeenWorker, { needs }: TaskDemand): PlannedCandidate | undefined => {
-  const own: SeenWorker = { ...seen, profile: seen.profile.copy() };
-  const startsInMs = roomInMs(own, needs.resources);
-  return startsInMs === Infinity
-    ? undefined
-    : { ...own, seen: own, startsInMs, reachCost: reachCosts[seen.nearness], free: freeOf(own) };
+  const startsInMs = roomInMs(seen, needs.resources);
+  if (startsInMs === Infinity) {
+    return undefined;
+  }
+  const reachCost = reachCosts[seen.nearness];
+  return { ...seen, profile: seen.profile.copy(), free: freeOf(seen), startsInMs, reachCost };
 };
 
 /** Further tasks travel with the first to a dispatcher. */
 const noteReached = (candidates: readonly PlannedCandidate[], dispatcherId: string): void => {
   for (const candidate of candidates) {
-    if (candidate.seen.dispatcherId === dispatcherId) {
+    if (candidate.dispatcherId === dispatcherId) {
       candidate.reachCost = 0;
     }
   }
@@ -185,10 +185,9 @@
   { needs: { resources } }: TaskDemand,
   runMs: number,
 ): void => {
-  const { seen } = candidate;
-  seen.profile.take(resources.cpuMillis, runMs);
-  candidate.startsInMs = roomInMs(seen, resources);
-  candidate.free = freeOf(seen);
+  candidate.profile.take(resources.cpuMillis, runMs);
+  candidate.startsInMs = roomInMs(candidate, resources);
+  candidate.free = freeOf(candidate);
 };
 
 const freeOf = ({ free, profile }: SeenWorker): Resources => ({
--- a/src/bestEffort/runLengths.ts
+++ b/src/bestEffort/runLengths.ts
@@ -98,10 +98,6 @@
     this.hear(savedBy, sums.map(halve));
   }
 
-  forget(incarnation: string): void {
-    this.heard.delete(incarnation);
-  }
-
   private noteChange(): void {
     this.changes += 1;
     if (this.changes >= refitEvery) {
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -122,6 +122,16 @@
     }
   }
 
+  /**
+   * Ends the batches of a daemon.
+   *
+   * @param askedBy - its incarnation
+   * @param minAgeMs - batches that came later are left
+   */
+  withdrawAll(askedBy: string, minAgeMs = 0): void {
+    this.withdrawUnasked(askedBy, () => false, minAgeMs);
+  }
+
   /** @returns the incarnations whose batches run here */
   askers(): string[] {
     const open = [...this.batches.values()].filter(({ isOver }) => !isOver);
--- a/src/explain/logLines.ts
+++ b/src/explain/logLines.ts
@@ -2,6 +2,7 @@
  * Log lines of daemons, as the operators keep them.
  */
 import { z } from 'zod';
+import { parseJson } from '../utils/parseJson.js';
 
 const logLineSchema = z.object({
   message: z.string(),
@@ -36,15 +37,6 @@
 export const parseLog = (text: string): LogLine[] =>
   text.split('\n').flatMap((line) => {
     const start = line.indexOf('{');
-    const parsed = start < 0 ? undefined : logLineSchema.safeParse(readJson(line.slice(start)));
+    const parsed = start < 0 ? undefined : logLineSchema.safeParse(parseJson(line.slice(start)));
     return parsed?.success === true ? [parsed.data] : [];
   });
-
-const readJson = (text: string): unknown => {
-  try {
-    return JSON.parse(text);
-  } catch {
-    // A line that was cut off, or no line of a daemon.
-    return undefined;
-  }
-};
--- a/src/fleet/askerWatch.ts
+++ b/src/fleet/askerWatch.ts
@@ -38,7 +38,7 @@
       dispatcher
         .askers()
         .filter((asker) => !isHeard(asker))
-        .forEach((asker) => dispatcher.withdrawUnasked(asker, () => false, maxPeerSilenceMs));
+        .forEach((asker) => dispatcher.withdrawAll(asker, maxPeerSilenceMs));
     }
   }
 }
--- a/src/fleet/contacts.spec.ts
+++ b/src/fleet/contacts.spec.ts
@@ -1,19 +1,25 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { chooseContacts } from './contacts.js';
+import { chooseContacts, rankContact } from './contacts.js';
 import type { FarDaemon } from './contacts.js';
 
-const createDomain = (failureDomainId: string, count: number, isHeard: boolean): FarDaemon[] =>
+const createDomain = (
+  failureDomainId: string,
+  count: number,
+  isHeard: boolean,
+  ownAddress = 'own:1',
+): FarDaemon[] =>
   Array.from({ length: count }, (_, index) => ({
     address: `${failureDomainId}:${index}`,
     failureDomainId,
+    rank: rankContact(ownAddress, `${failureDomainId}:${index}`),
     isHeard,
     failures: 0,
   }));
 
 test('two of each failure domain are contacts, however many there are', () => {
   const daemons = [...createDomain('a', 10, true), ...createDomain('b', 30, true)];
-  const contacts = [...chooseContacts('own:1', daemons)];
+  const contacts = [...chooseContacts(daemons)];
   assert.is(contacts.filter((address) => address.startsWith('a:')).length, 2);
   assert.is(contacts.filter((address) => address.startsWith('b:')).length, 2);
 });
@@ -23,14 +29,14 @@
     ...daemon,
     isHeard: index === 3 || index === 7,
   }));
-  assert.equal([...chooseContacts('own:1', daemons)].sort(), ['a:3', 'a:7']);
+  assert.equal([...chooseContacts(daemons)].sort(), ['a:3', 'a:7']);
 });
 
 test('where contacts are missing, as many others are tried', () => {
   const daemons = createDomain('a', 10, false);
-  assert.is(chooseContacts('own:1', daemons).size, 2);
+  assert.is(chooseContacts(daemons).size, 2);
   const withOne = daemons.map((daemon, index) => ({ ...daemon, isHeard: index === 3 }));
-  assert.is(chooseContacts('own:1', withOne).size, 3);
+  assert.is(chooseContacts(withOne).size, 3);
 });
 
 test('a daemon that did not answer is tried after those that were not asked yet', () => {
@@ -38,13 +44,12 @@
     ...daemon,
     failures: index < 2 ? 1 : 0,
   }));
-  assert.equal([...chooseContacts('own:1', daemons)].sort(), ['a:2', 'a:3']);
+  assert.equal([...chooseContacts(daemons)].sort(), ['a:2', 'a:3']);
 });
 
 test('daemons choose different contacts', () => {
-  const daemons = createDomain('a', 10, true);
   const chosen = Array.from({ length: 20 }, (_, index) => [
-    ...chooseContacts(`own:${index}`, daemons),
+    ...chooseContacts(createDomain('a', 10, true, `own:${index}`)),
   ]).flat();
   assert.ok(new Set(chosen).size >= 8);
 });
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -205,9 +205,7 @@
   /** Ends all jobs and batches: their callers and askers have gone on without this daemon. */
   private forgetWork(reason: string): void {
     this.jobs.giveUpAll(reason);
-    this.dispatcher.askers().forEach((asker) => {
-      this.dispatcher.withdrawUnasked(asker, () => false, 0);
-    });
+    this.dispatcher.askers().forEach((asker) => this.dispatcher.withdrawAll(asker));
   }
 
   /** Begins a planned stop: takes no new callers and hands the workers over as their runs end. */
--- a/src/fleet/fleetExchange.ts
+++ b/src/fleet/fleetExchange.ts
@@ -87,7 +87,7 @@
     const { dispatcher, router, view } = this.options;
     view.forget(incarnation);
     router.noteLost(incarnation);
-    dispatcher.withdrawUnasked(incarnation, () => false, 0);
+    dispatcher.withdrawAll(incarnation);
   }
 
   /** Tells whether batches of one of the two daemons are with the other. */
--- a/src/fleet/fleetPeer.ts
+++ b/src/fleet/fleetPeer.ts
@@ -23,13 +23,15 @@
   private constructor(
     readonly known: KnownMember,
     readonly link: FleetLink,
+    /** Among the possible contacts of this daemon. */
+    readonly rank: number,
     nowMs: number,
   ) {
     this.namedAtMs = nowMs;
   }
 
-  static create(known: KnownMember, link: FleetLink, nowMs: number): FleetPeer {
-    return new FleetPeer(known, link, nowMs);
+  static create(known: KnownMember, link: FleetLink, rank: number, nowMs: number): FleetPeer {
+    return new FleetPeer(known, link, rank, nowMs);
   }
 
   get address(): string {
--- a/src/fleet/fleetPeers.ts
+++ b/src/fleet/fleetPeers.ts
@@ -7,12 +7,14 @@
 import type { FleetStore } from '../ports/fleetStore.js';
 import type { Logger } from '../ports/logger.js';
 import type { FleetHeartbeat, KnownMember, Member } from '../types/fleet.js';
-import { chooseContacts } from './contacts.js';
+import { chooseContacts, rankContact } from './contacts.js';
 import { FleetPeer } from './fleetPeer.js';
 import { PeerSearch } from './peerSearch.js';
 
 const beatPeriodMs = 300;
 const beatTimeoutMs = 250;
+/** A peer in another failure domain that called within this time need not be called. */
+const calledLatelyMs = 1.5 * beatPeriodMs;
 /** One heartbeat in this many tells what was learned of run times. */
 const fullBeatEvery = 5;
 /** Longest silence after which a peer still counts as heard, in milliseconds. */
@@ -153,37 +155,36 @@
 
   private addAll(members: readonly KnownMember[]): void {
     const { clock, own } = this.options;
-    const others = members.filter(({ address }) => address !== own.address);
-    const isNew = others
-      .filter(({ address }) => !this.peers.has(address))
-      .map((one) => this.add(one));
-    others.forEach(({ address }) => this.noteNamed(address, clock.nowMs()));
-    if (isNew.length > 0) {
-      this.refreshContacts();
-      isNew.forEach((peer) => void this.keepPeer(peer));
+    const added: FleetPeer[] = [];
+    for (const member of members.filter(({ address }) => address !== own.address)) {
+      const known = this.peers.get(member.address);
+      if (known === undefined) {
+        added.push(this.add(member));
+      } else {
+        known.namedAtMs = clock.nowMs();
+      }
     }
-  }
-
-  private noteNamed(address: string, nowMs: number): void {
-    const peer = this.peers.get(address);
-    if (peer !== undefined) {
-      peer.namedAtMs = nowMs;
+    if (added.length > 0) {
+      this.refreshContacts();
+      added.forEach((peer) => void this.keepPeer(peer));
     }
   }
 
   private add(member: KnownMember): FleetPeer {
-    const { connector, clock } = this.options;
-    const peer = FleetPeer.create(member, connector.connect(member.address), clock.nowMs());
-    this.peers.set(member.address, peer);
+    const { connector, clock, own } = this.options;
+    const { address } = member;
+    const rank = rankContact(own.address, address);
+    const peer = FleetPeer.create(member, connector.connect(address), rank, clock.nowMs());
+    this.peers.set(address, peer);
     return peer;
   }
 
   private refreshContacts(): void {
     const far = [...this.peers.values()].filter((peer) => !this.isNear(peer));
     this.contacts = chooseContacts(
-      this.options.own.address,
       far.map((peer) => ({
         ...peer.known,
+        rank: peer.rank,
         isHeard: this.isHeard(peer),
         failures: peer.failures,
       })),
@@ -212,7 +213,7 @@
     const sinceCallMs = this.options.clock.nowMs() - peer.calledAtMs;
     return this.isNear(peer)
       ? this.options.own.address < peer.address
-      : sinceCallMs > beatPeriodMs * 1.5;
+      : sinceCallMs > calledLatelyMs;
   }
 
   private keepsContact(peer: FleetPeer): boolean {
--- a/src/fleet/shardKeeper.ts
+++ b/src/fleet/shardKeeper.ts
@@ -5,8 +5,8 @@
 import type { Clock } from '../ports/clock.js';
 import type { FleetStore } from '../ports/fleetStore.js';
 import type { Logger } from '../ports/logger.js';
-import { abortQuietly } from '../utils/abortQuietly.js';
 import { Dependency } from '../utils/dependency.js';
+import { WakeableSleep } from '../utils/wakeableSleep.js';
 import type { Member, ShardGrant } from '../types/fleet.js';
 
 const renewPeriodMs = 600;
@@ -38,12 +38,13 @@
   private readonly stop = new AbortController();
   private readonly logger: Logger;
   private readonly dependency: Dependency;
-  private wake = new AbortController();
+  private readonly pauses: WakeableSleep;
   private readonly keeping: Promise<void>;
 
   private constructor(private readonly options: ShardKeeperOptions) {
     this.logger = options.logger.forPart('shards');
     this.dependency = Dependency.create('membership in the store', this.logger, options.clock);
+    this.pauses = WakeableSleep.create(options.clock);
     this.keeping = this.keep();
   }
 
@@ -68,26 +69,18 @@
 
   async close(): Promise<void> {
     this.stop.abort();
-    this.wake.abort();
+    this.pauses.close();
     await this.keeping;
   }
 
   private async keep(): Promise<void> {
-    const { clock } = this.options;
     while (!this.stop.signal.aborted) {
       if (this.options.isNeeded()) {
         await this.renew();
       } else if (this.isMember) {
         await this.standBy();
       }
-      await clock.sleep(renewPeriodMs, this.wake.signal);
-      this.renewWake();
-    }
-  }
-
-  private renewWake(): void {
-    if (this.wake.signal.aborted && !this.stop.signal.aborted) {
-      this.wake = new AbortController();
+      await this.pauses.sleep(renewPeriodMs);
     }
   }
 
@@ -134,7 +127,7 @@
     await Promise.race([onGrant(grant), clock.sleep(maxReleaseMs, this.stop.signal)]);
     if (grant.generation > this.confirmedGeneration && this.grant === grant) {
       this.confirmedGeneration = grant.generation;
-      abortQuietly(this.wake);
+      this.pauses.wake();
     }
   }
 }
--- a/src/programs/toucandyked/platformProcess.spec.ts
+++ b/src/programs/toucandyked/platformProcess.spec.ts
@@ -1,5 +1,6 @@
 import { once } from 'node:events';
 import { connect } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { PlatformFixture } from '../../../standins/platform/platformFixture.js';
@@ -22,7 +23,6 @@
   }
 };
 
-const sleep = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
 const jobId = (number: number): string => number.toString(16).padStart(16, '0');
 
 test('a job is divided among the workers of all dispatchers and answered when it has ended', () =>
--- a/src/routing/routingStore.ts
+++ b/src/routing/routingStore.ts
@@ -10,11 +10,8 @@
   readonly table: RouteTable;
 }
 
-export type RoutingListener = (active: ActiveRouting) => void;
-
 export class RoutingStore {
   private active: ActiveRouting | undefined;
-  private readonly listeners: RoutingListener[] = [];
 
   private constructor() {
     // Built by create.
@@ -33,15 +30,6 @@
     return this.active?.routing.version ?? -1;
   }
 
-  /**
-   * Calls a listener with each new version.
-   *
-   * @param listener - the listener
-   */
-  onChange(listener: RoutingListener): void {
-    this.listeners.push(listener);
-  }
-
   /**
    * Puts a configuration in force, if it is newer than the present one.
    *
@@ -52,9 +40,7 @@
     if (routing.version <= this.version) {
       return false;
     }
-    const active = { routing, table: RouteTable.create(routing.routes) };
-    this.active = active;
-    this.listeners.forEach((listener) => listener(active));
+    this.active = { routing, table: RouteTable.create(routing.routes) };
     return true;
   }
 }
--- a/standins/platform/platformFixture.ts
+++ b/standins/platform/platformFixture.ts
@@ -2,18 +2,17 @@
  * A small platform with daemons of the product, all in one process: for tests and for profiles.
  */
 import { createServer } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { PlatformProcess } from '../../src/programs/toucandyked/platformProcess.js';
 import type { PlatformSettings } from '../../platform/settings.js';
 import type { LineWriter } from '../../src/adapters/system/roarrLogger.js';
 import { composeRoutes, fixtureHost, fixturePrefix, fixtureService } from './routes.js';
 import { StoreStandIn } from './storeStandIn.js';
+import { operatorTopic, shardCount, workerTopic } from './topics.js';
 import { WorkerStandIn } from './workerStandIn.js';
 import { findDoubled } from './standInRun.js';
 import type { StartRecord } from './standInRun.js';
 
-const shardCount = 32;
-const workerTopic = 'keyed.servers';
-const operatorTopic = 'keyed.op';
 const readyPollMs = 20;
 
 export interface PlatformFixtureOptions {
@@ -108,10 +107,10 @@
     const count = (): number =>
       this.daemons.reduce((sum, daemon) => sum + daemon.openWorkerCount, 0);
     while (count() < workerCount || !this.daemons.every((daemon) => daemon.isReady)) {
-      await new Promise((resolve) => setTimeout(resolve, readyPollMs));
+      await sleep(readyPollMs);
     }
     // One round of heartbeats, so that each knows the room of the others.
-    await new Promise((resolve) => setTimeout(resolve, 300));
+    await sleep(300);
   }
 
   /** Sends a job of equal tasks. */
--- a/standins/platform/storeStandIn.ts
+++ b/standins/platform/storeStandIn.ts
@@ -2,12 +2,14 @@
  * Stands in for the platform's store: keyed topics, and groups that share partitions.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { HttpServer } from '../../src/adapters/http/httpServer.js';
+import type { HttpServer } from '../../src/adapters/http/httpServer.js';
 import { readJsonBody } from '../../src/adapters/http/readJsonBody.js';
 import { sendJson } from '../../src/adapters/http/sendJson.js';
 import { KeyedLog } from './keyedLog.js';
+import { listenOnLoopback } from './listenOnLoopback.js';
 import { MemberGroup } from './memberGroup.js';
 
+const maxConnections = 512;
 const maxBodyBytes = 1_048_576;
 const defaultTtlMs = 2_000;
 
@@ -34,13 +36,9 @@
 
   static async create(partCount: number): Promise<StoreStandIn> {
     const store = new StoreStandIn(partCount);
-    store.server = await HttpServer.create({
-      host: '127.0.0.1',
-      port: 0,
-      maxConnections: 512,
-      keepAliveTimeoutMs: 30_000,
-      handle: (request, response) => store.serve(request, response),
-    });
+    store.server = await listenOnLoopback(maxConnections, (request, response) =>
+      store.serve(request, response),
+    );
     return store;
   }
 
--- a/standins/platform/workerStandIn.ts
+++ b/standins/platform/workerStandIn.ts
@@ -3,11 +3,13 @@
  * acknowledged.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { HttpServer } from '../../src/adapters/http/httpServer.js';
+import type { HttpServer } from '../../src/adapters/http/httpServer.js';
 import { readJsonBody } from '../../src/adapters/http/readJsonBody.js';
 import { sendJson } from '../../src/adapters/http/sendJson.js';
+import { listenOnLoopback } from './listenOnLoopback.js';
 import type { EndRow, StandInEnd, StandInRun, StandInSpec, StartRecord } from './standInRun.js';
 
+const maxConnections = 64;
 const maxBodyBytes = 65_536;
 const maxLeaseMs = 1_000;
 const leaseCheckMs = 10;
@@ -67,13 +69,9 @@
 
   static async create(options: WorkerStandInOptions): Promise<WorkerStandIn> {
     const worker = new WorkerStandIn(options);
-    worker.server = await HttpServer.create({
-      host: '127.0.0.1',
-      port: 0,
-      maxConnections: 64,
-      keepAliveTimeoutMs: 30_000,
-      handle: (request, response) => worker.serve(request, response),
-    });
+    worker.server = await listenOnLoopback(maxConnections, (request, response) =>
+      worker.serve(request, response),
+    );
     return worker;
   }
 
