Read the settings again at SIGHUP instead of ending

Change: a handler is installed before anything else is loaded. A follower reads the file at each signal and every second; live fields (grace period, failure domains; drainGraceMs and logLevel in the own interface) take effect, the others are named in one line, a file that is not valid changes nothing. SIGINT stops the daemon of the platform as planned, too.

--- a/soak/daemonChild.ts
+++ b/soak/daemonChild.ts
@@ -32,12 +32,16 @@
   readonly folder: string;
   /** Path of the built program. */
   readonly program: string;
+  /** Arguments of Node.js, before the program. */
+  readonly nodeArguments?: readonly string[];
   /** Called when the process exits without a call of `kill` or `stop`. */
   readonly onCrash: (detail: string) => void;
 }
 
 export class DaemonChild {
   private child: ChildProcess | undefined;
+  /** The last process that was started, also while it is being stopped. */
+  private running: ChildProcess | undefined;
   /** Resolves when the last process that was started has exited. */
   private ended: Promise<unknown> = Promise.resolve();
   private startedAtMs = -Infinity;
@@ -45,7 +49,7 @@
 
   private constructor(private readonly options: DaemonChildOptions) {
     this.settingsPath = join(options.folder, `${options.vmId}.json`);
-    writeFileSync(this.settingsPath, JSON.stringify(composeSettings(options)));
+    this.writeSettings(this.composeSettings());
   }
 
   static create(options: DaemonChildOptions): DaemonChild {
@@ -56,6 +60,16 @@
     return this.options.vmId;
   }
 
+  /** @returns id of the running process */
+  get pid(): number | undefined {
+    return this.child?.pid;
+  }
+
+  /** Whether the process has had the time to install its signal handlers. */
+  get hasBooted(): boolean {
+    return performance.now() - this.startedAtMs >= maxBootMs;
+  }
+
   get callersAddress(): string {
     return `${this.options.ip}:${callersPort}`;
   }
@@ -68,15 +82,16 @@
     if (this.child !== undefined) {
       return;
     }
-    const { folder, vmId, program, onCrash } = this.options;
+    const { folder, vmId, program, nodeArguments = [], onCrash } = this.options;
     const log = openSync(join(folder, `${vmId}.log`), 'a');
-    const child = spawn(process.execPath, [program, '--platform'], {
+    const child = spawn(process.execPath, [...nodeArguments, program, '--platform'], {
       env: { ...process.env, [settingsPathVariable]: this.settingsPath },
       stdio: ['ignore', log, log],
     });
     closeSync(log);
     this.startedAtMs = performance.now();
     this.child = child;
+    this.running = child;
     this.ended = once(child, 'exit');
     child.once('exit', (code, signal) => {
       if (this.child === child) {
@@ -86,6 +101,21 @@
     });
   }
 
+  /** Replaces the content of the settings file. */
+  writeSettings(text: string): void {
+    writeFileSync(this.settingsPath, text);
+  }
+
+  /** Composes the settings file of the daemon. */
+  composeSettings({ graceS = stopGraceS, cpuShare = 1 } = {}): string {
+    return JSON.stringify(composeSettings(this.options, graceS, cpuShare));
+  }
+
+  /** Tells the process with SIGHUP that its settings file has changed; also while it is stopped. */
+  reload(): void {
+    this.running?.kill('SIGHUP');
+  }
+
   /** Suspends the process with SIGSTOP until `resume`. */
   pause(): void {
     this.child?.kill('SIGSTOP');
@@ -132,21 +162,18 @@
   }
 }
 
-const composeSettings = ({
-  vmId,
-  ip,
-  zone,
-  zones,
-  storeAddress,
-  shardCount,
-}: DaemonChildOptions) => ({
+const composeSettings = (
+  { vmId, ip, zone, zones, storeAddress, shardCount }: DaemonChildOptions,
+  graceS: number,
+  cpuShare: number,
+) => ({
   nodeName: vmId,
   ip,
   zone,
   zones: Object.fromEntries(zones.map((name) => [name, 'region'])),
   listen: { front: `${ip}:${callersPort}`, ready: `${ip}:${readinessPort}` },
   internalPortRange: internalPorts,
-  limits: { cpuShare: 1, cores: 1 },
-  bounds: { holdMaxMs: 1_000, farFactor: 1.5, graceS: stopGraceS },
+  limits: { cpuShare, cores: 1 },
+  bounds: { holdMaxMs: 1_000, farFactor: 1.5, graceS },
   platform: { address: storeAddress, parts: shardCount, ttlMinMs: 1_000 },
 });
--- a/soak/faultInjector.ts
+++ b/soak/faultInjector.ts
@@ -36,6 +36,9 @@
         return this.kill(fault.daemon, fault.durationMs);
       case 'planned-stop':
         return this.stop(fault.daemon);
+      case 'reload':
+        this.reload(fault.daemon, fault.signals);
+        return;
       case 'pause':
         return this.pause(fault.daemon, fault.durationMs);
       case 'link':
@@ -87,6 +90,15 @@
     endDisruption();
   }
 
+  /** Changes the settings file in a field that a running daemon keeps, and says so by signals. */
+  private reload(daemon: number, signals: number): void {
+    const { child } = this.daemonAt(daemon);
+    child.writeSettings(child.composeSettings({ cpuShare: 1 + signals / 10 }));
+    for (let signal = 0; child.hasBooted && signal < signals; signal += 1) {
+      child.reload();
+    }
+  }
+
   private async pause(daemon: number, durationMs: number): Promise<void> {
     const { child } = this.daemonAt(daemon);
     const endDisruption = this.fleet.disruptions.begin(daemon);
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -15,6 +15,8 @@
 export type Fault =
   | { readonly kind: 'kill'; readonly daemon: number; readonly durationMs: number }
   | { readonly kind: 'planned-stop'; readonly daemon: number }
+  /** The settings file is written anew, and SIGHUP is sent `signals` times. */
+  | { readonly kind: 'reload'; readonly daemon: number; readonly signals: number }
   | { readonly kind: 'pause'; readonly daemon: number; readonly durationMs: number }
   | {
       readonly kind: 'link';
@@ -52,6 +54,11 @@
 
 /** Mean time between the starts of two faults, in milliseconds. */
 const meanGapMs = 600;
+/** Mean time between two changes of settings files, in milliseconds. */
+const meanReloadGapMs = 1_500;
+const maxReloadSignals = 3;
+/** Separates the random numbers of the reloads from those of the other faults of a seed. */
+const reloadSeedOffset = 1_000_000;
 const minDurationMs = 200;
 const maxDurationMs = 3_000;
 
@@ -79,6 +86,18 @@
     });
     atMs += random.next() * 2 * meanGapMs;
   }
+  return [...planned, ...planReloads(seed, daemons, faultWindowMs)].sort((a, b) => a.atMs - b.atMs);
+};
+
+/** Plans changes of settings files from random numbers of their own. */
+const planReloads = (seed: number, daemons: number, faultWindowMs: number): PlannedFault[] => {
+  const random = SeededRandom.create(seed + reloadSeedOffset);
+  const planned: PlannedFault[] = [];
+  for (let atMs = 0; atMs < faultWindowMs; atMs += random.next() * 2 * meanReloadGapMs) {
+    const daemon = Math.floor(random.next() * daemons);
+    const signals = Math.floor(random.next() * (maxReloadSignals + 1));
+    planned.push({ atMs: Math.round(atMs), fault: { kind: 'reload', daemon, signals } });
+  }
   return planned;
 };
 
--- a/src/adapters/system/roarrLogger.ts
+++ b/src/adapters/system/roarrLogger.ts
@@ -25,9 +25,14 @@
   readonly onDropped?: (count: number) => void;
 }
 
+/** The lowest level that is written, shared by the loggers of all parts of the process. */
+interface Threshold {
+  level: LogLevel;
+}
+
 export class RoarrLogger implements Logger {
   private constructor(
-    private readonly level: LogLevel,
+    private readonly threshold: Threshold,
     private readonly prefix: string,
     private readonly vmId: string,
   ) {}
@@ -40,13 +45,18 @@
    * @param output - destination of the lines
    */
   static create(level: LogLevel, vmId: string, { write, onDropped }: LogOutput = {}): RoarrLogger {
-    const logger = new RoarrLogger(level, '', vmId);
+    const logger = new RoarrLogger({ level }, '', vmId);
     ROARR.write = write ?? ((line) => logger.writeToStandardOutput(line, onDropped));
     return logger;
   }
 
+  /** Sets the lowest level that is written, for all parts. */
+  setLevel(level: LogLevel): void {
+    this.threshold.level = level;
+  }
+
   forPart(prefix: string): Logger {
-    return new RoarrLogger(this.level, `${prefix}: `, this.vmId);
+    return new RoarrLogger(this.threshold, `${prefix}: `, this.vmId);
   }
 
   debug(sentence: string, context?: LogContext): void {
@@ -75,7 +85,7 @@
   }
 
   private write(level: Exclude<LogLevel, 'off'>, sentence: string, context?: LogContext): void {
-    if (levelOrder.indexOf(level) < levelOrder.indexOf(this.level)) {
+    if (levelOrder.indexOf(level) < levelOrder.indexOf(this.threshold.level)) {
       return;
     }
     Roarr[level]({ vmId: this.vmId, ...context }, `${this.prefix}${sentence}`);
--- a/src/adapters/yaml/readYamlFile.ts
+++ b/src/adapters/yaml/readYamlFile.ts
@@ -38,8 +38,19 @@
   if (text.isErr()) {
     return Err([{ line: 0, path: '', message: text.error }]);
   }
+  return parseYaml(text.value, check);
+};
+
+/**
+ * Parses and validates YAML.
+ *
+ * @param text - one document
+ * @param check - validates the parsed document
+ * @returns the validated content, or all faults with their lines
+ */
+export const parseYaml = <T>(text: string, check: Check<T>): Result<T, LocatedFault[]> => {
   const lineCounter = new LineCounter();
-  const document = parseDocument(text.value, { lineCounter });
+  const document = parseDocument(text, { lineCounter });
   if (document.errors.length > 0) {
     return Err(
       document.errors.map((error) => ({
@@ -66,7 +77,13 @@
   return `${file}:${fault.line}:${place} ${fault.message}${hint}`;
 };
 
-const readFileText = (file: string): Result<string, string> => {
+/**
+ * Reads a file of limited size.
+ *
+ * @param file - path of the file
+ * @returns its text, or a sentence on why it cannot be read
+ */
+export const readFileText = (file: string): Result<string, string> => {
   try {
     const bytes = readFileSync(file);
     return bytes.length > maxFileBytes
--- a/src/bestEffort/batchRouter.ts
+++ b/src/bestEffort/batchRouter.ts
@@ -44,6 +44,7 @@
 export class BatchRouter implements BatchSender {
   /** By batch id. */
   private readonly remoteBatches = new Map<string, RemoteBatch>();
+  private batchNumber = 0;
 
   private constructor(private readonly options: BatchRouterOptions) {}
 
@@ -51,6 +52,11 @@
     return new BatchRouter(options);
   }
 
+  nextBatchId(): string {
+    this.batchNumber += 1;
+    return `${this.options.ownId}-${this.batchNumber}`;
+  }
+
   /**
    * Runs a batch at a dispatcher. The result is `lost` if its daemon is not reachable, becomes
    * unreachable meanwhile, or answers none of the requests.
--- a/src/bestEffort/batchSender.ts
+++ b/src/bestEffort/batchSender.ts
@@ -13,6 +13,8 @@
 
 /** Sends batches to dispatchers, this daemon's own among them. */
 export interface BatchSender {
+  /** @returns an id for a batch that is unique in the fleet */
+  nextBatchId(): string;
   /**
    * Runs a batch at a dispatcher. A batch that is sent again under the same id is not run twice,
    * but waits for the first run.
--- a/src/bestEffort/stepRun.ts
+++ b/src/bestEffort/stepRun.ts
@@ -39,8 +39,6 @@
   readonly logger: Logger;
   readonly planner: StepPlanner;
   readonly sender: BatchSender;
-  /** Returns an id for a batch that is unique in the fleet. */
-  readonly nextBatchId: () => string;
 }
 
 /** Tasks to be sent to dispatchers, with the outcome of earlier attempts. */
@@ -255,7 +253,7 @@
     const isOffered = startsNow || job.wasOffered;
     const mayReturn = reassignments < maxReturnsForCapacity;
     return {
-      batchId: this.options.nextBatchId(),
+      batchId: this.options.sender.nextBatchId(),
       jobId: request.jobId,
       stepIndex: this.index,
       serviceId: route.serviceId,
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -79,7 +79,6 @@
   /** Shards of workers that the store has granted to this daemon. */
   private grant: ShardGrant = { generation: 0, shards: [] };
   private isLeaving = false;
-  private batchNumber = 0;
 
   private constructor(
     private readonly identity: FleetIdentity,
@@ -126,7 +125,6 @@
       planner,
       sender: this.router,
       lengths: this.lengths,
-      nextBatchId: () => this.nextBatchId(),
     });
     const { lengths, speeds, routing, directory, jobs } = this;
     this.intake = JobIntake.create({ logger: this.logger, metrics, routing, directory, jobs });
@@ -209,6 +207,15 @@
     return this.routing.current?.routing ?? null;
   }
 
+  /**
+   * Sets the failure domains of the fleet, in which other daemons are looked for.
+   *
+   * @param failureDomainIds - this daemon's own included
+   */
+  setFailureDomains(failureDomainIds: readonly string[]): void {
+    this.peers.setFailureDomains(failureDomainIds);
+  }
+
   /** Refuses new jobs from now on. */
   stopAcceptingJobs(): void {
     this.intake.close();
@@ -260,11 +267,6 @@
     await Promise.all([this.ports.workers.close(), this.ports.store.close()]);
   }
 
-  private nextBatchId(): string {
-    this.batchNumber += 1;
-    return `${this.identity.member.incarnation}-${this.batchNumber}`;
-  }
-
   private applyGrant(grant: ShardGrant): Promise<unknown> {
     this.grant = grant;
     return this.updateServedWorkers();
--- a/src/fleet/fleetPeers.ts
+++ b/src/fleet/fleetPeers.ts
@@ -73,6 +73,11 @@
     return new FleetPeers(options);
   }
 
+  /** Looks for daemons in these failure domains from now on. */
+  setFailureDomains(failureDomainIds: readonly string[]): void {
+    this.discovery.setFailureDomains(failureDomainIds);
+  }
+
   /** Finds a reachable peer by the incarnation of its process. */
   find(incarnation: string): FleetPeer | undefined {
     return this.reachable().find((peer) => peer.incarnation === incarnation);
--- a/src/fleet/peerDiscovery.ts
+++ b/src/fleet/peerDiscovery.ts
@@ -25,7 +25,10 @@
 export class PeerDiscovery {
   private readonly stop = new AbortController();
 
+  private failureDomainIds: readonly string[];
+
   private constructor(private readonly options: PeerDiscoveryOptions) {
+    this.failureDomainIds = options.failureDomainIds;
     void this.listPeriodically();
   }
 
@@ -33,14 +36,19 @@
     return new PeerDiscovery(options);
   }
 
+  /** Replaces the failure domains, from the next listing on. */
+  setFailureDomains(failureDomainIds: readonly string[]): void {
+    this.failureDomainIds = failureDomainIds;
+  }
+
   close(): void {
     this.stop.abort();
   }
 
   private async listPeriodically(): Promise<void> {
-    const { clock, failureDomainIds, hasNoReachablePeer } = this.options;
+    const { clock, hasNoReachablePeer } = this.options;
     while (!this.stop.signal.aborted) {
-      for (const failureDomainId of failureDomainIds) {
+      for (const failureDomainId of this.failureDomainIds) {
         await this.listDomain(failureDomainId);
       }
       await clock.sleep(hasNoReachablePeer() ? alonePeriodMs : refreshPeriodMs, this.stop.signal);
--- a/src/ports/logger.ts
+++ b/src/ports/logger.ts
@@ -28,6 +28,8 @@
   /** Age of the data that a decision was based on, in milliseconds. */
   readonly ageMs?: number;
   readonly outcome?: string;
+  /** Names of settings, separated by spaces. */
+  readonly fields?: string;
 }
 
 /** Port to the structured log; each part of the daemon logs under its own prefix. */
--- a/src/programs/toucandyked/daemonProcess.ts
+++ b/src/programs/toucandyked/daemonProcess.ts
@@ -16,8 +16,9 @@
 import { VmListHttpClient } from '../../adapters/vmListHttp/vmListHttpClient.js';
 import { splitAddress } from '../../config/settings.js';
 import type { Settings } from '../../config/settings.js';
+import { SettingsFollower } from '../../config/settingsFollower.js';
+import type { SettingsSource } from '../../config/settingsFollower.js';
 import { Daemon } from '../../daemon/daemon.js';
-import type { Clock } from '../../ports/clock.js';
 import type { Ports } from '../../ports/ports.js';
 
 export class DaemonProcess {
@@ -26,8 +27,8 @@
     readonly callers: CallerHttpServer,
     readonly operators: OperatorHttpServer,
     readonly peers: PeerRpcServer,
-    private readonly clock: Clock,
-    private readonly drainGraceMs: number,
+    private readonly ports: Ports,
+    private settings: Settings,
   ) {}
 
   /**
@@ -59,14 +60,36 @@
       service: daemon,
       logger,
     });
-    return new DaemonProcess(daemon, callers, operators, peers, ports.clock, settings.drainGraceMs);
+    return new DaemonProcess(daemon, callers, operators, peers, ports, settings);
+  }
+
+  /**
+   * Applies changes of the settings file from now on.
+   *
+   * @param source - reads and decodes the file
+   * @param liveFields - fields that take effect without a restart
+   */
+  followSettings(
+    source: SettingsSource<Settings>,
+    liveFields: readonly (keyof Settings)[],
+  ): SettingsFollower<Settings> {
+    const { clock, logger, metrics } = this.ports;
+    return SettingsFollower.create({
+      clock,
+      logger,
+      metrics,
+      source,
+      initial: this.settings,
+      liveFields,
+      apply: (changed) => this.applySettings(changed),
+    });
   }
 
   /** Planned shutdown: accepts no new submissions, finishes and answers running jobs, then closes. */
   async close(): Promise<void> {
     this.daemon.drain();
     this.callers.drain();
-    await this.clock.sleep(this.drainGraceMs);
+    await this.ports.clock.sleep(this.settings.drainGraceMs);
     await this.callers.close();
     await this.daemon.close();
     await this.peers.close();
@@ -78,6 +101,14 @@
     await Promise.all([this.callers.kill(), this.peers.kill(), this.operators.kill()]);
     await this.daemon.kill();
   }
+
+  private applySettings(settings: Settings): void {
+    this.settings = settings;
+    const { logger } = this.ports;
+    if (logger instanceof RoarrLogger) {
+      logger.setLevel(settings.logLevel);
+    }
+  }
 }
 
 const createPorts = (settings: Settings): Ports => {
--- a/src/programs/toucandyked/platformProcess.ts
+++ b/src/programs/toucandyked/platformProcess.ts
@@ -15,6 +15,8 @@
 import { SystemClock } from '../../adapters/system/systemClock.js';
 import { SystemRandom } from '../../adapters/system/systemRandom.js';
 import { splitAddress } from '../../config/settings.js';
+import { SettingsFollower } from '../../config/settingsFollower.js';
+import type { SettingsSource } from '../../config/settingsFollower.js';
 import { FleetDaemon } from '../../fleet/fleetDaemon.js';
 import type { Clock } from '../../ports/clock.js';
 import type { Logger } from '../../ports/logger.js';
@@ -29,7 +31,7 @@
 
 export class PlatformProcess {
   private constructor(
-    private readonly settings: PlatformSettings,
+    private settings: PlatformSettings,
     private readonly clock: Clock,
     private readonly logger: Logger,
     private readonly daemon: FleetDaemon,
@@ -108,6 +110,28 @@
     return this.daemon.openWorkerCount;
   }
 
+  /**
+   * Applies changes of the settings file from now on.
+   *
+   * @param source - reads and decodes the file
+   * @param liveFields - fields that take effect without a restart
+   */
+  followSettings(
+    source: SettingsSource<PlatformSettings>,
+    liveFields: readonly (keyof PlatformSettings)[],
+  ): SettingsFollower<PlatformSettings> {
+    const { clock, logger, metrics, settings } = this;
+    return SettingsFollower.create({
+      clock,
+      logger,
+      metrics,
+      source,
+      initial: settings,
+      liveFields,
+      apply: (changed) => this.applySettings(changed),
+    });
+  }
+
   /** Closes every connection at once, as a killed process does. */
   async kill(): Promise<void> {
     await Promise.all([this.front.kill(), this.peers.kill(), this.metrics.close()]);
@@ -146,4 +170,9 @@
       clock.sleep(pollMs),
     ]);
   }
+
+  private applySettings(settings: PlatformSettings): void {
+    this.settings = settings;
+    this.daemon.setFailureDomains(settings.failureDomainIds);
+  }
 }
--- a/src/programs/toucandyked/runOnPlatform.ts
+++ b/src/programs/toucandyked/runOnPlatform.ts
@@ -2,24 +2,42 @@
  * Runs the daemon on the users' platform, with the settings file that the platform provides.
  */
 import { once } from 'node:events';
-import { readPlatformSettings, settingsPathVariable } from '../../../platform/settings.js';
+import {
+  decodePlatformSettings,
+  livePlatformFields,
+  readSettingsText,
+  settingsPathVariable,
+} from '../../../platform/settings.js';
 import { PlatformProcess } from './platformProcess.js';
+import type { ReloadSignal } from './reloadSignal.js';
 
 const usageExitCode = 2;
 
-/** Runs the daemon until SIGTERM, then shuts it down as planned. */
-export const runOnPlatform = async (): Promise<void> => {
+/**
+ * Runs the daemon until SIGTERM or SIGINT, then shuts it down as planned.
+ *
+ * @param reload - says that the settings file has changed
+ */
+export const runOnPlatform = async (reload: ReloadSignal): Promise<void> => {
   const path = process.env[settingsPathVariable] ?? '';
-  const settings = readPlatformSettings(path);
+  const readText = () => readSettingsText(path);
+  const settings = readText().andThen(decodePlatformSettings);
   if (settings.isErr()) {
     process.stderr.write(`${settings.error}\n`);
     process.exitCode = usageExitCode;
     return;
   }
   // Waits from here on, so that a signal during the start stops the daemon once it has started.
-  const terminated = once(process, 'SIGTERM');
+  const stopped = Promise.race([once(process, 'SIGTERM'), once(process, 'SIGINT')]);
   const daemon = await PlatformProcess.create(settings.value);
-  await terminated;
+  const follower = daemon.followSettings(
+    { readText, decode: decodePlatformSettings },
+    livePlatformFields,
+  );
+  reload.listen(() => follower.reload());
+  await stopped;
+  reload.ignore();
+  await follower.close();
   await daemon.close();
   process.exit(0);
 };
--- a/src/programs/toucandyked/runWithSettings.ts
+++ b/src/programs/toucandyked/runWithSettings.ts
@@ -1,28 +1,52 @@
 /**
  * Runs the daemon with a settings file given by its path.
  */
-import { formatFault, readYamlFile } from '../../adapters/yaml/readYamlFile.js';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { formatFault, parseYaml, readFileText } from '../../adapters/yaml/readYamlFile.js';
 import { checkSettings } from '../../config/checkSettings.js';
+import type { Settings } from '../../config/settings.js';
 import { DaemonProcess } from './daemonProcess.js';
+import type { ReloadSignal } from './reloadSignal.js';
 
 const usageExitCode = 2;
 
+/** Fields of the settings that take effect in a running daemon. */
+const liveFields = ['drainGraceMs', 'logLevel'] as const;
+
 /**
  * Starts the daemon, which shuts down as planned on SIGTERM or SIGINT.
  *
  * @param file - path of the settings file
+ * @param reload - says that the settings file has changed
  */
-export const runWithSettings = async (file: string): Promise<void> => {
-  const settings = readYamlFile(file, checkSettings);
+export const runWithSettings = async (file: string, reload: ReloadSignal): Promise<void> => {
+  const readText = () => readFileText(file);
+  const decode = (text: string) => decodeSettings(file, text);
+  const settings = readText()
+    .mapErr((message) => formatFault(file, { line: 0, path: '', message }))
+    .andThen(decode);
   if (settings.isErr()) {
-    for (const fault of settings.error) {
-      process.stderr.write(`${formatFault(file, fault)}\n`);
-    }
+    process.stderr.write(`${settings.error}\n`);
     process.exitCode = usageExitCode;
     return;
   }
   const daemon = await DaemonProcess.create(settings.value);
-  const stop = (): void => void daemon.close();
-  process.once('SIGTERM', stop);
-  process.once('SIGINT', stop);
+  const follower = daemon.followSettings({ readText, decode }, liveFields);
+  reload.listen(() => follower.reload());
+  const stop = async (): Promise<void> => {
+    reload.ignore();
+    await follower.close();
+    await daemon.close();
+  };
+  process.once('SIGTERM', () => void stop());
+  process.once('SIGINT', () => void stop());
+};
+
+/** Decodes the settings; the error has a line for each fault. */
+const decodeSettings = (file: string, text: string): Result<Settings, string> => {
+  const settings = parseYaml(text, checkSettings);
+  return settings.isOk()
+    ? Ok(settings.value)
+    : Err(settings.error.map((fault) => formatFault(file, fault)).join('\n'));
 };
