Daemons call each other over WebSocket connections; messages have an age; pairs that stand by exchange less

Times in a batch were relative, so a late one looked new. Heartbeats and batches cost one HTTP exchange each, and in a failure domain every pair exchanged them every 300 ms.

Change: heartbeats and batches carry their time of sending; the receiver knows the offset of the clocks from the heartbeats. A batch older than 0.9 s is returned, the limits of a younger one count from its sending, also when it is sent again. A withdrawal that overtakes its batch is remembered. Calls between daemons share one WebSocket connection (ws); a daemon of an earlier version is called over HTTP, and served over HTTP. Heartbeats every 300 ms between daemons that share batches, 500 ms where one dispatches, 1.5 s between two that stand by.

--- a/bench/platformCost.ts
+++ b/bench/platformCost.ts
@@ -48,33 +48,41 @@
 const readTotalMs = (): number =>
   fleet.daemons.reduce((sum, { pid }) => sum + (pid === undefined ? 0 : readProcessorMs(pid)), 0);
 
-await sleep(startPhaseMs);
-const startedMs = readTotalMs();
-await sleep(durationMs);
-const idleMs = readTotalMs();
-const load = SiteLoad.create(fleet.daemons.map(({ callersAddress }) => callersAddress));
-const reportsBefore = fleet.reportRequestCount;
-const result = await load.run(durationMs, Number(values.load));
-const loadedMs = readTotalMs() - idleMs;
-const residentMb = fleet.daemons.map(({ pid }) => (pid === undefined ? 0 : readResidentMb(pid)));
-const count = fleet.daemons.length;
-const runs = fleet.startCount;
-const idlePerSecond = (idleMs - startedMs) / count / Number(values.seconds);
+/** Measures the phases one after the other, and prints a table. */
+const measure = async (): Promise<void> => {
+  await sleep(startPhaseMs);
+  const startedMs = readTotalMs();
+  await sleep(durationMs);
+  const idleMs = readTotalMs();
+  const load = SiteLoad.create(fleet.daemons.map(({ callersAddress }) => callersAddress));
+  const reportsBefore = fleet.reportRequestCount;
+  const result = await load.run(durationMs, Number(values.load));
+  await load.close();
+  const loadedMs = readTotalMs() - idleMs;
+  const residentMb = fleet.daemons.map(({ pid }) => (pid === undefined ? 0 : readResidentMb(pid)));
+  const count = fleet.daemons.length;
+  const runs = fleet.startCount;
+  const idlePerSecond = (idleMs - startedMs) / count / Number(values.seconds);
+  const trafficMs = loadedMs - idlePerSecond * count * Number(values.seconds);
+  const rows = [
+    { what: 'start of a daemon, ms of a core', value: startedMs / count },
+    { what: 'second of a daemon without traffic, ms', value: idlePerSecond },
+    { what: 'job, ms beyond the time without traffic', value: trafficMs / result.jobs },
+    { what: 'run, ms beyond the time without traffic', value: trafficMs / runs },
+    { what: 'report requests per run', value: (fleet.reportRequestCount - reportsBefore) / runs },
+    { what: 'largest resident memory, MB', value: Math.max(...residentMb) },
+    { what: 'jobs', value: result.jobs },
+    { what: 'completed jobs', value: result.completed },
+    { what: 'median answer, ms', value: result.medianMs },
+    { what: '95 of 100 answers within, ms', value: result.p95Ms },
+  ];
+  for (const { what, value } of rows) {
+    process.stdout.write(`${what.padEnd(42)} ${value.toFixed(2).padStart(10)}\n`);
+  }
+};
 
-const rows = [
-  { what: 'start of a daemon, ms of a core', value: startedMs / count },
-  { what: 'second of a daemon without traffic, ms', value: idlePerSecond },
-  { what: 'job, ms', value: loadedMs / result.jobs },
-  { what: 'run, ms', value: loadedMs / runs },
-  { what: 'report requests per run', value: (fleet.reportRequestCount - reportsBefore) / runs },
-  { what: 'largest resident memory, MB', value: Math.max(...residentMb) },
-  { what: 'jobs', value: result.jobs },
-  { what: 'completed jobs', value: result.completed },
-  { what: 'median answer, ms', value: result.medianMs },
-  { what: '95 of 100 answers within, ms', value: result.p95Ms },
-];
-for (const { what, value } of rows) {
-  process.stdout.write(`${what.padEnd(42)} ${value.toFixed(2).padStart(10)}\n`);
+try {
+  await measure();
+} finally {
+  await fleet.close();
 }
-await load.close();
-await fleet.close();
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -10,6 +10,7 @@
   'node:fs',
   'node:fs/promises',
   'undici',
+  'ws',
   'hot-shots',
   'roarr',
   'json-rpc-2.0',
--- /dev/null
+++ b/src/adapters/fleetRpc/fleetRpcLink.spec.ts
@@ -0,0 +1,117 @@
+import { createServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { FleetService } from '../../ports/fleetPeers.js';
+import { silentLogger } from '../../testing/silentLogger.js';
+import type { FleetHeartbeat } from '../../types/fleet.js';
+import { HttpServer } from '../http/httpServer.js';
+import { sendJson } from '../http/sendJson.js';
+import { readJsonBody } from '../http/readJsonBody.js';
+import { WebSocket } from 'ws';
+import { FleetRpcConnector } from './fleetRpcClient.js';
+import { FleetRpcServer } from './fleetRpcServer.js';
+import { fleetSocketPath } from './fleetRpcPath.js';
+
+const heartbeat: FleetHeartbeat = {
+  member: { incarnation: 'a', address: '127.0.0.1:1', failureDomainId: 'east', weight: 1 },
+  routingVersion: 3,
+  isLeaving: false,
+  load: { workers: [] },
+  askedBatchIds: [],
+};
+
+const service: FleetService = {
+  beat: () => heartbeat,
+  runBatch: () => Promise.reject(new Error('not served')),
+  withdrawBatch: () => undefined,
+  fetchRouting: () => null,
+};
+
+const createServerAndLink = async () => {
+  const server = await FleetRpcServer.create({
+    host: '127.0.0.1',
+    port: 0,
+    service,
+    logger: silentLogger,
+  });
+  const link = FleetRpcConnector.create().connect(server.address);
+  return { server, link };
+};
+
+test('calls share a connection, and a new one is opened after its end', async () => {
+  const { server, link } = await createServerAndLink();
+  const replies = await Promise.all([link.beat(heartbeat, 500), link.fetchRouting(500)]);
+  assert.ok(replies.every((reply) => reply.isOk()));
+  await server.kill();
+  const down = await link.beat(heartbeat, 500);
+  assert.ok(down.isErr());
+  const again = await FleetRpcServer.create({
+    host: '127.0.0.1',
+    port: Number(server.address.split(':')[1]),
+    service,
+    logger: silentLogger,
+  });
+  assert.ok((await link.beat(heartbeat, 500)).isOk());
+  await link.close();
+  await again.kill();
+});
+
+test('a peer that accepts connections and is silent does not hold a call up', async () => {
+  const sockets: Socket[] = [];
+  const silent = createServer((socket) => sockets.push(socket));
+  await new Promise<void>((resolve) => silent.listen(0, '127.0.0.1', resolve));
+  const { port } = silent.address() as AddressInfo;
+  const link = FleetRpcConnector.create().connect(`127.0.0.1:${port}`);
+  const startedAtMs = performance.now();
+  const reply = await link.beat(heartbeat, 100);
+  assert.is(reply.isErr() && reply.error.kind, 'not-sent');
+  assert.ok(performance.now() - startedAtMs < 500);
+  await sleep(1_200);
+  await link.beat(heartbeat, 100);
+  assert.is(sockets.length, 2);
+  await link.close();
+  sockets.forEach((socket) => socket.destroy());
+  silent.close();
+});
+
+test('a message that is no call ends its connection, not the server', async () => {
+  const { server, link } = await createServerAndLink();
+  for (const message of ['', '{', '[]', '{"jsonrpc":"2.0","id":1}', 'x'.repeat(100_000)]) {
+    const socket = new WebSocket(`ws://${server.address}${fleetSocketPath}`);
+    await new Promise((resolve) => socket.once('open', resolve));
+    const closed = new Promise((resolve) => socket.once('close', resolve));
+    socket.send(message);
+    await closed;
+  }
+  const invalid = await link.beat({ ...heartbeat, askedBatchIds: [7 as unknown as string] }, 500);
+  assert.ok(invalid.isErr());
+  assert.is(invalid.isErr() && invalid.error.kind, 'refused');
+  assert.ok((await link.beat(heartbeat, 500)).isOk());
+  await link.close();
+  await server.kill();
+});
+
+test('a daemon of an earlier version, which serves HTTP only, is called over HTTP', async () => {
+  const earlier = await HttpServer.create({
+    host: '127.0.0.1',
+    port: 0,
+    maxConnections: 10,
+    handle: async (request, response) => {
+      if (request.method !== 'POST') {
+        sendJson(response, 404, {});
+        return;
+      }
+      const { id } = (await readJsonBody(request, 10_000)).unwrap() as { id: number };
+      sendJson(response, 200, { jsonrpc: '2.0', id, result: heartbeat });
+    },
+  });
+  const link = FleetRpcConnector.create().connect(earlier.address);
+  assert.ok((await link.beat(heartbeat, 500)).isOk());
+  assert.ok((await link.beat(heartbeat, 500)).isOk());
+  await link.close();
+  await earlier.kill();
+});
+
+test.run();
--- a/src/adapters/fleetRpc/fleetRpcServer.ts
+++ b/src/adapters/fleetRpc/fleetRpcServer.ts
@@ -1,5 +1,6 @@
 /**
- * Server side of the interface between the daemons of a fleet: JSON-RPC 2.0 over HTTP.
+ * Server side of the interface between the daemons of a fleet: JSON-RPC 2.0 over WebSocket
+ * connections, and over HTTP for daemons that do not support them yet.
  */
 import { JSONRPCServer } from 'json-rpc-2.0';
 import type { Logger } from '../../ports/logger.js';
@@ -8,7 +9,8 @@
 import { HttpServer } from '../http/httpServer.js';
 import { answerJsonRpc } from '../jsonRpc/answerJsonRpc.js';
 import { checkParams } from '../jsonRpc/jsonRpcCall.js';
-import { fleetRpcPath } from './fleetRpcPath.js';
+import { RpcSocketServer } from '../jsonRpc/rpcSocketServer.js';
+import { fleetHttpPath, fleetSocketPath } from './fleetRpcPath.js';
 
 const maxConnections = 2_048;
 const keepAliveTimeoutMs = 10_000;
@@ -24,10 +26,16 @@
   private server!: HttpServer;
   private readonly logger: Logger;
   private readonly rpc: JSONRPCServer;
+  private readonly sockets: RpcSocketServer;
 
   private constructor({ service, logger }: FleetRpcServerOptions) {
     this.logger = logger.forPart('fleet');
     this.rpc = createRpcServer(service, this.logger);
+    this.sockets = RpcSocketServer.create({
+      rpc: this.rpc,
+      path: fleetSocketPath,
+      onError: (reason) => this.logger.warn('A connection of a daemon failed.', { reason }),
+    });
   }
 
   static async create(options: FleetRpcServerOptions): Promise<FleetRpcServer> {
@@ -38,7 +46,8 @@
       maxConnections,
       keepAliveTimeoutMs,
       handle: (request, response) =>
-        answerJsonRpc(fleetServer.rpc, fleetRpcPath, request, response),
+        answerJsonRpc(fleetServer.rpc, fleetHttpPath, request, response),
+      onUpgrade: (request, socket, head) => fleetServer.sockets.accept(request, socket, head),
       onError: (reason) => fleetServer.logger.warn('A request of a daemon failed.', { reason }),
     });
     return fleetServer;
@@ -50,8 +59,9 @@
   }
 
   /** Drops all connections at once. */
-  kill(): Promise<void> {
-    return this.server.kill();
+  async kill(): Promise<void> {
+    this.sockets.close();
+    await this.server.kill();
   }
 }
 
--- a/src/adapters/http/httpServer.ts
+++ b/src/adapters/http/httpServer.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { Server as NetServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
+import type { Duplex } from 'node:stream';
 
 const maxHeaderBytes = 8_192;
 const maxHeaders = 64;
@@ -18,6 +19,9 @@
 /** Handles one request and ends the response. If the promise rejects, the connection is dropped. */
 export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
 
+/** Takes over the connection of a request that asks for another protocol. */
+export type UpgradeHandler = (request: IncomingMessage, socket: Duplex, head: Buffer) => void;
+
 export interface HttpServerOptions {
   readonly host: string;
   /** 0 selects a free port. */
@@ -26,6 +30,8 @@
   /** Time after which an idle connection is closed, in milliseconds; 5 s by default. */
   readonly keepAliveTimeoutMs?: number;
   readonly handle: RequestHandler;
+  /** Without it, requests for another protocol are dropped. */
+  readonly onUpgrade?: UpgradeHandler;
   /** Called with the error of a handler that rejected; the connection is dropped afterwards. */
   readonly onError?: (reason: string) => void;
 }
@@ -58,6 +64,9 @@
     );
     httpServer.server.maxHeadersCount = maxHeaders;
     httpServer.server.maxConnections = options.maxConnections;
+    if (options.onUpgrade !== undefined) {
+      httpServer.server.on('upgrade', options.onUpgrade);
+    }
     await new Promise<void>((resolve, reject) => {
       httpServer.server.once('error', reject);
       httpServer.server.listen(options.port, options.host, resolve);
--- /dev/null
+++ b/src/adapters/jsonRpc/rpcSocket.ts
@@ -0,0 +1,148 @@
+/**
+ * JSON-RPC 2.0 calls over one WebSocket connection, which carries many calls at the same time.
+ */
+import { JSONRPCClient } from 'json-rpc-2.0';
+import type { JSONRPCResponse } from 'json-rpc-2.0';
+import { Err } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { WebSocket } from 'ws';
+import type { PeerError } from '../../ports/peers.js';
+import { parseJson } from '../../utils/parseJson.js';
+import { decodeReply, toPeerError } from './typedJsonRpcClient.js';
+import type { CallResult, MethodTable, MethodParams } from './typedJsonRpcClient.js';
+
+const connectTimeoutMs = 1_000;
+const maxReplyBytes = 33_554_432;
+/**
+ * A connection on which a call has timed out is dropped if nothing arrived on it for this long, in
+ * milliseconds: connections may go silent without being reset.
+ */
+const maxSilenceMs = 500;
+/** Calls are not sent while this many bytes wait to be sent. */
+const maxBufferedBytes = 4_194_304;
+
+/** State of the connection. `unsupported`: the peer serves no WebSocket at the path. */
+export type RpcSocketState = 'connecting' | 'open' | 'closed' | 'unsupported';
+
+export class RpcSocket<T extends MethodTable> {
+  private currentState: RpcSocketState = 'connecting';
+  private lastReceivedAtMs = performance.now();
+  private closeReason = 'The connection was closed.';
+  private readonly socket: WebSocket;
+  private readonly client: JSONRPCClient;
+  /** Resolves when the connection is open or has failed. */
+  private readonly connected: Promise<void>;
+
+  private constructor(
+    url: string,
+    private readonly methods: T,
+  ) {
+    this.client = new JSONRPCClient((call) => this.socket.send(JSON.stringify(call)));
+    this.socket = new WebSocket(url, {
+      handshakeTimeout: connectTimeoutMs,
+      maxPayload: maxReplyBytes,
+      perMessageDeflate: false,
+    });
+    this.connected = new Promise((resolve) => {
+      this.socket.once('open', () => {
+        this.currentState = 'open';
+        this.lastReceivedAtMs = performance.now();
+        resolve();
+      });
+      this.socket.once('close', () => {
+        this.handleClose();
+        resolve();
+      });
+    });
+    this.socket.once('unexpected-response', () => {
+      this.currentState = 'unsupported';
+      this.socket.terminate();
+    });
+    this.socket.on('error', (error) => {
+      this.closeReason = String(error);
+    });
+    this.socket.on('message', (data: Buffer) => this.receive(data));
+  }
+
+  /**
+   * Connects to a peer; calls wait for the connection.
+   *
+   * @param url - such as `ws://127.0.0.1:7000/fleet/v2`
+   * @param methods - schemas of the methods
+   */
+  static create<T extends MethodTable>(url: string, methods: T): RpcSocket<T> {
+    return new RpcSocket(url, methods);
+  }
+
+  get state(): RpcSocketState {
+    return this.currentState;
+  }
+
+  /**
+   * Calls a method of the peer.
+   *
+   * @param method - name of the method in the table
+   * @param params - parameters, before defaults are applied
+   * @param timeoutMs - time for the connection, and then again for the answer
+   * @returns the validated result, or an error: `not-sent` if the peer received nothing, `refused` if
+   *   it responded with an error, `broken` if it may have acted
+   */
+  async call<M extends keyof T & string>(
+    method: M,
+    params: MethodParams<T, M>,
+    timeoutMs: number,
+  ): Promise<Result<CallResult<T, M>, PeerError>> {
+    if (this.currentState === 'connecting') {
+      await this.waitForConnection(timeoutMs);
+    }
+    if (this.currentState !== 'open' || this.socket.bufferedAmount > maxBufferedBytes) {
+      return Err({ kind: 'not-sent', detail: this.closeReason });
+    }
+    try {
+      const reply: unknown = await this.client.timeout(timeoutMs).request(method, params);
+      return decodeReply(this.methods, method, reply);
+    } catch (error) {
+      this.dropIfSilent();
+      return Err(toPeerError(error));
+    }
+  }
+
+  close(): void {
+    this.socket.terminate();
+  }
+
+  /** Waits until the connection is open, has failed, or the time is over. */
+  private async waitForConnection(timeoutMs: number): Promise<void> {
+    let timer: NodeJS.Timeout | undefined;
+    const isOver = new Promise<void>((resolve) => {
+      timer = setTimeout(resolve, timeoutMs);
+    });
+    await Promise.race([this.connected, isOver]);
+    clearTimeout(timer);
+  }
+
+  private receive(data: Buffer): void {
+    this.lastReceivedAtMs = performance.now();
+    const response = parseJson(data);
+    if (typeof response !== 'object' || response === null) {
+      this.closeReason = 'The peer sent a message that is not JSON.';
+      this.socket.terminate();
+      return;
+    }
+    this.client.receive(response as JSONRPCResponse);
+  }
+
+  private dropIfSilent(): void {
+    if (performance.now() - this.lastReceivedAtMs > maxSilenceMs) {
+      this.closeReason = 'The connection went silent.';
+      this.socket.terminate();
+    }
+  }
+
+  private handleClose(): void {
+    if (this.currentState !== 'unsupported') {
+      this.currentState = 'closed';
+    }
+    this.client.rejectAllPendingRequests(this.closeReason);
+  }
+}
--- a/src/adapters/jsonRpc/typedJsonRpcClient.ts
+++ b/src/adapters/jsonRpc/typedJsonRpcClient.ts
@@ -22,6 +22,12 @@
   Record<string, { readonly params: z.ZodType; readonly result: z.ZodType }>
 >;
 
+/** Parameters of a method, before defaults are applied. */
+export type MethodParams<T extends MethodTable, M extends keyof T> = z.input<T[M]['params']>;
+
+/** Validated result of a method. */
+export type CallResult<T extends MethodTable, M extends keyof T> = z.output<T[M]['result']>;
+
 /** Conditions under which a call is aborted. */
 export type CallLimits = Pick<HttpRequest, 'signal' | 'timeoutMs'>;
 
@@ -73,15 +79,12 @@
    */
   async call<M extends keyof T & string>(
     method: M,
-    params: z.input<T[M]['params']>,
+    params: MethodParams<T, M>,
     limits: CallLimits,
-  ): Promise<Result<z.output<T[M]['result']>, PeerError>> {
+  ): Promise<Result<CallResult<T, M>, PeerError>> {
     try {
       const reply: unknown = await this.client.request(method, params, limits);
-      const parsed = this.options.methods[method]?.result.safeParse(reply);
-      return parsed?.success === true
-        ? Ok(parsed.data as z.output<T[M]['result']>)
-        : Err({ kind: 'broken', detail: `The peer's answer to ${method} is not valid.` });
+      return decodeReply(this.options.methods, method, reply);
     } catch (error) {
       return Err(toPeerError(error));
     }
@@ -112,7 +115,26 @@
   }
 }
 
-const toPeerError = (error: unknown): PeerError => {
+/**
+ * Validates the result of a call.
+ *
+ * @param methods - schemas of the methods
+ * @param method - the method that was called
+ * @param reply - its result as received
+ */
+export const decodeReply = <T extends MethodTable, M extends keyof T & string>(
+  methods: T,
+  method: M,
+  reply: unknown,
+): Result<CallResult<T, M>, PeerError> => {
+  const parsed = methods[method]?.result.safeParse(reply);
+  return parsed?.success === true
+    ? Ok(parsed.data as CallResult<T, M>)
+    : Err({ kind: 'broken', detail: `The peer's answer to ${method} is not valid.` });
+};
+
+/** Converts what a failed call threw. */
+export const toPeerError = (error: unknown): PeerError => {
   if (error instanceof TransportError) {
     return error.peerError;
   }
--- a/src/bestEffort/batchRouter.ts
+++ b/src/bestEffort/batchRouter.ts
@@ -2,6 +2,7 @@
  * Sends batches to their dispatchers: to this daemon's own one directly, and to that of another
  * daemon by a request that is sent again, on another connection, when no answer arrives in time.
  */
+import { shortenTimeLimits } from '../dispatch/batchTimeLimits.js';
 import type { Dispatcher } from '../dispatch/dispatcher.js';
 import type { Batch, BatchReply } from '../types/dispatch.js';
 import type { FleetPeer } from '../fleet/fleetPeer.js';
@@ -133,6 +134,7 @@
     const { clock, ownId, view, dispatcher, peers } = this.options;
     const answerTimeoutMs = batch.estimatedMs * runTimeErrorFactor + resendSlackMs;
     const isSameDomain = view.localityOf(dispatcherId) === 'near';
+    const firstSentAtMs = clock.nowMs();
     let reason = 'no answer';
     for (
       let sends = 0;
@@ -141,7 +143,15 @@
     ) {
       const sentAtMs = clock.nowMs();
       const load = isSameDomain ? { load: dispatcher.load() } : {};
-      const reply = await peer.link.runBatch({ askedBy: ownId, batch, ...load }, answerTimeoutMs);
+      const reply = await peer.link.runBatch(
+        {
+          askedBy: ownId,
+          sentAtMs,
+          batch: shortenTimeLimits(batch, sentAtMs - firstSentAtMs),
+          ...load,
+        },
+        answerTimeoutMs,
+      );
       if (reply.isOk()) {
         peers().recordContact(dispatcherId);
         view.updateKnownLoad(dispatcherId, reply.value.load);
--- a/src/bestEffort/fleetView.ts
+++ b/src/bestEffort/fleetView.ts
@@ -83,10 +83,15 @@
    * @param dispatcherId - incarnation of the daemon
    * @param load - its workers and their free capacity
    * @param locality - where the daemon is, seen from this one
+   * @param ageMs - time since the load was reported, in milliseconds
    */
-  recordLoad(dispatcherId: string, load: MemberLoad, locality: Locality): void {
-    const receivedAtMs = this.options.clock.nowMs();
-    const earlier = this.loads.get(dispatcherId)?.reservations ?? [];
+  recordLoad(dispatcherId: string, load: MemberLoad, locality: Locality, ageMs = 0): void {
+    const receivedAtMs = this.options.clock.nowMs() - ageMs;
+    const before = this.loads.get(dispatcherId);
+    if (before !== undefined && before.receivedAtMs > receivedAtMs) {
+      return;
+    }
+    const earlier = before?.reservations ?? [];
     const reservations = earlier.filter(
       ({ reservedAtMs }) => receivedAtMs - reservedAtMs < reportDelayMs,
     );
@@ -97,10 +102,10 @@
    * Records the newest load of a dispatcher that is in the view already. A message other than a
    * heartbeat does not add a dispatcher, since it does not carry its failure domain.
    */
-  updateKnownLoad(dispatcherId: string, load: MemberLoad): void {
+  updateKnownLoad(dispatcherId: string, load: MemberLoad, ageMs = 0): void {
     const known = this.loads.get(dispatcherId);
     if (known !== undefined) {
-      this.recordLoad(dispatcherId, load, known.locality);
+      this.recordLoad(dispatcherId, load, known.locality, ageMs);
     }
   }
 
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -10,9 +10,11 @@
 import type { Random } from '../ports/random.js';
 import type { WorkerPort } from '../ports/workers.js';
 import type { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
+import { RecentNames } from '../utils/recentNames.js';
 import type { WorkerRecord } from '../types/workers.js';
 import type { ActiveRun, RunOutcome } from './activeRun.js';
 import type { ManagedWorker } from './managedWorker.js';
+import { recordOutcome } from './recordOutcome.js';
 import { OpenBatch } from './openBatch.js';
 import type { BatchedTask } from './openBatch.js';
 import { WorkerPool } from './workerPool.js';
@@ -21,6 +23,8 @@
 
 /** Ended batches are kept this long after their arrival, to answer repeated requests. */
 const batchRetentionMs = 10_000;
+/** Withdrawals of batches that have not arrived that are remembered. */
+const maxEarlyWithdrawals = 2_048;
 /** Run numbers that are skipped when a worker has already ended a run with the next number. */
 const runNumberSkip = 8;
 
@@ -38,6 +42,8 @@
 
 export class Dispatcher {
   private readonly batches = new Map<string, OpenBatch>();
+  /** Batches that were withdrawn before they arrived. */
+  private readonly withdrawnEarly = RecentNames.create(maxEarlyWithdrawals);
   private readonly workers: WorkerPool;
   private readonly starter: TaskStarter;
   private readonly logger: Logger;
@@ -92,10 +98,22 @@
     return this.answer(batch, await batch.completion, false);
   }
 
-  /** Ends a batch whose job has ended: its waiting tasks are removed and its runs stopped. */
+  /** Whether a batch is open here, or has ended a short while ago. */
+  hasBatch(batchId: string): boolean {
+    return this.batches.has(batchId);
+  }
+
+  /**
+   * Ends a batch whose job has ended: its waiting tasks are removed and its runs stopped. A batch that
+   * arrives after its withdrawal ends at once.
+   */
   withdraw(batchId: string): void {
     const batch = this.batches.get(batchId);
-    if (batch === undefined || batch.hasEnded) {
+    if (batch === undefined) {
+      this.withdrawnEarly.add(batchId);
+      return;
+    }
+    if (batch.hasEnded) {
       return;
     }
     this.starter.removeBatch(batch);
@@ -147,6 +165,11 @@
     return [...new Set(open.map(({ askedBy }) => askedBy))];
   }
 
+  /** @returns number of workers to which this daemon dispatches */
+  get workerCount(): number {
+    return this.workers.size;
+  }
+
   /** Returns the free capacity of the workers, as reported to the other daemons. */
   load(): MemberLoad {
     return { workers: this.workers.computeLoads(this.starter.listWaiting()) };
@@ -165,6 +188,10 @@
     const batch = OpenBatch.create(askedBy, content, this.options.clock.nowMs());
     this.evictEndedBatches(batch.arrivedAtMs);
     this.batches.set(content.batchId, batch);
+    if (this.withdrawnEarly.has(content.batchId)) {
+      this.withdraw(content.batchId);
+      return batch;
+    }
     batch.tasks.forEach((task) => this.starter.enqueue(task));
     this.starter.startReadyTasks();
     return batch;
@@ -184,7 +211,7 @@
   private ended(worker: ManagedWorker, run: ActiveRun, outcome: RunOutcome): void {
     const nowMs = this.options.clock.nowMs();
     const slowness = worker.speed.slowness(nowMs);
-    this.recordOutcome(worker, run, outcome);
+    recordOutcome(worker, run, outcome, nowMs);
     const cause = causeLabel(outcome);
     this.options.metrics.count('runs', 1, [`outcome:${outcome.kind}`, `cause:${cause}`]);
     this.logger.info('A run has ended.', {
@@ -254,25 +281,4 @@
     this.starter.enqueue(task);
     this.starter.startReadyTasks();
   }
-
-  private recordOutcome(worker: ManagedWorker, run: ActiveRun, outcome: RunOutcome): void {
-    switch (outcome.kind) {
-      case 'done': {
-        const { estimatedMs } = run.task.batch.content;
-        worker.health.recordSuccess();
-        worker.speed.observe(outcome.runTimeMs, estimatedMs, this.options.clock.nowMs());
-        return;
-      }
-      case 'failed':
-        worker.health.recordFault();
-        return;
-      case 'invalid':
-      case 'used-number':
-      case 'not-started':
-      case 'lost':
-        return;
-      default:
-        return unreachable(outcome);
-    }
-  }
 }
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -50,6 +50,10 @@
     return new WorkerPool(options);
   }
 
+  get size(): number {
+    return this.workers.size;
+  }
+
   /**
    * Sets the workers. Those that are no longer listed are drained; those that have restarted are
    * replaced at once.
--- /dev/null
+++ b/src/fleet/batchIntake.spec.ts
@@ -0,0 +1,116 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { noMetrics } from '../adapters/system/noMetrics.js';
+import { FleetView } from '../bestEffort/fleetView.js';
+import { Dispatcher } from '../dispatch/dispatcher.js';
+import { FakeClock } from '../testing/fakeClock.js';
+import { ScriptedWorkers } from '../testing/scriptedWorkers.js';
+import { SeededRandom } from '../testing/seededRandom.js';
+import { silentLogger } from '../testing/silentLogger.js';
+import type { Batch } from '../types/dispatch.js';
+import type { WorkerRecord } from '../types/workers.js';
+import { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
+import { BatchIntake } from './batchIntake.js';
+import { MessageAges } from './messageAges.js';
+
+const requester = 'requester';
+/** The clock of the requester runs ahead of that of the dispatcher by this much. */
+const clockOffsetMs = 70_000;
+
+const worker: WorkerRecord = {
+  workerId: 'i-1',
+  address: '127.0.0.1:1',
+  serviceId: 'fit',
+  failureDomainId: 'east',
+  state: 'ready',
+  startedAtMs: 5,
+  capacity: { cpuMillis: 32_000, memoryMb: 65_536, accelerators: 0 },
+  labels: [],
+};
+
+const batch: Batch = {
+  batchId: 'b-1',
+  jobId: '0000000000000001',
+  stepIndex: 0,
+  serviceId: 'fit',
+  spec: '',
+  needs: { resources: { cpuMillis: 14_000, memoryMb: 64, accelerators: 0 } },
+  estimatedMs: 100,
+  objectiveInMs: 1_000,
+  giveUpInMs: 3_000,
+  expiresInMs: 1_000,
+  maxWaitMs: 100,
+  priority: 0,
+  maxFailedRuns: 3,
+  tasks: [{ index: 0, nextRun: 1, failedRuns: 0 }],
+};
+
+/** A dispatcher of one worker that has just received two heartbeats of the requester. */
+const createFixture = async () => {
+  const clock = FakeClock.create();
+  const workers = ScriptedWorkers.create(clock);
+  const dispatcher = Dispatcher.create({
+    clock,
+    random: SeededRandom.create(1),
+    logger: silentLogger,
+    metrics: noMetrics,
+    workers,
+    leaseMs: 1_000,
+    farRackFactor: 1,
+    speeds: WorkerSpeedCache.create(),
+  });
+  void dispatcher.setWorkers([worker], 1);
+  const view = FleetView.create({
+    clock,
+    ownId: 'own',
+    ownLoad: () => dispatcher.load(),
+    findWorker: () => worker,
+  });
+  const ages = MessageAges.create(clock);
+  const intake = BatchIntake.create({ logger: silentLogger, ages, view, dispatcher });
+  const requesterNowMs = (): number => clock.nowMs() + clockOffsetMs;
+  await clock.advance(500);
+  ages.recordHeartbeat(requester, requesterNowMs() - 2);
+  await clock.advance(300);
+  ages.recordHeartbeat(requester, requesterNowMs() - 40);
+  return { clock, workers, dispatcher, intake, requesterNowMs };
+};
+
+test('a batch that was held up for seconds starts nothing, and its requester learns so', async () => {
+  const { clock, workers, intake, requesterNowMs } = await createFixture();
+  const sentAtMs = requesterNowMs();
+  clock.jump(12_000);
+  const reply = await intake.run({ askedBy: requester, sentAtMs, batch });
+  await clock.advance(100);
+  assert.equal(workers.starts, []);
+  assert.not.ok(reply.wasOffered);
+  assert.is(reply.ends[0]?.kind, 'returned');
+});
+
+test('a batch that was just sent runs, however far apart the clocks are', async () => {
+  const { clock, workers, intake, requesterNowMs } = await createFixture();
+  void intake.run({ askedBy: requester, sentAtMs: requesterNowMs() - 30, batch });
+  await clock.advance(100);
+  assert.is(workers.starts.length, 1);
+});
+
+test('the time that a batch was on its way counts against its limits', async () => {
+  const { clock, workers, intake, requesterNowMs } = await createFixture();
+  const late = { ...batch, expiresInMs: 500, giveUpInMs: 500 };
+  const sentAtMs = requesterNowMs();
+  await clock.advance(600);
+  const reply = await intake.run({ askedBy: requester, sentAtMs, batch: late });
+  assert.is(reply.ends[0]?.kind, 'expired');
+  assert.equal(workers.starts, []);
+});
+
+test('a withdrawal that overtakes its batch holds', async () => {
+  const { clock, workers, dispatcher, intake, requesterNowMs } = await createFixture();
+  dispatcher.withdraw(batch.batchId);
+  const reply = await intake.run({ askedBy: requester, sentAtMs: requesterNowMs(), batch });
+  await clock.advance(100);
+  assert.is(reply.ends[0]?.kind, 'withdrawn');
+  assert.equal(workers.starts, []);
+});
+
+test.run();
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -26,12 +26,14 @@
 import type { Routing } from '../types/routing.js';
 import { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import { WorkerDirectory } from '../workers/workerDirectory.js';
+import { BatchIntake } from './batchIntake.js';
 import { FleetHeartbeatExchange } from './fleetHeartbeatExchange.js';
 import { FleetPeers } from './fleetPeers.js';
+import { MessageAges } from './messageAges.js';
 import { RequesterMonitor } from './requesterMonitor.js';
 import { JobIntake } from './jobIntake.js';
 import { LearnedBackup } from './learnedBackup.js';
-import { ShardMembership, shardOf } from './shardMembership.js';
+import { ShardMembership, workersOfShards } from './shardMembership.js';
 import { isNeededAsDispatcher } from './standby.js';
 import { SuspendDetector } from './suspendDetector.js';
 import type { FleetHeartbeat, Member, ShardGrant } from '../types/fleet.js';
@@ -70,6 +72,7 @@
   private readonly peers: FleetPeers;
   private readonly router: BatchRouter;
   private readonly view: FleetView;
+  private readonly batchIntake: BatchIntake;
   private readonly heartbeatExchange: FleetHeartbeatExchange;
   private readonly requesterMonitor: RequesterMonitor;
   private readonly jobs: RunningJobs;
@@ -130,7 +133,11 @@
     this.intake = JobIntake.create({ logger: this.logger, metrics, routing, directory, jobs });
     this.learned = LearnedBackup.create({ clock, logger, store, member, lengths, speeds });
     const { view, router, dispatcher } = this;
+    const ages = MessageAges.create(clock);
+    this.batchIntake = BatchIntake.create({ logger: this.logger, ages, view, dispatcher });
     this.heartbeatExchange = FleetHeartbeatExchange.create({
+      clock,
+      ages,
       own: member,
       logger: this.logger,
       routing,
@@ -150,6 +157,7 @@
       failureDomainIds: identity.failureDomainIds,
       composeHeartbeat: (peer, isFull) => this.heartbeatExchange.composeHeartbeat(peer, isFull),
       onHeartbeat: (heartbeat) => this.heartbeatExchange.handleHeartbeat(heartbeat),
+      isDispatching: () => this.dispatcher.workerCount > 0,
       sharesBatches: (incarnation) => this.heartbeatExchange.sharesBatchesWith(incarnation),
       onLost: (incarnation) => this.heartbeatExchange.handleLostDaemon(incarnation),
       onSuspect: (incarnation) => this.view.forget(incarnation),
@@ -190,12 +198,9 @@
   }
 
   /** Runs a batch that another daemon requests; the answer may be partial. */
-  runBatch({ askedBy, batch, load }: BatchRequest): Promise<BatchReply> {
-    this.peers.recordContact(askedBy);
-    if (load !== undefined) {
-      this.view.updateKnownLoad(askedBy, load);
-    }
-    return this.dispatcher.run(askedBy, batch);
+  runBatch(request: BatchRequest): Promise<BatchReply> {
+    this.peers.recordContact(request.askedBy);
+    return this.batchIntake.run(request);
   }
 
   withdrawBatch({ batchId }: BatchWithdrawal): void {
@@ -283,14 +288,10 @@
     }
     const { failureDomainId } = this.identity.member;
     const { shardCount } = this.ports.store;
-    const shards = new Set(this.grant.shards);
-    const own = this.directory
+    const listed = this.directory
       .list()
-      .filter(
-        (worker) =>
-          worker.failureDomainId === failureDomainId &&
-          shards.has(shardOf(worker.workerId, shardCount)),
-      );
+      .filter((worker) => worker.failureDomainId === failureDomainId);
+    const own = workersOfShards(listed, this.grant.shards, shardCount);
     return this.dispatcher.setWorkers(own, this.grant.generation);
   }
 }
--- a/src/fleet/fleetHeartbeatExchange.ts
+++ b/src/fleet/fleetHeartbeatExchange.ts
@@ -5,11 +5,13 @@
 import type { FleetView } from '../bestEffort/fleetView.js';
 import type { RunTimePredictor } from '../bestEffort/runTimePredictor.js';
 import type { Dispatcher } from '../dispatch/dispatcher.js';
+import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
 import type { RoutingStore } from '../routing/routingStore.js';
 import type { FleetHeartbeat, Member } from '../types/fleet.js';
 import type { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import type { FleetPeers } from './fleetPeers.js';
+import type { MessageAges } from './messageAges.js';
 
 /**
  * Age up to which a batch that the requester's heartbeat does not list is kept, in milliseconds: it
@@ -19,6 +21,8 @@
 const routingFetchTimeoutMs = 500;
 
 export interface FleetHeartbeatExchangeOptions {
+  readonly clock: Clock;
+  readonly ages: MessageAges;
   readonly own: Member;
   readonly logger: Logger;
   readonly routing: RoutingStore;
@@ -54,13 +58,14 @@
    *   the same failure domain, the slowdown factors of workers
    */
   composeHeartbeat(peer: string | undefined, isFull: boolean): FleetHeartbeat {
-    const { own, dispatcher, lengths, peers, router, routing, speeds } = this.options;
+    const { own, clock, dispatcher, lengths, peers, router, routing, speeds } = this.options;
     const load = dispatcher.load();
     load.workers.forEach((worker) => speeds.record(worker));
     const isSameDomain =
       peer !== undefined && this.isInOwnDomain(peers().find(peer)?.heartbeat?.member);
     return {
       member: own,
+      sentAtMs: clock.nowMs(),
       routingVersion: routing.version,
       isLeaving: this.isLeaving,
       load,
@@ -75,10 +80,11 @@
    * that it still requests. Fetches its routing configuration if that is newer.
    */
   handleHeartbeat(heartbeat: FleetHeartbeat): void {
-    const { dispatcher, routing, speeds, view } = this.options;
-    const { member, load, askedBatchIds, routingVersion, lengths } = heartbeat;
+    const { ages, dispatcher, routing, speeds, view } = this.options;
+    const { member, sentAtMs, load, askedBatchIds, routingVersion, lengths } = heartbeat;
     const { incarnation } = member;
-    view.recordLoad(incarnation, load, this.isInOwnDomain(member) ? 'near' : 'far');
+    const ageMs = sentAtMs === undefined ? 0 : ages.recordHeartbeat(incarnation, sentAtMs);
+    view.recordLoad(incarnation, load, this.isInOwnDomain(member) ? 'near' : 'far', ageMs);
     load.workers.forEach((worker) => speeds.record(worker));
     heartbeat.speeds?.forEach((speed) => speeds.recordIfAbsent(speed));
     if (lengths !== undefined) {
@@ -93,8 +99,9 @@
 
   /** Handles the loss of a process: drops its load, fails batches there, withdraws its own here. */
   handleLostDaemon(incarnation: string): void {
-    const { dispatcher, router, view } = this.options;
+    const { ages, dispatcher, router, view } = this.options;
     view.forget(incarnation);
+    ages.forget(incarnation);
     router.failBatchesAt(incarnation);
     dispatcher.withdrawAll(incarnation);
   }
--- a/src/fleet/fleetPeer.ts
+++ b/src/fleet/fleetPeer.ts
@@ -18,8 +18,8 @@
   isMarkedUnreachable = false;
   /** Number of heartbeats without an answer since the last one that was received. */
   unansweredHeartbeats = 0;
-  /** Number of heartbeats that were sent to the peer, answered or not. */
-  sentHeartbeats = 0;
+  /** When the last full heartbeat was sent to the peer. */
+  lastFullHeartbeatAtMs = -Infinity;
   /** Ends the exchange of heartbeats with the peer. */
   readonly stop = new AbortController();
 
@@ -51,6 +51,11 @@
     return this.heartbeat?.member.incarnation;
   }
 
+  /** Whether the peer dispatches to workers, by its last heartbeat. */
+  get isDispatching(): boolean {
+    return (this.heartbeat?.load.workers.length ?? 0) > 0;
+  }
+
   /**
    * Checks whether the peer sent a message recently.
    *
--- a/src/fleet/fleetPeers.spec.ts
+++ b/src/fleet/fleetPeers.spec.ts
@@ -5,11 +5,19 @@
 import type { FleetStore } from '../ports/fleetStore.js';
 import { FakeClock } from '../testing/fakeClock.js';
 import { silentLogger } from '../testing/silentLogger.js';
-import type { FleetHeartbeat, Member } from '../types/fleet.js';
+import type { FleetHeartbeat, Member, WorkerLoad } from '../types/fleet.js';
 import { FleetPeers } from './fleetPeers.js';
 
 const domains = ['a', 'b', 'c'];
 
+const workerLoad: WorkerLoad = {
+  workerId: 'i-1',
+  free: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
+  slowness: 1,
+  isOpen: true,
+  releases: [],
+};
+
 /** Daemons of one fleet that are connected in memory. */
 class Fleet {
   /** Heartbeats that were sent, as addresses of the sender and the receiver. */
@@ -24,6 +32,7 @@
     readonly clock: FakeClock,
     readonly members: readonly Member[],
     sharesBatches: (own: string, other: string) => boolean = () => false,
+    private readonly isDispatching = true,
   ) {
     for (const own of members) {
       this.daemons.set(own.address, this.createPeers(own, sharesBatches));
@@ -46,7 +55,7 @@
       member: own,
       routingVersion: 0,
       isLeaving: false,
-      load: { workers: [] },
+      load: { workers: this.isDispatching ? [workerLoad] : [] },
       askedBatchIds: [],
     });
     const store: Pick<FleetStore, 'listMembers'> = {
@@ -62,6 +71,7 @@
       failureDomainIds: domains,
       composeHeartbeat,
       onHeartbeat: () => undefined,
+      isDispatching: () => this.isDispatching,
       sharesBatches: (incarnation) => sharesBatches(own.incarnation, incarnation),
       onLost: (incarnation) => this.lost.push(`${own.incarnation} ${incarnation}`),
       onSuspect: () => undefined,
@@ -131,6 +141,23 @@
   await fleet.close();
 });
 
+test('daemons that stand by exchange few heartbeats and still reach each other', async () => {
+  const fleet = new Fleet(FakeClock.create(), createMembers(7), () => false, false);
+  await fleet.clock.advance(4_000);
+  fleet.calls.length = 0;
+  fleet.lost.length = 0;
+  await fleet.clock.advance(6_000);
+  const inDomain = fleet.calls.filter((call) => call.startsWith('a:') && call.includes(' a:'));
+  // 21 pairs, each every 1.5 s.
+  assert.ok(inDomain.length / 6 <= 21 / 1.5 + 1, `${inDomain.length / 6} a second`);
+  assert.is(fleet.reachableFrom('a:0').filter((address) => address.startsWith('a:')).length, 6);
+  assert.equal(
+    fleet.lost.filter((pair) => /^a\d a\d$/.test(pair)),
+    [],
+  );
+  await fleet.close();
+});
+
 test('a contact that becomes unreachable is reported as lost and replaced by another', async () => {
   const fleet = new Fleet(FakeClock.create(), createMembers(4));
   await fleet.clock.advance(3_000);
--- a/src/fleet/fleetPeers.ts
+++ b/src/fleet/fleetPeers.ts
@@ -2,7 +2,6 @@
  * The other daemons of the fleet, and which of them are reachable. One async function for each peer
  * exchanges heartbeats with it while this daemon keeps contact.
  */
-import type { Clock } from '../ports/clock.js';
 import type { FleetConnector } from '../ports/fleetPeers.js';
 import type { FleetStore } from '../ports/fleetStore.js';
 import type { Logger } from '../ports/logger.js';
@@ -10,15 +9,14 @@
 import { chooseContacts, rankContact } from './contacts.js';
 import { FleetPeer } from './fleetPeer.js';
 import { PeerDiscovery } from './peerDiscovery.js';
+import { PeerRelations } from './peerRelations.js';
+import type { PeerRelationsOptions } from './peerRelations.js';
 
-const heartbeatPeriodMs = 300;
 const heartbeatTimeoutMs = 250;
-/** A peer in another failure domain that sent a heartbeat within this time is not sent one. */
-const recentInboundMs = 1.5 * heartbeatPeriodMs;
-/** One heartbeat in this many is full: it includes learned run times and the reachable members. */
-const fullHeartbeatEvery = 5;
-/** Longest silence with which a peer counts as reachable, in milliseconds. */
-export const maxPeerSilenceMs = 900;
+/** A peer in another failure domain that sent a heartbeat within this many periods is not sent one. */
+const recentInboundPeriods = 1.5;
+/** Least time between two full heartbeats to a peer, in milliseconds. */
+const fullHeartbeatPeriodMs = 1_500;
 /** Silence after which other daemons take over the duties of a peer, in milliseconds. */
 const takeoverAfterMs = 3_000;
 /** A peer that neither sends messages nor is listed for this long is removed, in milliseconds. */
@@ -28,18 +26,14 @@
 /** Period in which contacts are chosen and silent peers are detected, in milliseconds. */
 const checkPeriodMs = 100;
 
-export interface FleetPeersOptions {
-  readonly clock: Clock;
+export interface FleetPeersOptions extends PeerRelationsOptions {
   readonly logger: Logger;
   readonly connector: FleetConnector;
   readonly store: FleetStore;
-  readonly own: Member;
   readonly failureDomainIds: readonly string[];
   /** Composes a heartbeat for the process with this incarnation, if it is known. */
   readonly composeHeartbeat: (peer: string | undefined, isFull: boolean) => FleetHeartbeat;
   readonly onHeartbeat: (heartbeat: FleetHeartbeat) => void;
-  /** Whether this daemon has batches at the given process, or the other way round. */
-  readonly sharesBatches: (incarnation: string) => boolean;
   /** Called when a process is no longer reachable, or another one has taken its place. */
   readonly onLost: (incarnation: string) => void;
   /** Called when a process did not answer a heartbeat in time; it may still be reachable. */
@@ -54,10 +48,12 @@
   private readonly stop = new AbortController();
   private readonly logger: Logger;
   private readonly discovery: PeerDiscovery;
+  private readonly relations: PeerRelations;
 
   private constructor(private readonly options: FleetPeersOptions) {
     const { clock, store, failureDomainIds } = options;
     this.logger = options.logger.forPart('fleet');
+    this.relations = PeerRelations.create(options);
     this.discovery = PeerDiscovery.create({
       clock,
       logger: this.logger,
@@ -83,7 +79,7 @@
     return this.reachable().find((peer) => peer.incarnation === incarnation);
   }
 
-  /** @returns the peers that sent a message within `maxPeerSilenceMs` */
+  /** @returns the peers that sent a message recently, as their relation requires */
   reachable(): FleetPeer[] {
     return [...this.peers.values()].filter((peer) => this.isReachable(peer));
   }
@@ -156,11 +152,11 @@
   }
 
   private isReachable(peer: FleetPeer): boolean {
-    return peer.hadContactWithin(this.options.clock.nowMs(), maxPeerSilenceMs);
+    return this.relations.isReachable(peer);
   }
 
-  private isInOwnDomain({ failureDomainId }: FleetPeer): boolean {
-    return failureDomainId === this.options.own.failureDomainId;
+  private isInOwnDomain(peer: FleetPeer): boolean {
+    return this.relations.isInOwnDomain(peer);
   }
 
   /** Adds the members that are not peers yet; for the others, records that they were listed. */
@@ -210,7 +206,7 @@
         await this.sendHeartbeat(peer);
       }
       await clock.sleep(
-        this.isReachable(peer) ? heartbeatPeriodMs : retryPeriodMs,
+        this.isReachable(peer) ? this.relations.heartbeatPeriodMs(peer) : retryPeriodMs,
         peer.stop.signal,
       );
     }
@@ -227,7 +223,7 @@
     const sinceInboundMs = this.options.clock.nowMs() - peer.lastInboundHeartbeatAtMs;
     return this.isInOwnDomain(peer)
       ? this.options.own.address < peer.address
-      : sinceInboundMs > recentInboundMs;
+      : sinceInboundMs > recentInboundPeriods * this.relations.heartbeatPeriodMs(peer);
   }
 
   /** Whether heartbeats with a peer are needed: same domain, chosen contact, or shared batches. */
@@ -241,8 +237,11 @@
   }
 
   private async sendHeartbeat(peer: FleetPeer): Promise<void> {
-    const isFull = peer.sentHeartbeats % fullHeartbeatEvery === 0;
-    peer.sentHeartbeats += 1;
+    const nowMs = this.options.clock.nowMs();
+    const isFull = nowMs - peer.lastFullHeartbeatAtMs >= fullHeartbeatPeriodMs;
+    if (isFull) {
+      peer.lastFullHeartbeatAtMs = nowMs;
+    }
     const own = this.options.composeHeartbeat(peer.incarnation, isFull);
     const reply = await peer.link.beat(own, heartbeatTimeoutMs);
     if (reply.isOk()) {
--- /dev/null
+++ b/src/fleet/peerRelations.ts
@@ -0,0 +1,72 @@
+/**
+ * How often a daemon exchanges heartbeats with a peer, and after which silence the peer counts as
+ * unreachable. The number of pairs in a failure domain grows with the square of its daemons, so pairs
+ * that have little to tell each other do so less often.
+ */
+import type { Clock } from '../ports/clock.js';
+import type { Member } from '../types/fleet.js';
+import type { FleetPeer } from './fleetPeer.js';
+
+/**
+ * What two daemons are to each other. `sharing`: one has batches at the other, which has to stop them
+ * soon after the first is lost. `dispatching`: at least one reports the load of workers to the other.
+ * `standing-by`: both are in one failure domain and neither dispatches.
+ */
+type PeerRelation = 'sharing' | 'dispatching' | 'standing-by';
+
+/** Time between two heartbeats to a reachable peer, in milliseconds. */
+const periodsMs: Readonly<Record<PeerRelation, number>> = {
+  sharing: 300,
+  dispatching: 500,
+  'standing-by': 1_500,
+};
+
+/** A peer is unreachable after a silence of this many periods. */
+const maxSilentPeriods = 3;
+
+/**
+ * Longest silence with which a daemon that shares batches counts as reachable, in milliseconds. It is
+ * well below the time after which a caller sends the job of a lost daemon again.
+ */
+export const maxSharingSilenceMs = periodsMs.sharing * maxSilentPeriods;
+
+export interface PeerRelationsOptions {
+  readonly clock: Clock;
+  readonly own: Member;
+  /** Whether this daemon dispatches to workers. */
+  readonly isDispatching: () => boolean;
+  /** Whether this daemon has batches at the given process, or the other way round. */
+  readonly sharesBatches: (incarnation: string) => boolean;
+}
+
+export class PeerRelations {
+  private constructor(private readonly options: PeerRelationsOptions) {}
+
+  static create(options: PeerRelationsOptions): PeerRelations {
+    return new PeerRelations(options);
+  }
+
+  /** @returns time between two heartbeats to a peer while it is reachable, in milliseconds */
+  heartbeatPeriodMs(peer: FleetPeer): number {
+    return periodsMs[this.relationTo(peer)];
+  }
+
+  /** Whether a peer sent a message as recently as its relation requires. */
+  isReachable(peer: FleetPeer): boolean {
+    const maxSilenceMs = this.heartbeatPeriodMs(peer) * maxSilentPeriods;
+    return peer.hadContactWithin(this.options.clock.nowMs(), maxSilenceMs);
+  }
+
+  isInOwnDomain({ failureDomainId }: FleetPeer): boolean {
+    return failureDomainId === this.options.own.failureDomainId;
+  }
+
+  private relationTo(peer: FleetPeer): PeerRelation {
+    const { isDispatching, sharesBatches } = this.options;
+    if (peer.incarnation !== undefined && sharesBatches(peer.incarnation)) {
+      return 'sharing';
+    }
+    const isStandingBy = this.isInOwnDomain(peer) && !peer.isDispatching && !isDispatching();
+    return isStandingBy ? 'standing-by' : 'dispatching';
+  }
+}
--- a/src/fleet/requesterMonitor.ts
+++ b/src/fleet/requesterMonitor.ts
@@ -4,7 +4,7 @@
  */
 import type { Dispatcher } from '../dispatch/dispatcher.js';
 import type { Clock } from '../ports/clock.js';
-import { maxPeerSilenceMs } from './fleetPeers.js';
+import { maxSharingSilenceMs } from './peerRelations.js';
 
 const checkPeriodMs = 100;
 
@@ -39,7 +39,7 @@
       dispatcher
         .requesters()
         .filter((requester) => !isReachable(requester))
-        .forEach((requester) => dispatcher.withdrawAll(requester, maxPeerSilenceMs));
+        .forEach((requester) => dispatcher.withdrawAll(requester, maxSharingSilenceMs));
     }
   }
 }
--- a/src/fleet/shardMembership.ts
+++ b/src/fleet/shardMembership.ts
@@ -151,5 +151,21 @@
 export const shardOf = (workerId: string, shardCount: number): number =>
   createHash('sha256').update(workerId).digest().readUInt32BE(0) % shardCount;
 
+/**
+ * Selects the workers that belong to some shards.
+ *
+ * @param workers - workers of one failure domain
+ * @param shards - the shards
+ * @param shardCount - number of shards of the failure domain
+ */
+export const workersOfShards = <W extends { readonly workerId: string }>(
+  workers: readonly W[],
+  shards: readonly number[],
+  shardCount: number,
+): W[] => {
+  const wanted = new Set(shards);
+  return workers.filter(({ workerId }) => wanted.has(shardOf(workerId, shardCount)));
+};
+
 const isSameGrant = (a: ShardGrant, b: ShardGrant): boolean =>
   a.generation === b.generation && [...a.shards].sort().join() === [...b.shards].sort().join();
--- a/src/ports/fleetPeers.ts
+++ b/src/ports/fleetPeers.ts
@@ -13,6 +13,8 @@
 export const batchRequestSchema = z.object({
   /** Incarnation of the requester. */
   askedBy: z.string(),
+  /** When it was sent, on the requester's monotonic clock, in milliseconds; earlier versions omit it. */
+  sentAtMs: z.number().optional(),
   batch: batchSchema,
   /** Load of the requester's own workers; sent within a failure domain only. */
   load: memberLoadSchema.optional(),
