Start with compiled code, wake up less often, and send less between daemons

Most of it is a start of about 1.2 s a daemon, wake-ups of cold processes and what each batch carries.

--- a/bench/platformCost.ts
+++ b/bench/platformCost.ts
@@ -8,6 +8,7 @@
 import { join, resolve } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { parseArgs } from 'node:util';
+import { daemonProgram } from '../soak/daemonChild.js';
 import { CostFleet } from './platformCost/costFleet.js';
 import { readProcessorMs, readResidentMb } from './platformCost/processorTime.js';
 import { SiteLoad } from './platformCost/siteLoad.js';
@@ -27,12 +28,13 @@
     /** Folder for a processor profile of the first daemon. */
     profile: { type: 'string' },
     /** Path of the built program. */
-    program: { type: 'string', default: resolve(import.meta.dirname, '../target/main.js') },
+    program: { type: 'string', default: daemonProgram(resolve(import.meta.dirname, '..')) },
   },
 });
 
 const durationMs = Number(values.seconds) * 1_000;
 const fleet = await CostFleet.create({
+  networkIndex: 60,
   daemons: Number(values.daemons),
   workers: Number(values.workers),
   routes: Number(values.routes),
@@ -40,8 +42,8 @@
   program: values.program,
   firstDaemonArguments:
     values.profile === undefined
-      ? []
-      : ['--cpu-prof', '--cpu-prof-interval=250', `--cpu-prof-dir=${values.profile}`],
+      ? {}
+      : { node: ['--cpu-prof', '--cpu-prof-interval=250', `--cpu-prof-dir=${values.profile}`] },
 });
 
 /** @returns processor time of all daemons, in milliseconds */
--- a/bench/platformCost/costFleet.ts
+++ b/bench/platformCost/costFleet.ts
@@ -3,6 +3,7 @@
  * child processes in three failure domains.
  */
 import { DaemonChild } from '../../soak/daemonChild.js';
+import type { ExtraArguments } from '../../soak/daemonChild.js';
 import { composeRoutes, fixtureService } from '../../standins/platform/routes.js';
 import { StoreStandIn } from '../../standins/platform/storeStandIn.js';
 import { operatorTopic, shardCount, workerTopic } from '../../standins/platform/topics.js';
@@ -11,10 +12,10 @@
 const failureDomainIds = ['east', 'middle', 'west'];
 /** Capacity of a worker, in thousandths of a core. */
 const workerCpuMillis = 32_000;
-/** Second byte of the loopback addresses of the daemons. */
-const networkIndex = 60;
 
 export interface CostFleetOptions {
+  /** Second byte of the loopback addresses of the daemons. */
+  readonly networkIndex: number;
   readonly daemons: number;
   readonly workers: number;
   readonly routes: number;
@@ -22,8 +23,8 @@
   readonly folder: string;
   /** Path of the built program. */
   readonly program: string;
-  /** Arguments of Node.js for the first daemon, such as those of a profiler. */
-  readonly firstDaemonArguments: readonly string[];
+  /** Further arguments of the first daemon, such as those of a profiler. */
+  readonly firstDaemonArguments: ExtraArguments;
 }
 
 export class CostFleet {
@@ -78,14 +79,14 @@
   private createDaemon(index: number, options: CostFleetOptions): DaemonChild {
     return DaemonChild.create({
       vmId: `vm-${index}`,
-      ip: `127.${networkIndex}.${Math.floor(index / 200)}.${(index % 200) + 1}`,
+      ip: `127.${options.networkIndex}.${Math.floor(index / 200)}.${(index % 200) + 1}`,
       zone: domainAt(index),
       zones: failureDomainIds,
       storeAddress: this.store.address,
       shardCount,
       folder: options.folder,
       program: options.program,
-      nodeArguments: index === 0 ? options.firstDaemonArguments : [],
+      extraArguments: index === 0 ? options.firstDaemonArguments : {},
       onCrash: (detail) => process.stderr.write(`${detail}\n`),
     });
   }
--- a/soak/daemonChild.ts
+++ b/soak/daemonChild.ts
@@ -20,6 +20,21 @@
  */
 const maxBootMs = 1_500;
 
+/** Options of Node.js, as in the deployment file: compiled code is used only with the same ones. */
+export const daemonArguments: readonly string[] = ['--max-old-space-size=200'];
+
+/**
+ * @param root - folder of the repository
+ * @returns path of the built daemon
+ */
+export const daemonProgram = (root: string): string => join(root, 'target/main.cjs');
+
+/** Arguments beyond those of the deployment. */
+export interface ExtraArguments {
+  readonly node?: readonly string[];
+  readonly program?: readonly string[];
+}
+
 export interface DaemonChildOptions {
   readonly vmId: string;
   /** Loopback address of the VM. */
@@ -32,8 +47,8 @@
   readonly folder: string;
   /** Path of the built program. */
   readonly program: string;
-  /** Arguments of Node.js, before the program. */
-  readonly nodeArguments?: readonly string[];
+  /** Further arguments of Node.js and of the program. */
+  readonly extraArguments?: ExtraArguments;
   /** Called when the process exits without a call of `kill` or `stop`. */
   readonly onCrash: (detail: string) => void;
 }
@@ -82,12 +97,17 @@
     if (this.child !== undefined) {
       return;
     }
-    const { folder, vmId, program, nodeArguments = [], onCrash } = this.options;
+    const { folder, vmId, program, extraArguments = {}, onCrash } = this.options;
+    const { node = [], program: programArguments = [] } = extraArguments;
     const log = openSync(join(folder, `${vmId}.log`), 'a');
-    const child = spawn(process.execPath, [...nodeArguments, program, '--platform'], {
-      env: { ...process.env, [settingsPathVariable]: this.settingsPath },
-      stdio: ['ignore', log, log],
-    });
+    const child = spawn(
+      process.execPath,
+      [...daemonArguments, ...node, program, '--platform', ...programArguments],
+      {
+        env: { ...process.env, [settingsPathVariable]: this.settingsPath },
+        stdio: ['ignore', log, log],
+      },
+    );
     closeSync(log);
     this.startedAtMs = performance.now();
     this.child = child;
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -4,6 +4,7 @@
  */
 import { resolve } from 'node:path';
 import { parseArgs } from 'node:util';
+import { daemonProgram } from './daemonChild.js';
 import { runSeed } from './runSeed.js';
 import type { SeedReport } from './runSeed.js';
 
@@ -44,7 +45,7 @@
       networkIndex,
       faultWindowMs: Number(values.seconds) * 1_000,
       folder: resolve(root, 'soak/out'),
-      program: resolve(root, 'target/main.js'),
+      program: daemonProgram(root),
     });
     printReport(report);
     reports.push(report);
--- a/soak/reload.spec.ts
+++ b/soak/reload.spec.ts
@@ -6,6 +6,7 @@
 import { promisify } from 'node:util';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import { daemonProgram } from './daemonChild.js';
 import { SoakCallers } from './soakCallers.js';
 import { SoakFleet } from './soakFleet.js';
 
@@ -17,7 +18,7 @@
 test('a daemon of the platform lives through SIGHUP at any time, and applies what it can', async () => {
   await promisify(execFile)('npm', ['run', '-s', 'build:platform'], { cwd: root });
   const folder = mkdtempSync(join(tmpdir(), 'toucandyke-reload-'));
-  const program = resolve(root, 'target/main.js');
+  const program = daemonProgram(root);
   const fleet = await SoakFleet.create({ networkIndex, folder, program });
   const [daemon] = fleet.daemons;
   assert.ok(daemon);
--- a/soak/soak.spec.ts
+++ b/soak/soak.spec.ts
@@ -7,6 +7,7 @@
 import * as assert from 'uvu/assert';
 import { planFaults } from './faults.js';
 import { regressionSeeds } from './regressionSeeds.js';
+import { daemonProgram } from './daemonChild.js';
 import { runSeed } from './runSeed.js';
 
 const root = resolve(import.meta.dirname, '..');
@@ -29,7 +30,7 @@
         faultWindowMs,
         networkIndex: firstNetworkIndex + index,
         folder,
-        program: resolve(root, 'target/main.js'),
+        program: daemonProgram(root),
       }),
     ),
   );
--- a/src/bestEffort/batchRouter.ts
+++ b/src/bestEffort/batchRouter.ts
@@ -124,16 +124,15 @@
 
   /**
    * Sends a batch to another daemon until it answers, the batch is withdrawn, or all sends have
-   * failed. A daemon of the same failure domain is also sent the load of this one.
+   * failed.
    */
   private async runRemotely(
     peer: FleetPeer,
     dispatcherId: string,
     batch: Batch,
   ): Promise<BatchResult> {
-    const { clock, ownId, view, dispatcher, peers } = this.options;
+    const { clock, ownId, view, peers } = this.options;
     const answerTimeoutMs = batch.estimatedMs * runTimeErrorFactor + resendSlackMs;
-    const isSameDomain = view.localityOf(dispatcherId) === 'near';
     const firstSentAtMs = clock.nowMs();
     let reason = 'no answer';
     for (
@@ -142,19 +141,17 @@
       sends += 1
     ) {
       const sentAtMs = clock.nowMs();
-      const load = isSameDomain ? { load: dispatcher.load() } : {};
       const reply = await peer.link.runBatch(
         {
           askedBy: ownId,
           sentAtMs,
           batch: shortenTimeLimits(batch, sentAtMs - firstSentAtMs),
-          ...load,
         },
         answerTimeoutMs,
       );
       if (reply.isOk()) {
         peers().recordContact(dispatcherId);
-        view.updateKnownLoad(dispatcherId, reply.value.load);
+        view.updateWorkers(dispatcherId, reply.value.load);
         return toBatchResult(reply.value);
       }
       reason = reply.error.detail;
--- a/src/bestEffort/fleetView.ts
+++ b/src/bestEffort/fleetView.ts
@@ -21,6 +21,9 @@
 /** Whether a dispatcher is this daemon itself, in the same failure domain, or in another one. */
 export type Locality = 'own' | 'near' | 'far';
 
+/** Which dispatchers a plan considers: those of this failure domain, or all. */
+export type Scope = 'own-domain' | 'fleet';
+
 /** Time that a batch is assumed to take to a dispatcher, in milliseconds. */
 const deliveryTimesMs: Readonly<Record<Locality, number>> = { own: 0, near: 1, far: 4 };
 
@@ -99,18 +102,27 @@
   }
 
   /**
-   * Records the newest load of a dispatcher that is in the view already. A message other than a
-   * heartbeat does not add a dispatcher, since it does not carry its failure domain.
+   * Records the newest load of some workers of a dispatcher that is in the view already, and drops the
+   * reservations that it includes. The other workers stay as they were reported.
+   *
+   * @param dispatcherId - incarnation of the daemon
+   * @param load - some of its workers and their free capacity
    */
-  updateKnownLoad(dispatcherId: string, load: MemberLoad, ageMs = 0): void {
+  updateWorkers(dispatcherId: string, { workers }: MemberLoad): void {
     const known = this.loads.get(dispatcherId);
-    if (known !== undefined) {
-      this.recordLoad(dispatcherId, load, known.locality, ageMs);
+    if (known === undefined || workers.length === 0) {
+      return;
     }
-  }
-
-  localityOf(dispatcherId: string): Locality | undefined {
-    return this.loads.get(dispatcherId)?.locality;
+    const nowMs = this.options.clock.nowMs();
+    const updated = new Map(workers.map((worker) => [worker.workerId, worker]));
+    const load = {
+      workers: known.load.workers.map((worker) => updated.get(worker.workerId) ?? worker),
+    };
+    const reservations = known.reservations.filter(
+      ({ workerId, reservedAtMs }) =>
+        !updated.has(workerId) || nowMs - reservedAtMs < reportDelayMs,
+    );
+    this.loads.set(dispatcherId, { ...known, load, reservations });
   }
 
   /** Removes a dispatcher from the view until it reports its load again. */
@@ -132,13 +144,24 @@
     this.loads.set(reservation.dispatcherId, { ...reported, reservations });
   }
 
-  /** @returns the workers of a service that accept tasks, at dispatchers with a recent load */
-  workers(serviceId: string): WorkerSnapshot[] {
+  /** Whether a dispatcher of another failure domain is in the view. */
+  get hasFarDispatchers(): boolean {
+    return [...this.loads.values()].some(({ locality }) => locality === 'far');
+  }
+
+  /**
+   * Lists the workers of a service that accept tasks, at dispatchers with a recent load.
+   *
+   * @param serviceId - the service
+   * @param scope - which dispatchers are considered
+   * @returns snapshots that the caller may change
+   */
+  workers(serviceId: string, scope: Scope): WorkerSnapshot[] {
     const { clock, ownId, ownLoad } = this.options;
     this.recordLoad(ownId, ownLoad(), 'own');
     const oldestMs = clock.nowMs() - maxReportAgeMs;
     return [...this.loads].flatMap(([dispatcherId, reported]) =>
-      reported.receivedAtMs < oldestMs
+      reported.receivedAtMs < oldestMs || (scope === 'own-domain' && reported.locality === 'far')
         ? []
         : reported.load.workers.flatMap(
             (worker) => this.toSnapshot(dispatcherId, reported, worker, serviceId) ?? [],
--- a/src/bestEffort/stepPlanner.ts
+++ b/src/bestEffort/stepPlanner.ts
@@ -8,7 +8,7 @@
 import type { Random } from '../ports/random.js';
 import type { Resources } from '../types/resources.js';
 import { timeUntilFreeMs } from './fleetView.js';
-import type { FleetView, Locality, Reservation, WorkerSnapshot } from './fleetView.js';
+import type { FleetView, Locality, Reservation, Scope, WorkerSnapshot } from './fleetView.js';
 
 /** Tasks of a step that are to be sent to one dispatcher. */
 export interface PlannedBatch {
@@ -86,20 +86,20 @@
     tasks: readonly BatchTask[],
     excludedDispatcherIds: ReadonlySet<string>,
   ): StepPlan | undefined {
-    const nowMs = this.options.clock.nowMs();
-    const workers = this.options.view
-      .workers(serviceId)
-      .filter(({ dispatcherId }) => !excludedDispatcherIds.has(dispatcherId));
-    const inOwnDomain = workers.filter(({ locality }) => locality !== 'far');
-    if (inOwnDomain.length === workers.length) {
+    const { clock, view } = this.options;
+    const nowMs = clock.nowMs();
+    const planWithin = (scope: Scope): StepPlan | undefined => {
+      const workers = view
+        .workers(serviceId, scope)
+        .filter(({ dispatcherId }) => !excludedDispatcherIds.has(dispatcherId));
       return this.planWithWorkers(workers, demand, tasks, nowMs);
-    }
-    const plan = this.planWithWorkers(inOwnDomain, demand, tasks, nowMs);
+    };
+    const plan = planWithin('own-domain');
     const meetsObjective = plan?.longestWaitMs === 0 && plan.lastEndAtMs <= demand.objectiveAtMs;
-    return meetsObjective ? plan : this.planWithWorkers(workers, demand, tasks, nowMs);
+    return meetsObjective || !view.hasFarDispatchers ? plan : planWithin('fleet');
   }
 
-  /** Plans with copies of the given workers, so that a discarded plan leaves them as they are. */
+  /** Plans with the given workers, whose snapshots it changes. */
   private planWithWorkers(
     workers: readonly WorkerSnapshot[],
     demand: TaskDemand,
@@ -171,7 +171,7 @@
   }
 }
 
-/** @returns a candidate with its own copy of the availability, or nothing if a task never fits */
+/** @returns the worker as a candidate, or nothing if a task never fits */
 const toCandidate = (
   worker: WorkerSnapshot,
   { needs }: TaskDemand,
@@ -181,13 +181,7 @@
     return undefined;
   }
   const messageCost = messageCosts[worker.locality];
-  return {
-    ...worker,
-    availability: worker.availability.copy(),
-    free: freeResourcesOf(worker),
-    startsInMs,
-    messageCost,
-  };
+  return Object.assign(worker, { free: freeResourcesOf(worker), startsInMs, messageCost });
 };
 
 /** Further tasks for a dispatcher add no cost, since they are sent in the same batch. */
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -10,9 +10,9 @@
 import type { Random } from '../ports/random.js';
 import type { WorkerPort } from '../ports/workers.js';
 import type { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
-import { RecentNames } from '../utils/recentNames.js';
 import type { WorkerRecord } from '../types/workers.js';
 import type { ActiveRun, RunOutcome } from './activeRun.js';
+import { BatchTable } from './batchTable.js';
 import type { ManagedWorker } from './managedWorker.js';
 import { recordOutcome } from './recordOutcome.js';
 import { OpenBatch } from './openBatch.js';
@@ -21,10 +21,6 @@
 import { TaskStarter } from './taskStarter.js';
 import type { Batch, BatchReply, TaskEnd } from '../types/dispatch.js';
 
-/** Ended batches are kept this long after their arrival, to answer repeated requests. */
-const batchRetentionMs = 10_000;
-/** Withdrawals of batches that have not arrived that are remembered. */
-const maxEarlyWithdrawals = 2_048;
 /** Run numbers that are skipped when a worker has already ended a run with the next number. */
 const runNumberSkip = 8;
 
@@ -41,9 +37,7 @@
 }
 
 export class Dispatcher {
-  private readonly batches = new Map<string, OpenBatch>();
-  /** Batches that were withdrawn before they arrived. */
-  private readonly withdrawnEarly = RecentNames.create(maxEarlyWithdrawals);
+  private readonly batches = BatchTable.create();
   private readonly workers: WorkerPool;
   private readonly starter: TaskStarter;
   private readonly logger: Logger;
@@ -100,7 +94,7 @@
 
   /** Whether a batch is open here, or has ended a short while ago. */
   hasBatch(batchId: string): boolean {
-    return this.batches.has(batchId);
+    return this.batches.get(batchId) !== undefined;
   }
 
   /**
@@ -110,7 +104,7 @@
   withdraw(batchId: string): void {
     const batch = this.batches.get(batchId);
     if (batch === undefined) {
-      this.withdrawnEarly.add(batchId);
+      this.batches.recordEarlyWithdrawal(batchId);
       return;
     }
     if (batch.hasEnded) {
@@ -137,9 +131,8 @@
     minAgeMs: number,
   ): void {
     const nowMs = this.options.clock.nowMs();
-    for (const batch of this.batches.values()) {
-      const isOld = nowMs - batch.arrivedAtMs >= minAgeMs;
-      if (batch.askedBy === askedBy && !batch.hasEnded && isOld && !isRequested(batch.batchId)) {
+    for (const batch of this.batches.openBatchesOf(askedBy)) {
+      if (nowMs - batch.arrivedAtMs >= minAgeMs && !isRequested(batch.batchId)) {
         this.logger.info('A batch that is no longer requested is withdrawn.', {
           jobId: batch.content.jobId,
           batchId: batch.batchId,
@@ -161,8 +154,12 @@
 
   /** @returns incarnations of the requesters whose batches have not ended */
   requesters(): string[] {
-    const open = [...this.batches.values()].filter(({ hasEnded }) => !hasEnded);
-    return [...new Set(open.map(({ askedBy }) => askedBy))];
+    return this.batches.requesters();
+  }
+
+  /** Whether a requester has batches here that have not ended. */
+  hasBatchesOf(requester: string): boolean {
+    return this.batches.hasOpenBatchesOf(requester);
   }
 
   /** @returns number of workers to which this daemon dispatches */
@@ -181,14 +178,19 @@
   }
 
   private answer(batch: OpenBatch, ends: readonly TaskEnd[], isPartial: boolean): BatchReply {
-    return { isPartial, ends: [...ends], wasOffered: batch.wasOffered, load: this.load() };
+    return { isPartial, ends: [...ends], wasOffered: batch.wasOffered, load: this.loadOf(batch) };
+  }
+
+  /** Returns the free capacity of the workers to which tasks of a batch were assigned. */
+  private loadOf({ usedWorkerIds }: OpenBatch): MemberLoad {
+    const used = usedWorkerIds.size === 0 ? [] : this.load().workers;
+    return { workers: used.filter(({ workerId }) => usedWorkerIds.has(workerId)) };
   }
 
   private openBatch(askedBy: string, content: Batch): OpenBatch {
     const batch = OpenBatch.create(askedBy, content, this.options.clock.nowMs());
-    this.evictEndedBatches(batch.arrivedAtMs);
-    this.batches.set(content.batchId, batch);
-    if (this.withdrawnEarly.has(content.batchId)) {
+    this.batches.add(batch);
+    if (this.batches.wasWithdrawnEarly(content.batchId)) {
       this.withdraw(content.batchId);
       return batch;
     }
@@ -197,16 +199,6 @@
     return batch;
   }
 
-  /** Removes the oldest batches, up to the first that has not ended or is still retained. */
-  private evictEndedBatches(nowMs: number): void {
-    for (const batch of this.batches.values()) {
-      if (!batch.hasEnded || nowMs - batch.arrivedAtMs < batchRetentionMs) {
-        return;
-      }
-      this.batches.delete(batch.batchId);
-    }
-  }
-
   /** Records the end of a run in the worker's health and speed, then ends or retries the task. */
   private ended(worker: ManagedWorker, run: ActiveRun, outcome: RunOutcome): void {
     const nowMs = this.options.clock.nowMs();
--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -165,7 +165,7 @@
       stopAcknowledgedAtMs: undefined,
     };
     task.nextRun += 1;
-    task.batch.wasOffered = true;
+    task.batch.usedWorkerIds.add(this.workerId);
     this.runs.add(run);
     void this.orders.start(run);
   }
--- a/src/dispatch/openBatch.ts
+++ b/src/dispatch/openBatch.ts
@@ -27,8 +27,8 @@
   readonly giveUpAtMs: number;
   /** Deadline that replaces `giveUpAtMs` until a worker is asked to start one of the tasks. */
   readonly expiresAtMs: number;
-  /** Whether a worker was asked to start one of the tasks. */
-  wasOffered = false;
+  /** Workers that were asked to start one of the tasks. */
+  readonly usedWorkerIds = new Set<string>();
   private readonly taskEnds: TaskEnd[] = [];
   private readonly ended = createDeferred<readonly TaskEnd[]>();
 
@@ -59,6 +59,11 @@
     return new OpenBatch(askedBy, content, nowMs);
   }
 
+  /** Whether a worker was asked to start one of the tasks. */
+  get wasOffered(): boolean {
+    return this.usedWorkerIds.size > 0;
+  }
+
   get batchId(): string {
     return this.content.batchId;
   }
--- a/src/fleet/batchIntake.spec.ts
+++ b/src/fleet/batchIntake.spec.ts
@@ -1,7 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { noMetrics } from '../adapters/system/noMetrics.js';
-import { FleetView } from '../bestEffort/fleetView.js';
 import { Dispatcher } from '../dispatch/dispatcher.js';
 import { FakeClock } from '../testing/fakeClock.js';
 import { ScriptedWorkers } from '../testing/scriptedWorkers.js';
@@ -60,14 +59,8 @@
     speeds: WorkerSpeedCache.create(),
   });
   void dispatcher.setWorkers([worker], 1);
-  const view = FleetView.create({
-    clock,
-    ownId: 'own',
-    ownLoad: () => dispatcher.load(),
-    findWorker: () => worker,
-  });
   const ages = MessageAges.create(clock);
-  const intake = BatchIntake.create({ logger: silentLogger, ages, view, dispatcher });
+  const intake = BatchIntake.create({ logger: silentLogger, ages, dispatcher });
   const requesterNowMs = (): number => clock.nowMs() + clockOffsetMs;
   await clock.advance(500);
   ages.recordHeartbeat(requester, requesterNowMs() - 2);
--- a/src/fleet/batchIntake.ts
+++ b/src/fleet/batchIntake.ts
@@ -3,7 +3,6 @@
  * sent, and a batch that was held up for long is returned: its requester may be gone, and the caller
  * may have been told that nothing runs.
  */
-import type { FleetView } from '../bestEffort/fleetView.js';
 import type { Dispatcher } from '../dispatch/dispatcher.js';
 import type { BatchRequest } from '../ports/fleetPeers.js';
 import type { Logger } from '../ports/logger.js';
@@ -15,7 +14,6 @@
 export interface BatchIntakeOptions {
   readonly logger: Logger;
   readonly ages: MessageAges;
-  readonly view: FleetView;
   readonly dispatcher: Dispatcher;
 }
 
@@ -31,12 +29,9 @@
    *
    * @returns how its tasks ended; the answer may be partial
    */
-  run({ askedBy, sentAtMs, batch, load }: BatchRequest): Promise<BatchReply> {
-    const { ages, dispatcher, logger, view } = this.options;
+  run({ askedBy, sentAtMs, batch }: BatchRequest): Promise<BatchReply> {
+    const { ages, dispatcher, logger } = this.options;
     const ageMs = sentAtMs === undefined ? 0 : Math.round(ages.ageMs(askedBy, sentAtMs));
-    if (load !== undefined) {
-      view.updateKnownLoad(askedBy, load, ageMs);
-    }
     const isTooOld = ageMs > maxSharingSilenceMs && !dispatcher.hasBatch(batch.batchId);
     if (!isTooOld) {
       return dispatcher.run(askedBy, shortenTimeLimits(batch, ageMs));
@@ -47,7 +42,7 @@
       isPartial: false,
       ends: batch.tasks.map((task) => ({ kind: 'returned', task, reason: 'it arrived too late' })),
       wasOffered: false,
-      load: dispatcher.load(),
+      load: { workers: [] },
     });
   }
 }
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -134,7 +134,7 @@
     this.learned = LearnedBackup.create({ clock, logger, store, member, lengths, speeds });
     const { view, router, dispatcher } = this;
     const ages = MessageAges.create(clock);
-    this.batchIntake = BatchIntake.create({ logger: this.logger, ages, view, dispatcher });
+    this.batchIntake = BatchIntake.create({ logger: this.logger, ages, dispatcher });
     this.heartbeatExchange = FleetHeartbeatExchange.create({
       clock,
       ages,
--- a/src/fleet/fleetHeartbeatExchange.ts
+++ b/src/fleet/fleetHeartbeatExchange.ts
@@ -109,7 +109,7 @@
   /** Whether this daemon has batches at another process, or the other way round. */
   sharesBatchesWith(incarnation: string): boolean {
     const { dispatcher, router } = this.options;
-    return router.hasBatchesAt(incarnation) || dispatcher.requesters().includes(incarnation);
+    return router.hasBatchesAt(incarnation) || dispatcher.hasBatchesOf(incarnation);
   }
 
   private isInOwnDomain(member: Member | undefined): boolean {
--- a/src/fleet/fleetPeers.ts
+++ b/src/fleet/fleetPeers.ts
@@ -6,6 +6,7 @@
 import type { FleetStore } from '../ports/fleetStore.js';
 import type { Logger } from '../ports/logger.js';
 import type { FleetHeartbeat, KnownMember, Member } from '../types/fleet.js';
+import { sleepUntilNextPeriod, sleepUntilSharedPeriod } from '../utils/periodicSleep.js';
 import { chooseContacts, rankContact } from './contacts.js';
 import { FleetPeer } from './fleetPeer.js';
 import { PeerDiscovery } from './peerDiscovery.js';
@@ -76,7 +77,12 @@
 
   /** Finds a reachable peer by the incarnation of its process. */
   find(incarnation: string): FleetPeer | undefined {
-    return this.reachable().find((peer) => peer.incarnation === incarnation);
+    for (const peer of this.peers.values()) {
+      if (peer.incarnation === incarnation && this.isReachable(peer)) {
+        return peer;
+      }
+    }
+    return undefined;
   }
 
   /** @returns the peers that sent a message recently, as their relation requires */
@@ -205,7 +211,8 @@
       if (this.mustSendHeartbeat(peer)) {
         await this.sendHeartbeat(peer);
       }
-      await clock.sleep(
+      await sleepUntilSharedPeriod(
+        clock,
         this.isReachable(peer) ? this.relations.heartbeatPeriodMs(peer) : retryPeriodMs,
         peer.stop.signal,
       );
@@ -258,7 +265,7 @@
   private async checkPeers(): Promise<void> {
     const { clock } = this.options;
     while (!this.stop.signal.aborted) {
-      await clock.sleep(checkPeriodMs, this.stop.signal);
+      await sleepUntilNextPeriod(clock, checkPeriodMs, this.stop.signal);
       this.refreshContacts();
       for (const peer of [...this.peers.values()]) {
         this.checkPeer(peer, clock.nowMs());
--- a/src/fleet/requesterMonitor.ts
+++ b/src/fleet/requesterMonitor.ts
@@ -4,6 +4,7 @@
  */
 import type { Dispatcher } from '../dispatch/dispatcher.js';
 import type { Clock } from '../ports/clock.js';
+import { sleepUntilNextPeriod } from '../utils/periodicSleep.js';
 import { maxSharingSilenceMs } from './peerRelations.js';
 
 const checkPeriodMs = 100;
@@ -35,7 +36,7 @@
   private async checkPeriodically(): Promise<void> {
     const { clock, dispatcher, isReachable } = this.options;
     while (!this.stop.signal.aborted) {
-      await clock.sleep(checkPeriodMs, this.stop.signal);
+      await sleepUntilNextPeriod(clock, checkPeriodMs, this.stop.signal);
       dispatcher
         .requesters()
         .filter((requester) => !isReachable(requester))
--- a/src/fleet/suspendDetector.ts
+++ b/src/fleet/suspendDetector.ts
@@ -5,6 +5,7 @@
  */
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
+import { sleepUntilNextPeriod } from '../utils/periodicSleep.js';
 
 const checkPeriodMs = 100;
 /** Shorter suspensions, in milliseconds, are ignored: leases and callers outlast them. */
@@ -45,7 +46,7 @@
 
   private async checkPeriodically(): Promise<void> {
     while (!this.stop.signal.aborted) {
-      await this.options.clock.sleep(checkPeriodMs, this.stop.signal);
+      await sleepUntilNextPeriod(this.options.clock, checkPeriodMs, this.stop.signal);
       this.check();
     }
   }
--- a/src/ports/fleetPeers.ts
+++ b/src/ports/fleetPeers.ts
@@ -3,7 +3,7 @@
 import { z } from 'zod';
 import { batchReplySchema, batchSchema } from '../types/dispatch.js';
 import type { BatchReply } from '../types/dispatch.js';
-import { fleetHeartbeatSchema, memberLoadSchema } from '../types/fleet.js';
+import { fleetHeartbeatSchema } from '../types/fleet.js';
 import type { FleetHeartbeat } from '../types/fleet.js';
 import { routingSchema } from '../types/routing.js';
 import type { Routing } from '../types/routing.js';
@@ -16,8 +16,6 @@
   /** When it was sent, on the requester's monotonic clock, in milliseconds; earlier versions omit it. */
   sentAtMs: z.number().optional(),
   batch: batchSchema,
-  /** Load of the requester's own workers; sent within a failure domain only. */
-  load: memberLoadSchema.optional(),
 });
 export type BatchRequest = z.infer<typeof batchRequestSchema>;
 
