Send heartbeats at once where batches begin to be shared

Change: the loop of each peer wakes every 300 ms and sends what is due; the tolerance counts from the first shared batch.

The new test fails on the commit before.

--- a/src/bestEffort/batchRouter.ts
+++ b/src/bestEffort/batchRouter.ts
@@ -76,6 +76,9 @@
       lost: createDeferred(),
       isRequested: true,
     };
+    if (!this.hasBatchesAt(dispatcherId)) {
+      peer.sharingSinceMs = this.options.clock.nowMs();
+    }
     this.remoteBatches.set(batch.batchId, remote);
     const lost = remote.lost.promise.then((reason): BatchResult => ({ kind: 'lost', reason }));
     const result = await Promise.race([this.runRemotely(peer, dispatcherId, batch), lost]);
--- a/src/fleet/fleetPeer.ts
+++ b/src/fleet/fleetPeer.ts
@@ -18,6 +18,10 @@
   isMarkedUnreachable = false;
   /** Number of heartbeats without an answer since the last one that was received. */
   unansweredHeartbeats = 0;
+  /** When the last heartbeat was sent to the peer. */
+  lastSentAtMs = -Infinity;
+  /** When this daemon sent a batch to the peer while it had none there. */
+  sharingSinceMs = -Infinity;
   /** When the last full heartbeat was sent to the peer. */
   lastFullHeartbeatAtMs = -Infinity;
   /** Ends the exchange of heartbeats with the peer. */
--- a/src/fleet/fleetPeers.spec.ts
+++ b/src/fleet/fleetPeers.spec.ts
@@ -43,6 +43,16 @@
     return (this.daemons.get(address)?.reachable() ?? []).map((peer) => peer.address);
   }
 
+  /** Records that a daemon sends a batch to another one. */
+  recordBatch(from: string, to: string): void {
+    const peer = this.daemons
+      .get(from)
+      ?.reachable()
+      .find(({ address }) => address === to);
+    assert.ok(peer, `${to} is not reachable from ${from}`);
+    peer.sharingSinceMs = this.clock.nowMs();
+  }
+
   async close(): Promise<void> {
     await Promise.all([...this.daemons.values()].map((peers) => peers.close()));
   }
@@ -171,6 +181,25 @@
   await fleet.close();
 });
 
+test('a peer that missed heartbeats is not lost because a batch is sent to it now', async () => {
+  const pairs = new Set<string>();
+  const fleet = new Fleet(FakeClock.create(), createMembers(4), (own, other) =>
+    pairs.has(`${own} ${other}`),
+  );
+  await fleet.clock.advance(2_950);
+  fleet.disconnected.add('a:1');
+  await fleet.clock.advance(600);
+  fleet.disconnected.delete('a:1');
+  fleet.recordBatch('a:0', 'a:1');
+  pairs.add('a0 a1');
+  await fleet.clock.advance(1_000);
+  assert.equal(
+    fleet.lost.filter((pair) => pair === 'a0 a1'),
+    [],
+  );
+  await fleet.close();
+});
+
 test('two daemons with batches at each other stay in contact', async () => {
   const pairs = new Set(['a0 b0', 'b0 a0']);
   const fleet = new Fleet(FakeClock.create(), createMembers(7), (own, other) =>
--- a/src/fleet/fleetPeers.ts
+++ b/src/fleet/fleetPeers.ts
@@ -10,7 +10,7 @@
 import { chooseContacts, rankContact } from './contacts.js';
 import { FleetPeer } from './fleetPeer.js';
 import { PeerDiscovery } from './peerDiscovery.js';
-import { PeerRelations } from './peerRelations.js';
+import { PeerRelations, heartbeatTickMs } from './peerRelations.js';
 import type { PeerRelationsOptions } from './peerRelations.js';
 
 const heartbeatTimeoutMs = 250;
@@ -70,19 +70,15 @@
     return new FleetPeers(options);
   }
 
-  /** Looks for daemons in these failure domains from now on. */
+  /** Looks for daemons in these domains from now on. */
   setFailureDomains(failureDomainIds: readonly string[]): void {
     this.discovery.setFailureDomains(failureDomainIds);
   }
 
   /** Finds a reachable peer by the incarnation of its process. */
   find(incarnation: string): FleetPeer | undefined {
-    for (const peer of this.peers.values()) {
-      if (peer.incarnation === incarnation && this.isReachable(peer)) {
-        return peer;
-      }
-    }
-    return undefined;
+    const peers = [...this.peers.values()];
+    return peers.find((peer) => peer.incarnation === incarnation && this.isReachable(peer));
   }
 
   /** @returns the peers that sent a message recently, as their relation requires */
@@ -213,7 +209,7 @@
       }
       await sleepUntilSharedPeriod(
         clock,
-        this.isReachable(peer) ? this.relations.heartbeatPeriodMs(peer) : retryPeriodMs,
+        this.isReachable(peer) ? heartbeatTickMs : retryPeriodMs,
         peer.stop.signal,
       );
     }
@@ -221,7 +217,7 @@
 
   /** Within a domain the lower address sends; across domains, either side that keeps contact. */
   private mustSendHeartbeat(peer: FleetPeer): boolean {
-    if (!this.keepsContact(peer)) {
+    if (!this.keepsContact(peer) || !this.relations.isHeartbeatDue(peer)) {
       return false;
     }
     if (!this.isReachable(peer)) {
@@ -245,6 +241,7 @@
 
   private async sendHeartbeat(peer: FleetPeer): Promise<void> {
     const nowMs = this.options.clock.nowMs();
+    peer.lastSentAtMs = nowMs;
     const isFull = nowMs - peer.lastFullHeartbeatAtMs >= fullHeartbeatPeriodMs;
     if (isFull) {
       peer.lastFullHeartbeatAtMs = nowMs;
--- a/src/fleet/peerRelations.ts
+++ b/src/fleet/peerRelations.ts
@@ -14,11 +14,14 @@
  */
 type PeerRelation = 'sharing' | 'dispatching' | 'standing-by';
 
+/** Heartbeats are sent at multiples of this time, in milliseconds. */
+export const heartbeatTickMs = 300;
+
 /** Time between two heartbeats to a reachable peer, in milliseconds. */
 const periodsMs: Readonly<Record<PeerRelation, number>> = {
-  sharing: 300,
-  dispatching: 500,
-  'standing-by': 1_500,
+  sharing: heartbeatTickMs,
+  dispatching: 2 * heartbeatTickMs,
+  'standing-by': 5 * heartbeatTickMs,
 };
 
 /** A peer is unreachable after a silence of this many periods. */
@@ -51,10 +54,24 @@
     return periodsMs[this.relationTo(peer)];
   }
 
-  /** Whether a peer sent a message as recently as its relation requires. */
+  /**
+   * Whether a peer sent a message as recently as its relation requires. Where batches are shared only
+   * since a short while, heartbeats came less often until then.
+   */
   isReachable(peer: FleetPeer): boolean {
-    const maxSilenceMs = this.heartbeatPeriodMs(peer) * maxSilentPeriods;
-    return peer.hadContactWithin(this.options.clock.nowMs(), maxSilenceMs);
+    const relation = this.relationTo(peer);
+    const nowMs = this.options.clock.nowMs();
+    const maxSilenceMs = periodsMs[relation] * maxSilentPeriods;
+    return (
+      peer.hadContactWithin(nowMs, maxSilenceMs) ||
+      (relation === 'sharing' && nowMs - peer.sharingSinceMs <= maxSilenceMs)
+    );
+  }
+
+  /** Whether it is time for the next heartbeat to a peer. */
+  isHeartbeatDue(peer: FleetPeer): boolean {
+    const sinceSentMs = this.options.clock.nowMs() - peer.lastSentAtMs;
+    return sinceSentMs > this.heartbeatPeriodMs(peer) - heartbeatTickMs / 2;
   }
 
   isInOwnDomain({ failureDomainId }: FleetPeer): boolean {
