Plan with the workers that have free cores first; refit predictions as their observations grow

Change: the first plan considers workers with enough free cores only; if it does not meet the objective at once, all are considered as before. The number of changes between two fits grows with the square root of the observations.

--- a/src/bestEffort/fleetView.ts
+++ b/src/bestEffort/fleetView.ts
@@ -21,8 +21,11 @@
 /** Whether a dispatcher is this daemon itself, in the same failure domain, or in another one. */
 export type Locality = 'own' | 'near' | 'far';
 
-/** Which dispatchers a plan considers: those of this failure domain, or all. */
-export type Scope = 'own-domain' | 'fleet';
+/**
+ * Which workers a plan considers. `free-in-domain`: those of this failure domain that report enough free
+ * cores now. `own-domain`: all of this failure domain. `fleet`: all.
+ */
+export type Scope = 'free-in-domain' | 'own-domain' | 'fleet';
 
 /** Time that a batch is assumed to take to a dispatcher, in milliseconds. */
 const deliveryTimesMs: Readonly<Record<Locality, number>> = { own: 0, near: 1, far: 4 };
@@ -153,18 +156,22 @@
    * Lists the workers of a service that accept tasks, at dispatchers with a recent load.
    *
    * @param serviceId - the service
-   * @param scope - which dispatchers are considered
+   * @param scope - which workers are considered
+   * @param cpuMillis - cores that a task needs, in thousandths
    * @returns snapshots that the caller may change
    */
-  workers(serviceId: string, scope: Scope): WorkerSnapshot[] {
+  workers(serviceId: string, scope: Scope, cpuMillis: number): WorkerSnapshot[] {
     const { clock, ownId, ownLoad } = this.options;
     this.recordLoad(ownId, ownLoad(), 'own');
     const oldestMs = clock.nowMs() - maxReportAgeMs;
+    const minFreeCpuMillis = scope === 'free-in-domain' ? cpuMillis : 0;
     return [...this.loads].flatMap(([dispatcherId, reported]) =>
-      reported.receivedAtMs < oldestMs || (scope === 'own-domain' && reported.locality === 'far')
+      reported.receivedAtMs < oldestMs || (scope !== 'fleet' && reported.locality === 'far')
         ? []
-        : reported.load.workers.flatMap(
-            (worker) => this.toSnapshot(dispatcherId, reported, worker, serviceId) ?? [],
+        : reported.load.workers.flatMap((worker) =>
+            worker.free.cpuMillis < minFreeCpuMillis
+              ? []
+              : (this.toSnapshot(dispatcherId, reported, worker, serviceId) ?? []),
           ),
     );
   }
--- a/src/bestEffort/runTimePredictor.ts
+++ b/src/bestEffort/runTimePredictor.ts
@@ -31,8 +31,8 @@
 const minRunTimeMs = 1;
 /** Observations are weighted by relative error; below this run time the weight grows no further. */
 const minScaleMs = 20;
-/** Number of changed sums after which the coefficients are computed again. */
-const changesPerRefit = 4;
+/** Least number of changed sums after which the coefficients are computed again. */
+const minChangesPerRefit = 4;
 /** Route id of sums over all routes; it is not sent to anyone. */
 const allRoutes = '';
 
@@ -44,6 +44,8 @@
   /** Fitted coefficients by route, until the next refit. */
   private readonly coefficients = new Map<string, readonly number[]>();
   private changesSinceRefit = 0;
+  /** Observations of all daemons at the last refit. */
+  private fittedObservations = 0;
 
   private constructor() {
     // Built by create.
@@ -108,10 +110,15 @@
     this.recordPeerSums(savedBy, sums.map(halve));
   }
 
-  /** Counts a change of the sums; the coefficients are computed again after several of them. */
+  /**
+   * Counts a change of the sums. The coefficients are computed again after several of them, the more
+   * the less a single one can change.
+   */
   private countChange(): void {
     this.changesSinceRefit += 1;
-    if (this.changesSinceRefit >= changesPerRefit) {
+    if (
+      this.changesSinceRefit >= Math.max(minChangesPerRefit, Math.sqrt(this.fittedObservations))
+    ) {
       this.changesSinceRefit = 0;
       this.coefficients.clear();
     }
@@ -128,6 +135,7 @@
       of.reduce((sum, one) => addSums(sum, one), emptySums(allRoutes));
     const all = total(everySum);
     const ofRoute = total(everySum.filter((sums) => sums.routeId === routeId));
+    this.fittedObservations = all.observations;
     const borrowedShare = borrowedObservations / Math.max(all.observations, borrowedObservations);
     const fitted = solveLeastSquares(
       addSums(ofRoute, all, borrowedShare),
--- a/src/bestEffort/stepPlanner.ts
+++ b/src/bestEffort/stepPlanner.ts
@@ -70,8 +70,9 @@
   }
 
   /**
-   * Plans tasks of a step. Dispatchers of other failure domains are considered only if this
-   * daemon's own domain cannot start every task at once and meet the objective.
+   * Plans tasks of a step. The workers with free cores in this daemon's own failure domain are
+   * considered first, which are enough for most steps; all workers there, and then those of other
+   * domains, only if the step could otherwise not start every task at once and meet the objective.
    *
    * @param serviceId - service whose workers run the tasks
    * @param demand - resources, expected run time and time limits of each task
@@ -90,13 +91,17 @@
     const nowMs = clock.nowMs();
     const planWithin = (scope: Scope): StepPlan | undefined => {
       const workers = view
-        .workers(serviceId, scope)
+        .workers(serviceId, scope, demand.needs.resources.cpuMillis)
         .filter(({ dispatcherId }) => !excludedDispatcherIds.has(dispatcherId));
       return this.planWithWorkers(workers, demand, tasks, nowMs);
     };
-    const plan = planWithin('own-domain');
-    const meetsObjective = plan?.longestWaitMs === 0 && plan.lastEndAtMs <= demand.objectiveAtMs;
-    return meetsObjective || !view.hasFarDispatchers ? plan : planWithin('fleet');
+    const meetsObjective = (plan: StepPlan | undefined): boolean =>
+      plan?.longestWaitMs === 0 && plan.lastEndAtMs <= demand.objectiveAtMs;
+    const withFreeCores = planWithin('free-in-domain');
+    if (meetsObjective(withFreeCores)) {
+      return withFreeCores;
+    }
+    return view.hasFarDispatchers ? planWithin('fleet') : planWithin('own-domain');
   }
 
   /** Plans with the given workers, whose snapshots it changes. */
