Return what did not reach its dispatcher; reject batches for an earlier process; tell outcomes truthfully

A process that had restarted there meanwhile started its tasks again, while runs of the process before could go on until their leases ended. A batch now names the process that it is meant for; another one ends it. - A batch that certainly did not arrive counted as lost, and its job was given up with 504. Its tasks are returned and run elsewhere.

--- a/src/adapters/jsonRpc/rpcSocket.ts
+++ b/src/adapters/jsonRpc/rpcSocket.ts
@@ -12,6 +12,8 @@
 import type { CallResult, MethodTable, MethodParams } from './typedJsonRpcClient.js';
 
 const connectTimeoutMs = 1_000;
+/** Longest wait of a call for a new connection, in milliseconds; another peer may take the work. */
+const maxConnectWaitMs = 300;
 const maxReplyBytes = 33_554_432;
 /**
  * A connection on which a call has timed out is dropped if nothing arrived on it for this long, in
@@ -83,7 +85,7 @@
    *
    * @param method - name of the method in the table
    * @param params - parameters, before defaults are applied
-   * @param timeoutMs - time for the connection, and then again for the answer
+   * @param timeoutMs - time for the answer, and at most for a new connection before
    * @returns the validated result, or an error: `not-sent` if the peer received nothing, `refused` if
    *   it responded with an error, `broken` if it may have acted
    */
@@ -115,7 +117,7 @@
   private async waitForConnection(timeoutMs: number): Promise<void> {
     let timer: NodeJS.Timeout | undefined;
     const isOver = new Promise<void>((resolve) => {
-      timer = setTimeout(resolve, timeoutMs);
+      timer = setTimeout(resolve, Math.min(timeoutMs, maxConnectWaitMs));
     });
     await Promise.race([this.connected, isOver]);
     clearTimeout(timer);
--- /dev/null
+++ b/src/bestEffort/batchRouter.spec.ts
@@ -0,0 +1,112 @@
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { Dispatcher } from '../dispatch/dispatcher.js';
+import { FleetPeer } from '../fleet/fleetPeer.js';
+import type { FleetPeers } from '../fleet/fleetPeers.js';
+import type { BatchRequest, FleetLink } from '../ports/fleetPeers.js';
+import type { PeerError } from '../ports/peers.js';
+import { FakeClock } from '../testing/fakeClock.js';
+import type { Batch, BatchReply } from '../types/dispatch.js';
+import { BatchRouter } from './batchRouter.js';
+import { FleetView } from './fleetView.js';
+
+const dispatcherId = 'dispatcher';
+
+const batch: Batch = {
+  batchId: 'b-1',
+  jobId: '0000000000000001',
+  stepIndex: 0,
+  serviceId: 'fit',
+  spec: '',
+  needs: { resources: { cpuMillis: 14_000, memoryMb: 64, accelerators: 0 } },
+  estimatedMs: 100,
+  objectiveInMs: 1_000,
+  giveUpInMs: 3_000,
+  expiresInMs: 1_000,
+  maxWaitMs: 100,
+  priority: 0,
+  maxFailedRuns: 3,
+  tasks: [{ index: 0, nextRun: 1, failedRuns: 0 }],
+};
+
+const done: BatchReply = {
+  isPartial: false,
+  ends: [{ kind: 'done', index: 0, lengthMs: 90 }],
+  wasOffered: true,
+  load: { workers: [] },
+};
+
+/** Batches of these tests go to another daemon. */
+const unusedDispatcher = undefined as unknown as Dispatcher;
+
+/** A router with one peer, whose link gives the replies one after the other, each after 200 ms. */
+const createFixture = (replies: Result<BatchReply, PeerError>[]) => {
+  const clock = FakeClock.create();
+  const requests: BatchRequest[] = [];
+  const link: Pick<FleetLink, 'runBatch'> = {
+    runBatch: async (request) => {
+      requests.push(request);
+      await clock.sleep(200);
+      return replies.shift() ?? Err({ kind: 'broken', detail: 'no reply' });
+    },
+  };
+  const known = { address: '127.0.0.1:1', failureDomainId: 'east' };
+  const peer = FleetPeer.create(known, link as FleetLink, 0, 0);
+  const peers: Pick<FleetPeers, 'find' | 'recordContact'> = {
+    find: (incarnation) => (incarnation === dispatcherId ? peer : undefined),
+    recordContact: () => undefined,
+  };
+  const router = BatchRouter.create({
+    clock,
+    ownId: 'own',
+    dispatcher: unusedDispatcher,
+    peers: () => peers as FleetPeers,
+    view: FleetView.create({
+      clock,
+      ownId: 'own',
+      ownLoad: () => ({ workers: [] }),
+      findWorker: () => undefined,
+    }),
+  });
+  return { clock, requests, router };
+};
+
+const notSent: PeerError = { kind: 'not-sent', detail: 'refused' };
+const broken: PeerError = { kind: 'broken', detail: 'reset' };
+
+test('tasks that did not reach their dispatcher are returned, so that others can run them', async () => {
+  const { clock, router } = createFixture([Err(notSent)]);
+  const unreachable = await router.run('gone', batch);
+  assert.is(unreachable.kind === 'ended' && unreachable.end.ends[0]?.kind, 'returned');
+  const running = router.run(dispatcherId, batch);
+  await clock.advance(300);
+  const result = await running;
+  assert.is(result.kind === 'ended' && result.end.ends[0]?.kind, 'returned');
+  assert.not.ok(result.kind === 'ended' && result.end.wasOffered);
+});
+
+test('a batch that may have arrived is never returned, only sent again to the same process', async () => {
+  const { clock, requests, router } = createFixture([Err(broken), Err(notSent), Ok(done)]);
+  const running = router.run(dispatcherId, batch);
+  await clock.advance(1_000);
+  assert.equal(await running, { kind: 'ended', end: done });
+  assert.equal(
+    requests.map(({ dispatcherId: id }) => id),
+    [dispatcherId, dispatcherId, dispatcherId],
+  );
+  assert.equal(
+    requests.map(({ batch: sent }) => sent.giveUpInMs),
+    [3_000, 2_800, 2_600],
+  );
+});
+
+test('a batch that may have arrived and gets no answer is lost', async () => {
+  const { clock, router } = createFixture([Err(broken), Err(notSent)]);
+  const running = router.run(dispatcherId, batch);
+  await clock.advance(2_000);
+  assert.is((await running).kind, 'lost');
+});
+
+test.run();
--- a/src/bestEffort/batchRouter.ts
+++ b/src/bestEffort/batchRouter.ts
@@ -59,8 +59,8 @@
   }
 
   /**
-   * Runs a batch at a dispatcher. The result is `lost` if its daemon is not reachable, becomes
-   * unreachable meanwhile, or answers none of the requests.
+   * Runs a batch at a dispatcher. The result is `lost` if its daemon becomes unreachable meanwhile or
+   * answers none of the requests. A batch that certainly did not reach it is returned.
    */
   async run(dispatcherId: string, batch: Batch): Promise<BatchResult> {
     const { ownId, dispatcher, peers } = this.options;
@@ -69,7 +69,7 @@
     }
     const peer = peers().find(dispatcherId);
     if (peer === undefined) {
-      return { kind: 'lost', reason: 'it is not heard' };
+      return returnUnsent(batch, 'it is not reachable');
     }
     const remote: RemoteBatch = {
       dispatcherId,
@@ -138,6 +138,7 @@
     const answerTimeoutMs = batch.estimatedMs * runTimeErrorFactor + resendSlackMs;
     const firstSentAtMs = clock.nowMs();
     let reason = 'no answer';
+    let mayHaveArrived = false;
     for (
       let sends = 0;
       sends < maxSends && this.remoteBatches.get(batch.batchId)?.isRequested === true;
@@ -148,6 +149,7 @@
         {
           askedBy: ownId,
           sentAtMs,
+          dispatcherId,
           batch: shortenTimeLimits(batch, sentAtMs - firstSentAtMs),
         },
         answerTimeoutMs,
@@ -158,12 +160,27 @@
         return toBatchResult(reply.value);
       }
       reason = reply.error.detail;
+      mayHaveArrived ||= reply.error.kind !== 'not-sent';
+      if (!mayHaveArrived) {
+        return returnUnsent(batch, reason);
+      }
       await clock.sleep(Math.max(sentAtMs + minResendIntervalMs - clock.nowMs(), 0));
     }
     return { kind: 'lost', reason };
   }
 }
 
+/** The result of a batch that certainly did not reach its dispatcher: others may run its tasks. */
+const returnUnsent = ({ tasks }: Batch, reason: string): BatchResult => ({
+  kind: 'ended',
+  end: {
+    isPartial: false,
+    ends: tasks.map((task) => ({ kind: 'returned', task, reason })),
+    wasOffered: false,
+    load: { workers: [] },
+  },
+});
+
 const toBatchResult = (end: BatchReply): BatchResult =>
   end.isPartial
     ? {
--- a/src/fleet/batchIntake.spec.ts
+++ b/src/fleet/batchIntake.spec.ts
@@ -60,7 +60,7 @@
   });
   void dispatcher.setWorkers([worker], 1);
   const ages = MessageAges.create(clock);
-  const intake = BatchIntake.create({ logger: silentLogger, ages, dispatcher });
+  const intake = BatchIntake.create({ ownId: 'own', logger: silentLogger, ages, dispatcher });
   const requesterNowMs = (): number => clock.nowMs() + clockOffsetMs;
   await clock.advance(500);
   ages.recordHeartbeat(requester, requesterNowMs() - 2);
@@ -97,6 +97,19 @@
   assert.equal(workers.starts, []);
 });
 
+test('a batch that was sent to an earlier process at this address starts nothing', async () => {
+  const { clock, workers, intake, requesterNowMs } = await createFixture();
+  const request = { askedBy: requester, sentAtMs: requesterNowMs(), batch };
+  const reply = await intake.run({ ...request, dispatcherId: 'earlier' });
+  await clock.advance(100);
+  assert.equal(workers.starts, []);
+  assert.ok(reply.wasOffered, 'the earlier process may have started it');
+  assert.is(reply.ends[0]?.kind, 'withdrawn');
+  void intake.run({ ...request, dispatcherId: 'own' });
+  await clock.advance(100);
+  assert.is(workers.starts.length, 1);
+});
+
 test('a withdrawal that overtakes its batch holds', async () => {
   const { clock, workers, dispatcher, intake, requesterNowMs } = await createFixture();
   dispatcher.withdraw(batch.batchId);
--- a/src/fleet/batchIntake.ts
+++ b/src/fleet/batchIntake.ts
@@ -7,11 +7,13 @@
 import type { BatchRequest } from '../ports/fleetPeers.js';
 import type { Logger } from '../ports/logger.js';
 import { shortenTimeLimits } from '../dispatch/batchTimeLimits.js';
-import type { BatchReply } from '../types/dispatch.js';
+import type { Batch, BatchReply } from '../types/dispatch.js';
 import { maxSharingSilenceMs } from './peerRelations.js';
 import type { MessageAges } from './messageAges.js';
 
 export interface BatchIntakeOptions {
+  /** Incarnation of this daemon. */
+  readonly ownId: string;
   readonly logger: Logger;
   readonly ages: MessageAges;
   readonly dispatcher: Dispatcher;
@@ -29,8 +31,11 @@
    *
    * @returns how its tasks ended; the answer may be partial
    */
-  run({ askedBy, sentAtMs, batch }: BatchRequest): Promise<BatchReply> {
-    const { ages, dispatcher, logger } = this.options;
+  run({ askedBy, sentAtMs, dispatcherId, batch }: BatchRequest): Promise<BatchReply> {
+    const { ownId, ages, dispatcher, logger } = this.options;
+    if (dispatcherId !== undefined && dispatcherId !== ownId) {
+      return this.rejectForeignBatch(batch, dispatcherId);
+    }
     const ageMs = sentAtMs === undefined ? 0 : Math.round(ages.ageMs(askedBy, sentAtMs));
     const isTooOld = ageMs > maxSharingSilenceMs && !dispatcher.hasBatch(batch.batchId);
     if (!isTooOld) {
@@ -45,4 +50,25 @@
       load: { workers: [] },
     });
   }
+
+  /**
+   * Ends a batch that an earlier process at this address may have started: its runs may go on until
+   * their leases end, so that its tasks must not start again now.
+   */
+  private rejectForeignBatch(
+    { batchId, jobId, tasks }: Batch,
+    nodeId: string,
+  ): Promise<BatchReply> {
+    this.options.logger.warn('A batch is meant for an earlier process here.', {
+      batchId,
+      jobId,
+      nodeId,
+    });
+    return Promise.resolve({
+      isPartial: false,
+      ends: tasks.map(({ index }) => ({ kind: 'withdrawn', index })),
+      wasOffered: true,
+      load: { workers: [] },
+    });
+  }
 }
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -89,6 +89,7 @@
   ) {
     const { clock, random, logger, metrics, store, workers, connector } = ports;
     const { member, leaseMs, farRackFactor } = identity;
+    const ownId = member.incarnation;
     this.logger = logger.forPart('jobs');
     this.dispatcher = Dispatcher.create({
       clock,
@@ -109,13 +110,13 @@
     this.routingFollower = RoutingFollower.create({ clock, logger, store, routing: this.routing });
     this.view = FleetView.create({
       clock,
-      ownId: member.incarnation,
+      ownId,
       ownLoad: () => this.dispatcher.load(),
       findWorker: (workerId) => this.directory.get(workerId),
     });
     this.router = BatchRouter.create({
       clock,
-      ownId: member.incarnation,
+      ownId,
       dispatcher: this.dispatcher,
       peers: () => this.peers,
       view: this.view,
@@ -134,7 +135,7 @@
     this.learned = LearnedBackup.create({ clock, logger, store, member, lengths, speeds });
     const { view, router, dispatcher } = this;
     const ages = MessageAges.create(clock);
-    this.batchIntake = BatchIntake.create({ logger: this.logger, ages, dispatcher });
+    this.batchIntake = BatchIntake.create({ ownId, logger: this.logger, ages, dispatcher });
     this.heartbeatExchange = FleetHeartbeatExchange.create({
       clock,
       ages,
--- a/src/fleet/jobIntake.ts
+++ b/src/fleet/jobIntake.ts
@@ -103,12 +103,13 @@
     route: Route,
     request: JobRequest,
   ): Extract<JobEnd, { kind: 'refused' | 'failed' }> | undefined {
-    const { unsupported } = request;
+    const { unsupported, jobId } = request;
     if (unsupported.length > 0) {
       const reason = `not supported: ${unsupported.join(', ')}`;
       return { kind: 'refused', reason, retryAfterMs: unsupportedRetryAfterMs };
     }
-    if (this.intakeState === 'closed') {
+    // A repeated request of a running job waits for it also now: it must not be told that nothing runs.
+    if (this.intakeState === 'closed' && this.options.jobs.state(jobId) === 'unknown') {
       const reason = 'the daemon stops';
       return { kind: 'refused', reason, retryAfterMs: shutdownRetryAfterMs };
     }
--- a/src/ports/fleetPeers.ts
+++ b/src/ports/fleetPeers.ts
@@ -15,6 +15,8 @@
   askedBy: z.string(),
   /** When it was sent, on the requester's monotonic clock, in milliseconds; earlier versions omit it. */
   sentAtMs: z.number().optional(),
+  /** Incarnation of the daemon that is meant to run the batch; earlier versions omit it. */
+  dispatcherId: z.string().optional(),
   batch: batchSchema,
 });
 export type BatchRequest = z.infer<typeof batchRequestSchema>;
