--- a/bench/platformCost.ts
+++ b/bench/platformCost.ts
@@ -8,7 +8,7 @@
 import { join, resolve } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { parseArgs } from 'node:util';
-import { daemonProgram } from '../soak/daemonChild.js';
+import { daemonProgram } from '../standins/platform/daemonChild.js';
 import { CostFleet } from './platformCost/costFleet.js';
 import { readProcessorMs, readResidentMb } from './platformCost/processorTime.js';
 import { SiteLoad } from './platformCost/siteLoad.js';
--- a/bench/platformCost/costFleet.ts
+++ b/bench/platformCost/costFleet.ts
@@ -2,8 +2,8 @@
  * The fleet of the platform cost bench: stand-ins of the platform in this process, and built daemons as
  * child processes in three failure domains.
  */
-import { DaemonChild } from '../../soak/daemonChild.js';
-import type { ExtraArguments } from '../../soak/daemonChild.js';
+import { DaemonChild } from '../../standins/platform/daemonChild.js';
+import type { ExtraArguments } from '../../standins/platform/daemonChild.js';
 import { composeRoutes, fixtureService } from '../../standins/platform/routes.js';
 import { StoreStandIn } from '../../standins/platform/storeStandIn.js';
 import { operatorTopic, shardCount, workerTopic } from '../../standins/platform/topics.js';
--- a/ci/buildPlatform.ts
+++ b/ci/buildPlatform.ts
@@ -9,7 +9,7 @@
 import type { BuildOptions, Plugin } from 'esbuild';
 import { CostFleet } from '../bench/platformCost/costFleet.js';
 import { SiteLoad } from '../bench/platformCost/siteLoad.js';
-import { daemonProgram } from '../soak/daemonChild.js';
+import { daemonProgram } from '../standins/platform/daemonChild.js';
 
 const root = resolve(import.meta.dirname, '..');
 const target = join(root, 'target');
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -4,7 +4,7 @@
  */
 import { resolve } from 'node:path';
 import { parseArgs } from 'node:util';
-import { daemonProgram } from './daemonChild.js';
+import { daemonProgram } from '../standins/platform/daemonChild.js';
 import { runSeed } from './runSeed.js';
 import type { SeedReport } from './runSeed.js';
 
--- a/soak/reload.spec.ts
+++ b/soak/reload.spec.ts
@@ -6,7 +6,7 @@
 import { promisify } from 'node:util';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { daemonProgram } from './daemonChild.js';
+import { daemonProgram } from '../standins/platform/daemonChild.js';
 import { SoakCallers } from './soakCallers.js';
 import { SoakFleet } from './soakFleet.js';
 
--- a/soak/soak.spec.ts
+++ b/soak/soak.spec.ts
@@ -7,7 +7,7 @@
 import * as assert from 'uvu/assert';
 import { planFaults } from './faults.js';
 import { regressionSeeds } from './regressionSeeds.js';
-import { daemonProgram } from './daemonChild.js';
+import { daemonProgram } from '../standins/platform/daemonChild.js';
 import { runSeed } from './runSeed.js';
 
 const root = resolve(import.meta.dirname, '..');
--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -7,7 +7,7 @@
 import { StoreStandIn } from '../standins/platform/storeStandIn.js';
 import { operatorTopic, shardCount, workerTopic } from '../standins/platform/topics.js';
 import { WorkerStandIn } from '../standins/platform/workerStandIn.js';
-import { DaemonChild } from './daemonChild.js';
+import { DaemonChild } from '../standins/platform/daemonChild.js';
 import { FaultyProxy } from './faultyProxy.js';
 import { DisruptionLog } from './disruptionLog.js';
 
--- a/src/adapters/jsonRpc/rpcSocketServer.ts
+++ b/src/adapters/jsonRpc/rpcSocketServer.ts
@@ -1,6 +1,6 @@
 /**
- * Serves JSON-RPC 2.0 calls over WebSocket connections. One async function for each connection reads
- * its calls; their answers may leave in another order.
+ * Serves JSON-RPC 2.0 calls over WebSocket connections. Each call is answered when its method has ended,
+ * so that answers may leave in another order than their calls came.
  */
 import type { IncomingMessage } from 'node:http';
 import type { Duplex } from 'node:stream';
--- a/soak/daemonChild.ts
+++ b/standins/platform/daemonChild.ts
@@ -7,7 +7,7 @@
 import { once } from 'node:events';
 import { closeSync, openSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
-import { settingsPathVariable } from '../platform/settings.js';
+import { settingsPathVariable } from '../../platform/settings.js';
 
 const callersPort = 8_080;
 const readinessPort = 8_081;
