--- a/src/bestEffort/batchRouter.spec.ts
+++ b/src/bestEffort/batchRouter.spec.ts
@@ -7,30 +7,14 @@
 import type { FleetPeers } from '../fleet/fleetPeers.js';
 import type { BatchRequest, FleetLink } from '../ports/fleetPeers.js';
 import type { PeerError } from '../ports/peers.js';
+import { batchFixture as batch } from '../testing/dispatchFixtures.js';
 import { FakeClock } from '../testing/fakeClock.js';
-import type { Batch, BatchReply } from '../types/dispatch.js';
+import type { BatchReply } from '../types/dispatch.js';
 import { BatchRouter } from './batchRouter.js';
 import { FleetView } from './fleetView.js';
 
 const dispatcherId = 'dispatcher';
 
-const batch: Batch = {
-  batchId: 'b-1',
-  jobId: '0000000000000001',
-  stepIndex: 0,
-  serviceId: 'fit',
-  spec: '',
-  needs: { resources: { cpuMillis: 14_000, memoryMb: 64, accelerators: 0 } },
-  estimatedMs: 100,
-  objectiveInMs: 1_000,
-  giveUpInMs: 3_000,
-  expiresInMs: 1_000,
-  maxWaitMs: 100,
-  priority: 0,
-  maxFailedRuns: 3,
-  tasks: [{ index: 0, nextRun: 1, failedRuns: 0 }],
-};
-
 const done: BatchReply = {
   isPartial: false,
   ends: [{ kind: 'done', index: 0, lengthMs: 90 }],
--- a/src/fleet/batchIntake.spec.ts
+++ b/src/fleet/batchIntake.spec.ts
@@ -2,12 +2,11 @@
 import * as assert from 'uvu/assert';
 import { noMetrics } from '../adapters/system/noMetrics.js';
 import { Dispatcher } from '../dispatch/dispatcher.js';
+import { batchFixture as batch, workerFixture as worker } from '../testing/dispatchFixtures.js';
 import { FakeClock } from '../testing/fakeClock.js';
 import { ScriptedWorkers } from '../testing/scriptedWorkers.js';
 import { SeededRandom } from '../testing/seededRandom.js';
 import { silentLogger } from '../testing/silentLogger.js';
-import type { Batch } from '../types/dispatch.js';
-import type { WorkerRecord } from '../types/workers.js';
 import { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import { BatchIntake } from './batchIntake.js';
 import { MessageAges } from './messageAges.js';
@@ -16,34 +15,6 @@
 /** The clock of the requester runs ahead of that of the dispatcher by this much. */
 const clockOffsetMs = 70_000;
 
-const worker: WorkerRecord = {
-  workerId: 'i-1',
-  address: '127.0.0.1:1',
-  serviceId: 'fit',
-  failureDomainId: 'east',
-  state: 'ready',
-  startedAtMs: 5,
-  capacity: { cpuMillis: 32_000, memoryMb: 65_536, accelerators: 0 },
-  labels: [],
-};
-
-const batch: Batch = {
-  batchId: 'b-1',
-  jobId: '0000000000000001',
-  stepIndex: 0,
-  serviceId: 'fit',
-  spec: '',
-  needs: { resources: { cpuMillis: 14_000, memoryMb: 64, accelerators: 0 } },
-  estimatedMs: 100,
-  objectiveInMs: 1_000,
-  giveUpInMs: 3_000,
-  expiresInMs: 1_000,
-  maxWaitMs: 100,
-  priority: 0,
-  maxFailedRuns: 3,
-  tasks: [{ index: 0, nextRun: 1, failedRuns: 0 }],
-};
-
 /** A dispatcher of one worker that has just received two heartbeats of the requester. */
 const createFixture = async () => {
   const clock = FakeClock.create();
