Builds beside each other succeed; compiled code belongs to one bundle by its name

V8 checks only the length of a source, so the name of the bundle has a hash of its content, by which its compiled code is found.

--- a/bench/platformCost.ts
+++ b/bench/platformCost.ts
@@ -60,6 +60,9 @@
   const reportsBefore = fleet.reportRequestCount;
   const result = await load.run(durationMs, Number(values.load));
   await load.close();
+  if (result.lastError !== undefined) {
+    process.stdout.write(`A job got no answer: ${result.lastError}\n`);
+  }
   const loadedMs = readTotalMs() - idleMs;
   const residentMb = fleet.daemons.map(({ pid }) => (pid === undefined ? 0 : readResidentMb(pid)));
   const count = fleet.daemons.length;
--- a/bench/platformCost/siteLoad.ts
+++ b/bench/platformCost/siteLoad.ts
@@ -25,12 +25,16 @@
   readonly completed: number;
   readonly medianMs: number;
   readonly p95Ms: number;
+  /** Error of the last job that got no answer, if there was one. */
+  readonly lastError: string | undefined;
 }
 
 export class SiteLoad {
   private readonly pools: readonly Pool[];
   private readonly durationsMs: number[] = [];
   private sent = 0;
+  /** Why a job got no answer; it counts as not completed. */
+  private lastError: string | undefined;
 
   private constructor(addresses: readonly string[]) {
     this.pools = addresses.map(
@@ -58,7 +62,14 @@
     await Promise.all(kinds.flat());
     const sorted = [...this.durationsMs].sort((a, b) => a - b);
     const at = (share: number): number => sorted[Math.floor(sorted.length * share)] ?? 0;
-    return { jobs: this.sent, completed: sorted.length, medianMs: at(0.5), p95Ms: at(0.95) };
+    const { lastError } = this;
+    return {
+      jobs: this.sent,
+      completed: sorted.length,
+      medianMs: at(0.5),
+      p95Ms: at(0.95),
+      lastError,
+    };
   }
 
   async close(): Promise<void> {
@@ -86,7 +97,8 @@
     const step = { count: tasks, cpu: taskCpuMillis, memMb: 64, estimatedMs: runMs };
     const taskSpec = JSON.stringify({ runMs, cpu: taskCpuMillis });
     const sentAtMs = performance.now();
-    const response = await this.pools[this.sent % this.pools.length]?.request({
+    const pool = this.pools[this.sent % this.pools.length];
+    const sending = pool?.request({
       method: 'POST',
       path: `${fixturePrefix}${jobId}`,
       headers: {
@@ -96,9 +108,14 @@
       },
       body: JSON.stringify({ taskSpec, steps: [step], bestEffort: true }),
     });
-    await response?.body.dump();
-    if (response?.statusCode === 200) {
-      this.durationsMs.push(performance.now() - sentAtMs);
+    try {
+      const response = await sending;
+      await response?.body.dump();
+      if (response?.statusCode === 200) {
+        this.durationsMs.push(performance.now() - sentAtMs);
+      }
+    } catch (error) {
+      this.lastError = String(error);
     }
   }
 }
--- a/ci/buildPlatform.ts
+++ b/ci/buildPlatform.ts
@@ -1,22 +1,22 @@
 /**
- * `npm run build:platform`: bundles the daemon for the users' platform into `target/`, lets it serve some
- * load from stand-ins, and keeps the code that was compiled meanwhile beside the bundle.
+ * `npm run build:platform`: bundles the daemon for the users' platform into `target/`, and has
+ * `ci/rehearsePlatform.ts` make the compiled code beside the bundle. The build succeeds without the
+ * compiled code, too.
  */
-import { mkdtempSync, rmSync } from 'node:fs';
-import { tmpdir } from 'node:os';
+import { spawnSync } from 'node:child_process';
+import { createHash } from 'node:crypto';
+import { mkdirSync, readdirSync, rmSync, writeFileSync } from 'node:fs';
 import { join, resolve } from 'node:path';
 import { build } from 'esbuild';
 import type { BuildOptions, Plugin } from 'esbuild';
-import { CostFleet } from '../bench/platformCost/costFleet.js';
-import { SiteLoad } from '../bench/platformCost/siteLoad.js';
 import { daemonProgram } from '../standins/platform/daemonChild.js';
 
 const root = resolve(import.meta.dirname, '..');
 const target = join(root, 'target');
-const startMs = 2_500;
-const loadMs = 4_000;
-/** Share of the rate of jobs that the cost bench sends to more daemons. */
-const loadFactor = 0.5;
+const source = join(root, 'src/programs/toucandyked');
+const rehearsalTimeoutMs = 90_000;
+/** Digits of the hash in the name of the bundle. */
+const hashDigits = 16;
 
 /** Bundles only the connection pool of `undici`, since loading the rest of it takes time at each start. */
 const undiciPoolOnly: Plugin = {
@@ -43,42 +43,45 @@
   plugins: [undiciPoolOnly],
 };
 
-/** Serves jobs with a few daemons, the first of which writes its compiled code when it stops. */
-const rehearse = async (): Promise<void> => {
-  const folder = mkdtempSync(join(tmpdir(), 'toucandyke-build-'));
-  const fleet = await CostFleet.create({
-    networkIndex: 61,
-    daemons: 4,
-    workers: 8,
-    routes: 8,
-    folder,
-    program: daemonProgram(root),
-    firstDaemonArguments: { program: ['--write-compiled-code'] },
-  });
-  await new Promise((done) => setTimeout(done, startMs));
-  const load = SiteLoad.create(fleet.daemons.map(({ callersAddress }) => callersAddress));
-  await load.run(loadMs, loadFactor);
-  await load.close();
-  await fleet.close();
-  rmSync(folder, { recursive: true });
+/**
+ * Bundles the daemon. The name of the bundle has a hash of its content, so that compiled code, which is
+ * found by that name, is never used with another bundle.
+ *
+ * @returns the name of the file in `target/`
+ */
+const bundleDaemon = async (): Promise<string> => {
+  const entryPoints = [join(source, 'runOnPlatform.ts')];
+  const { outputFiles } = await build({ ...options, entryPoints, outdir: target, write: false });
+  const [bundle] = outputFiles;
+  if (bundle === undefined) {
+    throw new Error('The bundler returned no file.');
+  }
+  const hash = createHash('sha256').update(bundle.contents).digest('hex').slice(0, hashDigits);
+  const name = `platform-${hash}.cjs`;
+  writeFileSync(join(target, name), bundle.contents);
+  return name;
 };
 
-const source = join(root, 'src/programs/toucandyked');
+/** Removes the bundles of earlier builds and their compiled code. */
+const removeOtherBundles = (name: string): void =>
+  readdirSync(target)
+    .filter((file) => file.startsWith('platform') && !file.startsWith(name))
+    .forEach((file) => rmSync(join(target, file)));
+
+mkdirSync(target, { recursive: true });
+const bundleName = await bundleDaemon();
 await build({
   ...options,
   entryPoints: [join(source, 'platformMain.ts')],
+  define: { PLATFORM_BUNDLE: JSON.stringify(bundleName) },
   outfile: daemonProgram(root),
 });
-await build({
-  ...options,
-  entryPoints: [join(source, 'runOnPlatform.ts')],
-  outfile: join(target, 'platform.cjs'),
-});
-if (!process.argv.includes('--no-compiled-code')) {
-  try {
-    await rehearse();
-  } catch (error) {
-    // The daemon starts without it, only slower.
-    process.stderr.write(`No compiled code could be made: ${String(error)}\n`);
-  }
+removeOtherBundles(bundleName);
+const rehearsal = spawnSync(
+  process.execPath,
+  ['--import', 'tsx', join(root, 'ci/rehearsePlatform.ts')],
+  { cwd: root, timeout: rehearsalTimeoutMs, stdio: ['ignore', 'ignore', 'pipe'] },
+);
+if (rehearsal.status !== 0) {
+  process.stderr.write(`Built without compiled code: ${rehearsal.stderr.toString()}\n`);
 }
--- a/src/programs/toucandyked/cachedProgram.ts
+++ b/src/programs/toucandyked/cachedProgram.ts
@@ -3,7 +3,7 @@
  * starts in less time with it; without it, or if it was made by another version of Node.js or with
  * other options, the program is compiled anew.
  */
-import { readFileSync, writeFileSync } from 'node:fs';
+import { readFileSync, renameSync, writeFileSync } from 'node:fs';
 import { createRequire } from 'node:module';
 import { dirname } from 'node:path';
 import { Script } from 'node:vm';
@@ -56,7 +56,10 @@
 
   /** Writes the code of all functions that have been called so far, for later starts. */
   writeCompiledCode(): void {
-    writeFileSync(compiledCodePath(this.path), this.script.createCachedData());
+    const path = compiledCodePath(this.path);
+    const unfinished = `${path}.${process.pid}`;
+    writeFileSync(unfinished, this.script.createCachedData());
+    renameSync(unfinished, path);
   }
 }
 
--- a/src/programs/toucandyked/platformMain.ts
+++ b/src/programs/toucandyked/platformMain.ts
@@ -1,5 +1,5 @@
 /**
- * The daemon as it is built for the users' platform: `node platformMain.cjs`. With the option
+ * The daemon as it is built for the users' platform: `node target/main.cjs`. With the option
  * `--write-compiled-code` it writes its compiled code when it stops, which the build uses.
  */
 import { resolve } from 'node:path';
@@ -7,10 +7,11 @@
 import { ReloadSignal } from './reloadSignal.js';
 import type { runOnPlatform } from './runOnPlatform.js';
 
-const programFile = 'platform.cjs';
+/** Name of the bundled daemon, beside this program; set by the build. */
+declare const PLATFORM_BUNDLE: string;
 
 const reload = ReloadSignal.create();
-const program = CachedProgram.create(resolve(__dirname, programFile));
+const program = CachedProgram.create(resolve(__dirname, PLATFORM_BUNDLE));
 if (process.argv.includes('--write-compiled-code')) {
   process.once('exit', () => program.writeCompiledCode());
 }
--- a/standins/platform/daemonChild.ts
+++ b/standins/platform/daemonChild.ts
@@ -53,6 +53,10 @@
   readonly onCrash: (detail: string) => void;
 }
 
+/** Children that have not exited; none outlives this process. */
+const runningChildren = new Set<ChildProcess>();
+process.once('exit', () => runningChildren.forEach((child) => child.kill('SIGKILL')));
+
 export class DaemonChild {
   private child: ChildProcess | undefined;
   /** The last process that was started, also while it is being stopped. */
@@ -113,7 +117,9 @@
     this.child = child;
     this.running = child;
     this.ended = once(child, 'exit');
+    runningChildren.add(child);
     child.once('exit', (code, signal) => {
+      runningChildren.delete(child);
       if (this.child === child) {
         this.child = undefined;
         onCrash(`${vmId} exited unexpectedly: code ${code ?? '-'}, signal ${signal ?? '-'}`);
