A malformed answer of a daemon no longer ends the process; unreachable peers are retried as before

Found by reading the change again: - RpcSocket passed any JSON to the client of json-rpc-2.0, which throws on '[null]' inside an event handler: one message of a peer ended the process. Answers are validated; a failed call on the server side drops its connection. Shown by a test that ended the test process before. - Timeouts and broken connections were reported as 'refused', as if the peer had answered. - Between two daemons that stand by, an unreachable peer was retried every 1.5 s in place of 0.5 s. - Server sides of connections to VMs that lost power stayed for ever: they are probed.

--- a/src/adapters/fleetRpc/fleetRpcLink.spec.ts
+++ b/src/adapters/fleetRpc/fleetRpcLink.spec.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import { createServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -9,7 +10,7 @@
 import { HttpServer } from '../http/httpServer.js';
 import { sendJson } from '../http/sendJson.js';
 import { readJsonBody } from '../http/readJsonBody.js';
-import { WebSocket } from 'ws';
+import { WebSocket, WebSocketServer } from 'ws';
 import { FleetRpcConnector } from './fleetRpcClient.js';
 import { FleetRpcServer } from './fleetRpcServer.js';
 import { fleetSocketPath } from './fleetRpcPath.js';
@@ -93,6 +94,50 @@
   await server.kill();
 });
 
+test('an answer that is no JSON-RPC response ends its connection, not the process', async () => {
+  for (const answer of [
+    '[null]',
+    '[]',
+    'null',
+    '7',
+    '{',
+    '{"id":1}',
+    '{"jsonrpc":"2.0","id":{}}',
+  ]) {
+    const peer = new WebSocketServer({ host: '127.0.0.1', port: 0 });
+    peer.on('connection', (socket) => socket.on('message', () => socket.send(answer)));
+    await once(peer, 'listening');
+    const { port } = peer.address() as AddressInfo;
+    const link = FleetRpcConnector.create().connect(`127.0.0.1:${port}`);
+    const reply = await link.beat(heartbeat, 200);
+    assert.is(reply.isErr() && reply.error.kind, 'broken', answer);
+    await link.close();
+    peer.close();
+  }
+});
+
+test('a call without an answer may have acted, whether it timed out or its connection broke', async () => {
+  const peer = new WebSocketServer({ host: '127.0.0.1', port: 0 });
+  let calls = 0;
+  peer.on('connection', (socket) =>
+    socket.on('message', () => {
+      calls += 1;
+      if (calls > 1) {
+        socket.terminate();
+      }
+    }),
+  );
+  await once(peer, 'listening');
+  const { port } = peer.address() as AddressInfo;
+  const link = FleetRpcConnector.create().connect(`127.0.0.1:${port}`);
+  for (let call = 0; call < 2; call += 1) {
+    const reply = await link.beat(heartbeat, 100);
+    assert.is(reply.isErr() && reply.error.kind, 'broken');
+  }
+  await link.close();
+  peer.close();
+});
+
 test('a daemon of an earlier version, which serves HTTP only, is called over HTTP', async () => {
   const earlier = await HttpServer.create({
     host: '127.0.0.1',
--- a/src/adapters/jsonRpc/jsonRpcCall.ts
+++ b/src/adapters/jsonRpc/jsonRpcCall.ts
@@ -1,5 +1,5 @@
 /**
- * Schema of a JSON-RPC 2.0 request, and validation of its parameters.
+ * Schemas of a JSON-RPC 2.0 request and its response, and validation of its parameters.
  */
 import { JSONRPCErrorException } from 'json-rpc-2.0';
 import { z } from 'zod';
@@ -15,6 +15,16 @@
   params: z.unknown().optional(),
 });
 
+/** A single JSON-RPC response. */
+export const responseSchema = z.object({
+  jsonrpc: z.literal('2.0'),
+  id: z.union([z.string().max(64), z.number()]),
+  result: z.unknown().optional(),
+  error: z
+    .object({ code: z.number(), message: z.string(), data: z.unknown().optional() })
+    .optional(),
+});
+
 /**
  * Validates the parameters of a call.
  *
--- a/src/adapters/jsonRpc/rpcSocket.ts
+++ b/src/adapters/jsonRpc/rpcSocket.ts
@@ -1,13 +1,14 @@
 /**
  * JSON-RPC 2.0 calls over one WebSocket connection, which carries many calls at the same time.
  */
-import { JSONRPCClient } from 'json-rpc-2.0';
-import type { JSONRPCResponse } from 'json-rpc-2.0';
+import { JSONRPCClient, JSONRPCErrorException, createJSONRPCErrorResponse } from 'json-rpc-2.0';
+import type { JSONRPCID, JSONRPCResponse } from 'json-rpc-2.0';
 import { Err } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { WebSocket } from 'ws';
 import type { PeerError } from '../../ports/peers.js';
 import { parseJson } from '../../utils/parseJson.js';
+import { responseSchema } from './jsonRpcCall.js';
 import { decodeReply, toPeerError } from './typedJsonRpcClient.js';
 import type { CallResult, MethodTable, MethodParams } from './typedJsonRpcClient.js';
 
@@ -23,6 +24,12 @@
 /** Calls are not sent while this many bytes wait to be sent. */
 const maxBufferedBytes = 4_194_304;
 
+/** Error code of the responses that stand for answers that did not come in time; peers don't use it. */
+const timeoutCode = -32_099;
+
+const createTimeoutResponse = (id: JSONRPCID) =>
+  createJSONRPCErrorResponse(id, timeoutCode, 'The time for the answer is over.');
+
 /** State of the connection. `unsupported`: the peer serves no WebSocket at the path. */
 export type RpcSocketState = 'connecting' | 'open' | 'closed' | 'unsupported';
 
@@ -101,11 +108,14 @@
       return Err({ kind: 'not-sent', detail: this.closeReason });
     }
     try {
-      const reply: unknown = await this.client.timeout(timeoutMs).request(method, params);
+      const reply: unknown = await this.client
+        .timeout(timeoutMs, createTimeoutResponse)
+        .request(method, params);
       return decodeReply(this.methods, method, reply);
     } catch (error) {
+      const peerError = this.toCallError(error);
       this.dropIfSilent();
-      return Err(toPeerError(error));
+      return Err(peerError);
     }
   }
 
@@ -125,13 +135,21 @@
 
   private receive(data: Buffer): void {
     this.lastReceivedAtMs = performance.now();
-    const response = parseJson(data);
-    if (typeof response !== 'object' || response === null) {
-      this.closeReason = 'The peer sent a message that is not JSON.';
+    const response = responseSchema.safeParse(parseJson(data));
+    if (!response.success) {
+      this.closeReason = 'The peer sent a message that is not a JSON-RPC response.';
       this.socket.terminate();
       return;
     }
-    this.client.receive(response as JSONRPCResponse);
+    this.client.receive(response.data as JSONRPCResponse);
+  }
+
+  /** Tells errors that the peer answered from those that the client makes when there is no answer. */
+  private toCallError(error: unknown): PeerError {
+    const isUnanswered =
+      this.currentState !== 'open' ||
+      (error instanceof JSONRPCErrorException && error.code === timeoutCode);
+    return isUnanswered ? { kind: 'broken', detail: String(error) } : toPeerError(error);
   }
 
   private dropIfSilent(): void {
--- a/src/adapters/jsonRpc/rpcSocketServer.ts
+++ b/src/adapters/jsonRpc/rpcSocketServer.ts
@@ -3,6 +3,7 @@
  * so that answers may leave in another order than their calls came.
  */
 import type { IncomingMessage } from 'node:http';
+import { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import type { JSONRPCServer } from 'json-rpc-2.0';
 import { WebSocket, WebSocketServer } from 'ws';
@@ -10,6 +11,8 @@
 import { callSchema } from './jsonRpcCall.js';
 
 const maxCallBytes = 4_194_304;
+/** Time without data after which a connection is probed, in milliseconds. */
+const keepAliveMs = 30_000;
 /** A connection is dropped while this many bytes of answers wait to be sent. */
 const maxBufferedBytes = 33_554_432;
 
@@ -41,6 +44,10 @@
   /** Takes over the connection of a request that asks for a WebSocket. */
   accept(request: IncomingMessage, connection: Duplex, head: Buffer): void {
     connection.on('error', () => connection.destroy());
+    if (connection instanceof Socket) {
+      // Otherwise the connections of VMs that lost power would stay for ever.
+      connection.setKeepAlive(true, keepAliveMs);
+    }
     if (!this.server.shouldHandle(request)) {
       connection.end('HTTP/1.1 404 Not Found\r\nconnection: close\r\ncontent-length: 0\r\n\r\n');
       return;
@@ -56,7 +63,13 @@
 
   private serve(socket: WebSocket): void {
     socket.on('error', (error) => this.options.onError(String(error)));
-    socket.on('message', (data: Buffer) => void this.answer(socket, data));
+    socket.on('message', (data: Buffer) => {
+      this.answer(socket, data).catch((error: unknown) => {
+        // An error in one call must not end the process.
+        this.options.onError(String(error));
+        socket.terminate();
+      });
+    });
   }
 
   /** Runs one call and sends its answer; a message that is no call ends the connection. */
--- a/src/bestEffort/batchRouter.ts
+++ b/src/bestEffort/batchRouter.ts
@@ -77,7 +77,7 @@
       isRequested: true,
     };
     if (!this.hasBatchesAt(dispatcherId)) {
-      peer.sharingSinceMs = this.options.clock.nowMs();
+      peer.beginSharing(this.options.clock.nowMs());
     }
     this.remoteBatches.set(batch.batchId, remote);
     const lost = remote.lost.promise.then((reason): BatchResult => ({ kind: 'lost', reason }));
--- a/src/fleet/batchIntake.ts
+++ b/src/fleet/batchIntake.ts
@@ -34,7 +34,7 @@
   run({ askedBy, sentAtMs, dispatcherId, batch }: BatchRequest): Promise<BatchReply> {
     const { ownId, ages, dispatcher, logger } = this.options;
     if (dispatcherId !== undefined && dispatcherId !== ownId) {
-      return this.rejectForeignBatch(batch, dispatcherId);
+      return this.rejectMisaddressedBatch(batch, dispatcherId);
     }
     const ageMs = sentAtMs === undefined ? 0 : Math.round(ages.ageMs(askedBy, sentAtMs));
     const isTooOld = ageMs > maxSharingSilenceMs && !dispatcher.hasBatch(batch.batchId);
@@ -55,7 +55,7 @@
    * Ends a batch that an earlier process at this address may have started: its runs may go on until
    * their leases end, so that its tasks must not start again now.
    */
-  private rejectForeignBatch(
+  private rejectMisaddressedBatch(
     { batchId, jobId, tasks }: Batch,
     nodeId: string,
   ): Promise<BatchReply> {
--- a/src/fleet/fleetPeer.ts
+++ b/src/fleet/fleetPeer.ts
@@ -20,8 +20,8 @@
   unansweredHeartbeats = 0;
   /** When the last heartbeat was sent to the peer. */
   lastSentAtMs = -Infinity;
-  /** When this daemon sent a batch to the peer while it had none there. */
-  sharingSinceMs = -Infinity;
+  /** When this daemon last sent a batch to the peer while it had none there. */
+  private sharingStartedAtMs = -Infinity;
   /** When the last full heartbeat was sent to the peer. */
   lastFullHeartbeatAtMs = -Infinity;
   /** Ends the exchange of heartbeats with the peer. */
@@ -55,6 +55,15 @@
     return this.heartbeat?.member.incarnation;
   }
 
+  get sharingSinceMs(): number {
+    return this.sharingStartedAtMs;
+  }
+
+  /** Records that this daemon is about to have batches at the peer. */
+  beginSharing(nowMs: number): void {
+    this.sharingStartedAtMs = nowMs;
+  }
+
   /** Whether the peer dispatches to workers, by its last heartbeat. */
   get isDispatching(): boolean {
     return (this.heartbeat?.load.workers.length ?? 0) > 0;
--- a/src/fleet/fleetPeers.spec.ts
+++ b/src/fleet/fleetPeers.spec.ts
@@ -50,7 +50,7 @@
       ?.reachable()
       .find(({ address }) => address === to);
     assert.ok(peer, `${to} is not reachable from ${from}`);
-    peer.sharingSinceMs = this.clock.nowMs();
+    peer.beginSharing(this.clock.nowMs());
   }
 
   async close(): Promise<void> {
@@ -181,6 +181,16 @@
   await fleet.close();
 });
 
+test('a daemon that stands by reaches a peer soon after it is back', async () => {
+  const fleet = new Fleet(FakeClock.create(), createMembers(2), () => false, false);
+  fleet.disconnected.add('a:1');
+  await fleet.clock.advance(4_700);
+  fleet.disconnected.delete('a:1');
+  await fleet.clock.advance(650);
+  assert.ok(fleet.reachableFrom('a:0').includes('a:1'));
+  await fleet.close();
+});
+
 test('a peer that missed heartbeats is not lost because a batch is sent to it now', async () => {
   const pairs = new Set<string>();
   const fleet = new Fleet(FakeClock.create(), createMembers(4), (own, other) =>
--- a/src/fleet/fleetPeers.ts
+++ b/src/fleet/fleetPeers.ts
@@ -217,12 +217,15 @@
 
   /** Within a domain the lower address sends; across domains, either side that keeps contact. */
   private mustSendHeartbeat(peer: FleetPeer): boolean {
-    if (!this.keepsContact(peer) || !this.relations.isHeartbeatDue(peer)) {
+    if (!this.keepsContact(peer)) {
       return false;
     }
     if (!this.isReachable(peer)) {
       return true;
     }
+    if (!this.relations.isHeartbeatDue(peer)) {
+      return false;
+    }
     const sinceInboundMs = this.options.clock.nowMs() - peer.lastInboundHeartbeatAtMs;
     return this.isInOwnDomain(peer)
       ? this.options.own.address < peer.address
