The built daemon is target/main.js again, which mixed soaks of two builds start

Found by reading the change again: the program had been renamed to main.cjs, and the script that soaks daemons of two builds beside each other starts target/main.js of both. Loopback networks of builds no longer overlap with that of the reload test.

--- a/ci/buildPlatform.ts
+++ b/ci/buildPlatform.ts
@@ -72,6 +72,7 @@
 const bundleName = await bundleDaemon();
 await build({
   ...options,
+  format: 'esm',
   entryPoints: [join(source, 'platformMain.ts')],
   define: { PLATFORM_BUNDLE: JSON.stringify(bundleName) },
   outfile: daemonProgram(root),
--- a/ci/rehearsePlatform.ts
+++ b/ci/rehearsePlatform.ts
@@ -15,7 +15,7 @@
 /** Multiplies the rate of jobs of the cost bench, which is meant for more daemons. */
 const loadFactor = 0.5;
 /** Loopback networks from this one on are used by builds, each by another one. */
-const firstNetwork = 100;
+const firstNetwork = 130;
 const networks = 100;
 
 const folder = mkdtempSync(join(tmpdir(), 'toucandyke-build-'));
--- a/src/programs/toucandyked/platformMain.ts
+++ b/src/programs/toucandyked/platformMain.ts
@@ -1,5 +1,5 @@
 /**
- * The daemon as it is built for the users' platform: `node target/main.cjs`. With the option
+ * The daemon as it is built for the users' platform: `node target/main.js`. With the option
  * `--write-compiled-code` it writes its compiled code when it stops, which the build uses.
  */
 import { resolve } from 'node:path';
@@ -11,7 +11,7 @@
 declare const PLATFORM_BUNDLE: string;
 
 const reload = ReloadSignal.create();
-const program = CachedProgram.create(resolve(__dirname, PLATFORM_BUNDLE));
+const program = CachedProgram.create(resolve(import.meta.dirname, PLATFORM_BUNDLE));
 if (process.argv.includes('--write-compiled-code')) {
   process.once('exit', () => program.writeCompiledCode());
 }
--- a/standins/platform/daemonChild.ts
+++ b/standins/platform/daemonChild.ts
@@ -27,7 +27,7 @@
  * @param root - folder of the repository
  * @returns path of the built daemon
  */
-export const daemonProgram = (root: string): string => join(root, 'target/main.cjs');
+export const daemonProgram = (root: string): string => join(root, 'target/main.js');
 
 /** Arguments beyond those of the deployment. */
 export interface ExtraArguments {
