--- a/bench/platformCost.ts
+++ b/bench/platformCost.ts
@@ -11,7 +11,7 @@
 import { daemonProgram } from '../standins/platform/daemonChild.js';
 import { CostFleet } from './platformCost/costFleet.js';
 import { readProcessorMs, readResidentMb } from './platformCost/processorTime.js';
-import { SiteLoad } from './platformCost/siteLoad.js';
+import { JobLoad } from './platformCost/jobLoad.js';
 
 /** Time after the start of the daemons that counts as their start, in milliseconds. */
 const startPhaseMs = 4_000;
@@ -56,7 +56,7 @@
   const startedMs = readTotalMs();
   await sleep(durationMs);
   const idleMs = readTotalMs();
-  const load = SiteLoad.create(fleet.daemons.map(({ callersAddress }) => callersAddress));
+  const load = JobLoad.create(fleet.daemons.map(({ callersAddress }) => callersAddress));
   const reportsBefore = fleet.reportRequestCount;
   const result = await load.run(durationMs, Number(values.load));
   await load.close();
--- a/bench/platformCost/siteLoad.ts
+++ b/bench/platformCost/jobLoad.ts
@@ -29,7 +29,7 @@
   readonly lastError: string | undefined;
 }
 
-export class SiteLoad {
+export class JobLoad {
   private readonly pools: readonly Pool[];
   private readonly durationsMs: number[] = [];
   private sent = 0;
@@ -45,8 +45,8 @@
   /**
    * @param addresses - addresses of the daemons for callers, as `IP:port`
    */
-  static create(addresses: readonly string[]): SiteLoad {
-    return new SiteLoad(addresses);
+  static create(addresses: readonly string[]): JobLoad {
+    return new JobLoad(addresses);
   }
 
   /**
--- a/ci/buildPlatform.ts
+++ b/ci/buildPlatform.ts
@@ -1,7 +1,7 @@
 /**
  * `npm run build:platform`: bundles the daemon for the users' platform into `target/`, and has
- * `ci/rehearsePlatform.ts` make the compiled code beside the bundle. The build succeeds without the
- * compiled code, too.
+ * `ci/warmUpPlatform.ts` make V8's code cache beside the bundle. The build succeeds without the
+ * cache, too.
  */
 import { spawnSync } from 'node:child_process';
 import { createHash } from 'node:crypto';
@@ -14,7 +14,7 @@
 const root = resolve(import.meta.dirname, '..');
 const target = join(root, 'target');
 const source = join(root, 'src/programs/toucandyked');
-const rehearsalTimeoutMs = 90_000;
+const warmUpTimeoutMs = 90_000;
 /** Digits of the hash in the name of the bundle. */
 const hashDigits = 16;
 
@@ -44,8 +44,8 @@
 };
 
 /**
- * Bundles the daemon. The name of the bundle has a hash of its content, so that compiled code, which is
- * found by that name, is never used with another bundle.
+ * Bundles the daemon. The name of the bundle has a hash of its content, so that the code cache, which
+ * is found by that name, is never used with another bundle.
  *
  * @returns the name of the file in `target/`
  */
@@ -62,7 +62,7 @@
   return name;
 };
 
-/** Removes the bundles of earlier builds and their compiled code. */
+/** Removes the bundles of earlier builds and their code caches. */
 const removeOtherBundles = (name: string): void =>
   readdirSync(target)
     .filter((file) => file.startsWith('platform') && !file.startsWith(name))
@@ -78,11 +78,11 @@
   outfile: daemonProgram(root),
 });
 removeOtherBundles(bundleName);
-const rehearsal = spawnSync(
+const warmUp = spawnSync(
   process.execPath,
-  ['--import', 'tsx', join(root, 'ci/rehearsePlatform.ts')],
-  { cwd: root, timeout: rehearsalTimeoutMs, stdio: ['ignore', 'ignore', 'pipe'] },
+  ['--import', 'tsx', join(root, 'ci/warmUpPlatform.ts')],
+  { cwd: root, timeout: warmUpTimeoutMs, stdio: ['ignore', 'ignore', 'pipe'] },
 );
-if (rehearsal.status !== 0) {
-  process.stderr.write(`Built without compiled code: ${rehearsal.stderr.toString()}\n`);
+if (warmUp.status !== 0) {
+  process.stderr.write(`Built without a code cache: ${warmUp.stderr.toString()}\n`);
 }
--- a/ci/rehearsePlatform.ts
+++ b/ci/warmUpPlatform.ts
@@ -1,5 +1,5 @@
 /**
- * Makes the compiled code of the built platform daemon: a few daemons serve jobs of stand-ins for some
+ * Makes the code cache of the built platform daemon: a few daemons serve jobs of stand-ins for some
  * seconds, and the first of them writes the code that was compiled meanwhile when it stops.
  */
 import { mkdtempSync, rmSync } from 'node:fs';
@@ -7,7 +7,7 @@
 import { join, resolve } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { CostFleet } from '../bench/platformCost/costFleet.js';
-import { SiteLoad } from '../bench/platformCost/siteLoad.js';
+import { JobLoad } from '../bench/platformCost/jobLoad.js';
 import { daemonProgram } from '../standins/platform/daemonChild.js';
 
 const startMs = 2_500;
@@ -26,11 +26,11 @@
   routes: 8,
   folder,
   program: daemonProgram(resolve(import.meta.dirname, '..')),
-  firstDaemonArguments: { program: ['--write-compiled-code'] },
+  firstDaemonArguments: { program: ['--write-code-cache'] },
 });
 try {
   await sleep(startMs);
-  const load = SiteLoad.create(fleet.daemons.map(({ callersAddress }) => callersAddress));
+  const load = JobLoad.create(fleet.daemons.map(({ callersAddress }) => callersAddress));
   await load.run(loadMs, loadFactor);
   await load.close();
 } finally {
--- a/src/programs/toucandyked/cachedProgram.spec.ts
+++ b/src/programs/toucandyked/cachedProgram.spec.ts
@@ -19,27 +19,27 @@
 const greet = (program: CachedProgram): unknown =>
   (program.run() as { greet: (name: string) => string }).greet('a');
 
-test('a program runs the same without compiled code and with it', () =>
+test('a program runs the same without a code cache and with it', () =>
   withFolder((folder) => {
     const path = join(folder, 'program.cjs');
     writeFileSync(path, source);
     const first = CachedProgram.create(path);
-    assert.not.ok(first.usesCompiledCode);
+    assert.not.ok(first.usesCodeCache);
     assert.is(greet(first), 'hello a from program.cjs');
-    first.writeCompiledCode();
+    first.writeCodeCache();
     const second = CachedProgram.create(path);
-    assert.ok(second.usesCompiledCode);
+    assert.ok(second.usesCodeCache);
     assert.is(greet(second), 'hello a from program.cjs');
   }));
 
-test('damaged compiled code is not used', () =>
+test('a damaged code cache is not used', () =>
   withFolder((folder) => {
     const path = join(folder, 'program.cjs');
-    // V8 ignores compiled code of a source that it has compiled in this process.
+    // V8 ignores the code cache of a source that it has compiled in this process.
     writeFileSync(path, `${source}// another source`);
     writeFileSync(`${path}.cache`, Buffer.alloc(40));
     const program = CachedProgram.create(path);
-    assert.not.ok(program.usesCompiledCode);
+    assert.not.ok(program.usesCodeCache);
     assert.is(greet(program), 'hello a from program.cjs');
   }));
 
--- a/src/programs/toucandyked/cachedProgram.ts
+++ b/src/programs/toucandyked/cachedProgram.ts
@@ -24,14 +24,14 @@
   ) {}
 
   /**
-   * Reads a program and its compiled code, which is in a file beside it.
+   * Reads a program and its code cache, which is in a file beside it.
    *
    * @param path - path of a CommonJS bundle
    * @throws Error if the program cannot be read
    */
   static create(path: string): CachedProgram {
     const source = readFileSync(path, 'utf8');
-    const cachedData = readCompiledCode(path);
+    const cachedData = readCodeCache(path);
     const wrapped = `(function (exports, require, module, __filename, __dirname) { ${source}\n})`;
     const script = new Script(wrapped, {
       filename: path,
@@ -40,8 +40,8 @@
     return new CachedProgram(path, script);
   }
 
-  /** Whether compiled code was found and could be used. */
-  get usesCompiledCode(): boolean {
+  /** Whether a code cache was found and could be used. */
+  get usesCodeCache(): boolean {
     return this.script.cachedDataRejected === false;
   }
 
@@ -55,19 +55,19 @@
   }
 
   /** Writes the code of all functions that have been called so far, for later starts. */
-  writeCompiledCode(): void {
-    const path = compiledCodePath(this.path);
+  writeCodeCache(): void {
+    const path = codeCachePath(this.path);
     const unfinished = `${path}.${process.pid}`;
     writeFileSync(unfinished, this.script.createCachedData());
     renameSync(unfinished, path);
   }
 }
 
-const compiledCodePath = (path: string): string => `${path}.cache`;
+const codeCachePath = (path: string): string => `${path}.cache`;
 
-const readCompiledCode = (path: string): Buffer | undefined => {
+const readCodeCache = (path: string): Buffer | undefined => {
   try {
-    return readFileSync(compiledCodePath(path));
+    return readFileSync(codeCachePath(path));
   } catch {
     // The build could not make it; the program runs without it.
     return undefined;
--- a/src/programs/toucandyked/platformMain.ts
+++ b/src/programs/toucandyked/platformMain.ts
@@ -1,6 +1,6 @@
 /**
  * The daemon as it is built for the users' platform: `node target/main.js`. With the option
- * `--write-compiled-code` it writes its compiled code when it stops, which the build uses.
+ * `--write-code-cache` it writes its code cache when it stops, which the build uses.
  */
 import { resolve } from 'node:path';
 import { CachedProgram } from './cachedProgram.js';
@@ -12,8 +12,8 @@
 
 const reload = ReloadSignal.create();
 const program = CachedProgram.create(resolve(import.meta.dirname, PLATFORM_BUNDLE));
-if (process.argv.includes('--write-compiled-code')) {
-  process.once('exit', () => program.writeCompiledCode());
+if (process.argv.includes('--write-code-cache')) {
+  process.once('exit', () => program.writeCodeCache());
 }
 const { runOnPlatform: run } = program.run() as { runOnPlatform: typeof runOnPlatform };
 void run(reload);
--- a/standins/platform/daemonChild.ts
+++ b/standins/platform/daemonChild.ts
@@ -20,7 +20,7 @@
  */
 const maxBootMs = 1_500;
 
-/** Options of Node.js, as in the deployment file: compiled code is used only with the same ones. */
+/** Options of Node.js, as in the deployment file: a code cache is used only with the same ones. */
 export const daemonArguments: readonly string[] = ['--max-old-space-size=200'];
 
 /**
