Log how workers are lost with their runs

The logs gave one reason for every lost run, so that a crash, a restart and a stop looked alike, and metrics could not count workers that crash under tasks. Runs of a worker that restarted or was silent until its leases had ended now end as worker-lost, and one line says why, how many runs it had and how old its last report was. Stopping overdue runs moves to the other orders.

--- a/src/dispatch/activeRun.ts
+++ b/src/dispatch/activeRun.ts
@@ -37,4 +37,6 @@
   /** The worker rejected the order as not valid. */
   | { readonly kind: 'invalid'; readonly reason: string }
   /** It may have run and can no longer be running. */
-  | { readonly kind: 'lost'; readonly reason: string };
+  | { readonly kind: 'lost'; readonly reason: string }
+  /** Its worker restarted, or was silent until the lease had ended; the run may be the cause. */
+  | { readonly kind: 'worker-lost'; readonly reason: string };
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -255,6 +255,7 @@
         return;
       case 'not-started':
       case 'lost':
+      case 'worker-lost':
         task.avoidedWorkerIds.add(workerId);
         this.requeue(task);
         return;
--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -69,7 +69,7 @@
     const onReport = (): void => this.handleReport();
     this.reports = WorkerReports.create({ clock, logger, link, runs, sleeper, onStart, onReport });
     const poll = (): Promise<void> => this.reports.poll();
-    this.orders = RunOrders.create({ clock, link, runs, health, poll, onStart });
+    this.orders = RunOrders.create({ clock, logger, link, runs, health, poll, onStart });
     this.loop = this.runLoop();
   }
 
@@ -201,6 +201,12 @@
     await this.loop;
   }
 
+  /** Releases the worker at once, since its entry shows that it has restarted. */
+  async closeAfterRestart(): Promise<void> {
+    this.reports.endRunsOfLostWorker('its entry shows a restart');
+    await this.close();
+  }
+
   private isDrainPending(): boolean {
     return this.isDraining && !this.isClosed;
   }
@@ -217,7 +223,7 @@
         await this.holdOnce();
       }
     }
-    this.runs.finishAllAsLost('the worker was let go');
+    this.runs.finishAll({ kind: 'lost', reason: 'the worker was let go' });
   }
 
   /**
@@ -228,7 +234,7 @@
     const { leaseClock } = this.link;
     await this.sleeper.sleep(this.runs.size > 0 ? leaseClock.msUntilAllLeasesEnded() : idlePollMs);
     if (leaseClock.haveAllLeasesEnded()) {
-      this.runs.finishAllAsLost('another daemon dispatches to the worker');
+      this.runs.finishAll({ kind: 'lost', reason: 'another daemon dispatches to the worker' });
     }
   }
 
@@ -261,7 +267,7 @@
   }
 
   private handleReport(): void {
-    this.stopOverdueRuns();
+    this.orders.stopOverdue();
     this.options.onAvailabilityChange();
   }
 
@@ -275,21 +281,4 @@
       run.phase = 'running';
     }
   }
-
-  /** Stops runs that take far longer than expected, so that they are retried on other workers. */
-  private stopOverdueRuns(): void {
-    const nowMs = this.options.clock.nowMs();
-    for (const run of this.runs.list()) {
-      if (run.phase === 'running' && this.health.isOverdue(run, nowMs)) {
-        this.logger.info('A run takes far longer than expected and is stopped.', {
-          workerId: this.workerId,
-          taskName: run.taskName,
-          durationMs: Math.round(nowMs - run.startSentAtMs),
-          expectedMs: Math.round(run.expectedMs),
-        });
-        this.health.recordFault();
-        this.stopTask(run.taskName);
-      }
-    }
-  }
 }
--- a/src/dispatch/recordOutcome.ts
+++ b/src/dispatch/recordOutcome.ts
@@ -31,6 +31,7 @@
     case 'used-number':
     case 'not-started':
     case 'lost':
+    case 'worker-lost':
       return;
     default:
       return unreachable(outcome);
--- a/src/dispatch/runOrders.ts
+++ b/src/dispatch/runOrders.ts
@@ -3,6 +3,7 @@
  */
 import { unreachable } from '../errors/unreachable.js';
 import type { Clock } from '../ports/clock.js';
+import type { Logger } from '../ports/logger.js';
 import type { StartReply } from '../ports/workers.js';
 import type { ActiveRun } from './activeRun.js';
 import type { RunTable } from './runTable.js';
@@ -14,6 +15,7 @@
 
 export interface RunOrdersOptions {
   readonly clock: Clock;
+  readonly logger: Logger;
   readonly link: WorkerLink;
   readonly runs: RunTable;
   readonly health: WorkerHealth;
@@ -55,6 +57,24 @@
     }
   }
 
+  /** Stops the runs that take far longer than expected, so that their tasks start on other workers. */
+  stopOverdue(): void {
+    const { clock, logger, link, runs, health } = this.options;
+    const nowMs = clock.nowMs();
+    for (const run of runs.list()) {
+      if (run.phase === 'running' && health.isOverdue(run, nowMs)) {
+        logger.info('A run takes far longer than expected and is stopped.', {
+          workerId: link.workerId,
+          taskName: run.taskName,
+          durationMs: Math.round(nowMs - run.startSentAtMs),
+          expectedMs: Math.round(run.expectedMs),
+        });
+        health.recordFault();
+        void this.stop(run);
+      }
+    }
+  }
+
   private async handleStartReply(run: ActiveRun, reply: StartReply): Promise<void> {
     const { link, runs, health, onStart } = this.options;
     switch (reply.kind) {
--- a/src/dispatch/runTable.ts
+++ b/src/dispatch/runTable.ts
@@ -60,9 +60,9 @@
     }
   }
 
-  /** Ends all runs with the outcome `lost`. */
-  finishAllAsLost(reason: string): void {
-    this.list().forEach((run) => this.finish(run, { kind: 'lost', reason }));
+  /** Ends all runs with the same outcome. */
+  finishAll(outcome: RunOutcome): void {
+    this.list().forEach((run) => this.finish(run, outcome));
   }
 
   /** Counts the runs of one step of a job. */
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -73,7 +73,7 @@
         worker.update(record, fencingToken);
       } else {
         this.workers.delete(workerId);
-        released.push(worker.close());
+        released.push(worker.closeAfterRestart());
       }
     }
     for (const [workerId, record] of wanted) {
--- a/src/dispatch/workerReports.ts
+++ b/src/dispatch/workerReports.ts
@@ -41,10 +41,13 @@
   private acknowledgedEnd = 0;
   /** Holds in a row that failed. */
   private failedHolds = 0;
+  /** When the last report was received, in monotonic time. */
+  private lastReportAtMs: number;
   private isClosed = false;
 
   private constructor(private readonly options: WorkerReportsOptions) {
     const { clock, link, runs, onStart } = options;
+    this.lastReportAtMs = clock.nowMs();
     const orphans = OrphanedRuns.create(({ taskName, run }) => link.stop(taskName, run));
     const onOrphan = orphans.stop.bind(orphans);
     this.processor = ReportProcessor.create({ clock, runs, onStart, onOrphan });
@@ -93,6 +96,27 @@
     }
   }
 
+  /**
+   * Ends the runs of a worker that has restarted, or that was silent until their leases had ended. A
+   * draining worker was expected to leave, so that its runs are not suspected of crashing it.
+   *
+   * @param reason - how the loss of the worker was noticed
+   */
+  endRunsOfLostWorker(reason: string): void {
+    const { clock, link, logger, runs } = this.options;
+    if (runs.size === 0) {
+      return;
+    }
+    logger.warn('A worker is lost with its runs.', {
+      workerId: link.workerId,
+      state: link.record.state,
+      reason,
+      count: runs.size,
+      ageMs: Math.round(clock.nowMs() - this.lastReportAtMs),
+    });
+    runs.finishAll({ kind: link.record.state === 'draining' ? 'lost' : 'worker-lost', reason });
+  }
+
   /** Ignores all reports from now on. */
   close(): void {
     this.isClosed = true;
@@ -117,7 +141,7 @@
       case 'stale-token':
         return;
       case 'replaced':
-        this.options.runs.finishAllAsLost('another life of the worker answers');
+        this.endRunsOfLostWorker('another incarnation answers at its address');
         await this.pauseAfterFailedHold(failure.kind);
         return;
       case 'unhealthy':
@@ -131,7 +155,7 @@
   }
 
   private async pauseAfterFailedHold(reason: string): Promise<void> {
-    const { link, logger, sleeper, runs } = this.options;
+    const { link, logger, sleeper } = this.options;
     this.failedHolds += 1;
     if (this.failedHolds < maxFailedHolds) {
       return;
@@ -140,7 +164,7 @@
       logger.warn('The worker does not answer.', { workerId: link.workerId, reason });
     }
     if (link.leaseClock.haveAllLeasesEnded()) {
-      runs.finishAllAsLost('the worker does not answer');
+      this.endRunsOfLostWorker('it does not answer');
     }
     await sleeper.sleep(Math.min(failedHoldPauseMs * (this.failedHolds - 1), maxFailedHoldPauseMs));
   }
@@ -154,6 +178,7 @@
       logger.info('The worker answers again.', { workerId: link.workerId });
     }
     this.failedHolds = 0;
+    this.lastReportAtMs = this.options.clock.nowMs();
     link.leaseClock.recordReading(report.workerClockMs);
     this.detectRestart(report);
     this.processor.apply(report, sentAtMs);
@@ -162,13 +187,13 @@
 
   /** A worker that has restarted under its id has lost its runs and counts ends from the start. */
   private detectRestart({ startedAtMs }: WorkerReport): void {
-    const { link, logger, runs } = this.options;
+    const { link, logger } = this.options;
     const { record } = link;
     if (startedAtMs === undefined || startedAtMs === record.startedAtMs) {
       return;
     }
     logger.info('The worker has restarted.', { workerId: link.workerId });
-    runs.finishAllAsLost('the worker was born anew');
+    this.endRunsOfLostWorker('it has restarted');
     this.processor.resetEndNumbers();
     this.acknowledgedEnd = 0;
     link.record = { ...record, startedAtMs };
