--- /dev/null
+++ b/src/dispatch/crashingTasks.spec.ts
@@ -0,0 +1,45 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import {
+  closeDispatcher,
+  createDispatcherFixture,
+  firstTaskName,
+  isFirstTask,
+  patientBatch,
+  runToEnd,
+} from '../testing/dispatcherFixture.js';
+import type { DispatcherFixture } from '../testing/dispatcherFixture.js';
+
+const workerCount = 6;
+
+const createFixture = (): Promise<DispatcherFixture> =>
+  createDispatcherFixture({ workerCount, crashesWorker: isFirstTask });
+
+// Guards against a task that takes one worker after the other with it.
+test('a task under which two workers have crashed is not started again', async () => {
+  const fixture = await createFixture();
+  const [end] = await runToEnd(fixture, patientBatch(1));
+  assert.is(fixture.workers.startsOf(firstTaskName).length, 2);
+  assert.is(end?.kind, 'failed');
+  await closeDispatcher(fixture);
+});
+
+// Guards against callers who lose their jobs to a task of another job on the same worker.
+test('a task that shared a crashed worker with another is done on its next worker', async () => {
+  const fixture = await createFixture();
+  const ends = await runToEnd(fixture, patientBatch(workerCount * 2));
+  assert.is(ends.filter(({ kind }) => kind === 'done').length, workerCount * 2 - 1);
+  const repeated = fixture.workers.starts.filter(({ run }) => run > 1);
+  assert.ok(repeated.length > 1);
+  assert.ok(repeated.every(({ besides }) => besides.length === 0));
+  const alone = new Map(repeated.map((start) => [start.workerId, start]));
+  const joined = fixture.workers.starts.filter(
+    ({ workerId, atMs, besides }) =>
+      atMs >= (alone.get(workerId)?.atMs ?? Infinity) &&
+      besides.includes(alone.get(workerId)?.taskName ?? ''),
+  );
+  assert.is(joined.length, 0);
+  await closeDispatcher(fixture);
+});
+
+test.run();
--- a/src/dispatch/managedWorker.spec.ts
+++ b/src/dispatch/managedWorker.spec.ts
@@ -160,6 +160,17 @@
   await worker.close();
 });
 
+// Guards against starts by the capacity and the labels that a worker had before it restarted.
+test('a restarted worker gets no run until its new entry is read', async () => {
+  const { clock, workers, worker } = createFixture();
+  await clock.advance(50);
+  assert.ok(worker.isOpen);
+  workers.report = { workerClockMs: 0, startedAtMs: 6, running: [], ends: [] };
+  await clock.advance(6_000);
+  assert.not.ok(worker.isOpen);
+  await worker.close();
+});
+
 test('an end is applied once, and acknowledged by the next hold', async () => {
   const { clock, workers, outcomes, worker, start } = createFixture();
   await clock.advance(50);
