Give up a task under which two workers have crashed, on whichever daemon

Callers of long routes waited for seconds while one task took three to five workers with it, and all other callers for the capacity that was missing: nothing counted lost workers, and failedRuns counts only runs that a worker reports as failed. On short routes only the late notice of a loss kept a task from it.

A task now carries how many workers were lost under it. At two, its job ends as failed. The count outlives the job and goes to the other daemons with heartbeats, since a job may be submitted again to any of them. What follows when a run has ended moves from the dispatcher to taskRetries.

--- a/src/bestEffort/stepPlanner.spec.ts
+++ b/src/bestEffort/stepPlanner.spec.ts
@@ -41,7 +41,12 @@
 });
 
 const tasksOf = (count: number) =>
-  Array.from({ length: count }, (_, index) => ({ index, nextRun: 1, failedRuns: 0 }));
+  Array.from({ length: count }, (_, index) => ({
+    index,
+    nextRun: 1,
+    failedRuns: 0,
+    lostWorkers: 0,
+  }));
 
 const createFixture = (ownFreeCpuMillis: number) => {
   const clock = FakeClock.create();
--- a/src/bestEffort/stepRun.ts
+++ b/src/bestEffort/stepRun.ts
@@ -69,6 +69,7 @@
       index,
       nextRun: 1,
       failedRuns: 0,
+      lostWorkers: 0,
     }));
     return this.place({ tasks, excludedDispatcherIds: new Set(), reassignments: 0 });
   }
--- a/src/dispatch/crashingTasks.spec.ts
+++ b/src/dispatch/crashingTasks.spec.ts
@@ -24,6 +24,19 @@
   await closeDispatcher(fixture);
 });
 
+// Guards against a task that crashes more workers when its job is submitted again after its deadline.
+test('a task is remembered after its job has ended', async () => {
+  const fixture = await createFixture();
+  await runToEnd(fixture, patientBatch(1, { giveUpInMs: 500, expiresInMs: 500 }), 500);
+  fixture.dispatcher.withdraw('b-1');
+  await fixture.clock.advance(2_000);
+  assert.is(fixture.dispatcher.suspects.lostWorkersUnder(firstTaskName), 1);
+  const [end] = await runToEnd(fixture, patientBatch(1, { batchId: 'b-2' }));
+  assert.is(fixture.workers.startsOf(firstTaskName).length, 2);
+  assert.is(end?.kind, 'failed');
+  await closeDispatcher(fixture);
+});
+
 // Guards against callers who lose their jobs to a task of another job on the same worker.
 test('a task that shared a crashed worker with another is done on its next worker', async () => {
   const fixture = await createFixture();
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -1,7 +1,6 @@
 /**
  * Runs batches of tasks on the workers to which this daemon alone dispatches.
  */
-import { unreachable } from '../errors/unreachable.js';
 import { causeLabel } from '../explain/causeLabel.js';
 import type { MemberLoad } from '../types/fleet.js';
 import type { Clock } from '../ports/clock.js';
@@ -13,17 +12,15 @@
 import type { WorkerRecord } from '../types/workers.js';
 import type { ActiveRun, RunOutcome } from './activeRun.js';
 import { BatchTable } from './batchTable.js';
+import { CrashSuspects } from './crashSuspects.js';
 import type { ManagedWorker } from './managedWorker.js';
+import { TaskRetries } from './taskRetries.js';
 import { recordOutcome } from './recordOutcome.js';
 import { OpenBatch } from './openBatch.js';
-import type { BatchedTask } from './openBatch.js';
 import { WorkerPool } from './workerPool.js';
 import { TaskStarter } from './taskStarter.js';
 import type { Batch, BatchReply, TaskEnd } from '../types/dispatch.js';
 
-/** Run numbers that are skipped when a worker has already ended a run with the next number. */
-const runNumberSkip = 8;
-
 export interface DispatcherOptions {
   readonly clock: Clock;
   readonly random: Random;
@@ -37,14 +34,18 @@
 }
 
 export class Dispatcher {
+  /** Tasks under which workers were lost, here or at other dispatchers. */
+  readonly suspects: CrashSuspects;
   private readonly batches = BatchTable.create();
   private readonly workers: WorkerPool;
   private readonly starter: TaskStarter;
+  private readonly retries: TaskRetries;
   private readonly logger: Logger;
 
   private constructor(private readonly options: DispatcherOptions) {
     const logger = options.logger.forPart('dispatch');
     this.logger = logger;
+    this.suspects = CrashSuspects.create(options.clock);
     this.workers = WorkerPool.create({
       ...options,
       logger,
@@ -52,6 +53,8 @@
       onAvailabilityChange: () => this.starter.startReadyTasks(),
     });
     this.starter = TaskStarter.create({ ...options, logger, workers: this.workers });
+    const { starter, suspects } = this;
+    this.retries = TaskRetries.create({ logger, starter, suspects });
   }
 
   static create(options: DispatcherOptions): Dispatcher {
@@ -199,7 +202,7 @@
       this.withdraw(content.batchId);
       return batch;
     }
-    batch.tasks.forEach((task) => this.starter.enqueue(task));
+    batch.tasks.forEach((task) => this.retries.enqueueNew(task));
     this.starter.startReadyTasks();
     return batch;
   }
@@ -220,63 +223,11 @@
       expectedMs: Math.round(run.expectedMs),
       ...('reason' in outcome ? { reason: outcome.reason } : {}),
     });
-    if (!run.task.hasEnded) {
-      this.endOrRetry(worker, run.task, outcome, slowness);
+    if (outcome.kind === 'worker-lost') {
+      this.retries.recordLostWorker(run.task);
     }
-  }
-
-  /**
-   * Ends the task of an ended run, or queues it for another run.
-   *
-   * @param slowness - slowdown factor of the worker before this run was observed
-   */
-  private endOrRetry(
-    { workerId }: ManagedWorker,
-    task: BatchedTask,
-    outcome: RunOutcome,
-    slowness: number,
-  ): void {
-    const { batch, index } = task;
-    switch (outcome.kind) {
-      case 'done': {
-        const lengthMs = Math.round(outcome.runTimeMs / slowness);
-        batch.end(task, { kind: 'done', index, lengthMs });
-        return;
-      }
-      case 'invalid':
-        batch.end(task, { kind: 'failed', index, reason: outcome.reason });
-        return;
-      case 'used-number':
-        task.nextRun += runNumberSkip;
-        this.requeue(task);
-        return;
-      case 'failed':
-        this.retryOrFail(workerId, task);
-        return;
-      case 'not-started':
-      case 'lost':
-      case 'worker-lost':
-        task.avoidedWorkerIds.add(workerId);
-        this.requeue(task);
-        return;
-      default:
-        return unreachable(outcome);
-    }
-  }
-
-  private retryOrFail(workerId: string, task: BatchedTask): void {
-    task.failedRuns += 1;
-    task.avoidedWorkerIds.add(workerId);
-    if (task.failedRuns < task.batch.content.maxFailedRuns) {
-      this.requeue(task);
-      return;
+    if (!run.task.hasEnded) {
+      this.retries.endOrRetry(run.task, outcome, { workerId: worker.workerId, slowness });
     }
-    const reason = `${task.failedRuns} runs failed`;
-    task.batch.end(task, { kind: 'failed', index: task.index, reason });
-  }
-
-  private requeue(task: BatchedTask): void {
-    this.starter.enqueue(task);
-    this.starter.startReadyTasks();
   }
 }
--- a/src/dispatch/managedWorker.spec.ts
+++ b/src/dispatch/managedWorker.spec.ts
@@ -37,7 +37,7 @@
   maxWaitMs: 100,
   priority: 0,
   maxFailedRuns: 3,
-  tasks: [{ index: 0, nextRun: 1, failedRuns: 0 }],
+  tasks: [{ index: 0, nextRun: 1, failedRuns: 0, lostWorkers: 0 }],
 };
 
 const running = (taskName: string, run = 1): ReportedRun => ({
--- a/src/dispatch/openBatch.ts
+++ b/src/dispatch/openBatch.ts
@@ -14,6 +14,8 @@
   nextRun: number;
   /** Runs that have failed so far, on other dispatchers too. */
   failedRuns: number;
+  /** Workers that were lost while they ran it, on other dispatchers too. */
+  lostWorkers: number;
   /** Workers on which a run failed, was lost or did not start; they get no further run of it. */
   readonly avoidedWorkerIds: Set<string>;
   hasEnded: boolean;
@@ -40,11 +42,12 @@
     this.objectiveAtMs = arrivedAtMs + content.objectiveInMs;
     this.giveUpAtMs = arrivedAtMs + content.giveUpInMs;
     this.expiresAtMs = arrivedAtMs + content.expiresInMs;
-    this.tasks = content.tasks.map(({ index, nextRun, failedRuns }) => ({
+    this.tasks = content.tasks.map(({ index, nextRun, failedRuns, lostWorkers }) => ({
       batch: this,
       index,
       nextRun,
       failedRuns,
+      lostWorkers,
       avoidedWorkerIds: new Set<string>(),
       hasEnded: false,
     }));
--- a/src/dispatch/taskStarter.ts
+++ b/src/dispatch/taskStarter.ts
@@ -163,6 +163,7 @@
 
 /** Returns a task that is not running to its requester, which may send it to another dispatcher. */
 const returnTask = (task: BatchedTask, reason: string): void => {
-  const { index, nextRun, failedRuns } = task;
-  task.batch.end(task, { kind: 'returned', task: { index, nextRun, failedRuns }, reason });
+  const { index, nextRun, failedRuns, lostWorkers } = task;
+  const returned = { index, nextRun, failedRuns, lostWorkers };
+  task.batch.end(task, { kind: 'returned', task: returned, reason });
 };
--- a/src/fleet/batchIntake.spec.ts
+++ b/src/fleet/batchIntake.spec.ts
@@ -68,7 +68,12 @@
         ...batch,
         batchId,
         maxWaitMs,
-        tasks: Array.from({ length: runs }, (_, index) => ({ index, nextRun: 1, failedRuns: 0 })),
+        tasks: Array.from({ length: runs }, (_, index) => ({
+          index,
+          nextRun: 1,
+          failedRuns: 0,
+          lostWorkers: 0,
+        })),
       },
     });
   void send('b-1', 60_000, 2);
--- /dev/null
+++ b/src/fleet/fleetHeartbeatExchange.spec.ts
@@ -0,0 +1,60 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { BatchRouter } from '../bestEffort/batchRouter.js';
+import { FleetView } from '../bestEffort/fleetView.js';
+import { RunTimePredictor } from '../bestEffort/runTimePredictor.js';
+import { RoutingStore } from '../routing/routingStore.js';
+import {
+  closeDispatcher,
+  createDispatcherFixture,
+  firstTaskName,
+  patientBatch,
+  runToEnd,
+} from '../testing/dispatcherFixture.js';
+import type { DispatcherFixture } from '../testing/dispatcherFixture.js';
+import { silentLogger } from '../testing/silentLogger.js';
+import { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
+import { FleetHeartbeatExchange } from './fleetHeartbeatExchange.js';
+import type { FleetPeers } from './fleetPeers.js';
+import { MessageAges } from './messageAges.js';
+
+const createExchange = (
+  ownId: string,
+  { clock, dispatcher }: DispatcherFixture,
+): FleetHeartbeatExchange => {
+  const router: Pick<BatchRouter, 'requestedBatchIds'> = { requestedBatchIds: () => [] };
+  return FleetHeartbeatExchange.create({
+    ages: MessageAges.create(clock),
+    own: { incarnation: ownId, address: '127.0.0.1:1', failureDomainId: 'east', weight: 1 },
+    logger: silentLogger,
+    routing: RoutingStore.create(),
+    lengths: RunTimePredictor.create(),
+    speeds: WorkerSpeedCache.create(),
+    view: FleetView.create({
+      clock,
+      ownId,
+      ownLoad: () => ({ workers: [] }),
+      findWorker: () => undefined,
+    }),
+    router: router as BatchRouter,
+    dispatcher,
+    peers: () => ({ find: () => undefined }) as unknown as FleetPeers,
+  });
+};
+
+// Guards against a task that goes on crashing workers when its job is submitted to another daemon.
+test('a task under which workers have crashed is not started by the other daemons', async () => {
+  const first = await createDispatcherFixture({ workerCount: 3, crashesWorker: () => true });
+  const second = await createDispatcherFixture({ workerCount: 3, crashesWorker: () => true });
+  await runToEnd(first, patientBatch(1, { giveUpInMs: 4_000, expiresInMs: 4_000 }), 4_000);
+  assert.is(first.workers.startsOf(firstTaskName).length, 2);
+  const heartbeat = createExchange('first', first).composeHeartbeat('second', false);
+  createExchange('second', second).handleHeartbeat(heartbeat);
+  const [end] = await runToEnd(second, patientBatch(1), 1_000);
+  assert.is(end?.kind, 'failed');
+  assert.is(second.workers.starts.length, 0);
+  await closeDispatcher(first);
+  await closeDispatcher(second);
+});
+
+test.run();
--- a/src/fleet/fleetHeartbeatExchange.ts
+++ b/src/fleet/fleetHeartbeatExchange.ts
@@ -59,6 +59,7 @@
     const { ages, own, dispatcher, lengths, peers, router, routing, speeds } = this.options;
     const load = dispatcher.load();
     load.workers.forEach((worker) => speeds.record(worker));
+    const suspects = dispatcher.suspects.listRecent();
     const isSameDomain =
       peer !== undefined && this.isInOwnDomain(peers().find(peer)?.heartbeat?.member);
     return {
@@ -68,6 +69,7 @@
       isLeaving: this.isLeaving,
       load,
       askedBatchIds: router.requestedBatchIds(peer),
+      ...(suspects.length > 0 ? { suspects } : {}),
       ...(isFull ? { lengths: lengths.share(), heardMembers: peers().heardMembers() } : {}),
       ...(isFull && isSameDomain ? { speeds: speeds.list() } : {}),
     };
@@ -84,6 +86,7 @@
     const ageMs = sentAtMs === undefined ? 0 : ages.recordHeartbeat(incarnation, sentAtMs);
     view.recordLoad(incarnation, load, this.isInOwnDomain(member) ? 'near' : 'far', ageMs);
     load.workers.forEach((worker) => speeds.record(worker));
+    heartbeat.suspects?.forEach((suspect) => dispatcher.suspects.record(suspect));
     heartbeat.speeds?.forEach((speed) => speeds.recordIfAbsent(speed));
     if (lengths !== undefined) {
       this.options.lengths.recordPeerSums(incarnation, lengths);
--- a/src/testing/dispatchFixtures.ts
+++ b/src/testing/dispatchFixtures.ts
@@ -30,5 +30,5 @@
   maxWaitMs: 100,
   priority: 0,
   maxFailedRuns: 3,
-  tasks: [{ index: 0, nextRun: 1, failedRuns: 0 }],
+  tasks: [{ index: 0, nextRun: 1, failedRuns: 0, lostWorkers: 0 }],
 };
--- a/src/testing/dispatcherFixture.ts
+++ b/src/testing/dispatcherFixture.ts
@@ -77,18 +77,24 @@
   giveUpInMs: 30_000,
   expiresInMs: 30_000,
   maxWaitMs: 20_000,
-  tasks: Array.from({ length: taskCount }, (_, index) => ({ index, nextRun: 1, failedRuns: 0 })),
+  tasks: Array.from({ length: taskCount }, (_, index) => ({
+    index,
+    nextRun: 1,
+    failedRuns: 0,
+    lostWorkers: 0,
+  })),
   ...changes,
 });
 
-/** Runs a batch and returns the ends of its tasks. */
+/** Runs a batch and returns the ends of its tasks after a time in milliseconds. */
 export const runToEnd = async (
   { clock, dispatcher }: DispatcherFixture,
   batch: Batch,
+  durationMs = longestBatchMs,
 ): Promise<readonly TaskEnd[]> => {
   let reply: BatchReply | undefined;
   void dispatcher.run('vm', batch).then((one) => (reply = one));
-  await clock.advance(longestBatchMs);
+  await clock.advance(durationMs);
   return reply?.ends ?? [];
 };
 
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -56,6 +56,13 @@
 export const memberLoadSchema = z.object({ workers: z.array(workerLoadSchema) });
 export type MemberLoad = z.infer<typeof memberLoadSchema>;
 
+/** A task under which workers were lost, which may be the cause. */
+export const suspectTaskSchema = z.object({
+  taskName: z.string(),
+  lostWorkers: z.number().int().positive(),
+});
+export type SuspectTask = z.infer<typeof suspectTaskSchema>;
+
 export const fleetHeartbeatSchema = z.object({
   member: memberSchema,
   /** Timestamp of the sender (`fleet/messageAges`), in milliseconds; earlier versions omit it. */
@@ -72,6 +79,8 @@
   load: memberLoadSchema,
   /** Batches that the sender has requested from the receiver and still waits for. */
   askedBatchIds: z.array(z.string()),
+  /** Suspects that the sender has learned of a short while ago, if there are any. */
+  suspects: z.array(suspectTaskSchema).optional(),
   /** What the sender has learned of run times; in some heartbeats only. */
   lengths: z.array(lengthSumsSchema).optional(),
   /** Slowdown factors of workers; sent together with `lengths`, within a failure domain only. */
