Run a task under which a worker was lost alone

Callers whose tasks shared a worker with the one that crashed it were started again beside it or beside another such task, and lost the next worker as well; with the limit of two lost workers they would now be told that they failed. One cause, one payer: a suspect waits for a worker that is kept free for it, and no other run starts there until it has ended.

--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -16,6 +16,7 @@
 import { RunOrders } from './runOrders.js';
 import { RunTable } from './runTable.js';
 import { WorkerLink } from './workerLink.js';
+import { WorkerReservation } from './workerReservation.js';
 import { WorkerReports } from './workerReports.js';
 import { WorkerHealth } from './workerHealth.js';
 
@@ -44,6 +45,7 @@
 export class ManagedWorker {
   readonly speed: WorkerSpeed;
   readonly health: WorkerHealth;
+  readonly reservation = WorkerReservation.create();
   private readonly link: WorkerLink;
   private readonly runs: RunTable;
   private readonly orders: RunOrders;
@@ -94,8 +96,13 @@
     return subtractResources(this.link.record.capacity, this.runs.used);
   }
 
-  /** Whether tasks may start on the worker now, capacity aside. */
+  /** Whether any task may start on the worker now, capacity aside. */
   get isOpen(): boolean {
+    return this.isAvailable && this.reservation.task === undefined;
+  }
+
+  /** Like `isOpen`, but for the task that the worker may be reserved for. */
+  get isAvailable(): boolean {
     return (
       this.isTakenOver &&
       this.isAssigned &&
--- a/src/dispatch/taskStarter.ts
+++ b/src/dispatch/taskStarter.ts
@@ -7,6 +7,7 @@
 import type { Random } from '../ports/random.js';
 import type { BatchedTask, OpenBatch } from './openBatch.js';
 import type { LocalCandidate, WorkerPool } from './workerPool.js';
+import { isSuspect } from './suspectIsolation.js';
 import { demandOf, taskNameOf } from './taskNames.js';
 import { WaitingTasks } from './waitingTasks.js';
 import { chooseWorker, missesObjective } from './workerChoice.js';
@@ -89,7 +90,8 @@
       if (blocked >= maxBlockedTasks) {
         break;
       }
-      blocked += this.tryStart(task) ? 0 : 1;
+      // A suspect waits for a worker of its own, and others need not wait for it.
+      blocked += this.tryStart(task) || isSuspect(task) ? 0 : 1;
     }
     this.isStartingTasks = false;
     if (this.waiting.size > 0) {
@@ -128,7 +130,10 @@
       task.batch.end(task, { kind: 'expired', index: task.index });
       return true;
     }
-    const chosen = chooseWorker(demand, workers.candidatesFor(task), {
+    const candidates = isSuspect(task)
+      ? workers.isolatedCandidateFor(task)
+      : workers.candidatesFor(task);
+    const chosen = chooseWorker(demand, candidates, {
       nowMs,
       farRackFactor,
       random: () => random.next(),
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -12,6 +12,7 @@
 import type { ManagedWorkerOptions } from './managedWorker.js';
 import type { BatchedTask } from './openBatch.js';
 import { CapacityProfile } from './capacityProfile.js';
+import { isSuspect, reserveWorker } from './suspectIsolation.js';
 import { stepNameOf, taskNameOf } from './taskNames.js';
 import { expectedRunMs, hasRequiredLabel } from './workerChoice.js';
 import type { Candidate, TaskDemand } from './workerChoice.js';
@@ -87,7 +88,9 @@
   /** Computes the free capacity of each worker after the waiting tasks have reserved theirs. */
   computeLoads(waiting: readonly BatchedTask[]): WorkerLoad[] {
     const profiled = this.profileWorkers();
-    waiting.forEach((task) => reserveEarliestEnd(task, profiled));
+    waiting
+      .filter((task) => !isSuspect(task))
+      .forEach((task) => reserveEarliestEnd(task, profiled));
     return profiled.map(({ worker, slowness, profile }) => ({
       workerId: worker.workerId,
       free: { ...worker.free, cpuMillis: profile.free },
@@ -98,14 +101,16 @@
   }
 
   /**
-   * Finds the tasks whose expected wait for free capacity is longer than their batch allows.
+   * Finds the tasks whose expected wait for free capacity is longer than their batch allows. Suspects wait
+   * for a worker of their own instead.
    *
    * @param waiting - all waiting tasks, in the order in which they reserve capacity
    */
   findTasksExceedingMaxWait(waiting: readonly BatchedTask[]): BatchedTask[] {
     const profiled = this.profileWorkers();
     return waiting.filter(
-      (task) => reserveEarliestEnd(task, profiled) > task.batch.content.maxWaitMs,
+      (task) =>
+        !isSuspect(task) && reserveEarliestEnd(task, profiled) > task.batch.content.maxWaitMs,
     );
   }
 
@@ -130,19 +135,16 @@
 
   /** @returns the workers that may start a task now, free capacity and labels not yet checked */
   candidatesFor(task: BatchedTask): LocalCandidate[] {
-    const nowMs = this.options.clock.nowMs();
     return [...this.workers.values()]
       .filter((worker) => canStartNow(worker, task))
-      .map((worker) => ({
-        worker,
-        workerId: worker.workerId,
-        labels: worker.record.labels,
-        free: worker.free,
-        startsInMs: 0,
-        slowness: worker.speed.slowness(nowMs),
-        deliveryMs: 0,
-        messageCost: 0,
-      }));
+      .map((worker) => this.toCandidate(worker));
+  }
+
+  /** @returns the worker on which a suspect may start alone now, if there is one */
+  isolatedCandidateFor(task: BatchedTask): LocalCandidate[] {
+    const worker = reserveWorker(task, [...this.workers.values()], (one) => isEligible(one, task));
+    const canStart = worker?.isAvailable === true && worker.runCount === 0;
+    return canStart ? [this.toCandidate(worker)] : [];
   }
 
   /** Stops the run of a task on whichever worker has it. */
@@ -155,6 +157,19 @@
     await Promise.all([...this.workers.values()].map((worker) => worker.close()));
   }
 
+  private toCandidate(worker: ManagedWorker): LocalCandidate {
+    return {
+      worker,
+      workerId: worker.workerId,
+      labels: worker.record.labels,
+      free: worker.free,
+      startsInMs: 0,
+      slowness: worker.speed.slowness(this.options.clock.nowMs()),
+      deliveryMs: 0,
+      messageCost: 0,
+    };
+  }
+
   private createWorker(record: WorkerRecord, fencingToken: number): ManagedWorker {
     const rememberedSlowness = this.options.speeds.get(record.workerId);
     return ManagedWorker.create({ ...this.options, record, fencingToken, rememberedSlowness });
@@ -209,7 +224,7 @@
 const isEligible = (worker: ManagedWorker, { batch, avoidedWorkerIds }: BatchedTask): boolean => {
   const { needs, serviceId } = batch.content;
   const { capacity, labels } = worker.record;
-  const isInService = worker.isOpen || (worker.isAssigned && worker.runCount > 0);
+  const isInService = worker.isAvailable || (worker.isAssigned && worker.runCount > 0);
   return (
     isInService &&
     worker.record.serviceId === serviceId &&
