Forecast no cores that a worker has no more after its capacity has shrunk

Found while looking at capacity that shrinks under running tasks: the forecast of free cores counted every core that runs give back, also those over the new capacity, so that tasks waited for cores that never came in place of being returned at once. Runs over the capacity now use up the cores that become free first.

--- a/src/dispatch/capacityProfile.ts
+++ b/src/dispatch/capacityProfile.ts
@@ -16,14 +16,21 @@
   }
 
   /**
-   * @param freeCpuMillis - cores that are free now, in thousandths
+   * @param freeCpuMillis - cores that are free now, in thousandths; below 0 if runs use more than the
+   *   worker has, since its capacity has shrunk
    * @param releases - cores that become free later, in any order
    */
   static create(freeCpuMillis: number, releases: readonly CapacityRelease[]): CapacityProfile {
-    return new CapacityProfile(
-      freeCpuMillis,
-      [...releases].sort((a, b) => a.inMs - b.inMs),
-    );
+    let missingCpuMillis = Math.max(-freeCpuMillis, 0);
+    const upcoming: CapacityRelease[] = [];
+    for (const { inMs, cpuMillis } of [...releases].sort((a, b) => a.inMs - b.inMs)) {
+      const absorbedCpuMillis = Math.min(missingCpuMillis, cpuMillis);
+      missingCpuMillis -= absorbedCpuMillis;
+      if (absorbedCpuMillis < cpuMillis) {
+        upcoming.push({ inMs, cpuMillis: cpuMillis - absorbedCpuMillis });
+      }
+    }
+    return new CapacityProfile(Math.max(freeCpuMillis, 0), upcoming);
   }
 
   /** @returns an independent copy */
--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -96,6 +96,11 @@
     return subtractResources(this.link.record.capacity, this.runs.used);
   }
 
+  /** Free cores in thousandths; below 0 while runs use more than the worker has, after it has shrunk. */
+  get unusedCpuMillis(): number {
+    return this.link.record.capacity.cpuMillis - this.runs.used.cpuMillis;
+  }
+
   /** Whether any task may start on the worker now, capacity aside. */
   get isOpen(): boolean {
     return this.isAvailable && this.reservation.task === undefined;
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -187,7 +187,7 @@
     return [...this.workers.values()].map((worker) => ({
       worker,
       slowness: worker.speed.slowness(nowMs),
-      profile: CapacityProfile.create(worker.free.cpuMillis, worker.releases()),
+      profile: CapacityProfile.create(worker.unusedCpuMillis, worker.releases()),
     }));
   }
 }
