Use a restarted worker only by its new entry

A worker that had crashed and was back under its id got starts by the capacity and the labels of its earlier incarnation until its new entry was read, up to a second later: over its capacity if it is smaller now and accepts everything, or without the label that a task needs. Each crash under a task leads there. It is now closed to starts until its entry shows the same start time as its reports. An entry without a start time no longer counts as one of 1970.

--- a/src/dispatch/workerReports.ts
+++ b/src/dispatch/workerReports.ts
@@ -41,6 +41,8 @@
   private acknowledgedEnd = 0;
   /** Holds in a row that failed. */
   private failedHolds = 0;
+  /** Start time of the worker by its last report, or by its entry before the first report. */
+  private reportedStartMs: number | undefined;
   /** When the last report was received, in monotonic time. */
   private lastReportAtMs: number;
   private isClosed = false;
@@ -48,6 +50,7 @@
   private constructor(private readonly options: WorkerReportsOptions) {
     const { clock, link, runs, onStart } = options;
     this.lastReportAtMs = clock.nowMs();
+    this.reportedStartMs = link.record.startedAtMs;
     const orphans = OrphanedRuns.create(({ taskName, run }) => link.stop(taskName, run));
     const onOrphan = orphans.stop.bind(orphans);
     this.processor = ReportProcessor.create({ clock, runs, onStart, onOrphan });
@@ -57,9 +60,14 @@
     return new WorkerReports(options);
   }
 
-  /** Whether no hold has failed since the last report. */
+  /** Whether no hold has failed since the last report, and the worker has not restarted since its entry. */
   get isAnswering(): boolean {
-    return this.failedHolds === 0;
+    return this.failedHolds === 0 && !this.hasRestarted;
+  }
+
+  private get hasRestarted(): boolean {
+    const { startedAtMs } = this.options.link.record;
+    return startedAtMs !== undefined && startedAtMs !== this.reportedStartMs;
   }
 
   /** Whether every end that was applied here has been acknowledged to the worker. */
@@ -185,17 +193,23 @@
     onReport();
   }
 
-  /** A worker that has restarted under its id has lost its runs and counts ends from the start. */
+  /**
+   * A worker that has restarted under its id has lost its runs and counts ends from the start. It may have
+   * another capacity and other labels, so that it gets nothing until its new entry replaces this one.
+   */
   private detectRestart({ startedAtMs }: WorkerReport): void {
     const { link, logger } = this.options;
-    const { record } = link;
-    if (startedAtMs === undefined || startedAtMs === record.startedAtMs) {
+    if (startedAtMs === undefined || startedAtMs === this.reportedStartMs) {
+      return;
+    }
+    const isFirstReport = this.reportedStartMs === undefined;
+    this.reportedStartMs = startedAtMs;
+    if (isFirstReport) {
       return;
     }
     logger.info('The worker has restarted.', { workerId: link.workerId });
     this.endRunsOfLostWorker('it has restarted');
     this.processor.resetEndNumbers();
     this.acknowledgedEnd = 0;
-    link.record = { ...record, startedAtMs };
   }
 }
--- a/src/testing/dispatcherFixture.ts
+++ b/src/testing/dispatcherFixture.ts
@@ -46,7 +46,7 @@
   runMs = 100,
 }: DispatcherFixtureOptions): Promise<DispatcherFixture> => {
   const clock = FakeClock.create();
-  const { startedAtMs } = workerFixture;
+  const startedAtMs = workerFixture.startedAtMs ?? 0;
   const workers = SimulatedWorkers.create({ clock, runMs, startedAtMs, crashesWorker });
   const dispatcher = Dispatcher.create({
     clock,
--- a/src/types/workers.ts
+++ b/src/types/workers.ts
@@ -12,8 +12,11 @@
   serviceId: z.string(),
   failureDomainId: z.string(),
   state: z.enum(['ready', 'draining']),
-  /** Last start of the worker, in milliseconds since the epoch; a restarted worker keeps its id. */
-  startedAtMs: z.number().int(),
+  /**
+   * Last start of the worker, in milliseconds since the epoch, if its entry states it; a restarted worker
+   * keeps its id.
+   */
+  startedAtMs: z.number().int().optional(),
   capacity: resourcesSchema,
   /** Labels that tasks may require or prefer: the kind of the worker and its rack. */
   labels: z.array(z.string()),
