End the runs of a worker that is gone when their leases have ended, not up to half a second later

Now nothing is renewed after a failed hold until the worker has answered, and the pause ends with the lease. The lease itself is unchanged: a worker that was only silent keeps its runs for as long as before.

--- a/src/dispatch/managedWorker.spec.ts
+++ b/src/dispatch/managedWorker.spec.ts
@@ -160,6 +160,28 @@
   await worker.close();
 });
 
+// Guards against callers who wait for the runs of a crashed worker longer than these can be running.
+test('the runs of a worker that refuses connections are lost as soon as their leases have ended', async () => {
+  const { clock, workers, outcomes, worker, start } = createFixture();
+  await clock.advance(50);
+  workers.report = { workerClockMs: 0, running: [running('t.0.0.0')], ends: [] };
+  start('t.0.0.0');
+  await clock.advance(320);
+  workers.onHold = () => ({ kind: 'unreachable', detail: '' });
+  const silentAtMs = clock.nowMs();
+  while (outcomes.length === 0) {
+    await clock.advance(10);
+  }
+  const renewals = workers.receivedOrders.filter(
+    (one) => one.kind === 'hold' && one.order.leaseEndWorkerMs !== undefined,
+  );
+  const lastRenewalAtMs = renewals.at(-1)?.atMs ?? Infinity;
+  assert.ok(clock.nowMs() >= lastRenewalAtMs + leaseMs * 1.02);
+  assert.ok(clock.nowMs() <= lastRenewalAtMs + leaseMs * 1.1);
+  assert.ok(lastRenewalAtMs <= silentAtMs);
+  await worker.close();
+});
+
 // Guards against starts by the capacity and the labels that a worker had before it restarted.
 test('a restarted worker gets no run until its new entry is read', async () => {
   const { clock, workers, worker } = createFixture();
--- a/src/dispatch/workerReports.ts
+++ b/src/dispatch/workerReports.ts
@@ -16,7 +16,7 @@
 
 /** Longest wait for the end of a run in one hold; well under the shortest lease. */
 const maxHoldWaitMs = 300;
-/** Failed holds in a row after which leases are no longer renewed. */
+/** Failed holds in a row after which the worker counts as not answering. */
 const maxFailedHolds = 2;
 /** Pause after the failed hold that reaches the limit; grows by as much with each further one. */
 const failedHoldPauseMs = 150;
@@ -75,10 +75,14 @@
     return this.acknowledgedEnd === this.processor.lastSeenEnd;
   }
 
-  /** Renews the leases of the worker's runs, and waits for the next end if there are runs. */
+  /**
+   * Renews the leases of the worker's runs, and waits for the next end if there are runs. After a failed
+   * hold nothing is renewed until the worker has answered again, since the runs of a worker that is gone
+   * can start elsewhere only when the last lease has ended.
+   */
   async hold(): Promise<void> {
     const isImmediate = this.failedHolds > 0 || this.options.runs.size === 0;
-    await this.sendHold(isImmediate ? 0 : maxHoldWaitMs, this.failedHolds < maxFailedHolds);
+    await this.sendHold(isImmediate ? 0 : maxHoldWaitMs, this.failedHolds === 0);
   }
 
   /**
@@ -163,7 +167,7 @@
   }
 
   private async pauseAfterFailedHold(reason: string): Promise<void> {
-    const { link, logger, sleeper } = this.options;
+    const { link, logger, runs, sleeper } = this.options;
     this.failedHolds += 1;
     if (this.failedHolds < maxFailedHolds) {
       return;
@@ -171,10 +175,12 @@
     if (this.failedHolds === maxFailedHolds) {
       logger.warn('The worker does not answer.', { workerId: link.workerId, reason });
     }
+    const pauseMs = Math.min(failedHoldPauseMs * (this.failedHolds - 1), maxFailedHoldPauseMs);
+    const leaseLeftMs = link.leaseClock.msUntilAllLeasesEnded();
+    await sleeper.sleep(runs.size > 0 ? Math.min(pauseMs, leaseLeftMs + 1) : pauseMs);
     if (link.leaseClock.haveAllLeasesEnded()) {
       this.endRunsOfLostWorker('it does not answer');
     }
-    await sleeper.sleep(Math.min(failedHoldPauseMs * (this.failedHolds - 1), maxFailedHoldPauseMs));
   }
 
   private applyReport(report: WorkerReport, sentAtMs: number): void {
