Refuse for now what fits only workers whose capacity has shrunk

A job larger than any worker has at the moment was told that it failed, as one that can never run, though a worker may have its full capacity again a moment later. The directory remembers the largest capacity of each incarnation; such a job is refused at once with a time to come back.

--- a/src/fleet/jobIntake.spec.ts
+++ b/src/fleet/jobIntake.spec.ts
@@ -6,7 +6,7 @@
 import { RoutingStore } from '../routing/routingStore.js';
 import { silentLogger } from '../testing/silentLogger.js';
 import type { Route } from '../types/routing.js';
-import type { WorkerDirectory } from '../workers/workerDirectory.js';
+import type { TaskFit, WorkerDirectory } from '../workers/workerDirectory.js';
 import { JobIntake } from './jobIntake.js';
 
 const route: Route = {
@@ -28,7 +28,7 @@
     state: (jobId) => (jobId === 'running' ? 'running' : 'unknown'),
     submit: () => Promise.resolve({ kind: 'completed' }),
   };
-  const directory: Pick<WorkerDirectory, 'canEverRun'> = { canEverRun: () => true };
+  const directory: Pick<WorkerDirectory, 'fitOf'> = { fitOf: () => 'fits' };
   const intake = JobIntake.create({
     logger: silentLogger,
     metrics: noMetrics,
@@ -44,4 +44,26 @@
   assert.is(fresh.kind, 'refused');
 });
 
+// Guards against jobs that are told that they can never run while the capacity of workers has shrunk.
+test('a job that fits only while shrunk workers have their full capacity is refused for now', async () => {
+  const intakeFor = (fit: TaskFit): JobIntake => {
+    const directory: Pick<WorkerDirectory, 'fitOf'> = { fitOf: () => fit };
+    return JobIntake.create({
+      logger: silentLogger,
+      metrics: noMetrics,
+      routing: RoutingStore.create(),
+      directory: directory as WorkerDirectory,
+      jobs: undefined as unknown as RunningJobs,
+    });
+  };
+  const needs = { resources: { cpuMillis: 14_000, memoryMb: 64, accelerators: 0 } };
+  const step = { taskCount: 1, estimatedMs: 100, after: [], needs };
+  const request = { ...requestOf('large'), steps: [step] };
+  const { signal } = new AbortController();
+  const shrunk = await intakeFor('shrunk').submit(route, request, 1_000, signal);
+  assert.is(shrunk.kind, 'refused');
+  const never = await intakeFor('never').submit(route, request, 1_000, signal);
+  assert.is(never.kind, 'failed');
+});
+
 test.run();
--- a/src/fleet/jobIntake.ts
+++ b/src/fleet/jobIntake.ts
@@ -14,9 +14,14 @@
 const unsupportedRetryAfterMs = 60_000;
 /** Time after which a job that a stopping daemon refused may be sent again, in milliseconds. */
 const shutdownRetryAfterMs = 1_000;
+/** Time after which a job may be sent again that needs more than shrunk workers have, in milliseconds. */
+const shrunkRetryAfterMs = 2_000;
 /** Largest body of a request before the first routing configuration is in force. */
 const defaultMaxBodyBytes = 262_144;
 
+/** The end of a job that is rejected at once. */
+type Rejection = Extract<JobEnd, { kind: 'refused' | 'failed' }>;
+
 export interface JobIntakeOptions {
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -99,10 +104,7 @@
   }
 
   /** @returns how a job ends that is rejected, or nothing for a job that is run */
-  private rejectionOf(
-    route: Route,
-    request: JobRequest,
-  ): Extract<JobEnd, { kind: 'refused' | 'failed' }> | undefined {
+  private rejectionOf(route: Route, request: JobRequest): Rejection | undefined {
     const { unsupported, jobId } = request;
     if (unsupported.length > 0) {
       const reason = `not supported: ${unsupported.join(', ')}`;
@@ -113,17 +115,23 @@
       const reason = 'the daemon stops';
       return { kind: 'refused', reason, retryAfterMs: shutdownRetryAfterMs };
     }
-    return this.canNeverRun(route, request)
-      ? { kind: 'failed', reason: 'no worker of the service is large enough' }
-      : undefined;
+    return this.rejectionForSize(route, request);
   }
 
-  /** Whether some step fits on no listed worker, however much of it is free. */
-  private canNeverRun({ serviceId }: Route, { steps }: JobRequest): boolean {
-    return steps.some(
-      ({ needs }) =>
-        this.options.directory.canEverRun(serviceId, needs.resources, needs.requiredLabel) ===
-        false,
+  /** @returns how a job ends of which some step fits on no listed worker, however much of it is free */
+  private rejectionForSize({ serviceId }: Route, { steps }: JobRequest): Rejection | undefined {
+    const fits = steps.map(({ needs }) =>
+      this.options.directory.fitOf(serviceId, needs.resources, needs.requiredLabel),
     );
+    if (fits.includes('never')) {
+      return { kind: 'failed', reason: 'no worker of the service is large enough' };
+    }
+    return fits.includes('shrunk')
+      ? {
+          kind: 'refused',
+          reason: 'no worker of the service is large enough now',
+          retryAfterMs: shrunkRetryAfterMs,
+        }
+      : undefined;
   }
 }
--- a/src/ports/logger.ts
+++ b/src/ports/logger.ts
@@ -16,6 +16,8 @@
   /** Number of the run of a task. */
   readonly run?: number;
   readonly workerId?: string;
+  /** Capacity of a worker, in thousandths of a core. */
+  readonly cpuMillis?: number;
   readonly state?: string;
   /** Incarnation of a daemon. */
   readonly nodeId?: string;
--- a/src/types/resources.ts
+++ b/src/types/resources.ts
@@ -31,3 +31,10 @@
   memoryMb: Math.max(a.memoryMb - b.memoryMb, 0),
   accelerators: Math.max(a.accelerators - b.accelerators, 0),
 });
+
+/** @returns the larger amount of every resource */
+export const maxResources = (a: Resources, b: Resources): Resources => ({
+  cpuMillis: Math.max(a.cpuMillis, b.cpuMillis),
+  memoryMb: Math.max(a.memoryMb, b.memoryMb),
+  accelerators: Math.max(a.accelerators, b.accelerators),
+});
--- a/src/workers/workerDirectory.ts
+++ b/src/workers/workerDirectory.ts
@@ -5,7 +5,7 @@
 import type { FleetStore, WorkerChange } from '../ports/fleetStore.js';
 import type { Logger } from '../ports/logger.js';
 import { unreachable } from '../errors/unreachable.js';
-import { hasEnough } from '../types/resources.js';
+import { hasEnough, maxResources, noResources } from '../types/resources.js';
 import type { Resources } from '../types/resources.js';
 import { DependencyMonitor } from '../utils/dependencyMonitor.js';
 import type { WorkerRecord } from '../types/workers.js';
@@ -25,8 +25,16 @@
   readonly onChange: () => void;
 }
 
+/**
+ * Whether a task fits on a listed worker. `unknown`: none of the service is listed. `shrunk`: only while a
+ * worker whose capacity has shrunk has its full capacity.
+ */
+export type TaskFit = 'fits' | 'shrunk' | 'never' | 'unknown';
+
 export class WorkerDirectory {
   private readonly workers = new Map<string, WorkerRecord>();
+  /** Largest capacity that each worker has had since its last start, by worker. */
+  private readonly largestCapacities = new Map<string, Resources>();
   /** When a worker's entry was found missing, in monotonic time, by worker. */
   private readonly missingSinceMs = new Map<string, number>();
   /** Workers whose faulty entry was logged. */
@@ -68,17 +76,22 @@
    * @param serviceId - the service
    * @param needs - resources that the task occupies
    * @param label - label that the worker must have, if any
-   * @returns undefined while no worker of the service is listed
    */
-  canEverRun(serviceId: string, needs: Resources, label: string | undefined): boolean | undefined {
+  fitOf(serviceId: string, needs: Resources, label: string | undefined): TaskFit {
     const ofService = this.list().filter((worker) => worker.serviceId === serviceId);
     if (ofService.length === 0) {
-      return undefined;
+      return 'unknown';
+    }
+    const labelled = ofService.filter(
+      ({ labels }) => label === undefined || labels.includes(label),
+    );
+    if (labelled.some(({ capacity }) => hasEnough(needs, capacity))) {
+      return 'fits';
     }
-    return ofService.some(
-      ({ capacity, labels }) =>
-        hasEnough(needs, capacity) && (label === undefined || labels.includes(label)),
+    const hadEnough = labelled.some(({ workerId }) =>
+      hasEnough(needs, this.largestCapacities.get(workerId) ?? noResources),
     );
+    return hadEnough ? 'shrunk' : 'never';
   }
 
   async close(): Promise<void> {
@@ -159,10 +172,14 @@
     if (known !== undefined && isSameRecord(known, worker)) {
       return false;
     }
+    const isSameStart = known?.startedAtMs === worker.startedAtMs;
+    const earlier = isSameStart ? this.largestCapacities.get(workerId) : undefined;
+    this.largestCapacities.set(workerId, maxResources(earlier ?? noResources, worker.capacity));
     this.workers.set(workerId, worker);
     this.logger.info(known === undefined ? 'A worker is listed.' : 'A worker has changed.', {
       workerId,
       state: worker.state,
+      cpuMillis: worker.capacity.cpuMillis,
     });
     return true;
   }
@@ -195,6 +212,7 @@
     for (const [workerId] of expired) {
       this.missingSinceMs.delete(workerId);
       this.workers.delete(workerId);
+      this.largestCapacities.delete(workerId);
       this.logger.info('A worker is no longer listed.', { workerId });
     }
     return expired.length > 0;
