Count a run that is being stopped until its stop must have taken effect

A report that was requested within the time of a stop need no longer list the run, though the run still uses its cores; a start on them brings a worker that accepts everything over its capacity. 'a stopped run keeps its capacity ...' fails before.

--- a/src/dispatch/reportProcessor.ts
+++ b/src/dispatch/reportProcessor.ts
@@ -8,6 +8,12 @@
 import type { ActiveRun, RunOutcome } from './activeRun.js';
 import type { RunTable } from './runTable.js';
 
+/**
+ * Time from the acknowledgement of a stop until the run has certainly ended. It uses its capacity until then,
+ * though reports may no longer list it.
+ */
+export const maxStopMs = 60;
+
 export interface ReportProcessorOptions {
   readonly clock: Clock;
   readonly runs: RunTable;
@@ -100,7 +106,9 @@
     case 'running':
       return run.startedAtMs !== undefined && run.startedAtMs < sentAtMs;
     case 'stopping':
-      return run.stopAcknowledgedAtMs !== undefined && run.stopAcknowledgedAtMs < sentAtMs;
+      return (
+        run.stopAcknowledgedAtMs !== undefined && run.stopAcknowledgedAtMs + maxStopMs <= sentAtMs
+      );
     default:
       return unreachable(run.phase);
   }
--- a/src/dispatch/runOrders.ts
+++ b/src/dispatch/runOrders.ts
@@ -6,13 +6,11 @@
 import type { Logger } from '../ports/logger.js';
 import type { StartReply } from '../ports/workers.js';
 import type { ActiveRun } from './activeRun.js';
+import { maxStopMs } from './reportProcessor.js';
 import type { RunTable } from './runTable.js';
 import type { WorkerLink } from './workerLink.js';
 import type { WorkerHealth } from './workerHealth.js';
 
-/** Wait after each stop order, so that the next report can list the end of the run. */
-const stopReportDelayMs = 60;
-
 export interface RunOrdersOptions {
   readonly clock: Clock;
   readonly logger: Logger;
@@ -50,7 +48,7 @@
       if (isStopped) {
         run.stopAcknowledgedAtMs ??= clock.nowMs();
       }
-      await clock.sleep(stopReportDelayMs);
+      await clock.sleep(maxStopMs);
       if (isStopped) {
         await poll();
       }
