--- a/src/dispatch/crashingTasks.spec.ts
+++ b/src/dispatch/crashingTasks.spec.ts
@@ -55,4 +55,28 @@
   await closeDispatcher(fixture);
 });
 
+// Guards against a suspect that waits for a worker that is gone itself.
+test('a suspect gives up the worker that is kept free for it when that one does not answer', async () => {
+  const fixture = await createDispatcherFixture({ workerCount: 3, runMs: 400 });
+  const { clock, dispatcher, workers } = fixture;
+  const busy = { batchId: 'b-0', jobId: '0000000000000002', estimatedMs: 400 };
+  void dispatcher.run('vm', patientBatch(6, busy));
+  dispatcher.suspects.record({ taskName: firstTaskName, lostWorkers: 1 });
+  const ended = dispatcher.run('vm', patientBatch(1));
+  await clock.advance(50);
+  assert.is(workers.startsOf(firstTaskName).length, 0);
+  void workers.crash('i-0');
+  void workers.crash('i-1');
+  await clock.advance(1_000);
+  assert.equal(
+    (await ended).ends.map(({ kind }) => kind),
+    ['done'],
+  );
+  assert.equal(
+    workers.startsOf(firstTaskName).map(({ workerId, besides }) => [workerId, ...besides]),
+    [['i-2']],
+  );
+  await closeDispatcher(fixture);
+});
+
 test.run();
--- a/src/dispatch/suspectIsolation.ts
+++ b/src/dispatch/suspectIsolation.ts
@@ -26,7 +26,8 @@
   isEligible: (worker: ManagedWorker) => boolean,
 ): ManagedWorker | undefined => {
   const reserved = workers.find((worker) => worker.reservation.task === task);
-  if (reserved !== undefined && isEligible(reserved)) {
+  const canTake = (worker: ManagedWorker): boolean => worker.isAvailable && isEligible(worker);
+  if (reserved !== undefined && canTake(reserved)) {
     return reserved;
   }
   reserved?.reservation.cancel();
@@ -35,7 +36,7 @@
     return undefined;
   }
   const [first] = workers
-    .filter((worker) => worker.reservation.task === undefined && isEligible(worker))
+    .filter((worker) => worker.reservation.task === undefined && canTake(worker))
     .sort((a, b) => emptyInMs(a) - emptyInMs(b));
   first?.reservation.reserve(task);
   return first;
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -143,8 +143,7 @@
   /** @returns the worker on which a suspect may start alone now, if there is one */
   isolatedCandidateFor(task: BatchedTask): LocalCandidate[] {
     const worker = reserveWorker(task, [...this.workers.values()], (one) => isEligible(one, task));
-    const canStart = worker?.isAvailable === true && worker.runCount === 0;
-    return canStart ? [this.toCandidate(worker)] : [];
+    return worker?.runCount === 0 ? [this.toCandidate(worker)] : [];
   }
 
   /** Stops the run of a task on whichever worker has it. */
