Tests wait for a whole round of heartbeats before they submit jobs

Traced: a shard moved to vm-1 at 1,113 ms, and at 1,450 ms the submitting daemon still planned with a load of 326 ms before, without the workers of vm-1. The check is unchanged.

--- a/standins/platform/platformFixture.ts
+++ b/standins/platform/platformFixture.ts
@@ -11,9 +11,11 @@
 import { operatorTopic, shardCount, workerTopic } from './topics.js';
 import { WorkerStandIn } from './workerStandIn.js';
 import { findTasksWithOverlappingRuns } from './standInRun.js';
-import type { StartRecord } from './standInRun.js';
+import type { StandInSpec, StartRecord } from './standInRun.js';
 
 const readyPollMs = 20;
+/** One round of heartbeats between daemons that dispatch: each then has the free capacity of the others. */
+const heartbeatRoundMs = 700;
 
 export interface PlatformFixtureOptions {
   /** Failure domain of each daemon. */
@@ -116,8 +118,7 @@
     while (count() < workerCount || !this.daemons.every((daemon) => daemon.isReady)) {
       await sleep(readyPollMs);
     }
-    // At least one round of heartbeats, so that each daemon has the free capacity of the others.
-    await sleep(300);
+    await sleep(heartbeatRoundMs);
   }
 
   /** Submits a job with one step of equal tasks, and returns the answer. */
@@ -129,26 +130,37 @@
       readonly runMs: number;
       readonly cpu?: number;
       readonly fails?: boolean;
+      /** Whether the first task crashes each worker that starts it. */
+      readonly crashes?: boolean;
+      /** How long the caller waits, in milliseconds. */
+      readonly deadlineMs?: number;
     },
     signal?: AbortSignal,
   ): Promise<FixtureAnswer> {
     const cpu = job.cpu ?? 14_000;
-    const spec = { runMs: job.runMs, cpu, ...(job.fails === true ? { fails: true } : {}) };
+    const spec: StandInSpec = {
+      runMs: job.runMs,
+      cpu,
+      ...(job.fails === true ? { fails: true } : {}),
+      ...(job.crashes === true ? { crashingTask: `${jobId}.0.0.0` } : {}),
+    };
     const steps = [{ count: job.tasks, cpu, memMb: 64, estimatedMs: job.runMs }];
     return this.post(
       daemon,
       `${fixturePrefix}${jobId}`,
       { taskSpec: JSON.stringify(spec), steps, bestEffort: true },
       signal,
+      job.deadlineMs,
     );
   }
 
-  /** Sends a POST request with a deadline of 1.5 s; a string is sent as it is, all else as JSON. */
+  /** Sends a POST request; a string is sent as it is, all else as JSON. */
   async post(
     daemon: PlatformProcess,
     path: string,
     body: unknown,
     signal?: AbortSignal,
+    deadlineMs = 1_500,
   ): Promise<FixtureAnswer> {
     const { request } = await import('undici');
     const response = await request(`http://${daemon.callersAddress}${path}`, {
@@ -156,7 +168,7 @@
       headers: {
         host: fixtureHost,
         'content-type': 'application/json',
-        'x-toucandyke-deadline-ms': '1500',
+        'x-toucandyke-deadline-ms': String(deadlineMs),
       },
       body: typeof body === 'string' ? body : JSON.stringify(body),
       ...(signal === undefined ? {} : { signal }),
