Soak and process test of tasks that crash their workers

Worker stand-ins crash under a task that its job names and come back as another incarnation; one in 25 jobs of the soak has such a task, and the soak checks the users' rule. Ends that a stand-in reports move to a module of their own.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -9,11 +9,14 @@
 
 const okStatus = 200;
 const refusedStatus = 503;
+/** After so many crashed workers, a task may be started so often at most: the users' rule. */
+const maxCrashes = 3;
+const maxStartsAfterCrashes = 2;
 
 /**
  * Lists the violated guarantees: no task runs twice at the same time, `completed` means that every task
  * was done, a job refused with 503 was never started, a daemon that no fault disrupts answers in time,
- * and no daemon crashes.
+ * no daemon crashes, and a task that crashes its workers is not started again and again.
  *
  * @param fleet - the fleet, with the runs that its workers started
  * @param attempts - every request of the callers
@@ -23,11 +26,28 @@
   const starts = fleet.starts();
   return [
     ...findTasksWithOverlappingRuns(starts).map((task) => `Two runs of ${task} at the same time.`),
+    ...findCrashingTasks(starts).map((task) => `${task} went on crashing workers.`),
     ...attempts.flatMap((attempt) => checkAttempt(attempt, attempts, starts, fleet)),
     ...fleet.crashes,
   ];
 };
 
+/** @returns tasks that were started as often as is not allowed after they had crashed some workers */
+const findCrashingTasks = (starts: readonly StartRecord[]): string[] => {
+  const crashed = starts.filter(({ outcome }) => outcome === 'crashed').map(({ task }) => task);
+  return [...new Set(crashed)].filter((task) => {
+    const crashes = starts
+      .filter((start) => start.task === task && start.outcome === 'crashed')
+      .map(({ endedAtMs = Infinity }) => endedAtMs)
+      .sort((a, b) => a - b);
+    const lastAllowedAtMs = crashes[maxCrashes - 1] ?? Infinity;
+    const later = starts.filter(
+      (start) => start.task === task && start.startedAtMs > lastAllowedAtMs,
+    );
+    return later.length > maxStartsAfterCrashes;
+  });
+};
+
 /** Checks the end of one request. Missing answers count only where no fault disrupted the daemon. */
 const checkAttempt = (
   attempt: Attempt,
--- a/soak/soakCallers.ts
+++ b/soak/soakCallers.ts
@@ -20,9 +20,14 @@
 /** Longest pause of a caller between two jobs, in milliseconds. */
 const maxPauseMs = 150;
 
+/** One in this many jobs of the callers has a task that crashes its workers. */
+const crashingJobPeriod = 25;
+
 /** A job of `tasks` equal tasks, each of which runs for `runMs`. */
 export interface SoakJob {
   readonly jobId: string;
+  /** Whether its first task crashes each worker that starts it. */
+  readonly crashesWorkers: boolean;
   readonly tasks: number;
   readonly runMs: number;
 }
@@ -105,7 +110,7 @@
   createJob(tasks: number, runMs: number): SoakJob {
     this.jobCount += 1;
     const jobId = `${this.seed.toString(16)}f${this.jobCount.toString(16).padStart(6, '0')}`;
-    return { jobId: jobId.padStart(16, '0'), tasks, runMs };
+    return { jobId: jobId.padStart(16, '0'), tasks, runMs, crashesWorkers: false };
   }
 
   /**
@@ -125,7 +130,8 @@
     const random = SeededRandom.create(this.seed * callerCount + index);
     while (!this.stop.signal.aborted) {
       const tasks = 1 + Math.floor(random.next() * 6);
-      const job = this.createJob(tasks, Math.round(20 + random.next() ** 2 * 700));
+      const created = this.createJob(tasks, Math.round(20 + random.next() ** 2 * 700));
+      const job = { ...created, crashesWorkers: this.jobCount % crashingJobPeriod === 0 };
       await this.sendWithRetry(job, Math.floor(random.next() * this.pools.length));
       await sleep(random.next() * maxPauseMs);
     }
@@ -142,8 +148,12 @@
     }
   }
 
-  private request(daemon: number, { jobId, tasks, runMs }: SoakJob): Promise<AttemptEnd> {
-    const taskSpec = JSON.stringify({ runMs, cpu: taskCpuMillis });
+  private request(
+    daemon: number,
+    { jobId, tasks, runMs, crashesWorkers }: SoakJob,
+  ): Promise<AttemptEnd> {
+    const crashing = crashesWorkers ? { crashingTask: `${jobId}.0.0.0` } : {};
+    const taskSpec = JSON.stringify({ runMs, cpu: taskCpuMillis, ...crashing });
     const steps = [{ count: tasks, cpu: taskCpuMillis, memMb: 64, estimatedMs: runMs }];
     const deadlineMs = Math.round(1_500 + 3 * (1.6 * runMs + 60));
     const body = { taskSpec, steps, bestEffort: true };
--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -109,7 +109,11 @@
     });
     const proxy = await FaultyProxy.create(() => worker.address);
     this.workers.push({ worker, proxy });
-    this.store.log(workerTopic).append(workerId, worker.composeEntry('ready', proxy.address));
+    const register = (): void => {
+      this.store.log(workerTopic).append(workerId, worker.composeEntry('ready', proxy.address));
+    };
+    worker.onRestart = register;
+    register();
   }
 
   private async addDaemon(index: number, zone: string): Promise<void> {
--- a/src/programs/toucandyked/platformProcess.spec.ts
+++ b/src/programs/toucandyked/platformProcess.spec.ts
@@ -91,6 +91,22 @@
     assert.is(fixture.starts().length, 3);
   }));
 
+// Guards against a task that takes one worker after the other with it.
+test('a task that crashes its workers fails its job after two of them, and the other jobs are answered', () =>
+  withPlatform({ daemons: ['east'], workers: Array<string>(4).fill('east') }, async (fixture) => {
+    const [daemon] = fixture.daemons;
+    assert.ok(daemon);
+    const crashing = { tasks: 1, runMs: 900, crashes: true, deadlineMs: 6_000 };
+    const failed = await fixture.submit(daemon, jobId(1), crashing);
+    assert.is((failed.body as { state: string }).state, 'failed');
+    assert.is(fixture.starts().length, 2);
+    const again = await fixture.submit(daemon, jobId(1), crashing);
+    assert.is((again.body as { state: string }).state, 'failed');
+    assert.is(fixture.starts().length, 2);
+    const other = await fixture.submit(daemon, jobId(2), { tasks: 2, runMs: 50 });
+    assert.is((other.body as { state: string }).state, 'completed');
+  }));
+
 test('stops the runs of a caller that disconnects at once', () =>
   withPlatform(twoZones, async (fixture) => {
     const [daemon] = fixture.daemons;
--- a/standins/platform/standInRun.ts
+++ b/standins/platform/standInRun.ts
@@ -2,8 +2,8 @@
  * Runs of tasks on worker stand-ins, and a check that no two runs of a task overlap.
  */
 
-/** How a run ended, in the platform's words. */
-export type RunOutcome = 'done' | 'failed' | 'stopped' | 'lapsed';
+/** How a run ended, in the platform's words; `crashed` runs ended with their worker and are not reported. */
+export type RunOutcome = 'done' | 'failed' | 'stopped' | 'lapsed' | 'crashed';
 
 /** A run in progress. */
 export interface StandInRun {
@@ -33,6 +33,8 @@
   readonly cpu: number;
   /** Whether the run fails at its end. */
   readonly fails?: boolean;
+  /** Name of a task that crashes each worker that starts it. */
+  readonly crashingTask?: string;
 }
 
 /** A start that a worker carried out and how the run ended, recorded for the checks of tests. */
--- a/standins/platform/workerStandIn.ts
+++ b/standins/platform/workerStandIn.ts
@@ -7,18 +7,17 @@
 import { readJsonBody } from '../../src/adapters/http/readJsonBody.js';
 import { sendJson } from '../../src/adapters/http/sendJson.js';
 import { listenOnLoopback } from './listenOnLoopback.js';
-import type {
-  RunOutcome,
-  StandInRun,
-  StandInSpec,
-  StartRecord,
-  UnacknowledgedEnd,
-} from './standInRun.js';
+import { ReportedEnds } from './reportedEnds.js';
+import type { RunOutcome, StandInRun, StandInSpec, StartRecord } from './standInRun.js';
 
 const maxConnections = 64;
 const maxBodyBytes = 65_536;
 const maxLeaseMs = 1_000;
 const leaseCheckMs = 10;
+/** Time from the start of a crashing task to the crash of its worker. */
+const crashDelayMs = 20;
+/** Time from the crash of a worker to its restart. */
+const restartDelayMs = 1_500;
 
 /** Fault of a worker. */
 export type WorkerFault =
@@ -63,19 +62,19 @@
   holdCount = 0;
   private server!: HttpServer;
   /** Start time, which distinguishes this incarnation of the worker from a later one. */
-  private readonly startedAtMs = Date.now();
+  private startedAtMs = Date.now();
+  /** Whether the worker has crashed and is not back. */
+  private isDown = false;
+  /** Called when the worker is back after a crash, to register it again. */
+  onRestart: () => void = () => undefined;
   /** Current runs, by task. */
   private readonly runs = new Map<string, StandInRun>();
   /** Highest run number that has ended, by task; it and lower ones are refused. */
   private readonly ended = new Map<string, number>();
-  /** Ends that are not acknowledged, in order. */
-  private ends: UnacknowledgedEnd[] = [];
-  private lastEndSequence = 0;
+  private readonly ends = ReportedEnds.create();
   private highestFencingToken = 0;
   /** End of the lease of all runs, on the worker's clock. */
   private leaseEndMs = 0;
-  /** Wake the hold orders that wait for an end. */
-  private readonly endWaiters = new Set<() => void>();
   private readonly leaseTimer: NodeJS.Timeout;
 
   private constructor(private readonly options: WorkerStandInOptions) {
@@ -127,7 +126,7 @@
   async close(): Promise<void> {
     clearInterval(this.leaseTimer);
     this.runs.forEach(({ timer }) => clearTimeout(timer));
-    this.endWaiters.forEach((wake) => wake());
+    this.ends.wakeAll();
     await this.server.kill();
   }
 
@@ -138,6 +137,10 @@
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const body = (await readJsonBody(request, maxBodyBytes)).unwrap() as OrderBody;
+    if (this.isDown) {
+      request.socket.destroy();
+      return;
+    }
     if (this.fault.kind === 'cut') {
       return;
     }
@@ -208,38 +211,44 @@
       clearTimeout(timer);
     }
     this.runs.set(task, { task, run: runId, cpu: spec.cpu, startedAtMs, timer });
+    if (spec.crashingTask === task) {
+      setTimeout(() => this.crash(), crashDelayMs);
+    }
     return undefined;
   }
 
+  /** Ends all runs without a report; the worker is back after a while as another incarnation. */
+  private crash(): void {
+    for (const { task, run } of [...this.runs.values()]) {
+      this.end(task, run, 'crashed');
+    }
+    this.isDown = true;
+    this.ended.clear();
+    this.ends.reset();
+    setTimeout(() => {
+      this.isDown = false;
+      this.startedAtMs = Date.now();
+      this.highestFencingToken = 0;
+      this.leaseEndMs = 0;
+      this.onRestart();
+    }, restartDelayMs);
+  }
+
   private async serveHold(body: OrderBody, response: ServerResponse): Promise<void> {
     this.holdCount += 1;
     this.extendLease(body.deadlineMs ?? 0);
-    this.ends = this.ends.filter(({ sequence }) => sequence > (body.lastSeen ?? 0));
-    if (this.ends.length === 0 && (body.waitMs ?? 0) > 0) {
-      await this.waitForEnd(body.waitMs ?? 0);
+    this.ends.acknowledge(body.lastSeen ?? 0);
+    await this.ends.waitForEnd(body.waitMs ?? 0);
+    if (this.isDown) {
+      response.destroy();
+      return;
     }
     this.reply(response, 200, {
       born: this.startedAtMs,
       running: [...this.runs.values()].map(({ task, run }) => [task, run, '', 50]),
-      finished: this.ends.map(({ sequence, task, run, outcome }) => [
-        sequence,
-        task,
-        run,
-        outcome,
-        '',
-      ]),
-    });
-  }
-
-  private waitForEnd(waitMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      const wake = (): void => {
-        clearTimeout(timer);
-        this.endWaiters.delete(wake);
-        resolve();
-      };
-      const timer = setTimeout(wake, waitMs);
-      this.endWaiters.add(wake);
+      finished: this.ends
+        .list()
+        .map(({ sequence, task, run, outcome }) => [sequence, task, run, outcome, '']),
     });
   }
 
@@ -269,14 +278,12 @@
     clearTimeout(active.timer);
     this.runs.delete(task);
     this.recordEnded(task, run);
-    this.lastEndSequence += 1;
-    this.ends.push({ sequence: this.lastEndSequence, task, run, outcome });
     const record = this.starts.find((start) => start.task === task && start.run === run);
     if (record !== undefined) {
       record.endedAtMs = performance.now();
       record.outcome = outcome;
     }
-    this.endWaiters.forEach((wake) => wake());
+    this.ends.add(task, run, outcome);
   }
 
   private reply(response: ServerResponse, status: number, body: object): void {
