Pass on only the tasks that are given up, so that heartbeats don't grow with the square of the daemons

Each daemon announced every suspect that it had heard of: with n daemons in a failure domain a lost worker put its tasks into n times n heartbeats, each several times. A daemon now announces what it saw itself, and passes on only tasks that are given up. Found on reading the change; 'a suspect that another daemon announces is not announced here unless it is given up' fails before.

--- a/src/dispatch/crashSuspects.spec.ts
+++ b/src/dispatch/crashSuspects.spec.ts
@@ -6,24 +6,37 @@
 test('what is already known is not announced again, so that daemons do not tell each other for ever', async () => {
   const clock = FakeClock.create();
   const suspects = CrashSuspects.create(clock);
-  suspects.record({ taskName: 't', lostWorkers: 2 });
+  suspects.recordAnnounced({ taskName: 't', lostWorkers: 2 });
+  assert.is(suspects.listAnnounced().length, 1);
   await clock.advance(4_000);
-  suspects.record({ taskName: 't', lostWorkers: 2 });
-  suspects.record({ taskName: 't', lostWorkers: 1 });
-  assert.equal(suspects.listRecent(), []);
+  suspects.recordAnnounced({ taskName: 't', lostWorkers: 2 });
+  suspects.recordAnnounced({ taskName: 't', lostWorkers: 1 });
+  assert.equal(suspects.listAnnounced(), []);
   assert.is(suspects.lostWorkersUnder('t'), 2);
 });
 
+// Guards against heartbeats whose content grows with the square of the number of daemons.
+test('a suspect that another daemon announces is not announced here unless it is given up', () => {
+  const suspects = CrashSuspects.create(FakeClock.create());
+  suspects.recordAnnounced({ taskName: 'theirs', lostWorkers: 1 });
+  suspects.recordOwn({ taskName: 'own', lostWorkers: 1 });
+  suspects.recordAnnounced({ taskName: 'given-up', lostWorkers: 2 });
+  assert.equal(
+    suspects.listAnnounced().map(({ taskName }) => taskName),
+    ['given-up', 'own'],
+  );
+});
+
 test('suspects are remembered and announced in bounded numbers, the likeliest causes first', () => {
   const suspects = CrashSuspects.create(FakeClock.create());
-  suspects.record({ taskName: 'oldest', lostWorkers: 1 });
+  suspects.recordOwn({ taskName: 'oldest', lostWorkers: 1 });
   for (let index = 0; index < 5_000; index += 1) {
-    suspects.record({ taskName: `t-${index}`, lostWorkers: 1 });
+    suspects.recordOwn({ taskName: `t-${index}`, lostWorkers: 1 });
   }
-  suspects.record({ taskName: 't-4000', lostWorkers: 2 });
+  suspects.recordOwn({ taskName: 't-4000', lostWorkers: 2 });
   assert.is(suspects.lostWorkersUnder('oldest'), 0);
-  assert.ok(suspects.listRecent().length <= 100);
-  assert.equal(suspects.listRecent()[0], { taskName: 't-4000', lostWorkers: 2 });
+  assert.ok(suspects.listAnnounced().length <= 100);
+  assert.equal(suspects.listAnnounced()[0], { taskName: 't-4000', lostWorkers: 2 });
 });
 
 test.run();
--- a/src/dispatch/crashSuspects.ts
+++ b/src/dispatch/crashSuspects.ts
@@ -11,11 +11,12 @@
 const announcementMs = 3_000;
 /** Suspects in one heartbeat. */
 const maxAnnouncedSuspects = 64;
-const maxRememberedSuspects = 4_096;
+const maxRememberedSuspects = 1_024;
 
 interface Suspect {
   readonly lostWorkers: number;
-  readonly changedAtMs: number;
+  /** When to stop announcing it, in monotonic time. */
+  readonly announcedUntilMs: number;
 }
 
 export class CrashSuspects {
@@ -33,29 +34,40 @@
     return this.suspects.get(taskName)?.lostWorkers ?? 0;
   }
 
+  /** Records the number of workers that were lost under a task, as seen here. */
+  recordOwn(suspect: SuspectTask): void {
+    this.record(suspect, true);
+  }
+
   /**
-   * Records what is known of a task. A number that is not higher than the remembered one changes nothing,
-   * so that daemons can tell each other what they have heard without an end.
+   * Records what another daemon has announced. It is announced again only if the task is given up, since
+   * only that has to reach daemons with which the other one has no contact.
    */
-  record({ taskName, lostWorkers }: SuspectTask): void {
+  recordAnnounced(suspect: SuspectTask): void {
+    this.record(suspect, suspect.lostWorkers >= maxLostWorkers);
+  }
+
+  /** Lists the suspects to announce, those with the most lost workers first. */
+  listAnnounced(): SuspectTask[] {
+    const nowMs = this.clock.nowMs();
+    return [...this.suspects]
+      .filter(([, { announcedUntilMs }]) => announcedUntilMs >= nowMs)
+      .map(([taskName, { lostWorkers }]) => ({ taskName, lostWorkers }))
+      .sort((a, b) => b.lostWorkers - a.lostWorkers)
+      .slice(0, maxAnnouncedSuspects);
+  }
+
+  /** Ignores a number that is not higher than the remembered one, so that announcements have an end. */
+  private record({ taskName, lostWorkers }: SuspectTask, isAnnounced: boolean): void {
     if (lostWorkers <= this.lostWorkersUnder(taskName)) {
       return;
     }
+    const announcedUntilMs = isAnnounced ? this.clock.nowMs() + announcementMs : -Infinity;
     this.suspects.delete(taskName);
-    this.suspects.set(taskName, { lostWorkers, changedAtMs: this.clock.nowMs() });
+    this.suspects.set(taskName, { lostWorkers, announcedUntilMs });
     const [oldest] = this.suspects.keys();
     if (this.suspects.size > maxRememberedSuspects && oldest !== undefined) {
       this.suspects.delete(oldest);
     }
   }
-
-  /** Lists the suspects that changed a short while ago, those with the most lost workers first. */
-  listRecent(): SuspectTask[] {
-    const sinceMs = this.clock.nowMs() - announcementMs;
-    return [...this.suspects]
-      .filter(([, { changedAtMs }]) => changedAtMs >= sinceMs)
-      .map(([taskName, { lostWorkers }]) => ({ taskName, lostWorkers }))
-      .sort((a, b) => b.lostWorkers - a.lostWorkers)
-      .slice(0, maxAnnouncedSuspects);
-  }
 }
--- a/src/dispatch/crashingTasks.spec.ts
+++ b/src/dispatch/crashingTasks.spec.ts
@@ -61,7 +61,7 @@
   const { clock, dispatcher, workers } = fixture;
   const busy = { batchId: 'b-0', jobId: '0000000000000002', estimatedMs: 400 };
   void dispatcher.run('vm', patientBatch(6, busy));
-  dispatcher.suspects.record({ taskName: firstTaskName, lostWorkers: 1 });
+  dispatcher.suspects.recordAnnounced({ taskName: firstTaskName, lostWorkers: 1 });
   const ended = dispatcher.run('vm', patientBatch(1));
   await clock.advance(50);
   assert.is(workers.startsOf(firstTaskName).length, 0);
--- a/src/dispatch/taskRetries.ts
+++ b/src/dispatch/taskRetries.ts
@@ -48,7 +48,7 @@
   recordLostWorker(task: BatchedTask): void {
     task.lostWorkers += 1;
     const { lostWorkers } = task;
-    this.options.suspects.record({ taskName: taskNameOf(task), lostWorkers });
+    this.options.suspects.recordOwn({ taskName: taskNameOf(task), lostWorkers });
   }
 
   /** Ends the task of an ended run, or queues it for another run. */
--- a/src/fleet/fleetHeartbeatExchange.ts
+++ b/src/fleet/fleetHeartbeatExchange.ts
@@ -59,7 +59,7 @@
     const { ages, own, dispatcher, lengths, peers, router, routing, speeds } = this.options;
     const load = dispatcher.load();
     load.workers.forEach((worker) => speeds.record(worker));
-    const suspects = dispatcher.suspects.listRecent();
+    const suspects = dispatcher.suspects.listAnnounced();
     const isSameDomain =
       peer !== undefined && this.isInOwnDomain(peers().find(peer)?.heartbeat?.member);
     return {
@@ -86,7 +86,7 @@
     const ageMs = sentAtMs === undefined ? 0 : ages.recordHeartbeat(incarnation, sentAtMs);
     view.recordLoad(incarnation, load, this.isInOwnDomain(member) ? 'near' : 'far', ageMs);
     load.workers.forEach((worker) => speeds.record(worker));
-    heartbeat.suspects?.forEach((suspect) => dispatcher.suspects.record(suspect));
+    heartbeat.suspects?.forEach((suspect) => dispatcher.suspects.recordAnnounced(suspect));
     heartbeat.speeds?.forEach((speed) => speeds.recordIfAbsent(speed));
     if (lengths !== undefined) {
       this.options.lengths.recordPeerSums(incarnation, lengths);
