--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,13 +1,17 @@
 /**
  * `npm run soak -- --seeds 1-50 --seconds 12 --jobs 4`: runs a fault soak of the built daemon for each
- * seed. The logs of each seed are kept in `soak/out`; the exit status is 1 if a guarantee was violated.
+ * seed. The logs of each seed are kept in `soak/out`; the exit status is 1 if a guarantee was violated, and 2
+ * if an option is not valid.
  */
 import { resolve } from 'node:path';
 import { parseArgs } from 'node:util';
 import { daemonProgram } from '../standins/platform/daemonChild.js';
 import { runSeed } from './runSeed.js';
+import { parseSeeds } from './seedRange.js';
 import type { SeedReport } from './runSeed.js';
 
+const invalidExitCode = 2;
+
 const { values } = parseArgs({
   options: {
     /** Seeds, such as `7` or `1-50`. */
@@ -21,12 +25,6 @@
 
 const root = resolve(import.meta.dirname, '..');
 
-/** @returns the seeds of a text such as `7` or `1-50` */
-const parseSeeds = (text: string): number[] => {
-  const [first = 1, last = first] = text.split('-').map(Number);
-  return Array.from({ length: last - first + 1 }, (_, index) => first + index);
-};
-
 const printReport = ({ seed, requests, completed, broken }: SeedReport): void => {
   const result = broken.length === 0 ? 'kept' : 'BROKEN';
   process.stdout.write(`seed ${seed}: ${result}, ${completed} of ${requests} completed\n`);
@@ -52,7 +50,14 @@
   }
 };
 
-const seeds = parseSeeds(values.seeds);
+const parsedSeeds = parseSeeds(values.seeds);
+const areNumbersValid = [values.seconds, values.jobs].every((text) => Number(text) > 0);
+if (parsedSeeds.isErr() || !areNumbersValid) {
+  const fault = parsedSeeds.isErr() ? parsedSeeds.error : '--seconds and --jobs must be above 0.';
+  process.stderr.write(`${fault}\n`);
+  process.exit(invalidExitCode);
+}
+const seeds = parsedSeeds.value;
 const reports: SeedReport[] = [];
 await Promise.all(
   Array.from({ length: Number(values.jobs) }, (_, networkIndex) =>
--- a/src/programs/toucandyke/commands/demoCommand.ts
+++ b/src/programs/toucandyke/commands/demoCommand.ts
@@ -12,8 +12,9 @@
 import { topSpeed } from '../../../../standins/fleet.js';
 import { LoadTally } from '../../../../standins/load/loadTally.js';
 import { runDemoLoad } from '../demo/demoLoad.js';
+import { exitCodes } from '../exitCodes.js';
 
-const invalidExitCode = 2;
+const secondsPattern = /^\d{1,6}$/;
 const daemonsPerFailureDomain = 2;
 const messagesPerCall = 2;
 const progressPeriodMs = 3_000;
@@ -34,12 +35,16 @@
   seconds = Option.String('--seconds', '20', { description: 'Duration of the load in seconds' });
 
   async execute(): Promise<number> {
+    if (!secondsPattern.test(this.seconds)) {
+      this.context.stderr.write('--seconds must be a number.\n');
+      return exitCodes.invalid;
+    }
     const configuration = readYamlFile(this.config, checkConfiguration);
     if (configuration.isErr()) {
       for (const fault of configuration.error) {
         this.context.stderr.write(`${formatFault(this.config, fault)}\n`);
       }
-      return invalidExitCode;
+      return exitCodes.invalid;
     }
     return this.runDemo(configuration.value);
   }
