--- a/review/harness/daemon.ts
+++ b/review/harness/daemon.ts
@@ -12,6 +12,7 @@
 const readyPort = 8_167;
 const internalPorts = [7_720, 7_735] as const;
 const metricsPort = 9_464;
+const graceMs = 6_000;
 export const daemonPorts: readonly number[] = [frontPort, readyPort, internalPorts[0], metricsPort];
 
 export interface DaemonOptions {
@@ -105,6 +106,18 @@
     }
   }
 
+  /** Stops the process as planned: SIGTERM, and SIGKILL after the grace period. */
+  async stop(): Promise<void> {
+    const { child } = this;
+    if (child !== undefined) {
+      const exited = once(child, 'exit');
+      child.kill('SIGTERM');
+      const timer = setTimeout(() => child.kill('SIGKILL'), graceMs);
+      await exited;
+      clearTimeout(timer);
+    }
+  }
+
   /** Asks whether the process is ready, as the platform does once a second. */
   isReady(): Promise<boolean> {
     return new Promise((resolve) => {
