--- a/review/2/script.ts
+++ b/review/2/script.ts
@@ -22,8 +22,11 @@
 /** Time from the first small job to the long job, and from that to the kill. */
 const longJobDelayMs = 800;
 const killDelayMs = 200;
-/** Time from the kill to the restart of the process. */
-const downMs = 3_000;
+/** Time after which the platform starts the process again. */
+const restartDelayMs = 500;
+/** Kills in a row, and time from a restart to the next kill: before the process answers. */
+const kills = 4;
+const nextKillMs = 150;
 const settleMs = 4_000;
 
 /** A small job for workers of kind `a`. */
@@ -77,14 +80,17 @@
     await sleep(longJobDelayMs);
     const long = submit(record, [victim, far], createLongJob(slotsOf(victim, 'b') + 2));
     await sleep(killDelayMs);
-    const restart = async (): Promise<void> => {
-      record.write(`trouble: ${victim.name} is killed`);
-      await victim.kill();
-      await sleep(downMs);
-      victim.start();
-      record.write(`trouble: ${victim.name} is started again`);
+    const killAgainAndAgain = async (): Promise<void> => {
+      for (let count = 0; count < kills; count += 1) {
+        await sleep(count === 0 ? 0 : nextKillMs);
+        record.write(`trouble: ${victim.name} is killed`);
+        await victim.kill();
+        await sleep(restartDelayMs);
+        victim.start();
+        record.write(`trouble: ${victim.name} is started again`);
+      }
     };
-    await Promise.all([load, long, hasTrouble ? restart() : sleep(downMs)]);
+    await Promise.all([load, long, hasTrouble ? killAgainAndAgain() : undefined]);
     await sleep(settleMs);
   }
   const verdict = judgeOverlaps(record, deployment.runs);
--- a/review/harness/main.ts
+++ b/review/harness/main.ts
@@ -29,6 +29,9 @@
   caseNumber: number,
   script: (record: Record) => Promise<Verdict>,
 ): Promise<void> => {
+  // The daemons end with this process.
+  process.once('SIGTERM', () => process.exit(notRunExitCode));
+  process.once('SIGINT', () => process.exit(notRunExitCode));
   const record = Record.create(join('review', String(caseNumber), 'record.txt'));
   setTimeout(() => {
     record.write('The script took too long.');
