--- a/review/5/script.ts
+++ b/review/5/script.ts
@@ -1,81 +1,58 @@
 /**
- * A machine is added while a job runs. The client then cancels the job; its new connection is forwarded to
- * the added machine.
+ * A machine freezes for four seconds. A client's request, sent meanwhile, gets no answer, and the client
+ * sends it again, to a machine of another zone, as the pages say. Then the machine wakes.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
-import { cancel, createJobId, isStatus, submitOnce } from '../harness/client.js';
+import { createJobId, submit } from '../harness/client.js';
 import type { Job } from '../harness/client.js';
 import { Deployment } from '../harness/deployment.js';
 import { hasTrouble, runScript } from '../harness/main.js';
-import { describeRun } from '../harness/run.js';
+import { judgeOverlaps } from '../harness/overlapVerdict.js';
 
+const rounds = 5;
 const cpu = 14_000;
 const memMb = 64;
-const stepMs = 2_000;
-const stepCount = 5;
-const deadlineMs = 15_000;
-/** Bound on starts after the acknowledgement of a cancellation (`cancel_ms`). */
-const cancelBoundMs = 3_000;
-/** Time from the submission to the cancellation where no machine is added. */
-const cancelDelayMs = 2_000;
-const readyPollMs = 100;
-const maxReadyPolls = 50;
+const deadlineMs = 1_500;
+const freezeMs = 4_000;
+/** Time from the begin of the freeze to the request. */
+const requestDelayMs = 100;
+const settleMs = 7_000;
 
-const createJob = (): Job => ({
+const createJob = (runMs: number, estimatedMs: number): Job => ({
   id: createJobId(),
-  spec: { runMs: stepMs, cpu },
-  steps: Array.from({ length: stepCount }, (_, index) => ({
-    count: 2,
-    cpu,
-    memMb,
-    estimatedMs: stepMs,
-    ...(index === 0 ? {} : { after: [index - 1] }),
-  })),
+  spec: { runMs, cpu },
+  steps: [{ count: 4, cpu, memMb, estimatedMs }],
   deadlineMs,
 });
 
 void runScript(5, async (record) => {
   const deployment = await Deployment.create({
     record,
-    daemons: ['muenchen'],
-    workers: Array<string>(6).fill('muenchen a'),
+    daemons: ['muenchen', 'nuernberg', 'augsburg'],
+    workers: ['muenchen', 'nuernberg', 'augsburg'].flatMap((zone) =>
+      Array<string>(5).fill(`${zone} a`),
+    ),
     workerCpu: 32_000,
-    routeTimeoutMs: 20_000,
+    routeTimeoutMs: deadlineMs,
   });
-  const job = createJob();
-  const [daemon] = deployment.daemons;
-  if (daemon === undefined) {
-    throw new Error('A daemon is needed.');
+  for (let round = 0; round < rounds; round += 1) {
+    const frozen = deployment.daemon(round % 3);
+    const other = deployment.daemon((round + 1) % 3);
+    await Promise.all(deployment.daemons.map((one) => submit(record, [one], createJob(60, 60))));
+    const freeze = async (): Promise<void> => {
+      record.write(`trouble: ${frozen.name} freezes`);
+      frozen.signal('SIGSTOP');
+      await sleep(freezeMs);
+      frozen.signal('SIGCONT');
+      record.write(`trouble: ${frozen.name} wakes`);
+    };
+    const freezing = hasTrouble ? freeze() : sleep(freezeMs);
+    await sleep(requestDelayMs);
+    await submit(record, [frozen, other], createJob(1_400, 1_200));
+    await freezing;
+    await sleep(settleMs);
   }
-  const submitted = submitOnce(record, daemon, job);
-  let target = daemon;
-  if (hasTrouble) {
-    target = await deployment.addDaemon('muenchen');
-    record.write(`trouble: ${target.name} is added`);
-    for (let polls = 0; !(await target.isReady()); polls += 1) {
-      if (polls === maxReadyPolls) {
-        throw new Error('The added daemon is not ready in time.');
-      }
-      await sleep(readyPollMs);
-    }
-    record.write(`platform: ${target.name} is ready, and takes new connections`);
-  } else {
-    await sleep(cancelDelayMs);
-  }
-  const answer = await cancel(record, target, job.id);
-  if (!isStatus(answer, 200) && !isStatus(answer, 410)) {
-    throw new Error('The cancellation was not acknowledged.');
-  }
-  const acknowledgedAtMs = record.nowMs();
-  await submitted;
-  await sleep(stepMs);
-  const late = deployment.runs.filter(
-    ({ startedAtMs }) => startedAtMs > acknowledgedAtMs + cancelBoundMs,
-  );
-  late.forEach((run) => record.write(`started after the cancellation: ${describeRun(run)}`));
+  const verdict = judgeOverlaps(record, deployment.runs);
   await deployment.close();
-  return {
-    isBroken: late.length > 0,
-    detail: `${late.length} tasks started over ${cancelBoundMs} ms after the cancellation`,
-  };
+  return verdict;
 });
--- a/review/harness/client.ts
+++ b/review/harness/client.ts
@@ -119,15 +119,7 @@
   return answer;
 };
 
-/** Cancels a job. */
-export const cancel = async (record: Record, daemon: Daemon, jobId: string): Promise<Answer> => {
-  record.write(`client: DELETE ${jobId} at ${daemon.name}`);
-  const answer = await exchange(daemon, 'DELETE', prefix + jobId, undefined, 1_500);
-  record.write(`client: DELETE ${jobId} at ${daemon.name}: ${describeAnswer(answer)}`);
-  return answer;
-};
-
-export const isStatus = (answer: Answer, status: number): boolean =>
+const isStatus = (answer: Answer, status: number): boolean =>
   answer.kind === 'answered' && answer.status === status;
 
 const describeAnswer = (answer: Answer): string =>
