--- a/review/4/script.ts
+++ b/review/4/script.ts
@@ -14,6 +14,8 @@
 const jobDelayMs = 200;
 const roundPauseMs = 2_500;
 const taskMs = 600;
+/** More than half of a worker, so that each worker gets one task. */
+const cpu = 20_000;
 
 void runScript(4, async (record) => {
   const deployment = await Deployment.create({
@@ -24,7 +26,9 @@
     routeTimeoutMs: 1_500,
   });
   for (let round = 0; round < rounds; round += 1) {
-    const worker = deployment.workers[round % deployment.workers.length];
+    const daemon = deployment.daemon(round % deployment.daemons.length);
+    const served = deployment.workersServedBy(daemon, 'a');
+    const worker = served[round % served.length];
     if (hasTrouble && worker !== undefined) {
       record.write(`trouble: worker ${worker.workerId} crashes with ${worker.runCount} runs`);
       await worker.crash();
@@ -35,10 +39,12 @@
       await sleep(downMs);
     }
     await sleep(jobDelayMs);
-    await submit(record, deployment.daemons, {
+    // One worker of the daemon stays empty.
+    const count = served.length - 1;
+    await submit(record, [daemon], {
       id: createJobId(),
-      spec: { runMs: taskMs, cpu: 14_000 },
-      steps: [{ count: 6, cpu: 14_000, memMb: 64, estimatedMs: taskMs }],
+      spec: { runMs: taskMs, cpu },
+      steps: [{ count, cpu, memMb: 64, estimatedMs: taskMs }],
       deadlineMs: 1_500,
     });
     await sleep(roundPauseMs);
