Move what a daemon serves out of FleetDaemon

Change: ServedWorkers holds the grant, the leaving state and the choice of the own workers; no change of behaviour.

--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -33,10 +33,11 @@
 import { RequesterMonitor } from './requesterMonitor.js';
 import { JobIntake } from './jobIntake.js';
 import { LearnedBackup } from './learnedBackup.js';
-import { ShardMembership, workersOfShards } from './shardMembership.js';
+import { ServedWorkers } from './servedWorkers.js';
+import { ShardMembership } from './shardMembership.js';
 import { isNeededAsDispatcher } from './standby.js';
 import { SuspendDetector } from './suspendDetector.js';
-import type { FleetHeartbeat, Member, ShardGrant } from '../types/fleet.js';
+import type { FleetHeartbeat, Member } from '../types/fleet.js';
 
 export interface FleetPorts {
   readonly clock: Clock;
@@ -77,14 +78,12 @@
   private readonly requesterMonitor: RequesterMonitor;
   private readonly jobs: RunningJobs;
   private readonly shards: ShardMembership;
+  private readonly servedWorkers: ServedWorkers;
   private readonly suspendDetector: SuspendDetector;
   private readonly logger: Logger;
-  /** Shards of workers that the store has granted to this daemon. */
-  private grant: ShardGrant = { generation: 0, shards: [] };
-  private isLeaving = false;
 
   private constructor(
-    private readonly identity: FleetIdentity,
+    identity: FleetIdentity,
     private readonly ports: FleetPorts,
   ) {
     const { clock, random, logger, metrics, store, workers, connector } = ports;
@@ -106,7 +105,13 @@
       clock,
       logger,
       store,
-      onChange: () => void this.updateServedWorkers(),
+      onChange: () => void this.servedWorkers.update(),
+    });
+    this.servedWorkers = ServedWorkers.create({
+      failureDomainId: member.failureDomainId,
+      shardCount: store.shardCount,
+      directory: this.directory,
+      dispatcher: this.dispatcher,
     });
     this.routingFollower = RoutingFollower.create({ clock, logger, store, routing: this.routing });
     this.view = FleetView.create({
@@ -168,7 +173,7 @@
       logger,
       store,
       member,
-      onGrant: (grant) => this.applyGrant(grant),
+      onGrant: (grant) => this.servedWorkers.applyGrant(grant),
       onStoreReachable: () => this.routingFollower.refresh(),
       isNeeded: () => isNeededAsDispatcher(member, this.peers.presentDomainMembers()),
     });
@@ -246,10 +251,9 @@
    * end, then gives up its shards.
    */
   async drain(): Promise<void> {
-    this.isLeaving = true;
     this.heartbeatExchange.leave();
     this.intake.leave();
-    await this.dispatcher.setWorkers([], this.grant.generation);
+    await this.servedWorkers.release();
     await this.shards.leave();
   }
 
@@ -275,26 +279,4 @@
     await this.dispatcher.close();
     await Promise.all([this.ports.workers.close(), this.ports.store.close()]);
   }
-
-  private applyGrant(grant: ShardGrant): Promise<unknown> {
-    this.grant = grant;
-    return this.updateServedWorkers();
-  }
-
-  /**
-   * Dispatches to the workers of the granted shards from now on.
-   *
-   * @returns a promise that resolves when the other workers are released
-   */
-  private updateServedWorkers(): Promise<unknown> {
-    if (this.isLeaving) {
-      return Promise.resolve();
-    }
-    const { failureDomainId } = this.identity.member;
-    const listed = this.directory
-      .list()
-      .filter((worker) => worker.failureDomainId === failureDomainId);
-    const own = workersOfShards(listed, this.grant.shards, this.ports.store.shardCount);
-    return this.dispatcher.setWorkers(own, this.grant.generation);
-  }
 }
