--- a/src/dispatch/activeRun.ts
+++ b/src/dispatch/activeRun.ts
@@ -22,21 +22,41 @@
   phase: RunPhase;
   /** When the worker first acknowledged the start or reported the run; undefined before. */
   startedAtMs: number | undefined;
-  /** When the worker first acknowledged a stop; undefined before. */
+  /** When the lifetime of the worker that has the run first acknowledged a stop; undefined before. */
   stopAcknowledgedAtMs: number | undefined;
+  /** Start of the worker's lifetime in which the run is proved to have begun; undefined before that. */
+  lifetimeMs: number | undefined;
 }
 
-/** How a run ended, or why it did not start. */
-export type RunOutcome =
-  | { readonly kind: 'done'; readonly runTimeMs: number }
-  | { readonly kind: 'failed' }
-  /** The worker certainly did not start it. */
-  | { readonly kind: 'not-started'; readonly reason: string }
-  /** The worker refused it: it has ended a run of the task with this number or a higher one. */
-  | { readonly kind: 'used-number' }
-  /** The worker rejected the order as not valid. */
-  | { readonly kind: 'invalid'; readonly reason: string }
-  /** It may have run and can no longer be running. */
-  | { readonly kind: 'lost'; readonly reason: string }
-  /** Its worker restarted, or was silent until the lease had ended; the run may be the cause. */
-  | { readonly kind: 'worker-lost'; readonly reason: string };
+/** The part of a run that is known before its start is ordered. */
+export type RunPlan = Pick<ActiveRun, 'task' | 'taskName' | 'needs' | 'expectedMs'>;
+
+/** Creates the next run of a task, whose start is ordered now. */
+export const createRun = (plan: RunPlan, nowMs: number): ActiveRun => {
+  const { task } = plan;
+  const run = task.nextRun;
+  task.nextRun += 1;
+  return {
+    ...plan,
+    run,
+    startSentAtMs: nowMs,
+    phase: 'starting',
+    startedAtMs: undefined,
+    stopAcknowledgedAtMs: undefined,
+    lifetimeMs: undefined,
+  };
+};
+
+/**
+ * Records that the worker has a run.
+ *
+ * @returns whether this was not known before
+ */
+export const recordStart = (run: ActiveRun, nowMs: number): boolean => {
+  const isNews = run.startedAtMs === undefined;
+  run.startedAtMs ??= nowMs;
+  if (run.phase === 'starting') {
+    run.phase = 'running';
+  }
+  return isNews;
+};
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -1,6 +1,7 @@
 /**
  * Runs batches of tasks on the workers to which this daemon alone dispatches.
  */
+import { unreachable } from '../errors/unreachable.js';
 import { causeLabel } from '../explain/causeLabel.js';
 import type { MemberLoad } from '../types/fleet.js';
 import type { Clock } from '../ports/clock.js';
@@ -10,12 +11,14 @@
 import type { WorkerPort } from '../ports/workers.js';
 import type { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import type { WorkerRecord } from '../types/workers.js';
-import type { ActiveRun, RunOutcome } from './activeRun.js';
+import type { ActiveRun } from './activeRun.js';
 import { BatchTable } from './batchTable.js';
 import { CrashSuspects } from './crashSuspects.js';
 import type { ManagedWorker } from './managedWorker.js';
 import { TaskRetries } from './taskRetries.js';
 import { recordOutcome } from './recordOutcome.js';
+import { describeEvidence, suspicionOf } from './runEvidence.js';
+import type { RunEvidence } from './runEvidence.js';
 import { OpenBatch } from './openBatch.js';
 import { WorkerPool } from './workerPool.js';
 import { TaskStarter } from './taskStarter.js';
@@ -49,7 +52,7 @@
     this.workers = WorkerPool.create({
       ...options,
       logger,
-      onEnd: (worker, run, outcome) => this.ended(worker, run, outcome),
+      onEnd: (worker, run, evidence) => this.ended(worker, run, evidence),
       onAvailabilityChange: () => this.starter.startReadyTasks(),
     });
     this.starter = TaskStarter.create({ ...options, logger, workers: this.workers });
@@ -207,27 +210,39 @@
     return batch;
   }
 
-  /** Records the end of a run in the worker's health and speed, then ends or retries the task. */
-  private ended(worker: ManagedWorker, run: ActiveRun, outcome: RunOutcome): void {
+  /** Records what is known of a run in its worker's health and speed, then ends or retries the task. */
+  private ended(worker: ManagedWorker, run: ActiveRun, evidence: RunEvidence): void {
     const nowMs = this.options.clock.nowMs();
     const slowness = worker.speed.slowness(nowMs);
-    recordOutcome(worker, run, outcome, nowMs);
-    const cause = causeLabel(outcome);
-    this.options.metrics.count('runs', 1, [`outcome:${outcome.kind}`, `cause:${cause}`]);
+    recordOutcome(worker, run, evidence, nowMs);
+    const description = describeEvidence(evidence);
+    const labels = [`outcome:${description.outcome}`, `cause:${causeLabel(description)}`];
+    this.options.metrics.count('runs', 1, labels);
     this.logger.info('A run has ended.', {
       taskName: run.taskName,
       run: run.run,
       workerId: worker.workerId,
-      outcome: outcome.kind,
       durationMs: Math.round(nowMs - run.startSentAtMs),
       expectedMs: Math.round(run.expectedMs),
-      ...('reason' in outcome ? { reason: outcome.reason } : {}),
+      ...description,
     });
-    if (outcome.kind === 'worker-lost') {
-      this.retries.recordLostWorker(run.task);
-    }
+    this.recordSuspicion(run, evidence);
     if (!run.task.hasEnded) {
-      this.retries.endOrRetry(run.task, outcome, { workerId: worker.workerId, slowness });
+      this.retries.endOrRetry(run.task, evidence, { workerId: worker.workerId, slowness });
+    }
+  }
+
+  private recordSuspicion({ task }: ActiveRun, evidence: RunEvidence): void {
+    const suspicion = suspicionOf(evidence);
+    switch (suspicion) {
+      case 'none':
+        return;
+      case 'suspected':
+      case 'crashed':
+        this.retries.recordLostWorker(task);
+        return;
+      default:
+        return unreachable(suspicion);
     }
   }
 }
--- a/src/dispatch/managedWorker.spec.ts
+++ b/src/dispatch/managedWorker.spec.ts
@@ -4,9 +4,10 @@
 import { ScriptedWorkers } from '../testing/scriptedWorkers.js';
 import { silentLogger } from '../testing/silentLogger.js';
 import type { ReportedRun, WorkerRecord } from '../types/workers.js';
-import type { RunOutcome } from './activeRun.js';
 import { ManagedWorker } from './managedWorker.js';
 import { OpenBatch } from './openBatch.js';
+import { describeEvidence } from './runEvidence.js';
+import type { RunEvidence } from './runEvidence.js';
 import type { Batch } from '../types/dispatch.js';
 
 const leaseMs = 1_000;
@@ -49,14 +50,14 @@
   readonly clock: FakeClock;
   readonly workers: ScriptedWorkers;
   readonly worker: ManagedWorker;
-  readonly outcomes: RunOutcome[];
+  readonly outcomes: RunEvidence[];
   readonly start: (taskName: string) => void;
 }
 
 const createFixture = (): Fixture => {
   const clock = FakeClock.create();
   const workers = ScriptedWorkers.create(clock);
-  const outcomes: RunOutcome[] = [];
+  const outcomes: RunEvidence[] = [];
   const worker = ManagedWorker.create({
     record,
     fencingToken: 7,
@@ -64,13 +65,13 @@
     workers,
     logger: silentLogger,
     leaseMs,
-    onEnd: (_worker, _run, outcome) => void outcomes.push(outcome),
+    onEnd: (_worker, _run, evidence) => void outcomes.push(evidence),
     onAvailabilityChange: () => undefined,
   });
   const start = (taskName: string): void => {
     const [task] = OpenBatch.create('vm', content, clock.nowMs()).tasks;
     assert.ok(task);
-    worker.start(task, taskName, needs, 100);
+    worker.start({ task, taskName, needs, expectedMs: 100 });
   };
   return { clock, workers, worker, outcomes, start };
 };
@@ -114,18 +115,18 @@
   const end = { endNumber: 1, taskName: 't.0.0.0', run: 1, how: 'done' as const };
   workers.report = { workerClockMs: 0, running: [], ends: [end] };
   await clock.advance(400);
-  assert.is(outcomes[0]?.kind, 'done');
+  assert.equal(outcomes.map(describeEvidence), [{ outcome: 'done' }]);
   await worker.close();
 });
 
-test('a run whose start got no answer and that the worker does not report is stopped before it is lost', async () => {
+test('a run whose start got no answer and that the worker does not report is stopped before its task may start again', async () => {
   const { clock, workers, outcomes, worker, start } = createFixture();
   await clock.advance(50);
   workers.onStart = () => ({ kind: 'no-answer', detail: '' });
   start('t.0.0.0');
   await clock.advance(600);
   assert.is(workers.stops[0]?.taskName, 't.0.0.0');
-  assert.is(outcomes[0]?.kind, 'lost');
+  assert.equal(outcomes, [{ kind: 'stopped' }]);
   await worker.close();
 });
 
@@ -144,18 +145,20 @@
     (one) => one.kind === 'hold' && one.order.leaseEndWorkerMs !== undefined,
   );
   const lastRenewalAtMs = Math.max(...renewals.map(({ atMs }) => atMs));
-  assert.is(outcomes[0]?.kind, 'worker-lost');
+  assert.equal(outcomes, [{ kind: 'lapsed', cause: 'silent' }]);
   assert.ok(clock.nowMs() >= lastRenewalAtMs + leaseMs * 1.02);
   await worker.close();
 });
 
 test('a restarted worker has lost its runs, and its end numbers start over', async () => {
   const { clock, workers, outcomes, worker, start } = createFixture();
-  await clock.advance(50);
+  const report = { workerClockMs: 0, startedAtMs: 5, running: [], ends: [] };
+  workers.report = { ...report, running: [running('t.0.0.0')] };
   start('t.0.0.0');
-  workers.report = { workerClockMs: 0, startedAtMs: 6, running: [], ends: [] };
+  await clock.advance(700);
+  workers.report = { ...report, startedAtMs: 6 };
   await clock.advance(400);
-  assert.is(outcomes[0]?.kind, 'worker-lost');
+  assert.equal(outcomes, [{ kind: 'gone-with-lifetime', departure: 'crash' }]);
   assert.is(workers.holds.at(-1)?.lastSeenEnd, 0);
   await worker.close();
 });
@@ -187,9 +190,12 @@
   const { clock, workers, worker } = createFixture();
   await clock.advance(50);
   assert.ok(worker.isOpen);
-  workers.report = { workerClockMs: 0, startedAtMs: 6, running: [], ends: [] };
+  const report = { workerClockMs: 0, startedAtMs: 6, running: [], ends: [] };
+  workers.report = report;
   await clock.advance(6_000);
   assert.not.ok(worker.isOpen);
+  worker.update({ ...record, startedAtMs: 6 }, 7);
+  assert.ok(worker.isOpen);
   await worker.close();
 });
 
@@ -200,10 +206,7 @@
   const end = { endNumber: 3, taskName: 't.0.0.0', run: 1, how: 'failed' as const };
   workers.report = { workerClockMs: 0, running: [], ends: [end] };
   await clock.advance(2_000);
-  assert.equal(
-    outcomes.map(({ kind }) => kind),
-    ['failed'],
-  );
+  assert.equal(outcomes.map(describeEvidence), [{ outcome: 'failed' }]);
   assert.is(workers.holds.at(-1)?.lastSeenEnd, 3);
   await worker.close();
 });
--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -10,9 +10,10 @@
 import { WakeableSleep } from '../utils/wakeableSleep.js';
 import type { WorkerRecord } from '../types/workers.js';
 import { WorkerSpeed } from '../workers/workerSpeed.js';
-import type { ActiveRun, RunOutcome } from './activeRun.js';
-import type { BatchedTask } from './openBatch.js';
+import { createRun, recordStart } from './activeRun.js';
+import type { ActiveRun, RunPlan } from './activeRun.js';
 import type { CapacityRelease } from '../types/fleet.js';
+import type { RunEvidence } from './runEvidence.js';
 import { RunOrders } from './runOrders.js';
 import { RunTable } from './runTable.js';
 import { WorkerLink } from './workerLink.js';
@@ -24,8 +25,8 @@
 const checkPauseMs = 60;
 /** Poll period of an idle worker, which keeps the reading of its clock recent. */
 const idlePollMs = 5_000;
-/** Longest time until the ends of runs are acknowledged to a worker that has become idle. */
-const acknowledgeDelayMs = 1_000;
+/** Poll period of an idle worker with ends to acknowledge, or whose entry is of another lifetime. */
+const unsettledPollMs = 1_000;
 
 export interface ManagedWorkerOptions {
   readonly record: WorkerRecord;
@@ -36,8 +37,8 @@
   readonly leaseMs: number;
   /** Slowdown factor that an earlier dispatcher measured. */
   readonly rememberedSlowness?: number | undefined;
-  /** Called once for each run, when it can no longer be running. */
-  readonly onEnd: (worker: ManagedWorker, run: ActiveRun, outcome: RunOutcome) => void;
+  /** Called once for each run, with what is known of it; `unknown` only when the worker is let go. */
+  readonly onEnd: (worker: ManagedWorker, run: ActiveRun, evidence: RunEvidence) => void;
   /** Called after each event that may allow a waiting task to start. */
   readonly onAvailabilityChange: () => void;
 }
@@ -55,6 +56,7 @@
   /** Whether all runs of earlier dispatchers have ended, so that leases may be renewed. */
   private isTakenOver = false;
   private isDraining = false;
+  private isRetired = false;
   private isClosed = false;
   private readonly loop: Promise<void>;
 
@@ -64,14 +66,22 @@
     this.link = WorkerLink.create(options);
     this.speed = WorkerSpeed.create(rememberedSlowness);
     this.health = WorkerHealth.create(clock);
-    this.runs = RunTable.create((run, outcome) => onEnd(this, run, outcome));
+    this.runs = RunTable.create((run, evidence) => onEnd(this, run, evidence));
     this.sleeper = WakeableSleep.create(clock);
     const { link, sleeper, runs, health } = this;
     const onStart = (run: ActiveRun): void => this.markStarted(run);
     const onReport = (): void => this.handleReport();
     this.reports = WorkerReports.create({ clock, logger, link, runs, sleeper, onStart, onReport });
-    const poll = (): Promise<void> => this.reports.poll();
-    this.orders = RunOrders.create({ clock, logger, link, runs, health, poll, onStart });
+    this.orders = RunOrders.create({
+      clock,
+      logger,
+      link,
+      runs,
+      health,
+      poll: () => this.reports.poll(),
+      onStart,
+      onNewLifetime: () => this.reports.beginLifetime(),
+    });
     this.loop = this.runLoop();
   }
 
@@ -138,9 +148,10 @@
   }
 
   /**
-   * Replaces the worker's entry and raises the fencing token; ends a drain.
+   * Replaces the worker's entry and raises the fencing token; ends a drain. Where the entry states another
+   * lifetime, the worker itself is asked at once.
    *
-   * @param record - the store's entry of the same incarnation of the worker
+   * @param record - the store's entry of the worker at the same address
    * @param fencingToken - the token of the current grant
    */
   update(record: WorkerRecord, fencingToken: number): void {
@@ -149,35 +160,15 @@
     if (this.link.raiseToken(fencingToken)) {
       this.sleeper.wake();
     }
+    if (this.reports.isEntryOfOtherLifetime) {
+      void this.reports.poll();
+    }
   }
 
-  /** Returns whether an entry describes the incarnation of the worker that is managed here. */
-  isSameIncarnation({ startedAtMs, address }: WorkerRecord): boolean {
-    return startedAtMs === this.link.record.startedAtMs && address === this.link.record.address;
-  }
-
-  /**
-   * Starts a run of a task; `onEnd` reports its end.
-   *
-   * @param task - the task
-   * @param taskName - its name on the worker
-   * @param needs - resources that the run occupies
-   * @param expectedMs - expected run time, in milliseconds
-   */
-  start(task: BatchedTask, taskName: string, needs: Resources, expectedMs: number): void {
-    const run: ActiveRun = {
-      task,
-      taskName,
-      run: task.nextRun,
-      needs,
-      startSentAtMs: this.options.clock.nowMs(),
-      expectedMs,
-      phase: 'starting',
-      startedAtMs: undefined,
-      stopAcknowledgedAtMs: undefined,
-    };
-    task.nextRun += 1;
-    task.batch.usedWorkerIds.add(this.workerId);
+  /** Starts the next run of a task; `onEnd` reports what becomes of it. */
+  start(plan: RunPlan): void {
+    const run = createRun(plan, this.options.clock.nowMs());
+    plan.task.batch.usedWorkerIds.add(this.workerId);
     this.runs.add(run);
     void this.orders.start(run);
   }
@@ -201,7 +192,18 @@
     }
   }
 
-  /** Releases the worker at once; its runs are reported as lost and end there with their leases. */
+  /**
+   * Renews no lease from now on and stops all runs; resolves when the worker is closed, after each run was
+   * proved to have ended.
+   */
+  retire(): Promise<void> {
+    this.isRetired = true;
+    this.sleeper.wake();
+    this.runs.list().forEach(({ taskName }) => this.stopTask(taskName));
+    return this.drain();
+  }
+
+  /** Releases the worker at once; whether its runs still go on is unknown from now on. */
   async close(): Promise<void> {
     if (this.isClosed) {
       return;
@@ -209,16 +211,11 @@
     this.isClosed = true;
     this.reports.close();
     this.sleeper.close();
+    this.runs.finishAll({ kind: 'unknown', reason: 'the worker was let go' });
     await this.link.release();
     await this.loop;
   }
 
-  /** Releases the worker at once, since its entry shows that it has restarted. */
-  async closeAfterRestart(): Promise<void> {
-    this.reports.endRunsOfLostWorker('its entry shows a restart');
-    await this.close();
-  }
-
   private isDrainPending(): boolean {
     return this.isDraining && !this.isClosed;
   }
@@ -228,6 +225,8 @@
       if (this.link.isFenced) {
         this.isTakenOver = false;
         await this.waitForToken();
+      } else if (this.isRetired) {
+        await this.readRetired();
       } else if (!this.isTakenOver) {
         await this.takeOver();
       } else {
@@ -235,19 +234,22 @@
         await this.holdOnce();
       }
     }
-    this.runs.finishAll({ kind: 'lost', reason: 'the worker was let go' });
   }
 
   /**
    * Waits for a higher fencing token while another dispatcher uses the worker; the runs of this
-   * daemon are lost when their leases have ended.
+   * daemon end with their leases.
    */
   private async waitForToken(): Promise<void> {
     const { leaseClock } = this.link;
     await this.sleeper.sleep(this.runs.size > 0 ? leaseClock.msUntilAllLeasesEnded() : idlePollMs);
-    if (leaseClock.haveAllLeasesEnded()) {
-      this.runs.finishAll({ kind: 'lost', reason: 'another daemon dispatches to the worker' });
-    }
+    this.reports.endLapsedRuns('fenced');
+  }
+
+  /** Reads how the stopped runs end, without renewing leases. */
+  private async readRetired(): Promise<void> {
+    await this.reports.readWithoutRenewal();
+    await this.options.clock.sleep(checkPauseMs);
   }
 
   /** Reads reports without renewing leases, which stops orphaned runs, until no run is left. */
@@ -267,8 +269,10 @@
 
   /** Waits before the next hold if the worker has no runs; a started run ends the wait. */
   private async waitWhileIdle(): Promise<void> {
+    const { areEndsAcknowledged, isEntryOfOtherLifetime } = this.reports;
     if (this.runs.size === 0) {
-      await this.sleeper.sleep(this.reports.areEndsAcknowledged ? idlePollMs : acknowledgeDelayMs);
+      const isSettled = areEndsAcknowledged && !isEntryOfOtherLifetime;
+      await this.sleeper.sleep(isSettled ? idlePollMs : unsettledPollMs);
     }
   }
 
@@ -283,14 +287,10 @@
     this.options.onAvailabilityChange();
   }
 
-  /** Records that the worker has started a run, and wakes the loop so that its lease is renewed. */
+  /** Records that the worker has a run, and wakes the loop so that its lease is renewed. */
   private markStarted(run: ActiveRun): void {
-    if (run.startedAtMs === undefined) {
-      run.startedAtMs = this.options.clock.nowMs();
+    if (recordStart(run, this.options.clock.nowMs())) {
       this.sleeper.wake();
     }
-    if (run.phase === 'starting') {
-      run.phase = 'running';
-    }
   }
 }
--- a/src/dispatch/recordOutcome.ts
+++ b/src/dispatch/recordOutcome.ts
@@ -1,39 +1,61 @@
 /**
- * What the outcome of a run says about its worker.
+ * What the end of a run says about its worker.
  */
 import { unreachable } from '../errors/unreachable.js';
-import type { ActiveRun, RunOutcome } from './activeRun.js';
+import type { ActiveRun } from './activeRun.js';
 import type { ManagedWorker } from './managedWorker.js';
+import type { ListedEnd, RunEvidence } from './runEvidence.js';
 
 /**
- * Records the outcome of a run in the health and the speed of its worker.
+ * Records what is known of a run in the health and the speed of its worker.
  *
  * @param worker - the worker
- * @param run - the run that has ended
- * @param outcome - how it ended
+ * @param run - the run
+ * @param evidence - what is known of it
  * @param nowMs - monotonic time
  */
 export const recordOutcome = (
   worker: ManagedWorker,
   run: ActiveRun,
-  outcome: RunOutcome,
+  evidence: RunEvidence,
   nowMs: number,
 ): void => {
-  switch (outcome.kind) {
+  switch (evidence.kind) {
+    case 'ended':
+      recordListedEnd(worker, run, evidence.end, nowMs);
+      return;
+    case 'stopped':
+    case 'lapsed':
+    case 'gone-with-lifetime':
+    case 'never-accepted':
+    case 'absent':
+    case 'unknown':
+      return;
+    default:
+      return unreachable(evidence);
+  }
+};
+
+const recordListedEnd = (
+  worker: ManagedWorker,
+  run: ActiveRun,
+  end: ListedEnd,
+  nowMs: number,
+): void => {
+  switch (end.how) {
     case 'done':
       worker.health.recordSuccess();
-      worker.speed.observe(outcome.runTimeMs, run.task.batch.content.estimatedMs, nowMs);
+      worker.speed.observe(end.runTimeMs, run.task.batch.content.estimatedMs, nowMs);
       return;
     case 'failed':
       worker.health.recordFault();
       return;
-    case 'invalid':
-    case 'used-number':
-    case 'not-started':
-    case 'lost':
-    case 'worker-lost':
+    case 'stopped':
+    case 'lapsed':
+    case 'broken':
+    case 'alone':
       return;
     default:
-      return unreachable(outcome);
+      return unreachable(end);
   }
 };
--- a/src/dispatch/reportProcessor.spec.ts
+++ b/src/dispatch/reportProcessor.spec.ts
@@ -5,6 +5,7 @@
 import type { ActiveRun } from './activeRun.js';
 import { OpenBatch } from './openBatch.js';
 import { ReportProcessor } from './reportProcessor.js';
+import type { ReportContext } from './runEvidence.js';
 import { RunTable } from './runTable.js';
 
 // Guards against a start on cores that a run still uses while it is being stopped.
@@ -21,6 +22,7 @@
     phase: 'stopping',
     startedAtMs: 1,
     stopAcknowledgedAtMs: 100,
+    lifetimeMs: undefined,
   };
   const runs = RunTable.create(() => undefined);
   const processor = ReportProcessor.create({
@@ -30,14 +32,19 @@
     onOrphan: () => undefined,
   });
   const report = { workerClockMs: 0, running: [], ends: [] };
+  const requestedAt = (requestedAtMs: number): ReportContext => ({
+    requestedAtMs,
+    lifetimeMs: undefined,
+    departure: 'crash',
+  });
   runs.add(run);
-  processor.apply(report, 120);
+  processor.apply(report, requestedAt(120));
   assert.ok(runs.has(run));
-  processor.apply(report, 160);
+  processor.apply(report, requestedAt(160));
   assert.not.ok(runs.has(run));
   runs.add(run);
   const end = { endNumber: 1, taskName: 't', run: 1, how: 'stopped' as const };
-  processor.apply({ ...report, ends: [end] }, 120);
+  processor.apply({ ...report, ends: [end] }, requestedAt(120));
   assert.not.ok(runs.has(run));
 });
 
--- /dev/null
+++ b/src/dispatch/runEvidence.spec.ts
@@ -0,0 +1,87 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { batchFixture } from '../testing/dispatchFixtures.js';
+import { createRun } from './activeRun.js';
+import type { ActiveRun } from './activeRun.js';
+import { OpenBatch } from './openBatch.js';
+import {
+  consequenceOf,
+  evidenceOfSilence,
+  evidenceOfStartReply,
+  evidenceOfUnlistedRun,
+  maxStopMs,
+  suspicionOf,
+} from './runEvidence.js';
+import type { RunEvidence } from './runEvidence.js';
+
+const runWith = (changes: Partial<ActiveRun>): ActiveRun => {
+  const [task] = OpenBatch.create('vm', batchFixture, 0).tasks;
+  assert.ok(task);
+  const needs = batchFixture.needs.resources;
+  return { ...createRun({ task, taskName: 't', needs, expectedMs: 100 }, 0), ...changes };
+};
+
+const kindOfUnlisted = (
+  changes: Partial<ActiveRun>,
+  requestedAtMs: number,
+  lifetimeMs?: number,
+): string =>
+  evidenceOfUnlistedRun(runWith(changes), { requestedAtMs, lifetimeMs, departure: 'crash' }).kind;
+
+// Guards against a second start of a task whose run is only missing from a report.
+test('a run that a report does not list is unknown unless the report is recent enough', () => {
+  assert.is(kindOfUnlisted({}, 1_000), 'unknown');
+  const accepted = { phase: 'running', startedAtMs: 10 } as const;
+  assert.is(kindOfUnlisted(accepted, 10), 'unknown');
+  assert.is(kindOfUnlisted(accepted, 11), 'absent');
+  const stopped = { phase: 'stopping', startedAtMs: 10, stopAcknowledgedAtMs: 20 } as const;
+  assert.is(kindOfUnlisted(stopped, 20 + maxStopMs - 1), 'unknown');
+  assert.is(kindOfUnlisted(stopped, 20 + maxStopMs), 'stopped');
+  assert.is(kindOfUnlisted({ phase: 'stopping', startedAtMs: 10 }, 1_000), 'unknown');
+});
+
+// Guards against crashes that are counted under tasks which began after them.
+test('a run goes with a lifetime only if it is proved to have begun in it', () => {
+  const accepted = { phase: 'running', startedAtMs: 10 } as const;
+  assert.is(kindOfUnlisted({ ...accepted, lifetimeMs: 5 }, 1, 6), 'gone-with-lifetime');
+  assert.is(kindOfUnlisted({ ...accepted, lifetimeMs: 6 }, 1, 6), 'unknown');
+  assert.is(kindOfUnlisted(accepted, 1, 6), 'unknown');
+  assert.is(kindOfUnlisted(accepted, 11, 6), 'absent');
+});
+
+// Guards against a second start while a worker is silent.
+test('silence proves nothing before all leases have ended', () => {
+  assert.is(evidenceOfSilence(false, 'silent').kind, 'unknown');
+  assert.equal(evidenceOfSilence(true, 'silent'), { kind: 'lapsed', cause: 'silent' });
+});
+
+// Guards against a second start after a start whose answer was lost.
+test('a start without an answer is unknown', () => {
+  assert.is(evidenceOfStartReply({ kind: 'no-answer', detail: '' }).kind, 'unknown');
+  assert.is(evidenceOfStartReply({ kind: 'unhealthy', status: 503 }).kind, 'never-accepted');
+  assert.is(evidenceOfStartReply({ kind: 'started', workerClockMs: 1 }).kind, 'accepted');
+});
+
+// Guards against starts without proof, and against tasks that are given up without a crash.
+test('only proofs allow another start, and only the end of a lifetime is a crash', () => {
+  const judged: readonly [RunEvidence, string, string][] = [
+    [{ kind: 'ended', end: { how: 'done', runTimeMs: 1 } }, 'done', 'none'],
+    [{ kind: 'ended', end: { how: 'failed' } }, 'may-start', 'none'],
+    [{ kind: 'stopped' }, 'may-start', 'none'],
+    [{ kind: 'lapsed', cause: 'silent' }, 'may-start', 'suspected'],
+    [{ kind: 'lapsed', cause: 'draining' }, 'may-start', 'none'],
+    [{ kind: 'lapsed', cause: 'fenced' }, 'may-start', 'none'],
+    [{ kind: 'gone-with-lifetime', departure: 'crash' }, 'may-start', 'crashed'],
+    [{ kind: 'gone-with-lifetime', departure: 'expected' }, 'may-start', 'none'],
+    [{ kind: 'never-accepted', refusal: { why: 'used-number' } }, 'may-start', 'none'],
+    [{ kind: 'never-accepted', refusal: { why: 'invalid', reason: '' } }, 'rejected', 'none'],
+    [{ kind: 'absent' }, 'may-start', 'none'],
+    [{ kind: 'unknown', reason: '' }, 'must-not-start', 'none'],
+  ];
+  for (const [evidence, consequence, suspicion] of judged) {
+    assert.is(consequenceOf(evidence).kind, consequence);
+    assert.is(suspicionOf(evidence), suspicion);
+  }
+});
+
+test.run();
--- a/src/dispatch/runOrders.ts
+++ b/src/dispatch/runOrders.ts
@@ -6,7 +6,7 @@
 import type { Logger } from '../ports/logger.js';
 import type { StartReply } from '../ports/workers.js';
 import type { ActiveRun } from './activeRun.js';
-import { maxStopMs } from './reportProcessor.js';
+import { evidenceOfStartReply, maxStopMs } from './runEvidence.js';
 import type { RunTable } from './runTable.js';
 import type { WorkerLink } from './workerLink.js';
 import type { WorkerHealth } from './workerHealth.js';
@@ -21,6 +21,8 @@
   readonly poll: () => Promise<void>;
   /** Called with a run whose start the worker has acknowledged. */
   readonly onStart: (run: ActiveRun) => void;
+  /** Called when the reply to a start is the first word of a new lifetime of the worker. */
+  readonly onNewLifetime: () => void;
 }
 
 export class RunOrders {
@@ -32,8 +34,10 @@
 
   /** Orders the start of a run of the table; ignores the reply if the run has ended meanwhile. */
   async start(run: ActiveRun): Promise<void> {
-    const { link, runs } = this.options;
+    const { clock, link, runs } = this.options;
+    const requestedAtMs = clock.nowMs();
     const reply = await link.start(run);
+    this.observeReply(run, reply, requestedAtMs);
     if (runs.has(run)) {
       await this.handleStartReply(run, reply);
     }
@@ -44,8 +48,9 @@
     const { clock, link, runs, poll } = this.options;
     run.phase = 'stopping';
     while (runs.has(run)) {
+      const { startedAtMs } = link.lifetime;
       const isStopped = await link.stop(run.taskName, run.run);
-      if (isStopped) {
+      if (isStopped && link.lifetime.startedAtMs === startedAtMs) {
         run.stopAcknowledgedAtMs ??= clock.nowMs();
       }
       await clock.sleep(maxStopMs);
@@ -73,55 +78,72 @@
     }
   }
 
-  private async handleStartReply(run: ActiveRun, reply: StartReply): Promise<void> {
-    const { link, runs, health, onStart } = this.options;
+  /** Learns from a reply to a start which lifetime of the worker it is of, and reads the worker's clock. */
+  private observeReply(run: ActiveRun, reply: StartReply, requestedAtMs: number): void {
+    const { link, onNewLifetime } = this.options;
     switch (reply.kind) {
       case 'started':
-        link.leaseClock.recordReading(reply.workerClockMs);
-        onStart(run);
-        return;
       case 'refused':
         link.leaseClock.recordReading(reply.workerClockMs);
-        this.handleRefusal(run, reply.reason);
+        if (link.lifetime.observe(reply, requestedAtMs) === 'new') {
+          onNewLifetime();
+        }
+        if (reply.kind === 'started') {
+          run.lifetimeMs ??= link.lifetime.provenBy(reply, requestedAtMs);
+        }
         return;
       case 'invalid':
-        runs.finish(run, { kind: 'invalid', reason: reply.detail });
-        return;
       case 'stale-token':
-        runs.finish(run, { kind: 'not-started', reason: reply.kind });
-        return;
       case 'replaced':
       case 'unhealthy':
       case 'unreachable':
-        health.recordUnreachable();
-        runs.finish(run, { kind: 'not-started', reason: reply.kind });
-        return;
       case 'no-answer':
-        await this.resolveUnknownStart(run);
         return;
       default:
         return unreachable(reply);
     }
   }
 
-  private handleRefusal(
-    run: ActiveRun,
-    reason: Extract<StartReply, { kind: 'refused' }>['reason'],
-  ): void {
-    const { runs, health } = this.options;
-    switch (reason) {
-      case 'used-number':
-        runs.finish(run, { kind: 'used-number' });
+  private async handleStartReply(run: ActiveRun, reply: StartReply): Promise<void> {
+    const { runs, onStart } = this.options;
+    const evidence = evidenceOfStartReply(reply);
+    switch (evidence.kind) {
+      case 'accepted':
+        onStart(run);
         return;
-      case 'no-room':
-        health.recordBusy();
-        runs.finish(run, { kind: 'not-started', reason });
+      case 'never-accepted':
+        this.recordRefusal(reply);
+        runs.finish(run, evidence);
         return;
-      case 'lease-over':
-        runs.finish(run, { kind: 'not-started', reason });
+      case 'unknown':
+        await this.resolveUnknownStart(run);
         return;
       default:
-        return unreachable(reason);
+        return unreachable(evidence);
+    }
+  }
+
+  /** Records what a refused start says of the worker's health. */
+  private recordRefusal(reply: StartReply): void {
+    const { health } = this.options;
+    switch (reply.kind) {
+      case 'refused':
+        if (reply.reason === 'no-room') {
+          health.recordBusy();
+        }
+        return;
+      case 'replaced':
+      case 'unhealthy':
+      case 'unreachable':
+        health.recordUnreachable();
+        return;
+      case 'started':
+      case 'invalid':
+      case 'stale-token':
+      case 'no-answer':
+        return;
+      default:
+        return unreachable(reply);
     }
   }
 
--- a/src/dispatch/runTable.ts
+++ b/src/dispatch/runTable.ts
@@ -3,13 +3,14 @@
  */
 import { addResources, noResources, subtractResources } from '../types/resources.js';
 import type { Resources } from '../types/resources.js';
-import type { ActiveRun, RunOutcome } from './activeRun.js';
+import type { ActiveRun } from './activeRun.js';
+import type { RunEvidence } from './runEvidence.js';
 import type { CapacityRelease } from '../types/fleet.js';
 
 /** A run is expected to go on for at least this share of its expected run time, also if overdue. */
 const minRemainingShare = 0.2;
 
-export type RunEndListener = (run: ActiveRun, outcome: RunOutcome) => void;
+export type RunEndListener = (run: ActiveRun, evidence: RunEvidence) => void;
 
 export class RunTable {
   private readonly runs = new Map<string, ActiveRun>();
@@ -18,7 +19,7 @@
   private constructor(private readonly onEnd: RunEndListener) {}
 
   /**
-   * @param onEnd - called once for each run, when it can no longer be running
+   * @param onEnd - called once for each run, with what is known of it
    */
   static create(onEnd: RunEndListener): RunTable {
     return new RunTable(onEnd);
@@ -51,18 +52,18 @@
     this.usedResources = addResources(this.usedResources, run.needs);
   }
 
-  /** Removes a run and reports its end; a second end is ignored. */
-  finish(run: ActiveRun, outcome: RunOutcome): void {
+  /** Removes a run and reports what is known of it; a second time is ignored. */
+  finish(run: ActiveRun, evidence: RunEvidence): void {
     if (this.has(run)) {
       this.runs.delete(run.taskName);
       this.usedResources = subtractResources(this.usedResources, run.needs);
-      this.onEnd(run, outcome);
+      this.onEnd(run, evidence);
     }
   }
 
-  /** Ends all runs with the same outcome. */
-  finishAll(outcome: RunOutcome): void {
-    this.list().forEach((run) => this.finish(run, outcome));
+  /** Removes all runs with the same evidence. */
+  finishAll(evidence: RunEvidence): void {
+    this.list().forEach((run) => this.finish(run, evidence));
   }
 
   /** Counts the runs of one step of a job. */
--- a/src/dispatch/taskRetries.ts
+++ b/src/dispatch/taskRetries.ts
@@ -4,10 +4,11 @@
  */
 import { unreachable } from '../errors/unreachable.js';
 import type { Logger } from '../ports/logger.js';
-import type { RunOutcome } from './activeRun.js';
 import { maxLostWorkers } from './crashSuspects.js';
 import type { CrashSuspects } from './crashSuspects.js';
 import type { BatchedTask } from './openBatch.js';
+import { consequenceOf } from './runEvidence.js';
+import type { RunEvidence, TaskConsequence } from './runEvidence.js';
 import { taskNameOf } from './taskNames.js';
 import type { TaskStarter } from './taskStarter.js';
 
@@ -51,32 +52,48 @@
     this.options.suspects.recordOwn({ taskName: taskNameOf(task), lostWorkers });
   }
 
-  /** Ends the task of an ended run, or queues it for another run. */
-  endOrRetry(task: BatchedTask, outcome: RunOutcome, { workerId, slowness }: RunWorker): void {
+  /** Ends the task of a run, or queues it for another run if what is known of the run allows it. */
+  endOrRetry(task: BatchedTask, evidence: RunEvidence, worker: RunWorker): void {
     const { batch, index } = task;
-    switch (outcome.kind) {
+    const consequence = consequenceOf(evidence);
+    switch (consequence.kind) {
       case 'done': {
-        const lengthMs = Math.round(outcome.runTimeMs / slowness);
+        const lengthMs = Math.round(consequence.runTimeMs / worker.slowness);
         batch.end(task, { kind: 'done', index, lengthMs });
         return;
       }
-      case 'invalid':
-        batch.end(task, { kind: 'failed', index, reason: outcome.reason });
+      case 'rejected':
+        batch.end(task, { kind: 'failed', index, reason: consequence.reason });
         return;
-      case 'used-number':
+      case 'must-not-start':
+        batch.end(task, { kind: 'withdrawn', index });
+        return;
+      case 'may-start':
+        this.retry(task, consequence.why, worker);
+        return;
+      default:
+        return unreachable(consequence);
+    }
+  }
+
+  private retry(
+    task: BatchedTask,
+    why: Extract<TaskConsequence, { kind: 'may-start' }>['why'],
+    { workerId }: RunWorker,
+  ): void {
+    switch (why) {
+      case 'number-used':
         task.nextRun += runNumberSkip;
         break;
-      case 'failed':
+      case 'run-failed':
         task.failedRuns += 1;
         task.avoidedWorkerIds.add(workerId);
         break;
-      case 'not-started':
-      case 'lost':
-      case 'worker-lost':
+      case 'run-ended':
         task.avoidedWorkerIds.add(workerId);
         break;
       default:
-        return unreachable(outcome);
+        return unreachable(why);
     }
     this.enqueueOrFail(task);
     this.options.starter.startReadyTasks();
--- a/src/dispatch/taskStarter.ts
+++ b/src/dispatch/taskStarter.ts
@@ -162,7 +162,8 @@
       leftMs: Math.round(task.batch.objectiveAtMs - nowMs),
       ageMs: Math.round(nowMs - task.batch.arrivedAtMs),
     });
-    candidate.worker.start(task, taskName, task.batch.content.needs.resources, expectedMs);
+    const needs = task.batch.content.needs.resources;
+    candidate.worker.start({ task, taskName, needs, expectedMs });
   }
 }
 
--- /dev/null
+++ b/src/dispatch/workerLifetime.ts
@@ -0,0 +1,97 @@
+/**
+ * The lifetime of a worker that last reported, which its start time identifies, and a reading of its clock in
+ * that lifetime. Lifetimes are ordered by cause: a clock that is set can move start times back.
+ */
+import type { Clock } from '../ports/clock.js';
+
+/** Largest share by which the clock of a worker may differ in speed from that of this process. */
+const maxDrift = 0.03;
+/** Allowance for the resolution of both clocks. */
+const slackMs = 20;
+
+/** What a reply of the worker says of the lifetime that sent it. */
+export interface LifetimeStatement {
+  /** Start of the replying lifetime, in milliseconds since the epoch, if the reply states it. */
+  readonly startedAtMs?: number | undefined;
+  /** The worker's own clock, in milliseconds. */
+  readonly workerClockMs: number;
+}
+
+/** A reading of the worker's clock, taken at some time between a request and its reply. */
+interface Reading {
+  readonly workerClockMs: number;
+  /** In monotonic time. */
+  readonly requestedAtMs: number;
+  /** In monotonic time. */
+  readonly receivedAtMs: number;
+}
+
+/** How a statement relates to the last one: `stale` if a later lifetime has been heard of already. */
+export type LifetimeChange = 'same' | 'new' | 'stale';
+
+export class WorkerLifetime {
+  private knownStartMs: number | undefined;
+  /** Last reading that is proved to be of the known lifetime. */
+  private reading: Reading | undefined;
+
+  private constructor(private readonly clock: Clock) {}
+
+  static create(clock: Clock): WorkerLifetime {
+    return new WorkerLifetime(clock);
+  }
+
+  /** Start of the lifetime that last reported, in milliseconds since the epoch; undefined before. */
+  get startedAtMs(): number | undefined {
+    return this.knownStartMs;
+  }
+
+  /**
+   * Takes note of a reply.
+   *
+   * @param statement - what the reply says
+   * @param requestedAtMs - when it was requested, in monotonic time
+   */
+  observe(
+    { startedAtMs, workerClockMs }: LifetimeStatement,
+    requestedAtMs: number,
+  ): LifetimeChange {
+    if (startedAtMs === undefined) {
+      return 'same';
+    }
+    const isOther = this.knownStartMs !== undefined && startedAtMs !== this.knownStartMs;
+    if (isOther && this.reading !== undefined && requestedAtMs < this.reading.receivedAtMs) {
+      return 'stale';
+    }
+    this.knownStartMs = startedAtMs;
+    this.reading = { workerClockMs, requestedAtMs, receivedAtMs: this.clock.nowMs() };
+    return isOther ? 'new' : 'same';
+  }
+
+  /**
+   * Finds the lifetime that a reply is of, by its statement or since its clock continues that of the known one.
+   *
+   * @returns start of the lifetime, or undefined if the reply proves none
+   */
+  provenBy(statement: LifetimeStatement, requestedAtMs: number): number | undefined {
+    return (
+      statement.startedAtMs ??
+      (this.isContinuedBy(statement, requestedAtMs) ? this.knownStartMs : undefined)
+    );
+  }
+
+  /**
+   * Whether a clock reading is of the known lifetime: it lies where the last reading leads to, and is higher
+   * than a clock can be that started anew after the last reading.
+   */
+  private isContinuedBy({ workerClockMs }: LifetimeStatement, requestedAtMs: number): boolean {
+    if (this.reading === undefined) {
+      return false;
+    }
+    const { reading } = this;
+    const leastMs = requestedAtMs - reading.receivedAtMs;
+    const mostMs = (this.clock.nowMs() - reading.requestedAtMs) * (1 + maxDrift) + slackMs;
+    const lowestMs = reading.workerClockMs + Math.min(leastMs, leastMs * (1 - maxDrift)) - slackMs;
+    const isOnLine = workerClockMs >= lowestMs && workerClockMs <= reading.workerClockMs + mostMs;
+    return isOnLine && workerClockMs > mostMs;
+  }
+}
--- a/src/dispatch/workerLink.ts
+++ b/src/dispatch/workerLink.ts
@@ -7,6 +7,7 @@
 import type { WorkerRecord } from '../types/workers.js';
 import type { ActiveRun } from './activeRun.js';
 import { LeaseClock } from './leaseClock.js';
+import { WorkerLifetime } from './workerLifetime.js';
 
 const startTimeoutMs = 150;
 const stopTimeoutMs = 150;
@@ -34,6 +35,7 @@
 
 export class WorkerLink {
   readonly leaseClock: LeaseClock;
+  readonly lifetime: WorkerLifetime;
   record: WorkerRecord;
   private token: number;
   /** Highest token that was refused, or -1; stops are not sent with it or a lower one. */
@@ -43,6 +45,7 @@
     this.record = options.record;
     this.token = options.fencingToken;
     this.leaseClock = LeaseClock.create(options.clock, options.leaseMs);
+    this.lifetime = WorkerLifetime.create(options.clock);
   }
 
   static create(options: WorkerLinkOptions): WorkerLink {
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -44,6 +44,8 @@
 
 export class WorkerPool {
   private readonly workers = new Map<string, ManagedWorker>();
+  /** Workers at an earlier address of theirs, until their runs there are proved to have ended. */
+  private readonly retired = new Set<ManagedWorker>();
 
   private constructor(private readonly options: WorkerPoolOptions) {}
 
@@ -56,8 +58,8 @@
   }
 
   /**
-   * Sets the workers. Those that are no longer listed are drained; those that have restarted are
-   * replaced at once.
+   * Sets the workers. Those that are no longer listed are drained; those that are listed at another address
+   * are managed anew there, and retired at the earlier one.
    *
    * @param records - their entries in the store
    * @param fencingToken - the token of the grant of their shards
@@ -70,11 +72,11 @@
       const record = wanted.get(workerId);
       if (record === undefined) {
         released.push(this.drainAndRemove(workerId, worker));
-      } else if (worker.isSameIncarnation(record)) {
+      } else if (worker.record.address === record.address) {
         worker.update(record, fencingToken);
       } else {
         this.workers.delete(workerId);
-        released.push(worker.closeAfterRestart());
+        released.push(this.retire(worker));
       }
     }
     for (const [workerId, record] of wanted) {
@@ -149,11 +151,27 @@
   /** Stops the run of a task on whichever worker has it. */
   stopTask(task: BatchedTask): void {
     const taskName = taskNameOf(task);
-    this.workers.forEach((worker) => worker.stopTask(taskName));
+    this.listAll().forEach((worker) => worker.stopTask(taskName));
   }
 
+  /** Stops the runs of all workers and releases each worker once its runs are proved to have ended. */
+  async retireAll(): Promise<void> {
+    await Promise.all(this.listAll().map((worker) => this.retire(worker)));
+  }
+
+  /** Releases all workers at once; runs that have not ended are reported as unknown. */
   async close(): Promise<void> {
-    await Promise.all([...this.workers.values()].map((worker) => worker.close()));
+    await Promise.all(this.listAll().map((worker) => worker.close()));
+  }
+
+  private listAll(): ManagedWorker[] {
+    return [...this.workers.values(), ...this.retired];
+  }
+
+  private async retire(worker: ManagedWorker): Promise<void> {
+    this.retired.add(worker);
+    await worker.retire();
+    this.retired.delete(worker);
   }
 
   private toCandidate(worker: ManagedWorker): LocalCandidate {
--- a/src/dispatch/workerReports.ts
+++ b/src/dispatch/workerReports.ts
@@ -12,6 +12,8 @@
 import { ReportProcessor } from './reportProcessor.js';
 import type { RunTable } from './runTable.js';
 import { OrphanedRuns } from './orphanedRuns.js';
+import { evidenceOfSilence } from './runEvidence.js';
+import type { Silence } from './runEvidence.js';
 import type { WorkerLink } from './workerLink.js';
 
 /** Longest wait for the end of a run in one hold; well under the shortest lease. */
@@ -41,8 +43,6 @@
   private acknowledgedEnd = 0;
   /** Holds in a row that failed. */
   private failedHolds = 0;
-  /** Start time of the worker by its last report, or by its entry before the first report. */
-  private reportedStartMs: number | undefined;
   /** When the last report was received, in monotonic time. */
   private lastReportAtMs: number;
   private isClosed = false;
@@ -50,7 +50,6 @@
   private constructor(private readonly options: WorkerReportsOptions) {
     const { clock, link, runs, onStart } = options;
     this.lastReportAtMs = clock.nowMs();
-    this.reportedStartMs = link.record.startedAtMs;
     const orphans = OrphanedRuns.create(({ taskName, run }) => link.stop(taskName, run));
     const onOrphan = orphans.stop.bind(orphans);
     this.processor = ReportProcessor.create({ clock, runs, onStart, onOrphan });
@@ -60,14 +59,19 @@
     return new WorkerReports(options);
   }
 
-  /** Whether no hold has failed since the last report, and the worker has not restarted since its entry. */
+  /** Whether no hold has failed since the last report, and the worker's entry is of its last lifetime. */
   get isAnswering(): boolean {
-    return this.failedHolds === 0 && !this.hasRestarted;
+    return this.failedHolds === 0 && !this.isEntryOfOtherLifetime;
   }
 
-  private get hasRestarted(): boolean {
-    const { startedAtMs } = this.options.link.record;
-    return startedAtMs !== undefined && startedAtMs !== this.reportedStartMs;
+  /**
+   * Whether the worker's entry and its reports state different lifetimes. The entry proves nothing; which of
+   * the two is older shows with the next report or the next entry.
+   */
+  get isEntryOfOtherLifetime(): boolean {
+    const { record, lifetime } = this.options.link;
+    const known = lifetime.startedAtMs;
+    return known !== undefined && record.startedAtMs !== undefined && record.startedAtMs !== known;
   }
 
   /** Whether every end that was applied here has been acknowledged to the worker. */
@@ -108,25 +112,32 @@
     }
   }
 
+  /** Ends the runs whose leases have certainly ended; the others go on. */
+  endLapsedRuns(cause: Silence): void {
+    const { link, runs } = this.options;
+    const evidence = evidenceOfSilence(link.leaseClock.haveAllLeasesEnded(), cause);
+    if (evidence.kind !== 'unknown') {
+      this.logLostRuns(`its leases have ended: ${cause}`, runs.size);
+      runs.finishAll(evidence);
+    }
+  }
+
   /**
-   * Ends the runs of a worker that has restarted, or that was silent until their leases had ended. A
-   * draining worker was expected to leave, so that its runs are not suspected of crashing it.
-   *
-   * @param reason - how the loss of the worker was noticed
+   * Starts over with what a worker counts anew in each lifetime. Stops that an earlier lifetime has confirmed
+   * prove nothing, since starts that are under way may arrive in the new one.
    */
-  endRunsOfLostWorker(reason: string): void {
-    const { clock, link, logger, runs } = this.options;
-    if (runs.size === 0) {
-      return;
+  beginLifetime(): void {
+    const { link, logger, runs } = this.options;
+    logger.info('The worker has restarted.', { workerId: link.workerId });
+    this.processor.resetEndNumbers();
+    this.acknowledgedEnd = 0;
+    for (const run of runs.list()) {
+      run.stopAcknowledgedAtMs = undefined;
     }
-    logger.warn('A worker is lost with its runs.', {
-      workerId: link.workerId,
-      state: link.record.state,
-      reason,
-      count: runs.size,
-      ageMs: Math.round(clock.nowMs() - this.lastReportAtMs),
-    });
-    runs.finishAll({ kind: link.record.state === 'draining' ? 'lost' : 'worker-lost', reason });
+    const { startedAtMs } = link.lifetime;
+    const isOfEarlier = ({ lifetimeMs }: ActiveRun): boolean =>
+      lifetimeMs !== undefined && lifetimeMs !== startedAtMs;
+    this.logLostRuns('it has restarted', runs.list().filter(isOfEarlier).length);
   }
 
   /** Ignores all reports from now on. */
@@ -144,8 +155,7 @@
       return undefined;
     }
     this.acknowledgedEnd = lastSeenEnd;
-    this.applyReport(reply.report, sentAtMs);
-    return reply.report;
+    return this.applyReport(reply.report, sentAtMs) ? reply.report : undefined;
   }
 
   private async handleFailure(failure: OrderFailure): Promise<void> {
@@ -153,9 +163,6 @@
       case 'stale-token':
         return;
       case 'replaced':
-        this.endRunsOfLostWorker('another incarnation answers at its address');
-        await this.pauseAfterFailedHold(failure.kind);
-        return;
       case 'unhealthy':
       case 'unreachable':
       case 'no-answer':
@@ -178,44 +185,45 @@
     const pauseMs = Math.min(failedHoldPauseMs * (this.failedHolds - 1), maxFailedHoldPauseMs);
     const leaseLeftMs = link.leaseClock.msUntilAllLeasesEnded();
     await sleeper.sleep(runs.size > 0 ? Math.min(pauseMs, leaseLeftMs + 1) : pauseMs);
-    if (link.leaseClock.haveAllLeasesEnded()) {
-      this.endRunsOfLostWorker('it does not answer');
-    }
+    this.endLapsedRuns(link.record.state === 'draining' ? 'draining' : 'silent');
   }
 
-  private applyReport(report: WorkerReport, sentAtMs: number): void {
-    const { link, logger, onReport } = this.options;
-    if (this.isClosed) {
-      return;
+  /** @returns whether the report was applied, since it is not of an earlier lifetime than the last one */
+  private applyReport(report: WorkerReport, requestedAtMs: number): boolean {
+    const { clock, link, logger, onReport } = this.options;
+    const change = link.lifetime.observe(report, requestedAtMs);
+    if (this.isClosed || change === 'stale') {
+      return false;
     }
     if (this.failedHolds >= maxFailedHolds) {
       logger.info('The worker answers again.', { workerId: link.workerId });
     }
     this.failedHolds = 0;
-    this.lastReportAtMs = this.options.clock.nowMs();
     link.leaseClock.recordReading(report.workerClockMs);
-    this.detectRestart(report);
-    this.processor.apply(report, sentAtMs);
+    if (change === 'new') {
+      this.beginLifetime();
+    }
+    this.lastReportAtMs = clock.nowMs();
+    this.processor.apply(report, {
+      requestedAtMs,
+      lifetimeMs: report.startedAtMs,
+      departure: link.record.state === 'draining' ? 'expected' : 'crash',
+    });
     onReport();
+    return true;
   }
 
-  /**
-   * A worker that has restarted under its id has lost its runs and counts ends from the start. It may have
-   * another capacity and other labels, so that it gets nothing until its new entry replaces this one.
-   */
-  private detectRestart({ startedAtMs }: WorkerReport): void {
-    const { link, logger } = this.options;
-    if (startedAtMs === undefined || startedAtMs === this.reportedStartMs) {
-      return;
-    }
-    const isFirstReport = this.reportedStartMs === undefined;
-    this.reportedStartMs = startedAtMs;
-    if (isFirstReport) {
+  private logLostRuns(reason: string, count: number): void {
+    const { clock, link, logger } = this.options;
+    if (count === 0) {
       return;
     }
-    logger.info('The worker has restarted.', { workerId: link.workerId });
-    this.endRunsOfLostWorker('it has restarted');
-    this.processor.resetEndNumbers();
-    this.acknowledgedEnd = 0;
+    logger.warn('A worker is lost with its runs.', {
+      workerId: link.workerId,
+      state: link.record.state,
+      reason,
+      count,
+      ageMs: Math.round(clock.nowMs() - this.lastReportAtMs),
+    });
   }
 }
--- a/src/ports/workers.ts
+++ b/src/ports/workers.ts
@@ -43,12 +43,19 @@
   | { readonly kind: 'no-answer'; readonly detail: string };
 
 export type StartReply =
-  | { readonly kind: 'started'; readonly workerClockMs: number }
+  | {
+      readonly kind: 'started';
+      readonly workerClockMs: number;
+      /** Start of the replying worker, in milliseconds since the epoch, if the reply states it. */
+      readonly startedAtMs?: number | undefined;
+    }
   | {
       readonly kind: 'refused';
       /** `used-number`: a run of this number or a higher one has already ended there. */
       readonly reason: 'used-number' | 'lease-over' | 'no-room';
       readonly workerClockMs: number;
+      /** Start of the replying worker, in milliseconds since the epoch, if the reply states it. */
+      readonly startedAtMs?: number | undefined;
     }
   /** The worker rejects the order as not valid. */
   | { readonly kind: 'invalid'; readonly detail: string }
--- a/src/testing/simulatedWorkers.ts
+++ b/src/testing/simulatedWorkers.ts
@@ -5,6 +5,7 @@
 import type {
   HoldOrder,
   HoldReply,
+  OrderFailure,
   RunOrder,
   StartReply,
   StopOrder,
@@ -17,6 +18,10 @@
 const crashDelayMs = 10;
 const restartDelayMs = 3_000;
 const holdStepMs = 10;
+/** Age of the workers at the start of a test. */
+const initialAgeMs = 1_000_000;
+/** Longest time that an order waits for its answer. */
+const silenceMs = 150;
 
 /** A start that a worker carried out. */
 export interface SimulatedStart {
@@ -26,11 +31,17 @@
   readonly atMs: number;
   /** Names of the tasks that ran there already. */
   readonly besides: readonly string[];
+  /** Other workers on which the task ran at that time. */
+  readonly elsewhere: readonly string[];
 }
 
 interface SimulatedWorker {
   startedAtMs: number;
+  /** When its own clock showed 0. */
+  clockStartMs: number;
   isDown: boolean;
+  /** Whether it receives nothing, while its runs go on. */
+  isCutOff: boolean;
   readonly runs: Map<string, number>;
   ends: ReportedEnd[];
   lastEndNumber: number;
@@ -61,15 +72,24 @@
     return this.starts.filter((start) => start.taskName === taskName);
   }
 
-  /** Crashes a worker; it restarts under its id some seconds later. */
-  async crash(workerId: string): Promise<void> {
+  /** Cuts a worker off for a time in milliseconds; its runs go on. */
+  async cutOff(workerId: string, durationMs: number): Promise<void> {
+    const worker = this.find(workerId);
+    worker.isCutOff = true;
+    await this.options.clock.sleep(durationMs);
+    worker.isCutOff = false;
+  }
+
+  /** Crashes a worker; it restarts under its id after a time in milliseconds, and its clock starts anew. */
+  async crash(workerId: string, downMs = restartDelayMs): Promise<void> {
     const worker = this.find(workerId);
     worker.isDown = true;
     worker.runs.clear();
     worker.ends = [];
     worker.lastEndNumber = 0;
-    await this.options.clock.sleep(restartDelayMs);
+    await this.options.clock.sleep(downMs);
     worker.startedAtMs += 1;
+    worker.clockStartMs = this.options.clock.nowMs();
     worker.isDown = false;
   }
 
@@ -80,15 +100,24 @@
     if (worker.isDown) {
       return { kind: 'unreachable', detail: 'it is down' };
     }
+    if (isCutOff(worker)) {
+      return this.answerNothing();
+    }
     const besides = [...worker.runs.keys()];
-    this.starts.push({ workerId, taskName, run, atMs: clock.nowMs(), besides });
+    const elsewhere = [...this.workers]
+      .filter(([id, other]) => id !== workerId && other.runs.has(taskName))
+      .map(([id]) => id);
+    this.starts.push({ workerId, taskName, run, atMs: clock.nowMs(), besides, elsewhere });
     worker.runs.set(taskName, run);
     void (crashesWorker(taskName) ? this.crashSoon(workerId) : this.endLater(worker, order));
-    return { kind: 'started', workerClockMs: clock.nowMs() };
+    return { kind: 'started', workerClockMs: this.clockOf(worker) };
   }
 
   async stop({ workerId }: WorkerTarget, { taskName }: StopOrder): Promise<StopReply> {
     const worker = this.find(workerId);
+    if (isCutOff(worker)) {
+      return this.answerNothing();
+    }
     worker.runs.delete(taskName);
     return worker.isDown ? { kind: 'unreachable', detail: 'it is down' } : { kind: 'stopped' };
   }
@@ -96,7 +125,9 @@
   async hold({ workerId }: WorkerTarget, order: HoldOrder): Promise<HoldReply> {
     const { clock } = this.options;
     const worker = this.find(workerId);
-    const { startedAtMs } = worker;
+    if (isCutOff(worker)) {
+      return this.answerNothing();
+    }
     worker.ends = worker.ends.filter(({ endNumber }) => endNumber > order.lastSeenEnd);
     const untilMs = clock.nowMs() + order.waitMs;
     while (!worker.isDown && worker.ends.length === 0 && clock.nowMs() < untilMs) {
@@ -105,9 +136,13 @@
     if (worker.isDown) {
       return { kind: 'unreachable', detail: 'it is down' };
     }
+    if (isCutOff(worker)) {
+      return this.answerNothing();
+    }
     const running = [...worker.runs].map(([taskName, run]) => ({ taskName, run }));
-    const report = { workerClockMs: clock.nowMs(), startedAtMs, running, ends: [...worker.ends] };
-    return { kind: 'held', report };
+    const { startedAtMs, ends } = worker;
+    const workerClockMs = this.clockOf(worker);
+    return { kind: 'held', report: { workerClockMs, startedAtMs, running, ends: [...ends] } };
   }
 
   async disconnect(): Promise<void> {
@@ -118,6 +153,15 @@
     // Nothing to release.
   }
 
+  private async answerNothing(): Promise<Extract<OrderFailure, { kind: 'no-answer' }>> {
+    await this.options.clock.sleep(silenceMs);
+    return { kind: 'no-answer', detail: 'it is cut off' };
+  }
+
+  private clockOf({ clockStartMs }: SimulatedWorker): number {
+    return this.options.clock.nowMs() - clockStartMs;
+  }
+
   private async crashSoon(workerId: string): Promise<void> {
     await this.options.clock.sleep(crashDelayMs);
     await this.crash(workerId);
@@ -138,7 +182,9 @@
     const { startedAtMs } = this.options;
     const worker = this.workers.get(workerId) ?? {
       startedAtMs,
+      clockStartMs: this.options.clock.nowMs() - initialAgeMs,
       isDown: false,
+      isCutOff: false,
       runs: new Map<string, number>(),
       ends: [],
       lastEndNumber: 0,
@@ -147,3 +193,5 @@
     return worker;
   }
 }
+
+const isCutOff = ({ isCutOff: isSilent }: SimulatedWorker): boolean => isSilent;
