Count a crash only where a later lifetime of the worker proves it

Cause: a worker that was silent until its last lease had ended counted as lost in the same way as one that had restarted. Two such workers ended the task, and callers got `failed` for jobs whose workers were only cut off.

Change: a run that lapsed in silence makes its task a suspect, which runs alone, and nothing more. Only runs that are gone with their lifetime count as crashes, in a number of its own (crashedWorkers, optional on the wire, so that daemons of the version before still understand lostWorkers). A crashed worker is back only after its leases have ended: lapsed runs whose lifetime is known are remembered, and count when the next report of the worker is of another lifetime; they are forgotten when it is of the same.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -14,6 +14,7 @@
 import type { ActiveRun } from './activeRun.js';
 import { BatchTable } from './batchTable.js';
 import { CrashSuspects } from './crashSuspects.js';
+import { LapsedRuns } from './lapsedRuns.js';
 import type { ManagedWorker } from './managedWorker.js';
 import { TaskRetries } from './taskRetries.js';
 import { recordOutcome } from './recordOutcome.js';
@@ -39,6 +40,7 @@
 export class Dispatcher {
   /** Tasks under which workers were lost, here or at other dispatchers. */
   readonly suspects: CrashSuspects;
+  private readonly lapsedRuns: LapsedRuns;
   private readonly batches = BatchTable.create();
   private readonly workers: WorkerPool;
   private readonly starter: TaskStarter;
@@ -49,15 +51,22 @@
     const logger = options.logger.forPart('dispatch');
     this.logger = logger;
     this.suspects = CrashSuspects.create(options.clock);
+    this.lapsedRuns = LapsedRuns.create(options.clock);
     this.workers = WorkerPool.create({
       ...options,
       logger,
       onEnd: (worker, run, evidence) => this.ended(worker, run, evidence),
+      onLifetime: (workerId, lifetimeMs) => this.resolveLapsedRuns(workerId, lifetimeMs),
       onAvailabilityChange: () => this.starter.startReadyTasks(),
     });
-    this.starter = TaskStarter.create({ ...options, logger, workers: this.workers });
-    const { starter, suspects } = this;
-    this.retries = TaskRetries.create({ logger, starter, suspects });
+    this.starter = TaskStarter.create({
+      ...options,
+      logger,
+      workers: this.workers,
+      awaitsProof: (task) => this.retries.awaitsProof(task),
+    });
+    const { starter, suspects, lapsedRuns } = this;
+    this.retries = TaskRetries.create({ logger, starter, suspects, lapsedRuns });
   }
 
   static create(options: DispatcherOptions): Dispatcher {
@@ -226,23 +235,44 @@
       expectedMs: Math.round(run.expectedMs),
       ...description,
     });
-    this.recordSuspicion(run, evidence);
+    this.recordSuspicion(worker.workerId, run, evidence);
     if (!run.task.hasEnded) {
       this.retries.endOrRetry(run.task, evidence, { workerId: worker.workerId, slowness });
     }
   }
 
-  private recordSuspicion({ task }: ActiveRun, evidence: RunEvidence): void {
+  private recordSuspicion(
+    workerId: string,
+    { task, taskName, lifetimeMs }: ActiveRun,
+    evidence: RunEvidence,
+  ): void {
     const suspicion = suspicionOf(evidence);
     switch (suspicion) {
       case 'none':
         return;
       case 'suspected':
+        this.retries.recordLostWorker(task);
+        if (lifetimeMs !== undefined) {
+          this.lapsedRuns.remember({ workerId, taskName, task, lifetimeMs });
+        }
+        return;
       case 'crashed':
         this.retries.recordLostWorker(task);
+        this.retries.recordCrash(task);
         return;
       default:
         return unreachable(suspicion);
     }
   }
+
+  /** Counts a crash under the runs that lapsed in an earlier lifetime of a worker that has reported. */
+  private resolveLapsedRuns(workerId: string, lifetimeMs: number | undefined): void {
+    if (lifetimeMs === undefined) {
+      return;
+    }
+    for (const { task, taskName } of this.lapsedRuns.resolve(workerId, lifetimeMs)) {
+      this.logger.warn('A worker has crashed under a run that lapsed.', { workerId, taskName });
+      this.retries.recordCrash(task);
+    }
+  }
 }
--- a/src/dispatch/managedWorker.spec.ts
+++ b/src/dispatch/managedWorker.spec.ts
@@ -66,6 +66,7 @@
     logger: silentLogger,
     leaseMs,
     onEnd: (_worker, _run, evidence) => void outcomes.push(evidence),
+    onLifetime: () => undefined,
     onAvailabilityChange: () => undefined,
   });
   const start = (taskName: string): void => {
--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -39,6 +39,8 @@
   readonly rememberedSlowness?: number | undefined;
   /** Called once for each run, with what is known of it; `unknown` only when the worker is let go. */
   readonly onEnd: (worker: ManagedWorker, run: ActiveRun, evidence: RunEvidence) => void;
+  /** Called after each report with the start of the worker's lifetime, if its reports state it. */
+  readonly onLifetime: (workerId: string, lifetimeMs: number | undefined) => void;
   /** Called after each event that may allow a waiting task to start. */
   readonly onAvailabilityChange: () => void;
 }
@@ -283,6 +285,7 @@
   }
 
   private handleReport(): void {
+    this.options.onLifetime(this.workerId, this.link.lifetime.startedAtMs);
     this.orders.stopOverdue();
     this.options.onAvailabilityChange();
   }
--- a/src/dispatch/openBatch.ts
+++ b/src/dispatch/openBatch.ts
@@ -14,8 +14,10 @@
   nextRun: number;
   /** Runs that have failed so far, on other dispatchers too. */
   failedRuns: number;
-  /** Workers that were lost while they ran it, on other dispatchers too. */
+  /** Workers that were silent or crashed while they ran it, on other dispatchers too. */
   lostWorkers: number;
+  /** Those of the lost workers that are proved to have crashed. */
+  crashedWorkers: number;
   /** Workers on which a run failed, was lost or did not start; they get no further run of it. */
   readonly avoidedWorkerIds: Set<string>;
   hasEnded: boolean;
@@ -42,12 +44,13 @@
     this.objectiveAtMs = arrivedAtMs + content.objectiveInMs;
     this.giveUpAtMs = arrivedAtMs + content.giveUpInMs;
     this.expiresAtMs = arrivedAtMs + content.expiresInMs;
-    this.tasks = content.tasks.map(({ index, nextRun, failedRuns, lostWorkers }) => ({
+    this.tasks = content.tasks.map(({ index, nextRun, failedRuns, ...counts }) => ({
       batch: this,
       index,
       nextRun,
       failedRuns,
-      lostWorkers,
+      lostWorkers: counts.lostWorkers,
+      crashedWorkers: counts.crashedWorkers ?? 0,
       avoidedWorkerIds: new Set<string>(),
       hasEnded: false,
     }));
--- a/src/dispatch/suspectIsolation.ts
+++ b/src/dispatch/suspectIsolation.ts
@@ -8,7 +8,7 @@
 /** Largest share of the workers that is kept free at the same time; one worker at least. */
 const maxReservedShare = 1 / 3;
 
-/** Whether a worker was lost while it ran the task. */
+/** Whether a worker was silent or crashed while it ran the task. */
 export const isSuspect = ({ lostWorkers }: BatchedTask): boolean => lostWorkers > 0;
 
 /**
--- a/src/dispatch/taskRetries.ts
+++ b/src/dispatch/taskRetries.ts
@@ -4,8 +4,9 @@
  */
 import { unreachable } from '../errors/unreachable.js';
 import type { Logger } from '../ports/logger.js';
-import { maxLostWorkers } from './crashSuspects.js';
+import { highestCounts, maxCrashedWorkers } from './crashSuspects.js';
 import type { CrashSuspects } from './crashSuspects.js';
+import type { LapsedRuns } from './lapsedRuns.js';
 import type { BatchedTask } from './openBatch.js';
 import { consequenceOf } from './runEvidence.js';
 import type { RunEvidence, TaskConsequence } from './runEvidence.js';
@@ -19,6 +20,7 @@
   readonly logger: Logger;
   readonly starter: TaskStarter;
   readonly suspects: CrashSuspects;
+  readonly lapsedRuns: LapsedRuns;
 }
 
 /** The worker of a run that has ended. */
@@ -37,8 +39,6 @@
 
   /** Queues a new task, unless it is known to crash its workers. */
   enqueueNew(task: BatchedTask): void {
-    const known = this.options.suspects.lostWorkersUnder(taskNameOf(task));
-    task.lostWorkers = Math.max(task.lostWorkers, known);
     this.enqueueOrFail(task);
   }
 
@@ -47,9 +47,33 @@
    * submitted again.
    */
   recordLostWorker(task: BatchedTask): void {
+    this.updateCounts(task);
     task.lostWorkers += 1;
-    const { lostWorkers } = task;
-    this.options.suspects.recordOwn({ taskName: taskNameOf(task), lostWorkers });
+    this.announce(task);
+  }
+
+  /** Counts a lost worker that is proved to have crashed; tasks that wait under this name may be given up. */
+  recordCrash(task: BatchedTask): void {
+    const { starter } = this.options;
+    this.updateCounts(task);
+    task.crashedWorkers += 1;
+    this.announce(task);
+    const taskName = taskNameOf(task);
+    for (const waiting of starter.listWaiting()) {
+      if (taskNameOf(waiting) === taskName) {
+        starter.remove(waiting);
+        this.enqueueOrFail(waiting);
+      }
+    }
+  }
+
+  /**
+   * Whether a task waits until it is known whether the workers that were silent under it have crashed, since
+   * it would be given up if they have.
+   */
+  awaitsProof(task: BatchedTask): boolean {
+    const awaited = this.options.lapsedRuns.countAwaited(taskNameOf(task));
+    return awaited > 0 && task.crashedWorkers + awaited >= maxCrashedWorkers;
   }
 
   /** Ends the task of a run, or queues it for another run if what is known of the run allows it. */
@@ -99,21 +123,34 @@
     this.options.starter.startReadyTasks();
   }
 
-  /** Queues a task for a run, unless it has failed too often or too many workers were lost under it. */
+  /** Queues a task for a run, unless it has failed too often or too many workers have crashed under it. */
   private enqueueOrFail(task: BatchedTask): void {
-    const { batch, index, failedRuns, lostWorkers } = task;
+    this.updateCounts(task);
+    const { batch, index, failedRuns, crashedWorkers } = task;
     if (failedRuns >= batch.content.maxFailedRuns) {
       batch.end(task, { kind: 'failed', index, reason: `${failedRuns} runs failed` });
       return;
     }
-    if (lostWorkers >= maxLostWorkers) {
+    if (crashedWorkers >= maxCrashedWorkers) {
       this.options.logger.warn('A task is given up, since its workers crash.', {
         taskName: taskNameOf(task),
-        count: lostWorkers,
+        count: crashedWorkers,
       });
       batch.end(task, { kind: 'failed', index, reason: 'its workers crash' });
       return;
     }
     this.options.starter.enqueue(task);
   }
+
+  /** Takes over what is known of the task by its name, also from an earlier submission of its job. */
+  private updateCounts(task: BatchedTask): void {
+    const counts = highestCounts(this.options.suspects.countsOf(taskNameOf(task)), task);
+    task.lostWorkers = counts.lostWorkers;
+    task.crashedWorkers = counts.crashedWorkers;
+  }
+
+  private announce(task: BatchedTask): void {
+    const { lostWorkers, crashedWorkers } = task;
+    this.options.suspects.recordOwn({ taskName: taskNameOf(task), lostWorkers, crashedWorkers });
+  }
 }
--- a/src/dispatch/taskStarter.ts
+++ b/src/dispatch/taskStarter.ts
@@ -26,6 +26,8 @@
   readonly logger: Logger;
   readonly workers: WorkerPool;
   readonly farRackFactor: number;
+  /** Whether a task has to wait for proof of what became of its earlier runs. */
+  readonly awaitsProof: (task: BatchedTask) => boolean;
 }
 
 export class TaskStarter {
@@ -56,6 +58,10 @@
     this.waiting.push(task, demand.objectiveAtMs - fastestRunMs * (1 + startMargin));
   }
 
+  remove(task: BatchedTask): void {
+    this.waiting.remove(task);
+  }
+
   removeBatch(batch: OpenBatch): void {
     this.waiting.removeBatch(batch);
   }
@@ -130,6 +136,9 @@
       task.batch.end(task, { kind: 'expired', index: task.index });
       return true;
     }
+    if (this.options.awaitsProof(task)) {
+      return false;
+    }
     const candidates = isSuspect(task)
       ? workers.isolatedCandidateFor(task)
       : workers.candidatesFor(task);
@@ -169,7 +178,7 @@
 
 /** Returns a task that is not running to its requester, which may send it to another dispatcher. */
 const returnTask = (task: BatchedTask, reason: string): void => {
-  const { index, nextRun, failedRuns, lostWorkers } = task;
-  const returned = { index, nextRun, failedRuns, lostWorkers };
+  const { index, nextRun, failedRuns, lostWorkers, crashedWorkers } = task;
+  const returned = { index, nextRun, failedRuns, lostWorkers, crashedWorkers };
   task.batch.end(task, { kind: 'returned', task: returned, reason });
 };
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -19,7 +19,7 @@
 
 export interface WorkerPoolOptions extends Pick<
   ManagedWorkerOptions,
-  'onEnd' | 'onAvailabilityChange'
+  'onEnd' | 'onLifetime' | 'onAvailabilityChange'
 > {
   readonly clock: Clock;
   readonly logger: Logger;
--- a/src/types/dispatch.ts
+++ b/src/types/dispatch.ts
@@ -25,8 +25,10 @@
   nextRun: z.number().int().positive(),
   /** Runs that have failed so far. */
   failedRuns: z.number().int().nonnegative(),
-  /** Workers that were lost while they ran the task; earlier versions omit it. */
+  /** Workers that were silent or crashed while they ran the task; earlier versions omit it. */
   lostWorkers: z.number().int().nonnegative().default(0),
+  /** Those of the lost workers that are proved to have crashed; earlier versions omit it. */
+  crashedWorkers: z.number().int().nonnegative().optional(),
 });
 export type BatchTask = z.infer<typeof batchTaskSchema>;
 
@@ -68,7 +70,7 @@
     /** Run time divided by the slowdown factor of the worker, in milliseconds. */
     lengthMs: z.number().nonnegative(),
   }),
-  /** Failed as often as its route allows, lost its workers, or a worker rejected its order as not valid. */
+  /** Failed as often as its route allows, crashed its workers, or a worker rejected its order as not valid. */
   z.object({ kind: z.literal('failed'), index: z.number().int(), reason: z.string() }),
   /** Certainly runs nowhere, so another dispatcher may run it. */
   z.object({ kind: z.literal('returned'), task: batchTaskSchema, reason: z.string() }),
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -59,7 +59,10 @@
 /** A task under which workers were lost, which may be the cause. */
 export const suspectTaskSchema = z.object({
   taskName: z.string(),
+  /** Workers that were silent or crashed while they ran it. */
   lostWorkers: z.number().int().positive(),
+  /** Those of the lost workers that are proved to have crashed; earlier versions omit it. */
+  crashedWorkers: z.number().int().nonnegative().optional(),
 });
 export type SuspectTask = z.infer<typeof suspectTaskSchema>;
 
