Ask a worker that did not answer again without the pause of an idle one

Cause: a worker whose runs had lapsed while it was cut off was asked again only after the pause of an idle worker, 5 s, so that it stayed unused and the proof of its crash, or of none, came that late.

Change: after a failed hold only the pause between failed holds applies, 1 s at most. Scripted workers end waiting orders when they are disconnected, as the loss of a connection does.

Result: fleetHeartbeatExchange.spec.ts failed before with the crash counted at 6.1 s of the test's 6 s, passes after.

--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -18,15 +18,11 @@
 import { RunTable } from './runTable.js';
 import { WorkerLink } from './workerLink.js';
 import { WorkerReservation } from './workerReservation.js';
-import { WorkerReports } from './workerReports.js';
+import { WorkerReports, idlePollMs } from './workerReports.js';
 import { WorkerHealth } from './workerHealth.js';
 
 /** Pause between checks whether runs are left, during takeover and drain. */
 const checkPauseMs = 60;
-/** Poll period of an idle worker, which keeps the reading of its clock recent. */
-const idlePollMs = 5_000;
-/** Poll period of an idle worker with ends to acknowledge, or whose entry is of another lifetime. */
-const unsettledPollMs = 1_000;
 
 export interface ManagedWorkerOptions {
   readonly record: WorkerRecord;
@@ -271,10 +267,9 @@
 
   /** Waits before the next hold if the worker has no runs; a started run ends the wait. */
   private async waitWhileIdle(): Promise<void> {
-    const { areEndsAcknowledged, isEntryOfOtherLifetime } = this.reports;
-    if (this.runs.size === 0) {
-      const isSettled = areEndsAcknowledged && !isEntryOfOtherLifetime;
-      await this.sleeper.sleep(isSettled ? idlePollMs : unsettledPollMs);
+    const { idlePauseMs } = this.reports;
+    if (this.runs.size === 0 && idlePauseMs > 0) {
+      await this.sleeper.sleep(idlePauseMs);
     }
   }
 
--- a/src/dispatch/workerReports.ts
+++ b/src/dispatch/workerReports.ts
@@ -18,6 +18,10 @@
 
 /** Longest wait for the end of a run in one hold; well under the shortest lease. */
 const maxHoldWaitMs = 300;
+/** Poll period of an idle worker, which keeps the reading of its clock recent. */
+export const idlePollMs = 5_000;
+/** Poll period of an idle worker with ends to acknowledge, or whose entry is of another lifetime. */
+const unsettledPollMs = 1_000;
 /** Failed holds in a row after which the worker counts as not answering. */
 const maxFailedHolds = 2;
 /** Pause after the failed hold that reaches the limit; grows by as much with each further one. */
@@ -74,9 +78,13 @@
     return known !== undefined && record.startedAtMs !== undefined && record.startedAtMs !== known;
   }
 
-  /** Whether every end that was applied here has been acknowledged to the worker. */
-  get areEndsAcknowledged(): boolean {
-    return this.acknowledgedEnd === this.processor.lastSeenEnd;
+  /** Pause before the next hold while the worker has no runs; none after a failed hold, which pauses itself. */
+  get idlePauseMs(): number {
+    if (this.failedHolds > 0) {
+      return 0;
+    }
+    const areEndsAcknowledged = this.acknowledgedEnd === this.processor.lastSeenEnd;
+    return areEndsAcknowledged && !this.isEntryOfOtherLifetime ? idlePollMs : unsettledPollMs;
   }
 
   /**
--- a/src/testing/scriptedWorkers.ts
+++ b/src/testing/scriptedWorkers.ts
@@ -30,6 +30,8 @@
   onStop: (order: StopOrder) => StopReply = () => ({ kind: 'stopped' });
   onHold: (order: HoldOrder) => HoldReply = () => ({ kind: 'held', report: this.report });
 
+  private readonly disconnection = new AbortController();
+
   private constructor(private readonly clock: Clock) {}
 
   static create(clock: Clock): ScriptedWorkers {
@@ -70,18 +72,19 @@
     this.receivedOrders.push({ kind: 'hold', order, atMs: this.clock.nowMs() });
     const replyAtStart = this.onHold(order);
     if (replyAtStart.kind === 'no-answer') {
-      await this.clock.sleep(timeoutMs);
+      await this.clock.sleep(timeoutMs, this.disconnection.signal);
       return replyAtStart;
     }
-    await this.clock.sleep(order.waitMs);
+    await this.clock.sleep(order.waitMs, this.disconnection.signal);
     const reply = this.onHold(order);
     return reply.kind === 'held'
       ? { ...reply, report: { ...reply.report, workerClockMs: this.clock.nowMs() } }
       : reply;
   }
 
+  /** Ends the orders that wait for an answer, as the loss of their connection does. */
   async disconnect(): Promise<void> {
-    // Nothing to release.
+    this.disconnection.abort();
   }
 
   async close(): Promise<void> {
@@ -94,7 +97,7 @@
     timeoutMs: number,
   ): Promise<void> {
     if (kind === 'no-answer') {
-      await this.clock.sleep(timeoutMs);
+      await this.clock.sleep(timeoutMs, this.disconnection.signal);
     }
   }
 }
