Bound a lease by the slowest clock over the age of the reading it was issued by

Cause: the end of a lease is computed from the last reading of the worker's clock, at most 5 s old on an idle worker. A clock that is 2% slow reaches that end up to 100 ms later than the bound allowed for, so that a run counted as lapsed while it went on, and its task ran twice. A worker that restarted unnoticed shortens leases that its earlier clock set to the longest one, from their arrival and not from their sending.

Change: the bound includes the drift over the age of the reading, never gets earlier, and is extended when a reading shows that the clock has started anew.

--- a/src/dispatch/leaseClock.ts
+++ b/src/dispatch/leaseClock.ts
@@ -7,6 +7,8 @@
 const maxDrift = 0.03;
 /** Allowance for the time between reading the clock here and sending the order. */
 const sendSlackMs = 20;
+/** A reading that is lower than expected by more than this is of a clock that has started anew. */
+const maxReadingLagMs = 20;
 
 export class LeaseClock {
   /** Last reading of the worker's clock. */
@@ -29,21 +31,42 @@
     return new LeaseClock(clock, leaseMs);
   }
 
-  /** Records a reading of the worker's clock, in milliseconds. */
+  /**
+   * Records a reading of the worker's clock, in milliseconds. Where the clock has started anew, leases that
+   * were issued by the earlier one are far too long, and the worker shortens them to the longest lease, which
+   * has begun by now.
+   */
   recordReading(workerClockMs: number): void {
+    const nowMs = this.clock.nowMs();
+    const lowestMs = this.workerClockMs + this.ageMs(nowMs) * (1 - maxDrift) - maxReadingLagMs;
+    if (workerClockMs < lowestMs && !this.haveAllLeasesEnded()) {
+      this.extendLeases(nowMs, 0);
+    }
     this.workerClockMs = workerClockMs;
-    this.readAtMs = this.clock.nowMs();
+    this.readAtMs = nowMs;
   }
 
   /**
-   * Issues a lease that begins now, and extends the time by which all leases have ended.
+   * Issues a lease that begins now, and extends the time by which all leases have ended. A slow clock has
+   * fallen behind since it was read, so that it reaches the end of the lease later by as much.
    *
    * @returns end of the lease on the worker's clock, in milliseconds
    */
   issueLeaseEnd(): number {
     const nowMs = this.clock.nowMs();
-    this.allEndedByMs = nowMs + this.leaseMs * (1 + maxDrift) + sendSlackMs;
-    return this.workerClockMs + (nowMs - (this.readAtMs ?? nowMs)) + this.leaseMs;
+    const ageMs = this.ageMs(nowMs);
+    this.extendLeases(nowMs, ageMs * maxDrift);
+    return this.workerClockMs + ageMs + this.leaseMs;
+  }
+
+  /** Age of the last reading in milliseconds; 0 before the first. */
+  private ageMs(nowMs: number): number {
+    return nowMs - (this.readAtMs ?? nowMs);
+  }
+
+  private extendLeases(fromMs: number, lagMs: number): void {
+    const endedByMs = fromMs + this.leaseMs * (1 + maxDrift) + lagMs + sendSlackMs;
+    this.allEndedByMs = Math.max(this.allEndedByMs, endedByMs);
   }
 
   /** Returns whether every lease that was issued has certainly ended. */
