A requester's hold on its runs is a lease that only its own messages renew

Cause: a dispatcher withdrew the batches of a requester once that was not reachable, and counted a silent peer as reachable for another 0.9 s whenever it sent a batch there itself. So the runs of a killed daemon went on beside the second attempt of its caller. Change: RequesterLeases judges the hold by the last message of the process itself, from its sending; RequesterMonitor withdraws strictly when it is over, whatever the relation. Reachability as a dispatcher is a question of its own. A replaced process loses its hold at once, and what it sent before is ignored: a late heartbeat of it no longer counts as the loss of the living process. Times side by side in requesterTimes.ts. A batch is a word from its sending, and starts nothing without a hold. The peers' methods move from FleetDaemon to PeerService, the choice of whom to send heartbeats from FleetPeers to HeartbeatDuty. Tests of what exists got the new option and argument; nothing asserted changed.

--- a/src/fleet/batchIntake.spec.ts
+++ b/src/fleet/batchIntake.spec.ts
@@ -10,6 +10,7 @@
 import { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import { BatchIntake } from './batchIntake.js';
 import { MessageAges } from './messageAges.js';
+import { RequesterLeases } from './requesterLeases.js';
 
 const requester = 'requester';
 /** The clock of the requester runs ahead of that of the dispatcher by this much. */
@@ -31,13 +32,20 @@
   });
   void dispatcher.setWorkers([worker], 1);
   const ages = MessageAges.create(clock);
-  const intake = BatchIntake.create({ ownId: 'own', logger: silentLogger, ages, dispatcher });
+  const leases = RequesterLeases.create(ages);
+  const intake = BatchIntake.create({
+    ownId: 'own',
+    logger: silentLogger,
+    ages,
+    leases,
+    dispatcher,
+  });
   const requesterNowMs = (): number => clock.nowMs() + clockOffsetMs;
   await clock.advance(500);
   ages.recordHeartbeat(requester, requesterNowMs() - 2);
   await clock.advance(300);
   ages.recordHeartbeat(requester, requesterNowMs() - 40);
-  return { clock, workers, dispatcher, intake, requesterNowMs };
+  return { clock, workers, dispatcher, intake, leases, requesterNowMs };
 };
 
 test('a batch that was held up for seconds starts nothing, and its requester learns so', async () => {
@@ -109,6 +117,16 @@
   assert.is(workers.starts.length, 1);
 });
 
+// Guards against runs for a process that is gone, whose caller has sent the job elsewhere.
+test('a batch of a requester that another process has replaced starts nothing', async () => {
+  const { clock, workers, intake, leases, requesterNowMs } = await createFixture();
+  leases.end(requester);
+  const reply = await intake.run({ askedBy: requester, sentAtMs: requesterNowMs(), batch });
+  await clock.advance(100);
+  assert.is(reply.ends[0]?.kind, 'returned');
+  assert.equal(workers.starts, []);
+});
+
 test('a withdrawal that overtakes its batch holds', async () => {
   const { clock, workers, dispatcher, intake, requesterNowMs } = await createFixture();
   dispatcher.withdraw(batch.batchId);
--- a/src/fleet/batchIntake.ts
+++ b/src/fleet/batchIntake.ts
@@ -8,14 +8,17 @@
 import type { Logger } from '../ports/logger.js';
 import { shortenTimeLimits } from '../dispatch/batchTimeLimits.js';
 import type { Batch, BatchReply } from '../types/dispatch.js';
-import { maxSharingSilenceMs } from './peerRelations.js';
+import { unreachable } from '../errors/unreachable.js';
 import type { MessageAges } from './messageAges.js';
+import type { RequesterLeases } from './requesterLeases.js';
+import { maxSharingSilenceMs } from './requesterTimes.js';
 
 export interface BatchIntakeOptions {
   /** Incarnation of this daemon. */
   readonly ownId: string;
   readonly logger: Logger;
   readonly ages: MessageAges;
+  readonly leases: RequesterLeases;
   readonly dispatcher: Dispatcher;
 }
 
@@ -32,20 +35,48 @@
    * @returns how its tasks ended; the answer may be partial
    */
   run({ askedBy, sentAtMs, dispatcherId, batch }: BatchRequest): Promise<BatchReply> {
-    const { ownId, ages, dispatcher, logger } = this.options;
+    const { ownId, ages, dispatcher, leases } = this.options;
     if (dispatcherId !== undefined && dispatcherId !== ownId) {
       return this.rejectMisaddressedBatch(batch, dispatcherId);
     }
+    leases.recordWord(askedBy, sentAtMs);
     const ageMs = sentAtMs === undefined ? 0 : Math.round(ages.ageMs(askedBy, sentAtMs));
-    const isTooOld = ageMs > maxSharingSilenceMs && !dispatcher.hasBatch(batch.batchId);
-    if (!isTooOld) {
-      return dispatcher.run(askedBy, shortenTimeLimits(batch, ageMs));
+    if (dispatcher.hasBatch(batch.batchId)) {
+      return dispatcher.run(askedBy, batch);
     }
-    const { batchId, jobId } = batch;
-    logger.warn('A batch arrived too late and is returned.', { batchId, jobId, ageMs });
+    if (ageMs > maxSharingSilenceMs) {
+      return this.returnBatch(batch, askedBy, 'it arrived too late', ageMs);
+    }
+    const hold = leases.holdOf(askedBy);
+    switch (hold) {
+      case 'held':
+        return dispatcher.run(askedBy, shortenTimeLimits(batch, ageMs));
+      case 'silent':
+        return this.returnBatch(batch, askedBy, 'its requester has been silent', ageMs);
+      case 'replaced':
+        return this.returnBatch(
+          batch,
+          askedBy,
+          'another process has replaced its requester',
+          ageMs,
+        );
+      default:
+        return unreachable(hold);
+    }
+  }
+
+  /** Answers a batch of which nothing is started. */
+  private returnBatch(
+    { batchId, jobId, tasks }: Batch,
+    nodeId: string,
+    reason: string,
+    ageMs: number,
+  ): Promise<BatchReply> {
+    const { logger } = this.options;
+    logger.warn('A batch is returned unstarted.', { batchId, jobId, nodeId, reason, ageMs });
     return Promise.resolve({
       isPartial: false,
-      ends: batch.tasks.map((task) => ({ kind: 'returned', task, reason: 'it arrived too late' })),
+      ends: tasks.map((task) => ({ kind: 'returned', task, reason })),
       wasOffered: false,
       load: { workers: [] },
     });
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -8,14 +8,8 @@
 import { RunTimePredictor } from '../bestEffort/runTimePredictor.js';
 import { RunningJobs } from '../bestEffort/runningJobs.js';
 import { Dispatcher } from '../dispatch/dispatcher.js';
-import type { BatchReply } from '../types/dispatch.js';
 import type { Clock } from '../ports/clock.js';
-import type {
-  BatchRequest,
-  FleetConnector,
-  FleetService,
-  BatchWithdrawal,
-} from '../ports/fleetPeers.js';
+import type { FleetConnector, FleetService } from '../ports/fleetPeers.js';
 import type { FleetStore } from '../ports/fleetStore.js';
 import type { Logger } from '../ports/logger.js';
 import type { Metrics } from '../ports/metrics.js';
@@ -23,13 +17,14 @@
 import type { WorkerPort } from '../ports/workers.js';
 import { RoutingFollower } from '../routing/routingFollower.js';
 import { RoutingStore } from '../routing/routingStore.js';
-import type { Routing } from '../types/routing.js';
 import { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import { WorkerDirectory } from '../workers/workerDirectory.js';
 import { BatchIntake } from './batchIntake.js';
 import { FleetHeartbeatExchange } from './fleetHeartbeatExchange.js';
 import { FleetPeers } from './fleetPeers.js';
 import { MessageAges } from './messageAges.js';
+import { PeerService } from './peerService.js';
+import { RequesterLeases } from './requesterLeases.js';
 import { RequesterMonitor } from './requesterMonitor.js';
 import { JobIntake } from './jobIntake.js';
 import { LearnedBackup } from './learnedBackup.js';
@@ -37,7 +32,7 @@
 import { ShardMembership } from './shardMembership.js';
 import { isNeededAsDispatcher } from './standby.js';
 import { SuspendDetector } from './suspendDetector.js';
-import type { FleetHeartbeat, Member } from '../types/fleet.js';
+import type { Member } from '../types/fleet.js';
 
 export interface FleetPorts {
   readonly clock: Clock;
@@ -60,7 +55,9 @@
   readonly farRackFactor: number;
 }
 
-export class FleetDaemon implements FleetService {
+export class FleetDaemon {
+  /** Serves the other daemons of the fleet. */
+  readonly peerService: FleetService;
   /** Serves the requests of callers. */
   readonly intake: JobIntake;
   private readonly routing = RoutingStore.create();
@@ -73,7 +70,6 @@
   private readonly peers: FleetPeers;
   private readonly router: BatchRouter;
   private readonly view: FleetView;
-  private readonly batchIntake: BatchIntake;
   private readonly heartbeatExchange: FleetHeartbeatExchange;
   private readonly requesterMonitor: RequesterMonitor;
   private readonly jobs: RunningJobs;
@@ -90,6 +86,7 @@
     const { member, leaseMs, farRackFactor } = identity;
     const ownId = member.incarnation;
     const ages = MessageAges.create(clock);
+    const leases = RequesterLeases.create(ages);
     this.logger = logger.forPart('jobs');
     this.dispatcher = Dispatcher.create({
       clock,
@@ -141,9 +138,16 @@
     this.intake = JobIntake.create({ logger: this.logger, metrics, routing, directory, jobs });
     this.learned = LearnedBackup.create({ clock, logger, store, member, lengths, speeds });
     const { view, router, dispatcher } = this;
-    this.batchIntake = BatchIntake.create({ ownId, logger: this.logger, ages, dispatcher });
+    const batchIntake = BatchIntake.create({
+      ownId,
+      logger: this.logger,
+      ages,
+      leases,
+      dispatcher,
+    });
     this.heartbeatExchange = FleetHeartbeatExchange.create({
       ages,
+      leases,
       own: member,
       logger: this.logger,
       routing,
@@ -165,9 +169,18 @@
       onHeartbeat: (heartbeat) => this.heartbeatExchange.handleHeartbeat(heartbeat),
       isDispatching: () => this.dispatcher.workerCount > 0,
       sharesBatches: (incarnation) => this.heartbeatExchange.sharesBatchesWith(incarnation),
-      onLost: (incarnation) => this.heartbeatExchange.handleLostDaemon(incarnation),
+      onLost: (lost, loss) => this.heartbeatExchange.handleLostDaemon(lost, loss),
       onSuspect: (incarnation) => this.view.forget(incarnation),
     });
+    const { peers, heartbeatExchange } = this;
+    this.peerService = PeerService.create({
+      ages,
+      peers,
+      heartbeatExchange,
+      batchIntake,
+      dispatcher,
+      routing,
+    });
     this.shards = ShardMembership.create({
       clock,
       logger,
@@ -185,42 +198,13 @@
         this.abandonAllWork('the VM was suspended');
       },
     });
-    this.requesterMonitor = RequesterMonitor.create({
-      clock,
-      dispatcher,
-      isReachable: (requester) =>
-        requester === member.incarnation || this.peers.find(requester) !== undefined,
-    });
+    this.requesterMonitor = RequesterMonitor.create({ clock, logger, ownId, leases, dispatcher });
   }
 
   static create(identity: FleetIdentity, ports: FleetPorts): FleetDaemon {
     return new FleetDaemon(identity, ports);
   }
 
-  /** Handles a heartbeat of another daemon; the answer to a full heartbeat is full, too. */
-  beat(theirs: FleetHeartbeat): FleetHeartbeat {
-    this.peers.receiveHeartbeat(theirs);
-    return this.heartbeatExchange.composeHeartbeat(
-      theirs.member.incarnation,
-      theirs.lengths !== undefined,
-    );
-  }
-
-  /** Runs a batch that another daemon requests; the answer may be partial. */
-  runBatch(request: BatchRequest): Promise<BatchReply> {
-    this.peers.recordContact(request.askedBy);
-    return this.batchIntake.run(request);
-  }
-
-  withdrawBatch({ batchId }: BatchWithdrawal): void {
-    this.dispatcher.withdraw(batchId);
-  }
-
-  /** @returns the routing configuration in force, or null before the first */
-  fetchRouting(): Routing | null {
-    return this.routing.current?.routing ?? null;
-  }
-
   /**
    * Sets the failure domains of the fleet, in which other daemons are looked for.
    *
--- a/src/fleet/fleetHeartbeatExchange.spec.ts
+++ b/src/fleet/fleetHeartbeatExchange.spec.ts
@@ -17,14 +17,17 @@
 import { FleetHeartbeatExchange } from './fleetHeartbeatExchange.js';
 import type { FleetPeers } from './fleetPeers.js';
 import { MessageAges } from './messageAges.js';
+import { RequesterLeases } from './requesterLeases.js';
 
 const createExchange = (
   ownId: string,
   { clock, dispatcher }: DispatcherFixture,
 ): FleetHeartbeatExchange => {
   const router: Pick<BatchRouter, 'requestedBatchIds'> = { requestedBatchIds: () => [] };
+  const ages = MessageAges.create(clock);
   return FleetHeartbeatExchange.create({
-    ages: MessageAges.create(clock),
+    ages,
+    leases: RequesterLeases.create(ages),
     own: { incarnation: ownId, address: '127.0.0.1:1', failureDomainId: 'east', weight: 1 },
     logger: silentLogger,
     routing: RoutingStore.create(),
--- a/src/fleet/fleetHeartbeatExchange.ts
+++ b/src/fleet/fleetHeartbeatExchange.ts
@@ -5,12 +5,14 @@
 import type { FleetView } from '../bestEffort/fleetView.js';
 import type { RunTimePredictor } from '../bestEffort/runTimePredictor.js';
 import type { Dispatcher } from '../dispatch/dispatcher.js';
+import { unreachable } from '../errors/unreachable.js';
 import type { Logger } from '../ports/logger.js';
 import type { RoutingStore } from '../routing/routingStore.js';
 import type { FleetHeartbeat, Member } from '../types/fleet.js';
 import type { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
-import type { FleetPeers } from './fleetPeers.js';
+import type { FleetPeers, PeerLoss } from './fleetPeers.js';
 import type { MessageAges } from './messageAges.js';
+import type { RequesterLeases } from './requesterLeases.js';
 
 /**
  * Age up to which a batch that the requester's heartbeat does not list is kept, in milliseconds: it
@@ -21,6 +23,7 @@
 
 export interface FleetHeartbeatExchangeOptions {
   readonly ages: MessageAges;
+  readonly leases: RequesterLeases;
   readonly own: Member;
   readonly logger: Logger;
   readonly routing: RoutingStore;
@@ -80,10 +83,11 @@
    * that it still requests. Fetches its routing configuration if that is newer.
    */
   handleHeartbeat(heartbeat: FleetHeartbeat): void {
-    const { ages, dispatcher, routing, speeds, view } = this.options;
+    const { ages, dispatcher, leases, routing, speeds, view } = this.options;
     const { member, sentAtMs, load, askedBatchIds, routingVersion, lengths } = heartbeat;
     const { incarnation } = member;
     const ageMs = sentAtMs === undefined ? 0 : ages.recordHeartbeat(incarnation, sentAtMs);
+    leases.recordWord(incarnation, sentAtMs);
     view.recordLoad(incarnation, load, this.isInOwnDomain(member) ? 'near' : 'far', ageMs);
     load.workers.forEach((worker) => speeds.record(worker));
     heartbeat.suspects?.forEach((suspect) => dispatcher.suspects.recordAnnounced(suspect));
@@ -98,12 +102,24 @@
     }
   }
 
-  /** Handles the loss of a process: drops its load, fails batches there, withdraws its own here. */
-  handleLostDaemon(incarnation: string): void {
-    const { dispatcher, router, view } = this.options;
+  /**
+   * Handles the loss of a process: drops its load and fails the batches there. Its own batches here are
+   * withdrawn at once if it is certainly gone, and otherwise when its hold on them is over.
+   */
+  handleLostDaemon(incarnation: string, loss: PeerLoss): void {
+    const { dispatcher, leases, router, view } = this.options;
     view.forget(incarnation);
     router.failBatchesAt(incarnation);
-    dispatcher.withdrawAll(incarnation);
+    switch (loss) {
+      case 'silent':
+        return;
+      case 'replaced':
+        leases.end(incarnation);
+        dispatcher.withdrawAll(incarnation);
+        return;
+      default:
+        return unreachable(loss);
+    }
   }
 
   /** Whether this daemon has batches at another process, or the other way round. */
--- a/src/fleet/fleetPeers.spec.ts
+++ b/src/fleet/fleetPeers.spec.ts
@@ -18,6 +18,14 @@
   releases: [],
 };
 
+const composeHeartbeatOf = (member: Member): FleetHeartbeat => ({
+  member,
+  routingVersion: 0,
+  isLeaving: false,
+  load: { workers: [] },
+  askedBatchIds: [],
+});
+
 /** Daemons of one fleet that are connected in memory. */
 class Fleet {
   /** Heartbeats that were sent, as addresses of the sender and the receiver. */
@@ -53,6 +61,11 @@
     peer.beginSharing(this.clock.nowMs());
   }
 
+  /** Delivers a heartbeat that a process has sent earlier. */
+  deliver(to: string, member: Member): void {
+    this.daemons.get(to)?.receiveHeartbeat(composeHeartbeatOf(member));
+  }
+
   async close(): Promise<void> {
     await Promise.all([...this.daemons.values()].map((peers) => peers.close()));
   }
@@ -62,11 +75,8 @@
     sharesBatches: (own: string, other: string) => boolean,
   ): FleetPeers {
     const composeHeartbeat = (): FleetHeartbeat => ({
-      member: own,
-      routingVersion: 0,
-      isLeaving: false,
+      ...composeHeartbeatOf(own),
       load: { workers: this.isDispatching ? [workerLoad] : [] },
-      askedBatchIds: [],
     });
     const store: Pick<FleetStore, 'listMembers'> = {
       listMembers: (domain) =>
@@ -210,6 +220,22 @@
   await fleet.close();
 });
 
+// Guards against the loss of a living daemon by a late message of the process before it.
+test('a late heartbeat of a process that was replaced changes nothing', async () => {
+  const fleet = new Fleet(FakeClock.create(), createMembers(2));
+  await fleet.clock.advance(1_000);
+  const [, earlier] = fleet.members;
+  assert.ok(earlier);
+  const later = { ...earlier, incarnation: 'later' };
+  fleet.disconnected.add(earlier.address);
+  fleet.deliver('a:0', later);
+  assert.equal(fleet.lost, ['a0 a1']);
+  fleet.deliver('a:0', earlier);
+  fleet.deliver('a:0', later);
+  assert.equal(fleet.lost, ['a0 a1']);
+  await fleet.close();
+});
+
 test('two daemons with batches at each other stay in contact', async () => {
   const pairs = new Set(['a0 b0', 'b0 a0']);
   const fleet = new Fleet(FakeClock.create(), createMembers(7), (own, other) =>
--- a/src/fleet/fleetPeers.ts
+++ b/src/fleet/fleetPeers.ts
@@ -7,15 +7,16 @@
 import type { Logger } from '../ports/logger.js';
 import type { FleetHeartbeat, KnownMember, Member } from '../types/fleet.js';
 import { sleepUntilNextPeriod, sleepUntilSharedPeriod } from '../utils/periodicSleep.js';
-import { chooseContacts, rankContact } from './contacts.js';
+import { RecentNames } from '../utils/recentNames.js';
+import { rankContact } from './contacts.js';
 import { FleetPeer } from './fleetPeer.js';
+import { HeartbeatDuty } from './heartbeatDuty.js';
 import { PeerDiscovery } from './peerDiscovery.js';
-import { PeerRelations, heartbeatTickMs } from './peerRelations.js';
+import { PeerRelations } from './peerRelations.js';
 import type { PeerRelationsOptions } from './peerRelations.js';
+import { heartbeatTickMs } from './requesterTimes.js';
 
 const heartbeatTimeoutMs = 250;
-/** A peer in another failure domain that sent a heartbeat within this many periods is not sent one. */
-const recentInboundPeriods = 1.5;
 /** Least time between two full heartbeats to a peer, in milliseconds. */
 const fullHeartbeatPeriodMs = 1_500;
 /** Silence after which other daemons take over the duties of a peer, in milliseconds. */
@@ -26,6 +27,11 @@
 const retryPeriodMs = 500;
 /** Period in which contacts are chosen and silent peers are detected, in milliseconds. */
 const checkPeriodMs = 100;
+/** Processes that another one has replaced that are remembered. */
+const maxReplaced = 1_024;
+
+/** How a process was lost. `replaced`: another one has taken its place, so that it is certainly gone. */
+export type PeerLoss = 'silent' | 'replaced';
 
 export interface FleetPeersOptions extends PeerRelationsOptions {
   readonly logger: Logger;
@@ -36,7 +42,7 @@
   readonly composeHeartbeat: (peer: string | undefined, isFull: boolean) => FleetHeartbeat;
   readonly onHeartbeat: (heartbeat: FleetHeartbeat) => void;
   /** Called when a process is no longer reachable, or another one has taken its place. */
-  readonly onLost: (incarnation: string) => void;
+  readonly onLost: (incarnation: string, loss: PeerLoss) => void;
   /** Called when a process did not answer a heartbeat in time; it may still be reachable. */
   readonly onSuspect: (incarnation: string) => void;
 }
@@ -44,17 +50,19 @@
 export class FleetPeers {
   /** By address. */
   private readonly peers = new Map<string, FleetPeer>();
-  /** Addresses of the chosen contacts in other failure domains. */
-  private contacts: ReadonlySet<string> = new Set();
+  /** Processes that another one has replaced: what they sent may still arrive. */
+  private readonly replaced = RecentNames.create(maxReplaced);
   private readonly stop = new AbortController();
   private readonly logger: Logger;
   private readonly discovery: PeerDiscovery;
   private readonly relations: PeerRelations;
+  private readonly duty: HeartbeatDuty;
 
   private constructor(private readonly options: FleetPeersOptions) {
     const { clock, store, failureDomainIds } = options;
     this.logger = options.logger.forPart('fleet');
     this.relations = PeerRelations.create(options);
+    this.duty = HeartbeatDuty.create(options, this.relations);
     this.discovery = PeerDiscovery.create({
       clock,
       logger: this.logger,
@@ -107,16 +115,22 @@
   receiveHeartbeat(heartbeat: FleetHeartbeat): void {
     this.handleHeartbeat(heartbeat);
     const peer = this.peers.get(heartbeat.member.address);
-    if (peer !== undefined) {
+    if (peer?.incarnation === heartbeat.member.incarnation) {
       peer.lastInboundHeartbeatAtMs = this.options.clock.nowMs();
     }
   }
 
-  /** Records that a reachable process sent a message other than a heartbeat. */
-  recordContact(incarnation: string): void {
+  /**
+   * Records that a reachable process sent a message other than a heartbeat.
+   *
+   * @param incarnation - the process
+   * @param ageMs - time since it sent the message, in milliseconds
+   */
+  recordContact(incarnation: string, ageMs = 0): void {
     const peer = this.find(incarnation);
     if (peer !== undefined) {
-      peer.lastContactAtMs = this.options.clock.nowMs();
+      const sentAtMs = this.options.clock.nowMs() - ageMs;
+      peer.lastContactAtMs = Math.max(peer.lastContactAtMs, sentAtMs);
     }
   }
 
@@ -132,6 +146,13 @@
     if (address === this.options.own.address || this.stop.signal.aborted) {
       return;
     }
+    if (this.replaced.has(incarnation)) {
+      this.logger.info('A message of an earlier process is ignored.', {
+        nodeId: incarnation,
+        address,
+      });
+      return;
+    }
     this.addMembers([{ address, failureDomainId }]);
     const peer = this.peers.get(address);
     if (peer === undefined) {
@@ -144,7 +165,8 @@
     peer.isMarkedUnreachable = false;
     peer.unansweredHeartbeats = 0;
     if (previous !== undefined && previous !== incarnation) {
-      this.options.onLost(previous);
+      this.replaced.add(previous);
+      this.options.onLost(previous, 'replaced');
     }
     if (isNew) {
       this.logger.info('A daemon is reachable.', { nodeId: incarnation, address });
@@ -189,22 +211,14 @@
   }
 
   private refreshContacts(): void {
-    const remote = [...this.peers.values()].filter((peer) => !this.isInOwnDomain(peer));
-    this.contacts = chooseContacts(
-      remote.map((peer) => ({
-        ...peer.known,
-        rank: peer.contactRank,
-        isReachable: this.isReachable(peer),
-        unansweredHeartbeats: peer.unansweredHeartbeats,
-      })),
-    );
+    this.duty.refreshContacts([...this.peers.values()]);
   }
 
   /** Sends heartbeats to one peer, where this is needed, until the peer is removed. */
   private async exchangeHeartbeats(peer: FleetPeer): Promise<void> {
     const { clock } = this.options;
     while (!peer.stop.signal.aborted) {
-      if (this.mustSendHeartbeat(peer)) {
+      if (this.duty.mustSend(peer)) {
         await this.sendHeartbeat(peer);
       }
       await sleepUntilSharedPeriod(
@@ -215,33 +229,6 @@
     }
   }
 
-  /** Within a domain the lower address sends; across domains, either side that keeps contact. */
-  private mustSendHeartbeat(peer: FleetPeer): boolean {
-    if (!this.keepsContact(peer)) {
-      return false;
-    }
-    if (!this.isReachable(peer)) {
-      return true;
-    }
-    if (!this.relations.isHeartbeatDue(peer)) {
-      return false;
-    }
-    const sinceInboundMs = this.options.clock.nowMs() - peer.lastInboundHeartbeatAtMs;
-    return this.isInOwnDomain(peer)
-      ? this.options.own.address < peer.address
-      : sinceInboundMs > recentInboundPeriods * this.relations.heartbeatPeriodMs(peer);
-  }
-
-  /** Whether heartbeats with a peer are needed: same domain, chosen contact, or shared batches. */
-  private keepsContact(peer: FleetPeer): boolean {
-    const { incarnation, address } = peer;
-    return (
-      this.isInOwnDomain(peer) ||
-      this.contacts.has(address) ||
-      (incarnation !== undefined && this.options.sharesBatches(incarnation))
-    );
-  }
-
   private async sendHeartbeat(peer: FleetPeer): Promise<void> {
     const nowMs = this.options.clock.nowMs();
     peer.lastSentAtMs = nowMs;
@@ -290,11 +277,11 @@
   private markUnreachable(peer: FleetPeer, incarnation: string): void {
     const { address } = peer;
     peer.isMarkedUnreachable = true;
-    if (this.keepsContact(peer)) {
+    if (this.duty.keepsContact(peer)) {
       this.logger.warn('A daemon is no longer reachable.', { nodeId: incarnation, address });
     } else {
       this.logger.info('Contact with a daemon has ended.', { nodeId: incarnation, address });
     }
-    this.options.onLost(incarnation);
+    this.options.onLost(incarnation, 'silent');
   }
 }
--- a/src/fleet/messageAges.spec.ts
+++ b/src/fleet/messageAges.spec.ts
@@ -12,6 +12,7 @@
 import { FleetHeartbeatExchange } from './fleetHeartbeatExchange.js';
 import type { FleetPeers } from './fleetPeers.js';
 import { MessageAges } from './messageAges.js';
+import { RequesterLeases } from './requesterLeases.js';
 
 const sender: Member = {
   incarnation: 'sender',
@@ -33,6 +34,7 @@
   const router: Pick<BatchRouter, 'failBatchesAt'> = { failBatchesAt: () => undefined };
   const exchange = FleetHeartbeatExchange.create({
     ages,
+    leases: RequesterLeases.create(ages),
     own,
     logger: silentLogger,
     routing: RoutingStore.create(),
@@ -67,7 +69,7 @@
   receive(senderNowMs() - 2);
   const sentAtMs = senderNowMs();
   clock.jump(8_000);
-  exchange.handleLostDaemon(sender.incarnation);
+  exchange.handleLostDaemon(sender.incarnation, 'silent');
   assert.ok(ages.ageMs(sender.incarnation, sentAtMs) >= 7_990);
   receive(sentAtMs);
   assert.ok(ages.ageMs(sender.incarnation, sentAtMs) >= 7_990);
--- a/src/fleet/peerRelations.ts
+++ b/src/fleet/peerRelations.ts
@@ -6,6 +6,7 @@
 import type { Clock } from '../ports/clock.js';
 import type { Member } from '../types/fleet.js';
 import type { FleetPeer } from './fleetPeer.js';
+import { heartbeatTickMs, maxSilentPeriods } from './requesterTimes.js';
 
 /**
  * What two daemons are to each other. `sharing`: one has batches at the other, which has to stop them
@@ -14,9 +15,6 @@
  */
 type PeerRelation = 'sharing' | 'dispatching' | 'standing-by';
 
-/** Heartbeats are sent at multiples of this time, in milliseconds. */
-export const heartbeatTickMs = 300;
-
 /** Time between two heartbeats to a reachable peer, in milliseconds. */
 const periodsMs: Readonly<Record<PeerRelation, number>> = {
   sharing: heartbeatTickMs,
@@ -24,15 +22,6 @@
   'standing-by': 5 * heartbeatTickMs,
 };
 
-/** A peer is unreachable after a silence of this many periods. */
-const maxSilentPeriods = 3;
-
-/**
- * Longest silence with which a daemon that shares batches counts as reachable, in milliseconds. It is
- * well below the time after which a caller sends the job of a lost daemon again.
- */
-export const maxSharingSilenceMs = periodsMs.sharing * maxSilentPeriods;
-
 export interface PeerRelationsOptions {
   readonly clock: Clock;
   readonly own: Member;
@@ -55,8 +44,9 @@
   }
 
   /**
-   * Whether a peer sent a message as recently as its relation requires. Where batches are shared only
-   * since a short while, heartbeats came less often until then.
+   * Whether this daemon takes a peer for a dispatcher that it can ask: it sent a message as recently as
+   * its relation requires. Where batches are shared only since a short while, heartbeats came less often
+   * until then. It permits the peer nothing: the hold of a requester is judged by `RequesterLeases`.
    */
   isReachable(peer: FleetPeer): boolean {
     const relation = this.relationTo(peer);
--- /dev/null
+++ b/src/fleet/peerService.ts
@@ -0,0 +1,57 @@
+/**
+ * What a daemon serves to the other daemons of the fleet.
+ */
+import type { Dispatcher } from '../dispatch/dispatcher.js';
+import type { BatchRequest, BatchWithdrawal, FleetService } from '../ports/fleetPeers.js';
+import type { RoutingStore } from '../routing/routingStore.js';
+import type { BatchReply } from '../types/dispatch.js';
+import type { FleetHeartbeat } from '../types/fleet.js';
+import type { Routing } from '../types/routing.js';
+import type { BatchIntake } from './batchIntake.js';
+import type { FleetHeartbeatExchange } from './fleetHeartbeatExchange.js';
+import type { FleetPeers } from './fleetPeers.js';
+import type { MessageAges } from './messageAges.js';
+
+export interface PeerServiceOptions {
+  readonly ages: MessageAges;
+  readonly peers: FleetPeers;
+  readonly heartbeatExchange: FleetHeartbeatExchange;
+  readonly batchIntake: BatchIntake;
+  readonly dispatcher: Dispatcher;
+  readonly routing: RoutingStore;
+}
+
+export class PeerService implements FleetService {
+  private constructor(private readonly options: PeerServiceOptions) {}
+
+  static create(options: PeerServiceOptions): PeerService {
+    return new PeerService(options);
+  }
+
+  /** Handles a heartbeat of another daemon; the answer to a full heartbeat is full, too. */
+  beat(theirs: FleetHeartbeat): FleetHeartbeat {
+    const { heartbeatExchange, peers } = this.options;
+    peers.receiveHeartbeat(theirs);
+    return heartbeatExchange.composeHeartbeat(
+      theirs.member.incarnation,
+      theirs.lengths !== undefined,
+    );
+  }
+
+  /** Runs a batch that another daemon requests; the answer may be partial. */
+  runBatch(request: BatchRequest): Promise<BatchReply> {
+    const { ages, batchIntake, peers } = this.options;
+    const { askedBy, sentAtMs } = request;
+    peers.recordContact(askedBy, sentAtMs === undefined ? 0 : ages.ageMs(askedBy, sentAtMs));
+    return batchIntake.run(request);
+  }
+
+  withdrawBatch({ batchId }: BatchWithdrawal): void {
+    this.options.dispatcher.withdraw(batchId);
+  }
+
+  /** @returns the routing configuration in force, or null before the first */
+  fetchRouting(): Routing | null {
+    return this.options.routing.current?.routing ?? null;
+  }
+}
--- a/src/fleet/requesterMonitor.ts
+++ b/src/fleet/requesterMonitor.ts
@@ -1,26 +1,31 @@
 /**
- * Withdraws the batches of requesters that are not reachable, including those from which no
- * heartbeat ever came. One async function checks them periodically.
+ * Withdraws the batches of requesters whose hold on them is over. One async function checks them
+ * periodically.
  */
 import type { Dispatcher } from '../dispatch/dispatcher.js';
+import { unreachable } from '../errors/unreachable.js';
 import type { Clock } from '../ports/clock.js';
+import type { Logger } from '../ports/logger.js';
 import { sleepUntilNextPeriod } from '../utils/periodicSleep.js';
-import { maxSharingSilenceMs } from './peerRelations.js';
-
-const checkPeriodMs = 100;
+import type { RequesterLeases } from './requesterLeases.js';
+import { requesterCheckPeriodMs } from './requesterTimes.js';
 
 export interface RequesterMonitorOptions {
   readonly clock: Clock;
+  readonly logger: Logger;
+  /** Incarnation of this daemon, which always holds its own runs. */
+  readonly ownId: string;
+  readonly leases: RequesterLeases;
   readonly dispatcher: Dispatcher;
-  /** Whether a process is this daemon itself or a reachable peer. */
-  readonly isReachable: (incarnation: string) => boolean;
 }
 
 export class RequesterMonitor {
   private readonly stop = new AbortController();
+  private readonly logger: Logger;
   private readonly checking: Promise<void>;
 
   private constructor(private readonly options: RequesterMonitorOptions) {
+    this.logger = options.logger.forPart('fleet');
     this.checking = this.checkPeriodically();
   }
 
@@ -34,13 +39,36 @@
   }
 
   private async checkPeriodically(): Promise<void> {
-    const { clock, dispatcher, isReachable } = this.options;
+    const { clock, dispatcher, ownId } = this.options;
     while (!this.stop.signal.aborted) {
-      await sleepUntilNextPeriod(clock, checkPeriodMs, this.stop.signal);
-      dispatcher
-        .requesters()
-        .filter((requester) => !isReachable(requester))
-        .forEach((requester) => dispatcher.withdrawAll(requester, maxSharingSilenceMs));
+      await sleepUntilNextPeriod(clock, requesterCheckPeriodMs, this.stop.signal);
+      for (const requester of dispatcher.requesters()) {
+        if (requester !== ownId) {
+          this.check(requester);
+        }
+      }
+    }
+  }
+
+  private check(requester: string): void {
+    const { dispatcher, leases } = this.options;
+    const hold = leases.holdOf(requester);
+    switch (hold) {
+      case 'held':
+        return;
+      case 'silent':
+      case 'replaced': {
+        const silenceMs = leases.silenceMs(requester);
+        this.logger.warn('The hold of a requester on its runs is over.', {
+          nodeId: requester,
+          reason: hold,
+          ...(Number.isFinite(silenceMs) ? { ageMs: Math.round(silenceMs) } : {}),
+        });
+        dispatcher.withdrawAll(requester);
+        return;
+      }
+      default:
+        return unreachable(hold);
     }
   }
 }
--- /dev/null
+++ b/src/fleet/requesterTimes.ts
@@ -0,0 +1,35 @@
+/**
+ * Times within which the runs of a requester that is gone end: its dispatchers stop them before its caller
+ * can have sent the job again to another daemon. All are in milliseconds.
+ */
+
+/** Heartbeats are sent at multiples of this time. */
+export const heartbeatTickMs = 300;
+
+/** A peer is unreachable after a silence of this many periods of its heartbeats. */
+export const maxSilentPeriods = 3;
+
+/**
+ * Longest silence of a daemon that shares batches. A requester's hold on its runs ends with it, and a
+ * requester takes a dispatcher for lost after it.
+ */
+export const maxSharingSilenceMs = maxSilentPeriods * heartbeatTickMs;
+
+/** Period in which the holds of requesters are checked. */
+export const requesterCheckPeriodMs = 100;
+
+/** Longest time between two checks: a sleep until the next multiple of a period skips a short rest of one. */
+const maxCheckPauseMs = 1.25 * requesterCheckPeriodMs;
+
+/** Longest time that a stop order takes to a worker that is in touch. */
+const stopDeliveryMs = 100;
+
+/** Longest time from a stop order's arrival to the end of the run. */
+const maxStopMs = 60;
+
+/** Shortest time after which a caller whose connection broke sends its job again. */
+export const minCallerResendMs = 1_300;
+
+/** Time from the last message of a requester until none of its runs goes on. */
+export const requesterRunsEndMs =
+  maxSharingSilenceMs + maxCheckPauseMs + stopDeliveryMs + maxStopMs;
--- a/src/programs/toucandyked/platformProcess.ts
+++ b/src/programs/toucandyked/platformProcess.ts
@@ -81,7 +81,7 @@
     );
     const peers = await FleetRpcServer.create({
       ...splitAddress(listen.peers),
-      service: daemon,
+      service: daemon.peerService,
       logger,
     });
     const front = await JobHttpServer.create({
