Odd entries of another writer name no worker and end nothing

A page of records that could not be decoded was asked for again for ever; where the store had dropped routing records, the follower asked without a pause. A known worker whose entry was overwritten by an odd one was removed with the next whole list.

A page that is none is handled like dropped records: the whole list is read, after a pause.

--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -104,6 +104,7 @@
     this.directory = WorkerDirectory.create({
       clock,
       logger,
+      metrics,
       store,
       onChange: () => void this.servedWorkers.update(),
     });
--- a/src/ports/fleetStore.ts
+++ b/src/ports/fleetStore.ts
@@ -71,7 +71,8 @@
    * @param offset - `nextOffset` of the read before
    * @param waitMs - longest wait in milliseconds
    * @param signal - cancels the wait
-   * @returns nothing if the store has dropped records after the offset; call `readRouting` then
+   * @returns nothing if no record can be read there, such as where the store has dropped records after the
+   *   offset; call `readRouting` then
    */
   awaitRouting(
     offset: number,
@@ -84,7 +85,8 @@
    * Reads the changes of the list of workers since an offset.
    *
    * @param offset - `nextOffset` of the read before
-   * @returns nothing if the store has dropped changes after the offset; call `listWorkers` then
+   * @returns nothing if no change can be read there, such as where the store has dropped changes after the
+   *   offset; call `listWorkers` then
    */
   readWorkerChanges(offset: number): Promise<Result<WorkerChanges | undefined, StoreError>>;
   /** Saves what a daemon has learned, and replaces what it saved before. */
--- a/src/programs/toucandyked/platformProcess.ts
+++ b/src/programs/toucandyked/platformProcess.ts
@@ -60,6 +60,7 @@
       address: settings.storeAddress,
       shardCount: settings.shardCount,
       memberTtlMs: Math.max(memberTtlMs, settings.minMemberTtlMs),
+      clock,
     });
     const store = MeteredStore.create({ store: storeClient, metrics, clock });
     const daemon = FleetDaemon.create(
--- a/src/routing/routingFollower.ts
+++ b/src/routing/routingFollower.ts
@@ -68,7 +68,7 @@
     }
   }
 
-  /** @returns whether the read succeeded */
+  /** @returns whether records were read or none came, so that the next read may follow at once */
   private async readNext(): Promise<boolean> {
     const { store } = this.options;
     const reading =
@@ -83,9 +83,10 @@
     }
     this.dependency.recordSuccess();
     this.nextOffset = reading.value?.nextOffset;
-    if (reading.value !== undefined) {
-      this.apply(reading.value);
+    if (reading.value === undefined) {
+      return false;
     }
+    this.apply(reading.value);
     return true;
   }
 
--- a/src/workers/workerDirectory.spec.ts
+++ b/src/workers/workerDirectory.spec.ts
@@ -1,10 +1,11 @@
 import { Ok } from 'ts-results-es';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import type { FleetStore, WorkerChange } from '../ports/fleetStore.js';
+import { noMetrics } from '../adapters/system/noMetrics.js';
+import type { FleetStore, WorkerChange, WorkerChanges } from '../ports/fleetStore.js';
 import { workerFixture } from '../testing/dispatchFixtures.js';
 import { FakeClock } from '../testing/fakeClock.js';
-import { silentLogger } from '../testing/silentLogger.js';
+import { recordingLogger } from '../testing/recordingLogger.js';
 import type { WorkerRecord } from '../types/workers.js';
 import { WorkerDirectory } from './workerDirectory.js';
 
@@ -20,14 +21,26 @@
 const createFixture = () => {
   const clock = FakeClock.create();
   const changes: WorkerChange[] = [];
+  const reads: string[] = [];
+  const counts: string[] = [];
+  /** What the next reads of changes return in place of the changes. */
+  const pages: (WorkerChanges | undefined)[] = [];
   const read = () => Ok({ changes: changes.splice(0), nextOffset: 1 });
   const store: Pick<FleetStore, 'listWorkers' | 'readWorkerChanges'> = {
-    listWorkers: async () => read(),
-    readWorkerChanges: async () => read(),
+    listWorkers: async () => {
+      reads.push('list');
+      return read();
+    },
+    readWorkerChanges: async () => {
+      reads.push('changes');
+      return pages.length === 0 ? read() : Ok(pages.shift());
+    },
   };
+  const { logger, lines } = recordingLogger();
   const directory = WorkerDirectory.create({
     clock,
-    logger: silentLogger,
+    logger,
+    metrics: { ...noMetrics, count: (name) => void counts.push(name) },
     store: store as FleetStore,
     onChange: () => undefined,
   });
@@ -35,7 +48,12 @@
     changes.push({ kind: 'listed', worker });
     await clock.advance(1_100);
   };
-  return { directory, list };
+  const listOdd = async (workerId: string, reason: string): Promise<void> => {
+    changes.push({ kind: 'unreadable', workerId, reason });
+    await clock.advance(1_100);
+  };
+  const warnings = (): string[] => lines.filter((line) => line.startsWith('warn'));
+  return { clock, directory, changes, pages, reads, counts, list, listOdd, warnings };
 };
 
 // Guards against jobs that are told that they can never run while the capacity of workers has shrunk.
@@ -56,4 +74,57 @@
   await directory.close();
 });
 
+// Guards against an odd entry of another writer that takes a worker out of use, or hides what comes after it.
+test('a worker whose entry was overwritten by an odd one keeps its record, and the others stay listed', async () => {
+  const { directory, changes, pages, list, listOdd, clock } = createFixture();
+  const { workerId } = workerFixture;
+  const other = { ...workerFixture, workerId: 'i-other' };
+  await list(workerFixture);
+  await list(other);
+  await listOdd(workerId, 'odd');
+  await listOdd('i-unknown', 'odd');
+  assert.is(directory.list().length, 2);
+  // The whole list is read again, in which the odd entry has replaced the right one.
+  pages.push(undefined);
+  changes.push({ kind: 'unreadable', workerId, reason: 'odd' }, { kind: 'listed', worker: other });
+  await clock.advance(6_000);
+  assert.equal(
+    directory.list().map((worker) => worker.workerId),
+    [workerId, 'i-other'],
+  );
+  await list({ ...workerFixture, state: 'draining' });
+  assert.is(directory.get(workerId)?.state, 'draining');
+  await directory.close();
+});
+
+// Guards against a log that another writer fills, and against an odd entry that nobody is told of.
+test('an odd entry is logged once for each reason, again after a right one, and always counted', async () => {
+  const { directory, counts, list, listOdd, warnings } = createFixture();
+  const { workerId } = workerFixture;
+  await listOdd(workerId, 'too long');
+  await listOdd(workerId, 'too long');
+  assert.is(warnings().length, 1);
+  await listOdd(workerId, 'too deep');
+  assert.is(warnings().length, 2);
+  await list(workerFixture);
+  await listOdd(workerId, 'too deep');
+  assert.is(warnings().length, 3);
+  await listOdd('k'.repeat(10_000), 'key');
+  assert.ok(warnings().every((line) => line.length < 200));
+  assert.equal(counts, Array<string>(5).fill('worker_entries_skipped'));
+  await directory.close();
+});
+
+// Guards against a reader that asks without a pause, or stops following, where nothing can be read.
+test('where the changes cannot be read, the whole list is, once in each period', async () => {
+  const { directory, pages, reads, list, clock } = createFixture();
+  await clock.advance(100);
+  pages.push(undefined, undefined, undefined);
+  await clock.advance(3_000);
+  assert.equal(reads, ['list', 'changes', 'list', 'changes', 'list', 'changes', 'list']);
+  await list(workerFixture);
+  assert.is(directory.list().length, 1);
+  await directory.close();
+});
+
 test.run();
--- a/src/workers/workerDirectory.ts
+++ b/src/workers/workerDirectory.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '../ports/clock.js';
 import type { FleetStore, WorkerChange } from '../ports/fleetStore.js';
 import type { Logger } from '../ports/logger.js';
+import type { Metrics } from '../ports/metrics.js';
 import { unreachable } from '../errors/unreachable.js';
 import { hasEnough, maxResources, noResources } from '../types/resources.js';
 import type { Resources } from '../types/resources.js';
@@ -16,10 +17,15 @@
  * store was unreachable is back within two seconds of the store's return.
  */
 const removalDelayMs = 2_500;
+/** Most keys of odd entries that are remembered; the one found first is forgotten first. */
+const maxOddKeys = 1_024;
+/** Part of an odd key that is logged, in characters. */
+const loggedKeyLength = 64;
 
 export interface WorkerDirectoryOptions {
   readonly clock: Clock;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly store: FleetStore;
   /** Called when workers were added, removed or changed. */
   readonly onChange: () => void;
@@ -37,8 +43,8 @@
   private readonly largestCapacities = new Map<string, Resources>();
   /** When a worker's entry was found missing, in monotonic time, by worker. */
   private readonly missingSinceMs = new Map<string, number>();
-  /** Workers whose faulty entry was logged. */
-  private readonly unreadable = new Set<string>();
+  /** Why the newest entry of a key is not valid, as it was logged, by key. */
+  private readonly oddEntries = new Map<string, string>();
   private readonly stop = new AbortController();
   private readonly logger: Logger;
   private readonly dependency: DependencyMonitor;
@@ -137,10 +143,10 @@
     }
   }
 
-  /** Marks the workers that a whole list does not contain. */
+  /** Marks the workers that a whole list does not contain; one with an odd entry keeps its record. */
   private markUnlistedAsMissing(changes: readonly WorkerChange[]): void {
     const listed = new Set(
-      changes.flatMap((change) => (change.kind === 'listed' ? [change.worker.workerId] : [])),
+      changes.flatMap((change) => (change.kind === 'removed' ? [] : [workerIdOf(change)])),
     );
     for (const workerId of this.workers.keys()) {
       if (!listed.has(workerId)) {
@@ -155,10 +161,11 @@
       case 'listed':
         return this.recordListed(change.worker);
       case 'removed':
+        this.oddEntries.delete(change.workerId);
         this.markMissing(change.workerId);
         return false;
       case 'unreadable':
-        this.reportUnreadable(change.workerId, change.reason);
+        this.reportOddEntry(change.workerId, change.reason);
         return false;
       default:
         return unreachable(change);
@@ -168,6 +175,7 @@
   private recordListed(worker: WorkerRecord): boolean {
     const { workerId } = worker;
     this.missingSinceMs.delete(workerId);
+    this.oddEntries.delete(workerId);
     const known = this.workers.get(workerId);
     if (known !== undefined && isSameRecord(known, worker)) {
       return false;
@@ -190,12 +198,20 @@
     }
   }
 
-  /** Logs an entry from which no worker can be read, once for each worker id. */
-  private reportUnreadable(workerId: string, reason: string): void {
-    if (!this.unreadable.has(workerId)) {
-      this.unreadable.add(workerId);
-      this.logger.warn('The entry of a worker is not valid.', { workerId, reason });
+  /** Counts an entry from which no worker can be read, and logs it once for each key and reason. */
+  private reportOddEntry(key: string, reason: string): void {
+    this.options.metrics.count('worker_entries_skipped');
+    if (this.oddEntries.get(key) === reason) {
+      return;
+    }
+    this.oddEntries.delete(key);
+    this.oddEntries.set(key, reason);
+    const [oldest] = this.oddEntries.keys();
+    if (this.oddEntries.size > maxOddKeys && oldest !== undefined) {
+      this.oddEntries.delete(oldest);
     }
+    const workerId = key.slice(0, loggedKeyLength);
+    this.logger.warn('The entry of a worker is not valid.', { workerId, reason });
   }
 
   /**
@@ -219,6 +235,9 @@
   }
 }
 
+const workerIdOf = (change: Exclude<WorkerChange, { kind: 'removed' }>): string =>
+  change.kind === 'listed' ? change.worker.workerId : change.workerId;
+
 const isSameRecord = (a: WorkerRecord, b: WorkerRecord): boolean =>
   a.address === b.address &&
   a.startedAtMs === b.startedAtMs &&
