--- a/src/bestEffort/leastSquares.ts
+++ b/src/bestEffort/leastSquares.ts
@@ -5,6 +5,16 @@
 import { featureCount } from '../types/learned.js';
 import type { LengthSums } from '../types/learned.js';
 
+/** Largest sum that is used; beyond it, rounding errors would outweigh the other sums. */
+const maxSum = 1e15;
+
+/**
+ * Whether sums can come from observations: features and run times are not negative, so that no sum of their
+ * products is. Others, such as those of another writer, would spoil the predictions of every route.
+ */
+export const areUsableSums = ({ observations, products, targets }: LengthSums): boolean =>
+  [observations, ...products, ...targets].every((sum) => sum >= 0 && sum <= maxSum);
+
 /** @returns sums without observations */
 export const emptySums = (routeId: string): LengthSums => ({
   routeId,
@@ -46,7 +56,8 @@
 };
 
 /**
- * Computes the coefficients with the least squared error, regularized towards a prior.
+ * Computes the coefficients with the least squared error, regularized towards a prior. The prior is the
+ * result where the equations have no finite solution.
  *
  * @param sums - sums of the observations
  * @param prior - coefficients that result without observations
@@ -63,7 +74,8 @@
     coefficients[row] = (coefficients[row] ?? 0) + priorWeight;
     return [...coefficients, target + priorWeight * (prior[row] ?? 0)];
   });
-  return solveLinearSystem(rows);
+  const solution = solveLinearSystem(rows);
+  return solution.every((coefficient) => Number.isFinite(coefficient)) ? solution : prior;
 };
 
 /**
--- a/src/bestEffort/runTimePredictor.spec.ts
+++ b/src/bestEffort/runTimePredictor.spec.ts
@@ -1,5 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import { lengthSumsSchema } from '../types/learned.js';
+import type { LengthSums } from '../types/learned.js';
 import { SeededRandom } from '../testing/seededRandom.js';
 import { RunTimePredictor } from './runTimePredictor.js';
 
@@ -62,4 +64,37 @@
   assert.ok(Math.abs(predicted - 300) < 15, String(predicted));
 });
 
+// Guards against saved or shared sums that spoil the predictions of every route.
+test('odd sums of another daemon or writer leave the predictions as they are', () => {
+  const hints = { declaredMs: 200, deadlineMs: 1_500 };
+  const odd: readonly Partial<LengthSums>[] = [
+    { products: Array<number>(9).fill(1e308) },
+    { products: Array<number>(9).fill(-1e9) },
+    { products: Array<number>(9).fill(NaN) },
+    { targets: [Infinity, 0, 0] },
+    { targets: [0, -1e12, 0] },
+    { observations: 1e308 },
+  ];
+  for (const fields of odd) {
+    const predictor = RunTimePredictor.create();
+    const sums = { routeId: 'r', observations: 5, products: Array<number>(9).fill(0) };
+    const both = [{ ...sums, targets: [0, 0, 0], ...fields }];
+    for (let i = 0; i < 8; i += 1) {
+      predictor.recordPeerSums(`peer-${i}`, both);
+      predictor.restoreSavedSums(`saved-${i}`, both);
+    }
+    assert.is(predictor.predictMs('r', hints), 200, JSON.stringify(fields));
+  }
+});
+
+// Guards against a daemon that sends sums which every other one rejects, as they are not numbers any more.
+test('an observation with hints beyond measure leaves the own sums finite', () => {
+  const predictor = RunTimePredictor.create();
+  predictor.observe('r', { declaredMs: 200, deadlineMs: 1_500 }, 180);
+  predictor.observe('r', { declaredMs: 200, deadlineMs: 1e300 }, 180);
+  const [sums] = predictor.share();
+  assert.ok(sums && lengthSumsSchema.safeParse(JSON.parse(JSON.stringify(sums))).success);
+  assert.ok(Number.isFinite(predictor.predictMs('r', { declaredMs: 200, deadlineMs: 1_500 })));
+});
+
 test.run();
--- a/src/bestEffort/runTimePredictor.ts
+++ b/src/bestEffort/runTimePredictor.ts
@@ -5,7 +5,13 @@
  * the run time better. The prediction is linear in both. Daemons share their regression sums, so
  * that each learns from the jobs of all, and a route with few observations borrows from the others.
  */
-import { addSums, emptySums, solveLeastSquares, sumsOfObservation } from './leastSquares.js';
+import {
+  addSums,
+  areUsableSums,
+  emptySums,
+  solveLeastSquares,
+  sumsOfObservation,
+} from './leastSquares.js';
 import type { LengthSums } from '../types/learned.js';
 
 /** What a caller states about a job that helps to predict the run time of its tasks. */
@@ -73,7 +79,8 @@
   }
 
   /**
-   * Adds the run time of a finished task to the observations of its route.
+   * Adds the run time of a finished task to the observations of its route, unless its hints are beyond what
+   * the sums can hold.
    *
    * @param routeId - the route on which its job was submitted
    * @param hints - what its caller stated
@@ -84,7 +91,11 @@
     const scale = Math.max(this.predictMs(routeId, hints), minScaleMs) / msPerSecond;
     const observed = sumsOfObservation(routeId, featuresOf(hints), target, scale);
     const earlier = this.own.get(routeId) ?? emptySums(routeId);
-    this.own.set(routeId, addSums(observed, earlier, observationDecay));
+    const sums = addSums(observed, earlier, observationDecay);
+    if (!areUsableSums(sums)) {
+      return;
+    }
+    this.own.set(routeId, sums);
     this.countChange();
   }
 
@@ -93,9 +104,9 @@
     return [...this.own.values()];
   }
 
-  /** Records the sums of another daemon's own observations, in place of its earlier ones. */
+  /** Records the usable sums of another daemon's own observations, in place of its earlier ones. */
   recordPeerSums(incarnation: string, sums: readonly LengthSums[]): void {
-    this.peerSums.set(incarnation, sums);
+    this.peerSums.set(incarnation, sums.filter(areUsableSums));
     this.countChange();
   }
 
--- a/src/workers/workerSpeed.ts
+++ b/src/workers/workerSpeed.ts
@@ -23,10 +23,10 @@
   private constructor(private mean: number) {}
 
   /**
-   * @param remembered - slowdown factor that an earlier dispatcher measured
+   * @param remembered - slowdown factor that an earlier dispatcher measured, or that another writer stored
    */
   static create(remembered?: number): WorkerSpeed {
-    const speed = new WorkerSpeed(remembered ?? defaultSlowness);
+    const speed = new WorkerSpeed(clampRatio(remembered ?? defaultSlowness));
     speed.observations = remembered === undefined ? 0 : priorObservations;
     return speed;
   }
@@ -39,7 +39,7 @@
    * @param nowMs - monotonic time
    */
   observe(runTimeMs: number, estimatedMs: number, nowMs: number): void {
-    const ratio = Math.min(Math.max(runTimeMs / estimatedMs, minRatio), maxRatio);
+    const ratio = clampRatio(runTimeMs / estimatedMs);
     const previous = this.slowness(nowMs);
     this.observations += 1;
     const weight = Math.max(1 / (this.observations + 1), observationWeight);
@@ -60,3 +60,5 @@
     return maxPersistentSlowness + (this.mean - maxPersistentSlowness) * remainingShare;
   }
 }
+
+const clampRatio = (ratio: number): number => Math.min(Math.max(ratio, minRatio), maxRatio);
