A task that fails begins again, and the process goes on

Cause: each long-running task was a promise that nothing watched: an error in the calls of one worker, in one heartbeat or in one read of a list ended the process by an unhandled rejection, and with it the runs and callers of all others. An error in one pass over the waiting tasks left its flag set, so that no task would ever have started again.

An order whose port throws is one without an answer. An error in the start of one task leaves the others going. An upgrade or a message that throws ends its connection only. As a last resort, the daemon on the platform reports unhandled rejections; an uncaught exception still ends it, for the reason given in lastResort.ts.

Specs of the supervised classes get a supervisor in their fixtures; no check changed.

--- a/src/adapters/http/httpServer.ts
+++ b/src/adapters/http/httpServer.ts
@@ -65,7 +65,10 @@
     httpServer.server.maxHeadersCount = maxHeaders;
     httpServer.server.maxConnections = options.maxConnections;
     if (options.onUpgrade !== undefined) {
-      httpServer.server.on('upgrade', options.onUpgrade);
+      const { onUpgrade } = options;
+      httpServer.server.on('upgrade', (request, socket, head) => {
+        httpServer.upgrade(onUpgrade, request, socket, head);
+      });
     }
     await new Promise<void>((resolve, reject) => {
       httpServer.server.once('error', reject);
@@ -114,6 +117,21 @@
     await closed;
   }
 
+  private upgrade(
+    onUpgrade: UpgradeHandler,
+    request: IncomingMessage,
+    socket: Duplex,
+    head: Buffer,
+  ): void {
+    try {
+      onUpgrade(request, socket, head);
+    } catch (error) {
+      // An error in one connection must not end the process.
+      this.options.onError?.(String(error));
+      socket.destroy();
+    }
+  }
+
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     this.openResponses.add(response);
     response.once('close', () => this.openResponses.delete(response));
--- a/src/adapters/jsonRpc/rpcSocket.ts
+++ b/src/adapters/jsonRpc/rpcSocket.ts
@@ -70,7 +70,7 @@
     this.socket.on('error', (error) => {
       this.closeReason = String(error);
     });
-    this.socket.on('message', (data: Buffer) => this.receive(data));
+    this.socket.on('message', (data: Buffer) => this.receiveSafely(data));
   }
 
   /**
@@ -133,6 +133,16 @@
     clearTimeout(timer);
   }
 
+  /** An error in what one peer sent ends the connection, not the process. */
+  private receiveSafely(data: Buffer): void {
+    try {
+      this.receive(data);
+    } catch (error) {
+      this.closeReason = String(error);
+      this.socket.terminate();
+    }
+  }
+
   private receive(data: Buffer): void {
     this.lastReceivedAtMs = performance.now();
     const response = responseSchema.safeParse(parseJson(data));
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -8,6 +8,7 @@
 import type { Metrics } from '../ports/metrics.js';
 import type { Random } from '../ports/random.js';
 import type { WorkerPort } from '../ports/workers.js';
+import { TaskSupervisor } from '../utils/taskSupervisor.js';
 import type { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import type { WorkerRecord } from '../types/workers.js';
 import type { ActiveRun, RunOutcome } from './activeRun.js';
@@ -46,13 +47,15 @@
     const logger = options.logger.forPart('dispatch');
     this.logger = logger;
     this.suspects = CrashSuspects.create(options.clock);
+    const supervisor = TaskSupervisor.create(options);
     this.workers = WorkerPool.create({
       ...options,
       logger,
+      supervisor,
       onEnd: (worker, run, outcome) => this.ended(worker, run, outcome),
       onAvailabilityChange: () => this.starter.startReadyTasks(),
     });
-    this.starter = TaskStarter.create({ ...options, logger, workers: this.workers });
+    this.starter = TaskStarter.create({ ...options, logger, supervisor, workers: this.workers });
     const { starter, suspects } = this;
     this.retries = TaskRetries.create({ logger, starter, suspects });
   }
--- a/src/dispatch/managedWorker.spec.ts
+++ b/src/dispatch/managedWorker.spec.ts
@@ -3,6 +3,7 @@
 import { FakeClock } from '../testing/fakeClock.js';
 import { ScriptedWorkers } from '../testing/scriptedWorkers.js';
 import { silentLogger } from '../testing/silentLogger.js';
+import { silentSupervisor } from '../testing/silentSupervisor.js';
 import type { ReportedRun, WorkerRecord } from '../types/workers.js';
 import type { RunOutcome } from './activeRun.js';
 import { ManagedWorker } from './managedWorker.js';
@@ -64,6 +65,7 @@
     workers,
     logger: silentLogger,
     leaseMs,
+    supervisor: silentSupervisor(clock),
     onEnd: (_worker, _run, outcome) => void outcomes.push(outcome),
     onAvailabilityChange: () => undefined,
   });
--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -7,6 +7,7 @@
 import type { WorkerPort } from '../ports/workers.js';
 import { subtractResources } from '../types/resources.js';
 import type { Resources } from '../types/resources.js';
+import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import { WakeableSleep } from '../utils/wakeableSleep.js';
 import type { WorkerRecord } from '../types/workers.js';
 import { WorkerSpeed } from '../workers/workerSpeed.js';
@@ -34,6 +35,7 @@
   readonly workers: WorkerPort;
   readonly logger: Logger;
   readonly leaseMs: number;
+  readonly supervisor: TaskSupervisor;
   /** Slowdown factor that an earlier dispatcher measured. */
   readonly rememberedSlowness?: number | undefined;
   /** Called once for each run, when it can no longer be running. */
@@ -50,17 +52,16 @@
   private readonly runs: RunTable;
   private readonly orders: RunOrders;
   private readonly reports: WorkerReports;
-  private readonly logger: Logger;
   private readonly sleeper: WakeableSleep;
   /** Whether all runs of earlier dispatchers have ended, so that leases may be renewed. */
   private isTakenOver = false;
   private isDraining = false;
   private isClosed = false;
+  private readonly stop = new AbortController();
   private readonly loop: Promise<void>;
 
   private constructor(private readonly options: ManagedWorkerOptions) {
     const { clock, logger, rememberedSlowness, onEnd } = options;
-    this.logger = logger;
     this.link = WorkerLink.create(options);
     this.speed = WorkerSpeed.create(rememberedSlowness);
     this.health = WorkerHealth.create(clock);
@@ -72,7 +73,8 @@
     this.reports = WorkerReports.create({ clock, logger, link, runs, sleeper, onStart, onReport });
     const poll = (): Promise<void> => this.reports.poll();
     this.orders = RunOrders.create({ clock, logger, link, runs, health, poll, onStart });
-    this.loop = this.runLoop();
+    const run = (): Promise<void> => this.runLoop().finally(() => (this.isTakenOver = false));
+    this.loop = options.supervisor.keep('a worker', run, this.stop.signal);
   }
 
   static create(options: ManagedWorkerOptions): ManagedWorker {
@@ -207,6 +209,7 @@
       return;
     }
     this.isClosed = true;
+    this.stop.abort();
     this.reports.close();
     this.sleeper.close();
     await this.link.release();
@@ -261,7 +264,7 @@
       return;
     }
     this.isTakenOver = true;
-    this.logger.info('The worker is taken over.', { workerId: this.workerId });
+    this.options.logger.info('The worker is taken over.', { workerId: this.workerId });
     this.options.onAvailabilityChange();
   }
 
--- a/src/dispatch/taskStarter.ts
+++ b/src/dispatch/taskStarter.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
 import type { Random } from '../ports/random.js';
+import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import type { BatchedTask, OpenBatch } from './openBatch.js';
 import type { LocalCandidate, WorkerPool } from './workerPool.js';
 import { isSuspect } from './suspectIsolation.js';
@@ -26,6 +27,7 @@
   readonly logger: Logger;
   readonly workers: WorkerPool;
   readonly farRackFactor: number;
+  readonly supervisor: TaskSupervisor;
 }
 
 export class TaskStarter {
@@ -91,7 +93,7 @@
         break;
       }
       // A suspect waits for a worker of its own, and others need not wait for it.
-      blocked += this.tryStart(task) || isSuspect(task) ? 0 : 1;
+      blocked += this.tryStartSafely(task) || isSuspect(task) ? 0 : 1;
     }
     this.isStartingTasks = false;
     if (this.waiting.size > 0) {
@@ -113,6 +115,16 @@
     this.startReadyTasks();
   }
 
+  /** Like `tryStart`, but an error leaves the task waiting, and the others go on. */
+  private tryStartSafely(task: BatchedTask): boolean {
+    try {
+      return this.tryStart(task);
+    } catch (error) {
+      this.options.supervisor.report('starting a task', error);
+      return false;
+    }
+  }
+
   /** @returns whether the task was started, expired or returned, and so no longer waits */
   private tryStart(task: BatchedTask): boolean {
     const { clock, random, workers, farRackFactor } = this.options;
--- a/src/dispatch/workerLink.ts
+++ b/src/dispatch/workerLink.ts
@@ -3,8 +3,9 @@
  */
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
-import type { HoldReply, StartReply, WorkerPort } from '../ports/workers.js';
+import type { HoldReply, OrderFailure, StartReply, WorkerPort } from '../ports/workers.js';
 import type { WorkerRecord } from '../types/workers.js';
+import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import type { ActiveRun } from './activeRun.js';
 import { LeaseClock } from './leaseClock.js';
 
@@ -13,6 +14,8 @@
 /** A hold times out this long after the wait that it asks for. */
 const holdSlackMs = 200;
 
+type NoAnswer = Extract<OrderFailure, { kind: 'no-answer' }>;
+
 /** Parameters of a hold, the long poll for a report. */
 export interface HoldRequest {
   /** Number of the last end that is acknowledged with it. */
@@ -30,6 +33,7 @@
   readonly workers: WorkerPort;
   readonly logger: Logger;
   readonly leaseMs: number;
+  readonly supervisor: TaskSupervisor;
 }
 
 export class WorkerLink {
@@ -78,7 +82,8 @@
       leaseEndWorkerMs: this.leaseClock.issueLeaseEnd(),
       fencingToken: this.token,
     };
-    const reply = await this.options.workers.start(this.record, order, startTimeoutMs);
+    const { workers } = this.options;
+    const reply = await this.guard(() => workers.start(this.record, order, startTimeoutMs));
     return this.recordFencing(reply, order.fencingToken);
   }
 
@@ -92,7 +97,8 @@
       return false;
     }
     const order = { taskName, run, fencingToken: this.token };
-    const reply = await this.options.workers.stop(this.record, order, stopTimeoutMs);
+    const { workers } = this.options;
+    const reply = await this.guard(() => workers.stop(this.record, order, stopTimeoutMs));
     return this.recordFencing(reply, order.fencingToken).kind === 'stopped';
   }
 
@@ -104,7 +110,8 @@
       waitMs,
       ...(renewsLeases ? { leaseEndWorkerMs: this.leaseClock.issueLeaseEnd() } : {}),
     };
-    const reply = await this.options.workers.hold(this.record, order, waitMs + holdSlackMs);
+    const { workers } = this.options;
+    const reply = await this.guard(() => workers.hold(this.record, order, waitMs + holdSlackMs));
     return this.recordFencing(reply, order.fencingToken);
   }
 
@@ -113,6 +120,16 @@
     return this.options.workers.disconnect(this.record);
   }
 
+  /** Sends an order; an error of the port says nothing of the order, which may have been carried out. */
+  private async guard<R>(send: () => Promise<R>): Promise<R | NoAnswer> {
+    try {
+      return await send();
+    } catch (error) {
+      this.options.supervisor.report('an order to a worker', error);
+      return { kind: 'no-answer', detail: String(error) };
+    }
+  }
+
   /** Records the token if the worker refused it; returns the reply unchanged. */
   private recordFencing<R extends { readonly kind: string }>(reply: R, token: number): R {
     if (reply.kind === 'stale-token' && token > this.refusedToken) {
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -6,6 +6,7 @@
 import type { Logger } from '../ports/logger.js';
 import type { WorkerPort } from '../ports/workers.js';
 import { hasEnough } from '../types/resources.js';
+import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import type { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import type { WorkerRecord } from '../types/workers.js';
 import { ManagedWorker } from './managedWorker.js';
@@ -26,6 +27,7 @@
   readonly workers: WorkerPort;
   readonly leaseMs: number;
   readonly farRackFactor: number;
+  readonly supervisor: TaskSupervisor;
   /** Slowdown factors of workers that other dispatchers measured earlier. */
   readonly speeds: WorkerSpeedCache;
 }
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -23,6 +23,7 @@
 import type { WorkerPort } from '../ports/workers.js';
 import { RoutingFollower } from '../routing/routingFollower.js';
 import { RoutingStore } from '../routing/routingStore.js';
+import { TaskSupervisor } from '../utils/taskSupervisor.js';
 import type { Routing } from '../types/routing.js';
 import { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import { WorkerDirectory } from '../workers/workerDirectory.js';
@@ -90,6 +91,8 @@
     const { member, leaseMs, farRackFactor } = identity;
     const ownId = member.incarnation;
     const ages = MessageAges.create(clock);
+    const supervisor = TaskSupervisor.create({ clock, logger, metrics });
+    const common = { clock, logger, metrics, store, supervisor };
     this.logger = logger.forPart('jobs');
     this.dispatcher = Dispatcher.create({
       clock,
@@ -102,11 +105,9 @@
       speeds: this.speeds,
     });
     this.directory = WorkerDirectory.create({
-      clock,
-      logger,
-      metrics,
-      store,
-      onChange: () => void this.servedWorkers.update(),
+      ...common,
+      onChange: () =>
+        void supervisor.attempt('releasing workers', () => this.servedWorkers.update()),
     });
     this.servedWorkers = ServedWorkers.create({
       failureDomainId: member.failureDomainId,
@@ -114,7 +115,7 @@
       directory: this.directory,
       dispatcher: this.dispatcher,
     });
-    this.routingFollower = RoutingFollower.create({ clock, logger, store, routing: this.routing });
+    this.routingFollower = RoutingFollower.create({ ...common, routing: this.routing });
     this.view = FleetView.create({
       clock,
       ownId,
@@ -140,7 +141,7 @@
     });
     const { lengths, speeds, routing, directory, jobs } = this;
     this.intake = JobIntake.create({ logger: this.logger, metrics, routing, directory, jobs });
-    this.learned = LearnedBackup.create({ clock, logger, store, member, lengths, speeds });
+    this.learned = LearnedBackup.create({ ...common, member, lengths, speeds });
     const { view, router, dispatcher } = this;
     this.batchIntake = BatchIntake.create({ ownId, logger: this.logger, ages, dispatcher });
     this.heartbeatExchange = FleetHeartbeatExchange.create({
@@ -156,10 +157,8 @@
       peers: () => this.peers,
     });
     this.peers = FleetPeers.create({
-      clock,
-      logger,
+      ...common,
       connector,
-      store,
       own: member,
       failureDomainIds: identity.failureDomainIds,
       composeHeartbeat: (peer, isFull) => this.heartbeatExchange.composeHeartbeat(peer, isFull),
@@ -170,9 +169,7 @@
       onSuspect: (incarnation) => this.view.forget(incarnation),
     });
     this.shards = ShardMembership.create({
-      clock,
-      logger,
-      store,
+      ...common,
       member,
       onGrant: (grant) => this.servedWorkers.applyGrant(grant),
       onStoreReachable: () => this.routingFollower.refresh(),
@@ -187,7 +184,7 @@
       },
     });
     this.requesterMonitor = RequesterMonitor.create({
-      clock,
+      ...common,
       dispatcher,
       isReachable: (requester) =>
         requester === member.incarnation || this.peers.find(requester) !== undefined,
--- a/src/fleet/fleetPeers.spec.ts
+++ b/src/fleet/fleetPeers.spec.ts
@@ -4,6 +4,7 @@
 import type { FleetConnector, FleetLink } from '../ports/fleetPeers.js';
 import type { FleetStore } from '../ports/fleetStore.js';
 import { FakeClock } from '../testing/fakeClock.js';
+import { silentSupervisor } from '../testing/silentSupervisor.js';
 import { silentLogger } from '../testing/silentLogger.js';
 import type { FleetHeartbeat, Member, WorkerLoad } from '../types/fleet.js';
 import { FleetPeers } from './fleetPeers.js';
@@ -73,6 +74,7 @@
         Promise.resolve(Ok(this.members.filter((one) => one.failureDomainId === domain))),
     };
     return FleetPeers.create({
+      supervisor: silentSupervisor(this.clock),
       clock: this.clock,
       logger: silentLogger,
       connector: this.connectorOf(own, composeHeartbeat),
--- a/src/fleet/fleetPeers.ts
+++ b/src/fleet/fleetPeers.ts
@@ -6,6 +6,7 @@
 import type { FleetStore } from '../ports/fleetStore.js';
 import type { Logger } from '../ports/logger.js';
 import type { FleetHeartbeat, KnownMember, Member } from '../types/fleet.js';
+import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import { sleepUntilNextPeriod, sleepUntilSharedPeriod } from '../utils/periodicSleep.js';
 import { chooseContacts, rankContact } from './contacts.js';
 import { FleetPeer } from './fleetPeer.js';
@@ -31,6 +32,7 @@
   readonly logger: Logger;
   readonly connector: FleetConnector;
   readonly store: FleetStore;
+  readonly supervisor: TaskSupervisor;
   readonly failureDomainIds: readonly string[];
   /** Composes a heartbeat for the process with this incarnation, if it is known. */
   readonly composeHeartbeat: (peer: string | undefined, isFull: boolean) => FleetHeartbeat;
@@ -52,18 +54,15 @@
   private readonly relations: PeerRelations;
 
   private constructor(private readonly options: FleetPeersOptions) {
-    const { clock, store, failureDomainIds } = options;
     this.logger = options.logger.forPart('fleet');
     this.relations = PeerRelations.create(options);
     this.discovery = PeerDiscovery.create({
-      clock,
+      ...options,
       logger: this.logger,
-      store,
-      failureDomainIds,
       hasNoReachablePeer: () => this.reachable().length === 0,
       onFound: (members) => this.addMembers(members),
     });
-    void this.checkPeers();
+    void options.supervisor.keep('checking peers', () => this.checkPeers(), this.stop.signal);
   }
 
   static create(options: FleetPeersOptions): FleetPeers {
@@ -77,8 +76,7 @@
 
   /** Finds a reachable peer by the incarnation of its process. */
   find(incarnation: string): FleetPeer | undefined {
-    const peers = [...this.peers.values()];
-    return peers.find((peer) => peer.incarnation === incarnation && this.isReachable(peer));
+    return this.reachable().find((peer) => peer.incarnation === incarnation);
   }
 
   /** @returns the peers that sent a message recently, as their relation requires */
@@ -163,7 +161,7 @@
 
   /** Adds the members that are not peers yet; for the others, records that they were listed. */
   private addMembers(members: readonly KnownMember[]): void {
-    const { clock, own } = this.options;
+    const { clock, own, supervisor } = this.options;
     const added: FleetPeer[] = [];
     for (const member of members.filter(({ address }) => address !== own.address)) {
       const known = this.peers.get(member.address);
@@ -175,7 +173,9 @@
     }
     if (added.length > 0) {
       this.refreshContacts();
-      added.forEach((peer) => void this.exchangeHeartbeats(peer));
+      for (const peer of added) {
+        void supervisor.keep('heartbeats', () => this.exchangeHeartbeats(peer), peer.stop.signal);
+      }
     }
   }
 
--- a/src/fleet/learnedBackup.ts
+++ b/src/fleet/learnedBackup.ts
@@ -6,6 +6,7 @@
 import type { Clock } from '../ports/clock.js';
 import type { FleetStore } from '../ports/fleetStore.js';
 import type { Logger } from '../ports/logger.js';
+import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import type { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import type { Member } from '../types/fleet.js';
 
@@ -19,6 +20,7 @@
   readonly logger: Logger;
   readonly store: FleetStore;
   readonly member: Member;
+  readonly supervisor: TaskSupervisor;
   readonly lengths: RunTimePredictor;
   readonly speeds: WorkerSpeedCache;
 }
@@ -30,7 +32,11 @@
 
   private constructor(private readonly options: LearnedBackupOptions) {
     this.logger = options.logger.forPart('learned');
-    this.saving = this.savePeriodically();
+    this.saving = options.supervisor.keep(
+      'saving what was learned',
+      () => this.savePeriodically(),
+      this.stop.signal,
+    );
   }
 
   static create(options: LearnedBackupOptions): LearnedBackup {
--- a/src/fleet/peerDiscovery.ts
+++ b/src/fleet/peerDiscovery.ts
@@ -6,6 +6,7 @@
 import type { FleetStore } from '../ports/fleetStore.js';
 import type { Logger } from '../ports/logger.js';
 import type { KnownMember } from '../types/fleet.js';
+import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 
 /** Period of the listing while no peer is reachable, in milliseconds. */
 const alonePeriodMs = 700;
@@ -16,6 +17,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly store: FleetStore;
+  readonly supervisor: TaskSupervisor;
   readonly failureDomainIds: readonly string[];
   readonly hasNoReachablePeer: () => boolean;
   /** Called with the listed members of one failure domain, this daemon possibly included. */
@@ -29,7 +31,11 @@
 
   private constructor(private readonly options: PeerDiscoveryOptions) {
     this.failureDomainIds = options.failureDomainIds;
-    void this.listPeriodically();
+    void options.supervisor.keep(
+      'listing the members',
+      () => this.listPeriodically(),
+      this.stop.signal,
+    );
   }
 
   static create(options: PeerDiscoveryOptions): PeerDiscovery {
--- a/src/fleet/requesterMonitor.ts
+++ b/src/fleet/requesterMonitor.ts
@@ -5,6 +5,7 @@
 import type { Dispatcher } from '../dispatch/dispatcher.js';
 import type { Clock } from '../ports/clock.js';
 import { sleepUntilNextPeriod } from '../utils/periodicSleep.js';
+import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import { maxSharingSilenceMs } from './peerRelations.js';
 
 const checkPeriodMs = 100;
@@ -12,6 +13,7 @@
 export interface RequesterMonitorOptions {
   readonly clock: Clock;
   readonly dispatcher: Dispatcher;
+  readonly supervisor: TaskSupervisor;
   /** Whether a process is this daemon itself or a reachable peer. */
   readonly isReachable: (incarnation: string) => boolean;
 }
@@ -21,7 +23,11 @@
   private readonly checking: Promise<void>;
 
   private constructor(private readonly options: RequesterMonitorOptions) {
-    this.checking = this.checkPeriodically();
+    this.checking = options.supervisor.keep(
+      'checking the requesters',
+      () => this.checkPeriodically(),
+      this.stop.signal,
+    );
   }
 
   static create(options: RequesterMonitorOptions): RequesterMonitor {
--- a/src/fleet/shardMembership.spec.ts
+++ b/src/fleet/shardMembership.spec.ts
@@ -3,6 +3,7 @@
 import * as assert from 'uvu/assert';
 import type { FleetStore } from '../ports/fleetStore.js';
 import { FakeClock } from '../testing/fakeClock.js';
+import { silentSupervisor } from '../testing/silentSupervisor.js';
 import { silentLogger } from '../testing/silentLogger.js';
 import { createDeferred } from '../utils/deferred.js';
 import { ShardMembership, shardOf } from './shardMembership.js';
@@ -22,6 +23,7 @@
     },
   } as unknown as FleetStore;
   const membership = ShardMembership.create({
+    supervisor: silentSupervisor(clock),
     clock,
     logger: silentLogger,
     store,
@@ -55,6 +57,7 @@
     },
   } as unknown as FleetStore;
   const membership = ShardMembership.create({
+    supervisor: silentSupervisor(clock),
     clock,
     logger: silentLogger,
     store,
--- a/src/fleet/shardMembership.ts
+++ b/src/fleet/shardMembership.ts
@@ -7,6 +7,7 @@
 import type { FleetStore } from '../ports/fleetStore.js';
 import type { Logger } from '../ports/logger.js';
 import { DependencyMonitor } from '../utils/dependencyMonitor.js';
+import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import { WakeableSleep } from '../utils/wakeableSleep.js';
 import type { Member, ShardGrant } from '../types/fleet.js';
 
@@ -19,6 +20,7 @@
   readonly logger: Logger;
   readonly store: FleetStore;
   readonly member: Member;
+  readonly supervisor: TaskSupervisor;
   /**
    * Called with every change of the grant.
    *
@@ -51,7 +53,11 @@
       options.clock,
     );
     this.renewalDelay = WakeableSleep.create(options.clock);
-    this.renewing = this.renewPeriodically();
+    this.renewing = options.supervisor.keep(
+      'renewing the membership',
+      () => this.renewPeriodically(),
+      this.stop.signal,
+    );
   }
 
   static create(options: ShardMembershipOptions): ShardMembership {
@@ -127,7 +133,7 @@
       generation: grant.generation,
       count: grant.shards.length,
     });
-    void this.confirmRelease(grant);
+    void this.options.supervisor.attempt('releasing workers', () => this.confirmRelease(grant));
   }
 
   /** Confirms a generation with the next renewal, once the workers of lost shards are released. */
--- a/src/programs/toucandyked/platformProcess.ts
+++ b/src/programs/toucandyked/platformProcess.ts
@@ -20,6 +20,7 @@
 import { FleetDaemon } from '../../fleet/fleetDaemon.js';
 import type { Clock } from '../../ports/clock.js';
 import type { Logger } from '../../ports/logger.js';
+import { TaskSupervisor } from '../../utils/taskSupervisor.js';
 
 /** Time within which the platform detects that a VM is not ready, and routes no new connections to it. */
 const readinessNoticeMs = 2_700;
@@ -38,6 +39,8 @@
     private readonly front: JobHttpServer,
     private readonly peers: FleetRpcServer,
     private readonly metrics: PromMetrics,
+    /** Reports errors that no task handles. */
+    readonly supervisor: TaskSupervisor,
   ) {}
 
   /**
@@ -94,7 +97,8 @@
     await metrics.serve(splitAddress(settings.metricsAddress));
     const log = logger.forPart('process');
     log.info('The daemon has started.', { nodeId: member.incarnation, address: listen.callers });
-    return new PlatformProcess(settings, clock, log, daemon, front, peers, metrics);
+    const supervisor = TaskSupervisor.create({ clock, logger, metrics });
+    return new PlatformProcess(settings, clock, log, daemon, front, peers, metrics, supervisor);
   }
 
   get isReady(): boolean {
--- a/src/programs/toucandyked/runOnPlatform.ts
+++ b/src/programs/toucandyked/runOnPlatform.ts
@@ -8,6 +8,7 @@
   readSettingsText,
   settingsPathVariable,
 } from '../../../platform/settings.js';
+import { reportUnhandledRejections } from './lastResort.js';
 import { PlatformProcess } from './platformProcess.js';
 import type { ReloadSignal } from './reloadSignal.js';
 
@@ -30,6 +31,7 @@
   // Waits from here on, so that a signal during the start stops the daemon once it has started.
   const stopped = Promise.race([once(process, 'SIGTERM'), once(process, 'SIGINT')]);
   const daemon = await PlatformProcess.create(settings.value);
+  reportUnhandledRejections(daemon.supervisor);
   const follower = daemon.followSettings(
     { readText, decode: decodePlatformSettings },
     livePlatformFields,
@@ -37,7 +39,11 @@
   reload.listen(() => follower.reload());
   await stopped;
   reload.ignore();
-  await follower.close();
-  await daemon.close();
-  process.exit(0);
+  try {
+    await follower.close();
+    await daemon.close();
+  } finally {
+    // Also after an error, which would otherwise only be reported.
+    process.exit(0);
+  }
 };
--- a/src/routing/routingFollower.spec.ts
+++ b/src/routing/routingFollower.spec.ts
@@ -3,6 +3,7 @@
 import * as assert from 'uvu/assert';
 import type { FleetStore, RoutingReadResult } from '../ports/fleetStore.js';
 import { FakeClock } from '../testing/fakeClock.js';
+import { silentSupervisor } from '../testing/silentSupervisor.js';
 import { silentLogger } from '../testing/silentLogger.js';
 import type { Routing } from '../types/routing.js';
 import { RoutingFollower } from './routingFollower.js';
@@ -35,6 +36,7 @@
   };
   const routing = RoutingStore.create();
   const follower = RoutingFollower.create({
+    supervisor: silentSupervisor(clock),
     clock,
     logger: silentLogger,
     store: store as FleetStore,
--- a/src/routing/routingFollower.ts
+++ b/src/routing/routingFollower.ts
@@ -6,6 +6,7 @@
 import type { FleetStore, RoutingReadResult } from '../ports/fleetStore.js';
 import type { Logger } from '../ports/logger.js';
 import { DependencyMonitor } from '../utils/dependencyMonitor.js';
+import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import type { RoutingStore } from './routingStore.js';
 
 /** Longest wait of one long poll, so that a dead connection is noticed. */
@@ -17,6 +18,7 @@
   readonly logger: Logger;
   readonly store: FleetStore;
   readonly routing: RoutingStore;
+  readonly supervisor: TaskSupervisor;
 }
 
 export class RoutingFollower {
@@ -36,7 +38,11 @@
       this.logger,
       options.clock,
     );
-    this.watching = this.watch();
+    this.watching = options.supervisor.keep(
+      'following the routing configuration',
+      () => this.watch(),
+      this.stop.signal,
+    );
   }
 
   static create(options: RoutingFollowerOptions): RoutingFollower {
--- a/src/workers/workerDirectory.spec.ts
+++ b/src/workers/workerDirectory.spec.ts
@@ -5,6 +5,7 @@
 import type { FleetStore, WorkerChange, WorkerChanges } from '../ports/fleetStore.js';
 import { workerFixture } from '../testing/dispatchFixtures.js';
 import { FakeClock } from '../testing/fakeClock.js';
+import { silentSupervisor } from '../testing/silentSupervisor.js';
 import { recordingLogger } from '../testing/recordingLogger.js';
 import type { WorkerRecord } from '../types/workers.js';
 import { WorkerDirectory } from './workerDirectory.js';
@@ -18,7 +19,7 @@
 const needsOf = (cpuMillis: number) => ({ cpuMillis, memoryMb: 64, accelerators: 0 });
 
 /** A directory that reads the changes that a test adds. */
-const createFixture = () => {
+const createFixture = (onChange: () => void = () => undefined) => {
   const clock = FakeClock.create();
   const changes: WorkerChange[] = [];
   const reads: string[] = [];
@@ -38,11 +39,12 @@
   };
   const { logger, lines } = recordingLogger();
   const directory = WorkerDirectory.create({
+    supervisor: silentSupervisor(clock),
     clock,
     logger,
     metrics: { ...noMetrics, count: (name) => void counts.push(name) },
     store: store as FleetStore,
-    onChange: () => undefined,
+    onChange: () => onChange(),
   });
   const list = async (worker: WorkerRecord): Promise<void> => {
     changes.push({ kind: 'listed', worker });
@@ -127,4 +129,20 @@
   await directory.close();
 });
 
+// Guards against a reader that stops for good with an error of what it tells.
+test('the list is followed further after an error of whom a change is told', async () => {
+  let isFaulty = true;
+  const { directory, clock, list } = createFixture(() => {
+    if (isFaulty) {
+      throw new Error('odd');
+    }
+  });
+  await list(workerFixture);
+  isFaulty = false;
+  await clock.advance(2_000);
+  await list({ ...workerFixture, workerId: 'i-other' });
+  assert.is(directory.list().length, 2);
+  await directory.close();
+});
+
 test.run();
--- a/src/workers/workerDirectory.ts
+++ b/src/workers/workerDirectory.ts
@@ -9,6 +9,7 @@
 import { hasEnough, maxResources, noResources } from '../types/resources.js';
 import type { Resources } from '../types/resources.js';
 import { DependencyMonitor } from '../utils/dependencyMonitor.js';
+import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import type { WorkerRecord } from '../types/workers.js';
 
 const readPeriodMs = 1_000;
@@ -27,6 +28,7 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly store: FleetStore;
+  readonly supervisor: TaskSupervisor;
   /** Called when workers were added, removed or changed. */
   readonly onChange: () => void;
 }
@@ -59,7 +61,11 @@
       this.logger,
       options.clock,
     );
-    this.polling = this.pollChanges();
+    this.polling = options.supervisor.keep(
+      'following the worker entries',
+      () => this.pollChanges(),
+      this.stop.signal,
+    );
   }
 
   static create(options: WorkerDirectoryOptions): WorkerDirectory {
