--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -9,6 +9,7 @@
 import type { Metrics } from '../ports/metrics.js';
 import type { Random } from '../ports/random.js';
 import type { WorkerPort } from '../ports/workers.js';
+import { TaskSupervisor } from '../utils/taskSupervisor.js';
 import type { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import type { WorkerRecord } from '../types/workers.js';
 import type { ActiveRun } from './activeRun.js';
@@ -52,9 +53,11 @@
     this.logger = logger;
     this.suspects = CrashSuspects.create(options.clock);
     this.lapsedRuns = LapsedRuns.create(options.clock);
+    const supervisor = TaskSupervisor.create(options);
     this.workers = WorkerPool.create({
       ...options,
       logger,
+      supervisor,
       onEnd: (worker, run, evidence) => this.ended(worker, run, evidence),
       onLifetime: (workerId, lifetimeMs) => this.resolveLapsedRuns(workerId, lifetimeMs),
       onAvailabilityChange: () => this.starter.startReadyTasks(),
@@ -62,6 +65,7 @@
     this.starter = TaskStarter.create({
       ...options,
       logger,
+      supervisor,
       workers: this.workers,
       awaitsProof: (task) => this.retries.awaitsProof(task),
     });
--- a/src/dispatch/managedWorker.spec.ts
+++ b/src/dispatch/managedWorker.spec.ts
@@ -3,6 +3,7 @@
 import { FakeClock } from '../testing/fakeClock.js';
 import { ScriptedWorkers } from '../testing/scriptedWorkers.js';
 import { silentLogger } from '../testing/silentLogger.js';
+import { silentSupervisor } from '../testing/silentSupervisor.js';
 import type { ReportedRun, WorkerRecord } from '../types/workers.js';
 import { ManagedWorker } from './managedWorker.js';
 import { OpenBatch } from './openBatch.js';
@@ -65,6 +66,7 @@
     workers,
     logger: silentLogger,
     leaseMs,
+    supervisor: silentSupervisor(clock),
     onEnd: (_worker, _run, evidence) => void outcomes.push(evidence),
     onLifetime: () => undefined,
     onAvailabilityChange: () => undefined,
--- a/src/dispatch/taskStarter.ts
+++ b/src/dispatch/taskStarter.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
 import type { Random } from '../ports/random.js';
+import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import type { BatchedTask, OpenBatch } from './openBatch.js';
 import type { LocalCandidate, WorkerPool } from './workerPool.js';
 import { isSuspect } from './suspectIsolation.js';
@@ -28,6 +29,7 @@
   readonly farRackFactor: number;
   /** Whether a task has to wait for proof of what became of its earlier runs. */
   readonly awaitsProof: (task: BatchedTask) => boolean;
+  readonly supervisor: TaskSupervisor;
 }
 
 export class TaskStarter {
@@ -97,7 +99,7 @@
         break;
       }
       // A suspect waits for a worker of its own, and others need not wait for it.
-      blocked += this.tryStart(task) || isSuspect(task) ? 0 : 1;
+      blocked += this.tryStartSafely(task) || isSuspect(task) ? 0 : 1;
     }
     this.isStartingTasks = false;
     if (this.waiting.size > 0) {
@@ -119,6 +121,16 @@
     this.startReadyTasks();
   }
 
+  /** Like `tryStart`, but an error leaves the task waiting, and the others go on. */
+  private tryStartSafely(task: BatchedTask): boolean {
+    try {
+      return this.tryStart(task);
+    } catch (error) {
+      this.options.supervisor.report('starting a task', error);
+      return false;
+    }
+  }
+
   /** @returns whether the task was started, expired or returned, and so no longer waits */
   private tryStart(task: BatchedTask): boolean {
     const { clock, random, workers, farRackFactor } = this.options;
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -17,6 +17,7 @@
 import type { WorkerPort } from '../ports/workers.js';
 import { RoutingFollower } from '../routing/routingFollower.js';
 import { RoutingStore } from '../routing/routingStore.js';
+import { TaskSupervisor } from '../utils/taskSupervisor.js';
 import { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import { WorkerDirectory } from '../workers/workerDirectory.js';
 import { BatchIntake } from './batchIntake.js';
@@ -87,6 +88,8 @@
     const ownId = member.incarnation;
     const ages = MessageAges.create(clock);
     const leases = RequesterLeases.create(ages);
+    const supervisor = TaskSupervisor.create({ clock, logger, metrics });
+    const common = { clock, logger, metrics, store, supervisor };
     this.logger = logger.forPart('jobs');
     this.dispatcher = Dispatcher.create({
       clock,
@@ -99,10 +102,9 @@
       speeds: this.speeds,
     });
     this.directory = WorkerDirectory.create({
-      clock,
-      logger,
-      store,
-      onChange: () => void this.servedWorkers.update(),
+      ...common,
+      onChange: () =>
+        void supervisor.attempt('releasing workers', () => this.servedWorkers.update()),
     });
     this.servedWorkers = ServedWorkers.create({
       failureDomainId: member.failureDomainId,
@@ -110,7 +112,7 @@
       directory: this.directory,
       dispatcher: this.dispatcher,
     });
-    this.routingFollower = RoutingFollower.create({ clock, logger, store, routing: this.routing });
+    this.routingFollower = RoutingFollower.create({ ...common, routing: this.routing });
     this.view = FleetView.create({
       clock,
       ownId,
@@ -136,7 +138,7 @@
     });
     const { lengths, speeds, routing, directory, jobs } = this;
     this.intake = JobIntake.create({ logger: this.logger, metrics, routing, directory, jobs });
-    this.learned = LearnedBackup.create({ clock, logger, store, member, lengths, speeds });
+    this.learned = LearnedBackup.create({ ...common, member, lengths, speeds });
     const { view, router, dispatcher } = this;
     const batchIntake = BatchIntake.create({
       ownId,
@@ -159,10 +161,8 @@
       peers: () => this.peers,
     });
     this.peers = FleetPeers.create({
-      clock,
-      logger,
+      ...common,
       connector,
-      store,
       own: member,
       failureDomainIds: identity.failureDomainIds,
       composeHeartbeat: (peer, isFull) => this.heartbeatExchange.composeHeartbeat(peer, isFull),
@@ -182,9 +182,7 @@
       routing,
     });
     this.shards = ShardMembership.create({
-      clock,
-      logger,
-      store,
+      ...common,
       member,
       onGrant: (grant) => this.servedWorkers.applyGrant(grant),
       onStoreReachable: () => this.routingFollower.refresh(),
@@ -198,7 +196,7 @@
         this.abandonAllWork('the VM was suspended');
       },
     });
-    this.requesterMonitor = RequesterMonitor.create({ clock, logger, ownId, leases, dispatcher });
+    this.requesterMonitor = RequesterMonitor.create({ ...common, ownId, leases, dispatcher });
   }
 
   static create(identity: FleetIdentity, ports: FleetPorts): FleetDaemon {
--- a/src/fleet/requesterMonitor.ts
+++ b/src/fleet/requesterMonitor.ts
@@ -9,6 +9,7 @@
 import { sleepUntilNextPeriod } from '../utils/periodicSleep.js';
 import type { RequesterLeases } from './requesterLeases.js';
 import { requesterCheckPeriodMs } from './requesterTimes.js';
+import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 
 export interface RequesterMonitorOptions {
   readonly clock: Clock;
@@ -17,6 +18,7 @@
   readonly ownId: string;
   readonly leases: RequesterLeases;
   readonly dispatcher: Dispatcher;
+  readonly supervisor: TaskSupervisor;
 }
 
 export class RequesterMonitor {
@@ -26,7 +28,11 @@
 
   private constructor(private readonly options: RequesterMonitorOptions) {
     this.logger = options.logger.forPart('fleet');
-    this.checking = this.checkPeriodically();
+    this.checking = options.supervisor.keep(
+      'checking the requesters',
+      () => this.checkPeriodically(),
+      this.stop.signal,
+    );
   }
 
   static create(options: RequesterMonitorOptions): RequesterMonitor {
