Keep an ended batch for as long as its requester may ask for it again

Cause: an ended batch was forgotten 10 s after its arrival. Where the answer to a batch of long tasks was lost, the repeated request found no batch, and the work that had run was run again. Change: it is kept until its requester has given it up, and a second more. Measured: the new test failed before (a second run ended) and passes.

--- a/src/dispatch/batchTable.ts
+++ b/src/dispatch/batchTable.ts
@@ -5,8 +5,10 @@
 import { RecentNames } from '../utils/recentNames.js';
 import type { OpenBatch } from './openBatch.js';
 
-/** Ended batches are kept this long after their arrival, to answer repeated requests. */
-const batchRetentionMs = 10_000;
+/** Ended batches are kept for this long after their arrival at least, to answer repeated requests. */
+const minRetentionMs = 10_000;
+/** A requester that gives a batch up may still have a request for it under way for this long. */
+const lateRequestMs = 1_000;
 /** Withdrawals of batches that have not arrived that are remembered. */
 const maxEarlyWithdrawals = 2_048;
 
@@ -69,10 +71,14 @@
   /** Removes the oldest batches, up to the first that has not ended or is still retained. */
   private evictEnded(nowMs: number): void {
     for (const batch of this.batches.values()) {
-      if (!batch.hasEnded || nowMs - batch.arrivedAtMs < batchRetentionMs) {
+      if (!batch.hasEnded || nowMs < retainedUntilMs(batch)) {
         return;
       }
       this.batches.delete(batch.batchId);
     }
   }
 }
+
+/** Time up to which its requester may ask for an ended batch again, in monotonic milliseconds. */
+const retainedUntilMs = ({ arrivedAtMs, giveUpAtMs }: OpenBatch): number =>
+  Math.max(arrivedAtMs + minRetentionMs, giveUpAtMs + lateRequestMs);
