Stop the runs of a daemon that ends, and return only tasks that run nowhere

Cause: a daemon that stopped as planned let its workers go with their runs at work, reported these as ended, and returned their tasks as ones that certainly run nowhere. The requester started them again at once, beside runs that went on until their leases ended.

Change: runs that are let go are unknown. Before its end, stopAheadMs ahead, the daemon orders the stop of all runs, waits for the proof, and returns those tasks; then it closes its dispatcher, answers what is unknown as withdrawn, and gives up its shards last, so that no order goes out after that. The sequence is a decision of its own (src/fleet/plannedStop.ts). `withdrawn` is used for what is unknown, since daemons of the version before can't decode a new kind, and give up the job for it already.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -187,6 +187,12 @@
     return { workers: this.workers.computeLoads(this.starter.listWaiting()) };
   }
 
+  /** Stops all runs; each task is returned once the end of its run is proved. */
+  stopRuns(): void {
+    void this.workers.retireAll();
+  }
+
+  /** Sends no more orders. Tasks whose runs may go on are answered as withdrawn, and none as returned. */
   async close(): Promise<void> {
     this.starter.close();
     await this.workers.close();
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -33,6 +33,7 @@
 import { RequesterMonitor } from './requesterMonitor.js';
 import { JobIntake } from './jobIntake.js';
 import { LearnedBackup } from './learnedBackup.js';
+import { stopAsPlanned } from './plannedStop.js';
 import { ServedWorkers } from './servedWorkers.js';
 import { ShardMembership } from './shardMembership.js';
 import { isNeededAsDispatcher } from './standby.js';
@@ -247,14 +248,21 @@
   }
 
   /**
-   * Begins a planned shutdown: reports that it is not ready, releases its workers as their runs
-   * end, then gives up its shards.
+   * Begins a planned shutdown: reports that it is not ready, and hands its workers over.
+   *
+   * @param endAtMs - when runs that are still at work have been stopped, in monotonic time
    */
-  async drain(): Promise<void> {
+  async drain(endAtMs: number): Promise<void> {
     this.heartbeatExchange.leave();
     this.intake.leave();
-    await this.servedWorkers.release();
-    await this.shards.leave();
+    const { dispatcher, servedWorkers, shards } = this;
+    const handOver = {
+      releaseWorkers: () => servedWorkers.release(),
+      stopRuns: () => dispatcher.stopRuns(),
+      closeDispatcher: () => dispatcher.close(),
+      leaveShards: () => shards.leave(),
+    };
+    await stopAsPlanned({ clock: this.ports.clock, logger: this.logger }, handOver, endAtMs);
   }
 
   /** @returns number of jobs that have not ended */
--- a/src/programs/toucandyked/platformProcess.ts
+++ b/src/programs/toucandyked/platformProcess.ts
@@ -26,6 +26,8 @@
 const pollMs = 50;
 /** Jobs that have not ended are answered this long before the platform kills the process. */
 const killMarginMs = 700;
+/** Longest time from the end of the last run until the store confirms that this daemon has left. */
+const handOverSlackMs = 200;
 /** Time without a renewal after which the store removes a member; the platform may require more. */
 const memberTtlMs = 2_000;
 
@@ -140,13 +142,14 @@
 
   /**
    * Planned shutdown: reports not ready, hands the workers over, accepts no new jobs once the platform has
-   * noticed, and answers running jobs within the grace period.
+   * noticed, and answers running jobs within the grace period. Runs that are still at work before its end are
+   * stopped, so that their tasks can be returned.
    */
   async close(): Promise<void> {
     const { clock, daemon, front, settings } = this;
     const endAtMs = clock.nowMs() + settings.stopGraceMs - killMarginMs;
     this.logger.info('The daemon stops as planned.', { count: daemon.jobCount });
-    const handedOver = daemon.drain();
+    const handedOver = daemon.drain(endAtMs);
     front.drain();
     await clock.sleep(readinessNoticeMs);
     daemon.stopAcceptingJobs();
@@ -160,7 +163,7 @@
     front.closeIdleConnections();
     await Promise.race([
       Promise.all([handedOver, closed]),
-      clock.sleep(Math.max(endAtMs - clock.nowMs(), pollMs)),
+      clock.sleep(Math.max(endAtMs - clock.nowMs(), 0) + handOverSlackMs),
     ]);
     await this.front.kill();
     this.logger.info('The daemon has stopped.', { count: daemon.jobCount });
--- a/src/testing/simulatedWorkers.ts
+++ b/src/testing/simulatedWorkers.ts
@@ -59,6 +59,8 @@
 
 export class SimulatedWorkers implements WorkerPort {
   readonly starts: SimulatedStart[] = [];
+  /** Orders that were sent to the workers. */
+  orderCount = 0;
   private readonly workers = new Map<string, SimulatedWorker>();
 
   private constructor(private readonly options: SimulatedWorkersOptions) {}
@@ -72,6 +74,15 @@
     return this.starts.filter((start) => start.taskName === taskName);
   }
 
+  /** @returns the names of the tasks that run on any worker */
+  runningTaskNames(): string[] {
+    return [...this.workers.values()].flatMap(({ runs }) => [...runs.keys()]);
+  }
+
+  get runCount(): number {
+    return this.runningTaskNames().length;
+  }
+
   /** Cuts a worker off for a time in milliseconds; its runs go on. */
   async cutOff(workerId: string, durationMs: number): Promise<void> {
     const worker = this.find(workerId);
@@ -94,6 +105,7 @@
   }
 
   async start({ workerId }: WorkerTarget, order: RunOrder): Promise<StartReply> {
+    this.orderCount += 1;
     const { clock, crashesWorker } = this.options;
     const { taskName, run } = order;
     const worker = this.find(workerId);
@@ -114,6 +126,7 @@
   }
 
   async stop({ workerId }: WorkerTarget, { taskName }: StopOrder): Promise<StopReply> {
+    this.orderCount += 1;
     const worker = this.find(workerId);
     if (isCutOff(worker)) {
       return this.answerNothing();
@@ -123,6 +136,7 @@
   }
 
   async hold({ workerId }: WorkerTarget, order: HoldOrder): Promise<HoldReply> {
+    this.orderCount += 1;
     const { clock } = this.options;
     const worker = this.find(workerId);
     if (isCutOff(worker)) {
--- a/src/types/dispatch.ts
+++ b/src/types/dispatch.ts
@@ -76,7 +76,10 @@
   z.object({ kind: z.literal('returned'), task: batchTaskSchema, reason: z.string() }),
   /** Can no longer end in time. */
   z.object({ kind: z.literal('expired'), index: z.number().int() }),
-  /** The requester withdrew the batch, since its job has ended. */
+  /**
+   * The requester withdrew the batch, since its job has ended, or the dispatcher ends and a run of the task may
+   * go on. It must not start again.
+   */
   z.object({ kind: z.literal('withdrawn'), index: z.number().int() }),
 ]);
 export type TaskEnd = z.infer<typeof taskEndSchema>;
