Addresses of daemons are checked where they come in; errors in calls are logged

Cause: a listed member or a heartbeat with an address such as 1.2.3.4:99999 made every daemon that connects to it throw. An error in a call of a daemon was logged without what was thrown. Change: memberSchema requires a usable address, so that a message with another one is refused, and a name in the store is skipped with one log line. The server of the fleet's calls logs the error with its stack.

--- a/src/adapters/fleetRpc/fleetRpcLink.spec.ts
+++ b/src/adapters/fleetRpc/fleetRpcLink.spec.ts
@@ -5,6 +5,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { FleetService } from '../../ports/fleetPeers.js';
+import { recordingLogger } from '../../testing/recordingLogger.js';
 import { silentLogger } from '../../testing/silentLogger.js';
 import type { FleetHeartbeat } from '../../types/fleet.js';
 import { HttpServer } from '../http/httpServer.js';
@@ -94,6 +95,46 @@
   await server.kill();
 });
 
+// Guards against an address that ends the process that connects to it.
+test('a heartbeat with an address that cannot be connected to is refused', async () => {
+  const { server, link } = await createServerAndLink();
+  for (const address of ['1.2.3.4:99999', '1.2.3.4:0', 'host:1', '']) {
+    const { member } = heartbeat;
+    for (const odd of [
+      { ...heartbeat, member: { ...member, address } },
+      { ...heartbeat, heardMembers: [{ address, failureDomainId: 'east' }] },
+    ]) {
+      const reply = await link.beat(odd, 500);
+      assert.is(reply.isErr() && reply.error.kind, 'refused', address);
+    }
+  }
+  assert.ok((await link.beat(heartbeat, 500)).isOk());
+  await link.close();
+  await server.kill();
+});
+
+// Guards against an error of a daemon that its log does not explain.
+test('an error in a call is logged with what was thrown', async () => {
+  const { logger, lines } = recordingLogger();
+  const failing: FleetService = {
+    ...service,
+    beat: () => {
+      throw new Error('no such worker');
+    },
+  };
+  const server = await FleetRpcServer.create({
+    host: '127.0.0.1',
+    port: 0,
+    service: failing,
+    logger,
+  });
+  const link = FleetRpcConnector.create().connect(server.address);
+  assert.ok((await link.beat(heartbeat, 500)).isErr());
+  assert.match(lines.join('\n'), /^error fleet: A call of a daemon failed here\..*no such worker/);
+  await link.close();
+  await server.kill();
+});
+
 test('an answer that is no JSON-RPC response ends its connection, not the process', async () => {
   for (const answer of [
     '[null]',
--- a/src/adapters/fleetRpc/fleetRpcServer.ts
+++ b/src/adapters/fleetRpc/fleetRpcServer.ts
@@ -2,7 +2,7 @@
  * Server side of the interface between the daemons of a fleet: JSON-RPC 2.0 over WebSocket
  * connections, and over HTTP for daemons that do not support them yet.
  */
-import { JSONRPCServer } from 'json-rpc-2.0';
+import { JSONRPCErrorException, JSONRPCServer } from 'json-rpc-2.0';
 import type { Logger } from '../../ports/logger.js';
 import { fleetMethods } from '../../ports/fleetPeers.js';
 import type { FleetService } from '../../ports/fleetPeers.js';
@@ -68,7 +68,7 @@
 /** Registers the methods; each validates its parameters before it calls the service. */
 const createRpcServer = (service: FleetService, logger: Logger): JSONRPCServer => {
   const rpc = new JSONRPCServer({
-    errorListener: (message) => logger.warn('A daemon sent a bad request.', { reason: message }),
+    errorListener: (message, error) => logCallError(logger, message, error),
   });
   rpc.addMethod('beat', (params) => service.beat(checkParams(fleetMethods.beat.params, params)));
   rpc.addMethod('runBatch', (params) =>
@@ -81,3 +81,13 @@
   rpc.addMethod('fetchRouting', () => ({ routing: service.fetchRouting() }));
   return rpc;
 };
+
+/** Logs why a call was answered with an error: its parameters, or an error of this daemon. */
+const logCallError = (logger: Logger, message: string, error: unknown): void => {
+  if (error instanceof JSONRPCErrorException) {
+    logger.warn('A daemon sent a bad request.', { reason: `${message} ${error.message}` });
+    return;
+  }
+  const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
+  logger.error('A call of a daemon failed here.', { reason: `${message} ${detail}` });
+};
--- a/src/programs/toucandyked/platformProcess.ts
+++ b/src/programs/toucandyked/platformProcess.ts
@@ -60,6 +60,10 @@
       address: settings.storeAddress,
       shardCount: settings.shardCount,
       memberTtlMs: Math.max(memberTtlMs, settings.minMemberTtlMs),
+      onUnreadableMember: (address) =>
+        logger
+          .forPart('fleet')
+          .warn('The name of a member in the store is not valid.', { address }),
     });
     const store = MeteredStore.create({ store: storeClient, metrics, clock });
     const daemon = FleetDaemon.create(
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -4,6 +4,7 @@
  */
 import { z } from 'zod';
 import { lengthSumsSchema, workerSlowdownSchema } from './learned.js';
+import { ipPortSchema } from './networkAddress.js';
 import { resourcesSchema } from './resources.js';
 
 /** A daemon of the fleet. */
@@ -11,7 +12,7 @@
   /** Identifies one process of the daemon; new at every start. */
   incarnation: z.string(),
   /** Address of the peers' interface: IP number and port. */
-  address: z.string(),
+  address: ipPortSchema,
   failureDomainId: z.string(),
   /** Relative size of the VM. */
   weight: z.number().positive(),
