End the wait for the leases of a fenced worker when it is over

Cause: the end of the leases was asked for by 'later than', and waited for up to that moment; a timer that woke exactly then was set again with no time left, again and again. Change: the leases have ended at that moment, which has the slack for it. Measured: found by the check over orders of events, which hung; the new test failed before and passes.

--- a/src/dispatch/leaseClock.spec.ts
+++ b/src/dispatch/leaseClock.spec.ts
@@ -50,4 +50,13 @@
   assert.ok((await findLapse(clock, leases)) >= 240 + leaseMs / slowest);
 });
 
+// Guards against a loop that waits for the end of the leases again and again without any time passing.
+test('all leases have ended when the time until their end is over', async () => {
+  const clock = FakeClock.create();
+  const leases = LeaseClock.create(clock, leaseMs);
+  leases.issueLeaseEnd();
+  await clock.advance(leases.msUntilAllLeasesEnded());
+  assert.ok(leases.haveAllLeasesEnded());
+});
+
 test.run();
--- a/src/dispatch/leaseClock.ts
+++ b/src/dispatch/leaseClock.ts
@@ -71,7 +71,7 @@
 
   /** Returns whether every lease that was issued has certainly ended. */
   haveAllLeasesEnded(): boolean {
-    return this.clock.nowMs() > this.allEndedByMs;
+    return this.clock.nowMs() >= this.allEndedByMs;
   }
 
   /** @returns time until every lease that was issued has certainly ended, in milliseconds */
