After a standstill of the process its earlier work ends, and new jobs are held for a moment

Cause: a paused process woke up, read a request that had waited in its socket, and started its tasks at once, although the client had closed the connection and sent the job to another process. Only suspensions that stop the monotonic clock were noticed, by a periodic check that comes after overdue timers and waiting messages.

A job whose caller left while it was read does not start; a job that is given up sends no further batch from that moment on.

--- a/src/bestEffort/jobRun.ts
+++ b/src/bestEffort/jobRun.ts
@@ -78,6 +78,7 @@
    * @param reason - why, for the log and the `cause` label of metrics
    */
   giveUp(reason: string): void {
+    this.job.hasEnded = true;
     this.givenUp.resolve({ kind: 'given-up', reason });
   }
 
@@ -126,6 +127,7 @@
   }
 
   private async runSteps(): Promise<JobEnd> {
+    await this.settle();
     const ends: Promise<StepEnd>[] = [];
     for (const [index, step] of this.job.steps.entries()) {
       ends.push(this.runWhenReady(step, index, ends));
@@ -133,6 +135,15 @@
     return this.toJobEnd(await firstUnsuccessful(ends));
   }
 
+  /** Holds the job after a standstill of this process, since its caller may have left meanwhile. */
+  private async settle(): Promise<void> {
+    const { clock, standstills } = this.options;
+    const { settlingMs } = standstills;
+    if (settlingMs > 0) {
+      await clock.sleep(settlingMs);
+    }
+  }
+
   /** Runs a step once those before it are done; if one of them was not, returns its end. */
   private async runWhenReady(
     step: JobStep,
--- a/src/bestEffort/runningJobs.ts
+++ b/src/bestEffort/runningJobs.ts
@@ -54,6 +54,10 @@
     deadlineMs: number,
     signal: AbortSignal,
   ): Promise<JobEnd> {
+    this.options.standstills.check();
+    if (signal.aborted) {
+      return { kind: 'cancelled' };
+    }
     const job = this.jobs.get(request.jobId) ?? this.start(route, request, deadlineMs);
     job.waiters += 1;
     const leave = (): void => {
--- a/src/bestEffort/stepRun.ts
+++ b/src/bestEffort/stepRun.ts
@@ -5,6 +5,7 @@
 import type { Batch, BatchTask, TaskEnd } from '../types/dispatch.js';
 import { unreachable } from '../errors/unreachable.js';
 import type { Clock } from '../ports/clock.js';
+import type { StandstillDetector } from '../fleet/standstillDetector.js';
 import type { Logger } from '../ports/logger.js';
 import type { BatchResult, BatchSender } from './batchSender.js';
 import type { StepPlanner, PlannedBatch, StepPlan } from './stepPlanner.js';
@@ -39,6 +40,8 @@
   readonly logger: Logger;
   readonly planner: StepPlanner;
   readonly sender: BatchSender;
+  /** Ends the jobs from before a standstill of this process. */
+  readonly standstills: Pick<StandstillDetector, 'check' | 'settlingMs'>;
 }
 
 /** Tasks to be sent to dispatchers, with the outcome of earlier attempts. */
@@ -79,6 +82,7 @@
     if (request.reassignments > maxReassignments) {
       return { kind: 'given-up', reason: 'no dispatcher could run its tasks' };
     }
+    this.options.standstills.check();
     if (this.job.hasEnded) {
       return { kind: 'given-up', reason: 'the job has ended' };
     }
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -30,6 +30,8 @@
   readonly workers: WorkerPort;
   readonly leaseMs: number;
   readonly farRackFactor: number;
+  /** Called before waiting tasks are started; may withdraw batches. */
+  readonly beforeStarts?: () => void;
   /** Slowdown factors of workers that other dispatchers measured earlier. */
   readonly speeds: WorkerSpeedCache;
 }
--- a/src/dispatch/taskStarter.ts
+++ b/src/dispatch/taskStarter.ts
@@ -27,6 +27,8 @@
   readonly logger: Logger;
   readonly workers: WorkerPool;
   readonly farRackFactor: number;
+  /** Called before waiting tasks are started; may withdraw batches. */
+  readonly beforeStarts?: () => void;
   readonly supervisor: TaskSupervisor;
 }
 
@@ -86,6 +88,7 @@
     if (this.isStartingTasks || this.stop.signal.aborted) {
       return;
     }
+    this.options.beforeStarts?.();
     this.isStartingTasks = true;
     let blocked = 0;
     for (const task of this.waiting.list()) {
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -8,6 +8,7 @@
 import { RunTimePredictor } from '../bestEffort/runTimePredictor.js';
 import { RunningJobs } from '../bestEffort/runningJobs.js';
 import { Dispatcher } from '../dispatch/dispatcher.js';
+import { unreachable } from '../errors/unreachable.js';
 import type { BatchReply } from '../types/dispatch.js';
 import type { Clock } from '../ports/clock.js';
 import type {
@@ -37,7 +38,8 @@
 import { ServedWorkers } from './servedWorkers.js';
 import { ShardMembership } from './shardMembership.js';
 import { isNeededAsDispatcher } from './standby.js';
-import { SuspendDetector } from './suspendDetector.js';
+import { StandstillDetector } from './standstillDetector.js';
+import type { Standstill } from './standstillDetector.js';
 import type { FleetHeartbeat, Member } from '../types/fleet.js';
 
 export interface FleetPorts {
@@ -80,7 +82,7 @@
   private readonly jobs: RunningJobs;
   private readonly shards: ShardMembership;
   private readonly servedWorkers: ServedWorkers;
-  private readonly suspendDetector: SuspendDetector;
+  private readonly standstills: StandstillDetector;
   private readonly logger: Logger;
 
   private constructor(
@@ -94,6 +96,11 @@
     const supervisor = TaskSupervisor.create({ clock, logger, metrics });
     const common = { clock, logger, metrics, store, supervisor };
     this.logger = logger.forPart('jobs');
+    const standstills = StandstillDetector.create({
+      ...common,
+      onStandstill: (standstill) => this.handleStandstill(standstill, ages),
+    });
+    this.standstills = standstills;
     this.dispatcher = Dispatcher.create({
       clock,
       random,
@@ -103,6 +110,7 @@
       leaseMs,
       farRackFactor,
       speeds: this.speeds,
+      beforeStarts: () => standstills.check(),
     });
     this.directory = WorkerDirectory.create({
       ...common,
@@ -138,6 +146,7 @@
       planner,
       sender: this.router,
       lengths: this.lengths,
+      standstills,
     });
     const { lengths, speeds, routing, directory, jobs } = this;
     this.intake = JobIntake.create({ logger: this.logger, metrics, routing, directory, jobs });
@@ -175,14 +184,6 @@
       onStoreReachable: () => this.routingFollower.refresh(),
       isNeeded: () => isNeededAsDispatcher(member, this.peers.presentDomainMembers()),
     });
-    this.suspendDetector = SuspendDetector.create({
-      clock,
-      logger,
-      onSuspended: (durationMs) => {
-        ages.recordSuspension(durationMs);
-        this.abandonAllWork('the VM was suspended');
-      },
-    });
     this.requesterMonitor = RequesterMonitor.create({
       ...common,
       dispatcher,
@@ -197,6 +198,7 @@
 
   /** Handles a heartbeat of another daemon; the answer to a full heartbeat is full, too. */
   beat(theirs: FleetHeartbeat): FleetHeartbeat {
+    this.standstills.check();
     this.peers.receiveHeartbeat(theirs);
     return this.heartbeatExchange.composeHeartbeat(
       theirs.member.incarnation,
@@ -206,6 +208,7 @@
 
   /** Runs a batch that another daemon requests; the answer may be partial. */
   runBatch(request: BatchRequest): Promise<BatchReply> {
+    this.standstills.check();
     this.peers.recordContact(request.askedBy);
     return this.batchIntake.run(request);
   }
@@ -238,6 +241,23 @@
     this.jobs.giveUpAll('the daemon stops');
   }
 
+  /** Ends all earlier work, and reads anew what the store granted and published meanwhile. */
+  private handleStandstill(standstill: Standstill, ages: MessageAges): void {
+    switch (standstill.kind) {
+      case 'suspended':
+        ages.recordSuspension(standstill.durationMs);
+        this.abandonAllWork('the VM was suspended');
+        break;
+      case 'stalled':
+        this.abandonAllWork('the process stood still');
+        break;
+      default:
+        return unreachable(standstill);
+    }
+    this.shards.refresh();
+    this.routingFollower.refresh();
+  }
+
   /** Ends all jobs and batches; their callers and requesters no longer wait for this daemon. */
   private abandonAllWork(reason: string): void {
     this.jobs.giveUpAll(reason);
@@ -270,7 +290,7 @@
     await Promise.all([this.shards.close(), this.peers.close(), this.routingFollower.close()]);
     await Promise.all([
       this.learned.close(),
-      this.suspendDetector.close(),
+      this.standstills.close(),
       this.requesterMonitor.close(),
     ]);
     await this.directory.close();
--- a/src/fleet/shardMembership.ts
+++ b/src/fleet/shardMembership.ts
@@ -64,6 +64,11 @@
     return new ShardMembership(options);
   }
 
+  /** Renews the membership at once. To be called when the grant may have changed unnoticed. */
+  refresh(): void {
+    this.renewalDelay.wake();
+  }
+
   /** Gives up all shards. Call it when nothing runs on their workers any more. */
   async leave(): Promise<void> {
     await this.close();
