--- a/src/fleet/fleetDaemon.spec.ts
+++ b/src/fleet/fleetDaemon.spec.ts
@@ -1,15 +1,17 @@
-import { Ok } from 'ts-results-es';
+import { Err, Ok } from 'ts-results-es';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { noMetrics } from '../adapters/system/noMetrics.js';
+import type { Clock } from '../ports/clock.js';
 import type { FleetConnector } from '../ports/fleetPeers.js';
 import type { FleetStore } from '../ports/fleetStore.js';
 import type { JobEnd, JobRequest } from '../ports/jobs.js';
-import { workerFixture } from '../testing/dispatchFixtures.js';
+import { batchFixture, workerFixture } from '../testing/dispatchFixtures.js';
 import { FakeClock } from '../testing/fakeClock.js';
 import { SeededRandom } from '../testing/seededRandom.js';
 import { silentLogger } from '../testing/silentLogger.js';
 import { SimulatedWorkers } from '../testing/simulatedWorkers.js';
+import type { BatchReply } from '../types/dispatch.js';
 import type { Route } from '../types/routing.js';
 import { FleetDaemon } from './fleetDaemon.js';
 
@@ -30,6 +32,11 @@
   objectiveSlackMs: 60,
 };
 
+const link = {
+  beat: async () => Err({ kind: 'broken', detail: 'silent' }),
+  close: async () => undefined,
+};
+
 const jobOf = (jobId: string, taskCount = 2): JobRequest => ({
   jobId,
   spec: '',
@@ -47,6 +54,13 @@
 /** A daemon that dispatches to one worker with room for two tasks. */
 const createFixture = async () => {
   const clock = FakeClock.create();
+  let suspendedMs = 0;
+  const daemonClock: Clock = {
+    nowMs: () => clock.nowMs(),
+    wallMs: () => clock.wallMs() + suspendedMs,
+    bootMs: () => clock.bootMs() + suspendedMs,
+    sleep: (durationMs, signal) => clock.sleep(durationMs, signal),
+  };
   const startedAtMs = workerFixture.startedAtMs ?? 0;
   const workers = SimulatedWorkers.create({
     clock,
@@ -77,13 +91,13 @@
   const daemon = FleetDaemon.create(
     { member, failureDomainIds: [failureDomainId], leaseMs: 1_000, farRackFactor: 1.5 },
     {
-      clock,
+      clock: daemonClock,
       random: SeededRandom.create(3),
       logger: silentLogger,
       metrics: noMetrics,
       store: store as FleetStore,
       workers,
-      connector: {} as FleetConnector,
+      connector: { connect: () => link } as unknown as FleetConnector,
     },
   );
   await clock.advance(2_000);
@@ -103,7 +117,8 @@
     await clock.advance(6_000);
     await closing;
   };
-  return { clock, daemon, ends, joins, submit, startsOf, close };
+  const suspend = (durationMs: number): void => void (suspendedMs += durationMs);
+  return { clock, daemon, ends, joins, submit, startsOf, suspend, close };
 };
 
 // Guards against a job that waited in the socket of a paused process, and that its caller has sent elsewhere since.
@@ -146,6 +161,34 @@
   await close();
 });
 
+// Guards against a batch that waited through a suspension of the VM, for which the monotonic clock stands.
+test('a batch that is read first after a suspension counts with its whole age', async () => {
+  const { clock, daemon, startsOf, suspend, close } = await createFixture();
+  const other = { ...member, incarnation: 'other', address: '127.0.0.1:2' };
+  const beat = (): void =>
+    void daemon.beat({
+      member: other,
+      sentAtMs: clock.nowMs(),
+      routingVersion: -1,
+      isLeaving: false,
+      load: { workers: [] },
+      askedBatchIds: [],
+    });
+  beat();
+  await clock.advance(300);
+  beat();
+  const sentAtMs = clock.nowMs();
+  suspend(standstillMs);
+  let reply: BatchReply | undefined;
+  void daemon
+    .runBatch({ askedBy: 'other', sentAtMs, batch: batchFixture })
+    .then((one) => (reply = one));
+  await clock.advance(500);
+  assert.ok(reply?.ends.every(({ kind }) => kind === 'returned'));
+  assert.is(startsOf(batchFixture.jobId), 0);
+  await close();
+});
+
 // Guards against a process that acts on shards which the store has given to another one meanwhile.
 test('after a standstill the membership is renewed at once', async () => {
   const { clock, joins, close } = await createFixture();
