A cancellation reaches the job at whichever daemon it is

Cause: a cancellation that reached a daemon without the job was answered 410, and the job ran to its end at the daemon that had it. Change: JobCancellation passes it on by the new method cancelJob: to the daemons of the own failure domain, and to one contact in each other one, which passes it on once within its domain (the next contact is asked if the first does not answer, such as one of an earlier version). It waits 500 ms at most. Tests that create a JobIntake or a FleetService got the new member; nothing asserted changed.

--- a/src/adapters/fleetRpc/fleetRpcClient.ts
+++ b/src/adapters/fleetRpc/fleetRpcClient.ts
@@ -8,9 +8,11 @@
 import { fleetMethods } from '../../ports/fleetPeers.js';
 import type {
   BatchRequest,
+  CancellationReply,
   FleetConnector,
   FleetLink,
   BatchWithdrawal,
+  JobCancellationRequest,
 } from '../../ports/fleetPeers.js';
 import type { PeerError } from '../../ports/peers.js';
 import type { Routing } from '../../types/routing.js';
@@ -42,6 +44,13 @@
     return this.call('withdrawBatch', withdrawal, timeoutMs);
   }
 
+  cancelJob(
+    cancellation: JobCancellationRequest,
+    timeoutMs: number,
+  ): Promise<Result<CancellationReply, PeerError>> {
+    return this.call('cancelJob', cancellation, timeoutMs);
+  }
+
   async fetchRouting(timeoutMs: number): Promise<Result<Routing | null, PeerError>> {
     const reply = await this.call('fetchRouting', {}, timeoutMs);
     return reply.map(({ routing }) => routing);
--- a/src/adapters/fleetRpc/fleetRpcLink.spec.ts
+++ b/src/adapters/fleetRpc/fleetRpcLink.spec.ts
@@ -28,6 +28,7 @@
   beat: () => heartbeat,
   runBatch: () => Promise.reject(new Error('not served')),
   withdrawBatch: () => undefined,
+  cancelJob: () => Promise.resolve({ wasFound: true }),
   fetchRouting: () => null,
 };
 
--- a/src/adapters/fleetRpc/fleetRpcServer.ts
+++ b/src/adapters/fleetRpc/fleetRpcServer.ts
@@ -78,6 +78,9 @@
     service.withdrawBatch(checkParams(fleetMethods.withdrawBatch.params, params));
     return {};
   });
+  rpc.addMethod('cancelJob', (params) =>
+    service.cancelJob(checkParams(fleetMethods.cancelJob.params, params)),
+  );
   rpc.addMethod('fetchRouting', () => ({ routing: service.fetchRouting() }));
   return rpc;
 };
--- a/src/bestEffort/runningJobs.ts
+++ b/src/bestEffort/runningJobs.ts
@@ -6,6 +6,7 @@
 import type { JobEnd, JobRequest, JobState } from '../ports/jobs.js';
 import type { Logger } from '../ports/logger.js';
 import type { Route } from '../types/routing.js';
+import { CancelledJobs } from './cancelledJobs.js';
 import { countJobEnd } from './countJobEnd.js';
 import { JobRun } from './jobRun.js';
 import type { JobRunOptions } from './jobRun.js';
@@ -22,12 +23,14 @@
 export class RunningJobs {
   /** By job id. */
   private readonly jobs = new Map<string, RunningJob>();
+  private readonly cancelled: CancelledJobs;
   private readonly logger: Logger;
   private readonly clock: Clock;
 
   private constructor(private readonly options: JobRunOptions) {
     this.logger = options.logger;
     this.clock = options.clock;
+    this.cancelled = CancelledJobs.create(options.clock);
   }
 
   static create(options: JobRunOptions): RunningJobs {
@@ -40,7 +43,7 @@
 
   /**
    * Runs a job. If one with its id already runs here, waits for that one; the other arguments but
-   * the signal are ignored then.
+   * the signal are ignored then. A job that was cancelled a while ago is not started again.
    *
    * @param route - the route on which the job was submitted
    * @param request - the job
@@ -54,7 +57,14 @@
     deadlineMs: number,
     signal: AbortSignal,
   ): Promise<JobEnd> {
-    const job = this.jobs.get(request.jobId) ?? this.start(route, request, deadlineMs);
+    const { jobId } = request;
+    if (this.cancelled.find(jobId) !== undefined) {
+      const end: JobEnd = { kind: 'cancelled' };
+      this.logger.info('A job that was cancelled is not started.', { jobId });
+      countJobEnd(this.options.metrics, route.routeId, end);
+      return end;
+    }
+    const job = this.jobs.get(jobId) ?? this.start(route, request, deadlineMs);
     job.waiters += 1;
     const leave = (): void => {
       job.waiters -= 1;
@@ -77,11 +87,18 @@
     return job.run.mayHaveStarted ? 'running' : 'queued';
   }
 
-  /** Cancels a job for all its callers; returns whether it runs here. */
+  /**
+   * Cancels a job for all its callers. It is remembered for some time, so that a request for it that comes
+   * only now starts nothing.
+   *
+   * @returns whether it runs here, or did when it was cancelled
+   */
   cancel(jobId: string): boolean {
     const job = this.jobs.get(jobId);
+    const wasFound = job !== undefined || this.cancelled.find(jobId) === 'found';
+    this.cancelled.record(jobId, wasFound ? 'found' : 'not-found');
     job?.stop.abort();
-    return job !== undefined;
+    return wasFound;
   }
 
   /** Ends every job as given up, or as refused where no task can have run. */
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -26,6 +26,7 @@
 import { PeerService } from './peerService.js';
 import { RequesterLeases } from './requesterLeases.js';
 import { RequesterMonitor } from './requesterMonitor.js';
+import { JobCancellation } from './jobCancellation.js';
 import { JobIntake } from './jobIntake.js';
 import { LearnedBackup } from './learnedBackup.js';
 import { ServedWorkers } from './servedWorkers.js';
@@ -135,7 +136,21 @@
       lengths: this.lengths,
     });
     const { lengths, speeds, routing, directory, jobs } = this;
-    this.intake = JobIntake.create({ logger: this.logger, metrics, routing, directory, jobs });
+    const cancellation = JobCancellation.create({
+      clock,
+      logger: this.logger,
+      failureDomainId: member.failureDomainId,
+      jobs,
+      peers: () => this.peers,
+    });
+    this.intake = JobIntake.create({
+      logger: this.logger,
+      metrics,
+      routing,
+      directory,
+      jobs,
+      cancellation,
+    });
     this.learned = LearnedBackup.create({ clock, logger, store, member, lengths, speeds });
     const { view, router, dispatcher } = this;
     const batchIntake = BatchIntake.create({
@@ -178,6 +193,7 @@
       peers,
       heartbeatExchange,
       batchIntake,
+      cancellation,
       dispatcher,
       routing,
     });
--- /dev/null
+++ b/src/fleet/jobCancellation.spec.ts
@@ -0,0 +1,148 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { JobEnd, JobRequest } from '../ports/jobs.js';
+import { workerFixture } from '../testing/dispatchFixtures.js';
+import { FleetFixture } from '../testing/fleetFixture.js';
+import type { FixtureMember } from '../testing/fleetFixture.js';
+
+const domains = ['east', 'west', 'north'];
+const daemonsPerDomain = 4;
+
+/** Daemons of three failure domains, of which the first of each dispatches to its one worker. */
+const members: FixtureMember[] = domains.flatMap((failureDomainId, domain) =>
+  Array.from({ length: daemonsPerDomain }, (_, index) => ({
+    address: `127.0.${domain}.${index + 1}:7000`,
+    incarnation: `${failureDomainId}-${index}`,
+    failureDomainId,
+    shards: index === 0 ? [0] : [],
+  })),
+);
+
+const workers = domains.map((failureDomainId) => ({
+  ...workerFixture,
+  workerId: `i-${failureDomainId}`,
+  failureDomainId,
+}));
+
+const addressOf = (domain: number, index: number): string => `127.0.${domain}.${index + 1}:7000`;
+
+const createFleet = (): Promise<FleetFixture> =>
+  FleetFixture.create({ shardCount: 1, workers, runMs: 8_000 }, members);
+
+const job: JobRequest = {
+  jobId: '00000000000000aa',
+  spec: '',
+  steps: [
+    {
+      taskCount: 1,
+      estimatedMs: 8_000,
+      after: [],
+      needs: { resources: { cpuMillis: 1_000, memoryMb: 64, accelerators: 0 } },
+    },
+  ],
+  unsupported: [],
+};
+
+/** Cancels the job at a daemon, and returns the answer and the time that it took. */
+const cancelAt = async (fleet: FleetFixture, address: string) => {
+  const { clock } = fleet;
+  const sentAtMs = clock.nowMs();
+  let answer: { readonly wasFound: boolean; readonly afterMs: number } | undefined;
+  void fleet
+    .daemon(address)
+    .intake.cancel(job.jobId)
+    .then((wasFound) => (answer = { wasFound, afterMs: clock.nowMs() - sentAtMs }));
+  await clock.advance(1_000);
+  return answer;
+};
+
+const cancelCalls = (fleet: FleetFixture): string[] =>
+  fleet.calls.filter((call) => call.startsWith('cancelJob')).map((call) => call.slice(-14));
+
+// Guards against a job that runs to its end, since its cancellation reached another daemon.
+test('a cancellation at any daemon ends the job, with one message at most to each daemon', async () => {
+  for (const [domain, index] of [
+    [0, 1],
+    [1, 0],
+    [1, 3],
+    [2, 2],
+  ] as const) {
+    const fleet = await createFleet();
+    let end: JobEnd | undefined;
+    void fleet.submit(addressOf(domain, index), job).then((one) => (end = one));
+    await fleet.clock.advance(200);
+    assert.is(fleet.workers.starts.length, 1);
+    const answer = await cancelAt(fleet, addressOf(0, 0));
+    assert.equal(answer, { wasFound: true, afterMs: 0 });
+    assert.equal(end, { kind: 'cancelled' });
+    assert.is(fleet.stops.length, 1);
+    const calls = cancelCalls(fleet);
+    assert.is(new Set(calls).size, calls.length, calls.join());
+    assert.is(calls.length, members.length - 1);
+    const late = addressOf(domain, index === 3 ? 2 : 3);
+    assert.equal(await fleet.submit(late, job), { kind: 'cancelled' });
+    await fleet.close();
+  }
+});
+
+// Guards against a copy of a job that starts after its cancellation was answered.
+test('a job that arrives after its cancellation starts nothing at any daemon', async () => {
+  const fleet = await createFleet();
+  assert.is((await cancelAt(fleet, addressOf(0, 0)))?.wasFound, false);
+  for (const { address } of members) {
+    const end = fleet.submit(address, job);
+    await fleet.clock.advance(100);
+    assert.equal(await end, { kind: 'cancelled' }, address);
+  }
+  assert.equal(fleet.workers.starts, []);
+  await fleet.close();
+});
+
+// Guards against a cancellation that hangs or throws while other daemons are not there.
+test('a cancellation is answered while no other daemon is, and found again when it is repeated', async () => {
+  const fleet = await createFleet();
+  const own = addressOf(0, 0);
+  const running = fleet.submit(own, job);
+  await fleet.clock.advance(200);
+  members.filter(({ address }) => address !== own).forEach(({ address }) => fleet.kill(address));
+  for (let round = 0; round < 2; round += 1) {
+    assert.equal(await cancelAt(fleet, own), { wasFound: true, afterMs: 0 });
+  }
+  assert.equal(await running, { kind: 'cancelled' });
+  const sentAtMs = fleet.clock.nowMs();
+  const unknown = fleet.daemon(own).intake.cancel('00000000000000bb');
+  await fleet.clock.advance(1_000);
+  assert.is(await unknown, false);
+  assert.ok(fleet.clock.nowMs() - sentAtMs <= 1_000);
+  await fleet.close();
+});
+
+test('a cancellation is answered in bounded time while other daemons are silent', async () => {
+  const fleet = await createFleet();
+  members.forEach(({ address }) => fleet.silent.add(address));
+  const answer = await cancelAt(fleet, addressOf(0, 0));
+  assert.ok(answer !== undefined && !answer.wasFound && answer.afterMs <= 500);
+  await fleet.close();
+});
+
+test('a daemon of an earlier version is no contact that passes a cancellation on', async () => {
+  const fleet = await createFleet();
+  const own = addressOf(0, 0);
+  const [firstContact] = fleet.calls
+    .filter((call) => call.startsWith(`beat ${own} 127.0.1.`))
+    .map((call) => call.split(' ').at(-1));
+  for (const { address } of members.filter((one) => one.address === firstContact)) {
+    fleet.earlierVersions.add(address);
+  }
+  const last = members
+    .filter(({ address }) => address.startsWith('127.0.1.') && address !== firstContact)
+    .at(-1);
+  assert.ok(last);
+  const running = fleet.submit(last.address, job);
+  await fleet.clock.advance(200);
+  assert.is((await cancelAt(fleet, own))?.wasFound, true);
+  assert.equal(await running, { kind: 'cancelled' });
+  await fleet.close();
+});
+
+test.run();
--- a/src/fleet/jobIntake.spec.ts
+++ b/src/fleet/jobIntake.spec.ts
@@ -7,6 +7,7 @@
 import { silentLogger } from '../testing/silentLogger.js';
 import type { Route } from '../types/routing.js';
 import type { TaskFit, WorkerDirectory } from '../workers/workerDirectory.js';
+import type { JobCancellation } from './jobCancellation.js';
 import { JobIntake } from './jobIntake.js';
 
 const route: Route = {
@@ -35,6 +36,7 @@
     routing: RoutingStore.create(),
     directory: directory as WorkerDirectory,
     jobs: jobs as RunningJobs,
+    cancellation: undefined as unknown as JobCancellation,
   });
   intake.close();
   const { signal } = new AbortController();
@@ -54,6 +56,7 @@
       routing: RoutingStore.create(),
       directory: directory as WorkerDirectory,
       jobs: undefined as unknown as RunningJobs,
+      cancellation: undefined as unknown as JobCancellation,
     });
   };
   const needs = { resources: { cpuMillis: 14_000, memoryMb: 64, accelerators: 0 } };
--- a/src/fleet/jobIntake.ts
+++ b/src/fleet/jobIntake.ts
@@ -9,6 +9,7 @@
 import type { RoutingStore } from '../routing/routingStore.js';
 import type { Route } from '../types/routing.js';
 import type { WorkerDirectory } from '../workers/workerDirectory.js';
+import type { JobCancellation } from './jobCancellation.js';
 
 /** Time after which a job with unsupported demands may be sent again, in milliseconds. */
 const unsupportedRetryAfterMs = 60_000;
@@ -28,6 +29,7 @@
   readonly routing: RoutingStore;
   readonly directory: WorkerDirectory;
   readonly jobs: RunningJobs;
+  readonly cancellation: JobCancellation;
 }
 
 /**
@@ -95,8 +97,8 @@
     return this.options.jobs.state(jobId);
   }
 
-  cancel(jobId: string): boolean {
-    return this.options.jobs.cancel(jobId);
+  cancel(jobId: string): Promise<boolean> {
+    return this.options.cancellation.cancel(jobId);
   }
 
   countWaiting(routeId: string): number {
--- a/src/fleet/peerService.ts
+++ b/src/fleet/peerService.ts
@@ -2,7 +2,13 @@
  * What a daemon serves to the other daemons of the fleet.
  */
 import type { Dispatcher } from '../dispatch/dispatcher.js';
-import type { BatchRequest, BatchWithdrawal, FleetService } from '../ports/fleetPeers.js';
+import type {
+  BatchRequest,
+  BatchWithdrawal,
+  CancellationReply,
+  FleetService,
+  JobCancellationRequest,
+} from '../ports/fleetPeers.js';
 import type { RoutingStore } from '../routing/routingStore.js';
 import type { BatchReply } from '../types/dispatch.js';
 import type { FleetHeartbeat } from '../types/fleet.js';
@@ -10,6 +16,7 @@
 import type { BatchIntake } from './batchIntake.js';
 import type { FleetHeartbeatExchange } from './fleetHeartbeatExchange.js';
 import type { FleetPeers } from './fleetPeers.js';
+import type { JobCancellation } from './jobCancellation.js';
 import type { MessageAges } from './messageAges.js';
 
 export interface PeerServiceOptions {
@@ -17,6 +24,7 @@
   readonly peers: FleetPeers;
   readonly heartbeatExchange: FleetHeartbeatExchange;
   readonly batchIntake: BatchIntake;
+  readonly cancellation: JobCancellation;
   readonly dispatcher: Dispatcher;
   readonly routing: RoutingStore;
 }
@@ -50,6 +58,11 @@
     this.options.dispatcher.withdraw(batchId);
   }
 
+  /** Cancels a job for a caller whose request reached another daemon. */
+  cancelJob(cancellation: JobCancellationRequest): Promise<CancellationReply> {
+    return this.options.cancellation.receive(cancellation);
+  }
+
   /** @returns the routing configuration in force, or null before the first */
   fetchRouting(): Routing | null {
     return this.options.routing.current?.routing ?? null;
--- a/src/ports/fleetPeers.ts
+++ b/src/ports/fleetPeers.ts
@@ -25,11 +25,30 @@
 export const batchWithdrawalSchema = z.object({ batchId: z.string() });
 export type BatchWithdrawal = z.infer<typeof batchWithdrawalSchema>;
 
+/** Times that a cancellation may be passed on to further daemons. */
+export const maxCancellationHops = 1;
+
+/** A caller's cancellation of a job that another daemon may have. */
+export const jobCancellationSchema = z.object({
+  jobId: z.string().max(64),
+  /** How often the receiver may pass it on: 1 to pass it on within its failure domain, or 0. */
+  hops: z.number().int().nonnegative().max(maxCancellationHops),
+});
+export type JobCancellationRequest = z.infer<typeof jobCancellationSchema>;
+
+export const cancellationReplySchema = z.object({
+  /** Whether the receiver, or a daemon to which it passed the cancellation on, had the job. */
+  wasFound: z.boolean(),
+});
+export type CancellationReply = z.infer<typeof cancellationReplySchema>;
+
 /** Methods of the protocol between the daemons of a fleet, with their parameters and results. */
 export const fleetMethods = {
   beat: { params: fleetHeartbeatSchema, result: fleetHeartbeatSchema },
   runBatch: { params: batchRequestSchema, result: batchReplySchema },
   withdrawBatch: { params: batchWithdrawalSchema, result: z.object({}) },
+  /** Daemons of earlier versions do not know it. */
+  cancelJob: { params: jobCancellationSchema, result: cancellationReplySchema },
   fetchRouting: { params: z.object({}), result: z.object({ routing: routingSchema.nullable() }) },
 } as const;
 
@@ -43,6 +62,10 @@
     withdrawal: BatchWithdrawal,
     timeoutMs: number,
   ): Promise<Result<unknown, PeerError>>;
+  cancelJob(
+    cancellation: JobCancellationRequest,
+    timeoutMs: number,
+  ): Promise<Result<CancellationReply, PeerError>>;
   fetchRouting(timeoutMs: number): Promise<Result<Routing | null, PeerError>>;
   close(): Promise<void>;
 }
@@ -62,6 +85,8 @@
   beat(received: FleetHeartbeat): FleetHeartbeat;
   runBatch(request: BatchRequest): Promise<BatchReply>;
   withdrawBatch(withdrawal: BatchWithdrawal): void;
+  /** Cancels a job for a caller whose request reached another daemon. */
+  cancelJob(cancellation: JobCancellationRequest): Promise<CancellationReply>;
   /** @returns the routing configuration in force, or null if there is none */
   fetchRouting(): Routing | null;
 }
--- a/src/ports/jobs.ts
+++ b/src/ports/jobs.ts
@@ -68,8 +68,8 @@
     signal: AbortSignal,
   ): Promise<JobEnd>;
   state(jobId: string): JobState;
-  /** @returns whether this daemon had a job of this id to cancel */
-  cancel(jobId: string): boolean;
+  /** Cancels a job wherever it runs. @returns whether a daemon had a job of this id */
+  cancel(jobId: string): Promise<boolean>;
   /** @returns number of the route's jobs of which no task has started */
   countWaiting(routeId: string): number;
 }
--- a/src/testing/fleetFixture.ts
+++ b/src/testing/fleetFixture.ts
@@ -2,6 +2,7 @@
  * Several daemons of a fleet on a fake clock, connected in memory, with simulated workers. A daemon that is
  * killed refuses connections, and nothing that it still does has an effect.
  */
+import { setMaxListeners } from 'node:events';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { noMetrics } from '../adapters/system/noMetrics.js';
@@ -79,9 +80,14 @@
   readonly stops: RecordedStop[] = [];
   /** Calls between daemons, as method, address of the caller and address of the daemon called. */
   readonly calls: string[] = [];
+  /** Addresses of daemons that answer no call. */
+  readonly silent = new Set<string>();
+  /** Addresses of daemons that do not know the method `cancelJob`. */
+  readonly earlierVersions = new Set<string>();
   /** By address. */
   private readonly daemons = new Map<string, FixtureDaemon>();
   private readonly members: Member[] = [];
+  private failureDomainIds: readonly string[] = [];
 
   private constructor(private readonly options: FleetFixtureOptions) {
     const { runMs } = options;
@@ -101,6 +107,7 @@
     members: readonly FixtureMember[],
   ): Promise<FleetFixture> {
     const fixture = new FleetFixture(options);
+    fixture.failureDomainIds = [...new Set(members.map((member) => member.failureDomainId))];
     members.forEach((member) => fixture.start(member));
     await fixture.clock.advance(4_000);
     return fixture;
@@ -111,8 +118,9 @@
     const { clock } = this;
     const member: Member = { ...identity, weight: 1 };
     const killed = new AbortController();
+    setMaxListeners(0, killed.signal);
     const daemon = FleetDaemon.create(
-      { member, failureDomainIds: this.domains(member), leaseMs: 1_000, farRackFactor: 1.5 },
+      { member, failureDomainIds: this.failureDomainIds, leaseMs: 1_000, farRackFactor: 1.5 },
       {
         clock,
         random: SeededRandom.create(this.members.length + 1),
@@ -156,10 +164,6 @@
     return found;
   }
 
-  private domains({ failureDomainId }: Member): string[] {
-    return [...new Set([...this.members.map((one) => one.failureDomainId), failureDomainId])];
-  }
-
   private storeOf(shards: readonly number[]): FleetStore {
     const { clock, options } = this;
     const { shardCount, workers } = options;
@@ -222,6 +226,12 @@
           this.call(`withdrawBatch ${from} ${to}`, killed, timeoutMs, (service) =>
             service.withdrawBatch(withdrawal),
           ),
+        cancelJob: (cancellation, timeoutMs) =>
+          this.earlierVersions.has(to)
+            ? Promise.resolve(Err({ kind: 'refused', detail: 'Method not found' }))
+            : this.call(`cancelJob ${from} ${to}`, killed, timeoutMs, (service) =>
+                service.cancelJob(cancellation),
+              ),
         fetchRouting: (timeoutMs) =>
           this.call(`fetchRouting ${from} ${to}`, killed, timeoutMs, (service) =>
             service.fetchRouting(),
@@ -253,11 +263,16 @@
     const isOver = this.clock
       .sleep(timeoutMs, ended.signal)
       .then((): Result<T, PeerError> => Err(broken));
-    const answer = Promise.resolve(act(callee.daemon.peerService)).then(
-      (value): Result<T, PeerError> => Ok(value),
-    );
+    const answer = this.answerOf(address, () => act(callee.daemon.peerService));
     const result = await Promise.race([answer, gone, isOver]);
     ended.abort();
     return result;
   }
+
+  private async answerOf<T>(
+    address: string,
+    act: () => T | Promise<T>,
+  ): Promise<Result<T, PeerError>> {
+    return this.silent.has(address) ? new Promise(() => undefined) : Ok(await act());
+  }
 }
