A heartbeat that was held up replaces no living process and withdraws no younger batch

Cause: a heartbeat that arrives late was taken for news. One of an earlier process at an address counted as the loss of the living one, with its batches; one whose list of batches is old withdrew those sent since. Change: where a process was heard lately, another one at its address replaces it only by an answer to a heartbeat; the age of a heartbeat adds to the age up to which unlisted batches are kept.

--- a/src/fleet/fleetHeartbeatExchange.ts
+++ b/src/fleet/fleetHeartbeatExchange.ts
@@ -96,7 +96,8 @@
       this.options.lengths.recordPeerSums(incarnation, lengths);
     }
     const requested = new Set(askedBatchIds);
-    dispatcher.withdrawUnrequested(incarnation, (id) => requested.has(id), minUnrequestedAgeMs);
+    const minAgeMs = minUnrequestedAgeMs + ageMs;
+    dispatcher.withdrawUnrequested(incarnation, (id) => requested.has(id), minAgeMs);
     if (routingVersion > routing.version) {
       void this.fetchRoutingFrom(incarnation);
     }
--- a/src/fleet/fleetPeer.ts
+++ b/src/fleet/fleetPeer.ts
@@ -16,6 +16,8 @@
   lastListedAtMs: number;
   /** Whether the peer was reported as lost since its last heartbeat. */
   isMarkedUnreachable = false;
+  /** Whether another process was heard at the address, so that an answer has to show which one is there. */
+  isDisputed = false;
   /** Number of heartbeats without an answer since the last one that was received. */
   unansweredHeartbeats = 0;
   /** When the last heartbeat was sent to the peer. */
--- a/src/fleet/fleetPeers.ts
+++ b/src/fleet/fleetPeers.ts
@@ -111,12 +111,27 @@
     );
   }
 
-  /** Handles a heartbeat that a peer sent of its own accord. */
+  /**
+   * Handles a heartbeat that a peer sent of its own accord. It may have been held up, so that another
+   * process than the one heard of lately has to answer a heartbeat first: only one of them is there.
+   */
   receiveHeartbeat(heartbeat: FleetHeartbeat): void {
+    const { address, incarnation } = heartbeat.member;
+    const nowMs = this.options.clock.nowMs();
+    const known = this.peers.get(address);
+    const isOther = known?.incarnation !== undefined && known.incarnation !== incarnation;
+    if (
+      isOther &&
+      (this.replaced.has(incarnation) || known.hadContactWithin(nowMs, takeoverAfterMs))
+    ) {
+      this.logger.info('Another process is heard at an address.', { nodeId: incarnation, address });
+      known.isDisputed = true;
+      return;
+    }
     this.handleHeartbeat(heartbeat);
-    const peer = this.peers.get(heartbeat.member.address);
-    if (peer?.incarnation === heartbeat.member.incarnation) {
-      peer.lastInboundHeartbeatAtMs = this.options.clock.nowMs();
+    const peer = this.peers.get(address);
+    if (peer !== undefined) {
+      peer.lastInboundHeartbeatAtMs = nowMs;
     }
   }
 
@@ -146,13 +161,6 @@
     if (address === this.options.own.address || this.stop.signal.aborted) {
       return;
     }
-    if (this.replaced.has(incarnation)) {
-      this.logger.info('A message of an earlier process is ignored.', {
-        nodeId: incarnation,
-        address,
-      });
-      return;
-    }
     this.addMembers([{ address, failureDomainId }]);
     const peer = this.peers.get(address);
     if (peer === undefined) {
@@ -232,6 +240,7 @@
   private async sendHeartbeat(peer: FleetPeer): Promise<void> {
     const nowMs = this.options.clock.nowMs();
     peer.lastSentAtMs = nowMs;
+    peer.isDisputed = false;
     const isFull = nowMs - peer.lastFullHeartbeatAtMs >= fullHeartbeatPeriodMs;
     if (isFull) {
       peer.lastFullHeartbeatAtMs = nowMs;
--- a/src/fleet/heartbeatDuty.ts
+++ b/src/fleet/heartbeatDuty.ts
@@ -42,6 +42,9 @@
   /** Within a domain the lower address sends; across domains, either side that keeps contact. */
   mustSend(peer: FleetPeer): boolean {
     const { clock, own } = this.options;
+    if (peer.isDisputed) {
+      return true;
+    }
     if (!this.keepsContact(peer)) {
       return false;
     }
