A cancellation also reaches daemons that are met only a little later

Cause: a daemon that has just started, and is ready, has not met the others yet; it answered 410 and told nobody. Change: JobCancellation asks daemons that have not answered for 2.5 s, and answers the caller as soon as the job is found, or one of the others has answered, or after 500 ms.

--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -74,6 +74,7 @@
   private readonly heartbeatExchange: FleetHeartbeatExchange;
   private readonly requesterMonitor: RequesterMonitor;
   private readonly jobs: RunningJobs;
+  private readonly cancellation: JobCancellation;
   private readonly shards: ShardMembership;
   private readonly servedWorkers: ServedWorkers;
   private readonly suspendDetector: SuspendDetector;
@@ -136,13 +137,14 @@
       lengths: this.lengths,
     });
     const { lengths, speeds, routing, directory, jobs } = this;
-    const cancellation = JobCancellation.create({
+    this.cancellation = JobCancellation.create({
       clock,
       logger: this.logger,
       failureDomainId: member.failureDomainId,
       jobs,
       peers: () => this.peers,
     });
+    const { cancellation } = this;
     this.intake = JobIntake.create({
       logger: this.logger,
       metrics,
@@ -269,6 +271,7 @@
 
   /** Stops all activity and closes the connections to workers and the store. */
   async close(): Promise<void> {
+    this.cancellation.close();
     await Promise.all([this.shards.close(), this.peers.close(), this.routingFollower.close()]);
     await Promise.all([
       this.learned.close(),
--- a/src/fleet/jobCancellation.spec.ts
+++ b/src/fleet/jobCancellation.spec.ts
@@ -85,6 +85,19 @@
   }
 });
 
+// Guards against a cancellation that reaches only the daemons that a new one has met.
+test('a daemon that has just started passes a cancellation on to those that it meets a little later', async () => {
+  const fleet = await createFleet();
+  const running = fleet.submit(addressOf(0, 1), job);
+  await fleet.clock.advance(200);
+  const address = '127.0.0.9:7000';
+  fleet.start({ address, incarnation: 'new', failureDomainId: 'east', shards: [] });
+  const answer = await cancelAt(fleet, address);
+  assert.is(answer?.wasFound, true);
+  assert.equal(await running, { kind: 'cancelled' });
+  await fleet.close();
+});
+
 // Guards against a copy of a job that starts after its cancellation was answered.
 test('a job that arrives after its cancellation starts nothing at any daemon', async () => {
   const fleet = await createFleet();
--- a/src/fleet/jobCancellation.ts
+++ b/src/fleet/jobCancellation.ts
@@ -1,7 +1,8 @@
 /**
  * Cancels a job wherever it runs: a caller's cancellation may reach another daemon than the job did. It is
  * passed on to the daemons of the own failure domain, and to one contact in each other one, which passes it
- * on within its domain. So each daemon gets one message at most, unless a contact does not answer.
+ * on within its domain. Each daemon gets one message, unless it does not answer. Those that are reached only
+ * a little later are asked then, such as by a daemon that has just started.
  */
 import type { RunningJobs } from '../bestEffort/runningJobs.js';
 import type { Clock } from '../ports/clock.js';
@@ -9,6 +10,8 @@
 import type { CancellationReply, JobCancellationRequest } from '../ports/fleetPeers.js';
 import type { Logger } from '../ports/logger.js';
 import { abortQuietly } from '../utils/abortQuietly.js';
+import { createDeferred } from '../utils/deferred.js';
+import type { Deferred } from '../utils/deferred.js';
 import type { FleetPeer } from './fleetPeer.js';
 import type { FleetPeers } from './fleetPeers.js';
 
@@ -16,11 +19,27 @@
 const neighbourTimeoutMs = 200;
 /** Longest wait for the answer of a contact, which waits for the other daemons of its domain. */
 const contactTimeoutMs = neighbourTimeoutMs + 100;
-/** Longest wait for all answers, in milliseconds. */
+/** Longest time until the caller is answered, in milliseconds. */
 const maxWaitMs = 500;
+/** For how long daemons that are reached only now are asked, in milliseconds. */
+const passOnForMs = 2_500;
+/** Pause before daemons that are reached only now are asked, in milliseconds. */
+const roundPauseMs = 100;
 /** Contacts of one failure domain that are tried in turn. */
 const maxContactsTried = 2;
 
+/** What a recipient answered. `none`: it did not answer. */
+type Answer = 'found' | 'not-found' | 'none';
+
+/** Daemons of which one is to be told of a cancellation. */
+interface Recipient {
+  /** Names the daemon, or the failure domain of the contacts. */
+  readonly key: string;
+  /** Tried in turn until one answers. */
+  readonly peers: readonly FleetPeer[];
+  readonly hops: number;
+}
+
 export interface JobCancellationOptions {
   readonly clock: Clock;
   readonly logger: Logger;
@@ -31,6 +50,8 @@
 }
 
 export class JobCancellation {
+  private readonly stop = new AbortController();
+
   private constructor(private readonly options: JobCancellationOptions) {}
 
   static create(options: JobCancellationOptions): JobCancellation {
@@ -45,49 +66,106 @@
    */
   async cancel(jobId: string): Promise<boolean> {
     const isHere = this.options.jobs.cancel(jobId);
-    const asked = [
-      ...this.askNeighbours(jobId),
-      ...this.contactsByDomain().map((contacts) => this.askContacts(contacts, jobId)),
-    ];
-    const wasFound = isHere || (await this.isAnyTrue(asked));
-    const outcome = wasFound ? 'found' : 'not-found';
-    const count = asked.length;
-    this.options.logger.info('A cancellation was passed on.', { jobId, outcome, count });
-    return wasFound;
+    const found = createDeferred<boolean>();
+    void this.passOn(jobId, found);
+    return isHere || this.withinTime(found.promise);
   }
 
   /** Handles a cancellation that another daemon passes on. */
   async receive({ jobId, hops }: JobCancellationRequest): Promise<CancellationReply> {
     const isHere = this.options.jobs.cancel(jobId);
-    const asked = hops > 0 ? this.askNeighbours(jobId) : [];
-    return { wasFound: isHere || (await this.isAnyTrue(asked)) };
+    if (hops === 0) {
+      return { wasFound: isHere };
+    }
+    const found = createDeferred<boolean>();
+    const round = this.askRound(jobId, this.neighbours(), new Set(), found);
+    void round.then((wasFound) => found.resolve(wasFound));
+    return { wasFound: isHere || (await this.withinTime(found.promise)) };
   }
 
-  /** Asks the reachable daemons of the own failure domain. */
-  private askNeighbours(jobId: string): Promise<boolean>[] {
-    return this.options
-      .peers()
-      .reachable()
-      .filter((peer) => this.isNeighbour(peer))
-      .map(async ({ link }) => {
-        const reply = await link.cancelJob({ jobId, hops: 0 }, neighbourTimeoutMs);
-        return reply.isOk() && reply.value.wasFound;
-      });
+  /** Ends the search for daemons that are reached only now. */
+  close(): void {
+    this.stop.abort();
+  }
+
+  /**
+   * Asks every daemon until it has answered, for a bounded time or until the job is found.
+   *
+   * @param found - resolved as soon as the job is found, or the first daemons that answer do not have it
+   */
+  private async passOn(jobId: string, found: Deferred<boolean>): Promise<void> {
+    const { clock, logger } = this.options;
+    const untilMs = clock.nowMs() + passOnForMs;
+    const answered = new Set<string>();
+    let wasFound = false;
+    while (!wasFound && clock.nowMs() < untilMs && !this.stop.signal.aborted) {
+      wasFound = await this.askRound(jobId, this.recipients(), answered, found);
+      if (answered.size > 0) {
+        found.resolve(wasFound);
+      }
+      await clock.sleep(wasFound ? 0 : roundPauseMs, this.stop.signal);
+    }
+    found.resolve(wasFound);
+    const outcome = wasFound ? 'found' : 'not-found';
+    logger.info('A cancellation was passed on.', { jobId, outcome, count: answered.size });
+  }
+
+  /** Asks the recipients that have not answered yet. @returns whether one of them had the job */
+  private async askRound(
+    jobId: string,
+    recipients: readonly Recipient[],
+    answered: Set<string>,
+    found: Deferred<boolean>,
+  ): Promise<boolean> {
+    const open = recipients.filter(({ key }) => !answered.has(key));
+    const answers = open.map(async (recipient) => {
+      const answer = await this.ask(recipient, jobId);
+      if (answer !== 'none') {
+        answered.add(recipient.key);
+      }
+      if (answer === 'found') {
+        found.resolve(true);
+      }
+      return answer;
+    });
+    return (await Promise.all(answers)).includes('found');
   }
 
-  /** Asks contacts of another failure domain in turn, until one answers. */
-  private async askContacts(contacts: readonly FleetPeer[], jobId: string): Promise<boolean> {
-    for (const { link } of contacts) {
-      const reply = await link.cancelJob({ jobId, hops: maxCancellationHops }, contactTimeoutMs);
+  /** Asks the daemons of a recipient in turn, until one answers. */
+  private async ask({ peers, hops }: Recipient, jobId: string): Promise<Answer> {
+    const timeoutMs = hops === 0 ? neighbourTimeoutMs : contactTimeoutMs;
+    let answer: Answer = 'none';
+    for (const { link } of peers) {
+      const reply = await link.cancelJob({ jobId, hops }, timeoutMs);
       if (reply.isOk()) {
-        return reply.value.wasFound;
+        return reply.value.wasFound ? 'found' : 'not-found';
       }
+      // A daemon of an earlier version refuses the call, and is not asked again.
+      answer = reply.error.kind === 'refused' ? 'not-found' : answer;
     }
-    return false;
+    return answer;
+  }
+
+  private recipients(): Recipient[] {
+    const contacts = this.contactsByDomain();
+    const remote = [...contacts].map(([domain, peers]) => ({
+      key: `domain ${domain}`,
+      peers,
+      hops: maxCancellationHops,
+    }));
+    return [...this.neighbours(), ...remote];
+  }
+
+  /** @returns the reachable daemons of the own failure domain */
+  private neighbours(): Recipient[] {
+    const reachable = this.options.peers().reachable();
+    return reachable
+      .filter((peer) => this.isNeighbour(peer))
+      .map((peer) => ({ key: `daemon ${peer.incarnation}`, peers: [peer], hops: 0 }));
   }
 
   /** @returns some reachable daemons of each other failure domain */
-  private contactsByDomain(): FleetPeer[][] {
+  private contactsByDomain(): Map<string, FleetPeer[]> {
     const byDomain = new Map<string, FleetPeer[]>();
     for (const peer of this.options.peers().reachable()) {
       const contacts = byDomain.get(peer.failureDomainId) ?? [];
@@ -95,22 +173,17 @@
         byDomain.set(peer.failureDomainId, [...contacts, peer]);
       }
     }
-    return [...byDomain.values()];
+    return byDomain;
   }
 
   private isNeighbour({ failureDomainId }: FleetPeer): boolean {
     return failureDomainId === this.options.failureDomainId;
   }
 
-  /** Waits until one answer is true, all are there, or the time is over. */
-  private async isAnyTrue(answers: readonly Promise<boolean>[]): Promise<boolean> {
+  private async withinTime(found: Promise<boolean>): Promise<boolean> {
     const isOver = new AbortController();
-    const found = new Promise<boolean>((resolve) => {
-      answers.forEach((answer) => void answer.then((isTrue) => isTrue && resolve(true)));
-    });
-    const all = Promise.all(answers).then((values) => values.includes(true));
     const time = this.options.clock.sleep(maxWaitMs, isOver.signal).then(() => false);
-    const result = await Promise.race([found, all, time]);
+    const result = await Promise.race([found, time]);
     abortQuietly(isOver);
     return result;
   }
