Keep an ended batch as long as its requester may send it again

Cause: ended batches were forgotten 10 s after their arrival, also those that ended later than that. A requester that got no answer sends its batch again, which then started anew, though its tasks had run.

Change: a batch is kept for 10 s and two of its expected run times after its end. A fenced dispatcher sleeps until its leases have ended and not just before, as after a failed hold.

The new test of managedWorker.spec.ts states that a fenced dispatcher sends no order and waits for its leases.

--- a/src/dispatch/batchTable.ts
+++ b/src/dispatch/batchTable.ts
@@ -2,11 +2,17 @@
  * The batches that other parts of the fleet have requested from this daemon: the open ones, those that
  * have ended a short while ago, and the ids of those that were withdrawn before they arrived.
  */
+import type { Clock } from '../ports/clock.js';
 import { RecentNames } from '../utils/recentNames.js';
 import type { OpenBatch } from './openBatch.js';
 
-/** Ended batches are kept this long after their arrival, to answer repeated requests. */
+/** Ended batches are kept at least this long after their end, to answer repeated requests. */
 const batchRetentionMs = 10_000;
+/**
+ * They are kept for this many expected run times more: a requester that got no answer sends a batch again after
+ * twice that time.
+ */
+const retainedRunTimes = 2;
 /** Withdrawals of batches that have not arrived that are remembered. */
 const maxEarlyWithdrawals = 2_048;
 
@@ -14,14 +20,14 @@
   /** In the order of arrival, by id. */
   private readonly batches = new Map<string, OpenBatch>();
   private readonly open = new Set<OpenBatch>();
+  /** When to remove each ended batch, in monotonic time, by id. */
+  private readonly retainedUntilMs = new Map<string, number>();
   private readonly withdrawnEarly = RecentNames.create(maxEarlyWithdrawals);
 
-  private constructor() {
-    // Built by create.
-  }
+  private constructor(private readonly clock: Clock) {}
 
-  static create(): BatchTable {
-    return new BatchTable();
+  static create(clock: Clock): BatchTable {
+    return new BatchTable(clock);
   }
 
   get(batchId: string): OpenBatch | undefined {
@@ -30,10 +36,10 @@
 
   /** Adds a batch that has just arrived, and removes those that ended long ago. */
   add(batch: OpenBatch): void {
-    this.evictEnded(batch.arrivedAtMs);
+    this.evictEnded();
     this.batches.set(batch.batchId, batch);
     this.open.add(batch);
-    void batch.completion.then(() => this.open.delete(batch));
+    void batch.completion.then(() => this.recordEnd(batch));
   }
 
   /** @returns the batches of a requester that have not ended */
@@ -66,13 +72,23 @@
     return this.withdrawnEarly.has(batchId);
   }
 
-  /** Removes the oldest batches, up to the first that has not ended or is still retained. */
-  private evictEnded(nowMs: number): void {
-    for (const batch of this.batches.values()) {
-      if (!batch.hasEnded || nowMs - batch.arrivedAtMs < batchRetentionMs) {
+  private recordEnd(batch: OpenBatch): void {
+    this.open.delete(batch);
+    const { batchId, content } = batch;
+    const retentionMs = batchRetentionMs + content.estimatedMs * retainedRunTimes;
+    this.retainedUntilMs.set(batchId, this.clock.nowMs() + retentionMs);
+  }
+
+  /** Removes the ended batches that are no longer retained. */
+  private evictEnded(): void {
+    const nowMs = this.clock.nowMs();
+    for (const [batchId, untilMs] of this.retainedUntilMs) {
+      // They are in the order of their ends; one that is retained longer keeps later ones a little longer.
+      if (untilMs > nowMs) {
         return;
       }
-      this.batches.delete(batch.batchId);
+      this.retainedUntilMs.delete(batchId);
+      this.batches.delete(batchId);
     }
   }
 }
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -41,7 +41,7 @@
   /** Tasks under which workers were lost, here or at other dispatchers. */
   readonly suspects: CrashSuspects;
   private readonly lapsedRuns: LapsedRuns;
-  private readonly batches = BatchTable.create();
+  private readonly batches: BatchTable;
   private readonly workers: WorkerPool;
   private readonly starter: TaskStarter;
   private readonly retries: TaskRetries;
@@ -50,6 +50,7 @@
   private constructor(private readonly options: DispatcherOptions) {
     const logger = options.logger.forPart('dispatch');
     this.logger = logger;
+    this.batches = BatchTable.create(options.clock);
     this.suspects = CrashSuspects.create(options.clock);
     this.lapsedRuns = LapsedRuns.create(options.clock);
     this.workers = WorkerPool.create({
--- a/src/dispatch/managedWorker.spec.ts
+++ b/src/dispatch/managedWorker.spec.ts
@@ -164,6 +164,29 @@
   await worker.close();
 });
 
+// Guards against two dispatchers that act on one worker after its shard has gone to another daemon.
+test('the runs of a fenced dispatcher end with their leases, and it sends no further order', async () => {
+  const { clock, workers, outcomes, worker, start } = createFixture();
+  await clock.advance(50);
+  workers.report = { workerClockMs: 0, running: [running('t.0.0.0')], ends: [] };
+  start('t.0.0.0');
+  await clock.advance(320);
+  workers.onHold = () => ({ kind: 'stale-token' });
+  const fencedAtMs = clock.nowMs();
+  await clock.advance(320);
+  const orderCount = workers.receivedOrders.length;
+  worker.stopTask('t.0.0.0');
+  const drained = worker.drain();
+  while (outcomes.length === 0) {
+    await clock.advance(10);
+  }
+  assert.equal(outcomes, [{ kind: 'lapsed', cause: 'fenced' }]);
+  assert.ok(clock.nowMs() >= fencedAtMs + leaseMs * 0.98);
+  assert.is(workers.receivedOrders.length, orderCount);
+  await clock.advance(200);
+  await drained;
+});
+
 // Guards against callers who wait for the runs of a crashed worker longer than these can be running.
 test('the runs of a worker that refuses connections are lost as soon as their leases have ended', async () => {
   const { clock, workers, outcomes, worker, start } = createFixture();
--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -240,7 +240,9 @@
    */
   private async waitForToken(): Promise<void> {
     const { leaseClock } = this.link;
-    await this.sleeper.sleep(this.runs.size > 0 ? leaseClock.msUntilAllLeasesEnded() : idlePollMs);
+    await this.sleeper.sleep(
+      this.runs.size > 0 ? leaseClock.msUntilAllLeasesEnded() + 1 : idlePollMs,
+    );
     this.reports.endLapsedRuns('fenced');
   }
 
