Acknowledge no end while a later lifetime of the worker may answer

Cause: the first hold after an unnoticed restart acknowledged ends by the numbers of the earlier lifetime. The new one then forgot its own ends unread, and a task that it had done was run again.

Change: after a start whose reply proves no lifetime, and while the entry states another one, holds acknowledge nothing until a report states the lifetime.

--- a/src/dispatch/managedWorker.spec.ts
+++ b/src/dispatch/managedWorker.spec.ts
@@ -164,6 +164,27 @@
   await worker.close();
 });
 
+// Guards against a task that is run again though a restarted worker, of which nothing is known yet, has done it.
+test('an end is not acknowledged by the numbers of an earlier lifetime while the lifetime is in doubt', async () => {
+  const { clock, workers, worker, outcomes, start } = createFixture();
+  const report = { workerClockMs: 0, startedAtMs: 5, running: [], ends: [] };
+  const end = { endNumber: 3, taskName: 'old.0.0.0', run: 1, how: 'done' as const };
+  workers.report = { ...report, ends: [end] };
+  await clock.advance(5_100);
+  const before = workers.holds.length;
+  assert.is(workers.holds.at(-1)?.lastSeenEnd, 3);
+  const done = { endNumber: 1, taskName: 't.0.0.0', run: 1, how: 'done' as const };
+  workers.onHold = ({ lastSeenEnd }) => ({
+    kind: 'held',
+    report: { ...report, startedAtMs: 6, ends: lastSeenEnd < 1 ? [done] : [] },
+  });
+  start('t.0.0.0');
+  await clock.advance(700);
+  assert.is(workers.holds[before]?.lastSeenEnd, 0);
+  assert.equal(outcomes.map(describeEvidence), [{ outcome: 'done' }]);
+  await worker.close();
+});
+
 // Guards against two dispatchers that act on one worker after its shard has gone to another daemon.
 test('the runs of a fenced dispatcher end with their leases, and it sends no further order', async () => {
   const { clock, workers, outcomes, worker, start } = createFixture();
--- a/src/dispatch/workerLifetime.ts
+++ b/src/dispatch/workerLifetime.ts
@@ -31,6 +31,7 @@
 
 export class WorkerLifetime {
   private knownStartMs: number | undefined;
+  private isDoubted = false;
   /** Last reading that is proved to be of the known lifetime. */
   private reading: Reading | undefined;
 
@@ -45,6 +46,11 @@
     return this.knownStartMs;
   }
 
+  /** Whether a later lifetime than the known one may have replied. */
+  get isInDoubt(): boolean {
+    return this.isDoubted;
+  }
+
   /**
    * Takes note of a reply.
    *
@@ -62,6 +68,7 @@
     if (isOther && this.reading !== undefined && requestedAtMs < this.reading.receivedAtMs) {
       return 'stale';
     }
+    this.isDoubted = false;
     this.knownStartMs = startedAtMs;
     this.reading = { workerClockMs, requestedAtMs, receivedAtMs: this.clock.nowMs() };
     return isOther ? 'new' : 'same';
@@ -69,14 +76,17 @@
 
   /**
    * Finds the lifetime that a reply is of, by its statement or since its clock continues that of the known one.
+   * Where it proves none, the known one is in doubt until the next statement.
    *
    * @returns start of the lifetime, or undefined if the reply proves none
    */
   provenBy(statement: LifetimeStatement, requestedAtMs: number): number | undefined {
-    return (
-      statement.startedAtMs ??
-      (this.isContinuedBy(statement, requestedAtMs) ? this.knownStartMs : undefined)
-    );
+    if (statement.startedAtMs !== undefined) {
+      return statement.startedAtMs;
+    }
+    const isContinued = this.isContinuedBy(statement, requestedAtMs);
+    this.isDoubted ||= this.knownStartMs !== undefined && !isContinued;
+    return isContinued ? this.knownStartMs : undefined;
   }
 
   /**
--- a/src/dispatch/workerReports.ts
+++ b/src/dispatch/workerReports.ts
@@ -78,6 +78,15 @@
     return known !== undefined && record.startedAtMs !== undefined && record.startedAtMs !== known;
   }
 
+  /**
+   * Number of the last end to acknowledge; none while a later lifetime may answer, which counts its ends anew and
+   * would forget them unread.
+   */
+  private get acknowledgeableEnd(): number {
+    const isInDoubt = this.options.link.lifetime.isInDoubt || this.isEntryOfOtherLifetime;
+    return isInDoubt ? 0 : this.processor.lastSeenEnd;
+  }
+
   /** Pause before the next hold while the worker has no runs; none after a failed hold, which pauses itself. */
   get idlePauseMs(): number {
     if (this.failedHolds > 0) {
@@ -112,7 +121,7 @@
     if (link.isFenced || this.isClosed) {
       return;
     }
-    const { lastSeenEnd } = this.processor;
+    const lastSeenEnd = this.acknowledgeableEnd;
     const sentAtMs = clock.nowMs();
     const reply = await link.hold({ lastSeenEnd, waitMs: 0, renewsLeases: false });
     if (reply.kind === 'held') {
@@ -155,7 +164,7 @@
 
   private async sendHold(waitMs: number, renewsLeases: boolean): Promise<WorkerReport | undefined> {
     const { clock, link } = this.options;
-    const { lastSeenEnd } = this.processor;
+    const lastSeenEnd = this.acknowledgeableEnd;
     const sentAtMs = clock.nowMs();
     const reply = await link.hold({ lastSeenEnd, waitMs, renewsLeases });
     if (reply.kind !== 'held') {
