--- a/src/dispatch/managedWorker.spec.ts
+++ b/src/dispatch/managedWorker.spec.ts
@@ -166,6 +166,50 @@
   await worker.close();
 });
 
+// Guards against a task that is run again though a restarted worker, of which nothing is known yet, has done it.
+test('an end is not acknowledged by the numbers of an earlier lifetime while the lifetime is in doubt', async () => {
+  const { clock, workers, worker, outcomes, start } = createFixture();
+  const report = { workerClockMs: 0, startedAtMs: 5, running: [], ends: [] };
+  const end = { endNumber: 3, taskName: 'old.0.0.0', run: 1, how: 'done' as const };
+  workers.report = { ...report, ends: [end] };
+  await clock.advance(5_100);
+  const before = workers.holds.length;
+  assert.is(workers.holds.at(-1)?.lastSeenEnd, 3);
+  const done = { endNumber: 1, taskName: 't.0.0.0', run: 1, how: 'done' as const };
+  workers.onHold = ({ lastSeenEnd }) => ({
+    kind: 'held',
+    report: { ...report, startedAtMs: 6, ends: lastSeenEnd < 1 ? [done] : [] },
+  });
+  start('t.0.0.0');
+  await clock.advance(700);
+  assert.is(workers.holds[before]?.lastSeenEnd, 0);
+  assert.equal(outcomes.map(describeEvidence), [{ outcome: 'done' }]);
+  await worker.close();
+});
+
+// Guards against two dispatchers that act on one worker after its shard has gone to another daemon.
+test('the runs of a fenced dispatcher end with their leases, and it sends no further order', async () => {
+  const { clock, workers, outcomes, worker, start } = createFixture();
+  await clock.advance(50);
+  workers.report = { workerClockMs: 0, running: [running('t.0.0.0')], ends: [] };
+  start('t.0.0.0');
+  await clock.advance(320);
+  workers.onHold = () => ({ kind: 'stale-token' });
+  const fencedAtMs = clock.nowMs();
+  await clock.advance(320);
+  const orderCount = workers.receivedOrders.length;
+  worker.stopTask('t.0.0.0');
+  const drained = worker.drain();
+  while (outcomes.length === 0) {
+    await clock.advance(10);
+  }
+  assert.equal(outcomes, [{ kind: 'lapsed', cause: 'fenced' }]);
+  assert.ok(clock.nowMs() >= fencedAtMs + leaseMs * 0.98);
+  assert.is(workers.receivedOrders.length, orderCount);
+  await clock.advance(200);
+  await drained;
+});
+
 // Guards against callers who wait for the runs of a crashed worker longer than these can be running.
 test('the runs of a worker that refuses connections are lost as soon as their leases have ended', async () => {
   const { clock, workers, outcomes, worker, start } = createFixture();
