--- a/src/fleet/requesterTimes.ts
+++ b/src/fleet/requesterTimes.ts
@@ -27,9 +27,17 @@
 /** Longest time from a stop order's arrival to the end of the run. */
 const maxStopMs = 60;
 
-/** Shortest time after which a caller whose connection broke sends its job again. */
+/** Shortest time after which a caller whose connection broke sends its job again, if no setting states it. */
 export const minCallerResendMs = 1_300;
 
 /** Time from the last message of a requester until none of its runs goes on. */
 export const requesterRunsEndMs =
   maxSharingSilenceMs + maxCheckPauseMs + stopDeliveryMs + maxStopMs;
+
+/**
+ * Whether the runs of a lost requester end before its caller sends the job again.
+ *
+ * @param callerResendMs - as the settings state it
+ */
+export const runsEndBeforeResend = (callerResendMs = minCallerResendMs): boolean =>
+  requesterRunsEndMs < callerResendMs;
--- a/src/programs/toucandyked/platformProcess.ts
+++ b/src/programs/toucandyked/platformProcess.ts
@@ -18,6 +18,11 @@
 import { SettingsFollower } from '../../config/settingsFollower.js';
 import type { SettingsSource } from '../../config/settingsFollower.js';
 import { FleetDaemon } from '../../fleet/fleetDaemon.js';
+import {
+  minCallerResendMs,
+  requesterRunsEndMs,
+  runsEndBeforeResend,
+} from '../../fleet/requesterTimes.js';
 import type { Clock } from '../../ports/clock.js';
 import type { Logger } from '../../ports/logger.js';
 
@@ -97,6 +102,12 @@
     await metrics.serve(splitAddress(settings.metricsAddress));
     const log = logger.forPart('process');
     log.info('The daemon has started.', { nodeId: member.incarnation, address: listen.callers });
+    if (!runsEndBeforeResend(settings.callerResendMs)) {
+      log.warn('Callers send jobs again before the runs of a lost daemon end.', {
+        expectedMs: requesterRunsEndMs,
+        leftMs: settings.callerResendMs ?? minCallerResendMs,
+      });
+    }
     return new PlatformProcess(settings, clock, log, daemon, front, peers, metrics);
   }
 
