--- a/src/dispatch/faultyWorker.spec.ts
+++ b/src/dispatch/faultyWorker.spec.ts
@@ -1,12 +1,18 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { HoldOrder, HoldReply, WorkerTarget } from '../ports/workers.js';
+import { workerFixture } from '../testing/dispatchFixtures.js';
 import {
   closeDispatcher,
   createDispatcherFixture,
   patientBatch,
   runToEnd,
 } from '../testing/dispatcherFixture.js';
+import { FakeClock } from '../testing/fakeClock.js';
+import { ScriptedWorkers } from '../testing/scriptedWorkers.js';
+import { silentLogger } from '../testing/silentLogger.js';
+import { silentSupervisor } from '../testing/silentSupervisor.js';
+import { ManagedWorker } from './managedWorker.js';
 
 // Guards against an error in the calls of one worker that ends the process or takes the others out of service.
 test('a port that throws for one worker leaves the other workers in service', async () => {
@@ -33,6 +39,35 @@
   await closeDispatcher(fixture);
 });
 
+// Guards against a worker whose task has ended with an error, so that nobody renews its leases or reads its ends.
+test('a worker whose task fails is out of use for a pause, then in service again', async () => {
+  const clock = FakeClock.create();
+  const workers = ScriptedWorkers.create(clock);
+  let isFaulty = true;
+  const worker = ManagedWorker.create({
+    record: workerFixture,
+    fencingToken: 7,
+    clock,
+    workers,
+    logger: silentLogger,
+    leaseMs: 1_000,
+    supervisor: silentSupervisor(clock),
+    onEnd: () => undefined,
+    onAvailabilityChange: () => {
+      if (isFaulty) {
+        throw new Error('odd');
+      }
+    },
+  });
+  await clock.advance(5_000);
+  assert.not.ok(worker.isOpen);
+  assert.ok(workers.holds.length > 2 && workers.holds.length < 12, `${workers.holds.length} holds`);
+  isFaulty = false;
+  await clock.advance(10_000);
+  assert.ok(worker.isOpen);
+  await worker.close();
+});
+
 // Guards against a start order that throws, after which its task would wait for ever or run twice.
 test('a task whose start order throws is stopped there and ends elsewhere', async () => {
   const fixture = await createDispatcherFixture({ workerCount: 2 });
