--- a/src/dispatch/faultyWorker.spec.ts
+++ b/src/dispatch/faultyWorker.spec.ts
@@ -53,6 +53,7 @@
     leaseMs: 1_000,
     supervisor: silentSupervisor(clock),
     onEnd: () => undefined,
+    onLifetime: () => undefined,
     onAvailabilityChange: () => {
       if (isFaulty) {
         throw new Error('odd');
