Model of a fleet in virtual time

Whole fleets of real FleetDaemon objects run in one process on in-memory ports: processes that freeze, are killed and stop as planned, workers with lifetimes and leases, the store's shards, links, clients that leave and send again. A judge applies the users' rules to what the workers ran and the clients were told.

--- /dev/null
+++ b/src/testing/model/applyEvent.ts
@@ -0,0 +1,116 @@
+/**
+ * Carries out the events of the model.
+ */
+import { unreachable } from '../../errors/unreachable.js';
+import type { ModelEvent } from './modelEvents.js';
+import type { ModelFleet } from './modelFleet.js';
+import { storeName } from './modelStore.js';
+import type { ModelWorker } from './modelWorker.js';
+
+/** Port of an address that no connection can be opened to. */
+const badPort = 99_999;
+
+/** Carries out an event now, and schedules what follows from it. */
+export const applyEvent = (fleet: ModelFleet, event: ModelEvent, submissions: number): void => {
+  switch (event.kind) {
+    case 'submit':
+      void fleet.clients.submit(fleet.jobIdAt(submissions), event.job);
+      return;
+    case 'cancel':
+      fleet.clients.cancel(fleet.jobIdAt(event.job), event.daemon);
+      return;
+    case 'stop': {
+      const daemon = fleet.daemon(event.daemon);
+      const restart = (): void => fleet.at(fleet.elapsedMs + event.downMs, () => daemon?.start());
+      void daemon?.stop().then(restart);
+      return;
+    }
+    case 'kill': {
+      const daemon = fleet.daemon(event.daemon);
+      daemon?.kill();
+      fleet.at(event.atMs + event.downMs, () => daemon?.start());
+      return;
+    }
+    case 'freeze': {
+      const daemon = fleet.daemon(event.daemon);
+      daemon?.freeze();
+      fleet.at(event.atMs + event.forMs, () => daemon?.thaw());
+      return;
+    }
+    case 'cut':
+      return cutWorker(fleet, event);
+    case 'cut-daemons':
+      return cutLink(fleet, event, addressOf(fleet, event.daemon), addressOf(fleet, event.other));
+    case 'cut-store':
+      return cutLink(fleet, event, addressOf(fleet, event.daemon), storeName);
+    case 'crash': {
+      const worker = fleet.findWorker(event.worker);
+      worker?.crash(event.down);
+      fleet.at(event.atMs + event.downMs, () => worker?.start());
+      return;
+    }
+    case 'drain': {
+      const worker = fleet.findWorker(event.worker);
+      worker?.drain();
+      fleet.at(event.atMs + event.drainMs, () => worker?.leave());
+      return;
+    }
+    case 'worker-fault': {
+      const worker = fleet.findWorker(event.worker);
+      if (worker !== undefined) {
+        worker.fault = event.fault;
+        fleet.at(event.atMs + event.forMs, () => void (worker.fault = undefined));
+      }
+      return;
+    }
+    case 'odd-entry':
+      return writeOddEntry(fleet, event.form, fleet.findWorker(event.worker));
+    default:
+      return unreachable(event);
+  }
+};
+
+const addressOf = (fleet: ModelFleet, index: number): string => fleet.daemon(index)?.address ?? '';
+
+const cutLink = (
+  fleet: ModelFleet,
+  { atMs, forMs }: { readonly atMs: number; readonly forMs: number },
+  a: string,
+  b: string,
+): void => {
+  fleet.network.setFault(a, b, 'silent');
+  fleet.at(atMs + forMs, () => fleet.network.setFault(a, b, undefined));
+};
+
+const cutWorker = (
+  fleet: ModelFleet,
+  { atMs, worker, daemon, fault, forMs }: Extract<ModelEvent, { kind: 'cut' }>,
+): void => {
+  const cut = fleet.findWorker(worker);
+  const daemons = daemon === null ? fleet.daemons : [fleet.daemon(daemon)];
+  for (const address of daemons.flatMap((one) => one?.address ?? [])) {
+    const workerId = cut?.workerId ?? '';
+    fleet.network.setFault(address, workerId, fault);
+    fleet.at(atMs + forMs, () => fleet.network.setFault(address, workerId, undefined));
+  }
+};
+
+const writeOddEntry = (
+  fleet: ModelFleet,
+  form: Extract<ModelEvent, { kind: 'odd-entry' }>['form'],
+  worker: ModelWorker | undefined,
+): void => {
+  switch (form) {
+    case 'unreadable':
+      fleet.store.publishUnreadable(worker?.workerId ?? 'i-odd');
+      return;
+    case 'bad-port':
+      worker?.publishElsewhere(`i-odd-${fleet.elapsedMs}`, `10.0.2.1:${badPort}`);
+      return;
+    case 'without-start':
+      worker?.omitStart();
+      return;
+    default:
+      return unreachable(form);
+  }
+};
--- /dev/null
+++ b/src/testing/model/judge.ts
@@ -0,0 +1,143 @@
+/**
+ * The rules of the users, judged by what the workers ran and what the clients were told.
+ */
+import { unreachable } from '../../errors/unreachable.js';
+import type { ModelAttempt, ModelCancellation } from './modelClients.js';
+import { describeRun, jobIdOf } from './modelRun.js';
+import type { ModelRun } from './modelRun.js';
+
+/** Workers that have to crash under a task before it may be given up. */
+const minCrashedWorkers = 2;
+/** Time in which the runs of a cancelled job have to end, in milliseconds. */
+const cancellationMs = 1_500;
+
+export type Violation =
+  /** Two runs of one task at one time, on workers that are up. */
+  | { readonly rule: 'twice'; readonly detail: string; readonly overlapMs: number }
+  /** A job was answered as failed without its cause. */
+  | { readonly rule: 'failed-without-cause'; readonly detail: string }
+  /** A job was answered as completed, and some task was not done. */
+  | { readonly rule: 'completed-without-end'; readonly detail: string }
+  /** A job was refused, and some task of the attempt started. */
+  | { readonly rule: 'refused-though-started'; readonly detail: string }
+  /** A job was reported as cancelled or as unknown, and its tasks went on. */
+  | { readonly rule: 'cancelled-though-running'; readonly detail: string }
+  /** A part of a daemon ended with an unhandled rejection, which ends the process. */
+  | { readonly rule: 'unhandled-rejection'; readonly detail: string };
+
+/** What the model recorded. */
+export interface ModelRecord {
+  readonly runs: readonly ModelRun[];
+  readonly attempts: readonly ModelAttempt[];
+  readonly cancellations: readonly ModelCancellation[];
+  readonly rejections: readonly string[];
+  /** Number of tasks of each job. */
+  readonly taskCounts: ReadonlyMap<string, number>;
+  readonly maxFailedRuns: number;
+}
+
+export const judge = (record: ModelRecord): Violation[] => [
+  ...findOverlaps(record.runs),
+  ...record.attempts.flatMap((attempt) => judgeAnswer(record, attempt)),
+  ...record.cancellations.flatMap((one) => judgeCancellation(record, one)),
+  ...record.rejections.map((detail): Violation => ({ rule: 'unhandled-rejection', detail })),
+];
+
+const findOverlaps = (runs: readonly ModelRun[]): Violation[] =>
+  runs.flatMap((later, index) =>
+    runs.slice(0, index).flatMap((earlier): Violation[] => {
+      const overlapMs = endOf(earlier, later) - later.startedAtMs;
+      const isTwice = earlier.taskName === later.taskName && overlapMs > 0;
+      const detail = `${describeRun(earlier)}; ${describeRun(later)}`;
+      return isTwice ? [{ rule: 'twice', detail, overlapMs }] : [];
+    }),
+  );
+
+/** @returns when the earlier of two runs ended, at most the end of the later one */
+const endOf = (earlier: ModelRun, later: ModelRun): number =>
+  Math.min(earlier.endedAtMs ?? Infinity, later.endedAtMs ?? Infinity);
+
+const judgeAnswer = (record: ModelRecord, attempt: ModelAttempt): Violation[] => {
+  const { answer, attemptId } = attempt;
+  switch (answer?.kind) {
+    case undefined:
+    case 'none':
+    case 'given-up':
+    case 'cancelled':
+      return [];
+    case 'completed':
+      return findUndone(record, attempt);
+    case 'refused':
+      return record.runs
+        .filter(({ spec }) => spec.attempt === attemptId)
+        .slice(0, 1)
+        .map((run) => ({ rule: 'refused-though-started', detail: describeRun(run) }));
+    case 'failed':
+      return hasCauseToFail(record, attempt)
+        ? []
+        : [{ rule: 'failed-without-cause', detail: `${attemptId}: ${answer.reason}` }];
+    default:
+      return unreachable(answer);
+  }
+};
+
+/** Finds the tasks of a completed job that were not done in an attempt at the same daemon. */
+const findUndone = (
+  { runs, attempts, taskCounts }: ModelRecord,
+  { jobId, address, sentAtMs, answeredAtMs = Infinity }: ModelAttempt,
+): Violation[] => {
+  const joined = new Set(
+    attempts
+      .filter((one) => one.jobId === jobId && one.address === address && one.sentAtMs <= sentAtMs)
+      .map(({ attemptId }) => attemptId),
+  );
+  const done = new Set(
+    runs
+      .filter(({ how, endedAtMs }) => how === 'done' && (endedAtMs ?? Infinity) <= answeredAtMs)
+      .filter(({ spec, taskName }) => joined.has(spec.attempt) && jobIdOf(taskName) === jobId)
+      .map(({ taskName }) => taskName),
+  );
+  const missing = (taskCounts.get(jobId) ?? 0) - done.size;
+  const detail = `${jobId}: ${missing} tasks are not done`;
+  return missing > 0 ? [{ rule: 'completed-without-end', detail }] : [];
+};
+
+/** Whether a task of the job has failed as often as allowed, or crashed enough workers. */
+const hasCauseToFail = (
+  { runs, maxFailedRuns }: ModelRecord,
+  { jobId, answeredAtMs = Infinity }: ModelAttempt,
+): boolean => {
+  const ended = runs.filter(
+    ({ taskName, endedAtMs }) =>
+      jobIdOf(taskName) === jobId && (endedAtMs ?? Infinity) <= answeredAtMs,
+  );
+  return ended.some(({ taskName }) => {
+    const ofTask = ended.filter((run) => run.taskName === taskName);
+    const failedRuns = ofTask.filter(({ how }) => how === 'failed').length;
+    const crashes = ofTask.filter(({ how }) => how === 'crashed').length;
+    return failedRuns >= maxFailedRuns || crashes >= minCrashedWorkers;
+  });
+};
+
+/**
+ * After the cancellation of a job is answered, its runs end, and none starts but for an attempt that the client
+ * sent later.
+ */
+const judgeCancellation = (
+  { runs, attempts }: ModelRecord,
+  { jobId, address, wasKnown, answeredAtMs }: ModelCancellation,
+): Violation[] => {
+  const earlier = new Set(
+    attempts
+      .filter((attempt) => attempt.jobId === jobId && attempt.sentAtMs <= answeredAtMs)
+      .map(({ attemptId }) => attemptId),
+  );
+  const lateMs = answeredAtMs + cancellationMs;
+  return runs
+    .filter(({ spec, endedAtMs }) => earlier.has(spec.attempt) && (endedAtMs ?? Infinity) > lateMs)
+    .slice(0, 1)
+    .map((run) => ({
+      rule: 'cancelled-though-running',
+      detail: `${address} answered ${wasKnown ? 'cancelled' : 'unknown'}; ${describeRun(run)}`,
+    }));
+};
--- /dev/null
+++ b/src/testing/model/modelClients.ts
@@ -0,0 +1,186 @@
+/**
+ * The clients of the model: each submits a job to a daemon, leaves at its deadline, and sends the job again to
+ * another daemon after no response, a broken channel or an answer that the job was given up.
+ */
+import { unreachable } from '../../errors/unreachable.js';
+import type { JobEnd } from '../../ports/jobs.js';
+import type { Route } from '../../types/routing.js';
+import { abortQuietly } from '../../utils/abortQuietly.js';
+import type { FakeClock } from '../fakeClock.js';
+import type { ModelDaemon, RunningDaemon } from './modelDaemon.js';
+import type { ModelJob } from './modelEvents.js';
+import { latencyMs } from './modelNetwork.js';
+import type { ModelNetwork } from './modelNetwork.js';
+
+/** Time after which a client sends a job again, in milliseconds. */
+const resendMs = 1_300;
+/** Time after which a process notices that a client has left, once it reads the connection. */
+const closeNoticeMs = 3;
+const maxAttempts = 4;
+
+/** What a client learned of an attempt. `none`: no response before its deadline, or a broken channel. */
+export type AttemptAnswer = JobEnd | { readonly kind: 'none' };
+
+/** One attempt of a client to have a job run. */
+export interface ModelAttempt {
+  readonly attemptId: string;
+  readonly jobId: string;
+  /** Incarnation-independent address of the daemon. */
+  readonly address: string;
+  readonly sentAtMs: number;
+  /** Undefined while the client waits. */
+  answer: AttemptAnswer | undefined;
+  answeredAtMs: number | undefined;
+}
+
+/** A cancellation that a client sent. */
+export interface ModelCancellation {
+  readonly jobId: string;
+  readonly address: string;
+  /** What the daemon answered, and when. */
+  readonly wasKnown: boolean;
+  readonly answeredAtMs: number;
+}
+
+export interface ModelClientsOptions {
+  readonly time: FakeClock;
+  readonly network: ModelNetwork;
+  readonly daemons: readonly ModelDaemon[];
+  readonly route: Pick<Route, 'host' | 'pathPrefix'>;
+}
+
+export class ModelClients {
+  readonly attempts: ModelAttempt[] = [];
+  readonly cancellations: ModelCancellation[] = [];
+
+  private constructor(private readonly options: ModelClientsOptions) {}
+
+  static create(options: ModelClientsOptions): ModelClients {
+    return new ModelClients(options);
+  }
+
+  /** Submits a job, to one daemon after the other until it has an answer. */
+  async submit(jobId: string, job: ModelJob): Promise<void> {
+    for (let count = 0; count < maxAttempts; count += 1) {
+      const daemon = this.daemonAt(job.daemon + count * job.nextDaemonStep);
+      const attempt: ModelAttempt = {
+        attemptId: `${jobId}/${count}`,
+        jobId,
+        address: daemon.address,
+        sentAtMs: this.options.time.nowMs(),
+        answer: undefined,
+        answeredAtMs: undefined,
+      };
+      this.attempts.push(attempt);
+      attempt.answer = await this.attempt(attempt, daemon, job);
+      attempt.answeredAtMs = this.options.time.nowMs();
+      if (!isSentAgain(attempt.answer)) {
+        return;
+      }
+      await this.options.time.sleep(resendMs);
+    }
+  }
+
+  /** Cancels a job at a daemon. */
+  cancel(jobId: string, daemonIndex: number): void {
+    const daemon = this.daemonAt(daemonIndex);
+    const { current } = daemon;
+    current?.process.receive(() => {
+      const wasKnown = current.daemon.intake.cancel(jobId);
+      const answeredAtMs = this.options.time.nowMs();
+      this.cancellations.push({ jobId, address: daemon.address, wasKnown, answeredAtMs });
+    });
+  }
+
+  private daemonAt(index: number): ModelDaemon {
+    const { daemons } = this.options;
+    const daemon = daemons[index % daemons.length];
+    if (daemon === undefined) {
+      throw new Error('The model has no daemon.');
+    }
+    return daemon;
+  }
+
+  /** Sends a request, and waits for the answer until the deadline of the client. */
+  private async attempt(
+    attempt: ModelAttempt,
+    daemon: ModelDaemon,
+    job: ModelJob,
+  ): Promise<AttemptAnswer> {
+    const { time } = this.options;
+    const { current } = daemon;
+    await time.sleep(latencyMs);
+    if (current?.acceptsClients !== true || !current.process.isAlive) {
+      return { kind: 'none' };
+    }
+    const { process } = current;
+    const connection = new AbortController();
+    const answered = new Promise<AttemptAnswer>((resolve) => {
+      process.receive(
+        () => void this.serve(current, attempt, job, connection.signal).then(resolve),
+      );
+    });
+    const over = new AbortController();
+    const none = (): AttemptAnswer => ({ kind: 'none' });
+    const answer = await Promise.race([
+      answered,
+      process.end.then(none),
+      time.sleep(job.deadlineMs, over.signal).then(none),
+    ]);
+    abortQuietly(over);
+    if (answer.kind === 'none') {
+      void this.closeConnection(current, connection);
+    }
+    return answer;
+  }
+
+  /** The process notices the close a moment after it has read the request, also if it was frozen. */
+  private async closeConnection(
+    { process }: RunningDaemon,
+    connection: AbortController,
+  ): Promise<void> {
+    await this.options.time.sleep(latencyMs);
+    process.receive(() => {
+      void process.clock.sleep(closeNoticeMs).then(() => abortQuietly(connection));
+    });
+  }
+
+  private async serve(
+    { daemon }: RunningDaemon,
+    { attemptId, jobId }: ModelAttempt,
+    { tasks, runMs, estimatedMs, cpuMillis, requiredLabel, deadlineMs }: ModelJob,
+    signal: AbortSignal,
+  ): Promise<AttemptAnswer> {
+    const { host, pathPrefix } = this.options.route;
+    const match = daemon.intake.findRoute(host, `${pathPrefix}${jobId}`);
+    if (match.kind !== 'found') {
+      return { kind: 'refused', reason: 'no route', retryAfterMs: 1_000 };
+    }
+    const resources = { cpuMillis, memoryMb: 64, accelerators: 0 };
+    const request = {
+      jobId,
+      spec: JSON.stringify({ attempt: attemptId, runMs, cpuMillis }),
+      steps: [{ taskCount: tasks, estimatedMs, after: [], needs: { resources, requiredLabel } }],
+      unsupported: [],
+    };
+    const end = await daemon.intake.submit(match.route, request, deadlineMs, signal);
+    await this.options.time.sleep(latencyMs);
+    return end;
+  }
+}
+
+/** Whether a client sends its job again after an answer. */
+const isSentAgain = (answer: AttemptAnswer): boolean => {
+  switch (answer.kind) {
+    case 'none':
+    case 'given-up':
+      return true;
+    case 'completed':
+    case 'failed':
+    case 'refused':
+    case 'cancelled':
+      return false;
+    default:
+      return unreachable(answer);
+  }
+};
--- /dev/null
+++ b/src/testing/model/modelConnector.ts
@@ -0,0 +1,85 @@
+/**
+ * The links between the daemons of the model.
+ */
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import type { FleetConnector, FleetLink, FleetService } from '../../ports/fleetPeers.js';
+import type { PeerError } from '../../ports/peers.js';
+import type { ModelNetwork } from './modelNetwork.js';
+import type { ModelProcess } from './modelProcess.js';
+
+/** A process that serves the peers' interface at an address. */
+export interface ModelServer {
+  readonly process: ModelProcess;
+  readonly service: FleetService;
+}
+
+export interface ModelConnectorOptions {
+  readonly network: ModelNetwork;
+  readonly process: ModelProcess;
+  /** Finds the process that serves an address now. */
+  readonly findServer: (address: string) => ModelServer | undefined;
+}
+
+export class ModelConnector implements FleetConnector {
+  private constructor(private readonly options: ModelConnectorOptions) {}
+
+  static create(options: ModelConnectorOptions): ModelConnector {
+    return new ModelConnector(options);
+  }
+
+  connect(address: string): FleetLink {
+    const call = <T>(
+      timeoutMs: number,
+      serve: (service: FleetService) => T | Promise<T>,
+    ): Promise<Result<T, PeerError>> => this.call(address, timeoutMs, serve);
+    return {
+      beat: (own, timeoutMs) => {
+        const heartbeat = structuredClone(own);
+        return call(timeoutMs, (service) => service.beat(heartbeat));
+      },
+      runBatch: (request, timeoutMs) => {
+        const copy = structuredClone(request);
+        return call(timeoutMs, (service) => service.runBatch(copy));
+      },
+      withdrawBatch: (withdrawal, timeoutMs) =>
+        call(timeoutMs, (service) => service.withdrawBatch(withdrawal)),
+      fetchRouting: (timeoutMs) => call(timeoutMs, (service) => service.fetchRouting()),
+      close: async () => undefined,
+    };
+  }
+
+  private async call<T>(
+    address: string,
+    timeoutMs: number,
+    serve: (service: FleetService) => T | Promise<T>,
+  ): Promise<Result<T, PeerError>> {
+    const { network, process, findServer } = this.options;
+    const result = await network.call({
+      caller: process,
+      callee: address,
+      timeoutMs,
+      isListening: () => findServer(address) !== undefined,
+      carryOut: () => carryOut(findServer(address), serve),
+    });
+    return result.kind === 'answered'
+      ? Ok(result.value)
+      : Err({ kind: result.kind === 'not-sent' ? 'not-sent' : 'broken', detail: result.kind });
+  }
+}
+
+/** Serves a call once the process runs; rejects if the process ends before the answer. */
+const carryOut = <T>(
+  server: ModelServer | undefined,
+  serve: (service: FleetService) => T | Promise<T>,
+): Promise<T> =>
+  new Promise((resolve, reject) => {
+    if (server === undefined) {
+      reject(new Error('connection reset'));
+      return;
+    }
+    const { process, service } = server;
+    const answer = async (): Promise<void> => resolve(structuredClone(await serve(service)));
+    process.receive(() => void answer());
+    void process.end.then(() => reject(new Error('connection reset')));
+  });
--- /dev/null
+++ b/src/testing/model/modelDaemon.ts
@@ -0,0 +1,150 @@
+/**
+ * One daemon of the model: a real FleetDaemon on in-memory ports, in a process that may be stopped as
+ * planned, killed, frozen and started again.
+ */
+import { noMetrics } from '../../adapters/system/noMetrics.js';
+import { FleetDaemon } from '../../fleet/fleetDaemon.js';
+import type { Logger } from '../../ports/logger.js';
+import type { Clock } from '../../ports/clock.js';
+import type { FakeClock } from '../fakeClock.js';
+import { SeededRandom } from '../seededRandom.js';
+import { ModelConnector } from './modelConnector.js';
+import type { ModelServer } from './modelConnector.js';
+import type { ModelNetwork } from './modelNetwork.js';
+import { ModelProcess } from './modelProcess.js';
+import type { ModelStore } from './modelStore.js';
+import type { ModelWorker } from './modelWorker.js';
+import { maxLeaseMs } from './modelWorkerLife.js';
+import { ModelWorkers } from './modelWorkers.js';
+
+/** Time from SIGTERM to SIGKILL, in milliseconds. */
+const stopGraceMs = 6_000;
+const farRackFactor = 1.5;
+
+export interface ModelDaemonOptions {
+  readonly time: FakeClock;
+  readonly network: ModelNetwork;
+  readonly store: ModelStore;
+  readonly workers: ReadonlyMap<string, ModelWorker>;
+  readonly address: string;
+  readonly failureDomainId: string;
+  readonly failureDomainIds: readonly string[];
+  readonly seed: number;
+  readonly startsStateLifetime: boolean;
+  readonly createLogger: (name: string, clock: Clock) => Logger;
+  readonly findServer: (address: string) => ModelServer | undefined;
+}
+
+/** A process of the daemon that is alive. */
+export interface RunningDaemon {
+  readonly process: ModelProcess;
+  readonly daemon: FleetDaemon;
+  /** Whether it accepts new connections of clients. */
+  acceptsClients: boolean;
+}
+
+export class ModelDaemon {
+  private running: RunningDaemon | undefined;
+  private starts = 0;
+
+  private constructor(private readonly options: ModelDaemonOptions) {
+    this.start();
+  }
+
+  static create(options: ModelDaemonOptions): ModelDaemon {
+    return new ModelDaemon(options);
+  }
+
+  get address(): string {
+    return this.options.address;
+  }
+
+  /** The process that runs now; nothing while there is none. */
+  get current(): RunningDaemon | undefined {
+    return this.running?.process.isAlive === true ? this.running : undefined;
+  }
+
+  /** What serves the peers' interface now. */
+  get server(): ModelServer | undefined {
+    const { current } = this;
+    return current === undefined
+      ? undefined
+      : { process: current.process, service: current.daemon };
+  }
+
+  /** Starts a process, unless one runs. */
+  start(): void {
+    if (this.current !== undefined) {
+      return;
+    }
+    this.starts += 1;
+    const { time, network, store, workers, address, seed, findServer } = this.options;
+    const { failureDomainId, failureDomainIds, startsStateLifetime, createLogger } = this.options;
+    const process = ModelProcess.create(address, time);
+    const { clock } = process;
+    const random = SeededRandom.create(seed * 1_000 + this.starts);
+    const incarnation = `${address}#${this.starts}`;
+    const member = { incarnation, address, failureDomainId, weight: 1 };
+    const daemon = FleetDaemon.create(
+      { member, failureDomainIds, leaseMs: maxLeaseMs, farRackFactor },
+      {
+        clock,
+        random,
+        logger: createLogger(incarnation, clock),
+        metrics: noMetrics,
+        store: store.connect(process),
+        workers: ModelWorkers.create({ time, network, process, workers, startsStateLifetime }),
+        connector: ModelConnector.create({ network, process, findServer }),
+      },
+    );
+    this.running = { process, daemon, acceptsClients: true };
+  }
+
+  freeze(): void {
+    this.current?.process.freeze();
+  }
+
+  async thaw(): Promise<void> {
+    await this.current?.process.thaw();
+  }
+
+  kill(): void {
+    this.running?.process.kill();
+  }
+
+  /** Stops as planned, and is killed after the grace period at the latest. */
+  async stop(): Promise<void> {
+    const { current } = this;
+    if (current === undefined) {
+      return;
+    }
+    const { process } = current;
+    process.receive(() => void stopAsPlanned(current).then(() => process.kill()));
+    await Promise.race([this.options.time.sleep(stopGraceMs), process.end]);
+    process.kill();
+  }
+}
+
+/** Time within which the platform detects that a VM is not ready, and routes no new connections to it. */
+const readinessNoticeMs = 2_700;
+const pollMs = 50;
+const killMarginMs = 700;
+
+/** The sequence of `PlatformProcess.close`. */
+const stopAsPlanned = async (running: RunningDaemon): Promise<void> => {
+  const { daemon, process } = running;
+  const { clock } = process;
+  const endAtMs = clock.nowMs() + stopGraceMs - killMarginMs;
+  const handedOver = daemon.drain();
+  await clock.sleep(readinessNoticeMs);
+  daemon.stopAcceptingJobs();
+  running.acceptsClients = false;
+  while (daemon.jobCount > 0 && clock.nowMs() < endAtMs) {
+    await clock.sleep(pollMs);
+  }
+  daemon.giveUpJobs();
+  await clock.sleep(pollMs);
+  await Promise.race([handedOver, clock.sleep(Math.max(endAtMs - clock.nowMs(), pollMs))]);
+  await Promise.race([daemon.close(), clock.sleep(pollMs)]);
+  await clock.sleep(pollMs);
+};
--- /dev/null
+++ b/src/testing/model/modelEvents.ts
@@ -0,0 +1,88 @@
+/**
+ * The events of the model: what clients ask for, and what goes wrong. Times are in milliseconds from the
+ * begin of the play, when the fleet serves its workers.
+ */
+import { z } from 'zod';
+
+const atMs = z.number().nonnegative();
+const forMs = z.number().positive();
+/** Index of a daemon or worker, modulo their number. */
+const index = z.number().int().nonnegative();
+
+/** A worker by its index, or one that runs a task of a job when the event comes. */
+const workerChoiceSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('numbered'), index }),
+  z.object({ kind: z.literal('running'), job: index }),
+]);
+export type WorkerChoice = z.infer<typeof workerChoiceSchema>;
+
+const modelJobSchema = z.object({
+  daemon: index,
+  /** Added to the index of the daemon for each further attempt. */
+  nextDaemonStep: z.number().int().positive(),
+  tasks: z.number().int().positive(),
+  runMs: z.number().positive(),
+  estimatedMs: z.number().positive(),
+  cpuMillis: z.number().int().positive(),
+  /** Label that the workers must have. */
+  requiredLabel: z.string().optional(),
+  deadlineMs: z.number().positive(),
+});
+export type ModelJob = z.infer<typeof modelJobSchema>;
+
+export const modelEventSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('submit'), atMs, job: modelJobSchema }),
+  /** A client cancels a job, numbered by its submission, at some daemon. */
+  z.object({ kind: z.literal('cancel'), atMs, job: index, daemon: index }),
+  /** SIGTERM; the process is started again after its end. */
+  z.object({ kind: z.literal('stop'), atMs, daemon: index, downMs: forMs }),
+  /** The process is killed; until a successor answers, connections are refused. */
+  z.object({ kind: z.literal('kill'), atMs, daemon: index, downMs: forMs }),
+  z.object({ kind: z.literal('freeze'), atMs, daemon: index, forMs }),
+  /** A worker loses the connection to one daemon, or to all. */
+  z.object({
+    kind: z.literal('cut'),
+    atMs,
+    worker: workerChoiceSchema,
+    daemon: index.nullable(),
+    fault: z.enum(['silent', 'refusing']),
+    forMs,
+  }),
+  z.object({ kind: z.literal('cut-daemons'), atMs, daemon: index, other: index, forMs }),
+  z.object({ kind: z.literal('cut-store'), atMs, daemon: index, forMs }),
+  z.object({
+    kind: z.literal('crash'),
+    atMs,
+    worker: workerChoiceSchema,
+    down: z.enum(['refused', 'silent']),
+    downMs: forMs,
+  }),
+  z.object({ kind: z.literal('drain'), atMs, worker: workerChoiceSchema, drainMs: forMs }),
+  z.object({
+    kind: z.literal('worker-fault'),
+    atMs,
+    worker: workerChoiceSchema,
+    fault: z.enum(['mute', 'refusing', 'late']),
+    forMs,
+  }),
+  /** An entry in the list of workers that names no worker to use, or that omits the worker's start. */
+  z.object({
+    kind: z.literal('odd-entry'),
+    atMs,
+    form: z.enum(['unreadable', 'bad-port', 'without-start']),
+    worker: workerChoiceSchema,
+  }),
+]);
+export type ModelEvent = z.infer<typeof modelEventSchema>;
+
+/** A list of events and the seed of the random numbers in the daemons. */
+export const modelPlaySchema = z.object({
+  seed: z.number().int().nonnegative(),
+  /** Failure domain of each daemon. */
+  daemons: z.array(z.string()).min(1),
+  workers: z.array(z.object({ domain: z.string(), label: z.string() })).min(1),
+  /** Whether replies to starts state the start of the worker. */
+  startsStateLifetime: z.boolean().default(false),
+  events: z.array(modelEventSchema),
+});
+export type ModelPlay = z.infer<typeof modelPlaySchema>;
--- /dev/null
+++ b/src/testing/model/modelNetwork.ts
@@ -0,0 +1,98 @@
+/**
+ * The network of the model: calls between processes and workers, with the faults of the links between them.
+ */
+import type { FakeClock } from '../fakeClock.js';
+import type { ModelProcess } from './modelProcess.js';
+
+/** Time that a message takes on a link without fault, in milliseconds. */
+export const latencyMs = 1;
+
+/** `silent`: messages are lost. `refusing`: connections are refused at once. */
+export type LinkFault = 'silent' | 'refusing';
+
+/** How a call ended. */
+export type CallResult<T> =
+  | { readonly kind: 'answered'; readonly value: T }
+  /** Nothing was sent. */
+  | { readonly kind: 'not-sent' }
+  /** It may have been carried out. */
+  | { readonly kind: 'no-answer' };
+
+/** One call, as the network sees it. */
+export interface ModelCall<T> {
+  readonly caller: ModelProcess;
+  /** Name of the party that is called. */
+  readonly callee: string;
+  readonly timeoutMs: number;
+  /** Whether the callee accepts connections. */
+  readonly isListening: () => boolean;
+  /** Breaks the connection. */
+  readonly signal?: AbortSignal;
+  /** Carries the call out at the callee; rejects if the connection breaks before the answer. */
+  readonly carryOut: () => Promise<T>;
+}
+
+export class ModelNetwork {
+  /** By the names of both parties. */
+  private readonly faults = new Map<string, LinkFault>();
+
+  private constructor(private readonly time: FakeClock) {}
+
+  static create(time: FakeClock): ModelNetwork {
+    return new ModelNetwork(time);
+  }
+
+  setFault(a: string, b: string, fault: LinkFault | undefined): void {
+    if (fault === undefined) {
+      this.faults.delete(linkKey(a, b));
+    } else {
+      this.faults.set(linkKey(a, b), fault);
+    }
+  }
+
+  faultOf(a: string, b: string): LinkFault | undefined {
+    return this.faults.get(linkKey(a, b));
+  }
+
+  /** Makes a call; the caller learns its result when it runs. */
+  call<T>(call: ModelCall<T>): Promise<CallResult<T>> {
+    return new Promise((resolve) => {
+      const timer = new AbortController();
+      const settle = (result: CallResult<T>): void => {
+        timer.abort();
+        call.signal?.removeEventListener('abort', noAnswer);
+        resolve(result);
+      };
+      const noAnswer = (): void => settle({ kind: 'no-answer' });
+      void call.caller.clock.sleep(call.timeoutMs, timer.signal).then(noAnswer);
+      call.signal?.addEventListener('abort', noAnswer, { once: true });
+      void this.exchange(call).then((result) => {
+        if (result !== undefined) {
+          call.caller.receive(() => settle(result));
+        }
+      });
+    });
+  }
+
+  /** @returns how the call ended, or nothing if no answer ever comes */
+  private async exchange<T>(call: ModelCall<T>): Promise<CallResult<T> | undefined> {
+    const { caller, callee, isListening, carryOut } = call;
+    const fault = this.faultOf(caller.name, callee);
+    await this.time.sleep(latencyMs);
+    if (fault === 'refusing' || (fault === undefined && !isListening())) {
+      return { kind: 'not-sent' };
+    }
+    if (fault === 'silent') {
+      return undefined;
+    }
+    const result = await carryOut().then(
+      (value): CallResult<T> => ({ kind: 'answered', value }),
+      (): CallResult<T> => ({ kind: 'no-answer' }),
+    );
+    const isLost = this.faultOf(caller.name, callee) === 'silent';
+    await this.time.sleep(latencyMs);
+    return isLost ? undefined : result;
+  }
+}
+
+const linkKey = (a: string, b: string): string => [a, b].sort().join(' ');
--- /dev/null
+++ b/src/testing/model/modelWorker.ts
@@ -0,0 +1,138 @@
+/**
+ * A worker of the model: its lifetimes, its entry in the store, and the faults with which it answers orders.
+ */
+import type { WorkerRecord } from '../../types/workers.js';
+import { createDeferred } from '../../utils/deferred.js';
+import type { Deferred } from '../../utils/deferred.js';
+import type { FakeClock } from '../fakeClock.js';
+import { ModelWorkerLife } from './modelWorkerLife.js';
+import type { ModelRun } from './modelRun.js';
+
+/** Time after a crash at which the entry is removed: three missed pings. */
+const expiryMs = 4_500;
+
+/**
+ * How a worker answers. `mute`: it carries orders out and answers nothing. `refusing`: it does nothing and
+ * says so. `late`: it carries orders out seconds after they were sent, and the answers are lost.
+ */
+export type WorkerFault = 'mute' | 'refusing' | 'late';
+
+/** Whether connections to a worker that is down are refused, or get no answer. */
+export type DownKind = 'refused' | 'silent';
+
+export interface ModelWorkerOptions {
+  readonly time: FakeClock;
+  readonly record: WorkerRecord;
+  readonly clockRate: number;
+  readonly stopMs: number;
+  readonly onRun: (run: ModelRun) => void;
+  /** Writes the entry, or removes it. */
+  readonly publish: (workerId: string, record: WorkerRecord | undefined) => void;
+}
+
+interface Lifetime {
+  readonly life: ModelWorkerLife;
+  /** Resolved when the lifetime ends. */
+  readonly over: Deferred<undefined>;
+}
+
+export class ModelWorker {
+  fault: WorkerFault | undefined;
+  down: DownKind = 'refused';
+  /** Whether the entry omits the start of the worker. */
+  private omitsStart = false;
+  private lifetime: Lifetime | undefined;
+  private lives = 0;
+
+  private constructor(private readonly options: ModelWorkerOptions) {
+    this.start();
+  }
+
+  static create(options: ModelWorkerOptions): ModelWorker {
+    return new ModelWorker(options);
+  }
+
+  get workerId(): string {
+    return this.options.record.workerId;
+  }
+
+  /** The present lifetime; nothing while the worker is down. */
+  get life(): ModelWorkerLife | undefined {
+    return this.lifetime?.life;
+  }
+
+  /** Resolves when the present lifetime ends. */
+  get lifeEnd(): Promise<unknown> {
+    return this.lifetime?.over.promise ?? Promise.resolve();
+  }
+
+  /** Begins a lifetime, and registers it. */
+  start(): void {
+    if (this.lifetime !== undefined) {
+      return;
+    }
+    const { time, record, clockRate, stopMs, onRun } = this.options;
+    this.lives += 1;
+    const life = ModelWorkerLife.create({
+      ...{ time, clockRate, stopMs, onRun },
+      workerId: record.workerId,
+      life: this.lives,
+      cpuMillis: record.capacity.cpuMillis,
+    });
+    this.lifetime = { life, over: createDeferred<undefined>() };
+    this.publish('ready');
+  }
+
+  /** Ends the lifetime with all its runs; the entry expires later. */
+  crash(down: DownKind): void {
+    this.down = down;
+    this.endLife('crashed');
+    const crashedLives = this.lives;
+    void this.options.time.sleep(expiryMs).then(() => {
+      if (this.lifetime === undefined && this.lives === crashedLives) {
+        this.options.publish(this.workerId, undefined);
+      }
+    });
+  }
+
+  /** Reports that the worker drains. */
+  drain(): void {
+    if (this.lifetime !== undefined) {
+      this.publish('draining');
+    }
+  }
+
+  /** Leaves; everything that runs ends with it. */
+  leave(): void {
+    this.down = 'refused';
+    this.endLife('left');
+    this.options.publish(this.workerId, undefined);
+  }
+
+  /** Writes the entry without the start of the worker, from now on. */
+  omitStart(): void {
+    this.omitsStart = true;
+    if (this.lifetime !== undefined) {
+      this.publish('ready');
+    }
+  }
+
+  /** Writes an entry like that of this worker for another id and address. */
+  publishElsewhere(workerId: string, address: string): void {
+    this.options.publish(workerId, { ...this.options.record, workerId, address });
+  }
+
+  private publish(state: WorkerRecord['state']): void {
+    const { record, publish } = this.options;
+    const bornMs = this.lifetime?.life.bornMs;
+    const start = this.omitsStart || bornMs === undefined ? {} : { startedAtMs: bornMs };
+    publish(record.workerId, { ...record, state, ...start });
+  }
+
+  private endLife(how: 'crashed' | 'left'): void {
+    const { lifetime } = this;
+    this.lifetime = undefined;
+    lifetime?.life.end(how);
+    lifetime?.over.resolve(undefined);
+  }
+}
--- /dev/null
+++ b/src/testing/model/playEvents.ts
@@ -0,0 +1,53 @@
+/**
+ * Plays a list of events against a fleet of the model, and judges the result.
+ */
+import { silentLogger } from '../silentLogger.js';
+import { applyEvent } from './applyEvent.js';
+import { judge } from './judge.js';
+import type { Violation } from './judge.js';
+import type { ModelPlay } from './modelEvents.js';
+import { ModelFleet, maxFailedRuns } from './modelFleet.js';
+import type { CreateLogger } from './modelFleet.js';
+
+/** Time after the last event in which the jobs end, in milliseconds. */
+const settleMs = 24_000;
+
+/** What a play showed. */
+export interface PlayResult {
+  readonly violations: readonly Violation[];
+  /** Number of runs that the workers started. */
+  readonly runCount: number;
+  /** What the clients were told, in order. */
+  readonly answers: readonly string[];
+}
+
+/** Plays events, and waits until all jobs have ended. */
+export const playEvents = async (
+  play: ModelPlay,
+  createLogger: CreateLogger = () => silentLogger,
+): Promise<PlayResult> => {
+  const rejections: string[] = [];
+  const onRejection = (reason: unknown): void => void rejections.push(String(reason));
+  process.on('unhandledRejection', onRejection);
+  const fleet = await ModelFleet.create(play, createLogger);
+  const events = [...play.events].sort((a, b) => a.atMs - b.atMs);
+  const taskCounts = new Map<string, number>();
+  for (const event of events) {
+    const submissions = taskCounts.size;
+    if (event.kind === 'submit') {
+      taskCounts.set(fleet.jobIdAt(submissions), event.job.tasks);
+    }
+    fleet.at(event.atMs, () => applyEvent(fleet, event, submissions));
+  }
+  await fleet.runUntil((events.at(-1)?.atMs ?? 0) + settleMs);
+  fleet.close();
+  process.off('unhandledRejection', onRejection);
+  const { runs, clients } = fleet;
+  const { attempts, cancellations } = clients;
+  const record = { runs, attempts, cancellations, rejections, taskCounts, maxFailedRuns };
+  return {
+    violations: judge(record),
+    runCount: runs.length,
+    answers: attempts.map(({ attemptId, answer }) => `${attemptId} ${answer?.kind ?? 'waits'}`),
+  };
+};
