--- /dev/null
+++ b/src/fleet/eventOrders.spec.ts
@@ -0,0 +1,67 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import {
+  badEntryPlay,
+  calmPlay,
+  cancelledElsewherePlay,
+  cutOffWorkersPlay,
+  frozenDaemonPlay,
+  killedRequesterPlay,
+  plannedStopPlay,
+  restartedWorkerPlay,
+} from '../testing/model/plays.js';
+import type { ModelPlay } from '../testing/model/modelEvents.js';
+import { playEvents } from '../testing/model/playEvents.js';
+import type { PlayResult } from '../testing/model/playEvents.js';
+
+/** Plays events, and checks that tasks ran and that no rule was broken. */
+const checkPlay = async (play: ModelPlay): Promise<PlayResult> => {
+  const result = await playEvents(play);
+  assert.equal(result.violations, []);
+  assert.ok(result.runCount > 0);
+  return result;
+};
+
+// Guards against a model in which nothing runs, which would show no failure.
+test('without faults, every task of every job runs once', async () => {
+  const { runCount, answers } = await checkPlay(calmPlay);
+  assert.is(runCount, 10);
+  assert.equal(answers, ['0000000000000001/0 completed', '0000000000000002/0 completed']);
+});
+
+// Guards against jobs that are answered as failed because their workers were out of reach for a while.
+test('cut-off workers do not count as crashed', async () => {
+  await checkPlay(cutOffWorkersPlay);
+});
+
+// Guards against tasks that start again while their runs at a stopping daemon go on.
+test('a planned stop returns no task whose run goes on', async () => {
+  await checkPlay(plannedStopPlay);
+});
+
+// Guards against runs of a killed requester that go on beside the next attempt of its client.
+test('the runs of a killed requester end before its client sends the job again', async () => {
+  await checkPlay(killedRequesterPlay);
+});
+
+// Guards against tasks that start again while they run in the new lifetime of their worker.
+test('a restart does not end the runs that began after it', async () => {
+  await checkPlay(restartedWorkerPlay);
+});
+
+// Guards against a request that waited in a frozen process and runs beside the next attempt of its client.
+test('a process that wakes starts no job whose client has left', async () => {
+  await checkPlay(frozenDaemonPlay);
+});
+
+// Guards against a job that runs on after its client was told that it is cancelled or not known.
+test('a cancellation at another daemon stops the job', async () => {
+  await checkPlay(cancelledElsewherePlay);
+});
+
+// Guards against a faulty entry that ends the processes of the daemons which serve its shard.
+test('an entry with an unusable address does no harm', async () => {
+  await checkPlay(badEntryPlay);
+});
+
+test.run();
--- /dev/null
+++ b/src/testing/model/plays.ts
@@ -0,0 +1,146 @@
+/**
+ * Short fixed orders of events, each of which leads to one kind of failure unless the daemons prevent it.
+ */
+import type { ModelEvent, ModelJob, ModelPlay } from './modelEvents.js';
+
+/** More than a third of a worker: each has two slots. */
+const halfWorkerCpuMillis = 14_000;
+/** More than half of a worker: each has one slot. */
+const wholeWorkerCpuMillis = 20_000;
+
+const createJob = (job: Partial<ModelJob>): ModelJob => ({
+  daemon: 0,
+  nextDaemonStep: 1,
+  tasks: 1,
+  runMs: 1_400,
+  estimatedMs: 1_200,
+  cpuMillis: halfWorkerCpuMillis,
+  deadlineMs: 20_000,
+  ...job,
+});
+
+const submit = (atMs: number, job: Partial<ModelJob>): ModelEvent => ({
+  kind: 'submit',
+  atMs,
+  job: createJob(job),
+});
+
+const createPlay = (
+  daemons: string[],
+  workers: readonly (readonly [domain: string, count: number, label?: string])[],
+  events: ModelEvent[],
+): ModelPlay => ({
+  seed: 1,
+  daemons,
+  workers: workers.flatMap(([domain, count, label = 'a']) =>
+    Array.from({ length: count }, () => ({ domain, label })),
+  ),
+  startsStateLifetime: false,
+  events,
+});
+
+const twoZones = ['east', 'east', 'west'];
+const anyWorkers = [
+  ['east', 6],
+  ['west', 4],
+] as const;
+
+/** Nothing goes wrong. */
+export const calmPlay = createPlay(twoZones, anyWorkers, [
+  submit(0, { tasks: 6 }),
+  submit(500, { tasks: 4, runMs: 60, estimatedMs: 60 }),
+]);
+
+const cutOff = (atMs: number): ModelEvent => ({
+  kind: 'cut',
+  atMs,
+  worker: { kind: 'running', job: 0 },
+  daemon: null,
+  fault: 'silent',
+  forMs: 2_000,
+});
+
+/** Two workers, one after the other, are cut off while they run the only task of a job. */
+export const cutOffWorkersPlay = createPlay(twoZones, anyWorkers, [
+  submit(0, { runMs: 5_000, estimatedMs: 5_000 }),
+  cutOff(500),
+  cutOff(3_500),
+]);
+
+/** A daemon stops as planned while long tasks of another one's job run on its workers. */
+export const plannedStopPlay = createPlay(twoZones, anyWorkers, [
+  submit(0, { tasks: 12, runMs: 7_000, estimatedMs: 7_000 }),
+  { kind: 'stop', atMs: 500, daemon: 1, downMs: 1_000 },
+]);
+
+/** Period and number of small jobs, each of which has one task more than its daemon has slots. */
+const smallJobPeriodMs = 150;
+const smallJobs = Array.from({ length: 20 }, (_, count) =>
+  submit(count * smallJobPeriodMs, {
+    ...{ daemon: 1, tasks: 5, runMs: 60, estimatedMs: 60, deadlineMs: 1_500, requiredLabel: 'a' },
+  }),
+);
+
+/** A daemon is killed while its tasks run at another one, which goes on sending batches to it. */
+export const killedRequesterPlay = createPlay(
+  twoZones,
+  [
+    ['east', 3, 'a'],
+    ['east', 5, 'b'],
+    ['east', 1, 'a'],
+    ['west', 1, 'b'],
+    ['east', 4, 'a'],
+    ['west', 4, 'b'],
+  ],
+  [
+    submit(800, {
+      ...{ nextDaemonStep: 2, tasks: 6, runMs: 2_200, estimatedMs: 1_300, deadlineMs: 1_500 },
+      requiredLabel: 'b',
+    }),
+    { kind: 'kill', atMs: 1_000, daemon: 0, downMs: 3_000 },
+    ...smallJobs,
+  ],
+);
+
+/** An idle worker restarts, and gets a task before its dispatcher has learned of the restart. */
+export const restartedWorkerPlay = createPlay(
+  ['east'],
+  [['east', 3]],
+  [
+    {
+      ...{ kind: 'crash', atMs: 2_100, down: 'refused', downMs: 1_000 },
+      worker: { kind: 'numbered', index: 2 },
+    },
+    submit(3_300, {
+      ...{ tasks: 2, runMs: 600, estimatedMs: 600, deadlineMs: 1_500 },
+      cpuMillis: wholeWorkerCpuMillis,
+    }),
+  ],
+);
+
+/** A request waits in a frozen process, and its client goes elsewhere before the process wakes. */
+export const frozenDaemonPlay = createPlay(
+  ['east', 'west', 'south'],
+  [
+    ['east', 2],
+    ['west', 3],
+    ['south', 2],
+  ],
+  [
+    submit(0, { tasks: 4, runMs: 60, estimatedMs: 60 }),
+    { kind: 'freeze', atMs: 1_000, daemon: 0, forMs: 4_000 },
+    submit(1_100, { tasks: 4, deadlineMs: 1_500 }),
+  ],
+);
+
+/** A client cancels its job at another daemon than the one that runs it. */
+export const cancelledElsewherePlay = createPlay(twoZones, anyWorkers, [
+  submit(0, { tasks: 4, runMs: 5_000, estimatedMs: 5_000 }),
+  { kind: 'cancel', atMs: 1_000, job: 0, daemon: 1 },
+]);
+
+/** An entry in the list of workers has an address that no connection can be opened to. */
+export const badEntryPlay = createPlay(twoZones, anyWorkers, [
+  { kind: 'odd-entry', atMs: 0, form: 'bad-port', worker: { kind: 'numbered', index: 0 } },
+  submit(2_000, { tasks: 4 }),
+]);
