--- a/src/fleet/eventOrders.spec.ts
+++ b/src/fleet/eventOrders.spec.ts
@@ -5,6 +5,7 @@
   calmPlay,
   cancelledElsewherePlay,
   cutOffWorkersPlay,
+  entryWithoutStartPlay,
   frozenDaemonPlay,
   killedRequesterPlay,
   plannedStopPlay,
@@ -49,6 +50,11 @@
   await checkPlay(restartedWorkerPlay);
 });
 
+// Guards against tasks that start again beside their runs when another writer changes the worker's entry.
+test('an entry without the start of its worker ends no run', async () => {
+  await checkPlay(entryWithoutStartPlay);
+});
+
 // Guards against a request that waited in a frozen process and runs beside the next attempt of its client.
 test('a process that wakes starts no job whose client has left', async () => {
   await checkPlay(frozenDaemonPlay);
--- a/src/testing/model/plays.ts
+++ b/src/testing/model/plays.ts
@@ -144,3 +144,12 @@
   { kind: 'odd-entry', atMs: 0, form: 'bad-port', worker: { kind: 'numbered', index: 0 } },
   submit(2_000, { tasks: 4 }),
 ]);
+
+/** The entry of a worker omits its start while the worker runs a task. */
+export const entryWithoutStartPlay = createPlay(twoZones, anyWorkers, [
+  submit(0, { runMs: 3_000, estimatedMs: 3_000 }),
+  {
+    ...{ kind: 'odd-entry', atMs: 500, form: 'without-start' },
+    worker: { kind: 'running', job: 0 },
+  },
+]);
