--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -1,6 +1,7 @@
 /**
  * Runs batches of tasks on the workers to which this daemon alone dispatches.
  */
+import { unreachable } from '../errors/unreachable.js';
 import { causeLabel } from '../explain/causeLabel.js';
 import type { MemberLoad } from '../types/fleet.js';
 import type { Clock } from '../ports/clock.js';
@@ -8,14 +9,18 @@
 import type { Metrics } from '../ports/metrics.js';
 import type { Random } from '../ports/random.js';
 import type { WorkerPort } from '../ports/workers.js';
+import { TaskSupervisor } from '../utils/taskSupervisor.js';
 import type { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import type { WorkerRecord } from '../types/workers.js';
-import type { ActiveRun, RunOutcome } from './activeRun.js';
+import type { ActiveRun } from './activeRun.js';
 import { BatchTable } from './batchTable.js';
 import { CrashSuspects } from './crashSuspects.js';
+import { LapsedRuns } from './lapsedRuns.js';
 import type { ManagedWorker } from './managedWorker.js';
 import { TaskRetries } from './taskRetries.js';
 import { recordOutcome } from './recordOutcome.js';
+import { describeEvidence, suspicionOf } from './runEvidence.js';
+import type { RunEvidence } from './runEvidence.js';
 import { OpenBatch } from './openBatch.js';
 import { WorkerPool } from './workerPool.js';
 import { TaskStarter } from './taskStarter.js';
@@ -36,6 +41,7 @@
 export class Dispatcher {
   /** Tasks under which workers were lost, here or at other dispatchers. */
   readonly suspects: CrashSuspects;
+  private readonly lapsedRuns: LapsedRuns;
   private readonly batches = BatchTable.create();
   private readonly workers: WorkerPool;
   private readonly starter: TaskStarter;
@@ -46,15 +52,25 @@
     const logger = options.logger.forPart('dispatch');
     this.logger = logger;
     this.suspects = CrashSuspects.create(options.clock);
+    this.lapsedRuns = LapsedRuns.create(options.clock);
+    const supervisor = TaskSupervisor.create(options);
     this.workers = WorkerPool.create({
       ...options,
       logger,
-      onEnd: (worker, run, outcome) => this.ended(worker, run, outcome),
+      supervisor,
+      onEnd: (worker, run, evidence) => this.ended(worker, run, evidence),
+      onLifetime: (workerId, lifetimeMs) => this.resolveLapsedRuns(workerId, lifetimeMs),
       onAvailabilityChange: () => this.starter.startReadyTasks(),
     });
-    this.starter = TaskStarter.create({ ...options, logger, workers: this.workers });
-    const { starter, suspects } = this;
-    this.retries = TaskRetries.create({ logger, starter, suspects });
+    this.starter = TaskStarter.create({
+      ...options,
+      logger,
+      supervisor,
+      workers: this.workers,
+      awaitsProof: (task) => this.retries.awaitsProof(task),
+    });
+    const { starter, suspects, lapsedRuns } = this;
+    this.retries = TaskRetries.create({ logger, starter, suspects, lapsedRuns });
   }
 
   static create(options: DispatcherOptions): Dispatcher {
@@ -175,6 +191,12 @@
     return { workers: this.workers.computeLoads(this.starter.listWaiting()) };
   }
 
+  /** Stops all runs; each task is returned once the end of its run is proved. */
+  stopRuns(): void {
+    void this.workers.retireAll();
+  }
+
+  /** Sends no more orders. Tasks whose runs may go on are answered as withdrawn, and none as returned. */
   async close(): Promise<void> {
     this.starter.close();
     await this.workers.close();
@@ -207,27 +229,60 @@
     return batch;
   }
 
-  /** Records the end of a run in the worker's health and speed, then ends or retries the task. */
-  private ended(worker: ManagedWorker, run: ActiveRun, outcome: RunOutcome): void {
+  /** Records what is known of a run in its worker's health and speed, then ends or retries the task. */
+  private ended(worker: ManagedWorker, run: ActiveRun, evidence: RunEvidence): void {
     const nowMs = this.options.clock.nowMs();
     const slowness = worker.speed.slowness(nowMs);
-    recordOutcome(worker, run, outcome, nowMs);
-    const cause = causeLabel(outcome);
-    this.options.metrics.count('runs', 1, [`outcome:${outcome.kind}`, `cause:${cause}`]);
+    recordOutcome(worker, run, evidence, nowMs);
+    const description = describeEvidence(evidence);
+    const labels = [`outcome:${description.outcome}`, `cause:${causeLabel(description)}`];
+    this.options.metrics.count('runs', 1, labels);
     this.logger.info('A run has ended.', {
       taskName: run.taskName,
       run: run.run,
       workerId: worker.workerId,
-      outcome: outcome.kind,
       durationMs: Math.round(nowMs - run.startSentAtMs),
       expectedMs: Math.round(run.expectedMs),
-      ...('reason' in outcome ? { reason: outcome.reason } : {}),
+      ...description,
     });
-    if (outcome.kind === 'worker-lost') {
-      this.retries.recordLostWorker(run.task);
-    }
+    this.recordSuspicion(worker.workerId, run, evidence);
     if (!run.task.hasEnded) {
-      this.retries.endOrRetry(run.task, outcome, { workerId: worker.workerId, slowness });
+      this.retries.endOrRetry(run.task, evidence, { workerId: worker.workerId, slowness });
+    }
+  }
+
+  private recordSuspicion(
+    workerId: string,
+    { task, taskName, lifetimeMs }: ActiveRun,
+    evidence: RunEvidence,
+  ): void {
+    const suspicion = suspicionOf(evidence);
+    switch (suspicion) {
+      case 'none':
+        return;
+      case 'suspected':
+        this.retries.recordLostWorker(task);
+        if (lifetimeMs !== undefined) {
+          this.lapsedRuns.remember({ workerId, taskName, task, lifetimeMs });
+        }
+        return;
+      case 'crashed':
+        this.retries.recordLostWorker(task);
+        this.retries.recordCrash(task);
+        return;
+      default:
+        return unreachable(suspicion);
+    }
+  }
+
+  /** Counts a crash under the runs that lapsed in an earlier lifetime of a worker that has reported. */
+  private resolveLapsedRuns(workerId: string, lifetimeMs: number | undefined): void {
+    if (lifetimeMs === undefined) {
+      return;
+    }
+    for (const { task, taskName } of this.lapsedRuns.resolve(workerId, lifetimeMs)) {
+      this.logger.warn('A worker has crashed under a run that lapsed.', { workerId, taskName });
+      this.retries.recordCrash(task);
     }
   }
 }
--- a/src/programs/toucandyked/platformProcess.ts
+++ b/src/programs/toucandyked/platformProcess.ts
@@ -20,12 +20,15 @@
 import { FleetDaemon } from '../../fleet/fleetDaemon.js';
 import type { Clock } from '../../ports/clock.js';
 import type { Logger } from '../../ports/logger.js';
+import { TaskSupervisor } from '../../utils/taskSupervisor.js';
 
 /** Time within which the platform detects that a VM is not ready, and routes no new connections to it. */
 const readinessNoticeMs = 2_700;
 const pollMs = 50;
 /** Jobs that have not ended are answered this long before the platform kills the process. */
 const killMarginMs = 700;
+/** Longest time from the end of the last run until the store confirms that this daemon has left. */
+const handOverSlackMs = 200;
 /** Time without a renewal after which the store removes a member; the platform may require more. */
 const memberTtlMs = 2_000;
 
@@ -38,6 +41,8 @@
     private readonly front: JobHttpServer,
     private readonly peers: FleetRpcServer,
     private readonly metrics: PromMetrics,
+    /** Reports errors that no task handles. */
+    readonly supervisor: TaskSupervisor,
   ) {}
 
   /**
@@ -60,6 +65,7 @@
       address: settings.storeAddress,
       shardCount: settings.shardCount,
       memberTtlMs: Math.max(memberTtlMs, settings.minMemberTtlMs),
+      clock,
     });
     const store = MeteredStore.create({ store: storeClient, metrics, clock });
     const daemon = FleetDaemon.create(
@@ -81,7 +87,7 @@
     );
     const peers = await FleetRpcServer.create({
       ...splitAddress(listen.peers),
-      service: daemon,
+      service: daemon.peerService,
       logger,
     });
     const front = await JobHttpServer.create({
@@ -93,7 +99,8 @@
     await metrics.serve(splitAddress(settings.metricsAddress));
     const log = logger.forPart('process');
     log.info('The daemon has started.', { nodeId: member.incarnation, address: listen.callers });
-    return new PlatformProcess(settings, clock, log, daemon, front, peers, metrics);
+    const supervisor = TaskSupervisor.create({ clock, logger, metrics });
+    return new PlatformProcess(settings, clock, log, daemon, front, peers, metrics, supervisor);
   }
 
   get isReady(): boolean {
@@ -140,13 +147,14 @@
 
   /**
    * Planned shutdown: reports not ready, hands the workers over, accepts no new jobs once the platform has
-   * noticed, and answers running jobs within the grace period.
+   * noticed, and answers running jobs within the grace period. Runs that are still at work before its end are
+   * stopped, so that their tasks can be returned.
    */
   async close(): Promise<void> {
     const { clock, daemon, front, settings } = this;
     const endAtMs = clock.nowMs() + settings.stopGraceMs - killMarginMs;
     this.logger.info('The daemon stops as planned.', { count: daemon.jobCount });
-    const handedOver = daemon.drain();
+    const handedOver = daemon.drain(endAtMs);
     front.drain();
     await clock.sleep(readinessNoticeMs);
     daemon.stopAcceptingJobs();
@@ -160,7 +168,7 @@
     front.closeIdleConnections();
     await Promise.race([
       Promise.all([handedOver, closed]),
-      clock.sleep(Math.max(endAtMs - clock.nowMs(), pollMs)),
+      clock.sleep(Math.max(endAtMs - clock.nowMs(), 0) + handOverSlackMs),
     ]);
     await this.front.kill();
     this.logger.info('The daemon has stopped.', { count: daemon.jobCount });
