--- a/ci/checkOrders.ts
+++ b/ci/checkOrders.ts
@@ -12,17 +12,8 @@
 import { playEvents } from '../src/testing/model/playEvents.js';
 import { createTimedLogger } from '../src/testing/model/timedLogger.js';
 
-/** Time after which shrinking stops, in milliseconds. */
-const maxShrinkMs = 40_000;
-
 const print = (line: string): void => void process.stdout.write(`${line}\n`);
 
-/** @returns what breaks a rule, one line each */
-const findFaults = async (play: ModelPlay): Promise<string[]> => {
-  const { violations } = await playEvents(play);
-  return violations.map(({ rule, detail }) => `${rule}: ${detail}`);
-};
-
 /** A play that breaks a rule. */
 interface FaultyPlay {
   readonly play: ModelPlay;
@@ -30,45 +21,37 @@
   readonly fault: string;
 }
 
-/**
- * Plays what a seed draws.
- *
- * @param seed - the seed
- * @param rule - only faults whose text begins with it count
- * @param isShrunk - whether to look for the fewest events that break the rule
- */
-const checkSeed = async (
-  seed: number,
-  rule: string,
-  isShrunk: boolean,
-): Promise<FaultyPlay | undefined> => {
-  let last: FaultyPlay | undefined;
-  const keepsRule = async (play: ModelPlay): Promise<void> => {
-    const fault = (await findFaults(play)).find((one) => one.startsWith(rule));
-    if (fault !== undefined) {
-      last = { play, fault };
-      throw new Error(fault);
+/** Finds what breaks a rule, among the faults that begin with a text. */
+const findFaultyPlay = async (play: ModelPlay, begin = ''): Promise<FaultyPlay | undefined> => {
+  const { violations } = await playEvents(play);
+  const faults = violations.map(({ rule, detail }) => `${rule}: ${detail}`);
+  const fault = faults.find((one) => one.startsWith(begin));
+  return fault === undefined ? undefined : { play, fault };
+};
+
+/** Leaves out one event after the other, as long as the same rule is broken. */
+const shrink = async (faulty: FaultyPlay): Promise<FaultyPlay> => {
+  const [rule = ''] = faulty.fault.split(':');
+  for (const left of faulty.play.events) {
+    const events = faulty.play.events.filter((event) => event !== left);
+    const smaller = await findFaultyPlay({ ...faulty.play, events }, rule);
+    if (smaller !== undefined) {
+      return shrink(smaller);
     }
-  };
-  await fc.check(fc.asyncProperty(fc.noBias(playArbitrary), keepsRule), {
-    seed,
-    numRuns: 1,
-    endOnFailure: !isShrunk,
-    plugins: [fc.interruptAfterTimeLimit(maxShrinkMs)],
-  });
-  return last;
+  }
+  return faulty;
 };
 
-/** @returns whether the play of a seed breaks a rule */
+/** @returns whether the play that a seed draws breaks a rule */
 const reportSeed = async (seed: number, isShrunk: boolean): Promise<boolean> => {
-  const faulty = await checkSeed(seed, '', false);
+  const [play] = fc.sample(fc.noBias(playArbitrary), { seed, numRuns: 1 });
+  const faulty = play === undefined ? undefined : await findFaultyPlay(play);
   if (faulty === undefined) {
     return false;
   }
   print(`seed ${seed}: ${faulty.fault}`);
   if (isShrunk) {
-    const [rule = ''] = faulty.fault.split(':');
-    const shrunk = (await checkSeed(seed, rule, true)) ?? faulty;
+    const shrunk = await shrink(faulty);
     print(`  shrunk: ${JSON.stringify(shrunk.play)}\n  ${shrunk.fault}`);
   }
   return true;
--- a/src/testing/model/modelDaemon.ts
+++ b/src/testing/model/modelDaemon.ts
@@ -69,7 +69,7 @@
     const { current } = this;
     return current === undefined
       ? undefined
-      : { process: current.process, service: current.daemon };
+      : { process: current.process, service: current.daemon.peerService };
   }
 
   /** Starts a process, unless one runs. */
@@ -129,13 +129,15 @@
 const readinessNoticeMs = 2_700;
 const pollMs = 50;
 const killMarginMs = 700;
+/** Longest time from the end of the last run until the store confirms that the daemon has left. */
+const handOverSlackMs = 200;
 
 /** The sequence of `PlatformProcess.close`. */
 const stopAsPlanned = async (running: RunningDaemon): Promise<void> => {
   const { daemon, process } = running;
   const { clock } = process;
   const endAtMs = clock.nowMs() + stopGraceMs - killMarginMs;
-  const handedOver = daemon.drain();
+  const handedOver = daemon.drain(endAtMs);
   await clock.sleep(readinessNoticeMs);
   daemon.stopAcceptingJobs();
   running.acceptsClients = false;
@@ -144,7 +146,10 @@
   }
   daemon.giveUpJobs();
   await clock.sleep(pollMs);
-  await Promise.race([handedOver, clock.sleep(Math.max(endAtMs - clock.nowMs(), pollMs))]);
+  await Promise.race([
+    handedOver,
+    clock.sleep(Math.max(endAtMs - clock.nowMs(), 0) + handOverSlackMs),
+  ]);
   await Promise.race([daemon.close(), clock.sleep(pollMs)]);
   await clock.sleep(pollMs);
 };
