--- a/src/testing/model/modelClients.ts
+++ b/src/testing/model/modelClients.ts
@@ -52,6 +52,7 @@
 export class ModelClients {
   readonly attempts: ModelAttempt[] = [];
   readonly cancellations: ModelCancellation[] = [];
+  private waiting = 0;
 
   private constructor(private readonly options: ModelClientsOptions) {}
 
@@ -59,8 +60,30 @@
     return new ModelClients(options);
   }
 
+  /** Number of clients whose job has no final answer. */
+  get waitingCount(): number {
+    return this.waiting;
+  }
+
   /** Submits a job, to one daemon after the other until it has an answer. */
   async submit(jobId: string, job: ModelJob): Promise<void> {
+    this.waiting += 1;
+    await this.submitUntilAnswered(jobId, job);
+    this.waiting -= 1;
+  }
+
+  /** Cancels a job at a daemon. */
+  cancel(jobId: string, daemonIndex: number): void {
+    const daemon = this.daemonAt(daemonIndex);
+    const { current } = daemon;
+    current?.process.receive(() => {
+      const wasKnown = current.daemon.intake.cancel(jobId);
+      const answeredAtMs = this.options.time.nowMs();
+      this.cancellations.push({ jobId, address: daemon.address, wasKnown, answeredAtMs });
+    });
+  }
+
+  private async submitUntilAnswered(jobId: string, job: ModelJob): Promise<void> {
     for (let count = 0; count < maxAttempts; count += 1) {
       const daemon = this.daemonAt(job.daemon + count * job.nextDaemonStep);
       const attempt: ModelAttempt = {
@@ -81,17 +104,6 @@
     }
   }
 
-  /** Cancels a job at a daemon. */
-  cancel(jobId: string, daemonIndex: number): void {
-    const daemon = this.daemonAt(daemonIndex);
-    const { current } = daemon;
-    current?.process.receive(() => {
-      const wasKnown = current.daemon.intake.cancel(jobId);
-      const answeredAtMs = this.options.time.nowMs();
-      this.cancellations.push({ jobId, address: daemon.address, wasKnown, answeredAtMs });
-    });
-  }
-
   private daemonAt(index: number): ModelDaemon {
     const { daemons } = this.options;
     const daemon = daemons[index % daemons.length];
--- a/src/testing/model/modelFleet.ts
+++ b/src/testing/model/modelFleet.ts
@@ -95,6 +95,11 @@
     return this.time.nowMs() - this.beginMs;
   }
 
+  /** Whether nothing is scheduled and no client waits or is about to send a job again. */
+  get isSettled(): boolean {
+    return this.agenda.length === 0 && this.clients.waitingCount === 0;
+  }
+
   daemon(index: number): ModelDaemon | undefined {
     return this.daemons[index % this.daemons.length];
   }
