--- a/src/programs/toucandyked/platformProcess.ts
+++ b/src/programs/toucandyked/platformProcess.ts
@@ -66,6 +66,10 @@
       shardCount: settings.shardCount,
       memberTtlMs: Math.max(memberTtlMs, settings.minMemberTtlMs),
       clock,
+      onUnreadableMember: (address) =>
+        logger
+          .forPart('fleet')
+          .warn('The name of a member in the store is not valid.', { address }),
     });
     const store = MeteredStore.create({ store: storeClient, metrics, clock });
     const daemon = FleetDaemon.create(
