--- a/src/testing/model/applyEvent.ts
+++ b/src/testing/model/applyEvent.ts
@@ -4,6 +4,7 @@
 import { unreachable } from '../../errors/unreachable.js';
 import type { ModelEvent } from './modelEvents.js';
 import type { ModelFleet } from './modelFleet.js';
+import type { LinkFault } from './modelNetwork.js';
 import { storeName } from './modelStore.js';
 import type { ModelWorker } from './modelWorker.js';
 
@@ -39,10 +40,12 @@
     }
     case 'cut':
       return cutWorker(fleet, event);
-    case 'cut-daemons':
-      return cutLink(fleet, event, addressOf(fleet, event.daemon), addressOf(fleet, event.other));
+    case 'cut-daemons': {
+      const { daemon, other, fault } = event;
+      return cutLink(fleet, event, fault, addressOf(fleet, daemon), addressOf(fleet, other));
+    }
     case 'cut-store':
-      return cutLink(fleet, event, addressOf(fleet, event.daemon), storeName);
+      return cutLink(fleet, event, 'silent', addressOf(fleet, event.daemon), storeName);
     case 'crash': {
       const worker = fleet.findWorker(event.worker);
       worker?.crash(event.down);
@@ -75,10 +78,11 @@
 const cutLink = (
   fleet: ModelFleet,
   { atMs, forMs }: { readonly atMs: number; readonly forMs: number },
+  fault: LinkFault,
   a: string,
   b: string,
 ): void => {
-  fleet.network.setFault(a, b, 'silent');
+  fleet.network.setFault(a, b, fault);
   fleet.at(atMs + forMs, () => fleet.network.setFault(a, b, undefined));
 };
 
--- a/src/testing/model/eventArbitraries.ts
+++ b/src/testing/model/eventArbitraries.ts
@@ -48,6 +48,7 @@
       }),
     ),
     estimateFactor: fc.constantFrom(0.6, 1),
+    isFailing: fc.nat({ max: 9 }).map((chance) => chance === 0),
   })
   .map(({ estimateFactor, size, ...rest }) => ({
     ...rest,
@@ -82,6 +83,7 @@
   }),
   fc.record({
     ...{ kind: fc.constant('cut-daemons' as const), atMs: time, daemon, other: daemon },
+    fault: fc.constantFrom('silent' as const, 'held-up' as const),
     forMs: duration(200, 4_000),
   }),
   fc.record({
@@ -94,7 +96,7 @@
   fc.record({
     ...{ kind: fc.constant('cut' as const), atMs: time, worker },
     daemon: fc.option(daemon, { nil: null }),
-    fault: fc.constantFrom('silent' as const, 'refusing' as const),
+    fault: fc.constantFrom('silent' as const, 'refusing' as const, 'held-up' as const),
     forMs: duration(200, 5_500),
   }),
   fc.record({
@@ -199,12 +201,15 @@
     topology,
     incidents: fc.array(incident, { minLength: 1, maxLength: maxIncidents, size: 'max' }),
     bursts: fc.array(load, { maxLength: 1, size: 'max' }),
+    startsStateLifetime: fc.boolean(),
     others: fc.array(fc.oneof(submit, trouble), { maxLength: maxOthers, size: 'max' }),
   })
-  .map(({ seed, topology: { daemons, domains }, incidents, bursts, others }) => ({
-    seed,
-    daemons: [...daemons],
-    workers: domains.map((domain) => ({ domain, label: 'a' })),
-    startsStateLifetime: false,
-    events: [...incidents.flat(), ...bursts.flat(), ...others],
-  }));
+  .map(
+    ({ seed, topology: { daemons, domains }, incidents, bursts, others, startsStateLifetime }) => ({
+      seed,
+      daemons: [...daemons],
+      workers: domains.map((domain) => ({ domain, label: 'a' })),
+      startsStateLifetime,
+      events: [...incidents.flat(), ...bursts.flat(), ...others],
+    }),
+  );
--- a/src/testing/model/modelClients.ts
+++ b/src/testing/model/modelClients.ts
@@ -160,9 +160,11 @@
   private async serve(
     { daemon }: RunningDaemon,
     { attemptId, jobId }: ModelAttempt,
-    { tasks, runMs, estimatedMs, cpuMillis, requiredLabel, deadlineMs }: ModelJob,
+    job: ModelJob,
     signal: AbortSignal,
   ): Promise<AttemptAnswer> {
+    const { tasks, runMs, estimatedMs, cpuMillis, requiredLabel, deadlineMs } = job;
+    const { isFailing = false } = job;
     const { host, pathPrefix } = this.options.route;
     const match = daemon.intake.findRoute(host, `${pathPrefix}${jobId}`);
     if (match.kind !== 'found') {
@@ -171,7 +173,7 @@
     const resources = { cpuMillis, memoryMb: 64, accelerators: 0 };
     const request = {
       jobId,
-      spec: JSON.stringify({ attempt: attemptId, runMs, cpuMillis }),
+      spec: JSON.stringify({ attempt: attemptId, runMs, cpuMillis, isFailing }),
       steps: [{ taskCount: tasks, estimatedMs, after: [], needs: { resources, requiredLabel } }],
       unsupported: [],
     };
--- a/src/testing/model/modelEvents.ts
+++ b/src/testing/model/modelEvents.ts
@@ -26,6 +26,8 @@
   cpuMillis: z.number().int().positive(),
   /** Label that the workers must have. */
   requiredLabel: z.string().optional(),
+  /** Whether every run of the first task fails. */
+  isFailing: z.boolean().optional(),
   deadlineMs: z.number().positive(),
 });
 export type ModelJob = z.infer<typeof modelJobSchema>;
@@ -45,10 +47,17 @@
     atMs,
     worker: workerChoiceSchema,
     daemon: index.nullable(),
-    fault: z.enum(['silent', 'refusing']),
+    fault: z.enum(['silent', 'refusing', 'held-up']),
+    forMs,
+  }),
+  z.object({
+    kind: z.literal('cut-daemons'),
+    atMs,
+    daemon: index,
+    other: index,
+    fault: z.enum(['silent', 'held-up']),
     forMs,
   }),
-  z.object({ kind: z.literal('cut-daemons'), atMs, daemon: index, other: index, forMs }),
   z.object({ kind: z.literal('cut-store'), atMs, daemon: index, forMs }),
   z.object({
     kind: z.literal('crash'),
--- a/src/testing/model/modelNetwork.ts
+++ b/src/testing/model/modelNetwork.ts
@@ -1,14 +1,25 @@
 /**
  * The network of the model: calls between processes and workers, with the faults of the links between them.
  */
+import { createDeferred } from '../../utils/deferred.js';
+import type { Deferred } from '../../utils/deferred.js';
 import type { FakeClock } from '../fakeClock.js';
 import type { ModelProcess } from './modelProcess.js';
 
 /** Time that a message takes on a link without fault, in milliseconds. */
 export const latencyMs = 1;
 
-/** `silent`: messages are lost. `refusing`: connections are refused at once. */
-export type LinkFault = 'silent' | 'refusing';
+/**
+ * `silent`: messages are lost. `refusing`: connections are refused at once. `held-up`: messages arrive when the
+ * fault is over.
+ */
+export type LinkFault = 'silent' | 'refusing' | 'held-up';
+
+interface ActiveFault {
+  readonly fault: LinkFault;
+  /** Resolved when the fault is over. */
+  readonly over: Deferred<undefined>;
+}
 
 /** How a call ended. */
 export type CallResult<T> =
@@ -34,7 +45,7 @@
 
 export class ModelNetwork {
   /** By the names of both parties. */
-  private readonly faults = new Map<string, LinkFault>();
+  private readonly faults = new Map<string, ActiveFault>();
 
   private constructor(private readonly time: FakeClock) {}
 
@@ -42,18 +53,16 @@
     return new ModelNetwork(time);
   }
 
+  /** Sets the fault of a link, or ends it. */
   setFault(a: string, b: string, fault: LinkFault | undefined): void {
-    if (fault === undefined) {
-      this.faults.delete(linkKey(a, b));
-    } else {
-      this.faults.set(linkKey(a, b), fault);
+    const key = linkKey(a, b);
+    this.faults.get(key)?.over.resolve(undefined);
+    this.faults.delete(key);
+    if (fault !== undefined) {
+      this.faults.set(key, { fault, over: createDeferred<undefined>() });
     }
   }
 
-  faultOf(a: string, b: string): LinkFault | undefined {
-    return this.faults.get(linkKey(a, b));
-  }
-
   /** Makes a call; the caller learns its result when it runs. */
   call<T>(call: ModelCall<T>): Promise<CallResult<T>> {
     return new Promise((resolve) => {
@@ -77,21 +86,32 @@
   /** @returns how the call ended, or nothing if no answer ever comes */
   private async exchange<T>(call: ModelCall<T>): Promise<CallResult<T> | undefined> {
     const { caller, callee, isListening, carryOut } = call;
-    const fault = this.faultOf(caller.name, callee);
-    await this.time.sleep(latencyMs);
-    if (fault === 'refusing' || (fault === undefined && !isListening())) {
+    const key = linkKey(caller.name, callee);
+    if (this.faults.get(key)?.fault === 'refusing') {
+      await this.time.sleep(latencyMs);
       return { kind: 'not-sent' };
     }
-    if (fault === 'silent') {
+    if (!(await this.pass(key))) {
       return undefined;
     }
+    if (!isListening()) {
+      return { kind: 'not-sent' };
+    }
     const result = await carryOut().then(
       (value): CallResult<T> => ({ kind: 'answered', value }),
       (): CallResult<T> => ({ kind: 'no-answer' }),
     );
-    const isLost = this.faultOf(caller.name, callee) === 'silent';
+    return (await this.pass(key)) ? result : undefined;
+  }
+
+  /** @returns whether a message that is sent now arrives, when it does or is lost */
+  private async pass(key: string): Promise<boolean> {
+    const active = this.faults.get(key);
+    if (active?.fault === 'held-up') {
+      await active.over.promise;
+    }
     await this.time.sleep(latencyMs);
-    return isLost ? undefined : result;
+    return active?.fault !== 'silent';
   }
 }
 
--- a/src/testing/model/modelRun.ts
+++ b/src/testing/model/modelRun.ts
@@ -9,6 +9,8 @@
   attempt: z.string(),
   runMs: z.number(),
   cpuMillis: z.number(),
+  /** Whether every run of the first task fails. */
+  isFailing: z.boolean(),
 });
 export type TaskSpec = z.infer<typeof taskSpecSchema>;
 
--- a/src/testing/model/modelWorkerLife.ts
+++ b/src/testing/model/modelWorkerLife.ts
@@ -105,7 +105,7 @@
     const active = { record, over: new AbortController() };
     this.runs.set(taskName, active);
     onRun(record);
-    void this.endAfter(active, task.runMs, 'done');
+    void this.endAfter(active, task.runMs, failsAlways(record) ? 'failed' : 'done');
     void this.watchLease();
     return undefined;
   }
@@ -208,3 +208,7 @@
     this.highestEnded.set(taskName, Math.max(this.highestEnded.get(taskName) ?? 0, run));
   }
 }
+
+/** Whether a run is one of a task that always fails. */
+const failsAlways = ({ spec, taskName }: ModelRun): boolean =>
+  spec.isFailing && taskName.endsWith('.0');
