--- a/src/dispatch/taskStarter.ts
+++ b/src/dispatch/taskStarter.ts
@@ -29,6 +29,8 @@
   readonly farRackFactor: number;
   /** Whether a task has to wait for proof of what became of its earlier runs. */
   readonly awaitsProof: (task: BatchedTask) => boolean;
+  /** Called before waiting tasks are started; may withdraw batches. */
+  readonly beforeStarts?: () => void;
   readonly supervisor: TaskSupervisor;
 }
 
@@ -92,6 +94,7 @@
     if (this.isStartingTasks || this.stop.signal.aborted) {
       return;
     }
+    this.options.beforeStarts?.();
     this.isStartingTasks = true;
     let blocked = 0;
     for (const task of this.waiting.list()) {
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -8,6 +8,7 @@
 import { RunTimePredictor } from '../bestEffort/runTimePredictor.js';
 import { RunningJobs } from '../bestEffort/runningJobs.js';
 import { Dispatcher } from '../dispatch/dispatcher.js';
+import { unreachable } from '../errors/unreachable.js';
 import type { Clock } from '../ports/clock.js';
 import type { FleetConnector, FleetService } from '../ports/fleetPeers.js';
 import type { FleetStore } from '../ports/fleetStore.js';
@@ -33,7 +34,8 @@
 import { ServedWorkers } from './servedWorkers.js';
 import { ShardMembership } from './shardMembership.js';
 import { isNeededAsDispatcher } from './standby.js';
-import { SuspendDetector } from './suspendDetector.js';
+import { StandstillDetector } from './standstillDetector.js';
+import type { Standstill } from './standstillDetector.js';
 import type { Member } from '../types/fleet.js';
 
 export interface FleetPorts {
@@ -77,7 +79,7 @@
   private readonly jobs: RunningJobs;
   private readonly shards: ShardMembership;
   private readonly servedWorkers: ServedWorkers;
-  private readonly suspendDetector: SuspendDetector;
+  private readonly standstills: StandstillDetector;
   private readonly logger: Logger;
 
   private constructor(
@@ -92,6 +94,11 @@
     const supervisor = TaskSupervisor.create({ clock, logger, metrics });
     const common = { clock, logger, metrics, store, supervisor };
     this.logger = logger.forPart('jobs');
+    const standstills = StandstillDetector.create({
+      ...common,
+      onStandstill: (standstill) => this.handleStandstill(standstill, ages),
+    });
+    this.standstills = standstills;
     this.dispatcher = Dispatcher.create({
       clock,
       random,
@@ -101,6 +108,7 @@
       leaseMs,
       farRackFactor,
       speeds: this.speeds,
+      beforeStarts: () => standstills.check(),
     });
     this.directory = WorkerDirectory.create({
       ...common,
@@ -136,6 +144,7 @@
       planner,
       sender: this.router,
       lengths: this.lengths,
+      standstills,
     });
     const { lengths, speeds, routing, directory, jobs } = this;
     this.intake = JobIntake.create({ logger: this.logger, metrics, routing, directory, jobs });
@@ -175,6 +184,7 @@
     });
     const { peers, heartbeatExchange } = this;
     this.peerService = PeerService.create({
+      standstills,
       ages,
       peers,
       heartbeatExchange,
@@ -189,14 +199,6 @@
       onStoreReachable: () => this.routingFollower.refresh(),
       isNeeded: () => isNeededAsDispatcher(member, this.peers.presentDomainMembers()),
     });
-    this.suspendDetector = SuspendDetector.create({
-      clock,
-      logger,
-      onSuspended: (durationMs) => {
-        ages.recordSuspension(durationMs);
-        this.abandonAllWork('the VM was suspended');
-      },
-    });
     this.requesterMonitor = RequesterMonitor.create({ ...common, ownId, leases, dispatcher });
   }
 
@@ -223,6 +225,23 @@
     this.jobs.giveUpAll('the daemon stops');
   }
 
+  /** Ends all earlier work, and reads anew what the store granted and published meanwhile. */
+  private handleStandstill(standstill: Standstill, ages: MessageAges): void {
+    switch (standstill.kind) {
+      case 'suspended':
+        ages.recordSuspension(standstill.durationMs);
+        this.abandonAllWork('the VM was suspended');
+        break;
+      case 'stalled':
+        this.abandonAllWork('the process stood still');
+        break;
+      default:
+        return unreachable(standstill);
+    }
+    this.shards.refresh();
+    this.routingFollower.refresh();
+  }
+
   /** Ends all jobs and batches; their callers and requesters no longer wait for this daemon. */
   private abandonAllWork(reason: string): void {
     this.jobs.giveUpAll(reason);
@@ -262,7 +281,7 @@
     await Promise.all([this.shards.close(), this.peers.close(), this.routingFollower.close()]);
     await Promise.all([
       this.learned.close(),
-      this.suspendDetector.close(),
+      this.standstills.close(),
       this.requesterMonitor.close(),
     ]);
     await this.directory.close();
