--- a/src/testing/model/eventArbitraries.ts
+++ b/src/testing/model/eventArbitraries.ts
@@ -6,10 +6,10 @@
 import { unreachable } from '../../errors/unreachable.js';
 import type { ModelEvent, ModelJob, ModelPlay, WorkerChoice } from './modelEvents.js';
 
-const maxIncidents = 3;
-const maxOthers = 4;
+const maxIncidents = 4;
+const maxOthers = 6;
 /** Time in which the events come, in milliseconds. */
-const windowMs = 6_000;
+const windowMs = 5_000;
 const cpuMillis = 14_000;
 
 /** Time in which a trouble meets a job, or a restart is noticed, in milliseconds. */
