--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -8,7 +8,6 @@
 import { RunTimePredictor } from '../bestEffort/runTimePredictor.js';
 import { RunningJobs } from '../bestEffort/runningJobs.js';
 import { Dispatcher } from '../dispatch/dispatcher.js';
-import { unreachable } from '../errors/unreachable.js';
 import type { Clock } from '../ports/clock.js';
 import type { FleetConnector, FleetService } from '../ports/fleetPeers.js';
 import type { FleetStore } from '../ports/fleetStore.js';
@@ -28,6 +27,7 @@
 import { PeerService } from './peerService.js';
 import { RequesterLeases } from './requesterLeases.js';
 import { RequesterMonitor } from './requesterMonitor.js';
+import { JobCancellation } from './jobCancellation.js';
 import { JobIntake } from './jobIntake.js';
 import { LearnedBackup } from './learnedBackup.js';
 import { stopAsPlanned } from './plannedStop.js';
@@ -35,7 +35,7 @@
 import { ShardMembership } from './shardMembership.js';
 import { isNeededAsDispatcher } from './standby.js';
 import { StandstillDetector } from './standstillDetector.js';
-import type { Standstill } from './standstillDetector.js';
+import { recoverFromStandstill } from './standstillRecovery.js';
 import type { Member } from '../types/fleet.js';
 
 export interface FleetPorts {
@@ -77,6 +77,7 @@
   private readonly heartbeatExchange: FleetHeartbeatExchange;
   private readonly requesterMonitor: RequesterMonitor;
   private readonly jobs: RunningJobs;
+  private readonly cancellation: JobCancellation;
   private readonly shards: ShardMembership;
   private readonly servedWorkers: ServedWorkers;
   private readonly standstills: StandstillDetector;
@@ -96,7 +97,10 @@
     this.logger = logger.forPart('jobs');
     const standstills = StandstillDetector.create({
       ...common,
-      onStandstill: (standstill) => this.handleStandstill(standstill, ages),
+      onStandstill: (standstill) => {
+        const { jobs, dispatcher, shards, routingFollower } = this;
+        recoverFromStandstill(standstill, { ages, jobs, dispatcher, shards, routingFollower });
+      },
     });
     this.standstills = standstills;
     this.dispatcher = Dispatcher.create({
@@ -147,7 +151,22 @@
       standstills,
     });
     const { lengths, speeds, routing, directory, jobs } = this;
-    this.intake = JobIntake.create({ logger: this.logger, metrics, routing, directory, jobs });
+    this.cancellation = JobCancellation.create({
+      clock,
+      logger: this.logger,
+      failureDomainId: member.failureDomainId,
+      jobs,
+      peers: () => this.peers,
+    });
+    const { cancellation } = this;
+    this.intake = JobIntake.create({
+      logger: this.logger,
+      metrics,
+      routing,
+      directory,
+      jobs,
+      cancellation,
+    });
     this.learned = LearnedBackup.create({ ...common, member, lengths, speeds });
     const { view, router, dispatcher } = this;
     const batchIntake = BatchIntake.create({
@@ -189,6 +208,7 @@
       peers,
       heartbeatExchange,
       batchIntake,
+      cancellation,
       dispatcher,
       routing,
     });
@@ -225,29 +245,6 @@
     this.jobs.giveUpAll('the daemon stops');
   }
 
-  /** Ends all earlier work, and reads anew what the store granted and published meanwhile. */
-  private handleStandstill(standstill: Standstill, ages: MessageAges): void {
-    switch (standstill.kind) {
-      case 'suspended':
-        ages.recordSuspension(standstill.durationMs);
-        this.abandonAllWork('the VM was suspended');
-        break;
-      case 'stalled':
-        this.abandonAllWork('the process stood still');
-        break;
-      default:
-        return unreachable(standstill);
-    }
-    this.shards.refresh();
-    this.routingFollower.refresh();
-  }
-
-  /** Ends all jobs and batches; their callers and requesters no longer wait for this daemon. */
-  private abandonAllWork(reason: string): void {
-    this.jobs.giveUpAll(reason);
-    this.dispatcher.requesters().forEach((requester) => this.dispatcher.withdrawAll(requester));
-  }
-
   /**
    * Begins a planned shutdown: reports that it is not ready, and hands its workers over.
    *
@@ -278,6 +275,7 @@
 
   /** Stops all activity and closes the connections to workers and the store. */
   async close(): Promise<void> {
+    this.cancellation.close();
     await Promise.all([this.shards.close(), this.peers.close(), this.routingFollower.close()]);
     await Promise.all([
       this.learned.close(),
