--- a/src/testing/model/modelClients.ts
+++ b/src/testing/model/modelClients.ts
@@ -76,11 +76,12 @@
   cancel(jobId: string, daemonIndex: number): void {
     const daemon = this.daemonAt(daemonIndex);
     const { current } = daemon;
-    current?.process.receive(() => {
-      const wasKnown = current.daemon.intake.cancel(jobId);
+    const answer = async ({ daemon: { intake } }: RunningDaemon): Promise<void> => {
+      const wasKnown = await intake.cancel(jobId);
       const answeredAtMs = this.options.time.nowMs();
       this.cancellations.push({ jobId, address: daemon.address, wasKnown, answeredAtMs });
-    });
+    };
+    current?.process.receive(() => void answer(current));
   }
 
   private async submitUntilAnswered(jobId: string, job: ModelJob): Promise<void> {
--- a/src/testing/model/modelConnector.ts
+++ b/src/testing/model/modelConnector.ts
@@ -44,6 +44,8 @@
       },
       withdrawBatch: (withdrawal, timeoutMs) =>
         call(timeoutMs, (service) => service.withdrawBatch(withdrawal)),
+      cancelJob: (cancellation, timeoutMs) =>
+        call(timeoutMs, (service) => service.cancelJob(cancellation)),
       fetchRouting: (timeoutMs) => call(timeoutMs, (service) => service.fetchRouting()),
       close: async () => undefined,
     };
