--- a/src/fleet/eventOrders.spec.ts
+++ b/src/fleet/eventOrders.spec.ts
@@ -7,6 +7,8 @@
   cutOffWorkersPlay,
   entryWithoutStartPlay,
   frozenDaemonPlay,
+  heldUpNewcomerPlay,
+  heldUpRepeatPlay,
   killedRequesterPlay,
   plannedStopPlay,
   restartedWorkerPlay,
@@ -82,4 +84,14 @@
   await checkFirstAnswer(badEntryPlay, 'completed');
 });
 
+// Guards against a batch that was returned as running nowhere and starts with its repeat.
+test('a returned batch does not start when its repeat arrives', async () => {
+  await checkPlay(heldUpRepeatPlay);
+});
+
+// Guards against a batch of a newly started requester that starts seconds late, beside the next attempt.
+test('a batch of unknown age that was held up does not start', async () => {
+  await checkPlay(heldUpNewcomerPlay);
+});
+
 test.run();
--- a/src/testing/model/plays.ts
+++ b/src/testing/model/plays.ts
@@ -153,3 +153,36 @@
     worker: { kind: 'running', job: 0 },
   },
 ]);
+
+const threeZones = ['east', 'west', 'south'];
+const twoWorkersEach = [
+  ['east', 2],
+  ['west', 2],
+  ['south', 2],
+] as const;
+
+const heldUp = (atMs: number): ModelEvent => ({
+  ...{ kind: 'cut-daemons', atMs, daemon: 2, other: 1, fault: 'held-up', forMs: 3_248 },
+});
+
+/** A link holds batches and their repeats up, the first for longer than a batch may wait. */
+export const heldUpRepeatPlay = createPlay(threeZones, twoWorkersEach, [
+  submit(1_245, {
+    ...{ daemon: 2, nextDaemonStep: 2, tasks: 7, runMs: 6_924, estimatedMs: 6_924 },
+    isFailing: true,
+  }),
+  heldUp(1_245),
+  heldUp(3_443),
+  ...[2_980, 3_280, 3_430, 3_580, 3_730].map((atMs) =>
+    submit(atMs, {
+      ...{ daemon: 2, nextDaemonStep: 2, tasks: 9, runMs: 60, estimatedMs: 60, deadlineMs: 1_500 },
+    }),
+  ),
+]);
+
+/** A link holds a batch up whose requester has just started. */
+export const heldUpNewcomerPlay = createPlay(threeZones, twoWorkersEach, [
+  { kind: 'kill', atMs: 2_443, daemon: 1, downMs: 2_213 },
+  { kind: 'cut-daemons', atMs: 4_901, daemon: 1, other: 0, fault: 'held-up', forMs: 2_874 },
+  submit(5_044, { daemon: 1, nextDaemonStep: 3, tasks: 6, runMs: 1_300, estimatedMs: 775 }),
+]);
