--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -2,8 +2,9 @@
  * Checks the guarantees of the daemons against the requests that the callers sent and the task runs
  * that the workers started.
  */
-import { findTasksWithOverlappingRuns } from '../standins/platform/standInRun.js';
-import type { StartRecord } from '../standins/platform/standInRun.js';
+import { maxTaskAttempts } from '../standins/platform/routes.js';
+import { findOverlaps } from '../standins/platform/standInRun.js';
+import type { RunOutcome, RunOverlap, StartRecord } from '../standins/platform/standInRun.js';
 import type { SoakFleet } from './soakFleet.js';
 import type { Attempt, SoakJob } from './soakCallers.js';
 
@@ -12,10 +13,12 @@
 /** After so many crashed workers, a task may be started so often at most: the users' rule. */
 const maxCrashes = 3;
 const maxStartsAfterCrashes = 2;
+/** Crashed workers after which a task may be given up. */
+const minCrashesToGiveUp = 2;
 
 /**
  * Lists the violated guarantees: no task runs twice at the same time, `completed` means that every task
- * was done, a job refused with 503 was never started, a daemon that no fault disrupts answers in time,
+ * was done, `failed` has a cause, a job refused with 503 was never started, a daemon that no fault disrupts answers in time,
  * no daemon crashes, and a task that crashes its workers is not started again and again.
  *
  * @param fleet - the fleet, with the runs that its workers started
@@ -25,13 +28,21 @@
 export const findViolations = (fleet: SoakFleet, attempts: readonly Attempt[]): string[] => {
   const starts = fleet.starts();
   return [
-    ...findTasksWithOverlappingRuns(starts).map((task) => `Two runs of ${task} at the same time.`),
+    ...findOverlaps(starts).map(describeOverlap),
     ...findCrashingTasks(starts).map((task) => `${task} went on crashing workers.`),
     ...attempts.flatMap((attempt) => checkAttempt(attempt, attempts, starts, fleet)),
     ...fleet.crashes,
   ];
 };
 
+const describeOverlap = ({ first, second, durationMs }: RunOverlap): string =>
+  `Two runs of ${first.task} at the same time for ${durationMs.toFixed(1)} ms: ` +
+  `${describeRun(first)}, and ${describeRun(second)}.`;
+
+const describeRun = (start: StartRecord): string =>
+  `run ${start.run} on ${start.workerId} from ${start.startedAtMs.toFixed(1)} to ` +
+  `${start.endedAtMs?.toFixed(1) ?? '-'} (${start.outcome ?? 'at work'})`;
+
 /** @returns tasks that were started as often as is not allowed after they had crashed some workers */
 const findCrashingTasks = (starts: readonly StartRecord[]): string[] => {
   const crashed = starts.filter(({ outcome }) => outcome === 'crashed').map(({ task }) => task);
@@ -61,6 +72,8 @@
   switch (end.kind) {
     case 'unanswered':
       return isUndisrupted ? [`No answer: ${location}.`] : [];
+    case 'left':
+      return [];
     case 'broken':
       return isUndisrupted ? [`Connection broken (${end.code}): ${location}.`] : [];
     case 'answered': {
@@ -71,6 +84,9 @@
         end.status === refusedStatus && isOnlyAttempt && hasStartedTask(job, starts);
       return [
         ...(isFalseCompletion ? [`Completed, though a task was not done: ${location}.`] : []),
+        ...(end.state === 'failed' && !hasCauseToFail(job, starts)
+          ? [`Failed, though no task failed so often or crashed two workers: ${location}.`]
+          : []),
         ...(isFalseRefusal ? [`Refused, though it ran: ${location}.`] : []),
       ];
     }
@@ -86,6 +102,17 @@
   );
 };
 
+/** @returns whether a task of the job failed as often as its route allows, or crashed two workers */
+const hasCauseToFail = ({ jobId }: SoakJob, starts: readonly StartRecord[]): boolean => {
+  const runs = starts.filter(({ task }) => task.startsWith(`${jobId}.`));
+  const count = (task: string, outcome: RunOutcome): number =>
+    runs.filter((run) => run.task === task && run.outcome === outcome).length;
+  return runs.some(
+    ({ task }) =>
+      count(task, 'failed') >= maxTaskAttempts || count(task, 'crashed') >= minCrashesToGiveUp,
+  );
+};
+
 const hasStartedTask = ({ jobId }: SoakJob, starts: readonly StartRecord[]): boolean =>
   starts.some(({ task }) => task.startsWith(`${jobId}.`));
 
--- a/soak/faultInjector.ts
+++ b/soak/faultInjector.ts
@@ -5,22 +5,30 @@
 import { unreachable } from '../src/errors/unreachable.js';
 import type { FaultyProxy } from './faultyProxy.js';
 import type { Fault, LinkPlace, PlannedFault } from './faults.js';
+import type { SoakCallers } from './soakCallers.js';
 import type { SoakDaemon, SoakFleet, SoakWorker } from './soakFleet.js';
 
 /** Time between a planned stop of a daemon and its restart, in milliseconds. */
 const restartPauseMs = 300;
+/** Time from a repeated kill to the restart, and from that to the next kill, in milliseconds. */
+const restartAfterKillMs = 500;
+const nextKillMs = 150;
 
 export class FaultInjector {
   /** Ids of VMs whose daemon exceeded the grace period of a planned stop or exited with an error. */
   readonly failedStops: string[] = [];
 
-  private constructor(private readonly fleet: SoakFleet) {}
+  private constructor(
+    private readonly fleet: SoakFleet,
+    private readonly callers: SoakCallers,
+  ) {}
 
-  static create(fleet: SoakFleet): FaultInjector {
-    return new FaultInjector(fleet);
+  /** Creates an injector; the callers send the planned requests. */
+  static create(fleet: SoakFleet, callers: SoakCallers): FaultInjector {
+    return new FaultInjector(fleet, callers);
   }
 
-  /** Injects every fault at its time; resolves when all are healed. */
+  /** Injects every fault at its time; resolves when all are healed and all requests have ended. */
   async run(planned: readonly PlannedFault[]): Promise<void> {
     await Promise.all(
       planned.map(async ({ atMs, fault }) => {
@@ -64,6 +72,18 @@
       case 'routes':
         this.fleet.publishRoutes(fault.count);
         return;
+      case 'kill-again':
+        return this.killAgain(fault.daemon, fault.kills);
+      case 'worker-crash':
+        return this.workerAt(fault.index).worker.crash(fault.durationMs);
+      case 'odd-entry': {
+        const putRight = this.fleet.publishOddEntry(fault.entry, fault.index, fault.isOwnKey);
+        await sleep(fault.durationMs);
+        putRight();
+        return;
+      }
+      case 'request':
+        return this.callers.sendPlanned(fault.request);
       default:
         return unreachable(fault);
     }
@@ -78,6 +98,19 @@
     endDisruption();
   }
 
+  /** Kills the daemon, and again each time that it has started, before it answers. */
+  private async killAgain(daemon: number, kills: number): Promise<void> {
+    const { child } = this.daemonAt(daemon);
+    const endDisruption = this.fleet.disruptions.begin(daemon);
+    for (let count = 0; count < kills; count += 1) {
+      await sleep(count === 0 ? 0 : nextKillMs);
+      await child.kill();
+      await sleep(restartAfterKillMs);
+      await child.start();
+    }
+    endDisruption();
+  }
+
   private async stop(daemon: number): Promise<void> {
     const { child } = this.daemonAt(daemon);
     const endDisruption = this.fleet.disruptions.begin(daemon);
--- /dev/null
+++ b/soak/faultSeries.ts
@@ -0,0 +1,228 @@
+/**
+ * Plans series of faults of one kind, each with the requests that meet them.
+ */
+import { unreachable } from '../src/errors/unreachable.js';
+import { SeededRandom } from '../src/testing/seededRandom.js';
+import { pickOne, planFaults } from './faults.js';
+import type { Fault, FaultPlanOptions, OddEntry, PlannedFault, PlannedRequest } from './faults.js';
+import type { LinkFault } from './faultyProxy.js';
+
+export const seriesKinds = [
+  'cuts',
+  'worker-crashes',
+  'planned-stops',
+  'kills',
+  'pauses',
+  'odd-entries',
+] as const;
+/** Workers that are cut off in turn, workers that crash, daemons that are stopped, killed or paused. */
+export type SeriesKind = (typeof seriesKinds)[number];
+
+/** What a seed plays: single faults with some series among them, or one series alone. */
+export type PlanKind = 'mixed' | SeriesKind;
+export const planKinds: readonly PlanKind[] = ['mixed', ...seriesKinds];
+
+/** Separates the random numbers of the series from those of the other faults of a seed. */
+const seriesSeedOffset = 2_000_000;
+/** Series of a mixed plan. */
+const mixedSeriesCount = 2;
+/** Longest run time of a task: longer than the grace period of a planned stop, in milliseconds. */
+const longestTaskMs = 7_000;
+/** How long the caller of a job of such tasks waits, in milliseconds. */
+const longDeadlineMs = 20_000;
+const shortDeadlineMs = 1_500;
+/** Time between two small jobs beside a kill, and for how long they come, in milliseconds. */
+const smallJobPeriodMs = 150;
+const smallJobsMs = 3_200;
+
+/** Random numbers and the sizes of the fleet. */
+interface SeriesContext {
+  readonly daemons: number;
+  readonly workers: number;
+  readonly windowMs: number;
+  /** Returns a number from `min` to `max`. */
+  readonly between: (min: number, max: number) => number;
+  /** Returns an integer from 0 to `count` - 1. */
+  readonly randomInt: (count: number) => number;
+}
+
+/** Plans the faults of a seed by the kind of its plan, in the order of their start times. */
+export const planSeed = (kind: PlanKind, options: FaultPlanOptions): PlannedFault[] => {
+  const random = SeededRandom.create(options.seed + seriesSeedOffset);
+  const context: SeriesContext = {
+    daemons: options.daemons,
+    workers: options.workers,
+    windowMs: options.faultWindowMs,
+    between: (min, max) => Math.round(min + random.next() * (max - min)),
+    randomInt: (count) => Math.floor(random.next() * count),
+  };
+  if (kind !== 'mixed') {
+    return sortByTime(planSeries(kind, context));
+  }
+  const kinds = Array.from({ length: mixedSeriesCount }, () =>
+    pickOne(seriesKinds, context.randomInt),
+  );
+  const series = kinds.flatMap((one) => planSeries(one, context));
+  return sortByTime([...planFaults(options), ...series]);
+};
+
+const sortByTime = (planned: readonly PlannedFault[]): PlannedFault[] =>
+  [...planned].sort((a, b) => a.atMs - b.atMs);
+
+const planSeries = (kind: SeriesKind, context: SeriesContext): PlannedFault[] => {
+  switch (kind) {
+    case 'cuts':
+      return [...planLongJobs(context), ...repeat(context, 1_200, 1_700, planCut)];
+    case 'worker-crashes':
+      return repeat(context, 1_200, 2_400, planWorkerCrash);
+    case 'planned-stops':
+      return [...planLongJobs(context), ...repeat(context, 7_000, 8_000, planStop)];
+    case 'kills':
+      return repeat(context, 6_000, 7_500, planKills);
+    case 'pauses':
+      return repeat(context, 2_000, 4_000, planPause);
+    case 'odd-entries':
+      return [...planLongJobs(context), ...repeat(context, 300, 900, planOddEntry)];
+    default:
+      return unreachable(kind);
+  }
+};
+
+/** Plans one member of a series after the other, with a random time between two of them. */
+const repeat = (
+  context: SeriesContext,
+  minGapMs: number,
+  maxGapMs: number,
+  plan: (atMs: number, context: SeriesContext) => PlannedFault[],
+): PlannedFault[] => {
+  const planned: PlannedFault[] = [];
+  let atMs = context.between(0, 1_000);
+  while (atMs < context.windowMs) {
+    planned.push(...plan(atMs, context));
+    atMs += context.between(minGapMs, maxGapMs);
+  }
+  return planned;
+};
+
+/** Jobs of long tasks, which meet several faults. */
+const planLongJobs = (context: SeriesContext): PlannedFault[] =>
+  repeat(context, 1_500, 3_000, (atMs, { between, randomInt, daemons }) => [
+    requestAt(atMs, context, randomInt(daemons), {
+      tasks: between(1, 3),
+      runMs: between(longestTaskMs / 3, longestTaskMs),
+      deadlineMs: longDeadlineMs,
+    }),
+  ]);
+
+const planCut = (atMs: number, { between, randomInt, workers }: SeriesContext): PlannedFault[] => {
+  const index = randomInt(workers);
+  const durationMs = between(1_200, 2_200);
+  const link = (fault: LinkFault): Fault => {
+    return { kind: 'link', place: 'worker', index, fault, durationMs };
+  };
+  const faults: readonly Fault[] = [
+    link({ kind: 'silent' }),
+    link({ kind: 'resetting' }),
+    link({ kind: 'refused' }),
+    { kind: 'worker', index, fault: { kind: 'cut' }, durationMs },
+  ];
+  return [{ atMs, fault: pickOne(faults, randomInt) }];
+};
+
+/** A crash, and a job that comes soon after the worker is back. */
+const planWorkerCrash = (atMs: number, context: SeriesContext): PlannedFault[] => {
+  const { between, randomInt, workers, daemons } = context;
+  const durationMs = between(300, 1_200);
+  const index = randomInt(workers);
+  const backAtMs = atMs + durationMs;
+  const jobs = Array.from({ length: daemons }, (_, daemon) =>
+    requestAt(backAtMs + between(50, 400), context, daemon, {
+      tasks: between(2, 5),
+      runMs: between(300, 900),
+      deadlineMs: shortDeadlineMs,
+    }),
+  );
+  return [{ atMs, fault: { kind: 'worker-crash', index, durationMs } }, ...jobs];
+};
+
+/** A planned stop just after the other daemons of the failure domain got jobs of the longest tasks. */
+const planStop = (atMs: number, context: SeriesContext): PlannedFault[] => {
+  const { between, randomInt, daemons } = context;
+  const daemon = randomInt(daemons);
+  const job = requestAt(atMs, context, neighbourOf(daemon, context), {
+    tasks: between(4, 8),
+    runMs: longestTaskMs,
+    deadlineMs: longDeadlineMs,
+  });
+  return [job, { atMs: atMs + between(200, 1_200), fault: { kind: 'planned-stop', daemon } }];
+};
+
+/** A daemon that is killed with a job at work, while small jobs go on at one beside it. */
+const planKills = (atMs: number, context: SeriesContext): PlannedFault[] => {
+  const { between, randomInt, daemons } = context;
+  const daemon = randomInt(daemons);
+  const neighbour = neighbourOf(daemon, context);
+  const tasks = between(3, 8);
+  const smallJobs = Array.from({ length: smallJobsMs / smallJobPeriodMs }, (_, index) =>
+    requestAt(atMs + index * smallJobPeriodMs, context, neighbour, {
+      tasks,
+      runMs: 60,
+      deadlineMs: shortDeadlineMs,
+    }),
+  );
+  const job = requestAt(atMs + 800, context, daemon, {
+    tasks: between(4, 8),
+    runMs: 2_200,
+    estimatedMs: 1_300,
+    deadlineMs: shortDeadlineMs,
+  });
+  const kill: Fault = { kind: 'kill-again', daemon, kills: between(1, 4) };
+  return [...smallJobs, job, { atMs: atMs + 1_000, fault: kill }];
+};
+
+/** A pause during which jobs come, whose callers leave. */
+const planPause = (atMs: number, context: SeriesContext): PlannedFault[] => {
+  const { between, randomInt, daemons } = context;
+  const daemon = randomInt(daemons);
+  const durationMs = between(2_000, 4_000);
+  const jobs = Array.from({ length: 2 }, () =>
+    requestAt(atMs + between(50, durationMs / 2), context, daemon, {
+      tasks: between(2, 4),
+      runMs: between(600, 1_400),
+      deadlineMs: shortDeadlineMs,
+    }),
+  );
+  return [{ atMs, fault: { kind: 'pause', daemon, durationMs } }, ...jobs];
+};
+
+const planOddEntry = (atMs: number, context: SeriesContext): PlannedFault[] => {
+  const { between, randomInt, workers } = context;
+  const entry = pickOne<OddEntry>(
+    ['port', 'octet', 'number', 'nesting', 'without-born', 'other-service', 'bytes'],
+    randomInt,
+  );
+  const index = randomInt(workers);
+  const isOwnKey = entry !== 'without-born' && randomInt(2) === 0;
+  const durationMs = between(300, 1_500);
+  return [{ atMs, fault: { kind: 'odd-entry', entry, index, isOwnKey, durationMs } }];
+};
+
+/** A job for a daemon; its second attempt goes to the other failure domain. */
+const requestAt = (
+  atMs: number,
+  context: SeriesContext,
+  daemon: number,
+  job: Omit<PlannedRequest, 'daemon' | 'nextDaemon' | 'estimatedMs'> & { estimatedMs?: number },
+): PlannedFault => {
+  const nextDaemon = (daemon + Math.floor(context.daemons / 2)) % context.daemons;
+  const request = { estimatedMs: job.runMs, ...job, daemon, nextDaemon };
+  return { atMs, fault: { kind: 'request', request } };
+};
+
+/** @returns another daemon of the same failure domain, which is one half of the daemons */
+const neighbourOf = (daemon: number, { daemons, randomInt }: SeriesContext): number => {
+  const half = Math.floor(daemons / 2);
+  const first = daemon < half ? 0 : half;
+  const size = daemon < half ? half : daemons - half;
+  return first + ((daemon - first + 1 + randomInt(size - 1)) % size);
+};
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -8,8 +8,23 @@
 /** A link with a proxy: callers to a daemon, a daemon to the store, or daemons to a worker. */
 export type LinkPlace = 'callers' | 'store' | 'worker';
 
+/** A job of a caller that leaves at its deadline and sends the job again, once. */
+export interface PlannedRequest {
+  readonly daemon: number;
+  /** Position of the daemon that gets the second attempt. */
+  readonly nextDaemon: number;
+  readonly tasks: number;
+  readonly runMs: number;
+  readonly estimatedMs: number;
+  readonly deadlineMs: number;
+}
+
+/** An entry among those of the workers that names no worker to use. */
+export type OddEntry =
+  'port' | 'octet' | 'number' | 'nesting' | 'without-born' | 'other-service' | 'bytes';
+
 /**
- * A fault. `daemon` and `index` are positions in the lists of the fleet; `durationMs` is the time until the
+ * A fault, or a request that is to meet one. `daemon` and `index` are positions in the lists of the fleet; `durationMs` is the time until the
  * fault is healed.
  */
 export type Fault =
@@ -34,7 +49,20 @@
       readonly fault: WorkerFault;
       readonly durationMs: number;
     }
-  | { readonly kind: 'routes'; readonly count: number };
+  | { readonly kind: 'routes'; readonly count: number }
+  /** The process is killed this many times, each time before it answers. */
+  | { readonly kind: 'kill-again'; readonly daemon: number; readonly kills: number }
+  /** The worker starts again under its id. */
+  | { readonly kind: 'worker-crash'; readonly index: number; readonly durationMs: number }
+  /** The entry replaces that of a live worker, or has a key of its own. */
+  | {
+      readonly kind: 'odd-entry';
+      readonly entry: OddEntry;
+      readonly index: number;
+      readonly isOwnKey: boolean;
+      readonly durationMs: number;
+    }
+  | { readonly kind: 'request'; readonly request: PlannedRequest };
 
 /** A fault with its start time, in milliseconds after the fault injection begins. */
 export interface PlannedFault {
@@ -170,7 +198,8 @@
     randomInt,
   );
 
-const pickOne = <T>(items: readonly T[], randomInt: (count: number) => number): T => {
+/** Picks an item of a list at random. */
+export const pickOne = <T>(items: readonly T[], randomInt: (count: number) => number): T => {
   const item = items[randomInt(items.length)];
   if (item === undefined) {
     throw new Error('Cannot pick from an empty list.');
--- a/soak/faultyProxy.ts
+++ b/soak/faultyProxy.ts
@@ -1,6 +1,6 @@
 /**
- * A TCP proxy on the loopback interface that can delay, reset or block its connections, in one
- * direction or both. Blocked bytes arrive when the fault is healed, as if TCP retransmitted them.
+ * A TCP proxy on the loopback interface that can delay, reset, refuse or block its connections, the last in
+ * one direction or both. Blocked bytes arrive when the fault is healed, as if TCP retransmitted them.
  */
 import { connect, createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
@@ -9,8 +9,6 @@
 import { createDeferred } from '../src/utils/deferred.js';
 import type { Deferred } from '../src/utils/deferred.js';
 
-const host = '127.0.0.1';
-
 /** A fault of every connection of the proxy. */
 export type LinkFault =
   | { readonly kind: 'none' }
@@ -20,7 +18,11 @@
   /** Requests arrive; answers are blocked. */
   | { readonly kind: 'cut-answers' }
   /** Both directions are blocked; connections stay open. */
-  | { readonly kind: 'silent' };
+  | { readonly kind: 'silent' }
+  /** Connections are reset as soon as they are open. */
+  | { readonly kind: 'resetting' }
+  /** Open connections are reset, and nothing listens. */
+  | { readonly kind: 'refused' };
 
 type Direction = 'requests' | 'answers';
 
@@ -31,8 +33,12 @@
   /** Open sockets of both sides. */
   private readonly sockets = new Set<Socket>();
 
+  /** Port that the proxy listens on, the same after each fault. */
+  private port = 0;
+
   private constructor(
     private readonly server: Server,
+    private readonly host: string,
     private readonly target: () => string,
   ) {
     server.on('connection', (client) => this.forwardConnection(client));
@@ -41,23 +47,33 @@
   /**
    * Starts a proxy on a free port.
    *
+   * @param host - a loopback address
    * @param target - returns the IP address and port that a new connection is forwarded to
    */
-  static async create(target: () => string): Promise<FaultyProxy> {
+  static async create(host: string, target: () => string): Promise<FaultyProxy> {
     const server = createServer({ allowHalfOpen: true });
-    const proxy = new FaultyProxy(server, target);
+    const proxy = new FaultyProxy(server, host, target);
     await new Promise<void>((resolve) => server.listen(0, host, resolve));
+    proxy.port = (server.address() as AddressInfo).port;
     return proxy;
   }
 
   /** @returns IP address and port of the proxy */
   get address(): string {
-    return `${host}:${(this.server.address() as AddressInfo).port}`;
+    return `${this.host}:${this.port}`;
   }
 
   /** Replaces the fault, also for open connections. */
   setFault(fault: LinkFault): void {
     this.fault = fault;
+    if (fault.kind === 'resetting' || fault.kind === 'refused') {
+      this.resetConnections();
+    }
+    if (fault.kind === 'refused') {
+      this.server.close();
+    } else if (!this.server.listening) {
+      this.server.listen(this.port, this.host);
+    }
     this.faultChanged.resolve();
     this.faultChanged = createDeferred();
   }
@@ -74,6 +90,10 @@
   }
 
   private forwardConnection(client: Socket): void {
+    if (this.fault.kind === 'resetting') {
+      client.resetAndDestroy();
+      return;
+    }
     const [targetHost, port] = this.target().split(':');
     const upstream = connect({ host: targetHost, port: Number(port), allowHalfOpen: true });
     void this.pump(client, upstream, 'requests');
@@ -115,6 +135,8 @@
   switch (fault.kind) {
     case 'none':
     case 'delayed':
+    case 'resetting':
+    case 'refused':
       return false;
     case 'cut-requests':
       return direction === 'requests';
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -6,8 +6,10 @@
 import { resolve } from 'node:path';
 import { parseArgs } from 'node:util';
 import { daemonProgram } from '../standins/platform/daemonChild.js';
+import { planKinds } from './faultSeries.js';
 import { runSeed } from './runSeed.js';
 import { parseSeeds } from './seedRange.js';
+import type { PlanKind } from './faultSeries.js';
 import type { SeedReport } from './runSeed.js';
 
 const invalidExitCode = 2;
@@ -20,6 +22,13 @@
     seconds: { type: 'string', default: '12' },
     /** Seeds that run at the same time. */
     jobs: { type: 'string', default: '3' },
+    /** `mixed`, or a kind of series that is played alone. */
+    plan: { type: 'string', default: 'mixed' },
+    /** Numbers of daemons and workers. */
+    daemons: { type: 'string', default: '4' },
+    workers: { type: 'string', default: '6' },
+    /** Folder for the logs. */
+    out: { type: 'string', default: 'soak/out' },
   },
 });
 
@@ -32,17 +41,15 @@
 };
 
 /** Runs the remaining seeds one after the other; several calls share the list of seeds. */
-const runSeeds = async (
-  seeds: number[],
-  networkIndex: number,
-  reports: SeedReport[],
-): Promise<void> => {
+const runSeeds = async (seeds: number[], plan: PlanKind, reports: SeedReport[]): Promise<void> => {
   for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
     const report = await runSeed({
       seed,
-      networkIndex,
+      plan,
+      daemons: Number(values.daemons),
+      workers: Number(values.workers),
       faultWindowMs: Number(values.seconds) * 1_000,
-      folder: resolve(root, 'soak/out'),
+      folder: resolve(root, values.out),
       program: daemonProgram(root),
     });
     printReport(report);
@@ -51,19 +58,19 @@
 };
 
 const parsedSeeds = parseSeeds(values.seeds);
-const areNumbersValid = [values.seconds, values.jobs].every((text) => Number(text) > 0);
-if (parsedSeeds.isErr() || !areNumbersValid) {
-  const fault = parsedSeeds.isErr() ? parsedSeeds.error : '--seconds and --jobs must be above 0.';
+const { seconds, jobs, daemons, workers } = values;
+const areNumbersValid = [seconds, jobs, daemons, workers].every((text) => Number(text) > 0);
+const plan = planKinds.find((kind) => kind === values.plan);
+if (parsedSeeds.isErr() || !areNumbersValid || plan === undefined) {
+  const fault = parsedSeeds.isErr()
+    ? parsedSeeds.error
+    : `The numbers must be above 0, and --plan one of ${planKinds.join(', ')}.`;
   process.stderr.write(`${fault}\n`);
   process.exit(invalidExitCode);
 }
 const seeds = parsedSeeds.value;
 const reports: SeedReport[] = [];
-await Promise.all(
-  Array.from({ length: Number(values.jobs) }, (_, networkIndex) =>
-    runSeeds(seeds, networkIndex, reports),
-  ),
-);
+await Promise.all(Array.from({ length: Number(jobs) }, () => runSeeds(seeds, plan, reports)));
 const failedReports = reports.filter((report) => report.broken.length > 0);
 process.stdout.write(`${reports.length} seeds, ${failedReports.length} with a broken promise\n`);
 process.exitCode = failedReports.length === 0 ? 0 : 1;
--- a/soak/reload.spec.ts
+++ b/soak/reload.spec.ts
@@ -11,15 +11,13 @@
 import { SoakFleet } from './soakFleet.js';
 
 const root = resolve(import.meta.dirname, '..');
-/** Loopback network of this fleet, above those of the soak test. */
-const networkIndex = 90;
 const startMs = 3_000;
 
 test('a daemon of the platform lives through SIGHUP at any time, and applies what it can', async () => {
   await promisify(execFile)('npm', ['run', '-s', 'build:platform'], { cwd: root });
   const folder = mkdtempSync(join(tmpdir(), 'toucandyke-reload-'));
   const program = daemonProgram(root);
-  const fleet = await SoakFleet.create({ networkIndex, folder, program });
+  const fleet = await SoakFleet.create({ folder, program });
   const [daemon] = fleet.daemons;
   assert.ok(daemon);
   const { child } = daemon;
@@ -27,7 +25,7 @@
   await sleep(250);
   child.reload();
   await sleep(startMs);
-  const callers = SoakCallers.create(fleet, 1);
+  const callers = SoakCallers.create(fleet, 1, 0);
   const running = callers.send(0, callers.createJob(4, 700));
   for (let signal = 0; signal < 5; signal += 1) {
     child.reload();
--- a/soak/runSeed.ts
+++ b/soak/runSeed.ts
@@ -7,8 +7,10 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { routePrefix } from '../standins/platform/routes.js';
 import { findViolations, isCompleted } from './checks.js';
-import { planFaults } from './faults.js';
+import { checkCancellations } from './checkCancellations.js';
 import { FaultInjector } from './faultInjector.js';
+import { planSeed } from './faultSeries.js';
+import type { PlanKind } from './faultSeries.js';
 import { SoakCallers } from './soakCallers.js';
 import { SoakFleet } from './soakFleet.js';
 
@@ -17,8 +19,9 @@
 /** Time within which every daemon applies a routing configuration, in milliseconds. */
 const maxPropagationMs = 3_000;
 const pollMs = 100;
-/** Time for task runs that continue after the callers have their answers, in milliseconds. */
-const trailingRunsMs = 1_500;
+/** Longest pause of a caller between two jobs in milliseconds, beside single faults and beside a series alone. */
+const mixedPauseMs = 150;
+const seriesPauseMs = 1_500;
 /** Number of routes of the configuration that checks the recovery. */
 const finalRouteCount = 60;
 
@@ -26,8 +29,10 @@
   readonly seed: number;
   /** Time within which faults begin, in milliseconds. */
   readonly faultWindowMs: number;
-  /** Loopback network of the fleet; differs between seeds that run at the same time. */
-  readonly networkIndex: number;
+  readonly plan: PlanKind;
+  /** Numbers of daemons and workers; by default, those of the fleet. */
+  readonly daemons?: number | undefined;
+  readonly workers?: number | undefined;
   /** Folder for the logs, which are kept, in a subfolder for each seed. */
   readonly folder: string;
   /** Path of the built program. */
@@ -46,11 +51,12 @@
 
 /** Runs one seed with a fleet of its own, and writes its faults and requests as JSON beside the logs. */
 export const runSeed = async (options: SeedOptions): Promise<SeedReport> => {
-  const { seed, faultWindowMs, networkIndex, program } = options;
-  const folder = join(options.folder, `seed-${seed}`);
+  const { seed, plan, faultWindowMs, program, daemons, workers } = options;
+  const folder = join(options.folder, `${plan}-${seed}`);
   mkdirSync(folder, { recursive: true });
-  const fleet = await SoakFleet.create({ networkIndex, folder, program });
-  const callers = SoakCallers.create(fleet, seed);
+  const fleet = await SoakFleet.create({ folder, program, daemons, workers });
+  const maxPauseMs = plan === 'mixed' ? mixedPauseMs : seriesPauseMs;
+  const callers = SoakCallers.create(fleet, seed, maxPauseMs);
   try {
     if (!(await waitUntilServing(fleet, callers))) {
       return {
@@ -61,7 +67,7 @@
       };
     }
     callers.clearAttempts();
-    const planned = planFaults({
+    const planned = planSeed(plan, {
       seed,
       daemons: fleet.daemons.length,
       workers: fleet.workers.length,
@@ -69,7 +75,7 @@
     });
     writeFileSync(join(folder, 'faults.json'), JSON.stringify(planned, undefined, 1));
     callers.start();
-    const injector = FaultInjector.create(fleet);
+    const injector = FaultInjector.create(fleet, callers);
     await injector.run(planned);
     await callers.finish();
     const recoveryViolations = await checkRecovery(fleet, callers);
@@ -78,7 +84,10 @@
       ...injector.failedStops.map((vmId) => `${vmId} did not stop cleanly in time.`),
       ...recoveryViolations,
     ];
-    writeFileSync(join(folder, 'requests.json'), JSON.stringify(callers.attempts, undefined, 1));
+    const json = (value: unknown): string => JSON.stringify(value, undefined, 1);
+    writeFileSync(join(folder, 'requests.json'), json(callers.attempts));
+    writeFileSync(join(folder, 'runs.json'), json(fleet.starts()));
+    writeFileSync(join(folder, 'broken.json'), json(broken));
     const { attempts } = callers;
     const completed = attempts.filter(isCompleted).length;
     return { seed, requests: attempts.length, completed, broken };
@@ -108,10 +117,10 @@
   const routeChecks = await Promise.all(
     fleet.daemons.map((_, daemon) => callers.hasRoute(daemon, prefix)),
   );
-  await sleep(trailingRunsMs);
-  return routeChecks.flatMap((hasRoute, daemon) =>
+  const routeViolations = routeChecks.flatMap((hasRoute, daemon) =>
     hasRoute === true ? [] : [`Daemon ${daemon} did not apply the new configuration.`],
   );
+  return [...routeViolations, ...(await checkCancellations(fleet, callers))];
 };
 
 /**
--- a/soak/soak.spec.ts
+++ b/soak/soak.spec.ts
@@ -6,13 +6,15 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { planFaults } from './faults.js';
+import { planKinds, planSeed } from './faultSeries.js';
 import { regressionSeeds } from './regressionSeeds.js';
 import { daemonProgram } from '../standins/platform/daemonChild.js';
 import { runSeed } from './runSeed.js';
+import type { SeedReport } from './runSeed.js';
 
 const root = resolve(import.meta.dirname, '..');
-/** First loopback network of these fleets; a manual soak that runs at the same time uses lower ones. */
-const firstNetworkIndex = 30;
+/** Seeds that run at the same time. */
+const jobs = 3;
 
 test('planFaults returns the same faults for the same seed', () => {
   const options = { seed: 7, daemons: 4, workers: 6, faultWindowMs: 10_000 };
@@ -20,20 +22,29 @@
   assert.not.equal(planFaults(options), planFaults({ ...options, seed: 8 }));
 });
 
+test('a mixed plan has the single faults of its seed, and each plan repeats', () => {
+  const options = { seed: 7, daemons: 4, workers: 6, faultWindowMs: 10_000 };
+  const mixed = planSeed('mixed', options).map((planned) => JSON.stringify(planned));
+  for (const planned of planFaults(options)) {
+    assert.ok(mixed.includes(JSON.stringify(planned)));
+  }
+  for (const kind of planKinds) {
+    assert.equal(planSeed(kind, options), planSeed(kind, options));
+    assert.ok(planSeed(kind, options).length > 0);
+  }
+});
+
 test('seeds that failed before violate no guarantee', async () => {
   await promisify(execFile)('npm', ['run', '-s', 'build:platform'], { cwd: root });
   const folder = mkdtempSync(join(tmpdir(), 'toucandyke-soak-'));
-  const reports = await Promise.all(
-    regressionSeeds.map(({ seed, faultWindowMs }, index) =>
-      runSeed({
-        seed,
-        faultWindowMs,
-        networkIndex: firstNetworkIndex + index,
-        folder,
-        program: daemonProgram(root),
-      }),
-    ),
-  );
+  const reports: SeedReport[] = [];
+  const remaining = [...regressionSeeds];
+  const runRemaining = async (): Promise<void> => {
+    for (let next = remaining.shift(); next !== undefined; next = remaining.shift()) {
+      reports.push(await runSeed({ ...next, folder, program: daemonProgram(root) }));
+    }
+  };
+  await Promise.all(Array.from({ length: jobs }, runRemaining));
   for (const { seed, broken, completed } of reports) {
     assert.equal(broken, [], `seed ${seed}, logs in ${folder}`);
     assert.ok(completed > 0);
--- a/soak/soakCallers.ts
+++ b/soak/soakCallers.ts
@@ -6,23 +6,27 @@
 import { Pool } from 'undici';
 import { SeededRandom } from '../src/testing/seededRandom.js';
 import { fixtureHost, fixturePrefix } from '../standins/platform/routes.js';
+import type { PlannedRequest } from './faults.js';
 import type { SoakFleet } from './soakFleet.js';
 
 const callerCount = 4;
+/** Most connections to a daemon, so that no request waits for the answer of another one. */
+const maxConnections = 64;
 /** Time between an attempt without an answer and the next one, in milliseconds. */
 const resendDelayMs = 1_300;
-/** Most requests that are sent for one job. */
-const maxAttempts = 2;
 /** Time after the deadline of a request until it counts as unanswered, in milliseconds. */
 const answerGraceMs = 1_500;
 /** CPU that a task requests, in thousandths of a core. */
 const taskCpuMillis = 14_000;
-/** Longest pause of a caller between two jobs, in milliseconds. */
-const maxPauseMs = 150;
+/** Statuses after which a job is sent again, as after a broken connection. */
+const resendStatuses: readonly number[] = [502, 504];
 
 /** One in this many jobs of the callers has a task that crashes its workers. */
 const crashingJobPeriod = 25;
 
+/** How long a caller waits for an answer: to its deadline, or past it so that a late answer is seen. */
+export type Patience = 'to-deadline' | 'past-deadline';
+
 /** A job of `tasks` equal tasks, each of which runs for `runMs`. */
 export interface SoakJob {
   readonly jobId: string;
@@ -30,6 +34,10 @@
   readonly crashesWorkers: boolean;
   readonly tasks: number;
   readonly runMs: number;
+  /** Run time that the caller declares. */
+  readonly estimatedMs: number;
+  readonly deadlineMs: number;
+  readonly patience: Patience;
 }
 
 /** How one request ended. */
@@ -38,7 +46,9 @@
   /** The connection broke. */
   | { readonly kind: 'broken'; readonly code: string }
   /** No answer until the grace period after the deadline had passed. */
-  | { readonly kind: 'unanswered' };
+  | { readonly kind: 'unanswered' }
+  /** The caller left at its deadline. */
+  | { readonly kind: 'left' };
 
 /** One request for a job. */
 export interface Attempt {
@@ -65,14 +75,20 @@
   private constructor(
     private readonly fleet: SoakFleet,
     private readonly seed: number,
+    private readonly maxPauseMs: number,
   ) {
     this.pools = fleet.daemons.map(
-      ({ callers }) => new Pool(`http://${callers.address}`, { connections: callerCount }),
+      ({ callers }) => new Pool(`http://${callers.address}`, { connections: maxConnections }),
     );
   }
 
-  static create(fleet: SoakFleet, seed: number): SoakCallers {
-    return new SoakCallers(fleet, seed);
+  /**
+   * Creates callers that have not started.
+   *
+   * @param maxPauseMs - longest pause of a caller between two jobs
+   */
+  static create(fleet: SoakFleet, seed: number, maxPauseMs: number): SoakCallers {
+    return new SoakCallers(fleet, seed, maxPauseMs);
   }
 
   /** Starts the callers. */
@@ -110,7 +126,40 @@
   createJob(tasks: number, runMs: number): SoakJob {
     this.jobCount += 1;
     const jobId = `${this.seed.toString(16)}f${this.jobCount.toString(16).padStart(6, '0')}`;
-    return { jobId: jobId.padStart(16, '0'), tasks, runMs, crashesWorkers: false };
+    return {
+      jobId: jobId.padStart(16, '0'),
+      tasks,
+      runMs,
+      crashesWorkers: false,
+      estimatedMs: runMs,
+      deadlineMs: Math.round(1_500 + 3 * (1.6 * runMs + 60)),
+      patience: 'past-deadline',
+    };
+  }
+
+  /** Sends a planned job, whose caller leaves at its deadline and goes to another daemon. */
+  async sendPlanned({ daemon, nextDaemon, ...fields }: PlannedRequest): Promise<void> {
+    const created = this.createJob(fields.tasks, fields.runMs);
+    await this.sendWithRetry({ ...created, ...fields, patience: 'to-deadline' }, [
+      daemon,
+      nextDaemon,
+    ]);
+  }
+
+  /** Cancels a job; returns the status of the answer, or undefined without one. */
+  async cancel(daemon: number, { jobId }: SoakJob): Promise<number | undefined> {
+    try {
+      const response = await this.poolOf(daemon).request({
+        method: 'DELETE',
+        path: `${fixturePrefix}${jobId}`,
+        headers: { host: fixtureHost },
+        signal: AbortSignal.timeout(answerGraceMs),
+      });
+      await response.body.dump();
+      return response.statusCode;
+    } catch {
+      return undefined;
+    }
   }
 
   /**
@@ -121,7 +170,7 @@
   async hasRoute(daemon: number, prefix: string): Promise<boolean | undefined> {
     const { jobId } = this.createJob(1, 1);
     const body = { taskSpec: '{}', steps: [{ count: 1 }], bestEffort: false };
-    const end = await this.post(daemon, `${prefix}${jobId}`, body, answerGraceMs);
+    const end = await this.post(daemon, `${prefix}${jobId}`, body, answerGraceMs, 'past-deadline');
     return end.kind === 'answered' ? end.status !== 404 : undefined;
   }
 
@@ -132,42 +181,42 @@
       const tasks = 1 + Math.floor(random.next() * 6);
       const created = this.createJob(tasks, Math.round(20 + random.next() ** 2 * 700));
       const job = { ...created, crashesWorkers: this.jobCount % crashingJobPeriod === 0 };
-      await this.sendWithRetry(job, Math.floor(random.next() * this.pools.length));
-      await sleep(random.next() * maxPauseMs);
+      const daemon = Math.floor(random.next() * this.pools.length);
+      await this.sendWithRetry(job, [daemon, (daemon + 1) % this.pools.length]);
+      await sleep(random.next() * this.maxPauseMs);
     }
   }
 
-  /** Sends a job until it is answered, each time to the next daemon. */
-  private async sendWithRetry(job: SoakJob, firstDaemon: number): Promise<void> {
-    for (let number = 1; number <= maxAttempts; number += 1) {
-      const { end } = await this.send((firstDaemon + number - 1) % this.pools.length, job, number);
-      if (end.kind === 'answered') {
+  /** Sends a job to one daemon after the other until it is answered with an end or a refusal. */
+  private async sendWithRetry(job: SoakJob, daemons: readonly number[]): Promise<void> {
+    for (const [index, daemon] of daemons.entries()) {
+      const { end } = await this.send(daemon, job, index + 1);
+      if (end.kind === 'answered' && !resendStatuses.includes(end.status)) {
         return;
       }
       await sleep(resendDelayMs);
     }
   }
 
-  private request(
-    daemon: number,
-    { jobId, tasks, runMs, crashesWorkers }: SoakJob,
-  ): Promise<AttemptEnd> {
+  private request(daemon: number, job: SoakJob): Promise<AttemptEnd> {
+    const { jobId, tasks, runMs, estimatedMs, crashesWorkers, deadlineMs, patience } = job;
     const crashing = crashesWorkers ? { crashingTask: `${jobId}.0.0.0` } : {};
     const taskSpec = JSON.stringify({ runMs, cpu: taskCpuMillis, ...crashing });
-    const steps = [{ count: tasks, cpu: taskCpuMillis, memMb: 64, estimatedMs: runMs }];
-    const deadlineMs = Math.round(1_500 + 3 * (1.6 * runMs + 60));
+    const steps = [{ count: tasks, cpu: taskCpuMillis, memMb: 64, estimatedMs }];
     const body = { taskSpec, steps, bestEffort: true };
-    return this.post(daemon, `${fixturePrefix}${jobId}`, body, deadlineMs);
+    return this.post(daemon, `${fixturePrefix}${jobId}`, body, deadlineMs, patience);
   }
 
-  /** Posts a body to a daemon; a request without an answer is aborted after the grace period. */
+  /** Posts a body to a daemon; a request without an answer is aborted when the caller's patience ends. */
   private async post(
     daemon: number,
     path: string,
     body: unknown,
     deadlineMs: number,
+    patience: Patience,
   ): Promise<AttemptEnd> {
-    const signal = AbortSignal.timeout(deadlineMs + answerGraceMs);
+    const graceMs = patience === 'to-deadline' ? 0 : answerGraceMs;
+    const signal = AbortSignal.timeout(deadlineMs + graceMs);
     try {
       const response = await this.poolOf(daemon).request({
         method: 'POST',
@@ -183,7 +232,10 @@
       const answer = (await response.body.json()) as { readonly state?: string };
       return { kind: 'answered', status: response.statusCode, state: answer.state };
     } catch (error) {
-      return signal.aborted ? { kind: 'unanswered' } : { kind: 'broken', code: String(error) };
+      if (!signal.aborted) {
+        return { kind: 'broken', code: String(error) };
+      }
+      return { kind: patience === 'to-deadline' ? 'left' : 'unanswered' };
     }
   }
 
--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -10,14 +10,24 @@
 import { DaemonChild } from '../standins/platform/daemonChild.js';
 import { FaultyProxy } from './faultyProxy.js';
 import { DisruptionLog } from './disruptionLog.js';
+import { LoopbackNetwork } from './loopbackNetwork.js';
+import type { OddEntry } from './faults.js';
+import { composeOddEntry } from './oddEntries.js';
 
 const zones = ['east', 'west'];
-const daemonZones = ['east', 'east', 'west', 'west'];
-const workerZones = ['east', 'east', 'east', 'west', 'west', 'west'];
+/** Numbers of daemons and workers unless an option says otherwise. */
+const defaultDaemonCount = 4;
+const defaultWorkerCount = 6;
 /** Capacity of a worker, in thousandths of a core. */
 const workerCpuMillis = 32_000;
-/** Second byte of the loopback addresses of the fleet with network index 0. */
-const networkBase = 20;
+/** Clock rates and times of a stop in milliseconds that the workers have in turn. */
+const clockRates = [1, 1, 0.98];
+const stopTimesMs = [45, 10, 30, 40];
+/** Third byte of the addresses of the daemons, and of the proxies of the workers. */
+const daemonGroup = 0;
+const proxyGroup = 1;
+/** Address of the proxies that always listen. */
+const proxyHost = '127.0.0.1';
 
 /** A daemon with its proxies. */
 export interface SoakDaemon {
@@ -36,8 +46,10 @@
 }
 
 export interface SoakFleetOptions {
-  /** Loopback network of the daemons; differs between fleets that run at the same time. */
-  readonly networkIndex: number;
+  /** Number of daemons, the first half in one failure domain. */
+  readonly daemons?: number | undefined;
+  /** Number of workers, the first half in one failure domain. */
+  readonly workers?: number | undefined;
   /** Folder for the settings and logs of the daemons. */
   readonly folder: string;
   /** Path of the built program. */
@@ -55,18 +67,21 @@
 
   private constructor(
     readonly store: StoreStandIn,
+    private readonly network: LoopbackNetwork,
     private readonly options: SoakFleetOptions,
   ) {}
 
   /** Starts the store, the workers and the daemons, with a configuration of one route. */
   static async create(options: SoakFleetOptions): Promise<SoakFleet> {
-    const fleet = new SoakFleet(await StoreStandIn.create(shardCount), options);
+    const { daemons = defaultDaemonCount, workers = defaultWorkerCount } = options;
+    const network = await LoopbackNetwork.reserve();
+    const fleet = new SoakFleet(await StoreStandIn.create(shardCount), network, options);
     fleet.publishRoutes(1);
-    for (const [index, zone] of workerZones.entries()) {
-      await fleet.addWorker(`i-${index}`, zone);
+    for (let index = 0; index < workers; index += 1) {
+      await fleet.addWorker(index, zoneAt(index, workers));
     }
-    for (const [index, zone] of daemonZones.entries()) {
-      await fleet.addDaemon(index, zone);
+    for (let index = 0; index < daemons; index += 1) {
+      await fleet.addDaemon(index, zoneAt(index, daemons));
     }
     return fleet;
   }
@@ -84,6 +99,29 @@
     this.store.log(operatorTopic).compact();
   }
 
+  /**
+   * Writes an odd entry, under the key of a live worker or under one that no worker has.
+   *
+   * @returns a function that puts right what the entry has replaced
+   */
+  publishOddEntry(entry: OddEntry, index: number, isOwnKey: boolean): () => void {
+    const soak = this.workers[index];
+    if (soak === undefined) {
+      throw new Error(`The fleet has no worker ${index}.`);
+    }
+    const { worker, proxy } = soak;
+    const log = this.store.log(workerTopic);
+    const key = isOwnKey ? `i-odd-${entry}-${index}` : worker.workerId;
+    log.append(key, composeOddEntry(entry, worker.composeEntry('ready', proxy.address)));
+    return () => {
+      if (isOwnKey) {
+        log.append(key, Buffer.alloc(0));
+      } else if (!worker.isDown) {
+        worker.onRestart();
+      }
+    };
+  }
+
   /** @returns every task run that a worker started */
   starts(): StartRecord[] {
     return this.workers.flatMap(({ worker }) => worker.starts);
@@ -97,17 +135,24 @@
     );
     await Promise.all(this.workers.map(({ worker }) => worker.close()));
     await this.store.close();
+    await this.network.close();
   }
 
-  private async addWorker(workerId: string, zone: string): Promise<void> {
+  private async addWorker(index: number, zone: string): Promise<void> {
+    const workerId = `i-${index}`;
     const worker = await WorkerStandIn.create({
       workerId,
       service: fixtureService,
       zone,
       cpu: workerCpuMillis,
       slowness: 1,
+      clockRate: clockRates[index % clockRates.length] ?? 1,
+      stopMs: stopTimesMs[index % stopTimesMs.length] ?? 0,
     });
-    const proxy = await FaultyProxy.create(() => worker.address);
+    const proxy = await FaultyProxy.create(
+      this.network.address(proxyGroup, index + 1),
+      () => worker.address,
+    );
     this.workers.push({ worker, proxy });
     const register = (): void => {
       this.store.log(workerTopic).append(workerId, worker.composeEntry('ready', proxy.address));
@@ -117,11 +162,12 @@
   }
 
   private async addDaemon(index: number, zone: string): Promise<void> {
-    const { networkIndex, folder, program } = this.options;
-    const store = await FaultyProxy.create(() => this.store.address);
+    const { folder, program } = this.options;
+    const ip = this.network.address(daemonGroup, index + 1);
+    const store = await FaultyProxy.create(proxyHost, () => this.store.address);
     const child = DaemonChild.create({
       vmId: `vm-${index}`,
-      ip: `127.${networkBase + networkIndex}.0.${index + 1}`,
+      ip,
       zone,
       zones,
       storeAddress: store.address,
@@ -130,8 +176,11 @@
       program,
       onCrash: (detail) => this.crashes.push(detail),
     });
-    const callers = await FaultyProxy.create(() => child.callersAddress);
+    const callers = await FaultyProxy.create(proxyHost, () => child.callersAddress);
     this.daemons.push({ child, callers, store });
     await child.start();
   }
 }
+
+/** @returns the failure domain of the daemon or worker at a position */
+const zoneAt = (index: number, count: number): string => zones[index < count / 2 ? 0 : 1] ?? '';
--- a/standins/platform/reportedEnds.ts
+++ b/standins/platform/reportedEnds.ts
@@ -35,13 +35,6 @@
     this.ends = this.ends.filter(({ sequence }) => sequence > lastSeen);
   }
 
-  /** Forgets all ends, and counts from the start again. */
-  reset(): void {
-    this.ends = [];
-    this.lastSequence = 0;
-    this.wakeAll();
-  }
-
   /** Waits until there is an end, `wakeAll` is called, or a time in milliseconds has passed. */
   async waitForEnd(waitMs: number): Promise<void> {
     if (this.ends.length > 0 || waitMs <= 0) {
--- a/standins/platform/routes.ts
+++ b/standins/platform/routes.ts
@@ -7,6 +7,8 @@
 export const fixturePrefix = '/fit/';
 /** Service that all routes lead to. */
 export const fixtureService = 'fit';
+/** Runs of a task that may fail until the task is given up. */
+export const maxTaskAttempts = 3;
 
 /** @returns the path prefix of the route at a position, from 0 */
 export const routePrefix = (index: number): string =>
@@ -27,7 +29,7 @@
     timeoutMs: 1_500,
     targetLatencyMs: 60,
     service: fixtureService,
-    maxAttempts: 3,
+    maxAttempts: maxTaskAttempts,
     stretch: 1.6,
   }));
   const document = {
--- a/standins/platform/standInRun.ts
+++ b/standins/platform/standInRun.ts
@@ -11,7 +11,7 @@
   readonly run: number;
   /** Thousandths of a core. */
   readonly cpu: number;
-  readonly startedAtMs: number;
+  readonly record: StartRecord;
   /** Ends the run. */
   readonly timer: NodeJS.Timeout;
 }
@@ -40,6 +40,8 @@
 /** A start that a worker carried out and how the run ended, recorded for the checks of tests. */
 export interface StartRecord {
   readonly workerId: string;
+  /** Start of the worker's life that carried it out, in Unix milliseconds. */
+  readonly bornMs: number;
   readonly task: string;
   readonly run: number;
   /** Highest fencing token that the worker had received. */
@@ -50,17 +52,44 @@
   outcome: RunOutcome | undefined;
 }
 
-/** @returns tasks of which two runs overlapped in time, on any workers; once for each overlap */
-export const findTasksWithOverlappingRuns = (starts: readonly StartRecord[]): string[] => {
-  const byStart = [...starts].sort((a, b) => a.startedAtMs - b.startedAtMs);
-  const runningUntilMs = new Map<string, number>();
-  const overlapping: string[] = [];
-  for (const { task, startedAtMs, endedAtMs } of byStart) {
-    const untilMs = runningUntilMs.get(task) ?? -Infinity;
-    if (startedAtMs < untilMs) {
-      overlapping.push(task);
-    }
-    runningUntilMs.set(task, Math.max(untilMs, endedAtMs ?? Infinity));
-  }
-  return overlapping;
+/** Two runs of a task that were at work at the same time, on any workers that were up. */
+export interface RunOverlap {
+  readonly first: StartRecord;
+  /** Began while `first` was at work. */
+  readonly second: StartRecord;
+  readonly durationMs: number;
+}
+
+/**
+ * Finds the runs of a task that began while another run of it was at work. A run that is being stopped is
+ * at work until its end; the runs of a crashed worker end with the crash.
+ *
+ * @param starts - every start, in any order
+ * @param nowMs - time until which runs without an end have been at work
+ */
+export const findOverlaps = (
+  starts: readonly StartRecord[],
+  nowMs = performance.now(),
+): RunOverlap[] => {
+  const untilMs = ({ endedAtMs = nowMs }: StartRecord): number => endedAtMs;
+  const byTask = new Map<string, StartRecord[]>();
+  starts.forEach((start) => {
+    byTask.set(start.task, [...(byTask.get(start.task) ?? []), start]);
+  });
+  return [...byTask.values()].flatMap((runs) => {
+    const byStart = [...runs].sort((a, b) => a.startedAtMs - b.startedAtMs);
+    return byStart.flatMap((second, index) =>
+      byStart
+        .slice(0, index)
+        .filter((first) => second.startedAtMs < untilMs(first))
+        .map((first) => {
+          const durationMs = Math.min(untilMs(first), untilMs(second)) - second.startedAtMs;
+          return { first, second, durationMs };
+        }),
+    );
+  });
 };
+
+/** @returns tasks of which two runs overlapped in time, on any workers; once for each overlap */
+export const findTasksWithOverlappingRuns = (starts: readonly StartRecord[]): string[] =>
+  findOverlaps(starts).map(({ second }) => second.task);
