--- a/soak/faultSeries.ts
+++ b/soak/faultSeries.ts
@@ -157,17 +157,20 @@
   return [job, { atMs: atMs + between(200, 1_200), fault: { kind: 'planned-stop', daemon } }];
 };
 
-/** A daemon that is killed with a job at work, while small jobs go on at one beside it. */
+/**
+ * A daemon that is killed with a job at work, while small jobs for workers of another kind go on at one
+ * beside it.
+ */
 const planKills = (atMs: number, context: SeriesContext): PlannedFault[] => {
   const { between, randomInt, daemons } = context;
   const daemon = randomInt(daemons);
   const neighbour = neighbourOf(daemon, context);
-  const tasks = between(3, 8);
   const smallJobs = Array.from({ length: smallJobsMs / smallJobPeriodMs }, (_, index) =>
     requestAt(atMs + index * smallJobPeriodMs, context, neighbour, {
-      tasks,
+      tasks: between(2, 7),
       runMs: 60,
       deadlineMs: shortDeadlineMs,
+      workerKind: 'a',
     }),
   );
   const job = requestAt(atMs + 800, context, daemon, {
@@ -175,6 +178,7 @@
     runMs: 2_200,
     estimatedMs: 1_300,
     deadlineMs: shortDeadlineMs,
+    workerKind: 'b',
   });
   const kill: Fault = { kind: 'kill-again', daemon, kills: between(1, 4) };
   return [...smallJobs, job, { atMs: atMs + 1_000, fault: kill }];
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -17,6 +17,8 @@
   readonly runMs: number;
   readonly estimatedMs: number;
   readonly deadlineMs: number;
+  /** Kind of the workers that the tasks need; any if undefined. */
+  readonly workerKind?: string;
 }
 
 /** An entry among those of the workers that names no worker to use. */
--- a/soak/soakCallers.ts
+++ b/soak/soakCallers.ts
@@ -38,6 +38,8 @@
   readonly estimatedMs: number;
   readonly deadlineMs: number;
   readonly patience: Patience;
+  /** Kind of the workers that its tasks need; any if undefined. */
+  readonly workerKind?: string;
 }
 
 /** How one request ended. */
@@ -199,10 +201,12 @@
   }
 
   private request(daemon: number, job: SoakJob): Promise<AttemptEnd> {
-    const { jobId, tasks, runMs, estimatedMs, crashesWorkers, deadlineMs, patience } = job;
+    const { jobId, tasks, runMs, estimatedMs, crashesWorkers, deadlineMs, patience, workerKind } =
+      job;
     const crashing = crashesWorkers ? { crashingTask: `${jobId}.0.0.0` } : {};
     const taskSpec = JSON.stringify({ runMs, cpu: taskCpuMillis, ...crashing });
-    const steps = [{ count: tasks, cpu: taskCpuMillis, memMb: 64, estimatedMs }];
+    const requirements = workerKind === undefined ? {} : { requirements: workerKind };
+    const steps = [{ count: tasks, cpu: taskCpuMillis, memMb: 64, estimatedMs, ...requirements }];
     const body = { taskSpec, steps, bestEffort: true };
     return this.post(daemon, `${fixturePrefix}${jobId}`, body, deadlineMs, patience);
   }
--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -20,6 +20,8 @@
 const defaultWorkerCount = 6;
 /** Capacity of a worker, in thousandths of a core. */
 const workerCpuMillis = 32_000;
+/** Kinds that the workers have in turn. */
+export const workerKinds: readonly string[] = ['a', 'b'];
 /** Clock rates and times of a stop in milliseconds that the workers have in turn. */
 const clockRates = [1, 1, 0.98];
 const stopTimesMs = [45, 10, 30, 40];
@@ -146,6 +148,7 @@
       zone,
       cpu: workerCpuMillis,
       slowness: 1,
+      kind: workerKinds[index % workerKinds.length] ?? '',
       clockRate: clockRates[index % clockRates.length] ?? 1,
       stopMs: stopTimesMs[index % stopTimesMs.length] ?? 0,
     });
--- a/standins/platform/workerStandIn.ts
+++ b/standins/platform/workerStandIn.ts
@@ -42,6 +42,8 @@
   readonly cpu: number;
   /** Slowdown factor: run time over the run time of the specification. */
   readonly slowness: number;
+  /** Kind of the worker, one of its labels; `a` by default. */
+  readonly kind?: string;
   /** Time on the worker's clock over true time; 1 by default. */
   readonly clockRate?: number;
   /** Time that a stop takes, in milliseconds. */
@@ -57,6 +59,7 @@
   private server!: HttpServer;
   /** The current life, or the last one while the worker is down. */
   private life: WorkerLife;
+  private isClosed = false;
   /** Called when the worker is back after a crash, to register it again. */
   onRestart: () => void = () => undefined;
 
@@ -92,7 +95,7 @@
    * @param address - address for orders, such as that of a proxy in front of the worker
    */
   composeEntry(state: 'ready' | 'draining' = 'ready', address = this.address): Buffer {
-    const { service, zone, cpu } = this.options;
+    const { service, zone, cpu, kind = 'a' } = this.options;
     return Buffer.from(
       JSON.stringify({
         service,
@@ -103,7 +106,7 @@
         state,
         coldRemainingMs: 0,
         capacity: { cpu, memMb: 65_536 },
-        labels: ['a', 'r1'],
+        labels: [kind, 'r1'],
         born: this.life.bornMs,
         clockMs: this.life.clockMs,
         sequence: 1,
@@ -122,11 +125,15 @@
     }
     this.life.crash();
     await sleep(downMs);
+    if (this.isClosed) {
+      return;
+    }
     this.life = this.beginLife();
     this.onRestart();
   }
 
   async close(): Promise<void> {
+    this.isClosed = true;
     this.life.crash();
     await this.server.kill();
   }
