--- a/soak/faultSeries.ts
+++ b/soak/faultSeries.ts
@@ -22,8 +22,9 @@
 export type PlanKind = 'mixed' | SeriesKind;
 export const planKinds: readonly PlanKind[] = ['mixed', ...seriesKinds];
 
-/** Separates the random numbers of the series from those of the other faults of a seed. */
+/** Separate the random numbers of the series from those of the other faults, and those of successive seeds. */
 const seriesSeedOffset = 2_000_000;
+const seedFactor = 0x9e3779b1;
 /** Series of a mixed plan. */
 const mixedSeriesCount = 2;
 /** Longest run time of a task: longer than the grace period of a planned stop, in milliseconds. */
@@ -32,7 +33,7 @@
 const longDeadlineMs = 20_000;
 const shortDeadlineMs = 1_500;
 /** Time between two small jobs beside a kill, and for how long they come, in milliseconds. */
-const smallJobPeriodMs = 150;
+const smallJobPeriodMs = 100;
 const smallJobsMs = 3_200;
 
 /** Random numbers and the sizes of the fleet. */
@@ -48,7 +49,7 @@
 
 /** Plans the faults of a seed by the kind of its plan, in the order of their start times. */
 export const planSeed = (kind: PlanKind, options: FaultPlanOptions): PlannedFault[] => {
-  const random = SeededRandom.create(options.seed + seriesSeedOffset);
+  const random = SeededRandom.create(Math.imul(options.seed + seriesSeedOffset, seedFactor));
   const context: SeriesContext = {
     daemons: options.daemons,
     workers: options.workers,
@@ -167,14 +168,14 @@
   const neighbour = neighbourOf(daemon, context);
   const smallJobs = Array.from({ length: smallJobsMs / smallJobPeriodMs }, (_, index) =>
     requestAt(atMs + index * smallJobPeriodMs, context, neighbour, {
-      tasks: between(2, 7),
+      tasks: between(3, 9),
       runMs: 60,
       deadlineMs: shortDeadlineMs,
       workerKind: 'a',
     }),
   );
   const job = requestAt(atMs + 800, context, daemon, {
-    tasks: between(4, 8),
+    tasks: between(5, 8),
     runMs: 2_200,
     estimatedMs: 1_300,
     deadlineMs: shortDeadlineMs,
