--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -13,6 +13,9 @@
 /** After so many crashed workers, a task may be started so often at most: the users' rule. */
 const maxCrashes = 3;
 const maxStartsAfterCrashes = 2;
+/** What the checks read of a fleet. */
+export type ObservedFleet = Pick<SoakFleet, 'starts' | 'disruptions' | 'crashes'>;
+
 /** Crashed workers after which a task may be given up. */
 const minCrashesToGiveUp = 2;
 
@@ -25,7 +28,7 @@
  * @param attempts - every request of the callers
  * @returns one sentence for each violation
  */
-export const findViolations = (fleet: SoakFleet, attempts: readonly Attempt[]): string[] => {
+export const findViolations = (fleet: ObservedFleet, attempts: readonly Attempt[]): string[] => {
   const starts = fleet.starts();
   return [
     ...findOverlaps(starts).map(describeOverlap),
@@ -64,7 +67,7 @@
   attempt: Attempt,
   attempts: readonly Attempt[],
   starts: readonly StartRecord[],
-  { disruptions }: SoakFleet,
+  { disruptions }: ObservedFleet,
 ): string[] => {
   const { job, daemon, sentAtMs, endedAtMs, end } = attempt;
   const location = `job ${job.jobId} at daemon ${daemon}`;
