--- a/soak/main.ts
+++ b/soak/main.ts
@@ -27,6 +27,8 @@
     /** Numbers of daemons and workers. */
     daemons: { type: 'string', default: '4' },
     workers: { type: 'string', default: '6' },
+    /** Path of the built program, such as that of another version. */
+    program: { type: 'string', default: '' },
     /** Folder for the logs. */
     out: { type: 'string', default: 'soak/out' },
   },
@@ -50,7 +52,7 @@
       workers: Number(values.workers),
       faultWindowMs: Number(values.seconds) * 1_000,
       folder: resolve(root, values.out),
-      program: daemonProgram(root),
+      program: values.program === '' ? daemonProgram(root) : resolve(values.program),
     });
     printReport(report);
     reports.push(report);
