--- a/src/dispatch/taskStarter.ts
+++ b/src/dispatch/taskStarter.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
 import type { Random } from '../ports/random.js';
+import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import type { BatchedTask, OpenBatch } from './openBatch.js';
 import type { LocalCandidate, WorkerPool } from './workerPool.js';
 import { isSuspect } from './suspectIsolation.js';
@@ -26,6 +27,9 @@
   readonly logger: Logger;
   readonly workers: WorkerPool;
   readonly farRackFactor: number;
+  /** Whether a task has to wait for proof of what became of its earlier runs. */
+  readonly awaitsProof: (task: BatchedTask) => boolean;
+  readonly supervisor: TaskSupervisor;
 }
 
 export class TaskStarter {
@@ -56,6 +60,10 @@
     this.waiting.push(task, demand.objectiveAtMs - fastestRunMs * (1 + startMargin));
   }
 
+  remove(task: BatchedTask): void {
+    this.waiting.remove(task);
+  }
+
   removeBatch(batch: OpenBatch): void {
     this.waiting.removeBatch(batch);
   }
@@ -91,7 +99,7 @@
         break;
       }
       // A suspect waits for a worker of its own, and others need not wait for it.
-      blocked += this.tryStart(task) || isSuspect(task) ? 0 : 1;
+      blocked += this.tryStartSafely(task) || isSuspect(task) ? 0 : 1;
     }
     this.isStartingTasks = false;
     if (this.waiting.size > 0) {
@@ -113,6 +121,16 @@
     this.startReadyTasks();
   }
 
+  /** Like `tryStart`, but an error leaves the task waiting, and the others go on. */
+  private tryStartSafely(task: BatchedTask): boolean {
+    try {
+      return this.tryStart(task);
+    } catch (error) {
+      this.options.supervisor.report('starting a task', error);
+      return false;
+    }
+  }
+
   /** @returns whether the task was started, expired or returned, and so no longer waits */
   private tryStart(task: BatchedTask): boolean {
     const { clock, random, workers, farRackFactor } = this.options;
@@ -130,6 +148,9 @@
       task.batch.end(task, { kind: 'expired', index: task.index });
       return true;
     }
+    if (this.options.awaitsProof(task)) {
+      return false;
+    }
     const candidates = isSuspect(task)
       ? workers.isolatedCandidateFor(task)
       : workers.candidatesFor(task);
@@ -162,13 +183,14 @@
       leftMs: Math.round(task.batch.objectiveAtMs - nowMs),
       ageMs: Math.round(nowMs - task.batch.arrivedAtMs),
     });
-    candidate.worker.start(task, taskName, task.batch.content.needs.resources, expectedMs);
+    const needs = task.batch.content.needs.resources;
+    candidate.worker.start({ task, taskName, needs, expectedMs });
   }
 }
 
 /** Returns a task that is not running to its requester, which may send it to another dispatcher. */
 const returnTask = (task: BatchedTask, reason: string): void => {
-  const { index, nextRun, failedRuns, lostWorkers } = task;
-  const returned = { index, nextRun, failedRuns, lostWorkers };
+  const { index, nextRun, failedRuns, lostWorkers, crashedWorkers } = task;
+  const returned = { index, nextRun, failedRuns, lostWorkers, crashedWorkers };
   task.batch.end(task, { kind: 'returned', task: returned, reason });
 };
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -8,14 +8,8 @@
 import { RunTimePredictor } from '../bestEffort/runTimePredictor.js';
 import { RunningJobs } from '../bestEffort/runningJobs.js';
 import { Dispatcher } from '../dispatch/dispatcher.js';
-import type { BatchReply } from '../types/dispatch.js';
 import type { Clock } from '../ports/clock.js';
-import type {
-  BatchRequest,
-  FleetConnector,
-  FleetService,
-  BatchWithdrawal,
-} from '../ports/fleetPeers.js';
+import type { FleetConnector, FleetService } from '../ports/fleetPeers.js';
 import type { FleetStore } from '../ports/fleetStore.js';
 import type { Logger } from '../ports/logger.js';
 import type { Metrics } from '../ports/metrics.js';
@@ -23,21 +17,24 @@
 import type { WorkerPort } from '../ports/workers.js';
 import { RoutingFollower } from '../routing/routingFollower.js';
 import { RoutingStore } from '../routing/routingStore.js';
-import type { Routing } from '../types/routing.js';
+import { TaskSupervisor } from '../utils/taskSupervisor.js';
 import { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import { WorkerDirectory } from '../workers/workerDirectory.js';
 import { BatchIntake } from './batchIntake.js';
 import { FleetHeartbeatExchange } from './fleetHeartbeatExchange.js';
 import { FleetPeers } from './fleetPeers.js';
 import { MessageAges } from './messageAges.js';
+import { PeerService } from './peerService.js';
+import { RequesterLeases } from './requesterLeases.js';
 import { RequesterMonitor } from './requesterMonitor.js';
 import { JobIntake } from './jobIntake.js';
 import { LearnedBackup } from './learnedBackup.js';
+import { stopAsPlanned } from './plannedStop.js';
 import { ServedWorkers } from './servedWorkers.js';
 import { ShardMembership } from './shardMembership.js';
 import { isNeededAsDispatcher } from './standby.js';
 import { SuspendDetector } from './suspendDetector.js';
-import type { FleetHeartbeat, Member } from '../types/fleet.js';
+import type { Member } from '../types/fleet.js';
 
 export interface FleetPorts {
   readonly clock: Clock;
@@ -60,7 +57,9 @@
   readonly farRackFactor: number;
 }
 
-export class FleetDaemon implements FleetService {
+export class FleetDaemon {
+  /** Serves the other daemons of the fleet. */
+  readonly peerService: FleetService;
   /** Serves the requests of callers. */
   readonly intake: JobIntake;
   private readonly routing = RoutingStore.create();
@@ -73,7 +72,6 @@
   private readonly peers: FleetPeers;
   private readonly router: BatchRouter;
   private readonly view: FleetView;
-  private readonly batchIntake: BatchIntake;
   private readonly heartbeatExchange: FleetHeartbeatExchange;
   private readonly requesterMonitor: RequesterMonitor;
   private readonly jobs: RunningJobs;
@@ -90,6 +88,9 @@
     const { member, leaseMs, farRackFactor } = identity;
     const ownId = member.incarnation;
     const ages = MessageAges.create(clock);
+    const leases = RequesterLeases.create(ages);
+    const supervisor = TaskSupervisor.create({ clock, logger, metrics });
+    const common = { clock, logger, metrics, store, supervisor };
     this.logger = logger.forPart('jobs');
     this.dispatcher = Dispatcher.create({
       clock,
@@ -102,10 +103,9 @@
       speeds: this.speeds,
     });
     this.directory = WorkerDirectory.create({
-      clock,
-      logger,
-      store,
-      onChange: () => void this.servedWorkers.update(),
+      ...common,
+      onChange: () =>
+        void supervisor.attempt('releasing workers', () => this.servedWorkers.update()),
     });
     this.servedWorkers = ServedWorkers.create({
       failureDomainId: member.failureDomainId,
@@ -113,7 +113,7 @@
       directory: this.directory,
       dispatcher: this.dispatcher,
     });
-    this.routingFollower = RoutingFollower.create({ clock, logger, store, routing: this.routing });
+    this.routingFollower = RoutingFollower.create({ ...common, routing: this.routing });
     this.view = FleetView.create({
       clock,
       ownId,
@@ -139,11 +139,18 @@
     });
     const { lengths, speeds, routing, directory, jobs } = this;
     this.intake = JobIntake.create({ logger: this.logger, metrics, routing, directory, jobs });
-    this.learned = LearnedBackup.create({ clock, logger, store, member, lengths, speeds });
+    this.learned = LearnedBackup.create({ ...common, member, lengths, speeds });
     const { view, router, dispatcher } = this;
-    this.batchIntake = BatchIntake.create({ ownId, logger: this.logger, ages, dispatcher });
+    const batchIntake = BatchIntake.create({
+      ownId,
+      logger: this.logger,
+      ages,
+      leases,
+      dispatcher,
+    });
     this.heartbeatExchange = FleetHeartbeatExchange.create({
       ages,
+      leases,
       own: member,
       logger: this.logger,
       routing,
@@ -155,23 +162,28 @@
       peers: () => this.peers,
     });
     this.peers = FleetPeers.create({
-      clock,
-      logger,
+      ...common,
       connector,
-      store,
       own: member,
       failureDomainIds: identity.failureDomainIds,
       composeHeartbeat: (peer, isFull) => this.heartbeatExchange.composeHeartbeat(peer, isFull),
       onHeartbeat: (heartbeat) => this.heartbeatExchange.handleHeartbeat(heartbeat),
       isDispatching: () => this.dispatcher.workerCount > 0,
       sharesBatches: (incarnation) => this.heartbeatExchange.sharesBatchesWith(incarnation),
-      onLost: (incarnation) => this.heartbeatExchange.handleLostDaemon(incarnation),
+      onLost: (lost, loss) => this.heartbeatExchange.handleLostDaemon(lost, loss),
       onSuspect: (incarnation) => this.view.forget(incarnation),
     });
+    const { peers, heartbeatExchange } = this;
+    this.peerService = PeerService.create({
+      ages,
+      peers,
+      heartbeatExchange,
+      batchIntake,
+      dispatcher,
+      routing,
+    });
     this.shards = ShardMembership.create({
-      clock,
-      logger,
-      store,
+      ...common,
       member,
       onGrant: (grant) => this.servedWorkers.applyGrant(grant),
       onStoreReachable: () => this.routingFollower.refresh(),
@@ -185,42 +197,13 @@
         this.abandonAllWork('the VM was suspended');
       },
     });
-    this.requesterMonitor = RequesterMonitor.create({
-      clock,
-      dispatcher,
-      isReachable: (requester) =>
-        requester === member.incarnation || this.peers.find(requester) !== undefined,
-    });
+    this.requesterMonitor = RequesterMonitor.create({ ...common, ownId, leases, dispatcher });
   }
 
   static create(identity: FleetIdentity, ports: FleetPorts): FleetDaemon {
     return new FleetDaemon(identity, ports);
   }
 
-  /** Handles a heartbeat of another daemon; the answer to a full heartbeat is full, too. */
-  beat(theirs: FleetHeartbeat): FleetHeartbeat {
-    this.peers.receiveHeartbeat(theirs);
-    return this.heartbeatExchange.composeHeartbeat(
-      theirs.member.incarnation,
-      theirs.lengths !== undefined,
-    );
-  }
-
-  /** Runs a batch that another daemon requests; the answer may be partial. */
-  runBatch(request: BatchRequest): Promise<BatchReply> {
-    this.peers.recordContact(request.askedBy);
-    return this.batchIntake.run(request);
-  }
-
-  withdrawBatch({ batchId }: BatchWithdrawal): void {
-    this.dispatcher.withdraw(batchId);
-  }
-
-  /** @returns the routing configuration in force, or null before the first */
-  fetchRouting(): Routing | null {
-    return this.routing.current?.routing ?? null;
-  }
-
   /**
    * Sets the failure domains of the fleet, in which other daemons are looked for.
    *
@@ -247,14 +230,21 @@
   }
 
   /**
-   * Begins a planned shutdown: reports that it is not ready, releases its workers as their runs
-   * end, then gives up its shards.
+   * Begins a planned shutdown: reports that it is not ready, and hands its workers over.
+   *
+   * @param endAtMs - when runs that are still at work have been stopped, in monotonic time
    */
-  async drain(): Promise<void> {
+  async drain(endAtMs: number): Promise<void> {
     this.heartbeatExchange.leave();
     this.intake.leave();
-    await this.servedWorkers.release();
-    await this.shards.leave();
+    const { dispatcher, servedWorkers, shards } = this;
+    const handOver = {
+      releaseWorkers: () => servedWorkers.release(),
+      stopRuns: () => dispatcher.stopRuns(),
+      closeDispatcher: () => dispatcher.close(),
+      leaveShards: () => shards.leave(),
+    };
+    await stopAsPlanned({ clock: this.ports.clock, logger: this.logger }, handOver, endAtMs);
   }
 
   /** @returns number of jobs that have not ended */
