--- a/soak/runSeed.ts
+++ b/soak/runSeed.ts
@@ -19,6 +19,8 @@
 /** Time within which every daemon applies a routing configuration, in milliseconds. */
 const maxPropagationMs = 3_000;
 const pollMs = 100;
+/** Run time of the tasks that are to use every worker at the same time, in milliseconds. */
+const servingTaskMs = 120;
 /** Tasks of the callers' jobs that run on one worker at the same time. */
 const slotsPerWorker = 2;
 /** Longest pause of a caller between two jobs in milliseconds, beside single faults and beside a series alone. */
@@ -135,7 +137,7 @@
   const tasks = Math.ceil((slotsPerWorker * fleet.workers.length) / fleet.daemons.length);
   while (performance.now() - startedAtMs < maxRecoveryMs) {
     const attempts = await Promise.all(
-      fleet.daemons.map((_, daemon) => callers.send(daemon, callers.createJob(tasks, 40))),
+      fleet.daemons.map((_, daemon) => callers.send(daemon, callers.createJob(tasks, servingTaskMs))),
     );
     if (attempts.every(isCompleted) && listIdleWorkers(fleet, startedAtMs).length === 0) {
       return true;
