--- a/soak/runSeed.ts
+++ b/soak/runSeed.ts
@@ -137,7 +137,9 @@
   const tasks = Math.ceil((slotsPerWorker * fleet.workers.length) / fleet.daemons.length);
   while (performance.now() - startedAtMs < maxRecoveryMs) {
     const attempts = await Promise.all(
-      fleet.daemons.map((_, daemon) => callers.send(daemon, callers.createJob(tasks, servingTaskMs))),
+      fleet.daemons.map((_, daemon) =>
+        callers.send(daemon, callers.createJob(tasks, servingTaskMs)),
+      ),
     );
     if (attempts.every(isCompleted) && listIdleWorkers(fleet, startedAtMs).length === 0) {
       return true;
