--- a/soak/runSeed.ts
+++ b/soak/runSeed.ts
@@ -20,7 +20,7 @@
 const maxPropagationMs = 3_000;
 const pollMs = 100;
 /** Run time of the tasks that are to use every worker at the same time, in milliseconds. */
-const servingTaskMs = 120;
+const servingTaskMs = 60;
 /** Tasks of the callers' jobs that run on one worker at the same time. */
 const slotsPerWorker = 2;
 /** Longest pause of a caller between two jobs in milliseconds, beside single faults and beside a series alone. */
