--- a/src/fleet/peerService.ts
+++ b/src/fleet/peerService.ts
@@ -11,8 +11,11 @@
 import type { FleetHeartbeatExchange } from './fleetHeartbeatExchange.js';
 import type { FleetPeers } from './fleetPeers.js';
 import type { MessageAges } from './messageAges.js';
+import type { StandstillDetector } from './standstillDetector.js';
 
 export interface PeerServiceOptions {
+  /** Ends what is from before a standstill of this process, before a message that waited is handled. */
+  readonly standstills: Pick<StandstillDetector, 'check'>;
   readonly ages: MessageAges;
   readonly peers: FleetPeers;
   readonly heartbeatExchange: FleetHeartbeatExchange;
@@ -30,6 +33,7 @@
 
   /** Handles a heartbeat of another daemon; the answer to a full heartbeat is full, too. */
   beat(theirs: FleetHeartbeat): FleetHeartbeat {
+    this.options.standstills.check();
     const { heartbeatExchange, peers } = this.options;
     peers.receiveHeartbeat(theirs);
     return heartbeatExchange.composeHeartbeat(
@@ -40,6 +44,7 @@
 
   /** Runs a batch that another daemon requests; the answer may be partial. */
   runBatch(request: BatchRequest): Promise<BatchReply> {
+    this.options.standstills.check();
     const { ages, batchIntake, peers } = this.options;
     const { askedBy, sentAtMs } = request;
     peers.recordContact(askedBy, sentAtMs === undefined ? 0 : ages.ageMs(askedBy, sentAtMs));
