--- a/standins/platform/daemonChild.ts
+++ b/standins/platform/daemonChild.ts
@@ -122,7 +122,9 @@
       runningChildren.delete(child);
       if (this.child === child) {
         this.child = undefined;
-        onCrash(`${vmId} exited unexpectedly: code ${code ?? '-'}, signal ${signal ?? '-'}`);
+        const uptimeMs = Math.round(performance.now() - this.startedAtMs);
+        const cause = `code ${code ?? '-'}, signal ${signal ?? '-'}`;
+        onCrash(`${vmId} exited unexpectedly ${uptimeMs} ms after its start: ${cause}`);
       }
     });
   }
