--- a/soak/oddEntries.ts
+++ b/soak/oddEntries.ts
@@ -21,7 +21,11 @@
     case 'octet':
       return compose({ address: '127.0.0.999:8080' });
     case 'number':
-      return Buffer.from(compose({ clockMs: 'huge' }).toString().replace('"huge"', '1e400'));
+      return Buffer.from(
+        compose({ capacity: { cpu: 'huge', memMb: 1 } })
+          .toString()
+          .replace('"huge"', '1e400'),
+      );
     case 'nesting': {
       const nested = '['.repeat(nestingDepth) + ']'.repeat(nestingDepth);
       return Buffer.from(compose({ labels: 'nested' }).toString().replace('"nested"', nested));
--- a/standins/platform/workerStandIn.ts
+++ b/standins/platform/workerStandIn.ts
@@ -15,6 +15,8 @@
 
 const maxConnections = 64;
 const maxBodyBytes = 65_536;
+/** Names the worker that an order is meant for. */
+const expectedInstanceHeader = 'x-toucandyke-expected-instance';
 /** Time from a crash by a task to the restart of the worker. */
 const restartDelayMs = 1_500;
 /** Time that a stop takes, in milliseconds, unless an option says otherwise. */
@@ -161,6 +163,11 @@
     if (this.fault.kind === 'cut') {
       return;
     }
+    const expected = request.headers[expectedInstanceHeader];
+    if (expected !== undefined && expected !== this.workerId) {
+      this.reply(life, response, 421, {});
+      return;
+    }
     if (!life.acceptsToken(body.fencingToken ?? 0)) {
       this.reply(life, response, 409, { reason: 'fence' });
       return;
