Return a batch again that was returned before, and one whose age is not known

Cause: two paths to a start without proof, found by the check over orders of events on the mended logic. Change: returned batches are remembered, and repeats get the same answer; a batch whose age cannot be estimated is returned; the first heartbeat of a process counts for its age also while another one is taken for the one there.

--- a/src/fleet/batchIntake.ts
+++ b/src/fleet/batchIntake.ts
@@ -9,10 +9,14 @@
 import { shortenTimeLimits } from '../dispatch/batchTimeLimits.js';
 import type { Batch, BatchReply } from '../types/dispatch.js';
 import { unreachable } from '../errors/unreachable.js';
+import { RecentNames } from '../utils/recentNames.js';
 import type { MessageAges } from './messageAges.js';
 import type { RequesterLeases } from './requesterLeases.js';
 import { maxSharingSilenceMs } from './requesterTimes.js';
 
+/** Batches that were returned and are remembered. */
+const maxReturnedBatches = 2_048;
+
 export interface BatchIntakeOptions {
   /** Incarnation of this daemon. */
   readonly ownId: string;
@@ -23,6 +27,9 @@
 }
 
 export class BatchIntake {
+  /** Their tasks may run elsewhere, so that a repeated request starts nothing either. */
+  private readonly returned = RecentNames.create(maxReturnedBatches);
+
   private constructor(private readonly options: BatchIntakeOptions) {}
 
   static create(options: BatchIntakeOptions): BatchIntake {
@@ -39,6 +46,12 @@
     if (dispatcherId !== undefined && dispatcherId !== ownId) {
       return this.rejectMisaddressedBatch(batch, dispatcherId);
     }
+    if (this.returned.has(batch.batchId)) {
+      return this.returnBatch(batch, askedBy, 'it was returned before');
+    }
+    if (sentAtMs !== undefined && !ages.knows(askedBy)) {
+      return this.returnBatch(batch, askedBy, 'its age is not known');
+    }
     leases.recordWord(askedBy, sentAtMs);
     const ageMs = sentAtMs === undefined ? 0 : Math.round(ages.ageMs(askedBy, sentAtMs));
     if (dispatcher.hasBatch(batch.batchId)) {
@@ -70,10 +83,17 @@
     { batchId, jobId, tasks }: Batch,
     nodeId: string,
     reason: string,
-    ageMs: number,
+    ageMs?: number,
   ): Promise<BatchReply> {
     const { logger } = this.options;
-    logger.warn('A batch is returned unstarted.', { batchId, jobId, nodeId, reason, ageMs });
+    this.returned.add(batchId);
+    logger.warn('A batch is returned unstarted.', {
+      batchId,
+      jobId,
+      nodeId,
+      reason,
+      ...(ageMs === undefined ? {} : { ageMs }),
+    });
     return Promise.resolve({
       isPartial: false,
       ends: tasks.map((task) => ({ kind: 'returned', task, reason })),
--- a/src/fleet/messageAges.ts
+++ b/src/fleet/messageAges.ts
@@ -30,6 +30,11 @@
     return this.differencesMs.size;
   }
 
+  /** Whether a process has sent a heartbeat, without which the age of its messages cannot be estimated. */
+  knows(incarnation: string): boolean {
+    return this.differencesMs.has(incarnation);
+  }
+
   /** @returns the time that a message carries which is sent now, in milliseconds */
   timestampMs(): number {
     return this.clock.nowMs() + this.suspendedMs;
--- a/src/fleet/peerService.ts
+++ b/src/fleet/peerService.ts
@@ -42,7 +42,12 @@
   /** Handles a heartbeat of another daemon; the answer to a full heartbeat is full, too. */
   beat(theirs: FleetHeartbeat): FleetHeartbeat {
     this.options.standstills.check();
-    const { heartbeatExchange, peers } = this.options;
+    const { ages, heartbeatExchange, peers } = this.options;
+    const { member, sentAtMs } = theirs;
+    // Also where another process is still taken for the one at that address.
+    if (sentAtMs !== undefined && !ages.knows(member.incarnation)) {
+      ages.recordHeartbeat(member.incarnation, sentAtMs);
+    }
     peers.receiveHeartbeat(theirs);
     return heartbeatExchange.composeHeartbeat(
       theirs.member.incarnation,
