--- a/standins/platform/daemonChild.ts
+++ b/standins/platform/daemonChild.ts
@@ -64,6 +64,10 @@
   /** Resolves when the last process that was started has exited. */
   private ended: Promise<unknown> = Promise.resolve();
   private startedAtMs = -Infinity;
+  /** When the running process was paused; undefined unless it is. */
+  private pausedAtMs: number | undefined;
+  /** For how long the running process was paused before. */
+  private pausedMs = 0;
   private readonly settingsPath: string;
 
   private constructor(private readonly options: DaemonChildOptions) {
@@ -86,7 +90,13 @@
 
   /** Whether the process has had the time to install its signal handlers. */
   get hasBooted(): boolean {
-    return performance.now() - this.startedAtMs >= maxBootMs;
+    return this.activeMs >= maxBootMs;
+  }
+
+  /** @returns time since the start of the process in which it was not paused, in milliseconds */
+  private get activeMs(): number {
+    const untilMs = this.pausedAtMs ?? performance.now();
+    return untilMs - this.startedAtMs - this.pausedMs;
   }
 
   get callersAddress(): string {
@@ -114,6 +124,8 @@
     );
     closeSync(log);
     this.startedAtMs = performance.now();
+    this.pausedAtMs = undefined;
+    this.pausedMs = 0;
     this.child = child;
     this.running = child;
     this.ended = once(child, 'exit');
@@ -122,9 +134,11 @@
       runningChildren.delete(child);
       if (this.child === child) {
         this.child = undefined;
-        const uptimeMs = Math.round(performance.now() - this.startedAtMs);
+        const uptimeMs = Math.round(this.activeMs);
         const cause = `code ${code ?? '-'}, signal ${signal ?? '-'}`;
-        onCrash(`${vmId} exited unexpectedly ${uptimeMs} ms after its start: ${cause}`);
+        onCrash(
+          `${vmId} exited unexpectedly ${uptimeMs} ms after its start, without pauses: ${cause}`,
+        );
       }
     });
   }
@@ -147,10 +161,17 @@
   /** Suspends the process with SIGSTOP until `resume`. */
   pause(): void {
     this.child?.kill('SIGSTOP');
+    this.pausedAtMs ??= performance.now();
   }
 
   resume(): void {
     this.child?.kill('SIGCONT');
+    this.endPause();
+  }
+
+  private endPause(): void {
+    this.pausedMs += performance.now() - (this.pausedAtMs ?? performance.now());
+    this.pausedAtMs = undefined;
   }
 
   /** Kills the process with SIGKILL and waits until it has exited. */
@@ -174,12 +195,13 @@
     }
     const exited = once(child, 'exit');
     child.kill('SIGCONT');
+    this.endPause();
     child.kill('SIGTERM');
     const timer = setTimeout(() => child.kill('SIGKILL'), stopGraceS * 1_000);
-    const uptimeMs = performance.now() - this.startedAtMs;
+    const { activeMs } = this;
     const [code, signal] = (await exited) as [number | null, string | null];
     clearTimeout(timer);
-    return code === 0 || (signal === 'SIGTERM' && uptimeMs < maxBootMs);
+    return code === 0 || (signal === 'SIGTERM' && activeMs < maxBootMs);
   }
 
   /** Detaches the child process, so that its exit is not reported as a crash. */
