--- a/src/fleet/jobCancellation.ts
+++ b/src/fleet/jobCancellation.ts
@@ -21,10 +21,11 @@
 const contactTimeoutMs = neighbourTimeoutMs + 100;
 /** Longest time until the caller is answered, in milliseconds. */
 const maxWaitMs = 500;
-/** For how long daemons that are reached only now are asked, in milliseconds. */
-const passOnForMs = 2_500;
-/** Pause before daemons that are reached only now are asked, in milliseconds. */
-const roundPauseMs = 100;
+/** For how long daemons that are reached only now are asked, in milliseconds: longer than most cuts last. */
+const passOnForMs = 10_000;
+/** Pause before daemons that are reached only now are asked, in milliseconds; twice as long after each round. */
+const firstRoundPauseMs = 100;
+const maxRoundPauseMs = 1_000;
 /** Contacts of one failure domain that are tried in turn. */
 const maxContactsTried = 2;
 
@@ -98,12 +99,14 @@
     const untilMs = clock.nowMs() + passOnForMs;
     const answered = new Set<string>();
     let wasFound = false;
+    let pauseMs = firstRoundPauseMs;
     while (!wasFound && clock.nowMs() < untilMs && !this.stop.signal.aborted) {
       wasFound = await this.askRound(jobId, this.recipients(), answered, found);
       if (answered.size > 0) {
         found.resolve(wasFound);
       }
-      await clock.sleep(wasFound ? 0 : roundPauseMs, this.stop.signal);
+      await clock.sleep(wasFound ? 0 : pauseMs, this.stop.signal);
+      pauseMs = Math.min(pauseMs * 2, maxRoundPauseMs);
     }
     found.resolve(wasFound);
     const outcome = wasFound ? 'found' : 'not-found';
