Forget each ended batch by its own time

Cause: evictEnded stopped at the first batch that is still retained. Change: all ended batches are looked through, at most once a second.

--- a/src/dispatch/batchTable.ts
+++ b/src/dispatch/batchTable.ts
@@ -13,6 +13,8 @@
  * twice that time.
  */
 const retainedRunTimes = 2;
+/** Ended batches are looked through once in this time, since they are many. */
+const evictionPeriodMs = 1_000;
 /** Withdrawals of batches that have not arrived that are remembered. */
 const maxEarlyWithdrawals = 2_048;
 
@@ -22,6 +24,8 @@
   private readonly open = new Set<OpenBatch>();
   /** When to remove each ended batch, in monotonic time, by id. */
   private readonly retainedUntilMs = new Map<string, number>();
+  /** When the ended batches were last looked through, in monotonic time. */
+  private evictedAtMs = -Infinity;
   private readonly withdrawnEarly = RecentNames.create(maxEarlyWithdrawals);
 
   private constructor(private readonly clock: Clock) {}
@@ -79,16 +83,18 @@
     this.retainedUntilMs.set(batchId, this.clock.nowMs() + retentionMs);
   }
 
-  /** Removes the ended batches that are no longer retained. */
+  /** Removes the ended batches that are no longer retained, each by its own time. */
   private evictEnded(): void {
     const nowMs = this.clock.nowMs();
+    if (nowMs - this.evictedAtMs < evictionPeriodMs) {
+      return;
+    }
+    this.evictedAtMs = nowMs;
     for (const [batchId, untilMs] of this.retainedUntilMs) {
-      // They are in the order of their ends; one that is retained longer keeps later ones a little longer.
-      if (untilMs > nowMs) {
-        return;
+      if (untilMs <= nowMs) {
+        this.retainedUntilMs.delete(batchId);
+        this.batches.delete(batchId);
       }
-      this.retainedUntilMs.delete(batchId);
-      this.batches.delete(batchId);
     }
   }
 }
