Count no crash for a restart that the worker's earlier entry announced

Cause: the departure of an earlier lifetime was taken from the entry at the time of the report. A worker that restarts as planned lists itself as ready again, and that entry may be read before its first report: then the runs that ended with the announced exit counted as crashes, two of which end a task. Change: the link remembers which lifetime its entry announced to leave. Measured: the new test of workerRestart.spec.ts failed before (two tasks with crashedWorkers 1), and passes now, with managedWorker, silentWorkers, faultyWorker, crashingTasks and crashSuspects.

--- a/src/dispatch/workerLink.ts
+++ b/src/dispatch/workerLink.ts
@@ -7,6 +7,7 @@
 import type { WorkerRecord } from '../types/workers.js';
 import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import type { ActiveRun } from './activeRun.js';
+import type { Departure } from './runEvidence.js';
 import { LeaseClock } from './leaseClock.js';
 import { WorkerLifetime } from './workerLifetime.js';
 
@@ -40,13 +41,15 @@
 export class WorkerLink {
   readonly leaseClock: LeaseClock;
   readonly lifetime: WorkerLifetime;
-  record: WorkerRecord;
+  private entry: WorkerRecord;
+  /** Start of the last lifetime whose entry said that it was about to leave. */
+  private leavingLifetimeMs: number | undefined;
   private token: number;
   /** Highest token that was refused, or -1; stops are not sent with it or a lower one. */
   private refusedToken = -1;
 
   private constructor(private readonly options: WorkerLinkOptions) {
-    this.record = options.record;
+    this.entry = options.record;
     this.token = options.fencingToken;
     this.leaseClock = LeaseClock.create(options.clock, options.leaseMs);
     this.lifetime = WorkerLifetime.create(options.clock);
@@ -60,6 +63,24 @@
     return this.record.workerId;
   }
 
+  /** The worker's entry in the store. */
+  get record(): WorkerRecord {
+    return this.entry;
+  }
+
+  set record(record: WorkerRecord) {
+    this.leavingLifetimeMs = this.departure === 'expected' ? this.lifetime.startedAtMs : undefined;
+    this.entry = record;
+  }
+
+  /** Whether the lifetime that last reported is expected to end, also where a later one has its entry now. */
+  get departure(): Departure {
+    const { startedAtMs } = this.lifetime;
+    const wasLeaving = startedAtMs !== undefined && startedAtMs === this.leavingLifetimeMs;
+    const isReplaced = this.entry.startedAtMs !== startedAtMs;
+    return this.entry.state === 'draining' || (wasLeaving && isReplaced) ? 'expected' : 'crash';
+  }
+
   /** Whether the worker has refused the token, since another daemon has used a higher one. */
   get isFenced(): boolean {
     return this.token <= this.refusedToken;
--- a/src/dispatch/workerReports.ts
+++ b/src/dispatch/workerReports.ts
@@ -208,6 +208,7 @@
   /** @returns whether the report was applied, since it is not of an earlier lifetime than the last one */
   private applyReport(report: WorkerReport, requestedAtMs: number): boolean {
     const { clock, link, logger, onReport } = this.options;
+    const { departure } = link;
     const change = link.lifetime.observe(report, requestedAtMs);
     if (this.isClosed || change === 'stale') {
       return false;
@@ -224,7 +225,7 @@
     this.processor.apply(report, {
       requestedAtMs,
       lifetimeMs: report.startedAtMs,
-      departure: link.record.state === 'draining' ? 'expected' : 'crash',
+      departure,
     });
     onReport();
     return true;
--- a/src/dispatch/workerRestart.spec.ts
+++ b/src/dispatch/workerRestart.spec.ts
@@ -76,4 +76,19 @@
   await closeDispatcher(fixture);
 });
 
+// Guards against jobs that fail since workers restart as planned, and list themselves before they report.
+test('a restart that the entry announced counts as no crash, also when the new entry is read first', async () => {
+  const fixture = await createFixture();
+  void fixture.dispatcher.run('vm', longBatch);
+  await fixture.clock.advance(300);
+  relist(fixture, { state: 'draining' });
+  await fixture.clock.advance(300);
+  void fixture.workers.crash('i-0', 200);
+  await fixture.clock.advance(150);
+  relist(fixture, { startedAtMs: (fixture.records[0]?.startedAtMs ?? 0) + 1 });
+  await fixture.clock.advance(400);
+  assert.equal(fixture.dispatcher.suspects.listAnnounced(), []);
+  await closeDispatcher(fixture);
+});
+
 test.run();
