Acknowledge the ends of a restarted worker before its new entry is read

Cause: while the entry was of another lifetime than the reports, no end was acknowledged, however often the worker itself had stated its lifetime since. While the store is down the entry stays as it is: the ends stay listed, so that each hold beside another run returns at once and the next one follows without a pause. Change: a report that was requested since the entry is there outweighs it, for acknowledgements and the pace of reports. Starts still wait for the new entry, whose capacity and labels may be others. Measured: the new test of managedWorker.spec.ts failed before and passes now.

--- a/src/dispatch/managedWorker.spec.ts
+++ b/src/dispatch/managedWorker.spec.ts
@@ -246,6 +246,17 @@
   await worker.close();
 });
 
+// Guards against holds that return at once, over and over, since ends stay unacknowledged while the store is down.
+test('the ends of a restarted worker are acknowledged before its new entry is read', async () => {
+  const { clock, workers, worker } = createFixture();
+  await clock.advance(50);
+  const end = { endNumber: 1, taskName: 't.0.0.0', run: 1, how: 'done' as const };
+  workers.report = { workerClockMs: 0, startedAtMs: 6, running: [], ends: [end] };
+  await clock.advance(12_000);
+  assert.is(workers.holds.at(-1)?.lastSeenEnd, 1);
+  await worker.close();
+});
+
 test('an end is applied once, and acknowledged by the next hold', async () => {
   const { clock, workers, outcomes, worker, start } = createFixture();
   await clock.advance(50);
--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -160,7 +160,7 @@
     if (this.link.raiseToken(fencingToken)) {
       this.sleeper.wake();
     }
-    if (this.reports.isEntryOfOtherLifetime) {
+    if (this.reports.mayHaveRestarted) {
       void this.reports.poll();
     }
   }
--- a/src/dispatch/workerReports.ts
+++ b/src/dispatch/workerReports.ts
@@ -6,7 +6,7 @@
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
 import type { OrderFailure } from '../ports/workers.js';
-import type { WorkerReport } from '../types/workers.js';
+import type { WorkerRecord, WorkerReport } from '../types/workers.js';
 import type { WakeableSleep } from '../utils/wakeableSleep.js';
 import type { ActiveRun } from './activeRun.js';
 import { ReportProcessor } from './reportProcessor.js';
@@ -20,7 +20,7 @@
 const maxHoldWaitMs = 300;
 /** Poll period of an idle worker, which keeps the reading of its clock recent. */
 export const idlePollMs = 5_000;
-/** Poll period of an idle worker with ends to acknowledge, or whose entry is of another lifetime. */
+/** Poll period of an idle worker with ends to acknowledge, or that may have restarted. */
 const unsettledPollMs = 1_000;
 /** Failed holds in a row after which the worker counts as not answering. */
 const maxFailedHolds = 2;
@@ -41,6 +41,13 @@
   readonly onReport: () => void;
 }
 
+/** What was known when a report was requested. */
+interface ReportRequest {
+  /** In monotonic time. */
+  readonly requestedAtMs: number;
+  readonly entry: WorkerRecord;
+}
+
 export class WorkerReports {
   private readonly processor: ReportProcessor;
   /** Number of the last end that was acknowledged to the worker. */
@@ -49,6 +56,8 @@
   private failedHolds = 0;
   /** When the last report was received, in monotonic time. */
   private lastReportAtMs: number;
+  /** The entry that was there when the last report was requested, which the worker's own word outweighs. */
+  private checkedEntry: WorkerRecord | undefined;
   private isClosed = false;
 
   private constructor(private readonly options: WorkerReportsOptions) {
@@ -68,22 +77,27 @@
     return this.failedHolds === 0 && !this.isEntryOfOtherLifetime;
   }
 
-  /**
-   * Whether the worker's entry and its reports state different lifetimes. The entry proves nothing; which of
-   * the two is older shows with the next report or the next entry.
-   */
-  get isEntryOfOtherLifetime(): boolean {
+  /** Whether the worker's entry and its reports state different lifetimes. The entry proves nothing. */
+  private get isEntryOfOtherLifetime(): boolean {
     const { record, lifetime } = this.options.link;
     const known = lifetime.startedAtMs;
     return known !== undefined && record.startedAtMs !== undefined && record.startedAtMs !== known;
   }
 
+  /**
+   * Whether the worker's entry may be of a later lifetime than its last report: no report was requested since
+   * the entry is there. One that was, and is of another lifetime, shows that the entry is of an earlier one.
+   */
+  get mayHaveRestarted(): boolean {
+    return this.isEntryOfOtherLifetime && this.options.link.record !== this.checkedEntry;
+  }
+
   /**
    * Number of the last end to acknowledge; none while a later lifetime may answer, which counts its ends anew and
    * would forget them unread.
    */
   private get acknowledgeableEnd(): number {
-    const isInDoubt = this.options.link.lifetime.isInDoubt || this.isEntryOfOtherLifetime;
+    const isInDoubt = this.options.link.lifetime.isInDoubt || this.mayHaveRestarted;
     return isInDoubt ? 0 : this.processor.lastSeenEnd;
   }
 
@@ -93,7 +107,7 @@
       return 0;
     }
     const areEndsAcknowledged = this.acknowledgedEnd === this.processor.lastSeenEnd;
-    return areEndsAcknowledged && !this.isEntryOfOtherLifetime ? idlePollMs : unsettledPollMs;
+    return areEndsAcknowledged && !this.mayHaveRestarted ? idlePollMs : unsettledPollMs;
   }
 
   /**
@@ -122,10 +136,10 @@
       return;
     }
     const lastSeenEnd = this.acknowledgeableEnd;
-    const sentAtMs = clock.nowMs();
+    const request = { requestedAtMs: clock.nowMs(), entry: link.record };
     const reply = await link.hold({ lastSeenEnd, waitMs: 0, renewsLeases: false });
     if (reply.kind === 'held') {
-      this.applyReport(reply.report, sentAtMs);
+      this.applyReport(reply.report, request);
     }
   }
 
@@ -165,14 +179,14 @@
   private async sendHold(waitMs: number, renewsLeases: boolean): Promise<WorkerReport | undefined> {
     const { clock, link } = this.options;
     const lastSeenEnd = this.acknowledgeableEnd;
-    const sentAtMs = clock.nowMs();
+    const request = { requestedAtMs: clock.nowMs(), entry: link.record };
     const reply = await link.hold({ lastSeenEnd, waitMs, renewsLeases });
     if (reply.kind !== 'held') {
       await this.handleFailure(reply);
       return undefined;
     }
     this.acknowledgedEnd = lastSeenEnd;
-    return this.applyReport(reply.report, sentAtMs) ? reply.report : undefined;
+    return this.applyReport(reply.report, request) ? reply.report : undefined;
   }
 
   private async handleFailure(failure: OrderFailure): Promise<void> {
@@ -206,7 +220,7 @@
   }
 
   /** @returns whether the report was applied, since it is not of an earlier lifetime than the last one */
-  private applyReport(report: WorkerReport, requestedAtMs: number): boolean {
+  private applyReport(report: WorkerReport, { requestedAtMs, entry }: ReportRequest): boolean {
     const { clock, link, logger, onReport } = this.options;
     const { departure } = link;
     const change = link.lifetime.observe(report, requestedAtMs);
@@ -217,6 +231,7 @@
       logger.info('The worker answers again.', { workerId: link.workerId });
     }
     this.failedHolds = 0;
+    this.checkedEntry = entry;
     link.leaseClock.recordReading(report.workerClockMs);
     if (change === 'new') {
       this.beginLifetime();
