Ask the daemons of another domain again that missed a cancellation

Cause: a contact passed a cancellation on to each daemon of its domain once, and answered that the job was not found whether or not they had answered. The sender then took the domain as told: a job at a daemon that was silent for that moment ran to its end. Change: the contact asks those that have not answered again, for the same time as the daemon that the caller asked does; its answer still waits for one round. Measured: the new test of jobCancellation.spec.ts failed before (state running 1.4 s after the cancellation), and passes now, with the other six, among them the one of a single message to each daemon, and cancellation.spec.ts.

--- a/src/fleet/jobCancellation.spec.ts
+++ b/src/fleet/jobCancellation.spec.ts
@@ -111,6 +111,25 @@
   await fleet.close();
 });
 
+// Guards against a job that runs to its end in another domain, since its daemon missed the one message of a contact.
+test('a daemon of another domain that was silent for a moment is told of a cancellation, too', async () => {
+  const fleet = await createFleet();
+  for (let index = 0; index < daemonsPerDomain; index += 1) {
+    const address = addressOf(1, index);
+    const jobId = `00000000000000b${index}`;
+    const running = fleet.submit(address, { ...job, jobId });
+    await fleet.clock.advance(200);
+    fleet.silent.add(address);
+    void fleet.daemon(addressOf(0, 0)).intake.cancel(jobId);
+    await fleet.clock.advance(400);
+    fleet.silent.delete(address);
+    await fleet.clock.advance(1_000);
+    assert.is(fleet.daemon(address).intake.state(jobId), 'unknown', address);
+    assert.equal(await running, { kind: 'cancelled' });
+  }
+  await fleet.close();
+});
+
 // Guards against a cancellation that hangs or throws while other daemons are not there.
 test('a cancellation is answered while no other daemon is, and found again when it is repeated', async () => {
   const fleet = await createFleet();
--- a/src/fleet/jobCancellation.ts
+++ b/src/fleet/jobCancellation.ts
@@ -67,19 +67,21 @@
   async cancel(jobId: string): Promise<boolean> {
     const isHere = this.options.jobs.cancel(jobId);
     const found = createDeferred<boolean>();
-    void this.passOn(jobId, found);
+    void this.passOn(jobId, () => this.recipients(), new Set(), found);
     return isHere || this.withinTime(found.promise);
   }
 
-  /** Handles a cancellation that another daemon passes on. */
+  /**
+   * Handles a cancellation that another daemon passes on. The answer waits for one message to each neighbour;
+   * those that do not answer it are asked again.
+   */
   async receive({ jobId, hops }: JobCancellationRequest): Promise<CancellationReply> {
     const isHere = this.options.jobs.cancel(jobId);
     if (hops === 0) {
       return { wasFound: isHere };
     }
     const found = createDeferred<boolean>();
-    const round = this.askRound(jobId, this.neighbours(), new Set(), found);
-    void round.then((wasFound) => found.resolve(wasFound));
+    void this.passOnToNeighbours(jobId, found);
     return { wasFound: isHere || (await this.withinTime(found.promise)) };
   }
 
@@ -88,18 +90,34 @@
     this.stop.abort();
   }
 
+  /** Asks every neighbour once, then those that have not answered. */
+  private async passOnToNeighbours(jobId: string, found: Deferred<boolean>): Promise<void> {
+    const answered = new Set<string>();
+    const wasFound = await this.askRound(jobId, this.neighbours(), answered, found);
+    found.resolve(wasFound);
+    if (!wasFound) {
+      await this.passOn(jobId, () => this.neighbours(), answered, found);
+    }
+  }
+
   /**
-   * Asks every daemon until it has answered, for a bounded time or until the job is found.
+   * Asks every recipient until it has answered, for a bounded time or until the job is found.
    *
+   * @param recipients - returns those that are reachable now
+   * @param answered - keys of those that have answered; more are added
    * @param found - resolved as soon as the job is found, or the first daemons that answer do not have it
    */
-  private async passOn(jobId: string, found: Deferred<boolean>): Promise<void> {
+  private async passOn(
+    jobId: string,
+    recipients: () => Recipient[],
+    answered: Set<string>,
+    found: Deferred<boolean>,
+  ): Promise<void> {
     const { clock, logger } = this.options;
     const untilMs = clock.nowMs() + passOnForMs;
-    const answered = new Set<string>();
     let wasFound = false;
     while (!wasFound && clock.nowMs() < untilMs && !this.stop.signal.aborted) {
-      wasFound = await this.askRound(jobId, this.recipients(), answered, found);
+      wasFound = await this.askRound(jobId, recipients(), answered, found);
       if (answered.size > 0) {
         found.resolve(wasFound);
       }
