Take a worker over anew with each higher token

Cause: a worker counted as taken over until an order of this daemon was refused. A daemon that loses a shard and has it back with its next renewal, such as after its own cut from the store, sees only a higher token. Where the worker had no run of its own, no hold was due: it renewed the leases of the runs of the daemon between, and started tasks beside them by a capacity that was not free. Change: a higher token begins the takeover anew. It ends when the worker lists only own runs, which go on (before: when it lists none). Measured: the first new test of managedWorker.spec.ts failed before, and passes now; the second one guards the own runs. All specs of src/dispatch pass, and plannedStop, killedRequester, fleetDaemon, shardMembership. For one report after a new grant the worker starts nothing; that cost was not measured under load.

--- a/src/dispatch/managedWorker.spec.ts
+++ b/src/dispatch/managedWorker.spec.ts
@@ -232,6 +232,35 @@
   await worker.close();
 });
 
+// Guards against two dispatchers at one worker, whose shard was lost and regained unnoticed while it had no run.
+test('a new grant renews no lease and starts nothing until the worker lists only its own runs', async () => {
+  const { clock, workers, worker } = createFixture();
+  await clock.advance(50);
+  workers.report = { workerClockMs: 0, running: [running('other.0.0.0')], ends: [] };
+  worker.update(record, 9);
+  await clock.advance(100);
+  assert.is(workers.holds.at(-1)?.leaseEndWorkerMs, undefined);
+  assert.is(workers.stops.at(-1)?.taskName, 'other.0.0.0');
+  assert.not.ok(worker.isOpen);
+  workers.report = { ...workers.report, running: [] };
+  await clock.advance(100);
+  assert.ok(worker.isOpen);
+  await worker.close();
+});
+
+// Guards against runs that lapse since their daemon has a new grant of the same worker.
+test('a new grant keeps the own runs of a worker', async () => {
+  const { clock, workers, worker, outcomes, start } = createFixture();
+  await clock.advance(50);
+  workers.report = { workerClockMs: 0, running: [running('t.0.0.0')], ends: [] };
+  start('t.0.0.0');
+  worker.update(record, 9);
+  await clock.advance(250);
+  assert.ok(worker.isOpen && workers.holds.at(-1)?.leaseEndWorkerMs !== undefined);
+  assert.equal([outcomes, workers.stops], [[], []]);
+  await worker.close();
+});
+
 // Guards against starts by the capacity and the labels that a worker had before it restarted.
 test('a restarted worker gets no run until its new entry is read', async () => {
   const { clock, workers, worker } = createFixture();
@@ -249,7 +278,6 @@
 // Guards against holds that return at once, over and over, since ends stay unacknowledged while the store is down.
 test('the ends of a restarted worker are acknowledged before its new entry is read', async () => {
   const { clock, workers, worker } = createFixture();
-  await clock.advance(50);
   const end = { endNumber: 1, taskName: 't.0.0.0', run: 1, how: 'done' as const };
   workers.report = { workerClockMs: 0, startedAtMs: 6, running: [], ends: [end] };
   await clock.advance(12_000);
--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -148,8 +148,8 @@
   }
 
   /**
-   * Replaces the worker's entry and raises the fencing token; ends a drain. Where the entry states another
-   * lifetime, the worker itself is asked at once.
+   * Replaces the worker's entry; ends a drain. With a higher token the worker is taken over anew, since another
+   * daemon may have had it meanwhile. Where it may have restarted, the worker itself is asked at once.
    *
    * @param record - the store's entry of the worker at the same address
    * @param fencingToken - the token of the current grant
@@ -158,6 +158,7 @@
     this.link.record = record;
     this.isDraining = false;
     if (this.link.raiseToken(fencingToken)) {
+      this.isTakenOver = false;
       this.sleeper.wake();
     }
     if (this.reports.mayHaveRestarted) {
@@ -255,13 +256,13 @@
     await this.options.clock.sleep(checkPauseMs);
   }
 
-  /** Reads reports without renewing leases, which stops orphaned runs, until no run is left. */
+  /** Reads reports without renewing leases, which stops orphaned runs, until only own runs are left. */
   private async takeOver(): Promise<void> {
     const report = await this.reports.readWithoutRenewal();
     if (report === undefined) {
       return;
     }
-    if (report.running.length > 0) {
+    if (report.running.some(({ taskName, run }) => this.runs.get(taskName)?.run !== run)) {
       await this.options.clock.sleep(checkPauseMs);
       return;
     }
@@ -279,7 +280,7 @@
   }
 
   private async holdOnce(): Promise<void> {
-    if (!this.isClosed) {
+    if (!this.isClosed && this.isTakenOver) {
       await this.reports.hold();
     }
   }
