--- a/soak/faultSeries.ts
+++ b/soak/faultSeries.ts
@@ -73,9 +73,9 @@
 const planSeries = (kind: SeriesKind, context: SeriesContext): PlannedFault[] => {
   switch (kind) {
     case 'cuts':
-      return [...planLongJobs(context), ...repeat(context, 1_200, 1_700, planCut)];
+      return [...planLongJobs(context), ...repeat(context, 500, 900, planCut)];
     case 'worker-crashes':
-      return repeat(context, 1_200, 2_400, planWorkerCrash);
+      return repeat(context, 700, 1_400, planWorkerCrash);
     case 'planned-stops':
       return [...planLongJobs(context), ...repeat(context, 7_000, 8_000, planStop)];
     case 'kills':
--- a/soak/regressionSeeds.ts
+++ b/soak/regressionSeeds.ts
@@ -29,7 +29,7 @@
   },
   {
     plan: 'cuts',
-    seed: 113,
+    seed: 201,
     faultWindowMs: 10_000,
     workers: 12,
     cause:
@@ -52,8 +52,8 @@
   },
   {
     plan: 'worker-crashes',
-    seed: 113,
-    faultWindowMs: 8_000,
+    seed: 204,
+    faultWindowMs: 10_000,
     workers: 12,
     cause: 'Runs of the new life of a worker were taken for lost when its restart was noticed.',
   },
