Count a crash under a run whose lifetime is not known by the birth of the next one

Cause: a crash counted only under runs whose start was proved to be of the known lifetime. A worker that had begun not long before its last report proves none, and one that is back under another id never reports again: a task took four workers with it. A restart counted however long after the lapse it came. Change: the clock of the next lifetime tells when it was born at the earliest; a run that was acknowledged before belongs to an earlier one. Another worker at the address proves the end as well. What is heard more than 5 s after the lapse says nothing of the run.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -22,6 +22,7 @@
 import { describeEvidence, suspicionOf } from './runEvidence.js';
 import type { RunEvidence } from './runEvidence.js';
 import { OpenBatch } from './openBatch.js';
+import type { HeardLifetime } from './workerLifetime.js';
 import { WorkerPool } from './workerPool.js';
 import { TaskStarter } from './taskStarter.js';
 import type { Batch, BatchReply, TaskEnd } from '../types/dispatch.js';
@@ -62,7 +63,7 @@
       logger,
       supervisor,
       onEnd: (worker, run, evidence) => this.ended(worker, run, evidence),
-      onLifetime: (workerId, lifetimeMs) => this.resolveLapsedRuns(workerId, lifetimeMs),
+      onLifetime: (workerId, heard) => this.resolveLapsedRuns(workerId, heard),
       onAvailabilityChange: () => this.starter.startReadyTasks(),
     });
     this.starter = TaskStarter.create({
@@ -256,7 +257,7 @@
 
   private recordSuspicion(
     workerId: string,
-    { task, taskName, lifetimeMs }: ActiveRun,
+    { task, taskName, lifetimeMs, startedAtMs }: ActiveRun,
     evidence: RunEvidence,
   ): void {
     const suspicion = suspicionOf(evidence);
@@ -265,9 +266,7 @@
         return;
       case 'suspected':
         this.retries.recordLostWorker(task);
-        if (lifetimeMs !== undefined) {
-          this.lapsedRuns.remember({ workerId, taskName, task, lifetimeMs });
-        }
+        this.lapsedRuns.remember({ workerId, taskName, task, lifetimeMs, startedAtMs });
         return;
       case 'crashed':
         this.retries.recordLostWorker(task);
@@ -278,12 +277,9 @@
     }
   }
 
-  /** Counts a crash under the runs that lapsed in an earlier lifetime of a worker that has reported. */
-  private resolveLapsedRuns(workerId: string, lifetimeMs: number | undefined): void {
-    if (lifetimeMs === undefined) {
-      return;
-    }
-    for (const { task, taskName } of this.lapsedRuns.resolve(workerId, lifetimeMs)) {
+  /** Counts a crash under the runs that lapsed in a lifetime of their worker that is over. */
+  private resolveLapsedRuns(workerId: string, heard: HeardLifetime): void {
+    for (const { task, taskName } of this.lapsedRuns.resolve(workerId, heard)) {
       this.logger.warn('A worker has crashed under a run that lapsed.', { workerId, taskName });
       this.retries.recordCrash(task);
     }
--- a/src/dispatch/lapsedRuns.ts
+++ b/src/dispatch/lapsedRuns.ts
@@ -2,20 +2,27 @@
  * Runs that lapsed while their worker was silent, until the worker is heard of again: only then it shows
  * whether it has crashed under them, in another lifetime, or was cut off and goes on.
  */
+import { unreachable } from '../errors/unreachable.js';
 import type { Clock } from '../ports/clock.js';
 import type { BatchedTask } from './openBatch.js';
+import type { HeardLifetime } from './workerLifetime.js';
 
 const maxRememberedRuns = 1_024;
-/** A task waits this long for the proof whether a worker has crashed under it. */
+/**
+ * A task waits this long for the proof whether a worker has crashed under it; what is heard of the worker later
+ * says nothing of the run any more.
+ */
 const maxProofWaitMs = 5_000;
 
-/** A run that began in a known lifetime of its worker. */
+/** A run whose leases ended while its worker was silent. */
 export interface LapsedRun {
   readonly workerId: string;
   readonly taskName: string;
   readonly task: BatchedTask;
-  /** Start of the worker's lifetime in which the run began. */
-  readonly lifetimeMs: number;
+  /** Start of the worker's lifetime in which the run began, if it is known. */
+  readonly lifetimeMs: number | undefined;
+  /** When the worker acknowledged the start, in monotonic time; undefined if it did not. */
+  readonly startedAtMs: number | undefined;
 }
 
 interface RememberedRun extends LapsedRun {
@@ -40,24 +47,41 @@
   }
 
   /**
-   * Forgets the runs of a worker that has reported.
+   * Forgets the runs of a worker whose lifetime is known again.
    *
    * @param workerId - the worker
-   * @param lifetimeMs - start of its lifetime, by the report
+   * @param heard - the lifetime that answers at its address
    * @returns the runs that have gone with an earlier lifetime
    */
-  resolve(workerId: string, lifetimeMs: number): LapsedRun[] {
+  resolve(workerId: string, heard: HeardLifetime): LapsedRun[] {
     const resolved = this.runs.filter((run) => run.workerId === workerId);
-    if (resolved.length === 0) {
+    if (resolved.length === 0 || (heard.kind === 'reported' && heard.startedAtMs === undefined)) {
       return [];
     }
     this.runs = this.runs.filter((run) => run.workerId !== workerId);
-    return resolved.filter((run) => run.lifetimeMs !== lifetimeMs);
+    return resolved.filter((run) => this.isAwaited(run) && isOver(run, heard));
   }
 
   /** Counts the runs of a task for which the proof is still worth a wait. */
   countAwaited(taskName: string): number {
-    const sinceMs = this.clock.nowMs() - maxProofWaitMs;
-    return this.runs.filter((run) => run.taskName === taskName && run.lapsedAtMs > sinceMs).length;
+    return this.runs.filter((run) => run.taskName === taskName && this.isAwaited(run)).length;
+  }
+
+  private isAwaited({ lapsedAtMs }: RememberedRun): boolean {
+    return this.clock.nowMs() - lapsedAtMs < maxProofWaitMs;
   }
 }
+
+/** Whether the lifetime in which a run began is over. */
+const isOver = ({ lifetimeMs, startedAtMs }: LapsedRun, heard: HeardLifetime): boolean => {
+  switch (heard.kind) {
+    case 'reported':
+      return lifetimeMs === undefined
+        ? startedAtMs !== undefined && startedAtMs < heard.bornAfterMs
+        : heard.startedAtMs !== lifetimeMs;
+    case 'replaced':
+      return true;
+    default:
+      return unreachable(heard);
+  }
+};
--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -17,6 +17,7 @@
 import type { RunEvidence } from './runEvidence.js';
 import { RunOrders } from './runOrders.js';
 import { RunTable } from './runTable.js';
+import type { HeardLifetime } from './workerLifetime.js';
 import { WorkerLink } from './workerLink.js';
 import { WorkerReservation } from './workerReservation.js';
 import { WorkerReports, idlePollMs } from './workerReports.js';
@@ -37,8 +38,8 @@
   readonly rememberedSlowness?: number | undefined;
   /** Called once for each run, with what is known of it; `unknown` only when the worker is let go. */
   readonly onEnd: (worker: ManagedWorker, run: ActiveRun, evidence: RunEvidence) => void;
-  /** Called after each report with the start of the worker's lifetime, if its reports state it. */
-  readonly onLifetime: (workerId: string, lifetimeMs: number | undefined) => void;
+  /** Called with the lifetime that has answered a hold. */
+  readonly onLifetime: (workerId: string, heard: HeardLifetime) => void;
   /** Called after each event that may allow a waiting task to start. */
   readonly onAvailabilityChange: () => void;
 }
@@ -69,16 +70,15 @@
     this.sleeper = WakeableSleep.create(clock);
     const { link, sleeper, runs, health } = this;
     const onStart = (run: ActiveRun): void => this.markStarted(run);
-    const onReport = (): void => this.handleReport();
-    this.reports = WorkerReports.create({ clock, logger, link, runs, sleeper, onStart, onReport });
+    const common = { clock, logger, link, runs, sleeper, health, onStart };
+    this.reports = WorkerReports.create({
+      ...common,
+      onLifetime: (heard) => options.onLifetime(this.workerId, heard),
+      onReport: () => this.handleReport(),
+    });
     this.orders = RunOrders.create({
-      clock,
-      logger,
-      link,
-      runs,
-      health,
+      ...common,
       poll: () => this.reports.poll(),
-      onStart,
       onNewLifetime: () => this.reports.beginLifetime(),
     });
     const run = (): Promise<void> => this.runLoop().finally(() => (this.isTakenOver = false));
@@ -286,7 +286,6 @@
   }
 
   private handleReport(): void {
-    this.options.onLifetime(this.workerId, this.link.lifetime.startedAtMs);
     this.orders.stopOverdue();
     this.options.onAvailabilityChange();
   }
--- a/src/dispatch/workerLifetime.ts
+++ b/src/dispatch/workerLifetime.ts
@@ -26,6 +26,19 @@
   readonly receivedAtMs: number;
 }
 
+/** Which lifetime answers at the address of a worker. */
+export type HeardLifetime =
+  /** The worker itself. */
+  | {
+      readonly kind: 'reported';
+      /** Start of its lifetime in milliseconds since the epoch, if it states it. */
+      readonly startedAtMs: number | undefined;
+      /** Earliest start of its lifetime by its clock, in monotonic time. */
+      readonly bornAfterMs: number;
+    }
+  /** Another worker, so that the lifetime that was there before is over. */
+  | { readonly kind: 'replaced' };
+
 /** How a statement relates to the last one: `stale` if a later lifetime has been heard of already. */
 export type LifetimeChange = 'same' | 'new' | 'stale';
 
@@ -51,6 +64,15 @@
     return this.isDoubted;
   }
 
+  /**
+   * Earliest start of the lifetime that last reported, in monotonic time: its clock has counted from 0 since.
+   */
+  get bornAfterMs(): number {
+    return this.reading === undefined
+      ? -Infinity
+      : this.reading.requestedAtMs - this.reading.workerClockMs * (1 + maxDrift) - slackMs;
+  }
+
   /**
    * Takes note of a reply.
    *
--- a/src/dispatch/workerReports.ts
+++ b/src/dispatch/workerReports.ts
@@ -14,6 +14,7 @@
 import { OrphanedRuns } from './orphanedRuns.js';
 import { evidenceOfSilence } from './runEvidence.js';
 import type { Silence } from './runEvidence.js';
+import type { HeardLifetime } from './workerLifetime.js';
 import type { WorkerLink } from './workerLink.js';
 
 /** Longest wait for the end of a run in one hold; well under the shortest lease. */
@@ -37,6 +38,8 @@
   readonly sleeper: WakeableSleep;
   /** Called with each run of the table that a report lists as running. */
   readonly onStart: (run: ActiveRun) => void;
+  /** Called with the lifetime that has answered a hold, before its report is applied further. */
+  readonly onLifetime: (heard: HeardLifetime) => void;
   /** Called after each report was applied. */
   readonly onReport: () => void;
 }
@@ -194,6 +197,9 @@
       case 'stale-token':
         return;
       case 'replaced':
+        this.options.onLifetime({ kind: 'replaced' });
+        await this.pauseAfterFailedHold(failure.kind);
+        return;
       case 'unhealthy':
       case 'unreachable':
       case 'no-answer':
@@ -242,6 +248,8 @@
       lifetimeMs: report.startedAtMs,
       departure,
     });
+    const { startedAtMs, bornAfterMs } = link.lifetime;
+    this.options.onLifetime({ kind: 'reported', startedAtMs, bornAfterMs });
     onReport();
     return true;
   }
