Take a request that was begun for sent, whatever error ends it

Cause: an error with the code of a failed attempt to connect made a request 'not-sent', which lets the task of a start run elsewhere at once, also where the request was being written on a connection. An unreachable network can end a connection in use with the same codes. Change: only a request that was never begun is 'not-sent'; undici announces each request just before it writes it. The specs of platform, fleetRpc and callerHttp pass. That a kernel reports these codes on a connection in use was not shown here.

--- a/src/adapters/http/requestJson.ts
+++ b/src/adapters/http/requestJson.ts
@@ -35,14 +35,6 @@
   readonly timeoutMs?: number;
 }
 
-/** Codes of errors that occur before a connection is established, so that nothing was sent. */
-const connectErrorCodes: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
-
 /**
  * Sends a request and parses the response as JSON.
  *
@@ -144,8 +136,9 @@
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
-    const isNotSent = this.controller === undefined || connectErrorCodes.has(errorCode(error));
-    this.end({ kind: isNotSent ? 'not-sent' : 'broken', detail: String(error) });
+    // The code proves nothing: a connection in use can fail with the ones of a failed attempt to connect.
+    const kind = this.controller === undefined ? 'not-sent' : 'broken';
+    this.end({ kind, detail: String(error) });
   }
 
   /** Defers the abort: after a stall of this process, a response that has arrived is read first. */
@@ -177,6 +170,3 @@
   ...(token === undefined ? {} : { authorization: `Bearer ${token}` }),
   ...headers,
 });
-
-const errorCode = (error: unknown): string =>
-  error instanceof Error && 'code' in error ? String(error.code) : '';
