--- /dev/null
+++ b/src/fleet/requesterMonitor.spec.ts
@@ -0,0 +1,62 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { Dispatcher } from '../dispatch/dispatcher.js';
+import { FakeClock } from '../testing/fakeClock.js';
+import { silentLogger } from '../testing/silentLogger.js';
+import { silentSupervisor } from '../testing/silentSupervisor.js';
+import { MessageAges } from './messageAges.js';
+import { RequesterLeases } from './requesterLeases.js';
+import { RequesterMonitor } from './requesterMonitor.js';
+
+const requester = 'requester';
+/** Shorter than what counts as a standstill, and longer than a requester's hold less a heartbeat. */
+const stallMs = 950;
+
+const createFixture = () => {
+  const clock = FakeClock.create();
+  const leases = RequesterLeases.create(MessageAges.create(clock));
+  const withdrawn: string[] = [];
+  const dispatcher: Pick<Dispatcher, 'requesters' | 'withdrawAll'> = {
+    requesters: () => [requester],
+    withdrawAll: (askedBy) => void withdrawn.push(askedBy),
+  };
+  const monitor = RequesterMonitor.create({
+    clock,
+    logger: silentLogger,
+    ownId: 'own',
+    leases,
+    dispatcher: dispatcher as Dispatcher,
+    supervisor: silentSupervisor(clock),
+  });
+  const close = async (): Promise<void> => {
+    const closing = monitor.close();
+    await clock.advance(200);
+    await closing;
+  };
+  return { clock, leases, withdrawn, close };
+};
+
+// Guards against live requesters whose work is withdrawn, since this process was held up and had not read on.
+test('a check that comes late judges a hold after what waited was read', async () => {
+  const { clock, leases, withdrawn, close } = createFixture();
+  leases.recordWord(requester, undefined);
+  await clock.flushCallbacks();
+  clock.jump(stallMs);
+  // Overdue timers come before the sockets are read.
+  void clock.sleep(0).then(() => leases.recordWord(requester, undefined));
+  await clock.advance(200);
+  assert.equal(withdrawn, []);
+  await close();
+});
+
+test('a check that comes late ends the hold of a requester of which nothing waited', async () => {
+  const { clock, leases, withdrawn, close } = createFixture();
+  leases.recordWord(requester, undefined);
+  await clock.flushCallbacks();
+  clock.jump(stallMs);
+  await clock.advance(1);
+  assert.ok(withdrawn.length > 0);
+  await close();
+});
+
+test.run();
--- a/src/fleet/requesterTimes.ts
+++ b/src/fleet/requesterTimes.ts
@@ -19,7 +19,7 @@
 export const requesterCheckPeriodMs = 100;
 
 /** Longest time between two checks: a sleep until the next multiple of a period skips a short rest of one. */
-const maxCheckPauseMs = 1.25 * requesterCheckPeriodMs;
+export const maxCheckPauseMs = 1.25 * requesterCheckPeriodMs;
 
 /** Longest time that a stop order takes to a worker that is in touch. */
 const stopDeliveryMs = 100;
