Notice a suspension before an answered heartbeat is timed

Cause: the answer to an own heartbeat was handled without a look at the clocks. Sent during a suspension of this VM and read before the next check, it seems to have taken less than no time, which becomes the shortest delay of its sender: later messages count as too old by up to the length of the suspension, and the sender's batches are returned and its hold counts as over. Change: the clocks are checked first, as for each message that comes in. Measured: the new test of fleetDaemon.spec.ts failed before (no start) and passes now, with fleetPeers, messageAges, killedRequester, jobCancellation, standstillDetector and plannedStop.

--- a/src/fleet/fleetDaemon.spec.ts
+++ b/src/fleet/fleetDaemon.spec.ts
@@ -3,7 +3,7 @@
 import * as assert from 'uvu/assert';
 import { noMetrics } from '../adapters/system/noMetrics.js';
 import type { Clock } from '../ports/clock.js';
-import type { FleetConnector } from '../ports/fleetPeers.js';
+import type { FleetConnector, FleetLink } from '../ports/fleetPeers.js';
 import type { FleetStore } from '../ports/fleetStore.js';
 import type { JobEnd, JobRequest } from '../ports/jobs.js';
 import { batchFixture, workerFixture } from '../testing/dispatchFixtures.js';
@@ -12,6 +12,7 @@
 import { silentLogger } from '../testing/silentLogger.js';
 import { SimulatedWorkers } from '../testing/simulatedWorkers.js';
 import type { BatchReply } from '../types/dispatch.js';
+import type { FleetHeartbeat } from '../types/fleet.js';
 import type { Route } from '../types/routing.js';
 import { FleetDaemon } from './fleetDaemon.js';
 
@@ -32,10 +33,17 @@
   objectiveSlackMs: 60,
 };
 
-const link = {
-  beat: async () => Err({ kind: 'broken', detail: 'silent' }),
-  close: async () => undefined,
-};
+const other = { ...member, incarnation: 'other', address: '127.0.0.1:2' };
+
+/** A heartbeat of the other daemon, with its timestamp. */
+const heartbeatOf = (sentAtMs: number): FleetHeartbeat => ({
+  member: other,
+  sentAtMs,
+  routingVersion: -1,
+  isLeaving: false,
+  load: { workers: [] },
+  askedBatchIds: [],
+});
 
 const jobOf = (jobId: string, taskCount = 2): JobRequest => ({
   jobId,
@@ -68,6 +76,10 @@
     startedAtMs,
     crashesWorker: () => false,
   });
+  const link: Pick<FleetLink, 'beat' | 'close'> = {
+    beat: async () => Err({ kind: 'broken', detail: 'silent' }),
+    close: async () => undefined,
+  };
   const joins: number[] = [];
   const store: Partial<FleetStore> = {
     shardCount: 1,
@@ -118,7 +130,7 @@
     await closing;
   };
   const suspend = (durationMs: number): void => void (suspendedMs += durationMs);
-  return { clock, daemon, ends, joins, submit, startsOf, suspend, close };
+  return { clock, daemon, ends, joins, link, submit, startsOf, suspend, close };
 };
 
 // Guards against a job that waited in the socket of a paused process, and that its caller has sent elsewhere since.
@@ -164,16 +176,7 @@
 // Guards against a batch that waited through a suspension of the VM, for which the monotonic clock stands.
 test('a batch that is read first after a suspension counts with its whole age', async () => {
   const { clock, daemon, startsOf, suspend, close } = await createFixture();
-  const other = { ...member, incarnation: 'other', address: '127.0.0.1:2' };
-  const beat = (): void =>
-    void daemon.peerService.beat({
-      member: other,
-      sentAtMs: clock.nowMs(),
-      routingVersion: -1,
-      isLeaving: false,
-      load: { workers: [] },
-      askedBatchIds: [],
-    });
+  const beat = (): void => void daemon.peerService.beat(heartbeatOf(clock.nowMs()));
   beat();
   await clock.advance(300);
   beat();
@@ -189,6 +192,28 @@
   await close();
 });
 
+// Guards against batches that are returned for seconds, since one answer was read before a suspension was noticed.
+test('a heartbeat that was sent during a suspension leaves the ages of later messages right', async () => {
+  const { clock, daemon, link, startsOf, suspend, close } = await createFixture();
+  daemon.peerService.beat(heartbeatOf(clock.nowMs()));
+  const { beat } = link;
+  let answered = 0;
+  link.beat = async () => {
+    link.beat = beat;
+    answered += 1;
+    suspend(standstillMs);
+    return Ok(heartbeatOf(clock.nowMs() + standstillMs - 1_000));
+  };
+  await clock.advance(1_000);
+  assert.is(answered, 1);
+  const sentAtMs = clock.nowMs() + standstillMs;
+  daemon.peerService.beat(heartbeatOf(sentAtMs));
+  void daemon.peerService.runBatch({ askedBy: 'other', sentAtMs, batch: batchFixture });
+  await clock.advance(100);
+  assert.is(startsOf(batchFixture.jobId), batchFixture.tasks.length);
+  await close();
+});
+
 // Guards against a process that acts on shards which the store has given to another one meanwhile.
 test('after a standstill the membership is renewed at once', async () => {
   const { clock, joins, close } = await createFixture();
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -195,7 +195,10 @@
       own: member,
       failureDomainIds: identity.failureDomainIds,
       composeHeartbeat: (peer, isFull) => this.heartbeatExchange.composeHeartbeat(peer, isFull),
-      onHeartbeat: (heartbeat) => this.heartbeatExchange.handleHeartbeat(heartbeat),
+      onHeartbeat: (heartbeat) => {
+        standstills.check();
+        this.heartbeatExchange.handleHeartbeat(heartbeat);
+      },
       isDispatching: () => this.dispatcher.workerCount > 0,
       sharesBatches: (incarnation) => this.heartbeatExchange.sharesBatchesWith(incarnation),
       onLost: (lost, loss) => this.heartbeatExchange.handleLostDaemon(lost, loss),
