One constant each for the drift of a worker's clock and the time of a stop; postmortem

Cause: two values stood twice, each in two modules that have to agree. Change: one module exports each; no change of behaviour. Measured: specs of leaseClock, workerLifetime, requesterTimes and killedRequester pass.

--- a/src/dispatch/leaseClock.ts
+++ b/src/dispatch/leaseClock.ts
@@ -4,7 +4,7 @@
 import type { Clock } from '../ports/clock.js';
 
 /** Largest share by which the clock of a worker may run slower than that of this process. */
-const maxDrift = 0.03;
+export const maxDrift = 0.03;
 /** Allowance for the time between reading the clock here and sending the order. */
 const sendSlackMs = 20;
 /** A reading that is lower than expected by more than this is of a clock that has started anew. */
--- a/src/dispatch/workerLifetime.ts
+++ b/src/dispatch/workerLifetime.ts
@@ -3,9 +3,8 @@
  * that lifetime. Lifetimes are ordered by cause: a clock that is set can move start times back.
  */
 import type { Clock } from '../ports/clock.js';
+import { maxDrift } from './leaseClock.js';
 
-/** Largest share by which the clock of a worker may differ in speed from that of this process. */
-const maxDrift = 0.03;
 /** Allowance for the resolution of both clocks. */
 const slackMs = 20;
 
--- a/src/fleet/requesterTimes.ts
+++ b/src/fleet/requesterTimes.ts
@@ -2,6 +2,7 @@
  * Times within which the runs of a requester that is gone end: its dispatchers stop them before its caller
  * can have sent the job again to another daemon. All are in milliseconds.
  */
+import { maxStopMs } from '../dispatch/runEvidence.js';
 
 /** Heartbeats are sent at multiples of this time. */
 export const heartbeatTickMs = 300;
@@ -21,12 +22,9 @@
 /** Longest time between two checks: a sleep until the next multiple of a period skips a short rest of one. */
 export const maxCheckPauseMs = 1.25 * requesterCheckPeriodMs;
 
-/** Longest time that a stop order takes to a worker that is in touch. */
+/** Longest time that a stop order takes to a reachable worker. */
 const stopDeliveryMs = 100;
 
-/** Longest time from a stop order's arrival to the end of the run. */
-const maxStopMs = 60;
-
 /** Shortest time after which a caller whose connection broke sends its job again, if no setting states it. */
 export const minCallerResendMs = 1_300;
 
