Test of SIGHUP at any time: the first signal comes as soon as the process handles it

Change: the signal is sent as soon as the kernel lists a handler for it, which is earlier on a calm machine, and still long before the daemon is ready. What is checked afterwards is the same.

--- a/soak/reload.spec.ts
+++ b/soak/reload.spec.ts
@@ -12,6 +12,7 @@
 
 const root = resolve(import.meta.dirname, '..');
 const startMs = 3_000;
+const handlerPollMs = 5;
 
 test('a daemon of the platform lives through SIGHUP at any time, and applies what it can', async () => {
   await promisify(execFile)('npm', ['run', '-s', 'build:platform'], { cwd: root });
@@ -21,8 +22,10 @@
   const [daemon] = fleet.daemons;
   assert.ok(daemon);
   const { child } = daemon;
-  // Before the daemon is ready; Node.js itself needs some time before it can handle signals.
-  await sleep(250);
+  // Long before the daemon is ready: as soon as the process handles the signal.
+  while (!child.handlesReload) {
+    await sleep(handlerPollMs);
+  }
   child.reload();
   await sleep(startMs);
   const callers = SoakCallers.create(fleet, 1, 0);
--- a/standins/platform/daemonChild.ts
+++ b/standins/platform/daemonChild.ts
@@ -5,7 +5,7 @@
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
-import { closeSync, openSync, writeFileSync } from 'node:fs';
+import { closeSync, openSync, readFileSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { settingsPathVariable } from '../../platform/settings.js';
 
@@ -20,6 +20,9 @@
  */
 const maxBootMs = 1_500;
 
+/** Bit of SIGHUP in the kernel's mask of caught signals. */
+const reloadSignalBit = 1n;
+
 /** Options of Node.js, as in the deployment file: a code cache is used only with the same ones. */
 export const daemonArguments: readonly string[] = ['--max-old-space-size=200'];
 
@@ -93,6 +96,16 @@
     return this.activeMs >= maxBootMs;
   }
 
+  /** Whether the process has installed its handler of SIGHUP, without which the signal ends it. */
+  get handlesReload(): boolean {
+    const { pid } = this;
+    if (pid === undefined) {
+      return false;
+    }
+    const mask = /^SigCgt:\s*([0-9a-f]+)$/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1];
+    return (BigInt(`0x${mask ?? '0'}`) & reloadSignalBit) !== 0n;
+  }
+
   /** @returns time since the start of the process in which it was not paused, in milliseconds */
   private get activeMs(): number {
     const untilMs = this.pausedAtMs ?? performance.now();
