Let the repeat of a batch that runs join it, whatever is known of its requester

Cause: a batch whose age is not known was returned as running nowhere before it was looked up whether it runs here. Change: the batch is looked up first. Measured: the new test of batchIntake.spec.ts failed before, and passes.

--- a/src/fleet/batchIntake.spec.ts
+++ b/src/fleet/batchIntake.spec.ts
@@ -7,6 +7,7 @@
 import { ScriptedWorkers } from '../testing/scriptedWorkers.js';
 import { SeededRandom } from '../testing/seededRandom.js';
 import { silentLogger } from '../testing/silentLogger.js';
+import type { BatchReply } from '../types/dispatch.js';
 import { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import { BatchIntake } from './batchIntake.js';
 import { MessageAges } from './messageAges.js';
@@ -45,7 +46,7 @@
   ages.recordHeartbeat(requester, requesterNowMs() - 2);
   await clock.advance(300);
   ages.recordHeartbeat(requester, requesterNowMs() - 40);
-  return { clock, workers, dispatcher, intake, leases, requesterNowMs };
+  return { clock, workers, dispatcher, ages, intake, leases, requesterNowMs };
 };
 
 test('a batch that was held up for seconds starts nothing, and its requester learns so', async () => {
@@ -66,6 +67,22 @@
   assert.is(workers.starts.length, 1);
 });
 
+// Guards against tasks that are returned as running nowhere while they run, since their requester is forgotten.
+test('a repeated request for a batch that runs joins it, also if its age is no longer known', async () => {
+  const { clock, workers, ages, intake, requesterNowMs } = await createFixture();
+  const request = { askedBy: requester, sentAtMs: requesterNowMs(), batch };
+  void intake.run(request);
+  await clock.advance(100);
+  for (let index = 0; ages.knows(requester); index += 1) {
+    ages.recordHeartbeat(`process-${index}`, clock.nowMs());
+  }
+  let repeated: BatchReply | undefined;
+  void intake.run(request).then((reply) => (repeated = reply));
+  await clock.advance(100);
+  assert.is(repeated, undefined);
+  assert.is(workers.starts.length, 1);
+});
+
 test('an answer with returned tasks shows what is free at the dispatcher', async () => {
   const { clock, intake, requesterNowMs } = await createFixture();
   const send = (batchId: string, maxWaitMs: number, runs: number) =>
--- a/src/fleet/batchIntake.ts
+++ b/src/fleet/batchIntake.ts
@@ -46,17 +46,20 @@
     if (dispatcherId !== undefined && dispatcherId !== ownId) {
       return this.rejectMisaddressedBatch(batch, dispatcherId);
     }
+    const isAgeKnown = sentAtMs === undefined || ages.knows(askedBy);
+    if (isAgeKnown) {
+      leases.recordWord(askedBy, sentAtMs);
+    }
+    if (dispatcher.hasBatch(batch.batchId)) {
+      return dispatcher.run(askedBy, batch);
+    }
     if (this.returned.has(batch.batchId)) {
       return this.returnBatch(batch, askedBy, 'it was returned before');
     }
-    if (sentAtMs !== undefined && !ages.knows(askedBy)) {
+    if (!isAgeKnown) {
       return this.returnBatch(batch, askedBy, 'its age is not known');
     }
-    leases.recordWord(askedBy, sentAtMs);
     const ageMs = sentAtMs === undefined ? 0 : Math.round(ages.ageMs(askedBy, sentAtMs));
-    if (dispatcher.hasBatch(batch.batchId)) {
-      return dispatcher.run(askedBy, batch);
-    }
     if (ageMs > maxSharingSilenceMs) {
       return this.returnBatch(batch, askedBy, 'it arrived too late', ageMs);
     }
