Answer a cancellation when all reachable daemons have, within the time for it

Cause: the caller was told that there is no such job as soon as one daemon had answered, although the one that runs it had only not answered yet. Measured: the new test of jobCancellation.spec.ts failed before, and passes.

--- a/src/fleet/jobCancellation.spec.ts
+++ b/src/fleet/jobCancellation.spec.ts
@@ -130,6 +130,19 @@
   await fleet.close();
 });
 
+// Guards against a caller that is told of no such job, while the daemon that runs it has only not answered yet.
+test('a cancellation is answered once a daemon that was silent for a moment was asked again', async () => {
+  const fleet = await createFleet();
+  const address = addressOf(0, 1);
+  const running = fleet.submit(address, job);
+  await fleet.clock.advance(200);
+  fleet.silent.add(address);
+  void fleet.clock.sleep(250).then(() => fleet.silent.delete(address));
+  assert.is((await cancelAt(fleet, addressOf(0, 0)))?.wasFound, true);
+  assert.equal(await running, { kind: 'cancelled' });
+  await fleet.close();
+});
+
 // Guards against a cancellation that hangs or throws while other daemons are not there.
 test('a cancellation is answered while no other daemon is, and found again when it is repeated', async () => {
   const fleet = await createFleet();
--- a/src/fleet/jobCancellation.ts
+++ b/src/fleet/jobCancellation.ts
@@ -106,7 +106,7 @@
    *
    * @param recipients - returns those that are reachable now
    * @param answered - keys of those that have answered; more are added
-   * @param found - resolved as soon as the job is found, or the first daemons that answer do not have it
+   * @param found - resolved as soon as the job is found, or all that are reachable have answered
    */
   private async passOn(
     jobId: string,
@@ -119,8 +119,9 @@
     let wasFound = false;
     let pauseMs = firstRoundPauseMs;
     while (!wasFound && clock.nowMs() < untilMs && !this.stop.signal.aborted) {
-      wasFound = await this.askRound(jobId, recipients(), answered, found);
-      if (answered.size > 0) {
+      const asked = recipients();
+      wasFound = await this.askRound(jobId, asked, answered, found);
+      if (asked.length > 0 && asked.every(({ key }) => answered.has(key))) {
         found.resolve(wasFound);
       }
       await clock.sleep(wasFound ? 0 : pauseMs, this.stop.signal);
