Judge peers after a late check only when the sockets were read

Cause: after this process was held up for less than a standstill, the overdue check of the peers came before their heartbeats were read: a live peer was taken for lost, and the jobs with batches there were given up. The check of the requesters had this mended by itself. Change: one sleep for both checks (utils/periodicSleep), which also gives the longest pause for the sum of the times.

--- a/src/fleet/fleetPeers.spec.ts
+++ b/src/fleet/fleetPeers.spec.ts
@@ -222,6 +222,16 @@
   await fleet.close();
 });
 
+// Guards against a live daemon that is taken for lost with its batches, since this process had not read on.
+test('a check of peers that comes late judges them after what waited was read', async () => {
+  const fleet = new Fleet(FakeClock.create(), createMembers(2), () => true);
+  await fleet.clock.advance(1_930);
+  fleet.clock.jump(950);
+  await fleet.clock.advance(1_000);
+  assert.equal(fleet.lost, []);
+  await fleet.close();
+});
+
 // Guards against the loss of a living daemon by a late message of the process before it.
 test('a late heartbeat of an earlier process at an address changes nothing', async () => {
   const fleet = new Fleet(FakeClock.create(), createMembers(2));
--- a/src/fleet/fleetPeers.ts
+++ b/src/fleet/fleetPeers.ts
@@ -7,7 +7,7 @@
 import type { Logger } from '../ports/logger.js';
 import type { FleetHeartbeat, KnownMember, Member } from '../types/fleet.js';
 import type { TaskSupervisor } from '../utils/taskSupervisor.js';
-import { sleepUntilNextPeriod, sleepUntilSharedPeriod } from '../utils/periodicSleep.js';
+import { sleepUntilNextCheck, sleepUntilSharedPeriod } from '../utils/periodicSleep.js';
 import { RecentNames } from '../utils/recentNames.js';
 import { rankContact } from './contacts.js';
 import { FleetPeer } from './fleetPeer.js';
@@ -261,7 +261,7 @@
   private async checkPeers(): Promise<void> {
     const { clock } = this.options;
     while (!this.stop.signal.aborted) {
-      await sleepUntilNextPeriod(clock, checkPeriodMs, this.stop.signal);
+      await sleepUntilNextCheck(clock, checkPeriodMs, this.stop.signal);
       this.refreshContacts();
       for (const peer of [...this.peers.values()]) {
         this.checkPeer(peer, clock.nowMs());
--- a/src/fleet/requesterMonitor.ts
+++ b/src/fleet/requesterMonitor.ts
@@ -6,9 +6,9 @@
 import { unreachable } from '../errors/unreachable.js';
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
-import { sleepUntilNextPeriod } from '../utils/periodicSleep.js';
+import { sleepUntilNextCheck } from '../utils/periodicSleep.js';
 import type { RequesterLeases } from './requesterLeases.js';
-import { maxCheckPauseMs, requesterCheckPeriodMs } from './requesterTimes.js';
+import { requesterCheckPeriodMs } from './requesterTimes.js';
 import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 
 export interface RequesterMonitorOptions {
@@ -47,12 +47,7 @@
   private async checkPeriodically(): Promise<void> {
     const { clock, dispatcher, ownId } = this.options;
     while (!this.stop.signal.aborted) {
-      const sleptAtMs = clock.nowMs();
-      await sleepUntilNextPeriod(clock, requesterCheckPeriodMs, this.stop.signal);
-      if (clock.nowMs() - sleptAtMs > maxCheckPauseMs) {
-        // This process was held up: overdue timers come before the sockets, in which messages may wait.
-        await clock.sleep(0, this.stop.signal);
-      }
+      await sleepUntilNextCheck(clock, requesterCheckPeriodMs, this.stop.signal);
       for (const requester of dispatcher.requesters()) {
         if (requester !== ownId) {
           this.check(requester);
--- a/src/fleet/requesterTimes.ts
+++ b/src/fleet/requesterTimes.ts
@@ -3,6 +3,7 @@
  * can have sent the job again to another daemon. All are in milliseconds.
  */
 import { maxStopMs } from '../dispatch/runEvidence.js';
+import { longestPauseMs } from '../utils/periodicSleep.js';
 
 /** Heartbeats are sent at multiples of this time. */
 export const heartbeatTickMs = 300;
@@ -19,9 +20,6 @@
 /** Period in which the holds of requesters are checked. */
 export const requesterCheckPeriodMs = 100;
 
-/** Longest time between two checks: a sleep until the next multiple of a period skips a short rest of one. */
-export const maxCheckPauseMs = 1.25 * requesterCheckPeriodMs;
-
 /** Longest time that a stop order takes to a reachable worker. */
 const stopDeliveryMs = 100;
 
@@ -30,7 +28,7 @@
 
 /** Time from the last message of a requester until none of its runs goes on. */
 export const requesterRunsEndMs =
-  maxSharingSilenceMs + maxCheckPauseMs + stopDeliveryMs + maxStopMs;
+  maxSharingSilenceMs + longestPauseMs(requesterCheckPeriodMs) + stopDeliveryMs + maxStopMs;
 
 /**
  * Whether the runs of a lost requester end before its caller sends the job again.
