--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -21,8 +21,8 @@
 
 /**
  * Lists the violated guarantees: no task runs twice at the same time, `completed` means that every task
- * was done, `failed` has a cause, a job refused with 503 was never started, a daemon that no fault disrupts answers in time,
- * no daemon crashes, and a task that crashes its workers is not started again and again.
+ * was done, `failed` has a cause, a job refused with 503 was never started, a daemon that no fault disrupts
+ * answers in time, no daemon crashes, and a task that crashes its workers is not started again and again.
  *
  * @param fleet - the fleet, with the runs that its workers started
  * @param attempts - every request of the callers
--- a/soak/faultInjector.ts
+++ b/soak/faultInjector.ts
@@ -76,10 +76,10 @@
         return this.killAgain(fault.daemon, fault.kills);
       case 'worker-crash':
         return this.workerAt(fault.index).worker.crash(fault.durationMs);
-      case 'odd-entry': {
-        const putRight = this.fleet.publishOddEntry(fault.entry, fault.index, fault.isOwnKey);
+      case 'invalid-entry': {
+        const restore = this.fleet.publishInvalidEntry(fault.entry, fault.index, fault.isOwnKey);
         await sleep(fault.durationMs);
-        putRight();
+        restore();
         return;
       }
       case 'request':
--- a/soak/faultSeries.ts
+++ b/soak/faultSeries.ts
@@ -4,7 +4,13 @@
 import { unreachable } from '../src/errors/unreachable.js';
 import { SeededRandom } from '../src/testing/seededRandom.js';
 import { pickOne, planFaults } from './faults.js';
-import type { Fault, FaultPlanOptions, OddEntry, PlannedFault, PlannedRequest } from './faults.js';
+import type {
+  Fault,
+  FaultPlanOptions,
+  InvalidEntry,
+  PlannedFault,
+  PlannedRequest,
+} from './faults.js';
 import type { LinkFault } from './faultyProxy.js';
 
 export const seriesKinds = [
@@ -13,7 +19,7 @@
   'planned-stops',
   'kills',
   'pauses',
-  'odd-entries',
+  'invalid-entries',
 ] as const;
 /** Workers that are cut off in turn, workers that crash, daemons that are stopped, killed or paused. */
 export type SeriesKind = (typeof seriesKinds)[number];
@@ -82,8 +88,8 @@
       return repeat(context, 6_000, 7_500, planKills);
     case 'pauses':
       return repeat(context, 2_000, 4_000, planPause);
-    case 'odd-entries':
-      return [...planLongJobs(context), ...repeat(context, 300, 900, planOddEntry)];
+    case 'invalid-entries':
+      return [...planLongJobs(context), ...repeat(context, 300, 900, planInvalidEntry)];
     default:
       return unreachable(kind);
   }
@@ -200,16 +206,16 @@
   return [{ atMs, fault: { kind: 'pause', daemon, durationMs } }, ...jobs];
 };
 
-const planOddEntry = (atMs: number, context: SeriesContext): PlannedFault[] => {
+const planInvalidEntry = (atMs: number, context: SeriesContext): PlannedFault[] => {
   const { between, randomInt, workers } = context;
-  const entry = pickOne<OddEntry>(
+  const entry = pickOne<InvalidEntry>(
     ['port', 'octet', 'number', 'nesting', 'without-born', 'other-service', 'bytes'],
     randomInt,
   );
   const index = randomInt(workers);
   const isOwnKey = entry !== 'without-born' && randomInt(2) === 0;
   const durationMs = between(300, 1_500);
-  return [{ atMs, fault: { kind: 'odd-entry', entry, index, isOwnKey, durationMs } }];
+  return [{ atMs, fault: { kind: 'invalid-entry', entry, index, isOwnKey, durationMs } }];
 };
 
 /** A job for a daemon; its second attempt goes to the other failure domain. */
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -22,7 +22,7 @@
 }
 
 /** An entry among those of the workers that names no worker to use. */
-export type OddEntry =
+export type InvalidEntry =
   'port' | 'octet' | 'number' | 'nesting' | 'without-born' | 'other-service' | 'bytes';
 
 /**
@@ -58,8 +58,8 @@
   | { readonly kind: 'worker-crash'; readonly index: number; readonly durationMs: number }
   /** The entry replaces that of a live worker, or has a key of its own. */
   | {
-      readonly kind: 'odd-entry';
-      readonly entry: OddEntry;
+      readonly kind: 'invalid-entry';
+      readonly entry: InvalidEntry;
       readonly index: number;
       readonly isOwnKey: boolean;
       readonly durationMs: number;
--- a/soak/oddEntries.ts
+++ b/soak/invalidEntries.ts
@@ -2,19 +2,20 @@
  * Composes entries of workers that name no worker to use.
  */
 import { unreachable } from '../src/errors/unreachable.js';
-import type { OddEntry } from './faults.js';
+import type { InvalidEntry } from './faults.js';
 
 /** Depth of an entry that is nested too deep. */
 const nestingDepth = 100_000;
 
 /**
- * @param entry - what is odd
+ * @param entry - what is not valid
  * @param soundEntry - the entry of a worker
- * @returns the same entry with one odd field, or something else in its place
+ * @returns the same entry with one invalid field, or something else in its place
  */
-export const composeOddEntry = (entry: OddEntry, soundEntry: Buffer): Buffer => {
+export const composeInvalidEntry = (entry: InvalidEntry, soundEntry: Buffer): Buffer => {
   const fields = JSON.parse(soundEntry.toString('utf8')) as Record<string, unknown>;
-  const compose = (odd: object): Buffer => Buffer.from(JSON.stringify({ ...fields, ...odd }));
+  const compose = (changes: object): Buffer =>
+    Buffer.from(JSON.stringify({ ...fields, ...changes }));
   switch (entry) {
     case 'port':
       return compose({ address: '127.0.0.1:99999' });
--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -11,8 +11,8 @@
 import { FaultyProxy } from './faultyProxy.js';
 import { DisruptionLog } from './disruptionLog.js';
 import { LoopbackNetwork } from './loopbackNetwork.js';
-import type { OddEntry } from './faults.js';
-import { composeOddEntry } from './oddEntries.js';
+import type { InvalidEntry } from './faults.js';
+import { composeInvalidEntry } from './invalidEntries.js';
 
 const zones = ['east', 'west'];
 /** Numbers of daemons and workers unless an option says otherwise. */
@@ -102,19 +102,19 @@
   }
 
   /**
-   * Writes an odd entry, under the key of a live worker or under one that no worker has.
+   * Writes an invalid entry, under the key of a live worker or under one that no worker has.
    *
    * @returns a function that puts right what the entry has replaced
    */
-  publishOddEntry(entry: OddEntry, index: number, isOwnKey: boolean): () => void {
+  publishInvalidEntry(entry: InvalidEntry, index: number, isOwnKey: boolean): () => void {
     const soak = this.workers[index];
     if (soak === undefined) {
       throw new Error(`The fleet has no worker ${index}.`);
     }
     const { worker, proxy } = soak;
     const log = this.store.log(workerTopic);
-    const key = isOwnKey ? `i-odd-${entry}-${index}` : worker.workerId;
-    log.append(key, composeOddEntry(entry, worker.composeEntry('ready', proxy.address)));
+    const key = isOwnKey ? `i-invalid-${entry}-${index}` : worker.workerId;
+    log.append(key, composeInvalidEntry(entry, worker.composeEntry('ready', proxy.address)));
     return () => {
       if (isOwnKey) {
         log.append(key, Buffer.alloc(0));
--- a/src/bestEffort/runTimePredictor.spec.ts
+++ b/src/bestEffort/runTimePredictor.spec.ts
@@ -65,7 +65,7 @@
 });
 
 // Guards against saved or shared sums that spoil the predictions of every route.
-test('odd sums of another daemon or writer leave the predictions as they are', () => {
+test('unusable sums of another daemon or writer leave the predictions as they are', () => {
   const hints = { declaredMs: 200, deadlineMs: 1_500 };
   const odd: readonly Partial<LengthSums>[] = [
     { products: Array<number>(9).fill(1e308) },
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -22,7 +22,7 @@
 import { describeEvidence, suspicionOf } from './runEvidence.js';
 import type { RunEvidence } from './runEvidence.js';
 import { OpenBatch } from './openBatch.js';
-import type { HeardLifetime } from './workerLifetime.js';
+import type { AnsweringLifetime } from './workerLifetime.js';
 import { WorkerPool } from './workerPool.js';
 import { TaskStarter } from './taskStarter.js';
 import type { Batch, BatchReply, TaskEnd } from '../types/dispatch.js';
@@ -63,7 +63,7 @@
       logger,
       supervisor,
       onEnd: (worker, run, evidence) => this.ended(worker, run, evidence),
-      onLifetime: (workerId, heard) => this.resolveLapsedRuns(workerId, heard),
+      onLifetime: (workerId, answering) => this.resolveLapsedRuns(workerId, answering),
       onAvailabilityChange: () => this.starter.startReadyTasks(),
     });
     this.starter = TaskStarter.create({
@@ -278,8 +278,8 @@
   }
 
   /** Counts a crash under the runs that lapsed in a lifetime of their worker that is over. */
-  private resolveLapsedRuns(workerId: string, heard: HeardLifetime): void {
-    for (const { task, taskName } of this.lapsedRuns.resolve(workerId, heard)) {
+  private resolveLapsedRuns(workerId: string, answering: AnsweringLifetime): void {
+    for (const { task, taskName } of this.lapsedRuns.resolve(workerId, answering)) {
       this.logger.warn('A worker has crashed under a run that lapsed.', { workerId, taskName });
       this.retries.recordCrash(task);
     }
--- a/src/dispatch/lapsedRuns.spec.ts
+++ b/src/dispatch/lapsedRuns.spec.ts
@@ -4,7 +4,7 @@
 import { FakeClock } from '../testing/fakeClock.js';
 import { LapsedRuns } from './lapsedRuns.js';
 import { OpenBatch } from './openBatch.js';
-import type { HeardLifetime } from './workerLifetime.js';
+import type { AnsweringLifetime } from './workerLifetime.js';
 
 const workerId = 'i-1';
 const lifetimeMs = 5;
@@ -16,13 +16,16 @@
   const [task] = OpenBatch.create('vm', batchFixture, 0).tasks;
   assert.ok(task);
   runs.remember({ workerId, taskName: 't', task, lifetimeMs: ofLifetimeMs, startedAtMs: 0 });
-  return { clock, countCrashes: (heard: HeardLifetime) => runs.resolve(workerId, heard).length };
+  return {
+    clock,
+    countCrashes: (answering: AnsweringLifetime) => runs.resolve(workerId, answering).length,
+  };
 };
 
-const reported = (startedAtMs: number, bornAfterMs: number): HeardLifetime => ({
+const reported = (startedAtMs: number, earliestStartMs: number): AnsweringLifetime => ({
   kind: 'reported',
   startedAtMs,
-  bornAfterMs,
+  earliestStartMs,
 });
 
 // Guards against a crash that counts under a task whose worker was only cut off.
@@ -31,7 +34,7 @@
 });
 
 // Guards against a task that takes one worker after the other with it, since crashes are not counted.
-test('a crash is proved by a later lifetime, by a later birth, or by another worker at the address', () => {
+test('a crash is proved by a later lifetime, by its clock, or by another worker at the address', () => {
   assert.is(createLapsed(lifetimeMs).countCrashes(reported(6, -Infinity)), 1);
   assert.is(createLapsed(undefined).countCrashes(reported(6, 1)), 1);
   assert.is(createLapsed(undefined).countCrashes(reported(6, -1)), 0);
@@ -39,7 +42,7 @@
 });
 
 // Guards against a job that fails for a restart long after its worker was cut off.
-test('a restart that is heard of late counts as no crash under a run that lapsed before', async () => {
+test('a restart that shows late counts as no crash under a run that lapsed before', async () => {
   const { clock, countCrashes } = createLapsed(lifetimeMs);
   await clock.advance(6_000);
   assert.is(countCrashes(reported(6, 1)), 0);
--- a/src/dispatch/lapsedRuns.ts
+++ b/src/dispatch/lapsedRuns.ts
@@ -1,15 +1,15 @@
 /**
- * Runs that lapsed while their worker was silent, until the worker is heard of again: only then it shows
+ * Runs that lapsed while their worker was silent, until the worker answers again: only then it shows
  * whether it has crashed under them, in another lifetime, or was cut off and goes on.
  */
 import { unreachable } from '../errors/unreachable.js';
 import type { Clock } from '../ports/clock.js';
 import type { BatchedTask } from './openBatch.js';
-import type { HeardLifetime } from './workerLifetime.js';
+import type { AnsweringLifetime } from './workerLifetime.js';
 
 const maxRememberedRuns = 1_024;
 /**
- * A task waits this long for the proof whether a worker has crashed under it; what is heard of the worker later
+ * A task waits this long for the proof whether a worker has crashed under it; what the worker answers later
  * says nothing of the run any more.
  */
 const maxProofWaitMs = 5_000;
@@ -50,16 +50,19 @@
    * Forgets the runs of a worker whose lifetime is known again.
    *
    * @param workerId - the worker
-   * @param heard - the lifetime that answers at its address
+   * @param answering - the lifetime that answers at its address
    * @returns the runs that have gone with an earlier lifetime
    */
-  resolve(workerId: string, heard: HeardLifetime): LapsedRun[] {
+  resolve(workerId: string, answering: AnsweringLifetime): LapsedRun[] {
     const resolved = this.runs.filter((run) => run.workerId === workerId);
-    if (resolved.length === 0 || (heard.kind === 'reported' && heard.startedAtMs === undefined)) {
+    if (
+      resolved.length === 0 ||
+      (answering.kind === 'reported' && answering.startedAtMs === undefined)
+    ) {
       return [];
     }
     this.runs = this.runs.filter((run) => run.workerId !== workerId);
-    return resolved.filter((run) => this.isAwaited(run) && isOver(run, heard));
+    return resolved.filter((run) => this.isAwaited(run) && isOver(run, answering));
   }
 
   /** Counts the runs of a task for which the proof is still worth a wait. */
@@ -73,15 +76,15 @@
 }
 
 /** Whether the lifetime in which a run began is over. */
-const isOver = ({ lifetimeMs, startedAtMs }: LapsedRun, heard: HeardLifetime): boolean => {
-  switch (heard.kind) {
+const isOver = ({ lifetimeMs, startedAtMs }: LapsedRun, answering: AnsweringLifetime): boolean => {
+  switch (answering.kind) {
     case 'reported':
       return lifetimeMs === undefined
-        ? startedAtMs !== undefined && startedAtMs < heard.bornAfterMs
-        : heard.startedAtMs !== lifetimeMs;
+        ? startedAtMs !== undefined && startedAtMs < answering.earliestStartMs
+        : answering.startedAtMs !== lifetimeMs;
     case 'replaced':
       return true;
     default:
-      return unreachable(heard);
+      return unreachable(answering);
   }
 };
--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -17,7 +17,7 @@
 import type { RunEvidence } from './runEvidence.js';
 import { RunOrders } from './runOrders.js';
 import { RunTable } from './runTable.js';
-import type { HeardLifetime } from './workerLifetime.js';
+import type { AnsweringLifetime } from './workerLifetime.js';
 import { WorkerLink } from './workerLink.js';
 import { WorkerReservation } from './workerReservation.js';
 import { WorkerReports, idlePollMs } from './workerReports.js';
@@ -39,7 +39,7 @@
   /** Called once for each run, with what is known of it; `unknown` only when the worker is let go. */
   readonly onEnd: (worker: ManagedWorker, run: ActiveRun, evidence: RunEvidence) => void;
   /** Called with the lifetime that has answered a hold. */
-  readonly onLifetime: (workerId: string, heard: HeardLifetime) => void;
+  readonly onLifetime: (workerId: string, answering: AnsweringLifetime) => void;
   /** Called after each event that may allow a waiting task to start. */
   readonly onAvailabilityChange: () => void;
 }
@@ -73,7 +73,7 @@
     const common = { clock, logger, link, runs, sleeper, health, onStart };
     this.reports = WorkerReports.create({
       ...common,
-      onLifetime: (heard) => options.onLifetime(this.workerId, heard),
+      onLifetime: (answering) => options.onLifetime(this.workerId, answering),
       onReport: () => this.handleReport(),
     });
     this.orders = RunOrders.create({
--- a/src/dispatch/runOrders.ts
+++ b/src/dispatch/runOrders.ts
@@ -21,7 +21,7 @@
   readonly poll: () => Promise<void>;
   /** Called with a run whose start the worker has acknowledged. */
   readonly onStart: (run: ActiveRun) => void;
-  /** Called when the reply to a start is the first word of a new lifetime of the worker. */
+  /** Called when the reply to a start is the first of a new lifetime of the worker. */
   readonly onNewLifetime: () => void;
 }
 
--- a/src/dispatch/workerLifetime.spec.ts
+++ b/src/dispatch/workerLifetime.spec.ts
@@ -4,7 +4,7 @@
 import { WorkerLifetime } from './workerLifetime.js';
 
 // Guards against runs that end with a lifetime which is over already and whose report was late.
-test('a report that was requested before a later lifetime was heard of is stale', async () => {
+test('a report that was requested before a later lifetime answered is stale', async () => {
   const clock = FakeClock.create();
   const lifetime = WorkerLifetime.create(clock);
   assert.is(lifetime.observe({ startedAtMs: 5, workerClockMs: 9_000 }, 0), 'same');
--- a/src/dispatch/workerLifetime.ts
+++ b/src/dispatch/workerLifetime.ts
@@ -26,19 +26,19 @@
 }
 
 /** Which lifetime answers at the address of a worker. */
-export type HeardLifetime =
+export type AnsweringLifetime =
   /** The worker itself. */
   | {
       readonly kind: 'reported';
       /** Start of its lifetime in milliseconds since the epoch, if it states it. */
       readonly startedAtMs: number | undefined;
       /** Earliest start of its lifetime by its clock, in monotonic time. */
-      readonly bornAfterMs: number;
+      readonly earliestStartMs: number;
     }
   /** Another worker, so that the lifetime that was there before is over. */
   | { readonly kind: 'replaced' };
 
-/** How a statement relates to the last one: `stale` if a later lifetime has been heard of already. */
+/** How a statement relates to the last one: `stale` if a later lifetime has answered already. */
 export type LifetimeChange = 'same' | 'new' | 'stale';
 
 export class WorkerLifetime {
@@ -66,7 +66,7 @@
   /**
    * Earliest start of the lifetime that last reported, in monotonic time: its clock has counted from 0 since.
    */
-  get bornAfterMs(): number {
+  get earliestStartMs(): number {
     return this.reading === undefined
       ? -Infinity
       : this.reading.requestedAtMs - this.reading.workerClockMs * (1 + maxDrift) - slackMs;
--- a/src/dispatch/workerReports.ts
+++ b/src/dispatch/workerReports.ts
@@ -14,7 +14,7 @@
 import { OrphanedRuns } from './orphanedRuns.js';
 import { evidenceOfSilence } from './runEvidence.js';
 import type { Silence } from './runEvidence.js';
-import type { HeardLifetime } from './workerLifetime.js';
+import type { AnsweringLifetime } from './workerLifetime.js';
 import type { WorkerLink } from './workerLink.js';
 
 /** Longest wait for the end of a run in one hold; well under the shortest lease. */
@@ -39,7 +39,7 @@
   /** Called with each run of the table that a report lists as running. */
   readonly onStart: (run: ActiveRun) => void;
   /** Called with the lifetime that has answered a hold, before its report is applied further. */
-  readonly onLifetime: (heard: HeardLifetime) => void;
+  readonly onLifetime: (answering: AnsweringLifetime) => void;
   /** Called after each report was applied. */
   readonly onReport: () => void;
 }
@@ -59,7 +59,7 @@
   private failedHolds = 0;
   /** When the last report was received, in monotonic time. */
   private lastReportAtMs: number;
-  /** The entry that was there when the last report was requested, which the worker's own word outweighs. */
+  /** The entry that was there when the last report was requested, which the worker's own report outweighs. */
   private checkedEntry: WorkerRecord | undefined;
   private isClosed = false;
 
@@ -248,8 +248,8 @@
       lifetimeMs: report.startedAtMs,
       departure,
     });
-    const { startedAtMs, bornAfterMs } = link.lifetime;
-    this.options.onLifetime({ kind: 'reported', startedAtMs, bornAfterMs });
+    const { startedAtMs, earliestStartMs } = link.lifetime;
+    this.options.onLifetime({ kind: 'reported', startedAtMs, earliestStartMs });
     onReport();
     return true;
   }
--- a/src/fleet/batchIntake.ts
+++ b/src/fleet/batchIntake.ts
@@ -48,7 +48,7 @@
     }
     const isAgeKnown = sentAtMs === undefined || ages.knows(askedBy);
     if (isAgeKnown) {
-      leases.recordWord(askedBy, sentAtMs);
+      leases.recordMessage(askedBy, sentAtMs);
     }
     if (dispatcher.hasBatch(batch.batchId)) {
       return dispatcher.run(askedBy, batch);
@@ -63,8 +63,8 @@
     if (ageMs > maxSharingSilenceMs) {
       return this.returnBatch(batch, askedBy, 'it arrived too late', ageMs);
     }
-    const hold = leases.holdOf(askedBy);
-    switch (hold) {
+    const lease = leases.leaseOf(askedBy);
+    switch (lease) {
       case 'held':
         return dispatcher.run(askedBy, shortenTimeLimits(batch, ageMs));
       case 'silent':
@@ -77,7 +77,7 @@
           ageMs,
         );
       default:
-        return unreachable(hold);
+        return unreachable(lease);
     }
   }
 
--- a/src/fleet/fleetHeartbeatExchange.ts
+++ b/src/fleet/fleetHeartbeatExchange.ts
@@ -87,7 +87,7 @@
     const { member, sentAtMs, load, askedBatchIds, routingVersion, lengths } = heartbeat;
     const { incarnation } = member;
     const ageMs = sentAtMs === undefined ? 0 : ages.recordHeartbeat(incarnation, sentAtMs);
-    leases.recordWord(incarnation, sentAtMs);
+    leases.recordMessage(incarnation, sentAtMs);
     view.recordLoad(incarnation, load, this.isInOwnDomain(member) ? 'near' : 'far', ageMs);
     load.workers.forEach((worker) => speeds.record(worker));
     heartbeat.suspects?.forEach((suspect) => dispatcher.suspects.recordAnnounced(suspect));
@@ -105,7 +105,7 @@
 
   /**
    * Handles the loss of a process: drops its load and fails the batches there. Its own batches here are
-   * withdrawn at once if it is certainly gone, and otherwise when its hold on them is over.
+   * withdrawn at once if it is certainly gone, and otherwise when its lease is over.
    */
   handleLostDaemon(incarnation: string, loss: PeerLoss): void {
     const { dispatcher, leases, router, view } = this.options;
--- a/src/fleet/peerRelations.ts
+++ b/src/fleet/peerRelations.ts
@@ -46,7 +46,7 @@
   /**
    * Whether this daemon takes a peer for a dispatcher that it can ask: it sent a message as recently as
    * its relation requires. Where batches are shared only since a short while, heartbeats came less often
-   * until then. It permits the peer nothing: the hold of a requester is judged by `RequesterLeases`.
+   * until then. It permits the peer nothing: the lease of a requester is judged by `RequesterLeases`.
    */
   isReachable(peer: FleetPeer): boolean {
     const relation = this.relationTo(peer);
--- a/src/fleet/requesterLeases.spec.ts
+++ b/src/fleet/requesterLeases.spec.ts
@@ -16,21 +16,21 @@
   const requesterNowMs = (): number => ages.timestampMs() + clockOffsetMs;
   const receiveHeartbeat = (sentAtMs: number): void => {
     ages.recordHeartbeat(requester, sentAtMs);
-    leases.recordWord(requester, sentAtMs);
+    leases.recordMessage(requester, sentAtMs);
   };
   receiveHeartbeat(requesterNowMs());
   return { clock, ages, leases, requesterNowMs, receiveHeartbeat };
 };
 
-test('a hold ends a bounded time after the last message', () => {
+test('a lease ends a bounded time after the last message', () => {
   const { clock, leases, requesterNowMs } = createFixture();
   clock.jump(500);
-  leases.recordWord(requester, requesterNowMs());
+  leases.recordMessage(requester, requesterNowMs());
   clock.jump(maxSharingSilenceMs);
-  assert.is(leases.holdOf(requester), 'held');
+  assert.is(leases.leaseOf(requester), 'held');
   clock.jump(1);
-  assert.is(leases.holdOf(requester), 'silent');
-  assert.is(leases.holdOf('stranger'), 'silent');
+  assert.is(leases.leaseOf(requester), 'silent');
+  assert.is(leases.leaseOf('stranger'), 'silent');
 });
 
 // Guards against a message of a gone requester that was held up and counts as if it were new.
@@ -46,7 +46,7 @@
   assert.is(leases.silenceMs(requester), 0);
   clock.jump(maxSharingSilenceMs + 1);
   receiveHeartbeat(newestSentAtMs);
-  assert.is(leases.holdOf(requester), 'silent');
+  assert.is(leases.leaseOf(requester), 'silent');
 });
 
 // Guards against a first heartbeat that was held up, whose age shows only by the next one.
@@ -56,7 +56,7 @@
   const leases = RequesterLeases.create(ages);
   clock.jump(2_000);
   ages.recordHeartbeat(requester, 0);
-  leases.recordWord(requester, 0);
+  leases.recordMessage(requester, 0);
   assert.is(leases.silenceMs(requester), 0);
   clock.jump(10);
   // Sent 900 ms after the first one, and received 10 ms after it.
@@ -67,38 +67,38 @@
 test('messages of versions without timestamps count from their receipt', () => {
   const clock = FakeClock.create();
   const leases = RequesterLeases.create(MessageAges.create(clock));
-  leases.recordWord(requester, undefined);
+  leases.recordMessage(requester, undefined);
   clock.jump(maxSharingSilenceMs);
-  assert.is(leases.holdOf(requester), 'held');
+  assert.is(leases.leaseOf(requester), 'held');
   clock.jump(1);
-  assert.is(leases.holdOf(requester), 'silent');
+  assert.is(leases.leaseOf(requester), 'silent');
 });
 
-test('no timestamp of a requester keeps its hold longer than a message that is just sent', () => {
+test('no timestamp of a requester keeps its lease longer than a message that is just sent', () => {
   const { clock, leases, requesterNowMs } = createFixture();
-  leases.recordWord(requester, requesterNowMs() + 1e9);
+  leases.recordMessage(requester, requesterNowMs() + 1e9);
   clock.jump(maxSharingSilenceMs + 1);
-  assert.is(leases.holdOf(requester), 'silent');
+  assert.is(leases.leaseOf(requester), 'silent');
 });
 
 test('a suspension of the own VM counts as silence', () => {
   const { ages, leases } = createFixture();
   ages.recordSuspension(2_000);
-  assert.is(leases.holdOf(requester), 'silent');
+  assert.is(leases.leaseOf(requester), 'silent');
 });
 
-test('nothing renews the hold of a process that was replaced', () => {
+test('nothing renews the lease of a process that was replaced', () => {
   const { leases, requesterNowMs, receiveHeartbeat } = createFixture();
   leases.end(requester);
-  assert.is(leases.holdOf(requester), 'replaced');
+  assert.is(leases.leaseOf(requester), 'replaced');
   receiveHeartbeat(requesterNowMs());
-  assert.is(leases.holdOf(requester), 'replaced');
+  assert.is(leases.leaseOf(requester), 'replaced');
 });
 
 test('only a bounded number of processes is remembered', () => {
   const { leases } = createFixture();
   for (let index = 0; index < 5_000; index += 1) {
-    leases.recordWord(`process-${index}`, undefined);
+    leases.recordMessage(`process-${index}`, undefined);
   }
   assert.ok(leases.size <= 1_024);
 });
--- a/src/fleet/requesterLeases.ts
+++ b/src/fleet/requesterLeases.ts
@@ -1,5 +1,5 @@
 /**
- * A requester's hold on its runs at this dispatcher is a lease: it ends a bounded time after the last
+ * A requester has its runs at this dispatcher by a lease: it ends a bounded time after the last
  * message that the requester's process itself has sent, counted from the sending. Nothing that this daemon
  * does on its own renews it, neither what it sends nor what it plans. Whether the requester is reachable as
  * a dispatcher is another question (`fleet/peerRelations`).
@@ -12,13 +12,13 @@
 const maxProcesses = 1_024;
 
 /**
- * What is known of a requester's hold. `silent`: its last message is too old, or there was none.
+ * What is known of a requester's lease. `silent`: its last message is too old, or there was none.
  * `replaced`: another process has taken its place, so that it has ended for good.
  */
-export type RequesterHold = 'held' | 'silent' | 'replaced';
+export type RequesterLease = 'held' | 'silent' | 'replaced';
 
 /** The newest message of a process. */
-interface Word {
+interface LastMessage {
   /** Time of its receipt, on the clock of `MessageAges`. */
   readonly receivedAtMs: number;
   /** Timestamp of the sender; earlier versions omit it. */
@@ -26,8 +26,8 @@
 }
 
 export class RequesterLeases {
-  /** By incarnation, those with the oldest words first. */
-  private readonly words = new Map<string, Word>();
+  /** By incarnation, those whose messages are the oldest first. */
+  private readonly lastMessages = new Map<string, LastMessage>();
   private readonly replaced = RecentNames.create(maxProcesses);
 
   private constructor(private readonly ages: MessageAges) {}
@@ -37,7 +37,7 @@
   }
 
   get size(): number {
-    return this.words.size;
+    return this.lastMessages.size;
   }
 
   /**
@@ -47,28 +47,31 @@
    * @param incarnation - the process
    * @param sentAtMs - its timestamp, if the message carries one
    */
-  recordWord(incarnation: string, sentAtMs: number | undefined): void {
-    const word: Word = { receivedAtMs: this.ages.timestampMs(), sentAtMs };
-    const newest = this.words.get(incarnation);
-    if (newest !== undefined && this.ageMs(incarnation, word) >= this.ageMs(incarnation, newest)) {
+  recordMessage(incarnation: string, sentAtMs: number | undefined): void {
+    const message: LastMessage = { receivedAtMs: this.ages.timestampMs(), sentAtMs };
+    const newest = this.lastMessages.get(incarnation);
+    if (
+      newest !== undefined &&
+      this.ageMs(incarnation, message) >= this.ageMs(incarnation, newest)
+    ) {
       return;
     }
-    this.words.delete(incarnation);
-    this.words.set(incarnation, word);
-    const [first] = this.words.keys();
-    if (this.words.size > maxProcesses && first !== undefined) {
-      this.words.delete(first);
+    this.lastMessages.delete(incarnation);
+    this.lastMessages.set(incarnation, message);
+    const [first] = this.lastMessages.keys();
+    if (this.lastMessages.size > maxProcesses && first !== undefined) {
+      this.lastMessages.delete(first);
     }
   }
 
-  /** Ends the hold of a process that another one has replaced; nothing renews it. */
+  /** Ends the lease of a process that another one has replaced; nothing renews it. */
   end(incarnation: string): void {
-    this.words.delete(incarnation);
+    this.lastMessages.delete(incarnation);
     this.replaced.add(incarnation);
   }
 
-  /** Judges the hold of a requester at this moment. */
-  holdOf(incarnation: string): RequesterHold {
+  /** Judges the lease of a requester at this moment. */
+  leaseOf(incarnation: string): RequesterLease {
     if (this.replaced.has(incarnation)) {
       return 'replaced';
     }
@@ -77,12 +80,12 @@
 
   /** @returns time since a process sent its newest message, in milliseconds */
   silenceMs(incarnation: string): number {
-    const word = this.words.get(incarnation);
-    return word === undefined ? Infinity : this.ageMs(incarnation, word);
+    const message = this.lastMessages.get(incarnation);
+    return message === undefined ? Infinity : this.ageMs(incarnation, message);
   }
 
   /** Time since a message was sent; it is at least the time since its receipt. */
-  private ageMs(incarnation: string, { receivedAtMs, sentAtMs }: Word): number {
+  private ageMs(incarnation: string, { receivedAtMs, sentAtMs }: LastMessage): number {
     const sinceReceiptMs = this.ages.timestampMs() - receivedAtMs;
     return sentAtMs === undefined
       ? sinceReceiptMs
--- a/src/fleet/requesterMonitor.spec.ts
+++ b/src/fleet/requesterMonitor.spec.ts
@@ -9,7 +9,7 @@
 import { RequesterMonitor } from './requesterMonitor.js';
 
 const requester = 'requester';
-/** Shorter than what counts as a standstill, and longer than a requester's hold less a heartbeat. */
+/** Shorter than what counts as a standstill, and longer than a requester's lease less a heartbeat. */
 const stallMs = 950;
 
 const createFixture = () => {
@@ -37,21 +37,21 @@
 };
 
 // Guards against live requesters whose work is withdrawn, since this process was held up and had not read on.
-test('a check that comes late judges a hold after what waited was read', async () => {
+test('a check that comes late judges a lease after what waited was read', async () => {
   const { clock, leases, withdrawn, close } = createFixture();
-  leases.recordWord(requester, undefined);
+  leases.recordMessage(requester, undefined);
   await clock.flushCallbacks();
   clock.jump(stallMs);
   // Overdue timers come before the sockets are read.
-  void clock.sleep(0).then(() => leases.recordWord(requester, undefined));
+  void clock.sleep(0).then(() => leases.recordMessage(requester, undefined));
   await clock.advance(200);
   assert.equal(withdrawn, []);
   await close();
 });
 
-test('a check that comes late ends the hold of a requester of which nothing waited', async () => {
+test('a check that comes late ends the lease of a requester of which nothing waited', async () => {
   const { clock, leases, withdrawn, close } = createFixture();
-  leases.recordWord(requester, undefined);
+  leases.recordMessage(requester, undefined);
   await clock.flushCallbacks();
   clock.jump(stallMs);
   await clock.advance(1);
--- a/src/fleet/requesterMonitor.ts
+++ b/src/fleet/requesterMonitor.ts
@@ -1,5 +1,5 @@
 /**
- * Withdraws the batches of requesters whose hold on them is over. One async function checks them
+ * Withdraws the batches of requesters whose lease is over. One async function checks them
  * periodically.
  */
 import type { Dispatcher } from '../dispatch/dispatcher.js';
@@ -14,7 +14,7 @@
 export interface RequesterMonitorOptions {
   readonly clock: Clock;
   readonly logger: Logger;
-  /** Incarnation of this daemon, which always holds its own runs. */
+  /** Incarnation of this daemon, which needs no lease for its own runs. */
   readonly ownId: string;
   readonly leases: RequesterLeases;
   readonly dispatcher: Dispatcher;
@@ -58,23 +58,23 @@
 
   private check(requester: string): void {
     const { dispatcher, leases } = this.options;
-    const hold = leases.holdOf(requester);
-    switch (hold) {
+    const lease = leases.leaseOf(requester);
+    switch (lease) {
       case 'held':
         return;
       case 'silent':
       case 'replaced': {
         const silenceMs = leases.silenceMs(requester);
-        this.logger.warn('The hold of a requester on its runs is over.', {
+        this.logger.warn('The lease of a requester is over.', {
           nodeId: requester,
-          reason: hold,
+          reason: lease,
           ...(Number.isFinite(silenceMs) ? { ageMs: Math.round(silenceMs) } : {}),
         });
         dispatcher.withdrawAll(requester);
         return;
       }
       default:
-        return unreachable(hold);
+        return unreachable(lease);
     }
   }
 }
--- a/src/fleet/requesterTimes.ts
+++ b/src/fleet/requesterTimes.ts
@@ -12,12 +12,12 @@
 export const maxSilentPeriods = 3;
 
 /**
- * Longest silence of a daemon that shares batches. A requester's hold on its runs ends with it, and a
+ * Longest silence of a daemon that shares batches. A requester's lease ends with it, and a
  * requester takes a dispatcher for lost after it.
  */
 export const maxSharingSilenceMs = maxSilentPeriods * heartbeatTickMs;
 
-/** Period in which the holds of requesters are checked. */
+/** Period in which the leases of requesters are checked. */
 export const requesterCheckPeriodMs = 100;
 
 /** Longest time that a stop order takes to a reachable worker. */
--- a/src/programs/toucandyked/oddEntries.spec.ts
+++ b/src/programs/toucandyked/invalidEntries.spec.ts
@@ -5,8 +5,8 @@
 
 const readPeriodsMs = 2_300;
 
-// Guards against an odd entry of another writer that ends the daemon or takes the workers out of service.
-test('odd entries beside good ones leave the daemon and its workers in service', async () => {
+// Guards against an invalid entry of another writer that ends the daemon or takes the workers out of service.
+test('invalid entries beside good ones leave the daemon and its workers in service', async () => {
   const lines: string[] = [];
   const fixture = await PlatformFixture.create({
     daemons: ['east'],
--- a/src/testing/model/applyEvent.ts
+++ b/src/testing/model/applyEvent.ts
@@ -66,8 +66,8 @@
       }
       return;
     }
-    case 'odd-entry':
-      return writeOddEntry(fleet, event.form, fleet.findWorker(event.worker));
+    case 'invalid-entry':
+      return writeInvalidEntry(fleet, event.form, fleet.findWorker(event.worker));
     default:
       return unreachable(event);
   }
@@ -99,9 +99,9 @@
   }
 };
 
-const writeOddEntry = (
+const writeInvalidEntry = (
   fleet: ModelFleet,
-  form: Extract<ModelEvent, { kind: 'odd-entry' }>['form'],
+  form: Extract<ModelEvent, { kind: 'invalid-entry' }>['form'],
   worker: ModelWorker | undefined,
 ): void => {
   switch (form) {
@@ -109,7 +109,7 @@
       fleet.store.publishUnreadable(worker?.workerId ?? 'i-odd');
       return;
     case 'bad-port':
-      worker?.publishElsewhere(`i-odd-${fleet.elapsedMs}`, `10.0.2.1:${badPort}`);
+      worker?.publishElsewhere(`i-invalid-${fleet.elapsedMs}`, `10.0.2.1:${badPort}`);
       return;
     case 'without-start':
       worker?.omitStart();
--- a/src/testing/model/eventArbitraries.ts
+++ b/src/testing/model/eventArbitraries.ts
@@ -1,10 +1,10 @@
 /**
- * Draws plays of the model: jobs and troubles in any order and at any time, up to a number of them. Many troubles
+ * Draws scenarios of the model: jobs and faults in any order and at any time, up to a number of them. Many faults
  * come together with a job that they are likely to meet, since most orders of a few events do nothing.
  */
 import fc from 'fast-check';
 import { unreachable } from '../../errors/unreachable.js';
-import type { ModelEvent, ModelJob, ModelPlay, WorkerChoice } from './modelEvents.js';
+import type { ModelEvent, ModelJob, Scenario, WorkerChoice } from './modelEvents.js';
 
 const maxIncidents = 4;
 const maxOthers = 6;
@@ -12,7 +12,7 @@
 const windowMs = 5_000;
 const cpuMillis = 14_000;
 
-/** Time in which a trouble meets a job, or a restart is noticed, in milliseconds. */
+/** Time in which a fault meets a job, or a restart is noticed, in milliseconds. */
 const noticeMs = 1_000;
 const shortRunMs = 60;
 const shortDeadlineMs = 1_500;
@@ -68,7 +68,7 @@
   job,
 });
 
-const daemonTrouble: fc.Arbitrary<ModelEvent> = fc.oneof(
+const daemonFault: fc.Arbitrary<ModelEvent> = fc.oneof(
   fc.record({
     ...{ kind: fc.constant('stop' as const), atMs: time, daemon },
     downMs: duration(300, 2_000),
@@ -92,7 +92,7 @@
   }),
 );
 
-const workerTrouble: fc.Arbitrary<ModelEvent> = fc.oneof(
+const workerFault: fc.Arbitrary<ModelEvent> = fc.oneof(
   fc.record({
     ...{ kind: fc.constant('cut' as const), atMs: time, worker },
     daemon: fc.option(daemon, { nil: null }),
@@ -114,7 +114,7 @@
     forMs: duration(100, 4_000),
   }),
   fc.record({
-    ...{ kind: fc.constant('odd-entry' as const), atMs: time, worker },
+    ...{ kind: fc.constant('invalid-entry' as const), atMs: time, worker },
     form: fc.constantFrom('unreadable' as const, 'bad-port' as const, 'without-start' as const),
   }),
 );
@@ -123,19 +123,19 @@
   ...{ kind: fc.constant('cancel' as const), atMs: time, job: jobIndex, daemon },
 });
 
-const trouble: fc.Arbitrary<ModelEvent> = fc.oneof(
-  { weight: 6, arbitrary: daemonTrouble },
-  { weight: 5, arbitrary: workerTrouble },
+const fault: fc.Arbitrary<ModelEvent> = fc.oneof(
+  { weight: 6, arbitrary: daemonFault },
+  { weight: 5, arbitrary: workerFault },
   { weight: 1, arbitrary: cancel },
 );
 
-/** A trouble, which may come twice, together with a job that it is likely to meet. */
+/** A fault, which may come twice, together with a job that it is likely to meet. */
 const incident: fc.Arbitrary<ModelEvent[]> = fc
   .record({
-    ...{ trouble, job, share: fc.double({ min: 0, max: 1, noNaN: true }) },
+    ...{ fault, job, share: fc.double({ min: 0, max: 1, noNaN: true }) },
     repeatedAfterMs: fc.option(duration(300, 4_000)),
   })
-  .map(({ trouble: one, job: met, share, repeatedAfterMs }) => [
+  .map(({ fault: one, job: met, share, repeatedAfterMs }) => [
     submitNear(one, met, share),
     one,
     ...(repeatedAfterMs === null ? [] : [{ ...one, atMs: one.atMs + repeatedAfterMs }]),
@@ -153,7 +153,7 @@
   );
 
 /**
- * Submits a job to a frozen daemon, right after the restart of a worker, or a moment before any other trouble.
+ * Submits a job to a frozen daemon, right after the restart of a worker, or a moment before any other fault.
  *
  * @param share - position in the time that is chosen from, from 0 to 1
  */
@@ -173,7 +173,7 @@
     case 'cut':
     case 'drain':
     case 'worker-fault':
-    case 'odd-entry':
+    case 'invalid-entry':
     case 'submit':
       return { kind: 'submit', atMs: Math.max(one.atMs - share * noticeMs, 0), job };
     default:
@@ -194,15 +194,15 @@
   { daemons: ['east', 'east'], domains: ['east', 'east', 'east', 'east', 'east'] },
 );
 
-/** Plays of some incidents, one burst of small jobs at most, and other jobs and troubles. */
-export const playArbitrary: fc.Arbitrary<ModelPlay> = fc
+/** Scenarios of some incidents, one burst of small jobs at most, and other jobs and faults. */
+export const scenarioArbitrary: fc.Arbitrary<Scenario> = fc
   .record({
     seed: fc.nat({ max: 1_000 }),
     topology,
     incidents: fc.array(incident, { minLength: 1, maxLength: maxIncidents, size: 'max' }),
     bursts: fc.array(load, { maxLength: 1, size: 'max' }),
     startsStateLifetime: fc.boolean(),
-    others: fc.array(fc.oneof(submit, trouble), { maxLength: maxOthers, size: 'max' }),
+    others: fc.array(fc.oneof(submit, fault), { maxLength: maxOthers, size: 'max' }),
   })
   .map(
     ({ seed, topology: { daemons, domains }, incidents, bursts, others, startsStateLifetime }) => ({
--- a/src/testing/model/modelEvents.ts
+++ b/src/testing/model/modelEvents.ts
@@ -1,6 +1,6 @@
 /**
  * The events of the model: what clients ask for, and what goes wrong. Times are in milliseconds from the
- * begin of the play, when the fleet serves its workers.
+ * begin of the scenario, when the fleet serves its workers.
  */
 import { z } from 'zod';
 
@@ -76,7 +76,7 @@
   }),
   /** An entry in the list of workers that names no worker to use, or that omits the worker's start. */
   z.object({
-    kind: z.literal('odd-entry'),
+    kind: z.literal('invalid-entry'),
     atMs,
     form: z.enum(['unreadable', 'bad-port', 'without-start']),
     worker: workerChoiceSchema,
@@ -85,7 +85,7 @@
 export type ModelEvent = z.infer<typeof modelEventSchema>;
 
 /** A list of events and the seed of the random numbers in the daemons. */
-export const modelPlaySchema = z.object({
+export const scenarioSchema = z.object({
   seed: z.number().int().nonnegative(),
   /** Failure domain of each daemon. */
   daemons: z.array(z.string()).min(1),
@@ -94,4 +94,4 @@
   startsStateLifetime: z.boolean().default(false),
   events: z.array(modelEventSchema),
 });
-export type ModelPlay = z.infer<typeof modelPlaySchema>;
+export type Scenario = z.infer<typeof scenarioSchema>;
--- a/src/testing/model/modelFleet.ts
+++ b/src/testing/model/modelFleet.ts
@@ -10,7 +10,7 @@
 import { ModelClients } from './modelClients.js';
 import type { ModelServer } from './modelConnector.js';
 import { ModelDaemon } from './modelDaemon.js';
-import type { ModelPlay, WorkerChoice } from './modelEvents.js';
+import type { Scenario, WorkerChoice } from './modelEvents.js';
 import { ModelNetwork } from './modelNetwork.js';
 import type { ModelRun } from './modelRun.js';
 import { ModelStore } from './modelStore.js';
@@ -60,20 +60,20 @@
   private readonly agenda: AgendaItem[] = [];
   private beginMs = 0;
 
-  private constructor(play: ModelPlay, createLogger: CreateLogger) {
-    this.workers = play.workers.map((one, index) => this.createWorker(one, index));
+  private constructor(scenario: Scenario, createLogger: CreateLogger) {
+    this.workers = scenario.workers.map((one, index) => this.createWorker(one, index));
     const workers = new Map(this.workers.map((worker) => [worker.workerId, worker]));
     const { time, network, store } = this;
-    const { startsStateLifetime } = play;
-    const failureDomainIds = [...new Set(play.daemons)];
+    const { startsStateLifetime } = scenario;
+    const failureDomainIds = [...new Set(scenario.daemons)];
     const findServer = (address: string): ModelServer | undefined =>
       this.daemons.find((daemon) => daemon.address === address)?.server;
-    this.daemons = play.daemons.map((failureDomainId, index) =>
+    this.daemons = scenario.daemons.map((failureDomainId, index) =>
       ModelDaemon.create({
         ...{ time, network, store, workers, failureDomainId, failureDomainIds, createLogger },
         ...{ startsStateLifetime, findServer },
         address: `10.0.0.${index + 1}:7000`,
-        seed: play.seed * 16 + index,
+        seed: scenario.seed * 16 + index,
       }),
     );
     this.clients = ModelClients.create({
@@ -83,14 +83,14 @@
   }
 
   /** Builds a fleet, and waits until it serves its workers. */
-  static async create(play: ModelPlay, createLogger: CreateLogger): Promise<ModelFleet> {
-    const fleet = new ModelFleet(play, createLogger);
+  static async create(scenario: Scenario, createLogger: CreateLogger): Promise<ModelFleet> {
+    const fleet = new ModelFleet(scenario, createLogger);
     await fleet.time.advance(warmUpMs);
     fleet.beginMs = fleet.time.nowMs();
     return fleet;
   }
 
-  /** Time since the begin of the play, in milliseconds. */
+  /** Time since the begin of the scenario, in milliseconds. */
   get elapsedMs(): number {
     return this.time.nowMs() - this.beginMs;
   }
@@ -144,10 +144,7 @@
     this.daemons.forEach((daemon) => daemon.kill());
   }
 
-  private createWorker(
-    { domain, label }: ModelPlay['workers'][number],
-    index: number,
-  ): ModelWorker {
+  private createWorker({ domain, label }: Scenario['workers'][number], index: number): ModelWorker {
     const record: WorkerRecord = {
       workerId: `i-${index}`,
       address: `10.0.1.${index + 1}:8080`,
--- a/src/testing/model/playEvents.ts
+++ b/src/testing/model/runScenario.ts
@@ -1,22 +1,22 @@
 /**
- * Plays a list of events against a fleet of the model, and judges the result.
+ * Runs a list of events against a fleet of the model, and judges the result.
  */
 import { silentLogger } from '../silentLogger.js';
 import { applyEvent } from './applyEvent.js';
 import { judge } from './judge.js';
 import type { Violation } from './judge.js';
-import type { ModelPlay } from './modelEvents.js';
+import type { Scenario } from './modelEvents.js';
 import { ModelFleet, maxFailedRuns } from './modelFleet.js';
 import type { CreateLogger } from './modelFleet.js';
 
 /** Time after the last answer in which runs that are left over would show, in milliseconds. */
 const settleMs = 3_000;
-/** Time in which every play ends, in milliseconds. */
-const maxPlayMs = 60_000;
+/** Time in which every scenario ends, in milliseconds. */
+const maxScenarioMs = 60_000;
 const stepMs = 500;
 
-/** What a play showed. */
-export interface PlayResult {
+/** What a scenario showed. */
+export interface ScenarioResult {
   readonly violations: readonly Violation[];
   /** Number of runs that the workers started. */
   readonly runCount: number;
@@ -24,16 +24,16 @@
   readonly answers: readonly string[];
 }
 
-/** Plays events, and waits until all jobs have ended. */
-export const playEvents = async (
-  play: ModelPlay,
+/** Runs a scenario, and waits until all jobs have ended. */
+export const runScenario = async (
+  scenario: Scenario,
   createLogger: CreateLogger = () => silentLogger,
-): Promise<PlayResult> => {
+): Promise<ScenarioResult> => {
   const rejections: string[] = [];
   const onRejection = (reason: unknown): void => void rejections.push(String(reason));
   process.on('unhandledRejection', onRejection);
-  const fleet = await ModelFleet.create(play, createLogger);
-  const events = [...play.events].sort((a, b) => a.atMs - b.atMs);
+  const fleet = await ModelFleet.create(scenario, createLogger);
+  const events = [...scenario.events].sort((a, b) => a.atMs - b.atMs);
   const taskCounts = new Map<string, number>();
   for (const event of events) {
     const submissions = taskCounts.size;
@@ -42,7 +42,7 @@
     }
     fleet.at(event.atMs, () => applyEvent(fleet, event, submissions));
   }
-  while (!fleet.isSettled && fleet.elapsedMs < maxPlayMs) {
+  while (!fleet.isSettled && fleet.elapsedMs < maxScenarioMs) {
     await fleet.runUntil(fleet.elapsedMs + stepMs);
   }
   await fleet.runUntil(fleet.elapsedMs + settleMs);
--- a/src/testing/model/plays.ts
+++ b/src/testing/model/scenarios.ts
@@ -1,7 +1,7 @@
 /**
  * Short fixed orders of events, each of which leads to one kind of failure unless the daemons prevent it.
  */
-import type { ModelEvent, ModelJob, ModelPlay } from './modelEvents.js';
+import type { ModelEvent, ModelJob, Scenario } from './modelEvents.js';
 
 /** More than a third of a worker: each has two slots. */
 const halfWorkerCpuMillis = 14_000;
@@ -25,11 +25,11 @@
   job: createJob(job),
 });
 
-const createPlay = (
+const createScenario = (
   daemons: string[],
   workers: readonly (readonly [domain: string, count: number, label?: string])[],
   events: ModelEvent[],
-): ModelPlay => ({
+): Scenario => ({
   seed: 1,
   daemons,
   workers: workers.flatMap(([domain, count, label = 'a']) =>
@@ -39,14 +39,14 @@
   events,
 });
 
-const twoZones = ['east', 'east', 'west'];
+const twoDomains = ['east', 'east', 'west'];
 const anyWorkers = [
   ['east', 6],
   ['west', 4],
 ] as const;
 
 /** Nothing goes wrong. */
-export const calmPlay = createPlay(twoZones, anyWorkers, [
+export const calmScenario = createScenario(twoDomains, anyWorkers, [
   submit(0, { tasks: 6 }),
   submit(500, { tasks: 4, runMs: 60, estimatedMs: 60 }),
 ]);
@@ -61,14 +61,14 @@
 });
 
 /** Two workers, one after the other, are cut off while they run the only task of a job. */
-export const cutOffWorkersPlay = createPlay(twoZones, anyWorkers, [
+export const cutOffWorkersScenario = createScenario(twoDomains, anyWorkers, [
   submit(0, { runMs: 5_000, estimatedMs: 5_000 }),
   cutOff(500),
   cutOff(3_500),
 ]);
 
 /** A daemon stops as planned while long tasks of another one's job run on its workers. */
-export const plannedStopPlay = createPlay(twoZones, anyWorkers, [
+export const plannedStopScenario = createScenario(twoDomains, anyWorkers, [
   submit(0, { tasks: 12, runMs: 7_000, estimatedMs: 7_000 }),
   { kind: 'stop', atMs: 500, daemon: 1, downMs: 1_000 },
 ]);
@@ -82,8 +82,8 @@
 );
 
 /** A daemon is killed while its tasks run at another one, which goes on sending batches to it. */
-export const killedRequesterPlay = createPlay(
-  twoZones,
+export const killedRequesterScenario = createScenario(
+  twoDomains,
   [
     ['east', 3, 'a'],
     ['east', 5, 'b'],
@@ -103,7 +103,7 @@
 );
 
 /** An idle worker restarts, and gets a task before its dispatcher has learned of the restart. */
-export const restartedWorkerPlay = createPlay(
+export const restartedWorkerScenario = createScenario(
   ['east'],
   [['east', 3]],
   [
@@ -119,7 +119,7 @@
 );
 
 /** A request waits in a frozen process, and its client goes elsewhere before the process wakes. */
-export const frozenDaemonPlay = createPlay(
+export const frozenDaemonScenario = createScenario(
   ['east', 'west', 'south'],
   [
     ['east', 2],
@@ -134,27 +134,27 @@
 );
 
 /** A client cancels its job at another daemon than the one that runs it. */
-export const cancelledElsewherePlay = createPlay(twoZones, anyWorkers, [
+export const cancelledElsewhereScenario = createScenario(twoDomains, anyWorkers, [
   submit(0, { tasks: 4, runMs: 5_000, estimatedMs: 5_000 }),
   { kind: 'cancel', atMs: 1_000, job: 0, daemon: 1 },
 ]);
 
 /** An entry in the list of workers has an address that no connection can be opened to. */
-export const badEntryPlay = createPlay(twoZones, anyWorkers, [
-  { kind: 'odd-entry', atMs: 0, form: 'bad-port', worker: { kind: 'numbered', index: 0 } },
+export const badEntryScenario = createScenario(twoDomains, anyWorkers, [
+  { kind: 'invalid-entry', atMs: 0, form: 'bad-port', worker: { kind: 'numbered', index: 0 } },
   submit(2_000, { tasks: 4 }),
 ]);
 
 /** The entry of a worker omits its start while the worker runs a task. */
-export const entryWithoutStartPlay = createPlay(twoZones, anyWorkers, [
+export const entryWithoutStartScenario = createScenario(twoDomains, anyWorkers, [
   submit(0, { runMs: 3_000, estimatedMs: 3_000 }),
   {
-    ...{ kind: 'odd-entry', atMs: 500, form: 'without-start' },
+    ...{ kind: 'invalid-entry', atMs: 500, form: 'without-start' },
     worker: { kind: 'running', job: 0 },
   },
 ]);
 
-const threeZones = ['east', 'west', 'south'];
+const threeDomains = ['east', 'west', 'south'];
 const twoWorkersEach = [
   ['east', 2],
   ['west', 2],
@@ -166,7 +166,7 @@
 });
 
 /** A link holds batches and their repeats up, the first for longer than a batch may wait. */
-export const heldUpRepeatPlay = createPlay(threeZones, twoWorkersEach, [
+export const heldUpRepeatScenario = createScenario(threeDomains, twoWorkersEach, [
   submit(1_245, {
     ...{ daemon: 2, nextDaemonStep: 2, tasks: 7, runMs: 6_924, estimatedMs: 6_924 },
     isFailing: true,
@@ -181,7 +181,7 @@
 ]);
 
 /** A link holds a batch up whose requester has just started. */
-export const heldUpNewcomerPlay = createPlay(threeZones, twoWorkersEach, [
+export const heldUpNewcomerScenario = createScenario(threeDomains, twoWorkersEach, [
   { kind: 'kill', atMs: 2_443, daemon: 1, downMs: 2_213 },
   { kind: 'cut-daemons', atMs: 4_901, daemon: 1, other: 0, fault: 'held-up', forMs: 2_874 },
   submit(5_044, { daemon: 1, nextDaemonStep: 3, tasks: 6, runMs: 1_300, estimatedMs: 775 }),
--- a/src/workers/workerDirectory.spec.ts
+++ b/src/workers/workerDirectory.spec.ts
@@ -50,12 +50,12 @@
     changes.push({ kind: 'listed', worker });
     await clock.advance(1_100);
   };
-  const listOdd = async (workerId: string, reason: string): Promise<void> => {
+  const listInvalid = async (workerId: string, reason: string): Promise<void> => {
     changes.push({ kind: 'unreadable', workerId, reason });
     await clock.advance(1_100);
   };
   const warnings = (): string[] => lines.filter((line) => line.startsWith('warn'));
-  return { clock, directory, changes, pages, reads, counts, list, listOdd, warnings };
+  return { clock, directory, changes, pages, reads, counts, list, listInvalid, warnings };
 };
 
 // Guards against jobs that are told that they can never run while the capacity of workers has shrunk.
@@ -76,17 +76,17 @@
   await directory.close();
 });
 
-// Guards against an odd entry of another writer that takes a worker out of use, or hides what comes after it.
-test('a worker whose entry was overwritten by an odd one keeps its record, and the others stay listed', async () => {
-  const { directory, changes, pages, list, listOdd, clock } = createFixture();
+// Guards against an invalid entry of another writer that takes a worker out of use, or hides what comes after it.
+test('a worker whose entry was overwritten by an invalid one keeps its record, and the others stay listed', async () => {
+  const { directory, changes, pages, list, listInvalid, clock } = createFixture();
   const { workerId } = workerFixture;
   const other = { ...workerFixture, workerId: 'i-other' };
   await list(workerFixture);
   await list(other);
-  await listOdd(workerId, 'odd');
-  await listOdd('i-unknown', 'odd');
+  await listInvalid(workerId, 'odd');
+  await listInvalid('i-unknown', 'odd');
   assert.is(directory.list().length, 2);
-  // The whole list is read again, in which the odd entry has replaced the right one.
+  // The whole list is read again, in which the invalid entry has replaced the right one.
   pages.push(undefined);
   changes.push({ kind: 'unreadable', workerId, reason: 'odd' }, { kind: 'listed', worker: other });
   await clock.advance(6_000);
@@ -99,19 +99,19 @@
   await directory.close();
 });
 
-// Guards against a log that another writer fills, and against an odd entry that nobody is told of.
-test('an odd entry is logged once for each reason, again after a right one, and always counted', async () => {
-  const { directory, counts, list, listOdd, warnings } = createFixture();
+// Guards against a log that another writer fills, and against an invalid entry that nobody is told of.
+test('an invalid entry is logged once for each reason, again after a right one, and always counted', async () => {
+  const { directory, counts, list, listInvalid, warnings } = createFixture();
   const { workerId } = workerFixture;
-  await listOdd(workerId, 'too long');
-  await listOdd(workerId, 'too long');
+  await listInvalid(workerId, 'too long');
+  await listInvalid(workerId, 'too long');
   assert.is(warnings().length, 1);
-  await listOdd(workerId, 'too deep');
+  await listInvalid(workerId, 'too deep');
   assert.is(warnings().length, 2);
   await list(workerFixture);
-  await listOdd(workerId, 'too deep');
+  await listInvalid(workerId, 'too deep');
   assert.is(warnings().length, 3);
-  await listOdd('k'.repeat(10_000), 'key');
+  await listInvalid('k'.repeat(10_000), 'key');
   assert.ok(warnings().every((line) => line.length < 200));
   assert.equal(counts, Array<string>(5).fill('worker_entries_skipped'));
   await directory.close();
--- a/src/workers/workerDirectory.ts
+++ b/src/workers/workerDirectory.ts
@@ -18,9 +18,9 @@
  * store was unreachable is back within two seconds of the store's return.
  */
 const removalDelayMs = 2_500;
-/** Most keys of odd entries that are remembered; the one found first is forgotten first. */
-const maxOddKeys = 1_024;
-/** Part of an odd key that is logged, in characters. */
+/** Most keys of invalid entries that are remembered; the one found first is forgotten first. */
+const maxInvalidKeys = 1_024;
+/** Part of an invalid key that is logged, in characters. */
 const loggedKeyLength = 64;
 
 export interface WorkerDirectoryOptions {
@@ -46,7 +46,7 @@
   /** When a worker's entry was found missing, in monotonic time, by worker. */
   private readonly missingSinceMs = new Map<string, number>();
   /** Why the newest entry of a key is not valid, as it was logged, by key. */
-  private readonly oddEntries = new Map<string, string>();
+  private readonly invalidEntries = new Map<string, string>();
   private readonly stop = new AbortController();
   private readonly logger: Logger;
   private readonly dependency: DependencyMonitor;
@@ -149,7 +149,7 @@
     }
   }
 
-  /** Marks the workers that a whole list does not contain; one with an odd entry keeps its record. */
+  /** Marks the workers that a whole list does not contain; one with an invalid entry keeps its record. */
   private markUnlistedAsMissing(changes: readonly WorkerChange[]): void {
     const listed = new Set(
       changes.flatMap((change) => (change.kind === 'removed' ? [] : [workerIdOf(change)])),
@@ -167,11 +167,11 @@
       case 'listed':
         return this.recordListed(change.worker);
       case 'removed':
-        this.oddEntries.delete(change.workerId);
+        this.invalidEntries.delete(change.workerId);
         this.markMissing(change.workerId);
         return false;
       case 'unreadable':
-        this.reportOddEntry(change.workerId, change.reason);
+        this.reportInvalidEntry(change.workerId, change.reason);
         return false;
       default:
         return unreachable(change);
@@ -181,7 +181,7 @@
   private recordListed(worker: WorkerRecord): boolean {
     const { workerId } = worker;
     this.missingSinceMs.delete(workerId);
-    this.oddEntries.delete(workerId);
+    this.invalidEntries.delete(workerId);
     const known = this.workers.get(workerId);
     if (known !== undefined && isSameRecord(known, worker)) {
       return false;
@@ -205,16 +205,16 @@
   }
 
   /** Counts an entry from which no worker can be read, and logs it once for each key and reason. */
-  private reportOddEntry(key: string, reason: string): void {
+  private reportInvalidEntry(key: string, reason: string): void {
     this.options.metrics.count('worker_entries_skipped');
-    if (this.oddEntries.get(key) === reason) {
+    if (this.invalidEntries.get(key) === reason) {
       return;
     }
-    this.oddEntries.delete(key);
-    this.oddEntries.set(key, reason);
-    const [oldest] = this.oddEntries.keys();
-    if (this.oddEntries.size > maxOddKeys && oldest !== undefined) {
-      this.oddEntries.delete(oldest);
+    this.invalidEntries.delete(key);
+    this.invalidEntries.set(key, reason);
+    const [oldest] = this.invalidEntries.keys();
+    if (this.invalidEntries.size > maxInvalidKeys && oldest !== undefined) {
+      this.invalidEntries.delete(oldest);
     }
     const workerId = key.slice(0, loggedKeyLength);
     this.logger.warn('The entry of a worker is not valid.', { workerId, reason });
