Answer a cancellation as of an unknown job only when every known daemon has answered

Cause: a cancellation was passed on to reachable daemons only, and answered 410 (no such job) when those had answered or 0.5 s were over.

Change: the answer is a closed union (cancelled, unknown, unconfirmed). Silent peers count as daemons that may have the job until another process takes their place, they have left, or they were not heard of for 20 s; the lists of members have to be complete as well. A contact in another domain says whether its answer is complete.

Tests: the model's client repeats an unconfirmed cancellation, and the judge has a new rule, that it is confirmed within 4 s once nothing is wrong any more; before, an answer of 'unknown' counted alike. A test that expected 'unknown' while no other daemon had been asked now expects 'unconfirmed'.

--- a/src/fleet/eventOrders.spec.ts
+++ b/src/fleet/eventOrders.spec.ts
@@ -3,6 +3,7 @@
 import {
   badEntryScenario,
   calmScenario,
+  cancelledBehindCutScenario,
   cancelledElsewhereScenario,
   cutOffWorkersScenario,
   entryWithoutStartScenario,
@@ -79,6 +80,11 @@
   await checkFirstAnswer(cancelledElsewhereScenario, 'cancelled');
 });
 
+// Guards against a caller that is told of no such job, while the daemon that runs it is cut off.
+test('a cancellation across a cut is not answered until the daemon that runs the job is told', async () => {
+  await checkScenario(cancelledBehindCutScenario);
+});
+
 // Guards against a faulty entry that ends the processes of the daemons which serve its shard.
 test('an entry with an unusable address does no harm', async () => {
   await checkFirstAnswer(badEntryScenario, 'completed');
--- a/src/fleet/fleetPeer.ts
+++ b/src/fleet/fleetPeer.ts
@@ -5,6 +5,9 @@
 import type { FleetLink } from '../ports/fleetPeers.js';
 import type { FleetHeartbeat, KnownMember } from '../types/fleet.js';
 
+/** Longest time for which a daemon that leaves keeps its jobs, in milliseconds. */
+const maxLeavingMs = 6_000;
+
 export class FleetPeer {
   /** The last heartbeat that was received. */
   heartbeat: FleetHeartbeat | undefined;
@@ -81,6 +84,15 @@
     return nowMs - this.lastContactAtMs <= maxSilenceMs;
   }
 
+  /**
+   * Whether the peer has left as it announced, so that it has no jobs.
+   *
+   * @param nowMs - the current monotonic time
+   */
+  hasLeft(nowMs: number): boolean {
+    return this.heartbeat?.isLeaving === true && !this.hadContactWithin(nowMs, maxLeavingMs);
+  }
+
   async close(): Promise<void> {
     this.stop.abort();
     await this.link.close();
--- a/src/fleet/fleetPeers.ts
+++ b/src/fleet/fleetPeers.ts
@@ -1,31 +1,25 @@
 /**
- * The other daemons of the fleet, and which of them are reachable. One async function for each peer
- * exchanges heartbeats with it while this daemon keeps contact.
+ * The other daemons of the fleet, and which of them are reachable.
  */
 import type { FleetConnector } from '../ports/fleetPeers.js';
 import type { FleetStore } from '../ports/fleetStore.js';
 import type { Logger } from '../ports/logger.js';
 import type { FleetHeartbeat, KnownMember, Member } from '../types/fleet.js';
 import type { TaskSupervisor } from '../utils/taskSupervisor.js';
-import { sleepUntilNextCheck, sleepUntilSharedPeriod } from '../utils/periodicSleep.js';
+import { sleepUntilNextCheck } from '../utils/periodicSleep.js';
 import { RecentNames } from '../utils/recentNames.js';
 import { rankContact } from './contacts.js';
 import { FleetPeer } from './fleetPeer.js';
 import { HeartbeatDuty } from './heartbeatDuty.js';
+import { HeartbeatSender } from './heartbeatSender.js';
 import { PeerDiscovery } from './peerDiscovery.js';
 import { PeerRelations } from './peerRelations.js';
 import type { PeerRelationsOptions } from './peerRelations.js';
-import { heartbeatTickMs } from './requesterTimes.js';
 
-const heartbeatTimeoutMs = 250;
-/** Least time between two full heartbeats to a peer, in milliseconds. */
-const fullHeartbeatPeriodMs = 1_500;
 /** Silence after which other daemons take over the duties of a peer, in milliseconds. */
 const takeoverAfterMs = 3_000;
 /** A peer that neither sends messages nor is listed for this long is removed, in milliseconds. */
 const forgetAfterMs = 20_000;
-/** Pause between heartbeats to a peer that is not reachable, in milliseconds. */
-const retryPeriodMs = 500;
 /** Period in which contacts are chosen and silent peers are detected, in milliseconds. */
 const checkPeriodMs = 100;
 /** Processes that another one has replaced that are remembered. */
@@ -59,11 +53,18 @@
   private readonly discovery: PeerDiscovery;
   private readonly relations: PeerRelations;
   private readonly duty: HeartbeatDuty;
+  private readonly sender: HeartbeatSender;
 
   private constructor(private readonly options: FleetPeersOptions) {
     this.logger = options.logger.forPart('fleet');
     this.relations = PeerRelations.create(options);
     this.duty = HeartbeatDuty.create(options, this.relations);
+    this.sender = HeartbeatSender.create({
+      ...options,
+      relations: this.relations,
+      duty: this.duty,
+      onAnswer: (heartbeat) => this.handleHeartbeat(heartbeat),
+    });
     this.discovery = PeerDiscovery.create({
       ...options,
       logger: this.logger,
@@ -92,6 +93,19 @@
     return [...this.peers.values()].filter((peer) => this.isReachable(peer));
   }
 
+  /** @returns the peers that may be there though they are not reachable, such as one that is cut off */
+  silent(): FleetPeer[] {
+    const nowMs = this.options.clock.nowMs();
+    return [...this.peers.values()].filter(
+      (peer) => !this.isReachable(peer) && !peer.hasLeft(nowMs),
+    );
+  }
+
+  /** Whether the store has listed the members of every failure domain, so that all peers were met. */
+  get hasListedAll(): boolean {
+    return this.discovery.hasListedAll;
+  }
+
   /** @returns addresses and failure domains of the reachable peers, for heartbeats */
   heardMembers(): KnownMember[] {
     return this.reachable().map(({ known }) => known);
@@ -204,7 +218,7 @@
     if (added.length > 0) {
       this.refreshContacts();
       for (const peer of added) {
-        void supervisor.keep('heartbeats', () => this.exchangeHeartbeats(peer), peer.stop.signal);
+        void supervisor.keep('heartbeats', () => this.sender.exchangeWith(peer), peer.stop.signal);
       }
     }
   }
@@ -222,41 +236,6 @@
     this.duty.refreshContacts([...this.peers.values()]);
   }
 
-  /** Sends heartbeats to one peer, where this is needed, until the peer is removed. */
-  private async exchangeHeartbeats(peer: FleetPeer): Promise<void> {
-    const { clock } = this.options;
-    while (!peer.stop.signal.aborted) {
-      if (this.duty.mustSend(peer)) {
-        await this.sendHeartbeat(peer);
-      }
-      await sleepUntilSharedPeriod(
-        clock,
-        this.isReachable(peer) ? heartbeatTickMs : retryPeriodMs,
-        peer.stop.signal,
-      );
-    }
-  }
-
-  private async sendHeartbeat(peer: FleetPeer): Promise<void> {
-    const nowMs = this.options.clock.nowMs();
-    peer.lastSentAtMs = nowMs;
-    peer.isDisputed = false;
-    const isFull = nowMs - peer.lastFullHeartbeatAtMs >= fullHeartbeatPeriodMs;
-    if (isFull) {
-      peer.lastFullHeartbeatAtMs = nowMs;
-    }
-    const own = this.options.composeHeartbeat(peer.incarnation, isFull);
-    const reply = await peer.link.beat(own, heartbeatTimeoutMs);
-    if (reply.isOk()) {
-      this.handleHeartbeat(reply.value);
-      return;
-    }
-    peer.unansweredHeartbeats += 1;
-    if (peer.incarnation !== undefined) {
-      this.options.onSuspect(peer.incarnation);
-    }
-  }
-
   /** Chooses contacts and checks every peer, until the daemon closes. */
   private async checkPeers(): Promise<void> {
     const { clock } = this.options;
--- a/src/fleet/jobCancellation.spec.ts
+++ b/src/fleet/jobCancellation.spec.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import type { JobEnd, JobRequest } from '../ports/jobs.js';
+import type { CancellationOutcome, JobEnd, JobRequest } from '../ports/jobs.js';
 import { workerFixture } from '../testing/dispatchFixtures.js';
 import { FleetFixture } from '../testing/fleetFixture.js';
 import type { FixtureMember } from '../testing/fleetFixture.js';
@@ -47,11 +47,11 @@
 const cancelAt = async (fleet: FleetFixture, address: string) => {
   const { clock } = fleet;
   const sentAtMs = clock.nowMs();
-  let answer: { readonly wasFound: boolean; readonly afterMs: number } | undefined;
+  let answer: { readonly outcome: CancellationOutcome; readonly afterMs: number } | undefined;
   void fleet
     .daemon(address)
     .intake.cancel(job.jobId)
-    .then((wasFound) => (answer = { wasFound, afterMs: clock.nowMs() - sentAtMs }));
+    .then((outcome) => (answer = { outcome, afterMs: clock.nowMs() - sentAtMs }));
   await clock.advance(1_000);
   return answer;
 };
@@ -73,7 +73,7 @@
     await fleet.clock.advance(200);
     assert.is(fleet.workers.starts.length, 1);
     const answer = await cancelAt(fleet, addressOf(0, 0));
-    assert.equal(answer, { wasFound: true, afterMs: 0 });
+    assert.equal(answer, { outcome: 'cancelled', afterMs: 0 });
     assert.equal(end, { kind: 'cancelled' });
     assert.is(fleet.stops.length, 1);
     const calls = cancelCalls(fleet);
@@ -93,7 +93,7 @@
   const address = '127.0.0.9:7000';
   fleet.start({ address, incarnation: 'new', failureDomainId: 'east', shards: [] });
   const answer = await cancelAt(fleet, address);
-  assert.is(answer?.wasFound, true);
+  assert.is(answer?.outcome, 'cancelled');
   assert.equal(await running, { kind: 'cancelled' });
   await fleet.close();
 });
@@ -101,7 +101,7 @@
 // Guards against a copy of a job that starts after its cancellation was answered.
 test('a job that arrives after its cancellation starts nothing at any daemon', async () => {
   const fleet = await createFleet();
-  assert.is((await cancelAt(fleet, addressOf(0, 0)))?.wasFound, false);
+  assert.is((await cancelAt(fleet, addressOf(0, 0)))?.outcome, 'unknown');
   for (const { address } of members) {
     const end = fleet.submit(address, job);
     await fleet.clock.advance(100);
@@ -138,7 +138,7 @@
   await fleet.clock.advance(200);
   fleet.silent.add(address);
   void fleet.clock.sleep(250).then(() => fleet.silent.delete(address));
-  assert.is((await cancelAt(fleet, addressOf(0, 0)))?.wasFound, true);
+  assert.is((await cancelAt(fleet, addressOf(0, 0)))?.outcome, 'cancelled');
   assert.equal(await running, { kind: 'cancelled' });
   await fleet.close();
 });
@@ -151,13 +151,13 @@
   await fleet.clock.advance(200);
   members.filter(({ address }) => address !== own).forEach(({ address }) => fleet.kill(address));
   for (let round = 0; round < 2; round += 1) {
-    assert.equal(await cancelAt(fleet, own), { wasFound: true, afterMs: 0 });
+    assert.equal(await cancelAt(fleet, own), { outcome: 'cancelled', afterMs: 0 });
   }
   assert.equal(await running, { kind: 'cancelled' });
   const sentAtMs = fleet.clock.nowMs();
   const unknown = fleet.daemon(own).intake.cancel('00000000000000bb');
   await fleet.clock.advance(1_000);
-  assert.is(await unknown, false);
+  assert.is(await unknown, 'unconfirmed');
   assert.ok(fleet.clock.nowMs() - sentAtMs <= 1_000);
   await fleet.close();
 });
@@ -166,10 +166,27 @@
   const fleet = await createFleet();
   members.forEach(({ address }) => fleet.silent.add(address));
   const answer = await cancelAt(fleet, addressOf(0, 0));
-  assert.ok(answer !== undefined && !answer.wasFound && answer.afterMs <= 500);
+  assert.ok(answer?.outcome === 'unconfirmed' && answer.afterMs <= 500);
   await fleet.close();
 });
 
+// Guards against a caller that is told of no such job, while the daemon that runs it is cut off.
+test('a job is not answered as unknown while a daemon that may have it is cut off', async () => {
+  for (const domain of [0, 1]) {
+    const fleet = await createFleet();
+    const address = addressOf(domain, 0);
+    const running = fleet.submit(address, job);
+    await fleet.clock.advance(200);
+    fleet.silent.add(address);
+    await fleet.clock.advance(3_000);
+    assert.is((await cancelAt(fleet, addressOf(0, 1)))?.outcome, 'unconfirmed', address);
+    fleet.silent.delete(address);
+    assert.is((await cancelAt(fleet, addressOf(0, 1)))?.outcome, 'cancelled', address);
+    assert.equal(await running, { kind: 'cancelled' });
+    await fleet.close();
+  }
+});
+
 test('a daemon of an earlier version is no contact that passes a cancellation on', async () => {
   const fleet = await createFleet();
   const own = addressOf(0, 0);
@@ -185,7 +202,7 @@
   assert.ok(last);
   const running = fleet.submit(last.address, job);
   await fleet.clock.advance(200);
-  assert.is((await cancelAt(fleet, own))?.wasFound, true);
+  assert.is((await cancelAt(fleet, own))?.outcome, 'cancelled');
   assert.equal(await running, { kind: 'cancelled' });
   await fleet.close();
 });
--- a/src/fleet/jobCancellation.ts
+++ b/src/fleet/jobCancellation.ts
@@ -2,12 +2,14 @@
  * Cancels a job wherever it runs: a caller's cancellation may reach another daemon than the job did. It is
  * passed on to the daemons of the own failure domain, and to one contact in each other one, which passes it
  * on within its domain. Each daemon gets one message, unless it does not answer. Those that are reached only
- * a little later are asked then, such as by a daemon that has just started.
+ * a little later are asked then, such as by a daemon that has just started. No caller is told that a job is
+ * unknown while a daemon that may have it has not answered.
  */
 import type { RunningJobs } from '../bestEffort/runningJobs.js';
 import type { Clock } from '../ports/clock.js';
 import { maxCancellationHops } from '../ports/fleetPeers.js';
 import type { CancellationReply, JobCancellationRequest } from '../ports/fleetPeers.js';
+import type { CancellationOutcome } from '../ports/jobs.js';
 import type { Logger } from '../ports/logger.js';
 import { abortQuietly } from '../utils/abortQuietly.js';
 import { createDeferred } from '../utils/deferred.js';
@@ -29,8 +31,11 @@
 /** Contacts of one failure domain that are tried in turn. */
 const maxContactsTried = 2;
 
-/** What a recipient answered. `none`: it did not answer. */
-type Answer = 'found' | 'not-found' | 'none';
+/**
+ * What a recipient answered, for itself and those to which it passes the cancellation on. `incomplete`: it did
+ * not answer, or not for all of them.
+ */
+type Answer = 'found' | 'not-found' | 'incomplete';
 
 /** Daemons of which one is to be told of a cancellation. */
 interface Recipient {
@@ -41,6 +46,17 @@
   readonly hops: number;
 }
 
+/** A search for the daemon that has a job, among recipients that may change meanwhile. */
+interface Search {
+  readonly jobId: string;
+  /** Returns the daemons that may have the job, as far as they are known now. */
+  readonly recipients: () => Recipient[];
+  /** Keys of the recipients that have answered for all their daemons. */
+  readonly answered: Set<string>;
+  /** Resolved as soon as the job is found, or all recipients have answered. */
+  readonly outcome: Deferred<CancellationOutcome>;
+}
+
 export interface JobCancellationOptions {
   readonly clock: Clock;
   readonly logger: Logger;
@@ -62,14 +78,12 @@
   /**
    * Cancels a job for a caller of this daemon. The others hear of it also where the job is found here: a
    * copy of its request may still be on its way to one of them.
-   *
-   * @returns whether a daemon had the job; false also if the one that has it did not answer in time
    */
-  async cancel(jobId: string): Promise<boolean> {
+  async cancel(jobId: string): Promise<CancellationOutcome> {
     const isHere = this.options.jobs.cancel(jobId);
-    const found = createDeferred<boolean>();
-    void this.passOn(jobId, () => this.recipients(), new Set(), found);
-    return isHere || this.withinTime(found.promise);
+    const search = createSearch(jobId, () => this.recipients());
+    void this.passOn(search);
+    return isHere ? 'cancelled' : this.withinTime(search.outcome.promise);
   }
 
   /**
@@ -79,11 +93,12 @@
   async receive({ jobId, hops }: JobCancellationRequest): Promise<CancellationReply> {
     const isHere = this.options.jobs.cancel(jobId);
     if (hops === 0) {
-      return { wasFound: isHere };
+      return { wasFound: isHere, isComplete: true };
     }
-    const found = createDeferred<boolean>();
-    void this.passOnToNeighbours(jobId, found);
-    return { wasFound: isHere || (await this.withinTime(found.promise)) };
+    const search = createSearch(jobId, () => this.neighbours());
+    void this.passOnToNeighbours(search);
+    const outcome = isHere ? 'cancelled' : await this.withinTime(search.outcome.promise);
+    return { wasFound: outcome === 'cancelled', isComplete: outcome !== 'unconfirmed' };
   }
 
   /** Ends the search for daemons that are reached only now. */
@@ -92,80 +107,67 @@
   }
 
   /** Asks every neighbour once, then those that have not answered. */
-  private async passOnToNeighbours(jobId: string, found: Deferred<boolean>): Promise<void> {
-    const answered = new Set<string>();
-    const wasFound = await this.askRound(jobId, this.neighbours(), answered, found);
-    found.resolve(wasFound);
-    if (!wasFound) {
-      await this.passOn(jobId, () => this.neighbours(), answered, found);
+  private async passOnToNeighbours(search: Search): Promise<void> {
+    const outcome = await this.askRound(search);
+    search.outcome.resolve(outcome);
+    if (outcome !== 'cancelled') {
+      await this.passOn(search);
     }
   }
 
   /**
-   * Asks every recipient until it has answered, for a bounded time or until the job is found.
-   *
-   * @param recipients - returns those that are reachable now
-   * @param answered - keys of those that have answered; more are added
-   * @param found - resolved as soon as the job is found, or all that are reachable have answered
+   * Asks every recipient until it has answered, for a bounded time or until the job is found. Those that are
+   * met only after the others have answered are asked, too.
    */
-  private async passOn(
-    jobId: string,
-    recipients: () => Recipient[],
-    answered: Set<string>,
-    found: Deferred<boolean>,
-  ): Promise<void> {
+  private async passOn(search: Search): Promise<void> {
     const { clock, logger } = this.options;
+    const { jobId, answered } = search;
     const untilMs = clock.nowMs() + passOnForMs;
-    let wasFound = false;
+    let outcome: CancellationOutcome = 'unconfirmed';
     let pauseMs = firstRoundPauseMs;
-    while (!wasFound && clock.nowMs() < untilMs && !this.stop.signal.aborted) {
-      const asked = recipients();
-      wasFound = await this.askRound(jobId, asked, answered, found);
-      if (asked.length > 0 && asked.every(({ key }) => answered.has(key))) {
-        found.resolve(wasFound);
+    while (outcome !== 'cancelled' && clock.nowMs() < untilMs && !this.stop.signal.aborted) {
+      outcome = await this.askRound(search);
+      if (outcome !== 'unconfirmed') {
+        search.outcome.resolve(outcome);
       }
-      await clock.sleep(wasFound ? 0 : pauseMs, this.stop.signal);
+      await clock.sleep(outcome === 'cancelled' ? 0 : pauseMs, this.stop.signal);
       pauseMs = Math.min(pauseMs * 2, maxRoundPauseMs);
     }
-    found.resolve(wasFound);
-    const outcome = wasFound ? 'found' : 'not-found';
     logger.info('A cancellation was passed on.', { jobId, outcome, count: answered.size });
   }
 
-  /** Asks the recipients that have not answered yet. @returns whether one of them had the job */
-  private async askRound(
-    jobId: string,
-    recipients: readonly Recipient[],
-    answered: Set<string>,
-    found: Deferred<boolean>,
-  ): Promise<boolean> {
-    const open = recipients.filter(({ key }) => !answered.has(key));
+  /** Asks the recipients that have not answered yet. @returns what is known by all answers */
+  private async askRound(search: Search): Promise<CancellationOutcome> {
+    const { jobId, recipients, answered } = search;
+    const asked = recipients();
+    const open = asked.filter(({ key }) => !answered.has(key));
     const answers = open.map(async (recipient) => {
       const answer = await this.ask(recipient, jobId);
-      if (answer !== 'none') {
+      if (answer !== 'incomplete') {
         answered.add(recipient.key);
       }
       if (answer === 'found') {
-        found.resolve(true);
+        search.outcome.resolve('cancelled');
       }
       return answer;
     });
-    return (await Promise.all(answers)).includes('found');
+    if ((await Promise.all(answers)).includes('found')) {
+      return 'cancelled';
+    }
+    const haveAllAnswered = asked.every(({ key }) => answered.has(key));
+    return haveAllAnswered && this.options.peers().hasListedAll ? 'unknown' : 'unconfirmed';
   }
 
   /** Asks the daemons of a recipient in turn, until one answers. */
   private async ask({ peers, hops }: Recipient, jobId: string): Promise<Answer> {
     const timeoutMs = hops === 0 ? neighbourTimeoutMs : contactTimeoutMs;
-    let answer: Answer = 'none';
     for (const { link } of peers) {
       const reply = await link.cancelJob({ jobId, hops }, timeoutMs);
       if (reply.isOk()) {
-        return reply.value.wasFound ? 'found' : 'not-found';
+        return answerOf(reply.value);
       }
-      // A daemon of an earlier version refuses the call, and is not asked again.
-      answer = reply.error.kind === 'refused' ? 'not-found' : answer;
     }
-    return answer;
+    return 'incomplete';
   }
 
   private recipients(): Recipient[] {
@@ -178,18 +180,21 @@
     return [...this.neighbours(), ...remote];
   }
 
-  /** @returns the reachable daemons of the own failure domain */
+  /** @returns the daemons of the own failure domain, also those that are silent */
   private neighbours(): Recipient[] {
-    const reachable = this.options.peers().reachable();
-    return reachable
+    return this.possiblePeers()
       .filter((peer) => this.isNeighbour(peer))
-      .map((peer) => ({ key: `daemon ${peer.incarnation}`, peers: [peer], hops: 0 }));
+      .map((peer) => ({
+        key: `daemon ${peer.address} ${peer.incarnation ?? ''}`,
+        peers: [peer],
+        hops: 0,
+      }));
   }
 
-  /** @returns some reachable daemons of each other failure domain */
+  /** @returns some daemons of each other failure domain, the reachable ones first */
   private contactsByDomain(): Map<string, FleetPeer[]> {
     const byDomain = new Map<string, FleetPeer[]>();
-    for (const peer of this.options.peers().reachable()) {
+    for (const peer of this.possiblePeers()) {
       const contacts = byDomain.get(peer.failureDomainId) ?? [];
       if (!this.isNeighbour(peer) && contacts.length < maxContactsTried) {
         byDomain.set(peer.failureDomainId, [...contacts, peer]);
@@ -198,15 +203,36 @@
     return byDomain;
   }
 
+  /** @returns the daemons that may have a job: the reachable ones, then those that are silent */
+  private possiblePeers(): FleetPeer[] {
+    const peers = this.options.peers();
+    return [...peers.reachable(), ...peers.silent()];
+  }
+
   private isNeighbour({ failureDomainId }: FleetPeer): boolean {
     return failureDomainId === this.options.failureDomainId;
   }
 
-  private async withinTime(found: Promise<boolean>): Promise<boolean> {
+  private async withinTime(outcome: Promise<CancellationOutcome>): Promise<CancellationOutcome> {
     const isOver = new AbortController();
-    const time = this.options.clock.sleep(maxWaitMs, isOver.signal).then(() => false);
-    const result = await Promise.race([found, time]);
+    const { clock } = this.options;
+    const time = clock.sleep(maxWaitMs, isOver.signal).then(() => 'unconfirmed' as const);
+    const result = await Promise.race([outcome, time]);
     abortQuietly(isOver);
     return result;
   }
 }
+
+const createSearch = (jobId: string, recipients: () => Recipient[]): Search => ({
+  jobId,
+  recipients,
+  answered: new Set(),
+  outcome: createDeferred(),
+});
+
+const answerOf = ({ wasFound, isComplete = true }: CancellationReply): Answer => {
+  if (wasFound) {
+    return 'found';
+  }
+  return isComplete ? 'not-found' : 'incomplete';
+};
--- a/src/fleet/jobIntake.ts
+++ b/src/fleet/jobIntake.ts
@@ -3,7 +3,14 @@
  */
 import { countJobEnd } from '../bestEffort/countJobEnd.js';
 import type { RunningJobs } from '../bestEffort/runningJobs.js';
-import type { JobEnd, JobRequest, JobService, JobState, RouteMatch } from '../ports/jobs.js';
+import type {
+  CancellationOutcome,
+  JobEnd,
+  JobRequest,
+  JobService,
+  JobState,
+  RouteMatch,
+} from '../ports/jobs.js';
 import type { Logger } from '../ports/logger.js';
 import type { Metrics } from '../ports/metrics.js';
 import type { RoutingStore } from '../routing/routingStore.js';
@@ -97,7 +104,7 @@
     return this.options.jobs.state(jobId);
   }
 
-  cancel(jobId: string): Promise<boolean> {
+  cancel(jobId: string): Promise<CancellationOutcome> {
     return this.options.cancellation.cancel(jobId);
   }
 
--- a/src/fleet/peerDiscovery.ts
+++ b/src/fleet/peerDiscovery.ts
@@ -1,6 +1,6 @@
 /**
  * Discovers the daemons of the fleet through the store. One async function lists them periodically,
- * more often while no peer is reachable.
+ * more often while no peer is reachable or a failure domain was never listed.
  */
 import type { Clock } from '../ports/clock.js';
 import type { FleetStore } from '../ports/fleetStore.js';
@@ -8,9 +8,9 @@
 import type { KnownMember } from '../types/fleet.js';
 import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 
-/** Period of the listing while no peer is reachable, in milliseconds. */
-const alonePeriodMs = 700;
-/** Period of the listing while peers are reachable, in milliseconds. */
+/** Period of the listing while no peer is reachable or a failure domain was never listed, in milliseconds. */
+const searchPeriodMs = 700;
+/** Period of the listing otherwise, in milliseconds. */
 const refreshPeriodMs = 5_000;
 
 export interface PeerDiscoveryOptions {
@@ -28,6 +28,8 @@
   private readonly stop = new AbortController();
 
   private failureDomainIds: readonly string[];
+  /** Failure domains whose members the store has listed at least once. */
+  private readonly listedDomains = new Set<string>();
 
   private constructor(private readonly options: PeerDiscoveryOptions) {
     this.failureDomainIds = options.failureDomainIds;
@@ -47,6 +49,11 @@
     this.failureDomainIds = failureDomainIds;
   }
 
+  /** Whether the members of every failure domain were listed at least once. */
+  get hasListedAll(): boolean {
+    return this.failureDomainIds.every((domain) => this.listedDomains.has(domain));
+  }
+
   close(): void {
     this.stop.abort();
   }
@@ -57,7 +64,8 @@
       for (const failureDomainId of this.failureDomainIds) {
         await this.listDomain(failureDomainId);
       }
-      await clock.sleep(hasNoReachablePeer() ? alonePeriodMs : refreshPeriodMs, this.stop.signal);
+      const isSearching = hasNoReachablePeer() || !this.hasListedAll;
+      await clock.sleep(isSearching ? searchPeriodMs : refreshPeriodMs, this.stop.signal);
     }
   }
 
@@ -68,6 +76,7 @@
       logger.debug('The members cannot be listed.', { reason: members.error.detail });
       return;
     }
+    this.listedDomains.add(failureDomainId);
     onFound(members.value.map(({ address }) => ({ address, failureDomainId })));
   }
 }
--- a/src/ports/fleetPeers.ts
+++ b/src/ports/fleetPeers.ts
@@ -39,6 +39,11 @@
 export const cancellationReplySchema = z.object({
   /** Whether the receiver, or a daemon to which it passed the cancellation on, had the job. */
   wasFound: z.boolean(),
+  /**
+   * Whether the answer is that of all daemons to which the receiver passes it on. Daemons of earlier versions
+   * omit it, and may have left out those that did not answer in time.
+   */
+  isComplete: z.boolean().optional(),
 });
 export type CancellationReply = z.infer<typeof cancellationReplySchema>;
 
--- a/src/ports/jobs.ts
+++ b/src/ports/jobs.ts
@@ -47,6 +47,12 @@
 
 export type JobState = 'queued' | 'running' | 'unknown';
 
+/**
+ * What is known after a cancellation. `cancelled`: a daemon had the job, which ends. `unknown`: no daemon has a
+ * job of this id. `unconfirmed`: it was not found so far, and a daemon that may have it has not answered yet.
+ */
+export type CancellationOutcome = 'cancelled' | 'unknown' | 'unconfirmed';
+
 export interface JobService {
   /** @returns whether the daemon accepts new jobs */
   isReady(): boolean;
@@ -68,8 +74,8 @@
     signal: AbortSignal,
   ): Promise<JobEnd>;
   state(jobId: string): JobState;
-  /** Cancels a job wherever it runs. @returns whether a daemon had a job of this id */
-  cancel(jobId: string): Promise<boolean>;
+  /** Cancels a job wherever it runs. */
+  cancel(jobId: string): Promise<CancellationOutcome>;
   /** @returns number of the route's jobs of which no task has started */
   countWaiting(routeId: string): number;
 }
--- a/src/testing/model/applyEvent.ts
+++ b/src/testing/model/applyEvent.ts
@@ -18,7 +18,7 @@
       void fleet.clients.submit(fleet.jobIdAt(submissions), event.job);
       return;
     case 'cancel':
-      fleet.clients.cancel(fleet.jobIdAt(event.job), event.daemon);
+      void fleet.clients.cancel(fleet.jobIdAt(event.job), event.daemon);
       return;
     case 'stop': {
       const daemon = fleet.daemon(event.daemon);
--- a/src/testing/model/judge.ts
+++ b/src/testing/model/judge.ts
@@ -10,6 +10,8 @@
 const minCrashedWorkers = 2;
 /** Time in which the runs of a cancelled job have to end, in milliseconds. */
 const cancellationMs = 1_500;
+/** Time in which a cancellation has to be confirmed once nothing is wrong any more, in milliseconds. */
+const confirmationMs = 4_000;
 
 export type Violation =
   /** Two runs of one task at one time, on workers that are up. */
@@ -22,6 +24,8 @@
   | { readonly rule: 'refused-though-started'; readonly detail: string }
   /** A job was reported as cancelled or as unknown, and its tasks went on. */
   | { readonly rule: 'cancelled-though-running'; readonly detail: string }
+  /** A cancellation was not confirmed in time, though all daemons could be asked. */
+  | { readonly rule: 'cancellation-unconfirmed'; readonly detail: string }
   /** A part of a daemon ended with an unhandled rejection, which ends the process. */
   | { readonly rule: 'unhandled-rejection'; readonly detail: string };
 
@@ -34,6 +38,8 @@
   /** Number of tasks of each job. */
   readonly taskCounts: ReadonlyMap<string, number>;
   readonly maxFailedRuns: number;
+  /** When the last fault has ended. */
+  readonly calmSinceMs: number;
 }
 
 export const judge = (record: ModelRecord): Violation[] => [
@@ -120,13 +126,17 @@
 };
 
 /**
- * After the cancellation of a job is answered, its runs end, and none starts but for an attempt that the client
- * sent later.
+ * A cancellation is confirmed in time. After that, the runs of the job end, and none starts but for an attempt
+ * that the client sent later.
  */
 const judgeCancellation = (
-  { runs, attempts }: ModelRecord,
-  { jobId, address, wasKnown, answeredAtMs }: ModelCancellation,
+  { runs, attempts, calmSinceMs }: ModelRecord,
+  { jobId, sentAtMs, address, outcome, answeredAtMs = Infinity }: ModelCancellation,
 ): Violation[] => {
+  if (answeredAtMs > Math.max(sentAtMs, calmSinceMs) + confirmationMs) {
+    const detail = `${jobId} at ${address}: ${outcome}`;
+    return [{ rule: 'cancellation-unconfirmed', detail }];
+  }
   const earlier = new Set(
     attempts
       .filter((attempt) => attempt.jobId === jobId && attempt.sentAtMs <= answeredAtMs)
@@ -138,6 +148,6 @@
     .slice(0, 1)
     .map((run) => ({
       rule: 'cancelled-though-running',
-      detail: `${address} answered ${wasKnown ? 'cancelled' : 'unknown'}; ${describeRun(run)}`,
+      detail: `${address} answered ${outcome}; ${describeRun(run)}`,
     }));
 };
--- a/src/testing/model/modelClients.ts
+++ b/src/testing/model/modelClients.ts
@@ -3,7 +3,7 @@
  * another daemon after no response, a broken channel or an answer that the job was given up.
  */
 import { unreachable } from '../../errors/unreachable.js';
-import type { JobEnd } from '../../ports/jobs.js';
+import type { CancellationOutcome, JobEnd } from '../../ports/jobs.js';
 import type { Route } from '../../types/routing.js';
 import { abortQuietly } from '../../utils/abortQuietly.js';
 import type { FakeClock } from '../fakeClock.js';
@@ -17,6 +17,9 @@
 /** Time after which a process notices that a client has left, once it reads the connection. */
 const closeNoticeMs = 3;
 const maxAttempts = 4;
+/** Time after which a client sends a cancellation again, in milliseconds. */
+const cancellationRetryMs = 1_000;
+const maxCancellationAttempts = 20;
 
 /** What a client learned of an attempt. `none`: no response before its deadline, or a broken channel. */
 export type AttemptAnswer = JobEnd | { readonly kind: 'none' };
@@ -33,13 +36,15 @@
   answeredAtMs: number | undefined;
 }
 
-/** A cancellation that a client sent. */
+/** A cancellation that a client sent, and sends again at the next daemon while it is not confirmed. */
 export interface ModelCancellation {
   readonly jobId: string;
-  readonly address: string;
-  /** What the daemon answered, and when. */
-  readonly wasKnown: boolean;
-  readonly answeredAtMs: number;
+  readonly sentAtMs: number;
+  /** Address of the daemon that answered last. */
+  address: string;
+  /** The last answer; `none` before the first. */
+  outcome: CancellationOutcome | 'none';
+  answeredAtMs: number | undefined;
 }
 
 export interface ModelClientsOptions {
@@ -53,6 +58,7 @@
   readonly attempts: ModelAttempt[] = [];
   readonly cancellations: ModelCancellation[] = [];
   private waiting = 0;
+  private cancelling = 0;
 
   private constructor(private readonly options: ModelClientsOptions) {}
 
@@ -60,9 +66,9 @@
     return new ModelClients(options);
   }
 
-  /** Number of clients whose job has no final answer. */
+  /** Number of clients whose job or cancellation has no final answer. */
   get waitingCount(): number {
-    return this.waiting;
+    return this.waiting + this.cancelling;
   }
 
   /** Submits a job, to one daemon after the other until it has an answer. */
@@ -72,16 +78,47 @@
     this.waiting -= 1;
   }
 
-  /** Cancels a job at a daemon. */
-  cancel(jobId: string, daemonIndex: number): void {
-    const daemon = this.daemonAt(daemonIndex);
-    const { current } = daemon;
-    const answer = async ({ daemon: { intake } }: RunningDaemon): Promise<void> => {
-      const wasKnown = await intake.cancel(jobId);
-      const answeredAtMs = this.options.time.nowMs();
-      this.cancellations.push({ jobId, address: daemon.address, wasKnown, answeredAtMs });
+  /** Cancels a job, at one daemon after the other until it is confirmed. */
+  async cancel(jobId: string, daemonIndex: number): Promise<void> {
+    const { time } = this.options;
+    const cancellation: ModelCancellation = {
+      ...{ jobId, sentAtMs: time.nowMs(), address: this.daemonAt(daemonIndex).address },
+      ...{ outcome: 'none', answeredAtMs: undefined },
     };
-    current?.process.receive(() => void answer(current));
+    this.cancellations.push(cancellation);
+    this.cancelling += 1;
+    for (let count = 0; count < maxCancellationAttempts; count += 1) {
+      const daemon = this.daemonAt(daemonIndex + count);
+      const outcome = await this.cancelAt(jobId, daemon);
+      cancellation.address = daemon.address;
+      cancellation.outcome = outcome;
+      if (outcome === 'cancelled' || outcome === 'unknown') {
+        cancellation.answeredAtMs = time.nowMs();
+        break;
+      }
+      await time.sleep(cancellationRetryMs);
+    }
+    this.cancelling -= 1;
+  }
+
+  /** Sends a cancellation to a daemon. @returns its answer, `none` if it gives none in time */
+  private async cancelAt(
+    jobId: string,
+    { current }: ModelDaemon,
+  ): Promise<CancellationOutcome | 'none'> {
+    if (current === undefined) {
+      return 'none';
+    }
+    const { process, daemon } = current;
+    const answered = new Promise<CancellationOutcome>((resolve) => {
+      process.receive(() => void daemon.intake.cancel(jobId).then(resolve));
+    });
+    const over = new AbortController();
+    const none = (): 'none' => 'none';
+    const time = this.options.time.sleep(cancellationRetryMs, over.signal).then(none);
+    const outcome = await Promise.race([answered, process.end.then(none), time]);
+    abortQuietly(over);
+    return outcome;
   }
 
   private async submitUntilAnswered(jobId: string, job: ModelJob): Promise<void> {
--- a/src/testing/model/modelDaemon.ts
+++ b/src/testing/model/modelDaemon.ts
@@ -18,7 +18,7 @@
 import { ModelWorkers } from './modelWorkers.js';
 
 /** Time from SIGTERM to SIGKILL, in milliseconds. */
-const stopGraceMs = 6_000;
+export const stopGraceMs = 6_000;
 const farRackFactor = 1.5;
 
 export interface ModelDaemonOptions {
--- a/src/testing/model/runScenario.ts
+++ b/src/testing/model/runScenario.ts
@@ -3,6 +3,7 @@
  */
 import { silentLogger } from '../silentLogger.js';
 import { applyEvent } from './applyEvent.js';
+import { findCalmSinceMs } from './calmTime.js';
 import { judge } from './judge.js';
 import type { Violation } from './judge.js';
 import type { Scenario } from './modelEvents.js';
@@ -33,6 +34,7 @@
   const onRejection = (reason: unknown): void => void rejections.push(String(reason));
   process.on('unhandledRejection', onRejection);
   const fleet = await ModelFleet.create(scenario, createLogger);
+  const beginMs = fleet.time.nowMs();
   const events = [...scenario.events].sort((a, b) => a.atMs - b.atMs);
   const taskCounts = new Map<string, number>();
   for (const event of events) {
@@ -50,7 +52,11 @@
   process.off('unhandledRejection', onRejection);
   const { runs, clients } = fleet;
   const { attempts, cancellations } = clients;
-  const record = { runs, attempts, cancellations, rejections, taskCounts, maxFailedRuns };
+  const calmSinceMs = beginMs + findCalmSinceMs(events);
+  const record = {
+    ...{ runs, attempts, cancellations, rejections, taskCounts, maxFailedRuns },
+    calmSinceMs,
+  };
   return {
     violations: judge(record),
     runCount: runs.length,
--- a/src/testing/model/scenarios.ts
+++ b/src/testing/model/scenarios.ts
@@ -139,6 +139,19 @@
   { kind: 'cancel', atMs: 1_000, job: 0, daemon: 1 },
 ]);
 
+/** A client cancels its job at another daemon, which is cut off from the one that runs it. */
+export const cancelledBehindCutScenario = createScenario(
+  ['east', 'east'],
+  [['east', 5]],
+  [
+    submit(443, { daemon: 1, tasks: 10, runMs: 60, estimatedMs: 60, deadlineMs: 1_500 }),
+    submit(1_032, { tasks: 10, runMs: 5_680, estimatedMs: 3_408 }),
+    submit(1_775, { daemon: 1, tasks: 4, runMs: 6_477, estimatedMs: 3_886 }),
+    { kind: 'cut-daemons', atMs: 2_567, daemon: 0, other: 1, fault: 'silent', forMs: 3_471 },
+    { kind: 'cancel', atMs: 2_601, job: 2, daemon: 0 },
+  ],
+);
+
 /** An entry in the list of workers has an address that no connection can be opened to. */
 export const badEntryScenario = createScenario(twoDomains, anyWorkers, [
   { kind: 'invalid-entry', atMs: 0, form: 'bad-port', worker: { kind: 'numbered', index: 0 } },
