--- a/src/bestEffort/batchRouter.ts
+++ b/src/bestEffort/batchRouter.ts
@@ -48,6 +48,8 @@
 export class BatchRouter implements BatchSender {
   /** By batch id. */
   private readonly remoteBatches = new Map<string, RemoteBatch>();
+  /** Number of batches at each other daemon, withdrawn ones included. */
+  private readonly batchCounts = new Map<string, number>();
   private batchNumber = 0;
 
   private constructor(private readonly options: BatchRouterOptions) {}
@@ -83,9 +85,11 @@
       peer.beginSharing(this.options.clock.nowMs());
     }
     this.remoteBatches.set(batch.batchId, remote);
+    this.countBatches(dispatcherId, 1);
     const lost = remote.lost.promise.then((reason): BatchResult => ({ kind: 'lost', reason }));
     const result = await Promise.race([this.runRemotely(peer, dispatcherId, batch), lost]);
     this.remoteBatches.delete(batch.batchId);
+    this.countBatches(dispatcherId, -1);
     return result;
   }
 
@@ -116,7 +120,7 @@
 
   /** @returns whether this daemon has batches at another one, withdrawn ones included */
   hasBatchesAt(dispatcherId: string): boolean {
-    return [...this.remoteBatches.values()].some((remote) => remote.dispatcherId === dispatcherId);
+    return this.batchCounts.has(dispatcherId);
   }
 
   /** Ends the wait for the batches at a daemon that is no longer reachable; they count as lost. */
@@ -128,6 +132,15 @@
     }
   }
 
+  private countBatches(dispatcherId: string, change: number): void {
+    const count = (this.batchCounts.get(dispatcherId) ?? 0) + change;
+    if (count > 0) {
+      this.batchCounts.set(dispatcherId, count);
+    } else {
+      this.batchCounts.delete(dispatcherId);
+    }
+  }
+
   /**
    * Sends a batch to another daemon until it answers, the batch is withdrawn, or all sends have
    * failed.
--- a/src/fleet/fleetPeers.spec.ts
+++ b/src/fleet/fleetPeers.spec.ts
@@ -52,6 +52,8 @@
     return (this.daemons.get(address)?.reachable() ?? []).map((peer) => peer.address);
   }
 
+  find = (from: string, incarnation: string) => this.daemons.get(from)?.find(incarnation);
+
   /** Records that a daemon sends a batch to another one. */
   recordBatch(from: string, to: string): void {
     const peer = this.daemons
@@ -150,6 +152,17 @@
   await fleet.close();
 });
 
+// Guards against a cost of each message between daemons that grows with the fleet.
+test('to find one daemon, no other is judged', async () => {
+  const judged: string[] = [];
+  const sharesBatches = (_own: string, other: string): boolean => judged.push(other) === 0;
+  const fleet = new Fleet(FakeClock.create(), createMembers(7), sharesBatches);
+  await fleet.clock.advance(3_000);
+  judged.length = 0;
+  assert.equal([fleet.find('a:0', 'a5')?.address, judged], ['a:5', ['a5']]);
+  await fleet.close();
+});
+
 test('the number of heartbeats does not grow with the size of other failure domains', async () => {
   const fleet = new Fleet(FakeClock.create(), createMembers(7));
   await fleet.clock.advance(3_000);
--- a/src/fleet/fleetPeers.ts
+++ b/src/fleet/fleetPeers.ts
@@ -85,7 +85,8 @@
 
   /** Finds a reachable peer by the incarnation of its process. */
   find(incarnation: string): FleetPeer | undefined {
-    return this.reachable().find((peer) => peer.incarnation === incarnation);
+    const peers = [...this.peers.values()];
+    return peers.find((peer) => peer.incarnation === incarnation && this.isReachable(peer));
   }
 
   /** @returns the peers that sent a message recently, as their relation requires */
