One sequence of the planned shutdown, for the process and for the model

The check over orders of events played a planned stop by a copy of the steps of PlatformProcess.close, so that the copy could be right while the process was wrong. Both now call fleet/plannedShutdown.ts, which takes the server for callers and the interfaces as ports.

--- a/src/programs/toucandyked/platformProcess.ts
+++ b/src/programs/toucandyked/platformProcess.ts
@@ -18,6 +18,7 @@
 import { SettingsFollower } from '../../config/settingsFollower.js';
 import type { SettingsSource } from '../../config/settingsFollower.js';
 import { FleetDaemon } from '../../fleet/fleetDaemon.js';
+import { shutDownAsPlanned } from '../../fleet/plannedShutdown.js';
 import {
   minCallerResendMs,
   requesterRunsEndMs,
@@ -27,13 +28,6 @@
 import type { Logger } from '../../ports/logger.js';
 import { TaskSupervisor } from '../../utils/taskSupervisor.js';
 
-/** Time within which the platform detects that a VM is not ready, and routes no new connections to it. */
-const readinessNoticeMs = 2_700;
-const pollMs = 50;
-/** Jobs that have not ended are answered this long before the platform kills the process. */
-const killMarginMs = 700;
-/** Longest time from the end of the last run until the store confirms that this daemon has left. */
-const handOverSlackMs = 200;
 /** Time without a renewal after which the store removes a member; the platform may require more. */
 const memberTtlMs = 2_000;
 
@@ -160,38 +154,15 @@
     await this.daemon.close();
   }
 
-  /**
-   * Planned shutdown: reports not ready, hands the workers over, accepts no new jobs once the platform has
-   * noticed, and answers running jobs within the grace period. Runs that are still at work before its end are
-   * stopped, so that their tasks can be returned.
-   */
+  /** Shuts down as planned, within the grace period of the platform. */
   async close(): Promise<void> {
     const { clock, daemon, front, settings } = this;
-    const endAtMs = clock.nowMs() + settings.stopGraceMs - killMarginMs;
     this.logger.info('The daemon stops as planned.', { count: daemon.jobCount });
-    const handedOver = daemon.drain(endAtMs);
-    front.drain();
-    await clock.sleep(readinessNoticeMs);
-    daemon.stopAcceptingJobs();
-    const closed = front.close();
-    while (daemon.jobCount > 0 && clock.nowMs() < endAtMs) {
-      front.closeIdleConnections();
-      await clock.sleep(pollMs);
-    }
-    daemon.giveUpJobs();
-    await clock.sleep(pollMs);
-    front.closeIdleConnections();
-    await Promise.race([
-      Promise.all([handedOver, closed]),
-      clock.sleep(Math.max(endAtMs - clock.nowMs(), 0) + handOverSlackMs),
-    ]);
-    await this.front.kill();
+    await shutDownAsPlanned({
+      ...{ clock, daemon, front, stopGraceMs: settings.stopGraceMs },
+      closeInterfaces: () => Promise.all([this.peers.kill(), this.metrics.close()]),
+    });
     this.logger.info('The daemon has stopped.', { count: daemon.jobCount });
-    await Promise.race([daemon.close(), clock.sleep(pollMs)]);
-    await Promise.race([
-      Promise.all([this.peers.kill(), this.metrics.close()]),
-      clock.sleep(pollMs),
-    ]);
   }
 
   private applySettings(settings: PlatformSettings): void {
--- a/src/testing/model/modelDaemon.ts
+++ b/src/testing/model/modelDaemon.ts
@@ -4,6 +4,7 @@
  */
 import { noMetrics } from '../../adapters/system/noMetrics.js';
 import { FleetDaemon } from '../../fleet/fleetDaemon.js';
+import { shutDownAsPlanned } from '../../fleet/plannedShutdown.js';
 import type { Logger } from '../../ports/logger.js';
 import type { Clock } from '../../ports/clock.js';
 import type { FakeClock } from '../fakeClock.js';
@@ -20,6 +21,8 @@
 /** Time from SIGTERM to SIGKILL, in milliseconds. */
 export const stopGraceMs = 6_000;
 const farRackFactor = 1.5;
+/** Time in which a process goes on serving its peers after its daemon has closed, in milliseconds. */
+const interfacesCloseMs = 50;
 
 export interface ModelDaemonOptions {
   readonly time: FakeClock;
@@ -125,31 +128,20 @@
   }
 }
 
-/** Time within which the platform detects that a VM is not ready, and routes no new connections to it. */
-const readinessNoticeMs = 2_700;
-const pollMs = 50;
-const killMarginMs = 700;
-/** Longest time from the end of the last run until the store confirms that the daemon has left. */
-const handOverSlackMs = 200;
-
-/** The sequence of `PlatformProcess.close`. */
+/** Shuts a daemon down as its process does. */
 const stopAsPlanned = async (running: RunningDaemon): Promise<void> => {
   const { daemon, process } = running;
-  const { clock } = process;
-  const endAtMs = clock.nowMs() + stopGraceMs - killMarginMs;
-  const handedOver = daemon.drain(endAtMs);
-  await clock.sleep(readinessNoticeMs);
-  daemon.stopAcceptingJobs();
-  running.acceptsClients = false;
-  while (daemon.jobCount > 0 && clock.nowMs() < endAtMs) {
-    await clock.sleep(pollMs);
-  }
-  daemon.giveUpJobs();
-  await clock.sleep(pollMs);
-  await Promise.race([
-    handedOver,
-    clock.sleep(Math.max(endAtMs - clock.nowMs(), 0) + handOverSlackMs),
-  ]);
-  await Promise.race([daemon.close(), clock.sleep(pollMs)]);
-  await clock.sleep(pollMs);
+  await shutDownAsPlanned({
+    ...{ clock: process.clock, stopGraceMs, daemon },
+    front: {
+      drain: () => undefined,
+      close: () => {
+        running.acceptsClients = false;
+        return Promise.resolve();
+      },
+      closeIdleConnections: () => undefined,
+      kill: () => Promise.resolve(),
+    },
+    closeInterfaces: () => process.clock.sleep(interfacesCloseMs),
+  });
 };
