Send a cancellation to no daemon that is silent; ask it once it is heard again

A cancellation had been sent to silent daemons in every round of ten seconds, a load that grows with the daemons that are gone. They count as not answered without a message; heartbeats find them again within a second.

--- a/src/fleet/jobCancellation.ts
+++ b/src/fleet/jobCancellation.ts
@@ -41,11 +41,17 @@
 interface Recipient {
   /** Names the daemon, or the failure domain of the contacts. */
   readonly key: string;
-  /** Tried in turn until one answers. */
-  readonly peers: readonly FleetPeer[];
+  /** The reachable ones, tried in turn until one answers; none are sent anything while they are silent. */
+  readonly reachable: readonly FleetPeer[];
   readonly hops: number;
 }
 
+/** Daemons that may have a job, by whether they can be asked now. */
+interface PossiblePeers {
+  readonly reachable: readonly FleetPeer[];
+  readonly silent: readonly FleetPeer[];
+}
+
 /** A search for the daemon that has a job, among recipients that may change meanwhile. */
 interface Search {
   readonly jobId: string;
@@ -159,9 +165,9 @@
   }
 
   /** Asks the daemons of a recipient in turn, until one answers. */
-  private async ask({ peers, hops }: Recipient, jobId: string): Promise<Answer> {
+  private async ask({ reachable, hops }: Recipient, jobId: string): Promise<Answer> {
     const timeoutMs = hops === 0 ? neighbourTimeoutMs : contactTimeoutMs;
-    for (const { link } of peers) {
+    for (const { link } of reachable) {
       const reply = await link.cancelJob({ jobId, hops }, timeoutMs);
       if (reply.isOk()) {
         return answerOf(reply.value);
@@ -171,42 +177,35 @@
   }
 
   private recipients(): Recipient[] {
-    const contacts = this.contactsByDomain();
-    const remote = [...contacts].map(([domain, peers]) => ({
-      key: `domain ${domain}`,
-      peers,
-      hops: maxCancellationHops,
-    }));
-    return [...this.neighbours(), ...remote];
+    return [...this.neighbours(), ...this.contacts()];
   }
 
-  /** @returns the daemons of the own failure domain, also those that are silent */
+  /** @returns the daemons of the own failure domain, each on its own */
   private neighbours(): Recipient[] {
-    return this.possiblePeers()
-      .filter((peer) => this.isNeighbour(peer))
-      .map((peer) => ({
-        key: `daemon ${peer.address} ${peer.incarnation ?? ''}`,
-        peers: [peer],
-        hops: 0,
-      }));
+    const { reachable, silent } = this.peersWhere((peer) => this.isNeighbour(peer));
+    return [
+      ...reachable.map((peer) => ({ key: keyOf(peer), reachable: [peer], hops: 0 })),
+      ...silent.map((peer) => ({ key: keyOf(peer), reachable: [], hops: 0 })),
+    ];
   }
 
-  /** @returns some daemons of each other failure domain, the reachable ones first */
-  private contactsByDomain(): Map<string, FleetPeer[]> {
-    const byDomain = new Map<string, FleetPeer[]>();
-    for (const peer of this.possiblePeers()) {
-      const contacts = byDomain.get(peer.failureDomainId) ?? [];
-      if (!this.isNeighbour(peer) && contacts.length < maxContactsTried) {
-        byDomain.set(peer.failureDomainId, [...contacts, peer]);
-      }
-    }
-    return byDomain;
+  /** @returns for each other failure domain some of its daemons */
+  private contacts(): Recipient[] {
+    const { reachable, silent } = this.peersWhere((peer) => !this.isNeighbour(peer));
+    const domains = new Set([...reachable, ...silent].map((peer) => peer.failureDomainId));
+    return [...domains].map((domain) => ({
+      key: `domain ${domain}`,
+      reachable: reachable
+        .filter((peer) => peer.failureDomainId === domain)
+        .slice(0, maxContactsTried),
+      hops: maxCancellationHops,
+    }));
   }
 
-  /** @returns the daemons that may have a job: the reachable ones, then those that are silent */
-  private possiblePeers(): FleetPeer[] {
+  /** @returns the daemons that may have a job */
+  private peersWhere(isMeant: (peer: FleetPeer) => boolean): PossiblePeers {
     const peers = this.options.peers();
-    return [...peers.reachable(), ...peers.silent()];
+    return { reachable: peers.reachable().filter(isMeant), silent: peers.silent().filter(isMeant) };
   }
 
   private isNeighbour({ failureDomainId }: FleetPeer): boolean {
@@ -230,6 +229,10 @@
   outcome: createDeferred(),
 });
 
+/** Names a process, so that its successor at the address is asked again. */
+const keyOf = ({ address, incarnation = '' }: FleetPeer): string =>
+  `daemon ${address} ${incarnation}`;
+
 const answerOf = ({ wasFound, isComplete = true }: CancellationReply): Answer => {
   if (wasFound) {
     return 'found';
