Tests of what follows a standstill

The waiting tasks of another daemon's batch start nowhere after a standstill: this one holds without the second line as well, since the check of the requesters' leases ends them, too.

--- a/src/fleet/fleetDaemon.spec.ts
+++ b/src/fleet/fleetDaemon.spec.ts
@@ -173,6 +173,25 @@
   await close();
 });
 
+// Guards against tasks of a requester that took this daemon for lost, beside the next attempt of its caller.
+test('after a standstill the waiting tasks of another daemon start nowhere', async () => {
+  const { clock, daemon, startsOf, close } = await createFixture();
+  daemon.peerService.beat(heartbeatOf(clock.nowMs()));
+  const limitMs = 20_000;
+  const batch = {
+    ...batchFixture,
+    ...{ objectiveInMs: limitMs, giveUpInMs: limitMs, expiresInMs: limitMs, maxWaitMs: limitMs },
+    tasks: [0, 1, 2, 3, 4].map((index) => ({ index, nextRun: 1, failedRuns: 0, lostWorkers: 0 })),
+  };
+  void daemon.peerService.runBatch({ askedBy: 'other', sentAtMs: clock.nowMs(), batch });
+  await clock.advance(100);
+  assert.is(startsOf(batch.jobId), 2);
+  clock.jump(standstillMs);
+  await clock.advance(3_000);
+  assert.is(startsOf(batch.jobId), 2);
+  await close();
+});
+
 // Guards against a batch that waited through a suspension of the VM, for which the monotonic clock stands.
 test('a batch that is read first after a suspension counts with its whole age', async () => {
   const { clock, daemon, startsOf, suspend, close } = await createFixture();
