--- a/ci/checkOrders.ts
+++ b/ci/checkOrders.ts
@@ -1,12 +1,14 @@
 /**
  * Runs random orders of events against a fleet in virtual time (docs/design/eventOrders.md), one scenario for
  * each seed, and prints what breaks a rule, shrunk to the fewest events:
- * `npm run orders -- --seeds 1-500`. `--scenario FILE` runs the events of a JSON file, and prints the log.
+ * `npm run orders -- --seeds 1-500`. `--draw loaded-kill` draws kills under a steady load in place of any events.
+ * `--scenario FILE` runs the events of a JSON file, and prints the log.
  */
 import { readFile } from 'node:fs/promises';
 import { parseArgs } from 'node:util';
 import fc from 'fast-check';
 import { scenarioArbitrary } from '../src/testing/model/eventArbitraries.js';
+import { loadedKillArbitrary } from '../src/testing/model/loadedKillArbitrary.js';
 import { scenarioSchema } from '../src/testing/model/modelEvents.js';
 import type { Scenario } from '../src/testing/model/modelEvents.js';
 import { runScenario } from '../src/testing/model/runScenario.js';
@@ -14,6 +16,12 @@
 
 const print = (line: string): void => void process.stdout.write(`${line}\n`);
 
+/** What scenarios are drawn from, by the name of the option `--draw`. */
+const arbitraries: ReadonlyMap<string, fc.Arbitrary<Scenario>> = new Map([
+  ['any', scenarioArbitrary],
+  ['loaded-kill', loadedKillArbitrary],
+]);
+
 /** A scenario that breaks a rule. */
 interface FailedScenario {
   readonly scenario: Scenario;
@@ -46,8 +54,12 @@
 };
 
 /** @returns whether the scenario that a seed draws breaks a rule */
-const reportSeed = async (seed: number, isShrunk: boolean): Promise<boolean> => {
-  const [scenario] = fc.sample(fc.noBias(scenarioArbitrary), { seed, numRuns: 1 });
+const reportSeed = async (
+  arbitrary: fc.Arbitrary<Scenario>,
+  seed: number,
+  isShrunk: boolean,
+): Promise<boolean> => {
+  const [scenario] = fc.sample(fc.noBias(arbitrary), { seed, numRuns: 1 });
   const failed = scenario === undefined ? undefined : await findFailedScenario(scenario);
   if (failed === undefined) {
     return false;
@@ -63,6 +75,7 @@
 const { values } = parseArgs({
   options: {
     seeds: { type: 'string', default: '1-100' },
+    draw: { type: 'string', default: 'any' },
     scenario: { type: 'string' },
     shrink: { type: 'boolean', default: false },
   },
@@ -73,10 +86,16 @@
   print(JSON.stringify(result, undefined, 2));
   process.exitCode = result.violations.length === 0 ? 0 : 1;
 } else {
+  const arbitrary = arbitraries.get(values.draw);
+  if (arbitrary === undefined) {
+    throw new Error(
+      `Unknown: --draw ${values.draw}; known are ${[...arbitraries.keys()].join(', ')}.`,
+    );
+  }
   const [first = 1, last = first] = values.seeds.split('-').map(Number);
   let failedScenarios = 0;
   for (let seed = first; seed <= last; seed += 1) {
-    failedScenarios += (await reportSeed(seed, values.shrink)) ? 1 : 0;
+    failedScenarios += (await reportSeed(arbitrary, seed, values.shrink)) ? 1 : 0;
   }
   print(`${failedScenarios} of ${last - first + 1} scenarios break a rule.`);
   process.exitCode = failedScenarios === 0 ? 0 : 1;
--- a/src/fleet/eventOrders.property.spec.ts
+++ b/src/fleet/eventOrders.property.spec.ts
@@ -1,20 +1,27 @@
 import fc from 'fast-check';
 import { test } from 'uvu';
 import { scenarioArbitrary } from '../testing/model/eventArbitraries.js';
+import { loadedKillArbitrary } from '../testing/model/loadedKillArbitrary.js';
+import type { Scenario } from '../testing/model/modelEvents.js';
 import { runScenario } from '../testing/model/runScenario.js';
 
 const seed = 1;
-const scenarioCount = 16;
 
-// Guards against double runs and untrue answers after orders of events that no scenario names.
-test('no random order of events breaks a rule', async () => {
-  const property = fc.asyncProperty(fc.noBias(scenarioArbitrary), async (scenario) => {
+/** Checks that a number of drawn scenarios break no rule. */
+const checkDrawn = async (arbitrary: fc.Arbitrary<Scenario>, count: number): Promise<void> => {
+  const property = fc.asyncProperty(fc.noBias(arbitrary), async (scenario) => {
     const [violation] = (await runScenario(scenario)).violations;
     if (violation !== undefined) {
       throw new Error(`${violation.rule}: ${violation.detail}`);
     }
   });
-  await fc.assert(property, { seed, numRuns: scenarioCount, endOnFailure: true });
-});
+  await fc.assert(property, { seed, numRuns: count, endOnFailure: true });
+};
+
+// Guards against double runs and untrue answers after orders of events that no scenario names.
+test('no random order of events breaks a rule', () => checkDrawn(scenarioArbitrary, 16));
+
+// Guards against runs of a killed requester that go on, since its dispatcher goes on sending to it.
+test('no kill under a steady load breaks a rule', () => checkDrawn(loadedKillArbitrary, 8));
 
 test.run();
--- a/src/testing/model/eventArbitraries.ts
+++ b/src/testing/model/eventArbitraries.ts
@@ -123,7 +123,8 @@
   ...{ kind: fc.constant('cancel' as const), atMs: time, job: jobIndex, daemon },
 });
 
-const fault: fc.Arbitrary<ModelEvent> = fc.oneof(
+/** Any fault, or a cancellation. */
+export const fault: fc.Arbitrary<ModelEvent> = fc.oneof(
   { weight: 6, arbitrary: daemonFault },
   { weight: 5, arbitrary: workerFault },
   { weight: 1, arbitrary: cancel },
