Test that a cancellation waits for a daemon that is cut off in both directions

The test of the cut held without the mend: its daemon went on sending heartbeats, so that it was asked anyhow. The fixture can cut a daemon off now, and the test fails if silent daemons are left out.

--- a/src/fleet/jobCancellation.spec.ts
+++ b/src/fleet/jobCancellation.spec.ts
@@ -177,10 +177,11 @@
     const address = addressOf(domain, 0);
     const running = fleet.submit(address, job);
     await fleet.clock.advance(200);
-    fleet.silent.add(address);
-    await fleet.clock.advance(3_000);
+    fleet.cutOff.add(address);
+    await fleet.clock.advance(4_000);
     assert.is((await cancelAt(fleet, addressOf(0, 1)))?.outcome, 'unconfirmed', address);
-    fleet.silent.delete(address);
+    fleet.cutOff.delete(address);
+    await fleet.clock.advance(1_000);
     assert.is((await cancelAt(fleet, addressOf(0, 1)))?.outcome, 'cancelled', address);
     assert.equal(await running, { kind: 'cancelled' });
     await fleet.close();
--- a/src/testing/fleetFixture.ts
+++ b/src/testing/fleetFixture.ts
@@ -82,6 +82,8 @@
   readonly calls: string[] = [];
   /** Addresses of daemons that answer no call. */
   readonly silent = new Set<string>();
+  /** Addresses of daemons that are cut off: no call to or from them is answered. */
+  readonly cutOff = new Set<string>();
   /** Addresses of daemons that do not know the method `cancelJob`. */
   readonly earlierVersions = new Set<string>();
   /** By address. */
@@ -248,7 +250,7 @@
     timeoutMs: number,
     act: (service: FleetService) => T | Promise<T>,
   ): Promise<Result<T, PeerError>> {
-    const address = name.split(' ').at(-1) ?? '';
+    const [, from = '', address = ''] = name.split(' ');
     const callee = this.daemons.get(address);
     if (callee === undefined || callee.killed.signal.aborted || callerKilled.aborted) {
       return Err(refused);
@@ -263,16 +265,19 @@
     const isOver = this.clock
       .sleep(timeoutMs, ended.signal)
       .then((): Result<T, PeerError> => Err(broken));
-    const answer = this.answerOf(address, () => act(callee.daemon.peerService));
+    const isCutOff = this.cutOff.has(from) || this.cutOff.has(address);
+    const answer = this.answerOf(isCutOff || this.silent.has(address), () =>
+      act(callee.daemon.peerService),
+    );
     const result = await Promise.race([answer, gone, isOver]);
     ended.abort();
     return result;
   }
 
   private async answerOf<T>(
-    address: string,
+    isSilent: boolean,
     act: () => T | Promise<T>,
   ): Promise<Result<T, PeerError>> {
-    return this.silent.has(address) ? new Promise(() => undefined) : Ok(await act());
+    return isSilent ? new Promise(() => undefined) : Ok(await act());
   }
 }
