Names: the planned stop of a process, and within it the hand-over of workers

plannedStop.ts holds the whole sequence now, workerHandOver.ts its part at the dispatcher; both had been called a planned stop or shutdown. Only names change.

--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -30,7 +30,7 @@
 import { JobCancellation } from './jobCancellation.js';
 import { JobIntake } from './jobIntake.js';
 import { LearnedBackup } from './learnedBackup.js';
-import { stopAsPlanned } from './plannedStop.js';
+import { handOverWorkers } from './workerHandOver.js';
 import { ServedWorkers } from './servedWorkers.js';
 import { ShardMembership } from './shardMembership.js';
 import { isNeededAsDispatcher } from './standby.js';
@@ -263,7 +263,7 @@
       closeDispatcher: () => dispatcher.close(),
       leaveShards: () => shards.leave(),
     };
-    await stopAsPlanned({ clock: this.ports.clock, logger: this.logger }, handOver, endAtMs);
+    await handOverWorkers({ clock: this.ports.clock, logger: this.logger }, handOver, endAtMs);
   }
 
   /** @returns number of jobs that have not ended */
--- a/src/fleet/plannedStop.ts
+++ b/src/fleet/plannedStop.ts
@@ -1,50 +1,67 @@
 /**
- * The hand-over of a daemon that stops as planned: its workers are released as their runs end, runs that are
- * still at work are stopped, and the shards are given up when no order goes out any more.
+ * The planned stop of a process: it reports that it is not ready, hands its workers over, accepts no new jobs
+ * once the platform has noticed, and answers running jobs within the grace period.
  */
 import type { Clock } from '../ports/clock.js';
-import type { Logger } from '../ports/logger.js';
+import type { FleetDaemon } from './fleetDaemon.js';
 
-/**
- * Time ahead of the end at which runs are stopped: enough for a stop order, for the run to end, and for the
- * report that confirms it.
- */
-export const stopAheadMs = 450;
+/** Time within which the platform detects that a VM is not ready, and routes no new connections to it. */
+const readinessNoticeMs = 2_700;
+const pollMs = 50;
+/** Jobs that have not ended are answered this long before the platform kills the process. */
+const killMarginMs = 700;
+/** Longest time from the end of the last run until the store confirms that this daemon has left. */
+const handOverSlackMs = 200;
+
+/** The server for callers. */
+export interface CallerFront {
+  /** From now on, closes each connection after its next response. */
+  drain(): void;
+  /** Accepts no new connections; resolves after the responses to all open requests. */
+  close(): Promise<void>;
+  /** Closes the connections without an open request. */
+  closeIdleConnections(): void;
+  /** Drops all connections at once. */
+  kill(): Promise<void>;
+}
 
-/** What is handed over; each step has its own module. */
-export interface HandOver {
-  /** Starts no more runs; resolves when all workers are released, each after its last run. */
-  releaseWorkers(): Promise<void>;
-  /** Stops all runs, and returns their tasks as far as the end of their runs is proved. */
-  stopRuns(): void;
-  /** Ends all orders to workers; tasks whose runs may go on are answered as withdrawn. */
-  closeDispatcher(): Promise<void>;
-  /** Gives up the shards, whose workers other daemons then take over. */
-  leaveShards(): Promise<void>;
+export interface PlannedStopOptions {
+  readonly clock: Clock;
+  /** Time from the request to stop until the platform kills the process, in milliseconds. */
+  readonly stopGraceMs: number;
+  readonly daemon: Pick<
+    FleetDaemon,
+    'drain' | 'stopAcceptingJobs' | 'jobCount' | 'giveUpJobs' | 'close'
+  >;
+  readonly front: CallerFront;
+  /** Ends what serves the other daemons and the operators. */
+  readonly closeInterfaces: () => Promise<unknown>;
 }
 
 /**
- * Hands a daemon's workers over. No task is returned as long as its run may go on, and no order goes out after
- * the shards were given up.
- *
- * @param handOver - the steps
- * @param endAtMs - when the dispatcher has to be closed, in monotonic time
+ * Stops a process as planned. Runs that are still at work before the end of the grace period are stopped, so that
+ * their tasks can be returned.
  */
-export const stopAsPlanned = async (
-  { clock, logger }: { readonly clock: Clock; readonly logger: Logger },
-  handOver: HandOver,
-  endAtMs: number,
-): Promise<void> => {
-  const stopWait = new AbortController();
-  const released = handOver.releaseWorkers().then(() => stopWait.abort());
-  const waitUntil = (atMs: number): Promise<unknown> =>
-    Promise.race([released, clock.sleep(Math.max(atMs - clock.nowMs(), 0), stopWait.signal)]);
-  await waitUntil(endAtMs - stopAheadMs);
-  if (!stopWait.signal.aborted) {
-    logger.info('Runs are stopped, since the daemon ends.');
-    handOver.stopRuns();
-    await waitUntil(endAtMs);
+export const stopAsPlanned = async (options: PlannedStopOptions): Promise<void> => {
+  const { clock, stopGraceMs, daemon, front, closeInterfaces } = options;
+  const endAtMs = clock.nowMs() + stopGraceMs - killMarginMs;
+  const handedOver = daemon.drain(endAtMs);
+  front.drain();
+  await clock.sleep(readinessNoticeMs);
+  daemon.stopAcceptingJobs();
+  const closed = front.close();
+  while (daemon.jobCount > 0 && clock.nowMs() < endAtMs) {
+    front.closeIdleConnections();
+    await clock.sleep(pollMs);
   }
-  await handOver.closeDispatcher();
-  await handOver.leaveShards();
+  daemon.giveUpJobs();
+  await clock.sleep(pollMs);
+  front.closeIdleConnections();
+  await Promise.race([
+    Promise.all([handedOver, closed]),
+    clock.sleep(Math.max(endAtMs - clock.nowMs(), 0) + handOverSlackMs),
+  ]);
+  await front.kill();
+  await Promise.race([daemon.close(), clock.sleep(pollMs)]);
+  await Promise.race([closeInterfaces(), clock.sleep(pollMs)]);
 };
--- a/src/fleet/plannedStop.spec.ts
+++ b/src/fleet/workerHandOver.spec.ts
@@ -4,7 +4,7 @@
 import type { DispatcherFixture } from '../testing/dispatcherFixture.js';
 import { silentLogger } from '../testing/silentLogger.js';
 import type { TaskEnd } from '../types/dispatch.js';
-import { stopAheadMs, stopAsPlanned } from './plannedStop.js';
+import { stopAheadMs, handOverWorkers } from './workerHandOver.js';
 
 const taskCount = 3;
 const endInMs = 2_000;
@@ -34,7 +34,7 @@
   let leftAtMs = 0;
   let ordersAtLeave = 0;
   const startedAtMs = clock.nowMs();
-  void stopAsPlanned(
+  void handOverWorkers(
     { clock, logger: silentLogger },
     {
       releaseWorkers: () => dispatcher.setWorkers([], 1),
--- a/src/programs/toucandyked/platformProcess.ts
+++ b/src/programs/toucandyked/platformProcess.ts
@@ -18,7 +18,7 @@
 import { SettingsFollower } from '../../config/settingsFollower.js';
 import type { SettingsSource } from '../../config/settingsFollower.js';
 import { FleetDaemon } from '../../fleet/fleetDaemon.js';
-import { shutDownAsPlanned } from '../../fleet/plannedShutdown.js';
+import { stopAsPlanned } from '../../fleet/plannedStop.js';
 import {
   minCallerResendMs,
   requesterRunsEndMs,
@@ -158,7 +158,7 @@
   async close(): Promise<void> {
     const { clock, daemon, front, settings } = this;
     this.logger.info('The daemon stops as planned.', { count: daemon.jobCount });
-    await shutDownAsPlanned({
+    await stopAsPlanned({
       ...{ clock, daemon, front, stopGraceMs: settings.stopGraceMs },
       closeInterfaces: () => Promise.all([this.peers.kill(), this.metrics.close()]),
     });
--- a/src/testing/model/modelDaemon.ts
+++ b/src/testing/model/modelDaemon.ts
@@ -4,7 +4,7 @@
  */
 import { noMetrics } from '../../adapters/system/noMetrics.js';
 import { FleetDaemon } from '../../fleet/fleetDaemon.js';
-import { shutDownAsPlanned } from '../../fleet/plannedShutdown.js';
+import { stopAsPlanned } from '../../fleet/plannedStop.js';
 import type { Logger } from '../../ports/logger.js';
 import type { Clock } from '../../ports/clock.js';
 import type { FakeClock } from '../fakeClock.js';
@@ -122,16 +122,16 @@
       return;
     }
     const { process } = current;
-    process.receive(() => void stopAsPlanned(current).then(() => process.kill()));
+    process.receive(() => void stopProcess(current).then(() => process.kill()));
     await Promise.race([this.options.time.sleep(stopGraceMs), process.end]);
     process.kill();
   }
 }
 
 /** Shuts a daemon down as its process does. */
-const stopAsPlanned = async (running: RunningDaemon): Promise<void> => {
+const stopProcess = async (running: RunningDaemon): Promise<void> => {
   const { daemon, process } = running;
-  await shutDownAsPlanned({
+  await stopAsPlanned({
     ...{ clock: process.clock, stopGraceMs, daemon },
     front: {
       drain: () => undefined,
