Take the time for which a leaving daemon keeps its jobs from the settings

It had been a constant equal to the grace period of today's sites. Where the platform grants another one, a cancellation would be answered too early as of an unknown job, or too long with 503. Tests hold unchanged; on sites with 6 s nothing changes.

--- a/src/fleet/fleetDaemon.spec.ts
+++ b/src/fleet/fleetDaemon.spec.ts
@@ -101,7 +101,13 @@
     close: async () => undefined,
   };
   const daemon = FleetDaemon.create(
-    { member, failureDomainIds: [failureDomainId], leaseMs: 1_000, farRackFactor: 1.5 },
+    {
+      member,
+      failureDomainIds: [failureDomainId],
+      leaseMs: 1_000,
+      farRackFactor: 1.5,
+      stopGraceMs: 6_000,
+    },
     {
       clock: daemonClock,
       random: SeededRandom.create(3),
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -57,6 +57,8 @@
   readonly leaseMs: number;
   /** Factor by which a task runs longer outside the rack of its data. */
   readonly farRackFactor: number;
+  /** Longest time for which a daemon that stops as planned keeps its jobs, in milliseconds. */
+  readonly stopGraceMs: number;
 }
 
 export class FleetDaemon {
@@ -88,7 +90,7 @@
     private readonly ports: FleetPorts,
   ) {
     const { clock, random, logger, metrics, store, workers, connector } = ports;
-    const { member, leaseMs, farRackFactor } = identity;
+    const { member, leaseMs, farRackFactor, stopGraceMs } = identity;
     const ownId = member.incarnation;
     const ages = MessageAges.create(clock);
     const leases = RequesterLeases.create(ages);
@@ -194,6 +196,7 @@
       connector,
       own: member,
       failureDomainIds: identity.failureDomainIds,
+      stopGraceMs,
       composeHeartbeat: (peer, isFull) => this.heartbeatExchange.composeHeartbeat(peer, isFull),
       onHeartbeat: (heartbeat) => {
         standstills.check();
--- a/src/fleet/fleetPeer.ts
+++ b/src/fleet/fleetPeer.ts
@@ -5,9 +5,6 @@
 import type { FleetLink } from '../ports/fleetPeers.js';
 import type { FleetHeartbeat, KnownMember } from '../types/fleet.js';
 
-/** Longest time for which a daemon that leaves keeps its jobs, in milliseconds. */
-const maxLeavingMs = 6_000;
-
 export class FleetPeer {
   /** The last heartbeat that was received. */
   heartbeat: FleetHeartbeat | undefined;
@@ -88,9 +85,10 @@
    * Whether the peer has left as it announced, so that it has no jobs.
    *
    * @param nowMs - the current monotonic time
+   * @param stopGraceMs - longest time for which a daemon that leaves keeps its jobs
    */
-  hasLeft(nowMs: number): boolean {
-    return this.heartbeat?.isLeaving === true && !this.hadContactWithin(nowMs, maxLeavingMs);
+  hasLeft(nowMs: number, stopGraceMs: number): boolean {
+    return this.heartbeat?.isLeaving === true && !this.hadContactWithin(nowMs, stopGraceMs);
   }
 
   async close(): Promise<void> {
--- a/src/fleet/fleetPeers.spec.ts
+++ b/src/fleet/fleetPeers.spec.ts
@@ -92,7 +92,7 @@
       connector: this.connectorOf(own, composeHeartbeat),
       store: store as FleetStore,
       own,
-      failureDomainIds: domains,
+      ...{ failureDomainIds: domains, stopGraceMs: 6_000 },
       composeHeartbeat,
       onHeartbeat: () => undefined,
       isDispatching: () => this.isDispatching,
--- a/src/fleet/fleetPeers.ts
+++ b/src/fleet/fleetPeers.ts
@@ -34,6 +34,8 @@
   readonly store: FleetStore;
   readonly supervisor: TaskSupervisor;
   readonly failureDomainIds: readonly string[];
+  /** Longest time for which a daemon that leaves keeps its jobs, in milliseconds. */
+  readonly stopGraceMs: number;
   /** Composes a heartbeat for the process with this incarnation, if it is known. */
   readonly composeHeartbeat: (peer: string | undefined, isFull: boolean) => FleetHeartbeat;
   readonly onHeartbeat: (heartbeat: FleetHeartbeat) => void;
@@ -96,9 +98,10 @@
 
   /** @returns the peers that may be there though they are not reachable, such as one that is cut off */
   silent(): FleetPeer[] {
-    const nowMs = this.options.clock.nowMs();
+    const { clock, stopGraceMs } = this.options;
+    const nowMs = clock.nowMs();
     return [...this.peers.values()].filter(
-      (peer) => !this.isReachable(peer) && !peer.hasLeft(nowMs),
+      (peer) => !this.isReachable(peer) && !peer.hasLeft(nowMs, stopGraceMs),
     );
   }
 
--- a/src/programs/toucandyked/platformProcess.ts
+++ b/src/programs/toucandyked/platformProcess.ts
@@ -77,6 +77,7 @@
         failureDomainIds,
         leaseMs: settings.maxLeaseMs,
         farRackFactor: settings.farRackFactor,
+        stopGraceMs: settings.stopGraceMs,
       },
       {
         clock,
--- a/src/testing/fleetFixture.ts
+++ b/src/testing/fleetFixture.ts
@@ -122,7 +122,13 @@
     const killed = new AbortController();
     setMaxListeners(0, killed.signal);
     const daemon = FleetDaemon.create(
-      { member, failureDomainIds: this.failureDomainIds, leaseMs: 1_000, farRackFactor: 1.5 },
+      {
+        member,
+        failureDomainIds: this.failureDomainIds,
+        leaseMs: 1_000,
+        farRackFactor: 1.5,
+        stopGraceMs: 6_000,
+      },
       {
         clock,
         random: SeededRandom.create(this.members.length + 1),
