--- a/src/testing/model/scenarios.ts
+++ b/src/testing/model/scenarios.ts
@@ -19,13 +19,15 @@
   ...job,
 });
 
-const submit = (atMs: number, job: Partial<ModelJob>): ModelEvent => ({
+/** Submits a job of one task, or as given. */
+export const submit = (atMs: number, job: Partial<ModelJob>): ModelEvent => ({
   kind: 'submit',
   atMs,
   job: createJob(job),
 });
 
-const createScenario = (
+/** Creates a scenario whose workers are listed as domain, number and label. */
+export const createScenario = (
   daemons: string[],
   workers: readonly (readonly [domain: string, count: number, label?: string])[],
   events: ModelEvent[],
