--- a/src/bestEffort/batchRouter.spec.ts
+++ b/src/bestEffort/batchRouter.spec.ts
@@ -5,6 +5,7 @@
 import type { Dispatcher } from '../dispatch/dispatcher.js';
 import { FleetPeer } from '../fleet/fleetPeer.js';
 import type { FleetPeers } from '../fleet/fleetPeers.js';
+import { CallerContact } from '../fleet/callerContact.js';
 import { MessageAges } from '../fleet/messageAges.js';
 import type { BatchRequest, FleetLink } from '../ports/fleetPeers.js';
 import type { PeerError } from '../ports/peers.js';
@@ -47,6 +48,7 @@
     clock,
     ownId: 'own',
     ages: MessageAges.create(clock),
+    contact: CallerContact.create(clock),
     dispatcher: unusedDispatcher,
     peers: () => peers as FleetPeers,
     view: FleetView.create({
--- a/src/bestEffort/batchRouter.ts
+++ b/src/bestEffort/batchRouter.ts
@@ -7,6 +7,7 @@
 import type { Batch, BatchReply } from '../types/dispatch.js';
 import type { FleetPeer } from '../fleet/fleetPeer.js';
 import type { FleetPeers } from '../fleet/fleetPeers.js';
+import type { CallerContact } from '../fleet/callerContact.js';
 import type { MessageAges } from '../fleet/messageAges.js';
 import type { Clock } from '../ports/clock.js';
 import { createDeferred } from '../utils/deferred.js';
@@ -30,6 +31,7 @@
   readonly ownId: string;
   /** Gives the timestamps of requests. */
   readonly ages: MessageAges;
+  readonly contact: CallerContact;
   readonly dispatcher: Dispatcher;
   /** Returns the peers; a function, since they are created after the router. */
   readonly peers: () => FleetPeers;
@@ -68,9 +70,9 @@
    * answers none of the requests. A batch that certainly did not reach it is returned.
    */
   async run(dispatcherId: string, batch: Batch): Promise<BatchResult> {
-    const { ownId, dispatcher, peers } = this.options;
+    const { ownId, contact, dispatcher, peers } = this.options;
     if (dispatcherId === ownId) {
-      return toBatchResult(await dispatcher.run(ownId, batch));
+      return toBatchResult(await dispatcher.run(ownId, batch, contact.heldUpMs));
     }
     const peer = peers().find(dispatcherId);
     if (peer === undefined) {
@@ -150,7 +152,7 @@
     dispatcherId: string,
     batch: Batch,
   ): Promise<BatchResult> {
-    const { ages, clock, ownId, view, peers } = this.options;
+    const { ages, clock, contact, ownId, view, peers } = this.options;
     const answerTimeoutMs = batch.estimatedMs * runTimeErrorFactor + resendSlackMs;
     const firstSentAtMs = clock.nowMs();
     let reason = 'no answer';
@@ -161,10 +163,12 @@
       sends += 1
     ) {
       const sentAtMs = clock.nowMs();
+      const { heldUpMs } = contact;
       const reply = await peer.link.runBatch(
         {
           askedBy: ownId,
           sentAtMs: ages.timestampMs(),
+          ...(heldUpMs > 0 ? { heldUpMs } : {}),
           dispatcherId,
           batch: shortenTimeLimits(batch, sentAtMs - firstSentAtMs),
         },
--- /dev/null
+++ b/src/dispatch/confirmedBatches.spec.ts
@@ -0,0 +1,102 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { noMetrics } from '../adapters/system/noMetrics.js';
+import { batchFixture, workerFixture } from '../testing/dispatchFixtures.js';
+import { FakeClock } from '../testing/fakeClock.js';
+import { ScriptedWorkers } from '../testing/scriptedWorkers.js';
+import { SeededRandom } from '../testing/seededRandom.js';
+import { silentLogger } from '../testing/silentLogger.js';
+import { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
+import { Dispatcher } from './dispatcher.js';
+import type { LeaseTimes } from './leaseTimes.js';
+
+const leaseTimes: LeaseTimes = { leaseMs: 800, longestLeaseMs: 1_000, confirmationMs: 1_240 };
+const requester = 'requester';
+const { batchId } = batchFixture;
+const batch = {
+  ...batchFixture,
+  ...{ estimatedMs: 10_000, objectiveInMs: 20_000, giveUpInMs: 30_000, expiresInMs: 30_000 },
+};
+
+/** A dispatcher of one worker, whose report lists every run that it was told to start. */
+const createFixture = async () => {
+  const clock = FakeClock.create();
+  const workers = ScriptedWorkers.create(clock);
+  workers.onStart = ({ taskName, run }) => {
+    workers.report = { ...workers.report, running: [...workers.report.running, { taskName, run }] };
+    return { kind: 'started', workerClockMs: clock.nowMs() };
+  };
+  const dispatcher = Dispatcher.create({
+    ...{ clock, workers, leaseTimes, logger: silentLogger, metrics: noMetrics },
+    ...{ random: SeededRandom.create(1), farRackFactor: 1, speeds: WorkerSpeedCache.create() },
+  });
+  void dispatcher.setWorkers([workerFixture], 1);
+  await clock.advance(100);
+  const lastLeaseEndMs = (): number =>
+    Math.max(
+      ...[...workers.starts, ...workers.holds].map(({ leaseEndWorkerMs }) => leaseEndWorkerMs ?? 0),
+    );
+  const close = async (): Promise<void> => {
+    const closing = dispatcher.close();
+    await clock.advance(2_000);
+    await closing;
+  };
+  return { clock, workers, dispatcher, lastLeaseEndMs, close };
+};
+
+// Guards against a run that is renewed for a requester which says no more that it waits for it.
+test('no lease goes beyond the time that the last confirmation of a batch allows', async () => {
+  const { clock, dispatcher, lastLeaseEndMs, close } = await createFixture();
+  void dispatcher.run(requester, batch);
+  await clock.advance(300);
+  dispatcher.confirm(requester, (id) => id === batchId, 50);
+  const confirmedAtMs = clock.nowMs() - 50;
+  dispatcher.confirm('another requester', () => true, 0);
+  dispatcher.confirm(requester, () => false, 0);
+  await clock.advance(1_500);
+  assert.ok(lastLeaseEndMs() > confirmedAtMs + leaseTimes.leaseMs);
+  assert.ok(lastLeaseEndMs() <= confirmedAtMs + leaseTimes.confirmationMs);
+  await close();
+});
+
+// Guards against runs that are renewed on after their batch was withdrawn, while a heartbeat of before arrives.
+test('a withdrawn batch is not confirmed any more', async () => {
+  const { clock, dispatcher, lastLeaseEndMs, close } = await createFixture();
+  void dispatcher.run(requester, batch);
+  await clock.advance(300);
+  const withdrawnAtMs = clock.nowMs();
+  dispatcher.withdraw(batchId);
+  await clock.advance(200);
+  dispatcher.confirm(requester, () => true, 0);
+  void dispatcher.run(requester, batch);
+  await clock.advance(1_500);
+  assert.ok(lastLeaseEndMs() <= withdrawnAtMs + leaseTimes.confirmationMs);
+  await close();
+});
+
+// Guards against a start for a requester that may be gone, whose caller then comes back during the run.
+test('a task of a batch that was not confirmed lately starts only with the next confirmation', async () => {
+  const { clock, workers, dispatcher, close } = await createFixture();
+  void dispatcher.run(requester, batch, 500);
+  await clock.advance(100);
+  assert.is(workers.starts.length, 0);
+  dispatcher.confirm(requester, () => true, 0);
+  await clock.advance(100);
+  assert.is(workers.starts.length, 1);
+  await close();
+});
+
+// Guards against a lease on a slow clock that was read long ago, which ends later than one on a clock just read.
+test('a start on a worker that was idle for long needs a later confirmation', async () => {
+  const { clock, workers, dispatcher, close } = await createFixture();
+  await clock.advance(4_800);
+  void dispatcher.run(requester, batch, 300);
+  await clock.advance(50);
+  assert.is(workers.starts.length, 0);
+  dispatcher.confirm(requester, () => true, 0);
+  await clock.advance(50);
+  assert.is(workers.starts.length, 1);
+  await close();
+});
+
+test.run();
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -13,9 +13,11 @@
 import type { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import type { WorkerRecord } from '../types/workers.js';
 import type { ActiveRun } from './activeRun.js';
+import { composeReply } from './batchReplies.js';
 import { BatchTable } from './batchTable.js';
 import { CrashSuspects } from './crashSuspects.js';
 import { LapsedRuns } from './lapsedRuns.js';
+import type { LeaseTimes } from './leaseTimes.js';
 import type { ManagedWorker } from './managedWorker.js';
 import { TaskRetries } from './taskRetries.js';
 import { recordOutcome } from './recordOutcome.js';
@@ -25,7 +27,7 @@
 import type { AnsweringLifetime } from './workerLifetime.js';
 import { WorkerPool } from './workerPool.js';
 import { TaskStarter } from './taskStarter.js';
-import type { Batch, BatchReply, TaskEnd } from '../types/dispatch.js';
+import type { Batch, BatchReply } from '../types/dispatch.js';
 
 export interface DispatcherOptions {
   readonly clock: Clock;
@@ -33,7 +35,7 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly workers: WorkerPort;
-  readonly leaseMs: number;
+  readonly leaseTimes: LeaseTimes;
   readonly farRackFactor: number;
   /** Called before waiting tasks are started; may withdraw batches. */
   readonly beforeStarts?: () => void;
@@ -99,20 +101,39 @@
    *
    * @param askedBy - incarnation of the requester
    * @param content - the batch
+   * @param confirmedAgoMs - time since the requester was last known to wait for it
    * @returns how all its tasks ended; a first request gets a partial answer at once if tasks are
    *   returned for lack of capacity
    */
-  async run(askedBy: string, content: Batch): Promise<BatchReply> {
+  async run(askedBy: string, content: Batch, confirmedAgoMs = 0): Promise<BatchReply> {
+    const confirmedAtMs = this.options.clock.nowMs() - confirmedAgoMs;
     const existing = this.batches.get(content.batchId);
-    const batch = existing ?? this.openBatch(askedBy, content);
+    existing?.confirm(confirmedAtMs);
+    const batch = existing ?? this.openBatch(askedBy, content, confirmedAtMs);
     if (
       existing === undefined &&
       this.starter.returnTasksWithoutCapacity(batch) &&
       !batch.hasEnded
     ) {
-      return this.answer(batch, batch.ends, true);
+      return composeReply(batch, { ends: batch.ends, isPartial: true, load: this.load() });
     }
-    return this.answer(batch, await batch.completion, false);
+    const ends = await batch.completion;
+    return composeReply(batch, { ends, isPartial: false, load: this.load() });
+  }
+
+  /**
+   * Records that a requester still waits for batches.
+   *
+   * @param askedBy - incarnation of the requester
+   * @param isRequested - returns whether it waits for a batch
+   * @param agoMs - time since this was so, in milliseconds
+   */
+  confirm(askedBy: string, isRequested: (batchId: string) => boolean, agoMs: number): void {
+    const atMs = this.options.clock.nowMs() - agoMs;
+    this.batches
+      .openBatchesOf(askedBy)
+      .filter(({ batchId }) => isRequested(batchId))
+      .forEach((batch) => batch.confirm(atMs));
   }
 
   /** Whether a batch is open here, or has ended a short while ago. */
@@ -206,23 +227,11 @@
     await this.workers.close();
   }
 
-  private answer(batch: OpenBatch, ends: readonly TaskEnd[], isPartial: boolean): BatchReply {
-    return { isPartial, ends: [...ends], wasOffered: batch.wasOffered, load: this.loadFor(batch) };
-  }
-
-  /**
-   * Returns the load that the requester of a batch needs: of the workers to which its tasks were
-   * assigned, or of all where tasks are returned, since its view of them was wrong.
-   */
-  private loadFor({ usedWorkerIds, ends }: OpenBatch): MemberLoad {
-    const load = this.load();
-    return ends.some(({ kind }) => kind === 'returned')
-      ? load
-      : { workers: load.workers.filter(({ workerId }) => usedWorkerIds.has(workerId)) };
-  }
-
-  private openBatch(askedBy: string, content: Batch): OpenBatch {
-    const batch = OpenBatch.create(askedBy, content, this.options.clock.nowMs());
+  private openBatch(askedBy: string, content: Batch, confirmedAtMs: number): OpenBatch {
+    const { clock, leaseTimes } = this.options;
+    const { confirmationMs } = leaseTimes;
+    const confirmation = { confirmedAtMs, confirmationMs };
+    const batch = OpenBatch.create(askedBy, content, clock.nowMs(), confirmation);
     this.batches.add(batch);
     if (this.batches.wasWithdrawnEarly(content.batchId)) {
       this.withdraw(content.batchId);
--- a/src/dispatch/faultyWorker.spec.ts
+++ b/src/dispatch/faultyWorker.spec.ts
@@ -12,6 +12,7 @@
 import { ScriptedWorkers } from '../testing/scriptedWorkers.js';
 import { silentLogger } from '../testing/silentLogger.js';
 import { silentSupervisor } from '../testing/silentSupervisor.js';
+import { unconfirmedLeaseTimes } from './leaseTimes.js';
 import { ManagedWorker } from './managedWorker.js';
 
 // Guards against an error in the calls of one worker that ends the process or takes the others out of service.
@@ -50,7 +51,7 @@
     clock,
     workers,
     logger: silentLogger,
-    leaseMs: 1_000,
+    leaseTimes: unconfirmedLeaseTimes(1_000),
     supervisor: silentSupervisor(clock),
     onEnd: () => undefined,
     onLifetime: () => undefined,
--- a/src/dispatch/leaseClock.ts
+++ b/src/dispatch/leaseClock.ts
@@ -2,11 +2,9 @@
  * Estimates the clock of one worker, and the time by which all leases issued to it have ended.
  */
 import type { Clock } from '../ports/clock.js';
+import { maxDrift, sendSlackMs } from './leaseTimes.js';
+import type { LeaseTimes } from './leaseTimes.js';
 
-/** Largest share by which the clock of a worker may run slower than that of this process. */
-export const maxDrift = 0.03;
-/** Allowance for the time between reading the clock here and sending the order. */
-const sendSlackMs = 20;
 /** A reading that is lower than expected by more than this is of a clock that has started anew. */
 const maxReadingLagMs = 20;
 
@@ -20,15 +18,15 @@
 
   private constructor(
     private readonly clock: Clock,
-    private readonly leaseMs: number,
+    private readonly times: Pick<LeaseTimes, 'leaseMs' | 'longestLeaseMs'>,
   ) {}
 
   /**
    * @param clock - the clock of this process
-   * @param leaseMs - length of a lease, in milliseconds
+   * @param times - lengths of the leases
    */
-  static create(clock: Clock, leaseMs: number): LeaseClock {
-    return new LeaseClock(clock, leaseMs);
+  static create(clock: Clock, times: Pick<LeaseTimes, 'leaseMs' | 'longestLeaseMs'>): LeaseClock {
+    return new LeaseClock(clock, times);
   }
 
   /**
@@ -40,7 +38,7 @@
     const nowMs = this.clock.nowMs();
     const lowestMs = this.workerClockMs + this.ageMs(nowMs) * (1 - maxDrift) - maxReadingLagMs;
     if (workerClockMs < lowestMs && !this.haveAllLeasesEnded()) {
-      this.extendLeases(nowMs, 0);
+      this.recordIssued(nowMs + longestDurationMs(this.times.longestLeaseMs) + sendSlackMs);
     }
     this.workerClockMs = workerClockMs;
     this.readAtMs = nowMs;
@@ -50,13 +48,24 @@
    * Issues a lease that begins now, and extends the time by which all leases have ended. A slow clock has
    * fallen behind since it was read, so that it reaches the end of the lease later by as much.
    *
-   * @returns end of the lease on the worker's clock, in milliseconds
+   * @param limitMs - latest time at which the lease may end, however slow the worker's clock is, in monotonic time
+   * @returns end of the lease on the worker's clock, in milliseconds; a lease that is over at once renews nothing
    */
-  issueLeaseEnd(): number {
+  issueLeaseEnd(limitMs = Infinity): number {
     const nowMs = this.clock.nowMs();
-    const ageMs = this.ageMs(nowMs);
-    this.extendLeases(nowMs, ageMs * maxDrift);
-    return this.workerClockMs + ageMs + this.leaseMs;
+    const startMs = this.leaseStartMs(nowMs);
+    const permittedMs = Math.max((limitMs - startMs) / (1 + maxDrift), 0);
+    const leaseMs = Math.min(this.times.leaseMs, permittedMs);
+    this.recordIssued(startMs + longestDurationMs(leaseMs));
+    return this.workerClockMs + this.ageMs(nowMs) + leaseMs;
+  }
+
+  /**
+   * Whether a lease of full length that is issued now, and all those before it, end by a time, in monotonic time.
+   */
+  canIssueUntil(limitMs: number): boolean {
+    const fullEndMs = this.leaseStartMs(this.clock.nowMs()) + longestDurationMs(this.times.leaseMs);
+    return Math.max(fullEndMs, this.allEndedByMs) <= limitMs;
   }
 
   /** Age of the last reading in milliseconds; 0 before the first. */
@@ -64,8 +73,12 @@
     return nowMs - (this.readAtMs ?? nowMs);
   }
 
-  private extendLeases(fromMs: number, lagMs: number): void {
-    const endedByMs = fromMs + this.leaseMs * (1 + maxDrift) + lagMs + sendSlackMs;
+  /** Latest time at which a lease that is issued now may begin by the worker's clock, in monotonic time. */
+  private leaseStartMs(nowMs: number): number {
+    return nowMs + this.ageMs(nowMs) * maxDrift + sendSlackMs;
+  }
+
+  private recordIssued(endedByMs: number): void {
     this.allEndedByMs = Math.max(this.allEndedByMs, endedByMs);
   }
 
@@ -79,3 +92,6 @@
     return Math.max(this.allEndedByMs - this.clock.nowMs(), 0);
   }
 }
+
+/** Time that a duration on the worker's clock may take here, in milliseconds. */
+const longestDurationMs = (durationMs: number): number => durationMs * (1 + maxDrift);
--- a/src/dispatch/managedWorker.spec.ts
+++ b/src/dispatch/managedWorker.spec.ts
@@ -5,6 +5,7 @@
 import { silentLogger } from '../testing/silentLogger.js';
 import { silentSupervisor } from '../testing/silentSupervisor.js';
 import type { ReportedRun, WorkerRecord } from '../types/workers.js';
+import { unconfirmedLeaseTimes } from './leaseTimes.js';
 import { ManagedWorker } from './managedWorker.js';
 import { OpenBatch } from './openBatch.js';
 import { describeEvidence } from './runEvidence.js';
@@ -13,7 +14,6 @@
 
 const leaseMs = 1_000;
 const needs = { cpuMillis: 14_000, memoryMb: 64, accelerators: 0 };
-
 const record: WorkerRecord = {
   workerId: 'i-1',
   address: '127.0.0.1:1',
@@ -65,7 +65,7 @@
     clock,
     workers,
     logger: silentLogger,
-    leaseMs,
+    leaseTimes: unconfirmedLeaseTimes(leaseMs),
     supervisor: silentSupervisor(clock),
     onEnd: (_worker, _run, evidence) => void outcomes.push(evidence),
     onLifetime: () => undefined,
--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -14,6 +14,7 @@
 import { createRun, recordStart } from './activeRun.js';
 import type { ActiveRun, RunPlan } from './activeRun.js';
 import type { CapacityRelease } from '../types/fleet.js';
+import type { LeaseTimes } from './leaseTimes.js';
 import type { RunEvidence } from './runEvidence.js';
 import { RunOrders } from './runOrders.js';
 import { RunTable } from './runTable.js';
@@ -32,7 +33,7 @@
   readonly clock: Clock;
   readonly workers: WorkerPort;
   readonly logger: Logger;
-  readonly leaseMs: number;
+  readonly leaseTimes: LeaseTimes;
   readonly supervisor: TaskSupervisor;
   /** Slowdown factor that an earlier dispatcher measured. */
   readonly rememberedSlowness?: number | undefined;
@@ -166,6 +167,11 @@
     }
   }
 
+  /** Whether a run started now, and all that was started before, would end by a time, in monotonic time. */
+  canRunUntil(limitMs: number): boolean {
+    return this.link.leaseClock.canIssueUntil(limitMs);
+  }
+
   /** Starts the next run of a task; `onEnd` reports what becomes of it. */
   start(plan: RunPlan): void {
     const run = createRun(plan, this.options.clock.nowMs());
@@ -232,7 +238,7 @@
       } else if (!this.isTakenOver) {
         await this.takeOver();
       } else {
-        await this.waitWhileIdle();
+        await this.reports.waitWhileIdle();
         await this.holdOnce();
       }
     }
@@ -271,14 +277,6 @@
     this.options.onAvailabilityChange();
   }
 
-  /** Waits before the next hold if the worker has no runs; a started run ends the wait. */
-  private async waitWhileIdle(): Promise<void> {
-    const { idlePauseMs } = this.reports;
-    if (this.runs.size === 0 && idlePauseMs > 0) {
-      await this.sleeper.sleep(idlePauseMs);
-    }
-  }
-
   private async holdOnce(): Promise<void> {
     if (!this.isClosed && this.isTakenOver) {
       await this.reports.hold();
--- a/src/dispatch/openBatch.ts
+++ b/src/dispatch/openBatch.ts
@@ -23,6 +23,16 @@
   hasEnded: boolean;
 }
 
+/** By when the runs of a batch have to have ended, unless its requester confirms it again. */
+export interface Confirmation {
+  /** When the requester was last known to wait for the batch, in monotonic time. */
+  readonly confirmedAtMs: number;
+  /** Time for which runs may go on after that. */
+  readonly confirmationMs: number;
+}
+
+const lastingConfirmation: Confirmation = { confirmedAtMs: 0, confirmationMs: Infinity };
+
 export class OpenBatch {
   readonly tasks: readonly BatchedTask[];
   /** When the tasks should have ended, in monotonic time. */
@@ -40,6 +50,7 @@
     readonly askedBy: string,
     readonly content: Batch,
     readonly arrivedAtMs: number,
+    private confirmation: Confirmation,
   ) {
     this.objectiveAtMs = arrivedAtMs + content.objectiveInMs;
     this.giveUpAtMs = arrivedAtMs + content.giveUpInMs;
@@ -60,9 +71,32 @@
    * @param askedBy - incarnation of the requester
    * @param content - the batch
    * @param nowMs - arrival in monotonic time
+   * @param confirmation - when its requester was last known to wait for it
+   */
+  static create(
+    askedBy: string,
+    content: Batch,
+    nowMs: number,
+    confirmation = lastingConfirmation,
+  ): OpenBatch {
+    return new OpenBatch(askedBy, content, nowMs, confirmation);
+  }
+
+  /** Time by which every run of the batch has to have ended as things stand, in monotonic time. */
+  get runsUntilMs(): number {
+    return this.confirmation.confirmedAtMs + this.confirmation.confirmationMs;
+  }
+
+  /**
+   * Records that the requester waits for the batch; one that has ended is not confirmed any more.
+   *
+   * @param atMs - when this was so, in monotonic time
    */
-  static create(askedBy: string, content: Batch, nowMs: number): OpenBatch {
-    return new OpenBatch(askedBy, content, nowMs);
+  confirm(atMs: number): void {
+    if (!this.hasEnded) {
+      const confirmedAtMs = Math.max(this.confirmation.confirmedAtMs, atMs);
+      this.confirmation = { ...this.confirmation, confirmedAtMs };
+    }
   }
 
   /** Whether a worker was asked to start one of the tasks. */
--- a/src/dispatch/runTable.ts
+++ b/src/dispatch/runTable.ts
@@ -34,6 +34,15 @@
     return this.usedResources;
   }
 
+  /** Time until which every run may go on, by what its requester has confirmed, in monotonic time. */
+  get permittedUntilMs(): number {
+    let untilMs = Infinity;
+    for (const { task } of this.runs.values()) {
+      untilMs = Math.min(untilMs, task.batch.runsUntilMs);
+    }
+    return untilMs;
+  }
+
   get(taskName: string): ActiveRun | undefined {
     return this.runs.get(taskName);
   }
--- a/src/dispatch/taskStarter.ts
+++ b/src/dispatch/taskStarter.ts
@@ -8,11 +8,13 @@
 import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import type { BatchedTask, OpenBatch } from './openBatch.js';
 import type { LocalCandidate, WorkerPool } from './workerPool.js';
+import { longestLeaseDurationMs } from './leaseTimes.js';
+import type { LeaseTimes } from './leaseTimes.js';
 import { isSuspect } from './suspectIsolation.js';
 import { demandOf, taskNameOf } from './taskNames.js';
 import { WaitingTasks } from './waitingTasks.js';
 import { chooseWorker, missesObjective } from './workerChoice.js';
-import type { RatedCandidate } from './workerChoice.js';
+import type { RatedCandidate, TaskDemand } from './workerChoice.js';
 
 /** A pass over the waiting tasks ends after this many that cannot start. */
 const maxBlockedTasks = 6;
@@ -21,12 +23,20 @@
 /** Safety margin before the latest start that meets the objective, as a share of the run time. */
 const startMargin = 0.15;
 
+/**
+ * What came of an attempt to start a task. `settled`: it was started, expired or returned, and no longer waits.
+ * `blocked`: it waits for free capacity, like those behind it. `held`: it waits for something else, and others
+ * need not wait for it.
+ */
+type StartAttempt = 'settled' | 'blocked' | 'held';
+
 export interface TaskStarterOptions {
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
   readonly workers: WorkerPool;
   readonly farRackFactor: number;
+  readonly leaseTimes: LeaseTimes;
   /** Whether a task has to wait for proof of what became of its earlier runs. */
   readonly awaitsProof: (task: BatchedTask) => boolean;
   /** Called before waiting tasks are started; may withdraw batches. */
@@ -101,8 +111,7 @@
       if (blocked >= maxBlockedTasks) {
         break;
       }
-      // A suspect waits for a worker of its own, and others need not wait for it.
-      blocked += this.tryStartSafely(task) || isSuspect(task) ? 0 : 1;
+      blocked += this.tryStartSafely(task) === 'blocked' ? 1 : 0;
     }
     this.isStartingTasks = false;
     if (this.waiting.size > 0) {
@@ -125,51 +134,62 @@
   }
 
   /** Like `tryStart`, but an error leaves the task waiting, and the others go on. */
-  private tryStartSafely(task: BatchedTask): boolean {
+  private tryStartSafely(task: BatchedTask): StartAttempt {
     try {
       return this.tryStart(task);
     } catch (error) {
       this.options.supervisor.report('starting a task', error);
-      return false;
+      return 'blocked';
     }
   }
 
-  /** @returns whether the task was started, expired or returned, and so no longer waits */
-  private tryStart(task: BatchedTask): boolean {
-    const { clock, random, workers, farRackFactor } = this.options;
+  private tryStart(task: BatchedTask): StartAttempt {
+    const { clock, workers } = this.options;
     const nowMs = clock.nowMs();
     const demand = demandOf(task);
     const fastestRunMs = workers.fastestRunMs(task, demand);
     if (fastestRunMs === undefined) {
       this.waiting.remove(task);
       returnTask(task, 'no worker here is in service for it');
-      return true;
+      return 'settled';
     }
     const lastEndAtMs = task.batch.wasOffered ? demand.giveUpAtMs : task.batch.expiresAtMs;
     if (nowMs + fastestRunMs > lastEndAtMs) {
       this.waiting.remove(task);
       task.batch.end(task, { kind: 'expired', index: task.index });
-      return true;
+      return 'settled';
     }
-    if (this.options.awaitsProof(task)) {
-      return false;
+    if (this.mustWait(task, nowMs)) {
+      return 'held';
     }
-    const candidates = isSuspect(task)
-      ? workers.isolatedCandidateFor(task)
-      : workers.candidatesFor(task);
-    const chosen = chooseWorker(demand, candidates, {
-      nowMs,
-      farRackFactor,
-      random: () => random.next(),
-    });
+    const chosen = this.choose(task, demand, nowMs);
     // A late start is put off as long as a faster worker could still meet the objective.
     const canMeetObjective = nowMs + fastestRunMs <= demand.objectiveAtMs;
     if (chosen === undefined || (missesObjective(demand, chosen, nowMs) && canMeetObjective)) {
-      return false;
+      return isSuspect(task) ? 'held' : 'blocked';
     }
     this.waiting.remove(task);
     this.start(task, chosen);
-    return true;
+    return 'settled';
+  }
+
+  /** Whether a task must not start now on any worker: runs of it may go on, or its requester is silent. */
+  private mustWait(task: BatchedTask, nowMs: number): boolean {
+    const { awaitsProof, leaseTimes, workers } = this.options;
+    const isConfirmed = nowMs + longestLeaseDurationMs(leaseTimes) <= task.batch.runsUntilMs;
+    return !isConfirmed || workers.hasRunOf(task) || awaitsProof(task);
+  }
+
+  private choose(
+    task: BatchedTask,
+    demand: TaskDemand,
+    nowMs: number,
+  ): RatedCandidate<LocalCandidate> | undefined {
+    const { random, workers, farRackFactor } = this.options;
+    const candidates = isSuspect(task)
+      ? workers.isolatedCandidateFor(task)
+      : workers.candidatesFor(task);
+    return chooseWorker(demand, candidates, { nowMs, farRackFactor, random: () => random.next() });
   }
 
   private start(
--- a/src/dispatch/workerLifetime.ts
+++ b/src/dispatch/workerLifetime.ts
@@ -3,7 +3,7 @@
  * that lifetime. Lifetimes are ordered by cause: a clock that is set can move start times back.
  */
 import type { Clock } from '../ports/clock.js';
-import { maxDrift } from './leaseClock.js';
+import { maxDrift } from './leaseTimes.js';
 
 /** Allowance for the resolution of both clocks. */
 const slackMs = 20;
--- a/src/dispatch/workerLink.ts
+++ b/src/dispatch/workerLink.ts
@@ -9,6 +9,7 @@
 import type { ActiveRun } from './activeRun.js';
 import type { Departure } from './runEvidence.js';
 import { LeaseClock } from './leaseClock.js';
+import type { LeaseTimes } from './leaseTimes.js';
 import { WorkerLifetime } from './workerLifetime.js';
 
 const startTimeoutMs = 150;
@@ -24,8 +25,11 @@
   readonly lastSeenEnd: number;
   /** Time that the worker may wait for the end of a run before it answers. */
   readonly waitMs: number;
-  /** Whether it renews the leases of all runs of the worker. */
-  readonly renewsLeases: boolean;
+  /**
+   * Latest time at which the renewed leases of all runs of the worker may end, in monotonic time; undefined to
+   * renew none.
+   */
+  readonly renewalLimitMs: number | undefined;
 }
 
 export interface WorkerLinkOptions {
@@ -34,7 +38,7 @@
   readonly clock: Clock;
   readonly workers: WorkerPort;
   readonly logger: Logger;
-  readonly leaseMs: number;
+  readonly leaseTimes: LeaseTimes;
   readonly supervisor: TaskSupervisor;
 }
 
@@ -51,7 +55,7 @@
   private constructor(private readonly options: WorkerLinkOptions) {
     this.entry = options.record;
     this.token = options.fencingToken;
-    this.leaseClock = LeaseClock.create(options.clock, options.leaseMs);
+    this.leaseClock = LeaseClock.create(options.clock, options.leaseTimes);
     this.lifetime = WorkerLifetime.create(options.clock);
   }
 
@@ -103,7 +107,7 @@
       taskName: run.taskName,
       run: run.run,
       spec: run.task.batch.content.spec,
-      leaseEndWorkerMs: this.leaseClock.issueLeaseEnd(),
+      leaseEndWorkerMs: this.leaseClock.issueLeaseEnd(run.task.batch.runsUntilMs),
       fencingToken: this.token,
     };
     const { workers } = this.options;
@@ -126,13 +130,15 @@
     return this.recordFencing(reply, order.fencingToken).kind === 'stopped';
   }
 
-  /** Asks for a report; with `renewsLeases`, the leases of all runs begin anew. */
-  async hold({ lastSeenEnd, waitMs, renewsLeases }: HoldRequest): Promise<HoldReply> {
+  /** Asks for a report, and renews the leases of all runs as far as the request allows. */
+  async hold({ lastSeenEnd, waitMs, renewalLimitMs }: HoldRequest): Promise<HoldReply> {
     const order = {
       fencingToken: this.token,
       lastSeenEnd,
       waitMs,
-      ...(renewsLeases ? { leaseEndWorkerMs: this.leaseClock.issueLeaseEnd() } : {}),
+      ...(renewalLimitMs === undefined
+        ? {}
+        : { leaseEndWorkerMs: this.leaseClock.issueLeaseEnd(renewalLimitMs) }),
     };
     const { workers } = this.options;
     const reply = await this.guard(() => workers.hold(this.record, order, waitMs + holdSlackMs));
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -11,6 +11,7 @@
 import type { WorkerRecord } from '../types/workers.js';
 import { ManagedWorker } from './managedWorker.js';
 import type { ManagedWorkerOptions } from './managedWorker.js';
+import type { LeaseTimes } from './leaseTimes.js';
 import type { BatchedTask } from './openBatch.js';
 import { CapacityProfile } from './capacityProfile.js';
 import { isSuspect, reserveWorker } from './suspectIsolation.js';
@@ -25,7 +26,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly workers: WorkerPort;
-  readonly leaseMs: number;
+  readonly leaseTimes: LeaseTimes;
   readonly farRackFactor: number;
   readonly supervisor: TaskSupervisor;
   /** Slowdown factors of workers that other dispatchers measured earlier. */
@@ -147,7 +148,14 @@
   /** @returns the worker on which a suspect may start alone now, if there is one */
   isolatedCandidateFor(task: BatchedTask): LocalCandidate[] {
     const worker = reserveWorker(task, [...this.workers.values()], (one) => isEligible(one, task));
-    return worker?.runCount === 0 ? [this.toCandidate(worker)] : [];
+    const canStart = worker?.runCount === 0 && worker.canRunUntil(task.batch.runsUntilMs);
+    return canStart ? [this.toCandidate(worker)] : [];
+  }
+
+  /** Whether a run of a task, asked for by whichever batch, is not proved to have ended. */
+  hasRunOf(task: BatchedTask): boolean {
+    const taskName = taskNameOf(task);
+    return this.listAll().some((worker) => worker.hasTask(taskName));
   }
 
   /** Stops the run of a task on whichever worker has it. */
@@ -264,7 +272,7 @@
     !isFull &&
     worker.record.serviceId === serviceId &&
     !avoidedWorkerIds.has(worker.workerId) &&
-    !worker.hasTask(taskNameOf(task))
+    worker.canRunUntil(batch.runsUntilMs)
   );
 };
 
--- a/src/dispatch/workerReports.ts
+++ b/src/dispatch/workerReports.ts
@@ -105,7 +105,7 @@
   }
 
   /** Pause before the next hold while the worker has no runs; none after a failed hold, which pauses itself. */
-  get idlePauseMs(): number {
+  private get idlePauseMs(): number {
     if (this.failedHolds > 0) {
       return 0;
     }
@@ -113,6 +113,15 @@
     return areEndsAcknowledged && !this.mayHaveRestarted ? idlePollMs : unsettledPollMs;
   }
 
+  /** Waits before the next hold if the worker has no runs; a started run ends the wait. */
+  async waitWhileIdle(): Promise<void> {
+    const { runs, sleeper } = this.options;
+    const { idlePauseMs } = this;
+    if (runs.size === 0 && idlePauseMs > 0) {
+      await sleeper.sleep(idlePauseMs);
+    }
+  }
+
   /**
    * Renews the leases of the worker's runs, and waits for the next end if there are runs. After a failed
    * hold nothing is renewed until the worker has answered again, since the runs of a worker that is gone
@@ -120,7 +129,15 @@
    */
   async hold(): Promise<void> {
     const isImmediate = this.failedHolds > 0 || this.options.runs.size === 0;
-    await this.sendHold(isImmediate ? 0 : maxHoldWaitMs, this.failedHolds === 0);
+    await this.sendHold(isImmediate ? 0 : maxHoldWaitMs, this.renewalLimitMs);
+  }
+
+  /** Latest time at which leases that are renewed now may end, in monotonic time; undefined to renew none. */
+  private get renewalLimitMs(): number | undefined {
+    const { clock, runs } = this.options;
+    const limitMs = runs.permittedUntilMs;
+    const isRenewing = this.failedHolds === 0 && runs.size > 0 && limitMs > clock.nowMs();
+    return isRenewing ? limitMs : undefined;
   }
 
   /**
@@ -129,7 +146,7 @@
    * @returns the report, or undefined if the hold failed
    */
   readWithoutRenewal(): Promise<WorkerReport | undefined> {
-    return this.sendHold(0, false);
+    return this.sendHold(0);
   }
 
   /** Reads and applies a report at once, also while another hold waits; ignores a failure. */
@@ -140,7 +157,7 @@
     }
     const lastSeenEnd = this.acknowledgeableEnd;
     const request = { requestedAtMs: clock.nowMs(), entry: link.record };
-    const reply = await link.hold({ lastSeenEnd, waitMs: 0, renewsLeases: false });
+    const reply = await link.hold({ lastSeenEnd, waitMs: 0, renewalLimitMs: undefined });
     if (reply.kind === 'held') {
       this.applyReport(reply.report, request);
     }
@@ -179,11 +196,14 @@
     this.isClosed = true;
   }
 
-  private async sendHold(waitMs: number, renewsLeases: boolean): Promise<WorkerReport | undefined> {
+  private async sendHold(
+    waitMs: number,
+    renewalLimitMs?: number,
+  ): Promise<WorkerReport | undefined> {
     const { clock, link } = this.options;
     const lastSeenEnd = this.acknowledgeableEnd;
     const request = { requestedAtMs: clock.nowMs(), entry: link.record };
-    const reply = await link.hold({ lastSeenEnd, waitMs, renewsLeases });
+    const reply = await link.hold({ lastSeenEnd, waitMs, renewalLimitMs });
     if (reply.kind !== 'held') {
       await this.handleFailure(reply);
       return undefined;
--- a/src/fleet/batchIntake.spec.ts
+++ b/src/fleet/batchIntake.spec.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert';
 import { noMetrics } from '../adapters/system/noMetrics.js';
 import { Dispatcher } from '../dispatch/dispatcher.js';
+import { unconfirmedLeaseTimes } from '../dispatch/leaseTimes.js';
 import { batchFixture as batch, workerFixture as worker } from '../testing/dispatchFixtures.js';
 import { FakeClock } from '../testing/fakeClock.js';
 import { ScriptedWorkers } from '../testing/scriptedWorkers.js';
@@ -27,7 +28,7 @@
     logger: silentLogger,
     metrics: noMetrics,
     workers,
-    leaseMs: 1_000,
+    leaseTimes: unconfirmedLeaseTimes(1_000),
     farRackFactor: 1,
     speeds: WorkerSpeedCache.create(),
   });
--- a/src/fleet/batchIntake.ts
+++ b/src/fleet/batchIntake.ts
@@ -41,7 +41,7 @@
    *
    * @returns how its tasks ended; the answer may be partial
    */
-  run({ askedBy, sentAtMs, dispatcherId, batch }: BatchRequest): Promise<BatchReply> {
+  run({ askedBy, sentAtMs, heldUpMs = 0, dispatcherId, batch }: BatchRequest): Promise<BatchReply> {
     const { ownId, ages, dispatcher, leases } = this.options;
     if (dispatcherId !== undefined && dispatcherId !== ownId) {
       return this.rejectMisaddressedBatch(batch, dispatcherId);
@@ -50,8 +50,10 @@
     if (isAgeKnown) {
       leases.recordMessage(askedBy, sentAtMs);
     }
+    const ageMs = sentAtMs === undefined ? 0 : Math.round(ages.ageMs(askedBy, sentAtMs));
+    const confirmedAgoMs = isAgeKnown ? ageMs + heldUpMs : Infinity;
     if (dispatcher.hasBatch(batch.batchId)) {
-      return dispatcher.run(askedBy, batch);
+      return dispatcher.run(askedBy, batch, confirmedAgoMs);
     }
     if (this.returned.has(batch.batchId)) {
       return this.returnBatch(batch, askedBy, 'it was returned before');
@@ -59,14 +61,13 @@
     if (!isAgeKnown) {
       return this.returnBatch(batch, askedBy, 'its age is not known');
     }
-    const ageMs = sentAtMs === undefined ? 0 : Math.round(ages.ageMs(askedBy, sentAtMs));
     if (ageMs > maxSharingSilenceMs) {
       return this.returnBatch(batch, askedBy, 'it arrived too late', ageMs);
     }
     const lease = leases.leaseOf(askedBy);
     switch (lease) {
       case 'held':
-        return dispatcher.run(askedBy, shortenTimeLimits(batch, ageMs));
+        return dispatcher.run(askedBy, shortenTimeLimits(batch, ageMs), confirmedAgoMs);
       case 'silent':
         return this.returnBatch(batch, askedBy, 'its requester has been silent', ageMs);
       case 'replaced':
--- a/src/fleet/fleetDaemon.spec.ts
+++ b/src/fleet/fleetDaemon.spec.ts
@@ -104,7 +104,7 @@
     {
       member,
       failureDomainIds: [failureDomainId],
-      leaseMs: 1_000,
+      longestLeaseMs: 1_000,
       farRackFactor: 1.5,
       stopGraceMs: 6_000,
     },
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -8,25 +8,23 @@
 import { RunTimePredictor } from '../bestEffort/runTimePredictor.js';
 import { RunningJobs } from '../bestEffort/runningJobs.js';
 import { Dispatcher } from '../dispatch/dispatcher.js';
-import type { Clock } from '../ports/clock.js';
-import type { FleetConnector, FleetService } from '../ports/fleetPeers.js';
-import type { FleetStore } from '../ports/fleetStore.js';
+import type { FleetService } from '../ports/fleetPeers.js';
 import type { Logger } from '../ports/logger.js';
-import type { Metrics } from '../ports/metrics.js';
-import type { Random } from '../ports/random.js';
-import type { WorkerPort } from '../ports/workers.js';
 import { RoutingFollower } from '../routing/routingFollower.js';
 import { RoutingStore } from '../routing/routingStore.js';
 import { TaskSupervisor } from '../utils/taskSupervisor.js';
 import { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import { WorkerDirectory } from '../workers/workerDirectory.js';
 import { BatchIntake } from './batchIntake.js';
+import { CallerContact } from './callerContact.js';
+import type { FleetIdentity, FleetPorts } from './fleetIdentity.js';
 import { FleetHeartbeatExchange } from './fleetHeartbeatExchange.js';
 import { FleetPeers } from './fleetPeers.js';
 import { MessageAges } from './messageAges.js';
 import { PeerService } from './peerService.js';
 import { RequesterLeases } from './requesterLeases.js';
 import { RequesterMonitor } from './requesterMonitor.js';
+import { leaseTimesFor } from './requesterTimes.js';
 import { JobCancellation } from './jobCancellation.js';
 import { JobIntake } from './jobIntake.js';
 import { LearnedBackup } from './learnedBackup.js';
@@ -36,30 +34,6 @@
 import { isNeededAsDispatcher } from './standby.js';
 import { StandstillDetector } from './standstillDetector.js';
 import { recoverFromStandstill } from './standstillRecovery.js';
-import type { Member } from '../types/fleet.js';
-
-export interface FleetPorts {
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
-  readonly store: FleetStore;
-  readonly workers: WorkerPort;
-  readonly connector: FleetConnector;
-}
-
-export interface FleetIdentity {
-  /** This daemon as a member of the fleet. */
-  readonly member: Member;
-  /** All failure domains of the fleet, this daemon's own included. */
-  readonly failureDomainIds: readonly string[];
-  /** Duration of the leases that this daemon takes on workers, in milliseconds. */
-  readonly leaseMs: number;
-  /** Factor by which a task runs longer outside the rack of its data. */
-  readonly farRackFactor: number;
-  /** Longest time for which a daemon that stops as planned keeps its jobs, in milliseconds. */
-  readonly stopGraceMs: number;
-}
 
 export class FleetDaemon {
   /** Serves the other daemons of the fleet. */
@@ -90,10 +64,11 @@
     private readonly ports: FleetPorts,
   ) {
     const { clock, random, logger, metrics, store, workers, connector } = ports;
-    const { member, leaseMs, farRackFactor, stopGraceMs } = identity;
+    const { member, longestLeaseMs, callerResendMs, farRackFactor, stopGraceMs } = identity;
     const ownId = member.incarnation;
     const ages = MessageAges.create(clock);
     const leases = RequesterLeases.create(ages);
+    const contact = CallerContact.create(clock);
     const supervisor = TaskSupervisor.create({ clock, logger, metrics });
     const common = { clock, logger, metrics, store, supervisor };
     this.logger = logger.forPart('jobs');
@@ -111,7 +86,7 @@
       logger,
       metrics,
       workers,
-      leaseMs,
+      leaseTimes: leaseTimesFor(longestLeaseMs, callerResendMs),
       farRackFactor,
       speeds: this.speeds,
       beforeStarts: () => standstills.check(),
@@ -138,6 +113,7 @@
       clock,
       ownId,
       ages,
+      contact,
       dispatcher: this.dispatcher,
       peers: () => this.peers,
       view: this.view,
@@ -180,6 +156,7 @@
     });
     this.heartbeatExchange = FleetHeartbeatExchange.create({
       ages,
+      contact,
       leases,
       own: member,
       logger: this.logger,
@@ -225,7 +202,13 @@
       onStoreReachable: () => this.routingFollower.refresh(),
       isNeeded: () => isNeededAsDispatcher(member, this.peers.presentDomainMembers()),
     });
-    this.requesterMonitor = RequesterMonitor.create({ ...common, ownId, leases, dispatcher });
+    this.requesterMonitor = RequesterMonitor.create({
+      ...common,
+      ownId,
+      contact,
+      leases,
+      dispatcher,
+    });
   }
 
   static create(identity: FleetIdentity, ports: FleetPorts): FleetDaemon {
--- a/src/fleet/fleetHeartbeatExchange.spec.ts
+++ b/src/fleet/fleetHeartbeatExchange.spec.ts
@@ -14,6 +14,7 @@
 import type { DispatcherFixture } from '../testing/dispatcherFixture.js';
 import { silentLogger } from '../testing/silentLogger.js';
 import { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
+import { CallerContact } from './callerContact.js';
 import { FleetHeartbeatExchange } from './fleetHeartbeatExchange.js';
 import type { FleetPeers } from './fleetPeers.js';
 import { MessageAges } from './messageAges.js';
@@ -26,6 +27,7 @@
   const router: Pick<BatchRouter, 'requestedBatchIds'> = { requestedBatchIds: () => [] };
   const ages = MessageAges.create(clock);
   return FleetHeartbeatExchange.create({
+    contact: CallerContact.create(clock),
     ages,
     leases: RequesterLeases.create(ages),
     own: { incarnation: ownId, address: '127.0.0.1:1', failureDomainId: 'east', weight: 1 },
--- a/src/fleet/fleetHeartbeatExchange.ts
+++ b/src/fleet/fleetHeartbeatExchange.ts
@@ -11,6 +11,7 @@
 import type { FleetHeartbeat, Member } from '../types/fleet.js';
 import type { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import type { FleetPeers, PeerLoss } from './fleetPeers.js';
+import type { CallerContact } from './callerContact.js';
 import type { MessageAges } from './messageAges.js';
 import type { RequesterLeases } from './requesterLeases.js';
 
@@ -23,6 +24,7 @@
 
 export interface FleetHeartbeatExchangeOptions {
   readonly ages: MessageAges;
+  readonly contact: CallerContact;
   readonly leases: RequesterLeases;
   readonly own: Member;
   readonly logger: Logger;
@@ -59,10 +61,12 @@
    *   the same failure domain, the slowdown factors of workers
    */
   composeHeartbeat(peer: string | undefined, isFull: boolean): FleetHeartbeat {
-    const { ages, own, dispatcher, lengths, peers, router, routing, speeds } = this.options;
+    const { ages, contact, own, dispatcher, lengths, peers, router, routing, speeds } =
+      this.options;
     const load = dispatcher.load();
     load.workers.forEach((worker) => speeds.record(worker));
     const suspects = dispatcher.suspects.listAnnounced();
+    const { heldUpMs } = contact;
     const isSameDomain =
       peer !== undefined && this.isInOwnDomain(peers().find(peer)?.heartbeat?.member);
     return {
@@ -72,6 +76,7 @@
       isLeaving: this.isLeaving,
       load,
       askedBatchIds: router.requestedBatchIds(peer),
+      ...(heldUpMs > 0 ? { heldUpMs } : {}),
       ...(suspects.length > 0 ? { suspects } : {}),
       ...(isFull ? { lengths: lengths.share(), heardMembers: peers().heardMembers() } : {}),
       ...(isFull && isSameDomain ? { speeds: speeds.list() } : {}),
@@ -85,6 +90,7 @@
   handleHeartbeat(heartbeat: FleetHeartbeat): void {
     const { ages, dispatcher, leases, routing, speeds, view } = this.options;
     const { member, sentAtMs, load, askedBatchIds, routingVersion, lengths } = heartbeat;
+    const { heldUpMs = 0 } = heartbeat;
     const { incarnation } = member;
     const ageMs = sentAtMs === undefined ? 0 : ages.recordHeartbeat(incarnation, sentAtMs);
     leases.recordMessage(incarnation, sentAtMs);
@@ -96,6 +102,7 @@
       this.options.lengths.recordPeerSums(incarnation, lengths);
     }
     const requested = new Set(askedBatchIds);
+    dispatcher.confirm(incarnation, (id) => requested.has(id), ageMs + heldUpMs);
     const minAgeMs = minUnrequestedAgeMs + ageMs;
     dispatcher.withdrawUnrequested(incarnation, (id) => requested.has(id), minAgeMs);
     if (routingVersion > routing.version) {
--- a/src/fleet/messageAges.spec.ts
+++ b/src/fleet/messageAges.spec.ts
@@ -9,6 +9,7 @@
 import { silentLogger } from '../testing/silentLogger.js';
 import type { FleetHeartbeat, Member } from '../types/fleet.js';
 import { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
+import { CallerContact } from './callerContact.js';
 import { FleetHeartbeatExchange } from './fleetHeartbeatExchange.js';
 import type { FleetPeers } from './fleetPeers.js';
 import { MessageAges } from './messageAges.js';
@@ -28,12 +29,14 @@
   const clock = FakeClock.create();
   const ages = MessageAges.create(clock);
   const keptAgesMs: number[] = [];
-  const dispatcher: Pick<Dispatcher, 'withdrawAll' | 'withdrawUnrequested'> = {
+  const dispatcher: Pick<Dispatcher, 'confirm' | 'withdrawAll' | 'withdrawUnrequested'> = {
+    confirm: () => undefined,
     withdrawAll: () => undefined,
     withdrawUnrequested: (_askedBy, _isRequested, minAgeMs) => void keptAgesMs.push(minAgeMs),
   };
   const router: Pick<BatchRouter, 'failBatchesAt'> = { failBatchesAt: () => undefined };
   const exchange = FleetHeartbeatExchange.create({
+    contact: CallerContact.create(clock),
     ages,
     leases: RequesterLeases.create(ages),
     own,
--- a/src/fleet/requesterMonitor.spec.ts
+++ b/src/fleet/requesterMonitor.spec.ts
@@ -5,6 +5,7 @@
 import { silentLogger } from '../testing/silentLogger.js';
 import { silentSupervisor } from '../testing/silentSupervisor.js';
 import { MessageAges } from './messageAges.js';
+import { CallerContact } from './callerContact.js';
 import { RequesterLeases } from './requesterLeases.js';
 import { RequesterMonitor } from './requesterMonitor.js';
 
@@ -16,11 +17,15 @@
   const clock = FakeClock.create();
   const leases = RequesterLeases.create(MessageAges.create(clock));
   const withdrawn: string[] = [];
-  const dispatcher: Pick<Dispatcher, 'requesters' | 'withdrawAll'> = {
+  const confirmed: { askedBy: string; agoMs: number }[] = [];
+  const contact = CallerContact.create(clock);
+  const dispatcher: Pick<Dispatcher, 'confirm' | 'requesters' | 'withdrawAll'> = {
+    confirm: (askedBy, _isRequested, agoMs) => void confirmed.push({ askedBy, agoMs }),
     requesters: () => [requester],
     withdrawAll: (askedBy) => void withdrawn.push(askedBy),
   };
   const monitor = RequesterMonitor.create({
+    contact,
     clock,
     logger: silentLogger,
     ownId: 'own',
@@ -33,7 +38,7 @@
     await clock.advance(200);
     await closing;
   };
-  return { clock, leases, withdrawn, close };
+  return { clock, contact, leases, withdrawn, confirmed, close };
 };
 
 // Guards against live requesters whose work is withdrawn, since this process was held up and had not read on.
@@ -59,4 +64,17 @@
   await close();
 });
 
+// Guards against a lease that is renewed for a caller who left while this process was held up.
+test('own batches are confirmed once the sockets were read, and the process counts as held up until then', async () => {
+  const { clock, contact, confirmed, close } = createFixture();
+  await clock.flushCallbacks();
+  clock.jump(stallMs);
+  assert.is(contact.heldUpMs, stallMs);
+  assert.equal(confirmed, []);
+  await clock.advance(1);
+  assert.equal(confirmed, [{ askedBy: 'own', agoMs: 0 }]);
+  assert.is(contact.heldUpMs, 0);
+  await close();
+});
+
 test.run();
--- a/src/fleet/requesterMonitor.ts
+++ b/src/fleet/requesterMonitor.ts
@@ -1,12 +1,13 @@
 /**
- * Withdraws the batches of requesters whose lease is over. One async function checks them
- * periodically.
+ * Withdraws the batches of requesters whose lease is over, and confirms those of this daemon itself while it reads
+ * what its callers send. One async function does so periodically.
  */
 import type { Dispatcher } from '../dispatch/dispatcher.js';
 import { unreachable } from '../errors/unreachable.js';
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
 import { sleepUntilNextCheck } from '../utils/periodicSleep.js';
+import type { CallerContact } from './callerContact.js';
 import type { RequesterLeases } from './requesterLeases.js';
 import { requesterCheckPeriodMs } from './requesterTimes.js';
 import type { TaskSupervisor } from '../utils/taskSupervisor.js';
@@ -16,6 +17,7 @@
   readonly logger: Logger;
   /** Incarnation of this daemon, which needs no lease for its own runs. */
   readonly ownId: string;
+  readonly contact: CallerContact;
   readonly leases: RequesterLeases;
   readonly dispatcher: Dispatcher;
   readonly supervisor: TaskSupervisor;
@@ -45,9 +47,11 @@
   }
 
   private async checkPeriodically(): Promise<void> {
-    const { clock, dispatcher, ownId } = this.options;
+    const { clock, contact, dispatcher, ownId } = this.options;
     while (!this.stop.signal.aborted) {
       await sleepUntilNextCheck(clock, requesterCheckPeriodMs, this.stop.signal);
+      contact.recordRead();
+      dispatcher.confirm(ownId, () => true, 0);
       for (const requester of dispatcher.requesters()) {
         if (requester !== ownId) {
           this.check(requester);
--- a/src/fleet/requesterTimes.spec.ts
+++ b/src/fleet/requesterTimes.spec.ts
@@ -1,7 +1,10 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import { longestLeaseDurationMs } from '../dispatch/leaseTimes.js';
+import { longestPauseMs } from '../utils/periodicSleep.js';
 import {
   heartbeatTickMs,
+  leaseTimesFor,
   maxSharingSilenceMs,
   minCallerResendMs,
   requesterCheckPeriodMs,
@@ -18,4 +21,25 @@
   assert.ok(2 * heartbeatTickMs < maxSharingSilenceMs, 'two heartbeats may be lost');
 });
 
+// Guards against a run that no stop reaches and that goes on beside the next attempt of its caller.
+test('leases end before callers send again, and can be issued in full between two heartbeats', () => {
+  for (const [longestLeaseMs, callerResendMs] of [
+    [1_000, undefined],
+    [1_000, 1_100],
+    [3_000, 2_000],
+    [500, 5_000],
+  ] as const) {
+    const times = leaseTimesFor(longestLeaseMs, callerResendMs);
+    assert.ok(times.confirmationMs < (callerResendMs ?? minCallerResendMs));
+    const lastFullLeaseMs = longestPauseMs(heartbeatTickMs) + longestLeaseDurationMs(times);
+    assert.ok(lastFullLeaseMs <= times.confirmationMs, `${lastFullLeaseMs} ms`);
+    assert.ok(times.leaseMs <= longestLeaseMs);
+  }
+  const { confirmationMs } = leaseTimesFor(1_000);
+  assert.ok(
+    requesterRunsEndMs < confirmationMs,
+    'other runs beside a stopped one keep their lease',
+  );
+});
+
 test.run();
--- a/src/ports/fleetPeers.ts
+++ b/src/ports/fleetPeers.ts
@@ -15,6 +15,8 @@
   askedBy: z.string(),
   /** Timestamp of the requester (`fleet/messageAges`), in milliseconds; earlier versions omit it. */
   sentAtMs: z.number().optional(),
+  /** Like that of a heartbeat. */
+  heldUpMs: fleetHeartbeatSchema.shape.heldUpMs,
   /** Incarnation of the daemon that is meant to run the batch; earlier versions omit it. */
   dispatcherId: z.string().optional(),
   batch: batchSchema,
--- a/src/programs/toucandyked/platformProcess.ts
+++ b/src/programs/toucandyked/platformProcess.ts
@@ -75,7 +75,8 @@
       {
         member,
         failureDomainIds,
-        leaseMs: settings.maxLeaseMs,
+        longestLeaseMs: settings.maxLeaseMs,
+        callerResendMs: settings.callerResendMs,
         farRackFactor: settings.farRackFactor,
         stopGraceMs: settings.stopGraceMs,
       },
--- a/src/testing/dispatcherFixture.ts
+++ b/src/testing/dispatcherFixture.ts
@@ -3,6 +3,7 @@
  */
 import { noMetrics } from '../adapters/system/noMetrics.js';
 import { Dispatcher } from '../dispatch/dispatcher.js';
+import { unconfirmedLeaseTimes } from '../dispatch/leaseTimes.js';
 import type { Batch, BatchReply, TaskEnd } from '../types/dispatch.js';
 import type { WorkerRecord } from '../types/workers.js';
 import { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
@@ -54,7 +55,7 @@
     logger: silentLogger,
     metrics: noMetrics,
     workers,
-    leaseMs: 1_000,
+    leaseTimes: unconfirmedLeaseTimes(1_000),
     farRackFactor: 1.5,
     speeds: WorkerSpeedCache.create(),
   });
--- a/src/testing/fleetFixture.ts
+++ b/src/testing/fleetFixture.ts
@@ -125,7 +125,7 @@
       {
         member,
         failureDomainIds: this.failureDomainIds,
-        leaseMs: 1_000,
+        longestLeaseMs: 1_000,
         farRackFactor: 1.5,
         stopGraceMs: 6_000,
       },
--- a/src/testing/model/modelDaemon.ts
+++ b/src/testing/model/modelDaemon.ts
@@ -89,7 +89,7 @@
     const incarnation = `${address}#${this.starts}`;
     const member = { incarnation, address, failureDomainId, weight: 1 };
     const daemon = FleetDaemon.create(
-      { member, failureDomainIds, leaseMs: maxLeaseMs, farRackFactor, stopGraceMs },
+      { member, failureDomainIds, longestLeaseMs: maxLeaseMs, farRackFactor, stopGraceMs },
       {
         clock,
         random,
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -71,6 +71,11 @@
   member: memberSchema,
   /** Timestamp of the sender (`fleet/messageAges`), in milliseconds; earlier versions omit it. */
   sentAtMs: z.number().optional(),
+  /**
+   * Time for which the sender had been held up when it sent this, in milliseconds, so that it had not read which of its
+   * callers had left; omitted if it was not, and by earlier versions.
+   */
+  heldUpMs: z.number().nonnegative().optional(),
   /**
    * Members that are reachable from the sender, so that members find each other without the store.
    * Sent together with `lengths`.
