A daemon that leaves confirms a lost shard only when its workers are released

Cause: from the start of a planned stop on, ServedWorkers answered each grant and each change of the entries with a promise that had resolved already. A change of the members during the stop (another daemon joins, leaves or stands by) was therefore confirmed to the store at once, and a daemon that stood by left the store at once: the next dispatcher took the workers over, and stopped their runs, while this one still had runs and orders there. Change: while a daemon leaves, each of these waits for the one release of all workers; the membership's own bound of 2 s stays.

--- /dev/null
+++ b/src/fleet/servedWorkers.spec.ts
@@ -0,0 +1,90 @@
+import { Ok } from 'ts-results-es';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { Dispatcher } from '../dispatch/dispatcher.js';
+import type { FleetStore } from '../ports/fleetStore.js';
+import { workerFixture } from '../testing/dispatchFixtures.js';
+import { FakeClock } from '../testing/fakeClock.js';
+import { silentLogger } from '../testing/silentLogger.js';
+import { silentSupervisor } from '../testing/silentSupervisor.js';
+import type { ShardGrant } from '../types/fleet.js';
+import { createDeferred } from '../utils/deferred.js';
+import type { WorkerDirectory } from '../workers/workerDirectory.js';
+import { ServedWorkers } from './servedWorkers.js';
+import { ShardMembership } from './shardMembership.js';
+
+const member = { incarnation: 'a', address: '127.0.0.1:1', failureDomainId: 'east', weight: 1 };
+
+/** Served workers whose release ends when the test says so. */
+const createFixture = () => {
+  const released = createDeferred<undefined>();
+  const tokens: number[] = [];
+  const dispatcher: Pick<Dispatcher, 'setWorkers'> = {
+    setWorkers: async (records, token) => {
+      tokens.push(token);
+      await (records.length === 0 ? released.promise : undefined);
+    },
+  };
+  const directory: Pick<WorkerDirectory, 'list'> = { list: () => [workerFixture] };
+  const served = ServedWorkers.create({
+    failureDomainId: workerFixture.failureDomainId,
+    shardCount: 1,
+    directory: directory as WorkerDirectory,
+    dispatcher: dispatcher as Dispatcher,
+  });
+  return { served, released, tokens };
+};
+
+// Guards against a planned stop during which a change of the members gives shards away under runs at work.
+test('a daemon that leaves confirms a lost shard only when its workers are released', async () => {
+  const clock = FakeClock.create();
+  const { served, released } = createFixture();
+  const confirmed: number[] = [];
+  let granted: ShardGrant = { generation: 1, shards: [0] };
+  const store = {
+    join: async (_member: unknown, generation: number) => {
+      confirmed.push(generation);
+      return Ok(granted);
+    },
+  } as unknown as FleetStore;
+  const membership = ShardMembership.create({
+    supervisor: silentSupervisor(clock),
+    clock,
+    logger: silentLogger,
+    store,
+    member,
+    onGrant: (grant) => served.applyGrant(grant),
+    onStoreReachable: () => undefined,
+    isNeeded: () => true,
+  });
+  await clock.advance(700);
+  const leaving = served.release();
+  granted = { generation: 2, shards: [] };
+  await clock.advance(1_300);
+  assert.is(confirmed.at(-1), 1);
+  released.resolve(undefined);
+  await leaving;
+  await clock.advance(700);
+  assert.is(confirmed.at(-1), 2);
+  await membership.close();
+});
+
+// Guards against a daemon that stands by, stops as planned, and gives up its shards under runs at work.
+test('no grant and no change of the entries gives a leaving daemon a worker, or ends its wait', async () => {
+  const { served, released, tokens } = createFixture();
+  await served.applyGrant({ generation: 1, shards: [0] });
+  const ended: string[] = [];
+  const leaving = [
+    served.release().then(() => ended.push('release')),
+    served.applyGrant({ generation: 2, shards: [0] }).then(() => ended.push('grant')),
+    served.update().then(() => ended.push('entries')),
+  ];
+  await new Promise((resolve) => setImmediate(resolve));
+  assert.equal(ended, []);
+  assert.equal(tokens, [1, 1]);
+  released.resolve(undefined);
+  await Promise.all(leaving);
+  assert.is(ended.length, 3);
+});
+
+test.run();
--- a/src/fleet/servedWorkers.ts
+++ b/src/fleet/servedWorkers.ts
@@ -18,7 +18,8 @@
 
 export class ServedWorkers {
   private grant: ShardGrant = { generation: 0, shards: [] };
-  private isLeaving = false;
+  /** Set once this daemon leaves: resolves when all workers are released. */
+  private releasing: Promise<void> | undefined;
 
   private constructor(private readonly options: ServedWorkersOptions) {}
 
@@ -27,9 +28,9 @@
   }
 
   /**
-   * Dispatches to the workers of the granted shards from now on.
+   * Dispatches to the workers of the granted shards from now on, unless this daemon leaves.
    *
-   * @returns a promise that resolves when the other workers are released
+   * @returns a promise that resolves when the other workers are released; while this daemon leaves, all
    */
   applyGrant(grant: ShardGrant): Promise<unknown> {
     this.grant = grant;
@@ -39,11 +40,12 @@
   /**
    * Applies a change of the listed workers.
    *
-   * @returns a promise that resolves when the workers that are no longer served are released
+   * @returns a promise that resolves when the workers that are no longer served are released; while this
+   *   daemon leaves, all
    */
   update(): Promise<unknown> {
-    if (this.isLeaving) {
-      return Promise.resolve();
+    if (this.releasing !== undefined) {
+      return this.releasing;
     }
     const { directory, dispatcher, failureDomainId, shardCount } = this.options;
     const listed = directory.list().filter((worker) => worker.failureDomainId === failureDomainId);
@@ -56,8 +58,8 @@
    *
    * @returns a promise that resolves when all workers are released
    */
-  async release(): Promise<void> {
-    this.isLeaving = true;
-    await this.options.dispatcher.setWorkers([], this.grant.generation);
+  release(): Promise<void> {
+    this.releasing ??= this.options.dispatcher.setWorkers([], this.grant.generation);
+    return this.releasing;
   }
 }
