A repeated request of a running job waits for it, whatever the workers have become

Cause: after a lost answer the caller sends its job again. If the capacity of the workers had shrunk since, the daemon that runs the job answered 503, by which the job never runs, or that it has failed, while its tasks were at work there. Only a stopping daemon looked first whether the job runs. Change: a request of a job that runs here is never rejected; it waits for that job.

--- a/src/fleet/jobIntake.spec.ts
+++ b/src/fleet/jobIntake.spec.ts
@@ -46,8 +46,35 @@
   assert.is(fresh.kind, 'refused');
 });
 
+// Guards against a caller that is told that its job does not run, or can't, while it runs for its first request.
+test('a repeated request of a running job waits for it, whatever the workers have become', async () => {
+  for (const fit of ['shrunk', 'never'] as const) {
+    const jobs: Pick<RunningJobs, 'state' | 'submit'> = {
+      state: (jobId) => (jobId === 'running' ? 'running' : 'unknown'),
+      submit: () => Promise.resolve({ kind: 'completed' }),
+    };
+    const directory: Pick<WorkerDirectory, 'fitOf'> = { fitOf: () => fit };
+    const intake = JobIntake.create({
+      logger: silentLogger,
+      metrics: noMetrics,
+      routing: RoutingStore.create(),
+      directory: directory as WorkerDirectory,
+      jobs: jobs as RunningJobs,
+      cancellation: undefined as unknown as JobCancellation,
+    });
+    const needs = { resources: { cpuMillis: 14_000, memoryMb: 64, accelerators: 0 } };
+    const steps = [{ taskCount: 1, estimatedMs: 100, after: [], needs }];
+    const { signal } = new AbortController();
+    const repeated = { ...requestOf('running'), steps };
+    assert.equal(await intake.submit(route, repeated, 1_000, signal), { kind: 'completed' });
+    const fresh = await intake.submit(route, { ...repeated, jobId: 'new' }, 1_000, signal);
+    assert.not.equal(fresh.kind, 'completed');
+  }
+});
+
 // Guards against jobs that are told that they can never run while the capacity of workers has shrunk.
 test('a job that fits only while shrunk workers have their full capacity is refused for now', async () => {
+  const noJobs: Pick<RunningJobs, 'state'> = { state: () => 'unknown' };
   const intakeFor = (fit: TaskFit): JobIntake => {
     const directory: Pick<WorkerDirectory, 'fitOf'> = { fitOf: () => fit };
     return JobIntake.create({
@@ -55,7 +82,7 @@
       metrics: noMetrics,
       routing: RoutingStore.create(),
       directory: directory as WorkerDirectory,
-      jobs: undefined as unknown as RunningJobs,
+      jobs: noJobs as RunningJobs,
       cancellation: undefined as unknown as JobCancellation,
     });
   };
--- a/src/fleet/jobIntake.ts
+++ b/src/fleet/jobIntake.ts
@@ -119,8 +119,11 @@
       const reason = `not supported: ${unsupported.join(', ')}`;
       return { kind: 'refused', reason, retryAfterMs: unsupportedRetryAfterMs };
     }
-    // A repeated request of a running job waits for it also now: it must not be told that nothing runs.
-    if (this.intakeState === 'closed' && this.options.jobs.state(jobId) === 'unknown') {
+    // A repeated request of a running job waits for it: it must not be told that nothing runs, or ever can.
+    if (this.options.jobs.state(jobId) !== 'unknown') {
+      return undefined;
+    }
+    if (this.intakeState === 'closed') {
       const reason = 'the daemon stops';
       return { kind: 'refused', reason, retryAfterMs: shutdownRetryAfterMs };
     }
