An unexpected error in one step gives its job up, with its batches withdrawn

Cause: an error in one step rejected the whole job past the withdrawal of its batches. The caller's connection broke, the batches stayed requested in each heartbeat, so that their runs went on beside those of the job that the caller sent again; and the job stayed among the running ones, so that no later request of its id started it and a planned stop waited for it. What throws there is not known; the daemon must not depend on that. Change: the error is logged and counted like one of a supervised task, and the job ends as given up (refused if no worker was asked). The combined end of steps rejects once instead of leaving a rejection to nobody.

--- a/src/bestEffort/jobRun.ts
+++ b/src/bestEffort/jobRun.ts
@@ -10,6 +10,7 @@
 import type { Route } from '../types/routing.js';
 import { abortQuietly } from '../utils/abortQuietly.js';
 import { createDeferred } from '../utils/deferred.js';
+import { TaskSupervisor } from '../utils/taskSupervisor.js';
 import { JobContext } from './jobContext.js';
 import { computeRetryAfterMs } from './objective.js';
 import type { RunTimePredictor } from './runTimePredictor.js';
@@ -94,7 +95,7 @@
     });
     const timer = new AbortController();
     const end = await Promise.race([
-      this.runSteps(),
+      this.runSteps().catch((error: unknown) => this.giveUpAfterError(error)),
       cancelled,
       this.givenUp.promise,
       this.awaitGiveUpTime(timer.signal),
@@ -105,6 +106,12 @@
     return end.kind === 'given-up' ? this.resolveGivenUp(end.reason) : end;
   }
 
+  /** Reports an error that no step has handled; the batches of the job are withdrawn as at each other end. */
+  private giveUpAfterError(error: unknown): JobEnd {
+    TaskSupervisor.create(this.options).report('running a job', error);
+    return { kind: 'given-up', reason: 'an unexpected error' };
+  }
+
   /**
    * Chooses the end of a job that was given up. If no worker was asked to start a task, the job is
    * refused, which tells the caller that it is safe to send it again.
--- a/src/bestEffort/stepRun.ts
+++ b/src/bestEffort/stepRun.ts
@@ -277,13 +277,15 @@
 }
 
 /**
- * Combines the ends of several steps, or of parts of one step.
+ * Combines the ends of several steps, or of parts of one step. Rejects as soon as one of them does.
  *
  * @returns the first end that is not `done`, as soon as it is known, or `done` once all are
  */
 export const firstUnsuccessful = (ends: readonly Promise<StepEnd>[]): Promise<StepEnd> => {
-  const unsuccessful = new Promise<StepEnd>((resolve) => {
-    ends.forEach((end) => void end.then((one) => (one.kind === 'done' ? undefined : resolve(one))));
+  const unsuccessful = new Promise<StepEnd>((resolve, reject) => {
+    ends.forEach((end) => {
+      end.then((one) => (one.kind === 'done' ? undefined : resolve(one)), reject);
+    });
   });
   return Promise.race([unsuccessful, Promise.all(ends).then(() => stepDone)]);
 };
