A batch that was answered in part is lost, not returned, when a further request is not sent

Cause: BatchRouter judged each request for itself, and forgot that an earlier one had arrived. Change: batches that were answered in part are remembered; a further request that is not sent ends in a loss.

--- a/src/bestEffort/batchRouter.ts
+++ b/src/bestEffort/batchRouter.ts
@@ -12,6 +12,7 @@
 import type { Clock } from '../ports/clock.js';
 import { createDeferred } from '../utils/deferred.js';
 import type { Deferred } from '../utils/deferred.js';
+import { RecentNames } from '../utils/recentNames.js';
 import type { FleetView } from './fleetView.js';
 import type { BatchResult, BatchSender } from './batchSender.js';
 
@@ -22,6 +23,8 @@
 /** Shortest time between two sends of one request, for requests that fail at once. */
 const minResendIntervalMs = 50;
 const withdrawalTimeoutMs = 400;
+/** Batches that are remembered since their dispatcher has answered them in part. */
+const maxAcceptedBatches = 2_048;
 /** Sends after which the dispatcher is considered lost. */
 const maxSends = 6;
 
@@ -52,6 +55,8 @@
   private readonly remoteBatches = new Map<string, RemoteBatch>();
   /** Number of batches at each other daemon, withdrawn ones included. */
   private readonly batchCounts = new Map<string, number>();
+  /** Batches that their dispatcher has: it answered them in part, and kept the other tasks. */
+  private readonly accepted = RecentNames.create(maxAcceptedBatches);
   private batchNumber = 0;
 
   private constructor(private readonly options: BatchRouterOptions) {}
@@ -67,7 +72,8 @@
 
   /**
    * Runs a batch at a dispatcher. The result is `lost` if its daemon becomes unreachable meanwhile or
-   * answers none of the requests. A batch that certainly did not reach it is returned.
+   * answers none of the requests. A batch that certainly did not reach it is returned. After a partial answer, a
+   * further run asks for the other ends.
    */
   async run(dispatcherId: string, batch: Batch): Promise<BatchResult> {
     const { ownId, contact, dispatcher, peers } = this.options;
@@ -76,7 +82,7 @@
     }
     const peer = peers().find(dispatcherId);
     if (peer === undefined) {
-      return returnUnsent(batch, 'it is not reachable');
+      return this.endUnsent(batch, 'it is not reachable');
     }
     const remote: RemoteBatch = {
       dispatcherId,
@@ -134,6 +140,13 @@
     }
   }
 
+  /** The result of a request that was not sent: the batch is lost if an earlier one has reached the dispatcher. */
+  private endUnsent(batch: Batch, reason: string): BatchResult {
+    return this.accepted.has(batch.batchId)
+      ? { kind: 'lost', reason }
+      : returnUnsent(batch, reason);
+  }
+
   private countBatches(dispatcherId: string, change: number): void {
     const count = (this.batchCounts.get(dispatcherId) ?? 0) + change;
     if (count > 0) {
@@ -156,7 +169,7 @@
     const answerTimeoutMs = batch.estimatedMs * runTimeErrorFactor + resendSlackMs;
     const firstSentAtMs = clock.nowMs();
     let reason = 'no answer';
-    let mayHaveArrived = false;
+    let mayHaveArrived = this.accepted.has(batch.batchId);
     for (
       let sends = 0;
       sends < maxSends && this.remoteBatches.get(batch.batchId)?.isRequested === true;
@@ -177,6 +190,9 @@
       if (reply.isOk()) {
         peers().recordContact(dispatcherId);
         view.updateWorkers(dispatcherId, reply.value.load);
+        if (reply.value.isPartial) {
+          this.accepted.add(batch.batchId);
+        }
         return toBatchResult(reply.value);
       }
       reason = reply.error.detail;
--- a/src/bestEffort/repeatedRequests.spec.ts
+++ b/src/bestEffort/repeatedRequests.spec.ts
@@ -3,6 +3,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { Dispatcher } from '../dispatch/dispatcher.js';
+import { CallerContact } from '../fleet/callerContact.js';
 import { FleetPeer } from '../fleet/fleetPeer.js';
 import type { FleetPeers } from '../fleet/fleetPeers.js';
 import { MessageAges } from '../fleet/messageAges.js';
@@ -45,6 +46,7 @@
     clock,
     ownId: 'own',
     ages: MessageAges.create(clock),
+    contact: CallerContact.create(clock),
     dispatcher: undefined as unknown as Dispatcher,
     peers: () => peers as FleetPeers,
     view: FleetView.create({
