Keep the share by the membership apart from the lending of quotas

Change: ShareTracker holds the position among the daemons and the delay before a share grows; QuotaAllocator applies quotas, loans and limits. A method that only passed its arguments on is gone. No decision has changed.

--- a/src/limits/quotaAllocator.ts
+++ b/src/limits/quotaAllocator.ts
@@ -8,20 +8,13 @@
 import type { TaskQueue } from '../queue/taskQueue.js';
 import { BorrowedQuota } from './borrowedQuota.js';
 import { addLimits, LentQuota, subtractLimits } from './lentQuota.js';
-import type { BorrowerReport } from './lentQuota.js';
 import { QuotaLender } from './quotaLender.js';
 import type { QuotaLimit, TimedLimit } from './quotaLimiter.js';
-import { computeShare, findSharePosition, zeroLimit } from './quotaShares.js';
-import type { SharePosition } from './quotaShares.js';
+import { zeroLimit } from './quotaShares.js';
+import { ShareTracker } from './shareTracker.js';
 import { maxDemandsPerNotice } from '../types/limits.js';
 import type { DomainMembers, QuotaDemand, QuotaNotice } from '../types/limits.js';
 
-/**
- * A share grows only after every daemon of the failure domain was reachable and the membership
- * unchanged for this long: by then each daemon whose share shrinks has reduced it, and the loans
- * that it had granted have expired.
- */
-const shareGrowthDelayMs = 4_000;
 /** Period at which limits follow the membership and the expiry of loans without other events. */
 const refreshPeriodMs = 500;
 
@@ -49,25 +42,16 @@
   private readonly lentQuota = LentQuota.create();
   private readonly borrowedQuota = BorrowedQuota.create();
   private readonly lender: QuotaLender;
+  private readonly shares: ShareTracker;
   /** Allocation of each team with a quota, by team id. */
   private readonly allocations = new Map<string, TeamAllocation>();
   private readonly stop = new AbortController();
   private readonly refreshLoop: Promise<void>;
-  private failureDomainIds: readonly string[] = [];
   /** Longest time that any task may run: the largest deadline of a job. */
   private maxTaskMs = 0;
-  /** Failure domains and daemons at the last refresh, as text for comparison. */
-  private membershipView = '';
-  private position: SharePosition = {
-    domainCount: 0,
-    domainRank: -1,
-    daemonCount: 0,
-    daemonRank: -1,
-  };
-  /** Monotonic time from which shares may grow; infinite while a daemon is unreachable. */
-  private stableFromMs = Infinity;
 
   private constructor(private readonly options: QuotaAllocatorOptions) {
+    this.shares = ShareTracker.create(options);
     this.lender = QuotaLender.create(this.lentQuota, options.incarnation);
     this.refreshLoop = this.runRefreshLoop();
   }
@@ -79,9 +63,8 @@
   /** Applies the quotas of a new configuration at once, also to waiting work. */
   apply({ record, rules }: ActiveConfiguration): void {
     const { failureDomains } = record.configuration.inventory;
-    this.failureDomainIds = failureDomains.map((domain) => domain.failureDomainId);
     this.maxTaskMs = rules.maxDeadlineMs;
-    this.updateView();
+    this.shares.setFailureDomains(failureDomains.map((domain) => domain.failureDomainId));
     const quotas = new Map(rules.quotas.map((quota) => [quota.teamId, quota]));
     for (const teamId of this.allocations.keys()) {
       if (!quotas.has(teamId)) {
@@ -91,7 +74,7 @@
     }
     for (const [teamId, quota] of quotas) {
       const previous = this.allocations.get(teamId);
-      const share = previous?.share ?? this.initialShare(quota);
+      const share = previous?.share ?? this.shares.initialShare(quota);
       this.allocations.set(teamId, { quota, share, appliedLimit: previous?.appliedLimit });
     }
     this.refresh();
@@ -144,26 +127,19 @@
    */
   attainableLimit(teamId: string): QuotaLimit | undefined {
     const allocation = this.allocations.get(teamId);
-    if (allocation === undefined) {
-      return undefined;
-    }
-    const { vmIds, isFullyReachable } = this.options.members();
-    return computeShare(
-      allocation.quota,
-      this.findSharePosition(isFullyReachable ? [this.options.vmId] : vmIds),
-    );
+    return allocation === undefined ? undefined : this.shares.attainableShare(allocation.quota);
   }
 
   /** Recomputes the limit of every team from the membership, the loans and the time. */
   refresh(): void {
     const nowMs = this.options.clock.nowMs();
-    this.updateView();
+    this.shares.update();
     this.lentQuota.removeReturned(nowMs, this.maxTaskMs, (borrower, teamId) =>
-      this.borrowerReport(borrower, teamId),
+      this.lender.borrowerReport(borrower, teamId),
     );
     const expiresAtMs = this.borrowedQuota.nextExpiryAtMs() ?? Infinity;
     for (const [teamId, allocation] of this.allocations) {
-      allocation.share = this.updatedShare(allocation);
+      allocation.share = this.shares.nextShare(allocation.quota, allocation.share);
       const own = subtractLimits(allocation.share, this.lentQuota.lentLimit(teamId));
       const limit = addLimits(own, this.borrowedQuota.borrowedLimit(teamId, nowMs));
       this.applyLimit(teamId, allocation, { limit, expiresAtMs, limitAfterExpiry: own });
@@ -190,52 +166,6 @@
     }
   }
 
-  /** Recomputes the position among the daemons, and restarts the growth delay on any change. */
-  private updateView(): void {
-    const { vmIds, isFullyReachable } = this.options.members();
-    const view = [...this.failureDomainIds, '', ...vmIds].join(' ');
-    this.position = this.findSharePosition(vmIds);
-    if (!isFullyReachable) {
-      this.stableFromMs = Infinity;
-    } else if (view !== this.membershipView || this.stableFromMs === Infinity) {
-      this.stableFromMs = this.options.clock.nowMs() + shareGrowthDelayMs;
-    }
-    this.membershipView = view;
-  }
-
-  private findSharePosition(vmIds: readonly string[]): SharePosition {
-    const { vmId, failureDomainId } = this.options;
-    return findSharePosition({
-      failureDomainIds: this.failureDomainIds,
-      failureDomainId,
-      vmIds,
-      vmId,
-    });
-  }
-
-  private get isViewStable(): boolean {
-    return this.options.clock.nowMs() >= this.stableFromMs;
-  }
-
-  /**
-   * Computes the share of a team that had no quota so far. With a stable membership it applies
-   * at once, since it can only reduce what each daemon lets the team use.
-   */
-  private initialShare(quota: Quota): QuotaLimit {
-    return this.isViewStable ? computeShare(quota, this.position) : zeroLimit;
-  }
-
-  /** Computes the share by the membership: it shrinks at any time, but grows only when stable. */
-  private updatedShare({ quota, share }: TeamAllocation): QuotaLimit {
-    const computed = computeShare(quota, this.position);
-    return this.isViewStable
-      ? computed
-      : {
-          startsPerS: Math.min(share.startsPerS, computed.startsPerS),
-          slots: Math.min(share.slots, computed.slots),
-        };
-  }
-
   /**
    * Lists the teams that need a loan or hold borrowed slots, those with most borrowed slots first.
    */
@@ -271,10 +201,6 @@
     const slots = Math.max(queue.quotas.limiter.runningTasks(teamId), reservedSlots);
     return subtractLimits(share, { startsPerS: 0, slots });
   }
-
-  private borrowerReport(borrower: string, teamId: string): BorrowerReport | undefined {
-    return this.lender.borrowerReport(borrower, teamId);
-  }
 }
 
 const isSameLimit = (a: TimedLimit, b: TimedLimit): boolean =>
