Keep the decision who owns a key apart from the routing of requests

Change: OwnerLocator makes the three decisions; SubmissionRouter acts on them. No decision has changed.

--- a/src/submissions/submissionRouter.ts
+++ b/src/submissions/submissionRouter.ts
@@ -21,8 +21,9 @@
 } from '../ports/peers.js';
 import type { AdoptedTables } from './adoptedTables.js';
 import type { OwnerClient } from './ownerClient.js';
+import { OwnerLocator } from './ownerLocator.js';
 import type { OwnSubmissions } from './ownSubmissions.js';
-import type { OwnerLookup, PlainKeyResolver } from './plainKeyResolver.js';
+import type { PlainKeyResolver } from './plainKeyResolver.js';
 import { createOwnerUnreachableProblem, createRefusal, createUnknownReply } from './replies.js';
 import { parseSubmissionKey } from './submissionKey.js';
 
@@ -42,11 +43,12 @@
   sendToOwner(ref: SubmissionRef): Promise<StatusReply | undefined>;
 }
 
-/** Who answers for the owner of a key: this daemon itself, its adopted tables, or a peer. */
-type OwnerLocation = 'local' | 'adopted' | 'remote';
-
 export class SubmissionRouter {
-  private constructor(private readonly options: SubmissionRouterOptions) {}
+  private readonly owners: OwnerLocator;
+
+  private constructor(private readonly options: SubmissionRouterOptions) {
+    this.owners = OwnerLocator.create(options);
+  }
 
   static create(options: SubmissionRouterOptions): SubmissionRouter {
     return new SubmissionRouter(options);
@@ -76,9 +78,9 @@
 
   /** Handles a submission without forwarding it, as the owner or from an adopted table. */
   async submitLocally(request: ForwardedSubmission): Promise<SubmitOutcome> {
-    switch (this.locateOwner(request)) {
+    switch (this.owners.locate(request)) {
       case 'local':
-        return this.options.own.submit(request, this.isProvenOwner(request));
+        return this.options.own.submit(request, this.owners.isProvenOwner(request));
       case 'adopted':
         return this.options.adoptedTables.answerSubmission(request);
       case 'remote':
@@ -88,7 +90,7 @@
 
   /** Handles a status request without forwarding it. */
   async statusLocally(request: ForwardedStatus): Promise<StatusReply> {
-    switch (this.locateOwner(request)) {
+    switch (this.owners.locate(request)) {
       case 'local':
         return this.options.own.status(request);
       case 'adopted':
@@ -103,7 +105,7 @@
    * status is returned.
    */
   async cancelLocally(request: SubmissionRef): Promise<StatusReply> {
-    switch (this.locateOwner(request)) {
+    switch (this.owners.locate(request)) {
       case 'local':
         return this.options.own.cancel(request);
       case 'adopted':
@@ -164,31 +166,12 @@
     }
   }
 
-  /** An owned key itself names its owner; a plain key needs a claim proven to be the first. */
-  private isProvenOwner(request: SubmissionRef): boolean {
-    const key = parseSubmissionKey(request.key);
-    if (key.isErr()) {
-      return false;
-    }
-    switch (key.value.form) {
-      case 'owned':
-        return (
-          key.value.owner.incarnation === request.owner.incarnation &&
-          key.value.owner.epoch === request.owner.epoch
-        );
-      case 'plain':
-        return this.options.plainKeys.isProvenFirst(request);
-      default:
-        return unreachable(key.value);
-    }
-  }
-
   /**
    * Sends a submission to its owner. Without a reply it is answered from the owner's table, if even a
    * part of the table has arrived here by then.
    */
   private async submitToOwner(request: ForwardedSubmission): Promise<SubmitOutcome> {
-    if (this.locateOwner(request) !== 'remote') {
+    if (this.owners.locate(request) !== 'remote') {
       return this.submitLocally(request);
     }
     const outcome = await this.options.ownerClient.submit(request);
@@ -210,7 +193,7 @@
     keyText: string,
     request: OwnerRequest,
   ): Promise<Result<JobStatus, Problem>> {
-    const found = this.findOwner(caller.callerId, keyText);
+    const found = this.owners.find(caller.callerId, keyText);
     if (found.kind === 'refusal') {
       return Ok({ state: 'refused', problem: found.problem });
     }
@@ -218,7 +201,7 @@
       return Err(createProblem('not-found', 'No job is known under this key.'));
     }
     const { ref } = found;
-    if (this.locateOwner(ref) !== 'remote') {
+    if (this.owners.locate(ref) !== 'remote') {
       return toJobStatusResult(await request.handleLocally(ref));
     }
     const reply = await request.sendToOwner(ref);
@@ -231,30 +214,6 @@
       : Err(createOwnerUnreachableProblem());
   }
 
-  /** Only a complete adopted table answers for its owner; until then requests go to a peer. */
-  private locateOwner({ owner }: SubmissionRef): OwnerLocation {
-    if (owner.incarnation === this.options.incarnation) {
-      return 'local';
-    }
-    return this.options.adoptedTables.isComplete(owner.incarnation) ? 'adopted' : 'remote';
-  }
-
-  /** An owned key names its owner; the owner of a plain key is found by the claims. */
-  private findOwner(callerId: string, keyText: string): OwnerLookup {
-    const key = parseSubmissionKey(keyText);
-    if (key.isErr()) {
-      return { kind: 'refusal', problem: key.error };
-    }
-    switch (key.value.form) {
-      case 'owned':
-        return { kind: 'owner', ref: { callerId, key: key.value.text, owner: key.value.owner } };
-      case 'plain':
-        return this.options.plainKeys.findOwner(callerId, key.value.text);
-      default:
-        return unreachable(key.value);
-    }
-  }
-
   /** Refuses a submission with an operation that is not repeatable. */
   private checkRepeatable(submission: Submission): Problem | undefined {
     const operations = this.options.configuration.current?.inventory.operations;
