Keep the request to a dispatcher and the ends of steps apart from the run of a step

Change: composeBatch is a function of the job, the plan and the time; StepEnd and what combines ends are in stepEnd.ts. The requests are the same.

--- a/src/bestEffort/jobRun.ts
+++ b/src/bestEffort/jobRun.ts
@@ -13,8 +13,10 @@
 import { JobContext } from './jobContext.js';
 import { computeRetryAfterMs } from './objective.js';
 import type { RunTimePredictor } from './runTimePredictor.js';
-import { StepRun, firstUnsuccessful } from './stepRun.js';
-import type { StepEnd, StepRunOptions } from './stepRun.js';
+import { firstUnsuccessful } from './stepEnd.js';
+import type { StepEnd } from './stepEnd.js';
+import { StepRun } from './stepRun.js';
+import type { StepRunOptions } from './stepRun.js';
 
 /**
  * How long a job that is given up waits for its withdrawn batches, in milliseconds. Their answers
--- a/src/bestEffort/stepRun.ts
+++ b/src/bestEffort/stepRun.ts
@@ -2,38 +2,22 @@
  * Runs the tasks of one step: sends them to dispatchers in batches, and reassigns the tasks that a
  * dispatcher returns without having run them.
  */
-import type { Batch, BatchTask, TaskEnd } from '../types/dispatch.js';
+import type { BatchTask, TaskEnd } from '../types/dispatch.js';
 import { unreachable } from '../errors/unreachable.js';
 import type { Clock } from '../ports/clock.js';
 import type { StandstillDetector } from '../fleet/standstillDetector.js';
 import type { Logger } from '../ports/logger.js';
 import type { BatchResult, BatchSender } from './batchSender.js';
+import { composeBatch } from './composeBatch.js';
+import { firstUnsuccessful, stepDone } from './stepEnd.js';
+import type { StepEnd } from './stepEnd.js';
 import type { StepPlanner, PlannedBatch, StepPlan } from './stepPlanner.js';
 import type { JobContext, SentBatch } from './jobContext.js';
 
 /** How often tasks that a dispatcher returned are sent again before the job is given up. */
 const maxReassignments = 5;
-/** From this reassignment on, dispatchers do not return tasks for lack of free capacity. */
-const maxReturnsForCapacity = 2;
 /** Pause before returned tasks are sent again, in milliseconds. */
 const reassignmentPauseMs = 15;
-/** A dispatcher returns a task that has to wait this much longer than planned, in milliseconds. */
-const waitToleranceMs = 20;
-/** Longer than any task waits: the dispatcher then never returns a task because of its wait. */
-const unlimitedWaitMs = 60_000;
-
-/** How a step, or some of its tasks, ended. */
-export type StepEnd =
-  | { readonly kind: 'done' }
-  /** A task failed as often as its route allows, or its worker found it invalid. */
-  | { readonly kind: 'failed'; readonly reason: string }
-  /** Nothing more is tried, although tasks may have run. */
-  | { readonly kind: 'given-up'; readonly reason: string }
-  /**
-   * It would end too late, or no dispatcher has a worker for it. A job that has not started is then
-   * refused, and its caller may try again after `waitMs` milliseconds.
-   */
-  | { readonly kind: 'refused'; readonly reason: string; readonly waitMs: number };
 
 export interface StepRunOptions {
   readonly clock: Clock;
@@ -53,8 +37,6 @@
   readonly reassignments: number;
 }
 
-const stepDone: StepEnd = { kind: 'done' };
-
 export class StepRun {
   private constructor(
     private readonly options: StepRunOptions,
@@ -141,7 +123,13 @@
     request: PlacementRequest,
   ): Promise<StepEnd> {
     const { sender } = this.options;
-    const batch = this.composeBatch(tasks, plan, request);
+    const { job, index: stepIndex } = this;
+    const { reassignments } = request;
+    const batchId = sender.nextBatchId();
+    const batch = composeBatch(
+      { batchId, job, stepIndex, tasks, plan, reassignments },
+      this.options.clock.nowMs(),
+    );
     const sent: SentBatch = { dispatcherId, batchId: batch.batchId };
     this.job.openBatches.add(sent);
     this.options.logger.info('Tasks are sent to a dispatcher.', {
@@ -241,49 +229,4 @@
         return unreachable(end);
     }
   }
-
-  /**
-   * Builds the request to a dispatcher, with times relative to now. If the job has not started and
-   * no task can start at once, the batch expires when the job could no longer be admitted.
-   */
-  private composeBatch(
-    tasks: BatchTask[],
-    { startsNow, longestWaitMs }: StepPlan,
-    { reassignments }: PlacementRequest,
-  ): Batch {
-    const { job } = this;
-    const { route, request } = job;
-    const { needs, estimatedMs, objectiveAtMs, giveUpAtMs } = job.demandOf(this.index);
-    const nowMs = this.options.clock.nowMs();
-    const isOffered = startsNow || job.wasOffered;
-    const mayReturn = reassignments < maxReturnsForCapacity;
-    return {
-      batchId: this.options.sender.nextBatchId(),
-      jobId: request.jobId,
-      stepIndex: this.index,
-      serviceId: route.serviceId,
-      spec: request.spec,
-      needs,
-      estimatedMs: Math.max(Math.round(estimatedMs), 1),
-      objectiveInMs: Math.round(objectiveAtMs - nowMs),
-      giveUpInMs: Math.round(giveUpAtMs - nowMs),
-      expiresInMs: Math.round((isOffered ? giveUpAtMs : job.latestAdmissibleEndAtMs) - nowMs),
-      maxWaitMs: mayReturn ? Math.round(longestWaitMs) + waitToleranceMs : unlimitedWaitMs,
-      priority: route.priority,
-      maxFailedRuns: route.maxFailedRuns,
-      tasks: [...tasks],
-    };
-  }
 }
-
-/**
- * Combines the ends of several steps, or of parts of one step.
- *
- * @returns the first end that is not `done`, as soon as it is known, or `done` once all are
- */
-export const firstUnsuccessful = (ends: readonly Promise<StepEnd>[]): Promise<StepEnd> => {
-  const unsuccessful = new Promise<StepEnd>((resolve) => {
-    ends.forEach((end) => void end.then((one) => (one.kind === 'done' ? undefined : resolve(one))));
-  });
-  return Promise.race([unsuccessful, Promise.all(ends).then(() => stepDone)]);
-};
