Keep the exchange of heartbeats with one peer apart from the set of peers

Change: HeartbeatExchange times and sends; PeerSet holds the peers and their changes. A peer itself says whether it is reachable, from the period that it holds. No period, timeout or order has changed.

--- a/src/membership/heartbeatPeriod.ts
+++ b/src/membership/heartbeatPeriod.ts
@@ -11,6 +11,9 @@
 const nearPeriodMs = 1_000;
 const farPeriodMs = 30_000;
 
+/** Longest pause between two attempts to reach a peer that is unreachable. */
+export const retryPeriodMs = 5_000;
+
 /** A peer without a heartbeat for this many periods counts as unreachable. */
 export const unreachableAfterPeriods = 3;
 
--- a/src/membership/peer.ts
+++ b/src/membership/peer.ts
@@ -4,6 +4,7 @@
 import type { PeerLink } from '../ports/peers.js';
 import type { VmRecord } from '../ports/vmList.js';
 import type { Heartbeat } from '../types/membership.js';
+import { retryPeriodMs, unreachableAfterPeriods } from './heartbeatPeriod.js';
 
 /** Whether there is a link to the peer. */
 export type PeerRoute =
@@ -18,6 +19,9 @@
   /** The peer has sent heartbeats, but the VM list does not name it yet. */
   | { readonly kind: 'unlisted' };
 
+/** The route of a peer that has a link. */
+export type ListedRoute = Extract<PeerRoute, { kind: 'listed' }>;
+
 /** A heartbeat with its time of arrival. */
 export interface ReceivedHeartbeat {
   readonly heartbeat: Heartbeat;
@@ -78,17 +82,18 @@
   }
 
   /**
-   * Returns the peer as a member.
+   * Returns the peer as a member. A peer that the VM list does not name has no period yet, so that
+   * the period of attempts to reach it counts.
    *
    * @param nowMs - monotonic time
-   * @param unreachableAfterMs - age in milliseconds from which a heartbeat no longer counts
    * @returns its last heartbeat, with state `leaving` if the VM list marks it so; undefined while
    * the peer is unreachable
    */
-  member(nowMs: number, unreachableAfterMs: number): Heartbeat | undefined {
+  member(nowMs: number): Heartbeat | undefined {
+    const periodMs = this.periodMs === 0 ? retryPeriodMs : this.periodMs;
     if (
       this.lastReceived === undefined ||
-      nowMs - this.lastReceived.receivedAtMs >= unreachableAfterMs
+      nowMs - this.lastReceived.receivedAtMs >= unreachableAfterPeriods * periodMs
     ) {
       return undefined;
     }
--- a/src/membership/peerSet.ts
+++ b/src/membership/peerSet.ts
@@ -1,5 +1,6 @@
 /**
- * The other daemons: one async function for each maintains the link and exchanges heartbeats.
+ * The other daemons, by the VM list and by their heartbeats: one async function for each exchanges
+ * heartbeats, and listeners learn of each change.
  */
 import type { DomainMembers } from '../types/limits.js';
 import type { Clock } from '../ports/clock.js';
@@ -7,19 +8,14 @@
 import type { PeerConnector, PeerLink } from '../ports/peers.js';
 import type { VmList, VmRecord } from '../ports/vmList.js';
 import { listDomainMembers } from './domainMembers.js';
-import { heartbeatPeriodMs, classifyPair, unreachableAfterPeriods } from './heartbeatPeriod.js';
+import { HeartbeatExchange } from './heartbeatExchange.js';
+import { heartbeatPeriodMs, classifyPair } from './heartbeatPeriod.js';
 import { Peer } from './peer.js';
-import type { PeerRoute } from './peer.js';
+import type { ListedRoute } from './peer.js';
 import { rankMember } from './rendezvous.js';
 import type { Heartbeat } from '../types/membership.js';
 import { VmListPoller } from './vmListPoller.js';
 
-const heartbeatTimeoutMs = 1_000;
-/** Longest pause between two attempts to reach a peer that is unreachable. */
-const retryPeriodMs = 5_000;
-/** Periods without an exchange by the peer that starts them, after which this daemon starts one. */
-const maxMissedPeriods = 2;
-
 export interface PeerSetOptions {
   readonly vmId: string;
   readonly failureDomainId: string;
@@ -35,7 +31,6 @@
 
 export type MembershipListener = () => void;
 export type HeartbeatListener = (heartbeat: Heartbeat) => void;
-type ListedRoute = Extract<PeerRoute, { kind: 'listed' }>;
 
 export class PeerSet {
   /** By VM id. */
@@ -47,6 +42,7 @@
   private readonly heartbeatListeners: HeartbeatListener[] = [];
   private readonly logger: Logger;
   private readonly vmList: VmListPoller;
+  private readonly exchanges: HeartbeatExchange;
   /** The exchange with all peers that is under way. */
   private refreshing: Promise<void> | undefined;
   /** The VM list as it was last read. */
@@ -54,6 +50,13 @@
 
   private constructor(private readonly options: PeerSetOptions) {
     this.logger = options.logger.forPart('membership');
+    this.exchanges = HeartbeatExchange.create({
+      vmId: options.vmId,
+      clock: options.clock,
+      sentHeartbeat: options.sentHeartbeat,
+      onReply: (peer, heartbeat) => this.recordHeartbeat(peer, heartbeat),
+      onPeriod: (peer) => this.notifyIfChanged(peer),
+    });
     this.vmList = VmListPoller.create({
       clock: options.clock,
       vmList: options.vmList,
@@ -183,7 +186,7 @@
       const link = this.options.connector.connect(vm.peerAddress);
       const route: ListedRoute = { kind: 'listed', vm, link, stop: new AbortController() };
       peer.route = route;
-      this.trackTask(this.maintainLink(peer, route));
+      this.trackTask(this.exchanges.maintain(peer, route));
     }
     this.notifyIfChanged(peer);
   }
@@ -203,52 +206,15 @@
     }
   }
 
-  /** Exchanges heartbeats over one link: once at first, then whenever this daemon initiates. */
-  private async maintainLink(peer: Peer, route: ListedRoute): Promise<void> {
-    const { clock } = this.options;
-    const { signal } = route.stop;
-    await this.exchange(peer, route);
-    while (!signal.aborted) {
-      const isReachable = this.asMember(peer) !== undefined;
-      const pauseMs = isReachable ? peer.periodMs : Math.min(peer.periodMs, retryPeriodMs);
-      await clock.sleep(pauseMs, signal);
-      if (this.isInitiator(peer)) {
-        await this.exchange(peer, route);
-      }
-      this.notifyIfChanged(peer);
-    }
-  }
-
   private async exchangeWithAll(): Promise<void> {
     const exchanges = [...this.peers.values()].map(async (peer) => {
       if (peer.route.kind === 'listed') {
-        await this.exchange(peer, peer.route);
+        await this.exchanges.exchange(peer, peer.route);
       }
     });
     await Promise.all(exchanges);
   }
 
-  /**
-   * Checks whether this daemon has to start the next exchange: the one with the lower VM id does;
-   * the other one takes over while none arrive.
-   */
-  private isInitiator(peer: Peer): boolean {
-    const sinceIncomingMs = peer.sinceIncomingExchangeMs(this.options.clock.nowMs());
-    return this.options.vmId < peer.vmId || sinceIncomingMs >= maxMissedPeriods * peer.periodMs;
-  }
-
-  /** Sends a heartbeat and records the one in the reply; a failed exchange has no effect. */
-  private async exchange(peer: Peer, { link, stop }: ListedRoute): Promise<void> {
-    if (stop.signal.aborted) {
-      return;
-    }
-    const timeout = AbortSignal.any([stop.signal, AbortSignal.timeout(heartbeatTimeoutMs)]);
-    const reply = await link.heartbeat(this.options.sentHeartbeat(), timeout);
-    if (reply.isOk()) {
-      this.recordHeartbeat(peer, reply.value);
-    }
-  }
-
   /** Records a heartbeat, unless the VM id shows that another VM has answered. */
   private recordHeartbeat(peer: Peer, heartbeat: Heartbeat): void {
     if (heartbeat.vmId !== peer.vmId) {
@@ -273,10 +239,8 @@
     this.notify();
   }
 
-  /** Returns the heartbeat of a reachable peer; for an unlisted one, the retry period counts. */
   private asMember(peer: Peer): Heartbeat | undefined {
-    const periodMs = peer.periodMs === 0 ? retryPeriodMs : peer.periodMs;
-    return peer.member(this.options.clock.nowMs(), unreachableAfterPeriods * periodMs);
+    return peer.member(this.options.clock.nowMs());
   }
 
   private routeTo(incarnation: string): ListedRoute | undefined {
