Keep the calls between daemons apart from the fleet fixture

Cause: fleetFixture.ts (289 lines) started and ended daemons, stood in for the store and the workers, and also carried the calls between daemons, which it took apart again from their text in `calls`. Change: FleetNetwork carries the calls and holds which daemons are silent, cut off or of an earlier version; a call has fields. The fixture's public fields are the same, no test has changed.

--- a/src/testing/fleetFixture.ts
+++ b/src/testing/fleetFixture.ts
@@ -3,20 +3,18 @@
  * killed refuses connections, and nothing that it still does has an effect.
  */
 import { setMaxListeners } from 'node:events';
-import { Err, Ok } from 'ts-results-es';
-import type { Result } from 'ts-results-es';
+import { Ok } from 'ts-results-es';
 import { noMetrics } from '../adapters/system/noMetrics.js';
 import { FleetDaemon } from '../fleet/fleetDaemon.js';
-import type { FleetConnector, FleetLink, FleetService } from '../ports/fleetPeers.js';
 import type { FleetStore } from '../ports/fleetStore.js';
 import type { JobEnd, JobRequest } from '../ports/jobs.js';
-import type { PeerError } from '../ports/peers.js';
 import type { WorkerPort } from '../ports/workers.js';
 import type { Member } from '../types/fleet.js';
 import type { Route, Routing } from '../types/routing.js';
 import type { WorkerRecord } from '../types/workers.js';
 import { workerFixture } from './dispatchFixtures.js';
 import { FakeClock } from './fakeClock.js';
+import { FleetNetwork } from './fleetNetwork.js';
 import { SeededRandom } from './seededRandom.js';
 import { silentLogger } from './silentLogger.js';
 import { SimulatedWorkers } from './simulatedWorkers.js';
@@ -71,21 +69,19 @@
   readonly killed: AbortController;
 }
 
-const refused: PeerError = { kind: 'not-sent', detail: 'connection refused' };
-const broken: PeerError = { kind: 'broken', detail: 'the connection is gone' };
-
 export class FleetFixture {
   readonly clock = FakeClock.create();
   readonly workers: SimulatedWorkers;
   readonly stops: RecordedStop[] = [];
+  private readonly network = FleetNetwork.create(this.clock);
   /** Calls between daemons, as method, address of the caller and address of the daemon called. */
-  readonly calls: string[] = [];
+  readonly calls = this.network.calls;
   /** Addresses of daemons that answer no call. */
-  readonly silent = new Set<string>();
+  readonly silent = this.network.silent;
   /** Addresses of daemons that are cut off: no call to or from them is answered. */
-  readonly cutOff = new Set<string>();
+  readonly cutOff = this.network.cutOff;
   /** Addresses of daemons that do not know the method `cancelJob`. */
-  readonly earlierVersions = new Set<string>();
+  readonly earlierVersions = this.network.earlierVersions;
   /** By address. */
   private readonly daemons = new Map<string, FixtureDaemon>();
   private readonly members: Member[] = [];
@@ -136,10 +132,11 @@
         metrics: noMetrics,
         store: this.storeOf(shards),
         workers: this.workerPortOf(killed.signal),
-        connector: this.connectorOf(member.address, killed.signal),
+        connector: this.network.connectorOf(member.address, killed.signal),
       },
     );
     this.members.push(member);
+    this.network.attach(member.address, { service: daemon.peerService, killed: killed.signal });
     this.daemons.set(member.address, { daemon, incarnation: member.incarnation, killed });
   }
 
@@ -220,70 +217,4 @@
       close: () => Promise.resolve(),
     };
   }
-
-  private connectorOf(from: string, killed: AbortSignal): FleetConnector {
-    return {
-      connect: (to): FleetLink => ({
-        beat: (own, timeoutMs) =>
-          this.call(`beat ${from} ${to}`, killed, timeoutMs, (service) => service.beat(own)),
-        runBatch: (request, timeoutMs) =>
-          this.call(`runBatch ${from} ${to}`, killed, timeoutMs, (service) =>
-            service.runBatch(request),
-          ),
-        withdrawBatch: (withdrawal, timeoutMs) =>
-          this.call(`withdrawBatch ${from} ${to}`, killed, timeoutMs, (service) =>
-            service.withdrawBatch(withdrawal),
-          ),
-        cancelJob: (cancellation, timeoutMs) =>
-          this.earlierVersions.has(to)
-            ? Promise.resolve(Err({ kind: 'refused', detail: 'Method not found' }))
-            : this.call(`cancelJob ${from} ${to}`, killed, timeoutMs, (service) =>
-                service.cancelJob(cancellation),
-              ),
-        fetchRouting: (timeoutMs) =>
-          this.call(`fetchRouting ${from} ${to}`, killed, timeoutMs, (service) =>
-            service.fetchRouting(),
-          ),
-        close: () => Promise.resolve(),
-      }),
-    };
-  }
-
-  /** Calls a daemon; the call is broken when its time is over or one of the two is killed. */
-  private async call<T>(
-    name: string,
-    callerKilled: AbortSignal,
-    timeoutMs: number,
-    act: (service: FleetService) => T | Promise<T>,
-  ): Promise<Result<T, PeerError>> {
-    const [, from = '', address = ''] = name.split(' ');
-    const callee = this.daemons.get(address);
-    if (callee === undefined || callee.killed.signal.aborted || callerKilled.aborted) {
-      return Err(refused);
-    }
-    this.calls.push(name);
-    const ended = new AbortController();
-    const gone = new Promise<Result<T, PeerError>>((resolve) => {
-      const breakCall = (): void => resolve(Err(broken));
-      callee.killed.signal.addEventListener('abort', breakCall, { signal: ended.signal });
-      callerKilled.addEventListener('abort', breakCall, { signal: ended.signal });
-    });
-    const isOver = this.clock
-      .sleep(timeoutMs, ended.signal)
-      .then((): Result<T, PeerError> => Err(broken));
-    const isCutOff = this.cutOff.has(from) || this.cutOff.has(address);
-    const answer = this.answerOf(isCutOff || this.silent.has(address), () =>
-      act(callee.daemon.peerService),
-    );
-    const result = await Promise.race([answer, gone, isOver]);
-    ended.abort();
-    return result;
-  }
-
-  private async answerOf<T>(
-    isSilent: boolean,
-    act: () => T | Promise<T>,
-  ): Promise<Result<T, PeerError>> {
-    return isSilent ? new Promise(() => undefined) : Ok(await act());
-  }
 }
