Hand out the HTTP server itself where a front end only wrapped it

Cause: the servers for callers, operators and peers each held an HttpServer and passed address, close and kill (and drain) on to it, unchanged, 15 lines each. Change: their create returns the listening HttpServer; each class holds what it serves. Order and effect of closing are the same. The stand-ins of the log service and of the VM list keep their classes: tests steer their faults there, and their alike lines are a call of HttpServer.create.

--- a/bench/baseline/baselineSystem.ts
+++ b/bench/baseline/baselineSystem.ts
@@ -4,6 +4,7 @@
  */
 import { CallerHttpServer } from '../../src/adapters/callerHttp/callerHttpServer.js';
 import { EndpointHttpClient } from '../../src/adapters/endpointHttp/endpointHttpClient.js';
+import type { HttpServer } from '../../src/adapters/http/httpServer.js';
 import type { Configuration } from '../../src/types/configuration.js';
 import { InventoryIndex } from '../../src/inventory/inventoryIndex.js';
 import type { Clock } from '../../src/ports/clock.js';
@@ -27,7 +28,7 @@
 
 /** One dispatcher with its server for callers and its client of the endpoints. */
 interface BaselineDaemon {
-  readonly callers: CallerHttpServer;
+  readonly callers: HttpServer;
   readonly endpoints: EndpointHttpClient;
   isRunning: boolean;
 }
--- a/src/adapters/callerHttp/callerHttpServer.ts
+++ b/src/adapters/callerHttp/callerHttpServer.ts
@@ -34,42 +34,21 @@
 }
 
 export class CallerHttpServer {
-  private server!: HttpServer;
   private readonly logger: Logger;
 
   private constructor(private readonly options: CallerHttpServerOptions) {
     this.logger = options.logger.forPart('callers');
   }
 
-  static async create(options: CallerHttpServerOptions): Promise<CallerHttpServer> {
+  /** @returns the listening server; rejects if the address cannot be bound */
+  static create(options: CallerHttpServerOptions): Promise<HttpServer> {
     const callerServer = new CallerHttpServer(options);
-    callerServer.server = await HttpServer.create({
+    return HttpServer.create({
       host: options.host,
       port: options.port,
       maxConnections,
       handle: (request, response) => callerServer.serve(request, response),
     });
-    return callerServer;
-  }
-
-  /** @returns listening address, as `IP:port` */
-  get address(): string {
-    return this.server.address;
-  }
-
-  /** From now on, closes each connection after its next response. */
-  drain(): void {
-    this.server.drain();
-  }
-
-  /** Refuses new connections and waits for the responses to open requests. */
-  close(): Promise<void> {
-    return this.server.close();
-  }
-
-  /** Drops all connections at once. */
-  kill(): Promise<void> {
-    return this.server.kill();
   }
 
   /** Handles one request; an unexpected error is answered with a problem of kind `internal`. */
--- a/src/adapters/operatorHttp/operatorHttpServer.ts
+++ b/src/adapters/operatorHttp/operatorHttpServer.ts
@@ -22,7 +22,6 @@
 }
 
 export class OperatorHttpServer {
-  private server!: HttpServer;
   private readonly logger: Logger;
   private readonly tokenDigest: string;
 
@@ -31,30 +30,15 @@
     this.tokenDigest = digestToken(options.token);
   }
 
-  static async create(options: OperatorHttpServerOptions): Promise<OperatorHttpServer> {
+  /** @returns the listening server; rejects if the address cannot be bound */
+  static create(options: OperatorHttpServerOptions): Promise<HttpServer> {
     const operatorServer = new OperatorHttpServer(options);
-    operatorServer.server = await HttpServer.create({
+    return HttpServer.create({
       host: options.host,
       port: options.port,
       maxConnections,
       handle: (request, response) => operatorServer.serve(request, response),
     });
-    return operatorServer;
-  }
-
-  /** @returns listening address, as `IP:port` */
-  get address(): string {
-    return this.server.address;
-  }
-
-  /** Refuses new connections and waits for the responses to open requests. */
-  close(): Promise<void> {
-    return this.server.close();
-  }
-
-  /** Drops all connections at once. */
-  kill(): Promise<void> {
-    return this.server.kill();
   }
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/src/adapters/peerRpc/peerRpcServer.ts
+++ b/src/adapters/peerRpc/peerRpcServer.ts
@@ -26,7 +26,6 @@
 }
 
 export class PeerRpcServer {
-  private server!: HttpServer;
   private readonly logger: Logger;
   private readonly tokenDigest: string;
   private readonly rpc: JSONRPCServer;
@@ -37,30 +36,15 @@
     this.rpc = createRpcServer(options.service, this.logger);
   }
 
-  static async create(options: PeerRpcServerOptions): Promise<PeerRpcServer> {
+  /** @returns the listening server; rejects if the address cannot be bound */
+  static create(options: PeerRpcServerOptions): Promise<HttpServer> {
     const peerServer = new PeerRpcServer(options);
-    peerServer.server = await HttpServer.create({
+    return HttpServer.create({
       host: options.host,
       port: options.port,
       maxConnections,
       handle: (request, response) => peerServer.serve(request, response),
     });
-    return peerServer;
-  }
-
-  /** @returns listening address, as `IP:port` */
-  get address(): string {
-    return this.server.address;
-  }
-
-  /** Refuses new connections and waits for the responses to open requests. */
-  close(): Promise<void> {
-    return this.server.close();
-  }
-
-  /** Drops all connections at once. */
-  kill(): Promise<void> {
-    return this.server.kill();
   }
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/src/programs/toucandyked/daemonProcess.ts
+++ b/src/programs/toucandyked/daemonProcess.ts
@@ -3,6 +3,7 @@
  */
 import { CallerHttpServer } from '../../adapters/callerHttp/callerHttpServer.js';
 import { EndpointHttpClient } from '../../adapters/endpointHttp/endpointHttpClient.js';
+import type { HttpServer } from '../../adapters/http/httpServer.js';
 import { LogHttpClient } from '../../adapters/logHttp/logHttpClient.js';
 import { OperatorHttpServer } from '../../adapters/operatorHttp/operatorHttpServer.js';
 import { PeerRpcConnector } from '../../adapters/peerRpc/peerRpcClient.js';
@@ -24,9 +25,9 @@
 export class DaemonProcess {
   private constructor(
     readonly daemon: Daemon,
-    readonly callers: CallerHttpServer,
-    readonly operators: OperatorHttpServer,
-    readonly peers: PeerRpcServer,
+    readonly callers: HttpServer,
+    readonly operators: HttpServer,
+    readonly peers: HttpServer,
     private readonly ports: Ports,
     private settings: Settings,
   ) {}
--- a/src/testing/goldenSession.ts
+++ b/src/testing/goldenSession.ts
@@ -6,6 +6,7 @@
 import { join, resolve } from 'node:path';
 import * as assert from 'uvu/assert';
 import { CallerHttpServer } from '../adapters/callerHttp/callerHttpServer.js';
+import type { HttpServer } from '../adapters/http/httpServer.js';
 import type { CallerService } from '../ports/callers.js';
 import type { TaskStart } from '../ports/endpoints.js';
 import { DaemonFixture } from './daemonFixture.js';
@@ -47,7 +48,7 @@
 
   private constructor(
     readonly fixture: DaemonFixture,
-    private readonly servers: ReadonlyMap<string, CallerHttpServer>,
+    private readonly servers: ReadonlyMap<string, HttpServer>,
     private readonly pending: PendingCalls,
   ) {
     const { endpoints } = fixture;
@@ -68,7 +69,7 @@
   static async create(vmIds: readonly string[]): Promise<GoldenSession> {
     const configuration = createConfiguration({ workersPerFailureDomain: 1 });
     const fixture = await DaemonFixture.create(vmIds, configuration);
-    const servers = new Map<string, CallerHttpServer>();
+    const servers = new Map<string, HttpServer>();
     const pending = new PendingCalls();
     for (const vmId of vmIds) {
       const service = trackCalls(fixture.daemon(vmId), pending);
