Keep what follows an attempt apart from the placement of tasks

Change: TaskResolver does the second, with the retry budget and the ended jobs; Scheduler places and starts. The calls on queue and pool keep their order.

--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -14,27 +14,21 @@
 import type { PeerSlots } from '../offloading/peerSlots.js';
 import type { TaskOffloader } from '../offloading/taskOffloader.js';
 import { createDeferred } from '../utils/deferred.js';
-import { RecentNames } from '../utils/recentNames.js';
-import { AttemptRunner, stoppedBeforeStart, createJobEndedProblem } from './attemptRunner.js';
-import type { AttemptEnd } from './attemptRunner.js';
+import { AttemptRunner, createJobEndedProblem } from './attemptRunner.js';
 import { EndpointPool } from './endpointPool.js';
 import { HoldLimiter } from './holdLimiter.js';
-import type { Assignment, PooledEndpoint } from './pooledEndpoint.js';
+import type { PooledEndpoint } from './pooledEndpoint.js';
 import { PlacementChooser, mayOffload } from './placementChooser.js';
 import type { Placement } from './placementChooser.js';
 import { Quarantine } from './quarantine.js';
-import { RetryBudget } from './retryBudget.js';
 import { ServedEndpoints } from './servedEndpoints.js';
-import { decideAfterAttempt, decideAfterOffload } from './retryDecision.js';
-import type { RetryDecision } from './retryDecision.js';
+import { TaskResolver } from './taskResolver.js';
 import { TaskQueue } from '../queue/taskQueue.js';
 import type { PendingTask } from '../queue/types.js';
 import type { PlacementPolicy, PlacementRules, Task } from './types.js';
 
 /** Maximum number of tasks that a round takes and puts back, as they may not be offloaded. */
 const maxSetAsidePerRound = 4;
-/** Number of ended jobs to remember, so that a task which comes back late is not queued again. */
-const maxWithdrawnJobs = 4_096;
 
 /** What the scheduler needs to offload tasks to peers. */
 export interface Offloading {
@@ -71,8 +65,7 @@
   private readonly attempts: AttemptRunner;
   private readonly holdLimiter: HoldLimiter;
   private readonly chooser: PlacementChooser;
-  private readonly withdrawn = RecentNames.create(maxWithdrawnJobs);
-  private readonly retryBudget = RetryBudget.create();
+  private readonly resolver: TaskResolver;
   private readonly servedEndpoints: ServedEndpoints;
   private readonly stop = new AbortController();
 
@@ -87,13 +80,18 @@
     this.quarantine = Quarantine.create(() => this.pool.endpointCount);
     this.attempts = AttemptRunner.create(options);
     this.holdLimiter = HoldLimiter.create(clock, () => this.dispatch(), this.stop.signal);
+    this.resolver = TaskResolver.create({
+      queue: this.queue,
+      pool: this.pool,
+      dispatch: () => this.dispatch(),
+    });
     this.servedEndpoints = ServedEndpoints.create({
       clock,
       pool: this.pool,
       attempts: this.attempts,
       quarantine: this.quarantine,
       dispatch: () => this.dispatch(),
-      ended: (assignment, pooled, end) => this.ended(assignment, pooled, end),
+      ended: ({ attempt }, pooled, end) => this.resolver.afterAttempt(attempt.entry, pooled, end),
     });
     this.chooser = PlacementChooser.create({
       pool: this.pool,
@@ -125,7 +123,7 @@
    */
   run(task: Task): Promise<TaskOutcome> {
     const entry: PendingTask = { task, outcome: createDeferred<TaskOutcome>(), attempts: 0 };
-    this.retryBudget.recordFirstAttempt(this.options.rules().retryShare);
+    this.resolver.recordFirstAttempt(this.options.rules().retryShare);
     this.enqueue(entry);
     return entry.outcome.promise;
   }
@@ -138,7 +136,7 @@
    */
   withdraw(jobId: string): void {
     this.withdrawWaiting(jobId, createJobEndedProblem());
-    this.withdrawn.add(jobId);
+    this.resolver.recordJobEnd(jobId);
     this.options.offloading?.offloader.withdraw(jobId);
     this.attempts.stopJob(jobId);
   }
@@ -190,7 +188,7 @@
         setAside.push(placed.entry);
       }
     }
-    setAside.forEach((entry) => this.putBack(entry));
+    setAside.forEach((entry) => this.resolver.putBack(entry));
   }
 
   /** Takes the first task in queue order whose operation can be placed now. */
@@ -235,65 +233,6 @@
 
   private async runOnPeer(entry: PendingTask, incarnation: string): Promise<void> {
     const end = await this.options.offloading?.offloader.pass(entry, incarnation);
-    if (end === undefined || end.kind === 'not-started') {
-      this.requeue(entry);
-      return;
-    }
-    this.queue.ended(entry, end.kind === 'ended' ? end.elapsedMs : 0);
-    this.applyDecision(entry, decideAfterOffload(entry.task.operation, end));
-    this.dispatch();
-  }
-
-  /** Records the end of an attempt, and answers its task or queues it again. */
-  private ended({ attempt }: Assignment, pooled: PooledEndpoint, end: AttemptEnd): void {
-    const { entry } = attempt;
-    const { operation } = entry.task;
-    if (end.kind === 'replied' && end.reply.kind === 'not-started') {
-      this.requeue(entry);
-      return;
-    }
-    this.queue.ended(entry, end.kind === 'past-deadline' ? 0 : end.elapsedMs);
-    if (end.kind === 'replied' && end.reply.kind === 'done') {
-      this.pool.recordRunTime(pooled, operation, end.elapsedMs);
-    }
-    this.applyDecision(entry, decideAfterAttempt(operation, end));
-  }
-
-  /** Queues a task for another attempt, unless its job has ended meanwhile. */
-  private requeue(entry: PendingTask): void {
-    if (this.withdrawn.has(entry.task.jobId)) {
-      this.queue.ended(entry, 0);
-      entry.outcome.resolve(stoppedBeforeStart());
-      return;
-    }
-    this.putBack(entry);
-    this.dispatch();
-  }
-
-  /** Returns a taken task to the queue; the start token of its team's quota is not refunded. */
-  private putBack(entry: PendingTask): void {
-    this.queue.ended(entry, 0);
-    this.queue.push(entry);
-  }
-
-  /** Resolves the outcome of a task, or queues the task for another attempt. */
-  private applyDecision(entry: PendingTask, decision: RetryDecision): void {
-    switch (decision.kind) {
-      case 'answered':
-        entry.outcome.resolve(decision.outcome);
-        return;
-      case 'not-started':
-        this.requeue(entry);
-        return;
-      case 'repeatable':
-        if (this.retryBudget.tryTakeRetry()) {
-          this.requeue(entry);
-          return;
-        }
-        entry.outcome.resolve(decision.outcomeWithoutRetry);
-        return;
-      default:
-        return unreachable(decision);
-    }
+    this.resolver.afterOffload(entry, end ?? { kind: 'not-started' });
   }
 }
