Names: offload in place of pass, the number of a notice in place of beat

Cause: inside the code, an offload was passed and a notice of quotas was a beat, names that stand only on the wire and that the glossary has to explain; loans that were received were parts. Change: TaskOffloader.offload, the attempt of an offload, lastNoticeNumber and loans. The names on the wire are the same. Measured: taskOffloader.spec 6 of 6, offloadPolicy.spec 2 of 2, quotaAllocator.spec 2 of 2, quotas.spec 8 of 8, scheduler.spec 6 of 6; prettier, eslint on the files and tsc clean.

--- a/src/limits/borrowedQuota.ts
+++ b/src/limits/borrowedQuota.ts
@@ -16,11 +16,11 @@
 
 export class BorrowedQuota {
   /** Number of the last notice that this daemon composed. */
-  private beat = 0;
+  private lastNoticeNumber = 0;
   /** When each recent notice was composed, by its number; loans for older ones have expired. */
   private readonly noticeComposedAtMs = new Map<number, number>();
   /** The newest loan of each lender and team. */
-  private readonly parts = new Map<string, BorrowedLoan>();
+  private readonly loans = new Map<string, BorrowedLoan>();
 
   private constructor() {
     // Built by create.
@@ -36,14 +36,14 @@
    * @param nowMs - monotonic time
    */
   nextNoticeNumber(nowMs: number): number {
-    this.beat += 1;
-    this.noticeComposedAtMs.set(this.beat, nowMs);
-    for (const [beat, composedAtMs] of this.noticeComposedAtMs) {
+    this.lastNoticeNumber += 1;
+    this.noticeComposedAtMs.set(this.lastNoticeNumber, nowMs);
+    for (const [noticeNumber, composedAtMs] of this.noticeComposedAtMs) {
       if (nowMs - composedAtMs > loanDurationMs) {
-        this.noticeComposedAtMs.delete(beat);
+        this.noticeComposedAtMs.delete(noticeNumber);
       }
     }
-    return this.beat;
+    return this.lastNoticeNumber;
   }
 
   /**
@@ -56,11 +56,11 @@
   addLoan(lender: string, loan: QuotaLoan): void {
     const composedAtMs = this.noticeComposedAtMs.get(loan.beat);
     const key = `${lender} ${loan.teamId}`;
-    const previous = this.parts.get(key);
+    const previous = this.loans.get(key);
     if (composedAtMs === undefined || (previous !== undefined && previous.loan.beat >= loan.beat)) {
       return;
     }
-    this.parts.set(key, { loan, expiresAtMs: composedAtMs + loanDurationMs });
+    this.loans.set(key, { loan, expiresAtMs: composedAtMs + loanDurationMs });
   }
 
   /**
@@ -71,9 +71,9 @@
    */
   borrowedLimit(teamId: string, nowMs: number): QuotaLimit {
     let sum = zeroLimit;
-    for (const [key, { loan, expiresAtMs }] of this.parts) {
+    for (const [key, { loan, expiresAtMs }] of this.loans) {
       if (expiresAtMs <= nowMs) {
-        this.parts.delete(key);
+        this.loans.delete(key);
       } else if (loan.teamId === teamId) {
         sum = addLimits(sum, loan);
       }
@@ -83,7 +83,7 @@
 
   /** @returns monotonic time at which the next loan of any team expires; undefined without loans */
   nextExpiryAtMs(): number | undefined {
-    const expiries = [...this.parts.values()].map(({ expiresAtMs }) => expiresAtMs);
+    const expiries = [...this.loans.values()].map(({ expiresAtMs }) => expiresAtMs);
     return expiries.length === 0 ? undefined : Math.min(...expiries);
   }
 }
--- a/src/offloading/taskOffloader.ts
+++ b/src/offloading/taskOffloader.ts
@@ -39,7 +39,7 @@
 interface PendingOffload {
   readonly entry: PendingTask;
   /** Number of the attempt, by which the peer recognises the task if it is sent again. */
-  readonly pass: number;
+  readonly attempt: number;
   readonly end: Deferred<OffloadEnd>;
 }
 
@@ -79,9 +79,9 @@
    * @param incarnation - incarnation of the peer
    * @returns how the offload ended; never rejects
    */
-  pass(entry: PendingTask, incarnation: string): Promise<OffloadEnd> {
+  offload(entry: PendingTask, incarnation: string): Promise<OffloadEnd> {
     entry.attempts += 1;
-    const offload: PendingOffload = { entry, pass: entry.attempts, end: createDeferred() };
+    const offload: PendingOffload = { entry, attempt: entry.attempts, end: createDeferred() };
     const { jobId, operation } = entry.task;
     this.options.slots.reserveSlot(incarnation);
     if (this.unsent.length === 0) {
@@ -241,11 +241,11 @@
   outcome.kind === 'not-run' ? { kind: 'not-started' } : { kind: 'ended', outcome, elapsedMs };
 
 const toOffloadedTask = (
-  { entry: { task }, pass }: PendingOffload,
+  { entry: { task }, attempt }: PendingOffload,
   nowMs: number,
 ): OffloadedTask => ({
   taskId: task.taskId,
-  pass,
+  pass: attempt,
   jobId: task.jobId,
   callerId: task.callerId,
   teamId: task.teamId,
--- a/src/placement/scheduler.ts
+++ b/src/placement/scheduler.ts
@@ -232,7 +232,7 @@
   }
 
   private async runOnPeer(entry: PendingTask, incarnation: string): Promise<void> {
-    const end = await this.options.offloading?.offloader.pass(entry, incarnation);
+    const end = await this.options.offloading?.offloader.offload(entry, incarnation);
     this.resolver.afterOffload(entry, end ?? { kind: 'not-started' });
   }
 }
