--- a/src/daemon/daemonSubmissions.ts
+++ b/src/daemon/daemonSubmissions.ts
@@ -35,6 +35,7 @@
   readonly router: SubmissionRouter;
 }
 
+/** Creates the components and connects them. */
 export const createSubmissions = (options: DaemonSubmissionsOptions): DaemonSubmissions => {
   const { incarnation, ports, stores, peers } = options;
   const { clock, logger, logService } = ports;
--- a/src/submissions/replies.ts
+++ b/src/submissions/replies.ts
@@ -11,6 +11,7 @@
 /** Digest of an invalid body; a record with this digest matches a resubmission with any body. */
 const invalidBodyDigest = '';
 
+/** Creates the outcome of a submission that is refused. */
 export const createRefusal = (problem: Problem): SubmitOutcome => ({ kind: 'refused', problem });
 
 /** Computes the digest by which a resubmission is distinguished from another submission. */
@@ -57,11 +58,13 @@
   }
 };
 
+/** Creates the reply to a status request about a submission with a record. */
 export const createKnownReply = (record: SubmissionRecord): StatusReply => ({
   kind: 'known',
   status: toJobStatus(record),
 });
 
+/** Creates the reply to a status request about a submission whose state this daemon cannot tell. */
 export const createUnknownReply = (problem: Problem): StatusReply => ({ kind: 'unknown', problem });
 
 /** The owner of the key never started the submission, and never will. */
--- a/src/testing/dispatcherFixture.ts
+++ b/src/testing/dispatcherFixture.ts
@@ -21,6 +21,7 @@
 /** Name of the first task of `batchFixture` on the workers. */
 export const firstTaskName = `${batchFixture.jobId}.0.${batchFixture.stepIndex}.0`;
 
+/** @returns whether a name on the workers is the one of the fixture's first task */
 export const isFirstTask = (taskName: string): boolean => taskName === firstTaskName;
 
 export interface DispatcherFixture {
--- a/src/testing/silentSupervisor.ts
+++ b/src/testing/silentSupervisor.ts
@@ -6,5 +6,6 @@
 import { TaskSupervisor } from '../utils/taskSupervisor.js';
 import { silentLogger } from './silentLogger.js';
 
+/** Creates the supervisor. */
 export const silentSupervisor = (clock: Clock): TaskSupervisor =>
   TaskSupervisor.create({ clock, logger: silentLogger, metrics: noMetrics });
--- a/src/types/resources.ts
+++ b/src/types/resources.ts
@@ -19,6 +19,7 @@
   needs.memoryMb <= free.memoryMb &&
   needs.accelerators <= free.accelerators;
 
+/** @returns the sum of every resource */
 export const addResources = (a: Resources, b: Resources): Resources => ({
   cpuMillis: a.cpuMillis + b.cpuMillis,
   memoryMb: a.memoryMb + b.memoryMb,
