One route for the tests of what accepts jobs

Cause: five tests and fixtures wrote out a route, the same but for a few fields, and dispatchFixtures.ts named a route in its first line but held none.

--- a/src/routing/routingStore.spec.ts
+++ b/src/routing/routingStore.spec.ts
@@ -1,18 +1,14 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import { routeFixture } from '../testing/dispatchFixtures.js';
 import { RoutingStore } from './routingStore.js';
 import type { Route, Routing } from '../types/routing.js';
 
 const route = (routeId: string, pathPrefix: string): Route => ({
+  ...routeFixture,
   routeId,
   host: 'Jobs.example',
   pathPrefix,
-  serviceId: 'fit',
-  priority: 0,
-  maxFailedRuns: 3,
-  timeoutMs: 1_500,
-  objectiveStretch: 1.6,
-  objectiveSlackMs: 60,
 });
 
 const routing = (version: number, routes: readonly Route[]): Routing => ({
--- a/src/testing/dispatchFixtures.ts
+++ b/src/testing/dispatchFixtures.ts
@@ -1,7 +1,8 @@
 /**
- * A worker, a batch and a route, for tests of what dispatches to workers.
+ * A worker, a batch and a route, for tests of what dispatches to workers or accepts jobs for them.
  */
 import type { Batch } from '../types/dispatch.js';
+import type { Route } from '../types/routing.js';
 import type { WorkerRecord } from '../types/workers.js';
 
 export const workerFixture: WorkerRecord = {
@@ -15,6 +16,19 @@
   labels: [],
 };
 
+/** A route to the service of `workerFixture`. */
+export const routeFixture: Route = {
+  routeId: 'r',
+  host: 'jobs.example',
+  pathPrefix: '/fit/',
+  serviceId: workerFixture.serviceId,
+  priority: 0,
+  maxFailedRuns: 3,
+  timeoutMs: 1_500,
+  objectiveStretch: 1.6,
+  objectiveSlackMs: 60,
+};
+
 /** One task of 14 cores for the service of `workerFixture`. */
 export const batchFixture: Batch = {
   batchId: 'b-1',
--- a/src/testing/fleetFixture.ts
+++ b/src/testing/fleetFixture.ts
@@ -12,20 +12,17 @@
 import type { Member } from '../types/fleet.js';
 import type { Route, Routing } from '../types/routing.js';
 import type { WorkerRecord } from '../types/workers.js';
-import { workerFixture } from './dispatchFixtures.js';
+import { routeFixture, workerFixture } from './dispatchFixtures.js';
 import { FakeClock } from './fakeClock.js';
 import { FleetNetwork } from './fleetNetwork.js';
 import { SeededRandom } from './seededRandom.js';
 import { silentLogger } from './silentLogger.js';
 import { SimulatedWorkers } from './simulatedWorkers.js';
 
+/** `routeFixture` for any path, with longer times. */
 export const fleetRoute: Route = {
-  routeId: 'r',
-  host: 'jobs.example',
+  ...routeFixture,
   pathPrefix: '/',
-  serviceId: workerFixture.serviceId,
-  priority: 0,
-  maxFailedRuns: 3,
   timeoutMs: 30_000,
   objectiveStretch: 2,
   objectiveSlackMs: 5_000,
