--- a/src/membership/heartbeatExchange.ts
+++ b/src/membership/heartbeatExchange.ts
@@ -33,7 +33,7 @@
    * Exchanges heartbeats over one link, once at first and then whenever this daemon starts the
    * exchange; resolves after the route is stopped.
    */
-  async maintain(peer: Peer, route: ListedRoute): Promise<void> {
+  async maintainLink(peer: Peer, route: ListedRoute): Promise<void> {
     const { clock } = this.options;
     const { signal } = route.stop;
     await this.exchange(peer, route);
--- a/src/membership/peerSet.ts
+++ b/src/membership/peerSet.ts
@@ -186,7 +186,7 @@
       const link = this.options.connector.connect(vm.peerAddress);
       const route: ListedRoute = { kind: 'listed', vm, link, stop: new AbortController() };
       peer.route = route;
-      this.trackTask(this.exchanges.maintain(peer, route));
+      this.trackTask(this.exchanges.maintainLink(peer, route));
     }
     this.notifyIfChanged(peer);
   }
