One way to answer a forwarded status request or cancellation

Cause: statusLocally and cancelLocally wrote out the same switch over who answers for an owner. Change: answerLocally holds it; the two differ in what the owner does.

--- a/src/submissions/submissionRouter.ts
+++ b/src/submissions/submissionRouter.ts
@@ -90,14 +90,7 @@
 
   /** Handles a status request without forwarding it. */
   async statusLocally(request: ForwardedStatus): Promise<StatusReply> {
-    switch (this.owners.locate(request)) {
-      case 'local':
-        return this.options.own.status(request);
-      case 'adopted':
-        return this.options.adoptedTables.status(request);
-      case 'remote':
-        return createUnknownReply(createNotOwnedProblem());
-    }
+    return this.answerLocally(request, () => this.options.own.status(request));
   }
 
   /**
@@ -105,14 +98,7 @@
    * status is returned.
    */
   async cancelLocally(request: SubmissionRef): Promise<StatusReply> {
-    switch (this.owners.locate(request)) {
-      case 'local':
-        return this.options.own.cancel(request);
-      case 'adopted':
-        return this.options.adoptedTables.status(request);
-      case 'remote':
-        return createUnknownReply(createNotOwnedProblem());
-    }
+    return this.answerLocally(request, () => this.options.own.cancel(request));
   }
 
   /** Returns the status of a caller's job, after waiting up to `waitMs` for its answer. */
@@ -149,6 +135,21 @@
     return { kind: 'answered', answer: await job.answer };
   }
 
+  /** Answers as the owner or from an adopted table; other daemons' jobs are unknown here. */
+  private async answerLocally(
+    ref: SubmissionRef,
+    answerAsOwner: () => Promise<StatusReply>,
+  ): Promise<StatusReply> {
+    switch (this.owners.locate(ref)) {
+      case 'local':
+        return answerAsOwner();
+      case 'adopted':
+        return this.options.adoptedTables.status(ref);
+      case 'remote':
+        return createUnknownReply(createNotOwnedProblem());
+    }
+  }
+
   /** Lets the log decide the key, then sends the submission to the owner of the first claim. */
   private async submitWithPlainKey(
     callerId: string,
