One runner of the tool's commands for tests

Cause: the specs of two commands wrote out the same function that runs a command and collects its output. Change: commandRunner in src/testing.

--- a/src/programs/toucandyke/commands/configPublishCommand.spec.ts
+++ b/src/programs/toucandyke/commands/configPublishCommand.spec.ts
@@ -1,8 +1,6 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { PassThrough } from 'node:stream';
-import { Cli } from 'clipanion';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { stringify } from 'yaml';
@@ -11,18 +9,12 @@
 import { configurationRecordSchema } from '../../../types/configuration.js';
 import { daemonStatusSchema } from '../../../ports/operators.js';
 import { createConfiguration } from '../../../testing/fixtures.js';
+import { commandRunner } from '../../../testing/commandRunner.js';
 import { ConfigPublishCommand } from './configPublishCommand.js';
 import { ConfigShowCommand } from './configShowCommand.js';
 import { StatusCommand } from './statusCommand.js';
 
-const run = async (...parameters: readonly string[]) => {
-  const output = new PassThrough();
-  const cli = Cli.from([ConfigPublishCommand, ConfigShowCommand, StatusCommand]);
-  const streams = { stdin: process.stdin, stdout: output, stderr: output };
-  const exitCode = await cli.run([...parameters], { ...streams, env: {}, colorDepth: 1 });
-  output.end();
-  return { exitCode, text: String(output.read() ?? '') };
-};
+const run = commandRunner([ConfigPublishCommand, ConfigShowCommand, StatusCommand]);
 
 test('publishes, lists the version of each daemon, and names an unreachable daemon', async () => {
   const failureDomains = ['muenchen', 'augsburg'];
--- a/src/programs/toucandyke/commands/explainCommand.spec.ts
+++ b/src/programs/toucandyke/commands/explainCommand.spec.ts
@@ -1,5 +1,3 @@
-import { PassThrough } from 'node:stream';
-import { Cli } from 'clipanion';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { Deployment, operatorToken } from '../../../../standins/deployment.js';
@@ -7,17 +5,11 @@
 import { SystemClock } from '../../../adapters/system/systemClock.js';
 import { readYamlFile } from '../../../adapters/yaml/readYamlFile.js';
 import { checkConfiguration } from '../../../configuration/checkConfiguration.js';
+import { commandRunner } from '../../../testing/commandRunner.js';
 import { DrainCommand } from './drainCommand.js';
 import { ExplainCommand } from './explainCommand.js';
 
-const run = async (...parameters: readonly string[]) => {
-  const output = new PassThrough();
-  const cli = Cli.from([ExplainCommand, DrainCommand]);
-  const streams = { stdin: process.stdin, stdout: output, stderr: output };
-  const exitCode = await cli.run([...parameters], { ...streams, env: {}, colorDepth: 1 });
-  output.end();
-  return { exitCode, text: String(output.read() ?? '') };
-};
+const run = commandRunner([ExplainCommand, DrainCommand]);
 
 test('explains a job from the traces of all daemons, names daemons that do not answer, and drains one', async () => {
   const configuration = readYamlFile('examples/verband.yaml', checkConfiguration).unwrap();
