A grant that was requested before a standstill is not acted on

Test first: src/fleet/shardMembership.spec.ts, 'a grant that was requested before a standstill is not acted on, but asked for again at once' (grants 1, 2 and 3 applied in place of 1 and 3). Cause: a process that is paused while a renewal is under way finds the answer in its socket when it wakes, and may read it before the overdue time-out of the call. It took the shards and the token of that answer for granted, though the membership had run out meanwhile and the store may have given the shards to another daemon. Workers that the new dispatcher had ordered refuse the older token; those that it had not yet got holds and starts of both. Change: before a grant is applied, a standstill is looked for; after one the answer is dropped and the membership renewed at once.

--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -224,6 +224,7 @@
       onGrant: (grant) => this.servedWorkers.applyGrant(grant),
       onStoreReachable: () => this.routingFollower.refresh(),
       isNeeded: () => isNeededAsDispatcher(member, this.peers.presentDomainMembers()),
+      checkStandstill: () => standstills.check(),
     });
     this.requesterMonitor = RequesterMonitor.create({ ...common, ownId, leases, dispatcher });
   }
--- a/src/fleet/servedWorkers.spec.ts
+++ b/src/fleet/servedWorkers.spec.ts
@@ -56,6 +56,7 @@
     onGrant: (grant) => served.applyGrant(grant),
     onStoreReachable: () => undefined,
     isNeeded: () => true,
+    checkStandstill: () => undefined,
   });
   await clock.advance(700);
   const leaving = served.release();
--- a/src/fleet/shardMembership.spec.ts
+++ b/src/fleet/shardMembership.spec.ts
@@ -31,6 +31,7 @@
     onGrant: ({ generation }) => (generation === 2 ? released.promise : Promise.resolve()),
     onStoreReachable: () => undefined,
     isNeeded: () => true,
+    checkStandstill: () => undefined,
   });
   await clock.advance(700);
   granted = { generation: 2, shards: [0] };
@@ -65,6 +66,7 @@
     onGrant: async ({ shards }) => events.push(`${shards.length} shards`),
     onStoreReachable: () => undefined,
     isNeeded: () => isNeeded,
+    checkStandstill: () => undefined,
   });
   await clock.advance(100);
   assert.ok(events.includes('1 shards'));
@@ -78,6 +80,46 @@
   await membership.close();
 });
 
+// Guards against a process that wakes, reads an answer that waited, and orders workers which others got meanwhile.
+test('a grant that was requested before a standstill is not acted on, but asked for again at once', async () => {
+  const clock = FakeClock.create();
+  const granted: number[] = [];
+  let generation = 1;
+  let isFrozen = false;
+  const store = {
+    join: async () => {
+      const answer = Ok({ generation, shards: [0] });
+      if (generation === 2) {
+        generation = 3;
+        isFrozen = true;
+      }
+      return answer;
+    },
+  } as unknown as FleetStore;
+  const membership: ShardMembership = ShardMembership.create({
+    supervisor: silentSupervisor(clock),
+    clock,
+    logger: silentLogger,
+    store,
+    member,
+    onGrant: async ({ generation }) => granted.push(generation),
+    onStoreReachable: () => undefined,
+    isNeeded: () => true,
+    checkStandstill: () => {
+      if (isFrozen) {
+        isFrozen = false;
+        membership.refresh();
+      }
+    },
+  });
+  await clock.advance(500);
+  assert.equal(granted, [1]);
+  generation = 2;
+  await clock.advance(200);
+  assert.equal(granted, [1, 3]);
+  await membership.close();
+});
+
 test('workers are spread over all shards', () => {
   const shards = new Set(Array.from({ length: 400 }, (_, i) => shardOf(`i-${i}`, 32)));
   assert.is(shards.size, 32);
--- a/src/fleet/shardMembership.ts
+++ b/src/fleet/shardMembership.ts
@@ -31,6 +31,8 @@
   readonly onStoreReachable: () => void;
   /** Whether this daemon should have shards; called before each renewal. */
   readonly isNeeded: () => boolean;
+  /** Called before a grant is applied; calls `refresh` after a standstill of this process. */
+  readonly checkStandstill: () => void;
 }
 
 export class ShardMembership {
@@ -39,6 +41,8 @@
   private confirmedGeneration = 0;
   /** Whether the store may hold a membership of this daemon. */
   private isMember = false;
+  /** Calls of `refresh`: an answer to an earlier renewal says nothing of the grant any more. */
+  private refreshes = 0;
   private readonly stop = new AbortController();
   private readonly logger: Logger;
   private readonly dependency: DependencyMonitor;
@@ -66,6 +70,7 @@
 
   /** Renews the membership at once. To be called when the grant may have changed unnoticed. */
   refresh(): void {
+    this.refreshes += 1;
     this.renewalDelay.wake();
   }
 
@@ -116,7 +121,8 @@
 
   /** Joins the store or renews the membership, and applies a grant that has changed. */
   private async renew(): Promise<void> {
-    const { store, member } = this.options;
+    const { store, member, checkStandstill } = this.options;
+    const { refreshes } = this;
     this.isMember = true;
     const joined = await store.join(member, this.confirmedGeneration);
     if (joined.isErr()) {
@@ -127,6 +133,10 @@
       this.dependency.recordSuccess();
       this.options.onStoreReachable();
     }
+    checkStandstill();
+    if (this.refreshes !== refreshes) {
+      return;
+    }
     if (!this.stop.signal.aborted && !isSameGrant(this.grant, joined.value)) {
       this.applyGrant(joined.value);
     }
