An error while the settings file is handled ends neither its following nor the planned stop

Cause: the settings follower was the one periodic task without the supervisor. An error thrown while a file was read, decoded or applied ended it for good, and its close rejected, so that the planned stop left out the stop of the daemon itself and broke every caller's connection at once. No text is known that throws; decoding returns its faults as values. Change: each look at the file is supervised.

--- a/src/config/settingsFollower.spec.ts
+++ b/src/config/settingsFollower.spec.ts
@@ -20,7 +20,7 @@
   return value === undefined ? Err('The file is not JSON.') : Ok(value);
 };
 
-const createFixture = () => {
+const createFixture = (inspect: (text: string) => void = () => undefined) => {
   const clock = FakeClock.create();
   const { logger, lines } = recordingLogger();
   const file = { text: JSON.stringify(initial) };
@@ -29,7 +29,13 @@
     clock,
     logger,
     metrics: noMetrics,
-    source: { readText: () => Ok(file.text), decode },
+    source: {
+      readText: () => Ok(file.text),
+      decode: (text) => {
+        inspect(text);
+        return decode(text);
+      },
+    },
     initial,
     liveFields: ['graceMs'],
     apply: (settings) => applied.push(settings),
@@ -76,4 +82,21 @@
   await follower.close();
 });
 
+// Guards against a file after which no change is noticed any more, and the planned stop of the process fails.
+test('an error while a file is handled ends neither the following nor the stop', async () => {
+  const { clock, file, applied, follower, count } = createFixture((text) => {
+    if (text.includes('odd')) {
+      throw new Error('a fault of the decoder');
+    }
+  });
+  file.text = '{"odd":1}';
+  follower.reload();
+  await clock.advance(1_100);
+  assert.is(count('a fault of the decoder'), 1);
+  file.text = JSON.stringify({ ...initial, graceMs: 500 });
+  await clock.advance(1_100);
+  assert.is(applied.at(-1)?.graceMs, 500);
+  await follower.close();
+});
+
 test.run();
--- a/src/config/settingsFollower.ts
+++ b/src/config/settingsFollower.ts
@@ -7,6 +7,7 @@
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
 import type { Metrics } from '../ports/metrics.js';
+import { TaskSupervisor } from '../utils/taskSupervisor.js';
 import { WakeableSleep } from '../utils/wakeableSleep.js';
 
 /** Period in which the file is read, since it may also change without a signal, in milliseconds. */
@@ -37,6 +38,7 @@
 export class SettingsFollower<S extends object> {
   private readonly logger: Logger;
   private readonly sleeper: WakeableSleep;
+  private readonly supervisor: TaskSupervisor;
   private inForce: S;
   /** Text of the file when it was last read, so that one change is handled once. */
   private lastText: string | undefined;
@@ -48,6 +50,7 @@
   private constructor(private readonly options: SettingsFollowerOptions<S>) {
     this.logger = options.logger.forPart('settings');
     this.sleeper = WakeableSleep.create(options.clock);
+    this.supervisor = TaskSupervisor.create(options);
     this.inForce = options.initial;
     this.following = this.follow();
   }
@@ -70,7 +73,7 @@
 
   private async follow(): Promise<void> {
     while (!this.isClosed) {
-      this.check();
+      await this.supervisor.attempt('reading the settings', () => this.check());
       await this.sleeper.sleep(checkPeriodMs);
     }
   }
