--- a/soak/faultSeries.ts
+++ b/soak/faultSeries.ts
@@ -4,14 +4,11 @@
 import { unreachable } from '../src/errors/unreachable.js';
 import { SeededRandom } from '../src/testing/seededRandom.js';
 import { pickOne, planFaults } from './faults.js';
-import type {
-  Fault,
-  FaultPlanOptions,
-  InvalidEntry,
-  PlannedFault,
-  PlannedRequest,
-} from './faults.js';
+import type { Fault, FaultPlanOptions, InvalidEntry, PlannedFault } from './faults.js';
 import type { LinkFault } from './faultyProxy.js';
+import { planJointTrouble } from './jointTrouble.js';
+import { neighbourOf, repeat, requestAt, shortDeadlineMs } from './seriesContext.js';
+import type { SeriesContext } from './seriesContext.js';
 
 export const seriesKinds = [
   'cuts',
@@ -24,9 +21,13 @@
 /** Workers that are cut off in turn, workers that crash, daemons that are stopped, killed or paused. */
 export type SeriesKind = (typeof seriesKinds)[number];
 
+/** Series that are only played alone: mixed plans are drawn from the others, as their seeds were before. */
+const separateKinds = ['daemon-and-worker'] as const;
+type SeparateKind = (typeof separateKinds)[number];
+
 /** What a seed plays: single faults with some series among them, or one series alone. */
-export type PlanKind = 'mixed' | SeriesKind;
-export const planKinds: readonly PlanKind[] = ['mixed', ...seriesKinds];
+export type PlanKind = 'mixed' | SeriesKind | SeparateKind;
+export const planKinds: readonly PlanKind[] = ['mixed', ...seriesKinds, ...separateKinds];
 
 /** Separate the random numbers of the series from those of the other faults, and those of successive seeds. */
 const seriesSeedOffset = 2_000_000;
@@ -37,22 +38,10 @@
 const longestTaskMs = 7_000;
 /** How long the caller of a job of such tasks waits, in milliseconds. */
 const longDeadlineMs = 20_000;
-const shortDeadlineMs = 1_500;
 /** Time between two small jobs beside a kill, and for how long they come, in milliseconds. */
 const smallJobPeriodMs = 100;
 const smallJobsMs = 3_200;
 
-/** Random numbers and the sizes of the fleet. */
-interface SeriesContext {
-  readonly daemons: number;
-  readonly workers: number;
-  readonly windowMs: number;
-  /** Returns a number from `min` to `max`. */
-  readonly between: (min: number, max: number) => number;
-  /** Returns an integer from 0 to `count` - 1. */
-  readonly randomInt: (count: number) => number;
-}
-
 /** Plans the faults of a seed by the kind of its plan, in the order of their start times. */
 export const planSeed = (kind: PlanKind, options: FaultPlanOptions): PlannedFault[] => {
   const random = SeededRandom.create(Math.imul(options.seed + seriesSeedOffset, seedFactor));
@@ -76,7 +65,7 @@
 const sortByTime = (planned: readonly PlannedFault[]): PlannedFault[] =>
   [...planned].sort((a, b) => a.atMs - b.atMs);
 
-const planSeries = (kind: SeriesKind, context: SeriesContext): PlannedFault[] => {
+const planSeries = (kind: SeriesKind | SeparateKind, context: SeriesContext): PlannedFault[] => {
   switch (kind) {
     case 'cuts':
       return [...planLongJobs(context), ...repeat(context, 500, 900, planCut)];
@@ -90,27 +79,13 @@
       return repeat(context, 2_000, 4_000, planPause);
     case 'invalid-entries':
       return [...planLongJobs(context), ...repeat(context, 300, 900, planInvalidEntry)];
+    case 'daemon-and-worker':
+      return repeat(context, 4_500, 6_000, planJointTrouble);
     default:
       return unreachable(kind);
   }
 };
 
-/** Plans one member of a series after the other, with a random time between two of them. */
-const repeat = (
-  context: SeriesContext,
-  minGapMs: number,
-  maxGapMs: number,
-  plan: (atMs: number, context: SeriesContext) => PlannedFault[],
-): PlannedFault[] => {
-  const planned: PlannedFault[] = [];
-  let atMs = context.between(0, 1_000);
-  while (atMs < context.windowMs) {
-    planned.push(...plan(atMs, context));
-    atMs += context.between(minGapMs, maxGapMs);
-  }
-  return planned;
-};
-
 /** Jobs of long tasks, which meet several faults. */
 const planLongJobs = (context: SeriesContext): PlannedFault[] =>
   repeat(context, 1_500, 3_000, (atMs, { between, randomInt, daemons }) => [
@@ -217,23 +192,3 @@
   const durationMs = between(300, 1_500);
   return [{ atMs, fault: { kind: 'invalid-entry', entry, index, isOwnKey, durationMs } }];
 };
-
-/** A job for a daemon; its second attempt goes to the other failure domain. */
-const requestAt = (
-  atMs: number,
-  context: SeriesContext,
-  daemon: number,
-  job: Omit<PlannedRequest, 'daemon' | 'nextDaemon' | 'estimatedMs'> & { estimatedMs?: number },
-): PlannedFault => {
-  const nextDaemon = (daemon + Math.floor(context.daemons / 2)) % context.daemons;
-  const request = { estimatedMs: job.runMs, ...job, daemon, nextDaemon };
-  return { atMs, fault: { kind: 'request', request } };
-};
-
-/** @returns another daemon of the same failure domain, which is one half of the daemons */
-const neighbourOf = (daemon: number, { daemons, randomInt }: SeriesContext): number => {
-  const half = Math.floor(daemons / 2);
-  const first = daemon < half ? 0 : half;
-  const size = daemon < half ? half : daemons - half;
-  return first + ((daemon - first + 1 + randomInt(size - 1)) % size);
-};
--- /dev/null
+++ b/soak/seriesContext.ts
@@ -0,0 +1,54 @@
+/**
+ * What the series of faults share: their random numbers, the sizes of the fleet, and the requests that meet them.
+ */
+import type { PlannedFault, PlannedRequest } from './faults.js';
+
+/** How long the caller of a short job waits, in milliseconds. */
+export const shortDeadlineMs = 1_500;
+
+/** Random numbers and the sizes of the fleet. */
+export interface SeriesContext {
+  readonly daemons: number;
+  readonly workers: number;
+  readonly windowMs: number;
+  /** Returns a number from `min` to `max`. */
+  readonly between: (min: number, max: number) => number;
+  /** Returns an integer from 0 to `count` - 1. */
+  readonly randomInt: (count: number) => number;
+}
+
+/** Plans one member of a series after the other, with a random time between two of them. */
+export const repeat = (
+  context: SeriesContext,
+  minGapMs: number,
+  maxGapMs: number,
+  plan: (atMs: number, context: SeriesContext) => PlannedFault[],
+): PlannedFault[] => {
+  const planned: PlannedFault[] = [];
+  let atMs = context.between(0, 1_000);
+  while (atMs < context.windowMs) {
+    planned.push(...plan(atMs, context));
+    atMs += context.between(minGapMs, maxGapMs);
+  }
+  return planned;
+};
+
+/** A job for a daemon; its second attempt goes to the other failure domain. */
+export const requestAt = (
+  atMs: number,
+  context: SeriesContext,
+  daemon: number,
+  job: Omit<PlannedRequest, 'daemon' | 'nextDaemon' | 'estimatedMs'> & { estimatedMs?: number },
+): PlannedFault => {
+  const nextDaemon = (daemon + Math.floor(context.daemons / 2)) % context.daemons;
+  const request = { estimatedMs: job.runMs, ...job, daemon, nextDaemon };
+  return { atMs, fault: { kind: 'request', request } };
+};
+
+/** @returns another daemon of the same failure domain, which is one half of the daemons */
+export const neighbourOf = (daemon: number, { daemons, randomInt }: SeriesContext): number => {
+  const half = Math.floor(daemons / 2);
+  const first = daemon < half ? 0 : half;
+  const size = daemon < half ? half : daemons - half;
+  return first + ((daemon - first + 1 + randomInt(size - 1)) % size);
+};
