Tell a connection to a worker that broke from one that was silent

The port gave the same failure, `no-answer`, for a connection that was closed or reset before the answer and for a time that was over. The first is what a crash of the worker looks like, if not only a crash, and nothing downstream could ask for it. It is a failure of its own now, `disconnected`; what follows for a start is the same as before (unknown, until a report tells more).

- `requestJson` says why a request is broken: the connection was lost, the request was given up here, or the answer was not valid.
Errors count as a lost connection by their code only if this process has not ended the request.
- The model says the same, and a worker that is down silently breaks no connection: until now its crash ended the pending calls at once.

--- a/src/adapters/http/requestJson.spec.ts
+++ b/src/adapters/http/requestJson.spec.ts
@@ -1,5 +1,5 @@
 import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { Pool } from 'undici';
 import type { Dispatcher } from 'undici';
 import { test } from 'uvu';
@@ -35,6 +35,31 @@
   }
 });
 
+// Guards against a timeout or an invalid answer being taken for a connection that the other side has closed.
+test('a broken request says whether the connection was lost', async () => {
+  const causes: string[] = [];
+  const answers: ((socket: Socket) => void)[] = [
+    (socket) => socket.resetAndDestroy(),
+    (socket) => socket.end(),
+    () => undefined,
+    (socket) => socket.end('no HTTP'),
+  ];
+  for (const answer of answers) {
+    const server = createServer((socket) => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => answer(socket));
+    }).listen(0, '127.0.0.1');
+    await new Promise((resolve) => server.once('listening', resolve));
+    const { port } = server.address() as AddressInfo;
+    const pool = new Pool(`http://127.0.0.1:${port}`);
+    const exchange = await requestBytes(pool, { ...request, timeoutMs: 100 });
+    causes.push(exchange.kind === 'broken' ? exchange.cause : exchange.kind);
+    await pool.destroy();
+    server.close();
+  }
+  assert.equal(causes, ['connection-lost', 'connection-lost', 'given-up', 'invalid-response']);
+});
+
 test('a request whose connection is refused counts as not sent', async () => {
   const server = createServer().listen(0, '127.0.0.1');
   await new Promise((resolve) => server.once('listening', resolve));
--- a/src/adapters/http/requestJson.ts
+++ b/src/adapters/http/requestJson.ts
@@ -3,6 +3,12 @@
  */
 import type { Dispatcher, Pool } from 'undici';
 
+/**
+ * Why a request that may have been received has no complete response. `connection-lost`: the connection was closed
+ * or reset by the other side or by the network. `given-up`: it was ended here, such as by its timeout.
+ */
+export type BreakCause = 'connection-lost' | 'given-up' | 'invalid-response';
+
 /**
  * Outcome of a request. `not-sent`: the server received nothing. `broken`: the request may have been
  * received, but there is no complete response in JSON.
@@ -10,7 +16,10 @@
 export type HttpExchange =
   | { readonly kind: 'answered'; readonly status: number; readonly body: unknown }
   | { readonly kind: 'not-sent'; readonly detail: string }
-  | { readonly kind: 'broken'; readonly detail: string };
+  | { readonly kind: 'broken'; readonly cause: BreakCause; readonly detail: string };
+
+/** Codes of errors that end a connection in use from outside this process. */
+const lostConnectionCodes: readonly string[] = ['UND_ERR_SOCKET', 'ECONNRESET', 'EPIPE'];
 
 /** Outcome of a request whose response is not parsed. */
 export type RawExchange =
@@ -51,7 +60,7 @@
     const body = JSON.parse(exchange.bytes.toString('utf8')) as unknown;
     return { kind: 'answered', status: exchange.status, body };
   } catch (error) {
-    return { kind: 'broken', detail: String(error) };
+    return { kind: 'broken', cause: 'invalid-response', detail: String(error) };
   }
 };
 
@@ -80,6 +89,8 @@
   private status = 0;
   private controller: Dispatcher.DispatchController | undefined;
   private isEnded = false;
+  /** Whether this process has ended the request. */
+  private isGivenUp = false;
   private readonly timer: NodeJS.Timeout | undefined;
   private readonly abortBySignal = (): void => this.abort('The request was given up.');
 
@@ -122,6 +133,7 @@
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this.bytes += chunk.length;
     if (this.bytes > this.request.maxBytes) {
+      this.isGivenUp = true;
       controller.abort(new Error(`The answer has more than ${this.request.maxBytes} bytes.`));
       return;
     }
@@ -137,8 +149,21 @@
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
     // The code proves nothing: a connection in use can fail with the ones of a failed attempt to connect.
-    const kind = this.controller === undefined ? 'not-sent' : 'broken';
-    this.end({ kind, detail: String(error) });
+    const detail = String(error);
+    this.end(
+      this.controller === undefined
+        ? { kind: 'not-sent', detail }
+        : { kind: 'broken', cause: this.causeOf(error), detail },
+    );
+  }
+
+  private causeOf(error: Error): BreakCause {
+    if (this.isGivenUp) {
+      return 'given-up';
+    }
+    return lostConnectionCodes.includes(errorCodeOf(error))
+      ? 'connection-lost'
+      : 'invalid-response';
   }
 
   /** Defers the abort: after a stall of this process, a response that has arrived is read first. */
@@ -151,6 +176,7 @@
       this.end({ kind: 'not-sent', detail });
       return;
     }
+    this.isGivenUp = true;
     this.controller.abort(new Error(detail));
   }
 
@@ -165,6 +191,9 @@
   }
 }
 
+const errorCodeOf = (error: Error): string =>
+  'code' in error && typeof error.code === 'string' ? error.code : '';
+
 const createHeaders = ({ token, headers }: HttpRequest): Record<string, string> => ({
   'content-type': 'application/json',
   ...(token === undefined ? {} : { authorization: `Bearer ${token}` }),
--- a/src/dispatch/runEvidence.ts
+++ b/src/dispatch/runEvidence.ts
@@ -135,6 +135,7 @@
     case 'unhealthy':
     case 'unreachable':
       return notCarriedOut(reply.kind);
+    case 'disconnected':
     case 'no-answer':
       return { kind: 'unknown', reason: `no answer to its start: ${reply.detail}` };
     default:
--- a/src/dispatch/runOrders.ts
+++ b/src/dispatch/runOrders.ts
@@ -97,6 +97,7 @@
       case 'replaced':
       case 'unhealthy':
       case 'unreachable':
+      case 'disconnected':
       case 'no-answer':
         return;
       default:
@@ -140,6 +141,7 @@
       case 'started':
       case 'invalid':
       case 'stale-token':
+      case 'disconnected':
       case 'no-answer':
         return;
       default:
--- a/src/dispatch/workerReports.ts
+++ b/src/dispatch/workerReports.ts
@@ -202,6 +202,7 @@
         return;
       case 'unhealthy':
       case 'unreachable':
+      case 'disconnected':
       case 'no-answer':
         await this.pauseAfterFailedHold(failure.kind);
         return;
--- a/src/ports/workers.ts
+++ b/src/ports/workers.ts
@@ -29,7 +29,7 @@
   readonly waitMs: number;
 }
 
-/** Why an order failed; in all cases but `no-answer`, the worker certainly did nothing. */
+/** Why an order failed; in all cases but the last two, the worker certainly did nothing. */
 export type OrderFailure =
   /** A newer dispatcher has used a higher fencing token. */
   | { readonly kind: 'stale-token' }
@@ -39,6 +39,11 @@
   | { readonly kind: 'unhealthy'; readonly status: number }
   /** No connection could be opened, so nothing was sent. */
   | { readonly kind: 'unreachable'; readonly detail: string }
+  /**
+   * The connection was closed or reset before the answer. The order may have been carried out. A crash of the
+   * worker shows so, but a fault of the network can look the same.
+   */
+  | { readonly kind: 'disconnected'; readonly detail: string }
   /** The order may have been carried out, or may still be. */
   | { readonly kind: 'no-answer'; readonly detail: string };
 
--- a/src/testing/model/modelNetwork.ts
+++ b/src/testing/model/modelNetwork.ts
@@ -26,6 +26,8 @@
   | { readonly kind: 'answered'; readonly value: T }
   /** Nothing was sent. */
   | { readonly kind: 'not-sent' }
+  /** The callee ended before its answer, and the caller saw the connection close. */
+  | { readonly kind: 'disconnected' }
   /** It may have been carried out. */
   | { readonly kind: 'no-answer' };
 
@@ -99,7 +101,7 @@
     }
     const result = await carryOut().then(
       (value): CallResult<T> => ({ kind: 'answered', value }),
-      (): CallResult<T> => ({ kind: 'no-answer' }),
+      (): CallResult<T> => ({ kind: 'disconnected' }),
     );
     return (await this.pass(key)) ? result : undefined;
   }
--- a/src/testing/model/modelWorkers.ts
+++ b/src/testing/model/modelWorkers.ts
@@ -125,6 +125,8 @@
         return result.value;
       case 'not-sent':
         return { kind: 'unreachable', detail: 'connection refused' };
+      case 'disconnected':
+        return { kind: 'disconnected', detail: 'connection reset' };
       case 'no-answer':
         return { kind: 'no-answer', detail: 'no answer' };
       default:
@@ -148,7 +150,10 @@
     if (worker === undefined || life === undefined) {
       return never();
     }
-    const reply = await Promise.race([order(life), worker.lifeEnd.then(() => lostConnection())]);
+    const ended = worker.lifeEnd.then(() =>
+      worker.down === 'silent' ? never<T>() : lostConnection(),
+    );
+    const reply = await Promise.race([order(life), ended]);
     return fault === undefined && worker.fault !== 'mute' ? { reply, life } : never();
   }
 }
