Fail a job for crashes only where they are proved to have been under its task

A job was answered `failed` ("its workers crash") though no worker had crashed under its task. `isOver` in `lapsedRuns.ts` took every end of the lifetime in which a run had begun as a crash under the run, whenever it was: a worker that is cut off until its lease has ended, and crashes only then, counted, and two of them ended the job. The direct path (`gone-with-lifetime`) did the same for a report that comes before the lapse is recorded.

The evidence is a type now, judged in one place (`lifetimeEnd.ts`):

- `under-run`: the later lifetime began, by its own clock and at the latest, while an acknowledged lease covered the run (`leaseCover.ts`: a lower bound, where `LeaseClock` holds the upper one), and before a stop was ordered;
- `likely-under-run`: a connection broke while the run was covered, and its lifetime has not answered since;
- `unclear`: everything else; `none` if the lifetime of the run answers.

Two proved crashes fail a task, as before. Two proved or likely ones, or five that are proved or possible, end its starts without failing it (`lossCounts.ts`): the dispatcher answers `withdrawn` with a reason, and the job is given up at once. The counts are shared by heartbeats and returned tasks as optional fields. A worker that answers in the lifetime of the run is taken off the count. The log says which evidence there was and what was left of the lease.

--- a/src/bestEffort/stepRun.ts
+++ b/src/bestEffort/stepRun.ts
@@ -236,7 +236,7 @@
       case 'expired':
         return { kind: 'refused', reason: 'it could no longer end in time', waitMs: 0 };
       case 'withdrawn':
-        return { kind: 'given-up', reason: 'its dispatcher withdrew it' };
+        return { kind: 'given-up', reason: end.reason ?? 'its dispatcher withdrew it' };
       default:
         return unreachable(end);
     }
--- a/src/dispatch/activeRun.ts
+++ b/src/dispatch/activeRun.ts
@@ -26,6 +26,10 @@
   stopAcknowledgedAtMs: number | undefined;
   /** Start of the worker's lifetime in which the run is proved to have begun; undefined before that. */
   lifetimeMs: number | undefined;
+  /** Until when an acknowledged lease certainly covers the run, and no stop may end it, in monotonic time. */
+  coveredUntilMs: number;
+  /** When a connection to the worker broke while the run was covered, if it has not listed the run since. */
+  disconnectedAtMs: number | undefined;
 }
 
 /** The part of a run that is known before its start is ordered. */
@@ -44,9 +48,30 @@
     startedAtMs: undefined,
     stopAcknowledgedAtMs: undefined,
     lifetimeMs: undefined,
+    coveredUntilMs: -Infinity,
+    disconnectedAtMs: undefined,
   };
 };
 
+/** Records that a connection to the worker of some runs has broken, for those that an acknowledged lease covers. */
+export const recordDisconnection = (runs: readonly ActiveRun[], nowMs: number): void =>
+  runs
+    .filter(({ coveredUntilMs }) => nowMs <= coveredUntilMs)
+    .forEach((run) => (run.disconnectedAtMs ??= nowMs));
+
+/** Records until when a lease covers a run that its worker has acknowledged, unless a stop may end it before. */
+export const recordCover = (run: ActiveRun, coveredUntilMs: number): void => {
+  if (run.phase !== 'stopping') {
+    run.coveredUntilMs = Math.max(run.coveredUntilMs, coveredUntilMs);
+  }
+};
+
+/** Records that a run is being stopped: from now on it may end before its lease does. */
+export const recordStopOrder = (run: ActiveRun, nowMs: number): void => {
+  run.phase = 'stopping';
+  run.coveredUntilMs = Math.min(run.coveredUntilMs, nowMs);
+};
+
 /**
  * Records that the worker has a run.
  *
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -1,7 +1,6 @@
 /**
  * Runs batches of tasks on the workers to which this daemon alone dispatches.
  */
-import { unreachable } from '../errors/unreachable.js';
 import { causeLabel } from '../explain/causeLabel.js';
 import type { MemberLoad } from '../types/fleet.js';
 import type { Clock } from '../ports/clock.js';
@@ -16,13 +15,13 @@
 import { BatchTable } from './batchTable.js';
 import { CrashSuspects } from './crashSuspects.js';
 import { LapsedRuns } from './lapsedRuns.js';
+import { LostRuns } from './lostRuns.js';
 import type { ManagedWorker } from './managedWorker.js';
 import { TaskRetries } from './taskRetries.js';
 import { recordOutcome } from './recordOutcome.js';
-import { describeEvidence, suspicionOf } from './runEvidence.js';
+import { describeEvidence } from './runEvidence.js';
 import type { RunEvidence } from './runEvidence.js';
 import { OpenBatch } from './openBatch.js';
-import type { AnsweringLifetime } from './workerLifetime.js';
 import { WorkerPool } from './workerPool.js';
 import { TaskStarter } from './taskStarter.js';
 import type { Batch, BatchReply, TaskEnd } from '../types/dispatch.js';
@@ -44,11 +43,11 @@
 export class Dispatcher {
   /** Tasks under which workers were lost, here or at other dispatchers. */
   readonly suspects: CrashSuspects;
-  private readonly lapsedRuns: LapsedRuns;
   private readonly batches: BatchTable;
   private readonly workers: WorkerPool;
   private readonly starter: TaskStarter;
   private readonly retries: TaskRetries;
+  private readonly lostRuns: LostRuns;
   private readonly logger: Logger;
 
   private constructor(private readonly options: DispatcherOptions) {
@@ -56,14 +55,13 @@
     this.logger = logger;
     this.batches = BatchTable.create(options.clock);
     this.suspects = CrashSuspects.create(options.clock);
-    this.lapsedRuns = LapsedRuns.create(options.clock);
     const supervisor = TaskSupervisor.create(options);
     this.workers = WorkerPool.create({
       ...options,
       logger,
       supervisor,
       onEnd: (worker, run, evidence) => this.ended(worker, run, evidence),
-      onLifetime: (workerId, answering) => this.resolveLapsedRuns(workerId, answering),
+      onLifetime: (workerId, answering) => this.lostRuns.resolveLapsed(workerId, answering),
       onAvailabilityChange: () => this.starter.startReadyTasks(),
     });
     this.starter = TaskStarter.create({
@@ -73,8 +71,10 @@
       workers: this.workers,
       awaitsProof: (task) => this.retries.awaitsProof(task),
     });
-    const { starter, suspects, lapsedRuns } = this;
+    const { starter, suspects } = this;
+    const lapsedRuns = LapsedRuns.create(options.clock);
     this.retries = TaskRetries.create({ logger, starter, suspects, lapsedRuns });
+    this.lostRuns = LostRuns.create({ logger, lapsedRuns, retries: this.retries });
   }
 
   static create(options: DispatcherOptions): Dispatcher {
@@ -249,39 +249,9 @@
       expectedMs: Math.round(run.expectedMs),
       ...description,
     });
-    this.recordSuspicion(worker.workerId, run, evidence);
+    this.lostRuns.recordEnd(worker.workerId, run, evidence);
     if (!run.task.hasEnded) {
       this.retries.endOrRetry(run.task, evidence, { workerId: worker.workerId, slowness });
     }
   }
-
-  private recordSuspicion(
-    workerId: string,
-    { task, taskName, lifetimeMs, startedAtMs }: ActiveRun,
-    evidence: RunEvidence,
-  ): void {
-    const suspicion = suspicionOf(evidence);
-    switch (suspicion) {
-      case 'none':
-        return;
-      case 'suspected':
-        this.retries.recordLostWorker(task);
-        this.lapsedRuns.remember({ workerId, taskName, task, lifetimeMs, startedAtMs });
-        return;
-      case 'crashed':
-        this.retries.recordLostWorker(task);
-        this.retries.recordCrash(task);
-        return;
-      default:
-        return unreachable(suspicion);
-    }
-  }
-
-  /** Counts a crash under the runs that lapsed in a lifetime of their worker that is over. */
-  private resolveLapsedRuns(workerId: string, answering: AnsweringLifetime): void {
-    for (const { task, taskName } of this.lapsedRuns.resolve(workerId, answering)) {
-      this.logger.warn('A worker has crashed under a run that lapsed.', { workerId, taskName });
-      this.retries.recordCrash(task);
-    }
-  }
 }
--- a/src/dispatch/lapsedRuns.ts
+++ b/src/dispatch/lapsedRuns.ts
@@ -1,28 +1,28 @@
 /**
  * Runs that lapsed while their worker was silent, until the worker answers again: only then it shows
- * whether it has crashed under them, in another lifetime, or was cut off and goes on.
+ * whether its lifetime is over, and what that proves.
  */
-import { unreachable } from '../errors/unreachable.js';
 import type { Clock } from '../ports/clock.js';
+import { judgeLifetimeEnd } from './lifetimeEnd.js';
+import type { CoveredRun, LifetimeEnd } from './lifetimeEnd.js';
 import type { BatchedTask } from './openBatch.js';
 import type { AnsweringLifetime } from './workerLifetime.js';
 
 const maxRememberedRuns = 1_024;
-/**
- * A task waits this long for the proof whether a worker has crashed under it; what the worker answers later
- * says nothing of the run any more.
- */
+/** A task waits this long until its worker answers. */
 const maxProofWaitMs = 5_000;
 
 /** A run whose leases ended while its worker was silent. */
-export interface LapsedRun {
+export interface LapsedRun extends CoveredRun {
   readonly workerId: string;
   readonly taskName: string;
   readonly task: BatchedTask;
-  /** Start of the worker's lifetime in which the run began, if it is known. */
-  readonly lifetimeMs: number | undefined;
-  /** When the worker acknowledged the start, in monotonic time; undefined if it did not. */
-  readonly startedAtMs: number | undefined;
+}
+
+/** A lapsed run, and what the lifetime that answers proves of it. */
+export interface ResolvedRun {
+  readonly run: LapsedRun;
+  readonly end: LifetimeEnd;
 }
 
 interface RememberedRun extends LapsedRun {
@@ -51,9 +51,9 @@
    *
    * @param workerId - the worker
    * @param answering - the lifetime that answers at its address
-   * @returns the runs that have gone with an earlier lifetime
+   * @returns what it proves of the runs
    */
-  resolve(workerId: string, answering: AnsweringLifetime): LapsedRun[] {
+  resolve(workerId: string, answering: AnsweringLifetime): ResolvedRun[] {
     const resolved = this.runs.filter((run) => run.workerId === workerId);
     if (
       resolved.length === 0 ||
@@ -62,10 +62,10 @@
       return [];
     }
     this.runs = this.runs.filter((run) => run.workerId !== workerId);
-    return resolved.filter((run) => this.isAwaited(run) && isOver(run, answering));
+    return resolved.map((run) => ({ run, end: judgeLifetimeEnd(run, answering) }));
   }
 
-  /** Counts the runs of a task for which the proof is still worth a wait. */
+  /** Counts the runs of a task for which the answer of the worker is still worth a wait. */
   countAwaited(taskName: string): number {
     return this.runs.filter((run) => run.taskName === taskName && this.isAwaited(run)).length;
   }
@@ -74,17 +74,3 @@
     return this.clock.nowMs() - lapsedAtMs < maxProofWaitMs;
   }
 }
-
-/** Whether the lifetime in which a run began is over. */
-const isOver = ({ lifetimeMs, startedAtMs }: LapsedRun, answering: AnsweringLifetime): boolean => {
-  switch (answering.kind) {
-    case 'reported':
-      return lifetimeMs === undefined
-        ? startedAtMs !== undefined && startedAtMs < answering.earliestStartMs
-        : answering.startedAtMs !== lifetimeMs;
-    case 'replaced':
-      return true;
-    default:
-      return unreachable(answering);
-  }
-};
--- /dev/null
+++ b/src/dispatch/lifetimeEnd.ts
@@ -0,0 +1,119 @@
+/**
+ * Judges what the lifetime that answers at a worker's address proves of a run that an earlier one may have had: whether
+ * the worker has crashed under it. That a lifetime is over says nothing of when it ended. It may have been after the
+ * run's lease, when nothing of the task ran there any more.
+ */
+import { unreachable } from '../errors/unreachable.js';
+import type { ActiveRun } from './activeRun.js';
+import type { AnsweringLifetime } from './workerLifetime.js';
+
+/** What is known of the end of the lifetime in which a run began. */
+export type LifetimeEnd =
+  /** It has not ended: the worker has not crashed. */
+  | { readonly kind: 'none' }
+  /** Proof of a crash under the run: a later lifetime began while an acknowledged lease covered it. */
+  | { readonly kind: 'under-run'; readonly beforeLeaseEndMs: number }
+  /**
+   * Likely a crash under the run: a connection broke while a lease covered it, and the lifetime has not answered
+   * since. A cut can reset connections too, and the worker can crash behind it after the lease.
+   */
+  | { readonly kind: 'likely-under-run'; readonly beforeLeaseEndMs: number }
+  /** Nothing tells whether it ended before or after the run did. */
+  | { readonly kind: 'unclear'; readonly afterLeaseEndMs: number | undefined };
+
+/** Whether the earlier lifetime of a worker was expected to end. */
+export type Departure = 'crash' | 'expected';
+
+/**
+ * How the lifetime in which a run began has ended: by a crash that is proved to have been under the run, by one that
+ * is likely to have been, at an unclear time, or as expected.
+ */
+export type RunDeparture = Departure | 'likely-crash' | 'unclear';
+
+/** What a report tells of the lifetime that it is of, and of an earlier one. */
+interface LaterReport {
+  /** Start of the lifetime, if it is stated. */
+  readonly lifetimeMs: number | undefined;
+  /** Latest start of the lifetime, in monotonic time. */
+  readonly latestStartMs: number;
+  /** Whether an earlier lifetime was expected to end. */
+  readonly departure: Departure;
+}
+
+/** What is known of a run of an earlier lifetime. */
+export type CoveredRun = Pick<
+  ActiveRun,
+  'startSentAtMs' | 'startedAtMs' | 'lifetimeMs' | 'coveredUntilMs' | 'disconnectedAtMs'
+>;
+
+/** Judges the end of the lifetime in which a run began by the one that answers now. */
+export const judgeLifetimeEnd = (run: CoveredRun, answering: AnsweringLifetime): LifetimeEnd => {
+  switch (answering.kind) {
+    case 'replaced':
+      return judgeDisconnection(run, undefined);
+    case 'reported': {
+      const { latestStartMs } = answering;
+      if (isSameLifetime(run, answering)) {
+        return { kind: 'none' };
+      }
+      if (!isLater(run, answering)) {
+        return { kind: 'unclear', afterLeaseEndMs: undefined };
+      }
+      const beforeLeaseEndMs = run.coveredUntilMs - latestStartMs;
+      return beforeLeaseEndMs > 0
+        ? { kind: 'under-run', beforeLeaseEndMs }
+        : judgeDisconnection(run, -beforeLeaseEndMs);
+    }
+    default:
+      return unreachable(answering);
+  }
+};
+
+/** Judges how the earlier lifetime of a worker has ended that a run began in. */
+export const judgeDeparture = (
+  run: ActiveRun,
+  { lifetimeMs, latestStartMs, departure }: LaterReport,
+): RunDeparture => {
+  if (departure === 'expected') {
+    return departure;
+  }
+  const end = judgeLifetimeEnd(run, {
+    kind: 'reported',
+    startedAtMs: lifetimeMs,
+    earliestStartMs: -Infinity,
+    latestStartMs,
+  });
+  switch (end.kind) {
+    case 'under-run':
+      return 'crash';
+    case 'likely-under-run':
+      return 'likely-crash';
+    case 'none':
+    case 'unclear':
+      return 'unclear';
+    default:
+      return unreachable(end);
+  }
+};
+
+const judgeDisconnection = (
+  { coveredUntilMs, disconnectedAtMs }: CoveredRun,
+  afterLeaseEndMs: number | undefined,
+): LifetimeEnd =>
+  disconnectedAtMs === undefined
+    ? { kind: 'unclear', afterLeaseEndMs }
+    : { kind: 'likely-under-run', beforeLeaseEndMs: coveredUntilMs - disconnectedAtMs };
+
+/** Whether the lifetime that answers is certainly the one in which a run began. */
+const isSameLifetime = (
+  { lifetimeMs, startSentAtMs }: CoveredRun,
+  { startedAtMs, latestStartMs }: Extract<AnsweringLifetime, { kind: 'reported' }>,
+): boolean =>
+  lifetimeMs === undefined ? latestStartMs < startSentAtMs : startedAtMs === lifetimeMs;
+
+/** Whether the lifetime that answers has certainly begun after a run was accepted by an earlier one. */
+const isLater = (
+  { lifetimeMs, startedAtMs: acceptedAtMs }: CoveredRun,
+  { earliestStartMs }: Extract<AnsweringLifetime, { kind: 'reported' }>,
+): boolean =>
+  lifetimeMs !== undefined || (acceptedAtMs !== undefined && acceptedAtMs < earliestStartMs);
--- a/src/dispatch/openBatch.ts
+++ b/src/dispatch/openBatch.ts
@@ -4,6 +4,8 @@
  */
 import { createDeferred } from '../utils/deferred.js';
 import type { Batch, TaskEnd } from '../types/dispatch.js';
+import { highestLosses, noLosses } from './lossCounts.js';
+import type { LossCounts } from './lossCounts.js';
 
 /** A task of a batch and the state of its runs. */
 export interface BatchedTask {
@@ -15,9 +17,7 @@
   /** Runs that have failed so far, on other dispatchers too. */
   failedRuns: number;
   /** Workers that were silent or crashed while they ran it, on other dispatchers too. */
-  lostWorkers: number;
-  /** Those of the lost workers that are proved to have crashed. */
-  crashedWorkers: number;
+  losses: LossCounts;
   /** Workers on which a run failed, was lost or did not start; they get no further run of it. */
   readonly avoidedWorkerIds: Set<string>;
   hasEnded: boolean;
@@ -44,13 +44,12 @@
     this.objectiveAtMs = arrivedAtMs + content.objectiveInMs;
     this.giveUpAtMs = arrivedAtMs + content.giveUpInMs;
     this.expiresAtMs = arrivedAtMs + content.expiresInMs;
-    this.tasks = content.tasks.map(({ index, nextRun, failedRuns, ...counts }) => ({
+    this.tasks = content.tasks.map(({ index, nextRun, failedRuns, ...losses }) => ({
       batch: this,
       index,
       nextRun,
       failedRuns,
-      lostWorkers: counts.lostWorkers,
-      crashedWorkers: counts.crashedWorkers ?? 0,
+      losses: highestLosses(noLosses, losses),
       avoidedWorkerIds: new Set<string>(),
       hasEnded: false,
     }));
--- a/src/dispatch/reportProcessor.spec.ts
+++ b/src/dispatch/reportProcessor.spec.ts
@@ -23,6 +23,8 @@
     startedAtMs: 1,
     stopAcknowledgedAtMs: 100,
     lifetimeMs: undefined,
+    coveredUntilMs: -Infinity,
+    disconnectedAtMs: undefined,
   };
   const runs = RunTable.create(() => undefined);
   const processor = ReportProcessor.create({
@@ -35,7 +37,9 @@
   const requestedAt = (requestedAtMs: number): ReportContext => ({
     requestedAtMs,
     lifetimeMs: undefined,
+    latestStartMs: Infinity,
     departure: 'crash',
+    coveredUntilMs: undefined,
   });
   runs.add(run);
   processor.apply(report, requestedAt(120));
--- a/src/dispatch/reportProcessor.ts
+++ b/src/dispatch/reportProcessor.ts
@@ -4,6 +4,7 @@
  */
 import type { Clock } from '../ports/clock.js';
 import type { ReportedEnd, ReportedRun, WorkerReport } from '../types/workers.js';
+import { recordCover } from './activeRun.js';
 import type { ActiveRun } from './activeRun.js';
 import { evidenceOfListedEnd, evidenceOfUnlistedRun } from './runEvidence.js';
 import type { ReportContext } from './runEvidence.js';
@@ -68,7 +69,7 @@
   /** @returns the run of the table that a reported run is, or undefined if it is orphaned */
   private matchRunning(
     reported: ReportedRun,
-    { lifetimeMs }: ReportContext,
+    { requestedAtMs, lifetimeMs, coveredUntilMs }: ReportContext,
   ): ActiveRun | undefined {
     const { runs, onStart, onOrphan } = this.options;
     const run = runs.get(reported.taskName);
@@ -77,6 +78,11 @@
       return undefined;
     }
     run.lifetimeMs = lifetimeMs ?? run.lifetimeMs;
+    const wasRenewed = run.startedAtMs !== undefined && run.startedAtMs <= requestedAtMs;
+    if (wasRenewed && coveredUntilMs !== undefined) {
+      recordCover(run, coveredUntilMs);
+    }
+    run.disconnectedAtMs = undefined;
     onStart(run);
     return run;
   }
--- a/src/dispatch/runEvidence.ts
+++ b/src/dispatch/runEvidence.ts
@@ -6,6 +6,8 @@
 import type { StartReply } from '../ports/workers.js';
 import type { RunEndKind } from '../types/workers.js';
 import type { ActiveRun } from './activeRun.js';
+import { judgeDeparture } from './lifetimeEnd.js';
+import type { Departure, RunDeparture } from './lifetimeEnd.js';
 
 /** How the worker listed the end of a run. */
 export type ListedEnd =
@@ -29,9 +31,6 @@
   /** Another daemon dispatches to it. */
   | 'fenced';
 
-/** Whether the earlier lifetime of a worker was expected to end. */
-export type Departure = 'crash' | 'expected';
-
 export type RunEvidence =
   | { readonly kind: 'ended'; readonly end: ListedEnd }
   /** The worker has confirmed the stop, and a later report does not list the run. */
@@ -39,7 +38,7 @@
   /** Every lease that could cover the run is over by the worker's clock, however slow that is. */
   | { readonly kind: 'lapsed'; readonly cause: Silence }
   /** The run began in a lifetime of the worker that is over, since a later one has reported. */
-  | { readonly kind: 'gone-with-lifetime'; readonly departure: Departure }
+  | { readonly kind: 'gone-with-lifetime'; readonly departure: RunDeparture }
   | { readonly kind: 'never-accepted'; readonly refusal: Refusal }
   /** A report that was requested after the acknowledgement of the start does not list the run. */
   | { readonly kind: 'absent' }
@@ -55,8 +54,12 @@
   readonly requestedAtMs: number;
   /** Lifetime of the worker that the report is of, if it states it. */
   readonly lifetimeMs: number | undefined;
+  /** Latest start of that lifetime, in monotonic time. */
+  readonly latestStartMs: number;
   /** Whether an earlier lifetime was expected to end. */
   readonly departure: Departure;
+  /** Earliest end of the lease that was renewed with the request, in monotonic time, if one was. */
+  readonly coveredUntilMs: number | undefined;
 }
 
 /** What follows for the task of a run. */
@@ -69,8 +72,11 @@
   /** It may still run. */
   | { readonly kind: 'must-not-start' };
 
-/** What a run says about its task as the cause of a crash: nothing, a suspicion, or a crash under it. */
-export type Suspicion = 'none' | 'suspected' | 'crashed';
+/**
+ * What a run says about its task as the cause of a crash: nothing, or a lost worker under it. A silent one may turn out
+ * not to have crashed.
+ */
+export type Suspicion = 'none' | 'suspected' | 'crashed' | 'likely' | 'unclear';
 
 /**
  * Time from the acknowledgement of a stop until the run has certainly ended. It uses its capacity until then,
@@ -93,7 +99,7 @@
 /** Judges a run that is not in a report of its worker, neither as running nor as ended. */
 export const evidenceOfUnlistedRun = (run: ActiveRun, report: ReportContext): RunEvidence => {
   if (hasOtherLifetime(run, report)) {
-    return { kind: 'gone-with-lifetime', departure: report.departure };
+    return { kind: 'gone-with-lifetime', departure: judgeDeparture(run, report) };
   }
   const { startedAtMs, stopAcknowledgedAtMs } = run;
   switch (run.phase) {
@@ -192,13 +198,13 @@
 };
 
 /**
- * Judges the task of a run as the cause of a crash. Silence proves no crash, but the task is run alone from
- * then on; a worker that was expected to leave is not held against it.
+ * Judges the task of a run as the cause of a crash. Neither silence nor the end of a lifetime at an unclear time proves
+ * one, but the task is run alone from then on; a worker that was expected to leave is not held against it.
  */
 export const suspicionOf = (evidence: RunEvidence): Suspicion => {
   switch (evidence.kind) {
     case 'gone-with-lifetime':
-      return evidence.departure === 'crash' ? 'crashed' : 'none';
+      return suspicionOfDeparture(evidence.departure);
     case 'lapsed':
       return evidence.cause === 'silent' ? 'suspected' : 'none';
     case 'ended':
@@ -212,6 +218,21 @@
   }
 };
 
+const suspicionOfDeparture = (departure: RunDeparture): Suspicion => {
+  switch (departure) {
+    case 'crash':
+      return 'crashed';
+    case 'likely-crash':
+      return 'likely';
+    case 'unclear':
+      return 'unclear';
+    case 'expected':
+      return 'none';
+    default:
+      return unreachable(departure);
+  }
+};
+
 /** Describes what is known of a run, for logs and metrics. */
 export const describeEvidence = (
   evidence: RunEvidence,
--- a/src/dispatch/runOrders.ts
+++ b/src/dispatch/runOrders.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
 import type { StartReply } from '../ports/workers.js';
+import { recordDisconnection, recordStopOrder } from './activeRun.js';
 import type { ActiveRun } from './activeRun.js';
 import { evidenceOfStartReply, maxStopMs } from './runEvidence.js';
 import type { RunTable } from './runTable.js';
@@ -46,7 +47,7 @@
   /** Repeats the stop order until the run is no longer in the table. */
   async stop(run: ActiveRun): Promise<void> {
     const { clock, link, runs, poll } = this.options;
-    run.phase = 'stopping';
+    recordStopOrder(run, clock.nowMs());
     while (runs.has(run)) {
       const { startedAtMs } = link.lifetime;
       const isStopped = await link.stop(run.taskName, run.run);
@@ -80,7 +81,7 @@
 
   /** Learns from a reply to a start which lifetime of the worker it is of, and reads the worker's clock. */
   private observeReply(run: ActiveRun, reply: StartReply, requestedAtMs: number): void {
-    const { link, onNewLifetime } = this.options;
+    const { clock, link, runs, onNewLifetime } = this.options;
     switch (reply.kind) {
       case 'started':
       case 'refused':
@@ -92,12 +93,14 @@
           run.lifetimeMs ??= link.lifetime.provenBy(reply, requestedAtMs);
         }
         return;
+      case 'disconnected':
+        recordDisconnection(runs.list(), clock.nowMs());
+        return;
       case 'invalid':
       case 'stale-token':
       case 'replaced':
       case 'unhealthy':
       case 'unreachable':
-      case 'disconnected':
       case 'no-answer':
         return;
       default:
--- a/src/dispatch/suspectIsolation.ts
+++ b/src/dispatch/suspectIsolation.ts
@@ -9,7 +9,7 @@
 const maxReservedShare = 1 / 3;
 
 /** Whether a worker was silent or crashed while it ran the task. */
-export const isSuspect = ({ lostWorkers }: BatchedTask): boolean => lostWorkers > 0;
+export const isSuspect = ({ losses }: BatchedTask): boolean => losses.lostWorkers > 0;
 
 /**
  * Finds the worker that is kept free for a suspect, and keeps one free if there is none: the one that is
--- a/src/dispatch/taskRetries.ts
+++ b/src/dispatch/taskRetries.ts
@@ -1,12 +1,20 @@
 /**
- * Decides what follows for a task when a run of it has ended: its end, another run, or that it is given up
- * since its workers crash.
+ * Decides what follows for a task when a run of it has ended: its end, another run, or that it is not started again
+ * since its workers crash, or may have.
  */
 import { unreachable } from '../errors/unreachable.js';
 import type { Logger } from '../ports/logger.js';
-import { highestCounts, maxCrashedWorkers } from './crashSuspects.js';
 import type { CrashSuspects } from './crashSuspects.js';
 import type { LapsedRuns } from './lapsedRuns.js';
+import {
+  addLoss,
+  consequenceOfLosses,
+  highestLosses,
+  isDecidedBy,
+  settleLoss,
+  toStatedLosses,
+} from './lossCounts.js';
+import type { LossKind, SettledLoss } from './lossCounts.js';
 import type { BatchedTask } from './openBatch.js';
 import { consequenceOf } from './runEvidence.js';
 import type { RunEvidence, TaskConsequence } from './runEvidence.js';
@@ -39,41 +47,40 @@
 
   /** Queues a new task, unless it is known to crash its workers. */
   enqueueNew(task: BatchedTask): void {
-    this.enqueueOrFail(task);
+    this.enqueueOrEnd(task);
   }
 
   /**
    * Counts a lost worker under a task. A task whose job has ended is counted as well, since its job may be
    * submitted again.
    */
-  recordLostWorker(task: BatchedTask): void {
+  recordLoss(task: BatchedTask, kind: LossKind): void {
     this.updateCounts(task);
-    task.lostWorkers += 1;
+    task.losses = addLoss(task.losses, kind);
     this.announce(task);
+    this.judgeWaiting(task);
   }
 
-  /** Counts a lost worker that is proved to have crashed; tasks that wait under this name may be given up. */
-  recordCrash(task: BatchedTask): void {
-    const { starter } = this.options;
-    this.updateCounts(task);
-    task.crashedWorkers += 1;
-    this.announce(task);
+  /** Counts what an unclear loss has turned out to be; tasks that wait under this name may end by it. */
+  settleLoss(task: BatchedTask, settled: SettledLoss): void {
+    const { starter, suspects } = this.options;
     const taskName = taskNameOf(task);
-    for (const waiting of starter.listWaiting()) {
-      if (taskNameOf(waiting) === taskName) {
-        starter.remove(waiting);
-        this.enqueueOrFail(waiting);
-      }
+    this.updateCounts(task);
+    const waiting = starter.listWaiting().filter((one) => taskNameOf(one) === taskName);
+    for (const one of new Set([task, ...waiting])) {
+      one.losses = settleLoss(one.losses, settled);
     }
+    suspects.settle(taskName, settled);
+    this.announce(task);
+    this.judgeWaiting(task);
   }
 
   /**
-   * Whether a task waits until it is known whether the workers that were silent under it have crashed, since
-   * it would be given up if they have.
+   * Whether a task waits until the workers that were silent under it answer, since it may not be started again
+   * if they have crashed.
    */
   awaitsProof(task: BatchedTask): boolean {
-    const awaited = this.options.lapsedRuns.countAwaited(taskNameOf(task));
-    return awaited > 0 && task.crashedWorkers + awaited >= maxCrashedWorkers;
+    return isDecidedBy(task.losses, this.options.lapsedRuns.countAwaited(taskNameOf(task)));
   }
 
   /** Ends the task of a run, or queues it for another run if what is known of the run allows it. */
@@ -119,38 +126,64 @@
       default:
         return unreachable(why);
     }
-    this.enqueueOrFail(task);
+    this.enqueueOrEnd(task);
     this.options.starter.startReadyTasks();
   }
 
+  /** Ends the tasks that wait under the name of a task, if they may not start again. */
+  private judgeWaiting(task: BatchedTask): void {
+    const { starter } = this.options;
+    const taskName = taskNameOf(task);
+    for (const waiting of starter.listWaiting()) {
+      if (taskNameOf(waiting) === taskName) {
+        starter.remove(waiting);
+        this.enqueueOrEnd(waiting);
+      }
+    }
+  }
+
   /** Queues a task for a run, unless it has failed too often or too many workers have crashed under it. */
-  private enqueueOrFail(task: BatchedTask): void {
+  private enqueueOrEnd(task: BatchedTask): void {
+    const { logger, starter } = this.options;
     this.updateCounts(task);
-    const { batch, index, failedRuns, crashedWorkers } = task;
+    const { batch, index, failedRuns, losses } = task;
     if (failedRuns >= batch.content.maxFailedRuns) {
       batch.end(task, { kind: 'failed', index, reason: `${failedRuns} runs failed` });
       return;
     }
-    if (crashedWorkers >= maxCrashedWorkers) {
-      this.options.logger.warn('A task is given up, since its workers crash.', {
-        taskName: taskNameOf(task),
-        count: crashedWorkers,
-      });
-      batch.end(task, { kind: 'failed', index, reason: 'its workers crash' });
-      return;
+    const consequence = consequenceOfLosses(losses);
+    const taskName = taskNameOf(task);
+    switch (consequence) {
+      case 'may-start':
+        starter.enqueue(task);
+        return;
+      case 'crashes-workers':
+        logger.warn('A task is given up, since its workers crash.', {
+          taskName,
+          count: losses.crashedWorkers,
+        });
+        batch.end(task, { kind: 'failed', index, reason: 'its workers crash' });
+        return;
+      case 'may-crash-workers':
+        logger.warn('A task is not started again, since it may have crashed its workers.', {
+          taskName,
+          count: losses.crashedWorkers + losses.unclearLosses,
+        });
+        batch.end(task, { kind: 'withdrawn', index, reason: 'it may have crashed its workers' });
+        return;
+      default:
+        return unreachable(consequence);
     }
-    this.options.starter.enqueue(task);
   }
 
   /** Takes over what is known of the task by its name, also from an earlier submission of its job. */
   private updateCounts(task: BatchedTask): void {
-    const counts = highestCounts(this.options.suspects.countsOf(taskNameOf(task)), task);
-    task.lostWorkers = counts.lostWorkers;
-    task.crashedWorkers = counts.crashedWorkers;
+    const known = this.options.suspects.countsOf(taskNameOf(task));
+    task.losses = highestLosses(task.losses, known);
   }
 
   private announce(task: BatchedTask): void {
-    const { lostWorkers, crashedWorkers } = task;
-    this.options.suspects.recordOwn({ taskName: taskNameOf(task), lostWorkers, crashedWorkers });
+    const taskName = taskNameOf(task);
+    this.options.suspects.recordOwn({ taskName, ...toStatedLosses(task.losses) });
   }
 }
--- a/src/dispatch/taskStarter.ts
+++ b/src/dispatch/taskStarter.ts
@@ -8,6 +8,7 @@
 import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import type { BatchedTask, OpenBatch } from './openBatch.js';
 import type { LocalCandidate, WorkerPool } from './workerPool.js';
+import { toStatedLosses } from './lossCounts.js';
 import { isSuspect } from './suspectIsolation.js';
 import { demandOf, taskNameOf } from './taskNames.js';
 import { WaitingTasks } from './waitingTasks.js';
@@ -193,7 +194,7 @@
 
 /** Returns a task that is not running to its requester, which may send it to another dispatcher. */
 const returnTask = (task: BatchedTask, reason: string): void => {
-  const { index, nextRun, failedRuns, lostWorkers, crashedWorkers } = task;
-  const returned = { index, nextRun, failedRuns, lostWorkers, crashedWorkers };
+  const { index, nextRun, failedRuns, losses } = task;
+  const returned = { index, nextRun, failedRuns, ...toStatedLosses(losses) };
   task.batch.end(task, { kind: 'returned', task: returned, reason });
 };
--- a/src/dispatch/workerLifetime.ts
+++ b/src/dispatch/workerLifetime.ts
@@ -34,6 +34,8 @@
       readonly startedAtMs: number | undefined;
       /** Earliest start of its lifetime by its clock, in monotonic time. */
       readonly earliestStartMs: number;
+      /** Latest start of its lifetime by its clock, in monotonic time. */
+      readonly latestStartMs: number;
     }
   /** Another worker, so that the lifetime that was there before is over. */
   | { readonly kind: 'replaced' };
@@ -72,6 +74,19 @@
       : this.reading.requestedAtMs - this.reading.workerClockMs * (1 + maxDrift) - slackMs;
   }
 
+  /** Latest start of the lifetime that last reported, in monotonic time. */
+  get latestStartMs(): number {
+    return this.reading === undefined
+      ? Infinity
+      : this.reading.receivedAtMs - this.reading.workerClockMs * (1 - maxDrift) + slackMs;
+  }
+
+  /** The lifetime that last reported, as the one that answers at the worker's address. */
+  get answering(): Extract<AnsweringLifetime, { kind: 'reported' }> {
+    const { startedAtMs, earliestStartMs, latestStartMs } = this;
+    return { kind: 'reported', startedAtMs, earliestStartMs, latestStartMs };
+  }
+
   /**
    * Takes note of a reply.
    *
--- a/src/dispatch/workerLink.ts
+++ b/src/dispatch/workerLink.ts
@@ -3,12 +3,14 @@
  */
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
-import type { HoldReply, OrderFailure, StartReply, WorkerPort } from '../ports/workers.js';
-import type { WorkerRecord } from '../types/workers.js';
+import type { OrderFailure, StartReply, WorkerPort } from '../ports/workers.js';
+import type { WorkerRecord, WorkerReport } from '../types/workers.js';
 import type { TaskSupervisor } from '../utils/taskSupervisor.js';
+import { recordCover } from './activeRun.js';
 import type { ActiveRun } from './activeRun.js';
-import type { Departure } from './runEvidence.js';
 import { LeaseClock } from './leaseClock.js';
+import { LeaseCover } from './leaseCover.js';
+import type { Departure } from './lifetimeEnd.js';
 import { WorkerLifetime } from './workerLifetime.js';
 
 const startTimeoutMs = 150;
@@ -28,6 +30,15 @@
   readonly renewsLeases: boolean;
 }
 
+export type LinkHoldReply =
+  | {
+      readonly kind: 'held';
+      readonly report: WorkerReport;
+      /** Earliest end of the lease that was renewed, in monotonic time; undefined if none was. */
+      readonly coveredUntilMs: number | undefined;
+    }
+  | OrderFailure;
+
 export interface WorkerLinkOptions {
   readonly record: WorkerRecord;
   readonly fencingToken: number;
@@ -41,6 +52,7 @@
 export class WorkerLink {
   readonly leaseClock: LeaseClock;
   readonly lifetime: WorkerLifetime;
+  private readonly cover: LeaseCover;
   private entry: WorkerRecord;
   /** Start of the last lifetime whose entry said that it was about to leave. */
   private leavingLifetimeMs: number | undefined;
@@ -53,6 +65,7 @@
     this.token = options.fencingToken;
     this.leaseClock = LeaseClock.create(options.clock, options.leaseMs);
     this.lifetime = WorkerLifetime.create(options.clock);
+    this.cover = LeaseCover.create(options.leaseMs);
   }
 
   static create(options: WorkerLinkOptions): WorkerLink {
@@ -106,8 +119,13 @@
       leaseEndWorkerMs: this.leaseClock.issueLeaseEnd(),
       fencingToken: this.token,
     };
-    const { workers } = this.options;
+    const { clock, workers } = this.options;
+    const requestedAtMs = clock.nowMs();
     const reply = await this.guard(() => workers.start(this.record, order, startTimeoutMs));
+    if (reply.kind === 'started') {
+      const { workerClockMs } = reply;
+      recordCover(run, this.cover.acknowledge({ ...order, workerClockMs, requestedAtMs }));
+    }
     return this.recordFencing(reply, order.fencingToken);
   }
 
@@ -127,16 +145,26 @@
   }
 
   /** Asks for a report; with `renewsLeases`, the leases of all runs begin anew. */
-  async hold({ lastSeenEnd, waitMs, renewsLeases }: HoldRequest): Promise<HoldReply> {
+  async hold({ lastSeenEnd, waitMs, renewsLeases }: HoldRequest): Promise<LinkHoldReply> {
     const order = {
       fencingToken: this.token,
       lastSeenEnd,
       waitMs,
       ...(renewsLeases ? { leaseEndWorkerMs: this.leaseClock.issueLeaseEnd() } : {}),
     };
-    const { workers } = this.options;
+    const { clock, workers } = this.options;
+    const requestedAtMs = clock.nowMs();
     const reply = await this.guard(() => workers.hold(this.record, order, waitMs + holdSlackMs));
-    return this.recordFencing(reply, order.fencingToken);
+    if (reply.kind !== 'held') {
+      return this.recordFencing(reply, order.fencingToken);
+    }
+    const { leaseEndWorkerMs } = order;
+    const { workerClockMs } = reply.report;
+    const coveredUntilMs =
+      leaseEndWorkerMs === undefined
+        ? undefined
+        : this.cover.acknowledge({ leaseEndWorkerMs, workerClockMs, requestedAtMs });
+    return { ...reply, coveredUntilMs };
   }
 
   /** Closes the connections to the worker. */
--- a/src/dispatch/workerReports.ts
+++ b/src/dispatch/workerReports.ts
@@ -8,6 +8,7 @@
 import type { OrderFailure } from '../ports/workers.js';
 import type { WorkerRecord, WorkerReport } from '../types/workers.js';
 import type { WakeableSleep } from '../utils/wakeableSleep.js';
+import { recordDisconnection } from './activeRun.js';
 import type { ActiveRun } from './activeRun.js';
 import { ReportProcessor } from './reportProcessor.js';
 import type { RunTable } from './runTable.js';
@@ -15,7 +16,7 @@
 import { evidenceOfSilence } from './runEvidence.js';
 import type { Silence } from './runEvidence.js';
 import type { AnsweringLifetime } from './workerLifetime.js';
-import type { WorkerLink } from './workerLink.js';
+import type { LinkHoldReply, WorkerLink } from './workerLink.js';
 
 /** Longest wait for the end of a run in one hold; well under the shortest lease. */
 const maxHoldWaitMs = 300;
@@ -142,7 +143,7 @@
     const request = { requestedAtMs: clock.nowMs(), entry: link.record };
     const reply = await link.hold({ lastSeenEnd, waitMs: 0, renewsLeases: false });
     if (reply.kind === 'held') {
-      this.applyReport(reply.report, request);
+      this.applyReport(reply, request);
     }
   }
 
@@ -189,7 +190,7 @@
       return undefined;
     }
     this.acknowledgedEnd = lastSeenEnd;
-    return this.applyReport(reply.report, request) ? reply.report : undefined;
+    return this.applyReport(reply, request) ? reply.report : undefined;
   }
 
   private async handleFailure(failure: OrderFailure): Promise<void> {
@@ -200,9 +201,12 @@
         this.options.onLifetime({ kind: 'replaced' });
         await this.pauseAfterFailedHold(failure.kind);
         return;
+      case 'disconnected':
+        recordDisconnection(this.options.runs.list(), this.options.clock.nowMs());
+        await this.pauseAfterFailedHold(failure.kind);
+        return;
       case 'unhealthy':
       case 'unreachable':
-      case 'disconnected':
       case 'no-answer':
         await this.pauseAfterFailedHold(failure.kind);
         return;
@@ -227,7 +231,10 @@
   }
 
   /** @returns whether the report was applied, since it is not of an earlier lifetime than the last one */
-  private applyReport(report: WorkerReport, { requestedAtMs, entry }: ReportRequest): boolean {
+  private applyReport(
+    { report, coveredUntilMs }: Extract<LinkHoldReply, { kind: 'held' }>,
+    { requestedAtMs, entry }: ReportRequest,
+  ): boolean {
     const { clock, link, logger, onReport } = this.options;
     const { departure } = link;
     const change = link.lifetime.observe(report, requestedAtMs);
@@ -247,10 +254,11 @@
     this.processor.apply(report, {
       requestedAtMs,
       lifetimeMs: report.startedAtMs,
+      latestStartMs: link.lifetime.latestStartMs,
       departure,
+      coveredUntilMs,
     });
-    const { startedAtMs, earliestStartMs } = link.lifetime;
-    this.options.onLifetime({ kind: 'reported', startedAtMs, earliestStartMs });
+    this.options.onLifetime(link.lifetime.answering);
     onReport();
     return true;
   }
--- a/src/ports/logger.ts
+++ b/src/ports/logger.ts
@@ -29,6 +29,8 @@
   readonly leftMs?: number;
   /** Age of the data that a decision was based on, in milliseconds. */
   readonly ageMs?: number;
+  /** Time that was left of a lease, in milliseconds; negative after its end. */
+  readonly leaseLeftMs?: number;
   readonly outcome?: string;
   /** Names of settings, separated by spaces. */
   readonly fields?: string;
--- a/src/testing/dispatcherFixture.ts
+++ b/src/testing/dispatcherFixture.ts
@@ -11,6 +11,7 @@
 import { SeededRandom } from './seededRandom.js';
 import { silentLogger } from './silentLogger.js';
 import { SimulatedWorkers } from './simulatedWorkers.js';
+import type { SimulatedWorkersOptions } from './simulatedWorkers.js';
 
 /** Longer than any batch of these tests lasts, in milliseconds. */
 const longestBatchMs = 25_000;
@@ -32,7 +33,10 @@
   readonly list: (records: readonly WorkerRecord[]) => void;
 }
 
-export interface DispatcherFixtureOptions {
+export interface DispatcherFixtureOptions extends Pick<
+  SimulatedWorkersOptions,
+  'crashDownMs' | 'down'
+> {
   readonly workerCount: number;
   readonly crashesWorker?: (taskName: string) => boolean;
   /** Run time of every task, in milliseconds. */
@@ -44,10 +48,14 @@
   workerCount,
   crashesWorker = () => false,
   runMs = 100,
+  ...crashes
 }: DispatcherFixtureOptions): Promise<DispatcherFixture> => {
   const clock = FakeClock.create();
   const startedAtMs = workerFixture.startedAtMs ?? 0;
-  const workers = SimulatedWorkers.create({ clock, runMs, startedAtMs, crashesWorker });
+  const workers = SimulatedWorkers.create({
+    ...{ clock, runMs, startedAtMs, crashesWorker },
+    ...crashes,
+  });
   const dispatcher = Dispatcher.create({
     clock,
     random: SeededRandom.create(1),
--- a/src/testing/simulatedWorkers.ts
+++ b/src/testing/simulatedWorkers.ts
@@ -35,13 +35,19 @@
   readonly elsewhere: readonly string[];
 }
 
+/** `silent`: nothing arrives. `reset`: the same, and connections are reset when it begins. `refusing`: they are refused. */
+export type CutKind = 'silent' | 'reset' | 'refusing';
+
+/** Whether connections to a worker that is down are refused, or get no answer. */
+export type DownKind = 'refused' | 'silent';
+
 interface SimulatedWorker {
   startedAtMs: number;
   /** When its own clock showed 0. */
   clockStartMs: number;
   isDown: boolean;
-  /** Whether it receives nothing, while its runs go on. */
-  isCutOff: boolean;
+  /** How it is cut off, while its runs go on. */
+  cut: CutKind | undefined;
   readonly runs: Map<string, number>;
   ends: ReportedEnd[];
   lastEndNumber: number;
@@ -55,6 +61,9 @@
   readonly startedAtMs: number;
   /** Whether a task crashes the worker that starts it. */
   readonly crashesWorker: (taskName: string) => boolean;
+  /** Time for which a worker is down after a crash, in milliseconds. */
+  readonly crashDownMs?: number | undefined;
+  readonly down?: DownKind | undefined;
 }
 
 export class SimulatedWorkers implements WorkerPort {
@@ -84,15 +93,18 @@
   }
 
   /** Cuts a worker off for a time in milliseconds; its runs go on. */
-  async cutOff(workerId: string, durationMs: number): Promise<void> {
+  async cutOff(workerId: string, durationMs: number, cut: CutKind = 'silent'): Promise<void> {
     const worker = this.find(workerId);
-    worker.isCutOff = true;
+    worker.cut = cut;
     await this.options.clock.sleep(durationMs);
-    worker.isCutOff = false;
+    worker.cut = undefined;
   }
 
   /** Crashes a worker; it restarts under its id after a time in milliseconds, and its clock starts anew. */
-  async crash(workerId: string, downMs = restartDelayMs): Promise<void> {
+  async crash(
+    workerId: string,
+    downMs = this.options.crashDownMs ?? restartDelayMs,
+  ): Promise<void> {
     const worker = this.find(workerId);
     worker.isDown = true;
     worker.runs.clear();
@@ -109,11 +121,9 @@
     const { clock, crashesWorker } = this.options;
     const { taskName, run } = order;
     const worker = this.find(workerId);
-    if (worker.isDown) {
-      return { kind: 'unreachable', detail: 'it is down' };
-    }
-    if (isCutOff(worker)) {
-      return this.answerNothing();
+    const failure = this.failureOf(worker);
+    if (failure !== undefined) {
+      return failure;
     }
     const besides = [...worker.runs.keys()];
     const elsewhere = [...this.workers]
@@ -128,33 +138,38 @@
   async stop({ workerId }: WorkerTarget, { taskName }: StopOrder): Promise<StopReply> {
     this.orderCount += 1;
     const worker = this.find(workerId);
-    if (isCutOff(worker)) {
-      return this.answerNothing();
+    const failure = this.failureOf(worker);
+    if (failure !== undefined) {
+      return failure;
     }
     worker.runs.delete(taskName);
-    return worker.isDown ? { kind: 'unreachable', detail: 'it is down' } : { kind: 'stopped' };
+    return { kind: 'stopped' };
   }
 
   async hold({ workerId }: WorkerTarget, order: HoldOrder): Promise<HoldReply> {
     this.orderCount += 1;
     const { clock } = this.options;
     const worker = this.find(workerId);
-    if (isCutOff(worker)) {
-      return this.answerNothing();
+    const failure = this.failureOf(worker);
+    if (failure !== undefined) {
+      return failure;
     }
     worker.ends = worker.ends.filter(({ endNumber }) => endNumber > order.lastSeenEnd);
     const untilMs = clock.nowMs() + order.waitMs;
-    while (!worker.isDown && worker.ends.length === 0 && clock.nowMs() < untilMs) {
+    const { startedAtMs } = worker;
+    const isBroken = (): boolean =>
+      worker.cut === 'reset' || worker.isDown || worker.startedAtMs !== startedAtMs;
+    while (!isBroken() && worker.ends.length === 0 && clock.nowMs() < untilMs) {
       await clock.sleep(holdStepMs);
     }
-    if (worker.isDown) {
-      return { kind: 'unreachable', detail: 'it is down' };
-    }
-    if (isCutOff(worker)) {
+    if (worker.cut === 'silent' || (worker.isDown && this.options.down === 'silent')) {
       return this.answerNothing();
     }
+    if (isBroken()) {
+      return { kind: 'disconnected', detail: 'its connection was reset' };
+    }
     const running = [...worker.runs].map(([taskName, run]) => ({ taskName, run }));
-    const { startedAtMs, ends } = worker;
+    const { ends } = worker;
     const workerClockMs = this.clockOf(worker);
     return { kind: 'held', report: { workerClockMs, startedAtMs, running, ends: [...ends] } };
   }
@@ -167,6 +182,17 @@
     // Nothing to release.
   }
 
+  /** @returns why an order that is sent now fails, if it does */
+  private failureOf({
+    cut,
+    isDown,
+  }: SimulatedWorker): OrderFailure | Promise<OrderFailure> | undefined {
+    if (cut === 'refusing' || (cut === undefined && isDown && this.options.down !== 'silent')) {
+      return { kind: 'unreachable', detail: 'the connection is refused' };
+    }
+    return cut !== undefined || isDown ? this.answerNothing() : undefined;
+  }
+
   private async answerNothing(): Promise<Extract<OrderFailure, { kind: 'no-answer' }>> {
     await this.options.clock.sleep(silenceMs);
     return { kind: 'no-answer', detail: 'it is cut off' };
@@ -198,7 +224,7 @@
       startedAtMs,
       clockStartMs: this.options.clock.nowMs() - initialAgeMs,
       isDown: false,
-      isCutOff: false,
+      cut: undefined,
       runs: new Map<string, number>(),
       ends: [],
       lastEndNumber: 0,
@@ -207,5 +233,3 @@
     return worker;
   }
 }
-
-const isCutOff = ({ isCutOff: isSilent }: SimulatedWorker): boolean => isSilent;
--- a/src/types/dispatch.ts
+++ b/src/types/dispatch.ts
@@ -29,6 +29,9 @@
   lostWorkers: z.number().int().nonnegative().default(0),
   /** Those of the lost workers that are proved to have crashed; earlier versions omit it. */
   crashedWorkers: z.number().int().nonnegative().optional(),
+  /** Those that are likely to have crashed under it, and those that may have; earlier versions omit both. */
+  likelyCrashes: z.number().int().nonnegative().optional(),
+  unclearLosses: z.number().int().nonnegative().optional(),
 });
 export type BatchTask = z.infer<typeof batchTaskSchema>;
 
@@ -70,7 +73,7 @@
     /** Run time divided by the slowdown factor of the worker, in milliseconds. */
     lengthMs: z.number().nonnegative(),
   }),
-  /** Failed as often as its route allows, crashed its workers, or a worker rejected its order as not valid. */
+  /** Failed as often as its route allows, is proved to crash its workers, or a worker rejected its order as not valid. */
   z.object({ kind: z.literal('failed'), index: z.number().int(), reason: z.string() }),
   /** Certainly runs nowhere, so another dispatcher may run it. */
   z.object({ kind: z.literal('returned'), task: batchTaskSchema, reason: z.string() }),
@@ -78,9 +81,14 @@
   z.object({ kind: z.literal('expired'), index: z.number().int() }),
   /**
    * The requester withdrew the batch, since its job has ended, or the dispatcher ends and a run of the task may
-   * go on. It must not start again.
+   * go on, or the task may have crashed too many workers. It must not start again.
    */
-  z.object({ kind: z.literal('withdrawn'), index: z.number().int() }),
+  z.object({
+    kind: z.literal('withdrawn'),
+    index: z.number().int(),
+    /** Why the dispatcher withdrew it, if there is more to say; earlier versions omit it. */
+    reason: z.string().optional(),
+  }),
 ]);
 export type TaskEnd = z.infer<typeof taskEndSchema>;
 
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -64,6 +64,9 @@
   lostWorkers: z.number().int().positive(),
   /** Those of the lost workers that are proved to have crashed; earlier versions omit it. */
   crashedWorkers: z.number().int().nonnegative().optional(),
+  /** Those that are likely to have crashed under it, and those that may have; earlier versions omit both. */
+  likelyCrashes: z.number().int().nonnegative().optional(),
+  unclearLosses: z.number().int().nonnegative().optional(),
 });
 export type SuspectTask = z.infer<typeof suspectTaskSchema>;
 
