--- a/src/dispatch/taskStarter.ts
+++ b/src/dispatch/taskStarter.ts
@@ -10,6 +10,7 @@
 import type { LocalCandidate, WorkerPool } from './workerPool.js';
 import { longestLeaseDurationMs } from './leaseTimes.js';
 import type { LeaseTimes } from './leaseTimes.js';
+import { toStatedLosses } from './lossCounts.js';
 import { isSuspect } from './suspectIsolation.js';
 import { demandOf, taskNameOf } from './taskNames.js';
 import { WaitingTasks } from './waitingTasks.js';
@@ -213,7 +214,7 @@
 
 /** Returns a task that is not running to its requester, which may send it to another dispatcher. */
 const returnTask = (task: BatchedTask, reason: string): void => {
-  const { index, nextRun, failedRuns, lostWorkers, crashedWorkers } = task;
-  const returned = { index, nextRun, failedRuns, lostWorkers, crashedWorkers };
+  const { index, nextRun, failedRuns, losses } = task;
+  const returned = { index, nextRun, failedRuns, ...toStatedLosses(losses) };
   task.batch.end(task, { kind: 'returned', task: returned, reason });
 };
--- a/src/dispatch/workerLink.ts
+++ b/src/dispatch/workerLink.ts
@@ -3,13 +3,15 @@
  */
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
-import type { HoldReply, OrderFailure, StartReply, WorkerPort } from '../ports/workers.js';
-import type { WorkerRecord } from '../types/workers.js';
+import type { OrderFailure, StartReply, WorkerPort } from '../ports/workers.js';
+import type { WorkerRecord, WorkerReport } from '../types/workers.js';
 import type { TaskSupervisor } from '../utils/taskSupervisor.js';
+import { recordCover } from './activeRun.js';
 import type { ActiveRun } from './activeRun.js';
-import type { Departure } from './runEvidence.js';
 import { LeaseClock } from './leaseClock.js';
+import { LeaseCover } from './leaseCover.js';
 import type { LeaseTimes } from './leaseTimes.js';
+import type { Departure } from './lifetimeEnd.js';
 import { WorkerLifetime } from './workerLifetime.js';
 
 const startTimeoutMs = 150;
@@ -32,6 +34,15 @@
   readonly renewalLimitMs: number | undefined;
 }
 
+export type LinkHoldReply =
+  | {
+      readonly kind: 'held';
+      readonly report: WorkerReport;
+      /** Earliest end of the lease that was renewed, in monotonic time; undefined if none was. */
+      readonly coveredUntilMs: number | undefined;
+    }
+  | OrderFailure;
+
 export interface WorkerLinkOptions {
   readonly record: WorkerRecord;
   readonly fencingToken: number;
@@ -45,6 +56,7 @@
 export class WorkerLink {
   readonly leaseClock: LeaseClock;
   readonly lifetime: WorkerLifetime;
+  private readonly cover: LeaseCover;
   private entry: WorkerRecord;
   /** Start of the last lifetime whose entry said that it was about to leave. */
   private leavingLifetimeMs: number | undefined;
@@ -57,6 +69,7 @@
     this.token = options.fencingToken;
     this.leaseClock = LeaseClock.create(options.clock, options.leaseTimes);
     this.lifetime = WorkerLifetime.create(options.clock);
+    this.cover = LeaseCover.create(options.leaseTimes.longestLeaseMs);
   }
 
   static create(options: WorkerLinkOptions): WorkerLink {
@@ -110,8 +123,13 @@
       leaseEndWorkerMs: this.leaseClock.issueLeaseEnd(run.task.batch.runsUntilMs),
       fencingToken: this.token,
     };
-    const { workers } = this.options;
+    const { clock, workers } = this.options;
+    const requestedAtMs = clock.nowMs();
     const reply = await this.guard(() => workers.start(this.record, order, startTimeoutMs));
+    if (reply.kind === 'started') {
+      const { workerClockMs } = reply;
+      recordCover(run, this.cover.acknowledge({ ...order, workerClockMs, requestedAtMs }));
+    }
     return this.recordFencing(reply, order.fencingToken);
   }
 
@@ -131,7 +149,7 @@
   }
 
   /** Asks for a report, and renews the leases of all runs as far as the request allows. */
-  async hold({ lastSeenEnd, waitMs, renewalLimitMs }: HoldRequest): Promise<HoldReply> {
+  async hold({ lastSeenEnd, waitMs, renewalLimitMs }: HoldRequest): Promise<LinkHoldReply> {
     const order = {
       fencingToken: this.token,
       lastSeenEnd,
@@ -140,9 +158,19 @@
         ? {}
         : { leaseEndWorkerMs: this.leaseClock.issueLeaseEnd(renewalLimitMs) }),
     };
-    const { workers } = this.options;
+    const { clock, workers } = this.options;
+    const requestedAtMs = clock.nowMs();
     const reply = await this.guard(() => workers.hold(this.record, order, waitMs + holdSlackMs));
-    return this.recordFencing(reply, order.fencingToken);
+    if (reply.kind !== 'held') {
+      return this.recordFencing(reply, order.fencingToken);
+    }
+    const { leaseEndWorkerMs } = order;
+    const { workerClockMs } = reply.report;
+    const coveredUntilMs =
+      leaseEndWorkerMs === undefined
+        ? undefined
+        : this.cover.acknowledge({ leaseEndWorkerMs, workerClockMs, requestedAtMs });
+    return { ...reply, coveredUntilMs };
   }
 
   /** Closes the connections to the worker. */
