--- a/src/dispatch/taskRetries.ts
+++ b/src/dispatch/taskRetries.ts
@@ -58,7 +58,9 @@
     this.updateCounts(task);
     task.losses = addLoss(task.losses, kind);
     this.announce(task);
-    this.judgeWaiting(task);
+    if (kind !== 'unclear' || consequenceOfLosses(task.losses) !== 'may-start') {
+      this.judgeWaiting(task);
+    }
   }
 
   /** Counts what an unclear loss has turned out to be; tasks that wait under this name may end by it. */
@@ -72,7 +74,9 @@
     }
     suspects.settle(taskName, settled);
     this.announce(task);
-    this.judgeWaiting(task);
+    if (settled !== 'none') {
+      this.judgeWaiting(task);
+    }
   }
 
   /**
--- a/src/dispatch/workerLink.ts
+++ b/src/dispatch/workerLink.ts
@@ -10,6 +10,7 @@
 import type { ActiveRun } from './activeRun.js';
 import { LeaseClock } from './leaseClock.js';
 import { LeaseCover } from './leaseCover.js';
+import type { LeaseTimes } from './leaseTimes.js';
 import type { Departure } from './lifetimeEnd.js';
 import { WorkerLifetime } from './workerLifetime.js';
 
@@ -26,8 +27,11 @@
   readonly lastSeenEnd: number;
   /** Time that the worker may wait for the end of a run before it answers. */
   readonly waitMs: number;
-  /** Whether it renews the leases of all runs of the worker. */
-  readonly renewsLeases: boolean;
+  /**
+   * Latest time at which the renewed leases of all runs of the worker may end, in monotonic time; undefined to
+   * renew none.
+   */
+  readonly renewalLimitMs: number | undefined;
 }
 
 export type LinkHoldReply =
@@ -45,7 +49,7 @@
   readonly clock: Clock;
   readonly workers: WorkerPort;
   readonly logger: Logger;
-  readonly leaseMs: number;
+  readonly leaseTimes: LeaseTimes;
   readonly supervisor: TaskSupervisor;
 }
 
@@ -63,9 +67,9 @@
   private constructor(private readonly options: WorkerLinkOptions) {
     this.entry = options.record;
     this.token = options.fencingToken;
-    this.leaseClock = LeaseClock.create(options.clock, options.leaseMs);
+    this.leaseClock = LeaseClock.create(options.clock, options.leaseTimes);
     this.lifetime = WorkerLifetime.create(options.clock);
-    this.cover = LeaseCover.create(options.leaseMs);
+    this.cover = LeaseCover.create(options.leaseTimes.longestLeaseMs);
   }
 
   static create(options: WorkerLinkOptions): WorkerLink {
@@ -116,7 +120,7 @@
       taskName: run.taskName,
       run: run.run,
       spec: run.task.batch.content.spec,
-      leaseEndWorkerMs: this.leaseClock.issueLeaseEnd(),
+      leaseEndWorkerMs: this.leaseClock.issueLeaseEnd(run.task.batch.runsUntilMs),
       fencingToken: this.token,
     };
     const { clock, workers } = this.options;
@@ -144,13 +148,15 @@
     return this.recordFencing(reply, order.fencingToken).kind === 'stopped';
   }
 
-  /** Asks for a report; with `renewsLeases`, the leases of all runs begin anew. */
-  async hold({ lastSeenEnd, waitMs, renewsLeases }: HoldRequest): Promise<LinkHoldReply> {
+  /** Asks for a report, and renews the leases of all runs as far as the request allows. */
+  async hold({ lastSeenEnd, waitMs, renewalLimitMs }: HoldRequest): Promise<LinkHoldReply> {
     const order = {
       fencingToken: this.token,
       lastSeenEnd,
       waitMs,
-      ...(renewsLeases ? { leaseEndWorkerMs: this.leaseClock.issueLeaseEnd() } : {}),
+      ...(renewalLimitMs === undefined
+        ? {}
+        : { leaseEndWorkerMs: this.leaseClock.issueLeaseEnd(renewalLimitMs) }),
     };
     const { clock, workers } = this.options;
     const requestedAtMs = clock.nowMs();
