--- a/src/dispatch/leaseCover.ts
+++ b/src/dispatch/leaseCover.ts
@@ -24,13 +24,13 @@
 export class LeaseCover {
   private anchor: ClockAnchor | undefined;
 
-  private constructor(private readonly leaseMs: number) {}
+  private constructor(private readonly longestLeaseMs: number) {}
 
   /**
-   * @param leaseMs - length of a lease, to which the worker shortens longer ones, in milliseconds
+   * @param longestLeaseMs - longest lease that the worker accepts; it shortens others to this, in milliseconds
    */
-  static create(leaseMs: number): LeaseCover {
-    return new LeaseCover(leaseMs);
+  static create(longestLeaseMs: number): LeaseCover {
+    return new LeaseCover(longestLeaseMs);
   }
 
   /**
@@ -41,7 +41,7 @@
   acknowledge({ leaseEndWorkerMs, workerClockMs, requestedAtMs }: AcknowledgedLease): number {
     const anchor = this.updateAnchor(workerClockMs, requestedAtMs);
     const byClockMs = earliestTimeOf(leaseEndWorkerMs, anchor);
-    return Math.min(byClockMs, requestedAtMs + this.leaseMs * (1 - maxDrift));
+    return Math.min(byClockMs, requestedAtMs + this.longestLeaseMs * (1 - maxDrift));
   }
 
   /**
