Bound every lease by all the runs that it covers, starts and suspensions included

Change: a start keeps to the limits of all runs of its worker, and a worker that can't take a full lease by them takes no start. A suspension counts as time since the confirmation and since callers were heard; it is looked for before renewals too, not only before starts. A withdrawal stops only the runs of its own batch: that of a waiting repeat stopped the run of the first attempt.

--- a/src/dispatch/batchTable.ts
+++ b/src/dispatch/batchTable.ts
@@ -51,6 +51,11 @@
     return [...this.open].filter(({ askedBy, hasEnded }) => askedBy === requester && !hasEnded);
   }
 
+  /** Counts a suspension of the VM as time since the confirmation of each batch, in milliseconds. */
+  recordSuspension(durationMs: number): void {
+    this.batches.forEach((batch) => batch.recordSuspension(durationMs));
+  }
+
   /** Whether a requester has batches that have not ended. */
   hasOpenBatchesOf(requester: string): boolean {
     for (const { askedBy, hasEnded } of this.open) {
--- a/src/dispatch/confirmedBatches.spec.ts
+++ b/src/dispatch/confirmedBatches.spec.ts
@@ -99,4 +99,44 @@
   await close();
 });
 
+// Guards against a start for one requester that renews the runs of another one, which is gone.
+test('a start beside a run of another requester keeps to the limit of that run', async () => {
+  const { clock, workers, dispatcher, lastLeaseEndMs, close } = await createFixture();
+  void dispatcher.run(requester, batch);
+  const confirmedAtMs = clock.nowMs();
+  await clock.advance(890);
+  void dispatcher.run('another requester', { ...batch, batchId: 'b-2', jobId: '2' });
+  await clock.advance(300);
+  assert.is(workers.starts.length, 1);
+  assert.ok(lastLeaseEndMs() <= confirmedAtMs + leaseTimes.confirmationMs);
+  dispatcher.confirm(requester, () => true, 0);
+  await clock.advance(50);
+  assert.is(workers.starts.length, 2);
+  await close();
+});
+
+// Guards against a limit that slides by a suspension, since the monotonic clock omits it.
+test('a suspension counts as time since the confirmation', async () => {
+  const { clock, dispatcher, lastLeaseEndMs, close } = await createFixture();
+  void dispatcher.run(requester, batch);
+  const confirmedAtMs = clock.nowMs();
+  const suspendedMs = 400;
+  dispatcher.recordSuspension(suspendedMs);
+  await clock.advance(2_000);
+  assert.ok(lastLeaseEndMs() <= confirmedAtMs + leaseTimes.confirmationMs - suspendedMs);
+  await close();
+});
+
+// Guards against a withdrawal that stops the run of the same task for another attempt.
+test('the withdrawal of a waiting repeat leaves the run of the first attempt alone', async () => {
+  const { clock, workers, dispatcher, close } = await createFixture();
+  void dispatcher.run(requester, batch);
+  void dispatcher.run(requester, { ...batch, batchId: 'repeat' });
+  await clock.advance(50);
+  dispatcher.withdraw('repeat');
+  await clock.advance(50);
+  assert.equal(workers.stops, []);
+  await close();
+});
+
 test.run();
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -36,8 +36,8 @@
   readonly workers: WorkerPort;
   readonly leaseTimes: LeaseTimes;
   readonly farRackFactor: number;
-  /** Called before waiting tasks are started; may withdraw batches. */
-  readonly beforeStarts?: () => void;
+  /** Called before tasks are started and leases are renewed; may withdraw batches. */
+  readonly beforeOrders?: () => void;
   /** Slowdown factors of workers that other dispatchers measured earlier. */
   readonly speeds: WorkerSpeedCache;
 }
@@ -136,6 +136,11 @@
       .forEach((batch) => batch.confirm(atMs));
   }
 
+  /** Records that the VM was suspended, in milliseconds, which the monotonic clock omits. */
+  recordSuspension(durationMs: number): void {
+    this.batches.recordSuspension(durationMs);
+  }
+
   /** Whether a batch is open here, or has ended a short while ago. */
   hasBatch(batchId: string): boolean {
     return this.batches.get(batchId) !== undefined;
--- a/src/dispatch/faultyWorker.spec.ts
+++ b/src/dispatch/faultyWorker.spec.ts
@@ -12,6 +12,7 @@
 import { ScriptedWorkers } from '../testing/scriptedWorkers.js';
 import { silentLogger } from '../testing/silentLogger.js';
 import { silentSupervisor } from '../testing/silentSupervisor.js';
+import { ActiveTasks } from './activeTasks.js';
 import { unconfirmedLeaseTimes } from './leaseTimes.js';
 import { ManagedWorker } from './managedWorker.js';
 
@@ -51,6 +52,7 @@
     clock,
     workers,
     logger: silentLogger,
+    activeTasks: ActiveTasks.create(),
     leaseTimes: unconfirmedLeaseTimes(1_000),
     supervisor: silentSupervisor(clock),
     onEnd: () => undefined,
--- a/src/dispatch/managedWorker.spec.ts
+++ b/src/dispatch/managedWorker.spec.ts
@@ -5,9 +5,11 @@
 import { silentLogger } from '../testing/silentLogger.js';
 import { silentSupervisor } from '../testing/silentSupervisor.js';
 import type { ReportedRun, WorkerRecord } from '../types/workers.js';
+import { ActiveTasks } from './activeTasks.js';
 import { unconfirmedLeaseTimes } from './leaseTimes.js';
 import { ManagedWorker } from './managedWorker.js';
 import { OpenBatch } from './openBatch.js';
+import type { BatchedTask } from './openBatch.js';
 import { describeEvidence } from './runEvidence.js';
 import type { RunEvidence } from './runEvidence.js';
 import type { Batch } from '../types/dispatch.js';
@@ -47,15 +49,7 @@
   run,
 });
 
-interface Fixture {
-  readonly clock: FakeClock;
-  readonly workers: ScriptedWorkers;
-  readonly worker: ManagedWorker;
-  readonly outcomes: RunEvidence[];
-  readonly start: (taskName: string) => void;
-}
-
-const createFixture = (): Fixture => {
+const createFixture = () => {
   const clock = FakeClock.create();
   const workers = ScriptedWorkers.create(clock);
   const outcomes: RunEvidence[] = [];
@@ -65,16 +59,18 @@
     clock,
     workers,
     logger: silentLogger,
+    activeTasks: ActiveTasks.create(),
     leaseTimes: unconfirmedLeaseTimes(leaseMs),
     supervisor: silentSupervisor(clock),
     onEnd: (_worker, _run, evidence) => void outcomes.push(evidence),
     onLifetime: () => undefined,
     onAvailabilityChange: () => undefined,
   });
-  const start = (taskName: string): void => {
+  const start = (taskName: string): BatchedTask => {
     const [task] = OpenBatch.create('vm', content, clock.nowMs()).tasks;
     assert.ok(task);
     worker.start({ task, taskName, needs, expectedMs: 100 });
+    return task;
   };
   return { clock, workers, worker, outcomes, start };
 };
@@ -192,13 +188,13 @@
   const { clock, workers, outcomes, worker, start } = createFixture();
   await clock.advance(50);
   workers.report = { workerClockMs: 0, running: [running('t.0.0.0')], ends: [] };
-  start('t.0.0.0');
+  const task = start('t.0.0.0');
   await clock.advance(320);
   workers.onHold = () => ({ kind: 'stale-token' });
   const fencedAtMs = clock.nowMs();
   await clock.advance(320);
   const orderCount = workers.receivedOrders.length;
-  worker.stopTask('t.0.0.0');
+  worker.stopTask(task);
   const drained = worker.drain();
   while (outcomes.length === 0) {
     await clock.advance(10);
--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -13,6 +13,9 @@
 import { WorkerSpeed } from '../workers/workerSpeed.js';
 import { createRun, recordStart } from './activeRun.js';
 import type { ActiveRun, RunPlan } from './activeRun.js';
+import type { ActiveTasks } from './activeTasks.js';
+import type { BatchedTask } from './openBatch.js';
+import { taskNameOf } from './taskNames.js';
 import type { CapacityRelease } from '../types/fleet.js';
 import type { LeaseTimes } from './leaseTimes.js';
 import type { RunEvidence } from './runEvidence.js';
@@ -35,6 +38,10 @@
   readonly logger: Logger;
   readonly leaseTimes: LeaseTimes;
   readonly supervisor: TaskSupervisor;
+  /** Tasks of all workers' runs. */
+  readonly activeTasks: ActiveTasks;
+  /** Called before leases are renewed; may withdraw batches. */
+  readonly beforeOrders?: (() => void) | undefined;
   /** Slowdown factor that an earlier dispatcher measured. */
   readonly rememberedSlowness?: number | undefined;
   /** Called once for each run, with what is known of it; `unknown` only when the worker is let go. */
@@ -63,11 +70,11 @@
   private readonly loop: Promise<void>;
 
   private constructor(private readonly options: ManagedWorkerOptions) {
-    const { clock, logger, rememberedSlowness, onEnd } = options;
+    const { activeTasks, clock, logger, rememberedSlowness, onEnd } = options;
     this.link = WorkerLink.create(options);
     this.speed = WorkerSpeed.create(rememberedSlowness);
     this.health = WorkerHealth.create(clock);
-    this.runs = RunTable.create((run, evidence) => onEnd(this, run, evidence));
+    this.runs = RunTable.create(activeTasks, (run, evidence) => onEnd(this, run, evidence));
     this.sleeper = WakeableSleep.create(clock);
     const { link, sleeper, runs, health } = this;
     const onStart = (run: ActiveRun): void => this.markStarted(run);
@@ -133,11 +140,6 @@
     return !this.isDraining && !this.isClosed && this.link.record.state === 'ready';
   }
 
-  /** Returns whether a run of a task was sent to the worker and has not ended. */
-  hasTask(taskName: string): boolean {
-    return this.runs.get(taskName) !== undefined;
-  }
-
   /** Counts the runs of one step of a job. */
   countStep(stepName: string): number {
     return this.runs.countStep(stepName);
@@ -167,9 +169,9 @@
     }
   }
 
-  /** Whether a run started now, and all that was started before, would end by a time, in monotonic time. */
+  /** Whether a lease that is issued now ends by a time, in monotonic time, and by those of all runs that it covers. */
   canRunUntil(limitMs: number): boolean {
-    return this.link.leaseClock.canIssueUntil(limitMs);
+    return this.link.leaseClock.canIssueUntil(Math.min(limitMs, this.runs.permittedUntilMs));
   }
 
   /** Starts the next run of a task; `onEnd` reports what becomes of it. */
@@ -180,10 +182,10 @@
     void this.orders.start(run);
   }
 
-  /** Stops the run of a task, if there is one. */
-  stopTask(taskName: string): void {
-    const run = this.runs.get(taskName);
-    if (run !== undefined && run.phase !== 'stopping') {
+  /** Stops the run of a task, if there is one; that of the same task in another batch goes on. */
+  stopTask(task: BatchedTask): void {
+    const run = this.runs.get(taskNameOf(task));
+    if (run?.task === task && run.phase !== 'stopping') {
       void this.orders.stop(run);
     }
   }
@@ -206,7 +208,7 @@
   retire(): Promise<void> {
     this.isRetired = true;
     this.sleeper.wake();
-    this.runs.list().forEach(({ taskName }) => this.stopTask(taskName));
+    this.runs.list().forEach(({ task }) => this.stopTask(task));
     return this.drain();
   }
 
@@ -234,7 +236,8 @@
         this.isTakenOver = false;
         await this.waitForToken();
       } else if (this.isRetired) {
-        await this.readRetired();
+        await this.reports.readWithoutRenewal();
+        await this.options.clock.sleep(checkPauseMs);
       } else if (!this.isTakenOver) {
         await this.takeOver();
       } else {
@@ -256,12 +259,6 @@
     this.reports.endLapsedRuns('fenced');
   }
 
-  /** Reads how the stopped runs end, without renewing leases. */
-  private async readRetired(): Promise<void> {
-    await this.reports.readWithoutRenewal();
-    await this.options.clock.sleep(checkPauseMs);
-  }
-
   /** Reads reports without renewing leases, which stops orphaned runs, until only own runs are left. */
   private async takeOver(): Promise<void> {
     const report = await this.reports.readWithoutRenewal();
@@ -279,6 +276,7 @@
 
   private async holdOnce(): Promise<void> {
     if (!this.isClosed && this.isTakenOver) {
+      this.options.beforeOrders?.();
       await this.reports.hold();
     }
   }
--- a/src/dispatch/openBatch.ts
+++ b/src/dispatch/openBatch.ts
@@ -86,6 +86,12 @@
     return this.confirmation.confirmedAtMs + this.confirmation.confirmationMs;
   }
 
+  /** Records that the VM was suspended, in milliseconds: its clock omits the time, and those of the workers do not. */
+  recordSuspension(durationMs: number): void {
+    const confirmedAtMs = this.confirmation.confirmedAtMs - durationMs;
+    this.confirmation = { ...this.confirmation, confirmedAtMs };
+  }
+
   /**
    * Records that the requester waits for the batch; one that has ended is not confirmed any more.
    *
--- a/src/dispatch/reportProcessor.spec.ts
+++ b/src/dispatch/reportProcessor.spec.ts
@@ -3,6 +3,7 @@
 import { batchFixture } from '../testing/dispatchFixtures.js';
 import { FakeClock } from '../testing/fakeClock.js';
 import type { ActiveRun } from './activeRun.js';
+import { ActiveTasks } from './activeTasks.js';
 import { OpenBatch } from './openBatch.js';
 import { ReportProcessor } from './reportProcessor.js';
 import type { ReportContext } from './runEvidence.js';
@@ -26,7 +27,7 @@
     coveredUntilMs: -Infinity,
     disconnectedAtMs: undefined,
   };
-  const runs = RunTable.create(() => undefined);
+  const runs = RunTable.create(ActiveTasks.create(), () => undefined);
   const processor = ReportProcessor.create({
     clock: FakeClock.create(),
     runs,
--- a/src/dispatch/runOrders.ts
+++ b/src/dispatch/runOrders.ts
@@ -37,7 +37,7 @@
   async start(run: ActiveRun): Promise<void> {
     const { clock, link, runs } = this.options;
     const requestedAtMs = clock.nowMs();
-    const reply = await link.start(run);
+    const reply = await link.start(run, runs.permittedUntilMs);
     this.observeReply(run, reply, requestedAtMs);
     if (runs.has(run)) {
       await this.handleStartReply(run, reply);
--- a/src/dispatch/runTable.ts
+++ b/src/dispatch/runTable.ts
@@ -3,6 +3,7 @@
  */
 import { addResources, noResources, subtractResources } from '../types/resources.js';
 import type { Resources } from '../types/resources.js';
+import type { ActiveTasks } from './activeTasks.js';
 import type { ActiveRun } from './activeRun.js';
 import type { RunEvidence } from './runEvidence.js';
 import type { CapacityRelease } from '../types/fleet.js';
@@ -16,13 +17,17 @@
   private readonly runs = new Map<string, ActiveRun>();
   private usedResources: Resources = noResources;
 
-  private constructor(private readonly onEnd: RunEndListener) {}
+  private constructor(
+    private readonly activeTasks: ActiveTasks,
+    private readonly onEnd: RunEndListener,
+  ) {}
 
   /**
+   * @param activeTasks - the tasks of the runs of all workers
    * @param onEnd - called once for each run, with what is known of it
    */
-  static create(onEnd: RunEndListener): RunTable {
-    return new RunTable(onEnd);
+  static create(activeTasks: ActiveTasks, onEnd: RunEndListener): RunTable {
+    return new RunTable(activeTasks, onEnd);
   }
 
   get size(): number {
@@ -58,6 +63,7 @@
 
   add(run: ActiveRun): void {
     this.runs.set(run.taskName, run);
+    this.activeTasks.addRun(run.taskName);
     this.usedResources = addResources(this.usedResources, run.needs);
   }
 
@@ -65,6 +71,7 @@
   finish(run: ActiveRun, evidence: RunEvidence): void {
     if (this.has(run)) {
       this.runs.delete(run.taskName);
+      this.activeTasks.removeRun(run.taskName);
       this.usedResources = subtractResources(this.usedResources, run.needs);
       this.onEnd(run, evidence);
     }
--- a/src/dispatch/taskStarter.ts
+++ b/src/dispatch/taskStarter.ts
@@ -8,9 +8,10 @@
 import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import type { BatchedTask, OpenBatch } from './openBatch.js';
 import type { LocalCandidate, WorkerPool } from './workerPool.js';
-import { longestLeaseDurationMs } from './leaseTimes.js';
+import { longestLeaseDurationMs, maxDrift } from './leaseTimes.js';
 import type { LeaseTimes } from './leaseTimes.js';
 import { toStatedLosses } from './lossCounts.js';
+import { idlePollMs } from './workerReports.js';
 import { isSuspect } from './suspectIsolation.js';
 import { demandOf, taskNameOf } from './taskNames.js';
 import { WaitingTasks } from './waitingTasks.js';
@@ -21,6 +22,8 @@
 const maxBlockedTasks = 6;
 /** Period of the passes while tasks wait, since some may start or expire without an event. */
 const retryPeriodMs = 25;
+/** Longest time by which the clock of a worker may have fallen behind since it was read. */
+const longestReadingLagMs = idlePollMs * maxDrift;
 /** Safety margin before the latest start that meets the objective, as a share of the run time. */
 const startMargin = 0.15;
 
@@ -41,7 +44,7 @@
   /** Whether a task has to wait for proof of what became of its earlier runs. */
   readonly awaitsProof: (task: BatchedTask) => boolean;
   /** Called before waiting tasks are started; may withdraw batches. */
-  readonly beforeStarts?: () => void;
+  readonly beforeOrders?: () => void;
   readonly supervisor: TaskSupervisor;
 }
 
@@ -105,7 +108,7 @@
     if (this.isStartingTasks || this.stop.signal.aborted) {
       return;
     }
-    this.options.beforeStarts?.();
+    this.options.beforeOrders?.();
     this.isStartingTasks = true;
     let blocked = 0;
     for (const task of this.waiting.list()) {
@@ -148,37 +151,39 @@
     const { clock, workers } = this.options;
     const nowMs = clock.nowMs();
     const demand = demandOf(task);
+    const lastEndAtMs = task.batch.wasOffered ? demand.giveUpAtMs : task.batch.expiresAtMs;
+    if (nowMs <= lastEndAtMs && !this.isConfirmed(task, nowMs)) {
+      return 'held';
+    }
     const fastestRunMs = workers.fastestRunMs(task, demand);
     if (fastestRunMs === undefined) {
       this.waiting.remove(task);
       returnTask(task, 'no worker here is in service for it');
       return 'settled';
     }
-    const lastEndAtMs = task.batch.wasOffered ? demand.giveUpAtMs : task.batch.expiresAtMs;
     if (nowMs + fastestRunMs > lastEndAtMs) {
       this.waiting.remove(task);
       task.batch.end(task, { kind: 'expired', index: task.index });
       return 'settled';
     }
-    if (this.mustWait(task, nowMs)) {
+    if (workers.hasRunOf(task) || this.options.awaitsProof(task)) {
       return 'held';
     }
     const chosen = this.choose(task, demand, nowMs);
     // A late start is put off as long as a faster worker could still meet the objective.
     const canMeetObjective = nowMs + fastestRunMs <= demand.objectiveAtMs;
     if (chosen === undefined || (missesObjective(demand, chosen, nowMs) && canMeetObjective)) {
-      return isSuspect(task) ? 'held' : 'blocked';
+      const isHeld = isSuspect(task) || !this.isConfirmed(task, nowMs + longestReadingLagMs);
+      return isHeld ? 'held' : 'blocked';
     }
     this.waiting.remove(task);
     this.start(task, chosen);
     return 'settled';
   }
 
-  /** Whether a task must not start now on any worker: runs of it may go on, or its requester is silent. */
-  private mustWait(task: BatchedTask, nowMs: number): boolean {
-    const { awaitsProof, leaseTimes, workers } = this.options;
-    const isConfirmed = nowMs + longestLeaseDurationMs(leaseTimes) <= task.batch.runsUntilMs;
-    return !isConfirmed || workers.hasRunOf(task) || awaitsProof(task);
+  /** Whether the requester of a task has confirmed it so lately that a full lease may be issued at a time. */
+  private isConfirmed({ batch }: BatchedTask, atMs: number): boolean {
+    return atMs + longestLeaseDurationMs(this.options.leaseTimes) <= batch.runsUntilMs;
   }
 
   private choose(
--- a/src/dispatch/workerLink.ts
+++ b/src/dispatch/workerLink.ts
@@ -114,13 +114,18 @@
     return isHigher;
   }
 
-  /** Orders the start of a run under a lease that begins now. */
-  async start(run: ActiveRun): Promise<StartReply> {
+  /**
+   * Orders the start of a run under a lease that begins now, and that covers all runs of the worker.
+   *
+   * @param run - the run
+   * @param leaseLimitMs - latest time at which the lease may end, in monotonic time
+   */
+  async start(run: ActiveRun, leaseLimitMs: number): Promise<StartReply> {
     const order = {
       taskName: run.taskName,
       run: run.run,
       spec: run.task.batch.content.spec,
-      leaseEndWorkerMs: this.leaseClock.issueLeaseEnd(run.task.batch.runsUntilMs),
+      leaseEndWorkerMs: this.leaseClock.issueLeaseEnd(leaseLimitMs),
       fencingToken: this.token,
     };
     const { clock, workers } = this.options;
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -9,6 +9,7 @@
 import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import type { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import type { WorkerRecord } from '../types/workers.js';
+import { ActiveTasks } from './activeTasks.js';
 import { ManagedWorker } from './managedWorker.js';
 import type { ManagedWorkerOptions } from './managedWorker.js';
 import type { LeaseTimes } from './leaseTimes.js';
@@ -21,7 +22,7 @@
 
 export interface WorkerPoolOptions extends Pick<
   ManagedWorkerOptions,
-  'onEnd' | 'onLifetime' | 'onAvailabilityChange'
+  'beforeOrders' | 'onEnd' | 'onLifetime' | 'onAvailabilityChange'
 > {
   readonly clock: Clock;
   readonly logger: Logger;
@@ -47,6 +48,7 @@
 
 export class WorkerPool {
   private readonly workers = new Map<string, ManagedWorker>();
+  private readonly activeTasks = ActiveTasks.create();
   /** Workers at an earlier address of theirs, until their runs there are proved to have ended. */
   private readonly retired = new Set<ManagedWorker>();
 
@@ -154,14 +156,12 @@
 
   /** Whether a run of a task, asked for by whichever batch, is not proved to have ended. */
   hasRunOf(task: BatchedTask): boolean {
-    const taskName = taskNameOf(task);
-    return this.listAll().some((worker) => worker.hasTask(taskName));
+    return this.activeTasks.has(taskNameOf(task));
   }
 
   /** Stops the run of a task on whichever worker has it. */
   stopTask(task: BatchedTask): void {
-    const taskName = taskNameOf(task);
-    this.listAll().forEach((worker) => worker.stopTask(taskName));
+    this.listAll().forEach((worker) => worker.stopTask(task));
   }
 
   /** Stops the runs of all workers and releases each worker once its runs are proved to have ended. */
@@ -199,7 +199,14 @@
 
   private createWorker(record: WorkerRecord, fencingToken: number): ManagedWorker {
     const rememberedSlowness = this.options.speeds.get(record.workerId);
-    return ManagedWorker.create({ ...this.options, record, fencingToken, rememberedSlowness });
+    const { activeTasks, options } = this;
+    return ManagedWorker.create({
+      ...options,
+      activeTasks,
+      record,
+      fencingToken,
+      rememberedSlowness,
+    });
   }
 
   private async drainAndRemove(workerId: string, worker: ManagedWorker): Promise<void> {
--- a/src/fleet/callerContact.ts
+++ b/src/fleet/callerContact.ts
@@ -22,6 +22,11 @@
     this.readAtMs = this.clock.nowMs();
   }
 
+  /** Records that the VM was suspended, in milliseconds, which the monotonic clock omits. */
+  recordSuspension(durationMs: number): void {
+    this.readAtMs -= durationMs;
+  }
+
   /** Time for which this process has been held up, in milliseconds; 0 while it reads its sockets in time. */
   get heldUpMs(): number {
     const sinceReadMs = this.clock.nowMs() - this.readAtMs;
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -76,7 +76,9 @@
       ...common,
       onStandstill: (standstill) => {
         const { jobs, dispatcher, shards, routingFollower } = this;
-        recoverFromStandstill(standstill, { ages, jobs, dispatcher, shards, routingFollower });
+        recoverFromStandstill(standstill, {
+          ...{ ages, contact, jobs, dispatcher, shards, routingFollower },
+        });
       },
     });
     this.standstills = standstills;
@@ -89,7 +91,7 @@
       leaseTimes: leaseTimesFor(longestLeaseMs, callerResendMs),
       farRackFactor,
       speeds: this.speeds,
-      beforeStarts: () => standstills.check(),
+      beforeOrders: () => standstills.check(),
     });
     this.directory = WorkerDirectory.create({
       ...common,
--- a/src/fleet/standstillRecovery.ts
+++ b/src/fleet/standstillRecovery.ts
@@ -6,6 +6,7 @@
 import type { Dispatcher } from '../dispatch/dispatcher.js';
 import { unreachable } from '../errors/unreachable.js';
 import type { RoutingFollower } from '../routing/routingFollower.js';
+import type { CallerContact } from './callerContact.js';
 import type { MessageAges } from './messageAges.js';
 import type { ShardMembership } from './shardMembership.js';
 import type { Standstill } from './standstillDetector.js';
@@ -13,6 +14,7 @@
 /** What relies on permissions that may have run out. */
 export interface StandstillRecoveryOptions {
   readonly ages: MessageAges;
+  readonly contact: CallerContact;
   readonly jobs: RunningJobs;
   readonly dispatcher: Dispatcher;
   readonly shards: ShardMembership;
@@ -25,10 +27,10 @@
  */
 export const recoverFromStandstill = (
   standstill: Standstill,
-  { ages, jobs, dispatcher, shards, routingFollower }: StandstillRecoveryOptions,
+  { ages, contact, jobs, dispatcher, shards, routingFollower }: StandstillRecoveryOptions,
 ): void => {
   if (standstill.kind === 'suspended') {
-    ages.recordSuspension(standstill.durationMs);
+    [ages, contact, dispatcher].forEach((one) => one.recordSuspension(standstill.durationMs));
   }
   jobs.giveUpAll(reasonOf(standstill));
   dispatcher.requesters().forEach((requester) => dispatcher.withdrawAll(requester));
--- a/src/fleet/workersOutOfReach.spec.ts
+++ b/src/fleet/workersOutOfReach.spec.ts
@@ -5,6 +5,7 @@
   crashesAfterLeasesScenario,
   frozenDispatcherOfKilledRequesterScenario,
   refusingWorkerOfLostRequesterScenario,
+  startBesideLostRequesterScenario,
 } from '../testing/model/reachScenarios.js';
 import { runScenario } from '../testing/model/runScenario.js';
 import type { ScenarioResult } from '../testing/model/runScenario.js';
@@ -27,6 +28,11 @@
   await checkScenario(frozenDispatcherOfKilledRequesterScenario);
 });
 
+// Guards against a run that is renewed by the start of another caller's task on its worker.
+test('a start beside the run of a lost requester does not renew that run', async () => {
+  await checkScenario(startBesideLostRequesterScenario);
+});
+
 // Guards against a job that is answered as failed because its workers crashed when nothing of it ran there any more.
 test('workers that crash after the leases of a task have ended do not end its job', async () => {
   const { answers } = await checkScenario(crashesAfterLeasesScenario);
--- a/src/testing/model/reachScenarios.ts
+++ b/src/testing/model/reachScenarios.ts
@@ -52,6 +52,21 @@
   startsStateLifetime: true,
 };
 
+/** A task of one caller starts beside those of a requester that was killed, on a worker that is cut off then. */
+export const startBesideLostRequesterScenario = createScenario(
+  eastAndWest,
+  [['east', 3]],
+  [
+    submit(1_000, { daemon: 2, nextDaemonStep: 2, tasks: 3, runMs: 6_000, estimatedMs: 5_000 }),
+    { kind: 'kill', atMs: 1_910, daemon: 2, downMs: 3_000 },
+    submit(2_760, { daemon: 1, runMs: 60, estimatedMs: 60, deadlineMs: 3_000 }),
+    {
+      ...{ kind: 'cut', atMs: 2_780, daemon: null, fault: 'silent', forMs: 3_000 },
+      worker: { kind: 'numbered', index: 0 },
+    },
+  ],
+);
+
 /** A worker is cut off for longer than its leases, and crashes only then. */
 const crashBehindCut = (atMs: number, index: number): ModelEvent[] => [
   {
