Count a requester's word as older by the shortest round trip, which its age leaves out

Change: both sides measure the round trips of heartbeats, and tell each other the shortest of the last twelve; a confirmation counts as older by that.

--- a/src/fleet/batchIntake.ts
+++ b/src/fleet/batchIntake.ts
@@ -51,7 +51,8 @@
       leases.recordMessage(askedBy, sentAtMs);
     }
     const ageMs = sentAtMs === undefined ? 0 : Math.round(ages.ageMs(askedBy, sentAtMs));
-    const confirmedAgoMs = isAgeKnown ? ageMs + heldUpMs : Infinity;
+    const highestAgeMs = sentAtMs === undefined ? 0 : ages.highestAgeMs(askedBy, sentAtMs);
+    const confirmedAgoMs = isAgeKnown ? highestAgeMs + heldUpMs : Infinity;
     if (dispatcher.hasBatch(batch.batchId)) {
       return dispatcher.run(askedBy, batch, confirmedAgoMs);
     }
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -181,6 +181,7 @@
         standstills.check();
         this.heartbeatExchange.handleHeartbeat(heartbeat);
       },
+      onRoundTrip: (incarnation, durationMs) => ages.recordRoundTrip(incarnation, durationMs),
       isDispatching: () => this.dispatcher.workerCount > 0,
       sharesBatches: (incarnation) => this.heartbeatExchange.sharesBatchesWith(incarnation),
       onLost: (lost, loss) => this.heartbeatExchange.handleLostDaemon(lost, loss),
--- a/src/fleet/fleetHeartbeatExchange.ts
+++ b/src/fleet/fleetHeartbeatExchange.ts
@@ -67,6 +67,7 @@
     load.workers.forEach((worker) => speeds.record(worker));
     const suspects = dispatcher.suspects.listAnnounced();
     const { heldUpMs } = contact;
+    const roundTripMs = peer === undefined ? undefined : ages.shortestRoundTripMs(peer);
     const isSameDomain =
       peer !== undefined && this.isInOwnDomain(peers().find(peer)?.heartbeat?.member);
     return {
@@ -77,6 +78,7 @@
       load,
       askedBatchIds: router.requestedBatchIds(peer),
       ...(heldUpMs > 0 ? { heldUpMs } : {}),
+      ...(roundTripMs === undefined ? {} : { roundTripMs }),
       ...(suspects.length > 0 ? { suspects } : {}),
       ...(isFull ? { lengths: lengths.share(), heardMembers: peers().heardMembers() } : {}),
       ...(isFull && isSameDomain ? { speeds: speeds.list() } : {}),
@@ -90,9 +92,12 @@
   handleHeartbeat(heartbeat: FleetHeartbeat): void {
     const { ages, dispatcher, leases, routing, speeds, view } = this.options;
     const { member, sentAtMs, load, askedBatchIds, routingVersion, lengths } = heartbeat;
-    const { heldUpMs = 0 } = heartbeat;
+    const { heldUpMs = 0, roundTripMs } = heartbeat;
     const { incarnation } = member;
     const ageMs = sentAtMs === undefined ? 0 : ages.recordHeartbeat(incarnation, sentAtMs);
+    if (roundTripMs !== undefined) {
+      ages.recordRoundTrip(incarnation, roundTripMs);
+    }
     leases.recordMessage(incarnation, sentAtMs);
     view.recordLoad(incarnation, load, this.isInOwnDomain(member) ? 'near' : 'far', ageMs);
     load.workers.forEach((worker) => speeds.record(worker));
@@ -102,7 +107,8 @@
       this.options.lengths.recordPeerSums(incarnation, lengths);
     }
     const requested = new Set(askedBatchIds);
-    dispatcher.confirm(incarnation, (id) => requested.has(id), ageMs + heldUpMs);
+    const highestAgeMs = sentAtMs === undefined ? 0 : ages.highestAgeMs(incarnation, sentAtMs);
+    dispatcher.confirm(incarnation, (id) => requested.has(id), highestAgeMs + heldUpMs);
     const minAgeMs = minUnrequestedAgeMs + ageMs;
     dispatcher.withdrawUnrequested(incarnation, (id) => requested.has(id), minAgeMs);
     if (routingVersion > routing.version) {
--- a/src/fleet/fleetPeers.ts
+++ b/src/fleet/fleetPeers.ts
@@ -39,6 +39,8 @@
   /** Composes a heartbeat for the process with this incarnation, if it is known. */
   readonly composeHeartbeat: (peer: string | undefined, isFull: boolean) => FleetHeartbeat;
   readonly onHeartbeat: (heartbeat: FleetHeartbeat) => void;
+  /** Called with the time that an exchange of heartbeats took, in milliseconds. */
+  readonly onRoundTrip: (incarnation: string, durationMs: number) => void;
   /** Called when a process is no longer reachable, or another one has taken its place. */
   readonly onLost: (incarnation: string, loss: PeerLoss) => void;
   /** Called when a process did not answer a heartbeat in time; it may still be reachable. */
--- a/src/fleet/heartbeatSender.ts
+++ b/src/fleet/heartbeatSender.ts
@@ -23,6 +23,8 @@
   readonly composeHeartbeat: (peer: string | undefined, isFull: boolean) => FleetHeartbeat;
   /** Called with the heartbeat that a peer answers. */
   readonly onAnswer: (heartbeat: FleetHeartbeat) => void;
+  /** Called with the time that an exchange of heartbeats took, in milliseconds. */
+  readonly onRoundTrip: (incarnation: string, durationMs: number) => void;
   /** Called when a process did not answer a heartbeat in time; it may still be reachable. */
   readonly onSuspect: (incarnation: string) => void;
 }
@@ -50,7 +52,7 @@
   }
 
   private async send(peer: FleetPeer): Promise<void> {
-    const { clock, composeHeartbeat, onAnswer, onSuspect } = this.options;
+    const { clock, composeHeartbeat, onAnswer, onRoundTrip, onSuspect } = this.options;
     const nowMs = clock.nowMs();
     peer.lastSentAtMs = nowMs;
     peer.isDisputed = false;
@@ -61,6 +63,7 @@
     const own = composeHeartbeat(peer.incarnation, isFull);
     const reply = await peer.link.beat(own, heartbeatTimeoutMs);
     if (reply.isOk()) {
+      onRoundTrip(reply.value.member.incarnation, clock.nowMs() - nowMs);
       onAnswer(reply.value);
       return;
     }
--- a/src/fleet/messageAges.spec.ts
+++ b/src/fleet/messageAges.spec.ts
@@ -29,8 +29,9 @@
   const clock = FakeClock.create();
   const ages = MessageAges.create(clock);
   const keptAgesMs: number[] = [];
+  const confirmedAgosMs: number[] = [];
   const dispatcher: Pick<Dispatcher, 'confirm' | 'withdrawAll' | 'withdrawUnrequested'> = {
-    confirm: () => undefined,
+    confirm: (_askedBy, _isRequested, agoMs) => void confirmedAgosMs.push(agoMs),
     withdrawAll: () => undefined,
     withdrawUnrequested: (_askedBy, _isRequested, minAgeMs) => void keptAgesMs.push(minAgeMs),
   };
@@ -70,6 +71,7 @@
     ages,
     exchange,
     keptAgesMs,
+    confirmedAgosMs,
     receive,
     senderNowMs: () => clock.nowMs() + clockOffsetMs,
   };
@@ -127,4 +129,19 @@
   assert.ok(ages.size <= 1_024);
 });
 
+// Guards against leases that go on beside a caller's next attempt, since a link was slow from the first message on.
+test('a message counts as no younger than it is on a link that is slow all the while', async () => {
+  const delayMs = 200;
+  const { clock, ages, confirmedAgosMs, receive, senderNowMs } = createFixture();
+  for (let round = 0; round < 20; round += 1) {
+    const sentAtMs = senderNowMs();
+    await clock.advance(delayMs);
+    ages.recordRoundTrip(sender.incarnation, delayMs + round + 1);
+    receive(sentAtMs);
+    assert.is(ages.ageMs(sender.incarnation, sentAtMs), 0);
+    assert.ok((confirmedAgosMs.at(-1) ?? 0) > delayMs);
+  }
+  assert.is(ages.shortestRoundTripMs('unknown'), undefined);
+});
+
 test.run();
--- a/src/fleet/messageAges.ts
+++ b/src/fleet/messageAges.ts
@@ -8,6 +8,8 @@
 
 /** Heartbeats of each process whose differences are kept. */
 const keptDifferences = 12;
+/** Round trips to each process that are kept: those of the kept differences. */
+const keptRoundTrips = keptDifferences;
 /** Most processes that are remembered; the one first heard of is forgotten first. */
 const maxProcesses = 1_024;
 
@@ -17,6 +19,8 @@
    * kept when a process is taken for lost: messages that it sent before may still wait here.
    */
   private readonly differencesMs = new Map<string, number[]>();
+  /** Times that exchanges of heartbeats took, by incarnation of the other process, as either side measured. */
+  private readonly roundTripsMs = new Map<string, number[]>();
   /** Time for which the VM was suspended, which the monotonic clock omits. */
   private suspendedMs = 0;
 
@@ -66,6 +70,35 @@
     return this.ageMs(incarnation, sentAtMs);
   }
 
+  /**
+   * Records how long an exchange of heartbeats with a process took.
+   *
+   * @param incarnation - the process
+   * @param durationMs - from the sending of one to the receipt of its answer, on either side
+   */
+  recordRoundTrip(incarnation: string, durationMs: number): void {
+    const roundTrips = [...(this.roundTripsMs.get(incarnation) ?? []), durationMs];
+    this.roundTripsMs.set(incarnation, roundTrips.slice(-keptRoundTrips));
+    const [first] = this.roundTripsMs.keys();
+    if (this.roundTripsMs.size > maxProcesses && first !== undefined) {
+      this.roundTripsMs.delete(first);
+    }
+  }
+
+  /** @returns the shortest of the last round trips to a process, in milliseconds; undefined before the first */
+  shortestRoundTripMs(incarnation: string): number | undefined {
+    const roundTrips = this.roundTripsMs.get(incarnation);
+    return roundTrips === undefined ? undefined : Math.min(...roundTrips);
+  }
+
+  /**
+   * Returns an age that a message does not exceed, in milliseconds. The estimate leaves the shortest delay out, which a
+   * link may have for long; no delay is longer than the round trip that it is a part of.
+   */
+  highestAgeMs(incarnation: string, sentAtMs: number): number {
+    return this.ageMs(incarnation, sentAtMs) + (this.shortestRoundTripMs(incarnation) ?? 0);
+  }
+
   /**
    * Estimates the age of a message, in milliseconds.
    *
--- a/src/testing/heartbeatFleet.ts
+++ b/src/testing/heartbeatFleet.ts
@@ -117,6 +117,7 @@
       isDispatching: () => isDispatching,
       sharesBatches: (incarnation) => sharesBatches(own.incarnation, incarnation),
       onLost: (incarnation) => this.lost.push(`${own.incarnation} ${incarnation}`),
+      onRoundTrip: () => undefined,
       onSuspect: () => undefined,
     });
   }
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -79,6 +79,11 @@
    * callers had left; omitted if it was not, and by earlier versions.
    */
   heldUpMs: z.number().nonnegative().optional(),
+  /**
+   * Shortest of the last exchanges of heartbeats with the receiver that the sender has begun, in milliseconds; earlier
+   * versions omit it.
+   */
+  roundTripMs: z.number().nonnegative().optional(),
   /**
    * Members that are reachable from the sender, so that members find each other without the store.
    * Sent together with `lengths`.
