Model of orders of events: one-way cuts, late leases, suspensions, tasks that crash workers

A cut may lose the messages of one side only; a late order may carry a lease that counts from its arrival; a suspended VM stops the monotonic clock; a task may crash its workers, and workers may lack a check of capacity. The judge also checks BUDGET and LIMIT.

--- a/src/testing/fakeClock.ts
+++ b/src/testing/fakeClock.ts
@@ -14,19 +14,22 @@
 /**
  * Turns of the event loop in which ready callbacks run; several, since a callback may schedule another.
  */
-const flushRounds = 4;
+const defaultFlushRounds = 4;
 
 export class FakeClock implements Clock {
   private timeMs = 0;
   private lastSequence = 0;
   private readonly sleepers = new Set<Sleeper>();
 
-  private constructor() {
-    // Built by create.
-  }
+  private constructor(private readonly flushRounds: number) {}
 
-  static create(): FakeClock {
-    return new FakeClock();
+  /**
+   * Creates a clock that shows 0.
+   *
+   * @param flushRounds - turns of the event loop after each step; one is enough if no callback waits for a turn
+   */
+  static create(flushRounds = defaultFlushRounds): FakeClock {
+    return new FakeClock(flushRounds);
   }
 
   nowMs(): number {
@@ -62,7 +65,7 @@
 
   /** Runs the callbacks that are ready, without advancing the time. */
   async flushCallbacks(): Promise<void> {
-    for (let i = 0; i < flushRounds; i += 1) {
+    for (let i = 0; i < this.flushRounds; i += 1) {
       await new Promise((resolve) => setImmediate(resolve));
     }
   }
--- a/src/testing/model/applyEvent.ts
+++ b/src/testing/model/applyEvent.ts
@@ -10,6 +10,8 @@
 
 /** Port of an address that no connection can be opened to. */
 const badPort = 99_999;
+/** Time after which a worker that is late carries an order out, in milliseconds, unless the event states it. */
+const defaultLateByMs = 700;
 
 /** Carries out an event now, and schedules what follows from it. */
 export const applyEvent = (fleet: ModelFleet, event: ModelEvent, submissions: number): void => {
@@ -38,6 +40,12 @@
       fleet.at(event.atMs + event.forMs, () => daemon?.thaw());
       return;
     }
+    case 'suspend': {
+      const daemon = fleet.daemon(event.daemon);
+      daemon?.suspend();
+      fleet.at(event.atMs + event.forMs, () => daemon?.thaw());
+      return;
+    }
     case 'cut':
       return cutWorker(fleet, event);
     case 'cut-daemons': {
@@ -62,6 +70,7 @@
       const worker = fleet.findWorker(event.worker);
       if (worker !== undefined) {
         worker.fault = event.fault;
+        worker.lateByMs = event.lateByMs ?? defaultLateByMs;
         fleet.at(event.atMs + event.forMs, () => void (worker.fault = undefined));
       }
       return;
@@ -77,25 +86,25 @@
 
 const cutLink = (
   fleet: ModelFleet,
-  { atMs, forMs }: { readonly atMs: number; readonly forMs: number },
+  { atMs, forMs, direction }: Extract<ModelEvent, { kind: 'cut-daemons' | 'cut-store' }>,
   fault: LinkFault,
   a: string,
   b: string,
 ): void => {
-  fleet.network.setFault(a, b, fault);
-  fleet.at(atMs + forMs, () => fleet.network.setFault(a, b, undefined));
+  fleet.network.setFault(a, b, fault, direction);
+  fleet.at(atMs + forMs, () => fleet.network.setFault(a, b, undefined, direction));
 };
 
 const cutWorker = (
   fleet: ModelFleet,
-  { atMs, worker, daemon, fault, forMs }: Extract<ModelEvent, { kind: 'cut' }>,
+  { atMs, worker, daemon, fault, direction, forMs }: Extract<ModelEvent, { kind: 'cut' }>,
 ): void => {
   const cut = fleet.findWorker(worker);
   const daemons = daemon === null ? fleet.daemons : [fleet.daemon(daemon)];
   for (const address of daemons.flatMap((one) => one?.address ?? [])) {
     const workerId = cut?.workerId ?? '';
-    fleet.network.setFault(address, workerId, fault);
-    fleet.at(atMs + forMs, () => fleet.network.setFault(address, workerId, undefined));
+    fleet.network.setFault(address, workerId, fault, direction);
+    fleet.at(atMs + forMs, () => fleet.network.setFault(address, workerId, undefined, direction));
   }
 };
 
--- a/src/testing/model/calmTime.ts
+++ b/src/testing/model/calmTime.ts
@@ -22,6 +22,7 @@
     case 'crash':
       return atMs + event.downMs;
     case 'freeze':
+    case 'suspend':
     case 'cut':
     case 'cut-daemons':
     case 'cut-store':
--- a/src/testing/model/eventArbitraries.ts
+++ b/src/testing/model/eventArbitraries.ts
@@ -168,6 +168,7 @@
       return { kind: 'submit', atMs: one.atMs + one.downMs + share * noticeMs, job };
     case 'stop':
     case 'kill':
+    case 'suspend':
     case 'cut-daemons':
     case 'cut-store':
     case 'cancel':
--- a/src/testing/model/judge.ts
+++ b/src/testing/model/judge.ts
@@ -3,6 +3,7 @@
  */
 import { unreachable } from '../../errors/unreachable.js';
 import type { ModelAttempt, ModelCancellation } from './modelClients.js';
+import { findBudgetViolations, findLimitViolations } from './judgeStarts.js';
 import { describeRun, jobIdOf } from './modelRun.js';
 import type { ModelRun } from './modelRun.js';
 
@@ -26,6 +27,10 @@
   | { readonly rule: 'cancelled-though-running'; readonly detail: string }
   /** A cancellation was not confirmed in time, though all daemons could be asked. */
   | { readonly rule: 'cancellation-unconfirmed'; readonly detail: string }
+  /** A task that crashes its workers was started three times more after three workers had crashed under it. */
+  | { readonly rule: 'budget'; readonly detail: string }
+  /** A start brought a worker that refuses nothing over its capacity. */
+  | { readonly rule: 'limit'; readonly detail: string }
   /** A part of a daemon ended with an unhandled rejection, which ends the process. */
   | { readonly rule: 'unhandled-rejection'; readonly detail: string };
 
@@ -38,12 +43,15 @@
   /** Number of tasks of each job. */
   readonly taskCounts: ReadonlyMap<string, number>;
   readonly maxFailedRuns: number;
+  readonly workerCpuMillis: number;
   /** When the last fault has ended. */
   readonly calmSinceMs: number;
 }
 
 export const judge = (record: ModelRecord): Violation[] => [
   ...findOverlaps(record.runs),
+  ...findBudgetViolations(record.runs),
+  ...findLimitViolations(record.runs, record.workerCpuMillis),
   ...record.attempts.flatMap((attempt) => judgeAnswer(record, attempt)),
   ...record.cancellations.flatMap((one) => judgeCancellation(record, one)),
   ...record.rejections.map((detail): Violation => ({ rule: 'unhandled-rejection', detail })),
--- a/src/testing/model/modelClients.ts
+++ b/src/testing/model/modelClients.ts
@@ -16,7 +16,7 @@
 const resendMs = 1_300;
 /** Time after which a process notices that a client has left, once it reads the connection. */
 const closeNoticeMs = 3;
-const maxAttempts = 4;
+const defaultMaxAttempts = 4;
 /** Time after which a client sends a cancellation again, in milliseconds. */
 const cancellationRetryMs = 1_000;
 const maxCancellationAttempts = 20;
@@ -122,6 +122,7 @@
   }
 
   private async submitUntilAnswered(jobId: string, job: ModelJob): Promise<void> {
+    const { maxAttempts = defaultMaxAttempts } = job;
     for (let count = 0; count < maxAttempts; count += 1) {
       const daemon = this.daemonAt(job.daemon + count * job.nextDaemonStep);
       const attempt: ModelAttempt = {
@@ -202,7 +203,7 @@
     signal: AbortSignal,
   ): Promise<AttemptAnswer> {
     const { tasks, runMs, estimatedMs, cpuMillis, requiredLabel, deadlineMs } = job;
-    const { isFailing = false } = job;
+    const { isFailing = false, isDeadly = false } = job;
     const { host, pathPrefix } = this.options.route;
     const match = daemon.intake.findRoute(host, `${pathPrefix}${jobId}`);
     if (match.kind !== 'found') {
@@ -211,7 +212,7 @@
     const resources = { cpuMillis, memoryMb: 64, accelerators: 0 };
     const request = {
       jobId,
-      spec: JSON.stringify({ attempt: attemptId, runMs, cpuMillis, isFailing }),
+      spec: JSON.stringify({ attempt: attemptId, runMs, cpuMillis, isFailing, isDeadly }),
       steps: [{ taskCount: tasks, estimatedMs, after: [], needs: { resources, requiredLabel } }],
       unsupported: [],
     };
--- a/src/testing/model/modelDaemon.ts
+++ b/src/testing/model/modelDaemon.ts
@@ -107,6 +107,10 @@
     this.current?.process.freeze();
   }
 
+  suspend(): void {
+    this.current?.process.suspend();
+  }
+
   async thaw(): Promise<void> {
     await this.current?.process.thaw();
   }
--- a/src/testing/model/modelEvents.ts
+++ b/src/testing/model/modelEvents.ts
@@ -16,6 +16,12 @@
 ]);
 export type WorkerChoice = z.infer<typeof workerChoiceSchema>;
 
+/**
+ * Which messages a cut concerns: only those of the daemon that is named first, only those to it, or both if left out.
+ */
+const direction = z.enum(['out', 'back']).optional();
+export type CutDirection = z.infer<typeof direction>;
+
 const modelJobSchema = z.object({
   daemon: index,
   /** Added to the index of the daemon for each further attempt. */
@@ -28,7 +34,11 @@
   requiredLabel: z.string().optional(),
   /** Whether every run of the first task fails. */
   isFailing: z.boolean().optional(),
+  /** Whether every run of the first task crashes its worker at the end. */
+  isDeadly: z.boolean().optional(),
   deadlineMs: z.number().positive(),
+  /** Attempts after which the client gives the job up. */
+  maxAttempts: z.number().int().positive().optional(),
 });
 export type ModelJob = z.infer<typeof modelJobSchema>;
 
@@ -41,6 +51,8 @@
   /** The process is killed; until a successor answers, connections are refused. */
   z.object({ kind: z.literal('kill'), atMs, daemon: index, downMs: forMs }),
   z.object({ kind: z.literal('freeze'), atMs, daemon: index, forMs }),
+  /** The VM of a daemon is suspended: like a freeze, but the monotonic clock of the process stops, too. */
+  z.object({ kind: z.literal('suspend'), atMs, daemon: index, forMs }),
   /** A worker loses the connection to one daemon, or to all. */
   z.object({
     kind: z.literal('cut'),
@@ -48,6 +60,7 @@
     worker: workerChoiceSchema,
     daemon: index.nullable(),
     fault: z.enum(['silent', 'refusing', 'held-up']),
+    direction,
     forMs,
   }),
   z.object({
@@ -56,9 +69,10 @@
     daemon: index,
     other: index,
     fault: z.enum(['silent', 'held-up']),
+    direction,
     forMs,
   }),
-  z.object({ kind: z.literal('cut-store'), atMs, daemon: index, forMs }),
+  z.object({ kind: z.literal('cut-store'), atMs, daemon: index, direction, forMs }),
   z.object({
     kind: z.literal('crash'),
     atMs,
@@ -71,7 +85,9 @@
     kind: z.literal('worker-fault'),
     atMs,
     worker: workerChoiceSchema,
-    fault: z.enum(['mute', 'refusing', 'late']),
+    fault: z.enum(['mute', 'refusing', 'late', 'late-grants']),
+    /** Time after which a worker that is late carries an order out. */
+    lateByMs: forMs.optional(),
     forMs,
   }),
   /** An entry in the list of workers that names no worker to use, or that omits the worker's start. */
@@ -92,6 +108,8 @@
   workers: z.array(z.object({ domain: z.string(), label: z.string() })).min(1),
   /** Whether replies to starts state the start of the worker. */
   startsStateLifetime: z.boolean().default(false),
+  /** Whether the workers refuse what does not fit; they do if left out. */
+  guardsCapacity: z.boolean().optional(),
   events: z.array(modelEventSchema),
 });
 export type Scenario = z.infer<typeof scenarioSchema>;
--- a/src/testing/model/modelFleet.ts
+++ b/src/testing/model/modelFleet.ts
@@ -21,13 +21,15 @@
 const pathPrefix = '/fit/';
 /** Failed runs of a task after which its job has failed. */
 export const maxFailedRuns = 3;
-const workerCpuMillis = 32_000;
+export const workerCpuMillis = 32_000;
 const slowestClockRate = 0.98;
 const stopMs = { short: 30, long: 50 } as const;
+/** Neither the daemons nor the models wait for turns of the event loop. */
+const flushRounds = 1;
 /** Time until the daemons serve their workers, in milliseconds. */
 const warmUpMs = 4_000;
 
-const routing: Routing = {
+const createRouting = (guardsCapacity: boolean): Routing => ({
   version: 1,
   routes: [
     {
@@ -35,9 +37,9 @@
       ...{ timeoutMs: 30_000, objectiveStretch: 3, objectiveSlackMs: 1_500 },
     },
   ],
-  services: [{ serviceId, guardsCapacity: true }],
+  services: [{ serviceId, guardsCapacity }],
   maxBodyBytes: 262_144,
-};
+});
 
 /** Creates the logger of one process. */
 export type CreateLogger = (name: string, clock: Clock) => Logger;
@@ -49,9 +51,9 @@
 }
 
 export class ModelFleet {
-  readonly time = FakeClock.create();
+  readonly time = FakeClock.create(flushRounds);
   readonly network = ModelNetwork.create(this.time);
-  readonly store = ModelStore.create(this.time, this.network, routing);
+  readonly store: ModelStore;
   /** Every run that a worker started. */
   readonly runs: ModelRun[] = [];
   readonly workers: readonly ModelWorker[];
@@ -61,7 +63,11 @@
   private beginMs = 0;
 
   private constructor(scenario: Scenario, createLogger: CreateLogger) {
-    this.workers = scenario.workers.map((one, index) => this.createWorker(one, index));
+    const { guardsCapacity = true } = scenario;
+    this.store = ModelStore.create(this.time, this.network, createRouting(guardsCapacity));
+    this.workers = scenario.workers.map((one, index) =>
+      this.createWorker(one, index, guardsCapacity),
+    );
     const workers = new Map(this.workers.map((worker) => [worker.workerId, worker]));
     const { time, network, store } = this;
     const { startsStateLifetime } = scenario;
@@ -144,7 +150,11 @@
     this.daemons.forEach((daemon) => daemon.kill());
   }
 
-  private createWorker({ domain, label }: Scenario['workers'][number], index: number): ModelWorker {
+  private createWorker(
+    { domain, label }: Scenario['workers'][number],
+    index: number,
+    guardsCapacity: boolean,
+  ): ModelWorker {
     const record: WorkerRecord = {
       workerId: `i-${index}`,
       address: `10.0.1.${index + 1}:8080`,
@@ -158,6 +168,7 @@
       time: this.time,
       record,
       clockRate: index % 2 === 0 ? 1 : slowestClockRate,
+      guardsCapacity,
       stopMs: index % 3 === 0 ? stopMs.long : stopMs.short,
       onRun: (run) => void this.runs.push(run),
       publish: (workerId, entry) => this.store.publish(workerId, entry),
--- a/src/testing/model/modelNetwork.ts
+++ b/src/testing/model/modelNetwork.ts
@@ -1,9 +1,11 @@
 /**
  * The network of the model: calls between processes and workers, with the faults of the links between them.
  */
+import { abortQuietly } from '../../utils/abortQuietly.js';
 import { createDeferred } from '../../utils/deferred.js';
 import type { Deferred } from '../../utils/deferred.js';
 import type { FakeClock } from '../fakeClock.js';
+import type { CutDirection } from './modelEvents.js';
 import type { ModelProcess } from './modelProcess.js';
 
 /** Time that a message takes on a link without fault, in milliseconds. */
@@ -44,7 +46,7 @@
 }
 
 export class ModelNetwork {
-  /** By the names of both parties. */
+  /** By the names of the sender and of the receiver. */
   private readonly faults = new Map<string, ActiveFault>();
 
   private constructor(private readonly time: FakeClock) {}
@@ -53,9 +55,17 @@
     return new ModelNetwork(time);
   }
 
-  /** Sets the fault of a link, or ends it. */
-  setFault(a: string, b: string, fault: LinkFault | undefined): void {
-    const key = linkKey(a, b);
+  /** Sets the fault of a link between two parties, or ends it; in a direction, only that of one's messages. */
+  setFault(a: string, b: string, fault: LinkFault | undefined, direction?: CutDirection): void {
+    if (direction !== 'back') {
+      this.setFaultOf(senderKey(a, b), fault);
+    }
+    if (direction !== 'out') {
+      this.setFaultOf(senderKey(b, a), fault);
+    }
+  }
+
+  private setFaultOf(key: string, fault: LinkFault | undefined): void {
     this.faults.get(key)?.over.resolve(undefined);
     this.faults.delete(key);
     if (fault !== undefined) {
@@ -68,7 +78,7 @@
     return new Promise((resolve) => {
       const timer = new AbortController();
       const settle = (result: CallResult<T>): void => {
-        timer.abort();
+        abortQuietly(timer);
         call.signal?.removeEventListener('abort', noAnswer);
         resolve(result);
       };
@@ -86,12 +96,12 @@
   /** @returns how the call ended, or nothing if no answer ever comes */
   private async exchange<T>(call: ModelCall<T>): Promise<CallResult<T> | undefined> {
     const { caller, callee, isListening, carryOut } = call;
-    const key = linkKey(caller.name, callee);
-    if (this.faults.get(key)?.fault === 'refusing') {
+    const request = senderKey(caller.name, callee);
+    if (this.faults.get(request)?.fault === 'refusing') {
       await this.time.sleep(latencyMs);
       return { kind: 'not-sent' };
     }
-    if (!(await this.pass(key))) {
+    if (!(await this.pass(request))) {
       return undefined;
     }
     if (!isListening()) {
@@ -101,7 +111,7 @@
       (value): CallResult<T> => ({ kind: 'answered', value }),
       (): CallResult<T> => ({ kind: 'no-answer' }),
     );
-    return (await this.pass(key)) ? result : undefined;
+    return (await this.pass(senderKey(callee, caller.name))) ? result : undefined;
   }
 
   /** @returns whether a message that is sent now arrives, when it does or is lost */
@@ -115,4 +125,4 @@
   }
 }
 
-const linkKey = (a: string, b: string): string => [a, b].sort().join(' ');
+const senderKey = (sender: string, receiver: string): string => `${sender} ${receiver}`;
--- a/src/testing/model/modelProcess.ts
+++ b/src/testing/model/modelProcess.ts
@@ -1,7 +1,8 @@
 /**
  * A process of the model: its clock and timers, and the messages that it receives. A frozen process handles
- * nothing until it is thawed, then its overdue timers and after them the messages that waited; a killed one
- * never handles anything again.
+ * nothing until it is thawed, then its overdue timers and after them the messages that waited; on a suspended VM
+ * the monotonic clock stops as well, so that timers fire later by that time. A killed process never handles anything
+ * again.
  */
 import type { Clock } from '../../ports/clock.js';
 import { createDeferred } from '../../utils/deferred.js';
@@ -12,8 +13,10 @@
 
 /** Shortest time after which a timer fires, in milliseconds. */
 const minTimerMs = 1;
+/** Difference between sums of the same times, in milliseconds, by the rounding of fractions. */
+const maxRoundingMs = 1e-6;
 
-type ProcessState = 'running' | 'frozen' | 'killed';
+type ProcessState = 'running' | 'frozen' | 'suspended' | 'killed';
 
 export class ModelProcess {
   /** The view that the process has of the simulated time. */
@@ -22,20 +25,22 @@
   private readonly timers: (() => void)[] = [];
   private readonly messages: (() => void)[] = [];
   private readonly killed = createDeferred<undefined>();
+  /** Time for which the VM was suspended before, in milliseconds. */
+  private suspendedMs = 0;
+  private suspendedSinceMs: number | undefined;
 
   private constructor(
     readonly name: string,
-    time: FakeClock,
+    private readonly time: FakeClock,
   ) {
     this.clock = {
-      nowMs: () => time.nowMs(),
+      nowMs: () => this.monotonicMs,
       wallMs: () => modelEpochMs + time.nowMs(),
       bootMs: () => time.nowMs(),
       sleep: (durationMs, signal) =>
         new Promise((resolve) => {
-          void time
-            .sleep(Math.max(durationMs, minTimerMs), signal)
-            .then(() => this.handle(this.timers, resolve));
+          const wakeAtMs = this.monotonicMs + Math.max(durationMs, minTimerMs);
+          this.wakeAt(wakeAtMs, signal, resolve);
         }),
     };
   }
@@ -50,7 +55,7 @@
   }
 
   get isFrozen(): boolean {
-    return this.state === 'frozen';
+    return this.state === 'frozen' || this.state === 'suspended';
   }
 
   /** Resolves when the process is killed. */
@@ -69,11 +74,20 @@
     }
   }
 
-  /** Runs what is overdue, without advancing the time. */
+  suspend(): void {
+    if (this.state === 'running') {
+      this.state = 'suspended';
+      this.suspendedSinceMs = this.time.nowMs();
+    }
+  }
+
+  /** Ends a freeze or a suspension: runs what is overdue, without advancing the time. */
   async thaw(): Promise<void> {
-    if (this.state !== 'frozen') {
+    if (!this.isFrozen) {
       return;
     }
+    this.suspendedMs += this.suspensionMs;
+    this.suspendedSinceMs = undefined;
     this.state = 'running';
     for (const waiting of [this.timers, this.messages]) {
       for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
@@ -90,12 +104,32 @@
     this.killed.resolve(undefined);
   }
 
+  private get suspensionMs(): number {
+    return this.time.nowMs() - (this.suspendedSinceMs ?? this.time.nowMs());
+  }
+
+  private get monotonicMs(): number {
+    return this.time.nowMs() - this.suspendedMs - this.suspensionMs;
+  }
+
+  /** Wakes a sleeper at a time on the monotonic clock, again and again until that time has come. */
+  private wakeAt(wakeAtMs: number, signal: AbortSignal | undefined, wake: () => void): void {
+    const check = (): void => {
+      const isEarly = this.monotonicMs + maxRoundingMs < wakeAtMs && signal?.aborted !== true;
+      return isEarly ? this.wakeAt(wakeAtMs, signal, wake) : wake();
+    };
+    void this.time
+      .sleep(wakeAtMs - this.monotonicMs, signal)
+      .then(() => this.handle(this.timers, check));
+  }
+
   private handle(waiting: (() => void)[], run: () => void): void {
     switch (this.state) {
       case 'running':
         run();
         return;
       case 'frozen':
+      case 'suspended':
         waiting.push(run);
         return;
       case 'killed':
--- a/src/testing/model/modelRun.ts
+++ b/src/testing/model/modelRun.ts
@@ -11,6 +11,8 @@
   cpuMillis: z.number(),
   /** Whether every run of the first task fails. */
   isFailing: z.boolean(),
+  /** Whether every run of the first task crashes its worker at the end. */
+  isDeadly: z.boolean().default(false),
 });
 export type TaskSpec = z.infer<typeof taskSpecSchema>;
 
@@ -30,6 +32,9 @@
   how: ModelRunEnd | undefined;
 }
 
+/** Whether a task is the one of its job that a fault of the job concerns. */
+export const isFirstTask = (taskName: string): boolean => taskName.endsWith('.0');
+
 /** @returns the id of the job that a task belongs to */
 export const jobIdOf = (taskName: string): string => taskName.split('.')[0] ?? '';
 
--- a/src/testing/model/modelWorker.ts
+++ b/src/testing/model/modelWorker.ts
@@ -10,12 +10,15 @@
 
 /** Time after a crash at which the entry is removed: three missed pings. */
 const expiryMs = 4_500;
+/** Time after which a worker that a task has crashed is back, in milliseconds. */
+const restartMs = 1_500;
 
 /**
  * How a worker answers. `mute`: it carries orders out and answers nothing. `refusing`: it does nothing and
- * says so. `late`: it carries orders out seconds after they were sent, and the answers are lost.
+ * says so. `late`: it carries orders out after `lateByMs`, and the answers are lost. `late-grants`: so, too, and a
+ * lease counts from the time at which the order is carried out.
  */
-export type WorkerFault = 'mute' | 'refusing' | 'late';
+export type WorkerFault = 'mute' | 'refusing' | 'late' | 'late-grants';
 
 /** Whether connections to a worker that is down are refused, or get no answer. */
 export type DownKind = 'refused' | 'silent';
@@ -25,6 +28,7 @@
   readonly record: WorkerRecord;
   readonly clockRate: number;
   readonly stopMs: number;
+  readonly guardsCapacity: boolean;
   readonly onRun: (run: ModelRun) => void;
   /** Writes the entry, or removes it. */
   readonly publish: (workerId: string, record: WorkerRecord | undefined) => void;
@@ -38,6 +42,7 @@
 
 export class ModelWorker {
   fault: WorkerFault | undefined;
+  lateByMs = 0;
   down: DownKind = 'refused';
   /** Whether the entry omits the start of the worker. */
   private omitsStart = false;
@@ -71,10 +76,11 @@
     if (this.lifetime !== undefined) {
       return;
     }
-    const { time, record, clockRate, stopMs, onRun } = this.options;
+    const { time, record, clockRate, stopMs, guardsCapacity, onRun } = this.options;
     this.lives += 1;
     const life = ModelWorkerLife.create({
-      ...{ time, clockRate, stopMs, onRun },
+      ...{ time, clockRate, stopMs, guardsCapacity, onRun },
+      onCrash: () => void this.crashUnderTask(),
       workerId: record.workerId,
       life: this.lives,
       cpuMillis: record.capacity.cpuMillis,
@@ -95,6 +101,13 @@
     });
   }
 
+  /** Crashes because of a task, and starts again. */
+  private async crashUnderTask(): Promise<void> {
+    this.crash('refused');
+    await this.options.time.sleep(restartMs);
+    this.start();
+  }
+
   /** Reports that the worker drains. */
   drain(): void {
     if (this.lifetime !== undefined) {
--- a/src/testing/model/modelWorkerLife.ts
+++ b/src/testing/model/modelWorkerLife.ts
@@ -7,7 +7,7 @@
 import { abortQuietly } from '../../utils/abortQuietly.js';
 import type { FakeClock } from '../fakeClock.js';
 import { modelEpochMs } from './modelProcess.js';
-import { taskSpecSchema } from './modelRun.js';
+import { isFirstTask, taskSpecSchema } from './modelRun.js';
 import type { ModelRun, ModelRunEnd } from './modelRun.js';
 
 /** Longest lease, in milliseconds on the worker's clock. */
@@ -23,12 +23,16 @@
   readonly workerId: string;
   readonly life: number;
   readonly cpuMillis: number;
+  /** Whether it refuses what does not fit. */
+  readonly guardsCapacity: boolean;
   /** Speed of the worker's clock: 1, or up to 2% less. */
   readonly clockRate: number;
   /** Time that a stop takes, in milliseconds. */
   readonly stopMs: number;
   /** Called with each run that begins. */
   readonly onRun: (run: ModelRun) => void;
+  /** Called when a run crashes the worker. */
+  readonly onCrash: () => void;
 }
 
 interface ActiveModelRun {
@@ -92,8 +96,7 @@
       return 'used-number';
     }
     const task = taskSpecSchema.parse(JSON.parse(spec));
-    const used = [...this.runs.values()].reduce((sum, one) => sum + one.record.spec.cpuMillis, 0);
-    if (used + task.cpuMillis > this.options.cpuMillis) {
+    if (this.options.guardsCapacity && !this.hasRoomFor(task.cpuMillis)) {
       return 'no-room';
     }
     const { workerId, life, time, onRun } = this.options;
@@ -105,7 +108,7 @@
     const active = { record, over: new AbortController() };
     this.runs.set(taskName, active);
     onRun(record);
-    void this.endAfter(active, task.runMs, failsAlways(record) ? 'failed' : 'done');
+    void this.runToEnd(active);
     void this.watchLease();
     return undefined;
   }
@@ -174,6 +177,24 @@
     this.isWatchingLease = false;
   }
 
+  private hasRoomFor(cpuMillis: number): boolean {
+    const used = [...this.runs.values()].reduce((sum, one) => sum + one.record.spec.cpuMillis, 0);
+    return used + cpuMillis <= this.options.cpuMillis;
+  }
+
+  /** Lets a run go on until its task ends in one way or another. */
+  private async runToEnd(active: ActiveModelRun): Promise<void> {
+    const { spec, taskName } = active.record;
+    const isFaulty = isFirstTask(taskName);
+    if (!isFaulty || !spec.isDeadly) {
+      return this.endAfter(active, spec.runMs, isFaulty && spec.isFailing ? 'failed' : 'done');
+    }
+    await this.options.time.sleep(spec.runMs, active.over.signal);
+    if (this.runs.get(taskName) === active) {
+      this.options.onCrash();
+    }
+  }
+
   private async endAfter(active: ActiveModelRun, ms: number, how: ModelRunEnd): Promise<void> {
     await this.options.time.sleep(ms, active.over.signal);
     this.endRun(active, how);
@@ -208,7 +229,3 @@
     this.highestEnded.set(taskName, Math.max(this.highestEnded.get(taskName) ?? 0, run));
   }
 }
-
-/** Whether a run is one of a task that always fails. */
-const failsAlways = ({ spec, taskName }: ModelRun): boolean =>
-  spec.isFailing && taskName.endsWith('.0');
--- a/src/testing/model/modelWorkers.ts
+++ b/src/testing/model/modelWorkers.ts
@@ -20,8 +20,6 @@
 import type { ModelWorkerLife, Refusal } from './modelWorkerLife.js';
 
 const maxPort = 65_535;
-/** Time after which a worker that is late carries an order out, in milliseconds. */
-const lateByMs = 700;
 const unhealthyStatus = 503;
 
 export interface ModelWorkersOptions {
@@ -34,6 +32,9 @@
   readonly startsStateLifetime: boolean;
 }
 
+/** Carries an order out, with the leases that it grants moved by a delay. */
+type DelayedOrder<T> = (life: ModelWorkerLife, leaseDelayMs: number) => Promise<T>;
+
 /** What an order did: its reply and the lifetime that carried it out. */
 interface CarriedOut<T> {
   readonly reply: T;
@@ -51,7 +52,9 @@
   }
 
   async start(target: WorkerTarget, order: RunOrder, timeoutMs: number): Promise<StartReply> {
-    const result = await this.send(target, timeoutMs, async (life) => life.start(order));
+    const result = await this.send(target, timeoutMs, async (life, delayMs) =>
+      life.start({ ...order, leaseEndWorkerMs: order.leaseEndWorkerMs + delayMs }),
+    );
     if ('kind' in result) {
       return result;
     }
@@ -81,7 +84,9 @@
   }
 
   async hold(target: WorkerTarget, order: HoldOrder, timeoutMs: number): Promise<HoldReply> {
-    const result = await this.send(target, timeoutMs, (life) => life.hold(order));
+    const result = await this.send(target, timeoutMs, (life, delayMs) =>
+      life.hold({ ...order, ...delayLease(order, delayMs) }),
+    );
     if ('kind' in result) {
       return result;
     }
@@ -102,7 +107,7 @@
   private async send<T extends Refusal | object | undefined>(
     { workerId, address }: WorkerTarget,
     timeoutMs: number,
-    order: (life: ModelWorkerLife) => Promise<T>,
+    order: DelayedOrder<T>,
   ): Promise<CarriedOut<T> | OrderFailure> {
     const { network, process, workers } = this.options;
     const worker = workers.get(workerId);
@@ -135,24 +140,36 @@
   /** Carries an order out in the present lifetime; rejects if that ends before the answer. */
   private async carryOut<T>(
     worker: ModelWorker | undefined,
-    order: (life: ModelWorkerLife) => Promise<T>,
+    order: DelayedOrder<T>,
   ): Promise<CarriedOut<T> | OrderFailure> {
     const fault = worker?.fault;
     if (fault === 'refusing') {
       return { kind: 'unhealthy', status: unhealthyStatus };
     }
-    if (fault === 'late') {
-      await this.options.time.sleep(lateByMs);
+    const delayMs = fault === 'late' || fault === 'late-grants' ? (worker?.lateByMs ?? 0) : 0;
+    if (delayMs > 0) {
+      await this.options.time.sleep(delayMs);
     }
     const life = worker?.life;
     if (worker === undefined || life === undefined) {
       return never();
     }
-    const reply = await Promise.race([order(life), worker.lifeEnd.then(() => lostConnection())]);
+    const leaseDelayMs = fault === 'late-grants' ? delayMs : 0;
+    const reply = await Promise.race([
+      order(life, leaseDelayMs),
+      worker.lifeEnd.then(() => lostConnection()),
+    ]);
     return fault === undefined && worker.fault !== 'mute' ? { reply, life } : never();
   }
 }
 
+/** @returns the end of the lease that an order grants, if it grants one, after a delay */
+const delayLease = (
+  { leaseEndWorkerMs }: HoldOrder,
+  delayMs: number,
+): Pick<HoldOrder, 'leaseEndWorkerMs'> =>
+  leaseEndWorkerMs === undefined ? {} : { leaseEndWorkerMs: leaseEndWorkerMs + delayMs };
+
 const lostConnection = (): never => {
   throw new Error('connection reset');
 };
--- a/src/testing/model/runScenario.ts
+++ b/src/testing/model/runScenario.ts
@@ -7,7 +7,7 @@
 import { judge } from './judge.js';
 import type { Violation } from './judge.js';
 import type { Scenario } from './modelEvents.js';
-import { ModelFleet, maxFailedRuns } from './modelFleet.js';
+import { ModelFleet, maxFailedRuns, workerCpuMillis } from './modelFleet.js';
 import type { CreateLogger } from './modelFleet.js';
 
 /** Time after the last answer in which runs that are left over would show, in milliseconds. */
@@ -55,6 +55,7 @@
   const calmSinceMs = beginMs + findCalmSinceMs(events);
   const record = {
     ...{ runs, attempts, cancellations, rejections, taskCounts, maxFailedRuns },
+    workerCpuMillis,
     calmSinceMs,
   };
   return {
