--- a/ci/checkOrders.ts
+++ b/ci/checkOrders.ts
@@ -7,12 +7,14 @@
 import { readFile } from 'node:fs/promises';
 import { parseArgs } from 'node:util';
 import fc from 'fast-check';
+import { daemonAndWorkerArbitrary } from '../src/testing/model/daemonAndWorkerArbitrary.js';
 import { scenarioArbitrary } from '../src/testing/model/eventArbitraries.js';
 import { loadedKillArbitrary } from '../src/testing/model/loadedKillArbitrary.js';
 import { scenarioSchema } from '../src/testing/model/modelEvents.js';
 import type { Scenario } from '../src/testing/model/modelEvents.js';
 import { runScenario } from '../src/testing/model/runScenario.js';
 import { createTimedLogger } from '../src/testing/model/timedLogger.js';
+import { findWalkKind, walkOrders } from './walkOrders.js';
 
 const print = (line: string): void => void process.stdout.write(`${line}\n`);
 
@@ -20,6 +22,7 @@
 const arbitraries: ReadonlyMap<string, fc.Arbitrary<Scenario>> = new Map([
   ['any', scenarioArbitrary],
   ['loaded-kill', loadedKillArbitrary],
+  ['daemon-and-worker', daemonAndWorkerArbitrary],
 ]);
 
 /** A scenario that breaks a rule. */
@@ -78,9 +81,29 @@
     draw: { type: 'string', default: 'any' },
     scenario: { type: 'string' },
     shrink: { type: 'boolean', default: false },
+    walk: { type: 'string' },
+    part: { type: 'string', default: '1/1' },
+    situation: { type: 'string' },
+    moments: { type: 'string', default: '28' },
+    dense: { type: 'boolean', default: false },
+    count: { type: 'string', default: '500' },
+    seed: { type: 'string', default: '1' },
+    only: { type: 'string', default: '' },
+    out: { type: 'string' },
   },
 });
-if (values.scenario !== undefined) {
+if (values.walk !== undefined) {
+  const { part, situation, only } = values;
+  const isKept = await walkOrders(
+    {
+      ...{ kind: findWalkKind(values.walk), part, situation, only, outFolder: values.out },
+      ...{ moments: Number(values.moments), isDense: values.dense },
+      ...{ count: Number(values.count), seed: Number(values.seed) },
+    },
+    print,
+  );
+  process.exitCode = isKept ? 0 : 1;
+} else if (values.scenario !== undefined) {
   const scenario = scenarioSchema.parse(JSON.parse(await readFile(values.scenario, 'utf8')));
   const result = await runScenario(scenario, createTimedLogger(print));
   print(JSON.stringify(result, undefined, 2));
