--- a/src/bestEffort/batchRouter.ts
+++ b/src/bestEffort/batchRouter.ts
@@ -7,10 +7,12 @@
 import type { Batch, BatchReply } from '../types/dispatch.js';
 import type { FleetPeer } from '../fleet/fleetPeer.js';
 import type { FleetPeers } from '../fleet/fleetPeers.js';
+import type { CallerContact } from '../fleet/callerContact.js';
 import type { MessageAges } from '../fleet/messageAges.js';
 import type { Clock } from '../ports/clock.js';
 import { createDeferred } from '../utils/deferred.js';
 import type { Deferred } from '../utils/deferred.js';
+import { RecentNames } from '../utils/recentNames.js';
 import type { FleetView } from './fleetView.js';
 import type { BatchResult, BatchSender } from './batchSender.js';
 
@@ -21,6 +23,8 @@
 /** Shortest time between two sends of one request, for requests that fail at once. */
 const minResendIntervalMs = 50;
 const withdrawalTimeoutMs = 400;
+/** Batches that are remembered since their dispatcher has answered them in part. */
+const maxAcceptedBatches = 2_048;
 /** Sends after which the dispatcher is considered lost. */
 const maxSends = 6;
 
@@ -30,6 +34,7 @@
   readonly ownId: string;
   /** Gives the timestamps of requests. */
   readonly ages: MessageAges;
+  readonly contact: CallerContact;
   readonly dispatcher: Dispatcher;
   /** Returns the peers; a function, since they are created after the router. */
   readonly peers: () => FleetPeers;
@@ -50,6 +55,8 @@
   private readonly remoteBatches = new Map<string, RemoteBatch>();
   /** Number of batches at each other daemon, withdrawn ones included. */
   private readonly batchCounts = new Map<string, number>();
+  /** Batches that their dispatcher has: it answered them in part, and kept the other tasks. */
+  private readonly accepted = RecentNames.create(maxAcceptedBatches);
   private batchNumber = 0;
 
   private constructor(private readonly options: BatchRouterOptions) {}
@@ -65,16 +72,17 @@
 
   /**
    * Runs a batch at a dispatcher. The result is `lost` if its daemon becomes unreachable meanwhile or
-   * answers none of the requests. A batch that certainly did not reach it is returned.
+   * answers none of the requests. A batch that certainly did not reach it is returned. After a partial answer, a
+   * further run asks for the other ends.
    */
   async run(dispatcherId: string, batch: Batch): Promise<BatchResult> {
-    const { ownId, dispatcher, peers } = this.options;
+    const { ownId, contact, dispatcher, peers } = this.options;
     if (dispatcherId === ownId) {
-      return toBatchResult(await dispatcher.run(ownId, batch));
+      return toBatchResult(await dispatcher.run(ownId, batch, contact.heldUpMs));
     }
     const peer = peers().find(dispatcherId);
     if (peer === undefined) {
-      return returnUnsent(batch, 'it is not reachable');
+      return this.endUnsent(batch, 'it is not reachable');
     }
     const remote: RemoteBatch = {
       dispatcherId,
@@ -132,6 +140,13 @@
     }
   }
 
+  /** The result of a request that was not sent: the batch is lost if an earlier one has reached the dispatcher. */
+  private endUnsent(batch: Batch, reason: string): BatchResult {
+    return this.accepted.has(batch.batchId)
+      ? { kind: 'lost', reason }
+      : returnUnsent(batch, reason);
+  }
+
   private countBatches(dispatcherId: string, change: number): void {
     const count = (this.batchCounts.get(dispatcherId) ?? 0) + change;
     if (count > 0) {
@@ -150,21 +165,23 @@
     dispatcherId: string,
     batch: Batch,
   ): Promise<BatchResult> {
-    const { ages, clock, ownId, view, peers } = this.options;
+    const { ages, clock, contact, ownId, view, peers } = this.options;
     const answerTimeoutMs = batch.estimatedMs * runTimeErrorFactor + resendSlackMs;
     const firstSentAtMs = clock.nowMs();
     let reason = 'no answer';
-    let mayHaveArrived = false;
+    let mayHaveArrived = this.accepted.has(batch.batchId);
     for (
       let sends = 0;
       sends < maxSends && this.remoteBatches.get(batch.batchId)?.isRequested === true;
       sends += 1
     ) {
       const sentAtMs = clock.nowMs();
+      const { heldUpMs } = contact;
       const reply = await peer.link.runBatch(
         {
           askedBy: ownId,
           sentAtMs: ages.timestampMs(),
+          ...(heldUpMs > 0 ? { heldUpMs } : {}),
           dispatcherId,
           batch: shortenTimeLimits(batch, sentAtMs - firstSentAtMs),
         },
@@ -173,6 +190,9 @@
       if (reply.isOk()) {
         peers().recordContact(dispatcherId);
         view.updateWorkers(dispatcherId, reply.value.load);
+        if (reply.value.isPartial) {
+          this.accepted.add(batch.batchId);
+        }
         return toBatchResult(reply.value);
       }
       reason = reply.error.detail;
