--- a/ci/walkOrders.ts
+++ b/ci/walkOrders.ts
@@ -3,7 +3,11 @@
  */
 import { mkdir, writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
-import { createDaemonPairs, createPairs } from '../src/testing/model/walk/pairWalk.js';
+import {
+  createDaemonPairs,
+  createLateGrantPairs,
+  createPairs,
+} from '../src/testing/model/walk/pairWalk.js';
 import type { Combination } from '../src/testing/model/walk/pairWalk.js';
 import { drawTriples } from '../src/testing/model/walk/tripleWalk.js';
 import {
@@ -13,7 +17,7 @@
 } from '../src/testing/model/walk/walkCombinations.js';
 import type { CombinationResult } from '../src/testing/model/walk/walkCombinations.js';
 
-const walkKinds = ['pairs', 'daemons', 'triples'] as const;
+const walkKinds = ['pairs', 'daemons', 'late-grants', 'triples'] as const;
 export type WalkKind = (typeof walkKinds)[number];
 
 /** Finds the walk of a name. */
@@ -71,6 +75,8 @@
       return createPairs({ situations, moments, isDense });
     case 'daemons':
       return createDaemonPairs({ situations, moments, isDense });
+    case 'late-grants':
+      return createLateGrantPairs({ situations, moments, isDense });
     case 'triples':
       return drawTriples({ situations, count, seed });
   }
--- a/src/testing/model/walk/pairWalk.ts
+++ b/src/testing/model/walk/pairWalk.ts
@@ -5,7 +5,7 @@
 import { daemonTroubles, dispatcherTroubles, requesterTroubles } from './daemonTroubles.js';
 import type { Situation } from './situations.js';
 import type { Trouble, TroublePlace } from './troubles.js';
-import { workerTroubles } from './workerTroubles.js';
+import { lateGrantTroubles, workerTroubles } from './workerTroubles.js';
 
 /** Time from the first trouble to the first moment of the second one, and between two moments, in milliseconds. */
 const firstOffsetMs = -300;
@@ -101,6 +101,10 @@
 export const createPairs = (options: WalkOptions): Combination[] =>
   combine(options, [undefined, ...daemonTroubles], [undefined, ...workerTroubles]);
 
+/** All pairs of a daemon's trouble and late leases, and these alone. */
+export const createLateGrantPairs = (options: WalkOptions): Combination[] =>
+  combine(options, [undefined, ...daemonTroubles], lateGrantTroubles);
+
 /** All pairs of a requester's and its dispatcher's trouble. */
 export const createDaemonPairs = ({ situations, ...rest }: WalkOptions): Combination[] =>
   combine(
--- a/src/testing/model/walk/situations.ts
+++ b/src/testing/model/walk/situations.ts
@@ -25,6 +25,10 @@
 const sameDaemon = 3;
 const otherDaemon = 1;
 
+/** Jobs that start tasks all the while. */
+const steadyJobs = 14;
+const steadyPeriodMs = 170;
+
 /** Tasks that outlast every trouble of a walk. */
 const longTasks = { runMs: 3_200, estimatedMs: 2_000, cpuMillis: 10_000, maxAttempts: 2 };
 /** Tasks that outlast the deadline of their caller. */
@@ -149,4 +153,22 @@
       ],
     ),
   },
+  {
+    ...{ name: 'steady jobs', ...longRun },
+    calm: createScenario(
+      threeDomains,
+      [
+        ['east', 4, 'b'],
+        ['west', 2],
+        ['south', 2],
+      ],
+      Array.from({ length: steadyJobs }, (_, index) =>
+        submit(submitAtMs + index * steadyPeriodMs, {
+          ...{ daemon: requester, nextDaemonStep: 1 + (index % sameDaemon), tasks: 2 },
+          ...{ runMs: 800, estimatedMs: 500, cpuMillis: 10_000, maxAttempts: 2 },
+          requiredLabel: 'b',
+        }),
+      ),
+    ),
+  },
 ];
--- a/src/testing/model/walk/workerTroubles.ts
+++ b/src/testing/model/walk/workerTroubles.ts
@@ -78,8 +78,6 @@
   fault('refusing', { fault: 'refusing' }),
   fault('late 0.7 s', { fault: 'late', lateByMs }),
   fault('late 2.3 s', { fault: 'late', lateByMs: veryLateByMs }),
-  fault('late grants 0.7 s', { fault: 'late-grants', lateByMs }),
-  fault('late grants 2.3 s', { fault: 'late-grants', lateByMs: veryLateByMs }),
   crash('refused'),
   crash('silent'),
   crashBehindCut('lease holds', earlyCrashMs),
@@ -89,3 +87,12 @@
     createEvents: (place, atMs) => [{ kind: 'drain', atMs, worker: workerOf(place), drainMs }],
   },
 ];
+
+/**
+ * A late order whose lease counts from its arrival. The end of a lease is a time on the worker's clock, so that no worker
+ * of the protocol grants it in this way; what the daemons do then is walked by itself.
+ */
+export const lateGrantTroubles: readonly Trouble[] = [
+  fault('late grants 0.7 s', { fault: 'late-grants', lateByMs }),
+  fault('late grants 2.3 s', { fault: 'late-grants', lateByMs: veryLateByMs }),
+];
