--- a/src/dispatch/repeatedJob.spec.ts
+++ b/src/dispatch/repeatedJob.spec.ts
@@ -29,7 +29,7 @@
   assert.is(workers.startsOf(firstTaskName).length, 1);
   const isOther = ({ taskName }: { taskName: string }): boolean => taskName.startsWith(other.jobId);
   assert.ok(workers.starts.some(isOther), 'others go on');
-  await clock.advance(2 * leaseMs);
+  await clock.advance(leaseMs + runMs);
   assert.is(workers.startsOf(firstTaskName).length, 2);
   await closeDispatcher(fixture);
 });
--- a/src/dispatch/reportProcessor.spec.ts
+++ b/src/dispatch/reportProcessor.spec.ts
@@ -3,6 +3,7 @@
 import { batchFixture } from '../testing/dispatchFixtures.js';
 import { FakeClock } from '../testing/fakeClock.js';
 import type { ActiveRun } from './activeRun.js';
+import { ActiveTasks } from './activeTasks.js';
 import { OpenBatch } from './openBatch.js';
 import { ReportProcessor } from './reportProcessor.js';
 import type { ReportContext } from './runEvidence.js';
@@ -23,8 +24,10 @@
     startedAtMs: 1,
     stopAcknowledgedAtMs: 100,
     lifetimeMs: undefined,
+    coveredUntilMs: -Infinity,
+    disconnectedAtMs: undefined,
   };
-  const runs = RunTable.create(() => undefined);
+  const runs = RunTable.create(ActiveTasks.create(), () => undefined);
   const processor = ReportProcessor.create({
     clock: FakeClock.create(),
     runs,
@@ -35,7 +38,9 @@
   const requestedAt = (requestedAtMs: number): ReportContext => ({
     requestedAtMs,
     lifetimeMs: undefined,
+    latestStartMs: Infinity,
     departure: 'crash',
+    coveredUntilMs: undefined,
   });
   runs.add(run);
   processor.apply(report, requestedAt(120));
--- a/src/testing/model/modelWorkers.ts
+++ b/src/testing/model/modelWorkers.ts
@@ -130,6 +130,8 @@
         return result.value;
       case 'not-sent':
         return { kind: 'unreachable', detail: 'connection refused' };
+      case 'disconnected':
+        return { kind: 'disconnected', detail: 'connection reset' };
       case 'no-answer':
         return { kind: 'no-answer', detail: 'no answer' };
       default:
@@ -155,10 +157,10 @@
       return never();
     }
     const leaseDelayMs = fault === 'late-grants' ? delayMs : 0;
-    const reply = await Promise.race([
-      order(life, leaseDelayMs),
-      worker.lifeEnd.then(() => lostConnection()),
-    ]);
+    const ended = worker.lifeEnd.then(() =>
+      worker.down === 'silent' ? never<T>() : lostConnection(),
+    );
+    const reply = await Promise.race([order(life, leaseDelayMs), ended]);
     return fault === undefined && worker.fault !== 'mute' ? { reply, life } : never();
   }
 }
