Errors of a listening socket are reported and do not end the process

Test first: src/adapters/http/httpServer.spec.ts, 'errors of the listening socket are reported, and the server goes on' (the second error is thrown: 'accept ENOMEM'). Cause: the listener for errors of the start stayed for one error and was the only one. Node.js emits 'error' on a server when the system refuses to accept a connection (net.js, onconnection); without a listener that is an exception outside of every promise, which ends the process. Change: once the server listens, errors go to onError. The system's refusal itself was not played.

--- a/src/adapters/http/httpServer.spec.ts
+++ b/src/adapters/http/httpServer.spec.ts
@@ -1,5 +1,5 @@
 import { connect } from 'node:net';
-import type { Socket } from 'node:net';
+import type { Server, Socket } from 'node:net';
 import { once } from 'node:events';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -96,4 +96,23 @@
   await server.kill();
 });
 
+// Guards against a process that ends when the system refuses it a connection, such as for want of memory.
+test('errors of the listening socket are reported, and the server goes on', async () => {
+  const reasons: string[] = [];
+  const server = await HttpServer.create({
+    host: '127.0.0.1',
+    port: 0,
+    maxConnections: 10,
+    handle: async (_request, response) => void response.end('ok'),
+    onError: (reason) => reasons.push(reason),
+  });
+  const { server: listening } = server as unknown as { readonly server: Server };
+  listening.emit('error', new Error('accept ENOBUFS'));
+  listening.emit('error', new Error('accept ENOMEM'));
+  assert.equal(reasons, ['Error: accept ENOBUFS', 'Error: accept ENOMEM']);
+  const response = await fetch(`http://${server.address}/`);
+  assert.is(await response.text(), 'ok');
+  await server.kill();
+});
+
 test.run();
--- a/src/adapters/http/httpServer.ts
+++ b/src/adapters/http/httpServer.ts
@@ -32,7 +32,10 @@
   readonly handle: RequestHandler;
   /** Without it, requests for another protocol are dropped. */
   readonly onUpgrade?: UpgradeHandler;
-  /** Called with the error of a handler that rejected; the connection is dropped afterwards. */
+  /**
+   * Called with the error of a handler that rejected, whose connection is dropped afterwards, and with errors of
+   * the listening socket.
+   */
   readonly onError?: (reason: string) => void;
 }
 
@@ -72,7 +75,12 @@
     }
     await new Promise<void>((resolve, reject) => {
       httpServer.server.once('error', reject);
-      httpServer.server.listen(options.port, options.host, resolve);
+      httpServer.server.listen(options.port, options.host, () => {
+        httpServer.server.off('error', reject);
+        // The system may refuse to accept a connection, such as for want of memory; others follow.
+        httpServer.server.on('error', (error) => options.onError?.(String(error)));
+        resolve();
+      });
     });
     const { port } = httpServer.server.address() as AddressInfo;
     httpServer.listenAddress = `${options.host}:${port}`;
