--- a/ci/walkOrders.ts
+++ b/ci/walkOrders.ts
@@ -15,9 +15,10 @@
   walkCombination,
   worstOf,
 } from '../src/testing/model/walk/walkCombinations.js';
+import { createWorkerPairs } from '../src/testing/model/walk/workerPairWalk.js';
 import type { CombinationResult } from '../src/testing/model/walk/walkCombinations.js';
 
-const walkKinds = ['pairs', 'daemons', 'late-grants', 'triples'] as const;
+const walkKinds = ['pairs', 'daemons', 'workers', 'late-grants', 'triples'] as const;
 export type WalkKind = (typeof walkKinds)[number];
 
 /** Finds the walk of a name. */
@@ -75,6 +76,8 @@
       return createPairs({ situations, moments, isDense });
     case 'daemons':
       return createDaemonPairs({ situations, moments, isDense });
+    case 'workers':
+      return createWorkerPairs(moments);
     case 'late-grants':
       return createLateGrantPairs({ situations, moments, isDense });
     case 'triples':
--- a/src/fleet/eventOrdersWalk.spec.ts
+++ b/src/fleet/eventOrdersWalk.spec.ts
@@ -5,6 +5,7 @@
 import { createDaemonPairs, createPairs } from '../testing/model/walk/pairWalk.js';
 import type { Combination } from '../testing/model/walk/pairWalk.js';
 import { samplePairs } from '../testing/model/walk/samplePairs.js';
+import { createWorkerPairs } from '../testing/model/walk/workerPairWalk.js';
 import { prepareSituations } from '../testing/model/walk/walkCombinations.js';
 
 const moments = 28;
@@ -62,6 +63,17 @@
   );
 });
 
+// Guards against jobs that are answered as failed for crashes of workers on which their tasks had ended before.
+test('no job fails since its workers crashed one after the other, unless two crashed under it', async () => {
+  const pairs = await createWorkerPairs(moments);
+  const lateCrash = 'crash behind a cut, lease over';
+  await checkScenarios(
+    [lateCrash, 'crash, refused'].flatMap((second) =>
+      scenariosAt(pairs, [lateCrash, second], [14, 17, 20, 23]),
+    ),
+  );
+});
+
 // Guards against pairs of troubles that no scenario names.
 test('no sampled pair of a daemon and a worker in trouble breaks a rule', async () => {
   const situations = await prepareSituations();
