--- a/src/dispatch/leaseClock.spec.ts
+++ b/src/dispatch/leaseClock.spec.ts
@@ -22,7 +22,7 @@
   const leases = LeaseClock.create(clock, times);
   leases.recordReading(50_000);
   await clock.advance(5_000);
-  const leaseEndWorkerMs = leases.issueLeaseEnd();
+  const leaseEndWorkerMs = leases.issueLeaseEnd(Infinity);
   const endedAtMs = (leaseEndWorkerMs - 50_000) / slowest;
   assert.ok((await findLapse(clock, leases)) >= endedAtMs);
 });
@@ -33,9 +33,9 @@
   const leases = LeaseClock.create(clock, times);
   leases.recordReading(50_000);
   await clock.advance(5_000);
-  const endedAtMs = (leases.issueLeaseEnd() - 50_000) / slowest;
+  const endedAtMs = (leases.issueLeaseEnd(Infinity) - 50_000) / slowest;
   leases.recordReading(50_000 + 5_000 * slowest);
-  leases.issueLeaseEnd();
+  leases.issueLeaseEnd(Infinity);
   assert.ok((await findLapse(clock, leases)) >= endedAtMs);
 });
 
@@ -45,7 +45,7 @@
   const leases = LeaseClock.create(clock, times);
   leases.recordReading(50_000);
   await clock.advance(100);
-  leases.issueLeaseEnd();
+  leases.issueLeaseEnd(Infinity);
   await clock.advance(140);
   leases.recordReading(300);
   assert.ok((await findLapse(clock, leases)) >= 240 + leaseMs / slowest);
@@ -55,7 +55,7 @@
 test('all leases have ended when the time until their end is over', async () => {
   const clock = FakeClock.create();
   const leases = LeaseClock.create(clock, times);
-  leases.issueLeaseEnd();
+  leases.issueLeaseEnd(Infinity);
   await clock.advance(leases.msUntilAllLeasesEnded());
   assert.ok(leases.haveAllLeasesEnded());
 });
--- a/src/dispatch/leaseClock.ts
+++ b/src/dispatch/leaseClock.ts
@@ -51,7 +51,7 @@
    * @param limitMs - latest time at which the lease may end, however slow the worker's clock is, in monotonic time
    * @returns end of the lease on the worker's clock, in milliseconds; a lease that is over at once renews nothing
    */
-  issueLeaseEnd(limitMs = Infinity): number {
+  issueLeaseEnd(limitMs: number): number {
     const nowMs = this.clock.nowMs();
     const startMs = this.leaseStartMs(nowMs);
     const permittedMs = Math.max((limitMs - startMs) / (1 + maxDrift), 0);
--- a/src/dispatch/workerReports.ts
+++ b/src/dispatch/workerReports.ts
@@ -18,7 +18,7 @@
 import type { AnsweringLifetime } from './workerLifetime.js';
 import type { LinkHoldReply, WorkerLink } from './workerLink.js';
 
-/** Longest wait for the end of a run in one hold; well under the shortest lease. */
+/** Longest wait for the end of a run in one hold, in milliseconds; well under a full lease. */
 const maxHoldWaitMs = 300;
 /** Poll period of an idle worker, which keeps the reading of its clock recent. */
 export const idlePollMs = 5_000;
--- a/src/fleet/standstillDetector.ts
+++ b/src/fleet/standstillDetector.ts
@@ -14,11 +14,11 @@
 import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 
 const checkPeriodMs = 100;
-/** Shorter suspensions, in milliseconds, are ignored: leases and callers outlast them. */
+/** Shorter suspensions, in milliseconds, are ignored. */
 const minSuspensionMs = 300;
 /**
- * Time between two checks from which on the process stood still, in milliseconds: the length of a lease. A
- * caller sends no job again before.
+ * Time between two checks from which on the process stood still, in milliseconds. A caller sends no job again before,
+ * and the leases of all runs have ended or are about to.
  */
 const minStallMs = 1_000;
 /**
