--- a/src/testing/model/judgeStarts.ts
+++ b/src/testing/model/judgeStarts.ts
@@ -2,7 +2,7 @@
  * The rules on starts: how often a task that crashes its workers may start (BUDGET), and how much a worker may run at
  * the same time (LIMIT).
  */
-import type { Violation } from './judge.js';
+import type { Violation } from './violations.js';
 import { describeRun, isFirstTask } from './modelRun.js';
 import type { ModelRun } from './modelRun.js';
 
--- a/src/testing/model/runScenario.ts
+++ b/src/testing/model/runScenario.ts
@@ -5,7 +5,7 @@
 import { applyEvent } from './applyEvent.js';
 import { findCalmSinceMs } from './calmTime.js';
 import { judge } from './judge.js';
-import type { Violation } from './judge.js';
+import type { Violation } from './violations.js';
 import type { Scenario } from './modelEvents.js';
 import { ModelFleet, maxFailedRuns, workerCpuMillis } from './modelFleet.js';
 import type { CreateLogger } from './modelFleet.js';
--- a/src/testing/model/walk/walkCombinations.ts
+++ b/src/testing/model/walk/walkCombinations.ts
@@ -1,7 +1,7 @@
 /**
  * Runs the scenarios of a walk, and records for each combination of troubles what breaks a rule.
  */
-import type { Violation } from '../judge.js';
+import type { Violation } from '../violations.js';
 import type { Scenario } from '../modelEvents.js';
 import { runScenario } from '../runScenario.js';
 import type { Combination, WalkSituation } from './pairWalk.js';
