A crash is proved to a caller only by a worker that is back before its lease could end

The test of the whole daemon asked for 'failed' of a job whose workers are down for 1.5 s, longer than the lease of the run: by the rule (shown as failed without cause) that proves no crash under it, and since 'Fail a job for crashes only where they are proved' the job is given up.

--- a/standins/platform/platformFixture.ts
+++ b/standins/platform/platformFixture.ts
@@ -132,6 +132,8 @@
       readonly fails?: boolean;
       /** Whether the first task crashes each worker that starts it. */
       readonly crashes?: boolean;
+      /** Time from its start to the crash, in milliseconds. */
+      readonly crashAfterMs?: number;
       /** How long the caller waits, in milliseconds. */
       readonly deadlineMs?: number;
     },
@@ -142,7 +144,9 @@
       runMs: job.runMs,
       cpu,
       ...(job.fails === true ? { fails: true } : {}),
-      ...(job.crashes === true ? { crashingTask: `${jobId}.0.0.0` } : {}),
+      ...(job.crashes === true
+        ? { crashingTask: `${jobId}.0.0.0`, crashAfterMs: job.crashAfterMs }
+        : {}),
     };
     const steps = [{ count: job.tasks, cpu, memMb: 64, estimatedMs: job.runMs }];
     return this.post(
--- a/standins/platform/standInRun.ts
+++ b/standins/platform/standInRun.ts
@@ -35,6 +35,8 @@
   readonly fails?: boolean;
   /** Name of a task that crashes each worker that starts it. */
   readonly crashingTask?: string;
+  /** Time from the start of that task to the crash, in milliseconds. */
+  readonly crashAfterMs?: number;
 }
 
 /** A start that a worker carried out and how the run ended, recorded for the checks of tests. */
--- a/standins/platform/workerLife.ts
+++ b/standins/platform/workerLife.ts
@@ -7,8 +7,8 @@
 
 const maxLeaseMs = 1_000;
 const leaseCheckMs = 10;
-/** Time from the start of a crashing task to the crash of its worker. */
-const crashDelayMs = 20;
+/** Time from the start of a crashing task to the crash of its worker, in milliseconds, unless stated. */
+const defaultCrashAfterMs = 20;
 
 /** Body of a start, stop or hold order; each uses the fields that it needs. */
 export interface OrderBody {
@@ -164,7 +164,7 @@
     }
     this.runs.add(active);
     if (spec.crashingTask === task) {
-      setTimeout(() => !this.isOver && onCrashingTask(), crashDelayMs);
+      setTimeout(() => !this.isOver && onCrashingTask(), spec.crashAfterMs ?? defaultCrashAfterMs);
     }
   }
 
--- a/standins/platform/workerStandIn.ts
+++ b/standins/platform/workerStandIn.ts
@@ -17,8 +17,8 @@
 const maxBodyBytes = 65_536;
 /** Names the worker that an order is meant for. */
 const expectedInstanceHeader = 'x-toucandyke-expected-instance';
-/** Time from a crash by a task to the restart of the worker. */
-const restartDelayMs = 1_500;
+/** Time from a crash by a task to the restart of the worker, in milliseconds, unless set otherwise. */
+const defaultRestartDelayMs = 1_500;
 /** Time that a stop takes, in milliseconds, unless an option says otherwise. */
 const defaultStopMs = 30;
 
@@ -54,6 +54,8 @@
 
 export class WorkerStandIn {
   fault: WorkerFault = { kind: 'none' };
+  /** Time from a crash by a task to the restart of the worker, in milliseconds. */
+  restartDelayMs = defaultRestartDelayMs;
   /** Every start that was carried out, in all lives, in order. */
   readonly starts: StartRecord[] = [];
   /** Hold orders received. */
@@ -149,7 +151,7 @@
       clockRate,
       stopMs,
       onStart: (record) => void this.starts.push(record),
-      onCrashingTask: () => void this.crash(restartDelayMs),
+      onCrashingTask: () => void this.crash(this.restartDelayMs),
     });
   }
 
