A run that was accepted before the reporting lifetime can have begun has gone with an earlier one

Seen while the test of a task that crashes its workers was replaced: on workers that are young, no reading of the clock proves in which lifetime a run began, and its absence from the next lifetime's report counted as 'absent'. The task was started again on every worker, none of its crashes counted (BUDGET); four of four workers in the trace. Cause: the lifetimes were compared only where that of the run was stated. Change: an acknowledgement that came before the reporting lifetime can have begun, by its clock, is of an earlier one, as for lapsed runs.

--- a/src/dispatch/lifetimeEnd.ts
+++ b/src/dispatch/lifetimeEnd.ts
@@ -34,7 +34,8 @@
 interface LaterReport {
   /** Start of the lifetime, if it is stated. */
   readonly lifetimeMs: number | undefined;
-  /** Latest start of the lifetime, in monotonic time. */
+  /** Earliest and latest start of the lifetime, in monotonic time. */
+  readonly earliestStartMs: number;
   readonly latestStartMs: number;
   /** Whether an earlier lifetime was expected to end. */
   readonly departure: Departure;
@@ -72,7 +73,7 @@
 /** Judges how the earlier lifetime of a worker has ended that a run began in. */
 export const judgeDeparture = (
   run: ActiveRun,
-  { lifetimeMs, latestStartMs, departure }: LaterReport,
+  { lifetimeMs, earliestStartMs, latestStartMs, departure }: LaterReport,
 ): RunDeparture => {
   if (departure === 'expected') {
     return departure;
@@ -80,7 +81,7 @@
   const end = judgeLifetimeEnd(run, {
     kind: 'reported',
     startedAtMs: lifetimeMs,
-    earliestStartMs: -Infinity,
+    earliestStartMs,
     latestStartMs,
   });
   switch (end.kind) {
--- a/src/dispatch/reportProcessor.spec.ts
+++ b/src/dispatch/reportProcessor.spec.ts
@@ -38,6 +38,7 @@
   const requestedAt = (requestedAtMs: number): ReportContext => ({
     requestedAtMs,
     lifetimeMs: undefined,
+    earliestStartMs: -Infinity,
     latestStartMs: Infinity,
     departure: 'crash',
     coveredUntilMs: undefined,
--- a/src/dispatch/runEvidence.spec.ts
+++ b/src/dispatch/runEvidence.spec.ts
@@ -26,6 +26,7 @@
 const reportContext: ReportContext = {
   requestedAtMs: 1_000,
   lifetimeMs: undefined,
+  earliestStartMs: -Infinity,
   latestStartMs: Infinity,
   departure: 'crash',
   coveredUntilMs: undefined,
@@ -59,6 +60,15 @@
   assert.is(kindOfUnlisted(accepted, 11, 6), 'absent');
 });
 
+// Guards against crashes that are not counted, since nothing but the clock tells in which lifetime a run began.
+test('a run that was accepted before the reporting lifetime can have begun has gone with an earlier one', () => {
+  const accepted = runWith({ phase: 'running', startedAtMs: 10 });
+  const kindAt = (earliestStartMs: number): string =>
+    evidenceOfUnlistedRun(accepted, { ...reportContext, lifetimeMs: 6, earliestStartMs }).kind;
+  assert.is(kindAt(10), 'absent');
+  assert.is(kindAt(11), 'gone-with-lifetime');
+});
+
 // Guards against a job that fails since its worker crashed behind a cut, after the lease and before that was noticed.
 test('a run that has gone with its lifetime counts as crashed only if its lease covered that', () => {
   const run = runWith({ phase: 'running', startedAtMs: 10, lifetimeMs: 5, coveredUntilMs: 970 });
--- a/src/dispatch/runEvidence.ts
+++ b/src/dispatch/runEvidence.ts
@@ -54,7 +54,8 @@
   readonly requestedAtMs: number;
   /** Lifetime of the worker that the report is of, if it states it. */
   readonly lifetimeMs: number | undefined;
-  /** Latest start of that lifetime, in monotonic time. */
+  /** Earliest and latest start of that lifetime, in monotonic time. */
+  readonly earliestStartMs: number;
   readonly latestStartMs: number;
   /** Whether an earlier lifetime was expected to end. */
   readonly departure: Departure;
@@ -277,5 +278,10 @@
   refusal: { why: 'not-carried-out', reason },
 });
 
-const hasOtherLifetime = (run: ActiveRun, { lifetimeMs }: ReportContext): boolean =>
-  run.lifetimeMs !== undefined && lifetimeMs !== undefined && run.lifetimeMs !== lifetimeMs;
+/** Whether a run was accepted in an earlier lifetime than the one that reports: by its start, or by its clock. */
+const hasOtherLifetime = (run: ActiveRun, report: ReportContext): boolean => {
+  if (run.lifetimeMs === undefined) {
+    return run.startedAtMs !== undefined && run.startedAtMs < report.earliestStartMs;
+  }
+  return report.lifetimeMs !== undefined && run.lifetimeMs !== report.lifetimeMs;
+};
--- a/src/dispatch/workerLifetime.ts
+++ b/src/dispatch/workerLifetime.ts
@@ -81,10 +81,15 @@
       : this.reading.receivedAtMs - this.reading.workerClockMs * (1 - maxDrift) + slackMs;
   }
 
+  /** Earliest and latest start of the lifetime that last reported, in monotonic time. */
+  get startRange(): { readonly earliestStartMs: number; readonly latestStartMs: number } {
+    const { earliestStartMs, latestStartMs } = this;
+    return { earliestStartMs, latestStartMs };
+  }
+
   /** The lifetime that last reported, as the one that answers at the worker's address. */
   get answering(): Extract<AnsweringLifetime, { kind: 'reported' }> {
-    const { startedAtMs, earliestStartMs, latestStartMs } = this;
-    return { kind: 'reported', startedAtMs, earliestStartMs, latestStartMs };
+    return { kind: 'reported', startedAtMs: this.startedAtMs, ...this.startRange };
   }
 
   /**
--- a/src/dispatch/workerReports.ts
+++ b/src/dispatch/workerReports.ts
@@ -274,7 +274,7 @@
     this.processor.apply(report, {
       requestedAtMs,
       lifetimeMs: report.startedAtMs,
-      latestStartMs: link.lifetime.latestStartMs,
+      ...link.lifetime.startRange,
       departure,
       coveredUntilMs,
     });
--- a/src/programs/toucandyked/platformProcess.spec.ts
+++ b/src/programs/toucandyked/platformProcess.spec.ts
@@ -94,9 +94,9 @@
 // Guards against a task that takes one worker after the other with it.
 test('a task that crashes its workers ends its job after two of them, and the other jobs are answered', async () => {
   // Only a worker that has answered the start, and is back before the lease of the run could end, proves its crash.
-  for (const { restartDelayMs, status, state } of [
-    { restartDelayMs: 100, status: 200, state: 'failed' },
-    { restartDelayMs: 1_500, status: 504, state: undefined },
+  for (const { restartDelayMs, statuses, state } of [
+    { restartDelayMs: 100, statuses: [200, 200], state: 'failed' },
+    { restartDelayMs: 1_500, statuses: [504, 503], state: undefined },
   ]) {
     const workers = Array<string>(4).fill('east');
     await withPlatform({ daemons: ['east'], workers }, async (fixture) => {
@@ -110,7 +110,7 @@
         crashAfterMs: 300,
         deadlineMs: 6_000,
       };
-      for (let attempt = 1; attempt <= 2; attempt += 1) {
+      for (const status of statuses) {
         const answer = await fixture.submit(daemon, jobId(1), crashing);
         assert.is(answer.status, status);
         assert.is((answer.body as { state?: string }).state, state);
