--- a/src/workers/workerSpeed.ts
+++ b/src/workers/workerSpeed.ts
@@ -15,23 +15,18 @@
 const maxPersistentSlowness = 2.2;
 /** Time constant of that decay: after it, about a third (1/e) of the excess is left. */
 const decayTimeMs = 2_500;
-/** Like it, for what a factor has above the default: a worker that gets no run for being slow is never measured again. */
-const oblivionTimeMs = 10_000;
 
 export class WorkerSpeed {
   private observations = 0;
+  private observedAtMs = 0;
 
-  private constructor(
-    private mean: number,
-    private observedAtMs: number,
-  ) {}
+  private constructor(private mean: number) {}
 
   /**
    * @param remembered - slowdown factor that an earlier dispatcher measured, or that another writer stored
-   * @param nowMs - monotonic time
    */
-  static create(remembered: number | undefined, nowMs: number): WorkerSpeed {
-    const speed = new WorkerSpeed(clampRatio(remembered ?? defaultSlowness), nowMs);
+  static create(remembered?: number): WorkerSpeed {
+    const speed = new WorkerSpeed(clampRatio(remembered ?? defaultSlowness));
     speed.observations = remembered === undefined ? 0 : priorObservations;
     return speed;
   }
@@ -58,14 +53,11 @@
    * @param nowMs - monotonic time
    */
   slowness(nowMs: number): number {
-    if (this.mean <= defaultSlowness) {
+    if (this.mean <= maxPersistentSlowness) {
       return this.mean;
     }
-    const sinceMs = nowMs - this.observedAtMs;
-    const persistent = Math.min(this.mean, maxPersistentSlowness);
-    const remembered = (persistent - defaultSlowness) * Math.exp(-sinceMs / oblivionTimeMs);
-    const passing = (this.mean - persistent) * Math.exp(-sinceMs / decayTimeMs);
-    return defaultSlowness + remembered + passing;
+    const remainingShare = Math.exp(-(nowMs - this.observedAtMs) / decayTimeMs);
+    return maxPersistentSlowness + (this.mean - maxPersistentSlowness) * remainingShare;
   }
 }
 
