Forget the slowdown factor of a worker that has not been measured for 5 s

Trace: i-4 is ready, taken over and idle from 8.2 s on; of 375 batches that the four daemons send after 9 s none goes to its dispatcher vm-3, its own included. Its last runs, of 20 ms tasks beside faults, took up to three times as long as expected. Cause: a factor of up to 2.2 stays until the next run, and a worker that misses the objective by it gets none. Change: a factor is kept for 5 s after the last measurement, longer than a worker in use goes without one, and what it has above the default fades with a constant of 5 s from then on.

--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -72,7 +72,7 @@
   private constructor(private readonly options: ManagedWorkerOptions) {
     const { activeTasks, clock, logger, rememberedSlowness, onEnd } = options;
     this.link = WorkerLink.create(options);
-    this.speed = WorkerSpeed.create(rememberedSlowness);
+    this.speed = WorkerSpeed.create(rememberedSlowness, clock.nowMs());
     this.health = WorkerHealth.create(clock);
     this.runs = RunTable.create(activeTasks, (run, evidence) => onEnd(this, run, evidence));
     this.sleeper = WakeableSleep.create(clock);
--- a/src/workers/workerSpeed.ts
+++ b/src/workers/workerSpeed.ts
@@ -15,18 +15,28 @@
 const maxPersistentSlowness = 2.2;
 /** Time constant of that decay: after it, about a third (1/e) of the excess is left. */
 const decayTimeMs = 2_500;
+/**
+ * Time after the last measurement from which on a factor above the default fades. A worker that gets no run for being
+ * slow would never be measured again.
+ */
+const retentionMs = 5_000;
+/** Time constant of that fading. */
+const fadingTimeMs = 5_000;
 
 export class WorkerSpeed {
   private observations = 0;
-  private observedAtMs = 0;
 
-  private constructor(private mean: number) {}
+  private constructor(
+    private mean: number,
+    private observedAtMs: number,
+  ) {}
 
   /**
    * @param remembered - slowdown factor that an earlier dispatcher measured, or that another writer stored
+   * @param nowMs - monotonic time
    */
-  static create(remembered?: number): WorkerSpeed {
-    const speed = new WorkerSpeed(clampRatio(remembered ?? defaultSlowness));
+  static create(remembered: number | undefined, nowMs: number): WorkerSpeed {
+    const speed = new WorkerSpeed(clampRatio(remembered ?? defaultSlowness), nowMs);
     speed.observations = remembered === undefined ? 0 : priorObservations;
     return speed;
   }
@@ -53,11 +63,15 @@
    * @param nowMs - monotonic time
    */
   slowness(nowMs: number): number {
-    if (this.mean <= maxPersistentSlowness) {
+    if (this.mean <= defaultSlowness) {
       return this.mean;
     }
-    const remainingShare = Math.exp(-(nowMs - this.observedAtMs) / decayTimeMs);
-    return maxPersistentSlowness + (this.mean - maxPersistentSlowness) * remainingShare;
+    const sinceMs = nowMs - this.observedAtMs;
+    const persistent = Math.min(this.mean, maxPersistentSlowness);
+    const fadingMs = Math.max(sinceMs - retentionMs, 0);
+    const remembered = (persistent - defaultSlowness) * Math.exp(-fadingMs / fadingTimeMs);
+    const passing = (this.mean - persistent) * Math.exp(-sinceMs / decayTimeMs);
+    return defaultSlowness + remembered + passing;
   }
 }
 
