--- a/src/fleet/servedWorkers.spec.ts
+++ b/src/fleet/servedWorkers.spec.ts
@@ -1,19 +1,12 @@
-import { Ok } from 'ts-results-es';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { Dispatcher } from '../dispatch/dispatcher.js';
-import type { FleetStore } from '../ports/fleetStore.js';
 import { workerFixture } from '../testing/dispatchFixtures.js';
 import { FakeClock } from '../testing/fakeClock.js';
-import { silentLogger } from '../testing/silentLogger.js';
-import { silentSupervisor } from '../testing/silentSupervisor.js';
-import type { ShardGrant } from '../types/fleet.js';
+import { createGrantingStore, createMembership } from '../testing/membershipFixture.js';
 import { createDeferred } from '../utils/deferred.js';
 import type { WorkerDirectory } from '../workers/workerDirectory.js';
 import { ServedWorkers } from './servedWorkers.js';
-import { ShardMembership } from './shardMembership.js';
-
-const member = { incarnation: 'a', address: '127.0.0.1:1', failureDomainId: 'east', weight: 1 };
 
 /** Served workers whose release ends when the test says so. */
 const createFixture = () => {
@@ -39,34 +32,20 @@
 test('a daemon that leaves confirms a lost shard only when its workers are released', async () => {
   const clock = FakeClock.create();
   const { served, released } = createFixture();
-  const confirmed: number[] = [];
-  let granted: ShardGrant = { generation: 1, shards: [0] };
-  const store = {
-    join: async (_member: unknown, generation: number) => {
-      confirmed.push(generation);
-      return Ok(granted);
-    },
-  } as unknown as FleetStore;
-  const membership = ShardMembership.create({
-    supervisor: silentSupervisor(clock),
-    clock,
-    logger: silentLogger,
-    store,
-    member,
+  const granting = createGrantingStore([0]);
+  const membership = createMembership(clock, {
+    store: granting.store,
     onGrant: (grant) => served.applyGrant(grant),
-    onStoreReachable: () => undefined,
-    isNeeded: () => true,
-    checkStandstill: () => undefined,
   });
   await clock.advance(700);
   const leaving = served.release();
-  granted = { generation: 2, shards: [] };
+  granting.grant = { generation: 2, shards: [] };
   await clock.advance(1_300);
-  assert.is(confirmed.at(-1), 1);
+  assert.is(granting.confirmed.at(-1), 1);
   released.resolve(undefined);
   await leaving;
   await clock.advance(700);
-  assert.is(confirmed.at(-1), 2);
+  assert.is(granting.confirmed.at(-1), 2);
   await membership.close();
 });
 
--- a/src/fleet/shardMembership.spec.ts
+++ b/src/fleet/shardMembership.spec.ts
@@ -3,43 +3,26 @@
 import * as assert from 'uvu/assert';
 import type { FleetStore } from '../ports/fleetStore.js';
 import { FakeClock } from '../testing/fakeClock.js';
-import { silentSupervisor } from '../testing/silentSupervisor.js';
-import { silentLogger } from '../testing/silentLogger.js';
+import { createGrantingStore, createMembership } from '../testing/membershipFixture.js';
 import { createDeferred } from '../utils/deferred.js';
-import { ShardMembership, shardOf } from './shardMembership.js';
-import type { ShardGrant } from '../types/fleet.js';
-
-const member = { incarnation: 'a', address: '127.0.0.1:1', failureDomainId: 'east', weight: 1 };
+import { shardOf } from './shardMembership.js';
+import type { ShardMembership } from './shardMembership.js';
 
 test('lost shards are confirmed to the store only when their workers are released', async () => {
   const clock = FakeClock.create();
-  const confirmed: number[] = [];
-  let granted: ShardGrant = { generation: 1, shards: [0, 1] };
+  const granting = createGrantingStore([0, 1]);
   const released = createDeferred<undefined>();
-  const store = {
-    join: async (_member: unknown, generation: number) => {
-      confirmed.push(generation);
-      return Ok(granted);
-    },
-  } as unknown as FleetStore;
-  const membership = ShardMembership.create({
-    supervisor: silentSupervisor(clock),
-    clock,
-    logger: silentLogger,
-    store,
-    member,
+  const membership = createMembership(clock, {
+    store: granting.store,
     onGrant: ({ generation }) => (generation === 2 ? released.promise : Promise.resolve()),
-    onStoreReachable: () => undefined,
-    isNeeded: () => true,
-    checkStandstill: () => undefined,
   });
   await clock.advance(700);
-  granted = { generation: 2, shards: [0] };
+  granting.grant = { generation: 2, shards: [0] };
   await clock.advance(1_500);
-  assert.is(confirmed.at(-1), 1);
+  assert.is(granting.confirmed.at(-1), 1);
   released.resolve(undefined);
   await clock.advance(700);
-  assert.is(confirmed.at(-1), 2);
+  assert.is(granting.confirmed.at(-1), 2);
   await membership.close();
 });
 
@@ -57,16 +40,10 @@
       return Ok(undefined);
     },
   } as unknown as FleetStore;
-  const membership = ShardMembership.create({
-    supervisor: silentSupervisor(clock),
-    clock,
-    logger: silentLogger,
+  const membership = createMembership(clock, {
     store,
-    member,
     onGrant: async ({ shards }) => events.push(`${shards.length} shards`),
-    onStoreReachable: () => undefined,
     isNeeded: () => isNeeded,
-    checkStandstill: () => undefined,
   });
   await clock.advance(100);
   assert.ok(events.includes('1 shards'));
@@ -96,15 +73,9 @@
       return answer;
     },
   } as unknown as FleetStore;
-  const membership: ShardMembership = ShardMembership.create({
-    supervisor: silentSupervisor(clock),
-    clock,
-    logger: silentLogger,
+  const membership: ShardMembership = createMembership(clock, {
     store,
-    member,
     onGrant: async ({ generation }) => granted.push(generation),
-    onStoreReachable: () => undefined,
-    isNeeded: () => true,
     checkStandstill: () => {
       if (isFrozen) {
         isFrozen = false;
