Crashes never fail a job; a later lifetime within the lease makes one likely at most

Cause: a later lifetime that began while a lease covered the run was taken as proof of a crash under it. The lease bounds the run from above only; its end may have been lost with the lifetime. Nothing that is seen from afar proves a crash.

Change: the proved losses and the consequence 'crashes-workers' are gone. A later lifetime within the lease is likely to mean a crash if it began before the run was expected to be over, else it is unclear; a connection that broke under the lease stays likely. Two likely or five possible crashes end the starts of a task and give its job up, as before. Counts of earlier versions in crashedWorkers are read as likely ones.

The judges of the model and of the soak accept 'failed' only after failed runs, which is stricter.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -4,7 +4,7 @@
  */
 import { maxTaskAttempts } from '../standins/platform/routes.js';
 import { findOverlaps } from '../standins/platform/standInRun.js';
-import type { RunOutcome, RunOverlap, StartRecord } from '../standins/platform/standInRun.js';
+import type { RunOverlap, StartRecord } from '../standins/platform/standInRun.js';
 import type { SoakFleet } from './soakFleet.js';
 import type { Attempt, SoakJob } from './soakCallers.js';
 
@@ -16,9 +16,6 @@
 /** What the checks read of a fleet. */
 export type ObservedFleet = Pick<SoakFleet, 'starts' | 'disruptions' | 'crashes'>;
 
-/** Crashed workers after which a task may be given up. */
-const minCrashesToGiveUp = 2;
-
 /**
  * Lists the violated guarantees: no task runs twice at the same time, `completed` means that every task
  * was done, `failed` has a cause, a job refused with 503 was never started, a daemon that no fault disrupts
@@ -88,7 +85,7 @@
       return [
         ...(isFalseCompletion ? [`Completed, though a task was not done: ${location}.`] : []),
         ...(end.state === 'failed' && !hasCauseToFail(job, starts)
-          ? [`Failed, though no task failed so often or crashed two workers: ${location}.`]
+          ? [`Failed, though no task failed so often: ${location}.`]
           : []),
         ...(isFalseRefusal ? [`Refused, though it ran: ${location}.`] : []),
       ];
@@ -105,15 +102,12 @@
   );
 };
 
-/** @returns whether a task of the job failed as often as its route allows, or crashed two workers */
+/** @returns whether a task of the job failed as often as its route allows; crashes are no cause */
 const hasCauseToFail = ({ jobId }: SoakJob, starts: readonly StartRecord[]): boolean => {
   const runs = starts.filter(({ task }) => task.startsWith(`${jobId}.`));
-  const count = (task: string, outcome: RunOutcome): number =>
-    runs.filter((run) => run.task === task && run.outcome === outcome).length;
-  return runs.some(
-    ({ task }) =>
-      count(task, 'failed') >= maxTaskAttempts || count(task, 'crashed') >= minCrashesToGiveUp,
-  );
+  const countFailed = (task: string): number =>
+    runs.filter((run) => run.task === task && run.outcome === 'failed').length;
+  return runs.some(({ task }) => countFailed(task) >= maxTaskAttempts);
 };
 
 const hasStartedTask = ({ jobId }: SoakJob, starts: readonly StartRecord[]): boolean =>
--- a/src/dispatch/crashSuspects.ts
+++ b/src/dispatch/crashSuspects.ts
@@ -67,13 +67,13 @@
     }
   }
 
-  /** Lists the suspects to announce, those with the most crashed, then lost workers first. */
+  /** Lists the suspects to announce, those with the most likely crashes, then lost workers first. */
   listAnnounced(): SuspectTask[] {
     const nowMs = this.clock.nowMs();
     return [...this.suspects]
       .filter(([, { announcedUntilMs }]) => announcedUntilMs >= nowMs)
       .sort(([, { losses: a }], [, { losses: b }]) => {
-        return b.crashedWorkers - a.crashedWorkers || b.lostWorkers - a.lostWorkers;
+        return b.likelyCrashes - a.likelyCrashes || b.lostWorkers - a.lostWorkers;
       })
       .slice(0, maxAnnouncedSuspects)
       .map(([taskName, { losses }]) => ({ taskName, ...toStatedLosses(losses) }));
--- a/src/dispatch/lapsedRuns.ts
+++ b/src/dispatch/lapsedRuns.ts
@@ -1,6 +1,6 @@
 /**
  * Runs that lapsed while their worker was silent, until the worker answers again: only then it shows
- * whether its lifetime is over, and what that proves.
+ * whether its lifetime is over, and what that tells.
  */
 import type { Clock } from '../ports/clock.js';
 import { judgeLifetimeEnd } from './lifetimeEnd.js';
@@ -19,7 +19,7 @@
   readonly task: BatchedTask;
 }
 
-/** A lapsed run, and what the lifetime that answers proves of it. */
+/** A lapsed run, and what the lifetime that answers tells of it. */
 export interface ResolvedRun {
   readonly run: LapsedRun;
   readonly end: LifetimeEnd;
@@ -51,7 +51,7 @@
    *
    * @param workerId - the worker
    * @param answering - the lifetime that answers at its address
-   * @returns what it proves of the runs
+   * @returns what it tells of the runs
    */
   resolve(workerId: string, answering: AnsweringLifetime): ResolvedRun[] {
     const resolved = this.runs.filter((run) => run.workerId === workerId);
--- a/src/dispatch/lifetimeEnd.ts
+++ b/src/dispatch/lifetimeEnd.ts
@@ -1,7 +1,7 @@
 /**
- * Judges what the lifetime that answers at a worker's address proves of a run that an earlier one may have had: whether
- * the worker has crashed under it. That a lifetime is over says nothing of when it ended. It may have been after the
- * run's lease, when nothing of the task ran there any more.
+ * Judges what the lifetime that answers at a worker's address tells of a run that an earlier one may have had: whether
+ * the worker is likely to have crashed under it. Nothing proves that. A lifetime may have ended after the run's lease, and
+ * within the lease the run may have come to an end of which nobody heard.
  */
 import { unreachable } from '../errors/unreachable.js';
 import type { ActiveRun } from './activeRun.js';
@@ -11,24 +11,31 @@
 export type LifetimeEnd =
   /** It has not ended: the worker has not crashed. */
   | { readonly kind: 'none' }
-  /** Proof of a crash under the run: a later lifetime began while an acknowledged lease covered it. */
-  | { readonly kind: 'under-run'; readonly beforeLeaseEndMs: number }
-  /**
-   * Likely a crash under the run: a connection broke while a lease covered it, and the lifetime has not answered
-   * since. A cut can reset connections too, and the worker can crash behind it after the lease.
-   */
-  | { readonly kind: 'likely-under-run'; readonly beforeLeaseEndMs: number }
+  /** Likely by a crash under the run. */
+  | {
+      readonly kind: 'likely-under-run';
+      readonly sign: CrashSign;
+      readonly beforeLeaseEndMs: number;
+    }
   /** Nothing tells whether it ended before or after the run did. */
   | { readonly kind: 'unclear'; readonly afterLeaseEndMs: number | undefined };
 
+/**
+ * What makes a crash under a run likely, while an acknowledged lease covers the run:
+ * - `early-restart`: a later lifetime began before the run was expected to end, so that it can hardly have ended unheard.
+ * - `broken-connection`: a connection broke on which the end of the run would have been heard, and the lifetime has not
+ *   answered since. A cut can reset connections too, and the worker can crash behind it.
+ */
+export type CrashSign = 'early-restart' | 'broken-connection';
+
 /** Whether the earlier lifetime of a worker was expected to end. */
 export type Departure = 'crash' | 'expected';
 
 /**
- * How the lifetime in which a run began has ended: by a crash that is proved to have been under the run, by one that
- * is likely to have been, at an unclear time, or as expected.
+ * How the lifetime in which a run began has ended: by a crash that is likely to have been under the run, at an unclear
+ * time, or as expected.
  */
-export type RunDeparture = Departure | 'likely-crash' | 'unclear';
+export type RunDeparture = 'likely-crash' | 'unclear' | 'expected';
 
 /** What a report tells of the lifetime that it is of, and of an earlier one. */
 interface LaterReport {
@@ -44,7 +51,12 @@
 /** What is known of a run of an earlier lifetime. */
 export type CoveredRun = Pick<
   ActiveRun,
-  'startSentAtMs' | 'startedAtMs' | 'lifetimeMs' | 'coveredUntilMs' | 'disconnectedAtMs'
+  | 'startSentAtMs'
+  | 'expectedMs'
+  | 'startedAtMs'
+  | 'lifetimeMs'
+  | 'coveredUntilMs'
+  | 'disconnectedAtMs'
 >;
 
 /** Judges the end of the lifetime in which a run began by the one that answers now. */
@@ -61,8 +73,8 @@
         return { kind: 'unclear', afterLeaseEndMs: undefined };
       }
       const beforeLeaseEndMs = run.coveredUntilMs - latestStartMs;
-      return beforeLeaseEndMs > 0
-        ? { kind: 'under-run', beforeLeaseEndMs }
+      return beforeLeaseEndMs > 0 && latestStartMs < expectedEndMs(run)
+        ? { kind: 'likely-under-run', sign: 'early-restart', beforeLeaseEndMs }
         : judgeDisconnection(run, -beforeLeaseEndMs);
     }
     default:
@@ -85,8 +97,6 @@
     latestStartMs,
   });
   switch (end.kind) {
-    case 'under-run':
-      return 'crash';
     case 'likely-under-run':
       return 'likely-crash';
     case 'none':
@@ -103,7 +113,15 @@
 ): LifetimeEnd =>
   disconnectedAtMs === undefined
     ? { kind: 'unclear', afterLeaseEndMs }
-    : { kind: 'likely-under-run', beforeLeaseEndMs: coveredUntilMs - disconnectedAtMs };
+    : {
+        kind: 'likely-under-run',
+        sign: 'broken-connection',
+        beforeLeaseEndMs: coveredUntilMs - disconnectedAtMs,
+      };
+
+/** Earliest expected end of a run, in monotonic time. */
+const expectedEndMs = ({ startSentAtMs, expectedMs }: CoveredRun): number =>
+  startSentAtMs + expectedMs;
 
 /** Whether the lifetime that answers is certainly the one in which a run began. */
 const isSameLifetime = (
--- a/src/dispatch/lostRuns.ts
+++ b/src/dispatch/lostRuns.ts
@@ -5,6 +5,7 @@
 import type { Logger } from '../ports/logger.js';
 import type { ActiveRun } from './activeRun.js';
 import type { LapsedRuns, ResolvedRun } from './lapsedRuns.js';
+import type { CrashSign } from './lifetimeEnd.js';
 import { suspicionOf } from './runEvidence.js';
 import type { RunEvidence } from './runEvidence.js';
 import type { TaskRetries } from './taskRetries.js';
@@ -34,7 +35,6 @@
         retries.recordLoss(run.task, 'unclear');
         lapsedRuns.remember({ ...run, workerId });
         return;
-      case 'crashed':
       case 'likely':
       case 'unclear':
         retries.recordLoss(run.task, suspicion);
@@ -44,7 +44,7 @@
     }
   }
 
-  /** Counts what the lifetime that answers at the address of a worker proves of the runs that lapsed there. */
+  /** Counts what the lifetime that answers at the address of a worker tells of the runs that lapsed there. */
   resolveLapsed(workerId: string, answering: AnsweringLifetime): void {
     const { lapsedRuns } = this.options;
     lapsedRuns.resolve(workerId, answering).forEach((resolved) => this.settle(resolved));
@@ -57,20 +57,11 @@
       case 'none':
         retries.settleLoss(task, 'none');
         return;
-      case 'under-run':
-        logger.warn('A worker has crashed under a run that lapsed.', {
-          workerId,
-          taskName,
-          reason: 'a later lifetime began before the end of the lease',
-          leaseLeftMs: Math.round(end.beforeLeaseEndMs),
-        });
-        retries.settleLoss(task, 'crashed');
-        return;
       case 'likely-under-run':
         logger.warn('A worker has likely crashed under a run that lapsed.', {
           workerId,
           taskName,
-          reason: 'its connection broke before the end of the lease',
+          reason: describeSign(end.sign),
           leaseLeftMs: Math.round(end.beforeLeaseEndMs),
         });
         retries.settleLoss(task, 'likely');
@@ -79,7 +70,7 @@
         logger.info('A worker may have crashed under a run that lapsed.', {
           workerId,
           taskName,
-          reason: 'nothing tells when its lifetime ended',
+          reason: 'nothing tells whether its lifetime ended before the run',
           ...(end.afterLeaseEndMs === undefined
             ? {}
             : { leaseLeftMs: -Math.round(end.afterLeaseEndMs) }),
@@ -90,3 +81,14 @@
     }
   }
 }
+
+const describeSign = (sign: CrashSign): string => {
+  switch (sign) {
+    case 'early-restart':
+      return 'a later lifetime began before the ends of the lease and of the expected run time';
+    case 'broken-connection':
+      return 'its connection broke before the end of the lease';
+    default:
+      return unreachable(sign);
+  }
+};
--- a/src/dispatch/runEvidence.ts
+++ b/src/dispatch/runEvidence.ts
@@ -77,7 +77,7 @@
  * What a run says about its task as the cause of a crash: nothing, or a lost worker under it. A silent one may turn out
  * not to have crashed.
  */
-export type Suspicion = 'none' | 'suspected' | 'crashed' | 'likely' | 'unclear';
+export type Suspicion = 'none' | 'suspected' | 'likely' | 'unclear';
 
 /**
  * Time from the acknowledgement of a stop until the run has certainly ended. It uses its capacity until then,
@@ -221,8 +221,6 @@
 
 const suspicionOfDeparture = (departure: RunDeparture): Suspicion => {
   switch (departure) {
-    case 'crash':
-      return 'crashed';
     case 'likely-crash':
       return 'likely';
     case 'unclear':
--- a/src/dispatch/taskRetries.ts
+++ b/src/dispatch/taskRetries.ts
@@ -1,6 +1,6 @@
 /**
  * Decides what follows for a task when a run of it has ended: its end, another run, or that it is not started again
- * since its workers crash, or may have.
+ * since it may have crashed its workers.
  */
 import { unreachable } from '../errors/unreachable.js';
 import type { Logger } from '../ports/logger.js';
@@ -45,7 +45,7 @@
     return new TaskRetries(options);
   }
 
-  /** Queues a new task, unless it is known to crash its workers. */
+  /** Queues a new task, unless it may have crashed too many workers. */
   enqueueNew(task: BatchedTask): void {
     this.enqueueOrEnd(task);
   }
@@ -146,7 +146,7 @@
     }
   }
 
-  /** Queues a task for a run, unless it has failed too often or too many workers have crashed under it. */
+  /** Queues a task for a run, unless it has failed too often or may have crashed too many workers. */
   private enqueueOrEnd(task: BatchedTask): void {
     const { logger, starter } = this.options;
     this.updateCounts(task);
@@ -161,17 +161,10 @@
       case 'may-start':
         starter.enqueue(task);
         return;
-      case 'crashes-workers':
-        logger.warn('A task is given up, since its workers crash.', {
-          taskName,
-          count: losses.crashedWorkers,
-        });
-        batch.end(task, { kind: 'failed', index, reason: 'its workers crash' });
-        return;
       case 'may-crash-workers':
         logger.warn('A task is not started again, since it may have crashed its workers.', {
           taskName,
-          count: losses.crashedWorkers + losses.unclearLosses,
+          count: losses.unclearLosses,
         });
         batch.end(task, { kind: 'withdrawn', index, reason: 'it may have crashed its workers' });
         return;
--- a/src/fleet/workersOutOfReach.spec.ts
+++ b/src/fleet/workersOutOfReach.spec.ts
@@ -3,6 +3,7 @@
 import type { Scenario } from '../testing/model/modelEvents.js';
 import {
   crashesAfterLeasesScenario,
+  crashesAfterUnheardEndsScenario,
   frozenDispatcherOfKilledRequesterScenario,
   refusingWorkerOfLostRequesterScenario,
   startBesideLostRequesterScenario,
@@ -39,4 +40,9 @@
   assert.equal(answers, ['0000000000000001/0 completed']);
 });
 
+// Guards against a job that is answered as failed because its workers crashed when it had ended there, unheard.
+test('workers that crash after unheard ends of a task do not fail its job', async () => {
+  await checkScenario(crashesAfterUnheardEndsScenario);
+});
+
 test.run();
--- a/src/testing/model/reachScenarios.ts
+++ b/src/testing/model/reachScenarios.ts
@@ -79,6 +79,33 @@
   },
 ];
 
+/** A worker is cut off just before its run ends there, and crashes just after it. */
+const crashBehindUnheardEnd = (atMs: number, index: number): ModelEvent[] => [
+  {
+    ...{ kind: 'cut', atMs, daemon: null, fault: 'silent', forMs: 145 },
+    worker: { kind: 'numbered', index },
+  },
+  {
+    ...{ kind: 'crash', atMs: atMs + 80, down: 'silent', downMs: 60 },
+    worker: { kind: 'numbered', index },
+  },
+];
+
+/** Two workers crash while the lease covers a run that has ended there as done, of which nobody has heard. */
+export const crashesAfterUnheardEndsScenario = {
+  ...createScenario(
+    ['east', 'east'],
+    [['east', 2]],
+    [
+      submit(1_000, { runMs: 1_000, estimatedMs: 1_000, maxAttempts: 1 }),
+      ...crashBehindUnheardEnd(1_950, 1),
+      ...crashBehindUnheardEnd(2_690, 0),
+    ],
+  ),
+  seed: 5,
+  startsStateLifetime: true,
+};
+
 /** The two workers that run a task one after the other crash when its leases there have ended. */
 export const crashesAfterLeasesScenario = {
   ...createScenario(
--- a/src/types/dispatch.ts
+++ b/src/types/dispatch.ts
@@ -27,7 +27,7 @@
   failedRuns: z.number().int().nonnegative(),
   /** Workers that were silent or crashed while they ran the task; earlier versions omit it. */
   lostWorkers: z.number().int().nonnegative().default(0),
-  /** Those of the lost workers that are proved to have crashed; earlier versions omit it. */
+  /** Those that an earlier version took as proved to have crashed, and counts here alone; it is not sent any more. */
   crashedWorkers: z.number().int().nonnegative().optional(),
   /** Those that are likely to have crashed under it, and those that may have; earlier versions omit both. */
   likelyCrashes: z.number().int().nonnegative().optional(),
@@ -73,7 +73,7 @@
     /** Run time divided by the slowdown factor of the worker, in milliseconds. */
     lengthMs: z.number().nonnegative(),
   }),
-  /** Failed as often as its route allows, is proved to crash its workers, or a worker rejected its order as not valid. */
+  /** Failed as often as its route allows, or a worker rejected its order as not valid. */
   z.object({ kind: z.literal('failed'), index: z.number().int(), reason: z.string() }),
   /** Certainly runs nowhere, so another dispatcher may run it. */
   z.object({ kind: z.literal('returned'), task: batchTaskSchema, reason: z.string() }),
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -62,7 +62,7 @@
   taskName: z.string(),
   /** Workers that were silent or crashed while they ran it. */
   lostWorkers: z.number().int().positive(),
-  /** Those of the lost workers that are proved to have crashed; earlier versions omit it. */
+  /** Those that an earlier version took as proved to have crashed, and counts here alone; it is not sent any more. */
   crashedWorkers: z.number().int().nonnegative().optional(),
   /** Those that are likely to have crashed under it, and those that may have; earlier versions omit both. */
   likelyCrashes: z.number().int().nonnegative().optional(),
