Refuse a job for now that no listed worker has the label or the size for, in place of failing it

Cause: `fitOf` drew `never` from the workers that are listed now, and `rejectionForSize` ended the job as failed by it. What follows from the list of now is a belief: an entry expires while its worker restarts, a restarted daemon knows no earlier capacity, a worker comes back as another kind, a kind is replaced, a part of the list is not read yet.

Change: `never` is gone; a task that fits on no listed worker is `unlisted`, and its job is refused at once with Retry-After 5 s (2 s for `shrunk`, as before). The rejections of the intake have no `failed` any more.

--- a/src/fleet/jobIntake.ts
+++ b/src/fleet/jobIntake.ts
@@ -3,6 +3,7 @@
  */
 import { countJobEnd } from '../bestEffort/countJobEnd.js';
 import type { RunningJobs } from '../bestEffort/runningJobs.js';
+import { unreachable } from '../errors/unreachable.js';
 import type {
   CancellationOutcome,
   JobEnd,
@@ -15,7 +16,7 @@
 import type { Metrics } from '../ports/metrics.js';
 import type { RoutingStore } from '../routing/routingStore.js';
 import type { Route } from '../types/routing.js';
-import type { WorkerDirectory } from '../workers/workerDirectory.js';
+import type { TaskFit, WorkerDirectory } from '../workers/workerDirectory.js';
 import type { JobCancellation } from './jobCancellation.js';
 
 /** Time after which a job with unsupported demands may be sent again, in milliseconds. */
@@ -24,11 +25,16 @@
 const shutdownRetryAfterMs = 1_000;
 /** Time after which a job may be sent again that needs more than shrunk workers have, in milliseconds. */
 const shrunkRetryAfterMs = 2_000;
+/**
+ * Time after which a job may be sent again that no listed worker is large enough for, in milliseconds. A worker
+ * that restarts is listed again within seconds; most others are not back soon.
+ */
+const unlistedRetryAfterMs = 5_000;
 /** Largest body of a request before the first routing configuration is in force. */
 const defaultMaxBodyBytes = 262_144;
 
-/** The end of a job that is rejected at once. */
-type Rejection = Extract<JobEnd, { kind: 'refused' | 'failed' }>;
+/** The end of a job that is rejected at once: no task of it has failed, and nothing shows that none can run later. */
+type Rejection = Extract<JobEnd, { kind: 'refused' }>;
 
 export interface JobIntakeOptions {
   readonly logger: Logger;
@@ -119,7 +125,7 @@
       const reason = `not supported: ${unsupported.join(', ')}`;
       return { kind: 'refused', reason, retryAfterMs: unsupportedRetryAfterMs };
     }
-    // A repeated request of a running job waits for it: it must not be told that nothing runs, or ever can.
+    // A repeated request of a running job waits for it: it must not be told that nothing runs.
     if (this.options.jobs.state(jobId) !== 'unknown') {
       return undefined;
     }
@@ -130,20 +136,40 @@
     return this.rejectionForSize(route, request);
   }
 
-  /** @returns how a job ends of which some step fits on no listed worker, however much of it is free */
+  /**
+   * @returns how a job ends of which some step fits on no listed worker, however much of it is free: by the step
+   *   that may have to wait longest
+   */
   private rejectionForSize({ serviceId }: Route, { steps }: JobRequest): Rejection | undefined {
-    const fits = steps.map(({ needs }) =>
-      this.options.directory.fitOf(serviceId, needs.resources, needs.requiredLabel),
-    );
-    if (fits.includes('never')) {
-      return { kind: 'failed', reason: 'no worker of the service is large enough' };
-    }
-    return fits.includes('shrunk')
-      ? {
-          kind: 'refused',
-          reason: 'no worker of the service is large enough now',
-          retryAfterMs: shrunkRetryAfterMs,
-        }
-      : undefined;
+    const rejections = steps.flatMap(({ needs: { resources, requiredLabel } }) => {
+      const rejection = toRejection(
+        this.options.directory.fitOf(serviceId, resources, requiredLabel),
+      );
+      return rejection === undefined ? [] : [rejection];
+    });
+    return rejections.sort((a, b) => b.retryAfterMs - a.retryAfterMs)[0];
   }
 }
+
+/** @returns how a job is rejected of which a task has this fit, or nothing if its plan decides */
+const toRejection = (fit: TaskFit): Rejection | undefined => {
+  switch (fit) {
+    case 'fits':
+    case 'unknown':
+      return undefined;
+    case 'shrunk':
+      return {
+        kind: 'refused',
+        reason: 'no worker of the service is large enough now',
+        retryAfterMs: shrunkRetryAfterMs,
+      };
+    case 'unlisted':
+      return {
+        kind: 'refused',
+        reason: 'no worker that is listed now has the label and the size for it',
+        retryAfterMs: unlistedRetryAfterMs,
+      };
+    default:
+      return unreachable(fit);
+  }
+};
--- a/src/ports/jobs.ts
+++ b/src/ports/jobs.ts
@@ -29,11 +29,11 @@
 /** How a submitted job ended. */
 export type JobEnd =
   | { readonly kind: 'completed' }
-  /** A task has failed as often as its route allows, or no worker can ever run the job. */
+  /** The ends of its runs prove that a task cannot be done; which workers are listed proves nothing. */
   | { readonly kind: 'failed'; readonly reason: string }
   /** Abandoned; some of its tasks may have run. */
   | { readonly kind: 'given-up'; readonly reason: string }
-  /** None of its tasks has run or will run. */
+  /** None of its tasks has run or will run for this request, now or later. */
   | { readonly kind: 'refused'; readonly reason: string; readonly retryAfterMs: number }
   /** The caller has disconnected or cancelled the job. */
   | { readonly kind: 'cancelled' };
--- a/src/workers/workerDirectory.ts
+++ b/src/workers/workerDirectory.ts
@@ -34,10 +34,11 @@
 }
 
 /**
- * Whether a task fits on a listed worker. `unknown`: none of the service is listed. `shrunk`: only while a
- * worker whose capacity has shrunk has its full capacity.
+ * Whether a task fits on a worker that is listed now. `shrunk`: only while a worker whose capacity has shrunk has
+ * its full capacity. `unlisted`: on none; another one may be listed later. `unknown`: none of the service is listed.
+ * None of them says that a task can never run: workers leave the list for a while, and come back as other kinds.
  */
-export type TaskFit = 'fits' | 'shrunk' | 'never' | 'unknown';
+export type TaskFit = 'fits' | 'shrunk' | 'unlisted' | 'unknown';
 
 export class WorkerDirectory {
   private readonly workers = new Map<string, WorkerRecord>();
@@ -82,7 +83,7 @@
   }
 
   /**
-   * Returns whether any worker of a service has the capacity and the label for a task, whatever
+   * Returns whether any listed worker of a service has the capacity and the label for a task, whatever
    * runs on it now.
    *
    * @param serviceId - the service
@@ -103,7 +104,7 @@
     const hadEnough = labelled.some(({ workerId }) =>
       hasEnough(needs, this.largestCapacities.get(workerId) ?? noResources),
     );
-    return hadEnough ? 'shrunk' : 'never';
+    return hadEnough ? 'shrunk' : 'unlisted';
   }
 
   async close(): Promise<void> {
