Give up a task whose order a worker rejects as not valid, in place of failing it

Callers could be shown a job as failed though no run of it had ended: a worker's answer 400 to a start, or a refused ticket, ended the task as failed. The answer proves that nothing was started there, and no more; only runs that ended failed are a cause. The task is withdrawn with the reason, and its job given up.

--- a/src/bestEffort/stepEnd.ts
+++ b/src/bestEffort/stepEnd.ts
@@ -5,7 +5,7 @@
 /** How a step, or some of its tasks, ended. */
 export type StepEnd =
   | { readonly kind: 'done' }
-  /** A task failed as often as its route allows, or its worker found it invalid. */
+  /** The runs of a task have failed as often as its route allows. */
   | { readonly kind: 'failed'; readonly reason: string }
   /** Nothing more is tried, although tasks may have run. */
   | { readonly kind: 'given-up'; readonly reason: string }
--- a/src/dispatch/taskRetries.ts
+++ b/src/dispatch/taskRetries.ts
@@ -98,7 +98,7 @@
         return;
       }
       case 'rejected':
-        batch.end(task, { kind: 'failed', index, reason: consequence.reason });
+        batch.end(task, { kind: 'withdrawn', index, reason: consequence.reason });
         return;
       case 'must-not-start':
         batch.end(task, { kind: 'withdrawn', index });
--- a/src/types/dispatch.ts
+++ b/src/types/dispatch.ts
@@ -73,7 +73,7 @@
     /** Run time divided by the slowdown factor of the worker, in milliseconds. */
     lengthMs: z.number().nonnegative(),
   }),
-  /** Failed as often as its route allows, or a worker rejected its order as not valid. */
+  /** Its runs have failed as often as its route allows; nothing else makes a task fail. */
   z.object({ kind: z.literal('failed'), index: z.number().int(), reason: z.string() }),
   /** Certainly runs nowhere, so another dispatcher may run it. */
   z.object({ kind: z.literal('returned'), task: batchTaskSchema, reason: z.string() }),
@@ -81,7 +81,8 @@
   z.object({ kind: z.literal('expired'), index: z.number().int() }),
   /**
    * The requester withdrew the batch, since its job has ended, or the dispatcher ends and a run of the task may
-   * go on, or the task may have crashed too many workers. It must not start again.
+   * go on, or the task may have crashed too many workers, or a worker rejected its order as not valid. It must not
+   * start again.
    */
   z.object({
     kind: z.literal('withdrawn'),
