A start that was never answered stays in doubt over the lifetimes of its worker

Callers saw nothing, but two runs of a task went on at the same time for 30 to 950 ms: the worker was cut off so that orders were held up, or carried them out late, and crashed meanwhile. The leases of the run were over, its task started elsewhere, and the order was carried out in the next lifetime, whose clock is young and which has seen no fencing token.

Cause: the end of all leases was taken for the end of any run. It binds a start that was never answered only in the lifetime that the start was sent to. Beside it, leases were judged after a pause in which the worker had answered again.

Change: silence is judged for each run (src/dispatch/silenceEvidence.ts). A run that its worker has acknowledged or listed lapses with the leases, as before. A start without an answer is in doubt until a stop is acknowledged and a later report does not list it, or until it can reach nobody: fenced, another worker at the address, the worker listed at another one. Its task waits; the others do not, since a silent worker with nothing but starts in doubt is not in service. A stop that only a later lifetime has acknowledged counts as a loss of the worker, as the lapse did. Stops of a run in doubt go out each second, and when the worker reports.

Evidence: both tests of src/fleet/startsInDoubt.spec.ts failed before.

--- a/src/dispatch/activeRun.ts
+++ b/src/dispatch/activeRun.ts
@@ -1,11 +1,15 @@
 /**
  * A run of a task on a worker, from the order to start it until it can no longer be running.
  */
+import { unreachable } from '../errors/unreachable.js';
 import type { Resources } from '../types/resources.js';
 import type { BatchedTask } from './openBatch.js';
 
-/** Phase of a run: start not yet confirmed, confirmed, or stop ordered. */
-export type RunPhase = 'starting' | 'running' | 'stopping';
+/**
+ * Phase of a run: start not yet confirmed, confirmed, stop ordered, or in doubt: its start was never answered, and
+ * its leases are over, but a later lifetime of the worker may still carry the start out.
+ */
+export type RunPhase = 'starting' | 'running' | 'stopping' | 'in-doubt';
 
 export interface ActiveRun {
   readonly task: BatchedTask;
@@ -17,6 +21,8 @@
   readonly needs: Resources;
   /** When the start was ordered, in monotonic time. */
   readonly startSentAtMs: number;
+  /** Start of the worker's lifetime that was known when the start was ordered; undefined if none was. */
+  readonly orderedInMs: number | undefined;
   /** Expected run time, in milliseconds. */
   readonly expectedMs: number;
   phase: RunPhase;
@@ -35,8 +41,14 @@
 /** The part of a run that is known before its start is ordered. */
 export type RunPlan = Pick<ActiveRun, 'task' | 'taskName' | 'needs' | 'expectedMs'>;
 
-/** Creates the next run of a task, whose start is ordered now. */
-export const createRun = (plan: RunPlan, nowMs: number): ActiveRun => {
+/**
+ * Creates the next run of a task, whose start is ordered now.
+ *
+ * @param plan - the run
+ * @param nowMs - monotonic time
+ * @param orderedInMs - start of the worker's lifetime that is known now
+ */
+export const createRun = (plan: RunPlan, nowMs: number, orderedInMs?: number): ActiveRun => {
   const { task } = plan;
   const run = task.nextRun;
   task.nextRun += 1;
@@ -44,6 +56,7 @@
     ...plan,
     run,
     startSentAtMs: nowMs,
+    orderedInMs,
     phase: 'starting',
     startedAtMs: undefined,
     stopAcknowledgedAtMs: undefined,
@@ -61,11 +74,36 @@
 
 /** Records until when a lease covers a run that its worker has acknowledged, unless a stop may end it before. */
 export const recordCover = (run: ActiveRun, coveredUntilMs: number): void => {
-  if (run.phase !== 'stopping') {
+  if (!isEnding(run)) {
     run.coveredUntilMs = Math.max(run.coveredUntilMs, coveredUntilMs);
   }
 };
 
+/** Whether the end of a run is waited for, so that no lease is to cover it. */
+export const isEnding = ({ phase }: ActiveRun): boolean => {
+  switch (phase) {
+    case 'starting':
+    case 'running':
+      return false;
+    case 'stopping':
+    case 'in-doubt':
+      return true;
+    default:
+      return unreachable(phase);
+  }
+};
+
+/**
+ * Records that the leases of a run are over whose start was never answered.
+ *
+ * @returns whether this was not known before
+ */
+export const recordDoubt = (run: ActiveRun): boolean => {
+  const isNews = run.phase !== 'in-doubt';
+  run.phase = 'in-doubt';
+  return isNews;
+};
+
 /** Records that a run is being stopped: from now on it may end before its lease does. */
 export const recordStopOrder = (run: ActiveRun, nowMs: number): void => {
   run.phase = 'stopping';
@@ -80,8 +118,19 @@
 export const recordStart = (run: ActiveRun, nowMs: number): boolean => {
   const isNews = run.startedAtMs === undefined;
   run.startedAtMs ??= nowMs;
-  if (run.phase === 'starting') {
-    run.phase = 'running';
-  }
+  run.phase = phaseOnceStarted(run.phase);
   return isNews;
 };
+
+const phaseOnceStarted = (phase: RunPhase): RunPhase => {
+  switch (phase) {
+    case 'starting':
+    case 'running':
+      return 'running';
+    case 'stopping':
+    case 'in-doubt':
+      return 'stopping';
+    default:
+      return unreachable(phase);
+  }
+};
--- a/src/dispatch/leaseClock.ts
+++ b/src/dispatch/leaseClock.ts
@@ -38,12 +38,18 @@
     const nowMs = this.clock.nowMs();
     const lowestMs = this.workerClockMs + this.ageMs(nowMs) * (1 - maxDrift) - maxReadingLagMs;
     if (workerClockMs < lowestMs && !this.haveAllLeasesEnded()) {
-      this.recordIssued(nowMs + longestDurationMs(this.times.longestLeaseMs) + sendSlackMs);
+      this.recordUnknownLease();
     }
     this.workerClockMs = workerClockMs;
     this.readAtMs = nowMs;
   }
 
+  /** Records that the worker may have begun a lease by now that is as long as it allows. */
+  recordUnknownLease(): void {
+    const { longestLeaseMs } = this.times;
+    this.recordIssued(this.clock.nowMs() + longestDurationMs(longestLeaseMs) + sendSlackMs);
+  }
+
   /**
    * Issues a lease that begins now, and extends the time by which all leases have ended. A slow clock has
    * fallen behind since it was read, so that it reaches the end of the lease later by as much.
--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -11,9 +11,10 @@
 import { WakeableSleep } from '../utils/wakeableSleep.js';
 import type { WorkerRecord } from '../types/workers.js';
 import { WorkerSpeed } from '../workers/workerSpeed.js';
-import { createRun, recordStart } from './activeRun.js';
+import { createRun, isEnding, recordStart } from './activeRun.js';
 import type { ActiveRun, RunPlan } from './activeRun.js';
 import type { ActiveTasks } from './activeTasks.js';
+import { awaitRunEnds, checkPauseMs } from './awaitRunEnds.js';
 import type { BatchedTask } from './openBatch.js';
 import { taskNameOf } from './taskNames.js';
 import type { CapacityRelease } from '../types/fleet.js';
@@ -24,12 +25,10 @@
 import type { AnsweringLifetime } from './workerLifetime.js';
 import { WorkerLink } from './workerLink.js';
 import { WorkerReservation } from './workerReservation.js';
+import type { Addressee } from './silenceEvidence.js';
 import { WorkerReports, idlePollMs } from './workerReports.js';
 import { WorkerHealth } from './workerHealth.js';
 
-/** Pause between checks whether runs are left, during takeover and drain. */
-const checkPauseMs = 60;
-
 export interface ManagedWorkerOptions {
   readonly record: WorkerRecord;
   readonly fencingToken: number;
@@ -82,7 +81,10 @@
     this.reports = WorkerReports.create({
       ...common,
       onLifetime: (answering) => options.onLifetime(this.workerId, answering),
-      onReport: () => this.handleReport(),
+      onReport: () => {
+        this.orders.handleReport();
+        options.onAvailabilityChange();
+      },
     });
     this.orders = RunOrders.create({
       ...common,
@@ -119,6 +121,11 @@
     return this.link.record.capacity.cpuMillis - this.runs.used.cpuMillis;
   }
 
+  /** Whether the worker may start tasks now, or when its runs have ended that a lease may cover. */
+  get isInService(): boolean {
+    return this.isAvailable || (this.isAssigned && this.runs.hasLeasedRuns);
+  }
+
   /** Whether any task may start on the worker now, capacity aside. */
   get isOpen(): boolean {
     return this.isAvailable && this.reservation.task === undefined;
@@ -176,7 +183,7 @@
 
   /** Starts the next run of a task; `onEnd` reports what becomes of it. */
   start(plan: RunPlan): void {
-    const run = createRun(plan, this.options.clock.nowMs());
+    const run = createRun(plan, this.options.clock.nowMs(), this.link.lifetime.startedAtMs);
     plan.task.batch.usedWorkerIds.add(this.workerId);
     this.runs.add(run);
     void this.orders.start(run);
@@ -185,7 +192,7 @@
   /** Stops the run of a task, if there is one; that of the same task in another batch goes on. */
   stopTask(task: BatchedTask): void {
     const run = this.runs.get(taskNameOf(task));
-    if (run?.task === task && run.phase !== 'stopping') {
+    if (run?.task === task && !isEnding(run)) {
       void this.orders.stop(run);
     }
   }
@@ -193,9 +200,7 @@
   /** Starts no more runs; resolves when the worker is closed after its last run, or used again. */
   async drain(): Promise<void> {
     this.isDraining = true;
-    while (this.runs.size > 0 && this.isDrainPending()) {
-      await this.options.clock.sleep(checkPauseMs);
-    }
+    await awaitRunEnds(this.options.clock, this.runs, () => this.isDrainPending());
     if (this.isDrainPending()) {
       await this.close();
     }
@@ -204,8 +209,11 @@
   /**
    * Renews no lease from now on and stops all runs; resolves when the worker is closed, after each run was
    * proved to have ended.
+   *
+   * @param addressee - who gets the orders that are still under way to the worker's address
    */
-  retire(): Promise<void> {
+  retire(addressee: Addressee): Promise<void> {
+    this.link.addressee = addressee;
     this.isRetired = true;
     this.sleeper.wake();
     this.runs.list().forEach(({ task }) => this.stopTask(task));
@@ -253,9 +261,8 @@
    */
   private async waitForToken(): Promise<void> {
     const { leaseClock } = this.link;
-    await this.sleeper.sleep(
-      this.runs.size > 0 ? leaseClock.msUntilAllLeasesEnded() + 1 : idlePollMs,
-    );
+    const pauseMs = this.runs.size > 0 ? leaseClock.msUntilAllLeasesEnded() + 1 : idlePollMs;
+    await this.sleeper.sleep(pauseMs);
     this.reports.endLapsedRuns('fenced');
   }
 
@@ -281,13 +288,11 @@
     }
   }
 
-  private handleReport(): void {
-    this.orders.stopOverdue();
-    this.options.onAvailabilityChange();
-  }
-
   /** Records that the worker has a run, and wakes the loop so that its lease is renewed. */
   private markStarted(run: ActiveRun): void {
+    if (run.phase === 'in-doubt') {
+      this.link.leaseClock.recordUnknownLease();
+    }
     if (recordStart(run, this.options.clock.nowMs())) {
       this.sleeper.wake();
     }
--- a/src/dispatch/recordOutcome.ts
+++ b/src/dispatch/recordOutcome.ts
@@ -29,6 +29,7 @@
     case 'gone-with-lifetime':
     case 'never-accepted':
     case 'absent':
+    case 'start-in-doubt':
     case 'unknown':
       return;
     default:
--- a/src/dispatch/reportProcessor.spec.ts
+++ b/src/dispatch/reportProcessor.spec.ts
@@ -19,6 +19,7 @@
     run: 1,
     needs: batchFixture.needs.resources,
     startSentAtMs: 0,
+    orderedInMs: undefined,
     expectedMs: 100,
     phase: 'stopping',
     startedAtMs: 1,
--- a/src/dispatch/runEvidence.spec.ts
+++ b/src/dispatch/runEvidence.spec.ts
@@ -7,7 +7,6 @@
 import { OpenBatch } from './openBatch.js';
 import {
   consequenceOf,
-  evidenceOfSilence,
   evidenceOfStartReply,
   evidenceOfUnlistedRun,
   maxStopMs,
@@ -86,10 +85,18 @@
   assert.equal(departureBefore(980, { disconnectedAtMs: 900 }), goneWith('likely-crash'));
 });
 
-// Guards against a second start while a worker is silent.
-test('silence proves nothing before all leases have ended', () => {
-  assert.is(evidenceOfSilence(false, 'silent').kind, 'unknown');
-  assert.equal(evidenceOfSilence(true, 'silent'), { kind: 'lapsed', cause: 'silent' });
+// Guards against a second start beside one that a later lifetime carries out, and against crashes that do not count.
+test('a stop in a later lifetime ends a run whose start was never answered, as gone with the earlier one', () => {
+  const doubted = runWith({
+    ...{ orderedInMs: 5, startSentAtMs: 100, stopAcknowledgedAtMs: 900 },
+    phase: 'in-doubt',
+  });
+  const evidenceIn = (lifetimeMs: number, latestStartMs: number): RunEvidence =>
+    evidenceOfUnlistedRun(doubted, { ...reportContext, lifetimeMs, latestStartMs });
+  assert.equal(evidenceIn(6, 800), { kind: 'gone-with-lifetime', departure: 'unclear' });
+  assert.equal(evidenceIn(5, 800), { kind: 'stopped' });
+  assert.equal(evidenceIn(6, 90), { kind: 'stopped' });
+  assert.is(kindOfUnlisted({ phase: 'in-doubt', orderedInMs: 5 }, 1_000, 6), 'unknown');
 });
 
 // Guards against a second start after a start whose answer was lost.
@@ -115,6 +122,7 @@
     [{ kind: 'never-accepted', refusal: { why: 'used-number' } }, 'may-start', 'none'],
     [{ kind: 'never-accepted', refusal: { why: 'invalid', reason: '' } }, 'rejected', 'none'],
     [{ kind: 'absent' }, 'may-start', 'none'],
+    [{ kind: 'start-in-doubt' }, 'must-not-start', 'none'],
     [{ kind: 'unknown', reason: '' }, 'must-not-start', 'none'],
   ];
   for (const [evidence, consequence, suspicion] of judged) {
--- a/src/dispatch/runEvidence.ts
+++ b/src/dispatch/runEvidence.ts
@@ -42,6 +42,8 @@
   | { readonly kind: 'never-accepted'; readonly refusal: Refusal }
   /** A report that was requested after the acknowledgement of the start does not list the run. */
   | { readonly kind: 'absent' }
+  /** Its leases are over, but a later lifetime of the worker may still carry out its start, which was never answered. */
+  | { readonly kind: 'start-in-doubt' }
   | { readonly kind: 'unknown'; readonly reason: string };
 
 /** The reply to a start: the run is accepted, or what is known of it instead. */
@@ -111,21 +113,16 @@
         ? { kind: 'absent' }
         : { kind: 'unknown', reason: 'the report was requested before its start was acknowledged' };
     case 'stopping':
+    case 'in-doubt':
       return stopAcknowledgedAtMs !== undefined &&
         stopAcknowledgedAtMs + maxStopMs <= report.requestedAtMs
-        ? { kind: 'stopped' }
+        ? evidenceOfStop(run, report)
         : { kind: 'unknown', reason: 'its stop may not have taken effect' };
     default:
       return unreachable(run.phase);
   }
 };
 
-/** Judges the runs of a worker that takes no orders of this daemon. */
-export const evidenceOfSilence = (haveAllLeasesEnded: boolean, cause: Silence): RunEvidence =>
-  haveAllLeasesEnded
-    ? { kind: 'lapsed', cause }
-    : { kind: 'unknown', reason: 'a lease there may not have ended' };
-
 /** Judges a run by the reply to its start. */
 export const evidenceOfStartReply = (reply: StartReply): StartEvidence => {
   switch (reply.kind) {
@@ -162,6 +159,7 @@
     case 'gone-with-lifetime':
     case 'absent':
       return { kind: 'may-start', why: 'run-ended' };
+    case 'start-in-doubt':
     case 'unknown':
       return { kind: 'must-not-start' };
     default:
@@ -212,6 +210,7 @@
     case 'stopped':
     case 'never-accepted':
     case 'absent':
+    case 'start-in-doubt':
     case 'unknown':
       return 'none';
     default:
@@ -254,6 +253,7 @@
       return { outcome: kind, reason: evidence.reason };
     case 'stopped':
     case 'absent':
+    case 'start-in-doubt':
       return { outcome: kind };
     default:
       return unreachable(evidence);
@@ -278,6 +278,17 @@
   refusal: { why: 'not-carried-out', reason },
 });
 
+/**
+ * Judges a run that its worker has stopped and does not list. Where a later lifetime than the one that the start was sent
+ * to has acknowledged the stop, the run may have gone with the earlier one.
+ */
+const evidenceOfStop = (run: ActiveRun, report: ReportContext): RunEvidence => {
+  const isOtherLifetime = run.startedAtMs === undefined && run.orderedInMs !== report.lifetimeMs;
+  return isOtherLifetime && report.latestStartMs >= run.startSentAtMs
+    ? { kind: 'gone-with-lifetime', departure: judgeDeparture(run, report) }
+    : { kind: 'stopped' };
+};
+
 /** Whether a run was accepted in an earlier lifetime than the one that reports: by its start, or by its clock. */
 const hasOtherLifetime = (run: ActiveRun, report: ReportContext): boolean => {
   if (run.lifetimeMs === undefined) {
--- a/src/dispatch/runOrders.ts
+++ b/src/dispatch/runOrders.ts
@@ -7,6 +7,7 @@
 import type { StartReply } from '../ports/workers.js';
 import { recordDisconnection, recordStopOrder } from './activeRun.js';
 import type { ActiveRun } from './activeRun.js';
+import { abortQuietly } from '../utils/abortQuietly.js';
 import { evidenceOfStartReply, maxStopMs } from './runEvidence.js';
 import type { RunTable } from './runTable.js';
 import type { WorkerLink } from './workerLink.js';
@@ -26,7 +27,13 @@
   readonly onNewLifetime: () => void;
 }
 
+/** Period of the stops of a run in doubt, unless its worker reports earlier. */
+const doubtedStopPeriodMs = 1_000;
+
 export class RunOrders {
+  /** Aborted when the worker reports. */
+  private nextReport = new AbortController();
+
   private constructor(private readonly options: RunOrdersOptions) {}
 
   static create(options: RunOrdersOptions): RunOrders {
@@ -54,15 +61,23 @@
       if (isStopped && link.lifetime.startedAtMs === startedAtMs) {
         run.stopAcknowledgedAtMs ??= clock.nowMs();
       }
-      await clock.sleep(maxStopMs);
+      await this.pauseAfterStop(run, isStopped);
       if (isStopped) {
         await poll();
       }
     }
   }
 
+  /** Sends the stops of runs in doubt at once, since the worker has reported, and stops what is overdue. */
+  handleReport(): void {
+    const { nextReport } = this;
+    this.nextReport = new AbortController();
+    abortQuietly(nextReport);
+    this.stopOverdue();
+  }
+
   /** Stops the runs that take far longer than expected, so that their tasks start on other workers. */
-  stopOverdue(): void {
+  private stopOverdue(): void {
     const { clock, logger, link, runs, health } = this.options;
     const nowMs = clock.nowMs();
     for (const run of runs.list()) {
@@ -79,6 +94,14 @@
     }
   }
 
+  /** Waits until a stop has taken effect, or until it is worth another try. */
+  private pauseAfterStop(run: ActiveRun, isStopped: boolean): Promise<void> {
+    const { clock } = this.options;
+    return isStopped || run.phase !== 'in-doubt'
+      ? clock.sleep(maxStopMs)
+      : clock.sleep(doubtedStopPeriodMs, this.nextReport.signal);
+  }
+
   /** Learns from a reply to a start which lifetime of the worker it is of, and reads the worker's clock. */
   private observeReply(run: ActiveRun, reply: StartReply, requestedAtMs: number): void {
     const { clock, link, runs, onNewLifetime } = this.options;
--- a/src/dispatch/runTable.ts
+++ b/src/dispatch/runTable.ts
@@ -48,6 +48,11 @@
     return untilMs;
   }
 
+  /** Whether a lease may cover any of the runs. */
+  get hasLeasedRuns(): boolean {
+    return [...this.runs.values()].some(({ phase }) => phase !== 'in-doubt');
+  }
+
   get(taskName: string): ActiveRun | undefined {
     return this.runs.get(taskName);
   }
--- a/src/dispatch/workerLink.ts
+++ b/src/dispatch/workerLink.ts
@@ -12,6 +12,7 @@
 import { LeaseCover } from './leaseCover.js';
 import type { LeaseTimes } from './leaseTimes.js';
 import type { Departure } from './lifetimeEnd.js';
+import type { Addressee } from './silenceEvidence.js';
 import { WorkerLifetime } from './workerLifetime.js';
 
 const startTimeoutMs = 150;
@@ -54,6 +55,8 @@
 }
 
 export class WorkerLink {
+  /** Who gets the orders that are still under way. */
+  addressee: Addressee = 'worker';
   readonly leaseClock: LeaseClock;
   readonly lifetime: WorkerLifetime;
   private readonly cover: LeaseCover;
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -15,6 +15,7 @@
 import type { LeaseTimes } from './leaseTimes.js';
 import type { BatchedTask } from './openBatch.js';
 import { CapacityProfile } from './capacityProfile.js';
+import type { Addressee } from './silenceEvidence.js';
 import { isSuspect, reserveWorker } from './suspectIsolation.js';
 import { stepNameOf, taskNameOf } from './taskNames.js';
 import { expectedRunMs, hasRequiredLabel } from './workerChoice.js';
@@ -81,7 +82,7 @@
         worker.update(record, fencingToken);
       } else {
         this.workers.delete(workerId);
-        released.push(this.retire(worker));
+        released.push(this.retire(worker, 'nobody'));
       }
     }
     for (const [workerId, record] of wanted) {
@@ -166,7 +167,7 @@
 
   /** Stops the runs of all workers and releases each worker once its runs are proved to have ended. */
   async retireAll(): Promise<void> {
-    await Promise.all(this.listAll().map((worker) => this.retire(worker)));
+    await Promise.all(this.listAll().map((worker) => this.retire(worker, 'worker')));
   }
 
   /** Releases all workers at once; runs that have not ended are reported as unknown. */
@@ -178,9 +179,9 @@
     return [...this.workers.values(), ...this.retired];
   }
 
-  private async retire(worker: ManagedWorker): Promise<void> {
+  private async retire(worker: ManagedWorker, addressee: Addressee): Promise<void> {
     this.retired.add(worker);
-    await worker.retire();
+    await worker.retire(addressee);
     this.retired.delete(worker);
   }
 
@@ -258,9 +259,8 @@
 const isEligible = (worker: ManagedWorker, { batch, avoidedWorkerIds }: BatchedTask): boolean => {
   const { needs, serviceId } = batch.content;
   const { capacity, labels } = worker.record;
-  const isInService = worker.isAvailable || (worker.isAssigned && worker.runCount > 0);
   return (
-    isInService &&
+    worker.isInService &&
     worker.record.serviceId === serviceId &&
     !avoidedWorkerIds.has(worker.workerId) &&
     hasEnough(needs.resources, capacity) &&
--- a/src/dispatch/workerReports.ts
+++ b/src/dispatch/workerReports.ts
@@ -8,13 +8,15 @@
 import type { OrderFailure } from '../ports/workers.js';
 import type { WorkerRecord, WorkerReport } from '../types/workers.js';
 import type { WakeableSleep } from '../utils/wakeableSleep.js';
-import { recordDisconnection } from './activeRun.js';
+import { recordDisconnection, recordDoubt } from './activeRun.js';
 import type { ActiveRun } from './activeRun.js';
+import { FailedHolds } from './failedHolds.js';
 import { ReportProcessor } from './reportProcessor.js';
 import type { RunTable } from './runTable.js';
 import { OrphanedRuns } from './orphanedRuns.js';
-import { evidenceOfSilence } from './runEvidence.js';
 import type { Silence } from './runEvidence.js';
+import { judgeSilence } from './silenceEvidence.js';
+import type { Addressee } from './silenceEvidence.js';
 import type { AnsweringLifetime } from './workerLifetime.js';
 import type { LinkHoldReply, WorkerLink } from './workerLink.js';
 
@@ -24,11 +26,6 @@
 export const idlePollMs = 5_000;
 /** Poll period of an idle worker with ends to acknowledge, or that may have restarted. */
 const unsettledPollMs = 1_000;
-/** Failed holds in a row after which the worker counts as not answering. */
-const maxFailedHolds = 2;
-/** Pause after the failed hold that reaches the limit; grows by as much with each further one. */
-const failedHoldPauseMs = 150;
-const maxFailedHoldPauseMs = 1_000;
 
 export interface WorkerReportsOptions {
   readonly clock: Clock;
@@ -56,8 +53,7 @@
   private readonly processor: ReportProcessor;
   /** Number of the last end that was acknowledged to the worker. */
   private acknowledgedEnd = 0;
-  /** Holds in a row that failed. */
-  private failedHolds = 0;
+  private readonly failedHolds = FailedHolds.create();
   /** When the last report was received, in monotonic time. */
   private lastReportAtMs: number;
   /** The entry that was there when the last report was requested, which the worker's own report outweighs. */
@@ -78,7 +74,7 @@
 
   /** Whether no hold has failed since the last report, and the worker's entry is of its last lifetime. */
   get isAnswering(): boolean {
-    return this.failedHolds === 0 && !this.isEntryOfOtherLifetime;
+    return this.failedHolds.count === 0 && !this.isEntryOfOtherLifetime;
   }
 
   /** Whether the worker's entry and its reports state different lifetimes. The entry proves nothing. */
@@ -107,7 +103,7 @@
 
   /** Pause before the next hold while the worker has no runs; none after a failed hold, which pauses itself. */
   private get idlePauseMs(): number {
-    if (this.failedHolds > 0) {
+    if (this.failedHolds.count > 0) {
       return 0;
     }
     const areEndsAcknowledged = this.acknowledgedEnd === this.processor.lastSeenEnd;
@@ -129,7 +125,7 @@
    * can start elsewhere only when the last lease has ended.
    */
   async hold(): Promise<void> {
-    const isImmediate = this.failedHolds > 0 || this.options.runs.size === 0;
+    const isImmediate = this.failedHolds.count > 0 || this.options.runs.size === 0;
     await this.sendHold(isImmediate ? 0 : maxHoldWaitMs, this.renewalLimitMs);
   }
 
@@ -137,7 +133,7 @@
   private get renewalLimitMs(): number | undefined {
     const { clock, runs } = this.options;
     const limitMs = runs.permittedUntilMs;
-    const isRenewing = this.failedHolds === 0 && runs.size > 0 && limitMs > clock.nowMs();
+    const isRenewing = this.failedHolds.count === 0 && runs.size > 0 && limitMs > clock.nowMs();
     return isRenewing ? limitMs : undefined;
   }
 
@@ -164,14 +160,21 @@
     }
   }
 
-  /** Ends the runs whose leases have certainly ended; the others go on. */
-  endLapsedRuns(cause: Silence): void {
-    const { link, runs } = this.options;
-    const evidence = evidenceOfSilence(link.leaseClock.haveAllLeasesEnded(), cause);
-    if (evidence.kind !== 'unknown') {
-      this.logLostRuns(`its leases have ended: ${cause}`, runs.size);
-      runs.finishAll(evidence);
+  /**
+   * Ends the runs whose leases have certainly ended. The others go on, and so does the doubt about those whose start
+   * was never answered, as long as the worker may still get it.
+   */
+  endLapsedRuns(cause: Silence, addressee: Addressee = this.options.link.addressee): void {
+    const { link, logger, runs } = this.options;
+    const haveAllLeasesEnded = link.leaseClock.haveAllLeasesEnded();
+    const worker = { haveAllLeasesEnded, cause, addressee };
+    const { ended, inDoubt } = judgeSilence(runs.list(), worker);
+    const { workerId } = link;
+    for (const { taskName, run } of inDoubt.filter(recordDoubt)) {
+      logger.warn('A start in doubt is waited for.', { workerId, taskName, run });
     }
+    this.logLostRuns(`its leases have ended: ${cause}`, ended.length);
+    ended.forEach(({ run, evidence }) => runs.finish(run, evidence));
   }
 
   /**
@@ -219,35 +222,33 @@
         return;
       case 'replaced':
         this.options.onLifetime({ kind: 'replaced' });
-        await this.pauseAfterFailedHold(failure.kind);
-        return;
+        return this.pauseAfterFailedHold(failure.kind, 'nobody');
       case 'disconnected':
         recordDisconnection(this.options.runs.list(), this.options.clock.nowMs());
-        await this.pauseAfterFailedHold(failure.kind);
-        return;
+        return this.pauseAfterFailedHold(failure.kind);
       case 'unhealthy':
       case 'unreachable':
       case 'no-answer':
-        await this.pauseAfterFailedHold(failure.kind);
-        return;
+        return this.pauseAfterFailedHold(failure.kind);
       default:
         return unreachable(failure);
     }
   }
 
-  private async pauseAfterFailedHold(reason: string): Promise<void> {
+  private async pauseAfterFailedHold(reason: string, addressee?: Addressee): Promise<void> {
     const { link, logger, runs, sleeper } = this.options;
-    this.failedHolds += 1;
-    if (this.failedHolds < maxFailedHolds) {
-      return;
-    }
-    if (this.failedHolds === maxFailedHolds) {
+    if (this.failedHolds.record()) {
       logger.warn('The worker does not answer.', { workerId: link.workerId, reason });
     }
-    const pauseMs = Math.min(failedHoldPauseMs * (this.failedHolds - 1), maxFailedHoldPauseMs);
+    if (!this.failedHolds.isSilent()) {
+      return;
+    }
+    const { pauseMs } = this.failedHolds;
     const leaseLeftMs = link.leaseClock.msUntilAllLeasesEnded();
-    await sleeper.sleep(runs.size > 0 ? Math.min(pauseMs, leaseLeftMs + 1) : pauseMs);
-    this.endLapsedRuns(link.record.state === 'draining' ? 'draining' : 'silent');
+    await sleeper.sleep(runs.hasLeasedRuns ? Math.min(pauseMs, leaseLeftMs + 1) : pauseMs);
+    if (this.failedHolds.isSilent()) {
+      this.endLapsedRuns(link.record.state === 'draining' ? 'draining' : 'silent', addressee);
+    }
   }
 
   /** @returns whether the report was applied, since it is not of an earlier lifetime than the last one */
@@ -261,10 +262,10 @@
     if (this.isClosed || change === 'stale') {
       return false;
     }
-    if (this.failedHolds >= maxFailedHolds) {
+    if (this.failedHolds.isSilent()) {
       logger.info('The worker answers again.', { workerId: link.workerId });
     }
-    this.failedHolds = 0;
+    this.failedHolds.reset();
     this.checkedEntry = entry;
     link.leaseClock.recordReading(report.workerClockMs);
     if (change === 'new') {
--- /dev/null
+++ b/src/fleet/startsInDoubt.spec.ts
@@ -0,0 +1,30 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import {
+  createInDoubtScenario,
+  startInNextLifetimeScenario,
+} from '../testing/model/inDoubtScenarios.js';
+import { runScenario } from '../testing/model/runScenario.js';
+
+// Guards against two runs of a task, one of which an order of before a crash has started in the next lifetime.
+test('a start without an answer does not begin in the next lifetime beside another run of its task', async () => {
+  const { violations, answers } = await runScenario(startInNextLifetimeScenario);
+  assert.equal(violations, []);
+  assert.equal(answers, ['0000000000000001/0 completed']);
+});
+
+// Guards against the same where the worker carries the order out late, and nothing else holds it up.
+test('a start that is carried out late does not begin in the next lifetime beside another run of its task', async () => {
+  for (const crashAfterMs of [60, 500]) {
+    const { violations, answers } = await runScenario(
+      createInDoubtScenario({
+        ...{ tasks: 1, trouble: 'late', aheadMs: 2, troubleMs: 1_877, lateByMs: 1_800 },
+        ...{ crashAfterMs, downMs: 466, down: 'refused', startsStateLifetime: true },
+      }),
+    );
+    assert.equal(violations, []);
+    assert.equal(answers, ['0000000000000001/0 completed']);
+  }
+});
+
+test.run();
