Ask a worker for a report at once when a start there gets no answer

An idle worker that is cut off went on counting as answering for up to 5 s, the period of its polls: a start without an answer did not end the pause.

--- a/src/dispatch/runOrders.ts
+++ b/src/dispatch/runOrders.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
 import type { StartReply } from '../ports/workers.js';
+import type { WakeableSleep } from '../utils/wakeableSleep.js';
 import { recordDisconnection, recordStopOrder } from './activeRun.js';
 import type { ActiveRun } from './activeRun.js';
 import { abortQuietly } from '../utils/abortQuietly.js';
@@ -21,6 +22,8 @@
   readonly health: WorkerHealth;
   /** Reads and applies the worker's report at once. */
   readonly poll: () => Promise<void>;
+  /** Pause of the worker's holds; is ended after a start without an answer, which may mean that the worker is silent. */
+  readonly sleeper: WakeableSleep;
   /** Called with a run whose start the worker has acknowledged. */
   readonly onStart: (run: ActiveRun) => void;
   /** Called when the reply to a start is the first of a new lifetime of the worker. */
@@ -177,6 +180,7 @@
 
   /** Reads a report after a start without an answer; stops the run unless the report lists it. */
   private async resolveUnknownStart(run: ActiveRun): Promise<void> {
+    this.options.sleeper.wake();
     await this.options.poll();
     if (this.options.runs.has(run) && run.startedAtMs === undefined) {
       await this.stop(run);
--- a/src/dispatch/startsInDoubt.spec.ts
+++ b/src/dispatch/startsInDoubt.spec.ts
@@ -60,6 +60,20 @@
   await closeDispatcher(fixture);
 });
 
+// Guards against starts on a worker that nothing has been heard of since a start there got no answer.
+test('a worker that does not answer a start is asked for a report at once, and gets no further run', async () => {
+  const fixture = await createFixture();
+  const { clock, workers, dispatcher } = fixture;
+  await clock.advance(800);
+  void dispatcher.run('vm', batchOfOther);
+  await clock.advance(500);
+  assert.equal(
+    workers.starts.map(({ workerId }) => workerId),
+    ['i-1', 'i-1'],
+  );
+  await closeDispatcher(fixture);
+});
+
 // Guards against a task in doubt that waits on, though its worker is back in the lifetime that got the start.
 test('a task whose start got no answer starts elsewhere when its worker has confirmed a stop', async () => {
   const fixture = await createFixture();
