Tell each later lifetime of a worker of the starts there that were never answered

Callers saw nothing, but a task ran twice for 87 to 308 ms in the model: a start was carried out late, its worker confirmed a stop of it, the task started elsewhere, the worker crashed, and the order was carried out in the next lifetime, which knew of no stop.

Cause: a stop binds only in the lifetime that has acknowledged it. Nothing bounds how late an order comes, so that no wait would be enough, and none is added.

--- a/src/dispatch/runOrders.ts
+++ b/src/dispatch/runOrders.ts
@@ -10,6 +10,7 @@
 import type { ActiveRun } from './activeRun.js';
 import { abortQuietly } from '../utils/abortQuietly.js';
 import { evidenceOfStartReply, maxStopMs } from './runEvidence.js';
+import { UnansweredStarts } from './unansweredStarts.js';
 import type { RunTable } from './runTable.js';
 import type { WorkerLink } from './workerLink.js';
 import type { WorkerHealth } from './workerHealth.js';
@@ -36,8 +37,11 @@
 export class RunOrders {
   /** Aborted when the worker reports. */
   private nextReport = new AbortController();
+  private readonly unanswered: UnansweredStarts;
 
-  private constructor(private readonly options: RunOrdersOptions) {}
+  private constructor(private readonly options: RunOrdersOptions) {
+    this.unanswered = UnansweredStarts.create(options.clock);
+  }
 
   static create(options: RunOrdersOptions): RunOrders {
     return new RunOrders(options);
@@ -69,10 +73,19 @@
         await poll();
       }
     }
+    this.unanswered.remember(run);
   }
 
-  /** Sends the stops of runs in doubt at once, since the worker has reported, and stops what is overdue. */
+  /**
+   * Sends the stops of runs in doubt at once, since the worker has reported, and those of unanswered starts that an earlier
+   * lifetime has stopped; stops what is overdue.
+   */
   handleReport(): void {
+    const { link, runs } = this.options;
+    this.unanswered
+      .takeFor(link.lifetime.startedAtMs)
+      .filter(({ taskName, run }) => runs.get(taskName)?.run !== run)
+      .forEach(({ taskName, run }) => void link.stop(taskName, run));
     const { nextReport } = this;
     this.nextReport = new AbortController();
     abortQuietly(nextReport);
--- a/src/fleet/startsInDoubt.spec.ts
+++ b/src/fleet/startsInDoubt.spec.ts
@@ -27,4 +27,16 @@
   }
 });
 
+// Guards against the same after a stop that only the lifetime knows of that has ended since.
+test('a start that its worker has stopped does not begin in a lifetime that has reported before', async () => {
+  const { violations, answers } = await runScenario(
+    createInDoubtScenario({
+      ...{ tasks: 4, trouble: 'late', aheadMs: 84, troubleMs: 700, lateByMs: 1_800 },
+      ...{ crashAfterMs: 1_123, downMs: 466, down: 'silent', startsStateLifetime: false },
+    }),
+  );
+  assert.equal(violations, []);
+  assert.equal(answers, ['0000000000000001/0 completed']);
+});
+
 test.run();
