--- a/src/dispatch/runOrders.ts
+++ b/src/dispatch/runOrders.ts
@@ -5,10 +5,12 @@
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
 import type { StartReply } from '../ports/workers.js';
+import type { WakeableSleep } from '../utils/wakeableSleep.js';
 import { recordDisconnection, recordStopOrder } from './activeRun.js';
 import type { ActiveRun } from './activeRun.js';
 import { abortQuietly } from '../utils/abortQuietly.js';
 import { evidenceOfStartReply, maxStopMs } from './runEvidence.js';
+import { UnansweredStarts } from './unansweredStarts.js';
 import type { RunTable } from './runTable.js';
 import type { WorkerLink } from './workerLink.js';
 import type { WorkerHealth } from './workerHealth.js';
@@ -21,6 +23,8 @@
   readonly health: WorkerHealth;
   /** Reads and applies the worker's report at once. */
   readonly poll: () => Promise<void>;
+  /** Pause of the worker's holds; is ended after a start without an answer, which may mean that the worker is silent. */
+  readonly sleeper: WakeableSleep;
   /** Called with a run whose start the worker has acknowledged. */
   readonly onStart: (run: ActiveRun) => void;
   /** Called when the reply to a start is the first of a new lifetime of the worker. */
@@ -33,8 +37,11 @@
 export class RunOrders {
   /** Aborted when the worker reports. */
   private nextReport = new AbortController();
+  private readonly unanswered: UnansweredStarts;
 
-  private constructor(private readonly options: RunOrdersOptions) {}
+  private constructor(private readonly options: RunOrdersOptions) {
+    this.unanswered = UnansweredStarts.create(options.clock);
+  }
 
   static create(options: RunOrdersOptions): RunOrders {
     return new RunOrders(options);
@@ -66,10 +73,19 @@
         await poll();
       }
     }
+    this.unanswered.remember(run);
   }
 
-  /** Sends the stops of runs in doubt at once, since the worker has reported, and stops what is overdue. */
+  /**
+   * Sends the stops of runs in doubt at once, since the worker has reported, and those of unanswered starts that an earlier
+   * lifetime has stopped; stops what is overdue.
+   */
   handleReport(): void {
+    const { link, runs } = this.options;
+    this.unanswered
+      .takeFor(link.lifetime.startedAtMs)
+      .filter(({ taskName, run }) => runs.get(taskName)?.run !== run)
+      .forEach(({ taskName, run }) => void link.stop(taskName, run));
     const { nextReport } = this;
     this.nextReport = new AbortController();
     abortQuietly(nextReport);
@@ -177,6 +193,7 @@
 
   /** Reads a report after a start without an answer; stops the run unless the report lists it. */
   private async resolveUnknownStart(run: ActiveRun): Promise<void> {
+    this.options.sleeper.wake();
     await this.options.poll();
     if (this.options.runs.has(run) && run.startedAtMs === undefined) {
       await this.stop(run);
