Plan tasks again that no dispatcher takes for a moment, in place of giving their job up

What callers saw: 504, "no dispatcher has a worker for it", with 18 s of their time left, of a job half of whose tasks were done; a worker took tasks again 96 ms later. The caller sent the whole job again.

Cause: `StepRun.plan` took "no worker accepts this now" for "none ever will". All workers may be closed for a moment: refusing, on probation after slow runs, draining. A job that may have started can't be refused, so its end was 504. Five quick reassignments within 0.1 s ended a job likewise.

Change: where nothing of a job can have been started it is refused at once, as before. Otherwise the tasks, which a dispatcher has returned and which so run nowhere, are planned again every 0.1 s until they could no longer end in time. Only a proof allows another start; a lost batch stays lost.

--- a/src/bestEffort/stepRun.ts
+++ b/src/bestEffort/stepRun.ts
@@ -14,10 +14,15 @@
 import type { StepPlanner, PlannedBatch, StepPlan } from './stepPlanner.js';
 import type { JobContext, SentBatch } from './jobContext.js';
 
-/** How often tasks that a dispatcher returned are sent again before the job is given up. */
-const maxReassignments = 5;
+/** How often tasks are reassigned quickly. A job that has not started is refused after that. */
+const maxQuickReassignments = 5;
 /** Pause before returned tasks are sent again, in milliseconds. */
 const reassignmentPauseMs = 15;
+/**
+ * Pause before a job that may have started tries again to place tasks that no dispatcher can take now, in
+ * milliseconds. Workers that refuse or fail are out of service for 0.2 s or more.
+ */
+const retryPauseMs = 100;
 
 export interface StepRunOptions {
   readonly clock: Clock;
@@ -37,6 +42,12 @@
   readonly reassignments: number;
 }
 
+/** What comes of an attempt to plan tasks. `later`: no dispatcher can take them now. */
+type Planning =
+  | { readonly kind: 'planned'; readonly plan: StepPlan }
+  | { readonly kind: 'later' }
+  | Extract<StepEnd, { kind: 'refused' }>;
+
 export class StepRun {
   private constructor(
     private readonly options: StepRunOptions,
@@ -59,9 +70,12 @@
     return this.place({ tasks, excludedDispatcherIds: new Set(), reassignments: 0 });
   }
 
-  /** Plans tasks and sends them to the planned dispatchers. */
+  /**
+   * Plans tasks and sends them to the planned dispatchers. Where none can take them now, a job that may have
+   * started tries again until they could no longer end in time: it cannot be refused any more.
+   */
   private async place(request: PlacementRequest): Promise<StepEnd> {
-    if (request.reassignments > maxReassignments) {
+    if (request.reassignments > maxQuickReassignments && !this.job.mayHaveStarted) {
       return { kind: 'given-up', reason: 'no dispatcher could run its tasks' };
     }
     this.options.standstills.check();
@@ -69,12 +83,19 @@
       return { kind: 'given-up', reason: 'the job has ended' };
     }
     const planning = this.plan(request);
-    if (planning.kind === 'refused') {
-      return planning;
+    switch (planning.kind) {
+      case 'planned':
+        return firstUnsuccessful(
+          planning.plan.batches.map((batch) => this.send(batch, planning.plan, request)),
+        );
+      case 'later':
+        await this.options.clock.sleep(retryPauseMs);
+        return this.place(request);
+      case 'refused':
+        return planning;
+      default:
+        return unreachable(planning);
     }
-    return firstUnsuccessful(
-      planning.plan.batches.map((batch) => this.send(batch, planning.plan, request)),
-    );
   }
 
   /**
@@ -82,24 +103,24 @@
    * other can run them. A job that cannot have started is refused if tasks have to wait and the job
    * would then end too late.
    */
-  private plan({
-    tasks,
-    excludedDispatcherIds,
-  }: PlacementRequest):
-    { readonly kind: 'planned'; readonly plan: StepPlan } | Extract<StepEnd, { kind: 'refused' }> {
-    const { planner } = this.options;
+  private plan({ tasks, excludedDispatcherIds }: PlacementRequest): Planning {
+    const { clock, planner } = this.options;
     const { serviceId } = this.job.route;
     const demand = this.job.demandOf(this.index);
     const plan =
       planner.plan(serviceId, demand, tasks, excludedDispatcherIds) ??
       planner.plan(serviceId, demand, tasks, new Set());
     if (plan === undefined) {
+      const isTimeLeft = clock.nowMs() + retryPauseMs + demand.estimatedMs <= demand.giveUpAtMs;
+      if (this.job.mayHaveStarted && isTimeLeft) {
+        return { kind: 'later' };
+      }
       return { kind: 'refused', reason: 'no dispatcher has a worker for it', waitMs: 0 };
     }
     const lateMs = plan.lastEndAtMs - demand.objectiveAtMs;
     const isTooLate = plan.longestWaitMs > 0 && plan.lastEndAtMs > this.job.latestAdmissibleEndAtMs;
     if (isTooLate && !this.job.mayHaveStarted) {
-      const nowMs = this.options.clock.nowMs();
+      const nowMs = clock.nowMs();
       this.options.logger.info('No room is free in time.', {
         jobId: this.job.request.jobId,
         count: tasks.length,
@@ -195,11 +216,14 @@
   }
 
   /** Places tasks that a dispatcher returned, on other dispatchers if possible. */
-  private reassign(
+  private async reassign(
     tasks: readonly BatchTask[],
     dispatcherId: string,
     { excludedDispatcherIds, reassignments }: PlacementRequest,
   ): Promise<StepEnd> {
+    if (reassignments >= maxQuickReassignments && this.job.mayHaveStarted) {
+      await this.options.clock.sleep(retryPauseMs);
+    }
     return this.place({
       tasks,
       excludedDispatcherIds: new Set([...excludedDispatcherIds, dispatcherId]),
