Place expired tasks again where another batch of their job has started, in place of giving the job up

What callers saw: 504, "it could no longer end in time", with 15 s of their time left, while other tasks of the job were at work; these were stopped, and the caller sent the whole job again.

Change: tasks that expire in a batch of which no worker was asked to start any run nowhere; they are placed again with the job's own time as their limit if another batch of the job may have started. That is known when it ends, or when the job could no longer be admitted: one of which nothing was started has expired by then. A job all of whose batches expire unstarted is refused, also where the requester did not know yet of one of them (it was answered as given up before).

Evidence that the tests failed before: "a task that expired unstarted is placed again where another one of its job runs" (given-up), "a job all of whose tasks expired unstarted is refused when the last of them has" (given-up).

--- a/src/bestEffort/stepRun.spec.ts
+++ b/src/bestEffort/stepRun.spec.ts
@@ -24,6 +24,7 @@
   ...{ kind: 'returned', reason: 'no room' },
   task: { index, nextRun: 1, failedRuns: 0, lostWorkers: 0 },
 });
+const expiredAt = (index: number): TaskEnd => ({ kind: 'expired', index });
 const replyOf = (wasOffered: boolean, ...ends: TaskEnd[]): BatchReply => ({
   ...{ isPartial: false, wasOffered, ends, load: { workers: [] } },
 });
@@ -119,6 +120,50 @@
   assert.ok(counts.plans < 200);
 });
 
+// Guards against a job that is given up, and its running tasks stopped, by the time until which it could be refused.
+test('a task that expired unstarted is placed again where another one of its job runs', async () => {
+  const { clock, ended, batches } = createFixture(
+    (plans) => (plans === 1 ? ['one', 'two'] : ['one']),
+    async (batch, count) => {
+      await clock.sleep([3_000, 1_200, 500][count - 1] ?? 0);
+      return count === 2 ? replyOf(false, expiredAt(1)) : allDone(batch);
+    },
+  );
+  await clock.advance(4_000);
+  assert.equal(ended.end, { kind: 'completed' });
+  assert.equal(
+    batches.map(({ tasks }) => tasks.map(({ index, nextRun }) => [index, nextRun])),
+    [[[0, 1]], [[1, 1]], [[1, 1]]],
+  );
+  const [, , again] = batches;
+  assert.is(again?.expiresInMs, again?.giveUpInMs);
+});
+
+// Guards against a job that is run late, or refused late, although its caller could be told to try again.
+test('a job all of whose tasks expired unstarted is refused when the last of them has', async () => {
+  const { clock, ended, batches } = createFixture(
+    () => ['one', 'two'],
+    async ({ tasks }, count) => {
+      await clock.sleep(count * 600);
+      return replyOf(false, ...tasks.map(({ index }) => expiredAt(index)));
+    },
+  );
+  await clock.advance(1_300);
+  assert.is(ended.end?.kind, 'refused');
+  assert.is(batches.length, 2);
+});
+
+// Guards against another start of a task that may have run at the dispatcher at which it expired.
+test('a task that expired in a batch of which something was started is not placed again', async () => {
+  const { clock, ended, batches } = createFixture(
+    () => ['one'],
+    () => replyOf(true, doneAt(0), expiredAt(1)),
+  );
+  await clock.advance(1_000);
+  assert.is(ended.end?.kind, 'given-up');
+  assert.is(batches.length, 1);
+});
+
 // Guards against a dispatcher that returns a task again and again without a pause.
 test('a task that is returned more often is sent again with a longer pause', async () => {
   const { clock, ended, batches } = createFixture(
--- a/src/bestEffort/stepRun.ts
+++ b/src/bestEffort/stepRun.ts
@@ -1,6 +1,6 @@
 /**
- * Runs the tasks of one step: sends them to dispatchers in batches, and reassigns the tasks that a
- * dispatcher returns without having run them.
+ * Runs the tasks of one step: sends them to dispatchers in batches, and reassigns the tasks that certainly run
+ * nowhere: those that a dispatcher returns, and those that expired before anything of their batch was started.
  */
 import type { BatchTask, TaskEnd } from '../types/dispatch.js';
 import { unreachable } from '../errors/unreachable.js';
@@ -23,6 +23,8 @@
  * milliseconds. Workers that refuse or fail are out of service for 0.2 s or more.
  */
 const retryPauseMs = 100;
+/** Period in which a job looks whether its other batches have ended, in milliseconds. */
+const otherBatchesPeriodMs = 10;
 
 export interface StepRunOptions {
   readonly clock: Clock;
@@ -205,17 +207,37 @@
     if (unsuccessful !== undefined) {
       return unsuccessful;
     }
+    const expired = findExpired(ends, request);
+    if (expired.length > 0 && (wasOffered || !(await this.mayOthersHaveStarted()))) {
+      return { kind: 'refused', reason: 'it could no longer end in time', waitMs: 0 };
+    }
     const returned = ends.flatMap((end) =>
       end.kind === 'returned' && !reassignedIndexes.has(end.task.index) ? [end.task] : [],
     );
-    if (returned.length === 0) {
+    const open = [...returned, ...expired];
+    if (open.length === 0) {
       return stepDone;
     }
     await this.options.clock.sleep(reassignmentPauseMs);
-    return this.reassign(returned, dispatcherId, request);
+    return this.reassign(open, dispatcherId, request);
   }
 
-  /** Places tasks that a dispatcher returned, on other dispatchers if possible. */
+  /**
+   * Whether a task of another batch of the job may have been started, once that is known: a batch of which none
+   * was has expired before the time until which the job is admitted.
+   */
+  private async mayOthersHaveStarted(): Promise<boolean> {
+    const { clock } = this.options;
+    const { job } = this;
+    const isUnknown = (): boolean => !job.wasOffered && job.openBatches.size > 0;
+    while (isUnknown() && clock.nowMs() < job.latestAdmissibleEndAtMs) {
+      await clock.sleep(otherBatchesPeriodMs);
+    }
+    job.wasOffered = job.mayHaveStarted;
+    return job.wasOffered;
+  }
+
+  /** Places tasks that run nowhere, on other dispatchers than the one that had them if possible. */
   private async reassign(
     tasks: readonly BatchTask[],
     dispatcherId: string,
@@ -234,7 +256,7 @@
   /**
    * Handles the end of one task; the run time of a task that is done improves the predictions.
    *
-   * @returns the end of the step if this task ends it, or nothing if it was done or returned
+   * @returns the end of the step if this task ends it, or nothing if it was done, returned or expired
    */
   private handleTaskEnd(end: TaskEnd): StepEnd | undefined {
     switch (end.kind) {
@@ -242,11 +264,10 @@
         this.job.observeRunTime(this.index, end.lengthMs);
         return undefined;
       case 'returned':
+      case 'expired':
         return undefined;
       case 'failed':
         return { kind: 'failed', reason: end.reason };
-      case 'expired':
-        return { kind: 'refused', reason: 'it could no longer end in time', waitMs: 0 };
       case 'withdrawn':
         return { kind: 'given-up', reason: end.reason ?? 'its dispatcher withdrew it' };
       default:
@@ -254,3 +275,9 @@
     }
   }
 }
+
+/** Finds the tasks that expired, as they were sent. */
+const findExpired = (ends: readonly TaskEnd[], { tasks }: PlacementRequest): BatchTask[] => {
+  const indexes = new Set(ends.flatMap((end) => (end.kind === 'expired' ? [end.index] : [])));
+  return tasks.filter(({ index }) => indexes.has(index));
+};
