State what put a lost batch in doubt, not that its repeats were not sent

What callers and operators saw: 504, "its dispatcher was lost: not-sent", by which nothing of the job can have run.

Cause: the first message of such a batch had arrived (a batch of which nothing was ever written is returned and placed again), and its dispatcher was killed; its repeats were not sent, and the reason of the last of them was stated. That it may have run is true; the reason was not.

Change: the reason of a lost batch is that of the message that may have arrived, or that it was answered in part only.

Evidence: "a batch is lost for what put it in doubt, not for repeats that were not sent" of src/bestEffort/repeatedRequests.spec.ts failed before ("connection refused" in place of "connection reset").

--- a/src/bestEffort/batchRouter.ts
+++ b/src/bestEffort/batchRouter.ts
@@ -168,8 +168,9 @@
     const { ages, clock, contact, ownId, view, peers } = this.options;
     const answerTimeoutMs = batch.estimatedMs * runTimeErrorFactor + resendSlackMs;
     const firstSentAtMs = clock.nowMs();
-    let reason = 'no answer';
     let mayHaveArrived = this.accepted.has(batch.batchId);
+    /** Why the batch may have arrived; repeats that were not sent don't change that. */
+    let doubt = mayHaveArrived ? 'it answered in part only' : 'no answer';
     for (
       let sends = 0;
       sends < maxSends && this.remoteBatches.get(batch.batchId)?.isRequested === true;
@@ -195,14 +196,15 @@
         }
         return toBatchResult(reply.value);
       }
-      reason = reply.error.detail;
-      mayHaveArrived ||= reply.error.kind !== 'not-sent';
-      if (!mayHaveArrived) {
-        return returnUnsent(batch, reason);
+      const { kind, detail } = reply.error;
+      if (!mayHaveArrived && kind === 'not-sent') {
+        return returnUnsent(batch, detail);
       }
+      doubt = mayHaveArrived ? doubt : detail;
+      mayHaveArrived = true;
       await clock.sleep(Math.max(sentAtMs + minResendIntervalMs - clock.nowMs(), 0));
     }
-    return { kind: 'lost', reason };
+    return { kind: 'lost', reason: doubt };
   }
 }
 
--- a/src/bestEffort/repeatedRequests.spec.ts
+++ b/src/bestEffort/repeatedRequests.spec.ts
@@ -83,4 +83,21 @@
   assert.equal(returnedIndexes(await second), []);
 });
 
+// Guards against a job that is given up with a reason by which nothing of it can have run.
+test('a batch is lost for what put it in doubt, not for repeats that were not sent', async () => {
+  const { clock, router } = createFixture([
+    Err({ kind: 'broken', detail: 'connection reset' }),
+    Err({ kind: 'not-sent', detail: 'connection refused' }),
+  ]);
+  const result = router.run(dispatcherId, batch);
+  await clock.advance(10_000);
+  assert.equal(await result, { kind: 'lost', reason: 'connection reset' });
+  const other = createFixture([Ok(partial)]);
+  const first = await other.router.run(dispatcherId, batch);
+  assert.is(first.kind, 'partial');
+  const second = other.router.run(dispatcherId, batch);
+  await other.clock.advance(10_000);
+  assert.equal(await second, { kind: 'lost', reason: 'it answered in part only' });
+});
+
 test.run();
