A start in doubt is over when the entry of its worker has been missing for so long that it counts as gone

Cause: since a start without an answer is in doubt over lifetimes, the task of one at a worker that is gone for good waited until the dispatcher let the worker go, 20 s later, and was then answered as withdrawn.

Change: the dispatcher is told which workers are listed at all, so that it can tell one that was removed from one that another daemon has now. What is in doubt at a removed one is over with its leases, as before.

Evidence: the new test of src/dispatch/startsInDoubt.spec.ts failed before.

--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -166,6 +166,7 @@
    */
   update(record: WorkerRecord, fencingToken: number): void {
     this.link.record = record;
+    this.link.addressee = 'worker';
     this.isDraining = false;
     if (this.link.raiseToken(fencingToken)) {
       this.isTakenOver = false;
@@ -198,8 +199,9 @@
   }
 
   /** Starts no more runs; resolves when the worker is closed after its last run, or used again. */
-  async drain(): Promise<void> {
+  async drain(addressee: Addressee = 'worker'): Promise<void> {
     this.isDraining = true;
+    this.link.addressee = addressee;
     await awaitRunEnds(this.options.clock, this.runs, () => this.isDrainPending());
     if (this.isDrainPending()) {
       await this.close();
@@ -209,15 +211,12 @@
   /**
    * Renews no lease from now on and stops all runs; resolves when the worker is closed, after each run was
    * proved to have ended.
-   *
-   * @param addressee - who gets the orders that are still under way to the worker's address
    */
   retire(addressee: Addressee): Promise<void> {
-    this.link.addressee = addressee;
     this.isRetired = true;
     this.sleeper.wake();
     this.runs.list().forEach(({ task }) => this.stopTask(task));
-    return this.drain();
+    return this.drain(addressee);
   }
 
   /** Releases the worker at once; whether its runs still go on is unknown from now on. */
--- a/src/dispatch/runOrders.ts
+++ b/src/dispatch/runOrders.ts
@@ -5,10 +5,9 @@
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
 import type { StartReply } from '../ports/workers.js';
-import type { WakeableSleep } from '../utils/wakeableSleep.js';
+import { WakeableSleep } from '../utils/wakeableSleep.js';
 import { recordDisconnection, recordStopOrder } from './activeRun.js';
 import type { ActiveRun } from './activeRun.js';
-import { abortQuietly } from '../utils/abortQuietly.js';
 import { evidenceOfStartReply, maxStopMs } from './runEvidence.js';
 import { UnansweredStarts } from './unansweredStarts.js';
 import type { RunTable } from './runTable.js';
@@ -35,8 +34,8 @@
 const doubtedStopPeriodMs = 1_000;
 
 export class RunOrders {
-  /** Aborted when the worker reports. */
-  private nextReport = new AbortController();
+  /** Pauses between the stops of runs in doubt, which a report of the worker ends. */
+  private readonly stopPauses = new Set<WakeableSleep>();
   private readonly unanswered: UnansweredStarts;
 
   private constructor(private readonly options: RunOrdersOptions) {
@@ -86,9 +85,7 @@
       .takeFor(link.lifetime.startedAtMs)
       .filter(({ taskName, run }) => runs.get(taskName)?.run !== run)
       .forEach(({ taskName, run }) => void link.stop(taskName, run));
-    const { nextReport } = this;
-    this.nextReport = new AbortController();
-    abortQuietly(nextReport);
+    this.stopPauses.forEach((pause) => pause.wake());
     this.stopOverdue();
   }
 
@@ -111,11 +108,16 @@
   }
 
   /** Waits until a stop has taken effect, or until it is worth another try. */
-  private pauseAfterStop(run: ActiveRun, isStopped: boolean): Promise<void> {
+  private async pauseAfterStop(run: ActiveRun, isStopped: boolean): Promise<void> {
     const { clock } = this.options;
-    return isStopped || run.phase !== 'in-doubt'
-      ? clock.sleep(maxStopMs)
-      : clock.sleep(doubtedStopPeriodMs, this.nextReport.signal);
+    if (isStopped || run.phase !== 'in-doubt') {
+      await clock.sleep(maxStopMs);
+      return;
+    }
+    const pause = WakeableSleep.create(clock);
+    this.stopPauses.add(pause);
+    await pause.sleep(doubtedStopPeriodMs);
+    this.stopPauses.delete(pause);
   }
 
   /** Learns from a reply to a start which lifetime of the worker it is of, and reads the worker's clock. */
--- a/src/dispatch/silenceEvidence.ts
+++ b/src/dispatch/silenceEvidence.ts
@@ -21,7 +21,10 @@
 export type Addressee =
   /** The worker, in the same lifetime or a later one. */
   | 'worker'
-  /** Nobody who carries them out: another worker has the address, or the worker is listed at another one. */
+  /**
+   * Nobody who carries them out: another worker has the address, the worker is listed at another one, or its entry has
+   * been missing for so long that it counts as gone.
+   */
   | 'nobody';
 
 /** What is known of the order to start a run. */
--- a/src/dispatch/startsInDoubt.spec.ts
+++ b/src/dispatch/startsInDoubt.spec.ts
@@ -100,6 +100,21 @@
   await closeDispatcher(fixture);
 });
 
+// Guards against callers who wait for a start of a worker that is gone for good.
+test('a task in doubt starts elsewhere when its worker counts as gone', async () => {
+  const fixture = await createFixture();
+  const { clock, dispatcher, records, workers } = fixture;
+  await clock.advance(3_000);
+  void dispatcher.setWorkers(records.slice(1), 1, (workerId) => workerId !== 'i-0');
+  await clock.advance(3_000);
+  assert.is(workers.startsOf(firstTaskName).length, 1);
+  assert.equal(
+    fixture.ends().map(({ kind }) => kind),
+    ['done'],
+  );
+  await closeDispatcher(fixture);
+});
+
 // Guards against orders without a pause, and against memory that grows with workers that never come back.
 test('a worker that stays silent gets few orders, and is let go some time after it is listed no more', async () => {
   const fixture = await createFixture();
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -69,15 +69,21 @@
    *
    * @param records - their entries in the store
    * @param fencingToken - the token of the grant of their shards
+   * @param isListed - whether the store has an entry of a worker, which may be another daemon's
    * @returns a promise that resolves when all other workers are released
    */
-  async setWorkers(records: readonly WorkerRecord[], fencingToken: number): Promise<void> {
+  async setWorkers(
+    records: readonly WorkerRecord[],
+    fencingToken: number,
+    isListed: (workerId: string) => boolean,
+  ): Promise<void> {
     const wanted = new Map(records.map((record) => [record.workerId, record]));
     const released: Promise<void>[] = [];
     for (const [workerId, worker] of this.workers) {
       const record = wanted.get(workerId);
       if (record === undefined) {
-        released.push(this.drainAndRemove(workerId, worker));
+        const addressee = isListed(workerId) ? 'worker' : 'nobody';
+        released.push(this.drainAndRemove(worker, addressee));
       } else if (worker.record.address === record.address) {
         worker.update(record, fencingToken);
       } else {
@@ -210,8 +216,9 @@
     });
   }
 
-  private async drainAndRemove(workerId: string, worker: ManagedWorker): Promise<void> {
-    await worker.drain();
+  private async drainAndRemove(worker: ManagedWorker, addressee: Addressee): Promise<void> {
+    const { workerId } = worker;
+    await worker.drain(addressee);
     if (!worker.isAssigned && this.workers.get(workerId) === worker) {
       this.workers.delete(workerId);
     }
--- a/src/fleet/servedWorkers.ts
+++ b/src/fleet/servedWorkers.ts
@@ -50,7 +50,8 @@
     const { directory, dispatcher, failureDomainId, shardCount } = this.options;
     const listed = directory.list().filter((worker) => worker.failureDomainId === failureDomainId);
     const own = workersOfShards(listed, this.grant.shards, shardCount);
-    return dispatcher.setWorkers(own, this.grant.generation);
+    const isListed = (workerId: string): boolean => directory.get(workerId) !== undefined;
+    return dispatcher.setWorkers(own, this.grant.generation, isListed);
   }
 
   /**
