Workers of the model come back as another kind or size, and entries expire under them

Change: a crash may state the label and the capacity of the next lifetimes; `expire-entry` lets an entry expire while its worker is up. The rule on capacity (LIMIT) takes that of the run's lifetime in place of one for all. `recordScenario` plays a scenario without judging it, for walks that look at what ran.

--- a/src/testing/model/applyEvent.ts
+++ b/src/testing/model/applyEvent.ts
@@ -57,7 +57,13 @@
     case 'crash': {
       const worker = fleet.findWorker(event.worker);
       worker?.crash(event.down);
-      fleet.at(event.atMs + event.downMs, () => worker?.start());
+      fleet.at(event.atMs + event.downMs, () => worker?.start(event.next));
+      return;
+    }
+    case 'expire-entry': {
+      const worker = fleet.findWorker(event.worker);
+      worker?.loseStore();
+      fleet.at(event.atMs + event.forMs, () => worker?.reachStore());
       return;
     }
     case 'drain': {
--- a/src/testing/model/calmTime.ts
+++ b/src/testing/model/calmTime.ts
@@ -27,6 +27,7 @@
     case 'cut-daemons':
     case 'cut-store':
     case 'worker-fault':
+    case 'expire-entry':
       return atMs + event.forMs;
     case 'drain':
       return atMs + event.drainMs;
--- a/src/testing/model/daemonAndWorkerArbitrary.ts
+++ b/src/testing/model/daemonAndWorkerArbitrary.ts
@@ -167,6 +167,7 @@
     case 'drain':
     case 'worker-fault':
     case 'invalid-entry':
+    case 'expire-entry':
     case 'submit':
     case 'cancel':
       return moved;
--- a/src/testing/model/judge.ts
+++ b/src/testing/model/judge.ts
@@ -24,7 +24,8 @@
   /** Number of tasks of each job. */
   readonly taskCounts: ReadonlyMap<string, number>;
   readonly maxFailedRuns: number;
-  readonly workerCpuMillis: number;
+  /** When the fleet began to serve its workers, and the scenario began. */
+  readonly beginMs: number;
   /** When the last fault has ended. */
   readonly calmSinceMs: number;
 }
@@ -32,7 +33,7 @@
 export const judge = (record: ModelRecord): Violation[] => [
   ...findOverlaps(record.runs),
   ...findBudgetViolations(record.runs),
-  ...findLimitViolations(record.runs, record.workerCpuMillis),
+  ...findLimitViolations(record.runs),
   ...record.attempts.flatMap((attempt) => judgeAnswer(record, attempt)),
   ...record.cancellations.flatMap((one) => judgeCancellation(record, one)),
   ...record.rejections.map((detail): Violation => ({ rule: 'unhandled-rejection', detail })),
--- a/src/testing/model/judgeStarts.spec.ts
+++ b/src/testing/model/judgeStarts.spec.ts
@@ -10,6 +10,7 @@
   workerId = 'i-0',
 ): ModelRun => ({
   ...{ workerId, life: 1, taskName: '1.0.0.0', run: 1, startedAtMs, endedAtMs, how },
+  workerCpuMillis: 32_000,
   spec: { attempt: '1/0', runMs: 100, cpuMillis: 20_000, isFailing: false, isDeadly: true },
 });
 
@@ -34,9 +35,9 @@
 // Guards against a judge that lets a worker without a check run more than it has room for.
 test('a start over the capacity of a worker breaks a rule, while the other run is being stopped, too', () => {
   const first = createRun(0, 100, 'stopped');
-  assert.is(findLimitViolations([first, createRun(99, 200, 'done')], 32_000)[0]?.rule, 'limit');
-  assert.equal(findLimitViolations([first, createRun(100, 200, 'done')], 32_000), []);
-  assert.equal(findLimitViolations([first, createRun(50, 200, 'done', 'i-1')], 32_000), []);
+  assert.is(findLimitViolations([first, createRun(99, 200, 'done')])[0]?.rule, 'limit');
+  assert.equal(findLimitViolations([first, createRun(100, 200, 'done')]), []);
+  assert.equal(findLimitViolations([first, createRun(50, 200, 'done', 'i-1')]), []);
 });
 
 test.run();
--- a/src/testing/model/judgeStarts.ts
+++ b/src/testing/model/judgeStarts.ts
@@ -27,17 +27,14 @@
 };
 
 /** Finds the starts that bring a worker over its capacity; what is being stopped still counts. */
-export const findLimitViolations = (
-  runs: readonly ModelRun[],
-  workerCpuMillis: number,
-): Violation[] =>
+export const findLimitViolations = (runs: readonly ModelRun[]): Violation[] =>
   runs.flatMap((run, index): Violation[] => {
     const used = runs
       .slice(0, index)
       .filter(({ workerId, life }) => workerId === run.workerId && life === run.life)
       .filter(({ endedAtMs = Infinity }) => endedAtMs > run.startedAtMs)
       .reduce((sum, { spec }) => sum + spec.cpuMillis, run.spec.cpuMillis);
-    return used > workerCpuMillis
+    return used > run.workerCpuMillis
       ? [{ rule: 'limit', detail: `${used}: ${describeRun(run)}` }]
       : [];
   });
--- a/src/testing/model/modelEvents.ts
+++ b/src/testing/model/modelEvents.ts
@@ -16,6 +16,13 @@
 ]);
 export type WorkerChoice = z.infer<typeof workerChoiceSchema>;
 
+/** Kind or size that a worker has from its next lifetime on. */
+const nextLifetimeSchema = z.object({
+  label: z.string().optional(),
+  cpuMillis: z.number().int().positive().optional(),
+});
+export type NextLifetime = z.infer<typeof nextLifetimeSchema>;
+
 /**
  * Which messages a cut concerns: only those of the daemon that is named first, only those to it, or both if left out.
  */
@@ -79,7 +86,11 @@
     worker: workerChoiceSchema,
     down: z.enum(['refused', 'silent']),
     downMs: forMs,
+    /** What differs in the next lifetime. */
+    next: nextLifetimeSchema.optional(),
   }),
+  /** The entry of a worker that is up expires, since it does not reach the store. */
+  z.object({ kind: z.literal('expire-entry'), atMs, worker: workerChoiceSchema, forMs }),
   z.object({ kind: z.literal('drain'), atMs, worker: workerChoiceSchema, drainMs: forMs }),
   z.object({
     kind: z.literal('worker-fault'),
--- a/src/testing/model/modelFleet.ts
+++ b/src/testing/model/modelFleet.ts
@@ -21,7 +21,7 @@
 const pathPrefix = '/fit/';
 /** Failed runs of a task after which its job has failed. */
 export const maxFailedRuns = 3;
-export const workerCpuMillis = 32_000;
+const workerCpuMillis = 32_000;
 const slowestClockRate = 0.98;
 const stopMs = { short: 30, long: 50 } as const;
 /** Neither the daemons nor the models wait for turns of the event loop. */
--- a/src/testing/model/modelRun.ts
+++ b/src/testing/model/modelRun.ts
@@ -27,6 +27,8 @@
   readonly run: number;
   readonly spec: TaskSpec;
   readonly startedAtMs: number;
+  /** Processor capacity of the worker in this lifetime, in thousandths of a core. */
+  readonly workerCpuMillis: number;
   /** Undefined while it runs. */
   endedAtMs: number | undefined;
   how: ModelRunEnd | undefined;
--- a/src/testing/model/modelWorker.ts
+++ b/src/testing/model/modelWorker.ts
@@ -5,6 +5,7 @@
 import { createDeferred } from '../../utils/deferred.js';
 import type { Deferred } from '../../utils/deferred.js';
 import type { FakeClock } from '../fakeClock.js';
+import type { NextLifetime } from './modelEvents.js';
 import { ModelWorkerLife } from './modelWorkerLife.js';
 import type { ModelRun } from './modelRun.js';
 
@@ -46,10 +47,14 @@
   down: DownKind = 'refused';
   /** Whether the entry omits the start of the worker. */
   private omitsStart = false;
+  /** Whether what it writes reaches the store. */
+  private reachesStore = true;
+  private record: WorkerRecord;
   private lifetime: Lifetime | undefined;
   private lives = 0;
 
   private constructor(private readonly options: ModelWorkerOptions) {
+    this.record = options.record;
     this.start();
   }
 
@@ -71,12 +76,14 @@
     return this.lifetime?.over.promise ?? Promise.resolve();
   }
 
-  /** Begins a lifetime, and registers it. */
-  start(): void {
+  /** Begins a lifetime, unless it is up, and registers it. */
+  start(next: NextLifetime = {}): void {
     if (this.lifetime !== undefined) {
       return;
     }
-    const { time, record, clockRate, stopMs, guardsCapacity, onRun } = this.options;
+    const { time, clockRate, stopMs, guardsCapacity, onRun } = this.options;
+    this.record = changeRecord(this.record, next);
+    const { record } = this;
     this.lives += 1;
     const life = ModelWorkerLife.create({
       ...{ time, clockRate, stopMs, guardsCapacity, onRun },
@@ -96,7 +103,7 @@
     const crashedLives = this.lives;
     void this.options.time.sleep(expiryMs).then(() => {
       if (this.lifetime === undefined && this.lives === crashedLives) {
-        this.options.publish(this.workerId, undefined);
+        this.unpublish();
       }
     });
   }
@@ -119,7 +126,7 @@
   leave(): void {
     this.down = 'refused';
     this.endLife('left');
-    this.options.publish(this.workerId, undefined);
+    this.unpublish();
   }
 
   /** Writes the entry without the start of the worker, from now on. */
@@ -130,16 +137,39 @@
     }
   }
 
+  /** Lets the entry expire, and writes nothing until the store is reached again. */
+  loseStore(): void {
+    this.unpublish();
+    this.reachesStore = false;
+  }
+
+  /** Writes the entry again, if the worker is up. */
+  reachStore(): void {
+    this.reachesStore = true;
+    if (this.lifetime !== undefined) {
+      this.publish('ready');
+    }
+  }
+
   /** Writes an entry like that of this worker for another id and address. */
   publishElsewhere(workerId: string, address: string): void {
-    this.options.publish(workerId, { ...this.options.record, workerId, address });
+    this.options.publish(workerId, { ...this.record, workerId, address });
   }
 
   private publish(state: WorkerRecord['state']): void {
-    const { record, publish } = this.options;
+    if (!this.reachesStore) {
+      return;
+    }
+    const { record } = this;
     const bornMs = this.lifetime?.life.bornMs;
     const start = this.omitsStart || bornMs === undefined ? {} : { startedAtMs: bornMs };
-    publish(record.workerId, { ...record, state, ...start });
+    this.options.publish(record.workerId, { ...record, state, ...start });
+  }
+
+  private unpublish(): void {
+    if (this.reachesStore) {
+      this.options.publish(this.workerId, undefined);
+    }
   }
 
   private endLife(how: 'crashed' | 'left'): void {
@@ -149,3 +179,13 @@
     lifetime?.over.resolve(undefined);
   }
 }
+
+/** @returns the entry of a worker that has become one of another kind or size */
+const changeRecord = (
+  record: WorkerRecord,
+  { label, cpuMillis = record.capacity.cpuMillis }: NextLifetime,
+): WorkerRecord => ({
+  ...record,
+  capacity: { ...record.capacity, cpuMillis },
+  labels: label === undefined ? record.labels : [label],
+});
--- a/src/testing/model/modelWorkerLife.ts
+++ b/src/testing/model/modelWorkerLife.ts
@@ -99,10 +99,11 @@
     if (this.options.guardsCapacity && !this.hasRoomFor(task.cpuMillis)) {
       return 'no-room';
     }
-    const { workerId, life, time, onRun } = this.options;
+    const { workerId, life, cpuMillis, time, onRun } = this.options;
     const startedAtMs = time.nowMs();
     const record: ModelRun = {
       ...{ workerId, life, taskName, run, spec: task, startedAtMs },
+      workerCpuMillis: cpuMillis,
       ...{ endedAtMs: undefined, how: undefined },
     };
     const active = { record, over: new AbortController() };
--- a/src/testing/model/runScenario.ts
+++ b/src/testing/model/runScenario.ts
@@ -5,9 +5,10 @@
 import { applyEvent } from './applyEvent.js';
 import { findCalmSinceMs } from './calmTime.js';
 import { judge } from './judge.js';
+import type { ModelRecord } from './judge.js';
 import type { Violation } from './violations.js';
 import type { Scenario } from './modelEvents.js';
-import { ModelFleet, maxFailedRuns, workerCpuMillis } from './modelFleet.js';
+import { ModelFleet, maxFailedRuns } from './modelFleet.js';
 import type { CreateLogger } from './modelFleet.js';
 
 /** Time after the last answer in which runs that are left over would show, in milliseconds. */
@@ -25,11 +26,25 @@
   readonly answers: readonly string[];
 }
 
-/** Runs a scenario, and waits until all jobs have ended. */
+/** Runs a scenario, and judges it. */
 export const runScenario = async (
   scenario: Scenario,
   createLogger: CreateLogger = () => silentLogger,
 ): Promise<ScenarioResult> => {
+  const record = await recordScenario(scenario, createLogger);
+  const { runs, attempts } = record;
+  return {
+    violations: judge(record),
+    runCount: runs.length,
+    answers: attempts.map(({ attemptId, answer }) => `${attemptId} ${answer?.kind ?? 'waits'}`),
+  };
+};
+
+/** Runs a scenario, and waits until all jobs have ended. */
+export const recordScenario = async (
+  scenario: Scenario,
+  createLogger: CreateLogger = () => silentLogger,
+): Promise<ModelRecord> => {
   const rejections: string[] = [];
   const onRejection = (reason: unknown): void => void rejections.push(String(reason));
   process.on('unhandledRejection', onRejection);
@@ -52,15 +67,8 @@
   process.off('unhandledRejection', onRejection);
   const { runs, clients } = fleet;
   const { attempts, cancellations } = clients;
-  const calmSinceMs = beginMs + findCalmSinceMs(events);
-  const record = {
-    ...{ runs, attempts, cancellations, rejections, taskCounts, maxFailedRuns },
-    workerCpuMillis,
-    calmSinceMs,
-  };
   return {
-    violations: judge(record),
-    runCount: runs.length,
-    answers: attempts.map(({ attemptId, answer }) => `${attemptId} ${answer?.kind ?? 'waits'}`),
+    ...{ runs, attempts, cancellations, rejections, taskCounts, maxFailedRuns, beginMs },
+    calmSinceMs: beginMs + findCalmSinceMs(events),
   };
 };
