--- a/src/testing/model/walk/situations.ts
+++ b/src/testing/model/walk/situations.ts
@@ -40,6 +40,13 @@
 /** The caller leaves amid the troubles. */
 const nearDeadline = { ...longRun, troubleAtMs: 1_700 };
 
+/** Workers of the only kind that can run the tasks are in the dispatcher's domain. */
+const kindInEast = [
+  ['south', 2],
+  ['east', 4, 'b'],
+  ['west', 2],
+] as const;
+
 export const situations: readonly Situation[] = [
   {
     ...{ name: 'own workers', ...longRun, dispatcher: requester, dispatcherDomain: 'south' },
@@ -60,20 +67,12 @@
   },
   {
     ...{ name: 'workers of another', ...longRun },
-    calm: createScenario(
-      threeDomains,
-      [
-        ['south', 2],
-        ['east', 4, 'b'],
-        ['west', 2],
-      ],
-      [
-        submit(submitAtMs, {
-          ...{ daemon: requester, nextDaemonStep: sameDaemon, tasks: 6 },
-          ...{ ...longTasks, requiredLabel: 'b' },
-        }),
-      ],
-    ),
+    calm: createScenario(threeDomains, kindInEast, [
+      submit(submitAtMs, {
+        ...{ daemon: requester, nextDaemonStep: sameDaemon, tasks: 6 },
+        ...{ ...longTasks, requiredLabel: 'b' },
+      }),
+    ]),
   },
   {
     ...{ name: 'nine tasks', ...longRun, dispatcher: 1, dispatcherDomain: 'west' },
@@ -89,20 +88,12 @@
   },
   {
     ...{ name: 'deadline, same', ...nearDeadline },
-    calm: createScenario(
-      threeDomains,
-      [
-        ['south', 2],
-        ['east', 4, 'b'],
-        ['west', 2],
-      ],
-      [
-        submit(submitAtMs, {
-          ...{ daemon: requester, nextDaemonStep: sameDaemon, tasks: 4 },
-          ...deadlineTasks,
-        }),
-      ],
-    ),
+    calm: createScenario(threeDomains, kindInEast, [
+      submit(submitAtMs, {
+        ...{ daemon: requester, nextDaemonStep: sameDaemon, tasks: 4 },
+        ...deadlineTasks,
+      }),
+    ]),
   },
   {
     ...{ name: 'deadline, other', ...nearDeadline },
