Walks over short tasks, missing kinds, deadly tasks and starts that are late beside a crash

The walk of workers has one run of 4 s, so that no run ends behind a cut; all workers fit all tasks; no deadly task is walked beside a kill; no worker crashes while its orders are held up.

Change: `--walk short-tasks` times two troubles by the ends of the two runs that they meet, which a first play finds; `missing-kind` takes all workers of a kind away while jobs need it, with each trouble of a daemon; `deadly-task` has pairs of troubles while a task crashes one worker after the other and its caller comes back; `late-starts` has crashes amid orders that are held up or late, with a second trouble.

--- a/ci/walkOrders.ts
+++ b/ci/walkOrders.ts
@@ -3,12 +3,16 @@
  */
 import { mkdir, writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
+import { createDeadlyTaskPairs } from '../src/testing/model/walk/deadlyTaskWalk.js';
+import { createLateStartPairs } from '../src/testing/model/walk/lateStartWalk.js';
+import { createMissingKindPairs } from '../src/testing/model/walk/missingKindWalk.js';
 import {
   createDaemonPairs,
   createLateGrantPairs,
   createPairs,
 } from '../src/testing/model/walk/pairWalk.js';
 import type { Combination } from '../src/testing/model/walk/pairWalk.js';
+import { createShortTaskPairs } from '../src/testing/model/walk/shortTaskWalk.js';
 import { drawTriples } from '../src/testing/model/walk/tripleWalk.js';
 import {
   prepareSituations,
@@ -18,7 +22,10 @@
 import { createWorkerPairs } from '../src/testing/model/walk/workerPairWalk.js';
 import type { CombinationResult } from '../src/testing/model/walk/walkCombinations.js';
 
-const walkKinds = ['pairs', 'daemons', 'workers', 'late-grants', 'triples'] as const;
+const walkKinds = [
+  ...(['pairs', 'daemons', 'workers', 'late-grants', 'triples'] as const),
+  ...(['short-tasks', 'missing-kind', 'deadly-task', 'late-starts'] as const),
+];
 export type WalkKind = (typeof walkKinds)[number];
 
 /** Finds the walk of a name. */
@@ -82,6 +89,14 @@
       return createLateGrantPairs({ situations, moments, isDense });
     case 'triples':
       return drawTriples({ situations, count, seed });
+    case 'short-tasks':
+      return createShortTaskPairs();
+    case 'missing-kind':
+      return createMissingKindPairs();
+    case 'deadly-task':
+      return createDeadlyTaskPairs(moments);
+    case 'late-starts':
+      return createLateStartPairs();
   }
 };
 
