A draw of small fleets with short, choosy and deadly jobs; a scenario of a file can be shrunk

Change: `--draw small-fleet` draws 1 to 4 jobs and 2 to 6 bouts of trouble in a fleet of two or three daemons and three or four workers: a crash amid a cut or late orders, a worker that comes back as another kind, an entry that expires, a daemon in trouble. One worker of each kind keeps its kind and size, so that every job can be done.

--- a/ci/checkOrders.ts
+++ b/ci/checkOrders.ts
@@ -2,7 +2,8 @@
  * Runs random orders of events against a fleet in virtual time (docs/design/eventOrders.md), one scenario for
  * each seed, and prints what breaks a rule, shrunk to the fewest events:
  * `npm run orders -- --seeds 1-500`. `--draw loaded-kill` draws kills under a steady load in place of any events.
- * `--scenario FILE` runs the events of a JSON file, and prints the log.
+ * `--scenario FILE` runs the events of a JSON file, and prints the log; with `--shrink`, only the fewest events that
+ * break the same rule.
  */
 import { readFile } from 'node:fs/promises';
 import { parseArgs } from 'node:util';
@@ -13,6 +14,7 @@
 import { scenarioSchema } from '../src/testing/model/modelEvents.js';
 import type { Scenario } from '../src/testing/model/modelEvents.js';
 import { runScenario } from '../src/testing/model/runScenario.js';
+import { smallFleetArbitrary } from '../src/testing/model/smallFleetArbitrary.js';
 import { createTimedLogger } from '../src/testing/model/timedLogger.js';
 import { findWalkKind, walkOrders } from './walkOrders.js';
 
@@ -23,6 +25,7 @@
   ['any', scenarioArbitrary],
   ['loaded-kill', loadedKillArbitrary],
   ['daemon-and-worker', daemonAndWorkerArbitrary],
+  ['small-fleet', smallFleetArbitrary],
 ]);
 
 /** A scenario that breaks a rule. */
@@ -69,12 +72,28 @@
   }
   print(`seed ${seed}: ${failed.violation}`);
   if (isShrunk) {
-    const shrunk = await shrink(failed);
-    print(`  shrunk: ${JSON.stringify(shrunk.scenario)}\n  ${shrunk.violation}`);
+    await reportShrunk(failed);
   }
   return true;
 };
 
+const reportShrunk = async (failed: FailedScenario): Promise<void> => {
+  const shrunk = await shrink(failed);
+  print(`  shrunk: ${JSON.stringify(shrunk.scenario)}\n  ${shrunk.violation}`);
+};
+
+/** Prints the log and the result of a scenario, or what is left of it when it is shrunk. @returns whether it breaks a rule */
+const reportScenario = async (scenario: Scenario, isShrunk: boolean): Promise<boolean> => {
+  const failed = isShrunk ? await findFailedScenario(scenario) : undefined;
+  if (failed !== undefined) {
+    await reportShrunk(failed);
+    return true;
+  }
+  const result = await runScenario(scenario, createTimedLogger(print));
+  print(JSON.stringify(result, undefined, 2));
+  return result.violations.length > 0;
+};
+
 const { values } = parseArgs({
   options: {
     seeds: { type: 'string', default: '1-100' },
@@ -105,9 +124,7 @@
   process.exitCode = isKept ? 0 : 1;
 } else if (values.scenario !== undefined) {
   const scenario = scenarioSchema.parse(JSON.parse(await readFile(values.scenario, 'utf8')));
-  const result = await runScenario(scenario, createTimedLogger(print));
-  print(JSON.stringify(result, undefined, 2));
-  process.exitCode = result.violations.length === 0 ? 0 : 1;
+  process.exitCode = (await reportScenario(scenario, values.shrink)) ? 1 : 0;
 } else {
   const arbitrary = arbitraries.get(values.draw);
   if (arbitrary === undefined) {
