--- a/src/fleet/unlistedWorkers.spec.ts
+++ b/src/fleet/unlistedWorkers.spec.ts
@@ -3,6 +3,7 @@
 import type { Scenario } from '../testing/model/modelEvents.js';
 import { runScenario } from '../testing/model/runScenario.js';
 import {
+  repeatedWhileUnlistedScenario,
   unlistedAfterRestartScenario,
   unlistedLabelScenario,
 } from '../testing/model/unlistedWorkerScenarios.js';
@@ -24,4 +25,16 @@
   await checkScenario(unlistedAfterRestartScenario);
 });
 
+// Guards against a job that is answered as failed at another daemon, though its first attempt was at work.
+test('a repeated request at another daemon is refused for now while its worker is not listed', async () => {
+  const { violations, answers, runCount } = await runScenario(repeatedWhileUnlistedScenario);
+  assert.equal(violations, []);
+  assert.equal(answers, [
+    '0000000000000001/0 none',
+    '0000000000000001/1 refused',
+    '0000000000000002/0 completed',
+  ]);
+  assert.is(runCount, 2);
+});
+
 test.run();
--- a/src/testing/model/unlistedWorkerScenarios.ts
+++ b/src/testing/model/unlistedWorkerScenarios.ts
@@ -34,3 +34,11 @@
   submitLabelled(9_500),
   submitLabelled(14_000),
 ]);
+
+/** The daemon of a job freezes, and its worker crashes; the next attempt of the client comes to another daemon. */
+export const repeatedWhileUnlistedScenario: Scenario = createScenario(twoDaemons, oneLabelled, [
+  submit(900, { runMs: 3_000, estimatedMs: 3_000, deadlineMs: 9_000, requiredLabel: 'b' }),
+  { kind: 'freeze', atMs: 1_000, daemon: 0, forMs: 9_000 },
+  labelledWorkerDown,
+  submitLabelled(14_000),
+]);
