--- a/src/testing/model/walk/deadlyTaskWalk.ts
+++ b/src/testing/model/walk/deadlyTaskWalk.ts
@@ -81,6 +81,9 @@
   ...dispatcherTroubles.filter(({ name }) => /kill|suspension/.test(name)),
 ];
 
+/** Freezes are left out, since a suspension stops a process, too, and its clock besides. */
+const firstTroubles = daemonTroubles.filter(({ name }) => !name.startsWith('freeze'));
+
 const createMoment = (
   { calm, requester, dispatcher }: DeadlySituation,
   first: Trouble,
@@ -99,7 +102,7 @@
 
 /** All pairs of a daemon's trouble and one of a worker or of the dispatcher, and each trouble of a daemon alone. */
 export const createDeadlyTaskPairs = (moments: number): Combination[] =>
-  daemonTroubles.flatMap((first) =>
+  firstTroubles.flatMap((first) =>
     secondTroubles.map((second) => ({
       troubles: [first.name, second?.name ?? 'none'],
       scenarios: Array.from({ length: moments }, (_, moment) => moment).flatMap((moment) =>
