--- a/src/fleet/eventOrders.property.spec.ts
+++ b/src/fleet/eventOrders.property.spec.ts
@@ -5,10 +5,13 @@
 import { loadedKillArbitrary } from '../testing/model/loadedKillArbitrary.js';
 import type { Scenario } from '../testing/model/modelEvents.js';
 import { runScenario } from '../testing/model/runScenario.js';
+import { smallFleetArbitrary } from '../testing/model/smallFleetArbitrary.js';
 
 const defaultSeed = 1;
 /** On the code of issue 35, the first scenario of this seed breaks a rule. */
 const daemonAndWorkerSeed = 122;
+/** On the code of issue 38 before its mends, the first scenario of this seed breaks a rule. */
+const smallFleetSeed = 252;
 
 /** Checks that a number of drawn scenarios break no rule. */
 const checkDrawn = async (
@@ -35,4 +38,8 @@
 test('no trouble of a daemon and a worker together breaks a rule', () =>
   checkDrawn(daemonAndWorkerArbitrary, 8, daemonAndWorkerSeed));
 
+// Guards against untrue answers and double runs of short, choosy and deadly jobs in a fleet of a few workers.
+test('no bouts of trouble in a small fleet break a rule', () =>
+  checkDrawn(smallFleetArbitrary, 12, smallFleetSeed));
+
 test.run();
--- a/src/fleet/eventOrdersWalk.spec.ts
+++ b/src/fleet/eventOrdersWalk.spec.ts
@@ -2,9 +2,14 @@
 import * as assert from 'uvu/assert';
 import type { Scenario } from '../testing/model/modelEvents.js';
 import { runScenario } from '../testing/model/runScenario.js';
+import { createDeadlyTaskPairs } from '../testing/model/walk/deadlyTaskWalk.js';
+import { endTroubles } from '../testing/model/walk/endTroubles.js';
+import { createLateStartPairs } from '../testing/model/walk/lateStartWalk.js';
+import { createMissingKindPairs } from '../testing/model/walk/missingKindWalk.js';
 import { createDaemonPairs, createPairs } from '../testing/model/walk/pairWalk.js';
 import type { Combination } from '../testing/model/walk/pairWalk.js';
 import { samplePairs } from '../testing/model/walk/samplePairs.js';
+import { createShortTaskPairs } from '../testing/model/walk/shortTaskWalk.js';
 import { createWorkerPairs } from '../testing/model/walk/workerPairWalk.js';
 import { prepareSituations } from '../testing/model/walk/walkCombinations.js';
 
@@ -32,6 +37,9 @@
   return chosen.flatMap((moment) => scenarios?.[moment] ?? []);
 };
 
+/** Whether a trouble hits the dispatcher, which ordered some of the late starts. */
+const isOfDispatcher = (name: string): boolean => name.endsWith('of dispatcher');
+
 // Guards against runs that no stop reaches, beside the next attempt of the caller of their lost requester.
 test('no way of not reaching a worker lets a run of a lost requester go on', async () => {
   const situations = await prepareSituations('nine tasks');
@@ -81,4 +89,47 @@
   await checkScenarios(samplePairs(pairs, sample));
 });
 
+// Guards against jobs that are answered as failed since workers crash on which their short runs had just ended.
+test('no job fails since its workers crash after short runs of it', async () => {
+  const everyTenth = endTroubles.filter((_, index) => index % 10 === 0);
+  const pairs = await createShortTaskPairs(everyTenth);
+  await checkScenarios(pairs.flatMap(({ scenarios }) => scenarios));
+});
+
+// Guards against jobs that are answered as failed while all workers that they need are away.
+test('no job fails since all workers of a kind are missing for a while', async () => {
+  await checkScenarios(samplePairs(createMissingKindPairs(), sample));
+});
+
+// Guards against a task that takes more workers with it since the daemons that counted its crashes were lost.
+test('no two kills of daemons let a task that crashes its workers start again and again', async () => {
+  await checkScenarios(
+    scenariosAt(
+      createDeadlyTaskPairs(moments),
+      ['kill, long of requester', 'kill, long of dispatcher'],
+      [0, 1, 2, 3, 4, 5, 6, 7, 8, 9],
+    ),
+  );
+});
+
+// Guards against a task that takes more workers with it beside any troubles of its daemons.
+test('no sampled trouble lets a task that crashes its workers start again and again', async () => {
+  await checkScenarios(samplePairs(createDeadlyTaskPairs(moments), sample));
+});
+
+// Guards against starts that are carried out in the next lifetime of their worker, beside the next run of their task.
+test('no start that is late beside a crash of its worker runs a task twice', async () => {
+  const pairs = createLateStartPairs();
+  const broken = scenariosAt(pairs, ['held up, from all', 'none'], [8, 17, 26, 35]);
+  const others = pairs.filter(({ troubles }) => !troubles.some(isOfDispatcher));
+  await checkScenarios([...broken, ...samplePairs(others, sample)]);
+});
+
+// Guards against late starts of a killed dispatcher, beside the next attempt of their caller at another daemon.
+test('no late start of a killed dispatcher runs a task twice', async () => {
+  const pairs = createLateStartPairs();
+  const troubles = ['held up, from all', 'kill, long of dispatcher'] as const;
+  await checkScenarios(scenariosAt(pairs, troubles, [1, 13, 20, 34]));
+});
+
 test.run();
