Join the losses of a task as a set, and await what any daemon awaits of them

Cause: each daemon counted the losses that it saw, and counts were joined by the highest, so that one likely crash each at two daemons stayed one. Behind it: only the daemon of a lapsed run waited for its worker's answer, and one that got the task next did not; what was heard from others was told to nobody, also not to a daemon that restarted; a waiting task took no notice of announcements; and a worker that another daemon had taken over resolved no lapsed run here.

Change: a set of losses, named by batch and run, with a status that only rises (awaited, unclear, likely, none), joined by union, 12 of a task at most (src/dispatch/taskLosses.ts, from lossCounts.ts, decides all consequences). Batches, returned tasks and suspects of heartbeats carry it beside the counts that earlier versions read; counts without a set are a lower bound. A process with which contact begins is told of all that changed in 120 s; what comes from another domain goes on in the own one. Waiting tasks end by announcements. The entry of a later lifetime makes a loss likely where the connection broke under the lease.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -2,7 +2,7 @@
  * Runs batches of tasks on the workers to which this daemon alone dispatches.
  */
 import { causeLabel } from '../explain/causeLabel.js';
-import type { MemberLoad } from '../types/fleet.js';
+import type { MemberLoad, SuspectTask } from '../types/fleet.js';
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
 import type { Metrics } from '../ports/metrics.js';
@@ -15,6 +15,7 @@
 import { composeReply } from './batchReplies.js';
 import { BatchTable } from './batchTable.js';
 import { CrashSuspects } from './crashSuspects.js';
+import type { SuspectSource } from './crashSuspects.js';
 import { LapsedRuns } from './lapsedRuns.js';
 import type { LeaseTimes } from './leaseTimes.js';
 import { LostRuns } from './lostRuns.js';
@@ -74,8 +75,8 @@
       awaitsProof: (task) => this.retries.awaitsProof(task),
     });
     const { starter, suspects } = this;
-    const lapsedRuns = LapsedRuns.create(options.clock);
-    this.retries = TaskRetries.create({ logger, starter, suspects, lapsedRuns });
+    const lapsedRuns = LapsedRuns.create();
+    this.retries = TaskRetries.create({ logger, starter, suspects });
     this.lostRuns = LostRuns.create({ logger, lapsedRuns, retries: this.retries });
   }
 
@@ -96,6 +97,11 @@
     return released;
   }
 
+  /** Records the entries of all workers, also of those to which other daemons dispatch. */
+  recordEntries(records: readonly WorkerRecord[]): void {
+    this.lostRuns.resolveListed(records);
+  }
+
   /**
    * Runs a batch. A repeated request joins the batch that is already here.
    *
@@ -136,6 +142,15 @@
       .forEach((batch) => batch.confirm(atMs));
   }
 
+  /** Records what another daemon has announced of suspects; tasks that wait here may end by it. */
+  recordSuspects(suspects: readonly SuspectTask[], source: SuspectSource): void {
+    for (const suspect of suspects) {
+      if (this.suspects.recordAnnounced(suspect, source)) {
+        this.retries.judgeWaiting(suspect.taskName);
+      }
+    }
+  }
+
   /** Records that the VM was suspended, in milliseconds, which the monotonic clock omits. */
   recordSuspension(durationMs: number): void {
     this.batches.recordSuspension(durationMs);
@@ -263,7 +278,7 @@
       expectedMs: Math.round(run.expectedMs),
       ...description,
     });
-    this.lostRuns.recordEnd(worker.workerId, run, evidence);
+    this.lostRuns.recordEnd(worker.record, run, evidence);
     if (!run.task.hasEnded) {
       this.retries.endOrRetry(run.task, evidence, { workerId: worker.workerId, slowness });
     }
--- a/src/dispatch/lapsedRuns.ts
+++ b/src/dispatch/lapsedRuns.ts
@@ -2,20 +2,22 @@
  * Runs that lapsed while their worker was silent, until the worker answers again: only then it shows
  * whether its lifetime is over, and what that tells.
  */
-import type { Clock } from '../ports/clock.js';
 import { judgeLifetimeEnd } from './lifetimeEnd.js';
 import type { CoveredRun, LifetimeEnd } from './lifetimeEnd.js';
 import type { BatchedTask } from './openBatch.js';
+import type { WorkerRecord } from '../types/workers.js';
 import type { AnsweringLifetime } from './workerLifetime.js';
 
 const maxRememberedRuns = 1_024;
-/** A task waits this long until its worker answers. */
-const maxProofWaitMs = 5_000;
 
 /** A run whose leases ended while its worker was silent. */
 export interface LapsedRun extends CoveredRun {
   readonly workerId: string;
   readonly taskName: string;
+  /** Identifies the loss of the worker under the task. */
+  readonly lossId: string;
+  /** Start of the worker's lifetime by its entry when the run lapsed, in milliseconds since the epoch, if it states it. */
+  readonly listedStartMs: number | undefined;
   readonly task: BatchedTask;
 }
 
@@ -25,25 +27,17 @@
   readonly end: LifetimeEnd;
 }
 
-interface RememberedRun extends LapsedRun {
-  /** In monotonic time. */
-  readonly lapsedAtMs: number;
-}
-
 export class LapsedRuns {
   /** The oldest first. */
-  private runs: RememberedRun[] = [];
-
-  private constructor(private readonly clock: Clock) {}
+  private runs: LapsedRun[] = [];
 
-  static create(clock: Clock): LapsedRuns {
-    return new LapsedRuns(clock);
+  static create(): LapsedRuns {
+    return new LapsedRuns();
   }
 
   /** Remembers a run; the oldest is forgotten if there are too many. */
   remember(run: LapsedRun): void {
-    const lapsedAtMs = this.clock.nowMs();
-    this.runs = [...this.runs, { ...run, lapsedAtMs }].slice(-maxRememberedRuns);
+    this.runs = [...this.runs, run].slice(-maxRememberedRuns);
   }
 
   /**
@@ -65,12 +59,27 @@
     return resolved.map((run) => ({ run, end: judgeLifetimeEnd(run, answering) }));
   }
 
-  /** Counts the runs of a task for which the answer of the worker is still worth a wait. */
-  countAwaited(taskName: string): number {
-    return this.runs.filter((run) => run.taskName === taskName && this.isAwaited(run)).length;
-  }
-
-  private isAwaited({ lapsedAtMs }: RememberedRun): boolean {
-    return this.clock.nowMs() - lapsedAtMs < maxProofWaitMs;
+  /**
+   * Forgets the runs that a later lifetime of their worker, as its entry lists it, shows to have been lost by a likely
+   * crash. The worker may answer to another daemon by now; of what else its entry tells, its answers would tell more.
+   *
+   * @param records - the entries of all workers
+   * @returns what the entries tell of the runs
+   */
+  resolveListed(records: readonly WorkerRecord[]): ResolvedRun[] {
+    if (this.runs.length === 0) {
+      return [];
+    }
+    const starts = new Map(records.map(({ workerId, startedAtMs }) => [workerId, startedAtMs]));
+    const resolved = this.runs
+      .filter((run) => isLaterStart(starts.get(run.workerId), run.listedStartMs))
+      .map((run) => ({ run, end: judgeLifetimeEnd(run, { kind: 'replaced' }) }))
+      .filter(({ end }) => end.kind === 'likely-under-run');
+    const forgotten = new Set(resolved.map(({ run }) => run));
+    this.runs = this.runs.filter((run) => !forgotten.has(run));
+    return resolved;
   }
 }
+
+const isLaterStart = (startMs: number | undefined, earlierMs: number | undefined): boolean =>
+  startMs !== undefined && earlierMs !== undefined && startMs > earlierMs;
--- a/src/dispatch/lostRuns.ts
+++ b/src/dispatch/lostRuns.ts
@@ -8,7 +8,9 @@
 import type { CrashSign } from './lifetimeEnd.js';
 import { suspicionOf } from './runEvidence.js';
 import type { RunEvidence } from './runEvidence.js';
+import { lossIdOf } from './taskLosses.js';
 import type { TaskRetries } from './taskRetries.js';
+import type { WorkerRecord } from '../types/workers.js';
 import type { AnsweringLifetime } from './workerLifetime.js';
 
 export interface LostRunsOptions {
@@ -25,19 +27,24 @@
   }
 
   /** Counts the worker of a run that has ended as lost under its task, if it is. */
-  recordEnd(workerId: string, run: ActiveRun, evidence: RunEvidence): void {
+  recordEnd(
+    { workerId, startedAtMs: listedStartMs }: WorkerRecord,
+    run: ActiveRun,
+    evidence: RunEvidence,
+  ): void {
     const { lapsedRuns, retries } = this.options;
     const suspicion = suspicionOf(evidence);
+    const lossId = lossIdOf(run);
     switch (suspicion) {
       case 'none':
         return;
       case 'suspected':
-        retries.recordLoss(run.task, 'unclear');
-        lapsedRuns.remember({ ...run, workerId });
+        lapsedRuns.remember({ ...run, workerId, lossId, listedStartMs });
+        retries.recordLoss(run.task, { id: lossId, status: 'awaited' });
         return;
       case 'likely':
       case 'unclear':
-        retries.recordLoss(run.task, suspicion);
+        retries.recordLoss(run.task, { id: lossId, status: suspicion });
         return;
       default:
         return unreachable(suspicion);
@@ -50,12 +57,18 @@
     lapsedRuns.resolve(workerId, answering).forEach((resolved) => this.settle(resolved));
   }
 
+  /** Counts what the entries of all workers tell of the runs that lapsed, also of workers that answer to other daemons. */
+  resolveListed(records: readonly WorkerRecord[]): void {
+    const { lapsedRuns } = this.options;
+    lapsedRuns.resolveListed(records).forEach((resolved) => this.settle(resolved));
+  }
+
   private settle({ run, end }: ResolvedRun): void {
     const { logger, retries } = this.options;
-    const { workerId, taskName, task } = run;
+    const { workerId, taskName, task, lossId } = run;
     switch (end.kind) {
       case 'none':
-        retries.settleLoss(task, 'none');
+        retries.recordLoss(task, { id: lossId, status: 'none' });
         return;
       case 'likely-under-run':
         logger.warn('A worker has likely crashed under a run that lapsed.', {
@@ -64,7 +77,7 @@
           reason: describeSign(end.sign),
           leaseLeftMs: Math.round(end.beforeLeaseEndMs),
         });
-        retries.settleLoss(task, 'likely');
+        retries.recordLoss(task, { id: lossId, status: 'likely' });
         return;
       case 'unclear':
         logger.info('A worker may have crashed under a run that lapsed.', {
@@ -75,6 +88,7 @@
             ? {}
             : { leaseLeftMs: -Math.round(end.afterLeaseEndMs) }),
         });
+        retries.recordLoss(task, { id: lossId, status: 'unclear' });
         return;
       default:
         return unreachable(end);
--- a/src/dispatch/openBatch.ts
+++ b/src/dispatch/openBatch.ts
@@ -4,8 +4,8 @@
  */
 import { createDeferred } from '../utils/deferred.js';
 import type { Batch, TaskEnd } from '../types/dispatch.js';
-import { highestLosses, noLosses } from './lossCounts.js';
-import type { LossCounts } from './lossCounts.js';
+import { fromStatedLosses } from './taskLosses.js';
+import type { TaskLosses } from './taskLosses.js';
 
 /** A task of a batch and the state of its runs. */
 export interface BatchedTask {
@@ -17,7 +17,7 @@
   /** Runs that have failed so far, on other dispatchers too. */
   failedRuns: number;
   /** Workers that were silent or crashed while they ran it, on other dispatchers too. */
-  losses: LossCounts;
+  losses: TaskLosses;
   /** Workers on which a run failed, was lost or did not start; they get no further run of it. */
   readonly avoidedWorkerIds: Set<string>;
   hasEnded: boolean;
@@ -60,7 +60,7 @@
       index,
       nextRun,
       failedRuns,
-      losses: highestLosses(noLosses, losses),
+      losses: fromStatedLosses(losses),
       avoidedWorkerIds: new Set<string>(),
       hasEnded: false,
     }));
--- a/src/dispatch/suspectIsolation.ts
+++ b/src/dispatch/suspectIsolation.ts
@@ -4,12 +4,13 @@
  */
 import type { ManagedWorker } from './managedWorker.js';
 import type { BatchedTask } from './openBatch.js';
+import { hasLosses } from './taskLosses.js';
 
 /** Largest share of the workers that is kept free at the same time; one worker at least. */
 const maxReservedShare = 1 / 3;
 
 /** Whether a worker was silent or crashed while it ran the task. */
-export const isSuspect = ({ losses }: BatchedTask): boolean => losses.lostWorkers > 0;
+export const isSuspect = ({ losses }: BatchedTask): boolean => hasLosses(losses);
 
 /**
  * Finds the worker that is kept free for a suspect, and keeps one free if there is none: the one that is
--- a/src/dispatch/taskRetries.ts
+++ b/src/dispatch/taskRetries.ts
@@ -5,16 +5,14 @@
 import { unreachable } from '../errors/unreachable.js';
 import type { Logger } from '../ports/logger.js';
 import type { CrashSuspects } from './crashSuspects.js';
-import type { LapsedRuns } from './lapsedRuns.js';
 import {
-  addLoss,
   consequenceOfLosses,
-  highestLosses,
-  isDecidedBy,
-  settleLoss,
-  toStatedLosses,
-} from './lossCounts.js';
-import type { LossKind, SettledLoss } from './lossCounts.js';
+  countLosses,
+  hasLosses,
+  isDecidedByAwaited,
+  joinLosses,
+} from './taskLosses.js';
+import type { TaskLoss } from '../types/losses.js';
 import type { BatchedTask } from './openBatch.js';
 import { consequenceOf } from './runEvidence.js';
 import type { RunEvidence, TaskConsequence } from './runEvidence.js';
@@ -28,7 +26,6 @@
   readonly logger: Logger;
   readonly starter: TaskStarter;
   readonly suspects: CrashSuspects;
-  readonly lapsedRuns: LapsedRuns;
 }
 
 /** The worker of a run that has ended. */
@@ -51,31 +48,27 @@
   }
 
   /**
-   * Counts a lost worker under a task. A task whose job has ended is counted as well, since its job may be
-   * submitted again.
+   * Records a loss of a worker under a task, or what it has turned out to be. A task whose job has ended is recorded as
+   * well, since its job may be submitted again.
    */
-  recordLoss(task: BatchedTask, kind: LossKind): void {
-    this.updateCounts(task);
-    task.losses = addLoss(task.losses, kind);
-    this.announce(task);
-    if (kind !== 'unclear' || consequenceOfLosses(task.losses) !== 'may-start') {
-      this.judgeWaiting(task);
-    }
+  recordLoss(task: BatchedTask, loss: TaskLoss): void {
+    const taskName = taskNameOf(task);
+    this.options.suspects.recordOwn(taskName, loss);
+    this.updateLosses(task);
+    this.judgeWaiting(taskName);
   }
 
-  /** Counts what an unclear loss has turned out to be; tasks that wait under this name may end by it. */
-  settleLoss(task: BatchedTask, settled: SettledLoss): void {
+  /** Ends the tasks that wait under a name, if they may not start again. */
+  judgeWaiting(taskName: string): void {
     const { starter, suspects } = this.options;
-    const taskName = taskNameOf(task);
-    this.updateCounts(task);
-    const waiting = starter.listWaiting().filter((one) => taskNameOf(one) === taskName);
-    for (const one of new Set([task, ...waiting])) {
-      one.losses = settleLoss(one.losses, settled);
+    if (consequenceOfLosses(suspects.lossesOf(taskName)) === 'may-start') {
+      return;
     }
-    suspects.settle(taskName, settled);
-    this.announce(task);
-    if (settled !== 'none') {
-      this.judgeWaiting(task);
+    for (const waiting of starter.listWaiting()) {
+      if (taskNameOf(waiting) === taskName) {
+        starter.remove(waiting);
+        this.enqueueOrEnd(waiting);
+      }
     }
   }
 
@@ -84,7 +77,8 @@
    * if they have crashed.
    */
   awaitsProof(task: BatchedTask): boolean {
-    return isDecidedBy(task.losses, this.options.lapsedRuns.countAwaited(taskNameOf(task)));
+    this.updateLosses(task);
+    return isDecidedByAwaited(task.losses);
   }
 
   /** Ends the task of a run, or queues it for another run if what is known of the run allows it. */
@@ -134,22 +128,10 @@
     this.options.starter.startReadyTasks();
   }
 
-  /** Ends the tasks that wait under the name of a task, if they may not start again. */
-  private judgeWaiting(task: BatchedTask): void {
-    const { starter } = this.options;
-    const taskName = taskNameOf(task);
-    for (const waiting of starter.listWaiting()) {
-      if (taskNameOf(waiting) === taskName) {
-        starter.remove(waiting);
-        this.enqueueOrEnd(waiting);
-      }
-    }
-  }
-
   /** Queues a task for a run, unless it has failed too often or may have crashed too many workers. */
   private enqueueOrEnd(task: BatchedTask): void {
     const { logger, starter } = this.options;
-    this.updateCounts(task);
+    this.updateLosses(task);
     const { batch, index, failedRuns, losses } = task;
     if (failedRuns >= batch.content.maxFailedRuns) {
       batch.end(task, { kind: 'failed', index, reason: `${failedRuns} runs failed` });
@@ -164,7 +146,7 @@
       case 'may-crash-workers':
         logger.warn('A task is not started again, since it may have crashed its workers.', {
           taskName,
-          count: losses.unclearLosses,
+          count: countLosses(losses).unclearLosses,
         });
         batch.end(task, { kind: 'withdrawn', index, reason: 'it may have crashed its workers' });
         return;
@@ -174,13 +156,14 @@
   }
 
   /** Takes over what is known of the task by its name, also from an earlier submission of its job. */
-  private updateCounts(task: BatchedTask): void {
-    const known = this.options.suspects.countsOf(taskNameOf(task));
-    task.losses = highestLosses(task.losses, known);
-  }
-
-  private announce(task: BatchedTask): void {
+  private updateLosses(task: BatchedTask): void {
+    const { suspects } = this.options;
     const taskName = taskNameOf(task);
-    this.options.suspects.recordOwn({ taskName, ...toStatedLosses(task.losses) });
+    if (hasLosses(task.losses)) {
+      suspects.recordStated(taskName, task.losses);
+    }
+    if (suspects.has(taskName)) {
+      task.losses = joinLosses(task.losses, suspects.lossesOf(taskName));
+    }
   }
 }
--- a/src/dispatch/taskStarter.ts
+++ b/src/dispatch/taskStarter.ts
@@ -10,7 +10,7 @@
 import type { LocalCandidate, WorkerPool } from './workerPool.js';
 import { longestLeaseDurationMs, maxDrift } from './leaseTimes.js';
 import type { LeaseTimes } from './leaseTimes.js';
-import { toStatedLosses } from './lossCounts.js';
+import { toStatedLosses } from './taskLosses.js';
 import { idlePollMs } from './workerReports.js';
 import { isSuspect } from './suspectIsolation.js';
 import { demandOf, taskNameOf } from './taskNames.js';
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -157,6 +157,7 @@
       dispatcher,
     });
     this.heartbeatExchange = FleetHeartbeatExchange.create({
+      clock,
       ages,
       contact,
       leases,
--- a/src/fleet/fleetHeartbeatExchange.spec.ts
+++ b/src/fleet/fleetHeartbeatExchange.spec.ts
@@ -27,6 +27,7 @@
   const router: Pick<BatchRouter, 'requestedBatchIds'> = { requestedBatchIds: () => [] };
   const ages = MessageAges.create(clock);
   return FleetHeartbeatExchange.create({
+    clock,
     contact: CallerContact.create(clock),
     ages,
     leases: RequesterLeases.create(ages),
@@ -71,4 +72,46 @@
   }
 });
 
+// Guards against a task that goes on crashing workers at a daemon that begins after the losses were announced.
+test('a daemon that begins later is told of losses by one that only heard of them', async () => {
+  const options = { workerCount: 3, crashesWorker: () => true, crashDownMs: 3_000 };
+  const [first, second, third] = await Promise.all([
+    createDispatcherFixture(options),
+    createDispatcherFixture(options),
+    createDispatcherFixture(options),
+  ]);
+  await runToEnd(first, patientBatch(1, { giveUpInMs: 6_000, expiresInMs: 6_000 }), 6_000);
+  const ofSecond = createExchange('second', second);
+  ofSecond.handleHeartbeat(createExchange('first', first).composeHeartbeat('second', false));
+  await second.clock.advance(10_000);
+  createExchange('third', third).handleHeartbeat(ofSecond.composeHeartbeat('third', false));
+  const [end] = await runToEnd(third, patientBatch(1), 1_000);
+  assert.is(end?.kind, 'withdrawn');
+  assert.is(third.workers.starts.length, 0);
+  for (const fixture of [first, second, third]) {
+    await closeDispatcher(fixture);
+  }
+});
+
+// Guards against a task that waits at a dispatcher while its workers crash at another one, and is started after that.
+test('a task that waits is given up when another daemon announces enough losses', async () => {
+  const fixture = await createDispatcherFixture({ workerCount: 1, runMs: 2_000 });
+  const exchange = createExchange('own', fixture);
+  const busy = { batchId: 'b-0', jobId: '0000000000000002', estimatedMs: 2_000 };
+  void fixture.dispatcher.run('vm', patientBatch(2, busy));
+  const waiting = fixture.dispatcher.run('vm', patientBatch(1));
+  await fixture.clock.advance(100);
+  const other = await createDispatcherFixture({ workerCount: 1 });
+  const heartbeat = createExchange('other', other).composeHeartbeat('own', false);
+  const losses = ['b-7.1', 'b-8.1'].map((id) => ({ id, status: 'likely' as const }));
+  const suspects = [{ taskName: firstTaskName, lostWorkers: 2, losses }];
+  exchange.handleHeartbeat({ ...heartbeat, suspects });
+  assert.equal(
+    (await waiting).ends.map(({ kind }) => kind),
+    ['withdrawn'],
+  );
+  await closeDispatcher(fixture);
+  await closeDispatcher(other);
+});
+
 test.run();
--- a/src/fleet/fleetHeartbeatExchange.ts
+++ b/src/fleet/fleetHeartbeatExchange.ts
@@ -4,8 +4,11 @@
 import type { BatchRouter } from '../bestEffort/batchRouter.js';
 import type { FleetView } from '../bestEffort/fleetView.js';
 import type { RunTimePredictor } from '../bestEffort/runTimePredictor.js';
+import { announcementMs } from '../dispatch/crashSuspects.js';
+import type { Audience } from '../dispatch/crashSuspects.js';
 import type { Dispatcher } from '../dispatch/dispatcher.js';
 import { unreachable } from '../errors/unreachable.js';
+import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
 import type { RoutingStore } from '../routing/routingStore.js';
 import type { FleetHeartbeat, Member } from '../types/fleet.js';
@@ -13,6 +16,7 @@
 import type { FleetPeers, PeerLoss } from './fleetPeers.js';
 import type { CallerContact } from './callerContact.js';
 import type { MessageAges } from './messageAges.js';
+import { NewContacts } from './newContacts.js';
 import type { RequesterLeases } from './requesterLeases.js';
 
 /**
@@ -23,6 +27,7 @@
 const routingFetchTimeoutMs = 500;
 
 export interface FleetHeartbeatExchangeOptions {
+  readonly clock: Clock;
   readonly ages: MessageAges;
   readonly contact: CallerContact;
   readonly leases: RequesterLeases;
@@ -41,8 +46,12 @@
 export class FleetHeartbeatExchange {
   private isLeaving = false;
   private isFetchingRouting = false;
+  /** Processes that are told of all suspects, since they have not heard what was announced before. */
+  private readonly newContacts: NewContacts;
 
-  private constructor(private readonly options: FleetHeartbeatExchangeOptions) {}
+  private constructor(private readonly options: FleetHeartbeatExchangeOptions) {
+    this.newContacts = NewContacts.create(options.clock, announcementMs);
+  }
 
   static create(options: FleetHeartbeatExchangeOptions): FleetHeartbeatExchange {
     return new FleetHeartbeatExchange(options);
@@ -65,11 +74,11 @@
       this.options;
     const load = dispatcher.load();
     load.workers.forEach((worker) => speeds.record(worker));
-    const suspects = dispatcher.suspects.listAnnounced();
     const { heldUpMs } = contact;
     const roundTripMs = peer === undefined ? undefined : ages.shortestRoundTripMs(peer);
     const isSameDomain =
       peer !== undefined && this.isInOwnDomain(peers().find(peer)?.heartbeat?.member);
+    const suspects = dispatcher.suspects.listAnnounced(this.audienceOf(peer, isSameDomain));
     return {
       member: own,
       sentAtMs: ages.timestampMs(),
@@ -99,9 +108,13 @@
       ages.recordRoundTrip(incarnation, roundTripMs);
     }
     leases.recordMessage(incarnation, sentAtMs);
-    view.recordLoad(incarnation, load, this.isInOwnDomain(member) ? 'near' : 'far', ageMs);
+    this.newContacts.record(incarnation);
+    const isSameDomain = this.isInOwnDomain(member);
+    view.recordLoad(incarnation, load, isSameDomain ? 'near' : 'far', ageMs);
     load.workers.forEach((worker) => speeds.record(worker));
-    heartbeat.suspects?.forEach((suspect) => dispatcher.suspects.recordAnnounced(suspect));
+    if (heartbeat.suspects !== undefined) {
+      dispatcher.recordSuspects(heartbeat.suspects, isSameDomain ? 'own-domain' : 'other-domain');
+    }
     heartbeat.speeds?.forEach((speed) => speeds.recordIfAbsent(speed));
     if (lengths !== undefined) {
       this.options.lengths.recordPeerSums(incarnation, lengths);
@@ -123,6 +136,7 @@
   handleLostDaemon(incarnation: string, loss: PeerLoss): void {
     const { dispatcher, leases, router, view } = this.options;
     view.forget(incarnation);
+    this.newContacts.forget(incarnation);
     router.failBatchesAt(incarnation);
     switch (loss) {
       case 'silent':
@@ -142,6 +156,13 @@
     return router.hasBatchesAt(incarnation) || dispatcher.hasBatchesOf(incarnation);
   }
 
+  private audienceOf(peer: string | undefined, isSameDomain: boolean): Audience {
+    if (this.newContacts.isNew(peer)) {
+      return 'newcomer';
+    }
+    return isSameDomain ? 'own-domain' : 'other-domain';
+  }
+
   private isInOwnDomain(member: Member | undefined): boolean {
     return member?.failureDomainId === this.options.own.failureDomainId;
   }
--- a/src/fleet/messageAges.spec.ts
+++ b/src/fleet/messageAges.spec.ts
@@ -37,6 +37,7 @@
   };
   const router: Pick<BatchRouter, 'failBatchesAt'> = { failBatchesAt: () => undefined };
   const exchange = FleetHeartbeatExchange.create({
+    clock,
     contact: CallerContact.create(clock),
     ages,
     leases: RequesterLeases.create(ages),
--- a/src/fleet/servedWorkers.ts
+++ b/src/fleet/servedWorkers.ts
@@ -48,7 +48,9 @@
       return this.releasing;
     }
     const { directory, dispatcher, failureDomainId, shardCount } = this.options;
-    const listed = directory.list().filter((worker) => worker.failureDomainId === failureDomainId);
+    const all = directory.list();
+    dispatcher.recordEntries(all);
+    const listed = all.filter((worker) => worker.failureDomainId === failureDomainId);
     const own = workersOfShards(listed, this.grant.shards, shardCount);
     return dispatcher.setWorkers(own, this.grant.generation);
   }
--- /dev/null
+++ b/src/testing/model/deadlyScenarios.ts
@@ -0,0 +1,50 @@
+/**
+ * Orders of events with a task that crashes its workers, in which no daemon alone sees all of its crashes.
+ */
+import type { Scenario } from './modelEvents.js';
+import { createScenario, submit } from './scenarios.js';
+
+/** Two daemons share the starts of a deadly task; one of them is suspended, and workers crash beside it, too. */
+export const lossesOfTwoDaemonsScenario: Scenario = {
+  ...createScenario(
+    ['east', 'west'],
+    [
+      ['east', 1],
+      ['west', 1],
+    ],
+    [
+      submit(1_476, {
+        ...{ daemon: 1, nextDaemonStep: 2, runMs: 880, estimatedMs: 880, cpuMillis: 5_000 },
+        ...{ deadlineMs: 19_330, maxAttempts: 8, isDeadly: true },
+      }),
+      { kind: 'suspend', atMs: 1_849, daemon: 1, forMs: 934 },
+      {
+        ...{ kind: 'crash', atMs: 4_505, down: 'silent', downMs: 489 },
+        worker: { kind: 'numbered', index: 1 },
+      },
+      {
+        ...{ kind: 'crash', atMs: 5_262, down: 'silent', downMs: 1_103 },
+        worker: { kind: 'running', job: 0 },
+      },
+    ],
+  ),
+  seed: 401_167,
+  guardsCapacity: true,
+};
+
+/** The requester of a deadly task is killed; its successor gets the third attempt, after crashes at the other daemon. */
+export const lossesOfKilledDaemonScenario: Scenario = {
+  ...createScenario(
+    ['east', 'east'],
+    [['east', 4]],
+    [
+      submit(1_940, {
+        ...{ runMs: 122, estimatedMs: 122, cpuMillis: 20_000 },
+        ...{ deadlineMs: 9_382, maxAttempts: 3, isDeadly: true },
+      }),
+      { kind: 'kill', atMs: 2_884, daemon: 0, downMs: 1_148 },
+    ],
+  ),
+  seed: 200_495,
+  guardsCapacity: true,
+};
--- a/src/types/dispatch.ts
+++ b/src/types/dispatch.ts
@@ -4,6 +4,7 @@
  */
 import { z } from 'zod';
 import { memberLoadSchema } from './fleet.js';
+import { statedLossesSchema } from './losses.js';
 import { resourcesSchema } from './resources.js';
 
 /** What each task of a step requires of its worker. */
@@ -18,7 +19,7 @@
 });
 export type PlacementNeeds = z.infer<typeof placementNeedsSchema>;
 
-export const batchTaskSchema = z.object({
+export const batchTaskSchema = statedLossesSchema.extend({
   /** Position of the task in its step, from 0. */
   index: z.number().int().nonnegative(),
   /** Number of the task's next run. */
@@ -27,11 +28,6 @@
   failedRuns: z.number().int().nonnegative(),
   /** Workers that were silent or crashed while they ran the task; earlier versions omit it. */
   lostWorkers: z.number().int().nonnegative().default(0),
-  /** Those that an earlier version took as proved to have crashed, and counts here alone; it is not sent any more. */
-  crashedWorkers: z.number().int().nonnegative().optional(),
-  /** Those that are likely to have crashed under it, and those that may have; earlier versions omit both. */
-  likelyCrashes: z.number().int().nonnegative().optional(),
-  unclearLosses: z.number().int().nonnegative().optional(),
 });
 export type BatchTask = z.infer<typeof batchTaskSchema>;
 
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -4,6 +4,7 @@
  */
 import { z } from 'zod';
 import { lengthSumsSchema, workerSlowdownSchema } from './learned.js';
+import { statedLossesSchema } from './losses.js';
 import { ipPortSchema } from './networkAddress.js';
 import { resourcesSchema } from './resources.js';
 
@@ -58,15 +59,10 @@
 export type MemberLoad = z.infer<typeof memberLoadSchema>;
 
 /** A task under which workers were lost, which may be the cause. */
-export const suspectTaskSchema = z.object({
+export const suspectTaskSchema = statedLossesSchema.extend({
   taskName: z.string(),
-  /** Workers that were silent or crashed while they ran it. */
+  /** Earlier versions take no other number than a positive one. */
   lostWorkers: z.number().int().positive(),
-  /** Those that an earlier version took as proved to have crashed, and counts here alone; it is not sent any more. */
-  crashedWorkers: z.number().int().nonnegative().optional(),
-  /** Those that are likely to have crashed under it, and those that may have; earlier versions omit both. */
-  likelyCrashes: z.number().int().nonnegative().optional(),
-  unclearLosses: z.number().int().nonnegative().optional(),
 });
 export type SuspectTask = z.infer<typeof suspectTaskSchema>;
 
@@ -96,7 +92,10 @@
   load: memberLoadSchema,
   /** Batches that the sender has requested from the receiver and still waits for. */
   askedBatchIds: z.array(z.string()),
-  /** Suspects that the sender has learned of a short while ago, if there are any. */
+  /**
+   * Suspects that the sender has learned of a short while ago, if there are any; to a process with which contact has just
+   * begun, those of the last minutes.
+   */
   suspects: z.array(suspectTaskSchema).optional(),
   /** What the sender has learned of run times; in some heartbeats only. */
   lengths: z.array(lengthSumsSchema).optional(),
