A missing entry of a worker ends no doubt about a start there

A missing entry is a belief: a worker that does not reach the store may be up. The doubt ends by a confirmed stop, another address, or when the worker is let go, and then the task is withdrawn.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -89,15 +89,10 @@
    *
    * @param records - their entries in the store
    * @param fencingToken - the token of the grant of their shards
-   * @param isListed - whether the store has an entry of a worker, which may be another daemon's
    * @returns a promise that resolves when all other workers are released
    */
-  setWorkers(
-    records: readonly WorkerRecord[],
-    fencingToken: number,
-    isListed: (workerId: string) => boolean = () => true,
-  ): Promise<void> {
-    const released = this.workers.setWorkers(records, fencingToken, isListed);
+  setWorkers(records: readonly WorkerRecord[], fencingToken: number): Promise<void> {
+    const released = this.workers.setWorkers(records, fencingToken);
     this.starter.startReadyTasks();
     return released;
   }
--- a/src/dispatch/silenceEvidence.ts
+++ b/src/dispatch/silenceEvidence.ts
@@ -22,8 +22,8 @@
   /** The worker, in the same lifetime or a later one. */
   | 'worker'
   /**
-   * Nobody who carries them out: another worker has the address, the worker is listed at another one, or its entry has
-   * been missing for so long that it counts as gone.
+   * Nobody who carries them out: another worker has the address, or the worker is listed at another one. A missing
+   * entry proves neither: a worker that does not reach the store may be up.
    */
   | 'nobody';
 
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -69,21 +69,15 @@
    *
    * @param records - their entries in the store
    * @param fencingToken - the token of the grant of their shards
-   * @param isListed - whether the store has an entry of a worker, which may be another daemon's
    * @returns a promise that resolves when all other workers are released
    */
-  async setWorkers(
-    records: readonly WorkerRecord[],
-    fencingToken: number,
-    isListed: (workerId: string) => boolean,
-  ): Promise<void> {
+  async setWorkers(records: readonly WorkerRecord[], fencingToken: number): Promise<void> {
     const wanted = new Map(records.map((record) => [record.workerId, record]));
     const released: Promise<void>[] = [];
     for (const [workerId, worker] of this.workers) {
       const record = wanted.get(workerId);
       if (record === undefined) {
-        const addressee = isListed(workerId) ? 'worker' : 'nobody';
-        released.push(this.drainAndRemove(worker, addressee));
+        released.push(this.drainAndRemove(worker));
       } else if (worker.record.address === record.address) {
         worker.update(record, fencingToken);
       } else {
@@ -216,9 +210,9 @@
     });
   }
 
-  private async drainAndRemove(worker: ManagedWorker, addressee: Addressee): Promise<void> {
+  private async drainAndRemove(worker: ManagedWorker): Promise<void> {
     const { workerId } = worker;
-    await worker.drain(addressee);
+    await worker.drain();
     if (!worker.isAssigned && this.workers.get(workerId) === worker) {
       this.workers.delete(workerId);
     }
--- a/src/fleet/servedWorkers.ts
+++ b/src/fleet/servedWorkers.ts
@@ -52,8 +52,7 @@
     dispatcher.recordEntries(all);
     const listed = all.filter((worker) => worker.failureDomainId === failureDomainId);
     const own = workersOfShards(listed, this.grant.shards, shardCount);
-    const isListed = (workerId: string): boolean => directory.get(workerId) !== undefined;
-    return dispatcher.setWorkers(own, this.grant.generation, isListed);
+    return dispatcher.setWorkers(own, this.grant.generation);
   }
 
   /**
