--- a/src/dispatch/silenceEvidence.ts
+++ b/src/dispatch/silenceEvidence.ts
@@ -40,27 +40,32 @@
     return { kind: 'unknown', reason: 'a lease there may not have ended' };
   }
   const { cause } = worker;
-  switch (knowledgeOfStart(run)) {
+  const knowledge = knowledgeOfStart(run);
+  switch (knowledge) {
     case 'carried-out':
       return { kind: 'lapsed', cause };
     case 'unanswered':
-      return canStillStart(worker) ? { kind: 'start-in-doubt' } : { kind: 'lapsed', cause };
+      return evidenceOfUnansweredStart(worker);
+    default:
+      return unreachable(knowledge);
   }
 };
 
 const knowledgeOfStart = ({ startedAtMs }: ActiveRun): StartKnowledge =>
   startedAtMs === undefined ? 'unanswered' : 'carried-out';
 
-/** Whether the worker may still carry out a start that arrives now: it refuses one with an earlier fencing token. */
-const canStillStart = ({ cause, addressee }: SilentWorker): boolean => {
-  switch (cause) {
-    case 'fenced':
-      return false;
-    case 'silent':
-    case 'draining':
-      return addressee === 'worker';
+/**
+ * Judges a start that was never answered, once the leases are over. That the worker refuses its fencing token ends no
+ * doubt: the next lifetime has seen no token.
+ */
+const evidenceOfUnansweredStart = ({ cause, addressee }: SilentWorker): RunEvidence => {
+  switch (addressee) {
+    case 'worker':
+      return { kind: 'start-in-doubt' };
+    case 'nobody':
+      return { kind: 'lapsed', cause };
     default:
-      return unreachable(cause);
+      return unreachable(addressee);
   }
 };
 
