--- a/src/dispatch/taskLosses.spec.ts
+++ b/src/dispatch/taskLosses.spec.ts
@@ -49,6 +49,16 @@
   );
 });
 
+// Guards against a sixth start of a deadly task, one run of which ended on a worker that was only silent.
+test('after three possible crashes every further start of a task counts, also one that crashed no worker', () => {
+  assert.is(consequenceAfter('unclear', 'unclear', 'none', 'none', 'none'), 'may-start');
+  assert.is(consequenceAfter('unclear', 'unclear', 'unclear', 'none'), 'may-start');
+  assert.is(
+    consequenceAfter('unclear', 'none', 'unclear', 'unclear', 'unclear'),
+    'may-crash-workers',
+  );
+});
+
 // Guards against a task that crashes workers at two daemons, each of which takes its own loss for that of the other.
 test('losses that two daemons have seen add up', () => {
   const joined = joinLosses(lossesOf(['likely']), lossesOf(['likely'], 2));
--- a/src/dispatch/taskLosses.ts
+++ b/src/dispatch/taskLosses.ts
@@ -15,6 +15,8 @@
  * three workers have crashed, and each start crashes one worker at most.
  */
 const maxPossibleCrashes = 5;
+/** Workers that may have crashed under a task after which every further start counts, whatever has become of it. */
+const maxFreeCrashes = 3;
 /** Losses that are kept of one task: enough to decide, and some of which it is known that they are none. */
 const maxLosses = 12;
 
@@ -78,8 +80,9 @@
 
 /** Decides what follows for a task. */
 export const consequenceOfLosses = (losses: TaskLosses): LossConsequence => {
-  const { likelyCrashes, unclearLosses } = countLosses(losses);
-  return likelyCrashes >= maxLikelyCrashes || unclearLosses >= maxPossibleCrashes
+  const { lostWorkers, likelyCrashes, unclearLosses } = countLosses(losses);
+  const countedLosses = unclearLosses >= maxFreeCrashes ? lostWorkers : unclearLosses;
+  return likelyCrashes >= maxLikelyCrashes || countedLosses >= maxPossibleCrashes
     ? 'may-crash-workers'
     : 'may-start';
 };
