--- a/src/bestEffort/stepRun.ts
+++ b/src/bestEffort/stepRun.ts
@@ -14,7 +14,7 @@
 import type { StepPlanner, PlannedBatch, StepPlan } from './stepPlanner.js';
 import type { JobContext, SentBatch } from './jobContext.js';
 
-/** How often tasks are reassigned quickly. A job that has not started is refused after that. */
+/** How often tasks are reassigned quickly. After that, a job of which nothing has started ends. */
 const maxQuickReassignments = 5;
 /** Pause before returned tasks are sent again, in milliseconds. */
 const reassignmentPauseMs = 15;
