--- a/src/dispatch/lostRuns.ts
+++ b/src/dispatch/lostRuns.ts
@@ -8,7 +8,6 @@
 import type { CrashSign } from './lifetimeEnd.js';
 import { suspicionOf } from './runEvidence.js';
 import type { RunEvidence } from './runEvidence.js';
-import { lossIdOf } from './taskLosses.js';
 import type { TaskRetries } from './taskRetries.js';
 import type { WorkerRecord } from '../types/workers.js';
 import type { AnsweringLifetime } from './workerLifetime.js';
@@ -96,6 +95,10 @@
   }
 }
 
+/** Identifies the loss of a run: a batch has one dispatcher, which numbers the runs of each of its tasks. */
+const lossIdOf = ({ task, run }: Pick<ActiveRun, 'task' | 'run'>): string =>
+  `${task.batch.batchId}.${run}`;
+
 const describeSign = (sign: CrashSign): string => {
   switch (sign) {
     case 'early-restart':
--- a/src/dispatch/taskLosses.ts
+++ b/src/dispatch/taskLosses.ts
@@ -6,7 +6,6 @@
  * order and however often, so that what one daemon counts adds to what another one does.
  */
 import type { LossStatus, StatedLosses, TaskLoss } from '../types/losses.js';
-import type { ActiveRun } from './activeRun.js';
 
 /** Workers that are likely to have crashed under a task before it is not started again. */
 const maxLikelyCrashes = 2;
@@ -52,10 +51,6 @@
 
 export const noLosses: TaskLosses = { known: new Map(), counted: noCounts };
 
-/** Identifies the loss of a run: a batch has one dispatcher, which numbers the runs of each of its tasks. */
-export const lossIdOf = ({ task, run }: Pick<ActiveRun, 'task' | 'run'>): string =>
-  `${task.batch.batchId}.${run}`;
-
 /** Combines what two parties know of one task. */
 export const joinLosses = (a: TaskLosses, b: TaskLosses): TaskLosses => {
   const known = new Map(a.known);
