--- a/src/bestEffort/stepRun.ts
+++ b/src/bestEffort/stepRun.ts
@@ -1,6 +1,6 @@
 /**
- * Runs the tasks of one step: sends them to dispatchers in batches, and reassigns the tasks that a
- * dispatcher returns without having run them.
+ * Runs the tasks of one step: sends them to dispatchers in batches, and reassigns the tasks that certainly run
+ * nowhere: those that a dispatcher returns, and those that expired before anything of their batch was started.
  */
 import type { BatchTask, TaskEnd } from '../types/dispatch.js';
 import { unreachable } from '../errors/unreachable.js';
@@ -14,10 +14,17 @@
 import type { StepPlanner, PlannedBatch, StepPlan } from './stepPlanner.js';
 import type { JobContext, SentBatch } from './jobContext.js';
 
-/** How often tasks that a dispatcher returned are sent again before the job is given up. */
-const maxReassignments = 5;
+/** How often tasks are reassigned quickly. A job that has not started is refused after that. */
+const maxQuickReassignments = 5;
 /** Pause before returned tasks are sent again, in milliseconds. */
 const reassignmentPauseMs = 15;
+/**
+ * Pause before a job that may have started tries again to place tasks that no dispatcher can take now, in
+ * milliseconds. Workers that refuse or fail are out of service for 0.2 s or more.
+ */
+const retryPauseMs = 100;
+/** Period in which a job looks whether its other batches have ended, in milliseconds. */
+const otherBatchesPeriodMs = 10;
 
 export interface StepRunOptions {
   readonly clock: Clock;
@@ -37,6 +44,12 @@
   readonly reassignments: number;
 }
 
+/** What comes of an attempt to plan tasks. `later`: no dispatcher can take them now. */
+type Planning =
+  | { readonly kind: 'planned'; readonly plan: StepPlan }
+  | { readonly kind: 'later' }
+  | Extract<StepEnd, { kind: 'refused' }>;
+
 export class StepRun {
   private constructor(
     private readonly options: StepRunOptions,
@@ -59,9 +72,12 @@
     return this.place({ tasks, excludedDispatcherIds: new Set(), reassignments: 0 });
   }
 
-  /** Plans tasks and sends them to the planned dispatchers. */
+  /**
+   * Plans tasks and sends them to the planned dispatchers. Where none can take them now, a job that may have
+   * started tries again until they could no longer end in time: it cannot be refused any more.
+   */
   private async place(request: PlacementRequest): Promise<StepEnd> {
-    if (request.reassignments > maxReassignments) {
+    if (request.reassignments > maxQuickReassignments && !this.job.mayHaveStarted) {
       return { kind: 'given-up', reason: 'no dispatcher could run its tasks' };
     }
     this.options.standstills.check();
@@ -69,12 +85,19 @@
       return { kind: 'given-up', reason: 'the job has ended' };
     }
     const planning = this.plan(request);
-    if (planning.kind === 'refused') {
-      return planning;
+    switch (planning.kind) {
+      case 'planned':
+        return firstUnsuccessful(
+          planning.plan.batches.map((batch) => this.send(batch, planning.plan, request)),
+        );
+      case 'later':
+        await this.options.clock.sleep(retryPauseMs);
+        return this.place(request);
+      case 'refused':
+        return planning;
+      default:
+        return unreachable(planning);
     }
-    return firstUnsuccessful(
-      planning.plan.batches.map((batch) => this.send(batch, planning.plan, request)),
-    );
   }
 
   /**
@@ -82,24 +105,24 @@
    * other can run them. A job that cannot have started is refused if tasks have to wait and the job
    * would then end too late.
    */
-  private plan({
-    tasks,
-    excludedDispatcherIds,
-  }: PlacementRequest):
-    { readonly kind: 'planned'; readonly plan: StepPlan } | Extract<StepEnd, { kind: 'refused' }> {
-    const { planner } = this.options;
+  private plan({ tasks, excludedDispatcherIds }: PlacementRequest): Planning {
+    const { clock, planner } = this.options;
     const { serviceId } = this.job.route;
     const demand = this.job.demandOf(this.index);
     const plan =
       planner.plan(serviceId, demand, tasks, excludedDispatcherIds) ??
       planner.plan(serviceId, demand, tasks, new Set());
     if (plan === undefined) {
+      const isTimeLeft = clock.nowMs() + retryPauseMs + demand.estimatedMs <= demand.giveUpAtMs;
+      if (this.job.mayHaveStarted && isTimeLeft) {
+        return { kind: 'later' };
+      }
       return { kind: 'refused', reason: 'no dispatcher has a worker for it', waitMs: 0 };
     }
     const lateMs = plan.lastEndAtMs - demand.objectiveAtMs;
     const isTooLate = plan.longestWaitMs > 0 && plan.lastEndAtMs > this.job.latestAdmissibleEndAtMs;
     if (isTooLate && !this.job.mayHaveStarted) {
-      const nowMs = this.options.clock.nowMs();
+      const nowMs = clock.nowMs();
       this.options.logger.info('No room is free in time.', {
         jobId: this.job.request.jobId,
         count: tasks.length,
@@ -184,22 +207,45 @@
     if (unsuccessful !== undefined) {
       return unsuccessful;
     }
+    const expired = findExpired(ends, request);
+    if (expired.length > 0 && (wasOffered || !(await this.mayOthersHaveStarted()))) {
+      return { kind: 'refused', reason: 'it could no longer end in time', waitMs: 0 };
+    }
     const returned = ends.flatMap((end) =>
       end.kind === 'returned' && !reassignedIndexes.has(end.task.index) ? [end.task] : [],
     );
-    if (returned.length === 0) {
+    const open = [...returned, ...expired];
+    if (open.length === 0) {
       return stepDone;
     }
     await this.options.clock.sleep(reassignmentPauseMs);
-    return this.reassign(returned, dispatcherId, request);
+    return this.reassign(open, dispatcherId, request);
   }
 
-  /** Places tasks that a dispatcher returned, on other dispatchers if possible. */
-  private reassign(
+  /**
+   * Whether a task of another batch of the job may have been started, once that is known: a batch of which none
+   * was has expired before the time until which the job is admitted.
+   */
+  private async mayOthersHaveStarted(): Promise<boolean> {
+    const { clock } = this.options;
+    const { job } = this;
+    const isUnknown = (): boolean => !job.wasOffered && job.openBatches.size > 0;
+    while (isUnknown() && clock.nowMs() < job.latestAdmissibleEndAtMs) {
+      await clock.sleep(otherBatchesPeriodMs);
+    }
+    job.wasOffered = job.mayHaveStarted;
+    return job.wasOffered;
+  }
+
+  /** Places tasks that run nowhere, on other dispatchers than the one that had them if possible. */
+  private async reassign(
     tasks: readonly BatchTask[],
     dispatcherId: string,
     { excludedDispatcherIds, reassignments }: PlacementRequest,
   ): Promise<StepEnd> {
+    if (reassignments >= maxQuickReassignments && this.job.mayHaveStarted) {
+      await this.options.clock.sleep(retryPauseMs);
+    }
     return this.place({
       tasks,
       excludedDispatcherIds: new Set([...excludedDispatcherIds, dispatcherId]),
@@ -210,7 +256,7 @@
   /**
    * Handles the end of one task; the run time of a task that is done improves the predictions.
    *
-   * @returns the end of the step if this task ends it, or nothing if it was done or returned
+   * @returns the end of the step if this task ends it, or nothing if it was done, returned or expired
    */
   private handleTaskEnd(end: TaskEnd): StepEnd | undefined {
     switch (end.kind) {
@@ -218,11 +264,10 @@
         this.job.observeRunTime(this.index, end.lengthMs);
         return undefined;
       case 'returned':
+      case 'expired':
         return undefined;
       case 'failed':
         return { kind: 'failed', reason: end.reason };
-      case 'expired':
-        return { kind: 'refused', reason: 'it could no longer end in time', waitMs: 0 };
       case 'withdrawn':
         return { kind: 'given-up', reason: end.reason ?? 'its dispatcher withdrew it' };
       default:
@@ -230,3 +275,9 @@
     }
   }
 }
+
+/** Finds the tasks that expired, as they were sent. */
+const findExpired = (ends: readonly TaskEnd[], { tasks }: PlacementRequest): BatchTask[] => {
+  const indexes = new Set(ends.flatMap((end) => (end.kind === 'expired' ? [end.index] : [])));
+  return tasks.filter(({ index }) => indexes.has(index));
+};
--- a/src/dispatch/runOrders.ts
+++ b/src/dispatch/runOrders.ts
@@ -5,9 +5,11 @@
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
 import type { StartReply } from '../ports/workers.js';
+import { WakeableSleep } from '../utils/wakeableSleep.js';
 import { recordDisconnection, recordStopOrder } from './activeRun.js';
 import type { ActiveRun } from './activeRun.js';
 import { evidenceOfStartReply, maxStopMs } from './runEvidence.js';
+import { UnansweredStarts } from './unansweredStarts.js';
 import type { RunTable } from './runTable.js';
 import type { WorkerLink } from './workerLink.js';
 import type { WorkerHealth } from './workerHealth.js';
@@ -20,14 +22,25 @@
   readonly health: WorkerHealth;
   /** Reads and applies the worker's report at once. */
   readonly poll: () => Promise<void>;
+  /** Pause of the worker's holds; is ended after a start without an answer, which may mean that the worker is silent. */
+  readonly sleeper: WakeableSleep;
   /** Called with a run whose start the worker has acknowledged. */
   readonly onStart: (run: ActiveRun) => void;
   /** Called when the reply to a start is the first of a new lifetime of the worker. */
   readonly onNewLifetime: () => void;
 }
 
+/** Period of the stops of a run in doubt, unless its worker reports earlier. */
+const doubtedStopPeriodMs = 1_000;
+
 export class RunOrders {
-  private constructor(private readonly options: RunOrdersOptions) {}
+  /** Pauses between the stops of runs in doubt, which a report of the worker ends. */
+  private readonly stopPauses = new Set<WakeableSleep>();
+  private readonly unanswered: UnansweredStarts;
+
+  private constructor(private readonly options: RunOrdersOptions) {
+    this.unanswered = UnansweredStarts.create(options.clock);
+  }
 
   static create(options: RunOrdersOptions): RunOrders {
     return new RunOrders(options);
@@ -54,15 +67,30 @@
       if (isStopped && link.lifetime.startedAtMs === startedAtMs) {
         run.stopAcknowledgedAtMs ??= clock.nowMs();
       }
-      await clock.sleep(maxStopMs);
+      await this.pauseAfterStop(run, isStopped);
       if (isStopped) {
         await poll();
       }
     }
+    this.unanswered.remember(run);
+  }
+
+  /**
+   * Sends the stops of runs in doubt at once, since the worker has reported, and those of unanswered starts that an earlier
+   * lifetime has stopped; stops what is overdue.
+   */
+  handleReport(): void {
+    const { link, runs } = this.options;
+    this.unanswered
+      .takeFor(link.lifetime.startedAtMs)
+      .filter(({ taskName, run }) => runs.get(taskName)?.run !== run)
+      .forEach(({ taskName, run }) => void link.stop(taskName, run));
+    this.stopPauses.forEach((pause) => pause.wake());
+    this.stopOverdue();
   }
 
   /** Stops the runs that take far longer than expected, so that their tasks start on other workers. */
-  stopOverdue(): void {
+  private stopOverdue(): void {
     const { clock, logger, link, runs, health } = this.options;
     const nowMs = clock.nowMs();
     for (const run of runs.list()) {
@@ -79,6 +107,19 @@
     }
   }
 
+  /** Waits until a stop has taken effect, or until it is worth another try. */
+  private async pauseAfterStop(run: ActiveRun, isStopped: boolean): Promise<void> {
+    const { clock } = this.options;
+    if (isStopped || run.phase !== 'in-doubt') {
+      await clock.sleep(maxStopMs);
+      return;
+    }
+    const pause = WakeableSleep.create(clock);
+    this.stopPauses.add(pause);
+    await pause.sleep(doubtedStopPeriodMs);
+    this.stopPauses.delete(pause);
+  }
+
   /** Learns from a reply to a start which lifetime of the worker it is of, and reads the worker's clock. */
   private observeReply(run: ActiveRun, reply: StartReply, requestedAtMs: number): void {
     const { clock, link, runs, onNewLifetime } = this.options;
@@ -154,6 +195,7 @@
 
   /** Reads a report after a start without an answer; stops the run unless the report lists it. */
   private async resolveUnknownStart(run: ActiveRun): Promise<void> {
+    this.options.sleeper.wake();
     await this.options.poll();
     if (this.options.runs.has(run) && run.startedAtMs === undefined) {
       await this.stop(run);
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -15,6 +15,7 @@
 import type { LeaseTimes } from './leaseTimes.js';
 import type { BatchedTask } from './openBatch.js';
 import { CapacityProfile } from './capacityProfile.js';
+import type { Addressee } from './silenceEvidence.js';
 import { isSuspect, reserveWorker } from './suspectIsolation.js';
 import { stepNameOf, taskNameOf } from './taskNames.js';
 import { expectedRunMs, hasRequiredLabel } from './workerChoice.js';
@@ -68,20 +69,26 @@
    *
    * @param records - their entries in the store
    * @param fencingToken - the token of the grant of their shards
+   * @param isListed - whether the store has an entry of a worker, which may be another daemon's
    * @returns a promise that resolves when all other workers are released
    */
-  async setWorkers(records: readonly WorkerRecord[], fencingToken: number): Promise<void> {
+  async setWorkers(
+    records: readonly WorkerRecord[],
+    fencingToken: number,
+    isListed: (workerId: string) => boolean,
+  ): Promise<void> {
     const wanted = new Map(records.map((record) => [record.workerId, record]));
     const released: Promise<void>[] = [];
     for (const [workerId, worker] of this.workers) {
       const record = wanted.get(workerId);
       if (record === undefined) {
-        released.push(this.drainAndRemove(workerId, worker));
+        const addressee = isListed(workerId) ? 'worker' : 'nobody';
+        released.push(this.drainAndRemove(worker, addressee));
       } else if (worker.record.address === record.address) {
         worker.update(record, fencingToken);
       } else {
         this.workers.delete(workerId);
-        released.push(this.retire(worker));
+        released.push(this.retire(worker, 'nobody'));
       }
     }
     for (const [workerId, record] of wanted) {
@@ -166,7 +173,7 @@
 
   /** Stops the runs of all workers and releases each worker once its runs are proved to have ended. */
   async retireAll(): Promise<void> {
-    await Promise.all(this.listAll().map((worker) => this.retire(worker)));
+    await Promise.all(this.listAll().map((worker) => this.retire(worker, 'worker')));
   }
 
   /** Releases all workers at once; runs that have not ended are reported as unknown. */
@@ -178,9 +185,9 @@
     return [...this.workers.values(), ...this.retired];
   }
 
-  private async retire(worker: ManagedWorker): Promise<void> {
+  private async retire(worker: ManagedWorker, addressee: Addressee): Promise<void> {
     this.retired.add(worker);
-    await worker.retire();
+    await worker.retire(addressee);
     this.retired.delete(worker);
   }
 
@@ -209,8 +216,9 @@
     });
   }
 
-  private async drainAndRemove(workerId: string, worker: ManagedWorker): Promise<void> {
-    await worker.drain();
+  private async drainAndRemove(worker: ManagedWorker, addressee: Addressee): Promise<void> {
+    const { workerId } = worker;
+    await worker.drain(addressee);
     if (!worker.isAssigned && this.workers.get(workerId) === worker) {
       this.workers.delete(workerId);
     }
@@ -258,9 +266,8 @@
 const isEligible = (worker: ManagedWorker, { batch, avoidedWorkerIds }: BatchedTask): boolean => {
   const { needs, serviceId } = batch.content;
   const { capacity, labels } = worker.record;
-  const isInService = worker.isAvailable || (worker.isAssigned && worker.runCount > 0);
   return (
-    isInService &&
+    worker.isInService &&
     worker.record.serviceId === serviceId &&
     !avoidedWorkerIds.has(worker.workerId) &&
     hasEnough(needs.resources, capacity) &&
--- /dev/null
+++ b/src/fleet/startsInDoubt.spec.ts
@@ -0,0 +1,42 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import {
+  createInDoubtScenario,
+  startInNextLifetimeScenario,
+} from '../testing/model/inDoubtScenarios.js';
+import { runScenario } from '../testing/model/runScenario.js';
+
+// Guards against two runs of a task, one of which an order of before a crash has started in the next lifetime.
+test('a start without an answer does not begin in the next lifetime beside another run of its task', async () => {
+  const { violations, answers } = await runScenario(startInNextLifetimeScenario);
+  assert.equal(violations, []);
+  assert.equal(answers, ['0000000000000001/0 completed']);
+});
+
+// Guards against the same where the worker carries the order out late, and nothing else holds it up.
+test('a start that is carried out late does not begin in the next lifetime beside another run of its task', async () => {
+  for (const crashAfterMs of [60, 500]) {
+    const { violations, answers } = await runScenario(
+      createInDoubtScenario({
+        ...{ tasks: 1, trouble: 'late', aheadMs: 2, troubleMs: 1_877, lateByMs: 1_800 },
+        ...{ crashAfterMs, downMs: 466, down: 'refused', startsStateLifetime: true },
+      }),
+    );
+    assert.equal(violations, []);
+    assert.equal(answers, ['0000000000000001/0 completed']);
+  }
+});
+
+// Guards against the same after a stop that only the lifetime knows of that has ended since.
+test('a start that its worker has stopped does not begin in a lifetime that has reported before', async () => {
+  const { violations, answers } = await runScenario(
+    createInDoubtScenario({
+      ...{ tasks: 4, trouble: 'late', aheadMs: 84, troubleMs: 700, lateByMs: 1_800 },
+      ...{ crashAfterMs: 1_123, downMs: 466, down: 'silent', startsStateLifetime: false },
+    }),
+  );
+  assert.equal(violations, []);
+  assert.equal(answers, ['0000000000000001/0 completed']);
+});
+
+test.run();
