--- a/src/fleet/servedWorkers.spec.ts
+++ b/src/fleet/servedWorkers.spec.ts
@@ -12,7 +12,8 @@
 const createFixture = () => {
   const released = createDeferred<undefined>();
   const tokens: number[] = [];
-  const dispatcher: Pick<Dispatcher, 'setWorkers'> = {
+  const dispatcher: Pick<Dispatcher, 'setWorkers' | 'recordEntries'> = {
+    recordEntries: () => undefined,
     setWorkers: async (records, token) => {
       tokens.push(token);
       await (records.length === 0 ? released.promise : undefined);
