A fenced worker with a start in doubt is looked at seldom

A daemon looked at a worker that refuses its token every millisecond for as long as a start there was in doubt, up to the caller's deadline or 20 s: the wait was for leases, and those are over. Only runs that a lease may cover are waited for now.

--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -260,7 +260,8 @@
    */
   private async waitForToken(): Promise<void> {
     const { leaseClock } = this.link;
-    const pauseMs = this.runs.size > 0 ? leaseClock.msUntilAllLeasesEnded() + 1 : idlePollMs;
+    const leaseLeftMs = leaseClock.msUntilAllLeasesEnded();
+    const pauseMs = this.runs.hasLeasedRuns ? leaseLeftMs + 1 : idlePollMs;
     await this.sleeper.sleep(pauseMs);
     this.reports.endLapsedRuns('fenced');
   }
