The soak's proxy delays or loses what clients send

'delayed' sleeps for each chunk in turn, so that an end that arrives while a request waits would come late twice.

Change: the proxy reads each socket at once and keeps the time of each arrival (soak/arrivals.ts). 'late-requests' passes on connections, bytes and ends by the same time late and in order; 'lost-ends' loses the end of a client's connection for good. The other faults are as before.

--- a/soak/faultyProxy.spec.ts
+++ b/soak/faultyProxy.spec.ts
@@ -1,5 +1,6 @@
 import { connect, createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { FaultyProxy } from './faultyProxy.js';
@@ -36,4 +37,94 @@
   await new Promise((resolve) => target.close(resolve));
 });
 
+/** Lateness of what a client sends, and how much later it may arrive than that, in milliseconds. */
+const delayMs = 400;
+const toleranceMs = 200;
+
+/** What a target receives on one connection, each with its time. */
+interface Received {
+  readonly text: string;
+  readonly atMs: number;
+}
+
+/** Starts a target that records the bytes that it receives, and `end` or `close`; it answers with `ok`. */
+const startRecorder = async (
+  received: Received[],
+): Promise<{ readonly server: Server; readonly address: string }> => {
+  const record = (text: string): void => void received.push({ text, atMs: performance.now() });
+  const server = createServer((socket) => {
+    record('open');
+    socket.on('error', () => undefined);
+    socket.on('data', (data: Buffer) => {
+      record(data.toString('utf8'));
+      socket.write('ok');
+    });
+    socket.once('end', () => record('end'));
+    socket.once('close', () => record('close'));
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  return { server, address: `127.0.0.1:${port}` };
+};
+
+const open = (proxy: FaultyProxy): Promise<Socket> =>
+  new Promise((resolve) => {
+    const [host, port] = proxy.address.split(':');
+    const socket = connect({ host, port: Number(port) }, () => resolve(socket));
+  });
+
+// Guards against a soak whose callers are always heard at once, so that a request and its caller's end never come late.
+test('what a client sends comes late, also its end, in order and each by the same time', async () => {
+  const received: Received[] = [];
+  const { server, address } = await startRecorder(received);
+  const proxy = await FaultyProxy.create('127.0.0.1', () => address);
+  proxy.setFault({ kind: 'late-requests', delayMs });
+  const openedAtMs = performance.now();
+  const client = await open(proxy);
+  client.write('first');
+  await sleep(delayMs / 2);
+  const secondAtMs = performance.now();
+  client.write('second');
+  await sleep(delayMs / 4);
+  const endAtMs = performance.now();
+  client.destroy();
+  await sleep(2 * delayMs);
+  const sentAtMs = [openedAtMs, openedAtMs, secondAtMs, endAtMs];
+  assert.equal(
+    received.slice(0, 4).map(({ text }) => text),
+    ['open', 'first', 'second', 'end'],
+  );
+  sentAtMs.forEach((atMs, index) => {
+    const latenessMs = (received[index]?.atMs ?? 0) - atMs;
+    assert.ok(latenessMs > delayMs - 2, `${index}: ${latenessMs} ms`);
+    assert.ok(latenessMs < delayMs + toleranceMs, `${index}: ${latenessMs} ms`);
+  });
+  await proxy.close();
+  await new Promise((resolve) => server.close(resolve));
+});
+
+// Guards against a soak in which every daemon hears that its caller has left.
+test('the end of a connection is lost for good, and what was sent before it is not', async () => {
+  const received: Received[] = [];
+  const { server, address } = await startRecorder(received);
+  const proxy = await FaultyProxy.create('127.0.0.1', () => address);
+  const clients = [await open(proxy), await open(proxy)];
+  proxy.setFault({ kind: 'lost-ends' });
+  clients.forEach((client) => client.write('request'));
+  await sleep(50);
+  clients[0]?.destroy();
+  clients[1]?.resetAndDestroy();
+  await sleep(50);
+  proxy.setFault({ kind: 'none' });
+  await sleep(50);
+  const texts = received.map(({ text }) => text);
+  assert.equal(texts, ['open', 'open', 'request', 'request']);
+  const later = await open(proxy);
+  later.destroy();
+  await sleep(50);
+  assert.ok(received.some(({ text }) => text === 'end'));
+  await proxy.close();
+  await new Promise((resolve) => server.close(resolve));
+});
+
 test.run();
--- a/soak/faultyProxy.ts
+++ b/soak/faultyProxy.ts
@@ -1,6 +1,7 @@
 /**
  * A TCP proxy on the loopback interface that can delay, reset, refuse or block its connections, the last in
- * one direction or both. Blocked bytes arrive when the fault is healed, as if TCP retransmitted them.
+ * one direction or both. Blocked bytes arrive when the fault is healed, as if TCP retransmitted them. What clients
+ * send can also arrive late, or lack the end of the connection.
  */
 import { connect, createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
@@ -8,6 +9,8 @@
 import { unreachable } from '../src/errors/unreachable.js';
 import { createDeferred } from '../src/utils/deferred.js';
 import type { Deferred } from '../src/utils/deferred.js';
+import { readArrivals } from './arrivals.js';
+import type { Arrival } from './arrivals.js';
 
 /** A fault of every connection of the proxy. */
 export type LinkFault =
@@ -22,7 +25,11 @@
   /** Connections are reset as soon as they are open. */
   | { readonly kind: 'resetting' }
   /** Open connections are reset, and nothing listens. */
-  | { readonly kind: 'refused' };
+  | { readonly kind: 'refused' }
+  /** Connections, requests and their ends arrive late, in their order; answers arrive at once. */
+  | { readonly kind: 'late-requests'; readonly delayMs: number }
+  /** The end of a client's connection is lost for good; the connection to the target stays open. */
+  | { readonly kind: 'lost-ends' };
 
 type Direction = 'requests' | 'answers';
 
@@ -35,13 +42,14 @@
 
   /** Port that the proxy listens on, the same after each fault. */
   private port = 0;
+  private isClosed = false;
 
   private constructor(
     private readonly server: Server,
     private readonly host: string,
     private readonly target: () => string,
   ) {
-    server.on('connection', (client) => this.forwardConnection(client));
+    server.on('connection', (client) => void this.forwardConnection(client));
   }
 
   /**
@@ -84,43 +92,72 @@
   }
 
   async close(): Promise<void> {
+    this.isClosed = true;
     this.setFault({ kind: 'none' });
     this.sockets.forEach((socket) => socket.destroy());
     await new Promise((resolve) => this.server.close(resolve));
   }
 
-  private forwardConnection(client: Socket): void {
+  private async forwardConnection(client: Socket): Promise<void> {
     if (this.fault.kind === 'resetting') {
       client.resetAndDestroy();
       return;
     }
+    const openedAtMs = performance.now();
+    const requests = this.receive(client);
+    await this.waitUntilDue('requests', openedAtMs);
+    if (this.isClosed) {
+      return;
+    }
     const [targetHost, port] = this.target().split(':');
     const upstream = connect({ host: targetHost, port: Number(port), allowHalfOpen: true });
-    void this.pump(client, upstream, 'requests');
-    void this.pump(upstream, client, 'answers');
+    void this.pump(requests, upstream, 'requests');
+    void this.pump(this.receive(upstream), client, 'answers');
+  }
+
+  /** Reads what a socket receives, and keeps the socket among the open ones until it is closed. */
+  private receive(socket: Socket): AsyncIterable<Arrival> {
+    this.sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.once('close', () => this.sockets.delete(socket));
+    return readArrivals(socket);
+  }
+
+  /** Passes on what arrives in one direction until the sender closes its side or the connection breaks. */
+  private async pump(
+    arrivals: AsyncIterable<Arrival>,
+    to: Socket,
+    direction: Direction,
+  ): Promise<void> {
+    for await (const arrival of arrivals) {
+      await this.waitForLink(direction, arrival.atMs);
+      this.passOn(arrival, to, direction);
+    }
   }
 
-  /** Copies the bytes of one direction until the sender closes its side. */
-  private async pump(from: Socket, to: Socket, direction: Direction): Promise<void> {
-    this.sockets.add(from);
-    from.on('error', () => undefined);
-    from.once('close', () => this.sockets.delete(from));
-    try {
-      for await (const chunk of from) {
-        await this.waitForLink(direction);
-        to.write(chunk as Buffer);
-      }
-      await this.waitForLink(direction);
-      to.end();
-    } catch {
-      // The sender's connection broke; the receiver sees that once its direction is not blocked.
-      await this.waitForLink(direction);
-      to.destroy();
+  private passOn(arrival: Arrival, to: Socket, direction: Direction): void {
+    const isEndLost = direction === 'requests' && this.fault.kind === 'lost-ends';
+    switch (arrival.kind) {
+      case 'bytes':
+        to.write(arrival.bytes);
+        return;
+      case 'end':
+        if (!isEndLost) {
+          to.end();
+        }
+        return;
+      case 'broken':
+        if (!isEndLost) {
+          to.destroy();
+        }
+        return;
+      default:
+        unreachable(arrival);
     }
   }
 
   /** Waits until a direction is not blocked, and then for the delay, if any. */
-  private async waitForLink(direction: Direction): Promise<void> {
+  private async waitForLink(direction: Direction, arrivedAtMs: number): Promise<void> {
     while (isBlocked(this.fault, direction)) {
       await this.faultChanged.promise;
     }
@@ -128,6 +165,14 @@
       const { delayMs } = this.fault;
       await sleep(delayMs);
     }
+    await this.waitUntilDue(direction, arrivedAtMs);
+  }
+
+  /** Waits until what has arrived is as late as the fault makes it. */
+  private async waitUntilDue(direction: Direction, arrivedAtMs: number): Promise<void> {
+    if (direction === 'requests' && this.fault.kind === 'late-requests') {
+      await sleep(Math.max(0, arrivedAtMs + this.fault.delayMs - performance.now()));
+    }
   }
 }
 
@@ -137,6 +182,8 @@
     case 'delayed':
     case 'resetting':
     case 'refused':
+    case 'late-requests':
+    case 'lost-ends':
       return false;
     case 'cut-requests':
       return direction === 'requests';
