--- a/soak/checks.spec.ts
+++ b/soak/checks.spec.ts
@@ -3,7 +3,7 @@
 import type { RunOutcome, StartRecord } from '../standins/platform/standInRun.js';
 import { findViolations } from './checks.js';
 import { DisruptionLog } from './disruptionLog.js';
-import type { Attempt } from './soakCallers.js';
+import type { Attempt } from './soakJob.js';
 
 const jobId = '00000000000000aa';
 
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -6,7 +6,7 @@
 import { findOverlaps } from '../standins/platform/standInRun.js';
 import type { RunOverlap, StartRecord } from '../standins/platform/standInRun.js';
 import type { SoakFleet } from './soakFleet.js';
-import type { Attempt, SoakJob } from './soakCallers.js';
+import type { Attempt, SoakJob } from './soakJob.js';
 
 const okStatus = 200;
 const refusedStatus = 503;
--- a/soak/soakCallers.ts
+++ b/soak/soakCallers.ts
@@ -7,6 +7,7 @@
 import { SeededRandom } from '../src/testing/seededRandom.js';
 import { fixtureHost, fixturePrefix } from '../standins/platform/routes.js';
 import type { PlannedRequest } from './faults.js';
+import type { Attempt, AttemptEnd, Patience, SoakJob } from './soakJob.js';
 import type { SoakFleet } from './soakFleet.js';
 
 const callerCount = 4;
@@ -24,46 +25,6 @@
 /** One in this many jobs of the callers has a task that crashes its workers. */
 const crashingJobPeriod = 25;
 
-/** How long a caller waits for an answer: to its deadline, or past it so that a late answer is seen. */
-export type Patience = 'to-deadline' | 'past-deadline';
-
-/** A job of `tasks` equal tasks, each of which runs for `runMs`. */
-export interface SoakJob {
-  readonly jobId: string;
-  /** Whether its first task crashes each worker that starts it. */
-  readonly crashesWorkers: boolean;
-  readonly tasks: number;
-  readonly runMs: number;
-  /** Run time that the caller declares. */
-  readonly estimatedMs: number;
-  readonly deadlineMs: number;
-  readonly patience: Patience;
-  /** Kind of the workers that its tasks need; any if undefined. */
-  readonly workerKind?: string;
-}
-
-/** How one request ended. */
-export type AttemptEnd =
-  | { readonly kind: 'answered'; readonly status: number; readonly state: string | undefined }
-  /** The connection broke. */
-  | { readonly kind: 'broken'; readonly code: string }
-  /** No answer until the grace period after the deadline had passed. */
-  | { readonly kind: 'unanswered' }
-  /** The caller left at its deadline. */
-  | { readonly kind: 'left' };
-
-/** One request for a job. */
-export interface Attempt {
-  readonly job: SoakJob;
-  /** Number of the request for this job, from 1. */
-  readonly number: number;
-  /** Position of the daemon that the request was sent to. */
-  readonly daemon: number;
-  readonly sentAtMs: number;
-  readonly endedAtMs: number;
-  readonly end: AttemptEnd;
-}
-
 export class SoakCallers {
   /** Every request that has ended since the last `clearAttempts`, in the order of the ends. */
   readonly attempts: Attempt[] = [];
