Callers that are heard late, in the soak

What callers send came at once, daemons stood still for seconds or not at all, and callers left at their deadlines.

A series of its own, since it would change what the seeds of mixed plans play. A caller's patience is a union.

The checks are as they were. None assumes that what callers send comes at once: two runs at the same time are a failure always; a daemon counts as disrupted until 3 s after a fault, longer than any request is late.

--- a/soak/checks.spec.ts
+++ b/soak/checks.spec.ts
@@ -15,7 +15,7 @@
     runMs: 10,
     estimatedMs: 10,
     deadlineMs: 1_500,
-    patience: 'past-deadline',
+    patience: { kind: 'past-deadline' },
   },
   number: 1,
   daemon: 0,
--- a/soak/faultInjector.ts
+++ b/soak/faultInjector.ts
@@ -49,6 +49,8 @@
         return;
       case 'pause':
         return this.pause(fault.daemon, fault.durationMs);
+      case 'slow':
+        return this.slowDown(fault);
       case 'link':
         return this.injectLinkFault(fault);
       case 'reset':
@@ -141,6 +143,25 @@
     endDisruption();
   }
 
+  /** Pauses the daemon for a part of each period, also a process that is started meanwhile. */
+  private async slowDown({
+    daemon,
+    pausedMs,
+    periodMs,
+    durationMs,
+  }: Extract<Fault, { kind: 'slow' }>): Promise<void> {
+    const { child } = this.daemonAt(daemon);
+    const endDisruption = this.fleet.disruptions.begin(daemon);
+    const untilMs = performance.now() + durationMs;
+    while (performance.now() < untilMs) {
+      child.pause();
+      await sleep(pausedMs);
+      child.resume();
+      await sleep(periodMs - pausedMs);
+    }
+    endDisruption();
+  }
+
   private async injectLinkFault({
     place,
     index,
--- a/soak/faultSeries.ts
+++ b/soak/faultSeries.ts
@@ -7,6 +7,7 @@
 import type { Fault, FaultPlanOptions, InvalidEntry, PlannedFault } from './faults.js';
 import type { LinkFault } from './faultyProxy.js';
 import { planJointTrouble } from './jointTrouble.js';
+import { planLateCallers } from './lateCallers.js';
 import { neighbourOf, repeat, requestAt, shortDeadlineMs } from './seriesContext.js';
 import type { SeriesContext } from './seriesContext.js';
 
@@ -22,7 +23,7 @@
 export type SeriesKind = (typeof seriesKinds)[number];
 
 /** Series that are only played alone: mixed plans are drawn from the others, as their seeds were before. */
-const separateKinds = ['daemon-and-worker'] as const;
+const separateKinds = ['daemon-and-worker', 'late-callers'] as const;
 type SeparateKind = (typeof separateKinds)[number];
 
 /** What a seed plays: single faults with some series among them, or one series alone. */
@@ -81,6 +82,8 @@
       return [...planLongJobs(context), ...repeat(context, 300, 900, planInvalidEntry)];
     case 'daemon-and-worker':
       return repeat(context, 4_500, 6_000, planJointTrouble);
+    case 'late-callers':
+      return repeat(context, 2_500, 4_000, planLateCallers);
     default:
       return unreachable(kind);
   }
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -8,7 +8,7 @@
 /** A link with a proxy: callers to a daemon, a daemon to the store, or daemons to a worker. */
 export type LinkPlace = 'callers' | 'store' | 'worker';
 
-/** A job of a caller that leaves at its deadline and sends the job again, once. */
+/** A job of a caller that leaves at its deadline, or early, and sends the job again, once. */
 export interface PlannedRequest {
   readonly daemon: number;
   /** Position of the daemon that gets the second attempt. */
@@ -17,6 +17,8 @@
   readonly runMs: number;
   readonly estimatedMs: number;
   readonly deadlineMs: number;
+  /** Time after which the caller leaves; at its deadline if undefined. */
+  readonly leavesAfterMs?: number;
   /** Kind of the workers that the tasks need; any if undefined. */
   readonly workerKind?: string;
 }
@@ -35,6 +37,14 @@
   /** The settings file is written anew, and SIGHUP is sent `signals` times. */
   | { readonly kind: 'reload'; readonly daemon: number; readonly signals: number }
   | { readonly kind: 'pause'; readonly daemon: number; readonly durationMs: number }
+  /** The process is paused for a part of each period, and runs for the rest. */
+  | {
+      readonly kind: 'slow';
+      readonly daemon: number;
+      readonly pausedMs: number;
+      readonly periodMs: number;
+      readonly durationMs: number;
+    }
   | {
       readonly kind: 'link';
       readonly place: LinkPlace;
--- a/soak/jointTrouble.ts
+++ b/soak/jointTrouble.ts
@@ -55,7 +55,7 @@
 };
 
 /** A worker of the daemon's failure domain is cut off, refuses, carries orders out late, or crashes behind a cut. */
-const planWorkerTrouble = (
+export const planWorkerTrouble = (
   atMs: number,
   daemon: number,
   context: SeriesContext,
--- a/soak/soakCallers.ts
+++ b/soak/soakCallers.ts
@@ -4,6 +4,7 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Pool } from 'undici';
+import { unreachable } from '../src/errors/unreachable.js';
 import { SeededRandom } from '../src/testing/seededRandom.js';
 import { fixtureHost, fixturePrefix } from '../standins/platform/routes.js';
 import type { PlannedRequest } from './faults.js';
@@ -96,17 +97,19 @@
       crashesWorkers: false,
       estimatedMs: runMs,
       deadlineMs: Math.round(1_500 + 3 * (1.6 * runMs + 60)),
-      patience: 'past-deadline',
+      patience: { kind: 'past-deadline' },
     };
   }
 
-  /** Sends a planned job, whose caller leaves at its deadline and goes to another daemon. */
-  async sendPlanned({ daemon, nextDaemon, ...fields }: PlannedRequest): Promise<void> {
+  /** Sends a planned job, whose caller leaves at its deadline or early, and goes to another daemon. */
+  async sendPlanned(request: PlannedRequest): Promise<void> {
+    const { daemon, nextDaemon, leavesAfterMs, ...fields } = request;
     const created = this.createJob(fields.tasks, fields.runMs);
-    await this.sendWithRetry({ ...created, ...fields, patience: 'to-deadline' }, [
-      daemon,
-      nextDaemon,
-    ]);
+    const patience: Patience =
+      leavesAfterMs === undefined
+        ? { kind: 'to-deadline' }
+        : { kind: 'leaves-early', afterMs: leavesAfterMs };
+    await this.sendWithRetry({ ...created, ...fields, patience }, [daemon, nextDaemon]);
   }
 
   /** Cancels a job; returns the status of the answer, or undefined without one. */
@@ -133,7 +136,9 @@
   async hasRoute(daemon: number, prefix: string): Promise<boolean | undefined> {
     const { jobId } = this.createJob(1, 1);
     const body = { taskSpec: '{}', steps: [{ count: 1 }], bestEffort: false };
-    const end = await this.post(daemon, `${prefix}${jobId}`, body, answerGraceMs, 'past-deadline');
+    const end = await this.post(daemon, `${prefix}${jobId}`, body, answerGraceMs, {
+      kind: 'past-deadline',
+    });
     return end.kind === 'answered' ? end.status !== 404 : undefined;
   }
 
@@ -180,8 +185,7 @@
     deadlineMs: number,
     patience: Patience,
   ): Promise<AttemptEnd> {
-    const graceMs = patience === 'to-deadline' ? 0 : answerGraceMs;
-    const signal = AbortSignal.timeout(deadlineMs + graceMs);
+    const signal = AbortSignal.timeout(patienceMs(patience, deadlineMs));
     try {
       const response = await this.poolOf(daemon).request({
         method: 'POST',
@@ -200,7 +204,7 @@
       if (!signal.aborted) {
         return { kind: 'broken', code: String(error) };
       }
-      return { kind: patience === 'to-deadline' ? 'left' : 'unanswered' };
+      return { kind: patience.kind === 'past-deadline' ? 'unanswered' : 'left' };
     }
   }
 
@@ -212,3 +216,17 @@
     return pool;
   }
 }
+
+/** @returns time from the request until its caller leaves, in milliseconds */
+const patienceMs = (patience: Patience, deadlineMs: number): number => {
+  switch (patience.kind) {
+    case 'to-deadline':
+      return deadlineMs;
+    case 'past-deadline':
+      return deadlineMs + answerGraceMs;
+    case 'leaves-early':
+      return patience.afterMs;
+    default:
+      return unreachable(patience);
+  }
+};
--- a/soak/soakJob.ts
+++ b/soak/soakJob.ts
@@ -2,8 +2,13 @@
  * A job of the soak's callers, the requests for it, and how each request ended.
  */
 
-/** How long a caller waits for an answer: to its deadline, or past it so that a late answer is seen. */
-export type Patience = 'to-deadline' | 'past-deadline';
+/** How long a caller waits for an answer. */
+export type Patience =
+  | { readonly kind: 'to-deadline' }
+  /** Past the deadline, so that a late answer is seen. */
+  | { readonly kind: 'past-deadline' }
+  /** The caller leaves before its deadline. */
+  | { readonly kind: 'leaves-early'; readonly afterMs: number };
 
 /** A job of `tasks` equal tasks, each of which runs for `runMs`. */
 export interface SoakJob {
@@ -27,7 +32,7 @@
   | { readonly kind: 'broken'; readonly code: string }
   /** No answer until the grace period after the deadline had passed. */
   | { readonly kind: 'unanswered' }
-  /** The caller left at its deadline. */
+  /** The caller left at its deadline, or early. */
   | { readonly kind: 'left' };
 
 /** One request for a job. */
