Jobs of late callers are at work when their callers leave

Cause: with declared times of 0.3 to 0.7 s and runs of up to 3.5 s, daemons gave most jobs of the plan up before their callers left. Change: the declared time is the run time, up to 0.7 of the time until the deadline; half of the callers leave early.

--- a/soak/lateCallers.ts
+++ b/soak/lateCallers.ts
@@ -17,8 +17,9 @@
 const longestDeadlineMs = 3_000;
 /** Shortest time after which a caller leaves early, in milliseconds. */
 const minStayMs = 400;
-/** One in this many callers leaves early. */
-const earlyLeavePeriod = 3;
+const minTaskMs = 1_000;
+/** Longest declared run time over the time until the deadline, so that a daemon doesn't refuse the job. */
+const maxEstimateShare = 0.7;
 /** From the leaving of a caller to the trouble of a worker, in milliseconds; before it if negative. */
 const minCutDelayMs = -300;
 const maxCutDelayMs = 1_300;
@@ -45,18 +46,17 @@
   return [...trouble, ...jobs.map(({ request }) => request), ...workers.flat()];
 };
 
-/** Draws a job whose tasks often last longer than their caller declares and waits. */
+/** Draws a job that is at work when its caller leaves, since its tasks last longer than declared, or its caller leaves early. */
 const drawJob = ({ between, randomInt }: SeriesContext): JobFields => {
   const deadlineMs = between(shortDeadlineMs, longestDeadlineMs);
+  const runMs = between(minTaskMs, longestDeadlineMs);
   const job = {
-    tasks: between(1, 5),
-    runMs: between(700, 3_500),
-    estimatedMs: between(300, 700),
+    tasks: between(1, 4),
+    runMs,
+    estimatedMs: Math.round(Math.min(runMs, deadlineMs * maxEstimateShare)),
     deadlineMs,
   };
-  return randomInt(earlyLeavePeriod) === 0
-    ? { ...job, leavesAfterMs: between(minStayMs, deadlineMs) }
-    : job;
+  return randomInt(2) === 0 ? { ...job, leavesAfterMs: between(minStayMs, deadlineMs) } : job;
 };
 
 /** What callers send comes late or lacks its end, the daemon is slow, or both at the same time. */
