A connection that is reset while it ends is closed, in the soak's proxy

All its processes had ended; Node.js spun in the clean-up of its handles at exit, with three sockets left.

Cause: a reset in the turn in which a connection ends fails with EINVAL, and Node.js 20 never closes the socket and spins at exit. The proxy ends a connection when a fault is healed, and another fault may reset it in the same turn.

Change: a connection whose end is on the way is closed in place of reset.

--- a/soak/faultyProxy.spec.ts
+++ b/soak/faultyProxy.spec.ts
@@ -127,4 +127,41 @@
   await new Promise((resolve) => server.close(resolve));
 });
 
+/** More steps than the proxy takes from the end of a fault until it passes on what was blocked. */
+const microtasks = 50;
+
+// Guards against a soak that never exits: Node.js loses a connection that is reset in the turn in which it ends.
+test('a connection that is reset while it ends is closed', async () => {
+  const sockets: Socket[] = [];
+  const server = createServer({ allowHalfOpen: true }, (socket) => {
+    socket.on('error', () => undefined);
+    socket.resume();
+    sockets.push(socket);
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const proxy = await FaultyProxy.create('127.0.0.1', () => `127.0.0.1:${port}`);
+  const client = await open(proxy);
+  client.on('error', () => undefined);
+  await sleep(50);
+  proxy.setFault({ kind: 'cut-requests' });
+  client.end();
+  await sleep(50);
+  proxy.setFault({ kind: 'none' });
+  for (let count = 0; count < microtasks; count += 1) {
+    await Promise.resolve();
+  }
+  proxy.resetConnections();
+  // A closed connection answers the first write with a reset, which the second one notices.
+  for (const text of ['first', 'second']) {
+    await sleep(100);
+    sockets.forEach((socket) => socket.write(text));
+  }
+  await sleep(100);
+  const areClosed = sockets.map(({ closed }) => closed);
+  assert.equal(areClosed, [true]);
+  await proxy.close();
+  await new Promise((resolve) => server.close(resolve));
+});
+
 test.run();
--- a/soak/faultyProxy.ts
+++ b/soak/faultyProxy.ts
@@ -88,7 +88,7 @@
 
   /** Resets every open connection with a TCP RST. */
   resetConnections(): void {
-    this.sockets.forEach((socket) => socket.resetAndDestroy());
+    this.sockets.forEach((socket) => resetSocket(socket));
   }
 
   async close(): Promise<void> {
@@ -100,7 +100,7 @@
 
   private async forwardConnection(client: Socket): Promise<void> {
     if (this.fault.kind === 'resetting') {
-      client.resetAndDestroy();
+      resetSocket(client);
       return;
     }
     const openedAtMs = performance.now();
@@ -176,6 +176,16 @@
   }
 }
 
+/** Resets a connection. Node.js never closes one that it resets while its end is on the way, so it is only closed. */
+const resetSocket = (socket: Socket): void => {
+  const isEnding = socket.writableEnded && !socket.writableFinished;
+  if (isEnding) {
+    socket.destroy();
+    return;
+  }
+  socket.resetAndDestroy();
+};
+
 const isBlocked = (fault: LinkFault, direction: Direction): boolean => {
   switch (fault.kind) {
     case 'none':
