The whole domain's workers are cut off as a late caller leaves, in half of the series

Change: half of the series cut off all workers of the daemon's failure domain at once, 0.3 s before to 1.3 s after the caller leaves. The workers of a domain are listed by one function, which planJointTrouble uses too.

--- a/soak/jointTrouble.ts
+++ b/soak/jointTrouble.ts
@@ -6,7 +6,7 @@
 import { pickOne } from './faults.js';
 import type { Fault, PlannedFault } from './faults.js';
 import type { WorkerFault } from '../standins/platform/workerStandIn.js';
-import { neighbourOf, requestAt, shortDeadlineMs } from './seriesContext.js';
+import { neighbourOf, requestAt, shortDeadlineMs, workersBeside } from './seriesContext.js';
 import type { SeriesContext } from './seriesContext.js';
 
 /** Longest time from the trouble of the daemon to that of a worker, in milliseconds. */
@@ -61,7 +61,7 @@
   context: SeriesContext,
 ): PlannedFault[] => {
   const { between, randomInt } = context;
-  const index = workerBeside(daemon, context);
+  const index = pickOne(workersBeside(daemon, context), randomInt);
   const durationMs = between(800, 2_000);
   const silent: Fault = {
     ...{ kind: 'link', place: 'worker', index, durationMs },
@@ -82,9 +82,3 @@
   ];
   return [...pickOne(troubles, randomInt)];
 };
-
-/** @returns a worker of the failure domain of a daemon, which has the first or the second half of both */
-const workerBeside = (daemon: number, { daemons, workers, randomInt }: SeriesContext): number => {
-  const half = Math.ceil(workers / 2);
-  return daemon < daemons / 2 ? randomInt(half) : half + randomInt(workers - half);
-};
--- a/soak/lateCallers.ts
+++ b/soak/lateCallers.ts
@@ -7,7 +7,7 @@
 import type { Fault, PlannedFault, PlannedRequest } from './faults.js';
 import type { LinkFault } from './faultyProxy.js';
 import { planWorkerTrouble } from './jointTrouble.js';
-import { neighbourOf, requestAt, shortDeadlineMs } from './seriesContext.js';
+import { neighbourOf, requestAt, shortDeadlineMs, workersBeside } from './seriesContext.js';
 import type { SeriesContext } from './seriesContext.js';
 
 /** Longest time from the trouble to a job, in milliseconds. */
@@ -37,13 +37,41 @@
     const leftAtMs = sentAtMs + (fields.leavesAfterMs ?? fields.deadlineMs);
     return { leftAtMs, request: requestAt(sentAtMs, context, requester, fields) };
   });
-  const workers = Array.from({ length: between(1, maxWorkers) }, () => {
-    const { leftAtMs } = pickOne(jobs.slice(0, jobsPerDaemon), randomInt);
-    const troubleAtMs = leftAtMs + between(minCutDelayMs, maxCutDelayMs);
-    return planWorkerTrouble(troubleAtMs, daemon, context);
-  });
   const trouble = planCallerTrouble(daemon, context).map((fault) => ({ atMs, fault }));
-  return [...trouble, ...jobs.map(({ request }) => request), ...workers.flat()];
+  const { leftAtMs } = pickOne(jobs.slice(0, jobsPerDaemon), randomInt);
+  const workers =
+    randomInt(2) === 0
+      ? planDomainCut(leftAtMs, daemon, context)
+      : planWorkerTroubles(leftAtMs, daemon, context);
+  return [...trouble, ...jobs.map(({ request }) => request), ...workers];
+};
+
+/** All workers of the daemon's failure domain are cut off at the same time, before or after a caller leaves. */
+const planDomainCut = (
+  leftAtMs: number,
+  daemon: number,
+  context: SeriesContext,
+): PlannedFault[] => {
+  const { between } = context;
+  const atMs = leftAtMs + between(minCutDelayMs, maxCutDelayMs);
+  const durationMs = between(1_000, 2_500);
+  return workersBeside(daemon, context).map((index) => ({
+    atMs,
+    fault: { kind: 'link', place: 'worker', index, fault: { kind: 'silent' }, durationMs },
+  }));
+};
+
+/** Some workers of the daemon's failure domain are in trouble, each at a time of its own. */
+const planWorkerTroubles = (
+  leftAtMs: number,
+  daemon: number,
+  context: SeriesContext,
+): PlannedFault[] => {
+  const { between } = context;
+  const troubles = Array.from({ length: between(1, maxWorkers) }, () =>
+    planWorkerTrouble(leftAtMs + between(minCutDelayMs, maxCutDelayMs), daemon, context),
+  );
+  return troubles.flat();
 };
 
 /** Draws a job that is at work when its caller leaves, since its tasks last longer than declared, or its caller leaves early. */
--- a/soak/seriesContext.ts
+++ b/soak/seriesContext.ts
@@ -52,3 +52,10 @@
   const size = daemon < half ? half : daemons - half;
   return first + ((daemon - first + 1 + randomInt(size - 1)) % size);
 };
+
+/** @returns the workers of the failure domain of a daemon, which has the first or the second half of both */
+export const workersBeside = (daemon: number, { daemons, workers }: SeriesContext): number[] => {
+  const half = Math.ceil(workers / 2);
+  const indexes = Array.from({ length: workers }, (_, index) => index);
+  return daemon < daemons / 2 ? indexes.slice(0, half) : indexes.slice(half);
+};
