Methods of JSON-RPC servers are registered with their check in one place

Cause: both servers paired each of eleven methods with the check of its parameters by hand. Change: addCheckedMethod takes the schema; checkParams is no longer exported.

--- a/src/adapters/fleetRpc/fleetRpcServer.ts
+++ b/src/adapters/fleetRpc/fleetRpcServer.ts
@@ -8,7 +8,7 @@
 import type { FleetService } from '../../ports/fleetPeers.js';
 import { HttpServer } from '../http/httpServer.js';
 import { answerJsonRpc } from '../jsonRpc/answerJsonRpc.js';
-import { checkParams } from '../jsonRpc/jsonRpcCall.js';
+import { addCheckedMethod } from '../jsonRpc/jsonRpcCall.js';
 import { RpcSocketServer } from '../jsonRpc/rpcSocketServer.js';
 import { fleetHttpPath, fleetSocketPath } from './fleetRpcPath.js';
 
@@ -65,21 +65,21 @@
   }
 }
 
-/** Registers the methods; each validates its parameters before it calls the service. */
+/** Registers the methods. */
 const createRpcServer = (service: FleetService, logger: Logger): JSONRPCServer => {
   const rpc = new JSONRPCServer({
     errorListener: (message, error) => logCallError(logger, message, error),
   });
-  rpc.addMethod('beat', (params) => service.beat(checkParams(fleetMethods.beat.params, params)));
-  rpc.addMethod('runBatch', (params) =>
-    service.runBatch(checkParams(fleetMethods.runBatch.params, params)),
+  addCheckedMethod(rpc, 'beat', fleetMethods.beat.params, (heartbeat) => service.beat(heartbeat));
+  addCheckedMethod(rpc, 'runBatch', fleetMethods.runBatch.params, (batch) =>
+    service.runBatch(batch),
   );
-  rpc.addMethod('withdrawBatch', (params) => {
-    service.withdrawBatch(checkParams(fleetMethods.withdrawBatch.params, params));
+  addCheckedMethod(rpc, 'withdrawBatch', fleetMethods.withdrawBatch.params, (withdrawal) => {
+    service.withdrawBatch(withdrawal);
     return {};
   });
-  rpc.addMethod('cancelJob', (params) =>
-    service.cancelJob(checkParams(fleetMethods.cancelJob.params, params)),
+  addCheckedMethod(rpc, 'cancelJob', fleetMethods.cancelJob.params, (cancellation) =>
+    service.cancelJob(cancellation),
   );
   rpc.addMethod('fetchRouting', () => ({ routing: service.fetchRouting() }));
   return rpc;
--- a/src/adapters/jsonRpc/jsonRpcCall.ts
+++ b/src/adapters/jsonRpc/jsonRpcCall.ts
@@ -2,6 +2,7 @@
  * Schemas of a JSON-RPC 2.0 request and its response, and validation of its parameters.
  */
 import { JSONRPCErrorException } from 'json-rpc-2.0';
+import type { JSONRPCServer } from 'json-rpc-2.0';
 import { z } from 'zod';
 import { problemFromZod } from '../../errors/zodProblem.js';
 
@@ -25,15 +26,29 @@
     .optional(),
 });
 
+/**
+ * Registers a method; a call whose parameters are not valid is answered with an error and not handled.
+ *
+ * @param rpc - the server
+ * @param name - name of the method
+ * @param schema - schema of its parameters
+ * @param handle - returns the result, or a promise of it
+ */
+export const addCheckedMethod = <S extends z.ZodType>(
+  rpc: JSONRPCServer,
+  name: string,
+  schema: S,
+  handle: (params: z.output<S>) => unknown,
+): void => {
+  rpc.addMethod(name, (params: unknown) => handle(checkParams(schema, params)));
+};
+
 /**
  * Validates the parameters of a call.
  *
- * @param schema - schema of the parameters
- * @param params - the parameters as received
- * @returns the validated parameters
  * @throws JSONRPCErrorException with code -32602 (invalid params)
  */
-export const checkParams = <S extends z.ZodType>(schema: S, params: unknown): z.output<S> => {
+const checkParams = <S extends z.ZodType>(schema: S, params: unknown): z.output<S> => {
   const parsed = schema.safeParse(params);
   if (!parsed.success) {
     const { detail, where } = problemFromZod(parsed.error);
--- a/src/adapters/peerRpc/peerRpcServer.ts
+++ b/src/adapters/peerRpc/peerRpcServer.ts
@@ -11,7 +11,7 @@
 import { HttpServer } from '../http/httpServer.js';
 import { sendProblem } from '../http/sendJson.js';
 import { answerJsonRpc } from '../jsonRpc/answerJsonRpc.js';
-import { checkParams } from '../jsonRpc/jsonRpcCall.js';
+import { addCheckedMethod } from '../jsonRpc/jsonRpcCall.js';
 import { peerRpcPath } from './peerRpcPath.js';
 
 const maxConnections = 4_096;
@@ -65,31 +65,31 @@
   }
 }
 
-/** Registers the methods; each validates its parameters before it calls the service. */
+/** Registers the methods. */
 const createRpcServer = (service: PeerService, logger: Logger): JSONRPCServer => {
   const rpc = new JSONRPCServer({
     errorListener: (message) => logger.warn('A peer sent a bad request.', { reason: message }),
   });
-  rpc.addMethod('heartbeat', (params) =>
-    service.heartbeat(checkParams(peerMethods.heartbeat.params, params)),
+  addCheckedMethod(rpc, 'heartbeat', peerMethods.heartbeat.params, (heartbeat) =>
+    service.heartbeat(heartbeat),
   );
-  rpc.addMethod('forward', (params) =>
-    service.forward(checkParams(peerMethods.forward.params, params)),
+  addCheckedMethod(rpc, 'forward', peerMethods.forward.params, (submission) =>
+    service.forward(submission),
   );
-  rpc.addMethod('status', (params) =>
-    service.statusForwarded(checkParams(peerMethods.status.params, params)),
+  addCheckedMethod(rpc, 'status', peerMethods.status.params, (reference) =>
+    service.statusForwarded(reference),
   );
-  rpc.addMethod('cancel', (params) =>
-    service.cancelForwarded(checkParams(peerMethods.cancel.params, params)),
+  addCheckedMethod(rpc, 'cancel', peerMethods.cancel.params, (reference) =>
+    service.cancelForwarded(reference),
   );
-  rpc.addMethod('handOver', (params) =>
-    service.handOver(checkParams(peerMethods.handOver.params, params)),
+  addCheckedMethod(rpc, 'handOver', peerMethods.handOver.params, (batch) =>
+    service.handOver(batch),
   );
-  rpc.addMethod('passTasks', (params) =>
-    service.passTasks(checkParams(peerMethods.passTasks.params, params)),
+  addCheckedMethod(rpc, 'passTasks', peerMethods.passTasks.params, (request) =>
+    service.passTasks(request),
   );
-  rpc.addMethod('withdrawPassed', (params) => {
-    service.withdrawPassed(checkParams(peerMethods.withdrawPassed.params, params));
+  addCheckedMethod(rpc, 'withdrawPassed', peerMethods.withdrawPassed.params, (withdrawal) => {
+    service.withdrawPassed(withdrawal);
     return {};
   });
   rpc.addMethod('fetchInheritance', () => service.fetchInheritance());
