The settings and the signal mask of a daemon process in files of their own

Change: daemonSettings.ts composes the settings file, signalHandlers.ts reads the kernel's mask; the content is the same. Result: soak/slowStart.spec.ts, soak/slowDaemon.spec.ts and soak/reload.spec.ts pass, which start processes with both.

--- a/standins/platform/daemonChild.ts
+++ b/standins/platform/daemonChild.ts
@@ -5,13 +5,13 @@
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
-import { closeSync, openSync, readFileSync, writeFileSync } from 'node:fs';
+import { closeSync, openSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { settingsPathVariable } from '../../platform/settings.js';
+import { callersAddressOf, composeSettings } from './daemonSettings.js';
+import type { DaemonPlace } from './daemonSettings.js';
+import { handlesReload } from './signalHandlers.js';
 
-const callersPort = 8_080;
-const readinessPort = 8_081;
-const internalPorts = [7_000, 7_010];
 /** Time between SIGTERM and SIGKILL in a planned stop, in seconds. */
 export const stopGraceS = 6;
 /**
@@ -20,9 +20,6 @@
  */
 const maxBootMs = 1_500;
 
-/** Bit of SIGHUP in the kernel's mask of caught signals. */
-const reloadSignalBit = 1n;
-
 /** Options of Node.js, as in the deployment file: a code cache is used only with the same ones. */
 export const daemonArguments: readonly string[] = ['--max-old-space-size=200'];
 
@@ -38,14 +35,7 @@
   readonly program?: readonly string[];
 }
 
-export interface DaemonChildOptions {
-  readonly vmId: string;
-  /** Loopback address of the VM. */
-  readonly ip: string;
-  readonly zone: string;
-  readonly zones: readonly string[];
-  readonly storeAddress: string;
-  readonly shardCount: number;
+export interface DaemonChildOptions extends DaemonPlace {
   /** Folder for the settings file and the log file. */
   readonly folder: string;
   /** Path of the built program. */
@@ -98,7 +88,7 @@
    * it; once it has, it counts as having it.
    */
   get handlesReload(): boolean {
-    this.hasHandledReload ||= readsReload(this.running?.pid);
+    this.hasHandledReload ||= handlesReload(this.running?.pid);
     return this.hasHandledReload;
   }
 
@@ -109,7 +99,7 @@
   }
 
   get callersAddress(): string {
-    return `${this.options.ip}:${callersPort}`;
+    return callersAddressOf(this.options);
   }
 
   /** Starts the process unless it runs; waits until a process that is being stopped has exited. */
@@ -160,7 +150,7 @@
 
   /** Composes the settings file of the daemon. */
   composeSettings({ graceS = stopGraceS, cpuShare = 1 } = {}): string {
-    return JSON.stringify(composeSettings(this.options, graceS, cpuShare));
+    return composeSettings(this.options, graceS, cpuShare);
   }
 
   /** Tells the process with SIGHUP that its settings file has changed; also while it is stopped. */
@@ -221,30 +211,3 @@
     return child;
   }
 }
-
-/** @returns whether the kernel lists a handler of SIGHUP for a process; false once it has exited */
-const readsReload = (pid: number | undefined): boolean => {
-  try {
-    const status = readFileSync(`/proc/${pid ?? ''}/status`, 'utf8');
-    const mask = /^SigCgt:\s*([0-9a-f]+)$/m.exec(status)?.[1];
-    return (BigInt(`0x${mask ?? '0'}`) & reloadSignalBit) !== 0n;
-  } catch {
-    return false;
-  }
-};
-
-const composeSettings = (
-  { vmId, ip, zone, zones, storeAddress, shardCount }: DaemonChildOptions,
-  graceS: number,
-  cpuShare: number,
-) => ({
-  nodeName: vmId,
-  ip,
-  zone,
-  zones: Object.fromEntries(zones.map((name) => [name, 'region'])),
-  listen: { front: `${ip}:${callersPort}`, ready: `${ip}:${readinessPort}` },
-  internalPortRange: internalPorts,
-  limits: { cpuShare, cores: 1 },
-  bounds: { holdMaxMs: 1_000, farFactor: 1.5, graceS },
-  platform: { address: storeAddress, parts: shardCount, ttlMinMs: 1_000 },
-});
