An offload's request and its result in files of their own

Change: offloadRequest.ts sends one request and returns a discriminated union; offloadBatch.ts has the types of a batch.

--- a/src/offloading/taskOffloader.ts
+++ b/src/offloading/taskOffloader.ts
@@ -3,13 +3,14 @@
  * same time share one message.
  */
 import { unreachable } from '../errors/unreachable.js';
-import type { TaskOutcome } from '../types/jobs.js';
 import type { PeerSet } from '../membership/peerSet.js';
 import type { Clock } from '../ports/clock.js';
-import type { OffloadReply, OffloadedTask, OffloadedTaskEnd } from '../ports/peers.js';
 import type { PendingTask } from '../queue/types.js';
 import { createDeferred } from '../utils/deferred.js';
-import type { Deferred } from '../utils/deferred.js';
+import { resolveAll, toOffloadEnd } from './offloadBatch.js';
+import type { OffloadBatch, OffloadEnd, PendingOffload } from './offloadBatch.js';
+import { requestOffload } from './offloadRequest.js';
+import type { RequestResult } from './offloadRequest.js';
 import type { PeerSlots } from './peerSlots.js';
 
 /** Maximum input bytes in one message, counted by the declared bounds of the operations. */
@@ -25,40 +26,6 @@
   readonly slots: PeerSlots;
 }
 
-/** How an offload ended. */
-export type OffloadEnd =
-  | { readonly kind: 'ended'; readonly outcome: TaskOutcome; readonly elapsedMs: number }
-  /** The peer certainly did not start the task. */
-  | { readonly kind: 'not-started' }
-  /** The peer may have started the task, and its end is not known. */
-  | { readonly kind: 'lost' }
-  /** The job of the task has ended. `isSent`: the peer may have started the task. */
-  | { readonly kind: 'withdrawn'; readonly isSent: boolean };
-
-/** An offload that has not ended. */
-interface PendingOffload {
-  readonly entry: PendingTask;
-  /** Number of the attempt, by which the peer recognises the task if it is sent again. */
-  readonly attempt: number;
-  readonly end: Deferred<OffloadEnd>;
-}
-
-/** Tasks of one job that go to one peer in one message. */
-interface OffloadBatch {
-  readonly incarnation: string;
-  readonly jobId: string;
-  readonly offloads: PendingOffload[];
-  /** Largest size that their inputs may have, by the declared bounds. */
-  bytes: number;
-}
-
-/**
- * Result of one request: the ends of the tasks, or why there are none. `not-started`: the request
- * was not sent or did not reach the peer. `other-incarnation`: another process answered and started
- * nothing. `unknown`: the peer may have started the tasks.
- */
-type SendResult = 'not-started' | 'unknown' | 'other-incarnation' | readonly OffloadedTaskEnd[];
-
 export class TaskOffloader {
   /** Batches that are sent in the next microtask. */
   private unsent: OffloadBatch[] = [];
@@ -146,7 +113,10 @@
   private async send(batch: OffloadBatch): Promise<void> {
     this.sent.add(batch);
     const result = await this.sendOnce(batch);
-    switch (result) {
+    switch (result.kind) {
+      case 'ended':
+        this.resolveEnds(batch, result);
+        break;
       case 'not-started':
       case 'other-incarnation':
         this.options.slots.setFreeSlots(batch.incarnation, 0);
@@ -156,7 +126,7 @@
         await this.retryUntilAnswered(batch);
         break;
       default:
-        this.resolveEnds(batch, result);
+        unreachable(result);
     }
     this.sent.delete(batch);
   }
@@ -175,48 +145,29 @@
     for (let retry = 0; retry < maxRetries && this.sent.has(batch); retry += 1) {
       await this.options.clock.sleep(firstRetryPauseMs * 2 ** retry, this.stop.signal);
       const result = await this.sendOnce(batch);
-      if (typeof result === 'object') {
+      if (result.kind === 'ended') {
         this.resolveEnds(batch, result);
         return;
       }
-      if (result === 'other-incarnation') {
+      if (result.kind === 'other-incarnation') {
         break;
       }
     }
     resolveAll(batch, { kind: 'lost' });
   }
 
-  /** Sends the tasks of a batch whose deadline has not passed. */
-  private async sendOnce({ incarnation, offloads }: OffloadBatch): Promise<SendResult> {
-    const nowMs = this.options.clock.nowMs();
-    const tasks = offloads
-      .map((offload) => toOffloadedTask(offload, nowMs))
-      .filter(({ timeLeftMs }) => timeLeftMs > 0);
-    const link = this.options.peers.linkTo(incarnation);
-    if (link === undefined || tasks.length === 0) {
-      return 'not-started';
-    }
-    const reply = await link.passTasks({ incarnation, tasks }, this.stop.signal);
-    if (reply.isOk()) {
-      return this.readReply(incarnation, reply.value);
-    }
-    return reply.error.kind === 'not-sent' ? 'not-started' : 'unknown';
-  }
-
-  private readReply(incarnation: string, reply: OffloadReply): SendResult {
-    switch (reply.kind) {
-      case 'ended':
-        this.options.slots.setFreeSlots(incarnation, reply.freeSlots);
-        return reply.ends;
-      case 'other-incarnation':
-        return 'other-incarnation';
-      default:
-        return unreachable(reply);
-    }
+  private sendOnce(batch: OffloadBatch): Promise<RequestResult> {
+    const { clock, peers } = this.options;
+    const link = peers.linkTo(batch.incarnation);
+    return requestOffload(link, batch, clock.nowMs(), this.stop.signal);
   }
 
   /** Resolves each offload with the end of its task; a task without one may have been started. */
-  private resolveEnds(batch: OffloadBatch, ends: readonly OffloadedTaskEnd[]): void {
+  private resolveEnds(
+    batch: OffloadBatch,
+    { ends, freeSlots }: Extract<RequestResult, { kind: 'ended' }>,
+  ): void {
+    this.options.slots.setFreeSlots(batch.incarnation, freeSlots);
     const byTaskId = new Map(ends.map((end) => [end.taskId, end]));
     if (ends.some(({ outcome }) => outcome.kind === 'not-run')) {
       this.options.slots.setFreeSlots(batch.incarnation, 0);
@@ -231,26 +182,3 @@
     }
   }
 }
-
-const resolveAll = ({ offloads }: OffloadBatch, end: OffloadEnd): void => {
-  offloads.forEach((offload) => offload.end.resolve(end));
-};
-
-/** An outcome `not-run` means that the task can run elsewhere. */
-const toOffloadEnd = ({ outcome, elapsedMs }: OffloadedTaskEnd): OffloadEnd =>
-  outcome.kind === 'not-run' ? { kind: 'not-started' } : { kind: 'ended', outcome, elapsedMs };
-
-const toOffloadedTask = (
-  { entry: { task }, attempt }: PendingOffload,
-  nowMs: number,
-): OffloadedTask => ({
-  taskId: task.taskId,
-  pass: attempt,
-  jobId: task.jobId,
-  callerId: task.callerId,
-  teamId: task.teamId,
-  callerClass: task.callerClass,
-  operationId: task.operation.operationId,
-  input: task.input,
-  timeLeftMs: task.deadlineAtMs - nowMs,
-});
--- a/src/placement/retryDecision.ts
+++ b/src/placement/retryDecision.ts
@@ -6,7 +6,7 @@
 import { unreachable } from '../errors/unreachable.js';
 import type { Operation } from '../types/inventory.js';
 import type { TaskOutcome } from '../types/jobs.js';
-import type { OffloadEnd } from '../offloading/taskOffloader.js';
+import type { OffloadEnd } from '../offloading/offloadBatch.js';
 import type { EndpointReply } from '../ports/endpoints.js';
 import { stoppedBeforeStart, stoppedWhileRunning } from './attemptRunner.js';
 import type { AttemptEnd } from './attemptRunner.js';
--- a/src/placement/taskResolver.ts
+++ b/src/placement/taskResolver.ts
@@ -3,7 +3,7 @@
  * attempt.
  */
 import { unreachable } from '../errors/unreachable.js';
-import type { OffloadEnd } from '../offloading/taskOffloader.js';
+import type { OffloadEnd } from '../offloading/offloadBatch.js';
 import type { TaskQueue } from '../queue/taskQueue.js';
 import type { PendingTask } from '../queue/types.js';
 import { RecentNames } from '../utils/recentNames.js';
