The kinds of faults apart from the plan of the single ones

Change: singleFaults.ts plans them, pickOne.ts has the choice that three plans share; nothing else changes.

--- a/soak/faultSeries.ts
+++ b/soak/faultSeries.ts
@@ -3,13 +3,15 @@
  */
 import { unreachable } from '../src/errors/unreachable.js';
 import { SeededRandom } from '../src/testing/seededRandom.js';
-import { pickOne, planFaults } from './faults.js';
-import type { Fault, FaultPlanOptions, InvalidEntry, PlannedFault } from './faults.js';
+import type { Fault, InvalidEntry, PlannedFault } from './faults.js';
 import type { LinkFault } from './faultyProxy.js';
 import { planJointTrouble } from './jointTrouble.js';
 import { planLateCallers } from './lateCallers.js';
+import { pickOne } from './pickOne.js';
 import { neighbourOf, repeat, requestAt, shortDeadlineMs } from './seriesContext.js';
 import type { SeriesContext } from './seriesContext.js';
+import { planFaults } from './singleFaults.js';
+import type { FaultPlanOptions } from './singleFaults.js';
 
 export const seriesKinds = [
   'cuts',
--- a/soak/jointTrouble.ts
+++ b/soak/jointTrouble.ts
@@ -3,9 +3,9 @@
  * that, workers of its failure domain are, too. So orders that end the runs of a lost job meet workers that they
  * do not reach, while the callers send their jobs again at the other failure domain.
  */
-import { pickOne } from './faults.js';
 import type { Fault, PlannedFault } from './faults.js';
 import type { WorkerFault } from '../standins/platform/workerStandIn.js';
+import { pickOne } from './pickOne.js';
 import { neighbourOf, requestAt, shortDeadlineMs, workersBeside } from './seriesContext.js';
 import type { SeriesContext } from './seriesContext.js';
 
--- a/soak/lateCallers.ts
+++ b/soak/lateCallers.ts
@@ -3,10 +3,10 @@
  * connections are lost, or the daemon is slow in many short pieces. Around the time at which they leave, workers of
  * its failure domain are in trouble, while the callers send their jobs again at the other one.
  */
-import { pickOne } from './faults.js';
 import type { Fault, PlannedFault, PlannedRequest } from './faults.js';
 import type { LinkFault } from './faultyProxy.js';
 import { planWorkerTrouble } from './jointTrouble.js';
+import { pickOne } from './pickOne.js';
 import { neighbourOf, requestAt, shortDeadlineMs, workersBeside } from './seriesContext.js';
 import type { SeriesContext } from './seriesContext.js';
 
--- a/soak/soak.spec.ts
+++ b/soak/soak.spec.ts
@@ -5,7 +5,7 @@
 import { promisify } from 'node:util';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { planFaults } from './faults.js';
+import { planFaults } from './singleFaults.js';
 import { planKinds, planSeed } from './faultSeries.js';
 import { regressionSeeds } from './regressionSeeds.js';
 import { daemonProgram } from '../standins/platform/daemonChild.js';
