--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -1,7 +1,7 @@
 /**
  * The faults that a soak injects, and the requests that are to meet them.
  */
-import type { WorkerFault } from '../standins/platform/workerStandIn.js';
+import type { WorkerFault } from '../standins/platform/workerFault.js';
 import type { LinkFault } from './faultyProxy.js';
 
 /** A link with a proxy: callers to a daemon, a daemon to the store, or daemons to a worker. */
--- a/soak/jointTrouble.ts
+++ b/soak/jointTrouble.ts
@@ -4,7 +4,7 @@
  * do not reach, while the callers send their jobs again at the other failure domain.
  */
 import type { Fault, PlannedFault } from './faults.js';
-import type { WorkerFault } from '../standins/platform/workerStandIn.js';
+import type { WorkerFault } from '../standins/platform/workerFault.js';
 import { pickOne } from './pickOne.js';
 import { neighbourOf, requestAt, shortDeadlineMs, workersBeside } from './seriesContext.js';
 import type { SeriesContext } from './seriesContext.js';
--- a/soak/singleFaults.ts
+++ b/soak/singleFaults.ts
@@ -2,7 +2,7 @@
  * Plans the single faults of one seed: kind, target, time and duration of each.
  */
 import { SeededRandom } from '../src/testing/seededRandom.js';
-import type { WorkerFault } from '../standins/platform/workerStandIn.js';
+import type { WorkerFault } from '../standins/platform/workerFault.js';
 import type { Fault, LinkPlace, PlannedFault } from './faults.js';
 import type { LinkFault } from './faultyProxy.js';
 import { pickOne } from './pickOne.js';
--- a/standins/platform/workerStandIn.ts
+++ b/standins/platform/workerStandIn.ts
@@ -7,11 +7,12 @@
 import type { HttpServer } from '../../src/adapters/http/httpServer.js';
 import { readJsonBody } from '../../src/adapters/http/readJsonBody.js';
 import { sendJson } from '../../src/adapters/http/sendJson.js';
-import { unreachable } from '../../src/errors/unreachable.js';
 import { listenOnLoopback } from './listenOnLoopback.js';
 import type { StartRecord } from './standInRun.js';
+import { runBehaviour } from './workerFault.js';
+import type { WorkerFault } from './workerFault.js';
 import { WorkerLife } from './workerLife.js';
-import type { OrderBody, RunBehaviour } from './workerLife.js';
+import type { OrderBody } from './workerLife.js';
 
 const maxConnections = 64;
 const maxBodyBytes = 65_536;
@@ -22,20 +23,6 @@
 /** Time that a stop takes, in milliseconds, unless an option says otherwise. */
 const defaultStopMs = 30;
 
-/** Fault of a worker. */
-export type WorkerFault =
-  | { readonly kind: 'none' }
-  /** Carries out orders and never answers. */
-  | { readonly kind: 'mute' }
-  /** Neither carries out nor answers orders, as if the network were cut; runs continue. */
-  | { readonly kind: 'cut' }
-  /** Runs fail at once. */
-  | { readonly kind: 'failing' }
-  /** Runs do not end by themselves. */
-  | { readonly kind: 'hanging' }
-  /** Starts are carried out after a delay and never answered. */
-  | { readonly kind: 'late-starts'; readonly delayMs: number };
-
 export interface WorkerStandInOptions {
   readonly workerId: string;
   readonly service: string;
@@ -224,19 +211,3 @@
     }
   }
 }
-
-/** @returns how runs go that begin under a fault */
-const runBehaviour = (fault: WorkerFault): RunBehaviour => {
-  switch (fault.kind) {
-    case 'none':
-    case 'mute':
-    case 'cut':
-    case 'late-starts':
-      return 'as-specified';
-    case 'failing':
-    case 'hanging':
-      return fault.kind;
-    default:
-      return unreachable(fault);
-  }
-};
