Times of a job count from when its request may have been sent

What callers saw: a task ran twice at once. A caller left at its deadline and sent its job again 1.3 s later elsewhere, while a daemon that had read the first request late went on with it.

Cause: the caller's deadline and the confirmations of a batch counted from when a message was read. A request may be read later than it was sent: a link that queues, long turns of the event loop, a backlog of connections; and so may the end of a connection, or be lost.

A task for which no lease ends in time any more expires at once. Each job waits for a full turn of the event loop before anything of it is planned, in which the end of a caller that had left is read. The model has links to a daemon that are late or lose the ends of connections, and clients that leave early; a walk, `late-callers`, goes over them.

--- a/ci/walkOrders.ts
+++ b/ci/walkOrders.ts
@@ -4,6 +4,7 @@
 import { mkdir, writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
 import { createDeadlyTaskPairs } from '../src/testing/model/walk/deadlyTaskWalk.js';
+import { createLateCallerPairs } from '../src/testing/model/walk/lateCallerWalk.js';
 import { createLateStartPairs } from '../src/testing/model/walk/lateStartWalk.js';
 import { createMissingKindPairs } from '../src/testing/model/walk/missingKindWalk.js';
 import {
@@ -24,7 +25,7 @@
 
 const walkKinds = [
   ...(['pairs', 'daemons', 'workers', 'late-grants', 'triples'] as const),
-  ...(['short-tasks', 'missing-kind', 'deadly-task', 'late-starts'] as const),
+  ...(['short-tasks', 'missing-kind', 'deadly-task', 'late-starts', 'late-callers'] as const),
 ];
 export type WalkKind = (typeof walkKinds)[number];
 
@@ -97,6 +98,8 @@
       return createDeadlyTaskPairs(moments);
     case 'late-starts':
       return createLateStartPairs();
+    case 'late-callers':
+      return createLateCallerPairs();
   }
 };
 
--- a/src/adapters/system/systemClock.ts
+++ b/src/adapters/system/systemClock.ts
@@ -3,6 +3,7 @@
  */
 import { uptime } from 'node:os';
 import { performance } from 'node:perf_hooks';
+import { setImmediate } from 'node:timers/promises';
 import type { Clock } from '../../ports/clock.js';
 
 const msPerSecond = 1_000;
@@ -45,4 +46,10 @@
       signal?.addEventListener('abort', finish);
     });
   }
+
+  /** The sockets are polled between two immediates, while timers that are due may run without a poll between them. */
+  async nextTurn(): Promise<void> {
+    await setImmediate();
+    await setImmediate();
+  }
 }
--- a/src/bestEffort/composeBatch.spec.ts
+++ b/src/bestEffort/composeBatch.spec.ts
@@ -1,5 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import { unconfirmedLeaseTimes } from '../dispatch/leaseTimes.js';
 import { batchFixture, routeFixture } from '../testing/dispatchFixtures.js';
 import { FakeClock } from '../testing/fakeClock.js';
 import { composeBatch } from './composeBatch.js';
@@ -13,6 +14,7 @@
   JobContext.create({
     clock: FakeClock.create(),
     lengths: RunTimePredictor.create(),
+    leaseTimes: unconfirmedLeaseTimes(1_000),
     route: routeFixture,
     request: {
       jobId,
@@ -21,6 +23,7 @@
       unsupported: [],
     },
     deadlineMs: 1_500,
+    waitedMs: 0,
   });
 
 const contentOf = (job: JobContext): BatchContent => ({
--- a/src/bestEffort/composeBatch.ts
+++ b/src/bestEffort/composeBatch.ts
@@ -50,6 +50,7 @@
     objectiveInMs: Math.round(objectiveAtMs - nowMs),
     giveUpInMs: Math.round(giveUpAtMs - nowMs),
     expiresInMs: Math.round((isOffered ? giveUpAtMs : job.latestAdmissibleEndAtMs) - nowMs),
+    runsEndInMs: Math.round(job.runsEndAtMs - nowMs),
     maxWaitMs: mayReturn ? Math.round(plan.longestWaitMs) + waitToleranceMs : unlimitedWaitMs,
     priority: route.priority,
     maxFailedRuns: route.maxFailedRuns,
--- a/src/bestEffort/jobContext.ts
+++ b/src/bestEffort/jobContext.ts
@@ -2,7 +2,9 @@
  * State shared by the steps of one running job: its time limits, the predicted run times of its
  * tasks, and the batches that have no final answer yet.
  */
+import type { LeaseTimes } from '../dispatch/leaseTimes.js';
 import type { TaskDemand } from '../dispatch/workerChoice.js';
+import { deadlineTimesFor } from '../fleet/requesterTimes.js';
 import type { Clock } from '../ports/clock.js';
 import type { JobRequest, JobStep } from '../ports/jobs.js';
 import type { Route } from '../types/routing.js';
@@ -27,8 +29,12 @@
   readonly lengths: RunTimePredictor;
   readonly route: Route;
   readonly request: JobRequest;
-  /** How long the caller waits for the job, from its arrival, in milliseconds. */
+  /** Of the leases under which tasks run. */
+  readonly leaseTimes: LeaseTimes;
+  /** How long the caller waits for the job, from when it sent the request, in milliseconds. */
   readonly deadlineMs: number;
+  /** Time for which the request may have waited for this process before it was read, in milliseconds. */
+  readonly waitedMs: number;
 }
 
 export class JobContext {
@@ -40,6 +46,8 @@
   readonly objectiveMs: number;
   /** Monotonic time at which the job is given up, in milliseconds. */
   readonly giveUpAtMs: number;
+  /** Monotonic time by which no run of the job goes on, in milliseconds. */
+  readonly runsEndAtMs: number;
   /** Whether a worker was, or may have been, asked to start a task of the job. */
   wasOffered = false;
   /** Set once the job has its result; no further batch is sent then. */
@@ -47,7 +55,7 @@
   private readonly arrivedAtMs: number;
 
   private constructor(private readonly options: JobContextOptions) {
-    const { clock, lengths, route, request, deadlineMs } = options;
+    const { clock, lengths, leaseTimes, route, request, deadlineMs, waitedMs } = options;
     this.arrivedAtMs = clock.nowMs();
     this.steps = request.steps.map((step) => ({
       ...step,
@@ -55,7 +63,10 @@
     }));
     this.objectiveMs = computeObjectiveMs(route, this.steps);
     const maxDurationMs = giveUpAfterMs(this.objectiveMs);
-    this.giveUpAtMs = this.arrivedAtMs + Math.min(deadlineMs, maxDurationMs);
+    const { giveUpMs, runsEndMs } = deadlineTimesFor(deadlineMs, leaseTimes);
+    const latestSentAtMs = this.arrivedAtMs - waitedMs;
+    this.giveUpAtMs = Math.min(latestSentAtMs + giveUpMs, this.arrivedAtMs + maxDurationMs);
+    this.runsEndAtMs = latestSentAtMs + runsEndMs;
   }
 
   static create(options: JobContextOptions): JobContext {
--- a/src/bestEffort/jobErrors.spec.ts
+++ b/src/bestEffort/jobErrors.spec.ts
@@ -1,5 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import { unconfirmedLeaseTimes } from '../dispatch/leaseTimes.js';
 import { noMetrics } from '../adapters/system/noMetrics.js';
 import type { JobRequest } from '../ports/jobs.js';
 import { workerFixture } from '../testing/dispatchFixtures.js';
@@ -58,6 +59,8 @@
     planner: planner as StepPlanner,
     sender,
     lengths: RunTimePredictor.create(),
+    leaseTimes: unconfirmedLeaseTimes(1_000),
+    contact: { heldUpMs: 0 },
     standstills: { check: () => undefined, settlingMs: 0 },
   });
   return { clock, jobs, withdrawn };
--- a/src/bestEffort/jobRun.ts
+++ b/src/bestEffort/jobRun.ts
@@ -3,6 +3,8 @@
  * otherwise, the job runs out of time, or its caller leaves.
  */
 import { unreachable } from '../errors/unreachable.js';
+import type { LeaseTimes } from '../dispatch/leaseTimes.js';
+import type { CallerContact } from '../fleet/callerContact.js';
 import type { Clock } from '../ports/clock.js';
 import type { JobEnd, JobRequest, JobStep } from '../ports/jobs.js';
 import type { Logger } from '../ports/logger.js';
@@ -31,12 +33,17 @@
   readonly metrics: Metrics;
   /** Shared by all jobs of this daemon. */
   readonly lengths: RunTimePredictor;
+  readonly leaseTimes: LeaseTimes;
+  /** How late this process learns what callers send. */
+  readonly contact: Pick<CallerContact, 'heldUpMs'>;
 }
 
 export class JobRun {
   /** Resolved by `giveUp`. */
   private readonly givenUp = createDeferred<JobEnd>();
   private readonly job: JobContext;
+  /** Time for which the request may have waited for this process, in milliseconds. */
+  readonly waitedMs: number;
 
   private constructor(
     private readonly options: JobRunOptions,
@@ -44,8 +51,12 @@
     request: JobRequest,
     deadlineMs: number,
   ) {
-    const { clock, lengths } = options;
-    this.job = JobContext.create({ clock, lengths, route, request, deadlineMs });
+    const { clock, lengths, leaseTimes, contact } = options;
+    this.waitedMs = contact.heldUpMs;
+    const { waitedMs } = this;
+    this.job = JobContext.create({
+      ...{ clock, lengths, leaseTimes, route, request, deadlineMs, waitedMs },
+    });
   }
 
   static create(
@@ -144,15 +155,17 @@
     return this.toJobEnd(await firstUnsuccessful(ends));
   }
 
-  /** Holds the job after a standstill of this process, since its caller may have left meanwhile. */
+  /**
+   * Holds the job until the end of its caller's connection would have been read, since the request may have waited, and
+   * the caller may have left before it was read.
+   */
   private async settle(): Promise<void> {
     const { clock, standstills } = this.options;
     const { settlingMs } = standstills;
     if (settlingMs > 0) {
       await clock.sleep(settlingMs);
-      // Sockets are read between two timers: on a busy loop, the first one may come before that.
-      await clock.sleep(0);
     }
+    await clock.nextTurn();
   }
 
   /** Runs a step once those before it are done; if one of them was not, returns its end. */
--- a/src/bestEffort/runningJobs.ts
+++ b/src/bestEffort/runningJobs.ts
@@ -125,6 +125,7 @@
       count: request.steps.reduce((sum, { taskCount }) => sum + taskCount, 0),
       expectedMs: run.objectiveMs,
       leftMs: Math.round(deadlineMs),
+      ...(run.waitedMs > 0 ? { ageMs: Math.round(run.waitedMs) } : {}),
     });
     const stop = new AbortController();
     const end = this.runToEnd(run, stop.signal);
--- a/src/bestEffort/stepRun.spec.ts
+++ b/src/bestEffort/stepRun.spec.ts
@@ -1,5 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import { unconfirmedLeaseTimes } from '../dispatch/leaseTimes.js';
 import { noMetrics } from '../adapters/system/noMetrics.js';
 import type { JobEnd, JobRequest } from '../ports/jobs.js';
 import { routeFixture } from '../testing/dispatchFixtures.js';
@@ -71,6 +72,8 @@
     ...{ clock, logger: silentLogger, metrics: noMetrics, sender },
     planner: planner as StepPlanner,
     lengths: RunTimePredictor.create(),
+    leaseTimes: unconfirmedLeaseTimes(1_000),
+    contact: { heldUpMs: 0 },
     standstills: { check: () => undefined, settlingMs: 0 },
   });
   const ended: { end?: JobEnd; atMs?: number } = {};
--- a/src/dispatch/batchTimeLimits.ts
+++ b/src/dispatch/batchTimeLimits.ts
@@ -8,10 +8,16 @@
  *
  * @param batch - the batch
  * @param passedMs - time that has passed since the limits were computed, in milliseconds
+ * @param longestPassedMs - time that has passed at most, where it is not known exactly
  */
-export const shortenTimeLimits = (batch: Batch, passedMs: number): Batch => ({
+export const shortenTimeLimits = (
+  batch: Batch,
+  passedMs: number,
+  longestPassedMs = passedMs,
+): Batch => ({
   ...batch,
   objectiveInMs: batch.objectiveInMs - passedMs,
   giveUpInMs: batch.giveUpInMs - passedMs,
   expiresInMs: batch.expiresInMs - passedMs,
+  ...(batch.runsEndInMs === undefined ? {} : { runsEndInMs: batch.runsEndInMs - longestPassedMs }),
 });
--- a/src/dispatch/openBatch.ts
+++ b/src/dispatch/openBatch.ts
@@ -41,6 +41,8 @@
   readonly giveUpAtMs: number;
   /** Deadline that replaces `giveUpAtMs` until a worker is asked to start one of the tasks. */
   readonly expiresAtMs: number;
+  /** Time after which no run may go on, whoever confirms the batch, in monotonic time. */
+  private runsEndAtMs: number;
   /** Workers that were asked to start one of the tasks. */
   readonly usedWorkerIds = new Set<string>();
   private readonly taskEnds: TaskEnd[] = [];
@@ -55,6 +57,7 @@
     this.objectiveAtMs = arrivedAtMs + content.objectiveInMs;
     this.giveUpAtMs = arrivedAtMs + content.giveUpInMs;
     this.expiresAtMs = arrivedAtMs + content.expiresInMs;
+    this.runsEndAtMs = arrivedAtMs + (content.runsEndInMs ?? Infinity);
     this.tasks = content.tasks.map(({ index, nextRun, failedRuns, ...losses }) => ({
       batch: this,
       index,
@@ -83,13 +86,20 @@
 
   /** Time by which every run of the batch has to have ended as things stand, in monotonic time. */
   get runsUntilMs(): number {
-    return this.confirmation.confirmedAtMs + this.confirmation.confirmationMs;
+    const { confirmedAtMs, confirmationMs } = this.confirmation;
+    return Math.min(confirmedAtMs + confirmationMs, this.runsEndAtMs);
+  }
+
+  /** Whether a lease may still be issued that ends at a time, if the batch is confirmed again, in monotonic time. */
+  mayRunUntil(atMs: number): boolean {
+    return atMs <= this.runsEndAtMs;
   }
 
   /** Records that the VM was suspended, in milliseconds: its clock omits the time, and those of the workers do not. */
   recordSuspension(durationMs: number): void {
     const confirmedAtMs = this.confirmation.confirmedAtMs - durationMs;
     this.confirmation = { ...this.confirmation, confirmedAtMs };
+    this.runsEndAtMs -= durationMs;
   }
 
   /**
--- a/src/dispatch/taskStarter.ts
+++ b/src/dispatch/taskStarter.ts
@@ -152,6 +152,11 @@
     const nowMs = clock.nowMs();
     const demand = demandOf(task);
     const lastEndAtMs = task.batch.wasOffered ? demand.giveUpAtMs : task.batch.expiresAtMs;
+    const leaseEndAtMs = nowMs + longestLeaseDurationMs(this.options.leaseTimes);
+    if (!task.batch.mayRunUntil(leaseEndAtMs)) {
+      this.expire(task);
+      return 'settled';
+    }
     if (nowMs <= lastEndAtMs && !this.isConfirmed(task, nowMs)) {
       return 'held';
     }
@@ -162,8 +167,7 @@
       return 'settled';
     }
     if (nowMs + fastestRunMs > lastEndAtMs) {
-      this.waiting.remove(task);
-      task.batch.end(task, { kind: 'expired', index: task.index });
+      this.expire(task);
       return 'settled';
     }
     if (workers.hasRunOf(task) || this.options.awaitsProof(task)) {
@@ -181,6 +185,12 @@
     return 'settled';
   }
 
+  /** Ends a task that can no longer end in time. */
+  private expire(task: BatchedTask): void {
+    this.waiting.remove(task);
+    task.batch.end(task, { kind: 'expired', index: task.index });
+  }
+
   /** Whether the requester of a task has confirmed it so lately that a full lease may be issued at a time. */
   private isConfirmed({ batch }: BatchedTask, atMs: number): boolean {
     return atMs + longestLeaseDurationMs(this.options.leaseTimes) <= batch.runsUntilMs;
--- a/src/fleet/batchIntake.ts
+++ b/src/fleet/batchIntake.ts
@@ -68,7 +68,11 @@
     const lease = leases.leaseOf(askedBy);
     switch (lease) {
       case 'held':
-        return dispatcher.run(askedBy, shortenTimeLimits(batch, ageMs), confirmedAgoMs);
+        return dispatcher.run(
+          askedBy,
+          shortenTimeLimits(batch, ageMs, highestAgeMs),
+          confirmedAgoMs,
+        );
       case 'silent':
         return this.returnBatch(batch, askedBy, 'its requester has been silent', ageMs);
       case 'replaced':
--- a/src/fleet/fleetDaemon.spec.ts
+++ b/src/fleet/fleetDaemon.spec.ts
@@ -68,6 +68,7 @@
     wallMs: () => clock.wallMs() + suspendedMs,
     bootMs: () => clock.bootMs() + suspendedMs,
     sleep: (durationMs, signal) => clock.sleep(durationMs, signal),
+    nextTurn: () => clock.nextTurn(),
   };
   const startedAtMs = workerFixture.startedAtMs ?? 0;
   const workers = SimulatedWorkers.create({
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -71,6 +71,7 @@
     const contact = CallerContact.create(clock);
     const supervisor = TaskSupervisor.create({ clock, logger, metrics });
     const common = { clock, logger, metrics, store, supervisor };
+    const leaseTimes = leaseTimesFor(longestLeaseMs, callerResendMs);
     this.logger = logger.forPart('jobs');
     const standstills = StandstillDetector.create({
       ...common,
@@ -88,7 +89,7 @@
       logger,
       metrics,
       workers,
-      leaseTimes: leaseTimesFor(longestLeaseMs, callerResendMs),
+      leaseTimes,
       farRackFactor,
       speeds: this.speeds,
       beforeOrders: () => standstills.check(),
@@ -128,6 +129,8 @@
       planner,
       sender: this.router,
       lengths: this.lengths,
+      leaseTimes,
+      contact,
       standstills,
     });
     const { lengths, speeds, routing, directory, jobs } = this;
--- a/src/fleet/fleetHeartbeatExchange.ts
+++ b/src/fleet/fleetHeartbeatExchange.ts
@@ -107,6 +107,7 @@
     if (roundTripMs !== undefined) {
       ages.recordRoundTrip(incarnation, roundTripMs);
     }
+    this.options.contact.recordMessageAge(ageMs);
     leases.recordMessage(incarnation, sentAtMs);
     this.newContacts.record(incarnation);
     const isSameDomain = this.isInOwnDomain(member);
--- a/src/fleet/requesterMonitor.ts
+++ b/src/fleet/requesterMonitor.ts
@@ -6,7 +6,7 @@
 import { unreachable } from '../errors/unreachable.js';
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
-import { sleepUntilNextCheck } from '../utils/periodicSleep.js';
+import { sleepUntilNextPeriod } from '../utils/periodicSleep.js';
 import type { CallerContact } from './callerContact.js';
 import type { RequesterLeases } from './requesterLeases.js';
 import { requesterCheckPeriodMs } from './requesterTimes.js';
@@ -49,9 +49,9 @@
   private async checkPeriodically(): Promise<void> {
     const { clock, contact, dispatcher, ownId } = this.options;
     while (!this.stop.signal.aborted) {
-      await sleepUntilNextCheck(clock, requesterCheckPeriodMs, this.stop.signal);
-      contact.recordRead();
-      dispatcher.confirm(ownId, () => true, 0);
+      await sleepUntilNextPeriod(clock, requesterCheckPeriodMs, this.stop.signal);
+      await contact.read();
+      dispatcher.confirm(ownId, () => true, contact.heldUpMs);
       for (const requester of dispatcher.requesters()) {
         if (requester !== ownId) {
           this.check(requester);
--- a/src/fleet/requesterTimes.ts
+++ b/src/fleet/requesterTimes.ts
@@ -2,7 +2,7 @@
  * Times within which the runs of a requester that is gone end: its dispatchers stop them before its caller
  * can have sent the job again to another daemon. All are in milliseconds.
  */
-import { maxDrift, sendSlackMs } from '../dispatch/leaseTimes.js';
+import { longestLeaseDurationMs, maxDrift, sendSlackMs } from '../dispatch/leaseTimes.js';
 import type { LeaseTimes } from '../dispatch/leaseTimes.js';
 import { maxStopMs } from '../dispatch/runEvidence.js';
 import { longestPauseMs } from '../utils/periodicSleep.js';
@@ -19,8 +19,8 @@
  */
 export const maxSharingSilenceMs = maxSilentPeriods * heartbeatTickMs;
 
-/** Period in which the leases of requesters are checked. */
-export const requesterCheckPeriodMs = 100;
+/** Period in which the leases of requesters are checked, and in which a daemon makes sure of having read its sockets. */
+export const requesterCheckPeriodMs = 50;
 
 /** Longest time that a stop order takes to a reachable worker. */
 const stopDeliveryMs = 100;
@@ -29,7 +29,15 @@
 export const minCallerResendMs = 1_300;
 
 /** Allowance for the delivery of a message, in milliseconds, by which the age of messages may be estimated too low. */
-const deliverySlackMs = 60;
+export const deliverySlackMs = 20;
+/** Longest time for which what a caller has sent may wait unread in a process that does not count as held up. */
+const unreadSlackMs = longestPauseMs(requesterCheckPeriodMs);
+
+/** Time from the end of a job until its runs have ended, where a stop reaches their workers without delay. */
+const promptStopMs = deliverySlackMs + maxStopMs;
+
+/** Least time from the reading of a request for which its tasks may start, however short its deadline is. */
+const minStartWindowMs = 400;
 
 /** Time from the last message of a requester until none of its runs goes on, where its workers obey. */
 export const requesterRunsEndMs =
@@ -55,8 +63,33 @@
   longestLeaseMs: number,
   callerResendMs = minCallerResendMs,
 ): LeaseTimes => {
-  const confirmationMs = callerResendMs - deliverySlackMs;
+  const confirmationMs = callerResendMs - deliverySlackMs - unreadSlackMs;
   const leftMs = confirmationMs - longestPauseMs(heartbeatTickMs) - sendSlackMs;
   const leaseMs = Math.min(longestLeaseMs, Math.floor(leftMs / (1 + maxDrift)));
   return { leaseMs, longestLeaseMs, confirmationMs };
 };
+
+/** Times of a job that follow from its caller's deadline, from when its request was read. */
+export interface DeadlineTimes {
+  /** Time after which the job is given up: its answer still reaches the caller, and its runs are stopped. */
+  readonly giveUpMs: number;
+  /** Time by which no run of the job goes on, whether a stop reaches its worker or not. */
+  readonly runsEndMs: number;
+}
+
+/**
+ * Computes the times of a job from its caller's deadline. The caller counts the deadline from when it sent the request,
+ * and sends the job again some time after it. Runs that end by the deadline as it is counted here have therefore ended by
+ * then, though the request may have been read late by as much as that time.
+ *
+ * @param deadlineMs - time for which the caller waits
+ * @param leaseTimes - a task starts only while a full lease ends in time
+ */
+export const deadlineTimesFor = (deadlineMs: number, leaseTimes: LeaseTimes): DeadlineTimes => {
+  const runsEndMs = Math.min(
+    Math.max(deadlineMs, longestLeaseDurationMs(leaseTimes) + minStartWindowMs),
+    deadlineMs + leaseTimes.confirmationMs,
+  );
+  const giveUpMs = Math.max(Math.min(deadlineMs, runsEndMs - promptStopMs), 0);
+  return { giveUpMs, runsEndMs };
+};
--- a/src/fleet/standstillDetector.spec.ts
+++ b/src/fleet/standstillDetector.spec.ts
@@ -23,6 +23,7 @@
     wallMs: () => fakeClock.nowMs() + wallShiftMs,
     bootMs: () => fakeClock.nowMs() + bootShiftMs,
     sleep: (durationMs, signal) => fakeClock.sleep(durationMs, signal),
+    nextTurn: () => fakeClock.nextTurn(),
   };
   const standstills: Standstill[] = [];
   const detector = StandstillDetector.create({
--- a/src/ports/clock.ts
+++ b/src/ports/clock.ts
@@ -13,4 +13,9 @@
    * @param signal - ends the wait early; the promise resolves then, too
    */
   sleep(durationMs: number, signal?: AbortSignal): Promise<void>;
+  /**
+   * Waits for a full turn of the event loop. When it is over, whatever had arrived at this process when it began was
+   * read.
+   */
+  nextTurn(): Promise<void>;
 }
--- a/src/testing/fakeClock.ts
+++ b/src/testing/fakeClock.ts
@@ -63,6 +63,10 @@
     });
   }
 
+  nextTurn(): Promise<void> {
+    return this.sleep(0);
+  }
+
   /** Runs the callbacks that are ready, without advancing the time. */
   async flushCallbacks(): Promise<void> {
     for (let i = 0; i < this.flushRounds; i += 1) {
--- a/src/testing/model/applyEvent.ts
+++ b/src/testing/model/applyEvent.ts
@@ -2,7 +2,7 @@
  * Carries out the events of the model.
  */
 import { unreachable } from '../../errors/unreachable.js';
-import type { ModelEvent } from './modelEvents.js';
+import type { InboundFault, ModelEvent } from './modelEvents.js';
 import type { ModelFleet } from './modelFleet.js';
 import type { LinkFault } from './modelNetwork.js';
 import { storeName } from './modelStore.js';
@@ -46,6 +46,8 @@
       fleet.at(event.atMs + event.forMs, () => daemon?.thaw());
       return;
     }
+    case 'inbound':
+      return delayInbound(fleet, event);
     case 'cut':
       return cutWorker(fleet, event);
     case 'cut-daemons': {
@@ -88,6 +90,19 @@
   }
 };
 
+const delayInbound = (
+  fleet: ModelFleet,
+  { atMs, daemon, fault, forMs }: Extract<ModelEvent, { kind: 'inbound' }>,
+): void => {
+  const address = addressOf(fleet, daemon);
+  const setFault = (active: InboundFault | undefined): void => {
+    fleet.daemon(daemon)?.clientLink.setFault(active);
+    fleet.network.setDelayTo(address, active?.kind === 'late-all' ? active.byMs : 0);
+  };
+  setFault(fault);
+  fleet.at(atMs + forMs, () => setFault(undefined));
+};
+
 const addressOf = (fleet: ModelFleet, index: number): string => fleet.daemon(index)?.address ?? '';
 
 const cutLink = (
--- a/src/testing/model/calmTime.ts
+++ b/src/testing/model/calmTime.ts
@@ -28,6 +28,7 @@
     case 'cut-store':
     case 'worker-fault':
     case 'expire-entry':
+    case 'inbound':
       return atMs + event.forMs;
     case 'drain':
       return atMs + event.drainMs;
--- a/src/testing/model/daemonAndWorkerArbitrary.ts
+++ b/src/testing/model/daemonAndWorkerArbitrary.ts
@@ -158,6 +158,7 @@
     case 'freeze':
     case 'suspend':
     case 'cut-store':
+    case 'inbound':
       return { ...moved, daemon: moved.daemon + firstDaemon };
     case 'cut':
       return { ...moved, daemon: moved.daemon === null ? null : moved.daemon + firstDaemon };
--- a/src/testing/model/eventArbitraries.ts
+++ b/src/testing/model/eventArbitraries.ts
@@ -177,6 +177,7 @@
     case 'worker-fault':
     case 'invalid-entry':
     case 'expire-entry':
+    case 'inbound':
     case 'submit':
       return { kind: 'submit', atMs: Math.max(one.atMs - share * noticeMs, 0), job };
     default:
--- a/src/testing/model/modelClients.ts
+++ b/src/testing/model/modelClients.ts
@@ -159,7 +159,7 @@
     job: ModelJob,
   ): Promise<AttemptAnswer> {
     const { time } = this.options;
-    const { current } = daemon;
+    const { current, clientLink } = daemon;
     await time.sleep(latencyMs);
     if (current?.acceptsClients !== true || !current.process.isAlive) {
       return { kind: 'none' };
@@ -167,33 +167,34 @@
     const { process } = current;
     const connection = new AbortController();
     const answered = new Promise<AttemptAnswer>((resolve) => {
-      process.receive(
-        () => void this.serve(current, attempt, job, connection.signal).then(resolve),
-      );
+      const read = (): void =>
+        void this.serve(current, attempt, job, connection.signal).then(resolve);
+      clientLink.deliver('request', () => process.receive(read));
     });
     const over = new AbortController();
     const none = (): AttemptAnswer => ({ kind: 'none' });
     const answer = await Promise.race([
       answered,
       process.end.then(none),
-      time.sleep(job.deadlineMs, over.signal).then(none),
+      time.sleep(job.leavesAfterMs ?? job.deadlineMs, over.signal).then(none),
     ]);
     abortQuietly(over);
     if (answer.kind === 'none') {
-      void this.closeConnection(current, connection);
+      void this.closeConnection(daemon, current, connection);
     }
     return answer;
   }
 
   /** The process notices the close a moment after it has read the request, also if it was frozen. */
   private async closeConnection(
+    { clientLink }: ModelDaemon,
     { process }: RunningDaemon,
     connection: AbortController,
   ): Promise<void> {
     await this.options.time.sleep(latencyMs);
-    process.receive(() => {
+    const read = (): void =>
       void process.clock.sleep(closeNoticeMs).then(() => abortQuietly(connection));
-    });
+    clientLink.deliver('end', () => process.receive(read));
   }
 
   private async serve(
--- a/src/testing/model/modelDaemon.ts
+++ b/src/testing/model/modelDaemon.ts
@@ -9,6 +9,7 @@
 import type { Clock } from '../../ports/clock.js';
 import type { FakeClock } from '../fakeClock.js';
 import { SeededRandom } from '../seededRandom.js';
+import { ModelClientLink } from './modelClientLink.js';
 import { ModelConnector } from './modelConnector.js';
 import type { ModelServer } from './modelConnector.js';
 import type { ModelNetwork } from './modelNetwork.js';
@@ -47,10 +48,13 @@
 }
 
 export class ModelDaemon {
+  /** The way from the clients. */
+  readonly clientLink: ModelClientLink;
   private running: RunningDaemon | undefined;
   private starts = 0;
 
   private constructor(private readonly options: ModelDaemonOptions) {
+    this.clientLink = ModelClientLink.create(options.time);
     this.start();
   }
 
--- a/src/testing/model/modelEvents.ts
+++ b/src/testing/model/modelEvents.ts
@@ -44,6 +44,8 @@
   /** Whether every run of the first task crashes its worker at the end. */
   isDeadly: z.boolean().optional(),
   deadlineMs: z.number().positive(),
+  /** Time after which the client leaves before its deadline. */
+  leavesAfterMs: z.number().positive().optional(),
   /** Attempts after which the client gives the job up. */
   maxAttempts: z.number().int().positive().optional(),
 });
@@ -60,6 +62,21 @@
   z.object({ kind: z.literal('freeze'), atMs, daemon: index, forMs }),
   /** The VM of a daemon is suspended: like a freeze, but the monotonic clock of the process stops, too. */
   z.object({ kind: z.literal('suspend'), atMs, daemon: index, forMs }),
+  /**
+   * What is sent to a daemon comes late, from its clients only or from all, or the ends of its clients' connections are
+   * lost on the way.
+   */
+  z.object({
+    kind: z.literal('inbound'),
+    atMs,
+    daemon: index,
+    fault: z.discriminatedUnion('kind', [
+      z.object({ kind: z.literal('late-clients'), byMs: forMs }),
+      z.object({ kind: z.literal('late-all'), byMs: forMs }),
+      z.object({ kind: z.literal('lost-ends') }),
+    ]),
+    forMs,
+  }),
   /** A worker loses the connection to one daemon, or to all. */
   z.object({
     kind: z.literal('cut'),
@@ -111,6 +128,9 @@
 ]);
 export type ModelEvent = z.infer<typeof modelEventSchema>;
 
+/** What is wrong with the link to a daemon. */
+export type InboundFault = Extract<ModelEvent, { kind: 'inbound' }>['fault'];
+
 /** A list of events and the seed of the random numbers in the daemons. */
 export const scenarioSchema = z.object({
   seed: z.number().int().nonnegative(),
--- a/src/testing/model/modelNetwork.ts
+++ b/src/testing/model/modelNetwork.ts
@@ -50,6 +50,8 @@
 export class ModelNetwork {
   /** By the names of the sender and of the receiver. */
   private readonly faults = new Map<string, ActiveFault>();
+  /** Additional delays of what is sent to a party, in milliseconds. */
+  private readonly delaysMs = new Map<string, number>();
 
   private constructor(private readonly time: FakeClock) {}
 
@@ -67,6 +69,11 @@
     }
   }
 
+  /** Delays what is sent to a party by a time beyond the latency, in milliseconds. */
+  setDelayTo(receiver: string, delayMs: number): void {
+    this.delaysMs.set(receiver, delayMs);
+  }
+
   private setFaultOf(key: string, fault: LinkFault | undefined): void {
     this.faults.get(key)?.over.resolve(undefined);
     this.faults.delete(key);
@@ -98,12 +105,11 @@
   /** @returns how the call ended, or nothing if no answer ever comes */
   private async exchange<T>(call: ModelCall<T>): Promise<CallResult<T> | undefined> {
     const { caller, callee, isListening, carryOut } = call;
-    const request = senderKey(caller.name, callee);
-    if (this.faults.get(request)?.fault === 'refusing') {
+    if (this.faults.get(senderKey(caller.name, callee))?.fault === 'refusing') {
       await this.time.sleep(latencyMs);
       return { kind: 'not-sent' };
     }
-    if (!(await this.pass(request))) {
+    if (!(await this.pass(caller.name, callee))) {
       return undefined;
     }
     if (!isListening()) {
@@ -113,16 +119,16 @@
       (value): CallResult<T> => ({ kind: 'answered', value }),
       (): CallResult<T> => ({ kind: 'disconnected' }),
     );
-    return (await this.pass(senderKey(callee, caller.name))) ? result : undefined;
+    return (await this.pass(callee, caller.name)) ? result : undefined;
   }
 
   /** @returns whether a message that is sent now arrives, when it does or is lost */
-  private async pass(key: string): Promise<boolean> {
-    const active = this.faults.get(key);
+  private async pass(sender: string, receiver: string): Promise<boolean> {
+    const active = this.faults.get(senderKey(sender, receiver));
     if (active?.fault === 'held-up') {
       await active.over.promise;
     }
-    await this.time.sleep(latencyMs);
+    await this.time.sleep(latencyMs + (this.delaysMs.get(receiver) ?? 0));
     return active?.fault !== 'silent';
   }
 }
--- a/src/testing/model/modelProcess.ts
+++ b/src/testing/model/modelProcess.ts
@@ -42,6 +42,7 @@
           const wakeAtMs = this.monotonicMs + Math.max(durationMs, minTimerMs);
           this.wakeAt(wakeAtMs, signal, resolve);
         }),
+      nextTurn: () => new Promise((resolve) => this.handleAfterMessages(resolve)),
     };
   }
 
@@ -123,6 +124,15 @@
       .then(() => this.handle(this.timers, check));
   }
 
+  /** Runs a callback after the messages that wait. */
+  private handleAfterMessages(run: () => void): void {
+    if (this.messages.length > 0) {
+      this.messages.push(run);
+      return;
+    }
+    this.handle(this.messages, run);
+  }
+
   private handle(waiting: (() => void)[], run: () => void): void {
     switch (this.state) {
       case 'running':
--- /dev/null
+++ b/src/testing/model/walk/lateCallerWalk.ts
@@ -0,0 +1,88 @@
+/**
+ * A walk over callers whose requests and closes come late to a daemon, each with a trouble of the worker that runs their
+ * task and a length of the task. The callers leave at their deadline, or before, and come back to another daemon.
+ */
+import type { InboundFault, ModelEvent, ModelJob, Scenario } from '../modelEvents.js';
+import { createScenario, submit } from '../scenarios.js';
+import { createMomentScenario } from './momentScenario.js';
+import type { Combination } from './pairWalk.js';
+
+const submitAtMs = 2_000;
+const deadlineMs = 1_500;
+/** Time for which a worker is out of reach, and a link is late, in milliseconds. */
+const cutMs = 3_500;
+const inboundMs = 6_000;
+const delaysMs = [30, 400, 700, 900, 1_100, 1_300];
+const runTimesMs = [1_400, 2_600, 4_000];
+const maxEstimateMs = 500;
+/** Times from the caller's leaving to the trouble of the worker, in milliseconds. */
+const cutOffsetsMs = [-600, -300, -80, 100, 300, 500, 700, 800, 900, 1_000, 1_100, 1_200];
+
+const faults: readonly (readonly [name: string, fault: InboundFault])[] = [
+  ...delaysMs.map((byMs) => [`callers ${byMs} ms late`, { kind: 'late-clients', byMs }] as const),
+  ...delaysMs.map((byMs) => [`all ${byMs} ms late`, { kind: 'late-all', byMs }] as const),
+  ['ends of callers lost', { kind: 'lost-ends' }],
+];
+
+type Cut = Extract<ModelEvent, { kind: 'cut' }>;
+const cuts: readonly (Cut['fault'] | undefined)[] = [undefined, 'silent', 'held-up', 'refusing'];
+
+/** How a caller leaves that has had no answer. */
+const departures: readonly (readonly [name: string, job: Partial<ModelJob>])[] = [
+  ['at its deadline', {}],
+  ['after 600 ms', { leavesAfterMs: 600 }],
+];
+
+/** Daemons and workers in one failure domain, or in two with the caller's daemon alone in its own. */
+const topologies: readonly string[][] = [
+  ['east', 'east', 'east'],
+  ['east', 'west', 'west'],
+];
+
+const createScenarios = (
+  fault: InboundFault,
+  cut: Cut['fault'] | undefined,
+  job: Partial<ModelJob>,
+): Scenario[] =>
+  topologies.flatMap((daemons, topology) =>
+    runTimesMs.flatMap((runMs, length) =>
+      (cut === undefined ? cutOffsetsMs.slice(0, 1) : cutOffsetsMs).map((offsetMs, moment) => {
+        const calm = createScenario(
+          daemons,
+          daemons.map((domain) => [domain, 1]),
+          [
+            submit(submitAtMs, {
+              ...{ tasks: 1, runMs, estimatedMs: Math.min(runMs, maxEstimateMs), deadlineMs },
+              ...job,
+            }),
+          ],
+        );
+        const leavesAtMs = submitAtMs + (job.leavesAfterMs ?? deadlineMs);
+        return createMomentScenario(calm, topology + length + moment, [
+          { kind: 'inbound', atMs: submitAtMs - 1_000, daemon: 0, fault, forMs: inboundMs },
+          ...createCut(cut, leavesAtMs + offsetMs),
+        ]);
+      }),
+    ),
+  );
+
+const createCut = (fault: Cut['fault'] | undefined, atMs: number): ModelEvent[] =>
+  fault === undefined
+    ? []
+    : [
+        {
+          ...{ kind: 'cut', atMs, fault, daemon: null, forMs: cutMs },
+          worker: { kind: 'running', job: 0 },
+        },
+      ];
+
+/** Each way in which callers are late, with each way of not reaching the worker and each departure of the caller. */
+export const createLateCallerPairs = (): Combination[] =>
+  faults.flatMap(([faultName, fault]) =>
+    departures.flatMap(([departure, job]) =>
+      cuts.map((cut) => ({
+        troubles: [`${faultName}, caller leaves ${departure}`, cut ?? 'none'],
+        scenarios: createScenarios(fault, cut, job),
+      })),
+    ),
+  );
--- a/src/types/dispatch.ts
+++ b/src/types/dispatch.ts
@@ -51,6 +51,11 @@
    * of them. After that, `giveUpInMs` applies.
    */
   expiresInMs: z.number(),
+  /**
+   * Time by which no run of the tasks goes on, in milliseconds: after that, the caller may have sent the job again.
+   * Earlier versions omit it.
+   */
+  runsEndInMs: z.number().optional(),
   /** A task whose wait for free capacity is expected to be longer is returned at once. */
   maxWaitMs: z.number().nonnegative(),
   /** Priority of the route. The dispatcher does not read it: it runs tasks regardless of priority. */
--- a/src/utils/periodicSleep.ts
+++ b/src/utils/periodicSleep.ts
@@ -39,7 +39,7 @@
   const sleptAtMs = clock.nowMs();
   await sleepUntilNextPeriod(clock, periodMs, signal);
   if (clock.nowMs() - sleptAtMs > longestPauseMs(periodMs)) {
-    await clock.sleep(0, signal);
+    await clock.nextTurn();
   }
 };
 
