Daemons of the model that are slow in every turn

The model had freezes and suspensions, but nothing that is slow all the while in many short pieces, as on a busy machine of a quarter core. A process can now be an event loop of long turns: due timers first, then the messages that had arrived when the poll began, each in a step of its own, and what it sends leaves at the end of the step. It accepts one connection in each turn, and reads the request in the next one, so that the end of a connection comes after its request. The event `slow` does so with one daemon or with all, also with a process that is started meanwhile. A client may leave before the deadline that it states (`leavesAfterMs`).

--- a/src/testing/model/applyEvent.ts
+++ b/src/testing/model/applyEvent.ts
@@ -46,6 +46,8 @@
       fleet.at(event.atMs + event.forMs, () => daemon?.thaw());
       return;
     }
+    case 'slow':
+      return slowDaemons(fleet, event);
     case 'cut':
       return cutWorker(fleet, event);
     case 'cut-daemons': {
@@ -90,6 +92,19 @@
 
 const addressOf = (fleet: ModelFleet, index: number): string => fleet.daemon(index)?.address ?? '';
 
+const slowDaemons = (
+  fleet: ModelFleet,
+  { atMs, daemon, turnMs, forMs }: Extract<ModelEvent, { kind: 'slow' }>,
+): void => {
+  const slow = daemon === null ? fleet.daemons : [fleet.daemon(daemon)];
+  slow.forEach((one) => one?.slowDown(turnMs));
+  fleet.at(atMs + forMs, async () => {
+    for (const one of slow) {
+      await one?.speedUp();
+    }
+  });
+};
+
 const cutLink = (
   fleet: ModelFleet,
   { atMs, forMs, direction }: Extract<ModelEvent, { kind: 'cut-daemons' | 'cut-store' }>,
--- a/src/testing/model/calmTime.ts
+++ b/src/testing/model/calmTime.ts
@@ -23,6 +23,7 @@
       return atMs + event.downMs;
     case 'freeze':
     case 'suspend':
+    case 'slow':
     case 'cut':
     case 'cut-daemons':
     case 'cut-store':
--- a/src/testing/model/daemonAndWorkerArbitrary.ts
+++ b/src/testing/model/daemonAndWorkerArbitrary.ts
@@ -160,6 +160,7 @@
     case 'cut-store':
       return { ...moved, daemon: moved.daemon + firstDaemon };
     case 'cut':
+    case 'slow':
       return { ...moved, daemon: moved.daemon === null ? null : moved.daemon + firstDaemon };
     case 'cut-daemons':
       return { ...moved, daemon: moved.daemon + firstDaemon, other: moved.other + firstDaemon };
--- a/src/testing/model/eventArbitraries.ts
+++ b/src/testing/model/eventArbitraries.ts
@@ -169,6 +169,7 @@
     case 'stop':
     case 'kill':
     case 'suspend':
+    case 'slow':
     case 'cut-daemons':
     case 'cut-store':
     case 'cancel':
--- a/src/testing/model/modelClients.ts
+++ b/src/testing/model/modelClients.ts
@@ -166,8 +166,9 @@
     }
     const { process } = current;
     const connection = new AbortController();
+    let isRead: Promise<unknown> = Promise.resolve();
     const answered = new Promise<AttemptAnswer>((resolve) => {
-      process.receive(
+      isRead = process.accept(
         () => void this.serve(current, attempt, job, connection.signal).then(resolve),
       );
     });
@@ -176,11 +177,11 @@
     const answer = await Promise.race([
       answered,
       process.end.then(none),
-      time.sleep(job.deadlineMs, over.signal).then(none),
+      time.sleep(job.leavesAfterMs ?? job.deadlineMs, over.signal).then(none),
     ]);
     abortQuietly(over);
     if (answer.kind === 'none') {
-      void this.closeConnection(current, connection);
+      void this.closeConnection(current, connection, isRead);
     }
     return answer;
   }
@@ -189,8 +190,10 @@
   private async closeConnection(
     { process }: RunningDaemon,
     connection: AbortController,
+    isRead: Promise<unknown>,
   ): Promise<void> {
     await this.options.time.sleep(latencyMs);
+    await isRead;
     process.receive(() => {
       void process.clock.sleep(closeNoticeMs).then(() => abortQuietly(connection));
     });
--- a/src/testing/model/modelConnector.ts
+++ b/src/testing/model/modelConnector.ts
@@ -81,7 +81,11 @@
       return;
     }
     const { process, service } = server;
-    const answer = async (): Promise<void> => resolve(structuredClone(await serve(service)));
+    const answer = async (): Promise<void> => {
+      const reply = structuredClone(await serve(service));
+      await process.departure;
+      resolve(reply);
+    };
     process.receive(() => void answer());
     void process.end.then(() => reject(new Error('connection reset')));
   });
--- a/src/testing/model/modelDaemon.ts
+++ b/src/testing/model/modelDaemon.ts
@@ -49,6 +49,8 @@
 export class ModelDaemon {
   private running: RunningDaemon | undefined;
   private starts = 0;
+  /** Length of the turns of its event loop, in milliseconds; undefined unless its VM is slow. */
+  private turnMs: number | undefined;
 
   private constructor(private readonly options: ModelDaemonOptions) {
     this.start();
@@ -101,6 +103,9 @@
       },
     );
     this.running = { process, daemon, acceptsClients: true };
+    if (this.turnMs !== undefined) {
+      void process.slowDown(this.turnMs);
+    }
   }
 
   freeze(): void {
@@ -115,6 +120,17 @@
     await this.current?.process.thaw();
   }
 
+  /** Makes the turns of its event loop long, also in the next process, until `speedUp`. */
+  slowDown(turnMs: number): void {
+    this.turnMs = turnMs;
+    void this.current?.process.slowDown(turnMs);
+  }
+
+  async speedUp(): Promise<void> {
+    this.turnMs = undefined;
+    await this.current?.process.speedUp();
+  }
+
   kill(): void {
     this.running?.process.kill();
   }
--- a/src/testing/model/modelEvents.ts
+++ b/src/testing/model/modelEvents.ts
@@ -44,6 +44,8 @@
   /** Whether every run of the first task crashes its worker at the end. */
   isDeadly: z.boolean().optional(),
   deadlineMs: z.number().positive(),
+  /** Time after which the client leaves in each attempt, if not at its deadline. */
+  leavesAfterMs: forMs.optional(),
   /** Attempts after which the client gives the job up. */
   maxAttempts: z.number().int().positive().optional(),
 });
@@ -60,6 +62,8 @@
   z.object({ kind: z.literal('freeze'), atMs, daemon: index, forMs }),
   /** The VM of a daemon is suspended: like a freeze, but the monotonic clock of the process stops, too. */
   z.object({ kind: z.literal('suspend'), atMs, daemon: index, forMs }),
+  /** The event loop of a daemon, or of all, has long turns for a while, and also that of a process started meanwhile. */
+  z.object({ kind: z.literal('slow'), atMs, daemon: index.nullable(), turnMs: forMs, forMs }),
   /** A worker loses the connection to one daemon, or to all. */
   z.object({
     kind: z.literal('cut'),
--- a/src/testing/model/modelNetwork.ts
+++ b/src/testing/model/modelNetwork.ts
@@ -99,6 +99,10 @@
   private async exchange<T>(call: ModelCall<T>): Promise<CallResult<T> | undefined> {
     const { caller, callee, isListening, carryOut } = call;
     const request = senderKey(caller.name, callee);
+    await caller.departure;
+    if (!caller.isAlive) {
+      return undefined;
+    }
     if (this.faults.get(request)?.fault === 'refusing') {
       await this.time.sleep(latencyMs);
       return { kind: 'not-sent' };
--- a/src/testing/model/modelProcess.ts
+++ b/src/testing/model/modelProcess.ts
@@ -1,10 +1,12 @@
 /**
  * A process of the model: its clock and timers, and the messages that it receives. A frozen process handles
  * nothing until it is thawed, then its overdue timers and after them the messages that waited; on a suspended VM
- * the monotonic clock stops as well, so that timers fire later by that time. A killed process never handles anything
- * again.
+ * the monotonic clock stops as well, so that timers fire later by that time. A slow process is an event loop of long
+ * turns: first the timers that are due, then the messages that had arrived by then, one after the other; what the
+ * process sends in such a step leaves at the end of the step. A killed process never handles anything again.
  */
 import type { Clock } from '../../ports/clock.js';
+import { unreachable } from '../../errors/unreachable.js';
 import { createDeferred } from '../../utils/deferred.js';
 import type { FakeClock } from '../fakeClock.js';
 
@@ -16,18 +18,39 @@
 /** Difference between sums of the same times, in milliseconds, by the rounding of fractions. */
 const maxRoundingMs = 1e-6;
 
-type ProcessState = 'running' | 'frozen' | 'suspended' | 'killed';
+/** Share of a turn of a slow process that its timers take; the messages take the rest. */
+const timersShare = 0.5;
+
+/** How a process works while nothing stops it. */
+type WorkingState =
+  | { readonly kind: 'running' }
+  /** `turnMs`: length of each turn of its event loop, in milliseconds. */
+  | { readonly kind: 'slow'; readonly turnMs: number };
+
+type ProcessState =
+  | WorkingState
+  /** `next`: how it works when it is thawed. */
+  | { readonly kind: 'frozen'; readonly next: WorkingState }
+  | { readonly kind: 'suspended'; readonly sinceMs: number; readonly next: WorkingState }
+  | { readonly kind: 'killed' };
+type SlowState = Extract<ProcessState, { kind: 'slow' }>;
+
+/** What waits to be run by the process. */
+type Step = () => void;
 
 export class ModelProcess {
   /** The view that the process has of the simulated time. */
   readonly clock: Clock;
-  private state: ProcessState = 'running';
-  private readonly timers: (() => void)[] = [];
-  private readonly messages: (() => void)[] = [];
+  private state: ProcessState = { kind: 'running' };
+  private readonly timers: Step[] = [];
+  private readonly messages: Step[] = [];
+  /** Requests on new connections that a slow process has not accepted. */
+  private readonly connections: Step[] = [];
+  /** When the present step of a slow process ends, in simulated time. */
+  private stepEndMs = 0;
   private readonly killed = createDeferred<undefined>();
   /** Time for which the VM was suspended before, in milliseconds. */
   private suspendedMs = 0;
-  private suspendedSinceMs: number | undefined;
 
   private constructor(
     readonly name: string,
@@ -51,11 +74,7 @@
 
   /** Whether the process exists, frozen or not. */
   get isAlive(): boolean {
-    return this.state !== 'killed';
-  }
-
-  get isFrozen(): boolean {
-    return this.state === 'frozen' || this.state === 'suspended';
+    return this.state.kind !== 'killed';
   }
 
   /** Resolves when the process is killed. */
@@ -63,55 +82,162 @@
     return this.killed.promise;
   }
 
-  /** Handles a message, now or when the process is thawed. */
-  receive(handle: () => void): void {
+  /** Resolves when what the process sends now leaves it: a slow process sends at the end of a step. */
+  get departure(): Promise<unknown> {
+    const leftMs = this.state.kind === 'slow' ? this.stepEndMs - this.time.nowMs() : 0;
+    return leftMs > 0 ? this.time.sleep(leftMs) : Promise.resolve();
+  }
+
+  /** Handles a message, now or when the process comes to it. */
+  receive(handle: Step): void {
     this.handle(this.messages, handle);
   }
 
+  /**
+   * Reads a request from a new connection. A slow process accepts one connection in each turn, and reads from it in
+   * the next one.
+   *
+   * @returns a promise that resolves when the request is read
+   */
+  accept(read: Step): Promise<unknown> {
+    const done = createDeferred<undefined>();
+    const step = (): void => {
+      read();
+      done.resolve(undefined);
+    };
+    this.handle(this.isSlow ? this.connections : this.messages, step);
+    return done.promise;
+  }
+
   freeze(): void {
-    if (this.state === 'running') {
-      this.state = 'frozen';
+    if (isWorking(this.state)) {
+      this.state = { kind: 'frozen', next: this.state };
     }
   }
 
   suspend(): void {
-    if (this.state === 'running') {
-      this.state = 'suspended';
-      this.suspendedSinceMs = this.time.nowMs();
+    if (isWorking(this.state)) {
+      this.state = { kind: 'suspended', sinceMs: this.time.nowMs(), next: this.state };
     }
   }
 
-  /** Ends a freeze or a suspension: runs what is overdue, without advancing the time. */
+  /** Ends a freeze or a suspension. */
   async thaw(): Promise<void> {
-    if (!this.isFrozen) {
-      return;
-    }
-    this.suspendedMs += this.suspensionMs;
-    this.suspendedSinceMs = undefined;
-    this.state = 'running';
-    for (const waiting of [this.timers, this.messages]) {
-      for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
-        next();
-        await new Promise((resolve) => setImmediate(resolve));
-      }
+    const { state } = this;
+    switch (state.kind) {
+      case 'running':
+      case 'slow':
+      case 'killed':
+        return;
+      case 'frozen':
+      case 'suspended':
+        this.suspendedMs += this.suspensionMs;
+        return this.work(state.next);
+      default:
+        return unreachable(state);
     }
   }
 
+  /** Makes the turns of the event loop long, until `speedUp`. */
+  async slowDown(turnMs: number): Promise<void> {
+    return this.changeSpeed({ kind: 'slow', turnMs });
+  }
+
+  async speedUp(): Promise<void> {
+    return this.changeSpeed({ kind: 'running' });
+  }
+
   kill(): void {
-    this.state = 'killed';
+    this.state = { kind: 'killed' };
     this.timers.length = 0;
     this.messages.length = 0;
+    this.connections.length = 0;
     this.killed.resolve(undefined);
   }
 
+  /** Whether the process is slow, or will be when it is thawed. */
+  private get isSlow(): boolean {
+    const { state } = this;
+    const working = 'next' in state ? state.next : state;
+    return working.kind === 'slow';
+  }
+
   private get suspensionMs(): number {
-    return this.time.nowMs() - (this.suspendedSinceMs ?? this.time.nowMs());
+    return this.state.kind === 'suspended' ? this.time.nowMs() - this.state.sinceMs : 0;
   }
 
   private get monotonicMs(): number {
     return this.time.nowMs() - this.suspendedMs - this.suspensionMs;
   }
 
+  private async changeSpeed(next: WorkingState): Promise<void> {
+    const { state } = this;
+    switch (state.kind) {
+      case 'running':
+      case 'slow':
+        return this.work(next);
+      case 'frozen':
+      case 'suspended':
+        this.state = { ...state, next };
+        return;
+      case 'killed':
+        return;
+      default:
+        return unreachable(state);
+    }
+  }
+
+  /** Works on: a running process handles at once what waits, a slow one in its turns. */
+  private async work(state: WorkingState): Promise<void> {
+    switch (state.kind) {
+      case 'running':
+        this.state = state;
+        return this.handleAll();
+      case 'slow': {
+        // A state of its own ends the turns of an earlier slow state.
+        const slow = { ...state };
+        this.state = slow;
+        void this.takeTurns(slow);
+        return;
+      }
+      default:
+        return unreachable(state);
+    }
+  }
+
+  /** Handles all that waits, without advancing the time. */
+  private async handleAll(): Promise<void> {
+    for (const waiting of [this.timers, this.messages, this.connections]) {
+      for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
+        next();
+        await new Promise((resolve) => setImmediate(resolve));
+      }
+    }
+  }
+
+  private async takeTurns(slow: SlowState): Promise<void> {
+    const timersMs = slow.turnMs * timersShare;
+    while (this.state === slow) {
+      await this.takeSteps(slow, this.timers, timersMs);
+      const accepted = this.connections.shift();
+      await this.takeSteps(slow, this.messages, slow.turnMs - timersMs);
+      if (accepted !== undefined) {
+        this.messages.push(accepted);
+      }
+    }
+  }
+
+  /** Runs what waits now, in steps that take a time together; what comes meanwhile waits for the next turn. */
+  private async takeSteps(slow: SlowState, waiting: Step[], durationMs: number): Promise<void> {
+    const count = waiting.length;
+    const stepMs = durationMs / Math.max(count, 1);
+    for (let taken = 0; this.state === slow && taken < Math.max(count, 1); taken += 1) {
+      this.stepEndMs = this.time.nowMs() + stepMs;
+      waiting.shift()?.();
+      await this.time.sleep(stepMs);
+    }
+  }
+
   /** Wakes a sleeper at a time on the monotonic clock, again and again until that time has come. */
   private wakeAt(wakeAtMs: number, signal: AbortSignal | undefined, wake: () => void): void {
     const check = (): void => {
@@ -120,20 +246,36 @@
     };
     void this.time
       .sleep(wakeAtMs - this.monotonicMs, signal)
-      .then(() => this.handle(this.timers, check));
+      .then(() => (signal?.aborted === true ? this.interrupt(check) : this.fire(check)));
+  }
+
+  /** Fires a timer that is due. */
+  private fire(check: Step): void {
+    this.handle(this.timers, check);
   }
 
-  private handle(waiting: (() => void)[], run: () => void): void {
-    switch (this.state) {
+  /** Ends a sleep early: a step of the process itself does so, which needs no turn. */
+  private interrupt(check: Step): void {
+    return this.state.kind === 'slow' ? check() : this.fire(check);
+  }
+
+  private handle(waiting: Step[], run: Step): void {
+    switch (this.state.kind) {
       case 'running':
         run();
         return;
       case 'frozen':
       case 'suspended':
+      case 'slow':
         waiting.push(run);
         return;
       case 'killed':
         return;
+      default:
+        return unreachable(this.state);
     }
   }
 }
+
+const isWorking = (state: ProcessState): state is WorkingState =>
+  state.kind === 'running' || state.kind === 'slow';
