A walk and draws of slow daemons

`--walk slow-daemons` goes over turns of 50, 120, 250, 500 ms and changing ones, of the requester, the dispatcher, both or all, each with a trouble of a worker or of another daemon, while callers leave early or at their deadline and come back elsewhere; and over jobs that wait behind other connections to a slow daemon. `--draw slow-daemon` draws such scenarios, and `--walk pairs` has slow daemons among its troubles.

--- a/ci/checkOrders.ts
+++ b/ci/checkOrders.ts
@@ -14,6 +14,7 @@
 import { scenarioSchema } from '../src/testing/model/modelEvents.js';
 import type { Scenario } from '../src/testing/model/modelEvents.js';
 import { runScenario } from '../src/testing/model/runScenario.js';
+import { slowDaemonArbitrary } from '../src/testing/model/slowDaemonArbitrary.js';
 import { smallFleetArbitrary } from '../src/testing/model/smallFleetArbitrary.js';
 import { createTimedLogger } from '../src/testing/model/timedLogger.js';
 import { findWalkKind, walkOrders } from './walkOrders.js';
@@ -26,6 +27,7 @@
   ['loaded-kill', loadedKillArbitrary],
   ['daemon-and-worker', daemonAndWorkerArbitrary],
   ['small-fleet', smallFleetArbitrary],
+  ['slow-daemon', slowDaemonArbitrary],
 ]);
 
 /** A scenario that breaks a rule. */
--- a/ci/walkOrders.ts
+++ b/ci/walkOrders.ts
@@ -13,6 +13,7 @@
 } from '../src/testing/model/walk/pairWalk.js';
 import type { Combination } from '../src/testing/model/walk/pairWalk.js';
 import { createShortTaskPairs } from '../src/testing/model/walk/shortTaskWalk.js';
+import { createSlowDaemonPairs } from '../src/testing/model/walk/slowDaemonWalk.js';
 import { drawTriples } from '../src/testing/model/walk/tripleWalk.js';
 import {
   prepareSituations,
@@ -24,7 +25,7 @@
 
 const walkKinds = [
   ...(['pairs', 'daemons', 'workers', 'late-grants', 'triples'] as const),
-  ...(['short-tasks', 'missing-kind', 'deadly-task', 'late-starts'] as const),
+  ...(['short-tasks', 'missing-kind', 'deadly-task', 'late-starts', 'slow-daemons'] as const),
 ];
 export type WalkKind = (typeof walkKinds)[number];
 
@@ -97,6 +98,8 @@
       return createDeadlyTaskPairs(moments);
     case 'late-starts':
       return createLateStartPairs();
+    case 'slow-daemons':
+      return createSlowDaemonPairs(moments);
   }
 };
 
--- a/src/testing/model/applyEvent.ts
+++ b/src/testing/model/applyEvent.ts
@@ -94,10 +94,10 @@
 
 const slowDaemons = (
   fleet: ModelFleet,
-  { atMs, daemon, turnMs, forMs }: Extract<ModelEvent, { kind: 'slow' }>,
+  { atMs, daemon, turnsMs, forMs }: Extract<ModelEvent, { kind: 'slow' }>,
 ): void => {
   const slow = daemon === null ? fleet.daemons : [fleet.daemon(daemon)];
-  slow.forEach((one) => one?.slowDown(turnMs));
+  slow.forEach((one) => one?.slowDown(turnsMs));
   fleet.at(atMs + forMs, async () => {
     for (const one of slow) {
       await one?.speedUp();
--- a/src/testing/model/modelClients.ts
+++ b/src/testing/model/modelClients.ts
@@ -195,7 +195,7 @@
     await this.options.time.sleep(latencyMs);
     await isRead;
     process.receive(() => {
-      void process.clock.sleep(closeNoticeMs).then(() => abortQuietly(connection));
+      void process.afterReading(closeNoticeMs).then(() => abortQuietly(connection));
     });
   }
 
--- a/src/testing/model/modelDaemon.ts
+++ b/src/testing/model/modelDaemon.ts
@@ -49,8 +49,8 @@
 export class ModelDaemon {
   private running: RunningDaemon | undefined;
   private starts = 0;
-  /** Length of the turns of its event loop, in milliseconds; undefined unless its VM is slow. */
-  private turnMs: number | undefined;
+  /** Lengths of the turns of its event loop, in milliseconds; undefined unless its VM is slow. */
+  private turnsMs: readonly number[] | undefined;
 
   private constructor(private readonly options: ModelDaemonOptions) {
     this.start();
@@ -103,8 +103,8 @@
       },
     );
     this.running = { process, daemon, acceptsClients: true };
-    if (this.turnMs !== undefined) {
-      void process.slowDown(this.turnMs);
+    if (this.turnsMs !== undefined) {
+      void process.slowDown(this.turnsMs);
     }
   }
 
@@ -121,13 +121,13 @@
   }
 
   /** Makes the turns of its event loop long, also in the next process, until `speedUp`. */
-  slowDown(turnMs: number): void {
-    this.turnMs = turnMs;
-    void this.current?.process.slowDown(turnMs);
+  slowDown(turnsMs: readonly number[]): void {
+    this.turnsMs = turnsMs;
+    void this.current?.process.slowDown(turnsMs);
   }
 
   async speedUp(): Promise<void> {
-    this.turnMs = undefined;
+    this.turnsMs = undefined;
     await this.current?.process.speedUp();
   }
 
--- a/src/testing/model/modelEvents.ts
+++ b/src/testing/model/modelEvents.ts
@@ -62,8 +62,17 @@
   z.object({ kind: z.literal('freeze'), atMs, daemon: index, forMs }),
   /** The VM of a daemon is suspended: like a freeze, but the monotonic clock of the process stops, too. */
   z.object({ kind: z.literal('suspend'), atMs, daemon: index, forMs }),
-  /** The event loop of a daemon, or of all, has long turns for a while, and also that of a process started meanwhile. */
-  z.object({ kind: z.literal('slow'), atMs, daemon: index.nullable(), turnMs: forMs, forMs }),
+  /**
+   * The event loop of a daemon, or of all, has long turns for a while, and also that of a process started meanwhile.
+   * The turns take the lengths one after the other, again and again.
+   */
+  z.object({
+    kind: z.literal('slow'),
+    atMs,
+    daemon: index.nullable(),
+    turnsMs: z.array(forMs).min(1),
+    forMs,
+  }),
   /** A worker loses the connection to one daemon, or to all. */
   z.object({
     kind: z.literal('cut'),
--- a/src/testing/model/modelProcess.spec.ts
+++ b/src/testing/model/modelProcess.spec.ts
@@ -48,7 +48,7 @@
   const time = FakeClock.create();
   const process = ModelProcess.create('daemon', time);
   const log: string[] = [];
-  await process.slowDown(turnMs);
+  await process.slowDown([turnMs]);
   return { time, process, log, note: (what) => () => log.push(`${what} ${time.nowMs()}`) };
 };
 
@@ -84,6 +84,23 @@
   assert.equal(log, ['message 100', 'one 300', 'one read 300', 'two 500']);
 });
 
+// Guards against a slow process whose turns all have the same length.
+test('the turns of a slow process take their lengths one after the other', async () => {
+  const { time, process, log, note } = await createSlow();
+  await process.slowDown([100, 500]);
+  for (let sent = 0; sent < 5; sent += 1) {
+    process.receive(note(`message ${sent}`));
+    await time.advance(250);
+  }
+  assert.equal(log, [
+    'message 0 50',
+    'message 1 350',
+    'message 2 650',
+    'message 3 950',
+    'message 4 1250',
+  ]);
+});
+
 // Guards against a slow process that keeps back what waits when it is fast again.
 test('when a slow process is fast again, it handles all that waits', async () => {
   const { time, process, log, note } = await createSlow();
--- a/src/testing/model/modelProcess.ts
+++ b/src/testing/model/modelProcess.ts
@@ -24,8 +24,8 @@
 /** How a process works while nothing stops it. */
 type WorkingState =
   | { readonly kind: 'running' }
-  /** `turnMs`: length of each turn of its event loop, in milliseconds. */
-  | { readonly kind: 'slow'; readonly turnMs: number };
+  /** `turnsMs`: lengths of the turns of its event loop, which it takes one after the other, in milliseconds. */
+  | { readonly kind: 'slow'; readonly turnsMs: readonly number[] };
 
 type ProcessState =
   | WorkingState
@@ -109,6 +109,11 @@
     return done.promise;
   }
 
+  /** Waits for a time that passes while sockets are read; between two turns of a slow process it has passed. */
+  afterReading(durationMs: number): Promise<void> {
+    return this.isSlow ? Promise.resolve() : this.clock.sleep(durationMs);
+  }
+
   freeze(): void {
     if (isWorking(this.state)) {
       this.state = { kind: 'frozen', next: this.state };
@@ -139,8 +144,8 @@
   }
 
   /** Makes the turns of the event loop long, until `speedUp`. */
-  async slowDown(turnMs: number): Promise<void> {
-    return this.changeSpeed({ kind: 'slow', turnMs });
+  async slowDown(turnsMs: readonly number[]): Promise<void> {
+    return this.changeSpeed({ kind: 'slow', turnsMs });
   }
 
   async speedUp(): Promise<void> {
@@ -216,11 +221,12 @@
   }
 
   private async takeTurns(slow: SlowState): Promise<void> {
-    const timersMs = slow.turnMs * timersShare;
-    while (this.state === slow) {
+    for (let turn = 0; this.state === slow; turn += 1) {
+      const turnMs = slow.turnsMs[turn % slow.turnsMs.length] ?? 0;
+      const timersMs = turnMs * timersShare;
       await this.takeSteps(slow, this.timers, timersMs);
       const accepted = this.connections.shift();
-      await this.takeSteps(slow, this.messages, slow.turnMs - timersMs);
+      await this.takeSteps(slow, this.messages, turnMs - timersMs);
       if (accepted !== undefined) {
         this.messages.push(accepted);
       }
--- a/src/testing/model/walk/pairWalk.ts
+++ b/src/testing/model/walk/pairWalk.ts
@@ -4,6 +4,7 @@
 import type { Scenario } from '../modelEvents.js';
 import { daemonTroubles, dispatcherTroubles, requesterTroubles } from './daemonTroubles.js';
 import type { Situation } from './situations.js';
+import { slowTroubles } from './slowTroubles.js';
 import type { Trouble, TroublePlace } from './troubles.js';
 import { lateGrantTroubles, workerTroubles } from './workerTroubles.js';
 
@@ -99,7 +100,7 @@
 
 /** All pairs of a daemon's and a worker's trouble, and each trouble alone. */
 export const createPairs = (options: WalkOptions): Combination[] =>
-  combine(options, [undefined, ...daemonTroubles], [undefined, ...workerTroubles]);
+  combine(options, [undefined, ...daemonTroubles, ...slowTroubles], [undefined, ...workerTroubles]);
 
 /** All pairs of a daemon's trouble and late leases, and these alone. */
 export const createLateGrantPairs = (options: WalkOptions): Combination[] =>
