--- a/ci/walkOrders.ts
+++ b/ci/walkOrders.ts
@@ -14,6 +14,7 @@
 } from '../src/testing/model/walk/pairWalk.js';
 import type { Combination } from '../src/testing/model/walk/pairWalk.js';
 import { createShortTaskPairs } from '../src/testing/model/walk/shortTaskWalk.js';
+import { createSlowDaemonPairs } from '../src/testing/model/walk/slowDaemonWalk.js';
 import { drawTriples } from '../src/testing/model/walk/tripleWalk.js';
 import {
   prepareSituations,
@@ -25,7 +26,8 @@
 
 const walkKinds = [
   ...(['pairs', 'daemons', 'workers', 'late-grants', 'triples'] as const),
-  ...(['short-tasks', 'missing-kind', 'deadly-task', 'late-starts', 'late-callers'] as const),
+  ...(['short-tasks', 'missing-kind', 'deadly-task', 'late-starts'] as const),
+  ...(['late-callers', 'slow-daemons'] as const),
 ];
 export type WalkKind = (typeof walkKinds)[number];
 
@@ -100,6 +102,8 @@
       return createLateStartPairs();
     case 'late-callers':
       return createLateCallerPairs();
+    case 'slow-daemons':
+      return createSlowDaemonPairs(moments);
   }
 };
 
--- a/src/testing/model/applyEvent.ts
+++ b/src/testing/model/applyEvent.ts
@@ -48,6 +48,8 @@
     }
     case 'inbound':
       return delayInbound(fleet, event);
+    case 'slow':
+      return slowDaemons(fleet, event);
     case 'cut':
       return cutWorker(fleet, event);
     case 'cut-daemons': {
@@ -105,6 +107,19 @@
 
 const addressOf = (fleet: ModelFleet, index: number): string => fleet.daemon(index)?.address ?? '';
 
+const slowDaemons = (
+  fleet: ModelFleet,
+  { atMs, daemon, turnsMs, forMs }: Extract<ModelEvent, { kind: 'slow' }>,
+): void => {
+  const slow = daemon === null ? fleet.daemons : [fleet.daemon(daemon)];
+  slow.forEach((one) => one?.slowDown(turnsMs));
+  fleet.at(atMs + forMs, async () => {
+    for (const one of slow) {
+      await one?.speedUp();
+    }
+  });
+};
+
 const cutLink = (
   fleet: ModelFleet,
   { atMs, forMs, direction }: Extract<ModelEvent, { kind: 'cut-daemons' | 'cut-store' }>,
--- a/src/testing/model/modelClients.ts
+++ b/src/testing/model/modelClients.ts
@@ -166,10 +166,13 @@
     }
     const { process } = current;
     const connection = new AbortController();
+    let isRead: Promise<unknown> = Promise.resolve();
     const answered = new Promise<AttemptAnswer>((resolve) => {
       const read = (): void =>
         void this.serve(current, attempt, job, connection.signal).then(resolve);
-      clientLink.deliver('request', () => process.receive(read));
+      isRead = new Promise((done) => {
+        clientLink.deliver('request', () => void process.accept(read).then(done));
+      });
     });
     const over = new AbortController();
     const none = (): AttemptAnswer => ({ kind: 'none' });
@@ -180,7 +183,7 @@
     ]);
     abortQuietly(over);
     if (answer.kind === 'none') {
-      void this.closeConnection(daemon, current, connection);
+      void this.closeConnection(daemon, current, connection, isRead);
     }
     return answer;
   }
@@ -190,11 +193,12 @@
     { clientLink }: ModelDaemon,
     { process }: RunningDaemon,
     connection: AbortController,
+    isRead: Promise<unknown>,
   ): Promise<void> {
     await this.options.time.sleep(latencyMs);
     const read = (): void =>
-      void process.clock.sleep(closeNoticeMs).then(() => abortQuietly(connection));
-    clientLink.deliver('end', () => process.receive(read));
+      void process.afterReading(closeNoticeMs).then(() => abortQuietly(connection));
+    clientLink.deliver('end', () => void isRead.then(() => process.receive(read)));
   }
 
   private async serve(
--- a/src/testing/model/modelDaemon.ts
+++ b/src/testing/model/modelDaemon.ts
@@ -52,6 +52,8 @@
   readonly clientLink: ModelClientLink;
   private running: RunningDaemon | undefined;
   private starts = 0;
+  /** Lengths of the turns of its event loop, in milliseconds; undefined unless its VM is slow. */
+  private turnsMs: readonly number[] | undefined;
 
   private constructor(private readonly options: ModelDaemonOptions) {
     this.clientLink = ModelClientLink.create(options.time);
@@ -105,6 +107,9 @@
       },
     );
     this.running = { process, daemon, acceptsClients: true };
+    if (this.turnsMs !== undefined) {
+      void process.slowDown(this.turnsMs);
+    }
   }
 
   freeze(): void {
@@ -119,6 +124,17 @@
     await this.current?.process.thaw();
   }
 
+  /** Makes the turns of its event loop long, also in the next process, until `speedUp`. */
+  slowDown(turnsMs: readonly number[]): void {
+    this.turnsMs = turnsMs;
+    void this.current?.process.slowDown(turnsMs);
+  }
+
+  async speedUp(): Promise<void> {
+    this.turnsMs = undefined;
+    await this.current?.process.speedUp();
+  }
+
   kill(): void {
     this.running?.process.kill();
   }
--- a/src/testing/model/modelEvents.ts
+++ b/src/testing/model/modelEvents.ts
@@ -44,8 +44,8 @@
   /** Whether every run of the first task crashes its worker at the end. */
   isDeadly: z.boolean().optional(),
   deadlineMs: z.number().positive(),
-  /** Time after which the client leaves before its deadline. */
-  leavesAfterMs: z.number().positive().optional(),
+  /** Time after which the client leaves in each attempt, if not at its deadline. */
+  leavesAfterMs: forMs.optional(),
   /** Attempts after which the client gives the job up. */
   maxAttempts: z.number().int().positive().optional(),
 });
@@ -77,6 +77,17 @@
     ]),
     forMs,
   }),
+  /**
+   * The event loop of a daemon, or of all, has long turns for a while, and also that of a process started meanwhile.
+   * The turns take the lengths one after the other, again and again.
+   */
+  z.object({
+    kind: z.literal('slow'),
+    atMs,
+    daemon: index.nullable(),
+    turnsMs: z.array(forMs).min(1),
+    forMs,
+  }),
   /** A worker loses the connection to one daemon, or to all. */
   z.object({
     kind: z.literal('cut'),
--- a/src/testing/model/modelNetwork.ts
+++ b/src/testing/model/modelNetwork.ts
@@ -105,6 +105,10 @@
   /** @returns how the call ended, or nothing if no answer ever comes */
   private async exchange<T>(call: ModelCall<T>): Promise<CallResult<T> | undefined> {
     const { caller, callee, isListening, carryOut } = call;
+    await caller.departure;
+    if (!caller.isAlive) {
+      return undefined;
+    }
     if (this.faults.get(senderKey(caller.name, callee))?.fault === 'refusing') {
       await this.time.sleep(latencyMs);
       return { kind: 'not-sent' };
