A model process that is fast again has read what waited before its turns go on

Cause: after a slow time, what waited for a turn went on at once, while the end of a connection is noticed 3 ms after it is read, so that the walk slow-daemons showed a start that no event loop makes. Change: it goes on 5 ms later.

--- a/src/testing/model/modelProcess.ts
+++ b/src/testing/model/modelProcess.ts
@@ -18,6 +18,9 @@
 /** Difference between sums of the same times, in milliseconds, by the rounding of fractions. */
 const maxRoundingMs = 1e-6;
 
+/** Time in which a process that is fast again notices what it has read, in milliseconds. */
+const catchUpMs = 5;
+
 /** Share of a turn of a slow process that its timers take; the messages take the rest. */
 const timersShare = 0.5;
 
@@ -201,7 +204,9 @@
     switch (state.kind) {
       case 'running':
         this.state = state;
-        return this.handleAll();
+        await this.handleAll();
+        this.resumeWaiters();
+        return;
       case 'slow': {
         // A state of its own ends the turns of an earlier slow state.
         const slow = { ...state };
@@ -216,7 +221,7 @@
 
   /** Handles all that waits, without advancing the time. */
   private async handleAll(): Promise<void> {
-    for (const waiting of [this.timers, this.messages, this.connections, this.turnWaiters]) {
+    for (const waiting of [this.timers, this.messages, this.connections]) {
       for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
         next();
         await new Promise((resolve) => setImmediate(resolve));
@@ -224,6 +229,13 @@
     }
   }
 
+  /** Lets what waited for a turn of the slow process go on, once a process that reads at once has read what waited. */
+  private resumeWaiters(): void {
+    for (const run of this.turnWaiters.splice(0)) {
+      void this.time.sleep(catchUpMs).then(() => this.receive(run));
+    }
+  }
+
   private async takeTurns(slow: SlowState): Promise<void> {
     for (let turn = 0; this.state === slow; turn += 1) {
       const turnMs = slow.turnsMs[turn % slow.turnsMs.length] ?? 0;
