Jobs that a slow daemon reads after their callers have left

A slow event loop accepts one connection in each turn, so that a request waits behind other connections, while its caller leaves and comes back elsewhere. It is read as if it were new, and the end of its connection one turn later: until then its tasks run beside those of the next attempt. The sample of the pairs in eventOrdersWalk.spec.ts draws the same pairs as before, and as many with slow daemons.

--- a/src/fleet/eventOrdersWalk.spec.ts
+++ b/src/fleet/eventOrdersWalk.spec.ts
@@ -86,7 +86,13 @@
 test('no sampled pair of a daemon and a worker in trouble breaks a rule', async () => {
   const situations = await prepareSituations();
   const pairs = createPairs({ situations, moments, isDense: false });
-  await checkScenarios(samplePairs(pairs, sample));
+  const isSlow = ({ troubles }: Combination): boolean =>
+    troubles.some((one) => one.startsWith('slow'));
+  const others = pairs.filter((one) => !isSlow(one));
+  await checkScenarios([
+    ...samplePairs(others, sample),
+    ...samplePairs(pairs.filter(isSlow), sample),
+  ]);
 });
 
 // Guards against jobs that are answered as failed since workers crash on which their short runs had just ended.
--- a/src/testing/model/walk/slowDaemonWalk.ts
+++ b/src/testing/model/walk/slowDaemonWalk.ts
@@ -27,6 +27,10 @@
 const firstWaitMs = 900;
 const waitStepMs = 30;
 const waitingRoles: readonly SlowRole[] = ['requester', 'all'];
+/** Troubles of a worker that runs a task of a job which was read late. */
+const waitingTroubles = /^(cut from all, silent|late 0.7 s|crash, refused)$/;
+/** Times from the accepting of the connection to the trouble of the worker, in turns. */
+const troubleTurns = [1, 1.5, 2, 3];
 const slowRoles: readonly SlowRole[] = ['requester', 'dispatcher', 'both', 'all'];
 
 /** The troubles beside a slow daemon: those of a worker, and those of a daemon in another role. */
@@ -55,22 +59,30 @@
   readonly second: Trouble | undefined;
 }
 
+/** When the second trouble comes. */
+interface SecondMoment {
+  readonly moment: number;
+  readonly secondAtMs: number;
+}
+
 const createMoment = (
-  { calm, requester, dispatcher, slowAtMs, leavesAtMs, workers }: Prepared,
+  { calm, requester, dispatcher, slowAtMs, workers }: Prepared,
   { role, pace, second }: SlowPair,
-  moment: number,
+  { moment, secondAtMs }: SecondMoment,
 ): Scenario => {
   const worker = workers[moment % workers.length] ?? 0;
   const place = { requester, dispatcher, worker, daemonCount: calm.daemons.length };
   const atMs = slowAtMs - ((moment * phaseStepMs) % phasePeriodMs);
-  const secondAtMs = leavesAtMs + firstOffsetMs + moment * offsetStepMs;
   return createMomentScenario(calm, moment, [
     ...slowEvents(role, place, pace, atMs),
     ...(second?.createEvents(place, secondAtMs) ?? []),
   ]);
 };
 
-/** Lets other connections wait before that of the job, until after its caller has come back or a little less long. */
+/**
+ * Lets other connections wait before that of the job, for about as long as until its caller has come back. Troubles come
+ * when the job is read.
+ */
 const waitBehindConnections = (
   situation: Prepared,
   { turnsMs }: SlowPace,
@@ -80,8 +92,14 @@
   const leavesAfterMs = situation.leavesAtMs - situation.submitAtMs;
   const waitMs = leavesAfterMs + firstWaitMs + moment * waitStepMs;
   const connections = connectionsBefore(situation, Math.round(waitMs / meanTurnMs));
-  const { calm } = situation;
-  return { ...situation, calm: { ...calm, events: [...connections, ...calm.events] } };
+  const { calm, submitAtMs } = situation;
+  const readAtMs = submitAtMs + waitMs;
+  const turns = troubleTurns[moment % troubleTurns.length] ?? 0;
+  return {
+    ...situation,
+    troubleAtMs: readAtMs + turns * meanTurnMs,
+    calm: { ...calm, events: [...connections, ...calm.events] },
+  };
 };
 
 const hasRole = ({ requester, dispatcher }: SlowSituation, role: SlowRole): boolean =>
@@ -99,7 +117,10 @@
     scenarios: Array.from({ length: moments }, (_, moment) =>
       met
         .filter((__, index) => index === moment % met.length)
-        .map((situation) => createMoment(situation, pair, moment)),
+        .map((situation) => {
+          const secondAtMs = situation.leavesAtMs + firstOffsetMs + moment * offsetStepMs;
+          return createMoment(situation, pair, { moment, secondAtMs });
+        }),
     ).flat(),
   };
 };
@@ -117,7 +138,8 @@
   scenarios: Array.from({ length: moments }, (_, moment) =>
     situations
       .filter((__, index) => index === moment % situations.length)
-      .map((one) => createMoment(waitBehindConnections(one, pair.pace, moment), pair, moment)),
+      .map((one) => waitBehindConnections(one, pair.pace, moment))
+      .map((one) => createMoment(one, pair, { moment, secondAtMs: one.troubleAtMs })),
   ).flat(),
 });
 
@@ -148,8 +170,8 @@
     ),
     ...waitingRoles.flatMap((role) =>
       paces(role).flatMap((slow) =>
-        [undefined, ...workerTroubles].map((second) =>
-          createWaitingPair(waiting, { ...slow, second }, moments),
+        [undefined, ...workerTroubles.filter(({ name }) => waitingTroubles.test(name))].map(
+          (second) => createWaitingPair(waiting, { ...slow, second }, moments),
         ),
       ),
     ),
