Daemons tell each other of starts in doubt

Cause: a start that got no answer was known to its dispatcher alone. When its requester was killed, or its caller sent the job again to another daemon, the next attempt went to another dispatcher, and ran beside the late start, which a later lifetime of the first worker carried out. When the dispatcher was killed, nobody knew of the start.

Change: a dispatcher announces a start without an answer, once the worker's report doesn't list it, with its heartbeats, like suspects: for 3 s to all peers, and from those that hear of it from another failure domain to their own. A task whose start is in doubt anywhere starts at no dispatcher. The doubt ends when its dispatcher knows what became of the run, when another daemon has taken the worker over (which then refuses the lower token), and by itself after 10 s, the time for which unanswered starts are remembered already.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -17,6 +17,7 @@
 import { CrashSuspects } from './crashSuspects.js';
 import type { SuspectSource } from './crashSuspects.js';
 import { LapsedRuns } from './lapsedRuns.js';
+import { DoubtedStarts } from './doubtedStarts.js';
 import type { LeaseTimes } from './leaseTimes.js';
 import { LostRuns } from './lostRuns.js';
 import type { ManagedWorker } from './managedWorker.js';
@@ -46,6 +47,8 @@
 export class Dispatcher {
   /** Tasks under which workers were lost, here or at other dispatchers. */
   readonly suspects: CrashSuspects;
+  /** Starts that may still be carried out, of this daemon and of other ones. */
+  readonly doubts: DoubtedStarts;
   private readonly batches: BatchTable;
   private readonly workers: WorkerPool;
   private readonly starter: TaskStarter;
@@ -58,6 +61,7 @@
     this.logger = logger;
     this.batches = BatchTable.create(options.clock);
     this.suspects = CrashSuspects.create(options.clock);
+    this.doubts = DoubtedStarts.create(options.clock);
     const supervisor = TaskSupervisor.create(options);
     this.workers = WorkerPool.create({
       ...options,
@@ -65,6 +69,8 @@
       supervisor,
       onEnd: (worker, run, evidence) => this.ended(worker, run, evidence),
       onLifetime: (workerId, answering) => this.lostRuns.resolveLapsed(workerId, answering),
+      onUnanswered: (workerId, run) => this.lostRuns.recordUnanswered(workerId, run),
+      onTakeOver: (workerId) => this.doubts.resolveAt(workerId),
       onAvailabilityChange: () => this.starter.startReadyTasks(),
     });
     this.starter = TaskStarter.create({
@@ -74,10 +80,10 @@
       workers: this.workers,
       awaitsProof: (task) => this.retries.awaitsProof(task),
     });
-    const { starter, suspects } = this;
+    const { starter, suspects, doubts } = this;
     const lapsedRuns = LapsedRuns.create();
-    this.retries = TaskRetries.create({ logger, starter, suspects });
-    this.lostRuns = LostRuns.create({ logger, lapsedRuns, retries: this.retries });
+    this.retries = TaskRetries.create({ logger, starter, suspects, doubts });
+    this.lostRuns = LostRuns.create({ logger, lapsedRuns, doubts, retries: this.retries });
   }
 
   static create(options: DispatcherOptions): Dispatcher {
--- a/src/dispatch/lostRuns.ts
+++ b/src/dispatch/lostRuns.ts
@@ -4,9 +4,10 @@
 import { unreachable } from '../errors/unreachable.js';
 import type { Logger } from '../ports/logger.js';
 import type { ActiveRun } from './activeRun.js';
+import type { DoubtedStarts } from './doubtedStarts.js';
 import type { LapsedRuns, ResolvedRun } from './lapsedRuns.js';
 import type { CrashSign } from './lifetimeEnd.js';
-import { suspicionOf } from './runEvidence.js';
+import { consequenceOf, suspicionOf } from './runEvidence.js';
 import type { RunEvidence } from './runEvidence.js';
 import type { TaskRetries } from './taskRetries.js';
 import type { WorkerRecord } from '../types/workers.js';
@@ -15,6 +16,7 @@
 export interface LostRunsOptions {
   readonly logger: Logger;
   readonly lapsedRuns: LapsedRuns;
+  readonly doubts: DoubtedStarts;
   readonly retries: TaskRetries;
 }
 
@@ -25,15 +27,23 @@
     return new LostRuns(options);
   }
 
+  /** Records a run whose start may still be carried out. */
+  recordUnanswered(workerId: string, run: ActiveRun): void {
+    this.options.doubts.recordUnanswered(startIdOf(run), run.taskName, workerId);
+  }
+
   /** Counts the worker of a run that has ended as lost under its task, if it is. */
   recordEnd(
     { workerId, startedAtMs: listedStartMs }: WorkerRecord,
     run: ActiveRun,
     evidence: RunEvidence,
   ): void {
-    const { lapsedRuns, retries } = this.options;
+    const { doubts, lapsedRuns, retries } = this.options;
     const suspicion = suspicionOf(evidence);
     const lossId = lossIdOf(run);
+    if (consequenceOf(evidence).kind !== 'must-not-start') {
+      doubts.resolve(startIdOf(run));
+    }
     switch (suspicion) {
       case 'none':
         return;
@@ -95,6 +105,10 @@
   }
 }
 
+/** Identifies the start of a run among those of all tasks. */
+const startIdOf = ({ task, taskName, run }: ActiveRun): string =>
+  `${task.batch.batchId}/${taskName}.${run}`;
+
 /** Identifies the loss of a run: a batch has one dispatcher, which numbers the runs of each of its tasks. */
 const lossIdOf = ({ task, run }: Pick<ActiveRun, 'task' | 'run'>): string =>
   `${task.batch.batchId}.${run}`;
--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -18,6 +18,7 @@
 import type { BatchedTask } from './openBatch.js';
 import { taskNameOf } from './taskNames.js';
 import type { CapacityRelease } from '../types/fleet.js';
+import type { DoubtListeners } from './doubtedStarts.js';
 import type { LeaseTimes } from './leaseTimes.js';
 import type { RunEvidence } from './runEvidence.js';
 import { RunOrders } from './runOrders.js';
@@ -29,7 +30,7 @@
 import { WorkerReports, idlePollMs } from './workerReports.js';
 import { WorkerHealth } from './workerHealth.js';
 
-export interface ManagedWorkerOptions {
+export interface ManagedWorkerOptions extends DoubtListeners {
   readonly record: WorkerRecord;
   readonly fencingToken: number;
   readonly clock: Clock;
@@ -69,7 +70,7 @@
   private readonly loop: Promise<void>;
 
   private constructor(private readonly options: ManagedWorkerOptions) {
-    const { activeTasks, clock, logger, rememberedSlowness, onEnd } = options;
+    const { activeTasks, clock, logger, rememberedSlowness, onEnd, onUnanswered } = options;
     this.link = WorkerLink.create(options);
     this.speed = WorkerSpeed.create(rememberedSlowness, clock.nowMs());
     this.health = WorkerHealth.create(clock);
@@ -77,7 +78,7 @@
     this.sleeper = WakeableSleep.create(clock);
     const { link, sleeper, runs, health } = this;
     const onStart = (run: ActiveRun): void => this.markStarted(run);
-    const common = { clock, logger, link, runs, sleeper, health, onStart };
+    const common = { clock, logger, link, runs, sleeper, health, onStart, onUnanswered };
     this.reports = WorkerReports.create({
       ...common,
       onLifetime: (answering) => options.onLifetime(this.workerId, answering),
@@ -254,13 +255,9 @@
     }
   }
 
-  /**
-   * Waits for a higher fencing token while another dispatcher uses the worker; the runs of this
-   * daemon end with their leases.
-   */
+  /** Waits for a higher fencing token while another dispatcher uses the worker; the runs here end with their leases. */
   private async waitForToken(): Promise<void> {
-    const { leaseClock } = this.link;
-    const leaseLeftMs = leaseClock.msUntilAllLeasesEnded();
+    const leaseLeftMs = this.link.leaseClock.msUntilAllLeasesEnded();
     const pauseMs = this.runs.hasLeasedRuns ? leaseLeftMs + 1 : idlePollMs;
     await this.sleeper.sleep(pauseMs);
     this.reports.endLapsedRuns('fenced');
@@ -278,6 +275,7 @@
     }
     this.isTakenOver = true;
     this.options.logger.info('The worker is taken over.', { workerId: this.workerId });
+    this.options.onTakeOver?.(this.workerId);
     this.options.onAvailabilityChange();
   }
 
--- a/src/dispatch/runOrders.ts
+++ b/src/dispatch/runOrders.ts
@@ -6,6 +6,7 @@
 import type { Logger } from '../ports/logger.js';
 import type { StartReply } from '../ports/workers.js';
 import { WakeableSleep } from '../utils/wakeableSleep.js';
+import type { DoubtListeners } from './doubtedStarts.js';
 import { recordDisconnection, recordStopOrder } from './activeRun.js';
 import type { ActiveRun } from './activeRun.js';
 import { evidenceOfStartReply, maxStopMs } from './runEvidence.js';
@@ -26,6 +27,8 @@
   readonly sleeper: WakeableSleep;
   /** Called with a run whose start the worker has acknowledged. */
   readonly onStart: (run: ActiveRun) => void;
+  /** Called with a run whose start got no answer, and that the worker does not list. */
+  readonly onUnanswered?: DoubtListeners['onUnanswered'] | undefined;
   /** Called when the reply to a start is the first of a new lifetime of the worker. */
   readonly onNewLifetime: () => void;
 }
@@ -198,6 +201,7 @@
     this.options.sleeper.wake();
     await this.options.poll();
     if (this.options.runs.has(run) && run.startedAtMs === undefined) {
+      this.options.onUnanswered?.(this.options.link.workerId, run);
       await this.stop(run);
     }
   }
--- a/src/dispatch/taskRetries.ts
+++ b/src/dispatch/taskRetries.ts
@@ -4,6 +4,7 @@
  */
 import { unreachable } from '../errors/unreachable.js';
 import type { Logger } from '../ports/logger.js';
+import type { DoubtedStarts } from './doubtedStarts.js';
 import type { CrashSuspects } from './crashSuspects.js';
 import {
   consequenceOfLosses,
@@ -26,6 +27,7 @@
   readonly logger: Logger;
   readonly starter: TaskStarter;
   readonly suspects: CrashSuspects;
+  readonly doubts: DoubtedStarts;
 }
 
 /** The worker of a run that has ended. */
@@ -73,12 +75,12 @@
   }
 
   /**
-   * Whether a task waits until the workers that were silent under it answer, since it may not be started again
-   * if they have crashed.
+   * Whether a task waits: a start of it may still be carried out, or the workers that were silent under it have to answer,
+   * since it may not be started again if they have crashed.
    */
   awaitsProof(task: BatchedTask): boolean {
     this.updateLosses(task);
-    return isDecidedByAwaited(task.losses);
+    return this.options.doubts.isDoubted(taskNameOf(task)) || isDecidedByAwaited(task.losses);
   }
 
   /** Ends the task of a run, or queues it for another run if what is known of the run allows it. */
--- a/src/dispatch/unansweredStarts.ts
+++ b/src/dispatch/unansweredStarts.ts
@@ -6,7 +6,7 @@
 import type { ActiveRun } from './activeRun.js';
 
 /** An order that was never answered is carried out at most this much later, in milliseconds. */
-const maxOrderDelayMs = 10_000;
+export const maxOrderDelayMs = 10_000;
 /** The oldest starts are forgotten above this number. */
 const maxRememberedStarts = 256;
 
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -23,7 +23,7 @@
 
 export interface WorkerPoolOptions extends Pick<
   ManagedWorkerOptions,
-  'beforeOrders' | 'onEnd' | 'onLifetime' | 'onAvailabilityChange'
+  'beforeOrders' | 'onEnd' | 'onLifetime' | 'onUnanswered' | 'onTakeOver' | 'onAvailabilityChange'
 > {
   readonly clock: Clock;
   readonly logger: Logger;
--- a/src/fleet/fleetHeartbeatExchange.ts
+++ b/src/fleet/fleetHeartbeatExchange.ts
@@ -78,7 +78,9 @@
     const roundTripMs = peer === undefined ? undefined : ages.shortestRoundTripMs(peer);
     const isSameDomain =
       peer !== undefined && this.isInOwnDomain(peers().find(peer)?.heartbeat?.member);
-    const suspects = dispatcher.suspects.listAnnounced(this.audienceOf(peer, isSameDomain));
+    const audience = this.audienceOf(peer, isSameDomain);
+    const suspects = dispatcher.suspects.listAnnounced(audience);
+    const doubts = dispatcher.doubts.listAnnounced(audience);
     return {
       member: own,
       sentAtMs: ages.timestampMs(),
@@ -89,6 +91,7 @@
       ...(heldUpMs > 0 ? { heldUpMs } : {}),
       ...(roundTripMs === undefined ? {} : { roundTripMs }),
       ...(suspects.length > 0 ? { suspects } : {}),
+      ...(doubts.length > 0 ? { doubts } : {}),
       ...(isFull ? { lengths: lengths.share(), heardMembers: peers().heardMembers() } : {}),
       ...(isFull && isSameDomain ? { speeds: speeds.list() } : {}),
     };
@@ -112,9 +115,11 @@
     const isSameDomain = this.isInOwnDomain(member);
     view.recordLoad(incarnation, load, isSameDomain ? 'near' : 'far', ageMs);
     load.workers.forEach((worker) => speeds.record(worker));
+    const source = isSameDomain ? 'own-domain' : 'other-domain';
     if (heartbeat.suspects !== undefined) {
-      dispatcher.recordSuspects(heartbeat.suspects, isSameDomain ? 'own-domain' : 'other-domain');
+      dispatcher.recordSuspects(heartbeat.suspects, source);
     }
+    heartbeat.doubts?.forEach((doubt) => dispatcher.doubts.recordAnnounced(doubt, source));
     heartbeat.speeds?.forEach((speed) => speeds.recordIfAbsent(speed));
     if (lengths !== undefined) {
       this.options.lengths.recordPeerSums(incarnation, lengths);
--- a/src/fleet/startsInDoubt.spec.ts
+++ b/src/fleet/startsInDoubt.spec.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert';
 import {
   createInDoubtScenario,
+  lateStartOfKilledRequesterScenario,
   startInNextLifetimeScenario,
 } from '../testing/model/inDoubtScenarios.js';
 import { runScenario } from '../testing/model/runScenario.js';
@@ -39,4 +40,10 @@
   assert.equal(answers, ['0000000000000001/0 completed']);
 });
 
+// Guards against a start that its dispatcher alone knows to be in doubt, while another one runs the caller's next attempt.
+test('a late start of a killed requester does not begin beside the next attempt of its caller', async () => {
+  const { violations } = await runScenario(lateStartOfKilledRequesterScenario);
+  assert.equal(violations, []);
+});
+
 test.run();
--- a/src/testing/model/inDoubtScenarios.ts
+++ b/src/testing/model/inDoubtScenarios.ts
@@ -62,3 +62,28 @@
   ...{ tasks: 3, trouble: 'held-up', aheadMs: 84, troubleMs: 1_877, crashAfterMs: 1_123 },
   ...{ downMs: 466, down: 'refused', startsStateLifetime: false },
 });
+
+/** A requester is killed while a worker carries its starts out late; the worker crashes, and the job comes elsewhere. */
+export const lateStartOfKilledRequesterScenario: Scenario = {
+  ...createScenario(
+    ['east', 'east', 'east'],
+    [['east', 3]],
+    [
+      submit(1_882, {
+        ...{ daemon: 0, tasks: 3, runMs: 1_296, estimatedMs: 1_296 },
+        ...{ cpuMillis: 5_000, deadlineMs: 17_042, maxAttempts: 3 },
+      }),
+      {
+        ...{ kind: 'worker-fault', atMs: 1_866, worker: { kind: 'numbered', index: 2 } },
+        ...{ fault: 'late', lateByMs: 2_422, forMs: 2_117 },
+      },
+      {
+        ...{ kind: 'crash', atMs: 1_955, worker: { kind: 'numbered', index: 2 } },
+        ...{ down: 'refused', downMs: 1_034 },
+      },
+      { kind: 'kill', atMs: 2_208, daemon: 0, downMs: 1_381 },
+    ],
+  ),
+  seed: 9_100_946,
+  startsStateLifetime: true,
+};
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -66,6 +66,20 @@
 });
 export type SuspectTask = z.infer<typeof suspectTaskSchema>;
 
+/** A start that a worker may still carry out, or of which it is known by now that it is over. */
+export const doubtedStartSchema = z.object({
+  /** Identifies the start among all. */
+  id: z.string(),
+  taskName: z.string(),
+  /** The worker that was sent the start, if it is known. */
+  workerId: z.string().optional(),
+  /** Only rises, in this order. */
+  status: z.enum(['open', 'over']),
+  /** Time after which the doubt ends by itself, in milliseconds. */
+  leftMs: z.number().nonnegative(),
+});
+export type DoubtedStart = z.infer<typeof doubtedStartSchema>;
+
 export const fleetHeartbeatSchema = z.object({
   member: memberSchema,
   /** Timestamp of the sender (`fleet/messageAges`), in milliseconds; earlier versions omit it. */
@@ -97,6 +111,8 @@
    * begun, those of the last minutes.
    */
   suspects: z.array(suspectTaskSchema).optional(),
+  /** Starts in doubt, and ends of doubts, that the sender has learned of a short while ago, if there are any. */
+  doubts: z.array(doubtedStartSchema).optional(),
   /** What the sender has learned of run times; in some heartbeats only. */
   lengths: z.array(lengthSumsSchema).optional(),
   /** Slowdown factors of workers; sent together with `lengths`, within a failure domain only. */
