Tasks of a lost dispatcher are in doubt until others have its workers

Cause: when a dispatcher was killed just after a start that was held up, nobody knew of the start. Its requester gave the job up, the caller sent it again 1.3 s later, and the start began in the next lifetime of its worker, which no dispatcher had taken over yet (it would refuse the lower token).

Change: a requester that loses a dispatcher announces the tasks that it had not returned as in doubt, for 2.5 s from when it was last heard: the membership of a killed daemon expires after 2 s at most, and others renew theirs each 0.6 s. The job is given up at once, as before; its next attempt waits for what is left of that time, 1.2 s at most, and 0.3 s where the loss was noticed by silence.

Considered: to keep the job, and to place its tasks again after that time. Its caller would wait for longer before it may send the job elsewhere, and a job that can't end in time any more would be held for nothing.

Still open: a daemon that is killed just after its start and is requester and dispatcher of the job.

--- a/src/bestEffort/batchRouter.spec.ts
+++ b/src/bestEffort/batchRouter.spec.ts
@@ -2,6 +2,7 @@
 import type { Result } from 'ts-results-es';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import { DoubtedStarts } from '../dispatch/doubtedStarts.js';
 import type { Dispatcher } from '../dispatch/dispatcher.js';
 import { FleetPeer } from '../fleet/fleetPeer.js';
 import type { FleetPeers } from '../fleet/fleetPeers.js';
@@ -28,7 +29,10 @@
 const unusedDispatcher = undefined as unknown as Dispatcher;
 
 /** A router with one peer, whose link gives the replies one after the other, each after 200 ms. */
-const createFixture = (replies: Result<BatchReply, PeerError>[]) => {
+const createFixture = (
+  replies: Result<BatchReply, PeerError>[],
+  dispatcher: Dispatcher = unusedDispatcher,
+) => {
   const clock = FakeClock.create();
   const requests: BatchRequest[] = [];
   const link: Pick<FleetLink, 'runBatch'> = {
@@ -49,7 +53,7 @@
     ownId: 'own',
     ages: MessageAges.create(clock),
     contact: CallerContact.create(clock),
-    dispatcher: unusedDispatcher,
+    dispatcher,
     peers: () => peers as FleetPeers,
     view: FleetView.create({
       clock,
@@ -97,4 +101,19 @@
   assert.is((await running).kind, 'lost');
 });
 
+// Guards against tasks of a lost dispatcher that start again at once, and against tasks that it had returned and that wait.
+test('the tasks that a lost dispatcher has not returned are in doubt', () => {
+  const doubts = DoubtedStarts.create(FakeClock.create());
+  const dispatcher: Pick<Dispatcher, 'doubts'> = { doubts };
+  const { router } = createFixture([], dispatcher as Dispatcher);
+  const [task] = batch.tasks;
+  assert.ok(task);
+  const tasks = [0, 1, 2].map((index) => ({ ...task, index }));
+  router.recordLost({ ...batch, tasks }, new Set([1]), { kind: 'lost', reason: 'no answer' });
+  assert.equal(
+    tasks.map(({ index }) => doubts.isDoubted(`${batch.jobId}.0.0.${index}`)),
+    [true, false, true],
+  );
+});
+
 test.run();
--- a/src/bestEffort/batchRouter.ts
+++ b/src/bestEffort/batchRouter.ts
@@ -3,18 +3,20 @@
  * daemon by a request that is sent again, on another connection, when no answer arrives in time.
  */
 import { shortenTimeLimits } from '../dispatch/batchTimeLimits.js';
+import { nameStep, nameTask } from '../dispatch/taskNames.js';
 import type { Dispatcher } from '../dispatch/dispatcher.js';
 import type { Batch, BatchReply } from '../types/dispatch.js';
 import type { FleetPeer } from '../fleet/fleetPeer.js';
 import type { FleetPeers } from '../fleet/fleetPeers.js';
 import type { CallerContact } from '../fleet/callerContact.js';
+import { maxSharingSilenceMs } from '../fleet/requesterTimes.js';
 import type { MessageAges } from '../fleet/messageAges.js';
 import type { Clock } from '../ports/clock.js';
 import { createDeferred } from '../utils/deferred.js';
 import type { Deferred } from '../utils/deferred.js';
 import { RecentNames } from '../utils/recentNames.js';
 import type { FleetView } from './fleetView.js';
-import type { BatchResult, BatchSender } from './batchSender.js';
+import type { BatchResult, BatchSender, LostBatch } from './batchSender.js';
 
 /** Extra time to wait for an answer, beyond the run time, before a request is sent again. */
 const resendSlackMs = 400;
@@ -44,8 +46,8 @@
 /** A batch that was sent to another daemon and has no result yet. */
 interface RemoteBatch {
   readonly dispatcherId: string;
-  /** Resolved with the reason when the daemon is lost. */
-  readonly lost: Deferred<string>;
+  /** Resolved when the daemon is lost. */
+  readonly lost: Deferred<LostBatch>;
   /** False once the batch is withdrawn. */
   isRequested: boolean;
 }
@@ -94,13 +96,28 @@
     }
     this.remoteBatches.set(batch.batchId, remote);
     this.countBatches(dispatcherId, 1);
-    const lost = remote.lost.promise.then((reason): BatchResult => ({ kind: 'lost', reason }));
-    const result = await Promise.race([this.runRemotely(peer, dispatcherId, batch), lost]);
+    const result = await Promise.race([
+      this.runRemotely(peer, dispatcherId, batch),
+      remote.lost.promise,
+    ]);
     this.remoteBatches.delete(batch.batchId);
     this.countBatches(dispatcherId, -1);
     return result;
   }
 
+  /** Keeps tasks in doubt for a while whose dispatcher was lost, unless it has returned them. */
+  recordLost(
+    { batchId, jobId, stepIndex, tasks }: Batch,
+    returnedIndexes: ReadonlySet<number>,
+    { unheardMs = 0 }: LostBatch,
+  ): void {
+    const stepName = nameStep(jobId, stepIndex);
+    const taskNames = tasks
+      .filter(({ index }) => !returnedIndexes.has(index))
+      .map(({ index }) => nameTask(stepName, index));
+    this.options.dispatcher.doubts.recordLostBatch(batchId, taskNames, unheardMs);
+  }
+
   /** Withdraws a batch; a remote dispatcher is sent one message, whose answer is not awaited. */
   withdraw(dispatcherId: string, batchId: string): void {
     const { ownId, dispatcher, peers } = this.options;
@@ -135,7 +152,11 @@
   failBatchesAt(dispatcherId: string): void {
     for (const { dispatcherId: id, lost } of this.remoteBatches.values()) {
       if (id === dispatcherId) {
-        lost.resolve('it is no longer heard');
+        lost.resolve({
+          kind: 'lost',
+          reason: 'it is no longer heard',
+          unheardMs: maxSharingSilenceMs,
+        });
       }
     }
   }
--- a/src/bestEffort/batchSender.ts
+++ b/src/bestEffort/batchSender.ts
@@ -9,7 +9,14 @@
   /** The dispatcher returned some tasks at once; send the batch again to wait for the others. */
   | { readonly kind: 'partial'; readonly returned: readonly BatchTask[] }
   /** The dispatcher is not reachable or did not answer; its tasks may have run. */
-  | { readonly kind: 'lost'; readonly reason: string };
+  | LostBatch;
+
+export interface LostBatch {
+  readonly kind: 'lost';
+  readonly reason: string;
+  /** Time for which the dispatcher had not been heard, if it is lost for that, in milliseconds. */
+  readonly unheardMs?: number;
+}
 
 /** Sends batches to dispatchers, this daemon's own among them. */
 export interface BatchSender {
@@ -20,6 +27,8 @@
    * but waits for the first run.
    */
   run(dispatcherId: string, batch: Batch): Promise<BatchResult>;
+  /** Records that the dispatcher of a batch was lost; it may have started the tasks that it has not returned. */
+  recordLost(batch: Batch, returnedIndexes: ReadonlySet<number>, lost: LostBatch): void;
   /** Withdraws a batch: none of its tasks is started any more, and running ones are stopped. */
   withdraw(dispatcherId: string, batchId: string): void;
 }
--- a/src/bestEffort/jobErrors.spec.ts
+++ b/src/bestEffort/jobErrors.spec.ts
@@ -38,6 +38,7 @@
   const sender: BatchSender = {
     nextBatchId: () => 'b-1',
     run: () => new Promise(() => undefined),
+    recordLost: () => undefined,
     withdraw: (_dispatcherId, batchId) => void withdrawn.push(batchId),
   };
   let plans = 0;
--- a/src/bestEffort/stepRun.spec.ts
+++ b/src/bestEffort/stepRun.spec.ts
@@ -45,6 +45,7 @@
       batches.push(batch);
       return { kind: 'ended', end: await reply(batch, batches.length) };
     },
+    recordLost: () => undefined,
     withdraw: () => undefined,
   };
   const planner: Pick<StepPlanner, 'plan' | 'commit'> = {
--- a/src/bestEffort/stepRun.ts
+++ b/src/bestEffort/stepRun.ts
@@ -162,17 +162,25 @@
       count: tasks.length,
       ageMs: plan.oldestReportAgeMs,
     });
+    const finish = (
+      result: BatchResult,
+      returnedIndexes: ReadonlySet<number>,
+    ): Promise<StepEnd> => {
+      this.job.openBatches.delete(sent);
+      if (result.kind === 'lost') {
+        sender.recordLost(batch, returnedIndexes, result);
+      }
+      return this.handleResult(result, dispatcherId, request, returnedIndexes);
+    };
     const first = await sender.run(dispatcherId, batch);
     if (first.kind !== 'partial') {
-      this.job.openBatches.delete(sent);
-      return this.handleResult(first, dispatcherId, request, new Set());
+      return finish(first, new Set());
     }
-    const reassignedIndexes = first.returned.map(({ index }) => index);
+    const reassignedIndexes = new Set(first.returned.map(({ index }) => index));
     const reassigned = this.reassign(first.returned, dispatcherId, request);
-    const remaining = sender.run(dispatcherId, batch).then((result) => {
-      this.job.openBatches.delete(sent);
-      return this.handleResult(result, dispatcherId, request, new Set(reassignedIndexes));
-    });
+    const remaining = sender
+      .run(dispatcherId, batch)
+      .then((result) => finish(result, reassignedIndexes));
     return firstUnsuccessful([reassigned, remaining]);
   }
 
--- a/src/dispatch/doubtedStarts.spec.ts
+++ b/src/dispatch/doubtedStarts.spec.ts
@@ -68,4 +68,27 @@
   );
 });
 
+// Guards against tasks that start beside those of a lost dispatcher, or that wait when others have its workers.
+test('the tasks of a lost dispatcher are in doubt for 2.5 s after it was last heard', async () => {
+  const clock = FakeClock.create();
+  const doubts = DoubtedStarts.create(clock);
+  doubts.recordLostBatch('b-1', ['a', 'b'], 0);
+  doubts.recordLostBatch('b-2', ['c'], 900);
+  await clock.advance(1_500);
+  assert.equal(
+    ['a', 'b', 'c'].map((name) => doubts.isDoubted(name)),
+    [true, true, true],
+  );
+  await clock.advance(200);
+  assert.equal(
+    ['a', 'b', 'c'].map((name) => doubts.isDoubted(name)),
+    [true, true, false],
+  );
+  await clock.advance(900);
+  assert.equal(
+    ['a', 'b', 'c'].map((name) => doubts.isDoubted(name)),
+    [false, false, false],
+  );
+});
+
 test.run();
--- a/src/dispatch/doubtedStarts.ts
+++ b/src/dispatch/doubtedStarts.ts
@@ -11,6 +11,11 @@
 import type { Audience, SuspectSource } from './crashSuspects.js';
 import { maxOrderDelayMs } from './unansweredStarts.js';
 
+/**
+ * Time for which the tasks of a batch are in doubt after their dispatcher was last heard: the membership of one that was
+ * killed has expired then, and others have taken its workers over, which refuse its fencing token from then on.
+ */
+const lostBatchDoubtMs = 2_500;
 /** Doubts in one heartbeat. */
 const maxAnnouncedDoubts = 64;
 const maxRememberedDoubts = 1_024;
@@ -57,6 +62,21 @@
     this.record({ id, taskName, workerId, status: 'open' }, 'own', maxOrderDelayMs);
   }
 
+  /**
+   * Records that a dispatcher was lost that may have started tasks.
+   *
+   * @param batchId - their batch
+   * @param taskNames - names of the tasks
+   * @param unheardMs - time since the dispatcher was heard, in milliseconds
+   */
+  recordLostBatch(batchId: string, taskNames: readonly string[], unheardMs: number): void {
+    const leftMs = Math.max(lostBatchDoubtMs - unheardMs, 0);
+    for (const taskName of taskNames) {
+      const id = `${batchId}/${taskName}`;
+      this.record({ id, taskName, status: 'open' }, 'own', leftMs);
+    }
+  }
+
   /** Records that it is known what became of a start. */
   resolve(id: string): void {
     const doubt = this.doubts.get(id);
--- a/src/dispatch/taskNames.ts
+++ b/src/dispatch/taskNames.ts
@@ -5,12 +5,16 @@
 import type { TaskDemand } from './workerChoice.js';
 
 /** Name of a step on the workers; the second part numbers occurrences of repeating jobs, here 0. */
+export const nameStep = (jobId: string, stepIndex: number): string => `${jobId}.0.${stepIndex}`;
+
+/** Name of a task on the workers. */
+export const nameTask = (stepName: string, index: number): string => `${stepName}.${index}`;
+
 export const stepNameOf = ({ content }: OpenBatch): string =>
-  `${content.jobId}.0.${content.stepIndex}`;
+  nameStep(content.jobId, content.stepIndex);
 
-/** Name of a task on the workers: the name of its step and its index. */
 export const taskNameOf = ({ batch, index }: BatchedTask): string =>
-  `${stepNameOf(batch)}.${index}`;
+  nameTask(stepNameOf(batch), index);
 
 /** Resources, expected run time and time limits of a task, for the choice of its worker. */
 export const demandOf = ({ batch }: BatchedTask): TaskDemand => ({
--- a/src/fleet/startsInDoubt.spec.ts
+++ b/src/fleet/startsInDoubt.spec.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert';
 import {
   createInDoubtScenario,
+  heldUpStartOfKilledDispatcherScenario,
   lateStartOfKilledRequesterScenario,
   startInNextLifetimeScenario,
 } from '../testing/model/inDoubtScenarios.js';
@@ -46,4 +47,11 @@
   assert.equal(violations, []);
 });
 
+// Guards against a start of which nobody knows, since its dispatcher was killed before it could tell.
+test('a start of a killed dispatcher does not begin beside the next attempt of its caller', async () => {
+  const { violations, answers } = await runScenario(heldUpStartOfKilledDispatcherScenario);
+  assert.equal(violations, []);
+  assert.equal(answers, ['0000000000000001/0 given-up', '0000000000000001/1 completed']);
+});
+
 test.run();
--- a/src/testing/model/inDoubtScenarios.ts
+++ b/src/testing/model/inDoubtScenarios.ts
@@ -87,3 +87,33 @@
   seed: 9_100_946,
   startsStateLifetime: true,
 };
+
+/** A dispatcher is killed just after its start is held up; the worker crashes, and the job comes to another requester. */
+export const heldUpStartOfKilledDispatcherScenario: Scenario = {
+  ...createScenario(
+    ['east', 'west', 'east'],
+    [],
+    [
+      submit(2_023, {
+        ...{ daemon: 2, nextDaemonStep: 2, tasks: 3, runMs: 1_699, estimatedMs: 1_699 },
+        ...{ cpuMillis: 5_000, deadlineMs: 19_630, maxAttempts: 8 },
+      }),
+      { kind: 'kill', atMs: 3_614, daemon: 0, downMs: 787 },
+      {
+        ...{ kind: 'cut', atMs: 2_668, worker: { kind: 'numbered', index: 0 }, daemon: null },
+        ...{ fault: 'silent', forMs: 2_168 },
+      },
+      {
+        ...{ kind: 'cut', atMs: 3_025, worker: { kind: 'numbered', index: 2 }, daemon: 0 },
+        ...{ fault: 'held-up', forMs: 1_564 },
+      },
+      {
+        ...{ kind: 'crash', atMs: 3_663, worker: { kind: 'numbered', index: 2 } },
+        ...{ down: 'silent', downMs: 398 },
+      },
+    ],
+  ),
+  workers: ['east', 'west', 'east'].map((domain) => ({ domain, label: 'a' })),
+  seed: 201_916,
+  guardsCapacity: true,
+};
