--- a/src/fleet/eventOrdersWalk.spec.ts
+++ b/src/fleet/eventOrdersWalk.spec.ts
@@ -125,6 +125,16 @@
   await checkScenarios([...broken, ...samplePairs(others, sample)]);
 });
 
+// Guards against late starts that a dispatcher has told nobody of, and which then is killed or suspended.
+test('no late start of a dispatcher that has told of it runs a task twice', async () => {
+  const pairs = createLateStartPairs();
+  const late = 'held up, from all';
+  await checkScenarios([
+    ...scenariosAt(pairs, [late, 'kill, long of dispatcher'], [14, 20, 26, 29, 34, 35]),
+    ...scenariosAt(pairs, [late, 'suspension 900 ms of dispatcher'], [31]),
+  ]);
+});
+
 // Guards against late starts of a killed dispatcher, beside the next attempt of their caller at another daemon.
 test('no late start of a killed dispatcher runs a task twice', async () => {
   const pairs = createLateStartPairs();
