--- a/ci/walkOrders.ts
+++ b/ci/walkOrders.ts
@@ -4,6 +4,7 @@
 import { mkdir, writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
 import { createDeadlyTaskPairs } from '../src/testing/model/walk/deadlyTaskWalk.js';
+import { createLateCallerPairs } from '../src/testing/model/walk/lateCallerWalk.js';
 import { createLateStartPairs } from '../src/testing/model/walk/lateStartWalk.js';
 import { createMissingKindPairs } from '../src/testing/model/walk/missingKindWalk.js';
 import {
@@ -13,6 +14,7 @@
 } from '../src/testing/model/walk/pairWalk.js';
 import type { Combination } from '../src/testing/model/walk/pairWalk.js';
 import { createShortTaskPairs } from '../src/testing/model/walk/shortTaskWalk.js';
+import { createSlowDaemonPairs } from '../src/testing/model/walk/slowDaemonWalk.js';
 import { drawTriples } from '../src/testing/model/walk/tripleWalk.js';
 import {
   prepareSituations,
@@ -25,6 +27,7 @@
 const walkKinds = [
   ...(['pairs', 'daemons', 'workers', 'late-grants', 'triples'] as const),
   ...(['short-tasks', 'missing-kind', 'deadly-task', 'late-starts'] as const),
+  ...(['late-callers', 'slow-daemons'] as const),
 ];
 export type WalkKind = (typeof walkKinds)[number];
 
@@ -97,6 +100,10 @@
       return createDeadlyTaskPairs(moments);
     case 'late-starts':
       return createLateStartPairs();
+    case 'late-callers':
+      return createLateCallerPairs();
+    case 'slow-daemons':
+      return createSlowDaemonPairs(moments);
   }
 };
 
--- a/src/dispatch/confirmedBatches.spec.ts
+++ b/src/dispatch/confirmedBatches.spec.ts
@@ -59,6 +59,33 @@
   await close();
 });
 
+// Guards against a run that is renewed beyond the time at which its caller may have sent the job again.
+test('no lease goes beyond the end of the runs that a batch states, however often it is confirmed', async () => {
+  const { clock, workers, dispatcher, lastLeaseEndMs, close } = await createFixture();
+  const runsEndInMs = 1_500;
+  const runsEndAtMs = clock.nowMs() + runsEndInMs;
+  void dispatcher.run(requester, { ...batch, runsEndInMs });
+  for (let passedMs = 0; passedMs < 2 * runsEndInMs; passedMs += 100) {
+    await clock.advance(100);
+    dispatcher.confirm(requester, () => true, 0);
+  }
+  assert.is(workers.starts.length, 1);
+  assert.ok(lastLeaseEndMs() <= runsEndAtMs);
+  assert.ok(lastLeaseEndMs() > runsEndAtMs - 100);
+  await close();
+});
+
+// Guards against a task that waits until its caller leaves, though no lease for it can end in time any more.
+test('a task for which no lease ends in time expires at once', async () => {
+  const { clock, workers, dispatcher, close } = await createFixture();
+  const running = dispatcher.run(requester, { ...batch, runsEndInMs: leaseTimes.leaseMs });
+  await clock.advance(30);
+  const { ends } = await running;
+  assert.equal(ends, [{ kind: 'expired', index: 0 }]);
+  assert.is(workers.starts.length, 0);
+  await close();
+});
+
 // Guards against runs that are renewed on after their batch was withdrawn, while a heartbeat of before arrives.
 test('a withdrawn batch is not confirmed any more', async () => {
   const { clock, dispatcher, lastLeaseEndMs, close } = await createFixture();
--- a/src/fleet/requesterTimes.spec.ts
+++ b/src/fleet/requesterTimes.spec.ts
@@ -3,6 +3,7 @@
 import { longestLeaseDurationMs } from '../dispatch/leaseTimes.js';
 import { longestPauseMs } from '../utils/periodicSleep.js';
 import {
+  deadlineTimesFor,
   heartbeatTickMs,
   leaseTimesFor,
   maxSharingSilenceMs,
@@ -42,4 +43,26 @@
   );
 });
 
+// Guards against runs that go on beside the next attempt of a caller whose request was read late.
+test('the runs of a job have ended by the deadline of its caller, and its answer comes before', () => {
+  const times = leaseTimesFor(1_000);
+  for (const deadlineMs of [1_250, 1_500, 3_000, 86_400_000]) {
+    const { giveUpMs, runsEndMs } = deadlineTimesFor(deadlineMs, times);
+    assert.is(runsEndMs, deadlineMs);
+    assert.ok(giveUpMs < runsEndMs);
+    assert.ok(giveUpMs > deadlineMs - 100, `${giveUpMs} ms`);
+  }
+});
+
+// Guards against callers with a short deadline for whom no task could ever start under a full lease.
+test('a full lease can be issued for a job with a short deadline, and ends before its caller comes back', () => {
+  const times = leaseTimesFor(1_000);
+  for (const deadlineMs of [100, 300, 800, 1_200]) {
+    const { giveUpMs, runsEndMs } = deadlineTimesFor(deadlineMs, times);
+    assert.ok(longestLeaseDurationMs(times) < runsEndMs);
+    assert.ok(runsEndMs < deadlineMs + minCallerResendMs);
+    assert.ok(giveUpMs > 0 && giveUpMs <= deadlineMs);
+  }
+});
+
 test.run();
--- a/src/fleet/startsInDoubt.spec.ts
+++ b/src/fleet/startsInDoubt.spec.ts
@@ -2,6 +2,8 @@
 import * as assert from 'uvu/assert';
 import {
   createInDoubtScenario,
+  heldUpStartOfKilledDispatcherScenario,
+  lateStartOfKilledRequesterScenario,
   startInNextLifetimeScenario,
 } from '../testing/model/inDoubtScenarios.js';
 import { runScenario } from '../testing/model/runScenario.js';
@@ -39,4 +41,17 @@
   assert.equal(answers, ['0000000000000001/0 completed']);
 });
 
+// Guards against a start that its dispatcher alone knows to be in doubt, while another one runs the caller's next attempt.
+test('a late start of a killed requester does not begin beside the next attempt of its caller', async () => {
+  const { violations } = await runScenario(lateStartOfKilledRequesterScenario);
+  assert.equal(violations, []);
+});
+
+// Guards against a start of which nobody knows, since its dispatcher was killed before it could tell.
+test('a start of a killed dispatcher does not begin beside the next attempt of its caller', async () => {
+  const { violations, answers } = await runScenario(heldUpStartOfKilledDispatcherScenario);
+  assert.equal(violations, []);
+  assert.equal(answers, ['0000000000000001/0 given-up', '0000000000000001/1 completed']);
+});
+
 test.run();
--- a/src/testing/model/calmTime.ts
+++ b/src/testing/model/calmTime.ts
@@ -23,11 +23,13 @@
       return atMs + event.downMs;
     case 'freeze':
     case 'suspend':
+    case 'slow':
     case 'cut':
     case 'cut-daemons':
     case 'cut-store':
     case 'worker-fault':
     case 'expire-entry':
+    case 'inbound':
       return atMs + event.forMs;
     case 'drain':
       return atMs + event.drainMs;
--- a/src/testing/model/daemonAndWorkerArbitrary.ts
+++ b/src/testing/model/daemonAndWorkerArbitrary.ts
@@ -158,8 +158,10 @@
     case 'freeze':
     case 'suspend':
     case 'cut-store':
+    case 'inbound':
       return { ...moved, daemon: moved.daemon + firstDaemon };
     case 'cut':
+    case 'slow':
       return { ...moved, daemon: moved.daemon === null ? null : moved.daemon + firstDaemon };
     case 'cut-daemons':
       return { ...moved, daemon: moved.daemon + firstDaemon, other: moved.other + firstDaemon };
--- a/src/testing/model/modelClients.ts
+++ b/src/testing/model/modelClients.ts
@@ -159,41 +159,46 @@
     job: ModelJob,
   ): Promise<AttemptAnswer> {
     const { time } = this.options;
-    const { current } = daemon;
+    const { current, clientLink } = daemon;
     await time.sleep(latencyMs);
     if (current?.acceptsClients !== true || !current.process.isAlive) {
       return { kind: 'none' };
     }
     const { process } = current;
     const connection = new AbortController();
+    let isRead: Promise<unknown> = Promise.resolve();
     const answered = new Promise<AttemptAnswer>((resolve) => {
-      process.receive(
-        () => void this.serve(current, attempt, job, connection.signal).then(resolve),
-      );
+      const read = (): void =>
+        void this.serve(current, attempt, job, connection.signal).then(resolve);
+      isRead = new Promise((done) => {
+        clientLink.deliver('request', () => void process.accept(read).then(done));
+      });
     });
     const over = new AbortController();
     const none = (): AttemptAnswer => ({ kind: 'none' });
     const answer = await Promise.race([
       answered,
       process.end.then(none),
-      time.sleep(job.deadlineMs, over.signal).then(none),
+      time.sleep(job.leavesAfterMs ?? job.deadlineMs, over.signal).then(none),
     ]);
     abortQuietly(over);
     if (answer.kind === 'none') {
-      void this.closeConnection(current, connection);
+      void this.closeConnection(daemon, current, connection, isRead);
     }
     return answer;
   }
 
   /** The process notices the close a moment after it has read the request, also if it was frozen. */
   private async closeConnection(
+    { clientLink }: ModelDaemon,
     { process }: RunningDaemon,
     connection: AbortController,
+    isRead: Promise<unknown>,
   ): Promise<void> {
     await this.options.time.sleep(latencyMs);
-    process.receive(() => {
-      void process.clock.sleep(closeNoticeMs).then(() => abortQuietly(connection));
-    });
+    const read = (): void =>
+      void process.afterReading(closeNoticeMs).then(() => abortQuietly(connection));
+    clientLink.deliver('end', () => void isRead.then(() => process.receive(read)));
   }
 
   private async serve(
