--- a/ci/walkOrders.ts
+++ b/ci/walkOrders.ts
@@ -14,6 +14,7 @@
 import type { Combination } from '../src/testing/model/walk/pairWalk.js';
 import { createShortTaskPairs } from '../src/testing/model/walk/shortTaskWalk.js';
 import { createSlowDaemonPairs } from '../src/testing/model/walk/slowDaemonWalk.js';
+import { createSlowLosses } from '../src/testing/model/walk/slowLossWalk.js';
 import { drawTriples } from '../src/testing/model/walk/tripleWalk.js';
 import {
   prepareSituations,
@@ -25,7 +26,14 @@
 
 const walkKinds = [
   ...(['pairs', 'daemons', 'workers', 'late-grants', 'triples'] as const),
-  ...(['short-tasks', 'missing-kind', 'deadly-task', 'late-starts', 'slow-daemons'] as const),
+  ...([
+    'short-tasks',
+    'missing-kind',
+    'deadly-task',
+    'late-starts',
+    'slow-daemons',
+    'slow-losses',
+  ] as const),
 ];
 export type WalkKind = (typeof walkKinds)[number];
 
@@ -100,6 +108,8 @@
       return createLateStartPairs();
     case 'slow-daemons':
       return createSlowDaemonPairs(moments);
+    case 'slow-losses':
+      return createSlowLosses(moments);
   }
 };
 
