--- a/src/testing/model/modelClients.ts
+++ b/src/testing/model/modelClients.ts
@@ -159,7 +159,7 @@
     job: ModelJob,
   ): Promise<AttemptAnswer> {
     const { time } = this.options;
-    const { current } = daemon;
+    const { current, clientLink } = daemon;
     await time.sleep(latencyMs);
     if (current?.acceptsClients !== true || !current.process.isAlive) {
       return { kind: 'none' };
@@ -168,9 +168,11 @@
     const connection = new AbortController();
     let isRead: Promise<unknown> = Promise.resolve();
     const answered = new Promise<AttemptAnswer>((resolve) => {
-      isRead = process.accept(
-        () => void this.serve(current, attempt, job, connection.signal).then(resolve),
-      );
+      const read = (): void =>
+        void this.serve(current, attempt, job, connection.signal).then(resolve);
+      isRead = new Promise((done) => {
+        clientLink.deliver('request', () => void process.accept(read).then(done));
+      });
     });
     const over = new AbortController();
     const none = (): AttemptAnswer => ({ kind: 'none' });
@@ -181,22 +183,22 @@
     ]);
     abortQuietly(over);
     if (answer.kind === 'none') {
-      void this.closeConnection(current, connection, isRead);
+      void this.closeConnection(daemon, current, connection, isRead);
     }
     return answer;
   }
 
   /** The process notices the close a moment after it has read the request, also if it was frozen. */
   private async closeConnection(
+    { clientLink }: ModelDaemon,
     { process }: RunningDaemon,
     connection: AbortController,
     isRead: Promise<unknown>,
   ): Promise<void> {
     await this.options.time.sleep(latencyMs);
-    await isRead;
-    process.receive(() => {
+    const read = (): void =>
       void process.afterReading(closeNoticeMs).then(() => abortQuietly(connection));
-    });
+    clientLink.deliver('end', () => void isRead.then(() => process.receive(read)));
   }
 
   private async serve(
--- a/src/testing/model/modelProcess.ts
+++ b/src/testing/model/modelProcess.ts
@@ -18,6 +18,9 @@
 /** Difference between sums of the same times, in milliseconds, by the rounding of fractions. */
 const maxRoundingMs = 1e-6;
 
+/** Time in which a process that is fast again notices what it has read, in milliseconds. */
+const catchUpMs = 5;
+
 /** Share of a turn of a slow process that its timers take; the messages take the rest. */
 const timersShare = 0.5;
 
@@ -46,6 +49,8 @@
   private readonly messages: Step[] = [];
   /** Requests on new connections that a slow process has not accepted. */
   private readonly connections: Step[] = [];
+  /** What waits in a slow process until a turn is over. */
+  private readonly turnWaiters: Step[] = [];
   /** When the present step of a slow process ends, in simulated time. */
   private stepEndMs = 0;
   private readonly killed = createDeferred<undefined>();
@@ -65,6 +70,7 @@
           const wakeAtMs = this.monotonicMs + Math.max(durationMs, minTimerMs);
           this.wakeAt(wakeAtMs, signal, resolve);
         }),
+      nextTurn: () => new Promise((resolve) => this.runAfterTurn(resolve)),
     };
   }
 
@@ -157,6 +163,7 @@
     this.timers.length = 0;
     this.messages.length = 0;
     this.connections.length = 0;
+    this.turnWaiters.length = 0;
     this.killed.resolve(undefined);
   }
 
@@ -197,7 +204,9 @@
     switch (state.kind) {
       case 'running':
         this.state = state;
-        return this.handleAll();
+        await this.handleAll();
+        this.resumeWaiters();
+        return;
       case 'slow': {
         // A state of its own ends the turns of an earlier slow state.
         const slow = { ...state };
@@ -220,13 +229,22 @@
     }
   }
 
+  /** Lets what waited for a turn of the slow process go on, once a process that reads at once has read what waited. */
+  private resumeWaiters(): void {
+    for (const run of this.turnWaiters.splice(0)) {
+      void this.time.sleep(catchUpMs).then(() => this.receive(run));
+    }
+  }
+
   private async takeTurns(slow: SlowState): Promise<void> {
     for (let turn = 0; this.state === slow; turn += 1) {
       const turnMs = slow.turnsMs[turn % slow.turnsMs.length] ?? 0;
       const timersMs = turnMs * timersShare;
       await this.takeSteps(slow, this.timers, timersMs);
       const accepted = this.connections.shift();
+      const waiters = this.turnWaiters.splice(0);
       await this.takeSteps(slow, this.messages, turnMs - timersMs);
+      waiters.forEach((waiter) => (this.state === slow ? waiter() : this.receive(waiter)));
       if (accepted !== undefined) {
         this.messages.push(accepted);
       }
@@ -255,6 +273,22 @@
       .then(() => (signal?.aborted === true ? this.interrupt(check) : this.fire(check)));
   }
 
+  /**
+   * Runs a callback once what waits now is read. In a slow process that is after the messages of the next turn, and
+   * otherwise after the messages that wait.
+   */
+  private runAfterTurn(run: Step): void {
+    if (this.isSlow) {
+      this.turnWaiters.push(run);
+      return;
+    }
+    if (this.messages.length > 0) {
+      this.messages.push(run);
+      return;
+    }
+    this.handle(this.messages, run);
+  }
+
   /** Fires a timer that is due. */
   private fire(check: Step): void {
     this.handle(this.timers, check);
