The event loop of a modelled process in a file of its own

A connection that was accepted in the turn in which its process became fast again was never read, and what waited for a turn took no time: both now have a test.

--- a/src/testing/model/modelProcess.spec.ts
+++ b/src/testing/model/modelProcess.spec.ts
@@ -113,6 +113,26 @@
   assert.equal(log, ['message 120', 'request 120', 'next 120']);
 });
 
+// Guards against a request that is never read since its process became fast in the turn that accepted the connection.
+test('a connection that is accepted as the process becomes fast again is read', async () => {
+  const { time, process, log, note } = await createSlow();
+  void process.accept(note('request'));
+  await time.advance(150);
+  await process.speedUp();
+  await time.advance(turnMs);
+  assert.equal(log, ['request 150']);
+});
+
+// Guards against a process that takes a turn for over before it has read what waited.
+test('in a slow process, the next turn is over after a poll that began later, and takes a step', async () => {
+  const { time, process, log, note } = await createSlow();
+  await time.advance(120);
+  void process.clock.nextTurn().then(note('over'));
+  process.receive(note('message'));
+  await time.advance(2 * turnMs);
+  assert.equal(log, ['message 300', 'over 375']);
+});
+
 // Guards against a slow process that is fast after a freeze, or whose turns of before go on beside the new ones.
 test('a slow process that was frozen is slow when it is thawed', async () => {
   const { time, process, log, note } = await createSlow();
--- a/src/testing/model/modelProcess.ts
+++ b/src/testing/model/modelProcess.ts
@@ -9,6 +9,8 @@
 import { unreachable } from '../../errors/unreachable.js';
 import { createDeferred } from '../../utils/deferred.js';
 import type { FakeClock } from '../fakeClock.js';
+import { ModelEventLoop } from './modelEventLoop.js';
+import type { Step } from './modelEventLoop.js';
 
 /** Wall-clock time at the begin of the model, in milliseconds since the epoch. */
 export const modelEpochMs = 1_700_000_000_000;
@@ -21,9 +23,6 @@
 /** Time in which a process that is fast again notices what it has read, in milliseconds. */
 const catchUpMs = 5;
 
-/** Share of a turn of a slow process that its timers take; the messages take the rest. */
-const timersShare = 0.5;
-
 /** How a process works while nothing stops it. */
 type WorkingState =
   | { readonly kind: 'running' }
@@ -36,23 +35,12 @@
   | { readonly kind: 'frozen'; readonly next: WorkingState }
   | { readonly kind: 'suspended'; readonly sinceMs: number; readonly next: WorkingState }
   | { readonly kind: 'killed' };
-type SlowState = Extract<ProcessState, { kind: 'slow' }>;
-
-/** What waits to be run by the process. */
-type Step = () => void;
 
 export class ModelProcess {
   /** The view that the process has of the simulated time. */
   readonly clock: Clock;
   private state: ProcessState = { kind: 'running' };
-  private readonly timers: Step[] = [];
-  private readonly messages: Step[] = [];
-  /** Requests on new connections that a slow process has not accepted. */
-  private readonly connections: Step[] = [];
-  /** What waits in a slow process until a turn is over. */
-  private readonly turnWaiters: Step[] = [];
-  /** When the present step of a slow process ends, in simulated time. */
-  private stepEndMs = 0;
+  private readonly loop: ModelEventLoop;
   private readonly killed = createDeferred<undefined>();
   /** Time for which the VM was suspended before, in milliseconds. */
   private suspendedMs = 0;
@@ -61,6 +49,7 @@
     readonly name: string,
     private readonly time: FakeClock,
   ) {
+    this.loop = ModelEventLoop.create(time);
     this.clock = {
       nowMs: () => this.monotonicMs,
       wallMs: () => modelEpochMs + time.nowMs(),
@@ -90,13 +79,13 @@
 
   /** Resolves when what the process sends now leaves it: a slow process sends at the end of a step. */
   get departure(): Promise<unknown> {
-    const leftMs = this.state.kind === 'slow' ? this.stepEndMs - this.time.nowMs() : 0;
+    const leftMs = this.state.kind === 'slow' ? this.loop.stepLeftMs : 0;
     return leftMs > 0 ? this.time.sleep(leftMs) : Promise.resolve();
   }
 
   /** Handles a message, now or when the process comes to it. */
   receive(handle: Step): void {
-    this.handle(this.messages, handle);
+    this.handle(this.loop.messages, handle);
   }
 
   /**
@@ -111,7 +100,7 @@
       read();
       done.resolve(undefined);
     };
-    this.handle(this.isSlow ? this.connections : this.messages, step);
+    this.handle(this.isSlow ? this.loop.connections : this.loop.messages, step);
     return done.promise;
   }
 
@@ -160,10 +149,7 @@
 
   kill(): void {
     this.state = { kind: 'killed' };
-    this.timers.length = 0;
-    this.messages.length = 0;
-    this.connections.length = 0;
-    this.turnWaiters.length = 0;
+    this.loop.clear();
     this.killed.resolve(undefined);
   }
 
@@ -204,14 +190,14 @@
     switch (state.kind) {
       case 'running':
         this.state = state;
-        await this.handleAll();
+        await this.loop.runAll();
         this.resumeWaiters();
         return;
       case 'slow': {
         // A state of its own ends the turns of an earlier slow state.
         const slow = { ...state };
         this.state = slow;
-        void this.takeTurns(slow);
+        void this.loop.takeTurns(slow.turnsMs, () => this.state === slow);
         return;
       }
       default:
@@ -219,49 +205,13 @@
     }
   }
 
-  /** Handles all that waits, without advancing the time. */
-  private async handleAll(): Promise<void> {
-    for (const waiting of [this.timers, this.messages, this.connections]) {
-      for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
-        next();
-        await new Promise((resolve) => setImmediate(resolve));
-      }
-    }
-  }
-
   /** Lets what waited for a turn of the slow process go on, once a process that reads at once has read what waited. */
   private resumeWaiters(): void {
-    for (const run of this.turnWaiters.splice(0)) {
+    for (const run of this.loop.takeWaiters()) {
       void this.time.sleep(catchUpMs).then(() => this.receive(run));
     }
   }
 
-  private async takeTurns(slow: SlowState): Promise<void> {
-    for (let turn = 0; this.state === slow; turn += 1) {
-      const turnMs = slow.turnsMs[turn % slow.turnsMs.length] ?? 0;
-      const timersMs = turnMs * timersShare;
-      await this.takeSteps(slow, this.timers, timersMs);
-      const accepted = this.connections.shift();
-      const waiters = this.turnWaiters.splice(0);
-      await this.takeSteps(slow, this.messages, turnMs - timersMs);
-      waiters.forEach((waiter) => (this.state === slow ? waiter() : this.receive(waiter)));
-      if (accepted !== undefined) {
-        this.messages.push(accepted);
-      }
-    }
-  }
-
-  /** Runs what waits now, in steps that take a time together; what comes meanwhile waits for the next turn. */
-  private async takeSteps(slow: SlowState, waiting: Step[], durationMs: number): Promise<void> {
-    const count = waiting.length;
-    const stepMs = durationMs / Math.max(count, 1);
-    for (let taken = 0; this.state === slow && taken < Math.max(count, 1); taken += 1) {
-      this.stepEndMs = this.time.nowMs() + stepMs;
-      waiting.shift()?.();
-      await this.time.sleep(stepMs);
-    }
-  }
-
   /** Wakes a sleeper at a time on the monotonic clock, again and again until that time has come. */
   private wakeAt(wakeAtMs: number, signal: AbortSignal | undefined, wake: () => void): void {
     const check = (): void => {
@@ -279,19 +229,19 @@
    */
   private runAfterTurn(run: Step): void {
     if (this.isSlow) {
-      this.turnWaiters.push(run);
+      this.loop.waiters.push(run);
       return;
     }
-    if (this.messages.length > 0) {
-      this.messages.push(run);
+    if (this.loop.messages.length > 0) {
+      this.loop.messages.push(run);
       return;
     }
-    this.handle(this.messages, run);
+    this.handle(this.loop.messages, run);
   }
 
   /** Fires a timer that is due. */
   private fire(check: Step): void {
-    this.handle(this.timers, check);
+    this.handle(this.loop.timers, check);
   }
 
   /** Ends a sleep early: a step of the process itself does so, which needs no turn. */
