Where jobs are queued, and what can run in a round, beside the task queue

Change: jobLocation.ts has the class and team of a job's tasks, memoizeAnswers.ts remembers a round's answers; nothing else changes.

--- a/src/queue/taskQueue.ts
+++ b/src/queue/taskQueue.ts
@@ -9,21 +9,15 @@
 import { RunTimes } from '../placement/runTimes.js';
 import type { Clock } from '../ports/clock.js';
 import { ClassQueue } from './classQueue.js';
+import { groupFor } from './jobLocation.js';
+import type { JobLocation } from './jobLocation.js';
+import { memoizeAnswers } from './memoizeAnswers.js';
 import { QuotaThrottle } from './quotaThrottle.js';
 import type { IsRunnable, QueuedTask, CallerGroup, PendingTask } from './types.js';
 
-/** Suffix of the team id of offloaded tasks; the daemon of their job counts their quota. */
-const offloadedSuffix = ' (passed)';
-
 /** Classes in the order in which they are served. */
 const classesByPriority: readonly CallerClass[] = ['paying', 'trial'];
 
-/** The class and team under which the waiting tasks of a job are queued. */
-interface JobLocation extends CallerGroup {
-  readonly callerId: string;
-  readonly isOffloaded: boolean;
-}
-
 /** Returns class and team of a caller, or undefined if the configuration does not list it. */
 export type FindCallerGroup = (callerId: string) => CallerGroup | undefined;
 
@@ -236,23 +230,3 @@
     return [...this.running.values()].filter((queued) => queued.teamId === teamId).length;
   }
 }
-
-/** Returns class and team under which a task is queued; offloaded tasks form their own team. */
-const groupFor = ({ callerClass, teamId }: CallerGroup, isOffloaded: boolean): CallerGroup => ({
-  callerClass,
-  teamId: isOffloaded ? `${teamId}${offloadedSuffix}` : teamId,
-});
-
-/** Calls a predicate at most once for each operation. */
-const memoizeAnswers = (canRun: IsRunnable): IsRunnable => {
-  const answers = new Map<Operation, boolean>();
-  return (operation) => {
-    const known = answers.get(operation);
-    if (known !== undefined) {
-      return known;
-    }
-    const answer = canRun(operation);
-    answers.set(operation, answer);
-    return answer;
-  };
-};
