--- a/src/membership/peerSet.ts
+++ b/src/membership/peerSet.ts
@@ -123,7 +123,12 @@
 
   /** @returns the link to the peer whose last heartbeat, however old, has an incarnation */
   linkTo(incarnation: string): PeerLink | undefined {
-    return this.routeTo(incarnation)?.link;
+    for (const { lastHeartbeat, route } of this.peers.values()) {
+      if (lastHeartbeat?.heartbeat.incarnation === incarnation && route.kind === 'listed') {
+        return route.link;
+      }
+    }
+    return undefined;
   }
 
   /** Exchanges heartbeats with every peer now; concurrent calls share the exchanges. */
@@ -243,15 +248,6 @@
     return peer.member(this.options.clock.nowMs());
   }
 
-  private routeTo(incarnation: string): ListedRoute | undefined {
-    for (const { lastHeartbeat, route } of this.peers.values()) {
-      if (lastHeartbeat?.heartbeat.incarnation === incarnation && route.kind === 'listed') {
-        return route;
-      }
-    }
-    return undefined;
-  }
-
   private notify(): void {
     for (const listener of this.listeners) {
       listener();
