Doubts that nobody announces any more are forgotten

Cause: starts in doubt were kept until there were 1,024 of them, and each heartbeat goes through all that are kept.

Change: one is forgotten 20 s after its last change; it is open for 10 s and announced for twice 3 s at most. The new test failed before: nothing was ever forgotten for its age.

--- a/src/dispatch/doubtedStarts.spec.ts
+++ b/src/dispatch/doubtedStarts.spec.ts
@@ -68,6 +68,23 @@
   );
 });
 
+// Guards against memory, and time for each heartbeat, that grow with the starts that were ever in doubt.
+test('doubts are forgotten a while after nobody announces them any more', async () => {
+  const clock = FakeClock.create();
+  const doubts = DoubtedStarts.create(clock);
+  doubts.recordUnanswered('1/a.1', 'a', 'i-1');
+  doubts.recordAnnounced(announced, 'other-domain');
+  doubts.resolve('1/a.1');
+  await clock.advance(19_900);
+  doubts.recordUnanswered('1/b.1', 'b', 'i-1');
+  doubts.listAnnounced('own-domain');
+  assert.is(doubts.size, 3);
+  await clock.advance(200);
+  doubts.listAnnounced('own-domain');
+  assert.is(doubts.size, 1);
+  assert.ok(doubts.isDoubted('b'));
+});
+
 // Guards against tasks that start beside those of a lost dispatcher, or that wait when others have its workers.
 test('the tasks of a lost dispatcher are in doubt for 2.5 s after it was last heard', async () => {
   const clock = FakeClock.create();
--- a/src/dispatch/doubtedStarts.ts
+++ b/src/dispatch/doubtedStarts.ts
@@ -19,6 +19,8 @@
 /** Doubts in one heartbeat. */
 const maxAnnouncedDoubts = 64;
 const maxRememberedDoubts = 1_024;
+/** Time after its last change for which a doubt is remembered: longer than one is open, or announced by anyone. */
+const memoryMs = 20_000;
 
 /** Called by each worker with what concerns doubts. */
 export interface DoubtListeners {
@@ -48,6 +50,11 @@
     return new DoubtedStarts(clock);
   }
 
+  /** Number of starts that are remembered. */
+  get size(): number {
+    return this.doubts.size;
+  }
+
   /** Whether a start of a task may still be carried out somewhere. */
   isDoubted(taskName: string): boolean {
     const nowMs = this.clock.nowMs();
@@ -104,6 +111,7 @@
   /** Lists the doubts to announce, the latest first. */
   listAnnounced(audience: Audience): DoubtedStart[] {
     const nowMs = this.clock.nowMs();
+    this.forgetOld(nowMs);
     return [...this.doubts.values()]
       .filter((doubt) => isAnnouncedTo(audience, doubt, nowMs))
       .slice(-maxAnnouncedDoubts)
@@ -131,6 +139,15 @@
     }
   }
 
+  private forgetOld(nowMs: number): void {
+    for (const [id, { changedAtMs }] of this.doubts) {
+      if (nowMs - changedAtMs <= memoryMs) {
+        return;
+      }
+      this.forget(id);
+    }
+  }
+
   private forget(id: string): void {
     const taskName = this.doubts.get(id)?.start.taskName;
     this.doubts.delete(id);
