Model: a worker may come back under another id at its address

Change: `next.takesNewId` of a crash. Orders find a worker by its address, and one that names another id gets `replaced`, also when it is carried out late. Workers keep their ids otherwise, so that no walk or test has become easier.

--- a/src/fleet/eventOrdersWalk.spec.ts
+++ b/src/fleet/eventOrdersWalk.spec.ts
@@ -135,6 +135,16 @@
   ]);
 });
 
+// Guards against late starts, and two dispatchers of one address, where the next lifetime of a worker has another id.
+test('no late start for an earlier id of a worker runs a task twice', async () => {
+  const pairs = createLateStartPairs({ takesNewId: true });
+  const troubles = ['held up, from all', 'kill, long of dispatcher'] as const;
+  await checkScenarios([
+    ...scenariosAt(pairs, troubles, [1, 13, 20, 34]),
+    ...samplePairs(pairs, sample),
+  ]);
+});
+
 // Guards against late starts of a killed dispatcher, beside the next attempt of their caller at another daemon.
 test('no late start of a killed dispatcher runs a task twice', async () => {
   const pairs = createLateStartPairs();
--- a/src/testing/model/modelEvents.ts
+++ b/src/testing/model/modelEvents.ts
@@ -16,10 +16,12 @@
 ]);
 export type WorkerChoice = z.infer<typeof workerChoiceSchema>;
 
-/** Kind or size that a worker has from its next lifetime on. */
+/** What a worker has from its next lifetime on: a kind, a size, or another id at the same address. */
 const nextLifetimeSchema = z.object({
   label: z.string().optional(),
   cpuMillis: z.number().int().positive().optional(),
+  /** It refuses orders to the earlier id, whose entry expires. */
+  takesNewId: z.boolean().optional(),
 });
 export type NextLifetime = z.infer<typeof nextLifetimeSchema>;
 
--- a/src/testing/model/modelWorker.spec.ts
+++ b/src/testing/model/modelWorker.spec.ts
@@ -55,4 +55,24 @@
   assert.is(written[2]?.state, 'ready');
 });
 
+// Guards against a model in which every worker keeps its id, so that no order is ever refused by a later lifetime.
+test('a worker that takes a new id is listed by it, and by the earlier one until that entry expires', async () => {
+  const { worker, time, written } = createWorker();
+  worker.crash('refused');
+  worker.start({ takesNewId: true });
+  assert.equal(
+    written.map((entry) => [entry?.workerId, entry?.address]),
+    [
+      ['i-0', record.address],
+      ['i-0-2', record.address],
+    ],
+  );
+  assert.is(worker.workerId, 'i-0');
+  assert.is(worker.presentId, 'i-0-2');
+  await time.advance(4_600);
+  assert.is(written.length, 3);
+  assert.is(written[2], undefined);
+  assert.ok(worker.life !== undefined);
+});
+
 test.run();
--- a/src/testing/model/modelWorkers.ts
+++ b/src/testing/model/modelWorkers.ts
@@ -110,7 +110,7 @@
     order: DelayedOrder<T>,
   ): Promise<CarriedOut<T> | OrderFailure> {
     const { network, process, workers } = this.options;
-    const worker = workers.get(workerId);
+    const worker = [...workers.values()].find((one) => one.address === address);
     if (Number(address.split(':')[1]) > maxPort) {
       throw new TypeError(`Invalid URL: ${address}`);
     }
@@ -118,12 +118,12 @@
     this.connections.set(address, connection);
     const result = await network.call<CarriedOut<T> | OrderFailure>({
       caller: process,
-      callee: workerId,
+      callee: worker?.workerId ?? workerId,
       timeoutMs,
       signal: connection.signal,
       isListening: () =>
         worker !== undefined && (worker.life !== undefined || worker.down === 'silent'),
-      carryOut: () => this.carryOut(worker, order),
+      carryOut: () => this.carryOut(worker, workerId, order),
     });
     switch (result.kind) {
       case 'answered':
@@ -142,6 +142,7 @@
   /** Carries an order out in the present lifetime; rejects if that ends before the answer. */
   private async carryOut<T>(
     worker: ModelWorker | undefined,
+    workerId: string,
     order: DelayedOrder<T>,
   ): Promise<CarriedOut<T> | OrderFailure> {
     const fault = worker?.fault;
@@ -156,6 +157,9 @@
     if (worker === undefined || life === undefined) {
       return never();
     }
+    if (worker.presentId !== workerId) {
+      return fault === undefined ? { kind: 'replaced' } : never();
+    }
     const leaseDelayMs = fault === 'late-grants' ? delayMs : 0;
     const ended = worker.lifeEnd.then(() =>
       worker.down === 'silent' ? never<T>() : lostConnection(),
--- a/src/testing/model/walk/lateStartWalk.ts
+++ b/src/testing/model/walk/lateStartWalk.ts
@@ -2,7 +2,7 @@
  * A walk over starts that reach a worker late and crashes of it meanwhile, so that they may be carried out in its next
  * lifetime, each with a second trouble.
  */
-import type { ModelEvent, Scenario, WorkerChoice } from '../modelEvents.js';
+import type { ModelEvent, NextLifetime, Scenario, WorkerChoice } from '../modelEvents.js';
 import { createScenario, submit } from '../scenarios.js';
 import { dispatcherTroubles, requesterTroubles } from './daemonTroubles.js';
 import { createMomentScenario } from './momentScenario.js';
@@ -89,6 +89,7 @@
   second: Trouble | undefined,
   { crashOffsetMs, downMs, restMs }: Moment,
   position: number,
+  next: NextLifetime,
 ): Scenario => {
   const calm = createCalm(position);
   /** The second trouble hits another worker. */
@@ -97,16 +98,22 @@
   const secondOffsetMs = secondOffsetsMs[(position >> 1) % secondOffsetsMs.length] ?? 0;
   return createMomentScenario(calm, position, [
     delay.createEvent(submitAtMs - holdBeforeMs, forMs),
-    { kind: 'crash', atMs: submitAtMs + crashOffsetMs, worker, down: 'refused', downMs },
+    { kind: 'crash', atMs: submitAtMs + crashOffsetMs, worker, down: 'refused', downMs, next },
     ...(second?.createEvents(place, submitAtMs + secondOffsetMs) ?? []),
   ]);
 };
 
-/** All pairs of a delay beside a crash and a second trouble, and each delay alone. */
-export const createLateStartPairs = (): Combination[] =>
+/**
+ * All pairs of a delay beside a crash and a second trouble, and each delay alone.
+ *
+ * @param next - what the worker has in its next lifetime
+ */
+export const createLateStartPairs = (next: NextLifetime = {}): Combination[] =>
   delays.flatMap((delay) =>
     secondTroubles.map((second) => ({
       troubles: [delay.name, second?.name ?? 'none'],
-      scenarios: moments.map((moment, position) => createMoment(delay, second, moment, position)),
+      scenarios: moments.map((moment, position) =>
+        createMoment(delay, second, moment, position, next),
+      ),
     })),
   );
