--- a/src/fleet/fleetHeartbeatExchange.spec.ts
+++ b/src/fleet/fleetHeartbeatExchange.spec.ts
@@ -114,4 +114,25 @@
   await closeDispatcher(other);
 });
 
+// Guards against a task that starts beside a start in doubt of another daemon, or waits on when that one's doubt is over.
+test('a task waits while another daemon announces a start of it in doubt', async () => {
+  const fixture = await createDispatcherFixture({ workerCount: 1 });
+  const exchange = createExchange('own', fixture);
+  const other = await createDispatcherFixture({ workerCount: 1 });
+  const exchangeOfOther = createExchange('other', other);
+  other.dispatcher.doubts.recordUnanswered('b-7.1', firstTaskName, 'i-7');
+  exchange.handleHeartbeat(exchangeOfOther.composeHeartbeat('own', false));
+  const reply = fixture.dispatcher.run('vm', patientBatch(1));
+  await fixture.clock.advance(100);
+  assert.is(fixture.workers.starts.length, 0);
+  other.dispatcher.doubts.resolve('b-7.1');
+  exchange.handleHeartbeat(exchangeOfOther.composeHeartbeat('own', false));
+  await fixture.clock.advance(100);
+  assert.is(fixture.workers.starts.length, 1);
+  fixture.dispatcher.withdraw(patientBatch(1).batchId);
+  await reply;
+  await closeDispatcher(fixture);
+  await closeDispatcher(other);
+});
+
 test.run();
