Newcomers are told of the ends of doubts

Cause: a process with which contact has just begun, less than 3 s ago, was told of open doubts only. A doubt that ended in that time stayed open there, so that the task waited for up to 10 s.

Change: newcomers get the news of the last 3 s, too.

--- a/src/dispatch/doubtedStarts.spec.ts
+++ b/src/dispatch/doubtedStarts.spec.ts
@@ -62,10 +62,10 @@
   assert.equal(namesFor('own-domain'), []);
   assert.equal(namesFor('newcomer'), ['far', 'near', 'own']);
   doubts.resolve('1/own.1');
-  assert.equal(
-    doubts.listAnnounced('other-domain').map(({ status }) => status),
-    ['over'],
-  );
+  for (const audience of ['other-domain', 'newcomer'] as const) {
+    const own = doubts.listAnnounced(audience).find(({ id }) => id === '1/own.1');
+    assert.is(own?.status, 'over');
+  }
 });
 
 // Guards against memory, and time for each heartbeat, that grow with the starts that were ever in doubt.
--- a/src/dispatch/doubtedStarts.ts
+++ b/src/dispatch/doubtedStarts.ts
@@ -171,7 +171,7 @@
   const isNews = nowMs - changedAtMs <= announcementMs;
   switch (audience) {
     case 'newcomer':
-      return isOpen(doubt, nowMs);
+      return isNews || isOpen(doubt, nowMs);
     case 'own-domain':
       return isNews && source !== 'own-domain';
     case 'other-domain':
