--- a/src/bestEffort/batchRouter.ts
+++ b/src/bestEffort/batchRouter.ts
@@ -9,7 +9,6 @@
 import type { FleetPeer } from '../fleet/fleetPeer.js';
 import type { FleetPeers } from '../fleet/fleetPeers.js';
 import type { CallerContact } from '../fleet/callerContact.js';
-import { maxSharingSilenceMs } from '../fleet/requesterTimes.js';
 import type { MessageAges } from '../fleet/messageAges.js';
 import type { Clock } from '../ports/clock.js';
 import { createDeferred } from '../utils/deferred.js';
@@ -148,14 +147,18 @@
     return this.batchCounts.has(dispatcherId);
   }
 
-  /** Ends the wait for the batches at a daemon that is no longer reachable; they count as lost. */
-  failBatchesAt(dispatcherId: string): void {
+  /**
+   * Ends the wait for the batches at a daemon that is no longer reachable; they count as lost.
+   *
+   * @param unheardMs - time for which it was not heard at least, in milliseconds
+   */
+  failBatchesAt(dispatcherId: string, unheardMs: number): void {
     for (const { dispatcherId: id, lost } of this.remoteBatches.values()) {
       if (id === dispatcherId) {
         lost.resolve({
           kind: 'lost',
           reason: 'it is no longer heard',
-          unheardMs: maxSharingSilenceMs,
+          unheardMs,
         });
       }
     }
--- a/src/bestEffort/jobRun.ts
+++ b/src/bestEffort/jobRun.ts
@@ -165,6 +165,8 @@
     if (settlingMs > 0) {
       await clock.sleep(settlingMs);
     }
+    // The rest of the turn that has read the request, and the next one.
+    await clock.nextTurn();
     await clock.nextTurn();
   }
 
--- a/src/dispatch/doubtedStarts.ts
+++ b/src/dispatch/doubtedStarts.ts
@@ -18,7 +18,11 @@
 const lostBatchDoubtMs = 2_500;
 /** Doubts in one heartbeat. */
 const maxAnnouncedDoubts = 64;
-const maxRememberedDoubts = 1_024;
+/** Time after which the next ones of many doubts are announced, in milliseconds. */
+const announcementTurnMs = 300;
+const maxRememberedDoubts = 4_096;
+/** Time after its last change for which a doubt is remembered: longer than one is open, or announced by anyone. */
+const memoryMs = 20_000;
 
 /** Called by each worker with what concerns doubts. */
 export interface DoubtListeners {
@@ -48,6 +52,11 @@
     return new DoubtedStarts(clock);
   }
 
+  /** Number of starts that are remembered. */
+  get size(): number {
+    return this.doubts.size;
+  }
+
   /** Whether a start of a task may still be carried out somewhere. */
   isDoubted(taskName: string): boolean {
     const nowMs = this.clock.nowMs();
@@ -98,20 +107,22 @@
 
   /** Records what another daemon has announced. */
   recordAnnounced({ leftMs, ...start }: DoubtedStart, source: SuspectSource): void {
-    this.record(start, source, leftMs);
+    this.record(start, source, Math.min(leftMs, maxOrderDelayMs));
   }
 
-  /** Lists the doubts to announce, the latest first. */
+  /** Lists the doubts to announce now, the latest first; where they are many, each part of them in turn. */
   listAnnounced(audience: Audience): DoubtedStart[] {
     const nowMs = this.clock.nowMs();
-    return [...this.doubts.values()]
+    this.forgetOld(nowMs);
+    const announced = [...this.doubts.values()]
       .filter((doubt) => isAnnouncedTo(audience, doubt, nowMs))
-      .slice(-maxAnnouncedDoubts)
-      .reverse()
-      .map(({ start, untilMs }) => ({
-        ...start,
-        leftMs: Math.max(Math.round(untilMs - nowMs), 0),
-      }));
+      .reverse();
+    const turns = Math.max(Math.ceil(announced.length / maxAnnouncedDoubts), 1);
+    const first = (Math.floor(nowMs / announcementTurnMs) % turns) * maxAnnouncedDoubts;
+    return announced.slice(first, first + maxAnnouncedDoubts).map(({ start, untilMs }) => ({
+      ...start,
+      leftMs: Math.max(Math.round(untilMs - nowMs), 0),
+    }));
   }
 
   /** Ignores what is known already, so that announcements have an end; a doubt that is over stays so. */
@@ -125,9 +136,27 @@
     this.doubts.set(start.id, { start, source, untilMs: nowMs + leftMs, changedAtMs: nowMs });
     const ids = this.idsByTask.get(start.taskName) ?? new Set();
     this.idsByTask.set(start.taskName, ids.add(start.id));
-    const [oldest] = this.doubts.keys();
-    if (this.doubts.size > maxRememberedDoubts && oldest !== undefined) {
-      this.forget(oldest);
+    if (this.doubts.size > maxRememberedDoubts) {
+      this.forgetOne(nowMs);
+    }
+  }
+
+  /** Forgets the oldest doubt that is over; the oldest one if all are open. */
+  private forgetOne(nowMs: number): void {
+    const ids = [...this.doubts.keys()];
+    const over = ids.find((id) => {
+      const doubt = this.doubts.get(id);
+      return doubt !== undefined && !isOpen(doubt, nowMs);
+    });
+    this.forget(over ?? ids[0] ?? '');
+  }
+
+  private forgetOld(nowMs: number): void {
+    for (const [id, { changedAtMs }] of this.doubts) {
+      if (nowMs - changedAtMs <= memoryMs) {
+        return;
+      }
+      this.forget(id);
     }
   }
 
@@ -154,7 +183,7 @@
   const isNews = nowMs - changedAtMs <= announcementMs;
   switch (audience) {
     case 'newcomer':
-      return isOpen(doubt, nowMs);
+      return isNews || isOpen(doubt, nowMs);
     case 'own-domain':
       return isNews && source !== 'own-domain';
     case 'other-domain':
--- a/src/fleet/callerContact.ts
+++ b/src/fleet/callerContact.ts
@@ -7,19 +7,22 @@
 import { longestPauseMs } from '../utils/periodicSleep.js';
 import { deliverySlackMs, heartbeatTickMs, requesterCheckPeriodMs } from './requesterTimes.js';
 
-/** Time for which the age of a message tells how late this process is reached, in milliseconds. */
-const ageRetentionMs = 2 * heartbeatTickMs;
+/** Time for which the delay of a message tells how late this process is reached, in milliseconds. */
+const delayRetentionMs = 2 * heartbeatTickMs;
 
-/** The age that a message had when it was handled. */
-interface ObservedAge {
+/** The delay that a message had when it was handled. */
+interface ObservedDelay {
   readonly atMs: number;
-  readonly ageMs: number;
+  readonly delayMs: number;
 }
 
 export class CallerContact {
-  /** Whatever had arrived by this time was read, in monotonic time. */
+  /**
+   * Whatever had arrived by this time on a connection that was accepted before was read, in monotonic time. New
+   * connections are accepted one in each turn.
+   */
   private readUntilMs: number;
-  private ages: readonly ObservedAge[] = [];
+  private delays: readonly ObservedDelay[] = [];
 
   private constructor(private readonly clock: Clock) {
     this.readUntilMs = clock.nowMs();
@@ -29,11 +32,16 @@
     return new CallerContact(clock);
   }
 
-  /** Waits until what has arrived by now was read; called once in each `requesterCheckPeriodMs`. */
-  async read(): Promise<void> {
+  /**
+   * Waits until what has arrived by now was read; called from a timer, or right after the last reading.
+   *
+   * @returns how long that took, in milliseconds
+   */
+  async read(): Promise<number> {
     const arrivedByMs = this.clock.nowMs();
     await this.clock.nextTurn();
     this.readUntilMs = Math.max(this.readUntilMs, arrivedByMs);
+    return this.clock.nowMs() - arrivedByMs;
   }
 
   /** Records that the VM was suspended, in milliseconds, which the monotonic clock omits. */
@@ -42,17 +50,17 @@
   }
 
   /**
-   * Records the age of a message of another daemon when it was handled, in milliseconds. What callers send comes over
+   * Records the delay of a message of another daemon when it was handled, in milliseconds. What callers send comes over
    * the same link of this VM.
    */
-  recordMessageAge(ageMs: number): void {
+  recordMessageDelay(delayMs: number): void {
     const nowMs = this.clock.nowMs();
-    this.ages = [...this.recentAges(nowMs), { atMs: nowMs, ageMs }];
+    this.delays = [...this.recentDelays(nowMs), { atMs: nowMs, delayMs }];
   }
 
   /**
-   * Time for which what a caller has sent may have waited for this process, in milliseconds; 0 while it reads its sockets
-   * in time and messages of some daemon come without delay.
+   * Time for which what a caller has sent may have waited for this process, in milliseconds, as far as that is known; 0
+   * while it reads its sockets in time, and no messages of other daemons come or one of them comes without delay.
    */
   get heldUpMs(): number {
     const nowMs = this.clock.nowMs();
@@ -61,14 +69,14 @@
     return Math.max(isUnreadForLong ? unreadMs : 0, this.linkDelayMs(nowMs));
   }
 
-  /** Delay of the link to this VM: one sender alone may be late by its own fault, so that the youngest message counts. */
+  /** Delay of the link to this VM: one sender alone may be late by its own fault, so that the smallest one counts. */
   private linkDelayMs(nowMs: number): number {
-    const ages = this.recentAges(nowMs).map(({ ageMs }) => ageMs);
-    const youngestMs = ages.length === 0 ? 0 : Math.min(...ages);
-    return youngestMs > deliverySlackMs ? youngestMs : 0;
+    const delaysMs = this.recentDelays(nowMs).map(({ delayMs }) => delayMs);
+    const smallestMs = delaysMs.length === 0 ? 0 : Math.min(...delaysMs);
+    return smallestMs > deliverySlackMs ? smallestMs : 0;
   }
 
-  private recentAges(nowMs: number): readonly ObservedAge[] {
-    return this.ages.filter(({ atMs }) => nowMs - atMs <= ageRetentionMs);
+  private recentDelays(nowMs: number): readonly ObservedDelay[] {
+    return this.delays.filter(({ atMs }) => nowMs - atMs <= delayRetentionMs);
   }
 }
--- a/src/fleet/fleetHeartbeatExchange.ts
+++ b/src/fleet/fleetHeartbeatExchange.ts
@@ -18,6 +18,7 @@
 import type { MessageAges } from './messageAges.js';
 import { NewContacts } from './newContacts.js';
 import type { RequesterLeases } from './requesterLeases.js';
+import { maxSharingSilenceMs } from './requesterTimes.js';
 
 /**
  * Age up to which a batch that the requester's heartbeat does not list is kept, in milliseconds: it
@@ -107,10 +108,13 @@
     const { heldUpMs = 0, roundTripMs } = heartbeat;
     const { incarnation } = member;
     const ageMs = sentAtMs === undefined ? 0 : ages.recordHeartbeat(incarnation, sentAtMs);
+    const delayMs = sentAtMs === undefined ? undefined : ages.delayMs(incarnation, sentAtMs);
     if (roundTripMs !== undefined) {
       ages.recordRoundTrip(incarnation, roundTripMs);
     }
-    this.options.contact.recordMessageAge(ageMs);
+    if (delayMs !== undefined) {
+      this.options.contact.recordMessageDelay(delayMs);
+    }
     leases.recordMessage(incarnation, sentAtMs);
     this.newContacts.record(incarnation);
     const isSameDomain = this.isInOwnDomain(member);
@@ -143,11 +147,12 @@
     const { dispatcher, leases, router, view } = this.options;
     view.forget(incarnation);
     this.newContacts.forget(incarnation);
-    router.failBatchesAt(incarnation);
     switch (loss) {
       case 'silent':
+        router.failBatchesAt(incarnation, maxSharingSilenceMs);
         return;
       case 'replaced':
+        router.failBatchesAt(incarnation, 0);
         leases.end(incarnation);
         dispatcher.withdrawAll(incarnation);
         return;
--- a/src/fleet/messageAges.ts
+++ b/src/fleet/messageAges.ts
@@ -13,12 +13,24 @@
 /** Most processes that are remembered; the one first heard of is forgotten first. */
 const maxProcesses = 1_024;
 
+/** Largest share by which the clocks of two VMs drift apart. */
+const maxClockDrift = 0.000_5;
+
+/** The smallest time of receipt less time of sending of a process's heartbeats. */
+interface SmallestDifference {
+  readonly differenceMs: number;
+  /** When it was observed, on the clock of `MessageAges`. */
+  readonly atMs: number;
+}
+
 export class MessageAges {
   /**
    * Time of receipt less time of sending of the last heartbeats, by incarnation of the sender. They are
    * kept when a process is taken for lost: messages that it sent before may still wait here.
    */
   private readonly differencesMs = new Map<string, number[]>();
+  /** Smallest difference of each process so far, which is known from its second heartbeat on. */
+  private readonly smallest = new Map<string, SmallestDifference>();
   /** Times that exchanges of heartbeats took, by incarnation of the other process, as either side measured. */
   private readonly roundTripsMs = new Map<string, number[]>();
   /** Time for which the VM was suspended, which the monotonic clock omits. */
@@ -58,6 +70,7 @@
    */
   recordHeartbeat(incarnation: string, sentAtMs: number): number {
     const differences = this.differencesMs.get(incarnation) ?? [];
+    this.recordSmallest(incarnation, this.timestampMs() - sentAtMs);
     differences.push(this.timestampMs() - sentAtMs);
     if (differences.length > keptDifferences) {
       differences.shift();
@@ -66,6 +79,7 @@
     const [first] = this.differencesMs.keys();
     if (this.differencesMs.size > maxProcesses && first !== undefined) {
       this.differencesMs.delete(first);
+      this.smallest.delete(first);
     }
     return this.ageMs(incarnation, sentAtMs);
   }
@@ -99,6 +113,32 @@
     return this.ageMs(incarnation, sentAtMs) + (this.shortestRoundTripMs(incarnation) ?? 0);
   }
 
+  /**
+   * Estimates by how much longer a message was under way than the fastest heartbeat of its sender so far, in
+   * milliseconds. Unlike the age, it doesn't forget that one while all messages are late.
+   *
+   * @returns undefined for a process that has sent fewer than two heartbeats, which tell nothing to compare with
+   */
+  delayMs(incarnation: string, sentAtMs: number): number | undefined {
+    const smallest = this.smallest.get(incarnation);
+    if (smallest === undefined || (this.differencesMs.get(incarnation)?.length ?? 0) < 2) {
+      return undefined;
+    }
+    return Math.max(this.timestampMs() - sentAtMs - this.driftedMs(smallest), 0);
+  }
+
+  private recordSmallest(incarnation: string, differenceMs: number): void {
+    const smallest = this.smallest.get(incarnation);
+    if (smallest === undefined || differenceMs <= this.driftedMs(smallest)) {
+      this.smallest.set(incarnation, { differenceMs, atMs: this.timestampMs() });
+    }
+  }
+
+  /** What a difference may have become since it was observed, by the drift of the two clocks. */
+  private driftedMs({ differenceMs, atMs }: SmallestDifference): number {
+    return differenceMs + (this.timestampMs() - atMs) * maxClockDrift;
+  }
+
   /**
    * Estimates the age of a message, in milliseconds.
    *
--- a/src/ports/clock.ts
+++ b/src/ports/clock.ts
@@ -14,8 +14,8 @@
    */
   sleep(durationMs: number, signal?: AbortSignal): Promise<void>;
   /**
-   * Waits for a full turn of the event loop. When it is over, whatever had arrived at this process when it began was
-   * read.
+   * Waits until this turn of the event loop has read and handled what had arrived. Called from a timer or from the end of a
+   * turn, it waits for the next reading of the sockets; called while a message is handled, for the rest of this one.
    */
   nextTurn(): Promise<void>;
 }
