Two orders of a slow requester that is lost as its caller leaves

The requester tells its dispatchers that its callers wait as of now, while its sockets were read one turn ago.

--- a/src/fleet/slowDaemons.spec.ts
+++ b/src/fleet/slowDaemons.spec.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert';
 import type { Scenario } from '../testing/model/modelEvents.js';
 import { runScenario } from '../testing/model/runScenario.js';
+import { frozenSlowRequester, killedSlowRequester } from '../testing/model/slowScenarios.js';
 import type { Combination } from '../testing/model/walk/pairWalk.js';
 import { samplePairs } from '../testing/model/walk/samplePairs.js';
 import { createSlowDaemonPairs } from '../testing/model/walk/slowDaemonWalk.js';
@@ -38,4 +39,9 @@
   await checkScenarios(samplePairs(pairs.filter(isWaiting), sample));
 });
 
+// Guards against leases by the word of a slow requester that had not read yet that its caller had left.
+test('no lease outlasts the time until the caller is back after the last word of a slow requester', async () => {
+  await checkScenarios([killedSlowRequester, frozenSlowRequester]);
+});
+
 test.run();
