--- a/src/testing/model/modelProcess.spec.ts
+++ b/src/testing/model/modelProcess.spec.ts
@@ -133,6 +133,17 @@
   assert.equal(log, ['message 300', 'over 375']);
 });
 
+// Guards against a process that is fast again and goes on with a request before it has read the end of the connection.
+test('a process that is fast again has read the ends of connections in the next turn', async () => {
+  const { time, process, log, note } = await createSlow();
+  await time.advance(120);
+  const isRead = process.accept(() => void process.clock.nextTurn().then(note('next turn')));
+  void isRead.then(() => process.afterReading(3)).then(note('end'));
+  await process.speedUp();
+  await time.advance(turnMs);
+  assert.equal(log, ['end 123', 'next turn 125']);
+});
+
 // Guards against a slow process that is fast after a freeze, or whose turns of before go on beside the new ones.
 test('a slow process that was frozen is slow when it is thawed', async () => {
   const { time, process, log, note } = await createSlow();
--- a/src/testing/model/modelProcess.ts
+++ b/src/testing/model/modelProcess.ts
@@ -41,6 +41,8 @@
   readonly clock: Clock;
   private state: ProcessState = { kind: 'running' };
   private readonly loop: ModelEventLoop;
+  /** Whether it reads now what came while it did not run, or was slow. */
+  private isCatchingUp = false;
   private readonly killed = createDeferred<undefined>();
   /** Time for which the VM was suspended before, in milliseconds. */
   private suspendedMs = 0;
@@ -190,7 +192,9 @@
     switch (state.kind) {
       case 'running':
         this.state = state;
+        this.isCatchingUp = true;
         await this.loop.runAll();
+        this.isCatchingUp = false;
         this.resumeWaiters();
         return;
       case 'slow': {
@@ -228,7 +232,7 @@
    * otherwise after the messages that wait.
    */
   private runAfterTurn(run: Step): void {
-    if (this.isSlow) {
+    if (this.isSlow || this.isCatchingUp) {
       this.loop.waiters.push(run);
       return;
     }
