--- a/ci/walkOrders.ts
+++ b/ci/walkOrders.ts
@@ -15,7 +15,6 @@
 import type { Combination } from '../src/testing/model/walk/pairWalk.js';
 import { createShortTaskPairs } from '../src/testing/model/walk/shortTaskWalk.js';
 import { createSlowDaemonPairs } from '../src/testing/model/walk/slowDaemonWalk.js';
-import { createSlowLosses } from '../src/testing/model/walk/slowLossWalk.js';
 import { drawTriples } from '../src/testing/model/walk/tripleWalk.js';
 import {
   prepareSituations,
@@ -28,7 +27,7 @@
 const walkKinds = [
   ...(['pairs', 'daemons', 'workers', 'late-grants', 'triples'] as const),
   ...(['short-tasks', 'missing-kind', 'deadly-task', 'late-starts'] as const),
-  ...(['late-callers', 'slow-daemons', 'slow-losses'] as const),
+  ...(['late-callers', 'slow-daemons'] as const),
 ];
 export type WalkKind = (typeof walkKinds)[number];
 
@@ -105,8 +104,6 @@
       return createLateCallerPairs();
     case 'slow-daemons':
       return createSlowDaemonPairs(moments);
-    case 'slow-losses':
-      return createSlowLosses(moments);
   }
 };
 
