--- a/src/fleet/eventOrders.property.spec.ts
+++ b/src/fleet/eventOrders.property.spec.ts
@@ -5,11 +5,14 @@
 import { loadedKillArbitrary } from '../testing/model/loadedKillArbitrary.js';
 import type { Scenario } from '../testing/model/modelEvents.js';
 import { runScenario } from '../testing/model/runScenario.js';
+import { slowDaemonArbitrary } from '../testing/model/slowDaemonArbitrary.js';
 import { smallFleetArbitrary } from '../testing/model/smallFleetArbitrary.js';
 
 const defaultSeed = 1;
 /** On the code of issue 35, the first scenario of this seed breaks a rule. */
 const daemonAndWorkerSeed = 122;
+/** On the code of issue 41 before its mends, the first scenario of this seed breaks a rule. */
+const slowDaemonSeed = 418;
 /** On the code of issue 38 before its mends, the first scenario of this seed breaks a rule. */
 const smallFleetSeed = 252;
 
@@ -42,4 +45,8 @@
 test('no bouts of trouble in a small fleet break a rule', () =>
   checkDrawn(smallFleetArbitrary, 12, smallFleetSeed));
 
+// Guards against runs that slow daemons start, or let go on, after their caller has left and come back elsewhere.
+test('no trouble beside slow daemons breaks a rule', () =>
+  checkDrawn(slowDaemonArbitrary, 8, slowDaemonSeed));
+
 test.run();
