--- a/src/adapters/system/systemClock.ts
+++ b/src/adapters/system/systemClock.ts
@@ -47,9 +47,8 @@
     });
   }
 
-  /** The sockets are polled between two immediates, while timers that are due may run without a poll between them. */
-  async nextTurn(): Promise<void> {
-    await setImmediate();
-    await setImmediate();
+  /** Immediates run after the sockets were polled, while timers that are due may run without a poll between them. */
+  nextTurn(): Promise<void> {
+    return setImmediate();
   }
 }
--- a/src/fleet/callerContact.spec.ts
+++ b/src/fleet/callerContact.spec.ts
@@ -31,19 +31,19 @@
 // Guards against confirmations that take callers for present whose ends wait in the queue of a link.
 test('a link over which all messages come late delays what callers send', async () => {
   const { clock, contact } = createFixture();
-  contact.recordMessageAge(900);
-  contact.recordMessageAge(700);
+  contact.recordMessageDelay(900);
+  contact.recordMessageDelay(700);
   assert.is(contact.heldUpMs, 700);
   const reading = contact.read();
   await clock.advance(1);
   await reading;
-  contact.recordMessageAge(3);
+  contact.recordMessageDelay(3);
   assert.is(contact.heldUpMs, 0, 'one sender that is late says nothing of the link');
 });
 
-test('the age of a message tells nothing of the link for long', async () => {
+test('the delay of a message tells nothing of the link for long', async () => {
   const { clock, contact } = createFixture();
-  contact.recordMessageAge(900);
+  contact.recordMessageDelay(900);
   await clock.advance(2 * heartbeatTickMs);
   const reading = contact.read();
   await clock.advance(1);
--- a/src/fleet/messageAges.spec.ts
+++ b/src/fleet/messageAges.spec.ts
@@ -145,4 +145,24 @@
   assert.is(ages.shortestRoundTripMs('unknown'), undefined);
 });
 
+// Guards against a link that is late for so long that its delay is taken for the offset of the clocks.
+test('the delay of messages that are late for long is not forgotten', () => {
+  const clock = FakeClock.create();
+  const ages = MessageAges.create(clock);
+  const lateMs = 900;
+  const delayOf = (lateByMs: number): number | undefined => {
+    clock.jump(300);
+    const sentAtMs = ages.timestampMs() - lateByMs;
+    ages.recordHeartbeat('peer', sentAtMs);
+    return ages.delayMs('peer', sentAtMs);
+  };
+  assert.is(delayOf(1), undefined, 'the first heartbeat has nothing to compare with');
+  assert.is(delayOf(1), 0);
+  for (let count = 0; count < 40; count += 1) {
+    const delayMs = delayOf(lateMs) ?? 0;
+    assert.ok(delayMs > lateMs - 20 && delayMs <= lateMs, `${delayMs} ms`);
+  }
+  assert.is(delayOf(1), 0);
+});
+
 test.run();
--- a/src/fleet/requesterMonitor.ts
+++ b/src/fleet/requesterMonitor.ts
@@ -46,11 +46,15 @@
     await this.checking;
   }
 
+  /** Reads at once again while a turn of the event loop takes as long as the period: a pause would make it older. */
   private async checkPeriodically(): Promise<void> {
     const { clock, contact, dispatcher, ownId } = this.options;
+    let turnMs = 0;
     while (!this.stop.signal.aborted) {
-      await sleepUntilNextPeriod(clock, requesterCheckPeriodMs, this.stop.signal);
-      await contact.read();
+      if (turnMs < requesterCheckPeriodMs) {
+        await sleepUntilNextPeriod(clock, requesterCheckPeriodMs, this.stop.signal);
+      }
+      turnMs = await contact.read();
       dispatcher.confirm(ownId, () => true, contact.heldUpMs);
       for (const requester of dispatcher.requesters()) {
         if (requester !== ownId) {
