--- a/src/bestEffort/jobErrors.spec.ts
+++ b/src/bestEffort/jobErrors.spec.ts
@@ -1,5 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import { unconfirmedLeaseTimes } from '../dispatch/leaseTimes.js';
 import { noMetrics } from '../adapters/system/noMetrics.js';
 import type { JobRequest } from '../ports/jobs.js';
 import { workerFixture } from '../testing/dispatchFixtures.js';
@@ -38,6 +39,7 @@
   const sender: BatchSender = {
     nextBatchId: () => 'b-1',
     run: () => new Promise(() => undefined),
+    recordLost: () => undefined,
     withdraw: (_dispatcherId, batchId) => void withdrawn.push(batchId),
   };
   let plans = 0;
@@ -58,6 +60,8 @@
     planner: planner as StepPlanner,
     sender,
     lengths: RunTimePredictor.create(),
+    leaseTimes: unconfirmedLeaseTimes(1_000),
+    contact: { heldUpMs: 0 },
     standstills: { check: () => undefined, settlingMs: 0 },
   });
   return { clock, jobs, withdrawn };
--- a/src/testing/model/applyEvent.ts
+++ b/src/testing/model/applyEvent.ts
@@ -2,7 +2,7 @@
  * Carries out the events of the model.
  */
 import { unreachable } from '../../errors/unreachable.js';
-import type { ModelEvent } from './modelEvents.js';
+import type { InboundFault, ModelEvent } from './modelEvents.js';
 import type { ModelFleet } from './modelFleet.js';
 import type { LinkFault } from './modelNetwork.js';
 import { storeName } from './modelStore.js';
@@ -46,6 +46,10 @@
       fleet.at(event.atMs + event.forMs, () => daemon?.thaw());
       return;
     }
+    case 'inbound':
+      return delayInbound(fleet, event);
+    case 'slow':
+      return slowDaemons(fleet, event);
     case 'cut':
       return cutWorker(fleet, event);
     case 'cut-daemons': {
@@ -88,8 +92,34 @@
   }
 };
 
+const delayInbound = (
+  fleet: ModelFleet,
+  { atMs, daemon, fault, forMs }: Extract<ModelEvent, { kind: 'inbound' }>,
+): void => {
+  const address = addressOf(fleet, daemon);
+  const setFault = (active: InboundFault | undefined): void => {
+    fleet.daemon(daemon)?.clientLink.setFault(active);
+    fleet.network.setDelayTo(address, active?.kind === 'late-all' ? active.byMs : 0);
+  };
+  setFault(fault);
+  fleet.at(atMs + forMs, () => setFault(undefined));
+};
+
 const addressOf = (fleet: ModelFleet, index: number): string => fleet.daemon(index)?.address ?? '';
 
+const slowDaemons = (
+  fleet: ModelFleet,
+  { atMs, daemon, turnsMs, forMs }: Extract<ModelEvent, { kind: 'slow' }>,
+): void => {
+  const slow = daemon === null ? fleet.daemons : [fleet.daemon(daemon)];
+  slow.forEach((one) => one?.slowDown(turnsMs));
+  fleet.at(atMs + forMs, async () => {
+    for (const one of slow) {
+      await one?.speedUp();
+    }
+  });
+};
+
 const cutLink = (
   fleet: ModelFleet,
   { atMs, forMs, direction }: Extract<ModelEvent, { kind: 'cut-daemons' | 'cut-store' }>,
--- a/src/testing/model/modelDaemon.ts
+++ b/src/testing/model/modelDaemon.ts
@@ -9,6 +9,7 @@
 import type { Clock } from '../../ports/clock.js';
 import type { FakeClock } from '../fakeClock.js';
 import { SeededRandom } from '../seededRandom.js';
+import { ModelClientLink } from './modelClientLink.js';
 import { ModelConnector } from './modelConnector.js';
 import type { ModelServer } from './modelConnector.js';
 import type { ModelNetwork } from './modelNetwork.js';
@@ -47,10 +48,15 @@
 }
 
 export class ModelDaemon {
+  /** The way from the clients. */
+  readonly clientLink: ModelClientLink;
   private running: RunningDaemon | undefined;
   private starts = 0;
+  /** Lengths of the turns of its event loop, in milliseconds; undefined unless its VM is slow. */
+  private turnsMs: readonly number[] | undefined;
 
   private constructor(private readonly options: ModelDaemonOptions) {
+    this.clientLink = ModelClientLink.create(options.time);
     this.start();
   }
 
@@ -101,6 +107,9 @@
       },
     );
     this.running = { process, daemon, acceptsClients: true };
+    if (this.turnsMs !== undefined) {
+      void process.slowDown(this.turnsMs);
+    }
   }
 
   freeze(): void {
@@ -115,6 +124,17 @@
     await this.current?.process.thaw();
   }
 
+  /** Makes the turns of its event loop long, also in the next process, until `speedUp`. */
+  slowDown(turnsMs: readonly number[]): void {
+    this.turnsMs = turnsMs;
+    void this.current?.process.slowDown(turnsMs);
+  }
+
+  async speedUp(): Promise<void> {
+    this.turnsMs = undefined;
+    await this.current?.process.speedUp();
+  }
+
   kill(): void {
     this.running?.process.kill();
   }
