--- a/src/dispatch/openBatch.ts
+++ b/src/dispatch/openBatch.ts
@@ -90,7 +90,7 @@
     return Math.min(confirmedAtMs + confirmationMs, this.runsEndAtMs);
   }
 
-  /** Whether a lease may still be issued that ends at a time, if the batch is confirmed again, in monotonic time. */
+  /** Whether runs may go on until a time as long as the batch is confirmed, in monotonic time. */
   mayRunUntil(atMs: number): boolean {
     return atMs <= this.runsEndAtMs;
   }
