--- a/src/dispatch/doubtedStarts.ts
+++ b/src/dispatch/doubtedStarts.ts
@@ -13,7 +13,7 @@
 
 /**
  * Time for which the tasks of a batch are in doubt after their dispatcher was last heard: the membership of one that was
- * killed has expired then, and others have taken its workers over, which refuse its fencing token from then on.
+ * killed has expired then, and others have taken its workers over, which refuse its fencing token unless they start again.
  */
 const lostBatchDoubtMs = 2_500;
 /** Doubts in one heartbeat. */
@@ -28,7 +28,7 @@
 export interface DoubtListeners {
   /** Called with a run whose start got no answer, and that the worker does not list. */
   readonly onUnanswered?: ((workerId: string, run: ActiveRun) => void) | undefined;
-  /** Called when the worker was taken over, so that it refuses the orders of earlier dispatchers. */
+  /** Called when the worker was taken over, so that in this lifetime it refuses the orders of earlier dispatchers. */
   readonly onTakeOver?: ((workerId: string) => void) | undefined;
 }
 
@@ -94,9 +94,7 @@
     }
   }
 
-  /**
-   * Records that this daemon has taken a worker over, which refuses the starts of earlier dispatchers from now on.
-   */
+  /** Records that this daemon has taken a worker over, which in this lifetime refuses the starts of earlier dispatchers. */
   resolveAt(workerId: string): void {
     for (const { start, source } of [...this.doubts.values()]) {
       if (start.workerId === workerId && source !== 'own') {
