--- a/ci/walkOrders.ts
+++ b/ci/walkOrders.ts
@@ -13,6 +13,7 @@
   createPairs,
 } from '../src/testing/model/walk/pairWalk.js';
 import type { Combination } from '../src/testing/model/walk/pairWalk.js';
+import { createResetPairs } from '../src/testing/model/walk/resetWalk.js';
 import { createShortTaskPairs } from '../src/testing/model/walk/shortTaskWalk.js';
 import { createSlowDaemonPairs } from '../src/testing/model/walk/slowDaemonWalk.js';
 import { drawTriples } from '../src/testing/model/walk/tripleWalk.js';
@@ -27,7 +28,7 @@
 const walkKinds = [
   ...(['pairs', 'daemons', 'workers', 'late-grants', 'triples'] as const),
   ...(['short-tasks', 'missing-kind', 'deadly-task', 'late-starts'] as const),
-  ...(['late-callers', 'slow-daemons'] as const),
+  ...(['late-callers', 'slow-daemons', 'resets'] as const),
 ];
 export type WalkKind = (typeof walkKinds)[number];
 
@@ -104,6 +105,8 @@
       return createLateCallerPairs();
     case 'slow-daemons':
       return createSlowDaemonPairs(moments);
+    case 'resets':
+      return createResetPairs();
   }
 };
 
--- a/src/testing/model/applyEvent.ts
+++ b/src/testing/model/applyEvent.ts
@@ -48,6 +48,9 @@
     }
     case 'inbound':
       return delayInbound(fleet, event);
+    case 'reset':
+      fleet.clients.resetConnections(addressOf(fleet, event.daemon));
+      return;
     case 'slow':
       return slowDaemons(fleet, event);
     case 'cut':
--- a/src/testing/model/calmTime.ts
+++ b/src/testing/model/calmTime.ts
@@ -15,6 +15,7 @@
     case 'submit':
     case 'cancel':
     case 'invalid-entry':
+    case 'reset':
       return atMs;
     case 'stop':
       return atMs + stopGraceMs + event.downMs;
--- a/src/testing/model/daemonAndWorkerArbitrary.ts
+++ b/src/testing/model/daemonAndWorkerArbitrary.ts
@@ -159,6 +159,7 @@
     case 'suspend':
     case 'cut-store':
     case 'inbound':
+    case 'reset':
       return { ...moved, daemon: moved.daemon + firstDaemon };
     case 'cut':
     case 'slow':
--- a/src/testing/model/eventArbitraries.ts
+++ b/src/testing/model/eventArbitraries.ts
@@ -179,6 +179,7 @@
     case 'invalid-entry':
     case 'expire-entry':
     case 'inbound':
+    case 'reset':
     case 'submit':
       return { kind: 'submit', atMs: Math.max(one.atMs - share * noticeMs, 0), job };
     default:
--- a/src/testing/model/judge.ts
+++ b/src/testing/model/judge.ts
@@ -56,6 +56,7 @@
   switch (answer?.kind) {
     case undefined:
     case 'none':
+    case 'unread':
     case 'given-up':
     case 'cancelled':
       return [];
--- a/src/testing/model/modelClients.ts
+++ b/src/testing/model/modelClients.ts
@@ -7,6 +7,8 @@
 import type { Route } from '../../types/routing.js';
 import { abortQuietly } from '../../utils/abortQuietly.js';
 import type { FakeClock } from '../fakeClock.js';
+import { ModelClientConnections } from './modelClientConnections.js';
+import type { ConnectionReset } from './modelClientConnections.js';
 import type { ModelDaemon, RunningDaemon } from './modelDaemon.js';
 import type { ModelJob } from './modelEvents.js';
 import { latencyMs } from './modelNetwork.js';
@@ -14,6 +16,8 @@
 
 /** Time after which a client sends a job again, in milliseconds. */
 const resendMs = 1_300;
+/** Time after which a client goes elsewhere whose connection was reset before its request was read, in milliseconds. */
+const reconnectMs = 10;
 /** Time after which a process notices that a client has left, once it reads the connection. */
 const closeNoticeMs = 3;
 const defaultMaxAttempts = 4;
@@ -21,8 +25,11 @@
 const cancellationRetryMs = 1_000;
 const maxCancellationAttempts = 20;
 
-/** What a client learned of an attempt. `none`: no response before its deadline, or a broken channel. */
-export type AttemptAnswer = JobEnd | { readonly kind: 'none' };
+/**
+ * What a client learned of an attempt. `none`: no response before its deadline, or a broken connection. `unread`: its
+ * connection was reset before the request was read.
+ */
+export type AttemptAnswer = JobEnd | { readonly kind: 'none' } | { readonly kind: 'unread' };
 
 /** One attempt of a client to have a job run. */
 export interface ModelAttempt {
@@ -57,6 +64,7 @@
 export class ModelClients {
   readonly attempts: ModelAttempt[] = [];
   readonly cancellations: ModelCancellation[] = [];
+  private readonly connections = ModelClientConnections.create();
   private waiting = 0;
   private cancelling = 0;
 
@@ -78,6 +86,11 @@
     this.waiting -= 1;
   }
 
+  /** Resets the connections of all clients to a daemon. */
+  resetConnections(address: string): void {
+    this.connections.resetAll(address);
+  }
+
   /** Cancels a job, at one daemon after the other until it is confirmed. */
   async cancel(jobId: string, daemonIndex: number): Promise<void> {
     const { time } = this.options;
@@ -136,10 +149,11 @@
       this.attempts.push(attempt);
       attempt.answer = await this.attempt(attempt, daemon, job);
       attempt.answeredAtMs = this.options.time.nowMs();
-      if (!isSentAgain(attempt.answer)) {
+      const next = resendOf(attempt.answer);
+      if (next === 'never') {
         return;
       }
-      await this.options.time.sleep(resendMs);
+      await this.options.time.sleep(next === 'at-once' ? reconnectMs : resendMs);
     }
   }
 
@@ -165,11 +179,15 @@
       return { kind: 'none' };
     }
     const { process } = current;
-    const connection = new AbortController();
+    const { connections } = this;
+    const connection = connections.connect(daemon.address);
+    const gone = new AbortController();
     let isRead: Promise<unknown> = Promise.resolve();
     const answered = new Promise<AttemptAnswer>((resolve) => {
-      const read = (): void =>
-        void this.serve(current, attempt, job, connection.signal).then(resolve);
+      const read = (): void => {
+        connection.markRead();
+        void this.serve(current, attempt, job, gone.signal).then(resolve);
+      };
       isRead = new Promise((done) => {
         clientLink.deliver('request', () => void process.accept(read).then(done));
       });
@@ -179,11 +197,13 @@
     const answer = await Promise.race([
       answered,
       process.end.then(none),
+      connection.wasReset.then(answerOfReset),
       time.sleep(job.leavesAfterMs ?? job.deadlineMs, over.signal).then(none),
     ]);
     abortQuietly(over);
-    if (answer.kind === 'none') {
-      void this.closeConnection(daemon, current, connection, isRead);
+    connections.forget(daemon.address, connection);
+    if (answer.kind === 'none' || answer.kind === 'unread') {
+      void this.closeConnection(daemon, current, gone, isRead);
     }
     return answer;
   }
@@ -192,12 +212,12 @@
   private async closeConnection(
     { clientLink }: ModelDaemon,
     { process }: RunningDaemon,
-    connection: AbortController,
+    gone: AbortController,
     isRead: Promise<unknown>,
   ): Promise<void> {
     await this.options.time.sleep(latencyMs);
     const read = (): void =>
-      void process.afterReading(closeNoticeMs).then(() => abortQuietly(connection));
+      void process.afterReading(closeNoticeMs).then(() => abortQuietly(gone));
     clientLink.deliver('end', () => void isRead.then(() => process.receive(read)));
   }
 
@@ -227,17 +247,23 @@
   }
 }
 
-/** Whether a client sends its job again after an answer. */
-const isSentAgain = (answer: AttemptAnswer): boolean => {
+/** What a client learns from the reset of its connection. */
+const answerOfReset = (reset: ConnectionReset): AttemptAnswer =>
+  reset === 'unread' ? { kind: 'unread' } : { kind: 'none' };
+
+/** When a client sends its job again after an answer. */
+const resendOf = (answer: AttemptAnswer): 'never' | 'later' | 'at-once' => {
   switch (answer.kind) {
     case 'none':
     case 'given-up':
-      return true;
+      return 'later';
+    case 'unread':
+      return 'at-once';
     case 'completed':
     case 'failed':
     case 'refused':
     case 'cancelled':
-      return false;
+      return 'never';
     default:
       return unreachable(answer);
   }
--- a/src/testing/model/modelEvents.ts
+++ b/src/testing/model/modelEvents.ts
@@ -79,6 +79,8 @@
     ]),
     forMs,
   }),
+  /** The connections of all clients to a daemon are reset. */
+  z.object({ kind: z.literal('reset'), atMs, daemon: index }),
   /**
    * The event loop of a daemon, or of all, has long turns for a while, and also that of a process started meanwhile.
    * The turns take the lengths one after the other, again and again.
