Failing tests: a next attempt runs beside the first one, whose end was lost

A caller leaves and the end of its connection is lost or late; its daemon runs the job on, and the next attempt, sent 1.3 s after the caller has left, starts at another daemon, which knows nothing of the first one.

--- /dev/null
+++ b/src/testing/model/lostEndScenarios.ts
@@ -0,0 +1,80 @@
+/**
+ * Orders of events in which a caller leaves and the end of its connection is lost or late, so that its daemon runs the job
+ * on while the next attempt comes to another one.
+ */
+import type { ModelEvent, Scenario } from './modelEvents.js';
+import { createScenario, submit } from './scenarios.js';
+
+const loseEnds = (atMs: number, daemon: number, forMs: number): ModelEvent => ({
+  ...{ kind: 'inbound', atMs, daemon, forMs },
+  fault: { kind: 'lost-ends' },
+});
+
+const mixedDomains = ['east', 'west', 'east'];
+
+/** The attempts come to daemons of other failure domains; other jobs are under way, so that the first one starts late. */
+export const lostEndAcrossDomains: Scenario = {
+  ...createScenario(
+    mixedDomains,
+    [
+      ['east', 3],
+      ['west', 1],
+    ],
+    [
+      submit(2_494, {
+        ...{ runMs: 1_695, estimatedMs: 565, cpuMillis: 2_000, deadlineMs: 2_237 },
+        leavesAfterMs: 350,
+      }),
+      submit(1_310, {
+        ...{ daemon: 1, tasks: 3, runMs: 511, estimatedMs: 128, deadlineMs: 1_109 },
+      }),
+      submit(1_313, {
+        ...{ daemon: 2, tasks: 3, runMs: 343, estimatedMs: 343, deadlineMs: 3_308 },
+        maxAttempts: 8,
+      }),
+      loseEnds(2_522, 0, 2_153),
+    ],
+  ),
+  seed: 200_290,
+  startsStateLifetime: true,
+};
+
+/** The next attempt comes to a daemon of the same failure domain. */
+export const lostEndInDomain: Scenario = {
+  ...createScenario(
+    mixedDomains,
+    [
+      ['east', 1],
+      ['west', 2],
+      ['east', 1],
+      ['west', 1],
+    ],
+    [
+      submit(2_895, {
+        ...{ nextDaemonStep: 2, tasks: 3, runMs: 2_044, estimatedMs: 2_044, cpuMillis: 2_000 },
+        ...{ deadlineMs: 3_402, leavesAfterMs: 417 },
+      }),
+      loseEnds(2_577, 0, 2_965),
+    ],
+  ),
+  seed: 200_984,
+  startsStateLifetime: true,
+};
+
+/** All daemons are slow, so that what they tell each other is late, too, and the third attempt is the one that runs on. */
+export const lostEndBesideSlowDaemons: Scenario = {
+  ...createScenario(
+    ['east', 'east', 'east'],
+    [['east', 3]],
+    [
+      submit(1_903, {
+        ...{ daemon: 1, nextDaemonStep: 2, tasks: 3, runMs: 825, estimatedMs: 825 },
+        ...{ deadlineMs: 5_635, leavesAfterMs: 295 },
+      }),
+      loseEnds(2_588, 2, 3_098),
+      { kind: 'slow', atMs: 1_487, daemon: null, turnsMs: [429], forMs: 5_182 },
+    ],
+  ),
+  seed: 201_716,
+  startsStateLifetime: true,
+};
