How long connections of callers may have waited to be accepted

What was missing: in the trace of the incident two daemons read two attempts of one job 16 to 40 ms apart, so that the first one had waited for 1.3 s or more, and no log line told where. The event loop of Node.js 20 accepts one connection in each turn, so that requests on new connections wait behind each other in a slow daemon, and nothing in it knew of that.

Change, without a change of any decision: AcceptBacklog bounds the wait. No connection waits at a poll of the sockets in which none is accepted. After each accepted connection the next turn is watched (one immediate a turn, nothing while no connection comes), and the reading of the callers each 50 ms bounds the time between. The HTTP server reports accepted connections; the first request on one carries the time before which it cannot have been sent, unless the connection was read before it came. "A job is accepted." splits the time: acceptWaitMs, unreadMs, linkDelayMs; a chain of 0.3 s or more is logged when it ends.

The model reports accepted connections as the adapter does. Two faults of the model that the new test found: a connection that was accepted in the turn in which the pace of its process changed was accepted once more, and what had waited for a turn while the process was fast for less than 5 ms ran ahead of the messages of that turn.

--- a/src/adapters/http/httpServer.ts
+++ b/src/adapters/http/httpServer.ts
@@ -4,7 +4,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { Server as NetServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 
 const maxHeaderBytes = 8_192;
@@ -30,6 +30,8 @@
   /** Time after which an idle connection is closed, in milliseconds; 5 s by default. */
   readonly keepAliveTimeoutMs?: number;
   readonly handle: RequestHandler;
+  /** Called when a connection is accepted; without a socket for one beyond the maximum, which is dropped. */
+  readonly onConnection?: (socket: Socket | undefined) => void;
   /** Without it, requests for another protocol are dropped. */
   readonly onUpgrade?: UpgradeHandler;
   /**
@@ -67,6 +69,11 @@
     );
     httpServer.server.maxHeadersCount = maxHeaders;
     httpServer.server.maxConnections = options.maxConnections;
+    if (options.onConnection !== undefined) {
+      const { onConnection } = options;
+      httpServer.server.on('connection', onConnection);
+      httpServer.server.on('drop', () => onConnection(undefined));
+    }
     if (options.onUpgrade !== undefined) {
       const { onUpgrade } = options;
       httpServer.server.on('upgrade', (request, socket, head) => {
--- a/src/bestEffort/jobErrors.spec.ts
+++ b/src/bestEffort/jobErrors.spec.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert';
 import { unconfirmedLeaseTimes } from '../dispatch/leaseTimes.js';
 import { noMetrics } from '../adapters/system/noMetrics.js';
+import { CallerContact } from '../fleet/callerContact.js';
 import type { JobRequest } from '../ports/jobs.js';
 import { workerFixture } from '../testing/dispatchFixtures.js';
 import { FakeClock } from '../testing/fakeClock.js';
@@ -61,7 +62,7 @@
     sender,
     lengths: RunTimePredictor.create(),
     leaseTimes: unconfirmedLeaseTimes(1_000),
-    contact: { heldUpMs: 0 },
+    contact: CallerContact.create(clock),
     standstills: { check: () => undefined, settlingMs: 0 },
   });
   return { clock, jobs, withdrawn };
--- a/src/bestEffort/jobRun.ts
+++ b/src/bestEffort/jobRun.ts
@@ -4,7 +4,7 @@
  */
 import { unreachable } from '../errors/unreachable.js';
 import type { LeaseTimes } from '../dispatch/leaseTimes.js';
-import type { CallerContact } from '../fleet/callerContact.js';
+import type { CallerContact, RequestWait } from '../fleet/callerContact.js';
 import type { Clock } from '../ports/clock.js';
 import type { JobEnd, JobRequest, JobStep } from '../ports/jobs.js';
 import type { Logger } from '../ports/logger.js';
@@ -35,7 +35,7 @@
   readonly lengths: RunTimePredictor;
   readonly leaseTimes: LeaseTimes;
   /** How late this process learns what callers send. */
-  readonly contact: Pick<CallerContact, 'heldUpMs'>;
+  readonly contact: Pick<CallerContact, 'heldUpMs' | 'waitOf'>;
 }
 
 export class JobRun {
@@ -44,15 +44,19 @@
   private readonly job: JobContext;
   /** Time for which the request may have waited for this process, in milliseconds. */
   readonly waitedMs: number;
+  /** The same by where it may have waited. */
+  readonly wait: RequestWait;
 
   private constructor(
     private readonly options: JobRunOptions,
     route: Route,
     request: JobRequest,
     deadlineMs: number,
+    earliestSentAtMs?: number,
   ) {
     const { clock, lengths, leaseTimes, contact } = options;
     this.waitedMs = contact.heldUpMs;
+    this.wait = contact.waitOf(earliestSentAtMs);
     const { waitedMs } = this;
     this.job = JobContext.create({
       ...{ clock, lengths, leaseTimes, route, request, deadlineMs, waitedMs },
@@ -64,8 +68,9 @@
     route: Route,
     request: JobRequest,
     deadlineMs: number,
+    earliestSentAtMs?: number,
   ): JobRun {
-    return new JobRun(options, route, request, deadlineMs);
+    return new JobRun(options, route, request, deadlineMs, earliestSentAtMs);
   }
 
   get route(): Route {
--- a/src/bestEffort/runningJobs.ts
+++ b/src/bestEffort/runningJobs.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock } from '../ports/clock.js';
 import type { JobEnd, JobRequest, JobState } from '../ports/jobs.js';
-import type { Logger } from '../ports/logger.js';
+import type { LogContext, Logger } from '../ports/logger.js';
 import type { Route } from '../types/routing.js';
 import { CancelledJobs } from './cancelledJobs.js';
 import { countJobEnd } from './countJobEnd.js';
@@ -49,6 +49,7 @@
    * @param request - the job
    * @param deadlineMs - how long the caller waits, in milliseconds
    * @param signal - aborted when this caller leaves; the job is cancelled when its last one leaves
+   * @param earliestSentAtMs - as the connection of the request tells
    * @returns how the job ended
    */
   async submit(
@@ -56,6 +57,7 @@
     request: JobRequest,
     deadlineMs: number,
     signal: AbortSignal,
+    earliestSentAtMs?: number,
   ): Promise<JobEnd> {
     this.options.standstills.check();
     if (signal.aborted) {
@@ -68,7 +70,7 @@
       countJobEnd(this.options.metrics, route.routeId, end);
       return end;
     }
-    const job = this.jobs.get(jobId) ?? this.start(route, request, deadlineMs);
+    const job = this.jobs.get(jobId) ?? this.start(route, request, deadlineMs, earliestSentAtMs);
     job.waiters += 1;
     const leave = (): void => {
       job.waiters -= 1;
@@ -117,15 +119,20 @@
     ).length;
   }
 
-  private start(route: Route, request: JobRequest, deadlineMs: number): RunningJob {
-    const run = JobRun.create(this.options, route, request, deadlineMs);
+  private start(
+    route: Route,
+    request: JobRequest,
+    deadlineMs: number,
+    earliestSentAtMs?: number,
+  ): RunningJob {
+    const run = JobRun.create(this.options, route, request, deadlineMs, earliestSentAtMs);
     this.logger.info('A job is accepted.', {
       jobId: request.jobId,
       routeId: route.routeId,
       count: request.steps.reduce((sum, { taskCount }) => sum + taskCount, 0),
       expectedMs: run.objectiveMs,
       leftMs: Math.round(deadlineMs),
-      ...(run.waitedMs > 0 ? { ageMs: Math.round(run.waitedMs) } : {}),
+      ...describeWait(run),
     });
     const stop = new AbortController();
     const end = this.runToEnd(run, stop.signal);
@@ -155,3 +162,11 @@
     return end;
   }
 }
+
+/** Describes for how long the request of a job may have waited, without what is 0. */
+const describeWait = ({ waitedMs, wait }: JobRun): LogContext => {
+  const entries = Object.entries({ ageMs: waitedMs, ...wait })
+    .filter(([, durationMs]) => durationMs > 0)
+    .map(([name, durationMs]): [string, number] => [name, Math.round(durationMs)]);
+  return Object.fromEntries(entries);
+};
--- a/src/bestEffort/stepRun.spec.ts
+++ b/src/bestEffort/stepRun.spec.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert';
 import { unconfirmedLeaseTimes } from '../dispatch/leaseTimes.js';
 import { noMetrics } from '../adapters/system/noMetrics.js';
+import { CallerContact } from '../fleet/callerContact.js';
 import type { JobEnd, JobRequest } from '../ports/jobs.js';
 import { routeFixture } from '../testing/dispatchFixtures.js';
 import { FakeClock } from '../testing/fakeClock.js';
@@ -74,7 +75,7 @@
     planner: planner as StepPlanner,
     lengths: RunTimePredictor.create(),
     leaseTimes: unconfirmedLeaseTimes(1_000),
-    contact: { heldUpMs: 0 },
+    contact: CallerContact.create(clock),
     standstills: { check: () => undefined, settlingMs: 0 },
   });
   const ended: { end?: JobEnd; atMs?: number } = {};
--- a/src/fleet/callerContact.ts
+++ b/src/fleet/callerContact.ts
@@ -5,6 +5,7 @@
  */
 import type { Clock } from '../ports/clock.js';
 import { longestPauseMs } from '../utils/periodicSleep.js';
+import { AcceptBacklog } from './acceptBacklog.js';
 import { deliverySlackMs, heartbeatTickMs, requesterCheckPeriodMs } from './requesterTimes.js';
 
 /** Time for which the delay of a message tells how late this process is reached, in milliseconds. */
@@ -16,6 +17,16 @@
   readonly delayMs: number;
 }
 
+/** For how long a request may have waited, in milliseconds; 0 where nothing shows that it has. */
+export interface RequestWait {
+  /** With its connection, until that was accepted and read. */
+  readonly acceptWaitMs: number;
+  /** In a connection that was accepted before. */
+  readonly unreadMs: number;
+  /** On the link to this VM. */
+  readonly linkDelayMs: number;
+}
+
 export class CallerContact {
   /**
    * Whatever had arrived by this time on a connection that was accepted before was read, in monotonic time. New
@@ -24,12 +35,15 @@
   private readUntilMs: number;
   private delays: readonly ObservedDelay[] = [];
 
-  private constructor(private readonly clock: Clock) {
+  private constructor(
+    private readonly clock: Clock,
+    private readonly backlog: AcceptBacklog,
+  ) {
     this.readUntilMs = clock.nowMs();
   }
 
-  static create(clock: Clock): CallerContact {
-    return new CallerContact(clock);
+  static create(clock: Clock, backlog = AcceptBacklog.create(clock)): CallerContact {
+    return new CallerContact(clock, backlog);
   }
 
   /**
@@ -39,7 +53,7 @@
    */
   async read(): Promise<number> {
     const arrivedByMs = this.clock.nowMs();
-    await this.clock.nextTurn();
+    await this.backlog.poll();
     this.readUntilMs = Math.max(this.readUntilMs, arrivedByMs);
     return this.clock.nowMs() - arrivedByMs;
   }
@@ -47,6 +61,7 @@
   /** Records that the VM was suspended, in milliseconds, which the monotonic clock omits. */
   recordSuspension(durationMs: number): void {
     this.readUntilMs -= durationMs;
+    this.backlog.recordSuspension(durationMs);
   }
 
   /**
@@ -64,9 +79,25 @@
    */
   get heldUpMs(): number {
     const nowMs = this.clock.nowMs();
-    const unreadMs = nowMs - this.readUntilMs;
-    const isUnreadForLong = unreadMs > longestPauseMs(requesterCheckPeriodMs);
-    return Math.max(isUnreadForLong ? unreadMs : 0, this.linkDelayMs(nowMs));
+    return Math.max(this.unreadMs(nowMs), this.linkDelayMs(nowMs));
+  }
+
+  /**
+   * Tells for how long a request that is read now may have waited, and where.
+   *
+   * @param earliestSentAtMs - as its connection tells
+   */
+  waitOf(earliestSentAtMs?: number): RequestWait {
+    const nowMs = this.clock.nowMs();
+    return {
+      acceptWaitMs: unlessShort(nowMs - (earliestSentAtMs ?? nowMs)),
+      unreadMs: this.unreadMs(nowMs),
+      linkDelayMs: this.linkDelayMs(nowMs),
+    };
+  }
+
+  private unreadMs(nowMs: number): number {
+    return unlessShort(nowMs - this.readUntilMs);
   }
 
   /** Delay of the link to this VM: one sender alone may be late by its own fault, so that the smallest one counts. */
@@ -80,3 +111,7 @@
     return this.delays.filter(({ atMs }) => nowMs - atMs <= delayRetentionMs);
   }
 }
+
+/** @returns a time, but 0 if it may pass between two readings of a process that is not held up */
+const unlessShort = (durationMs: number): number =>
+  durationMs > longestPauseMs(requesterCheckPeriodMs) ? durationMs : 0;
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -9,12 +9,14 @@
 import { RunningJobs } from '../bestEffort/runningJobs.js';
 import { Dispatcher } from '../dispatch/dispatcher.js';
 import type { FleetService } from '../ports/fleetPeers.js';
+import type { CallerConnections } from '../ports/jobs.js';
 import type { Logger } from '../ports/logger.js';
 import { RoutingFollower } from '../routing/routingFollower.js';
 import { RoutingStore } from '../routing/routingStore.js';
 import { TaskSupervisor } from '../utils/taskSupervisor.js';
 import { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import { WorkerDirectory } from '../workers/workerDirectory.js';
+import { AcceptBacklog } from './acceptBacklog.js';
 import { BatchIntake } from './batchIntake.js';
 import { CallerContact } from './callerContact.js';
 import type { FleetIdentity, FleetPorts } from './fleetIdentity.js';
@@ -40,6 +42,8 @@
   readonly peerService: FleetService;
   /** Serves the requests of callers. */
   readonly intake: JobIntake;
+  /** Learns of the connections of callers. */
+  readonly connections: CallerConnections;
   private readonly routing = RoutingStore.create();
   private readonly lengths = RunTimePredictor.create();
   private readonly speeds = WorkerSpeedCache.create();
@@ -68,11 +72,12 @@
     const ownId = member.incarnation;
     const ages = MessageAges.create(clock);
     const leases = RequesterLeases.create(ages);
-    const contact = CallerContact.create(clock);
     const supervisor = TaskSupervisor.create({ clock, logger, metrics });
     const common = { clock, logger, metrics, store, supervisor };
     const leaseTimes = leaseTimesFor(longestLeaseMs, callerResendMs);
     this.logger = logger.forPart('jobs');
+    const backlog = AcceptBacklog.create(clock, logger.forPart('callers'));
+    const contact = CallerContact.create(clock, backlog);
     const standstills = StandstillDetector.create({
       ...common,
       onStandstill: (standstill) => {
@@ -83,6 +88,12 @@
       },
     });
     this.standstills = standstills;
+    this.connections = {
+      accept: () => {
+        standstills.check();
+        return backlog.accept();
+      },
+    };
     this.dispatcher = Dispatcher.create({
       clock,
       random,
--- a/src/fleet/jobIntake.ts
+++ b/src/fleet/jobIntake.ts
@@ -92,11 +92,12 @@
     request: JobRequest,
     deadlineMs: number,
     signal: AbortSignal,
+    earliestSentAtMs?: number,
   ): Promise<JobEnd> {
     const { logger, metrics, jobs } = this.options;
     const rejection = this.rejectionOf(route, request);
     if (rejection === undefined) {
-      return jobs.submit(route, request, deadlineMs, signal);
+      return jobs.submit(route, request, deadlineMs, signal, earliestSentAtMs);
     }
     const { jobId } = request;
     const { routeId } = route;
--- a/src/ports/jobs.ts
+++ b/src/ports/jobs.ts
@@ -53,6 +53,22 @@
  */
 export type CancellationOutcome = 'cancelled' | 'unknown' | 'unconfirmed';
 
+/** A connection of a caller that was accepted. */
+export interface AcceptedConnection {
+  /**
+   * Tells how early its first request can have been sent, when that is read. A request may have waited unread with its
+   * connection; one that comes on a connection that was read before has not.
+   *
+   * @returns monotonic time in milliseconds, or nothing for a request that has not waited with its connection
+   */
+  earliestSentAtMs(): number | undefined;
+}
+
+/** Learns of each connection of a caller when it is accepted, also of one that is dropped at once. */
+export interface CallerConnections {
+  accept(): AcceptedConnection;
+}
+
 export interface JobService {
   /** @returns whether the daemon accepts new jobs */
   isReady(): boolean;
@@ -66,12 +82,14 @@
    * @param request - the job
    * @param deadlineMs - time that the caller waits, in milliseconds
    * @param signal - aborted when the caller disconnects
+   * @param earliestSentAtMs - as its connection tells
    */
   submit(
     route: Route,
     request: JobRequest,
     deadlineMs: number,
     signal: AbortSignal,
+    earliestSentAtMs?: number,
   ): Promise<JobEnd>;
   state(jobId: string): JobState;
   /** Cancels a job wherever it runs. */
--- a/src/ports/logger.ts
+++ b/src/ports/logger.ts
@@ -29,6 +29,12 @@
   readonly leftMs?: number;
   /** Age of the data that a decision was based on, in milliseconds. */
   readonly ageMs?: number;
+  /** Times for which a request may have waited: to be accepted, unread, and on the link; in milliseconds. */
+  readonly acceptWaitMs?: number;
+  readonly unreadMs?: number;
+  readonly linkDelayMs?: number;
+  /** Longest turn of the event loop, in milliseconds. */
+  readonly longestTurnMs?: number;
   /** Time that was left of a lease, in milliseconds; negative after its end. */
   readonly leaseLeftMs?: number;
   readonly outcome?: string;
--- a/src/programs/toucandyked/platformProcess.ts
+++ b/src/programs/toucandyked/platformProcess.ts
@@ -99,6 +99,7 @@
       callers: splitAddress(listen.callers),
       readiness: splitAddress(listen.readiness),
       service: daemon.intake,
+      connections: daemon.connections,
       logger,
     });
     await metrics.serve(splitAddress(settings.metricsAddress));
--- a/src/testing/model/modelClients.ts
+++ b/src/testing/model/modelClients.ts
@@ -3,7 +3,7 @@
  * another daemon after no response, a broken channel or an answer that the job was given up.
  */
 import { unreachable } from '../../errors/unreachable.js';
-import type { CancellationOutcome, JobEnd } from '../../ports/jobs.js';
+import type { AcceptedConnection, CancellationOutcome, JobEnd } from '../../ports/jobs.js';
 import type { Route } from '../../types/routing.js';
 import { abortQuietly } from '../../utils/abortQuietly.js';
 import type { FakeClock } from '../fakeClock.js';
@@ -168,10 +168,14 @@
     const connection = new AbortController();
     let isRead: Promise<unknown> = Promise.resolve();
     const answered = new Promise<AttemptAnswer>((resolve) => {
-      const read = (): void =>
-        void this.serve(current, attempt, job, connection.signal).then(resolve);
+      let accepted: AcceptedConnection | undefined;
+      const accept = (): void => void (accepted = current.daemon.connections.accept());
+      const read = (): void => {
+        const earliestSentAtMs = accepted?.earliestSentAtMs();
+        void this.serve(current, attempt, job, connection.signal, earliestSentAtMs).then(resolve);
+      };
       isRead = new Promise((done) => {
-        clientLink.deliver('request', () => void process.accept(read).then(done));
+        clientLink.deliver('request', () => void process.accept(read, accept).then(done));
       });
     });
     const over = new AbortController();
@@ -206,6 +210,7 @@
     { attemptId, jobId }: ModelAttempt,
     job: ModelJob,
     signal: AbortSignal,
+    earliestSentAtMs: number | undefined,
   ): Promise<AttemptAnswer> {
     const { tasks, runMs, estimatedMs, cpuMillis, requiredLabel, deadlineMs } = job;
     const { isFailing = false, isDeadly = false } = job;
@@ -221,7 +226,8 @@
       steps: [{ taskCount: tasks, estimatedMs, after: [], needs: { resources, requiredLabel } }],
       unsupported: [],
     };
-    const end = await daemon.intake.submit(match.route, request, deadlineMs, signal);
+    const { intake } = daemon;
+    const end = await intake.submit(match.route, request, deadlineMs, signal, earliestSentAtMs);
     await this.options.time.sleep(latencyMs);
     return end;
   }
--- a/src/testing/model/modelEventLoop.ts
+++ b/src/testing/model/modelEventLoop.ts
@@ -7,6 +7,14 @@
 /** What waits to be run by a process. */
 export type Step = () => void;
 
+/** A new connection with a request. */
+export interface Connection {
+  /** Reports that it is accepted. */
+  readonly accept: Step;
+  /** Reads its request. */
+  readonly read: Step;
+}
+
 /** Shares of a turn that its timers take, and of the rest, that what waits for the messages takes. */
 const timersShare = 0.5;
 const waitersShare = 0.25;
@@ -15,7 +23,9 @@
   readonly timers: Step[] = [];
   readonly messages: Step[] = [];
   /** Requests on new connections that a slow process has not accepted. */
-  readonly connections: Step[] = [];
+  readonly connections: Connection[] = [];
+  /** Requests on connections that were accepted in this turn. */
+  private readonly accepted: Step[] = [];
   /** What waits until the messages of a turn are handled. */
   readonly waiters: Step[] = [];
   /** When the present step of a slow process ends, in simulated time. */
@@ -34,12 +44,18 @@
 
   /** Runs all that waits but the waiters, without advancing the time. */
   async runAll(): Promise<void> {
-    for (const waiting of [this.timers, this.messages, this.connections]) {
+    this.messages.push(...this.accepted.splice(0));
+    for (const waiting of [this.timers, this.messages]) {
       for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
         next();
         await new Promise((resolve) => setImmediate(resolve));
       }
     }
+    for (let next = this.connections.shift(); next !== undefined; next = this.connections.shift()) {
+      next.accept();
+      next.read();
+      await new Promise((resolve) => setImmediate(resolve));
+    }
   }
 
   /** @returns the waiters, which no longer wait */
@@ -62,19 +78,34 @@
   }
 
   clear(): void {
-    for (const waiting of [this.timers, this.messages, this.connections, this.waiters]) {
+    for (const waiting of [
+      this.timers,
+      this.messages,
+      this.connections,
+      this.accepted,
+      this.waiters,
+    ]) {
       waiting.length = 0;
     }
   }
 
   /** Accepts one connection, whose request is read in the next turn, handles the messages, and then runs the waiters. */
   private async poll(durationMs: number, isSlow: () => boolean): Promise<void> {
-    const accepts = this.connections.length > 0;
+    this.acceptOne();
     const waitersMs = this.waiters.length > 0 ? durationMs * waitersShare : 0;
     await this.takeSteps(this.messages, durationMs - waitersMs, isSlow);
     await this.takeSteps(this.waiters, waitersMs, isSlow);
-    if (accepts && isSlow()) {
-      this.messages.push(...this.connections.splice(0, 1));
+    if (isSlow()) {
+      this.messages.push(...this.accepted.splice(0));
+    }
+  }
+
+  private acceptOne(): void {
+    this.messages.push(...this.accepted.splice(0));
+    const connection = this.connections.shift();
+    if (connection !== undefined) {
+      connection.accept();
+      this.accepted.push(connection.read);
     }
   }
 
--- a/src/testing/model/modelProcess.ts
+++ b/src/testing/model/modelProcess.ts
@@ -94,15 +94,24 @@
    * Reads a request from a new connection. A slow process accepts one connection in each turn, and reads from it in
    * the next one.
    *
+   * @param read - reads the request
+   * @param onAccept - is told that the connection is accepted
    * @returns a promise that resolves when the request is read
    */
-  accept(read: Step): Promise<unknown> {
+  accept(read: Step, onAccept: Step = () => undefined): Promise<unknown> {
     const done = createDeferred<undefined>();
-    const step = (): void => {
+    const readRequest = (): void => {
       read();
       done.resolve(undefined);
     };
-    this.handle(this.isSlow ? this.loop.connections : this.loop.messages, step);
+    if (this.isSlow) {
+      this.loop.connections.push({ accept: onAccept, read: readRequest });
+      return done.promise;
+    }
+    this.handle(this.loop.messages, () => {
+      onAccept();
+      readRequest();
+    });
     return done.promise;
   }
 
@@ -212,10 +221,15 @@
   /** Lets what waited for a turn of the slow process go on, once a process that reads at once has read what waited. */
   private resumeWaiters(): void {
     for (const run of this.loop.takeWaiters()) {
-      void this.time.sleep(catchUpMs).then(() => this.receive(run));
+      void this.time.sleep(catchUpMs).then(() => this.resume(run));
     }
   }
 
+  /** Runs what has waited for a turn, or lets it wait for that of a process that is slow again. */
+  private resume(run: Step): void {
+    this.handle(this.isSlow ? this.loop.waiters : this.loop.messages, run);
+  }
+
   /** Wakes a sleeper at a time on the monotonic clock, again and again until that time has come. */
   private wakeAt(wakeAtMs: number, signal: AbortSignal | undefined, wake: () => void): void {
     const check = (): void => {
