--- a/src/testing/model/modelClients.ts
+++ b/src/testing/model/modelClients.ts
@@ -184,7 +184,7 @@
     const gone = new AbortController();
     let isRead: Promise<unknown> = Promise.resolve();
     const answered = new Promise<AttemptAnswer>((resolve) => {
-let accepted: AcceptedConnection | undefined;
+      let accepted: AcceptedConnection | undefined;
       const accept = (): void => void (accepted = current.daemon.connections.accept());
       const read = (): void => {
         connection.markRead();
