A task whose start was never answered starts again on the same worker only

A stop was taken for proof beyond the lifetime that confirmed it.

No message proves more while the lifetime lives. For 10 s after such a start was sent, the next run of its task starts on the same worker, and only where the lifetime that is there has confirmed the stop: that run ends with the lifetime. The stop is sent to each later lifetime until it is confirmed. A start that was answered or listed, or whose worker is replaced, drained or let go, binds nothing.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -82,7 +82,10 @@
     });
     const { starter, suspects, doubts } = this;
     const lapsedRuns = LapsedRuns.create();
-    this.retries = TaskRetries.create({ logger, starter, suspects, doubts });
+    this.retries = TaskRetries.create({
+      ...{ logger, starter, suspects, doubts },
+      isBoundTo: (task, workerId) => this.workers.isBoundTo(task, workerId),
+    });
     this.lostRuns = LostRuns.create({ logger, lapsedRuns, doubts, retries: this.retries });
   }
 
--- a/src/dispatch/faultyWorker.spec.ts
+++ b/src/dispatch/faultyWorker.spec.ts
@@ -13,6 +13,7 @@
 import { silentLogger } from '../testing/silentLogger.js';
 import { silentSupervisor } from '../testing/silentSupervisor.js';
 import { ActiveTasks } from './activeTasks.js';
+import { UnansweredStarts } from './unansweredStarts.js';
 import { unconfirmedLeaseTimes } from './leaseTimes.js';
 import { ManagedWorker } from './managedWorker.js';
 
@@ -53,6 +54,7 @@
     workers,
     logger: silentLogger,
     activeTasks: ActiveTasks.create(),
+    unanswered: UnansweredStarts.create(clock),
     leaseTimes: unconfirmedLeaseTimes(1_000),
     supervisor: silentSupervisor(clock),
     onEnd: () => undefined,
--- a/src/dispatch/fencedWorker.spec.ts
+++ b/src/dispatch/fencedWorker.spec.ts
@@ -6,6 +6,7 @@
 import { silentLogger } from '../testing/silentLogger.js';
 import { silentSupervisor } from '../testing/silentSupervisor.js';
 import { ActiveTasks } from './activeTasks.js';
+import { UnansweredStarts } from './unansweredStarts.js';
 import { unconfirmedLeaseTimes } from './leaseTimes.js';
 import { ManagedWorker } from './managedWorker.js';
 import { OpenBatch } from './openBatch.js';
@@ -27,6 +28,7 @@
     workers,
     logger: silentLogger,
     activeTasks: ActiveTasks.create(),
+    unanswered: UnansweredStarts.create(clock),
     leaseTimes: unconfirmedLeaseTimes(1_000),
     supervisor: silentSupervisor(clock),
     onEnd: () => undefined,
--- a/src/dispatch/managedWorker.spec.ts
+++ b/src/dispatch/managedWorker.spec.ts
@@ -6,6 +6,7 @@
 import { silentSupervisor } from '../testing/silentSupervisor.js';
 import type { ReportedRun, WorkerRecord } from '../types/workers.js';
 import { ActiveTasks } from './activeTasks.js';
+import { UnansweredStarts } from './unansweredStarts.js';
 import { unconfirmedLeaseTimes } from './leaseTimes.js';
 import { ManagedWorker } from './managedWorker.js';
 import { OpenBatch } from './openBatch.js';
@@ -60,6 +61,7 @@
     workers,
     logger: silentLogger,
     activeTasks: ActiveTasks.create(),
+    unanswered: UnansweredStarts.create(clock),
     leaseTimes: unconfirmedLeaseTimes(leaseMs),
     supervisor: silentSupervisor(clock),
     onEnd: (_worker, _run, evidence) => void outcomes.push(evidence),
--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -2,12 +2,8 @@
  * A worker to which this daemon alone dispatches: one async function takes it over, then renews the
  * leases of its runs and reads how they ended.
  */
-import type { Clock } from '../ports/clock.js';
-import type { Logger } from '../ports/logger.js';
-import type { WorkerPort } from '../ports/workers.js';
 import { subtractResources } from '../types/resources.js';
 import type { Resources } from '../types/resources.js';
-import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import { WakeableSleep } from '../utils/wakeableSleep.js';
 import type { WorkerRecord } from '../types/workers.js';
 import { WorkerSpeed } from '../workers/workerSpeed.js';
@@ -19,27 +15,23 @@
 import { taskNameOf } from './taskNames.js';
 import type { CapacityRelease } from '../types/fleet.js';
 import type { DoubtListeners } from './doubtedStarts.js';
-import type { LeaseTimes } from './leaseTimes.js';
 import type { RunEvidence } from './runEvidence.js';
 import { RunOrders } from './runOrders.js';
 import { RunTable } from './runTable.js';
 import type { AnsweringLifetime } from './workerLifetime.js';
 import { WorkerLink } from './workerLink.js';
+import type { WorkerLinkOptions } from './workerLink.js';
+import type { UnansweredStarts } from './unansweredStarts.js';
 import { WorkerReservation } from './workerReservation.js';
 import type { Addressee } from './silenceEvidence.js';
 import { WorkerReports, idlePollMs } from './workerReports.js';
 import { WorkerHealth } from './workerHealth.js';
 
-export interface ManagedWorkerOptions extends DoubtListeners {
-  readonly record: WorkerRecord;
-  readonly fencingToken: number;
-  readonly clock: Clock;
-  readonly workers: WorkerPort;
-  readonly logger: Logger;
-  readonly leaseTimes: LeaseTimes;
-  readonly supervisor: TaskSupervisor;
+export interface ManagedWorkerOptions extends DoubtListeners, WorkerLinkOptions {
   /** Tasks of all workers' runs. */
   readonly activeTasks: ActiveTasks;
+  /** Starts at all workers that were never answered. */
+  readonly unanswered: UnansweredStarts;
   /** Called before leases are renewed; may withdraw batches. */
   readonly beforeOrders?: (() => void) | undefined;
   /** Slowdown factor that an earlier dispatcher measured. */
@@ -70,7 +62,7 @@
   private readonly loop: Promise<void>;
 
   private constructor(private readonly options: ManagedWorkerOptions) {
-    const { activeTasks, clock, logger, rememberedSlowness, onEnd, onUnanswered } = options;
+    const { activeTasks, clock, logger, unanswered, rememberedSlowness, onEnd } = options;
     this.link = WorkerLink.create(options);
     this.speed = WorkerSpeed.create(rememberedSlowness, clock.nowMs());
     this.health = WorkerHealth.create(clock);
@@ -78,7 +70,7 @@
     this.sleeper = WakeableSleep.create(clock);
     const { link, sleeper, runs, health } = this;
     const onStart = (run: ActiveRun): void => this.markStarted(run);
-    const common = { clock, logger, link, runs, sleeper, health, onStart, onUnanswered };
+    const common = { clock, logger, link, runs, sleeper, onStart };
     this.reports = WorkerReports.create({
       ...common,
       onLifetime: (answering) => options.onLifetime(this.workerId, answering),
@@ -89,6 +81,7 @@
     });
     this.orders = RunOrders.create({
       ...common,
+      ...{ health, unanswered, onUnanswered: options.onUnanswered },
       poll: () => this.reports.poll(),
       onNewLifetime: () => this.reports.beginLifetime(),
     });
--- a/src/dispatch/reportProcessor.ts
+++ b/src/dispatch/reportProcessor.ts
@@ -62,7 +62,9 @@
     const { clock, runs } = this.options;
     const run = runs.get(end.taskName);
     if (run?.run === end.run) {
-      runs.finish(run, evidenceOfListedEnd(run, end.how, clock.nowMs()));
+      const evidence = evidenceOfListedEnd(run, end.how, clock.nowMs());
+      run.startedAtMs ??= run.startSentAtMs;
+      runs.finish(run, evidence);
     }
   }
 
--- a/src/dispatch/runOrders.ts
+++ b/src/dispatch/runOrders.ts
@@ -10,7 +10,7 @@
 import { recordDisconnection, recordStopOrder } from './activeRun.js';
 import type { ActiveRun } from './activeRun.js';
 import { evidenceOfStartReply, maxStopMs } from './runEvidence.js';
-import { UnansweredStarts } from './unansweredStarts.js';
+import type { UnansweredStart, UnansweredStarts } from './unansweredStarts.js';
 import type { RunTable } from './runTable.js';
 import type { WorkerLink } from './workerLink.js';
 import type { WorkerHealth } from './workerHealth.js';
@@ -21,6 +21,8 @@
   readonly link: WorkerLink;
   readonly runs: RunTable;
   readonly health: WorkerHealth;
+  /** Starts at all workers that were never answered. */
+  readonly unanswered: UnansweredStarts;
   /** Reads and applies the worker's report at once. */
   readonly poll: () => Promise<void>;
   /** Pause of the worker's holds; is ended after a start without an answer, which may mean that the worker is silent. */
@@ -39,11 +41,8 @@
 export class RunOrders {
   /** Pauses between the stops of runs in doubt, which a report of the worker ends. */
   private readonly stopPauses = new Set<WakeableSleep>();
-  private readonly unanswered: UnansweredStarts;
 
-  private constructor(private readonly options: RunOrdersOptions) {
-    this.unanswered = UnansweredStarts.create(options.clock);
-  }
+  private constructor(private readonly options: RunOrdersOptions) {}
 
   static create(options: RunOrdersOptions): RunOrders {
     return new RunOrders(options);
@@ -62,36 +61,47 @@
 
   /** Repeats the stop order until the run is no longer in the table. */
   async stop(run: ActiveRun): Promise<void> {
-    const { clock, link, runs, poll } = this.options;
+    const { clock, link, runs, unanswered, poll } = this.options;
+    unanswered.remember(run, link);
     recordStopOrder(run, clock.nowMs());
     while (runs.has(run)) {
       const { startedAtMs } = link.lifetime;
       const isStopped = await link.stop(run.taskName, run.run);
       if (isStopped && link.lifetime.startedAtMs === startedAtMs) {
         run.stopAcknowledgedAtMs ??= clock.nowMs();
+        unanswered.recordConfirmed(run, link.workerId, startedAtMs);
       }
       await this.pauseAfterStop(run, isStopped);
       if (isStopped) {
         await poll();
       }
     }
-    this.unanswered.remember(run);
   }
 
   /**
-   * Sends the stops of runs in doubt at once, since the worker has reported, and those of unanswered starts that an earlier
-   * lifetime has stopped; stops what is overdue.
+   * Sends the stops of runs in doubt at once, since the worker has reported, and those of unanswered starts that only an
+   * earlier lifetime has confirmed; stops what is overdue.
    */
   handleReport(): void {
-    const { link, runs } = this.options;
-    this.unanswered
-      .takeFor(link.lifetime.startedAtMs)
-      .filter(({ taskName, run }) => runs.get(taskName)?.run !== run)
-      .forEach(({ taskName, run }) => void link.stop(taskName, run));
+    const { link, runs, unanswered } = this.options;
+    unanswered
+      .listUnconfirmed(link.workerId)
+      .filter(({ run }) => !runs.has(run))
+      .forEach((start) => void this.stopUnanswered(start));
     this.stopPauses.forEach((pause) => pause.wake());
     this.stopOverdue();
   }
 
+  /** Tells the lifetime that is there of a start that it may still get. */
+  private async stopUnanswered({ run }: UnansweredStart): Promise<void> {
+    const { link, unanswered } = this.options;
+    const { startedAtMs } = link.lifetime;
+    const isStopped = await link.stop(run.taskName, run.run);
+    if (isStopped && link.lifetime.startedAtMs === startedAtMs) {
+      unanswered.recordConfirmed(run, link.workerId, startedAtMs);
+    }
+  }
+
   /** Stops the runs that take far longer than expected, so that their tasks start on other workers. */
   private stopOverdue(): void {
     const { clock, logger, link, runs, health } = this.options;
@@ -125,7 +135,10 @@
 
   /** Learns from a reply to a start which lifetime of the worker it is of, and reads the worker's clock. */
   private observeReply(run: ActiveRun, reply: StartReply, requestedAtMs: number): void {
-    const { clock, link, runs, onNewLifetime } = this.options;
+    const { clock, link, runs, unanswered, onNewLifetime } = this.options;
+    if (isAnswer(reply)) {
+      unanswered.forget(run, link.workerId);
+    }
     switch (reply.kind) {
       case 'started':
       case 'refused':
@@ -206,3 +219,6 @@
     }
   }
 }
+
+/** Whether a reply tells what became of a start. */
+const isAnswer = (reply: StartReply): boolean => evidenceOfStartReply(reply).kind !== 'unknown';
--- a/src/dispatch/taskRetries.ts
+++ b/src/dispatch/taskRetries.ts
@@ -28,6 +28,8 @@
   readonly starter: TaskStarter;
   readonly suspects: CrashSuspects;
   readonly doubts: DoubtedStarts;
+  /** Whether only this worker may run a task. */
+  readonly isBoundTo: (task: BatchedTask, workerId: string) => boolean;
 }
 
 /** The worker of a run that has ended. */
@@ -121,7 +123,9 @@
         task.avoidedWorkerIds.add(workerId);
         break;
       case 'run-ended':
-        task.avoidedWorkerIds.add(workerId);
+        if (!this.options.isBoundTo(task, workerId)) {
+          task.avoidedWorkerIds.add(workerId);
+        }
         break;
       default:
         return unreachable(why);
--- a/src/dispatch/unansweredStarts.spec.ts
+++ b/src/dispatch/unansweredStarts.spec.ts
@@ -3,31 +3,79 @@
 import { batchFixture } from '../testing/dispatchFixtures.js';
 import { FakeClock } from '../testing/fakeClock.js';
 import { createRun } from './activeRun.js';
+import type { ActiveRun } from './activeRun.js';
 import { OpenBatch } from './openBatch.js';
 import { UnansweredStarts } from './unansweredStarts.js';
+import { WorkerLifetime } from './workerLifetime.js';
 
-// Guards against stops of runs that nobody started, and against memory that grows with unanswered starts.
-test('each lifetime is told once of the unanswered starts that may still arrive', async () => {
+const workerId = 'i-0';
+
+const createFixture = () => {
   const clock = FakeClock.create();
   const starts = UnansweredStarts.create(clock);
+  const lifetime = WorkerLifetime.create(clock);
   const [task] = OpenBatch.create('vm', batchFixture, 0).tasks;
   assert.ok(task);
   const needs = batchFixture.needs.resources;
-  const create = (taskName: string) =>
-    createRun({ task, taskName, needs, expectedMs: 100 }, clock.nowMs());
-  const namesFor = (lifetimeMs: number): string[] =>
-    starts.takeFor(lifetimeMs).map(({ taskName }) => taskName);
-  starts.remember(create('a'));
-  starts.remember({ ...create('answered'), startedAtMs: 1 });
-  assert.equal(namesFor(1), ['a']);
-  assert.equal(namesFor(1), []);
+  const remember = (taskName: string, startedAtMs?: number): ActiveRun => {
+    const run = createRun({ task, taskName, needs, expectedMs: 100 }, clock.nowMs());
+    run.startedAtMs = startedAtMs;
+    starts.remember(run, { workerId, lifetime });
+    return run;
+  };
+  const names = (): string[] => starts.listUnconfirmed(workerId).map(({ run }) => run.taskName);
+  const beginLifetime = (startedAtMs: number): void => {
+    lifetime.observe({ startedAtMs, workerClockMs: 0 }, clock.nowMs());
+  };
+  return { clock, starts, remember, names, beginLifetime };
+};
+
+// Guards against stops of runs that nobody started, and against memory that grows with unanswered starts.
+test('each lifetime is told of the unanswered starts that may still arrive, until it has confirmed', async () => {
+  const { clock, starts, remember, names, beginLifetime } = createFixture();
+  beginLifetime(1);
+  const run = remember('a');
+  remember('answered', 1);
+  assert.equal(names(), ['a']);
+  assert.equal(names(), ['a'], 'not confirmed');
+  starts.recordConfirmed(run, workerId, 1);
+  assert.equal(names(), []);
   await clock.advance(6_000);
-  starts.remember(create('b'));
-  assert.equal(namesFor(2), ['a', 'b']);
+  remember('b');
+  beginLifetime(2);
+  assert.equal(names(), ['a', 'b']);
   await clock.advance(6_000);
-  assert.equal(namesFor(3), ['b']);
-  Array.from({ length: 1_000 }, (_, index) => starts.remember(create(`many ${index}`)));
-  assert.ok(namesFor(4).length < 300);
+  assert.equal(names(), ['b']);
+  Array.from({ length: 1_000 }, (_, index) => remember(`many ${index}`));
+  assert.ok(names().length < 300);
+});
+
+// Guards against a run elsewhere beside the one that a late start begins in the next lifetime.
+test('a task is bound to the worker of its unanswered start until that is known to be over', async () => {
+  const { clock, starts, remember, beginLifetime } = createFixture();
+  beginLifetime(1);
+  const run = remember('a');
+  assert.equal(starts.bindingOf('a'), { workerId, isRefused: false });
+  starts.recordConfirmed(run, workerId, 1);
+  assert.equal(starts.bindingOf('a'), { workerId, isRefused: true });
+  beginLifetime(2);
+  assert.equal(starts.bindingOf('a'), { workerId, isRefused: false }, 'a later lifetime');
+  starts.recordConfirmed(run, workerId, 1);
+  assert.equal(starts.bindingOf('a'), { workerId, isRefused: false }, 'an earlier lifetime');
+  await clock.advance(10_001);
+  assert.is(starts.bindingOf('a'), undefined);
+});
+
+// Guards against tasks that wait for a start whose end is known.
+test('a start that was answered, listed, or can reach nobody binds no task', () => {
+  const { starts, remember } = createFixture();
+  starts.forget(remember('a'), workerId);
+  remember('b').startedAtMs = 1;
+  remember('c');
+  starts.forgetWorker(workerId);
+  for (const taskName of ['a', 'b', 'c']) {
+    assert.is(starts.bindingOf(taskName), undefined);
+  }
 });
 
 test.run();
--- a/src/dispatch/unansweredStarts.ts
+++ b/src/dispatch/unansweredStarts.ts
@@ -1,22 +1,39 @@
 /**
- * Starts at one worker that were never answered, and whose runs were proved to be over. Each may still be under way: the
- * lifetime that has stopped its run refuses it, and a later lifetime knows nothing of that.
+ * Starts that were never answered and are stopped. Each may still be under way: the lifetime that has confirmed the stop
+ * refuses it, and a later lifetime knows nothing of that. So the next run of its task starts on the same worker, whose
+ * crash ends that run too, and only where the lifetime that is there has confirmed the stop.
  */
 import type { Clock } from '../ports/clock.js';
 import type { ActiveRun } from './activeRun.js';
+import type { WorkerLifetime } from './workerLifetime.js';
 
 /** An order that was never answered is carried out at most this much later, in milliseconds. */
 export const maxOrderDelayMs = 10_000;
-/** The oldest starts are forgotten above this number. */
+/** The oldest starts of a worker are forgotten above this number. */
 const maxRememberedStarts = 256;
 
-export type UnansweredStart = Pick<ActiveRun, 'taskName' | 'run' | 'startSentAtMs'>;
+/** Where a run was to start. */
+export interface StartTarget {
+  readonly workerId: string;
+  readonly lifetime: WorkerLifetime;
+}
+
+/** A start that was never answered. */
+export interface UnansweredStart {
+  readonly run: ActiveRun;
+  readonly target: StartTarget;
+}
+
+interface Entry extends UnansweredStart {
+  /** The lifetime that has confirmed the stop last; undefined before. */
+  confirmedBy: { readonly startedAtMs: number | undefined } | undefined;
+}
 
 export class UnansweredStarts {
   /** The oldest first. */
-  private starts: UnansweredStart[] = [];
-  /** Start of the last lifetime that was told of them. */
-  private toldLifetimeMs: number | undefined;
+  private readonly byWorker = new Map<string, readonly Entry[]>();
+  /** The latest one of each task. */
+  private readonly byTask = new Map<string, Entry>();
 
   private constructor(private readonly clock: Clock) {}
 
@@ -24,26 +41,85 @@
     return new UnansweredStarts(clock);
   }
 
-  /** Remembers the start of a run, unless the worker has answered it. */
-  remember({ taskName, run, startSentAtMs, startedAtMs }: ActiveRun): void {
-    if (startedAtMs === undefined) {
-      this.starts.push({ taskName, run, startSentAtMs });
-      this.starts = this.starts.slice(-maxRememberedStarts);
+  /** Remembers the start of a run that is to be stopped, unless the worker has answered it. */
+  remember(run: ActiveRun, target: StartTarget): void {
+    const { workerId } = target;
+    if (run.startedAtMs !== undefined || this.find(run, workerId) !== undefined) {
+      return;
+    }
+    const entry: Entry = { run, target, confirmedBy: undefined };
+    this.keep(workerId, [...this.listOpen(workerId), entry].slice(-maxRememberedStarts));
+    this.byTask.set(run.taskName, entry);
+  }
+
+  /** Forgets a start that its worker has answered. */
+  forget(run: ActiveRun, workerId: string): void {
+    this.keep(
+      workerId,
+      this.listOpen(workerId).filter((entry) => entry.run !== run),
+    );
+  }
+
+  /** Forgets the starts of a worker whose orders reach nobody, or that another daemon dispatches to. */
+  forgetWorker(workerId: string): void {
+    this.keep(workerId, []);
+  }
+
+  /** Records that a lifetime of the worker has confirmed the stop of a run. */
+  recordConfirmed(run: ActiveRun, workerId: string, startedAtMs: number | undefined): void {
+    const entry = this.find(run, workerId);
+    if (entry !== undefined) {
+      entry.confirmedBy = { startedAtMs };
     }
   }
 
+  /** Lists the starts at a worker whose stop the lifetime that is known there has not confirmed. */
+  listUnconfirmed(workerId: string): readonly UnansweredStart[] {
+    return this.listOpen(workerId).filter((entry) => !isConfirmed(entry));
+  }
+
   /**
-   * Finds the starts that a lifetime has to be told of: once for each lifetime, those that may still arrive.
+   * Finds the worker that alone may run a task, since a start of it may still arrive there.
    *
-   * @param lifetimeMs - start of the lifetime that answers
+   * @returns the worker, and whether the lifetime that is known there refuses the start
    */
-  takeFor(lifetimeMs: number | undefined): readonly UnansweredStart[] {
-    if (lifetimeMs === this.toldLifetimeMs) {
-      return [];
+  bindingOf(
+    taskName: string,
+  ): { readonly workerId: string; readonly isRefused: boolean } | undefined {
+    const entry = this.byTask.get(taskName);
+    return entry === undefined || !this.isOpen(entry)
+      ? undefined
+      : { workerId: entry.target.workerId, isRefused: isConfirmed(entry) };
+  }
+
+  private find(run: ActiveRun, workerId: string): Entry | undefined {
+    return this.byWorker.get(workerId)?.find((entry) => entry.run === run);
+  }
+
+  private listOpen(workerId: string): readonly Entry[] {
+    return (this.byWorker.get(workerId) ?? []).filter((entry) => this.isOpen(entry));
+  }
+
+  /** Whether a start may still arrive: it was not answered, and was sent a short while ago. */
+  private isOpen({ run: { startedAtMs, startSentAtMs } }: Entry): boolean {
+    return startedAtMs === undefined && this.clock.nowMs() - startSentAtMs <= maxOrderDelayMs;
+  }
+
+  /** Replaces the starts at a worker, and forgets those that are no longer among them. */
+  private keep(workerId: string, entries: readonly Entry[]): void {
+    for (const entry of this.byWorker.get(workerId) ?? []) {
+      const { taskName } = entry.run;
+      if (!entries.includes(entry) && this.byTask.get(taskName) === entry) {
+        this.byTask.delete(taskName);
+      }
+    }
+    if (entries.length === 0) {
+      this.byWorker.delete(workerId);
+    } else {
+      this.byWorker.set(workerId, entries);
     }
-    this.toldLifetimeMs = lifetimeMs;
-    const earliestMs = this.clock.nowMs() - maxOrderDelayMs;
-    this.starts = this.starts.filter(({ startSentAtMs }) => startSentAtMs >= earliestMs);
-    return this.starts;
   }
 }
+
+const isConfirmed = ({ confirmedBy, target: { lifetime } }: Entry): boolean =>
+  confirmedBy !== undefined && confirmedBy.startedAtMs === lifetime.startedAtMs;
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -5,7 +5,6 @@
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
 import type { WorkerPort } from '../ports/workers.js';
-import { hasEnough } from '../types/resources.js';
 import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import type { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import type { WorkerRecord } from '../types/workers.js';
@@ -16,10 +15,12 @@
 import type { BatchedTask } from './openBatch.js';
 import { CapacityProfile } from './capacityProfile.js';
 import type { Addressee } from './silenceEvidence.js';
+import { UnansweredStarts } from './unansweredStarts.js';
 import { isSuspect, reserveWorker } from './suspectIsolation.js';
-import { stepNameOf, taskNameOf } from './taskNames.js';
-import { expectedRunMs, hasRequiredLabel } from './workerChoice.js';
+import { taskNameOf } from './taskNames.js';
+import { expectedRunMs } from './workerChoice.js';
 import type { Candidate, TaskDemand } from './workerChoice.js';
+import { canStartNow, isEligible } from './workerEligibility.js';
 
 export interface WorkerPoolOptions extends Pick<
   ManagedWorkerOptions,
@@ -50,10 +51,13 @@
 export class WorkerPool {
   private readonly workers = new Map<string, ManagedWorker>();
   private readonly activeTasks = ActiveTasks.create();
+  private readonly unanswered: UnansweredStarts;
   /** Workers at an earlier address of theirs, until their runs there are proved to have ended. */
   private readonly retired = new Set<ManagedWorker>();
 
-  private constructor(private readonly options: WorkerPoolOptions) {}
+  private constructor(private readonly options: WorkerPoolOptions) {
+    this.unanswered = UnansweredStarts.create(options.clock);
+  }
 
   static create(options: WorkerPoolOptions): WorkerPool {
     return new WorkerPool(options);
@@ -82,6 +86,7 @@
         worker.update(record, fencingToken);
       } else {
         this.workers.delete(workerId);
+        this.unanswered.forgetWorker(workerId);
         released.push(this.retire(worker, 'nobody'));
       }
     }
@@ -124,15 +129,14 @@
 
   /**
    * Returns the expected run time on the fastest eligible worker, whether or not it has free
-   * capacity now, in milliseconds; undefined if no worker is eligible.
+   * capacity now, in milliseconds; undefined if no worker is eligible. The worker that a task is bound to is waited for.
    */
   fastestRunMs(task: BatchedTask, demand: TaskDemand): number | undefined {
     const nowMs = this.options.clock.nowMs();
     let fastestRunMs: number | undefined;
-    for (const worker of this.workers.values()) {
-      if (!isEligible(worker, task)) {
-        continue;
-      }
+    const bound = this.boundWorkerOf(task);
+    const eligible = [...this.workers.values()].filter((worker) => isEligible(worker, task));
+    for (const worker of bound === undefined ? eligible : [bound]) {
       const { labels } = worker.record;
       const slowness = worker.speed.slowness(nowMs);
       const runMs = expectedRunMs(demand, { slowness, labels }, this.options.farRackFactor);
@@ -143,14 +147,14 @@
 
   /** @returns the workers that may start a task now, free capacity and labels not yet checked */
   candidatesFor(task: BatchedTask): LocalCandidate[] {
-    return [...this.workers.values()]
+    return this.listAllowed(task)
       .filter((worker) => canStartNow(worker, task))
       .map((worker) => this.toCandidate(worker));
   }
 
   /** @returns the worker on which a suspect may start alone now, if there is one */
   isolatedCandidateFor(task: BatchedTask): LocalCandidate[] {
-    const worker = reserveWorker(task, [...this.workers.values()], (one) => isEligible(one, task));
+    const worker = reserveWorker(task, this.listAllowed(task), (one) => isEligible(one, task));
     const canStart = worker?.runCount === 0 && worker.canRunUntil(task.batch.runsUntilMs);
     return canStart ? [this.toCandidate(worker)] : [];
   }
@@ -160,6 +164,11 @@
     return this.activeTasks.has(taskNameOf(task));
   }
 
+  /** Whether only this worker may run a task, since a start of it that was never answered may still arrive there. */
+  isBoundTo(task: BatchedTask, workerId: string): boolean {
+    return this.boundWorkerOf(task)?.workerId === workerId;
+  }
+
   /** Stops the run of a task on whichever worker has it. */
   stopTask(task: BatchedTask): void {
     this.listAll().forEach((worker) => worker.stopTask(task));
@@ -175,6 +184,22 @@
     await Promise.all(this.listAll().map((worker) => worker.close()));
   }
 
+  /** Lists the workers on which a task may start as far as its earlier starts go. */
+  private listAllowed(task: BatchedTask): ManagedWorker[] {
+    const bound = this.boundWorkerOf(task);
+    if (bound === undefined) {
+      return [...this.workers.values()];
+    }
+    return this.unanswered.bindingOf(taskNameOf(task))?.isRefused === true ? [bound] : [];
+  }
+
+  /** Returns the only worker that may run a task, if there is one; one that is leaving binds none. */
+  private boundWorkerOf(task: BatchedTask): ManagedWorker | undefined {
+    const binding = this.unanswered.bindingOf(taskNameOf(task));
+    const worker = binding === undefined ? undefined : this.workers.get(binding.workerId);
+    return worker?.isAssigned === true ? worker : undefined;
+  }
+
   private listAll(): ManagedWorker[] {
     return [...this.workers.values(), ...this.retired];
   }
@@ -200,10 +225,16 @@
 
   private createWorker(record: WorkerRecord, fencingToken: number): ManagedWorker {
     const rememberedSlowness = this.options.speeds.get(record.workerId);
-    const { activeTasks, options } = this;
+    const { activeTasks, unanswered, options } = this;
     return ManagedWorker.create({
       ...options,
-      activeTasks,
+      ...{ activeTasks, unanswered },
+      onLifetime: (workerId, answering) => {
+        if (answering.kind === 'replaced') {
+          unanswered.forgetWorker(workerId);
+        }
+        options.onLifetime(workerId, answering);
+      },
       record,
       fencingToken,
       rememberedSlowness,
@@ -215,6 +246,7 @@
     await worker.drain();
     if (!worker.isAssigned && this.workers.get(workerId) === worker) {
       this.workers.delete(workerId);
+      this.unanswered.forgetWorker(workerId);
     }
   }
 
@@ -256,32 +288,4 @@
   return waitMs;
 };
 
-/** Returns whether a worker may run a task, now or once capacity is free or a pause has ended. */
-const isEligible = (worker: ManagedWorker, { batch, avoidedWorkerIds }: BatchedTask): boolean => {
-  const { needs, serviceId } = batch.content;
-  const { capacity, labels } = worker.record;
-  return (
-    worker.isInService &&
-    worker.record.serviceId === serviceId &&
-    !avoidedWorkerIds.has(worker.workerId) &&
-    hasEnough(needs.resources, capacity) &&
-    hasRequiredLabel(needs, labels)
-  );
-};
-
-/** Returns whether a worker may start a task now, free capacity and labels not yet checked. */
-const canStartNow = (worker: ManagedWorker, task: BatchedTask): boolean => {
-  const { batch, avoidedWorkerIds } = task;
-  const { serviceId, needs } = batch.content;
-  const isFull =
-    needs.maxPerWorker !== undefined && worker.countStep(stepNameOf(batch)) >= needs.maxPerWorker;
-  return (
-    worker.isOpen &&
-    !isFull &&
-    worker.record.serviceId === serviceId &&
-    !avoidedWorkerIds.has(worker.workerId) &&
-    worker.canRunUntil(batch.runsUntilMs)
-  );
-};
-
 const roundToHundredths = (value: number): number => Math.round(value * 100) / 100;
--- a/src/fleet/startsInDoubt.spec.ts
+++ b/src/fleet/startsInDoubt.spec.ts
@@ -5,6 +5,8 @@
   heldUpStartOfKilledDispatcherScenario,
   lateStartOfKilledRequesterScenario,
   startInNextLifetimeScenario,
+  stoppedStartOfIdleWorkerScenario,
+  stoppedStartOfSuspendedDispatcherScenario,
 } from '../testing/model/inDoubtScenarios.js';
 import { runScenario } from '../testing/model/runScenario.js';
 
@@ -54,4 +56,22 @@
   assert.equal(answers, ['0000000000000001/0 given-up', '0000000000000001/1 completed']);
 });
 
+// Guards against a stop taken as proof beyond the lifetime that confirmed it, while the dispatcher is suspended and tells the next
+// lifetime nothing.
+test('a stopped start does not begin in a lifetime that its suspended dispatcher has not heard of', async () => {
+  const { violations, answers } = await runScenario(stoppedStartOfSuspendedDispatcherScenario);
+  assert.equal(violations, []);
+  assert.equal(answers, ['0000000000000001/0 given-up', '0000000000000001/1 completed']);
+});
+
+// Guards against the same where the worker is idle, so that its dispatcher does not look whether it has crashed.
+test('a stopped start does not begin in a lifetime of an idle worker that has not reported', async () => {
+  const { violations, answers } = await runScenario(stoppedStartOfIdleWorkerScenario);
+  assert.equal(violations, []);
+  assert.equal(
+    answers,
+    [1, 2, 3].map((job) => `000000000000000${job}/0 completed`),
+  );
+});
+
 test.run();
--- a/src/testing/model/inDoubtScenarios.ts
+++ b/src/testing/model/inDoubtScenarios.ts
@@ -117,3 +117,86 @@
   seed: 201_916,
   guardsCapacity: true,
 };
+
+/** A worker confirms the stop of a late start and crashes; its dispatcher is suspended while the next lifetime gets the start. */
+export const stoppedStartOfSuspendedDispatcherScenario: Scenario = {
+  ...createScenario(
+    ['east', 'west', 'east'],
+    [],
+    [
+      submit(2_545, {
+        ...{ daemon: 1, nextDaemonStep: 1, tasks: 3, runMs: 445, estimatedMs: 445 },
+        ...{ cpuMillis: 20_000, deadlineMs: 8_770, maxAttempts: 8 },
+      }),
+      { kind: 'suspend', atMs: 4_500, daemon: 2, forMs: 912 },
+      {
+        ...{ kind: 'crash', atMs: 4_976, worker: { kind: 'running', job: 0 } },
+        ...{ down: 'silent', downMs: 938 },
+      },
+      {
+        ...{ kind: 'worker-fault', atMs: 2_018, worker: { kind: 'numbered', index: 0 } },
+        ...{ fault: 'late', lateByMs: 2_184, forMs: 921 },
+      },
+      {
+        ...{ kind: 'crash', atMs: 3_178, worker: { kind: 'numbered', index: 0 } },
+        ...{ down: 'refused', downMs: 1_144 },
+      },
+      {
+        ...{ kind: 'crash', atMs: 3_524, worker: { kind: 'running', job: 0 } },
+        ...{ down: 'refused', downMs: 1_104 },
+      },
+    ],
+  ),
+  workers: [
+    { domain: 'east', label: 'a' },
+    { domain: 'west', label: 'a' },
+    { domain: 'west', label: 'a' },
+    { domain: 'east', label: 'a' },
+  ],
+  seed: 9_300_380,
+  startsStateLifetime: false,
+};
+
+/** A worker confirms the stop of a late start and crashes; it is back, idle and unheard of, when the start is carried out. */
+export const stoppedStartOfIdleWorkerScenario: Scenario = {
+  ...createScenario(
+    ['east', 'east'],
+    [['east', 6]],
+    [
+      submit(2_558, {
+        ...{ daemon: 1, nextDaemonStep: 2, tasks: 2, runMs: 1_701, estimatedMs: 1_701 },
+        ...{ cpuMillis: 20_000, deadlineMs: 7_129, maxAttempts: 1 },
+      }),
+      submit(2_319, {
+        ...{ daemon: 1, nextDaemonStep: 1, tasks: 2, runMs: 992, estimatedMs: 992 },
+        ...{ cpuMillis: 5_000, deadlineMs: 17_569, maxAttempts: 8 },
+      }),
+      submit(2_044, {
+        ...{ daemon: 1, nextDaemonStep: 2, tasks: 2, runMs: 953, estimatedMs: 953 },
+        ...{ cpuMillis: 20_000, deadlineMs: 10_111, maxAttempts: 8 },
+      }),
+      {
+        ...{ kind: 'worker-fault', atMs: 1_669, worker: { kind: 'numbered', index: 5 } },
+        ...{ fault: 'late', lateByMs: 1_441, forMs: 1_003 },
+      },
+      {
+        ...{ kind: 'crash', atMs: 3_160, worker: { kind: 'numbered', index: 5 } },
+        ...{ down: 'refused', downMs: 282 },
+      },
+      {
+        ...{ kind: 'cut', atMs: 2_779, worker: { kind: 'numbered', index: 0 }, daemon: null },
+        ...{ fault: 'silent', forMs: 1_432 },
+      },
+      {
+        ...{ kind: 'crash', atMs: 2_787, worker: { kind: 'numbered', index: 0 } },
+        ...{ down: 'silent', downMs: 987 },
+      },
+      {
+        ...{ kind: 'crash', atMs: 2_054, worker: { kind: 'running', job: 2 } },
+        ...{ down: 'silent', downMs: 151 },
+      },
+    ],
+  ),
+  seed: 9_303_143,
+  startsStateLifetime: true,
+};
