The soak plays callers that leave early and are not heard

Next attempts went to the other failure domain only, and no daemon was so slow that connections waited to be accepted.

--- a/soak/faultSeries.ts
+++ b/soak/faultSeries.ts
@@ -12,6 +12,7 @@
 import type { SeriesContext } from './seriesContext.js';
 import { planFaults } from './singleFaults.js';
 import type { FaultPlanOptions } from './singleFaults.js';
+import { planUnheardCallers } from './unheardCallers.js';
 
 export const seriesKinds = [
   'cuts',
@@ -25,7 +26,7 @@
 export type SeriesKind = (typeof seriesKinds)[number];
 
 /** Series that are only played alone: mixed plans are drawn from the others, as their seeds were before. */
-const separateKinds = ['daemon-and-worker', 'late-callers'] as const;
+const separateKinds = ['daemon-and-worker', 'late-callers', 'unheard-callers'] as const;
 type SeparateKind = (typeof separateKinds)[number];
 
 /** What a seed plays: single faults with some series among them, or one series alone. */
@@ -86,6 +87,8 @@
       return repeat(context, 4_500, 6_000, planJointTrouble);
     case 'late-callers':
       return repeat(context, 2_500, 4_000, planLateCallers);
+    case 'unheard-callers':
+      return repeat(context, 4_500, 6_000, planUnheardCallers);
     default:
       return unreachable(kind);
   }
--- a/soak/seriesContext.ts
+++ b/soak/seriesContext.ts
@@ -33,14 +33,16 @@
   return planned;
 };
 
-/** A job for a daemon; its second attempt goes to the other failure domain. */
+/** A job for a daemon; its second attempt goes to the other failure domain, unless the job says otherwise. */
 export const requestAt = (
   atMs: number,
   context: SeriesContext,
   daemon: number,
-  job: Omit<PlannedRequest, 'daemon' | 'nextDaemon' | 'estimatedMs'> & { estimatedMs?: number },
+  job: Omit<PlannedRequest, 'daemon' | 'nextDaemon' | 'estimatedMs'> &
+    Partial<Pick<PlannedRequest, 'nextDaemon' | 'estimatedMs'>>,
 ): PlannedFault => {
-  const nextDaemon = (daemon + Math.floor(context.daemons / 2)) % context.daemons;
+  const otherDomain = (daemon + Math.floor(context.daemons / 2)) % context.daemons;
+  const nextDaemon = job.nextDaemon ?? otherDomain;
   const request = { estimatedMs: job.runMs, ...job, daemon, nextDaemon };
   return { atMs, fault: { kind: 'request', request } };
 };
--- a/soak/soak.spec.ts
+++ b/soak/soak.spec.ts
@@ -19,6 +19,10 @@
 const lateCallerSeeds: readonly SeedChoice[] = [4206, 4245].map((seed) => {
   return { plan: 'late-callers', seed, faultWindowMs: 4_000 };
 });
+/** The ends of connections are lost; next attempts go to both failure domains. */
+const unheardCallerSeeds: readonly SeedChoice[] = [5035, 5069].map((seed) => {
+  return { plan: 'unheard-callers', seed, faultWindowMs: 1_000 };
+});
 /** Seeds that run at the same time. */
 const jobs = 3;
 
@@ -64,4 +68,8 @@
 // Guards against two runs of a task whose caller a daemon has heard late, or has not heard leave.
 test('a short run with late callers violates no guarantee', () => runAll(lateCallerSeeds));
 
+// Guards against two runs of a task whose caller has left early, and whose daemon can't hear of it.
+test('a short run with callers that leave unheard violates no guarantee', () =>
+  runAll(unheardCallerSeeds));
+
 test.run();
