--- a/src/adapters/fleetRpc/fleetRpcClient.ts
+++ b/src/adapters/fleetRpc/fleetRpcClient.ts
@@ -12,7 +12,9 @@
   FleetConnector,
   FleetLink,
   BatchWithdrawal,
+  HolderAnswer,
   JobCancellationRequest,
+  JobQuestion,
 } from '../../ports/fleetPeers.js';
 import type { PeerError } from '../../ports/peers.js';
 import type { Routing } from '../../types/routing.js';
@@ -51,6 +53,10 @@
     return this.call('cancelJob', cancellation, timeoutMs);
   }
 
+  awaitJob(question: JobQuestion, timeoutMs: number): Promise<Result<HolderAnswer, PeerError>> {
+    return this.call('awaitJob', question, timeoutMs);
+  }
+
   async fetchRouting(timeoutMs: number): Promise<Result<Routing | null, PeerError>> {
     const reply = await this.call('fetchRouting', {}, timeoutMs);
     return reply.map(({ routing }) => routing);
--- a/src/adapters/fleetRpc/fleetRpcLink.spec.ts
+++ b/src/adapters/fleetRpc/fleetRpcLink.spec.ts
@@ -29,6 +29,7 @@
   runBatch: () => Promise.reject(new Error('not served')),
   withdrawBatch: () => undefined,
   cancelJob: () => Promise.resolve({ wasFound: true }),
+  awaitJob: () => Promise.resolve({ kind: 'none-runs' }),
   fetchRouting: () => null,
 };
 
--- a/src/adapters/fleetRpc/fleetRpcServer.ts
+++ b/src/adapters/fleetRpc/fleetRpcServer.ts
@@ -81,6 +81,9 @@
   addCheckedMethod(rpc, 'cancelJob', fleetMethods.cancelJob.params, (cancellation) =>
     service.cancelJob(cancellation),
   );
+  addCheckedMethod(rpc, 'awaitJob', fleetMethods.awaitJob.params, (question) =>
+    service.awaitJob(question),
+  );
   rpc.addMethod('fetchRouting', () => ({ routing: service.fetchRouting() }));
   return rpc;
 };
--- a/src/adapters/jsonRpc/rpcSocket.ts
+++ b/src/adapters/jsonRpc/rpcSocket.ts
@@ -37,6 +37,8 @@
   private currentState: RpcSocketState = 'connecting';
   private lastReceivedAtMs = performance.now();
   private closeReason = 'The connection was closed.';
+  /** Whether no process listens at the address. */
+  private isNobodyThere = false;
   private readonly socket: WebSocket;
   private readonly client: JSONRPCClient;
   /** Resolves when the connection is open or has failed. */
@@ -69,6 +71,7 @@
     });
     this.socket.on('error', (error) => {
       this.closeReason = String(error);
+      this.isNobodyThere = 'code' in error && error.code === 'ECONNREFUSED';
     });
     this.socket.on('message', (data: Buffer) => this.receiveSafely(data));
   }
@@ -105,7 +108,8 @@
       await this.waitForConnection(timeoutMs);
     }
     if (this.currentState !== 'open' || this.socket.bufferedAmount > maxBufferedBytes) {
-      return Err({ kind: 'not-sent', detail: this.closeReason });
+      const { closeReason: detail, isNobodyThere } = this;
+      return Err({ kind: 'not-sent', detail, ...(isNobodyThere ? { isNobodyThere } : {}) });
     }
     try {
       const reply: unknown = await this.client
--- a/src/bestEffort/jobRun.ts
+++ b/src/bestEffort/jobRun.ts
@@ -5,6 +5,7 @@
 import { unreachable } from '../errors/unreachable.js';
 import type { LeaseTimes } from '../dispatch/leaseTimes.js';
 import type { CallerContact } from '../fleet/callerContact.js';
+import { statedAfterMs } from '../fleet/heldJobs.js';
 import type { Clock } from '../ports/clock.js';
 import type { JobEnd, JobRequest, JobStep } from '../ports/jobs.js';
 import type { Logger } from '../ports/logger.js';
@@ -14,7 +15,7 @@
 import { createDeferred } from '../utils/deferred.js';
 import { TaskSupervisor } from '../utils/taskSupervisor.js';
 import { JobContext } from './jobContext.js';
-import { computeRetryAfterMs } from './objective.js';
+import { computeRetryAfterMs, criticalPathMs } from './objective.js';
 import type { RunTimePredictor } from './runTimePredictor.js';
 import { firstUnsuccessful } from './stepEnd.js';
 import type { StepEnd } from './stepEnd.js';
@@ -44,19 +45,24 @@
   private readonly job: JobContext;
   /** Time for which the request may have waited for this process, in milliseconds. */
   readonly waitedMs: number;
+  /** When this daemon begins to state to others that it holds the job, in monotonic time. */
+  readonly statedFromMs: number;
 
   private constructor(
     private readonly options: JobRunOptions,
     route: Route,
     request: JobRequest,
     deadlineMs: number,
+    earliestSentAtMs = Infinity,
   ) {
     const { clock, lengths, leaseTimes, contact } = options;
-    this.waitedMs = contact.heldUpMs;
+    const nowMs = clock.nowMs();
+    this.waitedMs = Math.max(contact.heldUpMs, nowMs - earliestSentAtMs);
     const { waitedMs } = this;
     this.job = JobContext.create({
       ...{ clock, lengths, leaseTimes, route, request, deadlineMs, waitedMs },
     });
+    this.statedFromMs = nowMs - waitedMs + statedAfterMs(criticalPathMs(this.job.steps));
   }
 
   static create(
@@ -64,8 +70,9 @@
     route: Route,
     request: JobRequest,
     deadlineMs: number,
+    earliestSentAtMs?: number,
   ): JobRun {
-    return new JobRun(options, route, request, deadlineMs);
+    return new JobRun(options, route, request, deadlineMs, earliestSentAtMs);
   }
 
   get route(): Route {
@@ -81,6 +88,11 @@
     return Math.round(this.job.objectiveMs);
   }
 
+  /** Monotonic time by which no run of the job goes on, in milliseconds. */
+  get runsEndAtMs(): number {
+    return this.job.runsEndAtMs;
+  }
+
   /** Whether a task of the job may have run. */
   get mayHaveStarted(): boolean {
     return this.job.mayHaveStarted;
--- a/src/bestEffort/objective.ts
+++ b/src/bestEffort/objective.ts
@@ -30,6 +30,10 @@
   return pathsMs;
 };
 
+/** Computes the expected time of the longest chain of dependent steps of a job, in milliseconds. */
+export const criticalPathMs = (steps: readonly JobStep[]): number =>
+  Math.max(0, ...criticalPathsMs(steps));
+
 /**
  * Computes the objective of a job: the stretched length of its critical path plus the slack.
  *
--- a/src/bestEffort/runningJobs.ts
+++ b/src/bestEffort/runningJobs.ts
@@ -3,14 +3,30 @@
  * job instead of starting another one.
  */
 import type { Clock } from '../ports/clock.js';
+import type { HolderAnswer } from '../ports/fleetPeers.js';
 import type { JobEnd, JobRequest, JobState } from '../ports/jobs.js';
 import type { Logger } from '../ports/logger.js';
 import type { Route } from '../types/routing.js';
+import { abortQuietly } from '../utils/abortQuietly.js';
 import { CancelledJobs } from './cancelledJobs.js';
 import { countJobEnd } from './countJobEnd.js';
+import { EndedJobs } from './endedJobs.js';
 import { JobRun } from './jobRun.js';
 import type { JobRunOptions } from './jobRun.js';
 
+/**
+ * Time for which a caller of another daemon counts as waiting for a job after the answer to that daemon's last question,
+ * in milliseconds.
+ */
+const questionPauseMs = 900;
+
+/** A job of which runs may go on here. */
+export interface HeldJob {
+  readonly jobId: string;
+  /** Time by which no run of it goes on, in milliseconds. */
+  readonly leftMs: number;
+}
+
 /** A job with the number of requests that wait for it. */
 interface RunningJob {
   readonly run: JobRun;
@@ -24,6 +40,7 @@
   /** By job id. */
   private readonly jobs = new Map<string, RunningJob>();
   private readonly cancelled: CancelledJobs;
+  private readonly ended: EndedJobs;
   private readonly logger: Logger;
   private readonly clock: Clock;
 
@@ -31,6 +48,7 @@
     this.logger = options.logger;
     this.clock = options.clock;
     this.cancelled = CancelledJobs.create(options.clock);
+    this.ended = EndedJobs.create(options.clock, options.leaseTimes);
   }
 
   static create(options: JobRunOptions): RunningJobs {
@@ -49,6 +67,8 @@
    * @param request - the job
    * @param deadlineMs - how long the caller waits, in milliseconds
    * @param signal - aborted when this caller leaves; the job is cancelled when its last one leaves
+   * @param earliestSentAtMs - the earliest time at which the request may have been sent, in monotonic time; if left out,
+   *   as this process knows of what it reads
    * @returns how the job ended
    */
   async submit(
@@ -56,30 +76,62 @@
     request: JobRequest,
     deadlineMs: number,
     signal: AbortSignal,
+    earliestSentAtMs?: number,
   ): Promise<JobEnd> {
     this.options.standstills.check();
     if (signal.aborted) {
       return { kind: 'cancelled' };
     }
     const { jobId } = request;
-    if (this.cancelled.find(jobId) !== undefined) {
+    if (this.wasCancelled(jobId)) {
       const end: JobEnd = { kind: 'cancelled' };
       this.logger.info('A job that was cancelled is not started.', { jobId });
       countJobEnd(this.options.metrics, route.routeId, end);
       return end;
     }
-    const job = this.jobs.get(jobId) ?? this.start(route, request, deadlineMs);
-    job.waiters += 1;
-    const leave = (): void => {
-      job.waiters -= 1;
-      if (job.waiters === 0) {
-        job.stop.abort();
-      }
-    };
-    signal.addEventListener('abort', leave, { once: true });
-    const end = await job.end;
-    signal.removeEventListener('abort', leave);
-    return end;
+    const job = this.jobs.get(jobId) ?? this.start(route, request, deadlineMs, earliestSentAtMs);
+    return this.waitFor(job, signal);
+  }
+
+  /**
+   * Answers another daemon whose caller waits for a job of this one, which counts as a request that waits: also after the
+   * answer for a while, so that the next question finds the job.
+   *
+   * @param waitMs - time for which the end of the job is awaited, in milliseconds
+   */
+  async answerFor(jobId: string, waitMs: number): Promise<HolderAnswer> {
+    const job = this.jobs.get(jobId);
+    if (job === undefined) {
+      return this.wasCancelled(jobId)
+        ? { kind: 'ended', end: { kind: 'cancelled' } }
+        : this.ended.answerFor(jobId);
+    }
+    const over = new AbortController();
+    void this.waitFor(job, over.signal).then(() => abortQuietly(over));
+    void this.clock.sleep(waitMs + questionPauseMs, over.signal).then(() => abortQuietly(over));
+    const answer = new AbortController();
+    await Promise.race([job.end, this.clock.sleep(waitMs, answer.signal)]);
+    abortQuietly(answer);
+    return this.jobs.get(jobId) === job
+      ? { kind: 'running', leftMs: this.leftMsOf(job) }
+      : this.answerFor(jobId, 0);
+  }
+
+  /** Lists the jobs of which runs may go on and that other daemons are told of, the latest first. */
+  listHeld(): HeldJob[] {
+    const nowMs = this.clock.nowMs();
+    const running = [...this.jobs.values()].map(({ run }) => ({
+      ...{ jobId: run.jobId, statedFromMs: run.statedFromMs, untilMs: run.runsEndAtMs },
+    }));
+    return [...this.ended.listRunning(), ...running]
+      .filter(({ statedFromMs }) => statedFromMs <= nowMs)
+      .map(({ jobId, untilMs }) => ({ jobId, leftMs: Math.max(untilMs - nowMs, 0) }))
+      .reverse();
+  }
+
+  /** Whether a job was cancelled a while ago, at its caller's request. */
+  wasCancelled(jobId: string): boolean {
+    return this.cancelled.find(jobId) !== undefined;
   }
 
   /** @returns `queued` until a task may have run, then `running`; `unknown` if not running here */
@@ -117,8 +169,32 @@
     ).length;
   }
 
-  private start(route: Route, request: JobRequest, deadlineMs: number): RunningJob {
-    const run = JobRun.create(this.options, route, request, deadlineMs);
+  /** Waits for a job, which is cancelled when the last one that waits for it leaves. */
+  private async waitFor(job: RunningJob, signal: AbortSignal): Promise<JobEnd> {
+    job.waiters += 1;
+    const leave = (): void => {
+      job.waiters -= 1;
+      if (job.waiters === 0) {
+        job.stop.abort();
+      }
+    };
+    signal.addEventListener('abort', leave, { once: true });
+    const end = await job.end;
+    signal.removeEventListener('abort', leave);
+    return end;
+  }
+
+  private leftMsOf({ run }: RunningJob): number {
+    return Math.max(run.runsEndAtMs - this.clock.nowMs(), 0);
+  }
+
+  private start(
+    route: Route,
+    request: JobRequest,
+    deadlineMs: number,
+    earliestSentAtMs?: number,
+  ): RunningJob {
+    const run = JobRun.create(this.options, route, request, deadlineMs, earliestSentAtMs);
     this.logger.info('A job is accepted.', {
       jobId: request.jobId,
       routeId: route.routeId,
@@ -140,6 +216,8 @@
     const { jobId } = run;
     const end = await run.run(signal);
     this.jobs.delete(jobId);
+    const { mayHaveStarted, runsEndAtMs, statedFromMs } = run;
+    this.ended.record({ jobId, end, mayHaveStarted, runsEndAtMs, statedFromMs });
     const { routeId } = run.route;
     const durationMs = Math.round(this.clock.nowMs() - startedAtMs);
     const { metrics } = this.options;
--- a/src/dispatch/batchTable.ts
+++ b/src/dispatch/batchTable.ts
@@ -66,6 +66,11 @@
     return false;
   }
 
+  /** @returns the open batches of a job */
+  openBatchesOfJob(jobId: string): OpenBatch[] {
+    return [...this.open].filter((batch) => batch.content.jobId === jobId && !batch.hasEnded);
+  }
+
   /** @returns incarnations of the requesters whose batches have not ended */
   requesters(): string[] {
     return [...new Set([...this.open].map(({ askedBy }) => askedBy))];
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -232,6 +232,11 @@
     return this.batches.hasOpenBatchesOf(requester);
   }
 
+  /** @returns the batches of a job that have not ended */
+  openBatchesOfJob(jobId: string): OpenBatch[] {
+    return this.batches.openBatchesOfJob(jobId);
+  }
+
   /** @returns number of workers to which this daemon dispatches */
   get workerCount(): number {
     return this.workers.size;
--- a/src/dispatch/openBatch.ts
+++ b/src/dispatch/openBatch.ts
@@ -90,6 +90,11 @@
     return Math.min(confirmedAtMs + confirmationMs, this.runsEndAtMs);
   }
 
+  /** Time by which no run goes on even if the batch is confirmed until then, in monotonic time. */
+  get latestRunsEndAtMs(): number {
+    return Number.isFinite(this.runsEndAtMs) ? this.runsEndAtMs : this.giveUpAtMs;
+  }
+
   /** Whether runs may go on until a time as long as the batch is confirmed, in monotonic time. */
   mayRunUntil(atMs: number): boolean {
     return atMs <= this.runsEndAtMs;
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -25,8 +25,10 @@
 import { RequesterLeases } from './requesterLeases.js';
 import { RequesterMonitor } from './requesterMonitor.js';
 import { leaseTimesFor } from './requesterTimes.js';
-import { JobCancellation } from './jobCancellation.js';
-import { JobIntake } from './jobIntake.js';
+import { HeldJobs } from './heldJobs.js';
+import type { JobCancellation } from './jobCancellation.js';
+import { createJobFront } from './jobFront.js';
+import type { JobIntake } from './jobIntake.js';
 import { LearnedBackup } from './learnedBackup.js';
 import { handOverWorkers } from './workerHandOver.js';
 import { ServedWorkers } from './servedWorkers.js';
@@ -76,9 +78,9 @@
     const standstills = StandstillDetector.create({
       ...common,
       onStandstill: (standstill) => {
-        const { jobs, dispatcher, shards, routingFollower } = this;
+        const { intake, dispatcher, shards, routingFollower } = this;
         recoverFromStandstill(standstill, {
-          ...{ ages, contact, jobs, dispatcher, shards, routingFollower },
+          ...{ ages, contact, intake, dispatcher, shards, routingFollower },
         });
       },
     });
@@ -133,25 +135,29 @@
       contact,
       standstills,
     });
-    const { lengths, speeds, routing, directory, jobs } = this;
-    this.cancellation = JobCancellation.create({
+    const { lengths, speeds, routing, directory, jobs, view, router, dispatcher } = this;
+    const held = HeldJobs.create(clock, ownId);
+    const { confirmationMs } = leaseTimes;
+    const front = createJobFront({
       clock,
-      logger: this.logger,
-      failureDomainId: member.failureDomainId,
-      jobs,
-      peers: () => this.peers,
-    });
-    const { cancellation } = this;
-    this.intake = JobIntake.create({
       logger: this.logger,
       metrics,
+      ownId,
+      failureDomainId: member.failureDomainId,
       routing,
       directory,
+      dispatcher,
+      lengths,
+      contact,
       jobs,
-      cancellation,
+      held,
+      confirmationMs,
+      peers: () => this.peers,
     });
+    const { cancellation, intake, questions } = front;
+    this.cancellation = cancellation;
+    this.intake = intake;
     this.learned = LearnedBackup.create({ ...common, member, lengths, speeds });
-    const { view, router, dispatcher } = this;
     const batchIntake = BatchIntake.create({
       ownId,
       logger: this.logger,
@@ -172,6 +178,9 @@
       view,
       router,
       dispatcher,
+      jobs,
+      held,
+      confirmationMs,
       peers: () => this.peers,
     });
     this.peers = FleetPeers.create({
@@ -199,6 +208,7 @@
       heartbeatExchange,
       batchIntake,
       cancellation,
+      questions,
       dispatcher,
       routing,
     });
@@ -239,7 +249,7 @@
 
   /** Ends every job that has not ended, so that its caller gets an answer. */
   giveUpJobs(): void {
-    this.jobs.giveUpAll('the daemon stops');
+    this.intake.giveUpAll('the daemon stops');
   }
 
   /**
@@ -262,7 +272,7 @@
 
   /** @returns number of jobs that have not ended */
   get jobCount(): number {
-    return this.jobs.size;
+    return this.intake.jobCount;
   }
 
   /** @returns number of workers that this daemon dispatches to and that accept tasks */
--- a/src/fleet/fleetHeartbeatExchange.spec.ts
+++ b/src/fleet/fleetHeartbeatExchange.spec.ts
@@ -17,6 +17,7 @@
 import { CallerContact } from './callerContact.js';
 import { FleetHeartbeatExchange } from './fleetHeartbeatExchange.js';
 import type { FleetPeers } from './fleetPeers.js';
+import { HeldJobs } from './heldJobs.js';
 import { MessageAges } from './messageAges.js';
 import { RequesterLeases } from './requesterLeases.js';
 
@@ -44,6 +45,9 @@
     }),
     router: router as BatchRouter,
     dispatcher,
+    jobs: { listHeld: () => [] },
+    held: HeldJobs.create(clock, ownId),
+    confirmationMs: 1_200,
     peers: () => ({ find: () => undefined }) as unknown as FleetPeers,
   });
 };
--- a/src/fleet/fleetHeartbeatExchange.ts
+++ b/src/fleet/fleetHeartbeatExchange.ts
@@ -3,6 +3,7 @@
  */
 import type { BatchRouter } from '../bestEffort/batchRouter.js';
 import type { FleetView } from '../bestEffort/fleetView.js';
+import type { RunningJobs } from '../bestEffort/runningJobs.js';
 import type { RunTimePredictor } from '../bestEffort/runTimePredictor.js';
 import { announcementMs } from '../dispatch/crashSuspects.js';
 import type { Audience } from '../dispatch/crashSuspects.js';
@@ -11,10 +12,12 @@
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
 import type { RoutingStore } from '../routing/routingStore.js';
-import type { FleetHeartbeat, Member } from '../types/fleet.js';
+import type { FleetHeartbeat, HeldJobGroup, Member } from '../types/fleet.js';
 import type { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
-import type { FleetPeers, PeerLoss } from './fleetPeers.js';
 import type { CallerContact } from './callerContact.js';
+import type { FleetPeers, PeerLoss } from './fleetPeers.js';
+import { composeOwnStatement } from './heldJobs.js';
+import type { HeldJobs } from './heldJobs.js';
 import type { MessageAges } from './messageAges.js';
 import { NewContacts } from './newContacts.js';
 import type { RequesterLeases } from './requesterLeases.js';
@@ -40,6 +43,10 @@
   readonly view: FleetView;
   readonly router: BatchRouter;
   readonly dispatcher: Dispatcher;
+  readonly jobs: Pick<RunningJobs, 'listHeld'>;
+  readonly held: HeldJobs;
+  /** Time from the last word of a requester by which none of its runs goes on, in milliseconds. */
+  readonly confirmationMs: number;
   /** Returns the peers; a function, since they are created after this object. */
   readonly peers: () => FleetPeers;
 }
@@ -82,6 +89,7 @@
     const audience = this.audienceOf(peer, isSameDomain);
     const suspects = dispatcher.suspects.listAnnounced(audience);
     const doubts = dispatcher.doubts.listAnnounced(audience);
+    const heldJobs = this.listHeldJobs(isSameDomain);
     return {
       member: own,
       sentAtMs: ages.timestampMs(),
@@ -93,6 +101,7 @@
       ...(roundTripMs === undefined ? {} : { roundTripMs }),
       ...(suspects.length > 0 ? { suspects } : {}),
       ...(doubts.length > 0 ? { doubts } : {}),
+      ...(heldJobs.length > 0 ? { heldJobs } : {}),
       ...(isFull ? { lengths: lengths.share(), heardMembers: peers().heardMembers() } : {}),
       ...(isFull && isSameDomain ? { speeds: speeds.list() } : {}),
     };
@@ -125,6 +134,8 @@
       dispatcher.recordSuspects(heartbeat.suspects, source);
     }
     heartbeat.doubts?.forEach((doubt) => dispatcher.doubts.recordAnnounced(doubt, source));
+    const groups = heartbeat.heldJobs ?? [];
+    this.options.held.record({ sender: incarnation, source, groups, ageMs });
     heartbeat.speeds?.forEach((speed) => speeds.recordIfAbsent(speed));
     if (lengths !== undefined) {
       this.options.lengths.recordPeerSums(incarnation, lengths);
@@ -144,7 +155,7 @@
    * withdrawn at once if it is certainly gone, and otherwise when its lease is over.
    */
   handleLostDaemon(incarnation: string, loss: PeerLoss): void {
-    const { dispatcher, leases, router, view } = this.options;
+    const { clock, confirmationMs, dispatcher, held, leases, router, view } = this.options;
     view.forget(incarnation);
     this.newContacts.forget(incarnation);
     switch (loss) {
@@ -154,6 +165,7 @@
       case 'replaced':
         router.failBatchesAt(incarnation, 0);
         leases.end(incarnation);
+        held.recordGone(incarnation, clock.nowMs() + confirmationMs);
         dispatcher.withdrawAll(incarnation);
         return;
       default:
@@ -167,6 +179,12 @@
     return router.hasBatchesAt(incarnation) || dispatcher.hasBatchesOf(incarnation);
   }
 
+  private listHeldJobs(isSameDomain: boolean): HeldJobGroup[] {
+    const { clock, held, jobs } = this.options;
+    const own = composeOwnStatement(jobs.listHeld(), clock.nowMs());
+    return isSameDomain ? [...own, ...held.listPassedOn()] : own;
+  }
+
   private audienceOf(peer: string | undefined, isSameDomain: boolean): Audience {
     if (this.newContacts.isNew(peer)) {
       return 'newcomer';
--- a/src/fleet/fleetPeers.ts
+++ b/src/fleet/fleetPeers.ts
@@ -6,7 +6,7 @@
 import type { Logger } from '../ports/logger.js';
 import type { FleetHeartbeat, KnownMember, Member } from '../types/fleet.js';
 import type { TaskSupervisor } from '../utils/taskSupervisor.js';
-import { sleepUntilNextCheck } from '../utils/periodicSleep.js';
+import { longestPauseMs, sleepUntilNextCheck } from '../utils/periodicSleep.js';
 import { RecentNames } from '../utils/recentNames.js';
 import { rankContact } from './contacts.js';
 import { FleetPeer } from './fleetPeer.js';
@@ -93,6 +93,20 @@
     return peers.find((peer) => peer.incarnation === incarnation && this.isReachable(peer));
   }
 
+  /** Finds a peer by the last process that was heard there, reachable or not. */
+  findLastHeard(incarnation: string): FleetPeer | undefined {
+    return [...this.peers.values()].find((peer) => peer.incarnation === incarnation);
+  }
+
+  /**
+   * @returns when a peer that is gone can have said anything last, in monotonic time: had it lived longer, its next
+   *   heartbeat would have come
+   */
+  latestWordAtMs(peer: FleetPeer): number {
+    const periodMs = longestPauseMs(this.relations.heartbeatPeriodMs(peer));
+    return Math.min(peer.lastContactAtMs + periodMs, this.options.clock.nowMs());
+  }
+
   /** @returns the peers that sent a message recently, as their relation requires */
   reachable(): FleetPeer[] {
     return [...this.peers.values()].filter((peer) => this.isReachable(peer));
--- /dev/null
+++ b/src/fleet/holderEvidence.ts
@@ -0,0 +1,86 @@
+/**
+ * What is known of the runs of a job that another daemon holds, and whether the job may start here beside that. Nothing
+ * else decides it.
+ */
+import { unreachable } from '../errors/unreachable.js';
+import type { HolderAnswer } from '../ports/fleetPeers.js';
+import type { JobEnd } from '../ports/jobs.js';
+import type { HeldClaim } from './heldJobs.js';
+
+/** What a question to a holder has shown. */
+export type HolderEvidence =
+  | { readonly kind: 'answered'; readonly answer: HolderAnswer }
+  /** Its process has ended; nothing it said is later than this, in monotonic time. */
+  | { readonly kind: 'gone'; readonly latestWordAtMs: number }
+  /** It may be alive, such as behind a cut, or of a version that answers no such question. */
+  | { readonly kind: 'no-answer' };
+
+/** Why a job may start though another daemon held it. */
+export type StartEvidence =
+  /** No daemon states that it holds the job. */
+  | 'not-held'
+  /** The holder says that none of its runs goes on. */
+  | 'holder-has-none'
+  /** The time is over by which its runs have ended: as the holder has stated it, or after the last word of one that is gone. */
+  | 'time-is-over';
+
+/** What follows for the next attempt of the job. */
+export type HolderJudgement =
+  /** The job has this end, also for its next attempt. */
+  | { readonly kind: 'ended'; readonly end: JobEnd }
+  /** It runs there until this time at the latest, in monotonic time. */
+  | { readonly kind: 'running'; readonly untilMs: number }
+  /** Runs may go on until this time, in monotonic time, and their end would be no answer. */
+  | { readonly kind: 'may-run'; readonly untilMs: number }
+  | { readonly kind: 'over'; readonly evidence: StartEvidence };
+
+/**
+ * Judges whether runs of a job go on at its holder.
+ *
+ * @param claim - what is known of the holder's statements
+ * @param evidence - what a question to it has shown
+ * @param nowMs - the current monotonic time
+ * @param confirmationMs - time from the last word of a requester by which none of its runs goes on
+ */
+export const judgeHolder = (
+  claim: Pick<HeldClaim, 'untilMs'>,
+  evidence: HolderEvidence,
+  nowMs: number,
+  confirmationMs: number,
+): HolderJudgement => {
+  switch (evidence.kind) {
+    case 'answered':
+      return judgeAnswer(claim, evidence.answer, nowMs);
+    case 'gone':
+      return untilOver(Math.min(claim.untilMs, evidence.latestWordAtMs + confirmationMs), nowMs);
+    case 'no-answer':
+      return untilOver(claim.untilMs, nowMs);
+    default:
+      return unreachable(evidence);
+  }
+};
+
+const judgeAnswer = (
+  { untilMs }: Pick<HeldClaim, 'untilMs'>,
+  answer: HolderAnswer,
+  nowMs: number,
+): HolderJudgement => {
+  switch (answer.kind) {
+    case 'ended':
+      return answer;
+    case 'running':
+      return { kind: 'running', untilMs: nowMs + answer.leftMs };
+    case 'may-run':
+      return untilOver(nowMs + answer.leftMs, nowMs);
+    case 'none-runs':
+      return { kind: 'over', evidence: 'holder-has-none' };
+    case 'unknown':
+    case 'replaced':
+      return untilOver(untilMs, nowMs);
+    default:
+      return unreachable(answer);
+  }
+};
+
+const untilOver = (untilMs: number, nowMs: number): HolderJudgement =>
+  untilMs > nowMs ? { kind: 'may-run', untilMs } : { kind: 'over', evidence: 'time-is-over' };
--- a/src/fleet/jobIntake.spec.ts
+++ b/src/fleet/jobIntake.spec.ts
@@ -4,11 +4,13 @@
 import type { RunningJobs } from '../bestEffort/runningJobs.js';
 import type { JobRequest } from '../ports/jobs.js';
 import { RoutingStore } from '../routing/routingStore.js';
+import { FakeClock } from '../testing/fakeClock.js';
 import { silentLogger } from '../testing/silentLogger.js';
 import type { Route } from '../types/routing.js';
 import type { TaskFit, WorkerDirectory } from '../workers/workerDirectory.js';
 import type { JobCancellation } from './jobCancellation.js';
 import { JobIntake } from './jobIntake.js';
+import type { JobJoins } from './jobJoins.js';
 
 const route: Route = {
   routeId: 'r',
@@ -22,6 +24,13 @@
   objectiveSlackMs: 60,
 };
 
+const noJobIsHeld: Pick<JobJoins, 'isHeldElsewhere'> = { isHeldElsewhere: () => false };
+const noJoins = {
+  clock: FakeClock.create(),
+  contact: { heldUpMs: 0 },
+  joins: noJobIsHeld as JobJoins,
+};
+
 const requestOf = (jobId: string): JobRequest => ({ jobId, spec: '', steps: [], unsupported: [] });
 
 test('a stopping daemon answers a repeated request of a running job with the end of that job', async () => {
@@ -36,6 +45,7 @@
     routing: RoutingStore.create(),
     directory: directory as WorkerDirectory,
     jobs: jobs as RunningJobs,
+    ...noJoins,
     cancellation: undefined as unknown as JobCancellation,
   });
   intake.close();
@@ -60,6 +70,7 @@
       routing: RoutingStore.create(),
       directory: directory as WorkerDirectory,
       jobs: jobs as RunningJobs,
+      ...noJoins,
       cancellation: undefined as unknown as JobCancellation,
     });
     const needs = { resources: { cpuMillis: 14_000, memoryMb: 64, accelerators: 0 } };
@@ -84,6 +95,7 @@
       routing: RoutingStore.create(),
       directory: directory as WorkerDirectory,
       jobs: noJobs as RunningJobs,
+      ...noJoins,
       cancellation: undefined as unknown as JobCancellation,
     });
   };
--- a/src/fleet/jobIntake.ts
+++ b/src/fleet/jobIntake.ts
@@ -12,12 +12,15 @@
   JobState,
   RouteMatch,
 } from '../ports/jobs.js';
+import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
 import type { Metrics } from '../ports/metrics.js';
 import type { RoutingStore } from '../routing/routingStore.js';
 import type { Route } from '../types/routing.js';
 import type { TaskFit, WorkerDirectory } from '../workers/workerDirectory.js';
+import type { CallerContact } from './callerContact.js';
 import type { JobCancellation } from './jobCancellation.js';
+import type { JobJoins } from './jobJoins.js';
 
 /** Time after which a job with unsupported demands may be sent again, in milliseconds. */
 const unsupportedRetryAfterMs = 60_000;
@@ -37,12 +40,16 @@
 type Rejection = Extract<JobEnd, { kind: 'refused' }>;
 
 export interface JobIntakeOptions {
+  readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly routing: RoutingStore;
   readonly directory: WorkerDirectory;
   readonly jobs: RunningJobs;
   readonly cancellation: JobCancellation;
+  readonly joins: JobJoins;
+  /** How late this process learns what callers send. */
+  readonly contact: Pick<CallerContact, 'heldUpMs'>;
 }
 
 /**
@@ -93,21 +100,30 @@
     deadlineMs: number,
     signal: AbortSignal,
   ): Promise<JobEnd> {
-    const { logger, metrics, jobs } = this.options;
+    const { jobs, joins } = this.options;
     const rejection = this.rejectionOf(route, request);
-    if (rejection === undefined) {
-      return jobs.submit(route, request, deadlineMs, signal);
+    if (rejection !== undefined) {
+      return this.reject(route, request, rejection);
     }
-    const { jobId } = request;
-    const { routeId } = route;
-    const { kind: outcome, reason } = rejection;
-    logger.info('A job is rejected.', { jobId, routeId, outcome, reason });
-    countJobEnd(metrics, routeId, rejection);
-    return rejection;
+    return joins.isHeldElsewhere(request.jobId)
+      ? this.join(route, request, deadlineMs, signal)
+      : jobs.submit(route, request, deadlineMs, signal);
+  }
+
+  /** Number of jobs that have no answer yet. */
+  get jobCount(): number {
+    return this.options.jobs.size + this.options.joins.size;
+  }
+
+  /** Ends every job, so that its caller gets an answer. */
+  giveUpAll(reason: string): void {
+    this.options.jobs.giveUpAll(reason);
+    this.options.joins.giveUpAll(reason);
   }
 
   state(jobId: string): JobState {
-    return this.options.jobs.state(jobId);
+    const { jobs, joins } = this.options;
+    return joins.isWaiting(jobId) ? 'running' : jobs.state(jobId);
   }
 
   cancel(jobId: string): Promise<CancellationOutcome> {
@@ -118,6 +134,39 @@
     return this.options.jobs.countWaiting(routeId);
   }
 
+  /** Waits for a job that another daemon holds, and runs it here if it has no end and no run of it goes on there. */
+  private async join(
+    route: Route,
+    request: JobRequest,
+    deadlineMs: number,
+    signal: AbortSignal,
+  ): Promise<JobEnd> {
+    const { clock, contact, jobs, joins, metrics } = this.options;
+    const earliestSentAtMs = clock.nowMs() - contact.heldUpMs;
+    const outcome = await joins.wait({ route, request, deadlineMs, earliestSentAtMs, signal });
+    switch (outcome.kind) {
+      case 'start': {
+        const rejection = this.rejectionOf(route, request);
+        return rejection === undefined
+          ? jobs.submit(route, request, deadlineMs, signal, earliestSentAtMs)
+          : this.reject(route, request, rejection);
+      }
+      case 'ended':
+        countJobEnd(metrics, route.routeId, outcome.end);
+        return outcome.end;
+      default:
+        return unreachable(outcome);
+    }
+  }
+
+  private reject({ routeId }: Route, { jobId }: JobRequest, rejection: Rejection): JobEnd {
+    const { logger, metrics } = this.options;
+    const { kind: outcome, reason } = rejection;
+    logger.info('A job is rejected.', { jobId, routeId, outcome, reason });
+    countJobEnd(metrics, routeId, rejection);
+    return rejection;
+  }
+
   /** @returns how a job ends that is rejected, or nothing for a job that is run */
   private rejectionOf(route: Route, request: JobRequest): Rejection | undefined {
     const { unsupported, jobId } = request;
--- /dev/null
+++ b/src/fleet/jobJoins.spec.ts
@@ -0,0 +1,174 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { Dispatcher } from '../dispatch/dispatcher.js';
+import type { JobRequest, JobState } from '../ports/jobs.js';
+import { routeFixture } from '../testing/dispatchFixtures.js';
+import { FakeClock } from '../testing/fakeClock.js';
+import { silentLogger } from '../testing/silentLogger.js';
+import { HeldJobs } from './heldJobs.js';
+import type { HolderEvidence } from './holderEvidence.js';
+import { JobJoins } from './jobJoins.js';
+import type { JoinOutcome } from './jobJoins.js';
+
+const jobId = '00000000000000aa';
+const needs = { resources: { cpuMillis: 1_000, memoryMb: 64, accelerators: 0 } };
+const request: JobRequest = {
+  ...{ jobId, spec: '', unsupported: [] },
+  steps: [{ taskCount: 1, estimatedMs: 500, after: [], needs }],
+};
+
+/** A daemon that has heard that another one holds the job for 3 s more; `answer` is what that one shows when asked. */
+const createFixture = (answer: () => HolderEvidence) => {
+  const clock = FakeClock.create();
+  const held = HeldJobs.create(clock, 'own');
+  const statement = { leftMsByJob: { [jobId]: 3_000 } };
+  held.record({ sender: 'holder', source: 'own-domain', groups: [statement], ageMs: 0 });
+  const state: { batches: { askedBy: string; latestRunsEndAtMs: number }[]; cancelled: boolean } = {
+    ...{ batches: [], cancelled: false },
+  };
+  const asked: string[] = [];
+  const joins = JobJoins.create({
+    ...{ clock, held, logger: silentLogger, ownId: 'own', confirmationMs: 1_200 },
+    dispatcher: { openBatchesOfJob: () => state.batches } as unknown as Dispatcher,
+    jobs: { state: (): JobState => 'unknown', wasCancelled: () => state.cancelled },
+    lengths: { predictMs: (_routeId, { declaredMs }) => declaredMs },
+    questions: {
+      ask: async ({ holder }) => {
+        asked.push(holder);
+        await clock.sleep(100);
+        return answer();
+      },
+    },
+  });
+  const caller = new AbortController();
+  const result: { outcome?: JoinOutcome; atMs?: number } = {};
+  const begin = (deadlineMs = 5_000): void => {
+    const earliestSentAtMs = clock.nowMs();
+    const { signal } = caller;
+    void joins
+      .wait({ route: routeFixture, request, deadlineMs, earliestSentAtMs, signal })
+      .then((outcome) => Object.assign(result, { outcome, atMs: clock.nowMs() }));
+  };
+  return { clock, held, joins, state, asked, caller, result, begin };
+};
+
+const answered = (answer: Extract<HolderEvidence, { kind: 'answered' }>['answer']) => () =>
+  ({ kind: 'answered', answer }) as const;
+
+// Guards against a job that runs a second time beside the first, or again after it.
+test('an attempt waits for the job where it runs, and has its end', async () => {
+  let isRunning = true;
+  const { clock, joins, begin, result } = createFixture(() =>
+    isRunning
+      ? answered({ kind: 'running', leftMs: 2_000 })()
+      : answered({ kind: 'ended', end: { kind: 'completed' } })(),
+  );
+  assert.ok(joins.isHeldElsewhere(jobId));
+  assert.not(joins.isHeldElsewhere('other'));
+  begin();
+  await clock.advance(1_000);
+  assert.is(result.outcome, undefined);
+  assert.ok(joins.isWaiting(jobId));
+  isRunning = false;
+  await clock.advance(300);
+  assert.equal(result.outcome, { kind: 'ended', end: { kind: 'completed' } });
+  assert.is(joins.size, 0);
+});
+
+// Guards against a job that starts while runs of its earlier attempt may go on, whatever the holder's caller has done.
+test('an attempt starts the job when no run goes on at its holder, and at once if none has run', async () => {
+  const first = createFixture(answered({ kind: 'none-runs' }));
+  first.begin();
+  await first.clock.advance(100);
+  assert.equal(first.result.outcome, { kind: 'start', evidence: 'holder-has-none' });
+  assert.not(first.joins.isHeldElsewhere(jobId));
+  const untilMs = 1_000;
+  const second: ReturnType<typeof createFixture> = createFixture(() => {
+    const leftMs = untilMs - second.clock.nowMs();
+    return answered(leftMs > 0 ? { kind: 'may-run', leftMs } : { kind: 'none-runs' })();
+  });
+  second.begin();
+  await second.clock.advance(3_000);
+  assert.is(second.result.outcome?.kind, 'start');
+  assert.ok((second.result.atMs ?? 0) >= untilMs);
+  assert.ok((second.result.atMs ?? Infinity) <= untilMs + 400);
+});
+
+// Guards against a job that starts beside its runs at a daemon that can't be asked, and against callers that wait in vain.
+test('without an answer an attempt starts after the stated time, or is refused if it could not end in time then', async () => {
+  const patient = createFixture(() => ({ kind: 'no-answer' }));
+  patient.begin(4_000);
+  await patient.clock.advance(2_900);
+  assert.is(patient.result.outcome, undefined);
+  await patient.clock.advance(100);
+  assert.equal(patient.result.outcome, { kind: 'start', evidence: 'time-is-over' });
+  const hasty = createFixture(() => ({ kind: 'no-answer' }));
+  hasty.begin(3_400);
+  await hasty.clock.advance(200);
+  assert.equal(hasty.result.outcome, {
+    kind: 'ended',
+    end: {
+      ...{ kind: 'refused', retryAfterMs: 2_900 },
+      reason: 'runs of an earlier attempt may go on at another daemon',
+    },
+  });
+});
+
+// Guards against a job that starts beside a run at a worker of this daemon, since no heartbeat has told of it yet.
+test('an open batch of another requester shows that it holds the job', async () => {
+  const { clock, held, joins, state, begin, asked, result } = createFixture(
+    answered({ kind: 'none-runs' }),
+  );
+  held.forget({ jobId, holder: 'holder' });
+  state.batches = [{ askedBy: 'own', latestRunsEndAtMs: 9_000 }];
+  assert.not(joins.isHeldElsewhere(jobId));
+  state.batches = [{ askedBy: 'requester', latestRunsEndAtMs: 9_000 }];
+  assert.ok(joins.isHeldElsewhere(jobId));
+  begin();
+  await clock.advance(300);
+  assert.equal(asked, ['requester']);
+  assert.is(result.outcome?.kind, 'start');
+});
+
+// Guards against a job that starts while one of two daemons that were sent it before runs it.
+test('all daemons that hold a job are asked', async () => {
+  const { clock, held, begin, asked, result } = createFixture(answered({ kind: 'none-runs' }));
+  const statement = { leftMsByJob: { [jobId]: 3_000 } };
+  held.record({ sender: 'second', source: 'other-domain', groups: [statement], ageMs: 0 });
+  begin();
+  await clock.advance(300);
+  assert.equal(asked, ['holder', 'second']);
+  assert.is(result.outcome?.kind, 'start');
+});
+
+// Guards against callers that wait for what has ended: their cancellation, their own leaving, and a daemon that stops.
+test('a wait ends when the job is cancelled, its caller leaves, or the daemon gives its jobs up', async () => {
+  const running = answered({ kind: 'running', leftMs: 2_000 });
+  const cancelled = createFixture(running);
+  cancelled.begin();
+  await cancelled.clock.advance(500);
+  cancelled.state.cancelled = true;
+  await cancelled.clock.advance(200);
+  assert.equal(cancelled.result.outcome, { kind: 'ended', end: { kind: 'cancelled' } });
+  const left = createFixture(running);
+  left.begin();
+  await left.clock.advance(500);
+  left.caller.abort();
+  await left.clock.advance(1);
+  assert.equal(left.result.outcome, { kind: 'ended', end: { kind: 'cancelled' } });
+  const stopped = createFixture(running);
+  stopped.begin();
+  await stopped.clock.advance(500);
+  stopped.joins.giveUpAll('the daemon stops');
+  await stopped.clock.advance(1);
+  const { outcome } = stopped.result;
+  assert.is(outcome?.kind === 'ended' ? outcome.end.kind : outcome?.kind, 'refused');
+  for (const { asked, clock, joins } of [cancelled, left, stopped]) {
+    const count = asked.length;
+    await clock.advance(1_000);
+    assert.is(asked.length, count);
+    assert.is(joins.size, 0);
+  }
+});
+
+test.run();
--- a/src/fleet/messageAges.spec.ts
+++ b/src/fleet/messageAges.spec.ts
@@ -12,6 +12,7 @@
 import { CallerContact } from './callerContact.js';
 import { FleetHeartbeatExchange } from './fleetHeartbeatExchange.js';
 import type { FleetPeers } from './fleetPeers.js';
+import { HeldJobs } from './heldJobs.js';
 import { MessageAges } from './messageAges.js';
 import { RequesterLeases } from './requesterLeases.js';
 
@@ -54,6 +55,9 @@
     }),
     router: router as BatchRouter,
     dispatcher: dispatcher as Dispatcher,
+    jobs: { listHeld: () => [] },
+    held: HeldJobs.create(clock, own.incarnation),
+    confirmationMs: 1_200,
     peers: () => undefined as unknown as FleetPeers,
   });
   const receive = (sentAtMs: number): void => {
--- a/src/fleet/peerService.ts
+++ b/src/fleet/peerService.ts
@@ -7,7 +7,9 @@
   BatchWithdrawal,
   CancellationReply,
   FleetService,
+  HolderAnswer,
   JobCancellationRequest,
+  JobQuestion,
 } from '../ports/fleetPeers.js';
 import type { RoutingStore } from '../routing/routingStore.js';
 import type { BatchReply } from '../types/dispatch.js';
@@ -16,6 +18,7 @@
 import type { BatchIntake } from './batchIntake.js';
 import type { FleetHeartbeatExchange } from './fleetHeartbeatExchange.js';
 import type { FleetPeers } from './fleetPeers.js';
+import type { HolderQuestions } from './holderQuestions.js';
 import type { JobCancellation } from './jobCancellation.js';
 import type { MessageAges } from './messageAges.js';
 import type { StandstillDetector } from './standstillDetector.js';
@@ -28,6 +31,7 @@
   readonly heartbeatExchange: FleetHeartbeatExchange;
   readonly batchIntake: BatchIntake;
   readonly cancellation: JobCancellation;
+  readonly questions: HolderQuestions;
   readonly dispatcher: Dispatcher;
   readonly routing: RoutingStore;
 }
@@ -73,6 +77,12 @@
     return this.options.cancellation.receive(cancellation);
   }
 
+  /** Answers for a job that is held here, or asks its holder. */
+  awaitJob(question: JobQuestion): Promise<HolderAnswer> {
+    this.options.standstills.check();
+    return this.options.questions.answer(question);
+  }
+
   /** @returns the routing configuration in force, or null before the first */
   fetchRouting(): Routing | null {
     return this.options.routing.current?.routing ?? null;
--- a/src/fleet/standstillRecovery.ts
+++ b/src/fleet/standstillRecovery.ts
@@ -2,11 +2,11 @@
  * What follows a standstill of this process: all earlier work ends, and what the store granted and published
  * meanwhile is read anew.
  */
-import type { RunningJobs } from '../bestEffort/runningJobs.js';
 import type { Dispatcher } from '../dispatch/dispatcher.js';
 import { unreachable } from '../errors/unreachable.js';
 import type { RoutingFollower } from '../routing/routingFollower.js';
 import type { CallerContact } from './callerContact.js';
+import type { JobIntake } from './jobIntake.js';
 import type { MessageAges } from './messageAges.js';
 import type { ShardMembership } from './shardMembership.js';
 import type { Standstill } from './standstillDetector.js';
@@ -15,7 +15,7 @@
 export interface StandstillRecoveryOptions {
   readonly ages: MessageAges;
   readonly contact: CallerContact;
-  readonly jobs: RunningJobs;
+  readonly intake: Pick<JobIntake, 'giveUpAll'>;
   readonly dispatcher: Dispatcher;
   readonly shards: ShardMembership;
   readonly routingFollower: RoutingFollower;
@@ -27,12 +27,12 @@
  */
 export const recoverFromStandstill = (
   standstill: Standstill,
-  { ages, contact, jobs, dispatcher, shards, routingFollower }: StandstillRecoveryOptions,
+  { ages, contact, intake, dispatcher, shards, routingFollower }: StandstillRecoveryOptions,
 ): void => {
   if (standstill.kind === 'suspended') {
     [ages, contact, dispatcher].forEach((one) => one.recordSuspension(standstill.durationMs));
   }
-  jobs.giveUpAll(reasonOf(standstill));
+  intake.giveUpAll(reasonOf(standstill));
   dispatcher.requesters().forEach((requester) => dispatcher.withdrawAll(requester));
   shards.refresh();
   routingFollower.refresh();
--- a/src/ports/fleetPeers.ts
+++ b/src/ports/fleetPeers.ts
@@ -49,6 +49,48 @@
 });
 export type CancellationReply = z.infer<typeof cancellationReplySchema>;
 
+/** Times that a question about a job may be passed on. */
+export const maxQuestionHops = 1;
+/** Longest time for which the answer to a question about a job may be held back, in milliseconds. */
+export const maxQuestionWaitMs = 1_000;
+
+/** Asks for the end of a job that another daemon holds, and lets the asker's caller wait for it there. */
+export const jobQuestionSchema = z.object({
+  jobId: z.string().max(64),
+  /** Incarnation of the daemon that holds the job. */
+  holder: z.string(),
+  /** How often the receiver may pass it on: 1 to ask the holder for the asker, or 0. */
+  hops: z.number().int().nonnegative().max(maxQuestionHops),
+  /** Time for which the holder waits for the end of the job before it answers. */
+  waitMs: z.number().nonnegative().max(maxQuestionWaitMs),
+});
+export type JobQuestion = z.infer<typeof jobQuestionSchema>;
+
+/** What a holder says of a job. */
+export const holderAnswerSchema = z.discriminatedUnion('kind', [
+  /** It has this end, which is that of all attempts. */
+  z.object({
+    kind: z.literal('ended'),
+    end: z.discriminatedUnion('kind', [
+      z.object({ kind: z.literal('completed') }),
+      z.object({ kind: z.literal('failed'), reason: z.string() }),
+      /** At its caller's request; not since the caller has left. */
+      z.object({ kind: z.literal('cancelled') }),
+    ]),
+  }),
+  /** It runs; its runs go on for no longer than this. */
+  z.object({ kind: z.literal('running'), leftMs: z.number().nonnegative() }),
+  /** It has ended otherwise, and its runs may go on for this long. */
+  z.object({ kind: z.literal('may-run'), leftMs: z.number().nonnegative() }),
+  /** None of its runs goes on, and none will start. */
+  z.object({ kind: z.literal('none-runs') }),
+  /** The daemon that was asked is the holder, and does not remember the job; or it got no answer from the holder. */
+  z.object({ kind: z.literal('unknown') }),
+  /** Another process has taken the place of the holder. */
+  z.object({ kind: z.literal('replaced') }),
+]);
+export type HolderAnswer = z.infer<typeof holderAnswerSchema>;
+
 /** Methods of the protocol between the daemons of a fleet, with their parameters and results. */
 export const fleetMethods = {
   beat: { params: fleetHeartbeatSchema, result: fleetHeartbeatSchema },
@@ -56,6 +98,8 @@
   withdrawBatch: { params: batchWithdrawalSchema, result: z.object({}) },
   /** Daemons of earlier versions do not know it. */
   cancelJob: { params: jobCancellationSchema, result: cancellationReplySchema },
+  /** Daemons of earlier versions do not know it. */
+  awaitJob: { params: jobQuestionSchema, result: holderAnswerSchema },
   fetchRouting: { params: z.object({}), result: z.object({ routing: routingSchema.nullable() }) },
 } as const;
 
@@ -73,6 +117,7 @@
     cancellation: JobCancellationRequest,
     timeoutMs: number,
   ): Promise<Result<CancellationReply, PeerError>>;
+  awaitJob(question: JobQuestion, timeoutMs: number): Promise<Result<HolderAnswer, PeerError>>;
   fetchRouting(timeoutMs: number): Promise<Result<Routing | null, PeerError>>;
   close(): Promise<void>;
 }
@@ -94,6 +139,8 @@
   withdrawBatch(withdrawal: BatchWithdrawal): void;
   /** Cancels a job for a caller whose request reached another daemon. */
   cancelJob(cancellation: JobCancellationRequest): Promise<CancellationReply>;
+  /** Answers for a job that is held here, or asks its holder. */
+  awaitJob(question: JobQuestion): Promise<HolderAnswer>;
   /** @returns the routing configuration in force, or null if there is none */
   fetchRouting(): Routing | null;
 }
--- a/src/ports/peers.ts
+++ b/src/ports/peers.ts
@@ -196,6 +196,8 @@
    */
   readonly kind: 'not-sent' | 'broken' | 'refused';
   readonly detail: string;
+  /** Whether nothing was sent since no process listens at the address; not stated by every adapter. */
+  readonly isNobodyThere?: boolean;
 }
 
 /** The link to one peer. */
--- a/src/testing/fleetFixture.ts
+++ b/src/testing/fleetFixture.ts
@@ -77,7 +77,7 @@
   readonly silent = this.network.silent;
   /** Addresses of daemons that are cut off: no call to or from them is answered. */
   readonly cutOff = this.network.cutOff;
-  /** Addresses of daemons that do not know the method `cancelJob`. */
+  /** Addresses of daemons that do not know the methods `cancelJob` and `awaitJob`. */
   readonly earlierVersions = this.network.earlierVersions;
   /** By address. */
   private readonly daemons = new Map<string, FixtureDaemon>();
--- a/src/testing/fleetNetwork.ts
+++ b/src/testing/fleetNetwork.ts
@@ -26,7 +26,11 @@
   readonly act: (service: FleetService) => T | Promise<T>;
 }
 
-const refused: PeerError = { kind: 'not-sent', detail: 'connection refused' };
+const refused: PeerError = {
+  kind: 'not-sent',
+  detail: 'connection refused',
+  isNobodyThere: true,
+};
 const broken: PeerError = { kind: 'broken', detail: 'the connection is gone' };
 
 export class FleetNetwork {
@@ -36,7 +40,7 @@
   readonly silent = new Set<string>();
   /** Addresses of daemons that are cut off: no call to or from them is answered. */
   readonly cutOff = new Set<string>();
-  /** Addresses of daemons that do not know the method `cancelJob`. */
+  /** Addresses of daemons that do not know the methods `cancelJob` and `awaitJob`. */
   readonly earlierVersions = new Set<string>();
   /** By address. */
   private readonly daemons = new Map<string, NetworkedDaemon>();
@@ -76,6 +80,10 @@
             this.earlierVersions.has(to)
               ? Promise.resolve(Err({ kind: 'refused', detail: 'Method not found' }))
               : call('cancelJob', timeoutMs, (service) => service.cancelJob(cancellation)),
+          awaitJob: (question, timeoutMs) =>
+            this.earlierVersions.has(to)
+              ? Promise.resolve(Err({ kind: 'refused', detail: 'Method not found' }))
+              : call('awaitJob', timeoutMs, (service) => service.awaitJob(question)),
           fetchRouting: (timeoutMs) =>
             call('fetchRouting', timeoutMs, (service) => service.fetchRouting()),
           close: () => Promise.resolve(),
--- a/src/testing/model/modelConnector.ts
+++ b/src/testing/model/modelConnector.ts
@@ -5,7 +5,7 @@
 import type { Result } from 'ts-results-es';
 import type { FleetConnector, FleetLink, FleetService } from '../../ports/fleetPeers.js';
 import type { PeerError } from '../../ports/peers.js';
-import type { ModelNetwork } from './modelNetwork.js';
+import type { CallResult, ModelNetwork } from './modelNetwork.js';
 import type { ModelProcess } from './modelProcess.js';
 
 /** A process that serves the peers' interface at an address. */
@@ -46,6 +46,7 @@
         call(timeoutMs, (service) => service.withdrawBatch(withdrawal)),
       cancelJob: (cancellation, timeoutMs) =>
         call(timeoutMs, (service) => service.cancelJob(cancellation)),
+      awaitJob: (question, timeoutMs) => call(timeoutMs, (service) => service.awaitJob(question)),
       fetchRouting: (timeoutMs) => call(timeoutMs, (service) => service.fetchRouting()),
       close: async () => undefined,
     };
@@ -64,12 +65,16 @@
       isListening: () => findServer(address) !== undefined,
       carryOut: () => carryOut(findServer(address), serve),
     });
-    return result.kind === 'answered'
-      ? Ok(result.value)
-      : Err({ kind: result.kind === 'not-sent' ? 'not-sent' : 'broken', detail: result.kind });
+    return result.kind === 'answered' ? Ok(result.value) : Err(errorOf(result));
   }
 }
 
+/** A call is sent to every process that listens; the links between daemons refuse nothing. */
+const errorOf = ({ kind }: Exclude<CallResult<unknown>, { kind: 'answered' }>): PeerError =>
+  kind === 'not-sent'
+    ? { kind, detail: 'connection refused', isNobodyThere: true }
+    : { kind: 'broken', detail: kind };
+
 /** Serves a call once the process runs; rejects if the process ends before the answer. */
 const carryOut = <T>(
   server: ModelServer | undefined,
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -80,6 +80,15 @@
 });
 export type DoubtedStart = z.infer<typeof doubtedStartSchema>;
 
+/** Jobs that a daemon holds for callers: runs of them may go on. */
+export const heldJobsSchema = z.object({
+  /** Incarnation of the daemon that holds them; left out by that daemon itself. */
+  holder: z.string().optional(),
+  /** Time by which no run of a job goes on by the holder's count, in milliseconds, by the id of the job. */
+  leftMsByJob: z.record(z.string(), z.number().nonnegative()),
+});
+export type HeldJobGroup = z.infer<typeof heldJobsSchema>;
+
 export const fleetHeartbeatSchema = z.object({
   member: memberSchema,
   /** Timestamp of the sender (`fleet/messageAges`), in milliseconds; earlier versions omit it. */
@@ -113,6 +122,11 @@
   suspects: z.array(suspectTaskSchema).optional(),
   /** Starts in doubt, and ends of doubts, that the sender has learned of a short while ago, if there are any. */
   doubts: z.array(doubtedStartSchema).optional(),
+  /**
+   * Jobs whose callers may come back, if there are any: those that the sender holds, and to daemons of its own failure
+   * domain those that it has heard of from others. Earlier versions omit it.
+   */
+  heldJobs: z.array(heldJobsSchema).optional(),
   /** What the sender has learned of run times; in some heartbeats only. */
   lengths: z.array(lengthSumsSchema).optional(),
   /** Slowdown factors of workers; sent together with `lengths`, within a failure domain only. */
