--- a/src/adapters/fleetRpc/fleetRpcLink.spec.ts
+++ b/src/adapters/fleetRpc/fleetRpcLink.spec.ts
@@ -44,6 +44,19 @@
   return { server, link };
 };
 
+// Guards against callers of a killed daemon that wait as if it might be behind a cut.
+test('a call to an address at which no process listens says so, and one that is broken does not', async () => {
+  const { server, link } = await createServerAndLink();
+  const question = { jobId: 'a', holder: 'a', hops: 0, waitMs: 0 };
+  assert.equal((await link.awaitJob(question, 500)).unwrap(), { kind: 'none-runs' });
+  await server.kill();
+  const down = await link.awaitJob(question, 500);
+  const again = await link.awaitJob(question, 500);
+  assert.not(down.isErr() && down.error.kind === 'broken' && down.error.isNobodyThere);
+  assert.ok(again.isErr() && again.error.isNobodyThere);
+  await link.close();
+});
+
 test('calls share a connection, and a new one is opened after its end', async () => {
   const { server, link } = await createServerAndLink();
   const replies = await Promise.all([link.beat(heartbeat, 500), link.fetchRouting(500)]);
--- a/src/fleet/jobIntake.spec.ts
+++ b/src/fleet/jobIntake.spec.ts
@@ -10,7 +10,7 @@
 import type { TaskFit, WorkerDirectory } from '../workers/workerDirectory.js';
 import type { JobCancellation } from './jobCancellation.js';
 import { JobIntake } from './jobIntake.js';
-import type { JobJoins } from './jobJoins.js';
+import type { JobJoins, JoinOutcome } from './jobJoins.js';
 
 const route: Route = {
   routeId: 'r',
@@ -114,4 +114,54 @@
   }
 });
 
+// Guards against a job that starts beside its runs at another daemon, or without the time that its caller has waited for them.
+test('a job that another daemon holds starts only when the wait for it permits that, with what is left of its time', async () => {
+  const clock = FakeClock.create();
+  const started: (number | undefined)[] = [];
+  const jobs: Pick<RunningJobs, 'state' | 'submit'> = {
+    state: () => 'unknown',
+    submit: (_route, _request, _deadlineMs, _signal, earliestSentAtMs) => {
+      started.push(earliestSentAtMs);
+      return Promise.resolve({ kind: 'completed' });
+    },
+  };
+  let outcome: JoinOutcome = { kind: 'ended', end: { kind: 'failed', reason: 'it has failed' } };
+  const joins: Pick<JobJoins, 'isHeldElsewhere' | 'wait'> = {
+    isHeldElsewhere: (jobId) => jobId === 'held',
+    wait: async ({ earliestSentAtMs }) => {
+      assert.is(earliestSentAtMs, clock.nowMs() - 300);
+      await clock.sleep(1_000);
+      return outcome;
+    },
+  };
+  const directory: Pick<WorkerDirectory, 'fitOf'> = { fitOf: () => 'fits' };
+  const intake = JobIntake.create({
+    ...{ clock, logger: silentLogger, metrics: noMetrics, routing: RoutingStore.create() },
+    contact: { heldUpMs: 300 },
+    directory: directory as WorkerDirectory,
+    jobs: jobs as RunningJobs,
+    joins: joins as JobJoins,
+    cancellation: undefined as unknown as JobCancellation,
+  });
+  const { signal } = new AbortController();
+  const submit = (jobId: string) => intake.submit(route, requestOf(jobId), 5_000, signal);
+  assert.is((await submit('free')).kind, 'completed');
+  assert.equal(started, [undefined]);
+  const joined = submit('held');
+  await clock.advance(1_000);
+  assert.is((await joined).kind, 'failed');
+  assert.is(started.length, 1);
+  outcome = { kind: 'start', evidence: 'holder-has-none' };
+  const sentAtMs = clock.nowMs() - 300;
+  const permitted = submit('held');
+  await clock.advance(1_000);
+  assert.is((await permitted).kind, 'completed');
+  assert.is(started[1], sentAtMs);
+  const late = submit('held');
+  intake.close();
+  await clock.advance(1_000);
+  assert.is((await late).kind, 'refused');
+  assert.is(started.length, 2);
+});
+
 test.run();
