Every start of a task counts after three possible crashes, a stopped one too

Cause: after three workers may have crashed under a task, each further start was to count, but only lost workers were recorded.

A run that has begun and ended otherwise is now recorded as a loss of status "none", which counts from the third possible crash on.

--- a/src/dispatch/lostRuns.ts
+++ b/src/dispatch/lostRuns.ts
@@ -46,6 +46,9 @@
     }
     switch (suspicion) {
       case 'none':
+        if (run.startedAtMs !== undefined) {
+          retries.recordStart(run.task, lossId);
+        }
         return;
       case 'suspected':
         lapsedRuns.remember({ ...run, workerId, lossId, listedStartMs });
--- a/src/dispatch/taskLosses.ts
+++ b/src/dispatch/taskLosses.ts
@@ -73,10 +73,14 @@
 export const hasLosses = ({ known, counted }: TaskLosses): boolean =>
   known.size > 0 || counted.lostWorkers > 0;
 
+/** Whether so many workers may have crashed under a task that every further start of it counts. */
+export const countsEveryStart = (losses: TaskLosses): boolean =>
+  countLosses(losses).unclearLosses >= maxFreeCrashes;
+
 /** Decides what follows for a task. */
 export const consequenceOfLosses = (losses: TaskLosses): LossConsequence => {
   const { lostWorkers, likelyCrashes, unclearLosses } = countLosses(losses);
-  const countedLosses = unclearLosses >= maxFreeCrashes ? lostWorkers : unclearLosses;
+  const countedLosses = countsEveryStart(losses) ? lostWorkers : unclearLosses;
   return likelyCrashes >= maxLikelyCrashes || countedLosses >= maxPossibleCrashes
     ? 'may-crash-workers'
     : 'may-start';
--- a/src/dispatch/taskRetries.ts
+++ b/src/dispatch/taskRetries.ts
@@ -9,6 +9,7 @@
 import {
   consequenceOfLosses,
   countLosses,
+  countsEveryStart,
   hasLosses,
   isDecidedByAwaited,
   joinLosses,
@@ -62,6 +63,13 @@
     this.judgeWaiting(taskName);
   }
 
+  /** Counts a start that has crashed no worker, if every start of its task counts by now. */
+  recordStart(task: BatchedTask, lossId: string): void {
+    if (countsEveryStart(this.options.suspects.lossesOf(taskNameOf(task)))) {
+      this.recordLoss(task, { id: lossId, status: 'none' });
+    }
+  }
+
   /** Ends the tasks that wait under a name, if they may not start again. */
   judgeWaiting(taskName: string): void {
     const { starter, suspects } = this.options;
--- a/src/fleet/deadlyTasks.spec.ts
+++ b/src/fleet/deadlyTasks.spec.ts
@@ -3,6 +3,7 @@
 import {
   lossesOfKilledDaemonScenario,
   lossesOfTwoDaemonsScenario,
+  overdueDeadlyTaskScenario,
 } from '../testing/model/deadlyScenarios.js';
 import type { Scenario } from '../testing/model/modelEvents.js';
 import { runScenario } from '../testing/model/runScenario.js';
@@ -24,4 +25,9 @@
   await checkScenario(lossesOfKilledDaemonScenario);
 });
 
+// Guards against a start too many, since the one before was stopped at the end of its job, which is no loss.
+test('a start that is stopped after three possible crashes of its task counts', async () => {
+  await checkScenario(overdueDeadlyTaskScenario);
+});
+
 test.run();
--- a/src/testing/model/deadlyScenarios.ts
+++ b/src/testing/model/deadlyScenarios.ts
@@ -48,3 +48,22 @@
   seed: 200_495,
   guardsCapacity: true,
 };
+
+/** Each run of a deadly task is ordered to stop as overdue just as it crashes its worker; the fifth ends with its job. */
+export const overdueDeadlyTaskScenario: Scenario = {
+  ...createScenario(
+    ['east', 'east', 'west'],
+    [],
+    [
+      submit(1_000, {
+        ...{ daemon: 2, nextDaemonStep: 1, runMs: 3_324, estimatedMs: 1_330, cpuMillis: 10_000 },
+        ...{ deadlineMs: 20_000, maxAttempts: 3, isDeadly: true, requiredLabel: 'b' },
+      }),
+    ],
+  ),
+  workers: [
+    ...['east', 'east', 'east', 'east', 'west', 'west'].map((domain) => ({ domain, label: 'b' })),
+    ...['east', 'east', 'west'].map((domain) => ({ domain, label: 'a' })),
+  ],
+  seed: 893,
+};
