A daemon that has begun, or is heard again, is told of cancelled jobs

Cause: each daemon remembers cancelled jobs for 60 s, in its memory only. One that restarts after a cancellation knows nothing of it; the searching daemon asks it again for 10 s at most, with pauses of up to 1 s, and not at all once the job was found. A request that reaches the new process ran meanwhile.

A daemon without peers still forgets them.

--- a/src/bestEffort/runningJobs.ts
+++ b/src/bestEffort/runningJobs.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../ports/clock.js';
 import type { JobEnd, JobRequest, JobState } from '../ports/jobs.js';
 import type { Logger } from '../ports/logger.js';
+import type { CancelledJob } from '../types/fleet.js';
 import type { Route } from '../types/routing.js';
 import { CancelledJobs } from './cancelledJobs.js';
 import { countJobEnd } from './countJobEnd.js';
@@ -105,6 +106,21 @@
     return wasFound;
   }
 
+  /** @returns the jobs that were cancelled a while ago, for a daemon that may not have heard of it */
+  listCancelled(): CancelledJob[] {
+    return this.cancelled.list();
+  }
+
+  /** Records what another daemon tells of a cancelled job, and ends the job if it runs here. */
+  recordCancelled({ jobId, wasFound, agoMs }: CancelledJob): void {
+    if (this.cancelled.find(jobId) === undefined) {
+      const job = this.jobs.get(jobId);
+      const isFound = wasFound || job !== undefined;
+      this.cancelled.record(jobId, isFound ? 'found' : 'not-found', agoMs);
+      job?.stop.abort();
+    }
+  }
+
   /** Ends every job as given up, or as refused where no task can have run. */
   giveUpAll(reason: string): void {
     this.jobs.forEach(({ run }) => run.giveUp(reason));
--- a/src/fleet/eventOrders.spec.ts
+++ b/src/fleet/eventOrders.spec.ts
@@ -3,6 +3,7 @@
 import {
   badEntryScenario,
   calmScenario,
+  cancelledBeforeRestartScenario,
   cancelledBehindCutScenario,
   cancelledElsewhereScenario,
   cutOffWorkersScenario,
@@ -100,4 +101,11 @@
   await checkScenario(heldUpNewcomerScenario);
 });
 
+// Guards against a cancelled job that runs, since the daemon that gets its request has restarted after the cancellation.
+test('a daemon that has restarted starts no job that was cancelled before', async () => {
+  const { runCount, answers } = await checkScenario(cancelledBeforeRestartScenario);
+  assert.is(runCount, 2, 'the runs of the first attempt');
+  assert.equal(answers, [`${firstJob}/0 given-up`, `${firstJob}/1 cancelled`]);
+});
+
 test.run();
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -172,6 +172,7 @@
       view,
       router,
       dispatcher,
+      jobs: this.jobs,
       peers: () => this.peers,
     });
     this.peers = FleetPeers.create({
--- a/src/fleet/fleetHeartbeatExchange.spec.ts
+++ b/src/fleet/fleetHeartbeatExchange.spec.ts
@@ -1,6 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { BatchRouter } from '../bestEffort/batchRouter.js';
+import type { RunningJobs } from '../bestEffort/runningJobs.js';
 import { FleetView } from '../bestEffort/fleetView.js';
 import { RunTimePredictor } from '../bestEffort/runTimePredictor.js';
 import { RoutingStore } from '../routing/routingStore.js';
@@ -25,6 +26,7 @@
   { clock, dispatcher }: DispatcherFixture,
 ): FleetHeartbeatExchange => {
   const router: Pick<BatchRouter, 'requestedBatchIds'> = { requestedBatchIds: () => [] };
+  const jobs: Pick<RunningJobs, 'listCancelled'> = { listCancelled: () => [] };
   const ages = MessageAges.create(clock);
   return FleetHeartbeatExchange.create({
     clock,
@@ -44,6 +46,7 @@
     }),
     router: router as BatchRouter,
     dispatcher,
+    jobs: jobs as RunningJobs,
     peers: () => ({ find: () => undefined }) as unknown as FleetPeers,
   });
 };
--- a/src/fleet/fleetHeartbeatExchange.ts
+++ b/src/fleet/fleetHeartbeatExchange.ts
@@ -3,6 +3,7 @@
  */
 import type { BatchRouter } from '../bestEffort/batchRouter.js';
 import type { FleetView } from '../bestEffort/fleetView.js';
+import type { RunningJobs } from '../bestEffort/runningJobs.js';
 import type { RunTimePredictor } from '../bestEffort/runTimePredictor.js';
 import { announcementMs } from '../dispatch/crashSuspects.js';
 import type { Audience } from '../dispatch/crashSuspects.js';
@@ -40,6 +41,7 @@
   readonly view: FleetView;
   readonly router: BatchRouter;
   readonly dispatcher: Dispatcher;
+  readonly jobs: RunningJobs;
   /** Returns the peers; a function, since they are created after this object. */
   readonly peers: () => FleetPeers;
 }
@@ -71,7 +73,7 @@
    *   the same failure domain, the slowdown factors of workers
    */
   composeHeartbeat(peer: string | undefined, isFull: boolean): FleetHeartbeat {
-    const { ages, contact, own, dispatcher, lengths, peers, router, routing, speeds } =
+    const { ages, contact, own, dispatcher, jobs, lengths, peers, router, routing, speeds } =
       this.options;
     const load = dispatcher.load();
     load.workers.forEach((worker) => speeds.record(worker));
@@ -82,6 +84,7 @@
     const audience = this.audienceOf(peer, isSameDomain);
     const suspects = dispatcher.suspects.listAnnounced(audience);
     const doubts = dispatcher.doubts.listAnnounced(audience);
+    const cancelledJobs = audience === 'newcomer' ? jobs.listCancelled() : [];
     return {
       member: own,
       sentAtMs: ages.timestampMs(),
@@ -93,6 +96,7 @@
       ...(roundTripMs === undefined ? {} : { roundTripMs }),
       ...(suspects.length > 0 ? { suspects } : {}),
       ...(doubts.length > 0 ? { doubts } : {}),
+      ...(cancelledJobs.length > 0 ? { cancelledJobs } : {}),
       ...(isFull ? { lengths: lengths.share(), heardMembers: peers().heardMembers() } : {}),
       ...(isFull && isSameDomain ? { speeds: speeds.list() } : {}),
     };
@@ -125,6 +129,7 @@
       dispatcher.recordSuspects(heartbeat.suspects, source);
     }
     heartbeat.doubts?.forEach((doubt) => dispatcher.doubts.recordAnnounced(doubt, source));
+    heartbeat.cancelledJobs?.forEach((job) => this.options.jobs.recordCancelled(job));
     heartbeat.speeds?.forEach((speed) => speeds.recordIfAbsent(speed));
     if (lengths !== undefined) {
       this.options.lengths.recordPeerSums(incarnation, lengths);
--- a/src/fleet/messageAges.spec.ts
+++ b/src/fleet/messageAges.spec.ts
@@ -1,6 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { BatchRouter } from '../bestEffort/batchRouter.js';
+import type { RunningJobs } from '../bestEffort/runningJobs.js';
 import { FleetView } from '../bestEffort/fleetView.js';
 import { RunTimePredictor } from '../bestEffort/runTimePredictor.js';
 import type { Dispatcher } from '../dispatch/dispatcher.js';
@@ -36,6 +37,7 @@
     withdrawUnrequested: (_askedBy, _isRequested, minAgeMs) => void keptAgesMs.push(minAgeMs),
   };
   const router: Pick<BatchRouter, 'failBatchesAt'> = { failBatchesAt: () => undefined };
+  const jobs: Pick<RunningJobs, 'listCancelled'> = { listCancelled: () => [] };
   const exchange = FleetHeartbeatExchange.create({
     clock,
     contact: CallerContact.create(clock),
@@ -54,6 +56,7 @@
     }),
     router: router as BatchRouter,
     dispatcher: dispatcher as Dispatcher,
+    jobs: jobs as RunningJobs,
     peers: () => undefined as unknown as FleetPeers,
   });
   const receive = (sentAtMs: number): void => {
--- a/src/testing/model/scenarios.ts
+++ b/src/testing/model/scenarios.ts
@@ -154,6 +154,23 @@
   ],
 );
 
+/** A daemon is killed after it heard of a cancellation; the caller's next attempt comes to its successor. */
+export const cancelledBeforeRestartScenario = createScenario(
+  ['east', 'east', 'west'],
+  [
+    ['east', 2],
+    ['west', 1],
+  ],
+  [
+    submit(1_000, {
+      ...{ nextDaemonStep: 1, tasks: 2, runMs: 3_000, estimatedMs: 1_000, cpuMillis: 5_000 },
+      ...{ deadlineMs: 1_500, maxAttempts: 2 },
+    }),
+    { kind: 'cancel', atMs: 2_900, job: 0, daemon: 0 },
+    { kind: 'kill', atMs: 3_000, daemon: 1, downMs: 300 },
+  ],
+);
+
 /** An entry in the list of workers has an address that no connection can be opened to. */
 export const badEntryScenario = createScenario(twoDomains, anyWorkers, [
   { kind: 'invalid-entry', atMs: 0, form: 'bad-port', worker: { kind: 'numbered', index: 0 } },
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -66,6 +66,16 @@
 });
 export type SuspectTask = z.infer<typeof suspectTaskSchema>;
 
+/** A job that a caller has cancelled. */
+export const cancelledJobSchema = z.object({
+  jobId: z.string(),
+  /** Whether the job was found when it was cancelled. */
+  wasFound: z.boolean(),
+  /** Time since the cancellation, in milliseconds. */
+  agoMs: z.number().nonnegative(),
+});
+export type CancelledJob = z.infer<typeof cancelledJobSchema>;
+
 /** A start that a worker may still carry out, or of which it is known by now that it is over. */
 export const doubtedStartSchema = z.object({
   /** Identifies the start among all. */
@@ -113,6 +123,8 @@
   suspects: z.array(suspectTaskSchema).optional(),
   /** Starts in doubt, and ends of doubts, that the sender has learned of a short while ago, if there are any. */
   doubts: z.array(doubtedStartSchema).optional(),
+  /** Jobs that were cancelled in the last minute, if there are any; to a process with which contact has just begun. */
+  cancelledJobs: z.array(cancelledJobSchema).optional(),
   /** What the sender has learned of run times; in some heartbeats only. */
   lengths: z.array(lengthSumsSchema).optional(),
   /** Slowdown factors of workers; sent together with `lengths`, within a failure domain only. */
