--- a/src/fleet/fleetHeartbeatExchange.spec.ts
+++ b/src/fleet/fleetHeartbeatExchange.spec.ts
@@ -1,6 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { BatchRouter } from '../bestEffort/batchRouter.js';
+import type { RunningJobs } from '../bestEffort/runningJobs.js';
 import { FleetView } from '../bestEffort/fleetView.js';
 import { RunTimePredictor } from '../bestEffort/runTimePredictor.js';
 import { RoutingStore } from '../routing/routingStore.js';
@@ -26,6 +27,10 @@
   { clock, dispatcher }: DispatcherFixture,
 ): FleetHeartbeatExchange => {
   const router: Pick<BatchRouter, 'requestedBatchIds'> = { requestedBatchIds: () => [] };
+  const jobs: Pick<RunningJobs, 'listCancelled' | 'listHeld'> = {
+    listCancelled: () => [],
+    listHeld: () => [],
+  };
   const ages = MessageAges.create(clock);
   return FleetHeartbeatExchange.create({
     clock,
@@ -45,7 +50,7 @@
     }),
     router: router as BatchRouter,
     dispatcher,
-    jobs: { listHeld: () => [] },
+    jobs: jobs as RunningJobs,
     held: HeldJobs.create(clock, ownId),
     confirmationMs: 1_200,
     peers: () => ({ find: () => undefined }) as unknown as FleetPeers,
--- a/src/fleet/fleetHeartbeatExchange.ts
+++ b/src/fleet/fleetHeartbeatExchange.ts
@@ -43,7 +43,7 @@
   readonly view: FleetView;
   readonly router: BatchRouter;
   readonly dispatcher: Dispatcher;
-  readonly jobs: Pick<RunningJobs, 'listHeld'>;
+  readonly jobs: Pick<RunningJobs, 'listHeld' | 'listCancelled' | 'recordCancelled'>;
   readonly held: HeldJobs;
   /** Time from the last word of a requester by which none of its runs goes on, in milliseconds. */
   readonly confirmationMs: number;
@@ -78,7 +78,7 @@
    *   the same failure domain, the slowdown factors of workers
    */
   composeHeartbeat(peer: string | undefined, isFull: boolean): FleetHeartbeat {
-    const { ages, contact, own, dispatcher, lengths, peers, router, routing, speeds } =
+    const { ages, contact, own, dispatcher, jobs, lengths, peers, router, routing, speeds } =
       this.options;
     const load = dispatcher.load();
     load.workers.forEach((worker) => speeds.record(worker));
@@ -90,6 +90,7 @@
     const suspects = dispatcher.suspects.listAnnounced(audience);
     const doubts = dispatcher.doubts.listAnnounced(audience);
     const heldJobs = this.listHeldJobs(isSameDomain);
+    const cancelledJobs = audience === 'newcomer' ? jobs.listCancelled() : [];
     return {
       member: own,
       sentAtMs: ages.timestampMs(),
@@ -102,6 +103,7 @@
       ...(suspects.length > 0 ? { suspects } : {}),
       ...(doubts.length > 0 ? { doubts } : {}),
       ...(heldJobs.length > 0 ? { heldJobs } : {}),
+      ...(cancelledJobs.length > 0 ? { cancelledJobs } : {}),
       ...(isFull ? { lengths: lengths.share(), heardMembers: peers().heardMembers() } : {}),
       ...(isFull && isSameDomain ? { speeds: speeds.list() } : {}),
     };
@@ -136,6 +138,7 @@
     heartbeat.doubts?.forEach((doubt) => dispatcher.doubts.recordAnnounced(doubt, source));
     const groups = heartbeat.heldJobs ?? [];
     this.options.held.record({ sender: incarnation, source, groups, ageMs });
+    heartbeat.cancelledJobs?.forEach((job) => this.options.jobs.recordCancelled(job));
     heartbeat.speeds?.forEach((speed) => speeds.recordIfAbsent(speed));
     if (lengths !== undefined) {
       this.options.lengths.recordPeerSums(incarnation, lengths);
