TaskQueue.putBack, which only its test called, is removed

The scheduler puts a task back as one that has left its slot and is queued again (TaskResolver.putBack), and says that the start of its team's quota is not refunded. TaskQueue.putBack and the two undoStart below it were the opposite of that, and nothing but a test called them.

The test for that refund tested nothing that runs. In its place: the same twenty rounds by what the scheduler calls, which fail if a start is refunded, or if the slot is not freed (the quota has one slot now, not two).

--- a/src/limits/quotaLimiter.ts
+++ b/src/limits/quotaLimiter.ts
@@ -123,16 +123,6 @@
     }
   }
 
-  /** Returns the slot and the token of a task that was counted but did not start. */
-  undoStart(teamId: string): void {
-    const usage = this.teams.get(teamId);
-    if (usage !== undefined) {
-      this.refill(usage);
-      usage.running = Math.max(usage.running - 1, 0);
-      usage.tokens = Math.min(usage.tokens + 1, bucketCapacity(usage.limit));
-    }
-  }
-
   /** Frees the slot of a task that has ended. */
   ended(teamId: string): void {
     const usage = this.teams.get(teamId);
--- a/src/queue/quotaThrottle.ts
+++ b/src/queue/quotaThrottle.ts
@@ -71,12 +71,6 @@
     this.updateTeam(teamId);
   }
 
-  /** Refunds the start of a task that did not start. */
-  undoStart(teamId: string): void {
-    this.limiter.undoStart(teamId);
-    this.updateTeam(teamId);
-  }
-
   close(): Promise<void> {
     return this.schedule.close();
   }
--- a/src/queue/taskQueue.spec.ts
+++ b/src/queue/taskQueue.spec.ts
@@ -106,22 +106,33 @@
   assert.is(queue.classQueueOf('trial').team('c')?.waiting.total, 3);
 });
 
-test('refunds the quota of a task that is put back, and counts none for an offloaded task', () => {
-  const queue = TaskQueue.create(FakeClock.create());
-  const limit = { startsPerS: 10, slots: 2 };
+// Guards against a team that starts more tasks than its quota allows, by tasks that come back without a start.
+test('a task that comes back has used the start of its team, and its slot is free', async () => {
+  const clock = FakeClock.create();
+  const queue = TaskQueue.create(clock);
+  const limit = { startsPerS: 10, slots: 1 };
   queue.setQuota('members', { limit, expiresAtMs: Infinity, limitAfterExpiry: limit });
   pushJob(queue, 'job', 5);
   for (let i = 0; i < 20; i += 1) {
     const entry = queue.takeNext(() => true);
     assert.ok(entry);
+    queue.ended(entry, 0);
+    queue.push(entry);
+    assert.is(queue.size, 5);
     assert.is(
       queue.takeNext(() => true),
       undefined,
       'the bucket holds one start',
     );
-    queue.putBack(entry);
+    await clock.advance(100);
   }
-  assert.is(queue.size, 5);
+});
+
+test('an offloaded task counts against no quota', () => {
+  const queue = TaskQueue.create(FakeClock.create());
+  const limit = { startsPerS: 10, slots: 2 };
+  queue.setQuota('members', { limit, expiresAtMs: Infinity, limitAfterExpiry: limit });
+  pushJob(queue, 'job', 5);
   assert.ok(queue.takeNext(() => true));
   const offloaded = createWaitingTask({ jobId: 'offloaded', operation: fit });
   queue.push({ ...offloaded, task: { ...offloaded.task, isOffloaded: true } });
--- a/src/queue/taskQueue.ts
+++ b/src/queue/taskQueue.ts
@@ -155,20 +155,6 @@
     }
   }
 
-  /**
-   * Queues a task again that was taken and certainly did not start. Refunds its charge and the
-   * start that was counted to the quota of its team.
-   *
-   * @param entry - the task
-   */
-  putBack(entry: PendingTask): void {
-    const queued = this.releaseSlot(entry, 0);
-    if (queued !== undefined) {
-      this.quotas.undoStart(queued.teamId);
-    }
-    this.push(entry);
-  }
-
   /**
    * Removes every waiting task of a job. The cost does not depend on the tasks of other jobs.
    *
