--- a/soak/faultSeries.ts
+++ b/soak/faultSeries.ts
@@ -2,13 +2,18 @@
  * Plans series of faults of one kind, each with the requests that meet them.
  */
 import { unreachable } from '../src/errors/unreachable.js';
-import { SeededRandom } from '../src/testing/seededRandom.js';
 import type { Fault, InvalidEntry, PlannedFault } from './faults.js';
 import type { LinkFault } from './faultyProxy.js';
 import { planJointTrouble } from './jointTrouble.js';
 import { planLateCallers } from './lateCallers.js';
 import { pickOne } from './pickOne.js';
-import { neighbourOf, repeat, requestAt, shortDeadlineMs } from './seriesContext.js';
+import {
+  createSeriesContext,
+  neighbourOf,
+  repeat,
+  requestAt,
+  shortDeadlineMs,
+} from './seriesContext.js';
 import type { SeriesContext } from './seriesContext.js';
 import { planFaults } from './singleFaults.js';
 import type { FaultPlanOptions } from './singleFaults.js';
@@ -48,14 +53,9 @@
 
 /** Plans the faults of a seed by the kind of its plan, in the order of their start times. */
 export const planSeed = (kind: PlanKind, options: FaultPlanOptions): PlannedFault[] => {
-  const random = SeededRandom.create(Math.imul(options.seed + seriesSeedOffset, seedFactor));
-  const context: SeriesContext = {
-    daemons: options.daemons,
-    workers: options.workers,
-    windowMs: options.faultWindowMs,
-    between: (min, max) => Math.round(min + random.next() * (max - min)),
-    randomInt: (count) => Math.floor(random.next() * count),
-  };
+  const { daemons, workers, faultWindowMs: windowMs } = options;
+  const seed = Math.imul(options.seed + seriesSeedOffset, seedFactor);
+  const context = createSeriesContext(seed, { daemons, workers, windowMs });
   if (kind !== 'mixed') {
     return sortByTime(planSeries(kind, context));
   }
--- a/soak/lateCallers.spec.ts
+++ b/soak/lateCallers.spec.ts
@@ -3,21 +3,14 @@
 import { planSeed } from './faultSeries.js';
 import type { Fault, PlannedFault } from './faults.js';
 import { planLateCallers } from './lateCallers.js';
-import { SeededRandom } from '../src/testing/seededRandom.js';
+import { createSeriesContext } from './seriesContext.js';
 
 const options = { daemons: 4, workers: 6 };
 const seeds = Array.from({ length: 200 }, (_, index) => index + 1);
 
 /** Plans one member of the series. */
-const planOne = (seed: number): PlannedFault[] => {
-  const random = SeededRandom.create(seed);
-  return planLateCallers(0, {
-    ...options,
-    windowMs: 8_000,
-    between: (min, max) => Math.round(min + random.next() * (max - min)),
-    randomInt: (count) => Math.floor(random.next() * count),
-  });
-};
+const planOne = (seed: number): PlannedFault[] =>
+  planLateCallers(0, createSeriesContext(seed, { ...options, windowMs: 8_000 }));
 
 /** The kinds of trouble between a daemon and its callers, and that daemon. */
 const callerTrouble = (planned: readonly PlannedFault[]) => {
--- a/soak/seriesContext.ts
+++ b/soak/seriesContext.ts
@@ -1,6 +1,7 @@
 /**
  * What the series of faults share: their random numbers, the sizes of the fleet, and the requests that meet them.
  */
+import { SeededRandom } from '../src/testing/seededRandom.js';
 import type { PlannedFault, PlannedRequest } from './faults.js';
 
 /** How long the caller of a short job waits, in milliseconds. */
@@ -17,6 +18,19 @@
   readonly randomInt: (count: number) => number;
 }
 
+/** The sizes of a fleet, and the time within which faults begin. */
+type SeriesSizes = Pick<SeriesContext, 'daemons' | 'workers' | 'windowMs'>;
+
+/** Creates a context whose random numbers are those of a seed. */
+export const createSeriesContext = (seed: number, sizes: SeriesSizes): SeriesContext => {
+  const random = SeededRandom.create(seed);
+  return {
+    ...sizes,
+    between: (min, max) => Math.round(min + random.next() * (max - min)),
+    randomInt: (count) => Math.floor(random.next() * count),
+  };
+};
+
 /** Plans one member of a series after the other, with a random time between two of them. */
 export const repeat = (
   context: SeriesContext,
--- a/soak/unheardCallers.spec.ts
+++ b/soak/unheardCallers.spec.ts
@@ -2,8 +2,8 @@
 import * as assert from 'uvu/assert';
 import { planSeed } from './faultSeries.js';
 import type { Fault, PlannedRequest } from './faults.js';
+import { createSeriesContext } from './seriesContext.js';
 import { planUnheardCallers } from './unheardCallers.js';
-import { SeededRandom } from '../src/testing/seededRandom.js';
 
 const options = { daemons: 4, workers: 6 };
 const seeds = Array.from({ length: 200 }, (_, index) => index + 1);
@@ -13,15 +13,10 @@
 const minWaitingJobs = 20;
 
 /** Plans one member of the series. */
-const planOne = (seed: number): Fault[] => {
-  const random = SeededRandom.create(seed);
-  return planUnheardCallers(0, {
-    ...options,
-    windowMs: 8_000,
-    between: (min, max) => Math.round(min + random.next() * (max - min)),
-    randomInt: (count) => Math.floor(random.next() * count),
-  }).map(({ fault }) => fault);
-};
+const planOne = (seed: number): Fault[] =>
+  planUnheardCallers(0, createSeriesContext(seed, { ...options, windowMs: 8_000 })).map(
+    ({ fault }) => fault,
+  );
 
 const requestsOf = (faults: readonly Fault[]): PlannedRequest[] =>
   faults.flatMap((fault) => (fault.kind === 'request' ? [fault.request] : []));
