--- a/src/workers/workerDirectory.ts
+++ b/src/workers/workerDirectory.ts
@@ -11,6 +11,7 @@
 import { DependencyMonitor } from '../utils/dependencyMonitor.js';
 import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import type { WorkerRecord } from '../types/workers.js';
+import { InvalidEntries } from './invalidEntries.js';
 
 const readPeriodMs = 1_000;
 /**
@@ -18,10 +19,6 @@
  * store was unreachable is back within two seconds of the store's return.
  */
 const removalDelayMs = 2_500;
-/** Most keys of invalid entries that are remembered; the one found first is forgotten first. */
-const maxInvalidKeys = 1_024;
-/** Part of an invalid key that is logged, in characters. */
-const loggedKeyLength = 64;
 
 export interface WorkerDirectoryOptions {
   readonly clock: Clock;
@@ -46,8 +43,7 @@
   private readonly largestCapacities = new Map<string, Resources>();
   /** When a worker's entry was found missing, in monotonic time, by worker. */
   private readonly missingSinceMs = new Map<string, number>();
-  /** Why the newest entry of a key is not valid, as it was logged, by key. */
-  private readonly invalidEntries = new Map<string, string>();
+  private readonly invalidEntries: InvalidEntries;
   private readonly stop = new AbortController();
   private readonly logger: Logger;
   private readonly dependency: DependencyMonitor;
@@ -57,6 +53,7 @@
 
   private constructor(private readonly options: WorkerDirectoryOptions) {
     this.logger = options.logger.forPart('workers');
+    this.invalidEntries = InvalidEntries.create(this.logger, options.metrics);
     this.dependency = DependencyMonitor.create(
       'worker entries in the store',
       this.logger,
@@ -168,11 +165,11 @@
       case 'listed':
         return this.recordListed(change.worker);
       case 'removed':
-        this.invalidEntries.delete(change.workerId);
+        this.invalidEntries.forget(change.workerId);
         this.markMissing(change.workerId);
         return false;
       case 'unreadable':
-        this.reportInvalidEntry(change.workerId, change.reason);
+        this.invalidEntries.report(change.workerId, change.reason);
         return false;
       default:
         return unreachable(change);
@@ -182,7 +179,7 @@
   private recordListed(worker: WorkerRecord): boolean {
     const { workerId } = worker;
     this.missingSinceMs.delete(workerId);
-    this.invalidEntries.delete(workerId);
+    this.invalidEntries.forget(workerId);
     const known = this.workers.get(workerId);
     if (known !== undefined && isSameRecord(known, worker)) {
       return false;
@@ -205,22 +202,6 @@
     }
   }
 
-  /** Counts an entry from which no worker can be read, and logs it once for each key and reason. */
-  private reportInvalidEntry(key: string, reason: string): void {
-    this.options.metrics.count('worker_entries_skipped');
-    if (this.invalidEntries.get(key) === reason) {
-      return;
-    }
-    this.invalidEntries.delete(key);
-    this.invalidEntries.set(key, reason);
-    const [oldest] = this.invalidEntries.keys();
-    if (this.invalidEntries.size > maxInvalidKeys && oldest !== undefined) {
-      this.invalidEntries.delete(oldest);
-    }
-    const workerId = key.slice(0, loggedKeyLength);
-    this.logger.warn('The entry of a worker is not valid.', { workerId, reason });
-  }
-
   /**
    * Removes the workers whose entries have been missing for long enough, unless the store is
    * unreachable.
