--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -80,3 +80,11 @@
   readonly atMs: number;
   readonly fault: Fault;
 }
+
+/** @returns the position of the worker that a fault troubles; undefined for other faults */
+export const troubledWorker = (fault: Fault): number | undefined =>
+  fault.kind === 'worker' ||
+  fault.kind === 'worker-crash' ||
+  (fault.kind === 'link' && fault.place === 'worker')
+    ? fault.index
+    : undefined;
--- a/soak/jointTrouble.spec.ts
+++ b/soak/jointTrouble.spec.ts
@@ -1,6 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { planSeed } from './faultSeries.js';
+import { troubledWorker } from './faults.js';
 import type { Fault, PlannedFault } from './faults.js';
 
 const options = { daemons: 4, workers: 6, faultWindowMs: 12_000 };
@@ -20,11 +21,8 @@
   for (const seed of seeds) {
     const planned = planSeed('daemon-and-worker', { ...options, seed });
     for (const { atMs, fault } of planned) {
-      const isWorkerFault =
-        fault.kind === 'worker' ||
-        fault.kind === 'worker-crash' ||
-        (fault.kind === 'link' && fault.place === 'worker');
-      if (!isWorkerFault) {
+      const worker = troubledWorker(fault);
+      if (worker === undefined) {
         continue;
       }
       workerFaults += 1;
@@ -33,7 +31,7 @@
       const delayMs = atMs - trouble.atMs;
       assert.ok(delayMs <= (fault.kind === 'worker-crash' ? 1_900 : 1_200), `${delayMs} ms`);
       const daemon = 'daemon' in trouble.fault ? trouble.fault.daemon : indexOf(trouble.fault);
-      assert.is(fault.index < options.workers / 2, Number(daemon) < options.daemons / 2);
+      assert.is(worker < options.workers / 2, Number(daemon) < options.daemons / 2);
       const jobs = planned.filter(
         (one) =>
           one.fault.kind === 'request' &&
--- a/soak/lateCallers.spec.ts
+++ b/soak/lateCallers.spec.ts
@@ -1,7 +1,8 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { planSeed } from './faultSeries.js';
-import type { Fault, PlannedFault } from './faults.js';
+import { troubledWorker } from './faults.js';
+import type { PlannedFault } from './faults.js';
 import { planLateCallers } from './lateCallers.js';
 import { createSeriesContext } from './seriesContext.js';
 
@@ -22,14 +23,6 @@
   return { faults, kinds, daemon: daemons[0] ?? -1 };
 };
 
-/** The position of the worker that a fault troubles; undefined for other faults. */
-const troubledWorker = (fault: Fault): number | undefined =>
-  fault.kind === 'worker' ||
-  fault.kind === 'worker-crash' ||
-  (fault.kind === 'link' && fault.place === 'worker')
-    ? fault.index
-    : undefined;
-
 // Guards against troubles that the users' rules do not know, such as a link that is late by minutes.
 test('requests are late by 0.3 to 2 s, and a slow daemon is paused for 60 to 300 ms of each 100 to 400 ms', () => {
   const combinations = new Set<string>();
