--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -26,7 +26,7 @@
 import { PeerService } from './peerService.js';
 import { RequesterLeases } from './requesterLeases.js';
 import { RequesterMonitor } from './requesterMonitor.js';
-import { leaseTimesFor } from './requesterTimes.js';
+import { leaseTimesFor, maxStartWaitMs } from './requesterTimes.js';
 import { HeldJobs } from './heldJobs.js';
 import type { JobCancellation } from './jobCancellation.js';
 import { createJobFront } from './jobFront.js';
@@ -78,8 +78,6 @@
     const common = { clock, logger, metrics, store, supervisor };
     const leaseTimes = leaseTimesFor(longestLeaseMs, callerResendMs);
     this.logger = logger.forPart('jobs');
-    const backlog = AcceptBacklog.create(clock, logger.forPart('callers'));
-    const contact = CallerContact.create(clock, backlog);
     const standstills = StandstillDetector.create({
       ...common,
       onStandstill: (standstill) => {
@@ -90,12 +88,10 @@
       },
     });
     this.standstills = standstills;
-    this.connections = {
-      accept: () => {
-        standstills.check();
-        return backlog.accept();
-      },
-    };
+    const callersLogger = logger.forPart('callers');
+    const backlog = AcceptBacklog.create(clock, { logger: callersLogger, standstills });
+    const contact = CallerContact.create(clock, backlog);
+    this.connections = backlog;
     this.dispatcher = Dispatcher.create({
       clock,
       random,
@@ -162,7 +158,9 @@
       contact,
       jobs,
       held,
+      standstills,
       confirmationMs,
+      maxStartWaitMs: maxStartWaitMs(callerResendMs),
       peers: () => this.peers,
     });
     const { cancellation, intake, questions } = front;
--- a/src/fleet/jobIntake.spec.ts
+++ b/src/fleet/jobIntake.spec.ts
@@ -2,15 +2,17 @@
 import * as assert from 'uvu/assert';
 import { noMetrics } from '../adapters/system/noMetrics.js';
 import type { RunningJobs } from '../bestEffort/runningJobs.js';
-import type { JobRequest } from '../ports/jobs.js';
+import type { JobEnd, JobRequest } from '../ports/jobs.js';
 import { RoutingStore } from '../routing/routingStore.js';
 import { FakeClock } from '../testing/fakeClock.js';
 import { silentLogger } from '../testing/silentLogger.js';
 import type { Route } from '../types/routing.js';
 import type { TaskFit, WorkerDirectory } from '../workers/workerDirectory.js';
+import { CallerContact } from './callerContact.js';
 import type { JobCancellation } from './jobCancellation.js';
 import { JobIntake } from './jobIntake.js';
 import type { JobJoins, JoinOutcome } from './jobJoins.js';
+import { maxStartWaitMs } from './requesterTimes.js';
 
 const route: Route = {
   routeId: 'r',
@@ -27,9 +29,13 @@
 const noJobIsHeld: Pick<JobJoins, 'isHeldElsewhere'> = { isHeldElsewhere: () => false };
 const noJoins = {
   clock: FakeClock.create(),
-  contact: { heldUpMs: 0 },
   joins: noJobIsHeld as JobJoins,
 };
+const promptRequests = {
+  contact: { waitOf: () => ({ waitedMs: 0, acceptWaitMs: 0, unreadMs: 0, linkDelayMs: 0 }) },
+  standstills: { check: () => undefined },
+  maxStartWaitMs: maxStartWaitMs(),
+};
 
 const requestOf = (jobId: string): JobRequest => ({ jobId, spec: '', steps: [], unsupported: [] });
 
@@ -47,6 +53,7 @@
     jobs: jobs as RunningJobs,
     ...noJoins,
     cancellation: undefined as unknown as JobCancellation,
+    ...promptRequests,
   });
   intake.close();
   const { signal } = new AbortController();
@@ -72,6 +79,7 @@
       jobs: jobs as RunningJobs,
       ...noJoins,
       cancellation: undefined as unknown as JobCancellation,
+      ...promptRequests,
     });
     const needs = { resources: { cpuMillis: 14_000, memoryMb: 64, accelerators: 0 } };
     const steps = [{ taskCount: 1, estimatedMs: 100, after: [], needs }];
@@ -97,6 +105,7 @@
       jobs: noJobs as RunningJobs,
       ...noJoins,
       cancellation: undefined as unknown as JobCancellation,
+      ...promptRequests,
     });
   };
   const needs = { resources: { cpuMillis: 14_000, memoryMb: 64, accelerators: 0 } };
@@ -137,7 +146,8 @@
   const directory: Pick<WorkerDirectory, 'fitOf'> = { fitOf: () => 'fits' };
   const intake = JobIntake.create({
     ...{ clock, logger: silentLogger, metrics: noMetrics, routing: RoutingStore.create() },
-    contact: { heldUpMs: 300 },
+    ...promptRequests,
+    contact: { waitOf: () => ({ waitedMs: 300, acceptWaitMs: 0, unreadMs: 300, linkDelayMs: 0 }) },
     directory: directory as WorkerDirectory,
     jobs: jobs as RunningJobs,
     joins: joins as JobJoins,
@@ -164,4 +174,39 @@
   assert.is(started.length, 2);
 });
 
+// Guards against two runs of a job whose request has waited here until its caller has left and sent it elsewhere.
+test('a job whose request may have waited until it was sent again is refused, and nothing of it starts', async () => {
+  const started: string[] = [];
+  const jobs: Pick<RunningJobs, 'state' | 'submit'> = {
+    state: (jobId) => (jobId === 'running' ? 'running' : 'unknown'),
+    submit: (_route, { jobId }) => {
+      started.push(jobId);
+      return Promise.resolve({ kind: 'completed' });
+    },
+  };
+  const limitMs = maxStartWaitMs();
+  const directory: Pick<WorkerDirectory, 'fitOf'> = { fitOf: () => 'fits' };
+  const clock = FakeClock.create();
+  const contact = CallerContact.create(clock);
+  const intake = JobIntake.create({
+    ...{ logger: silentLogger, metrics: noMetrics, routing: RoutingStore.create() },
+    ...{ directory: directory as WorkerDirectory, jobs: jobs as RunningJobs },
+    ...{ cancellation: undefined as unknown as JobCancellation, ...noJoins, ...promptRequests },
+    ...{ clock, contact },
+  });
+  const { signal } = new AbortController();
+  const submit = (jobId: string, waitedMs: number): Promise<JobEnd> =>
+    intake.submit(route, requestOf(jobId), 1_000, signal, clock.nowMs() - waitedMs);
+  assert.is((await submit('in time', limitMs)).kind, 'completed');
+  const late = await submit('late', limitMs + 1);
+  assert.is(late.kind, 'refused');
+  assert.is(late.kind === 'refused' ? late.retryAfterMs : undefined, 0, 'at once, elsewhere');
+  assert.is(
+    (await submit('running', limitMs + 1)).kind,
+    'completed',
+    'it waits for the running one',
+  );
+  assert.equal(started, ['in time', 'running']);
+});
+
 test.run();
--- a/src/fleet/jobIntake.ts
+++ b/src/fleet/jobIntake.ts
@@ -18,9 +18,11 @@
 import type { RoutingStore } from '../routing/routingStore.js';
 import type { Route } from '../types/routing.js';
 import type { TaskFit, WorkerDirectory } from '../workers/workerDirectory.js';
-import type { CallerContact } from './callerContact.js';
+import { describeWait } from './callerContact.js';
+import type { CallerContact, RequestWait } from './callerContact.js';
 import type { JobCancellation } from './jobCancellation.js';
-import type { JobJoins } from './jobJoins.js';
+import type { JobJoins, JoinRequest } from './jobJoins.js';
+import type { StandstillDetector } from './standstillDetector.js';
 
 /** Time after which a job with unsupported demands may be sent again, in milliseconds. */
 const unsupportedRetryAfterMs = 60_000;
@@ -33,12 +35,23 @@
  * that restarts is listed again within seconds; most others are not back soon.
  */
 const unlistedRetryAfterMs = 5_000;
+/**
+ * Time after which a job may be sent again whose request was read too late, in milliseconds: at once, since nothing of it
+ * runs, and other daemons may read it in time.
+ */
+const lateRetryAfterMs = 0;
 /** Largest body of a request before the first routing configuration is in force. */
 const defaultMaxBodyBytes = 262_144;
 
 /** The end of a job that is rejected at once: no task of it has failed, and nothing shows that none can run later. */
 type Rejection = Extract<JobEnd, { kind: 'refused' }>;
 
+/** An attempt whose job another daemon holds. */
+interface WaitingAttempt extends Omit<JoinRequest, 'earliestSentAtMs'> {
+  /** For how long its request may have waited until it was read. */
+  readonly wait: RequestWait;
+}
+
 export interface JobIntakeOptions {
   readonly clock: Clock;
   readonly logger: Logger;
@@ -48,8 +61,12 @@
   readonly jobs: RunningJobs;
   readonly cancellation: JobCancellation;
   readonly joins: JobJoins;
-  /** How late this process learns what callers send. */
-  readonly contact: Pick<CallerContact, 'heldUpMs'>;
+  /** Tells for how long a request may have waited. */
+  readonly contact: Pick<CallerContact, 'waitOf'>;
+  /** Finds a suspension of the VM, which counts as time waited. */
+  readonly standstills: Pick<StandstillDetector, 'check'>;
+  /** Time for which the request of a job that is started may have waited, in milliseconds. */
+  readonly maxStartWaitMs: number;
 }
 
 /**
@@ -101,13 +118,15 @@
     signal: AbortSignal,
     earliestSentAtMs?: number,
   ): Promise<JobEnd> {
-    const { jobs, joins } = this.options;
-    const rejection = this.rejectionOf(route, request);
+    const { jobs, joins, contact, standstills } = this.options;
+    standstills.check();
+    const wait = contact.waitOf(earliestSentAtMs);
+    const rejection = this.rejectionOf(route, request, wait);
     if (rejection !== undefined) {
-      return this.reject(route, request, rejection);
+      return this.reject(route, request, rejection, wait);
     }
     return joins.isHeldElsewhere(request.jobId)
-      ? this.join(route, request, deadlineMs, signal, earliestSentAtMs)
+      ? this.join({ route, request, deadlineMs, signal, wait })
       : jobs.submit(route, request, deadlineMs, signal, earliestSentAtMs);
   }
 
@@ -136,22 +155,17 @@
   }
 
   /** Waits for a job that another daemon holds, and runs it here if it has no end and no run of it goes on there. */
-  private async join(
-    route: Route,
-    request: JobRequest,
-    deadlineMs: number,
-    signal: AbortSignal,
-    connectedAtMs = Infinity,
-  ): Promise<JobEnd> {
-    const { clock, contact, jobs, joins, metrics } = this.options;
-    const earliestSentAtMs = Math.min(connectedAtMs, clock.nowMs() - contact.heldUpMs);
+  private async join(attempt: WaitingAttempt): Promise<JobEnd> {
+    const { clock, jobs, joins, metrics } = this.options;
+    const { route, request, deadlineMs, signal, wait } = attempt;
+    const earliestSentAtMs = clock.nowMs() - wait.waitedMs;
     const outcome = await joins.wait({ route, request, deadlineMs, earliestSentAtMs, signal });
     switch (outcome.kind) {
       case 'start': {
-        const rejection = this.rejectionOf(route, request);
+        const rejection = this.rejectionOf(route, request, wait);
         return rejection === undefined
           ? jobs.submit(route, request, deadlineMs, signal, earliestSentAtMs)
-          : this.reject(route, request, rejection);
+          : this.reject(route, request, rejection, wait);
       }
       case 'ended':
         countJobEnd(metrics, route.routeId, outcome.end);
@@ -161,16 +175,28 @@
     }
   }
 
-  private reject({ routeId }: Route, { jobId }: JobRequest, rejection: Rejection): JobEnd {
+  private reject(
+    { routeId }: Route,
+    { jobId }: JobRequest,
+    rejection: Rejection,
+    wait: RequestWait,
+  ): JobEnd {
     const { logger, metrics } = this.options;
     const { kind: outcome, reason } = rejection;
-    logger.info('A job is rejected.', { jobId, routeId, outcome, reason });
+    logger.info('A job is rejected.', {
+      ...{ jobId, routeId, outcome, reason },
+      ...describeWait(wait),
+    });
     countJobEnd(metrics, routeId, rejection);
     return rejection;
   }
 
   /** @returns how a job ends that is rejected, or nothing for a job that is run */
-  private rejectionOf(route: Route, request: JobRequest): Rejection | undefined {
+  private rejectionOf(
+    route: Route,
+    request: JobRequest,
+    { acceptWaitMs, linkDelayMs }: RequestWait,
+  ): Rejection | undefined {
     const { unsupported, jobId } = request;
     if (unsupported.length > 0) {
       const reason = `not supported: ${unsupported.join(', ')}`;
@@ -184,6 +210,11 @@
       const reason = 'the daemon stops';
       return { kind: 'refused', reason, retryAfterMs: shutdownRetryAfterMs };
     }
+    const isNewConnection = acceptWaitMs > 0;
+    if (isNewConnection && acceptWaitMs + linkDelayMs > this.options.maxStartWaitMs) {
+      const reason = 'it may have waited here for so long that its caller has sent it again';
+      return { kind: 'refused', reason, retryAfterMs: lateRetryAfterMs };
+    }
     return this.rejectionForSize(route, request);
   }
 
