--- a/src/fleet/eventOrdersWalk.spec.ts
+++ b/src/fleet/eventOrdersWalk.spec.ts
@@ -4,6 +4,7 @@
 import { runScenario } from '../testing/model/runScenario.js';
 import { createDeadlyTaskPairs } from '../testing/model/walk/deadlyTaskWalk.js';
 import { endTroubles } from '../testing/model/walk/endTroubles.js';
+import { createLateCallerPairs } from '../testing/model/walk/lateCallerWalk.js';
 import { createLateStartPairs } from '../testing/model/walk/lateStartWalk.js';
 import { createMissingKindPairs } from '../testing/model/walk/missingKindWalk.js';
 import { createDaemonPairs, createPairs } from '../testing/model/walk/pairWalk.js';
@@ -158,4 +159,17 @@
   await checkScenarios(scenariosAt(pairs, troubles, [1, 13, 20, 34]));
 });
 
+// Guards against a job that starts beside its first attempt, whose caller has left unnoticed, at any daemon of the fleet.
+test('no attempt of a caller whose ends are lost runs beside an earlier one', async () => {
+  const early = createLateCallerPairs().filter(({ troubles }) =>
+    troubles.some((one) => one.startsWith('ends lost')),
+  );
+  const among = 'ends lost, many daemons, caller leaves after';
+  await checkScenarios([
+    ...scenariosAt(early, [`${among} 100 ms`, 'none'], [0, 3, 6, 7, 8]),
+    ...scenariosAt(early, [`${among} 300 ms`, 'silent'], [72, 79, 86, 93]),
+    ...samplePairs(early, sample),
+  ]);
+});
+
 test.run();
--- a/src/testing/model/walk/lateCallerWalk.ts
+++ b/src/testing/model/walk/lateCallerWalk.ts
@@ -39,12 +39,16 @@
   ['east', 'west', 'west'],
 ];
 
+/** The caller's daemon alone in its failure domain, and more daemons in the other one than it keeps contact with. */
+const wideTopology: readonly string[] = ['east', 'west', 'west', 'west', 'west', 'west'];
+
 const createScenarios = (
   fault: InboundFault,
   cut: Cut['fault'] | undefined,
   job: Partial<ModelJob>,
+  chosenTopologies = topologies,
 ): Scenario[] =>
-  topologies.flatMap((daemons, topology) =>
+  chosenTopologies.flatMap((daemons, topology) =>
     runTimesMs.flatMap((runMs, length) =>
       (cut === undefined ? cutOffsetsMs.slice(0, 1) : cutOffsetsMs).map((offsetMs, moment) => {
         const calm = createScenario(
@@ -53,6 +57,7 @@
           [
             submit(submitAtMs, {
               ...{ tasks: 1, runMs, estimatedMs: Math.min(runMs, maxEstimateMs), deadlineMs },
+              nextDaemonStep: 1 + (moment % (daemons.length - 1)),
               ...job,
             }),
           ],
@@ -76,13 +81,27 @@
         },
       ];
 
+/** Callers that leave at once or soon, whose ends are lost, in front of daemons that don't all know each other. */
+const createEarlyPairs = (): Combination[] =>
+  [100, 300, 600].flatMap((leavesAfterMs) =>
+    cuts.map((cut) => ({
+      troubles: [`ends lost, many daemons, caller leaves after ${leavesAfterMs} ms`, cut ?? 'none'],
+      scenarios: createScenarios({ kind: 'lost-ends' }, cut, { leavesAfterMs, deadlineMs: 4_000 }, [
+        ...topologies,
+        [...wideTopology],
+      ]),
+    })),
+  );
+
 /** Each way in which callers are late, with each way of not reaching the worker and each departure of the caller. */
-export const createLateCallerPairs = (): Combination[] =>
-  faults.flatMap(([faultName, fault]) =>
+export const createLateCallerPairs = (): Combination[] => [
+  ...faults.flatMap(([faultName, fault]) =>
     departures.flatMap(([departure, job]) =>
       cuts.map((cut) => ({
-        troubles: [`${faultName}, caller leaves ${departure}`, cut ?? 'none'],
-        scenarios: createScenarios(fault, cut, job),
+        troubles: [`${faultName}, caller leaves ${departure}`, cut ?? 'none'] as const,
+        scenarios: createScenarios(fault, cut, { ...job, nextDaemonStep: 1 }),
       })),
     ),
-  );
+  ),
+  ...createEarlyPairs(),
+];
