Of two attempts that wait for a job at another daemon, the earlier one goes first

Cause: an attempt that waits was not stated. Where the ends of callers are lost at all daemons, the attempts of a caller that has left again and again wait on, and start together when the time of the first one is over.

Change: attempts that wait are stated like held jobs, and answer a question with their age (answer 'waiting'). The one that is older by 0.6 s or more goes first, the other one waits for it; if neither is, neither starts. A daemon that does not remember a job says that none of its runs goes on, unless it had to forget one of which runs may go on.

The walk has them now, and eventOrdersWalk.spec.ts a sample.

--- a/src/bestEffort/endedJobs.spec.ts
+++ b/src/bestEffort/endedJobs.spec.ts
@@ -42,20 +42,23 @@
   end('failed', { kind: 'failed', reason: 'it failed' }, true);
   assert.equal(jobs.answerFor('done'), { kind: 'ended', end: { kind: 'completed' } });
   assert.is(jobs.answerFor('failed').kind, 'ended');
-  assert.is(jobs.answerFor('other').kind, 'unknown');
+  assert.is(jobs.answerFor('other').kind, 'none-runs');
   await clock.advance(6_000);
   end('later', { kind: 'completed' }, true);
   assert.is(jobs.size, 1);
-  assert.is(jobs.answerFor('done').kind, 'unknown');
+  assert.is(jobs.answerFor('done').kind, 'none-runs');
 });
 
-// Guards against memory that grows with the jobs of a day.
-test('the number of ended jobs that are remembered is bounded', () => {
-  const { jobs, end } = createFixture();
+// Guards against memory that grows with the jobs of a day, and against a daemon that denies the runs of what it has forgotten.
+test('the number of ended jobs that are remembered is bounded, and none that may run is denied', async () => {
+  const { clock, jobs, end } = createFixture();
   for (let index = 0; index < 5_000; index += 1) {
-    end(`job-${index}`, { kind: 'completed' }, true);
+    end(`job-${index}`, { kind: 'cancelled' }, true);
   }
   assert.is(jobs.size, 4_096);
+  assert.is(jobs.answerFor('job-0').kind, 'unknown');
+  await clock.advance(1_200);
+  assert.is(jobs.answerFor('job-0').kind, 'none-runs');
 });
 
 test.run();
--- a/src/bestEffort/endedJobs.ts
+++ b/src/bestEffort/endedJobs.ts
@@ -33,6 +33,8 @@
   /** By job id, the one that ended first is at the beginning. */
   private readonly jobs = new Map<string, RememberedJob>();
   private evictedAtMs = -Infinity;
+  /** Time until which a run of a job may go on that was forgotten for lack of room, in monotonic time. */
+  private forgottenUntilMs = -Infinity;
 
   private constructor(
     private readonly clock: Clock,
@@ -55,17 +57,18 @@
     const runsUntilMs = mayRunOn(job) ? Math.min(job.runsEndAtMs, confirmedUntilMs) : nowMs;
     this.jobs.delete(job.jobId);
     this.jobs.set(job.jobId, { ...job, runsUntilMs });
-    const [first] = this.jobs.keys();
+    const [first] = this.jobs.values();
     if (this.jobs.size > maxJobs && first !== undefined) {
-      this.jobs.delete(first);
+      this.jobs.delete(first.jobId);
+      this.forgottenUntilMs = Math.max(this.forgottenUntilMs, first.runsUntilMs);
     }
   }
 
-  /** @returns what another daemon is told of a job */
+  /** @returns what another daemon is told of a job that does not run here */
   answerFor(jobId: string): HolderAnswer {
     const job = this.jobs.get(jobId);
     if (job === undefined) {
-      return { kind: 'unknown' };
+      return { kind: this.clock.nowMs() < this.forgottenUntilMs ? 'unknown' : 'none-runs' };
     }
     const { end, runsUntilMs } = job;
     switch (end.kind) {
--- a/src/fleet/eventOrdersWalk.spec.ts
+++ b/src/fleet/eventOrdersWalk.spec.ts
@@ -164,10 +164,12 @@
   const early = createLateCallerPairs().filter(({ troubles }) =>
     troubles.some((one) => one.startsWith('ends lost')),
   );
-  const among = 'ends lost, many daemons, caller leaves after';
+  const scenariosOf = (name: string, cut: string, chosen: readonly number[]): Scenario[] =>
+    scenariosAt(early, [`ends lost at ${name}`, cut], chosen);
   await checkScenarios([
-    ...scenariosAt(early, [`${among} 100 ms`, 'none'], [0, 3, 6, 7, 8]),
-    ...scenariosAt(early, [`${among} 300 ms`, 'silent'], [72, 79, 86, 93]),
+    ...scenariosOf('first daemon, left after 100 ms', 'none', [0, 3, 6, 7, 8]),
+    ...scenariosOf('first daemon, left after 300 ms', 'silent', [72, 79, 86, 93]),
+    ...scenariosOf('all daemons, left after 300 ms', 'none', [0, 1, 2, 3, 4, 5, 6, 7, 8]),
     ...samplePairs(early, sample),
   ]);
 });
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -151,10 +151,10 @@
       contact,
       jobs,
       held,
-      confirmationMs,
+      leaseTimes,
       peers: () => this.peers,
     });
-    const { cancellation, intake, questions } = front;
+    const { cancellation, intake, questions, listHeld } = front;
     this.cancellation = cancellation;
     this.intake = intake;
     this.learned = LearnedBackup.create({ ...common, member, lengths, speeds });
@@ -178,7 +178,7 @@
       view,
       router,
       dispatcher,
-      jobs,
+      jobs: { listHeld },
       held,
       confirmationMs,
       peers: () => this.peers,
--- a/src/fleet/holderEvidence.spec.ts
+++ b/src/fleet/holderEvidence.spec.ts
@@ -7,7 +7,7 @@
 const nowMs = 10_000;
 const confirmationMs = 1_200;
 /** The holder has stated that its runs have ended in 3 s. */
-const claim = { untilMs: nowMs + 3_000 };
+const claim = { untilMs: nowMs + 3_000, earliestSentAtMs: nowMs - 1_000 };
 
 const judge = (evidence: HolderEvidence): HolderJudgement =>
   judgeHolder(claim, evidence, nowMs, confirmationMs);
--- a/src/fleet/holderEvidence.ts
+++ b/src/fleet/holderEvidence.ts
@@ -21,6 +21,8 @@
   | 'not-held'
   /** The holder says that none of its runs goes on. */
   | 'holder-has-none'
+  /** Another attempt waits there, for this one. */
+  | 'holder-waits'
   /** The time is over by which its runs have ended: as the holder has stated it, or after the last word of one that is gone. */
   | 'time-is-over';
 
@@ -32,18 +34,32 @@
   | { readonly kind: 'running'; readonly untilMs: number }
   /** Runs may go on until this time, in monotonic time, and their end would be no answer. */
   | { readonly kind: 'may-run'; readonly untilMs: number }
+  /** An earlier attempt of it waits there, and may start it. */
+  | { readonly kind: 'waiting' }
   | { readonly kind: 'over'; readonly evidence: StartEvidence };
 
+/**
+ * An attempt goes before another one that waits if it is older by this much, in milliseconds: each of the two hears of
+ * the other's age a while later. Attempts of one caller are further apart.
+ */
+const minAgeLeadMs = 600;
+
+/** What is known of a job before its holder is asked. */
+export interface JudgedClaim extends Pick<HeldClaim, 'untilMs'> {
+  /** The earliest time at which the request of the own attempt can have been sent, in monotonic time. */
+  readonly earliestSentAtMs: number;
+}
+
 /**
  * Judges whether runs of a job go on at its holder.
  *
- * @param claim - what is known of the holder's statements
+ * @param claim - what the holder has stated, and the attempt that waits for it
  * @param evidence - what a question to it has shown
  * @param nowMs - the current monotonic time
  * @param confirmationMs - time from the last word of a requester by which none of its runs goes on
  */
 export const judgeHolder = (
-  claim: Pick<HeldClaim, 'untilMs'>,
+  claim: JudgedClaim,
   evidence: HolderEvidence,
   nowMs: number,
   confirmationMs: number,
@@ -61,7 +77,7 @@
 };
 
 const judgeAnswer = (
-  { untilMs }: Pick<HeldClaim, 'untilMs'>,
+  { untilMs, earliestSentAtMs }: JudgedClaim,
   answer: HolderAnswer,
   nowMs: number,
 ): HolderJudgement => {
@@ -70,6 +86,10 @@
       return answer;
     case 'running':
       return { kind: 'running', untilMs: nowMs + answer.leftMs };
+    case 'waiting':
+      return nowMs - earliestSentAtMs > answer.ageMs + minAgeLeadMs
+        ? { kind: 'over', evidence: 'holder-waits' }
+        : { kind: 'waiting' };
     case 'may-run':
       return untilOver(nowMs + answer.leftMs, nowMs);
     case 'none-runs':
--- a/src/fleet/jobFront.ts
+++ b/src/fleet/jobFront.ts
@@ -1,6 +1,7 @@
 /**
  * Connects what serves the callers of a daemon: the intake of jobs, cancellations, and the wait for jobs of other daemons.
  */
+import type { HeldJob } from '../bestEffort/runningJobs.js';
 import { HolderQuestions } from './holderQuestions.js';
 import type { HolderQuestionsOptions } from './holderQuestions.js';
 import { JobCancellation } from './jobCancellation.js';
@@ -11,7 +12,7 @@
 import type { JobJoinsOptions } from './jobJoins.js';
 
 export type JobFrontOptions = JobCancellationOptions &
-  HolderQuestionsOptions &
+  Omit<HolderQuestionsOptions, 'confirmationMs'> &
   Omit<JobJoinsOptions, 'questions'> &
   Omit<JobIntakeOptions, 'cancellation' | 'joins'>;
 
@@ -20,11 +21,25 @@
   readonly intake: JobIntake;
   readonly cancellation: JobCancellation;
   readonly questions: HolderQuestions;
+  /** Lists the jobs that this daemon holds, or waits for to start them. */
+  readonly listHeld: () => HeldJob[];
 }
 
 export const createJobFront = (options: JobFrontOptions): JobFront => {
+  const { jobs, leaseTimes } = options;
   const cancellation = JobCancellation.create(options);
-  const questions = HolderQuestions.create(options);
+  const questions = HolderQuestions.create({
+    ...options,
+    confirmationMs: leaseTimes.confirmationMs,
+    jobs: {
+      answerFor: async (jobId, waitMs) => {
+        const waiting = jobs.state(jobId) === 'unknown' ? joins.answerFor(jobId) : undefined;
+        return waiting ?? jobs.answerFor(jobId, waitMs);
+      },
+    },
+  });
   const joins = JobJoins.create({ ...options, questions });
-  return { intake: JobIntake.create({ ...options, cancellation, joins }), cancellation, questions };
+  const intake = JobIntake.create({ ...options, cancellation, joins });
+  const listHeld = (): HeldJob[] => [...jobs.listHeld(), ...joins.listWaiting()];
+  return { intake, cancellation, questions, listHeld };
 };
--- a/src/fleet/jobIntake.spec.ts
+++ b/src/fleet/jobIntake.spec.ts
@@ -10,7 +10,8 @@
 import type { TaskFit, WorkerDirectory } from '../workers/workerDirectory.js';
 import type { JobCancellation } from './jobCancellation.js';
 import { JobIntake } from './jobIntake.js';
-import type { JobJoins, JoinOutcome } from './jobJoins.js';
+import type { JobJoins } from './jobJoins.js';
+import type { JoinOutcome } from './joinOutcome.js';
 
 const route: Route = {
   routeId: 'r',
--- a/src/fleet/jobJoins.spec.ts
+++ b/src/fleet/jobJoins.spec.ts
@@ -7,8 +7,9 @@
 import { silentLogger } from '../testing/silentLogger.js';
 import { HeldJobs } from './heldJobs.js';
 import type { HolderEvidence } from './holderEvidence.js';
+import { leaseTimesFor } from './requesterTimes.js';
 import { JobJoins } from './jobJoins.js';
-import type { JoinOutcome } from './jobJoins.js';
+import type { JoinOutcome } from './joinOutcome.js';
 
 const jobId = '00000000000000aa';
 const needs = { resources: { cpuMillis: 1_000, memoryMb: 64, accelerators: 0 } };
@@ -28,7 +29,8 @@
   };
   const asked: string[] = [];
   const joins = JobJoins.create({
-    ...{ clock, held, logger: silentLogger, ownId: 'own', confirmationMs: 1_200 },
+    ...{ clock, held, logger: silentLogger, ownId: 'own' },
+    leaseTimes: leaseTimesFor(1_000),
     dispatcher: { openBatchesOfJob: () => state.batches } as unknown as Dispatcher,
     jobs: { state: (): JobState => 'unknown', wasCancelled: () => state.cancelled },
     lengths: { predictMs: (_routeId, { declaredMs }) => declaredMs },
@@ -141,6 +143,28 @@
   assert.is(result.outcome?.kind, 'start');
 });
 
+// Guards against two attempts that wait for the same job and start it at the same time, where the ends of both callers are lost.
+test('of two attempts that wait the earlier one starts the job, and the later one waits for it', async () => {
+  let otherAgeMs = 1_500;
+  const later = createFixture(() => answered({ kind: 'waiting', ageMs: otherAgeMs })());
+  later.begin();
+  await later.clock.advance(1_000);
+  assert.is(later.result.outcome, undefined);
+  assert.equal(
+    later.joins.listWaiting().map(({ jobId: id, leftMs }) => [id, leftMs]),
+    [[jobId, 4_000]],
+  );
+  assert.equal(later.joins.answerFor(jobId), { kind: 'waiting', ageMs: 1_000 });
+  assert.is(later.joins.answerFor('other'), undefined);
+  // Neither is certain to be the earlier one.
+  otherAgeMs = 900;
+  await later.clock.advance(400);
+  assert.is(later.result.outcome, undefined);
+  otherAgeMs = 100;
+  await later.clock.advance(400);
+  assert.equal(later.result.outcome, { kind: 'start', evidence: 'holder-waits' });
+});
+
 // Guards against callers that wait for what has ended: their cancellation, their own leaving, and a daemon that stops.
 test('a wait ends when the job is cancelled, its caller leaves, or the daemon gives its jobs up', async () => {
   const running = answered({ kind: 'running', leftMs: 2_000 });
--- a/src/fleet/jobJoins.ts
+++ b/src/fleet/jobJoins.ts
@@ -4,10 +4,12 @@
  */
 import { criticalPathMs } from '../bestEffort/objective.js';
 import type { RunTimePredictor } from '../bestEffort/runTimePredictor.js';
-import type { RunningJobs } from '../bestEffort/runningJobs.js';
+import type { HeldJob, RunningJobs } from '../bestEffort/runningJobs.js';
 import type { Dispatcher } from '../dispatch/dispatcher.js';
+import type { LeaseTimes } from '../dispatch/leaseTimes.js';
 import { unreachable } from '../errors/unreachable.js';
 import type { Clock } from '../ports/clock.js';
+import type { HolderAnswer } from '../ports/fleetPeers.js';
 import type { JobEnd, JobRequest } from '../ports/jobs.js';
 import type { Logger } from '../ports/logger.js';
 import type { Route } from '../types/routing.js';
@@ -18,6 +20,9 @@
 import { judgeHolder } from './holderEvidence.js';
 import type { HolderEvidence, HolderJudgement, StartEvidence } from './holderEvidence.js';
 import type { HolderQuestions } from './holderQuestions.js';
+import { describeOutcome, whenLeft } from './joinOutcome.js';
+import type { JoinOutcome } from './joinOutcome.js';
+import { deadlineTimesFor } from './requesterTimes.js';
 
 /** Longest pause before a holder whose runs may go on is asked again, in milliseconds. */
 const questionPeriodMs = 200;
@@ -26,13 +31,6 @@
 /** Shortest time after which a refused caller is asked to come again, in milliseconds. */
 const minRetryAfterMs = 1_000;
 
-/** How an attempt goes on. */
-export type JoinOutcome =
-  /** The job may start here. */
-  | { readonly kind: 'start'; readonly evidence: StartEvidence }
-  /** The attempt has this answer; nothing of it has run here. */
-  | { readonly kind: 'ended'; readonly end: JobEnd };
-
 /** What a caller has asked for. */
 export interface JoinRequest {
   readonly route: Route;
@@ -65,8 +63,7 @@
   readonly jobs: Pick<RunningJobs, 'state' | 'wasCancelled'>;
   readonly lengths: Pick<RunTimePredictor, 'predictMs'>;
   readonly questions: Pick<HolderQuestions, 'ask'>;
-  /** Time from the last word of a requester by which none of its runs goes on, in milliseconds. */
-  readonly confirmationMs: number;
+  readonly leaseTimes: LeaseTimes;
 }
 
 export class JobJoins {
@@ -93,6 +90,27 @@
     return [...this.joins].some(({ request }) => request.jobId === jobId);
   }
 
+  /** Lists the jobs that attempts wait for, which may start here, so that later attempts elsewhere wait for these ones. */
+  listWaiting(): HeldJob[] {
+    const { clock, leaseTimes } = this.options;
+    const nowMs = clock.nowMs();
+    return [...this.joins].map(({ request, deadlineMs, earliestSentAtMs }) => {
+      const { runsEndMs } = deadlineTimesFor(deadlineMs, leaseTimes);
+      const leftMs = Math.max(earliestSentAtMs + runsEndMs - nowMs, 0);
+      return { jobId: request.jobId, leftMs };
+    });
+  }
+
+  /** Tells another daemon of the earliest attempt of a job that waits here, if one does. */
+  answerFor(jobId: string): HolderAnswer | undefined {
+    const waiting = [...this.joins].filter(({ request }) => request.jobId === jobId);
+    if (waiting.length === 0) {
+      return undefined;
+    }
+    const firstSentAtMs = Math.min(...waiting.map(({ earliestSentAtMs }) => earliestSentAtMs));
+    return { kind: 'waiting', ageMs: this.options.clock.nowMs() - firstSentAtMs };
+  }
+
   /** Ends every wait; nothing of these attempts has run. */
   giveUpAll(reason: string): void {
     const end: JobEnd = { kind: 'refused', reason, retryAfterMs: minRetryAfterMs };
@@ -112,14 +130,14 @@
     const outcome = await Promise.race([
       this.waitForHolders(join, over.signal),
       join.givenUp.promise,
-      leftOf(attempt.signal),
+      whenLeft(attempt.signal),
     ]);
     abortQuietly(over);
     this.joins.delete(join);
     logger.info('The wait for a job that another daemon holds is over.', {
       jobId,
       durationMs: Math.round(clock.nowMs() - startedAtMs),
-      ...describe(outcome),
+      ...describeOutcome(outcome),
     });
     return outcome;
   }
@@ -142,7 +160,7 @@
         asked = claim.holder;
         this.logJoin(claim);
       }
-      const judgement = await this.judge(claim, stopped);
+      const judgement = await this.judge(join, claim, stopped);
       const outcome = this.follow(join, claim, judgement);
       if (outcome !== undefined) {
         return outcome;
@@ -154,10 +172,11 @@
 
   /** Asks a holder, no longer than its runs may go on. */
   private async judge(
+    { earliestSentAtMs }: Join,
     claim: HeldClaim,
     stopped: Promise<HolderEvidence>,
   ): Promise<HolderJudgement> {
-    const { clock, confirmationMs, questions } = this.options;
+    const { clock, leaseTimes, questions } = this.options;
     const isOver = new AbortController();
     const evidence = await Promise.race([
       questions.ask(claim),
@@ -167,7 +186,9 @@
       stopped,
     ]);
     abortQuietly(isOver);
-    return judgeHolder(claim, evidence, clock.nowMs(), confirmationMs);
+    const { untilMs } = claim;
+    const { confirmationMs } = leaseTimes;
+    return judgeHolder({ untilMs, earliestSentAtMs }, evidence, clock.nowMs(), confirmationMs);
   }
 
   /** @returns the outcome that follows from what is known of a holder, if there is one */
@@ -180,6 +201,7 @@
       case 'ended':
         return { kind: 'ended', end: judgement.end };
       case 'running':
+      case 'waiting':
         return undefined;
       case 'may-run':
         join.evidence = 'time-is-over';
@@ -237,6 +259,8 @@
   switch (judgement.kind) {
     case 'may-run':
       return Math.min(Math.max(judgement.untilMs - nowMs, 0), questionPeriodMs);
+    case 'waiting':
+      return questionPeriodMs;
     case 'running':
       return minQuestionPauseMs;
     case 'ended':
@@ -252,27 +276,3 @@
     const end = (): void => resolve({ kind: 'no-answer' });
     signal.addEventListener('abort', end, { once: true });
   });
-
-/** Resolves when a caller has left. */
-const leftOf = (signal: AbortSignal): Promise<JoinOutcome> =>
-  new Promise((resolve) => {
-    const leave = (): void => resolve({ kind: 'ended', end: { kind: 'cancelled' } });
-    if (signal.aborted) {
-      leave();
-      return;
-    }
-    signal.addEventListener('abort', leave, { once: true });
-  });
-
-const describe = (outcome: JoinOutcome): { outcome: string; reason?: string } => {
-  switch (outcome.kind) {
-    case 'start':
-      return { outcome: 'start', reason: outcome.evidence };
-    case 'ended': {
-      const { end } = outcome;
-      return { outcome: end.kind, ...('reason' in end ? { reason: end.reason } : {}) };
-    }
-    default:
-      return unreachable(outcome);
-  }
-};
--- a/src/ports/fleetPeers.ts
+++ b/src/ports/fleetPeers.ts
@@ -80,6 +80,8 @@
   }),
   /** It runs; its runs go on for no longer than this. */
   z.object({ kind: z.literal('running'), leftMs: z.number().nonnegative() }),
+  /** An attempt of it waits for another daemon since this time, and may start it. */
+  z.object({ kind: z.literal('waiting'), ageMs: z.number().nonnegative() }),
   /** It has ended otherwise, and its runs may go on for this long. */
   z.object({ kind: z.literal('may-run'), leftMs: z.number().nonnegative() }),
   /** None of its runs goes on, and none will start. */
--- a/src/testing/model/walk/lateCallerWalk.ts
+++ b/src/testing/model/walk/lateCallerWalk.ts
@@ -42,13 +42,24 @@
 /** The caller's daemon alone in its failure domain, and more daemons in the other one than it keeps contact with. */
 const wideTopology: readonly string[] = ['east', 'west', 'west', 'west', 'west', 'west'];
 
+interface ScenarioOptions {
+  /** Failure domains of the daemons. */
+  readonly places?: readonly string[][];
+  /** Whether the callers of all daemons are late, not only those of the first one. */
+  readonly isEverywhere?: boolean;
+}
+
+const createInbound = (daemon: number, fault: InboundFault): ModelEvent => ({
+  ...{ kind: 'inbound', atMs: submitAtMs - 1_000, daemon, fault, forMs: inboundMs },
+});
+
 const createScenarios = (
   fault: InboundFault,
   cut: Cut['fault'] | undefined,
   job: Partial<ModelJob>,
-  chosenTopologies = topologies,
+  { places = topologies, isEverywhere = false }: ScenarioOptions = {},
 ): Scenario[] =>
-  chosenTopologies.flatMap((daemons, topology) =>
+  places.flatMap((daemons, topology) =>
     runTimesMs.flatMap((runMs, length) =>
       (cut === undefined ? cutOffsetsMs.slice(0, 1) : cutOffsetsMs).map((offsetMs, moment) => {
         const calm = createScenario(
@@ -64,7 +75,9 @@
         );
         const leavesAtMs = submitAtMs + (job.leavesAfterMs ?? deadlineMs);
         return createMomentScenario(calm, topology + length + moment, [
-          { kind: 'inbound', atMs: submitAtMs - 1_000, daemon: 0, fault, forMs: inboundMs },
+          ...daemons
+            .slice(0, isEverywhere ? daemons.length : 1)
+            .map((_, daemon) => createInbound(daemon, fault)),
           ...createCut(cut, leavesAtMs + offsetMs),
         ]);
       }),
@@ -81,16 +94,23 @@
         },
       ];
 
-/** Callers that leave at once or soon, whose ends are lost, in front of daemons that don't all know each other. */
+/**
+ * Callers that leave at once or soon, whose ends are lost at their first daemon or at all, in front of daemons that don't
+ * all know each other.
+ */
 const createEarlyPairs = (): Combination[] =>
-  [100, 300, 600].flatMap((leavesAfterMs) =>
-    cuts.map((cut) => ({
-      troubles: [`ends lost, many daemons, caller leaves after ${leavesAfterMs} ms`, cut ?? 'none'],
-      scenarios: createScenarios({ kind: 'lost-ends' }, cut, { leavesAfterMs, deadlineMs: 4_000 }, [
-        ...topologies,
-        [...wideTopology],
-      ]),
-    })),
+  ['first daemon', 'all daemons'].flatMap((where) =>
+    [100, 300, 600].flatMap((leavesAfterMs) =>
+      cuts.map((cut) => ({
+        troubles: [`ends lost at ${where}, left after ${leavesAfterMs} ms`, cut ?? 'none'],
+        scenarios: createScenarios(
+          { kind: 'lost-ends' },
+          cut,
+          { leavesAfterMs, deadlineMs: 4_000 },
+          { places: [...topologies, [...wideTopology]], isEverywhere: where === 'all daemons' },
+        ),
+      })),
+    ),
   );
 
 /** Each way in which callers are late, with each way of not reaching the worker and each departure of the caller. */
