--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -159,11 +159,11 @@
       jobs,
       held,
       standstills,
-      confirmationMs,
+      leaseTimes,
       maxStartWaitMs: maxStartWaitMs(callerResendMs),
       peers: () => this.peers,
     });
-    const { cancellation, intake, questions } = front;
+    const { cancellation, intake, questions, listHeld } = front;
     this.cancellation = cancellation;
     this.intake = intake;
     this.learned = LearnedBackup.create({ ...common, member, lengths, speeds });
@@ -176,7 +176,12 @@
     });
     this.heartbeatExchange = FleetHeartbeatExchange.create({
       ...{ clock, ages, contact, leases, own: member, logger: this.logger, routing, lengths },
-      ...{ speeds, view, router, dispatcher, jobs, held, confirmationMs },
+      ...{ speeds, view, router, dispatcher, held, confirmationMs },
+      jobs: {
+        listHeld,
+        listCancelled: () => jobs.listCancelled(),
+        recordCancelled: (job) => jobs.recordCancelled(job),
+      },
       peers: () => this.peers,
     });
     this.peers = FleetPeers.create({
--- a/src/fleet/jobIntake.spec.ts
+++ b/src/fleet/jobIntake.spec.ts
@@ -11,7 +11,8 @@
 import { CallerContact } from './callerContact.js';
 import type { JobCancellation } from './jobCancellation.js';
 import { JobIntake } from './jobIntake.js';
-import type { JobJoins, JoinOutcome } from './jobJoins.js';
+import type { JobJoins } from './jobJoins.js';
+import type { JoinOutcome } from './joinOutcome.js';
 import { maxStartWaitMs } from './requesterTimes.js';
 
 const route: Route = {
