A second start without an answer at a worker ends the binding to it

Cause: lets a task start again on the worker of its unanswered start only. A worker that answers stops and reports, but each start late, would hold its tasks until the deadline ("a start request without an answer never runs at the same time as its retry" failed so, once in 2 runs of platformProcess.spec.ts at a load of 32: "it could no longer end in time").

The second unanswered start of a task ends the binding; the task then starts elsewhere as before, with the gap of before.

--- a/src/dispatch/unansweredStarts.spec.ts
+++ b/src/dispatch/unansweredStarts.spec.ts
@@ -78,4 +78,12 @@
   }
 });
 
+// Guards against a task that waits on and on for a worker that answers stops and reports, and no starts.
+test('a second start without an answer at a worker ends the binding', () => {
+  const { starts, remember } = createFixture();
+  remember('a');
+  remember('a');
+  assert.is(starts.bindingOf('a'), undefined);
+});
+
 test.run();
--- a/src/dispatch/unansweredStarts.ts
+++ b/src/dispatch/unansweredStarts.ts
@@ -49,7 +49,12 @@
     }
     const entry: Entry = { run, target, confirmedBy: undefined };
     this.keep(workerId, [...this.listOpen(workerId), entry].slice(-maxRememberedStarts));
-    this.byTask.set(run.taskName, entry);
+    if (this.bindingOf(run.taskName) === undefined) {
+      this.byTask.set(run.taskName, entry);
+    } else {
+      // The worker answers no start of the task, so that it would wait there for ever.
+      this.byTask.delete(run.taskName);
+    }
   }
 
   /** Forgets a start that its worker has answered. */
