The bound of a request's wait decides nothing; a worker that became too small binds no task; bounds of statements

In a chain the bound is the age of the chain, not of the request.

Statements of held jobs have a longest time and a longest id.

--- a/src/bestEffort/jobRun.ts
+++ b/src/bestEffort/jobRun.ts
@@ -62,7 +62,8 @@
     this.job = JobContext.create({
       ...{ clock, lengths, leaseTimes, route, request, deadlineMs, waitedMs },
     });
-    this.statedFromMs = nowMs - waitedMs + statedAfterMs(criticalPathMs(this.job.steps));
+    const possibleWaitMs = Math.max(waitedMs, this.wait.acceptWaitMs);
+    this.statedFromMs = nowMs - possibleWaitMs + statedAfterMs(criticalPathMs(this.job.steps));
   }
 
   static create(
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -20,7 +20,7 @@
 import { taskNameOf } from './taskNames.js';
 import { expectedRunMs } from './workerChoice.js';
 import type { Candidate, TaskDemand } from './workerChoice.js';
-import { canStartNow, isEligible } from './workerEligibility.js';
+import { canStartNow, fits, isEligible } from './workerEligibility.js';
 
 export interface WorkerPoolOptions extends Pick<
   ManagedWorkerOptions,
@@ -193,11 +193,14 @@
     return this.unanswered.bindingOf(taskNameOf(task))?.isRefused === true ? [bound] : [];
   }
 
-  /** Returns the only worker that may run a task, if there is one; one that is leaving binds none. */
+  /**
+   * Returns the only worker that may run a task, if there is one. One that is leaving binds none, and neither does one that
+   * has become too small or of another kind, which refuses the late start.
+   */
   private boundWorkerOf(task: BatchedTask): ManagedWorker | undefined {
     const binding = this.unanswered.bindingOf(taskNameOf(task));
     const worker = binding === undefined ? undefined : this.workers.get(binding.workerId);
-    return worker?.isAssigned === true ? worker : undefined;
+    return worker?.isAssigned === true && fits(worker, task) ? worker : undefined;
   }
 
   private listAll(): ManagedWorker[] {
--- a/src/fleet/callerContact.ts
+++ b/src/fleet/callerContact.ts
@@ -20,9 +20,9 @@
 
 /** For how long a request may have waited, in milliseconds; 0 where nothing shows that it has. */
 export interface RequestWait {
-  /** All that counts for this request. */
+  /** What counts as time waited. The bound of `acceptWaitMs` does not: callers wait for much less in a long chain. */
   readonly waitedMs: number;
-  /** With its connection, until that was accepted and read. */
+  /** With its connection, at most, until that was accepted and read. */
   readonly acceptWaitMs: number;
   /** In a connection that was accepted before. */
   readonly unreadMs: number;
@@ -95,8 +95,7 @@
     const acceptWaitMs = unlessShort(nowMs - (earliestSentAtMs ?? nowMs));
     const unreadMs = this.unreadMs(nowMs);
     const linkDelayMs = this.linkDelayMs(nowMs);
-    const waitedMs = Math.max(this.heldUpMs, acceptWaitMs + linkDelayMs);
-    return { waitedMs, acceptWaitMs, unreadMs, linkDelayMs };
+    return { waitedMs: this.heldUpMs, acceptWaitMs, unreadMs, linkDelayMs };
   }
 
   private unreadMs(nowMs: number): number {
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -26,7 +26,7 @@
 import { PeerService } from './peerService.js';
 import { RequesterLeases } from './requesterLeases.js';
 import { RequesterMonitor } from './requesterMonitor.js';
-import { leaseTimesFor, maxStartWaitMs } from './requesterTimes.js';
+import { leaseTimesFor } from './requesterTimes.js';
 import { HeldJobs } from './heldJobs.js';
 import type { JobCancellation } from './jobCancellation.js';
 import { createJobFront } from './jobFront.js';
@@ -160,7 +160,6 @@
       held,
       standstills,
       leaseTimes,
-      maxStartWaitMs: maxStartWaitMs(callerResendMs),
       peers: () => this.peers,
     });
     const { cancellation, intake, questions, listHeld } = front;
--- a/src/fleet/jobIntake.ts
+++ b/src/fleet/jobIntake.ts
@@ -35,11 +35,6 @@
  * that restarts is listed again within seconds; most others are not back soon.
  */
 const unlistedRetryAfterMs = 5_000;
-/**
- * Time after which a job may be sent again whose request was read too late, in milliseconds: at once, since nothing of it
- * runs, and other daemons may read it in time.
- */
-const lateRetryAfterMs = 0;
 /** Largest body of a request before the first routing configuration is in force. */
 const defaultMaxBodyBytes = 262_144;
 
@@ -65,8 +60,6 @@
   readonly contact: Pick<CallerContact, 'waitOf'>;
   /** Finds a suspension of the VM, which counts as time waited. */
   readonly standstills: Pick<StandstillDetector, 'check'>;
-  /** Time for which the request of a job that is started may have waited, in milliseconds. */
-  readonly maxStartWaitMs: number;
 }
 
 /**
@@ -121,7 +114,7 @@
     const { jobs, joins, contact, standstills } = this.options;
     standstills.check();
     const wait = contact.waitOf(earliestSentAtMs);
-    const rejection = this.rejectionOf(route, request, wait);
+    const rejection = this.rejectionOf(route, request);
     if (rejection !== undefined) {
       return this.reject(route, request, rejection, wait);
     }
@@ -158,13 +151,15 @@
   private async join(attempt: WaitingAttempt): Promise<JobEnd> {
     const { clock, jobs, joins, metrics } = this.options;
     const { route, request, deadlineMs, signal, wait } = attempt;
-    const earliestSentAtMs = clock.nowMs() - wait.waitedMs;
+    const readAtMs = clock.nowMs();
+    const earliestSentAtMs = readAtMs - wait.waitedMs;
     const outcome = await joins.wait({ route, request, deadlineMs, earliestSentAtMs, signal });
     switch (outcome.kind) {
       case 'start': {
-        const rejection = this.rejectionOf(route, request, wait);
+        const rejection = this.rejectionOf(route, request);
+        const leftMs = deadlineMs - (clock.nowMs() - earliestSentAtMs);
         return rejection === undefined
-          ? jobs.submit(route, request, deadlineMs, signal, earliestSentAtMs)
+          ? jobs.submit(route, request, leftMs, signal)
           : this.reject(route, request, rejection, wait);
       }
       case 'ended':
@@ -192,11 +187,7 @@
   }
 
   /** @returns how a job ends that is rejected, or nothing for a job that is run */
-  private rejectionOf(
-    route: Route,
-    request: JobRequest,
-    { acceptWaitMs, linkDelayMs }: RequestWait,
-  ): Rejection | undefined {
+  private rejectionOf(route: Route, request: JobRequest): Rejection | undefined {
     const { unsupported, jobId } = request;
     if (unsupported.length > 0) {
       const reason = `not supported: ${unsupported.join(', ')}`;
@@ -210,11 +201,6 @@
       const reason = 'the daemon stops';
       return { kind: 'refused', reason, retryAfterMs: shutdownRetryAfterMs };
     }
-    const isNewConnection = acceptWaitMs > 0;
-    if (isNewConnection && acceptWaitMs + linkDelayMs > this.options.maxStartWaitMs) {
-      const reason = 'it may have waited here for so long that its caller has sent it again';
-      return { kind: 'refused', reason, retryAfterMs: lateRetryAfterMs };
-    }
     return this.rejectionForSize(route, request);
   }
 
--- a/src/fleet/requesterTimes.ts
+++ b/src/fleet/requesterTimes.ts
@@ -69,18 +69,6 @@
   return { leaseMs, longestLeaseMs, confirmationMs };
 };
 
-/** Time within which the other daemons hear of a job in heartbeats. */
-const heardMs = 2 * heartbeatTickMs;
-
-/**
- * Computes for how long the request of a job that is started may have waited until it was read. Its caller may have left at
- * once and sends the job again after some time; until then, other daemons can hear of it.
- *
- * @param callerResendMs - as the settings state it
- */
-export const maxStartWaitMs = (callerResendMs = minCallerResendMs): number =>
-  Math.max(callerResendMs - heardMs - deliverySlackMs, 0);
-
 /** Times of a job that follow from its caller's deadline, from when its request was read. */
 export interface DeadlineTimes {
   /** Time after which the job is given up: its answer still reaches the caller, and its runs are stopped. */
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -90,12 +90,15 @@
 });
 export type DoubtedStart = z.infer<typeof doubtedStartSchema>;
 
+/** Longest time for which a job is stated as held: the longest deadline of callers, in milliseconds. */
+const maxHeldMs = 86_400_000;
+
 /** Jobs that a daemon holds for callers: runs of them may go on. */
 export const heldJobsSchema = z.object({
   /** Incarnation of the daemon that holds them; left out by that daemon itself. */
   holder: z.string().optional(),
   /** Time by which no run of a job goes on by the holder's count, in milliseconds, by the id of the job. */
-  leftMsByJob: z.record(z.string(), z.number().nonnegative()),
+  leftMsByJob: z.record(z.string().max(64), z.number().nonnegative().max(maxHeldMs)),
 });
 export type HeldJobGroup = z.infer<typeof heldJobsSchema>;
 
