--- a/src/fleet/jobIntake.ts
+++ b/src/fleet/jobIntake.ts
@@ -151,8 +151,7 @@
   private async join(attempt: WaitingAttempt): Promise<JobEnd> {
     const { clock, jobs, joins, metrics } = this.options;
     const { route, request, deadlineMs, signal, wait } = attempt;
-    const readAtMs = clock.nowMs();
-    const earliestSentAtMs = readAtMs - wait.waitedMs;
+    const earliestSentAtMs = clock.nowMs() - wait.waitedMs;
     const outcome = await joins.wait({ route, request, deadlineMs, earliestSentAtMs, signal });
     switch (outcome.kind) {
       case 'start': {
--- a/src/fleet/jobJoins.ts
+++ b/src/fleet/jobJoins.ts
@@ -131,9 +131,10 @@
       this.waitForHolders(join, over.signal),
       join.givenUp.promise,
       whenLeft(attempt.signal),
-    ]);
-    abortQuietly(over);
-    this.joins.delete(join);
+    ]).finally(() => {
+      abortQuietly(over);
+      this.joins.delete(join);
+    });
     logger.info('The wait for a job that another daemon holds is over.', {
       jobId,
       durationMs: Math.round(clock.nowMs() - startedAtMs),
