--- a/src/fleet/startsInDoubt.spec.ts
+++ b/src/fleet/startsInDoubt.spec.ts
@@ -5,6 +5,7 @@
   heldUpStartOfKilledDispatcherScenario,
   lateStartOfKilledRequesterScenario,
   startInNextLifetimeScenario,
+  startAtWorkerThatShrinksScenario,
   stoppedStartOfIdleWorkerScenario,
   stoppedStartOfSuspendedDispatcherScenario,
 } from '../testing/model/inDoubtScenarios.js';
@@ -74,4 +75,11 @@
   );
 });
 
+// Guards against a task that waits for a worker which can no longer hold it, while others are free.
+test('a task is not bound to a worker that has become too small for it', async () => {
+  const { violations, answers } = await runScenario(startAtWorkerThatShrinksScenario);
+  assert.equal(violations, []);
+  assert.equal(answers, ['0000000000000001/0 completed']);
+});
+
 test.run();
--- a/src/testing/model/inDoubtScenarios.ts
+++ b/src/testing/model/inDoubtScenarios.ts
@@ -200,3 +200,27 @@
   seed: 9_303_143,
   startsStateLifetime: true,
 };
+
+/** A start is never answered, and its worker comes back too small for the task, while other workers are free. */
+export const startAtWorkerThatShrinksScenario: Scenario = {
+  ...createScenario(
+    ['east'],
+    [['east', 3]],
+    [
+      submit(2_000, {
+        ...{ tasks: 3, runMs: 1_000, estimatedMs: 1_000, cpuMillis: 20_000 },
+        ...{ deadlineMs: 8_000, maxAttempts: 1 },
+      }),
+      {
+        ...{ kind: 'worker-fault', atMs: 1_500, worker: { kind: 'numbered', index: 0 } },
+        ...{ fault: 'late', forMs: 1_200, lateByMs: 3_000 },
+      },
+      {
+        ...{ kind: 'crash', atMs: 2_900, worker: { kind: 'numbered', index: 0 } },
+        ...{ down: 'refused', downMs: 300, next: { cpuMillis: 4_000 } },
+      },
+    ],
+  ),
+  seed: 3,
+  startsStateLifetime: true,
+};
