--- a/soak/faultSeries.ts
+++ b/soak/faultSeries.ts
@@ -2,16 +2,22 @@
  * Plans series of faults of one kind, each with the requests that meet them.
  */
 import { unreachable } from '../src/errors/unreachable.js';
-import { SeededRandom } from '../src/testing/seededRandom.js';
 import type { Fault, InvalidEntry, PlannedFault } from './faults.js';
 import type { LinkFault } from './faultyProxy.js';
 import { planJointTrouble } from './jointTrouble.js';
 import { planLateCallers } from './lateCallers.js';
 import { pickOne } from './pickOne.js';
-import { neighbourOf, repeat, requestAt, shortDeadlineMs } from './seriesContext.js';
+import {
+  createSeriesContext,
+  neighbourOf,
+  repeat,
+  requestAt,
+  shortDeadlineMs,
+} from './seriesContext.js';
 import type { SeriesContext } from './seriesContext.js';
 import { planFaults } from './singleFaults.js';
 import type { FaultPlanOptions } from './singleFaults.js';
+import { planUnheardCallers } from './unheardCallers.js';
 
 export const seriesKinds = [
   'cuts',
@@ -25,7 +31,7 @@
 export type SeriesKind = (typeof seriesKinds)[number];
 
 /** Series that are only played alone: mixed plans are drawn from the others, as their seeds were before. */
-const separateKinds = ['daemon-and-worker', 'late-callers'] as const;
+const separateKinds = ['daemon-and-worker', 'late-callers', 'unheard-callers'] as const;
 type SeparateKind = (typeof separateKinds)[number];
 
 /** What a seed plays: single faults with some series among them, or one series alone. */
@@ -47,14 +53,9 @@
 
 /** Plans the faults of a seed by the kind of its plan, in the order of their start times. */
 export const planSeed = (kind: PlanKind, options: FaultPlanOptions): PlannedFault[] => {
-  const random = SeededRandom.create(Math.imul(options.seed + seriesSeedOffset, seedFactor));
-  const context: SeriesContext = {
-    daemons: options.daemons,
-    workers: options.workers,
-    windowMs: options.faultWindowMs,
-    between: (min, max) => Math.round(min + random.next() * (max - min)),
-    randomInt: (count) => Math.floor(random.next() * count),
-  };
+  const { daemons, workers, faultWindowMs: windowMs } = options;
+  const seed = Math.imul(options.seed + seriesSeedOffset, seedFactor);
+  const context = createSeriesContext(seed, { daemons, workers, windowMs });
   if (kind !== 'mixed') {
     return sortByTime(planSeries(kind, context));
   }
@@ -86,6 +87,8 @@
       return repeat(context, 4_500, 6_000, planJointTrouble);
     case 'late-callers':
       return repeat(context, 2_500, 4_000, planLateCallers);
+    case 'unheard-callers':
+      return repeat(context, 4_500, 6_000, planUnheardCallers);
     default:
       return unreachable(kind);
   }
--- a/soak/lateCallers.spec.ts
+++ b/soak/lateCallers.spec.ts
@@ -1,23 +1,17 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { planSeed } from './faultSeries.js';
-import type { Fault, PlannedFault } from './faults.js';
+import { troubledWorker } from './faults.js';
+import type { PlannedFault } from './faults.js';
 import { planLateCallers } from './lateCallers.js';
-import { SeededRandom } from '../src/testing/seededRandom.js';
+import { createSeriesContext } from './seriesContext.js';
 
 const options = { daemons: 4, workers: 6 };
 const seeds = Array.from({ length: 200 }, (_, index) => index + 1);
 
 /** Plans one member of the series. */
-const planOne = (seed: number): PlannedFault[] => {
-  const random = SeededRandom.create(seed);
-  return planLateCallers(0, {
-    ...options,
-    windowMs: 8_000,
-    between: (min, max) => Math.round(min + random.next() * (max - min)),
-    randomInt: (count) => Math.floor(random.next() * count),
-  });
-};
+const planOne = (seed: number): PlannedFault[] =>
+  planLateCallers(0, createSeriesContext(seed, { ...options, windowMs: 8_000 }));
 
 /** The kinds of trouble between a daemon and its callers, and that daemon. */
 const callerTrouble = (planned: readonly PlannedFault[]) => {
@@ -29,14 +23,6 @@
   return { faults, kinds, daemon: daemons[0] ?? -1 };
 };
 
-/** The position of the worker that a fault troubles; undefined for other faults. */
-const troubledWorker = (fault: Fault): number | undefined =>
-  fault.kind === 'worker' ||
-  fault.kind === 'worker-crash' ||
-  (fault.kind === 'link' && fault.place === 'worker')
-    ? fault.index
-    : undefined;
-
 // Guards against troubles that the users' rules do not know, such as a link that is late by minutes.
 test('requests are late by 0.3 to 2 s, and a slow daemon is paused for 60 to 300 ms of each 100 to 400 ms', () => {
   const combinations = new Set<string>();
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -82,7 +82,10 @@
     });
     const { starter, suspects, doubts } = this;
     const lapsedRuns = LapsedRuns.create();
-    this.retries = TaskRetries.create({ logger, starter, suspects, doubts });
+    this.retries = TaskRetries.create({
+      ...{ logger, starter, suspects, doubts },
+      isBoundTo: (task, workerId) => this.workers.isBoundTo(task, workerId),
+    });
     this.lostRuns = LostRuns.create({ logger, lapsedRuns, doubts, retries: this.retries });
   }
 
@@ -232,6 +235,11 @@
     return this.batches.hasOpenBatchesOf(requester);
   }
 
+  /** @returns the batches of a job that have not ended */
+  openBatchesOfJob(jobId: string): OpenBatch[] {
+    return this.batches.openBatchesOfJob(jobId);
+  }
+
   /** @returns number of workers to which this daemon dispatches */
   get workerCount(): number {
     return this.workers.size;
--- a/src/dispatch/taskRetries.ts
+++ b/src/dispatch/taskRetries.ts
@@ -9,6 +9,7 @@
 import {
   consequenceOfLosses,
   countLosses,
+  countsEveryStart,
   hasLosses,
   isDecidedByAwaited,
   joinLosses,
@@ -28,6 +29,8 @@
   readonly starter: TaskStarter;
   readonly suspects: CrashSuspects;
   readonly doubts: DoubtedStarts;
+  /** Whether only this worker may run a task. */
+  readonly isBoundTo: (task: BatchedTask, workerId: string) => boolean;
 }
 
 /** The worker of a run that has ended. */
@@ -60,6 +63,13 @@
     this.judgeWaiting(taskName);
   }
 
+  /** Counts a start that has crashed no worker, if every start of its task counts by now. */
+  recordStart(task: BatchedTask, lossId: string): void {
+    if (countsEveryStart(this.options.suspects.lossesOf(taskNameOf(task)))) {
+      this.recordLoss(task, { id: lossId, status: 'none' });
+    }
+  }
+
   /** Ends the tasks that wait under a name, if they may not start again. */
   judgeWaiting(taskName: string): void {
     const { starter, suspects } = this.options;
@@ -121,7 +131,9 @@
         task.avoidedWorkerIds.add(workerId);
         break;
       case 'run-ended':
-        task.avoidedWorkerIds.add(workerId);
+        if (!this.options.isBoundTo(task, workerId)) {
+          task.avoidedWorkerIds.add(workerId);
+        }
         break;
       default:
         return unreachable(why);
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -9,12 +9,14 @@
 import { RunningJobs } from '../bestEffort/runningJobs.js';
 import { Dispatcher } from '../dispatch/dispatcher.js';
 import type { FleetService } from '../ports/fleetPeers.js';
+import type { CallerConnections } from '../ports/jobs.js';
 import type { Logger } from '../ports/logger.js';
 import { RoutingFollower } from '../routing/routingFollower.js';
 import { RoutingStore } from '../routing/routingStore.js';
 import { TaskSupervisor } from '../utils/taskSupervisor.js';
 import { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import { WorkerDirectory } from '../workers/workerDirectory.js';
+import { AcceptBacklog } from './acceptBacklog.js';
 import { BatchIntake } from './batchIntake.js';
 import { CallerContact } from './callerContact.js';
 import type { FleetIdentity, FleetPorts } from './fleetIdentity.js';
@@ -25,8 +27,10 @@
 import { RequesterLeases } from './requesterLeases.js';
 import { RequesterMonitor } from './requesterMonitor.js';
 import { leaseTimesFor } from './requesterTimes.js';
-import { JobCancellation } from './jobCancellation.js';
-import { JobIntake } from './jobIntake.js';
+import { HeldJobs } from './heldJobs.js';
+import type { JobCancellation } from './jobCancellation.js';
+import { createJobFront } from './jobFront.js';
+import type { JobIntake } from './jobIntake.js';
 import { LearnedBackup } from './learnedBackup.js';
 import { handOverWorkers } from './workerHandOver.js';
 import { ServedWorkers } from './servedWorkers.js';
@@ -40,6 +44,8 @@
   readonly peerService: FleetService;
   /** Serves the requests of callers. */
   readonly intake: JobIntake;
+  /** Learns of the connections of callers. */
+  readonly connections: CallerConnections;
   private readonly routing = RoutingStore.create();
   private readonly lengths = RunTimePredictor.create();
   private readonly speeds = WorkerSpeedCache.create();
@@ -68,21 +74,28 @@
     const ownId = member.incarnation;
     const ages = MessageAges.create(clock);
     const leases = RequesterLeases.create(ages);
-    const contact = CallerContact.create(clock);
     const supervisor = TaskSupervisor.create({ clock, logger, metrics });
     const common = { clock, logger, metrics, store, supervisor };
     const leaseTimes = leaseTimesFor(longestLeaseMs, callerResendMs);
     this.logger = logger.forPart('jobs');
+    const backlog = AcceptBacklog.create(clock, logger.forPart('callers'));
+    const contact = CallerContact.create(clock, backlog);
     const standstills = StandstillDetector.create({
       ...common,
       onStandstill: (standstill) => {
-        const { jobs, dispatcher, shards, routingFollower } = this;
+        const { intake, dispatcher, shards, routingFollower } = this;
         recoverFromStandstill(standstill, {
-          ...{ ages, contact, jobs, dispatcher, shards, routingFollower },
+          ...{ ages, contact, intake, dispatcher, shards, routingFollower },
         });
       },
     });
     this.standstills = standstills;
+    this.connections = {
+      accept: () => {
+        standstills.check();
+        return backlog.accept();
+      },
+    };
     this.dispatcher = Dispatcher.create({
       clock,
       random,
@@ -133,25 +146,29 @@
       contact,
       standstills,
     });
-    const { lengths, speeds, routing, directory, jobs } = this;
-    this.cancellation = JobCancellation.create({
+    const { lengths, speeds, routing, directory, jobs, view, router, dispatcher } = this;
+    const held = HeldJobs.create(clock, ownId);
+    const { confirmationMs } = leaseTimes;
+    const front = createJobFront({
       clock,
-      logger: this.logger,
-      failureDomainId: member.failureDomainId,
-      jobs,
-      peers: () => this.peers,
-    });
-    const { cancellation } = this;
-    this.intake = JobIntake.create({
       logger: this.logger,
       metrics,
+      ownId,
+      failureDomainId: member.failureDomainId,
       routing,
       directory,
+      dispatcher,
+      lengths,
+      contact,
       jobs,
-      cancellation,
+      held,
+      confirmationMs,
+      peers: () => this.peers,
     });
+    const { cancellation, intake, questions } = front;
+    this.cancellation = cancellation;
+    this.intake = intake;
     this.learned = LearnedBackup.create({ ...common, member, lengths, speeds });
-    const { view, router, dispatcher } = this;
     const batchIntake = BatchIntake.create({
       ownId,
       logger: this.logger,
@@ -160,18 +177,8 @@
       dispatcher,
     });
     this.heartbeatExchange = FleetHeartbeatExchange.create({
-      clock,
-      ages,
-      contact,
-      leases,
-      own: member,
-      logger: this.logger,
-      routing,
-      lengths,
-      speeds,
-      view,
-      router,
-      dispatcher,
+      ...{ clock, ages, contact, leases, own: member, logger: this.logger, routing, lengths },
+      ...{ speeds, view, router, dispatcher, jobs, held, confirmationMs },
       peers: () => this.peers,
     });
     this.peers = FleetPeers.create({
@@ -199,6 +206,7 @@
       heartbeatExchange,
       batchIntake,
       cancellation,
+      questions,
       dispatcher,
       routing,
     });
@@ -239,7 +247,7 @@
 
   /** Ends every job that has not ended, so that its caller gets an answer. */
   giveUpJobs(): void {
-    this.jobs.giveUpAll('the daemon stops');
+    this.intake.giveUpAll('the daemon stops');
   }
 
   /**
@@ -262,7 +270,7 @@
 
   /** @returns number of jobs that have not ended */
   get jobCount(): number {
-    return this.jobs.size;
+    return this.intake.jobCount;
   }
 
   /** @returns number of workers that this daemon dispatches to and that accept tasks */
--- a/src/fleet/fleetHeartbeatExchange.spec.ts
+++ b/src/fleet/fleetHeartbeatExchange.spec.ts
@@ -1,6 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { BatchRouter } from '../bestEffort/batchRouter.js';
+import type { RunningJobs } from '../bestEffort/runningJobs.js';
 import { FleetView } from '../bestEffort/fleetView.js';
 import { RunTimePredictor } from '../bestEffort/runTimePredictor.js';
 import { RoutingStore } from '../routing/routingStore.js';
@@ -17,6 +18,7 @@
 import { CallerContact } from './callerContact.js';
 import { FleetHeartbeatExchange } from './fleetHeartbeatExchange.js';
 import type { FleetPeers } from './fleetPeers.js';
+import { HeldJobs } from './heldJobs.js';
 import { MessageAges } from './messageAges.js';
 import { RequesterLeases } from './requesterLeases.js';
 
@@ -25,6 +27,10 @@
   { clock, dispatcher }: DispatcherFixture,
 ): FleetHeartbeatExchange => {
   const router: Pick<BatchRouter, 'requestedBatchIds'> = { requestedBatchIds: () => [] };
+  const jobs: Pick<RunningJobs, 'listCancelled' | 'listHeld'> = {
+    listCancelled: () => [],
+    listHeld: () => [],
+  };
   const ages = MessageAges.create(clock);
   return FleetHeartbeatExchange.create({
     clock,
@@ -44,6 +50,9 @@
     }),
     router: router as BatchRouter,
     dispatcher,
+    jobs: jobs as RunningJobs,
+    held: HeldJobs.create(clock, ownId),
+    confirmationMs: 1_200,
     peers: () => ({ find: () => undefined }) as unknown as FleetPeers,
   });
 };
--- a/src/fleet/messageAges.spec.ts
+++ b/src/fleet/messageAges.spec.ts
@@ -1,6 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { BatchRouter } from '../bestEffort/batchRouter.js';
+import type { RunningJobs } from '../bestEffort/runningJobs.js';
 import { FleetView } from '../bestEffort/fleetView.js';
 import { RunTimePredictor } from '../bestEffort/runTimePredictor.js';
 import type { Dispatcher } from '../dispatch/dispatcher.js';
@@ -12,6 +13,7 @@
 import { CallerContact } from './callerContact.js';
 import { FleetHeartbeatExchange } from './fleetHeartbeatExchange.js';
 import type { FleetPeers } from './fleetPeers.js';
+import { HeldJobs } from './heldJobs.js';
 import { MessageAges } from './messageAges.js';
 import { RequesterLeases } from './requesterLeases.js';
 
@@ -36,6 +38,10 @@
     withdrawUnrequested: (_askedBy, _isRequested, minAgeMs) => void keptAgesMs.push(minAgeMs),
   };
   const router: Pick<BatchRouter, 'failBatchesAt'> = { failBatchesAt: () => undefined };
+  const jobs: Pick<RunningJobs, 'listCancelled' | 'listHeld'> = {
+    listCancelled: () => [],
+    listHeld: () => [],
+  };
   const exchange = FleetHeartbeatExchange.create({
     clock,
     contact: CallerContact.create(clock),
@@ -54,6 +60,9 @@
     }),
     router: router as BatchRouter,
     dispatcher: dispatcher as Dispatcher,
+    jobs: jobs as RunningJobs,
+    held: HeldJobs.create(clock, own.incarnation),
+    confirmationMs: 1_200,
     peers: () => undefined as unknown as FleetPeers,
   });
   const receive = (sentAtMs: number): void => {
