--- a/src/dispatch/unansweredStarts.spec.ts
+++ b/src/dispatch/unansweredStarts.spec.ts
@@ -55,13 +55,13 @@
   const { clock, starts, remember, beginLifetime } = createFixture();
   beginLifetime(1);
   const run = remember('a');
-  assert.equal(starts.bindingOf('a'), { workerId, isRefused: false });
+  assert.equal(starts.bindingOf('a'), { workerId, kind: 'unconfirmed' });
   starts.recordConfirmed(run, workerId, 1);
-  assert.equal(starts.bindingOf('a'), { workerId, isRefused: true });
+  assert.equal(starts.bindingOf('a'), { workerId, kind: 'confirmed' });
   beginLifetime(2);
-  assert.equal(starts.bindingOf('a'), { workerId, isRefused: false }, 'a later lifetime');
+  assert.equal(starts.bindingOf('a'), { workerId, kind: 'unconfirmed' }, 'a later lifetime');
   starts.recordConfirmed(run, workerId, 1);
-  assert.equal(starts.bindingOf('a'), { workerId, isRefused: false }, 'an earlier lifetime');
+  assert.equal(starts.bindingOf('a'), { workerId, kind: 'unconfirmed' }, 'an earlier lifetime');
   await clock.advance(10_001);
   assert.is(starts.bindingOf('a'), undefined);
 });
--- a/src/dispatch/unansweredStarts.ts
+++ b/src/dispatch/unansweredStarts.ts
@@ -24,6 +24,15 @@
   readonly target: StartTarget;
 }
 
+/**
+ * The worker that alone may run a task, since a start of it may still arrive there. `confirmed`: the lifetime that is known
+ * there has confirmed the stop of that start, and refuses it. `unconfirmed`: it may still carry it out.
+ */
+export interface TaskBinding {
+  readonly kind: 'confirmed' | 'unconfirmed';
+  readonly workerId: string;
+}
+
 interface Entry extends UnansweredStart {
   /** The lifetime that has confirmed the stop last; undefined before. */
   confirmedBy: { readonly startedAtMs: number | undefined } | undefined;
@@ -83,18 +92,15 @@
     return this.listOpen(workerId).filter((entry) => !isConfirmed(entry));
   }
 
-  /**
-   * Finds the worker that alone may run a task, since a start of it may still arrive there.
-   *
-   * @returns the worker, and whether the lifetime that is known there refuses the start
-   */
-  bindingOf(
-    taskName: string,
-  ): { readonly workerId: string; readonly isRefused: boolean } | undefined {
+  /** Finds the worker that alone may run a task, if there is one. */
+  bindingOf(taskName: string): TaskBinding | undefined {
     const entry = this.byTask.get(taskName);
     return entry === undefined || !this.isOpen(entry)
       ? undefined
-      : { workerId: entry.target.workerId, isRefused: isConfirmed(entry) };
+      : {
+          kind: isConfirmed(entry) ? 'confirmed' : 'unconfirmed',
+          workerId: entry.target.workerId,
+        };
   }
 
   private find(run: ActiveRun, workerId: string): Entry | undefined {
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -190,7 +190,7 @@
     if (bound === undefined) {
       return [...this.workers.values()];
     }
-    return this.unanswered.bindingOf(taskNameOf(task))?.isRefused === true ? [bound] : [];
+    return this.unanswered.bindingOf(taskNameOf(task))?.kind === 'confirmed' ? [bound] : [];
   }
 
   /**
--- a/src/fleet/fleetPeers.ts
+++ b/src/fleet/fleetPeers.ts
@@ -100,7 +100,7 @@
 
   /**
    * @returns when a peer that is gone can have said anything last, in monotonic time: had it lived longer, its next
-   *   heartbeat would have come
+   *   heartbeat would have come, unless a cut has hidden it
    */
   latestWordAtMs(peer: FleetPeer): number {
     const periodMs = longestPauseMs(this.relations.heartbeatPeriodMs(peer));
--- a/src/fleet/requesterTimes.ts
+++ b/src/fleet/requesterTimes.ts
@@ -25,7 +25,10 @@
 /** Longest time that a stop order takes to a reachable worker. */
 const stopDeliveryMs = 100;
 
-/** Shortest time after which a caller whose connection broke sends its job again, if no setting states it. */
+/**
+ * Shortest time after which a caller whose connection broke sends its job again, if no setting states it. It holds for one
+ * whose request was read; another one may go elsewhere at once.
+ */
 export const minCallerResendMs = 1_300;
 
 /** Allowance for the delivery of a message, in milliseconds, by which the age of messages may be estimated too low. */
