--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -13,7 +13,6 @@
 import type { ManagedWorkerOptions } from './managedWorker.js';
 import type { LeaseTimes } from './leaseTimes.js';
 import type { BatchedTask } from './openBatch.js';
-import { CapacityProfile } from './capacityProfile.js';
 import type { Addressee } from './silenceEvidence.js';
 import { UnansweredStarts } from './unansweredStarts.js';
 import { isSuspect, reserveWorker } from './suspectIsolation.js';
@@ -21,6 +20,7 @@
 import { expectedRunMs } from './workerChoice.js';
 import type { Candidate, TaskDemand } from './workerChoice.js';
 import { canStartNow, fits, isEligible } from './workerEligibility.js';
+import { WorkerForecast } from './workerForecast.js';
 
 export interface WorkerPoolOptions extends Pick<
   ManagedWorkerOptions,
@@ -41,13 +41,6 @@
   readonly worker: ManagedWorker;
 }
 
-/** A worker with its forecast of free cores, from which waiting tasks reserve theirs. */
-interface ProfiledWorker {
-  readonly worker: ManagedWorker;
-  readonly slowness: number;
-  readonly profile: CapacityProfile;
-}
-
 export class WorkerPool {
   private readonly workers = new Map<string, ManagedWorker>();
   private readonly activeTasks = ActiveTasks.create();
@@ -100,17 +93,9 @@
 
   /** Computes the free capacity of each worker after the waiting tasks have reserved theirs. */
   computeLoads(waiting: readonly BatchedTask[]): WorkerLoad[] {
-    const profiled = this.profileWorkers();
-    waiting
-      .filter((task) => !isSuspect(task))
-      .forEach((task) => reserveEarliestEnd(task, profiled));
-    return profiled.map(({ worker, slowness, profile }) => ({
-      workerId: worker.workerId,
-      free: { ...worker.free, cpuMillis: profile.free },
-      slowness: roundToHundredths(slowness),
-      isOpen: worker.isOpen,
-      releases: [...profile.releases],
-    }));
+    const forecast = this.forecast();
+    waiting.filter((task) => !isSuspect(task)).forEach((task) => forecast.reserve(task));
+    return forecast.loads();
   }
 
   /**
@@ -120,10 +105,9 @@
    * @param waiting - all waiting tasks, in the order in which they reserve capacity
    */
   findTasksExceedingMaxWait(waiting: readonly BatchedTask[]): BatchedTask[] {
-    const profiled = this.profileWorkers();
+    const forecast = this.forecast();
     return waiting.filter(
-      (task) =>
-        !isSuspect(task) && reserveEarliestEnd(task, profiled) > task.batch.content.maxWaitMs,
+      (task) => !isSuspect(task) && forecast.reserve(task) > task.batch.content.maxWaitMs,
     );
   }
 
@@ -253,42 +237,7 @@
     }
   }
 
-  private profileWorkers(): ProfiledWorker[] {
-    const nowMs = this.options.clock.nowMs();
-    return [...this.workers.values()].map((worker) => ({
-      worker,
-      slowness: worker.speed.slowness(nowMs),
-      profile: CapacityProfile.create(worker.unusedCpuMillis, worker.releases()),
-    }));
+  private forecast(): WorkerForecast {
+    return WorkerForecast.create([...this.workers.values()], this.options.clock.nowMs());
   }
 }
-
-/**
- * Reserves cores for a waiting task on the open worker where it is expected to end first.
- *
- * @returns its expected wait, in milliseconds; infinite if no worker ever has enough cores
- */
-const reserveEarliestEnd = (
-  { batch }: BatchedTask,
-  profiledWorkers: readonly ProfiledWorker[],
-): number => {
-  const { needs, estimatedMs } = batch.content;
-  const { cpuMillis } = needs.resources;
-  let best: ProfiledWorker | undefined;
-  let bestEndMs = Infinity;
-  for (const profiled of profiledWorkers) {
-    const endMs = profiled.profile.startsInMs(cpuMillis) + estimatedMs * profiled.slowness;
-    if (profiled.worker.isOpen && endMs < bestEndMs) {
-      best = profiled;
-      bestEndMs = endMs;
-    }
-  }
-  if (best === undefined) {
-    return Infinity;
-  }
-  const waitMs = best.profile.startsInMs(cpuMillis);
-  best.profile.reserve(cpuMillis, Math.round(estimatedMs * best.slowness));
-  return waitMs;
-};
-
-const roundToHundredths = (value: number): number => Math.round(value * 100) / 100;
