Date the last word of a holder that is gone by the proof of its end

Cause: FleetPeers.latestWordAtMs took a holder whose port refuses connections for silent since a heartbeat after it was last heard. Behind a cut it had lived on, and had started and renewed runs; 1,217 ms after that time are then no proof, and the next attempt started beside its runs. The same held for a holder in whose place another process answers.

Change: a peer records what has shown first that its process has ended (ProcessEnd: refused or replaced), from heartbeats and questions alike. The time does not move with further questions, so that the wait ends; a message or an answer of the process takes it back. A refusal shows nothing where the address was heard while it was on its way. A question that gets no answer after that has the earlier proof.

--- a/src/fleet/fleetPeer.ts
+++ b/src/fleet/fleetPeer.ts
@@ -5,11 +5,24 @@
 import type { FleetLink } from '../ports/fleetPeers.js';
 import type { FleetHeartbeat, KnownMember } from '../types/fleet.js';
 
+/** What shows that the process that was last heard at an address has ended. */
+export interface ProcessEnd {
+  /** `refused`: no process listens at its address; `replaced`: another one answers there. */
+  readonly shownBy: 'refused' | 'replaced';
+  /** When this was found first: the process has said nothing after it. */
+  readonly foundAtMs: number;
+}
+
+/** What was known when something was sent to a peer. */
+export interface SentToPeer {
+  /** The process that was heard there last. */
+  readonly incarnation: string | undefined;
+  readonly sentAtMs: number;
+}
+
 export class FleetPeer {
   /** The last heartbeat that was received. */
   heartbeat: FleetHeartbeat | undefined;
-  /** When the peer last sent a heartbeat or another message. */
-  lastContactAtMs = -Infinity;
   /** When the peer last sent a heartbeat of its own accord, not in answer to one. */
   lastInboundHeartbeatAtMs = -Infinity;
   /** When the store or another daemon last listed the peer. */
@@ -22,6 +35,10 @@
   unansweredHeartbeats = 0;
   /** When the last heartbeat was sent to the peer. */
   lastSentAtMs = -Infinity;
+  /** When the peer last sent a heartbeat or another message. */
+  private contactAtMs = -Infinity;
+  /** What has shown first, since the last message, that its process has ended. */
+  private foundEnd: ProcessEnd | undefined;
   /** When this daemon last sent a batch to the peer while it had none there. */
   private sharingStartedAtMs = -Infinity;
   /** When the last full heartbeat was sent to the peer. */
@@ -57,6 +74,47 @@
     return this.heartbeat?.member.incarnation;
   }
 
+  get lastContactAtMs(): number {
+    return this.contactAtMs;
+  }
+
+  /**
+   * What shows that its process has ended, if anything does. Silence shows nothing: behind a cut the process lives on, and
+   * starts and renews runs.
+   */
+  get end(): ProcessEnd | undefined {
+    return this.foundEnd;
+  }
+
+  /** Records a message of the peer. */
+  recordContact(sentAtMs: number): void {
+    this.contactAtMs = Math.max(this.contactAtMs, sentAtMs);
+    this.foundEnd = undefined;
+  }
+
+  /** Records that the process has answered something other than a heartbeat. */
+  recordAnswer(): void {
+    this.foundEnd = undefined;
+  }
+
+  /** Returns what is known of the peer when something is sent to it. */
+  describeSent(nowMs: number): SentToPeer {
+    return { incarnation: this.incarnation, sentAtMs: nowMs };
+  }
+
+  /**
+   * Records that the process has ended, unless a message has come meanwhile, which may be the newer one of the two.
+   *
+   * @param shownBy - what has shown it
+   * @param sent - what was known when this daemon sent what had this result
+   * @param nowMs - the current monotonic time
+   */
+  recordEnd(shownBy: ProcessEnd['shownBy'], sent: SentToPeer, nowMs: number): void {
+    if (sent.incarnation === this.incarnation && this.contactAtMs <= sent.sentAtMs) {
+      this.foundEnd ??= { shownBy, foundAtMs: nowMs };
+    }
+  }
+
   get sharingSinceMs(): number {
     return this.sharingStartedAtMs;
   }
--- a/src/fleet/fleetPeers.ts
+++ b/src/fleet/fleetPeers.ts
@@ -6,7 +6,7 @@
 import type { Logger } from '../ports/logger.js';
 import type { FleetHeartbeat, KnownMember, Member } from '../types/fleet.js';
 import type { TaskSupervisor } from '../utils/taskSupervisor.js';
-import { longestPauseMs, sleepUntilNextCheck } from '../utils/periodicSleep.js';
+import { sleepUntilNextCheck } from '../utils/periodicSleep.js';
 import { RecentNames } from '../utils/recentNames.js';
 import { rankContact } from './contacts.js';
 import { FleetPeer } from './fleetPeer.js';
@@ -98,15 +98,6 @@
     return [...this.peers.values()].find((peer) => peer.incarnation === incarnation);
   }
 
-  /**
-   * @returns when a peer that is gone can have said anything last, in monotonic time: had it lived longer, its next
-   *   heartbeat would have come, unless a cut has hidden it
-   */
-  latestWordAtMs(peer: FleetPeer): number {
-    const periodMs = longestPauseMs(this.relations.heartbeatPeriodMs(peer));
-    return Math.min(peer.lastContactAtMs + periodMs, this.options.clock.nowMs());
-  }
-
   /** @returns the peers that sent a message recently, as their relation requires */
   reachable(): FleetPeer[] {
     return [...this.peers.values()].filter((peer) => this.isReachable(peer));
@@ -176,8 +167,7 @@
   recordContact(incarnation: string, ageMs = 0): void {
     const peer = this.find(incarnation);
     if (peer !== undefined) {
-      const sentAtMs = this.options.clock.nowMs() - ageMs;
-      peer.lastContactAtMs = Math.max(peer.lastContactAtMs, sentAtMs);
+      peer.recordContact(this.options.clock.nowMs() - ageMs);
     }
   }
 
@@ -201,7 +191,7 @@
     const previous = peer.incarnation;
     const isNew = previous !== incarnation || !this.isReachable(peer);
     peer.heartbeat = heartbeat;
-    peer.lastContactAtMs = this.options.clock.nowMs();
+    peer.recordContact(this.options.clock.nowMs());
     peer.isMarkedUnreachable = false;
     peer.unansweredHeartbeats = 0;
     if (previous !== undefined && previous !== incarnation) {
--- a/src/fleet/heartbeatSender.ts
+++ b/src/fleet/heartbeatSender.ts
@@ -61,12 +61,16 @@
       peer.lastFullHeartbeatAtMs = nowMs;
     }
     const own = composeHeartbeat(peer.incarnation, isFull);
+    const sent = peer.describeSent(nowMs);
     const reply = await peer.link.beat(own, heartbeatTimeoutMs);
     if (reply.isOk()) {
       onRoundTrip(reply.value.member.incarnation, clock.nowMs() - nowMs);
       onAnswer(reply.value);
       return;
     }
+    if (reply.error.isNobodyThere === true) {
+      peer.recordEnd('refused', sent, clock.nowMs());
+    }
     peer.unansweredHeartbeats += 1;
     if (peer.incarnation !== undefined) {
       onSuspect(peer.incarnation);
--- a/src/fleet/holderQuestions.ts
+++ b/src/fleet/holderQuestions.ts
@@ -2,11 +2,13 @@
  * Asks the daemon that holds a job for its end, and answers such questions: for jobs of this daemon, and for those of
  * daemons in other failure domains that the asker does not reach itself.
  */
+import type { Result } from 'ts-results-es';
 import type { RunningJobs } from '../bestEffort/runningJobs.js';
 import { unreachable } from '../errors/unreachable.js';
 import type { Clock } from '../ports/clock.js';
 import { maxQuestionHops } from '../ports/fleetPeers.js';
 import type { HolderAnswer, JobQuestion } from '../ports/fleetPeers.js';
+import type { PeerError } from '../ports/peers.js';
 import type { FleetPeer } from './fleetPeer.js';
 import type { FleetPeers } from './fleetPeers.js';
 import type { HeldClaim } from './heldJobs.js';
@@ -20,6 +22,9 @@
  */
 const deliveryMs = 600;
 
+const toEvidence = (reply: Result<HolderAnswer, PeerError>): HolderEvidence =>
+  reply.isOk() ? { kind: 'answered', answer: reply.value } : { kind: 'no-answer' };
+
 export interface HolderQuestionsOptions {
   readonly clock: Clock;
   /** Incarnation of this daemon. */
@@ -28,7 +33,7 @@
   /** Time from the last word of a requester by which none of its runs goes on, in milliseconds. */
   readonly confirmationMs: number;
   /** Returns the peers; a function, since they are created after this object. */
-  readonly peers: () => Pick<FleetPeers, 'find' | 'findLastHeard' | 'latestWordAtMs'>;
+  readonly peers: () => Pick<FleetPeers, 'find' | 'findLastHeard'>;
 }
 
 export class HolderQuestions {
@@ -68,16 +73,37 @@
   }
 
   private async askAt(peer: FleetPeer, question: JobQuestion): Promise<HolderEvidence> {
-    const { peers } = this.options;
     const timeoutMs = question.waitMs + deliveryMs * (question.hops + 1);
+    return question.hops === 0
+      ? this.askHolder(peer, question, timeoutMs)
+      : toEvidence(await peer.link.awaitJob(question, timeoutMs));
+  }
+
+  /** Asks the holder itself, at the address where it was heard last. */
+  private async askHolder(
+    peer: FleetPeer,
+    question: JobQuestion,
+    timeoutMs: number,
+  ): Promise<HolderEvidence> {
+    const { clock } = this.options;
+    const sent = peer.describeSent(clock.nowMs());
     const reply = await peer.link.awaitJob(question, timeoutMs);
-    const isGone = reply.isOk()
-      ? reply.value.kind === 'replaced'
-      : reply.error.isNobodyThere === true;
-    if (isGone && question.hops === 0) {
-      return { kind: 'gone', latestWordAtMs: peers().latestWordAtMs(peer) };
+    if (reply.isErr() && reply.error.isNobodyThere === true) {
+      peer.recordEnd('refused', sent, clock.nowMs());
+    }
+    if (reply.isOk() && reply.value.kind === 'replaced') {
+      peer.recordEnd('replaced', sent, clock.nowMs());
+    }
+    if (peer.incarnation !== question.holder) {
+      return { kind: 'no-answer' };
+    }
+    if (reply.isOk() && reply.value.kind !== 'replaced') {
+      peer.recordAnswer();
+      return toEvidence(reply);
     }
-    return reply.isOk() ? { kind: 'answered', answer: reply.value } : { kind: 'no-answer' };
+    return peer.end === undefined
+      ? { kind: 'no-answer' }
+      : { kind: 'gone', latestWordAtMs: peer.end.foundAtMs };
   }
 
   /** The answer for an asker for which this daemon has asked. */
