A statement that is read while a job settles is heeded before its first start

Cause: JobIntake asked once whether another daemon holds a job. The job then waits for two turns of the event loop (JobRun.settle), in which heartbeats are read; a claim that came with them was ignored, and the job started beside the holder's run.

Change: JobRun asks once more after the settling, before anything is planned, and ends as held-elsewhere; RunningJobs forgets it without an end, and the intake lets the attempt wait, by the same path as one whose job was known to be held. JobIntake.start is the only path to a start. What was judged before that start doesn't count, so that an attempt can't go round. A daemon that asks about a job in that moment is told `unknown`, never that none runs. The earliest time of sending is fixed when the request is read, not when a wait begins.

Two specs pass the new argument of RunningJobs.submit; what they check is unchanged.

--- a/src/bestEffort/jobErrors.spec.ts
+++ b/src/bestEffort/jobErrors.spec.ts
@@ -74,10 +74,12 @@
   const { clock, jobs, withdrawn } = createFixture();
   const route = { ...fleetRoute, serviceId: workerFixture.serviceId };
   const { signal } = new AbortController();
-  const submitted = jobs.submit(route, request, 5_000, signal).then(
-    (end) => end.kind,
-    () => 'broken',
-  );
+  const submitted = jobs
+    .submit(route, request, 5_000, signal, { isHeldElsewhere: () => false })
+    .then(
+      (end) => end.kind,
+      () => 'broken',
+    );
   await clock.advance(1_000);
   assert.equal(withdrawn, ['b-1']);
   assert.is(await submitted, 'given-up');
--- a/src/bestEffort/jobRun.ts
+++ b/src/bestEffort/jobRun.ts
@@ -28,6 +28,9 @@
  */
 const withdrawalWaitMs = 100;
 
+/** How a run of a job ends: with an answer to its callers, or before its first start, since another daemon holds the job. */
+export type JobRunEnd = JobEnd | { readonly kind: 'held-elsewhere' };
+
 export interface JobRunOptions extends StepRunOptions {
   readonly clock: Clock;
   readonly logger: Logger;
@@ -119,14 +122,15 @@
    * up before any worker was asked to start a task ends as `refused`.
    *
    * @param signal - aborted when the caller has left or cancels the job
+   * @param isHeldElsewhere - whether another daemon holds the job, as far as is known when it is asked
    */
-  async run(signal: AbortSignal): Promise<JobEnd> {
+  async run(signal: AbortSignal, isHeldElsewhere: () => boolean): Promise<JobRunEnd> {
     const cancelled = new Promise<JobEnd>((resolve) => {
       signal.addEventListener('abort', () => resolve({ kind: 'cancelled' }), { once: true });
     });
     const timer = new AbortController();
     const end = await Promise.race([
-      this.runSteps().catch((error: unknown) => this.giveUpAfterError(error)),
+      this.runSteps(isHeldElsewhere).catch((error: unknown) => this.giveUpAfterError(error)),
       cancelled,
       this.givenUp.promise,
       this.awaitGiveUpTime(timer.signal),
@@ -164,8 +168,12 @@
     return { kind: 'given-up', reason: 'it did not end before its deadline' };
   }
 
-  private async runSteps(): Promise<JobEnd> {
+  private async runSteps(isHeldElsewhere: () => boolean): Promise<JobRunEnd> {
     await this.settle();
+    // What other daemons state may have been read in the same turns.
+    if (isHeldElsewhere()) {
+      return { kind: 'held-elsewhere' };
+    }
     const ends: Promise<StepEnd>[] = [];
     for (const [index, step] of this.job.steps.entries()) {
       ends.push(this.runWhenReady(step, index, ends));
--- a/src/bestEffort/runningJobs.ts
+++ b/src/bestEffort/runningJobs.ts
@@ -14,7 +14,7 @@
 import { countJobEnd } from './countJobEnd.js';
 import { EndedJobs } from './endedJobs.js';
 import { JobRun } from './jobRun.js';
-import type { JobRunOptions } from './jobRun.js';
+import type { JobRunEnd, JobRunOptions } from './jobRun.js';
 
 /**
  * Time for which a caller of another daemon counts as waiting for a job after the answer to that daemon's last question,
@@ -29,10 +29,18 @@
   readonly leftMs: number;
 }
 
+/** How a job is submitted that does not run here yet. */
+export interface JobStart {
+  /** The earliest time at which the request may have been sent, in monotonic time; if left out, as this process knows. */
+  readonly earliestSentAtMs?: number | undefined;
+  /** Whether another daemon holds the job; asked just before its first start is planned. */
+  readonly isHeldElsewhere: () => boolean;
+}
+
 /** A job with the number of requests that wait for it. */
 interface RunningJob {
   readonly run: JobRun;
-  readonly end: Promise<JobEnd>;
+  readonly end: Promise<JobRunEnd>;
   /** Cancels the job. */
   readonly stop: AbortController;
   waiters: number;
@@ -69,17 +77,15 @@
    * @param request - the job
    * @param deadlineMs - how long the caller waits, in milliseconds
    * @param signal - aborted when this caller leaves; the job is cancelled when its last one leaves
-   * @param earliestSentAtMs - the earliest time at which the request may have been sent, in monotonic time; if left out,
-   *   as this process knows of what it reads
-   * @returns how the job ended
+   * @returns how the job ended, or that nothing of it was started since another daemon holds it
    */
   async submit(
     route: Route,
     request: JobRequest,
     deadlineMs: number,
     signal: AbortSignal,
-    earliestSentAtMs?: number,
-  ): Promise<JobEnd> {
+    start: JobStart,
+  ): Promise<JobRunEnd> {
     this.options.standstills.check();
     if (signal.aborted) {
       return { kind: 'cancelled' };
@@ -91,7 +97,7 @@
       countJobEnd(this.options.metrics, route.routeId, end);
       return end;
     }
-    const job = this.jobs.get(jobId) ?? this.start(route, request, deadlineMs, earliestSentAtMs);
+    const job = this.jobs.get(jobId) ?? this.start(route, request, deadlineMs, start);
     return this.waitFor(job, signal);
   }
 
@@ -112,8 +118,11 @@
     void this.waitFor(job, over.signal).then(() => abortQuietly(over));
     void this.clock.sleep(waitMs + questionPauseMs, over.signal).then(() => abortQuietly(over));
     const answer = new AbortController();
-    await Promise.race([job.end, this.clock.sleep(waitMs, answer.signal)]);
+    const end = await Promise.race([job.end, this.clock.sleep(waitMs, answer.signal)]);
     abortQuietly(answer);
+    if (end?.kind === 'held-elsewhere') {
+      return { kind: 'unknown' };
+    }
     return this.jobs.get(jobId) === job
       ? { kind: 'running', leftMs: this.leftMsOf(job) }
       : this.answerFor(jobId, 0);
@@ -187,7 +196,7 @@
   }
 
   /** Waits for a job, which is cancelled when the last one that waits for it leaves. */
-  private async waitFor(job: RunningJob, signal: AbortSignal): Promise<JobEnd> {
+  private async waitFor(job: RunningJob, signal: AbortSignal): Promise<JobRunEnd> {
     job.waiters += 1;
     const leave = (): void => {
       job.waiters -= 1;
@@ -209,7 +218,7 @@
     route: Route,
     request: JobRequest,
     deadlineMs: number,
-    earliestSentAtMs?: number,
+    { earliestSentAtMs, isHeldElsewhere }: JobStart,
   ): RunningJob {
     const run = JobRun.create(this.options, route, request, deadlineMs, earliestSentAtMs);
     this.logger.info('A job is accepted.', {
@@ -221,18 +230,26 @@
       ...describeWait(run.wait),
     });
     const stop = new AbortController();
-    const end = this.runToEnd(run, stop.signal);
+    const end = this.runToEnd(run, stop.signal, isHeldElsewhere);
     const job: RunningJob = { run, end, stop, waiters: 0 };
     this.jobs.set(request.jobId, job);
     return job;
   }
 
   /** Runs a job, forgets it when it has ended, and counts and logs its end. */
-  private async runToEnd(run: JobRun, signal: AbortSignal): Promise<JobEnd> {
+  private async runToEnd(
+    run: JobRun,
+    signal: AbortSignal,
+    isHeldElsewhere: () => boolean,
+  ): Promise<JobRunEnd> {
     const startedAtMs = this.clock.nowMs();
     const { jobId } = run;
-    const end = await run.run(signal);
+    const end = await run.run(signal, isHeldElsewhere);
     this.jobs.delete(jobId);
+    if (end.kind === 'held-elsewhere') {
+      this.logger.info('A job is not started, since another daemon holds it.', { jobId });
+      return end;
+    }
     const { mayHaveStarted, runsEndAtMs, statedFromMs } = run;
     this.ended.record({ jobId, end, mayHaveStarted, runsEndAtMs, statedFromMs });
     const { routeId } = run.route;
--- a/src/bestEffort/stepRun.spec.ts
+++ b/src/bestEffort/stepRun.spec.ts
@@ -80,9 +80,11 @@
   });
   const ended: { end?: JobEnd; atMs?: number } = {};
   const { signal } = new AbortController();
-  void jobs.submit(routeFixture, request, 20_000, signal).then((end) => {
-    Object.assign(ended, { end, atMs: clock.nowMs() });
-  });
+  void jobs
+    .submit(routeFixture, request, 20_000, signal, { isHeldElsewhere: () => false })
+    .then((end) => {
+      Object.assign(ended, { end, atMs: clock.nowMs() });
+    });
   return { clock, batches, counts, ended };
 };
 
--- a/src/fleet/heldElsewhere.spec.ts
+++ b/src/fleet/heldElsewhere.spec.ts
@@ -4,6 +4,7 @@
 import { workerFixture } from '../testing/dispatchFixtures.js';
 import { fleetRoute, FleetFixture } from '../testing/fleetFixture.js';
 import type { FixtureMember } from '../testing/fleetFixture.js';
+import type { FleetHeartbeat } from '../types/fleet.js';
 
 const domains = ['east', 'west'];
 const daemonsPerDomain = 6;
@@ -42,6 +43,15 @@
 });
 const job = jobOf('00000000000000aa');
 
+/** A heartbeat of a daemon of the first failure domain, which has no batches. */
+const heartbeatOf = (index: number): FleetHeartbeat => ({
+  member: {
+    ...{ address: addressOf(0, index), incarnation: `east-${index}`, failureDomainId: 'east' },
+    weight: 1,
+  },
+  ...{ routingVersion: 0, isLeaving: false, load: { workers: [] }, askedBatchIds: [] },
+});
+
 /** Submits a job for a caller that can leave. */
 const submit = (fleet: FleetFixture, address: string, deadlineMs = 30_000) => {
   const caller = new AbortController();
@@ -74,6 +84,24 @@
   }
 });
 
+// Guards against a second run of a job whose holder's statement is read between the look at the claims and the first start.
+test('a job that is stated as held while its request settles does not start beside its first run', async () => {
+  const fleet = await createFleet();
+  const other = addressOf(0, 2);
+  submit(fleet, holder);
+  await fleet.clock.advance(10);
+  const next = submit(fleet, other);
+  const stated = fleet.daemon(holder).peerService.beat(heartbeatOf(2));
+  assert.is(stated.heldJobs?.length, 1);
+  fleet.daemon(other).peerService.beat(stated);
+  await fleet.clock.advance(1_000);
+  assert.is(fleet.workers.starts.length, 1);
+  await fleet.clock.advance(runMs);
+  assert.equal(next.result.end, { kind: 'completed' });
+  assert.is(fleet.workers.starts.length, 1);
+  await fleet.close();
+});
+
 // Guards against a job that is cancelled when the end of its first caller arrives, while the next attempt waits for it.
 test('a late end of the first caller does not cancel a job for which another daemon asks', async () => {
   const fleet = await createFleet();
--- a/src/fleet/jobIntake.spec.ts
+++ b/src/fleet/jobIntake.spec.ts
@@ -8,6 +8,7 @@
 import { silentLogger } from '../testing/silentLogger.js';
 import type { Route } from '../types/routing.js';
 import type { TaskFit, WorkerDirectory } from '../workers/workerDirectory.js';
+import type { HeldClaim } from './heldJobs.js';
 import type { JobCancellation } from './jobCancellation.js';
 import { JobIntake } from './jobIntake.js';
 import type { JobJoins } from './jobJoins.js';
@@ -26,7 +27,9 @@
 };
 
 const noJobIsHeld: Pick<JobJoins, 'isHeldElsewhere'> = { isHeldElsewhere: () => false };
+const noHolders = { held: { claimsOn: () => [] }, dispatcher: { openBatchesOfJob: () => [] } };
 const noJoins = {
+  ...noHolders,
   clock: FakeClock.create(),
   joins: noJobIsHeld as JobJoins,
 };
@@ -145,6 +148,7 @@
   const intake = JobIntake.create({
     ...{ clock, logger: silentLogger, metrics: noMetrics, routing: RoutingStore.create() },
     ...promptRequests,
+    ...noHolders,
     contact: { waitOf: () => ({ waitedMs: 300, acceptWaitMs: 0, unreadMs: 300, linkDelayMs: 0 }) },
     directory: directory as WorkerDirectory,
     jobs: jobs as RunningJobs,
@@ -171,4 +175,50 @@
   assert.is(started.length, 2);
 });
 
+// Guards against a job that starts beside its run at another daemon, whose statement is read in the turns before the first start.
+test('a job waits that another daemon states to hold before the first start, and only for what was not known yet', async () => {
+  const clock = FakeClock.create();
+  const claims: HeldClaim[] = [];
+  const settlingMs = 10;
+  const started: number[] = [];
+  const jobs: Pick<RunningJobs, 'state' | 'submit'> = {
+    state: () => 'unknown',
+    submit: async (_route, _request, deadlineMs, _signal, { isHeldElsewhere }) => {
+      await clock.sleep(settlingMs);
+      if (isHeldElsewhere()) {
+        return { kind: 'held-elsewhere' };
+      }
+      started.push(deadlineMs);
+      return { kind: 'completed' };
+    },
+  };
+  const joins: Pick<JobJoins, 'isHeldElsewhere' | 'wait'> = {
+    isHeldElsewhere: () => false,
+    wait: async ({ earliestSentAtMs }) => {
+      assert.is(earliestSentAtMs, 0);
+      await clock.sleep(1_000);
+      return { kind: 'start', evidence: 'holder-has-none' };
+    },
+  };
+  const directory: Pick<WorkerDirectory, 'fitOf'> = { fitOf: () => 'fits' };
+  const intake = JobIntake.create({
+    ...{ clock, logger: silentLogger, metrics: noMetrics, routing: RoutingStore.create() },
+    ...promptRequests,
+    ...noHolders,
+    held: { claimsOn: () => claims },
+    directory: directory as WorkerDirectory,
+    jobs: jobs as RunningJobs,
+    joins: joins as JobJoins,
+    cancellation: undefined as unknown as JobCancellation,
+  });
+  const { signal } = new AbortController();
+  const end = intake.submit(route, requestOf('job'), 5_000, signal);
+  claims.push({ jobId: 'job', holder: 'other', via: undefined, untilMs: 9_000 });
+  await clock.advance(settlingMs);
+  assert.equal(started, []);
+  await clock.advance(1_000 + settlingMs);
+  assert.equal(started, [5_000 - settlingMs - 1_000]);
+  assert.equal(await end, { kind: 'completed' });
+});
+
 test.run();
--- a/src/fleet/jobIntake.ts
+++ b/src/fleet/jobIntake.ts
@@ -3,6 +3,7 @@
  */
 import { countJobEnd } from '../bestEffort/countJobEnd.js';
 import type { RunningJobs } from '../bestEffort/runningJobs.js';
+import type { Dispatcher } from '../dispatch/dispatcher.js';
 import { unreachable } from '../errors/unreachable.js';
 import type {
   CancellationOutcome,
@@ -20,6 +21,7 @@
 import type { TaskFit, WorkerDirectory } from '../workers/workerDirectory.js';
 import { describeWait } from './callerContact.js';
 import type { CallerContact, RequestWait } from './callerContact.js';
+import type { HeldJobs } from './heldJobs.js';
 import type { JobCancellation } from './jobCancellation.js';
 import type { JobJoins, JoinRequest } from './jobJoins.js';
 import type { StandstillDetector } from './standstillDetector.js';
@@ -41,8 +43,8 @@
 /** The end of a job that is rejected at once: no task of it has failed, and nothing shows that none can run later. */
 type Rejection = Extract<JobEnd, { kind: 'refused' }>;
 
-/** An attempt whose job another daemon holds. */
-interface WaitingAttempt extends Omit<JoinRequest, 'earliestSentAtMs'> {
+/** An attempt whose job starts here, or waits since another daemon holds it. */
+interface Attempt extends JoinRequest {
   /** For how long its request may have waited until it was read. */
   readonly wait: RequestWait;
 }
@@ -56,6 +58,8 @@
   readonly jobs: RunningJobs;
   readonly cancellation: JobCancellation;
   readonly joins: JobJoins;
+  readonly held: Pick<HeldJobs, 'claimsOn'>;
+  readonly dispatcher: Pick<Dispatcher, 'openBatchesOfJob'>;
   /** Tells for how long a request may have waited. */
   readonly contact: Pick<CallerContact, 'waitOf'>;
   /** Finds a suspension of the VM, which counts as time waited. */
@@ -111,16 +115,20 @@
     signal: AbortSignal,
     earliestSentAtMs?: number,
   ): Promise<JobEnd> {
-    const { jobs, joins, contact, standstills } = this.options;
+    const { clock, joins, contact, standstills } = this.options;
     standstills.check();
     const wait = contact.waitOf(earliestSentAtMs);
     const rejection = this.rejectionOf(route, request);
     if (rejection !== undefined) {
       return this.reject(route, request, rejection, wait);
     }
+    const attempt: Attempt = {
+      ...{ route, request, deadlineMs, signal, wait },
+      earliestSentAtMs: clock.nowMs() - wait.waitedMs,
+    };
     return joins.isHeldElsewhere(request.jobId)
-      ? this.join({ route, request, deadlineMs, signal, wait })
-      : jobs.submit(route, request, deadlineMs, signal, earliestSentAtMs);
+      ? this.join(attempt)
+      : this.start(attempt, deadlineMs, earliestSentAtMs);
   }
 
   /** Number of jobs that have no answer yet. */
@@ -147,18 +155,47 @@
     return this.options.jobs.countWaiting(routeId);
   }
 
+  /**
+   * Runs a job that no other daemon holds as far as is known; if one states before the first start that it does, the attempt
+   * waits. Claims that are there now don't matter.
+   */
+  private async start(
+    attempt: Attempt,
+    leftMs: number,
+    earliestSentAtMs?: number,
+  ): Promise<JobEnd> {
+    const { jobs } = this.options;
+    const { route, request, signal } = attempt;
+    const settled = this.listHolders(request.jobId);
+    const isHeldElsewhere = (): boolean =>
+      this.listHolders(request.jobId).some((holder) => !settled.includes(holder));
+    const end = await jobs.submit(route, request, leftMs, signal, {
+      earliestSentAtMs,
+      isHeldElsewhere,
+    });
+    return end.kind === 'held-elsewhere' ? this.join(attempt) : end;
+  }
+
+  /** Lists the daemons that have stated that they hold a job, or of which a batch of it is open here. */
+  private listHolders(jobId: string): string[] {
+    const { dispatcher, held } = this.options;
+    return [
+      ...held.claimsOn(jobId).map(({ holder }) => holder),
+      ...dispatcher.openBatchesOfJob(jobId).map(({ askedBy }) => askedBy),
+    ];
+  }
+
   /** Waits for a job that another daemon holds, and runs it here if it has no end and no run of it goes on there. */
-  private async join(attempt: WaitingAttempt): Promise<JobEnd> {
-    const { clock, jobs, joins, metrics } = this.options;
-    const { route, request, deadlineMs, signal, wait } = attempt;
-    const earliestSentAtMs = clock.nowMs() - wait.waitedMs;
-    const outcome = await joins.wait({ route, request, deadlineMs, earliestSentAtMs, signal });
+  private async join(attempt: Attempt): Promise<JobEnd> {
+    const { clock, joins, metrics } = this.options;
+    const { route, request, deadlineMs, earliestSentAtMs, wait } = attempt;
+    const outcome = await joins.wait(attempt);
     switch (outcome.kind) {
       case 'start': {
         const rejection = this.rejectionOf(route, request);
         const leftMs = deadlineMs - (clock.nowMs() - earliestSentAtMs);
         return rejection === undefined
-          ? jobs.submit(route, request, leftMs, signal)
+          ? this.start(attempt, leftMs)
           : this.reject(route, request, rejection, wait);
       }
       case 'ended':
