Ask a holder on that gave no answer, and refuse in the last useful moment

Cause: one question without an answer led to a refusal after 0.9 s, with the whole stated time as Retry-After, where the job could not end here after that time. But a holder that is cut off for a moment may still end the job in the caller's time, and no other daemon serves the caller better.

Change: judgeHolder tells `unheard` (the holder may yet be heard with the end) from `may-run` (the end would be no answer: the holder is gone, or has ended the job otherwise). `may-run` is refused at once, as before. `unheard` is asked on, until the refusal just reaches the caller (giveUpMs of its deadline), or the stated time is over. A question under way does not outlast that. The refusal states the time until the runs are over, 1 to 5 s: a holder that was not heard may be heard again long before its runs have ended for certain.

Tests: the test that asserted the refusal after the first question asserted the old rule. It is replaced by exact ones: the moment and the Retry-After of the refusal of an unheard holder, the start where the stated time ends before, the end that comes late, the refusal at once where nothing can serve the attempt, and the cap. In holderEvidence.spec.ts the kind of a judgement has changed (`unheard`); `replaced` is asserted, too.

--- a/src/fleet/holderEvidence.spec.ts
+++ b/src/fleet/holderEvidence.spec.ts
@@ -15,9 +15,10 @@
 
 // Guards against a job that starts beside its runs at a daemon which does not answer, such as behind a cut.
 test('without an answer of the holder its runs may go on for as long as it has stated', () => {
-  const stated: HolderJudgement = { kind: 'may-run', untilMs: claim.untilMs };
+  const stated: HolderJudgement = { kind: 'unheard', untilMs: claim.untilMs };
   assert.equal(judge({ kind: 'no-answer' }), stated);
   assert.equal(judgeAnswer({ kind: 'unknown' }), stated);
+  assert.equal(judgeAnswer({ kind: 'replaced' }), { kind: 'may-run', untilMs: claim.untilMs });
   assert.is(judgeHolder(claim, { kind: 'no-answer' }, claim.untilMs, confirmationMs).kind, 'over');
 });
 
--- a/src/fleet/holderEvidence.ts
+++ b/src/fleet/holderEvidence.ts
@@ -34,6 +34,8 @@
   | { readonly kind: 'running'; readonly untilMs: number }
   /** Runs may go on until this time, in monotonic time, and their end would be no answer. */
   | { readonly kind: 'may-run'; readonly untilMs: number }
+  /** Runs may go on until this time, in monotonic time, and the holder may yet be heard with their end. */
+  | { readonly kind: 'unheard'; readonly untilMs: number }
   /** An earlier attempt of it waits there, and may start it. */
   | { readonly kind: 'waiting' }
   | { readonly kind: 'over'; readonly evidence: StartEvidence };
@@ -68,9 +70,15 @@
     case 'answered':
       return judgeAnswer(claim, evidence.answer, nowMs);
     case 'gone':
-      return untilOver(Math.min(claim.untilMs, evidence.latestWordAtMs + confirmationMs), nowMs);
+      return untilOver(
+        {
+          kind: 'may-run',
+          untilMs: Math.min(claim.untilMs, evidence.latestWordAtMs + confirmationMs),
+        },
+        nowMs,
+      );
     case 'no-answer':
-      return untilOver(claim.untilMs, nowMs);
+      return untilOver({ kind: 'unheard', untilMs: claim.untilMs }, nowMs);
     default:
       return unreachable(evidence);
   }
@@ -91,16 +99,20 @@
         ? { kind: 'over', evidence: 'holder-waits' }
         : { kind: 'waiting' };
     case 'may-run':
-      return untilOver(nowMs + answer.leftMs, nowMs);
+      return untilOver({ kind: 'may-run', untilMs: nowMs + answer.leftMs }, nowMs);
     case 'none-runs':
       return { kind: 'over', evidence: 'holder-has-none' };
     case 'unknown':
+      return untilOver({ kind: 'unheard', untilMs }, nowMs);
     case 'replaced':
-      return untilOver(untilMs, nowMs);
+      return untilOver({ kind: 'may-run', untilMs }, nowMs);
     default:
       return unreachable(answer);
   }
 };
 
-const untilOver = (untilMs: number, nowMs: number): HolderJudgement =>
-  untilMs > nowMs ? { kind: 'may-run', untilMs } : { kind: 'over', evidence: 'time-is-over' };
+const untilOver = (
+  judgement: Extract<HolderJudgement, { kind: 'may-run' | 'unheard' }>,
+  nowMs: number,
+): HolderJudgement =>
+  judgement.untilMs > nowMs ? judgement : { kind: 'over', evidence: 'time-is-over' };
--- a/src/fleet/jobJoins.spec.ts
+++ b/src/fleet/jobJoins.spec.ts
@@ -96,24 +96,65 @@
   assert.ok((second.result.atMs ?? Infinity) <= untilMs + 400);
 });
 
-// Guards against a job that starts beside its runs at a daemon that can't be asked, and against callers that wait in vain.
-test('without an answer an attempt starts after the stated time, or is refused if it could not end in time then', async () => {
-  const patient = createFixture(() => ({ kind: 'no-answer' }));
-  patient.begin(4_000);
-  await patient.clock.advance(2_900);
-  assert.is(patient.result.outcome, undefined);
-  await patient.clock.advance(100);
-  assert.equal(patient.result.outcome, { kind: 'start', evidence: 'time-is-over' });
+const reason = 'runs of an earlier attempt may go on at another daemon';
+const refusedFor = (retryAfterMs: number): JoinOutcome => ({
+  ...{ kind: 'ended', end: { kind: 'refused', retryAfterMs, reason } },
+});
+
+// Guards against a job that starts beside its runs at a daemon that can't be asked, and against callers that get no answer.
+test('without an answer an attempt starts after the stated time, or is refused while this still reaches its caller', async () => {
+  for (const deadlineMs of [4_000, 3_400]) {
+    const patient = createFixture(() => ({ kind: 'no-answer' }));
+    patient.begin(deadlineMs);
+    await patient.clock.advance(2_900);
+    assert.is(patient.result.outcome, undefined);
+    await patient.clock.advance(100);
+    assert.equal(patient.result.outcome, { kind: 'start', evidence: 'time-is-over' });
+  }
   const hasty = createFixture(() => ({ kind: 'no-answer' }));
-  hasty.begin(3_400);
-  await hasty.clock.advance(200);
-  assert.equal(hasty.result.outcome, {
-    kind: 'ended',
-    end: {
-      ...{ kind: 'refused', retryAfterMs: 2_900 },
-      reason: 'runs of an earlier attempt may go on at another daemon',
-    },
-  });
+  hasty.begin(2_000);
+  await hasty.clock.advance(2_000);
+  const atMs = 2_000 - 80;
+  assert.is(hasty.result.atMs, atMs);
+  assert.equal(hasty.result.outcome, refusedFor(3_000 - atMs));
+});
+
+// Guards against a caller that is refused though the end of its job comes in time, after one question that got no answer.
+test('a holder is asked on while its answer could reach the caller', async () => {
+  const fixture: ReturnType<typeof createFixture> = createFixture(() =>
+    fixture.clock.nowMs() < 1_500
+      ? { kind: 'no-answer' }
+      : answered({ kind: 'ended', end: { kind: 'completed' } })(),
+  );
+  fixture.begin(2_000);
+  await fixture.clock.advance(1_400);
+  assert.is(fixture.result.outcome, undefined);
+  await fixture.clock.advance(400);
+  assert.equal(fixture.result.outcome, { kind: 'ended', end: { kind: 'completed' } });
+});
+
+// Guards against callers that wait in vain, and those that are told to come again only long after the runs have ended.
+test('an attempt that nothing can serve is refused at once, with the time until the runs are over', async () => {
+  const gone: ReturnType<typeof createFixture> = createFixture(() => ({
+    ...{ kind: 'gone', latestWordAtMs: 0 },
+  }));
+  gone.begin(1_600);
+  await gone.clock.advance(100);
+  assert.equal(gone.result.outcome, refusedFor(1_217.5 - 100 + 0.5));
+  const over = createFixture(answered({ kind: 'may-run', leftMs: 1_500 }));
+  over.begin(1_600);
+  await over.clock.advance(100);
+  assert.equal(over.result.outcome, refusedFor(1_500));
+});
+
+// Guards against callers that stay away for as long as a holder has stated that could not be asked, but may be heard again soon.
+test('a refused caller is asked to come again after 5 s at the latest', async () => {
+  const { clock, held, begin, result } = createFixture(() => ({ kind: 'no-answer' }));
+  const statement = { leftMsByJob: { [jobId]: 30_000 } };
+  held.record({ sender: 'holder', source: 'own-domain', groups: [statement], ageMs: 0 });
+  begin(2_000);
+  await clock.advance(2_000);
+  assert.equal(result.outcome, refusedFor(5_000));
 });
 
 // Guards against a job that starts beside a run at a worker of this daemon, since no heartbeat has told of it yet.
--- a/src/fleet/jobJoins.ts
+++ b/src/fleet/jobJoins.ts
@@ -20,17 +20,12 @@
 import { judgeHolder } from './holderEvidence.js';
 import type { HolderEvidence, HolderJudgement, StartEvidence } from './holderEvidence.js';
 import type { HolderQuestions } from './holderQuestions.js';
-import { describeOutcome, whenLeft } from './joinOutcome.js';
+import { describeOutcome, minRetryAfterMs, refuseUntil, whenLeft } from './joinOutcome.js';
 import type { JoinOutcome } from './joinOutcome.js';
+import { askUntilMs, pauseAfter } from './joinTimes.js';
+import type { JoinState } from './joinTimes.js';
 import { deadlineTimesFor } from './requesterTimes.js';
 
-/** Longest pause before a holder whose runs may go on is asked again, in milliseconds. */
-const questionPeriodMs = 200;
-/** Shortest time between two questions about a job, in milliseconds. */
-const minQuestionPauseMs = 20;
-/** Shortest time after which a refused caller is asked to come again, in milliseconds. */
-const minRetryAfterMs = 1_000;
-
 /** What a caller has asked for. */
 export interface JoinRequest {
   readonly route: Route;
@@ -44,7 +39,7 @@
 }
 
 /** An attempt that waits. */
-interface Join extends JoinRequest {
+interface Join extends JoinRequest, JoinState {
   /** Resolved when this daemon ends the wait. */
   readonly givenUp: Deferred<JoinOutcome>;
   /** Holders of which it is known that none of their runs goes on. */
@@ -119,11 +114,14 @@
 
   /** Waits until the job has ended elsewhere, may start here, or can no longer end in time here. */
   async wait(attempt: JoinRequest): Promise<JoinOutcome> {
-    const { clock, logger } = this.options;
+    const { clock, leaseTimes, logger } = this.options;
     const { jobId } = attempt.request;
     const startedAtMs = clock.nowMs();
     const join: Join = {
       ...{ ...attempt, givenUp: createDeferred(), cleared: new Set(), evidence: 'not-held' },
+      answerByMs:
+        attempt.earliestSentAtMs + deadlineTimesFor(attempt.deadlineMs, leaseTimes).giveUpMs,
+      lastJudgement: undefined,
     };
     this.joins.add(join);
     const over = new AbortController();
@@ -162,18 +160,19 @@
         this.logJoin(claim);
       }
       const judgement = await this.judge(join, claim, stopped);
+      join.lastJudgement = judgement.kind;
       const outcome = this.follow(join, claim, judgement);
       if (outcome !== undefined) {
         return outcome;
       }
-      await clock.sleep(pauseAfter(judgement, clock.nowMs()), signal);
+      await clock.sleep(pauseAfter(judgement, join, clock.nowMs()), signal);
     }
     return { kind: 'start', evidence: join.evidence };
   }
 
-  /** Asks a holder, no longer than its runs may go on. */
+  /** Asks a holder, no longer than its runs may go on and the caller can wait. */
   private async judge(
-    { earliestSentAtMs }: Join,
+    join: Join,
     claim: HeldClaim,
     stopped: Promise<HolderEvidence>,
   ): Promise<HolderJudgement> {
@@ -182,12 +181,16 @@
     const evidence = await Promise.race([
       questions.ask(claim),
       clock
-        .sleep(Math.max(claim.untilMs - clock.nowMs(), 0), isOver.signal)
+        .sleep(
+          Math.max(askUntilMs(join, claim.untilMs, clock.nowMs()) - clock.nowMs(), 0),
+          isOver.signal,
+        )
         .then((): HolderEvidence => ({ kind: 'no-answer' })),
       stopped,
     ]);
     abortQuietly(isOver);
     const { untilMs } = claim;
+    const { earliestSentAtMs } = join;
     const { confirmationMs } = leaseTimes;
     return judgeHolder({ untilMs, earliestSentAtMs }, evidence, clock.nowMs(), confirmationMs);
   }
@@ -207,6 +210,11 @@
       case 'may-run':
         join.evidence = 'time-is-over';
         return this.refuseIfLate(join, judgement.untilMs);
+      case 'unheard': {
+        join.evidence = 'time-is-over';
+        const nowMs = this.options.clock.nowMs();
+        return nowMs < join.answerByMs ? undefined : refuseUntil(judgement.untilMs, nowMs);
+      }
       case 'over':
         join.cleared.add(claim.holder);
         join.evidence = judgement.evidence;
@@ -230,9 +238,7 @@
     if (untilMs + criticalPathMs(steps) <= earliestSentAtMs + deadlineMs) {
       return undefined;
     }
-    const retryAfterMs = Math.max(Math.ceil(untilMs - clock.nowMs()), minRetryAfterMs);
-    const reason = 'runs of an earlier attempt may go on at another daemon';
-    return { kind: 'ended', end: { kind: 'refused', reason, retryAfterMs } };
+    return refuseUntil(untilMs, clock.nowMs());
   }
 
   /** Lists the other daemons that hold a job: as they state it, and as batches of it show that are open here. */
@@ -255,23 +261,6 @@
   }
 }
 
-/** Time until a holder is asked again, in milliseconds. */
-const pauseAfter = (judgement: HolderJudgement, nowMs: number): number => {
-  switch (judgement.kind) {
-    case 'may-run':
-      return Math.min(Math.max(judgement.untilMs - nowMs, 0), questionPeriodMs);
-    case 'waiting':
-      return questionPeriodMs;
-    case 'running':
-      return minQuestionPauseMs;
-    case 'ended':
-    case 'over':
-      return 0;
-    default:
-      return unreachable(judgement);
-  }
-};
-
 const aborted = (signal: AbortSignal): Promise<HolderEvidence> =>
   new Promise((resolve) => {
     const end = (): void => resolve({ kind: 'no-answer' });
