Ask a holder again that states a job anew

Cause: an attempt that waits kept the holders that had shown that none of their runs goes on until its own end. One of them that began the job meanwhile, while another holder was waited for, was not asked again, and the attempt started beside its run (found by reading).

Change: only open batches of a cleared requester are passed over. What it has stated was forgotten when it was cleared, so that a statement that is there is newer, and is followed.

Measured: the new test in jobJoins.spec.ts failed before and passes.

--- a/src/fleet/jobJoins.spec.ts
+++ b/src/fleet/jobJoins.spec.ts
@@ -1,6 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { Dispatcher } from '../dispatch/dispatcher.js';
+import type { HolderAnswer } from '../ports/fleetPeers.js';
 import type { JobRequest, JobState } from '../ports/jobs.js';
 import { routeFixture } from '../testing/dispatchFixtures.js';
 import { FakeClock } from '../testing/fakeClock.js';
@@ -19,7 +20,7 @@
 };
 
 /** A daemon that has heard that another one holds the job for 3 s more; `answer` is what that one shows when asked. */
-const createFixture = (answer: () => HolderEvidence) => {
+const createFixture = (answer: (holder: string) => HolderEvidence) => {
   const clock = FakeClock.create();
   const held = HeldJobs.create(clock, 'own');
   const statement = { leftMsByJob: { [jobId]: 3_000 } };
@@ -38,7 +39,7 @@
       ask: async ({ holder }) => {
         asked.push(holder);
         await clock.sleep(100);
-        return answer();
+        return answer(holder);
       },
     },
   });
@@ -184,6 +185,31 @@
   assert.is(result.outcome?.kind, 'start');
 });
 
+// Guards against a job that starts beside its run at a daemon that has begun it after it was asked, while another one is waited for.
+test('a daemon that states a job again after it had no run of it is asked again', async () => {
+  const running: HolderAnswer = { kind: 'running', leftMs: 2_000 };
+  const none: HolderAnswer = { kind: 'none-runs' };
+  const answers: { first: HolderAnswer; second: HolderAnswer } = { first: none, second: running };
+  const { clock, held, begin, asked, result } = createFixture((holder) =>
+    answered(holder === 'holder' ? answers.first : answers.second)(),
+  );
+  const statement = { leftMsByJob: { [jobId]: 3_000 } };
+  const state = (sender: string): void =>
+    held.record({ sender, source: 'own-domain', groups: [statement], ageMs: 0 });
+  state('second');
+  begin();
+  await clock.advance(500);
+  assert.equal([...new Set(asked)], ['holder', 'second']);
+  answers.first = running;
+  state('holder');
+  answers.second = none;
+  await clock.advance(500);
+  assert.is(result.outcome, undefined);
+  answers.first = { kind: 'ended', end: { kind: 'completed' } };
+  await clock.advance(500);
+  assert.equal(result.outcome, { kind: 'ended', end: { kind: 'completed' } });
+});
+
 // Guards against two attempts that wait for the same job and start it at the same time, where the ends of both callers are lost.
 test('of two attempts that wait the earlier one starts the job, and the later one waits for it', async () => {
   let otherAgeMs = 1_500;
--- a/src/fleet/jobJoins.ts
+++ b/src/fleet/jobJoins.ts
@@ -42,7 +42,7 @@
 interface Join extends JoinRequest, JoinState {
   /** Resolved when this daemon ends the wait. */
   readonly givenUp: Deferred<JoinOutcome>;
-  /** Holders of which it is known that none of their runs goes on. */
+  /** Requesters of open batches of which it is known that none of their runs goes on. */
   readonly cleared: Set<string>;
   /** Why the job may start once no claim on it is left. */
   evidence: StartEvidence;
@@ -148,7 +148,7 @@
     const stopped = aborted(signal);
     let asked: string | undefined;
     while (!signal.aborted) {
-      const claim = this.claimsOn(jobId).find(({ holder }) => !join.cleared.has(holder));
+      const [claim] = this.claimsOn(jobId, join.cleared);
       if (jobs.wasCancelled(jobId)) {
         return { kind: 'ended', end: { kind: 'cancelled' } };
       }
@@ -241,13 +241,16 @@
     return refuseUntil(untilMs, clock.nowMs());
   }
 
-  /** Lists the other daemons that hold a job: as they state it, and as batches of it show that are open here. */
-  private claimsOn(jobId: string): HeldClaim[] {
+  /**
+   * Lists the other daemons that hold a job: as they state it, and as batches of it show that are open here. What a
+   * cleared one has stated is forgotten, so that a statement of it is a newer one.
+   */
+  private claimsOn(jobId: string, cleared: ReadonlySet<string> = new Set()): HeldClaim[] {
     const { dispatcher, held, ownId } = this.options;
     const stated = held.claimsOn(jobId);
     const batches = dispatcher
       .openBatchesOfJob(jobId)
-      .filter(({ askedBy }) => askedBy !== ownId)
+      .filter(({ askedBy }) => askedBy !== ownId && !cleared.has(askedBy))
       .map(({ askedBy, latestRunsEndAtMs }) => ({
         ...{ jobId, holder: askedBy, via: undefined, untilMs: latestRunsEndAtMs },
       }));
