--- a/src/fleet/jobJoins.spec.ts
+++ b/src/fleet/jobJoins.spec.ts
@@ -1,6 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { Dispatcher } from '../dispatch/dispatcher.js';
+import type { HolderAnswer } from '../ports/fleetPeers.js';
 import type { JobRequest, JobState } from '../ports/jobs.js';
 import { routeFixture } from '../testing/dispatchFixtures.js';
 import { FakeClock } from '../testing/fakeClock.js';
@@ -19,7 +20,7 @@
 };
 
 /** A daemon that has heard that another one holds the job for 3 s more; `answer` is what that one shows when asked. */
-const createFixture = (answer: () => HolderEvidence) => {
+const createFixture = (answer: (holder: string) => HolderEvidence) => {
   const clock = FakeClock.create();
   const held = HeldJobs.create(clock, 'own');
   const statement = { leftMsByJob: { [jobId]: 3_000 } };
@@ -38,7 +39,7 @@
       ask: async ({ holder }) => {
         asked.push(holder);
         await clock.sleep(100);
-        return answer();
+        return answer(holder);
       },
     },
   });
@@ -96,24 +97,65 @@
   assert.ok((second.result.atMs ?? Infinity) <= untilMs + 400);
 });
 
-// Guards against a job that starts beside its runs at a daemon that can't be asked, and against callers that wait in vain.
-test('without an answer an attempt starts after the stated time, or is refused if it could not end in time then', async () => {
-  const patient = createFixture(() => ({ kind: 'no-answer' }));
-  patient.begin(4_000);
-  await patient.clock.advance(2_900);
-  assert.is(patient.result.outcome, undefined);
-  await patient.clock.advance(100);
-  assert.equal(patient.result.outcome, { kind: 'start', evidence: 'time-is-over' });
+const reason = 'runs of an earlier attempt may go on at another daemon';
+const refusedFor = (retryAfterMs: number): JoinOutcome => ({
+  ...{ kind: 'ended', end: { kind: 'refused', retryAfterMs, reason } },
+});
+
+// Guards against a job that starts beside its runs at a daemon that can't be asked, and against callers that get no answer.
+test('without an answer an attempt starts after the stated time, or is refused while this still reaches its caller', async () => {
+  for (const deadlineMs of [4_000, 3_400]) {
+    const patient = createFixture(() => ({ kind: 'no-answer' }));
+    patient.begin(deadlineMs);
+    await patient.clock.advance(2_900);
+    assert.is(patient.result.outcome, undefined);
+    await patient.clock.advance(100);
+    assert.equal(patient.result.outcome, { kind: 'start', evidence: 'time-is-over' });
+  }
   const hasty = createFixture(() => ({ kind: 'no-answer' }));
-  hasty.begin(3_400);
-  await hasty.clock.advance(200);
-  assert.equal(hasty.result.outcome, {
-    kind: 'ended',
-    end: {
-      ...{ kind: 'refused', retryAfterMs: 2_900 },
-      reason: 'runs of an earlier attempt may go on at another daemon',
-    },
-  });
+  hasty.begin(2_000);
+  await hasty.clock.advance(2_000);
+  const atMs = 2_000 - 80;
+  assert.is(hasty.result.atMs, atMs);
+  assert.equal(hasty.result.outcome, refusedFor(3_000 - atMs));
+});
+
+// Guards against a caller that is refused though the end of its job comes in time, after one question that got no answer.
+test('a holder is asked on while its answer could reach the caller', async () => {
+  const fixture: ReturnType<typeof createFixture> = createFixture(() =>
+    fixture.clock.nowMs() < 1_500
+      ? { kind: 'no-answer' }
+      : answered({ kind: 'ended', end: { kind: 'completed' } })(),
+  );
+  fixture.begin(2_000);
+  await fixture.clock.advance(1_400);
+  assert.is(fixture.result.outcome, undefined);
+  await fixture.clock.advance(400);
+  assert.equal(fixture.result.outcome, { kind: 'ended', end: { kind: 'completed' } });
+});
+
+// Guards against callers that wait in vain, and those that are told to come again only long after the runs have ended.
+test('an attempt that nothing can serve is refused at once, with the time until the runs are over', async () => {
+  const gone: ReturnType<typeof createFixture> = createFixture(() => ({
+    ...{ kind: 'gone', latestWordAtMs: 0 },
+  }));
+  gone.begin(1_600);
+  await gone.clock.advance(100);
+  assert.equal(gone.result.outcome, refusedFor(1_217.5 - 100 + 0.5));
+  const over = createFixture(answered({ kind: 'may-run', leftMs: 1_500 }));
+  over.begin(1_600);
+  await over.clock.advance(100);
+  assert.equal(over.result.outcome, refusedFor(1_500));
+});
+
+// Guards against callers that stay away for as long as a holder has stated that could not be asked, but may be heard again soon.
+test('a refused caller is asked to come again after 5 s at the latest', async () => {
+  const { clock, held, begin, result } = createFixture(() => ({ kind: 'no-answer' }));
+  const statement = { leftMsByJob: { [jobId]: 30_000 } };
+  held.record({ sender: 'holder', source: 'own-domain', groups: [statement], ageMs: 0 });
+  begin(2_000);
+  await clock.advance(2_000);
+  assert.equal(result.outcome, refusedFor(5_000));
 });
 
 // Guards against a job that starts beside a run at a worker of this daemon, since no heartbeat has told of it yet.
@@ -143,6 +185,31 @@
   assert.is(result.outcome?.kind, 'start');
 });
 
+// Guards against a job that starts beside its run at a daemon that has begun it after it was asked, while another one is waited for.
+test('a daemon that states a job again after it had no run of it is asked again', async () => {
+  const running: HolderAnswer = { kind: 'running', leftMs: 2_000 };
+  const none: HolderAnswer = { kind: 'none-runs' };
+  const answers: { first: HolderAnswer; second: HolderAnswer } = { first: none, second: running };
+  const { clock, held, begin, asked, result } = createFixture((holder) =>
+    answered(holder === 'holder' ? answers.first : answers.second)(),
+  );
+  const statement = { leftMsByJob: { [jobId]: 3_000 } };
+  const state = (sender: string): void =>
+    held.record({ sender, source: 'own-domain', groups: [statement], ageMs: 0 });
+  state('second');
+  begin();
+  await clock.advance(500);
+  assert.equal([...new Set(asked)], ['holder', 'second']);
+  answers.first = running;
+  state('holder');
+  answers.second = none;
+  await clock.advance(500);
+  assert.is(result.outcome, undefined);
+  answers.first = { kind: 'ended', end: { kind: 'completed' } };
+  await clock.advance(500);
+  assert.equal(result.outcome, { kind: 'ended', end: { kind: 'completed' } });
+});
+
 // Guards against two attempts that wait for the same job and start it at the same time, where the ends of both callers are lost.
 test('of two attempts that wait the earlier one starts the job, and the later one waits for it', async () => {
   let otherAgeMs = 1_500;
