An answer that arrived while the asker stood still counts

Cause: after a standstill, timers that are overdue come before the sockets are read. The call of another daemon was then given up, its answer, which waited in the socket, was dropped, and a caller who cancelled was told 503 at the same moment, though the job had been cancelled.

Change: a call whose time is over waits for one reading of the sockets (RpcSocket), as does a cancellation (JobCancellation).

Tests, both failing before: "an answer that arrives while the caller stands still is read before its call is given up", "answers that arrived while the daemon stood still are read before a cancellation is answered".

--- a/src/adapters/fleetRpc/fleetRpcLink.spec.ts
+++ b/src/adapters/fleetRpc/fleetRpcLink.spec.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { Worker } from 'node:worker_threads';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import type { FleetService } from '../../ports/fleetPeers.js';
@@ -33,6 +34,25 @@
   fetchRouting: () => null,
 };
 
+/** A peer in a thread of its own, which answers every call with the heartbeat, and tells its port. */
+const answeringPeer = `
+  const { parentPort, workerData } = require('node:worker_threads');
+  const { WebSocketServer } = require('ws');
+  const server = new WebSocketServer({ host: '127.0.0.1', port: 0 });
+  server.on('connection', (socket) =>
+    socket.on('message', (call) => {
+      const { id } = JSON.parse(call.toString());
+      socket.send(JSON.stringify({ jsonrpc: '2.0', id, result: workerData }));
+    }),
+  );
+  server.once('listening', () => parentPort.postMessage(server.address().port));
+`;
+
+/** Keeps this thread from doing anything for a time, in milliseconds. */
+const standStill = (durationMs: number): void => {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, durationMs);
+};
+
 const createServerAndLink = async () => {
   const server = await FleetRpcServer.create({
     host: '127.0.0.1',
@@ -194,6 +214,21 @@
   peer.close();
 });
 
+// Guards against a cancellation, or another call, that counts as unanswered since the caller itself stood still.
+test('an answer that arrives while the caller stands still is read before its call is given up', async () => {
+  const peer = new Worker(answeringPeer, { eval: true, workerData: heartbeat });
+  const [port] = (await once(peer, 'message')) as [number];
+  const link = FleetRpcConnector.create().connect(`127.0.0.1:${port}`);
+  const first = await link.beat(heartbeat, 1_000);
+  const pending = link.beat(heartbeat, 100);
+  standStill(700);
+  const second = await pending;
+  await link.close();
+  await peer.terminate();
+  assert.ok(first.isOk());
+  assert.ok(second.isOk());
+});
+
 test('a daemon of an earlier version, which serves HTTP only, is called over HTTP', async () => {
   const earlier = await HttpServer.create({
     host: '127.0.0.1',
--- a/src/adapters/jsonRpc/rpcSocket.ts
+++ b/src/adapters/jsonRpc/rpcSocket.ts
@@ -39,6 +39,7 @@
   private closeReason = 'The connection was closed.';
   /** Whether no process listens at the address. */
   private isNobodyThere = false;
+  private lastCallId = 0;
   private readonly socket: WebSocket;
   private readonly client: JSONRPCClient;
   /** Resolves when the connection is open or has failed. */
@@ -48,7 +49,10 @@
     url: string,
     private readonly methods: T,
   ) {
-    this.client = new JSONRPCClient((call) => this.socket.send(JSON.stringify(call)));
+    this.client = new JSONRPCClient(
+      (call) => this.socket.send(JSON.stringify(call)),
+      () => (this.lastCallId += 1),
+    );
     this.socket = new WebSocket(url, {
       handshakeTimeout: connectTimeoutMs,
       maxPayload: maxReplyBytes,
@@ -112,9 +116,7 @@
       return Err({ kind: 'not-sent', detail, ...(isNobodyThere ? { isNobodyThere } : {}) });
     }
     try {
-      const reply: unknown = await this.client
-        .timeout(timeoutMs, createTimeoutResponse)
-        .request(method, params);
+      const reply = await this.request(method, params, timeoutMs);
       return decodeReply(this.methods, method, reply);
     } catch (error) {
       const peerError = this.toCallError(error);
@@ -127,6 +129,22 @@
     this.socket.terminate();
   }
 
+  /**
+   * Sends a call and waits for its answer. When its time is over, the sockets are read once more: timers that are overdue
+   * since this process stood still come before the answers that arrived meanwhile.
+   */
+  private async request(method: string, params: unknown, timeoutMs: number): Promise<unknown> {
+    const reply = this.client.request(method, params);
+    const id = this.lastCallId;
+    const giveUp = () => this.client.receive(createTimeoutResponse(id));
+    const timer = setTimeout(() => setImmediate(giveUp), timeoutMs);
+    try {
+      return await reply;
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
   /** Waits until the connection is open, has failed, or the time is over. */
   private async waitForConnection(timeoutMs: number): Promise<void> {
     let timer: NodeJS.Timeout | undefined;
--- a/src/fleet/jobCancellation.spec.ts
+++ b/src/fleet/jobCancellation.spec.ts
@@ -1,9 +1,19 @@
+import { Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import type { RunningJobs } from '../bestEffort/runningJobs.js';
+import type { CancellationReply } from '../ports/fleetPeers.js';
 import type { CancellationOutcome, JobEnd, JobRequest } from '../ports/jobs.js';
+import type { PeerError } from '../ports/peers.js';
 import { workerFixture } from '../testing/dispatchFixtures.js';
+import { FakeClock } from '../testing/fakeClock.js';
 import { FleetFixture } from '../testing/fleetFixture.js';
 import type { FixtureMember } from '../testing/fleetFixture.js';
+import { silentLogger } from '../testing/silentLogger.js';
+import { createDeferred } from '../utils/deferred.js';
+import type { FleetPeers } from './fleetPeers.js';
+import { JobCancellation } from './jobCancellation.js';
 
 const domains = ['east', 'west', 'north'];
 const daemonsPerDomain = 4;
@@ -188,6 +198,41 @@
   }
 });
 
+// Guards against a caller that is told of no answer, while it waits unread at a daemon that stood still.
+test('answers that arrived while the daemon stood still are read before a cancellation is answered', async () => {
+  const clock = FakeClock.create();
+  const reply = createDeferred<Result<CancellationReply, PeerError>>();
+  const cancellation = JobCancellation.create({
+    clock: {
+      nowMs: () => clock.nowMs(),
+      wallMs: () => clock.wallMs(),
+      bootMs: () => clock.bootMs(),
+      sleep: (durationMs, signal) => clock.sleep(durationMs, signal),
+      nextTurn: () => {
+        reply.resolve(Ok({ wasFound: true }));
+        return clock.nextTurn();
+      },
+    },
+    logger: silentLogger,
+    failureDomainId: 'east',
+    jobs: { cancel: () => false } as unknown as RunningJobs,
+    peers: () =>
+      ({
+        hasListedAll: true,
+        reachable: () => [
+          { address: 'b', failureDomainId: 'east', link: { cancelJob: () => reply.promise } },
+        ],
+        silent: () => [],
+      }) as unknown as FleetPeers,
+  });
+  const outcome = cancellation.cancel(job.jobId);
+  await clock.flushCallbacks();
+  clock.jump(1_000);
+  await clock.advance(0);
+  assert.is(await outcome, 'cancelled');
+  cancellation.close();
+});
+
 test('a daemon of an earlier version is no contact that passes a cancellation on', async () => {
   const fleet = await createFleet();
   const own = addressOf(0, 0);
--- a/src/fleet/jobCancellation.ts
+++ b/src/fleet/jobCancellation.ts
@@ -212,10 +212,14 @@
     return failureDomainId === this.options.failureDomainId;
   }
 
+  /** Waits for the outcome within bounded time; answers that arrived while this process stood still are read first. */
   private async withinTime(outcome: Promise<CancellationOutcome>): Promise<CancellationOutcome> {
     const isOver = new AbortController();
     const { clock } = this.options;
-    const time = clock.sleep(maxWaitMs, isOver.signal).then(() => 'unconfirmed' as const);
+    const time = clock
+      .sleep(maxWaitMs, isOver.signal)
+      .then(() => clock.nextTurn())
+      .then(() => 'unconfirmed' as const);
     const result = await Promise.race([outcome, time]);
     abortQuietly(isOver);
     return result;
