--- a/src/programs/toucandyked/runOnPlatform.ts
+++ b/src/programs/toucandyked/runOnPlatform.ts
@@ -8,11 +8,16 @@
   readSettingsText,
   settingsPathVariable,
 } from '../../../platform/settings.js';
+import { RoarrLogger } from '../../adapters/system/roarrLogger.js';
+import { SystemClock } from '../../adapters/system/systemClock.js';
+import { readInitialSettings } from '../../config/initialSettings.js';
 import { reportUnhandledRejections } from './lastResort.js';
 import { PlatformProcess } from './platformProcess.js';
 import type { ReloadSignal } from './reloadSignal.js';
 
 const usageExitCode = 2;
+/** Stands for the VM in the log until its settings are known. */
+const unknownVmId = '-';
 
 /**
  * Runs the daemon until SIGTERM or SIGINT, then shuts it down as planned.
@@ -21,8 +26,12 @@
  */
 export const runOnPlatform = async (reload: ReloadSignal): Promise<void> => {
   const path = process.env[settingsPathVariable] ?? '';
-  const readText = () => readSettingsText(path);
-  const settings = readText().andThen(decodePlatformSettings);
+  const source = { readText: () => readSettingsText(path), decode: decodePlatformSettings };
+  const settings = await readInitialSettings({
+    clock: SystemClock.create(),
+    logger: RoarrLogger.create('info', unknownVmId),
+    source,
+  });
   if (settings.isErr()) {
     process.stderr.write(`${settings.error}\n`);
     process.exitCode = usageExitCode;
@@ -32,10 +41,7 @@
   const stopped = Promise.race([once(process, 'SIGTERM'), once(process, 'SIGINT')]);
   const daemon = await PlatformProcess.create(settings.value);
   reportUnhandledRejections(daemon.supervisor);
-  const follower = daemon.followSettings(
-    { readText, decode: decodePlatformSettings },
-    livePlatformFields,
-  );
+  const follower = daemon.followSettings(source, livePlatformFields);
   reload.listen(() => follower.reload());
   await stopped;
   reload.ignore();
--- a/src/programs/toucandyked/runWithSettings.spec.ts
+++ b/src/programs/toucandyked/runWithSettings.spec.ts
@@ -51,4 +51,30 @@
   rmSync(folder, { recursive: true });
 });
 
+// Guards against a daemon that ends, and does not come back, since it started while its settings were written.
+test('a daemon that starts while its settings are written waits for them, and ends if they stay invalid', async () => {
+  const folder = mkdtempSync(join(tmpdir(), 'toucandyke-settings-'));
+  const file = join(folder, 'settings.yaml');
+  writeFileSync(file, '');
+  const program = join(import.meta.dirname, 'main.ts');
+  const child = spawn(process.execPath, ['--import', 'tsx', program, file]);
+  const exited = once(child, 'exit');
+  const [line] = (await Promise.race([once(child.stdout, 'data'), exited])) as [unknown];
+  assert.match(String(line), /The settings file is not valid; it is read again/);
+  writeFileSync(file, settingsOf(100, 1));
+  while ((await fetch('http://127.91.0.1:7001/livez').catch(() => undefined)) === undefined) {
+    assert.is(child.exitCode, null, 'still running');
+    await sleep(100);
+  }
+  child.kill('SIGTERM');
+  assert.equal(await exited, [0, null]);
+  writeFileSync(file, 'vmId: [');
+  const invalid = spawn(process.execPath, ['--import', 'tsx', program, file]);
+  let errors = '';
+  invalid.stderr.on('data', (chunk: Buffer) => (errors += chunk.toString()));
+  assert.equal(await once(invalid, 'exit'), [2, null]);
+  assert.match(errors, /settings\.yaml:\d+:/);
+  rmSync(folder, { recursive: true });
+});
+
 test.run();
--- a/src/programs/toucandyked/runWithSettings.ts
+++ b/src/programs/toucandyked/runWithSettings.ts
@@ -4,12 +4,17 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import { formatFault, parseYaml, readFileText } from '../../adapters/yaml/readYamlFile.js';
+import { RoarrLogger } from '../../adapters/system/roarrLogger.js';
+import { SystemClock } from '../../adapters/system/systemClock.js';
 import { checkSettings } from '../../config/checkSettings.js';
+import { readInitialSettings } from '../../config/initialSettings.js';
 import type { Settings } from '../../config/settings.js';
 import { DaemonProcess } from './daemonProcess.js';
 import type { ReloadSignal } from './reloadSignal.js';
 
 const usageExitCode = 2;
+/** Stands for the VM in the log until its settings are known. */
+const unknownVmId = '-';
 
 /** Fields of the settings that take effect in a running daemon. */
 const liveFields = ['drainGraceMs', 'logLevel'] as const;
@@ -23,9 +28,13 @@
 export const runWithSettings = async (file: string, reload: ReloadSignal): Promise<void> => {
   const readText = () => readFileText(file);
   const decode = (text: string) => decodeSettings(file, text);
-  const settings = readText()
-    .mapErr((message) => formatFault(file, { line: 0, path: '', message }))
-    .andThen(decode);
+  const readLocated = () =>
+    readText().mapErr((message) => formatFault(file, { line: 0, path: '', message }));
+  const settings = await readInitialSettings({
+    clock: SystemClock.create(),
+    logger: RoarrLogger.create('info', unknownVmId),
+    source: { readText: readLocated, decode },
+  });
   if (settings.isErr()) {
     process.stderr.write(`${settings.error}\n`);
     process.exitCode = usageExitCode;
