A likely crash is told to the other daemons at once

What callers would see: a deadly task took six workers with it, where five are allowed (BUDGET), since the daemon that had just found the third crash likely was killed 126 ms later, before its next heartbeat. The class: a proof that only one process has, which is told by a timer.

Change: CrashSuspects tells of a likely crash found here; heartbeats go at once to all peers with which contact is kept, in place of within 0.6 s. Many crashes in one turn make one heartbeat to each peer.

--- a/src/dispatch/crashSuspects.ts
+++ b/src/dispatch/crashSuspects.ts
@@ -52,10 +52,16 @@
   /** By name of the task; the one that changed last is at the end. */
   private readonly suspects = new Map<string, Suspect>();
 
-  private constructor(private readonly clock: Clock) {}
+  private constructor(
+    private readonly clock: Clock,
+    private readonly onLikelyCrash: () => void,
+  ) {}
 
-  static create(clock: Clock): CrashSuspects {
-    return new CrashSuspects(clock);
+  /**
+   * @param onLikelyCrash - called when it is found here that a worker has likely crashed under a task
+   */
+  static create(clock: Clock, onLikelyCrash: () => void = () => undefined): CrashSuspects {
+    return new CrashSuspects(clock, onLikelyCrash);
   }
 
   /** Whether workers are known to have been lost under a task. */
@@ -71,7 +77,10 @@
 
   /** Records a loss of a task as seen here, or what it has turned out to be. */
   recordOwn(taskName: string, loss: TaskLoss): void {
-    this.record(taskName, addLoss(noLosses, loss), 'own');
+    const isNews = this.record(taskName, addLoss(noLosses, loss), 'own');
+    if (isNews && loss.status === 'likely') {
+      this.onLikelyCrash();
+    }
   }
 
   /** Records what a batch states of a task, which those have announced who saw it. */
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -40,6 +40,8 @@
   readonly farRackFactor: number;
   /** Called before tasks are started and leases are renewed; may withdraw batches. */
   readonly beforeOrders?: () => void;
+  /** Called when a worker has likely crashed under a task. */
+  readonly onLikelyCrash?: () => void;
   /** Slowdown factors of workers that other dispatchers measured earlier. */
   readonly speeds: WorkerSpeedCache;
 }
@@ -60,13 +62,11 @@
     const logger = options.logger.forPart('dispatch');
     this.logger = logger;
     this.batches = BatchTable.create(options.clock);
-    this.suspects = CrashSuspects.create(options.clock);
+    this.suspects = CrashSuspects.create(options.clock, options.onLikelyCrash);
     this.doubts = DoubtedStarts.create(options.clock);
     const supervisor = TaskSupervisor.create(options);
     this.workers = WorkerPool.create({
-      ...options,
-      logger,
-      supervisor,
+      ...{ ...options, logger, supervisor },
       onEnd: (worker, run, evidence) => this.ended(worker, run, evidence),
       onLifetime: (workerId, answering) => this.lostRuns.resolveLapsed(workerId, answering),
       onUnanswered: (workerId, run) => this.lostRuns.recordUnanswered(workerId, run),
@@ -81,11 +81,11 @@
       awaitsProof: (task) => this.retries.awaitsProof(task),
     });
     const { starter, suspects, doubts } = this;
-    const lapsedRuns = LapsedRuns.create();
     this.retries = TaskRetries.create({
       ...{ logger, starter, suspects, doubts },
       isBoundTo: (task, workerId) => this.workers.isBoundTo(task, workerId),
     });
+    const lapsedRuns = LapsedRuns.create();
     this.lostRuns = LostRuns.create({ logger, lapsedRuns, doubts, retries: this.retries });
   }
 
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -102,6 +102,7 @@
       farRackFactor,
       speeds: this.speeds,
       beforeOrders: () => standstills.check(),
+      onLikelyCrash: () => this.peers.tellNews(),
     });
     this.directory = WorkerDirectory.create({
       ...common,
--- a/src/fleet/fleetPeer.ts
+++ b/src/fleet/fleetPeer.ts
@@ -4,6 +4,7 @@
  */
 import type { FleetLink } from '../ports/fleetPeers.js';
 import type { FleetHeartbeat, KnownMember } from '../types/fleet.js';
+import { abortQuietly } from '../utils/abortQuietly.js';
 
 /** What shows that the process that was last heard at an address has ended. */
 export interface ProcessEnd {
@@ -31,6 +32,8 @@
   isMarkedUnreachable = false;
   /** Whether another process was heard at the address, so that an answer has to show which one is there. */
   isDisputed = false;
+  /** Whether something has to be told to the peer at once, which the last heartbeat to it did not state. */
+  hasNews = false;
   /** Number of heartbeats without an answer since the last one that was received. */
   unansweredHeartbeats = 0;
   /** When the last heartbeat was sent to the peer. */
@@ -45,6 +48,7 @@
   lastFullHeartbeatAtMs = -Infinity;
   /** Ends the exchange of heartbeats with the peer. */
   readonly stop = new AbortController();
+  private pause = new AbortController();
 
   private constructor(
     /** Address and failure domain, known before the first heartbeat. */
@@ -86,6 +90,18 @@
     return this.foundEnd;
   }
 
+  /** Begins a pause between heartbeats, which ends when the signal is aborted: by news, or when the exchange ends. */
+  beginPause(): AbortSignal {
+    this.pause = new AbortController();
+    return this.pause.signal;
+  }
+
+  /** Has a heartbeat sent at once, if heartbeats are sent to the peer. */
+  tellNews(): void {
+    this.hasNews = true;
+    abortQuietly(this.pause);
+  }
+
   /** Records a message of the peer. */
   recordContact(sentAtMs: number): void {
     this.contactAtMs = Math.max(this.contactAtMs, sentAtMs);
@@ -151,6 +167,7 @@
 
   async close(): Promise<void> {
     this.stop.abort();
+    abortQuietly(this.pause);
     await this.link.close();
   }
 }
--- a/src/fleet/fleetPeers.ts
+++ b/src/fleet/fleetPeers.ts
@@ -117,6 +117,11 @@
     return this.discovery.hasListedAll;
   }
 
+  /** Has heartbeats sent at once to all peers with which this daemon keeps contact. */
+  tellNews(): void {
+    this.peers.forEach((peer) => peer.tellNews());
+  }
+
   /** @returns addresses and failure domains of the reachable peers, for heartbeats */
   heardMembers(): KnownMember[] {
     return this.reachable().map(({ known }) => known);
--- a/src/fleet/heartbeatDuty.ts
+++ b/src/fleet/heartbeatDuty.ts
@@ -39,7 +39,7 @@
     return this.contacts.has(address);
   }
 
-  /** Within a domain the lower address sends; across domains, either side that keeps contact. */
+  /** Within a domain the lower address sends; across domains, either side that keeps contact; news, either side at once. */
   mustSend(peer: FleetPeer): boolean {
     const { clock, own } = this.options;
     if (peer.isDisputed) {
@@ -48,7 +48,7 @@
     if (!this.keepsContact(peer)) {
       return false;
     }
-    if (!this.relations.isReachable(peer)) {
+    if (!this.relations.isReachable(peer) || peer.hasNews) {
       return true;
     }
     if (!this.relations.isHeartbeatDue(peer)) {
--- a/src/fleet/heartbeatSender.ts
+++ b/src/fleet/heartbeatSender.ts
@@ -40,14 +40,15 @@
   async exchangeWith(peer: FleetPeer): Promise<void> {
     const { clock, duty, relations } = this.options;
     while (!peer.stop.signal.aborted) {
-      if (duty.mustSend(peer)) {
+      const isDue = duty.mustSend(peer);
+      if (isDue) {
         await this.send(peer);
       }
-      await sleepUntilSharedPeriod(
-        clock,
-        relations.isReachable(peer) ? heartbeatTickMs : retryPeriodMs,
-        peer.stop.signal,
-      );
+      const hasMore = isDue && peer.hasNews;
+      if (!hasMore) {
+        const periodMs = relations.isReachable(peer) ? heartbeatTickMs : retryPeriodMs;
+        await sleepUntilSharedPeriod(clock, periodMs, peer.beginPause());
+      }
     }
   }
 
@@ -56,6 +57,7 @@
     const nowMs = clock.nowMs();
     peer.lastSentAtMs = nowMs;
     peer.isDisputed = false;
+    peer.hasNews = false;
     const isFull = nowMs - peer.lastFullHeartbeatAtMs >= fullHeartbeatPeriodMs;
     if (isFull) {
       peer.lastFullHeartbeatAtMs = nowMs;
