Look early whether a daemon of the own domain is there whose heartbeat is late

Cause: within a failure domain only the lower address sends heartbeats. The other one sent none until the peer counted as unreachable (1.8 s), so that it found the end of a killed daemon only then, or by a question. Since the last word is dated by this proof, the next attempt waited longer, and "no two kills of daemons let a task that crashes its workers start again and again" failed: the wait went on until 8,672 instead of 8,071 ms, and with the later times a sixth run was started within the budget rule.

Change: the other one sends a heartbeat, too, once one is later than the longest pause of a period.

Measured: the new test of fleetPeers.spec.ts failed before. The order of two kills (kills at 2,150 and 7,150 ms) waits until 8,221 ms and holds again, as does eventOrdersWalk.spec.ts but for its known red test. The order held by its times: that a budget break needs them is not mended here.

--- a/src/fleet/fleetPeers.spec.ts
+++ b/src/fleet/fleetPeers.spec.ts
@@ -164,4 +164,18 @@
   await fleet.close();
 });
 
+// Guards against the end of a daemon that is found late by those of its domain to which it sent the heartbeats.
+test('a daemon whose heartbeat is late is sent one before it counts as unreachable', async () => {
+  const fleet = HeartbeatFleet.create({ daemonsPerDomain: 2 });
+  await fleet.clock.advance(3_000);
+  fleet.calls.length = 0;
+  await fleet.clock.advance(1_800);
+  assert.not(fleet.calls.includes('a:1 a:0'));
+  fleet.disconnected.add('a:0');
+  await fleet.clock.advance(1_200);
+  assert.ok(fleet.calls.includes('a:1 a:0'));
+  assert.not(fleet.lost.includes('a1 a0'));
+  await fleet.close();
+});
+
 test.run();
--- a/src/fleet/heartbeatDuty.ts
+++ b/src/fleet/heartbeatDuty.ts
@@ -1,6 +1,7 @@
 /**
  * With which peers this daemon keeps contact, and when it sends one of them a heartbeat.
  */
+import { longestPauseMs } from '../utils/periodicSleep.js';
 import { chooseContacts } from './contacts.js';
 import type { FleetPeer } from './fleetPeer.js';
 import type { PeerRelations, PeerRelationsOptions } from './peerRelations.js';
@@ -39,7 +40,7 @@
     return this.contacts.has(address);
   }
 
-  /** Within a domain the lower address sends; across domains, either side that keeps contact. */
+  /** Within a domain the lower address sends, and the other one looks whether it is there when it is late; across domains, either side that keeps contact. */
   mustSend(peer: FleetPeer): boolean {
     const { clock, own } = this.options;
     if (peer.isDisputed) {
@@ -56,7 +57,8 @@
     }
     const sinceInboundMs = clock.nowMs() - peer.lastInboundHeartbeatAtMs;
     return this.relations.isInOwnDomain(peer)
-      ? own.address < peer.address
+      ? own.address < peer.address ||
+          sinceInboundMs > longestPauseMs(this.relations.heartbeatPeriodMs(peer))
       : sinceInboundMs > recentInboundPeriods * this.relations.heartbeatPeriodMs(peer);
   }
 
