The test of a cancellation at another daemon waits until the job runs

It cancelled 200 ms after the request was sent. It now waits until both tasks run, and checks the same as before.

--- a/src/programs/toucandyked/cancellation.spec.ts
+++ b/src/programs/toucandyked/cancellation.spec.ts
@@ -7,6 +7,9 @@
 import type { PlatformProcess } from './platformProcess.js';
 
 const jobId = '00000000000000c1';
+const taskCount = 2;
+/** Longest time until all tasks run, in milliseconds. */
+const maxStartMs = 10_000;
 
 const cancelAt = async ({ callersAddress }: PlatformProcess) => {
   const response = await request(`http://${callersAddress}${fixturePrefix}${jobId}`, {
@@ -25,9 +28,13 @@
   try {
     const [receiver, neighbour, far] = fixture.daemons;
     assert.ok(receiver && neighbour && far);
-    const answer = fixture.submit(receiver, jobId, { tasks: 2, runMs: 1_200 });
+    const answer = fixture.submit(receiver, jobId, { tasks: taskCount, runMs: 1_200 });
     answer.catch(() => undefined);
-    await sleep(200);
+    const startedByMs = performance.now() + maxStartMs;
+    while (fixture.starts().length < taskCount && performance.now() < startedByMs) {
+      await sleep(20);
+    }
+    assert.is(fixture.starts().length, taskCount);
     assert.equal(await cancelAt(far), { status: 200, body: { state: 'cancelled' } });
     const stoppedByMs = performance.now() + 300;
     assert.equal((await answer).body, { state: 'cancelled' });
@@ -40,7 +47,7 @@
     assert.ok(fixture.starts().every(({ outcome }) => outcome === 'stopped'));
     const startCount = fixture.starts().length;
     for (const daemon of [receiver, neighbour, far]) {
-      const late = await fixture.submit(daemon, jobId, { tasks: 2, runMs: 1_200 });
+      const late = await fixture.submit(daemon, jobId, { tasks: taskCount, runMs: 1_200 });
       assert.equal(late.body, { state: 'cancelled' });
     }
     assert.is(fixture.starts().length, startCount);
