A job that is held again is stated as a new one

Cause, found by the review: what a process was told of a closed job was kept for a while, and a job that came back with the same end counted as told, while the process had forgotten its claim by then. With 16 new jobs or more in each heartbeat it was not stated at all (a script on HeldStatements, 12 heartbeats), so that an attempt elsewhere could start beside it.

Change: what was told of a job is forgotten as soon as the job isn't held.

Measured: 'a job that is held again after it was not is stated as a new one' failed before, passes.

--- a/src/fleet/heldStatements.spec.ts
+++ b/src/fleet/heldStatements.spec.ts
@@ -100,6 +100,19 @@
   assert.is(tell('a')[0], again.jobId);
 });
 
+// Guards against a job that is held again while many new ones come, and is not stated, since its earlier attempt was.
+test('a job that is held again after it was not is stated as a new one', () => {
+  const half = ownLimits.maxRepeated / 2;
+  const again = jobsOf('job', 1);
+  const { state, tell } = createFixture(again);
+  tell('a');
+  tell('a');
+  state.jobs = jobsOf('first', half);
+  tell('a');
+  state.jobs = [...jobsOf('second', half), ...state.jobs, ...again];
+  assert.ok(again.every(({ jobId }) => tell('a').includes(jobId)));
+});
+
 // Guards against one job whose two entries make its statement shorter than its runs.
 test('a job of which several attempts wait is stated with the longest time', () => {
   const { statements } = createFixture([
--- a/src/fleet/statementTurns.ts
+++ b/src/fleet/statementTurns.ts
@@ -34,8 +34,6 @@
 
 /** A job held for this much longer than was told counts as not told, in milliseconds; times are rounded on their way. */
 const minExtensionMs = 50;
-/** Jobs that are not held any more are removed once this many are remembered for each held one. */
-const maxToldPerJob = 2;
 
 export class StatementTurns {
   /** By incarnation. */
@@ -118,11 +116,8 @@
   return chosen;
 };
 
-/** Removes what was told of jobs that are not held any more, where they are many. */
+/** Removes what was told of jobs that are not held any more: the process may have forgotten it, so that a new attempt is new to it. */
 const removeClosed = (told: ToldJobs, jobs: readonly Statable[]): void => {
-  if (told.size <= maxToldPerJob * jobs.length) {
-    return;
-  }
   const open = new Set(jobs.map(({ key }) => key));
   for (const key of told.keys()) {
     if (!open.has(key)) {
