Of two attempts that wait for each other one at most is the earlier one

Change: the own age counts from when the question was sent. Both can't be older then, however late the answers are, so that the lead of 0.6 s is gone but for what clocks differ by. The test of two attempts held the old lead; it now asks for the exact border, in both directions.

--- a/src/fleet/holderEvidence.spec.ts
+++ b/src/fleet/holderEvidence.spec.ts
@@ -7,7 +7,10 @@
 const nowMs = 10_000;
 const confirmationMs = 1_200;
 /** The holder has stated that its runs have ended in 3 s. */
-const claim = { untilMs: nowMs + 3_000, earliestSentAtMs: nowMs - 1_000 };
+const claim = {
+  ...{ untilMs: nowMs + 3_000, earliestSentAtMs: nowMs - 1_000 },
+  askedAtMs: nowMs - 700,
+};
 
 const judge = (evidence: HolderEvidence): HolderJudgement =>
   judgeHolder(claim, evidence, nowMs, confirmationMs);
@@ -43,4 +46,12 @@
   assert.equal(judgeAnswer({ kind: 'none-runs' }), { kind: 'over', evidence: 'holder-has-none' });
 });
 
+// Guards against two attempts that both take themselves for the earlier one, since the answers of both came late.
+test('an attempt is the earlier one if it was so when it asked, however late the answer is', () => {
+  const first: HolderJudgement = { kind: 'over', evidence: 'holder-waits' };
+  assert.equal(judgeAnswer({ kind: 'waiting', ageMs: 290 }), first);
+  assert.equal(judgeAnswer({ kind: 'waiting', ageMs: 300 }), { kind: 'waiting' });
+  assert.equal(judgeAnswer({ kind: 'waiting', ageMs: 310 }), { kind: 'waiting' });
+});
+
 test.run();
--- a/src/fleet/holderEvidence.ts
+++ b/src/fleet/holderEvidence.ts
@@ -40,16 +40,18 @@
   | { readonly kind: 'waiting' }
   | { readonly kind: 'over'; readonly evidence: StartEvidence };
 
-/**
- * An attempt goes before another one that waits if it is older by this much, in milliseconds: each of the two hears of
- * the other's age a while later. Attempts of one caller are further apart.
- */
-const minAgeLeadMs = 600;
+/** An attempt goes before another one that waits if it is older by more than this, by which clocks may differ, in milliseconds. */
+const minAgeLeadMs = 5;
 
 /** What is known of a job before its holder is asked. */
 export interface JudgedClaim extends Pick<HeldClaim, 'untilMs'> {
   /** The earliest time at which the request of the own attempt can have been sent, in monotonic time. */
   readonly earliestSentAtMs: number;
+  /**
+   * When the question was sent, in monotonic time. The own age counts from then, and the other one from the answer, so that
+   * of two attempts that ask each other one at most is the older one, however late the answers are.
+   */
+  readonly askedAtMs: number;
 }
 
 /**
@@ -85,7 +87,7 @@
 };
 
 const judgeAnswer = (
-  { untilMs, earliestSentAtMs }: JudgedClaim,
+  { untilMs, earliestSentAtMs, askedAtMs }: JudgedClaim,
   answer: HolderAnswer,
   nowMs: number,
 ): HolderJudgement => {
@@ -95,7 +97,7 @@
     case 'running':
       return { kind: 'running', untilMs: nowMs + answer.leftMs };
     case 'waiting':
-      return nowMs - earliestSentAtMs > answer.ageMs + minAgeLeadMs
+      return askedAtMs - earliestSentAtMs > answer.ageMs + minAgeLeadMs
         ? { kind: 'over', evidence: 'holder-waits' }
         : { kind: 'waiting' };
     case 'may-run':
--- a/src/fleet/jobJoins.spec.ts
+++ b/src/fleet/jobJoins.spec.ts
@@ -212,8 +212,8 @@
 
 // Guards against two attempts that wait for the same job and start it at the same time, where the ends of both callers are lost.
 test('of two attempts that wait the earlier one starts the job, and the later one waits for it', async () => {
-  let otherAgeMs = 1_500;
-  const later = createFixture(() => answered({ kind: 'waiting', ageMs: otherAgeMs })());
+  let otherAgeMs = (): number => 1_500;
+  const later = createFixture(() => answered({ kind: 'waiting', ageMs: otherAgeMs() })());
   later.begin();
   await later.clock.advance(1_000);
   assert.is(later.result.outcome, undefined);
@@ -223,11 +223,11 @@
   );
   assert.equal(later.joins.answerFor(jobId), { kind: 'waiting', ageMs: 1_000 });
   assert.is(later.joins.answerFor('other'), undefined);
-  // Neither is certain to be the earlier one.
-  otherAgeMs = 900;
-  await later.clock.advance(400);
+  // Neither is certain to be the earlier one: the other one was sent before the answer by as much as this one.
+  otherAgeMs = () => later.clock.nowMs() - 90;
+  await later.clock.advance(600);
   assert.is(later.result.outcome, undefined);
-  otherAgeMs = 100;
+  otherAgeMs = () => later.clock.nowMs() - 110;
   await later.clock.advance(400);
   assert.equal(later.result.outcome, { kind: 'start', evidence: 'holder-waits' });
 });
--- a/src/fleet/jobJoins.ts
+++ b/src/fleet/jobJoins.ts
@@ -178,6 +178,7 @@
   ): Promise<HolderJudgement> {
     const { clock, leaseTimes, questions } = this.options;
     const isOver = new AbortController();
+    const askedAtMs = clock.nowMs();
     const evidence = await Promise.race([
       questions.ask(claim),
       clock
@@ -192,7 +193,10 @@
     const { untilMs } = claim;
     const { earliestSentAtMs } = join;
     const { confirmationMs } = leaseTimes;
-    return judgeHolder({ untilMs, earliestSentAtMs }, evidence, clock.nowMs(), confirmationMs);
+    return judgeHolder(
+      { untilMs, earliestSentAtMs, askedAtMs },
+      ...[evidence, clock.nowMs(), confirmationMs],
+    );
   }
 
   /** @returns the outcome that follows from what is known of a holder, if there is one */
