--- a/src/fleet/lostEnds.spec.ts
+++ b/src/fleet/lostEnds.spec.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert';
 import { manyHeldJobs } from '../testing/model/heldJobScenarios.js';
 import {
+  lateAnswersToWaitingAttempts,
   lostEndAcrossDomains,
   lostEndBesideSlowDaemons,
   lostEndInDomain,
@@ -30,7 +31,12 @@
   await checkScenario(manyHeldJobs);
 });
 
-// Guards against the same where the daemons are slow, so that what they tell each other is as late as what callers send.
+// Guards against two attempts that wait for each other and both start, since each compares an age of its own with an old one.
+test('of two attempts that wait for each other one starts, however late their answers are', async () => {
+  await checkScenario(lateAnswersToWaitingAttempts);
+});
+
+// Guards against a next attempt that starts beside the first one where the daemons are slow, so that what they tell each other is as late as what callers send.
 test('no next attempt runs beside the first one at slow daemons, whose end was lost', async () => {
   await checkScenario(lostEndBesideSlowDaemons);
 });
--- a/src/testing/model/lostEndScenarios.ts
+++ b/src/testing/model/lostEndScenarios.ts
@@ -78,3 +78,35 @@
   seed: 201_716,
   startsStateLifetime: true,
 };
+
+const waitingDaemons = [0, 1] as const;
+
+/**
+ * Two attempts that are 10 ms apart wait for a killed daemon and then for each other, while the answers to both are held up for
+ * longer than the 0.6 s in which daemons usually answer.
+ */
+export const lateAnswersToWaitingAttempts: Scenario = {
+  ...createScenario(
+    ['east', 'east', 'east'],
+    [['east', 6]],
+    [
+      submit(1_000, {
+        ...{ daemon: 2, nextDaemonStep: 1, runMs: 9_000, estimatedMs: 9_000, cpuMillis: 2_000 },
+        ...{ deadlineMs: 25_000, leavesAfterMs: 2_500, maxAttempts: 3 },
+      }),
+      ...[0, 1, 2].map((daemon) => loseEnds(500, daemon, 6_900)),
+      { kind: 'slow', atMs: 4_700, daemon: 0, turnsMs: [60], forMs: 400 },
+      { kind: 'reset', atMs: 4_803, daemon: 0 },
+      { kind: 'kill', atMs: 5_300, daemon: 2, downMs: 30_000 },
+      ...waitingDaemons.map((daemon): ModelEvent => ({
+        ...{ kind: 'inbound', atMs: 7_500, daemon, forMs: 4_000 },
+        fault: { kind: 'late-all', byMs: 100 },
+      })),
+      ...waitingDaemons.map((daemon): ModelEvent => ({
+        ...{ kind: 'freeze', atMs: 7_700, daemon, forMs: 700 },
+      })),
+    ],
+  ),
+  seed: 3,
+  startsStateLifetime: true,
+};
