Tests of likely crashes that are told at once

The run without each mend showed that no test failed without FleetPeers.tellNews: since a late heartbeat is looked after, the walk over two kills holds by its times without it. The three kills that break BUDGET on break it without it, too, and are a test now, beside two of the parts. Measured: with tellNews taken out, the new tests of deadlyTasks.spec.ts and fleetPeers.spec.ts fail; with it all pass.

--- a/src/dispatch/crashSuspects.spec.ts
+++ b/src/dispatch/crashSuspects.spec.ts
@@ -141,4 +141,16 @@
   }
 });
 
+// Guards against a likely crash that is told only with the next heartbeat, before which the daemon that found it may be killed.
+test('a likely crash that is found here is news once, and nothing else is', () => {
+  let newsCount = 0;
+  const suspects = CrashSuspects.create(FakeClock.create(), () => (newsCount += 1));
+  suspects.recordOwn('t', { id: 'vm-1.1', status: 'awaited' });
+  suspects.recordAnnounced(suspect('t', 'likely'), 'own-domain');
+  assert.is(newsCount, 0);
+  suspects.recordOwn('t', { id: 'vm-1.1', status: 'likely' });
+  suspects.recordOwn('t', { id: 'vm-1.1', status: 'likely' });
+  assert.is(newsCount, 1);
+});
+
 test.run();
--- a/src/fleet/deadlyTasks.spec.ts
+++ b/src/fleet/deadlyTasks.spec.ts
@@ -1,6 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import {
+  crashFoundBeforeKillScenarios,
   lossesOfKilledDaemonScenario,
   lossesOfTwoDaemonsScenario,
   overdueDeadlyTaskScenario,
@@ -30,4 +31,11 @@
   await checkScenario(overdueDeadlyTaskScenario);
 });
 
+// Guards against a sixth start of a task that crashes its workers, since the proof of a crash ended with the daemon that had it.
+test('a crash that is found likely is known after its daemon is killed', async () => {
+  for (const scenario of crashFoundBeforeKillScenarios) {
+    await checkScenario(scenario);
+  }
+});
+
 test.run();
--- a/src/fleet/fleetPeers.spec.ts
+++ b/src/fleet/fleetPeers.spec.ts
@@ -178,4 +178,19 @@
   await fleet.close();
 });
 
+// Guards against a proof that dies with the daemon that has it, before its next heartbeat: of a task that crashes its workers.
+test('news goes to all peers with which contact is kept at once, from either side, and is sent once', async () => {
+  const fleet = HeartbeatFleet.create({ daemonsPerDomain: 3 });
+  await fleet.clock.advance(3_000);
+  fleet.calls.length = 0;
+  fleet.tellNews('a:1');
+  fleet.tellNews('a:1');
+  await fleet.clock.advance(5);
+  const sent = fleet.calls.filter((call) => call.startsWith('a:1 '));
+  assert.ok(['a:1 a:0', 'a:1 a:2'].every((call) => sent.includes(call)));
+  assert.ok(sent.some((call) => !call.endsWith(' a:0') && !call.endsWith(' a:2')));
+  assert.is(new Set(sent).size, sent.length);
+  await fleet.close();
+});
+
 test.run();
--- a/src/testing/heartbeatFleet.ts
+++ b/src/testing/heartbeatFleet.ts
@@ -84,6 +84,11 @@
     peer.beginSharing(this.clock.nowMs());
   }
 
+  /** Has a daemon send heartbeats at once. */
+  tellNews(from: string): void {
+    this.daemons.get(from)?.tellNews();
+  }
+
   /** Delivers a heartbeat that a process has sent earlier. */
   deliver(to: string, member: Member): void {
     this.daemons.get(to)?.receiveHeartbeat(composeHeartbeatOf(member));
--- a/src/testing/model/deadlyScenarios.ts
+++ b/src/testing/model/deadlyScenarios.ts
@@ -67,3 +67,22 @@
   ],
   seed: 893,
 };
+
+/** The daemon that has found a crash under a deadly task likely is killed before its next heartbeat, as the one before was. */
+export const crashFoundBeforeKillScenarios: readonly Scenario[] = [6_100, 6_200, 6_300].map(
+  (killedAtMs) => ({
+    ...createScenario(
+      ['east', 'east'],
+      [['east', 4]],
+      [
+        submit(1_000, {
+          ...{ runMs: 122, estimatedMs: 122, cpuMillis: 20_000 },
+          ...{ deadlineMs: 9_400, maxAttempts: 4, isDeadly: true },
+        }),
+        { kind: 'kill', atMs: 2_000, daemon: 0, downMs: 3_000 },
+        { kind: 'kill', atMs: killedAtMs, daemon: 1, downMs: 3_000 },
+      ],
+    ),
+    seed: 5,
+  }),
+);
