--- /dev/null
+++ b/bench/load/loadReport.ts
@@ -0,0 +1,46 @@
+/**
+ * Prints what became of the jobs of a play.
+ */
+import type { JobEnd } from '../../src/ports/jobs.js';
+import { routes } from './arrivals.js';
+import type { Arrival } from './arrivals.js';
+
+export interface JobOutcome {
+  readonly arrival: Arrival;
+  readonly end: JobEnd['kind'];
+  readonly durationMs: number;
+}
+
+const percent = (part: number, whole: number): string =>
+  `${((100 * part) / Math.max(whole, 1)).toFixed(1)}%`;
+
+const quantile = (values: readonly number[], share: number): number =>
+  [...values].sort((a, b) => a - b)[Math.floor(share * (values.length - 1))] ?? 0;
+
+export const printReport = (
+  title: string,
+  arrivals: readonly Arrival[],
+  outcomes: readonly JobOutcome[],
+  objectiveMsOf: (arrival: Arrival) => number,
+): void => {
+  process.stdout.write(`${title}\n`);
+  for (const { routeId } of routes) {
+    const asked = arrivals.filter(({ route }) => route.routeId === routeId).length;
+    const ended = outcomes.filter(({ arrival }) => arrival.route.routeId === routeId);
+    const completed = ended.filter(({ end }) => end === 'completed');
+    const inTime = completed.filter(
+      ({ arrival, durationMs }) => durationMs <= objectiveMsOf(arrival),
+    );
+    const refused = ended.filter(({ end }) => end === 'refused');
+    const delays = completed.map(({ arrival, durationMs }) => durationMs - arrival.runMs);
+    process.stdout.write(
+      `  ${routeId.padEnd(6)} ${asked} jobs: in time ${percent(inTime.length, asked)}, ` +
+        `refused ${percent(refused.length, asked)}, ` +
+        `delay median ${quantile(delays, 0.5).toFixed(0)} ms, p90 ${quantile(delays, 0.9).toFixed(0)} ms; ` +
+        `refused after median ${quantile(
+          refused.map((one) => one.durationMs),
+          0.5,
+        ).toFixed(0)} ms\n`,
+    );
+  }
+};
