--- a/bench/fleetLoad.ts
+++ b/bench/fleetLoad.ts
@@ -76,7 +76,7 @@
   await time.advance(warmUpMs);
   const outcomes: JobOutcome[] = [];
   const submit = async (arrival: Arrival): Promise<void> => {
-    const { jobId, route, taskCount, runMs, estimatedMs, cpuMillis, deadlineMs, daemon } = arrival;
+    const { jobId, route, runsMs, estimatedMs, cpuMillis, deadlineMs, daemon } = arrival;
     const intake = daemons[daemon % daemonCount]?.current?.daemon.intake;
     const match = intake?.findRoute(route.host, `${route.pathPrefix}${jobId}`);
     if (intake === undefined || match?.kind !== 'found') {
@@ -88,15 +88,12 @@
       {
         jobId,
         spec: JSON.stringify({
-          attempt: jobId,
-          runMs,
-          cpuMillis,
-          isFailing: false,
-          isDeadly: false,
+          ...{ attempt: jobId, runMs: 0, runMsByTask: runsMs, cpuMillis },
+          ...{ isFailing: false, isDeadly: false },
         }),
         steps: [
           {
-            ...{ taskCount, estimatedMs, after: [] },
+            ...{ taskCount: runsMs.length, estimatedMs, after: [] },
             needs: { resources: { cpuMillis, memoryMb: 64, accelerators: 0 } },
           },
         ],
--- a/bench/load/arrivals.ts
+++ b/bench/load/arrivals.ts
@@ -17,6 +17,8 @@
 /** Share of the jobs that take `tailFactor` times as long. */
 const tailShare = 0.03;
 const tailFactor = 7;
+/** Standard deviation of the logarithm of the run times of the tasks of one job. */
+const taskSpread = 0.15;
 const coreSpread = 0.2;
 const maxCpuMillis = 24_000;
 const meanCpuMillis = 16_000;
@@ -49,8 +51,8 @@
   readonly jobId: string;
   readonly atMs: number;
   readonly route: Route;
-  readonly taskCount: number;
-  readonly runMs: number;
+  /** Run time of each task. */
+  readonly runsMs: readonly number[];
   readonly estimatedMs: number;
   readonly cpuMillis: number;
   readonly deadlineMs: number;
@@ -63,8 +65,8 @@
   Array.from({ length: count }, (_, index) => (index % 3 === 2 ? 48_000 : 32_000));
 
 /** Time within which a job has to end, in milliseconds. */
-export const objectiveMsOf = ({ runMs }: Arrival): number =>
-  objectiveStretch * runMs + objectiveSlackMs;
+export const objectiveMsOf = ({ runsMs }: Pick<Arrival, 'runsMs'>): number =>
+  objectiveStretch * Math.max(...runsMs) + objectiveSlackMs;
 
 /** Draws arrivals: Poisson by route, at daemons with uneven shares. */
 export const createArrivals = ({
@@ -93,15 +95,15 @@
       }
       const isTail = random.next() < tailShare;
       const runMs = spreadAround(kind.meanRunMs, runTimeSpread) * (isTail ? tailFactor : 1);
+      const taskCount = Math.max(Math.round(spreadAround(kind.meanTasks, runTimeSpread)), 1);
+      const runsMs = Array.from({ length: taskCount }, () => spreadAround(runMs, taskSpread));
       ofKind.push({
         atMs,
         route: kind.route,
-        taskCount: Math.max(Math.round(spreadAround(kind.meanTasks, runTimeSpread)), 1),
-        runMs,
+        runsMs,
         estimatedMs: Math.max(Math.round(spreadAround(runMs, declarationSpread)), 1),
         cpuMillis: Math.min(Math.round(spreadAround(meanCpuMillis, coreSpread)), maxCpuMillis),
-        deadlineMs:
-          deadlineBaseMs + deadlineStretch * (objectiveStretch * runMs + objectiveSlackMs),
+        deadlineMs: deadlineBaseMs + deadlineStretch * objectiveMsOf({ runsMs }),
         daemon: Math.floor(random.next() * random.next() * 64),
       });
     }
--- a/bench/load/loadReport.ts
+++ b/bench/load/loadReport.ts
@@ -32,7 +32,9 @@
       ({ arrival, durationMs }) => durationMs <= objectiveMsOf(arrival),
     );
     const refused = ended.filter(({ end }) => end === 'refused');
-    const delays = completed.map(({ arrival, durationMs }) => durationMs - arrival.runMs);
+    const delays = completed.map(
+      ({ arrival, durationMs }) => durationMs - Math.max(...arrival.runsMs),
+    );
     process.stdout.write(
       `  ${routeId.padEnd(6)} ${asked} jobs: in time ${percent(inTime.length, asked)}, ` +
         `refused ${percent(refused.length, asked)}, ` +
--- a/bench/load/oneQueue.ts
+++ b/bench/load/oneQueue.ts
@@ -10,6 +10,7 @@
   readonly arrival: Arrival;
   readonly latestStartMs: number;
   unstarted: number;
+  lastEndAtMs: number;
 }
 
 interface RunEnd {
@@ -29,7 +30,7 @@
   const startWaiting = (nowMs: number): void => {
     for (const job of waiting) {
       const { arrival } = job;
-      if (job.unstarted === arrival.taskCount && nowMs > job.latestStartMs) {
+      if (job.unstarted === arrival.runsMs.length && nowMs > job.latestStartMs) {
         job.unstarted = 0;
         outcomes.push({ arrival, end: 'refused', durationMs: nowMs - arrival.atMs });
         continue;
@@ -40,10 +41,12 @@
           break;
         }
         free[worker] = (free[worker] ?? 0) - arrival.cpuMillis;
-        ends.push({ atMs: nowMs + arrival.runMs, worker, arrival });
         job.unstarted -= 1;
+        const endAtMs = nowMs + (arrival.runsMs[job.unstarted] ?? 0);
+        ends.push({ atMs: endAtMs, worker, arrival });
+        job.lastEndAtMs = Math.max(job.lastEndAtMs, endAtMs);
         if (job.unstarted === 0) {
-          const durationMs = nowMs + arrival.runMs - arrival.atMs;
+          const durationMs = job.lastEndAtMs - arrival.atMs;
           outcomes.push({ arrival, end: 'completed', durationMs });
         }
       }
@@ -61,8 +64,9 @@
   };
   for (const arrival of arrivals) {
     endRunsUntil(arrival.atMs);
-    const latestStartMs = arrival.atMs + objectiveMsOf(arrival) - arrival.runMs;
-    waiting.push({ arrival, latestStartMs, unstarted: arrival.taskCount });
+    const { atMs, runsMs } = arrival;
+    const latestStartMs = atMs + objectiveMsOf(arrival) - Math.max(...runsMs);
+    waiting.push({ arrival, latestStartMs, unstarted: runsMs.length, lastEndAtMs: atMs });
     waiting.sort((a, b) => a.latestStartMs - b.latestStartMs);
     startWaiting(arrival.atMs);
   }
--- a/src/bestEffort/jobContext.ts
+++ b/src/bestEffort/jobContext.ts
@@ -37,11 +37,20 @@
   readonly waitedMs: number;
 }
 
+/** What the tasks of a step that are done have shown. */
+interface ObservedStep {
+  readonly taskCount: number;
+  readonly longestMs: number;
+}
+
 export class JobContext {
   /** Batches that were sent and have no final answer yet. */
   readonly openBatches = new Set<SentBatch>();
   /** The requested steps, with the predicted run time of a task in place of the declared one. */
   readonly steps: readonly JobStep[];
+  /** The requested steps, with the predicted run time of the task that takes longest. */
+  private readonly longestSteps: readonly JobStep[];
+  private readonly observedSteps = new Map<number, ObservedStep>();
   /** Time from the job's arrival within which it should end, in milliseconds. */
   readonly objectiveMs: number;
   /** Monotonic time at which the job is given up, in milliseconds. */
@@ -61,7 +70,11 @@
       ...step,
       estimatedMs: lengths.predictMs(route.routeId, this.runTimeHintsOf(step)),
     }));
-    this.objectiveMs = computeObjectiveMs(route, this.steps);
+    this.longestSteps = this.steps.map((step, index) => ({
+      ...step,
+      estimatedMs: this.predictLongestMs(step, index),
+    }));
+    this.objectiveMs = computeObjectiveMs(route, this.longestSteps);
     const maxDurationMs = giveUpAfterMs(this.objectiveMs);
     const { giveUpMs, runsEndMs } = deadlineTimesFor(deadlineMs, leaseTimes);
     const latestSentAtMs = this.arrivedAtMs - waitedMs;
@@ -88,7 +101,8 @@
 
   /** Latest expected end, in monotonic milliseconds, with which the job is still admitted. */
   get latestAdmissibleEndAtMs(): number {
-    return this.arrivedAtMs + this.objectiveMs + admissionToleranceMs(this.objectiveMs);
+    const latestMs = this.arrivedAtMs + this.objectiveMs + admissionToleranceMs(this.objectiveMs);
+    return latestMs - Math.max(...this.steps.map((_, index) => this.spreadMsOf(index)));
   }
 
   /**
@@ -98,11 +112,12 @@
    */
   demandOf(index: number): TaskDemand {
     const step = this.stepAt(index);
-    const laterMs = remainingAfterStepMs(this.steps, index);
+    const laterMs = remainingAfterStepMs(this.longestSteps, index);
+    const spreadMs = this.spreadMsOf(index);
     return {
       needs: step.needs,
       estimatedMs: step.estimatedMs,
-      objectiveAtMs: this.arrivedAtMs + this.objectiveMs - laterMs,
+      objectiveAtMs: this.arrivedAtMs + this.objectiveMs - laterMs - spreadMs,
       giveUpAtMs: this.giveUpAtMs - laterMs,
     };
   }
@@ -124,11 +139,37 @@
    */
   observeRunTime(index: number, runTimeMs: number): void {
     const declared = this.request.steps[index];
-    if (declared !== undefined) {
-      this.options.lengths.observe(this.route.routeId, this.runTimeHintsOf(declared), runTimeMs);
+    if (declared === undefined) {
+      return;
+    }
+    const { lengths } = this.options;
+    const hints = this.runTimeHintsOf(declared);
+    lengths.observe(this.route.routeId, hints, runTimeMs);
+    const { taskCount = 0, longestMs = 0 } = this.observedSteps.get(index) ?? {};
+    const observed = { taskCount: taskCount + 1, longestMs: Math.max(longestMs, runTimeMs) };
+    this.observedSteps.set(index, observed);
+    if (observed.taskCount === declared.taskCount) {
+      lengths.observe(this.route.routeId, hints, observed.longestMs, 'longest');
     }
   }
 
+  /** Predicts the run time of the longest task of a step, which is no shorter than that of a typical one. */
+  private predictLongestMs({ estimatedMs }: JobStep, index: number): number {
+    const declared = this.request.steps[index];
+    const { lengths } = this.options;
+    return declared === undefined
+      ? estimatedMs
+      : Math.max(
+          estimatedMs,
+          lengths.predictMs(this.route.routeId, this.runTimeHintsOf(declared), 'longest'),
+        );
+  }
+
+  /** Time by which the longest task of a step is expected to run longer than a typical one, in milliseconds. */
+  private spreadMsOf(index: number): number {
+    return (this.longestSteps[index]?.estimatedMs ?? 0) - (this.steps[index]?.estimatedMs ?? 0);
+  }
+
   private runTimeHintsOf({ estimatedMs }: JobStep): RunTimeHints {
     return { declaredMs: estimatedMs, deadlineMs: this.options.deadlineMs };
   }
--- a/src/bestEffort/runTimePredictor.ts
+++ b/src/bestEffort/runTimePredictor.ts
@@ -42,6 +42,11 @@
 /** Route id of sums over all routes; it is not sent to anyone. */
 const allRoutes = '';
 
+/** Whether a prediction is of a typical task, or of the one of a step that takes longest. */
+export type RunTimeKind = 'typical' | 'longest';
+/** Ends the id under which sums of longest tasks are kept and sent; earlier versions take it for a further route. */
+const longestSuffix = ' longest';
+
 export class RunTimePredictor {
   /** Sums of this daemon's own observations, by route. */
   private readonly own = new Map<string, LengthSums>();
@@ -66,9 +71,10 @@
    *
    * @param routeId - the route on which the job was submitted
    * @param hints - what its caller stated
+   * @param kind - which task of a step
    */
-  predictMs(routeId: string, hints: RunTimeHints): number {
-    const coefficients = this.coefficientsOf(routeId);
+  predictMs(routeId: string, hints: RunTimeHints, kind: RunTimeKind = 'typical'): number {
+    const coefficients = this.coefficientsOf(sumsIdOf(routeId, kind));
     const predictedSeconds = featuresOf(hints).reduce(
       (sum, feature, index) => sum + feature * (coefficients[index] ?? 0),
       0,
@@ -85,17 +91,24 @@
    * @param routeId - the route on which its job was submitted
    * @param hints - what its caller stated
    * @param runTimeMs - its run time over its worker's slowdown factor, in milliseconds
+   * @param kind - which task of a step it was
    */
-  observe(routeId: string, hints: RunTimeHints, runTimeMs: number): void {
+  observe(
+    routeId: string,
+    hints: RunTimeHints,
+    runTimeMs: number,
+    kind: RunTimeKind = 'typical',
+  ): void {
+    const sumsId = sumsIdOf(routeId, kind);
     const target = Math.max(runTimeMs, minRunTimeMs) / msPerSecond;
-    const scale = Math.max(this.predictMs(routeId, hints), minScaleMs) / msPerSecond;
-    const observed = sumsOfObservation(routeId, featuresOf(hints), target, scale);
-    const earlier = this.own.get(routeId) ?? emptySums(routeId);
+    const scale = Math.max(this.predictMs(routeId, hints, kind), minScaleMs) / msPerSecond;
+    const observed = sumsOfObservation(sumsId, featuresOf(hints), target, scale);
+    const earlier = this.own.get(sumsId) ?? emptySums(sumsId);
     const sums = addSums(observed, earlier, observationDecay);
     if (!areUsableSums(sums)) {
       return;
     }
-    this.own.set(routeId, sums);
+    this.own.set(sumsId, sums);
     this.countChange();
   }
 
@@ -135,17 +148,19 @@
     }
   }
 
-  /** @returns the coefficients for a route, in the order of `featuresOf` */
-  private coefficientsOf(routeId: string): readonly number[] {
-    const cached = this.coefficients.get(routeId);
+  /** @returns the coefficients for the sums with an id, in the order of `featuresOf` */
+  private coefficientsOf(sumsId: string): readonly number[] {
+    const cached = this.coefficients.get(sumsId);
     if (cached !== undefined) {
       return cached;
     }
-    const everySum = [...this.own.values(), ...[...this.peerSums.values()].flat()];
+    const everySum = [...this.own.values(), ...[...this.peerSums.values()].flat()].filter(
+      ({ routeId }) => kindOf(routeId) === kindOf(sumsId),
+    );
     const total = (of: readonly LengthSums[]): LengthSums =>
       of.reduce((sum, one) => addSums(sum, one), emptySums(allRoutes));
     const all = total(everySum);
-    const ofRoute = total(everySum.filter((sums) => sums.routeId === routeId));
+    const ofRoute = total(everySum.filter(({ routeId }) => routeId === sumsId));
     this.fittedObservations = all.observations;
     const borrowedShare = borrowedObservations / Math.max(all.observations, borrowedObservations);
     const fitted = solveLeastSquares(
@@ -153,11 +168,17 @@
       declaredPrior,
       declaredPriorWeight,
     );
-    this.coefficients.set(routeId, fitted);
+    this.coefficients.set(sumsId, fitted);
     return fitted;
   }
 }
 
+const sumsIdOf = (routeId: string, kind: RunTimeKind): string =>
+  kind === 'longest' ? `${routeId}${longestSuffix}` : routeId;
+
+const kindOf = (sumsId: string): RunTimeKind =>
+  sumsId.endsWith(longestSuffix) ? 'longest' : 'typical';
+
 /** Saved observations count half, since running daemons share many of them too. */
 const halve = (sums: LengthSums): LengthSums => addSums(emptySums(sums.routeId), sums, 1 / 2);
 
--- a/src/testing/model/modelRun.ts
+++ b/src/testing/model/modelRun.ts
@@ -8,6 +8,8 @@
   /** The attempt of the client to which the run belongs. */
   attempt: z.string(),
   runMs: z.number(),
+  /** Run time of each task, in place of `runMs`. */
+  runMsByTask: z.array(z.number()).optional(),
   cpuMillis: z.number(),
   /** Whether every run of the first task fails. */
   isFailing: z.boolean(),
@@ -37,6 +39,10 @@
 /** Whether a task is the one of its job that a fault of the job concerns. */
 export const isFirstTask = (taskName: string): boolean => taskName.endsWith('.0');
 
+/** @returns how long a run of a task takes, in milliseconds */
+export const runMsOf = (taskName: string, { runMs, runMsByTask }: TaskSpec): number =>
+  runMsByTask?.[Number(taskName.split('.').at(-1))] ?? runMs;
+
 /** @returns the id of the job that a task belongs to */
 export const jobIdOf = (taskName: string): string => taskName.split('.')[0] ?? '';
 
--- a/src/testing/model/modelWorkerLife.ts
+++ b/src/testing/model/modelWorkerLife.ts
@@ -7,7 +7,7 @@
 import { abortQuietly } from '../../utils/abortQuietly.js';
 import type { FakeClock } from '../fakeClock.js';
 import { modelEpochMs } from './modelProcess.js';
-import { isFirstTask, taskSpecSchema } from './modelRun.js';
+import { isFirstTask, runMsOf, taskSpecSchema } from './modelRun.js';
 import type { ModelRun, ModelRunEnd } from './modelRun.js';
 
 /** Longest lease, in milliseconds on the worker's clock. */
@@ -187,10 +187,11 @@
   private async runToEnd(active: ActiveModelRun): Promise<void> {
     const { spec, taskName } = active.record;
     const isFaulty = isFirstTask(taskName);
+    const runMs = runMsOf(taskName, spec);
     if (!isFaulty || !spec.isDeadly) {
-      return this.endAfter(active, spec.runMs, isFaulty && spec.isFailing ? 'failed' : 'done');
+      return this.endAfter(active, runMs, isFaulty && spec.isFailing ? 'failed' : 'done');
     }
-    await this.options.time.sleep(spec.runMs, active.over.signal);
+    await this.options.time.sleep(runMs, active.over.signal);
     if (this.runs.get(taskName) === active) {
       this.options.onCrash();
     }
