Batch requests and replies carry the load of all workers

Plans relied on load reports with a median age of 214 ms, since only heartbeats carried the whole load. A request now carries the load of its sender, recorded with the age of the message, and a reply that of all workers of the dispatcher with its time of sending. One computed load serves the requests that leave within 2 ms.

--- /dev/null
+++ b/src/bestEffort/fleetView.spec.ts
@@ -0,0 +1,85 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { FakeClock } from '../testing/fakeClock.js';
+import type { MemberLoad } from '../types/fleet.js';
+import type { WorkerRecord } from '../types/workers.js';
+import { FleetView } from './fleetView.js';
+
+const loadOf = (...freeCpuMillis: number[]): MemberLoad => ({
+  workers: freeCpuMillis.map((cpuMillis, index) => ({
+    workerId: `w-${index}`,
+    free: { cpuMillis, memoryMb: 1_000, accelerators: 0 },
+    slowness: 1,
+    isOpen: true,
+    releases: [],
+  })),
+});
+
+const record = (workerId: string): WorkerRecord => ({
+  workerId,
+  address: '127.0.0.1:1',
+  serviceId: 'fit',
+  failureDomainId: 'east',
+  labels: [],
+  capacity: { cpuMillis: 32_000, memoryMb: 1_000, accelerators: 0 },
+  state: 'ready',
+});
+
+const createView = () => {
+  const clock = FakeClock.create();
+  let computedLoads = 0;
+  const view = FleetView.create({
+    clock,
+    ownId: 'own',
+    ownLoad: () => {
+      computedLoads += 1;
+      return { workers: [] };
+    },
+    findWorker: record,
+  });
+  const freeCpuMillis = () =>
+    view.workers('fit', 'fleet', 0).map(({ availability }) => availability.free);
+  return { clock, view, freeCpuMillis, computedLoads: () => computedLoads };
+};
+
+// Guards against plans on an old report although a reply has brought a newer one.
+test('the load of a reply replaces the known one and renews its age', async () => {
+  const { clock, view, freeCpuMillis } = createView();
+  view.recordLoad('other', loadOf(4_000, 8_000), 'near');
+  await clock.advance(900);
+  view.renewLoad('other', loadOf(16_000), 20);
+  await clock.advance(900);
+  assert.equal(freeCpuMillis(), [16_000]);
+});
+
+// Guards against a held-up message that undoes what a newer one has told.
+test('a load that is older than the known one is ignored', async () => {
+  const { clock, view, freeCpuMillis } = createView();
+  await clock.advance(100);
+  view.recordLoad('other', loadOf(4_000), 'near');
+  view.recordLoad('other', loadOf(8_000), 'near', 50);
+  view.renewLoad('other', loadOf(8_000), 50);
+  assert.equal(freeCpuMillis(), [4_000]);
+});
+
+// Guards against a dispatcher that loses its workers in the view by answering without having looked at the batch.
+test('an empty load in a reply, or one of an unknown dispatcher, changes nothing', () => {
+  const { view, freeCpuMillis } = createView();
+  view.recordLoad('other', loadOf(4_000), 'near');
+  view.renewLoad('other', loadOf(), 0);
+  view.renewLoad('forgotten', loadOf(8_000), 0);
+  assert.equal(freeCpuMillis(), [4_000]);
+});
+
+// Guards against one computation of the load for each of the requests that a step sends at once.
+test('the own load is computed once for the messages that are sent at one time', async () => {
+  const { clock, view, computedLoads } = createView();
+  view.ownReport();
+  view.ownReport();
+  assert.is(computedLoads(), 1);
+  await clock.advance(5);
+  view.ownReport();
+  assert.is(computedLoads(), 2);
+});
+
+test.run();
--- a/src/bestEffort/fleetView.ts
+++ b/src/bestEffort/fleetView.ts
@@ -17,6 +17,8 @@
  * milliseconds; their reservations are kept.
  */
 const reportDelayMs = 6;
+/** Time for which a computed load is sent again: the requests of one step leave within this time. */
+const maxReuseMs = 2;
 
 /** Whether a dispatcher is this daemon itself, in the same failure domain, or in another one. */
 export type Locality = 'own' | 'near' | 'far';
@@ -76,6 +78,7 @@
 
 export class FleetView {
   private readonly loads = new Map<string, ReportedLoad>();
+  private lastOwnReport: { readonly load: MemberLoad; readonly atMs: number } | undefined;
 
   private constructor(private readonly options: FleetViewOptions) {}
 
@@ -104,6 +107,20 @@
     this.loads.set(dispatcherId, { load, locality, receivedAtMs, reservations });
   }
 
+  /**
+   * Records the load of all workers of a dispatcher that is in the view already. An empty load says nothing.
+   *
+   * @param dispatcherId - incarnation of the daemon
+   * @param load - its workers and their free capacity
+   * @param ageMs - time since the load was reported, in milliseconds
+   */
+  renewLoad(dispatcherId: string, load: MemberLoad, ageMs: number): void {
+    const known = this.loads.get(dispatcherId);
+    if (known !== undefined && load.workers.length > 0) {
+      this.recordLoad(dispatcherId, load, known.locality, ageMs);
+    }
+  }
+
   /**
    * Records the newest load of some workers of a dispatcher that is in the view already, and drops the
    * reservations that it includes. The other workers stay as they were reported.
@@ -147,6 +164,15 @@
     this.loads.set(reservation.dispatcherId, { ...reported, reservations });
   }
 
+  /** Returns the load of this daemon's own dispatcher for a message; one computed a short while ago is used again. */
+  ownReport(): MemberLoad {
+    const nowMs = this.options.clock.nowMs();
+    if (this.lastOwnReport === undefined || nowMs - this.lastOwnReport.atMs > maxReuseMs) {
+      this.lastOwnReport = { load: this.options.ownLoad(), atMs: nowMs };
+    }
+    return this.lastOwnReport.load;
+  }
+
   /** Whether a dispatcher of another failure domain is in the view. */
   get hasFarDispatchers(): boolean {
     return [...this.loads.values()].some(({ locality }) => locality === 'far');
--- a/src/fleet/peerService.ts
+++ b/src/fleet/peerService.ts
@@ -60,12 +60,14 @@
   }
 
   /** Runs a batch that another daemon requests; the answer may be partial. */
-  runBatch(request: BatchRequest): Promise<BatchReply> {
+  async runBatch(request: BatchRequest): Promise<BatchReply> {
     this.options.standstills.check();
-    const { ages, batchIntake, peers } = this.options;
+    const { ages, batchIntake, heartbeatExchange, peers } = this.options;
     const { askedBy, sentAtMs } = request;
     peers.recordContact(askedBy, sentAtMs === undefined ? 0 : ages.ageMs(askedBy, sentAtMs));
-    return batchIntake.run(request);
+    heartbeatExchange.handleRequestLoad(request);
+    const reply = await batchIntake.run(request);
+    return { ...reply, sentAtMs: ages.timestampMs() };
   }
 
   withdrawBatch({ batchId }: BatchWithdrawal): void {
