Load reports state the waiting work, and the view sums up a service's load

A dispatcher did not tell what waits for its workers. The load of a member now lists its waiting tasks by service and priority, and FleetView.serviceLoad sums the daemon's own failure domain up from the reports that have not expired, less the tasks that were sent since. A list of another form is marked as invalid instead of rejecting the message.

--- a/src/bestEffort/fleetView.ts
+++ b/src/bestEffort/fleetView.ts
@@ -6,9 +6,11 @@
 import { CapacityProfile } from '../dispatch/capacityProfile.js';
 import type { MemberLoad, WorkerLoad } from '../types/fleet.js';
 import type { Clock } from '../ports/clock.js';
+import type { ServiceLoad } from '../types/serviceLoad.js';
 import { hasEnough } from '../types/resources.js';
 import type { Resources } from '../types/resources.js';
 import type { WorkerRecord } from '../types/workers.js';
+import { sumServiceLoad } from './serviceLoads.js';
 
 /** Age from which a reported load is ignored, in milliseconds. */
 const maxReportAgeMs = 1_000;
@@ -136,6 +138,7 @@
     const nowMs = this.options.clock.nowMs();
     const updated = new Map(workers.map((worker) => [worker.workerId, worker]));
     const load = {
+      ...known.load,
       workers: known.load.workers.map((worker) => updated.get(worker.workerId) ?? worker),
     };
     const reservations = known.reservations.filter(
@@ -155,8 +158,12 @@
    * dispatcher is read anew for each plan and needs no reservations.
    */
   reserve(reservation: Reservation): void {
+    if (reservation.dispatcherId === this.options.ownId) {
+      this.lastOwnReport = undefined;
+      return;
+    }
     const reported = this.loads.get(reservation.dispatcherId);
-    if (reported === undefined || reservation.dispatcherId === this.options.ownId) {
+    if (reported === undefined) {
       return;
     }
     const timed = { ...reservation, reservedAtMs: this.options.clock.nowMs() };
@@ -173,6 +180,20 @@
     return this.lastOwnReport.load;
   }
 
+  /** Sums the load of a service up in this daemon's own failure domain. Reports that have expired do not count. */
+  serviceLoad(serviceId: string): ServiceLoad {
+    const { clock, findWorker, ownId } = this.options;
+    this.recordLoad(ownId, this.ownReport(), 'own');
+    const nowMs = clock.nowMs();
+    const reports = [...this.loads.values()].flatMap(
+      ({ locality, receivedAtMs, load, reservations }) =>
+        locality === 'far' || receivedAtMs < nowMs - maxReportAgeMs
+          ? []
+          : [{ load, ageMs: nowMs - receivedAtMs, reservations }],
+    );
+    return sumServiceLoad(serviceId, reports, findWorker);
+  }
+
   /** Whether a dispatcher of another failure domain is in the view. */
   get hasFarDispatchers(): boolean {
     return [...this.loads.values()].some(({ locality }) => locality === 'far');
--- /dev/null
+++ b/src/bestEffort/serviceLoads.ts
@@ -0,0 +1,65 @@
+/**
+ * Sums the load of one service up from load reports.
+ */
+import { mergeWaitingWork } from '../dispatch/memberLoad.js';
+import type { MemberLoad } from '../types/fleet.js';
+import type { ServiceLoad } from '../types/serviceLoad.js';
+import { isInvalidField } from '../types/tolerant.js';
+import type { WorkerRecord } from '../types/workers.js';
+
+/** The load of a dispatcher that counts in a sum. */
+export interface CountedReport {
+  readonly load: MemberLoad;
+  /** Time since it was reported, in milliseconds. */
+  readonly ageMs: number;
+  /** Cores of tasks that were sent there since, in thousandths, by worker. */
+  readonly reservations: readonly { readonly workerId: string; readonly cpuMillis: number }[];
+}
+
+/**
+ * Sums the load of a service up. Workers that accept no tasks, are not listed or are of another service do not count.
+ *
+ * @param serviceId - the service
+ * @param reports - the reports of the dispatchers
+ * @param findWorker - returns the directory entry of a worker, if it is listed
+ */
+export const sumServiceLoad = (
+  serviceId: string,
+  reports: readonly CountedReport[],
+  findWorker: (workerId: string) => WorkerRecord | undefined,
+): ServiceLoad => {
+  let freeCpuMillis = 0;
+  let capacityCpuMillis = 0;
+  let oldestReportAgeMs = 0;
+  for (const { load, ageMs, reservations } of reports) {
+    const reservedCpuMillis = sumByWorker(reservations);
+    for (const { workerId, free, isOpen } of load.workers) {
+      const record = findWorker(workerId);
+      if (!isOpen || record?.serviceId !== serviceId) {
+        continue;
+      }
+      freeCpuMillis += Math.max(free.cpuMillis - (reservedCpuMillis.get(workerId) ?? 0), 0);
+      capacityCpuMillis += record.capacity.cpuMillis;
+      oldestReportAgeMs = Math.max(oldestReportAgeMs, ageMs);
+    }
+  }
+  const waiting = reports.flatMap(({ load }) =>
+    load.waiting === undefined || isInvalidField(load.waiting)
+      ? []
+      : load.waiting.filter((work) => work.serviceId === serviceId),
+  );
+  return {
+    freeCpuMillis,
+    capacityCpuMillis,
+    waiting: mergeWaitingWork(waiting),
+    oldestReportAgeMs,
+  };
+};
+
+const sumByWorker = (reservations: CountedReport['reservations']): ReadonlyMap<string, number> => {
+  const sums = new Map<string, number>();
+  for (const { workerId, cpuMillis } of reservations) {
+    sums.set(workerId, (sums.get(workerId) ?? 0) + cpuMillis);
+  }
+  return sums;
+};
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -21,6 +21,7 @@
 import type { LeaseTimes } from './leaseTimes.js';
 import { LostRuns } from './lostRuns.js';
 import type { ManagedWorker } from './managedWorker.js';
+import { composeMemberLoad } from './memberLoad.js';
 import { TaskRetries } from './taskRetries.js';
 import { recordOutcome } from './recordOutcome.js';
 import { describeEvidence } from './runEvidence.js';
@@ -245,9 +246,9 @@
     return this.workers.size;
   }
 
-  /** Returns the free capacity of the workers, as reported to the other daemons. */
+  /** Returns the free capacity of the workers and the waiting work, as reported to the other daemons. */
   load(): MemberLoad {
-    return { workers: this.workers.computeLoads(this.starter.listWaiting()) };
+    return composeMemberLoad(this.workers, this.starter.listWaiting());
   }
 
   /** Stops all runs; each task is returned once the end of its run is proved. */
@@ -263,8 +264,7 @@
 
   private openBatch(askedBy: string, content: Batch, confirmedAtMs: number): OpenBatch {
     const { clock, leaseTimes } = this.options;
-    const { confirmationMs } = leaseTimes;
-    const confirmation = { confirmedAtMs, confirmationMs };
+    const confirmation = { confirmedAtMs, confirmationMs: leaseTimes.confirmationMs };
     const batch = OpenBatch.create(askedBy, content, clock.nowMs(), confirmation);
     this.batches.add(batch);
     if (this.batches.wasWithdrawnEarly(content.batchId)) {
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -7,6 +7,8 @@
 import { statedLossesSchema } from './losses.js';
 import { ipPortSchema } from './networkAddress.js';
 import { resourcesSchema } from './resources.js';
+import { waitingWorkSchema } from './serviceLoad.js';
+import { tolerantField } from './tolerant.js';
 
 /** A daemon of the fleet. */
 export const memberSchema = z.object({
@@ -55,7 +57,11 @@
 export type WorkerLoad = z.infer<typeof workerLoadSchema>;
 
 /** The load of all workers of one daemon. */
-export const memberLoadSchema = z.object({ workers: z.array(workerLoadSchema) });
+export const memberLoadSchema = z.object({
+  workers: z.array(workerLoadSchema),
+  /** Work that waits at the daemon, by service and priority, if there is any; earlier versions omit it. */
+  waiting: tolerantField(z.array(waitingWorkSchema)),
+});
 export type MemberLoad = z.infer<typeof memberLoadSchema>;
 
 /** A task under which workers were lost, which may be the cause. */
