Heartbeats state the free capacity of failure domains

A daemon knew of another domain only what its two contacts there report. Heartbeats to other domains now carry domainRooms: the sum of the sender's domain by service, and what it has heard of other ones, with their ages. Entries older than 1.5 s are unknown; invalid ones are ignored one by one, counted, and logged at most every 10 s. FleetView.farDomainsWithRoom lists the other domains that can start a task now.

--- a/src/bestEffort/fleetView.ts
+++ b/src/bestEffort/fleetView.ts
@@ -2,15 +2,19 @@
  * This daemon's view of the free capacity at every dispatcher: the last load that each reported,
  * less the tasks that this daemon has sent there since.
  */
-import type { Candidate } from '../dispatch/workerChoice.js';
-import { CapacityProfile } from '../dispatch/capacityProfile.js';
-import type { MemberLoad, WorkerLoad } from '../types/fleet.js';
+import { DomainRooms } from '../fleet/domainRooms.js';
+import type { MemberLoad } from '../types/fleet.js';
 import type { Clock } from '../ports/clock.js';
 import type { ServiceLoad } from '../types/serviceLoad.js';
-import { hasEnough } from '../types/resources.js';
-import type { Resources } from '../types/resources.js';
 import type { WorkerRecord } from '../types/workers.js';
+import { listFarDomainsWithRoom } from './farDomains.js';
 import { sumServiceLoad } from './serviceLoads.js';
+import type { CountedReport } from './serviceLoads.js';
+import { toSnapshot } from './workerSnapshot.js';
+import type { Locality, WorkerSnapshot } from './workerSnapshot.js';
+
+export { timeUntilFreeMs } from './workerSnapshot.js';
+export type { Locality, WorkerSnapshot } from './workerSnapshot.js';
 
 /** Age from which a reported load is ignored, in milliseconds. */
 const maxReportAgeMs = 1_000;
@@ -22,31 +26,12 @@
 /** Time for which a computed load is sent again: the requests of one step leave within this time. */
 const maxReuseMs = 2;
 
-/** Whether a dispatcher is this daemon itself, in the same failure domain, or in another one. */
-export type Locality = 'own' | 'near' | 'far';
-
 /**
  * Which workers a plan considers. `free-in-domain`: those of this failure domain that report enough free
  * cores now. `own-domain`: all of this failure domain. `fleet`: all.
  */
 export type Scope = 'free-in-domain' | 'own-domain' | 'fleet';
 
-/** Time that a batch is assumed to take to a dispatcher, in milliseconds. */
-const deliveryTimesMs: Readonly<Record<Locality, number>> = { own: 0, near: 1, far: 4 };
-
-/** A dispatcher's worker with its estimated free capacity. */
-export interface WorkerSnapshot extends Omit<Candidate, 'startsInMs' | 'messageCost'> {
-  /** Incarnation of the daemon that dispatches to it. */
-  readonly dispatcherId: string;
-  readonly locality: Locality;
-  /** When the dispatcher's load was received, in milliseconds on this process's monotonic clock. */
-  readonly reportedAtMs: number;
-  /** Everything that the worker has, whether free or not. */
-  readonly capacity: Resources;
-  /** Free cores now and later, less the reservations. */
-  readonly availability: CapacityProfile;
-}
-
 /** Cores that a task sent to a dispatcher is expected to use there. */
 export interface Reservation {
   readonly dispatcherId: string;
@@ -82,7 +67,12 @@
   private readonly loads = new Map<string, ReportedLoad>();
   private lastOwnReport: { readonly load: MemberLoad; readonly atMs: number } | undefined;
 
-  private constructor(private readonly options: FleetViewOptions) {}
+  /** Free capacity of other failure domains, as heard of. */
+  readonly rooms: DomainRooms;
+
+  private constructor(private readonly options: FleetViewOptions) {
+    this.rooms = DomainRooms.create(options.clock);
+  }
 
   static create(options: FleetViewOptions): FleetView {
     return new FleetView(options);
@@ -182,18 +172,37 @@
 
   /** Sums the load of a service up in this daemon's own failure domain. Reports that have expired do not count. */
   serviceLoad(serviceId: string): ServiceLoad {
-    const { clock, findWorker, ownId } = this.options;
+    const { findWorker, ownId } = this.options;
     this.recordLoad(ownId, this.ownReport(), 'own');
-    const nowMs = clock.nowMs();
-    const reports = [...this.loads.values()].flatMap(
-      ({ locality, receivedAtMs, load, reservations }) =>
-        locality === 'far' || receivedAtMs < nowMs - maxReportAgeMs
-          ? []
-          : [{ load, ageMs: nowMs - receivedAtMs, reservations }],
-    );
+    const reports = this.recentReports((locality) => locality !== 'far');
     return sumServiceLoad(serviceId, reports, findWorker);
   }
 
+  /**
+   * Lists the other failure domains that can start a task now, the one with the most free cores first. A plan can
+   * skip the workers of the others, which only let it wait.
+   *
+   * @param serviceId - service of the task
+   * @param cpuMillis - cores that it needs, in thousandths
+   */
+  farDomainsWithRoom(serviceId: string, cpuMillis: number): string[] {
+    return listFarDomainsWithRoom(serviceId, cpuMillis, {
+      reports: this.recentReports((locality) => locality === 'far'),
+      findWorker: this.options.findWorker,
+      findRoom: (failureDomainId) => this.rooms.find(failureDomainId, serviceId),
+    });
+  }
+
+  private recentReports(isCounted: (locality: Locality) => boolean): CountedReport[] {
+    const nowMs = this.options.clock.nowMs();
+    return [...this.loads.values()]
+      .filter(
+        ({ locality, receivedAtMs }) =>
+          isCounted(locality) && receivedAtMs >= nowMs - maxReportAgeMs,
+      )
+      .map(({ receivedAtMs, ...reported }) => ({ ...reported, ageMs: nowMs - receivedAtMs }));
+  }
+
   /** Whether a dispatcher of another failure domain is in the view. */
   get hasFarDispatchers(): boolean {
     return [...this.loads.values()].some(({ locality }) => locality === 'far');
@@ -208,7 +217,7 @@
    * @returns snapshots that the caller may change
    */
   workers(serviceId: string, scope: Scope, cpuMillis: number): WorkerSnapshot[] {
-    const { clock, ownId, ownLoad } = this.options;
+    const { clock, findWorker, ownId, ownLoad } = this.options;
     this.recordLoad(ownId, ownLoad(), 'own');
     const oldestMs = clock.nowMs() - maxReportAgeMs;
     const minFreeCpuMillis = scope === 'free-in-domain' ? cpuMillis : 0;
@@ -218,60 +227,13 @@
         : reported.load.workers.flatMap((worker) =>
             worker.free.cpuMillis < minFreeCpuMillis
               ? []
-              : (this.toSnapshot(dispatcherId, reported, worker, serviceId) ?? []),
+              : (toSnapshot(
+                  { dispatcherId, ...reported },
+                  worker,
+                  findWorker(worker.workerId),
+                  serviceId,
+                ) ?? []),
           ),
     );
   }
-
-  /** @returns nothing if the worker accepts no tasks, is not listed or is of another service */
-  private toSnapshot(
-    dispatcherId: string,
-    { locality, reservations, receivedAtMs }: ReportedLoad,
-    { workerId, free, slowness, isOpen, releases }: WorkerLoad,
-    serviceId: string,
-  ): WorkerSnapshot | undefined {
-    const record = this.options.findWorker(workerId);
-    if (!isOpen || record?.serviceId !== serviceId) {
-      return undefined;
-    }
-    const availability = CapacityProfile.create(free.cpuMillis, releases);
-    for (const reserved of reservations) {
-      if (reserved.workerId === workerId) {
-        availability.reserve(reserved.cpuMillis, reserved.runMs);
-      }
-    }
-    const { labels, capacity } = record;
-    return {
-      dispatcherId,
-      reportedAtMs: receivedAtMs,
-      workerId,
-      labels,
-      capacity,
-      free,
-      availability,
-      slowness,
-      locality,
-      deliveryMs: deliveryTimesMs[locality],
-    };
-  }
 }
-
-/**
- * Estimates when a worker has free capacity for a task. Only cores are predicted: while memory or
- * accelerators are missing, the result is at least 1.
- *
- * @param worker - the worker, as its dispatcher reported it
- * @param needs - resources that the task uses
- * @returns time from now in milliseconds, 0 if it fits now, infinite if it never fits
- */
-export const timeUntilFreeMs = (
-  { capacity, free, availability }: WorkerSnapshot,
-  needs: Resources,
-): number => {
-  if (!hasEnough(needs, capacity)) {
-    return Infinity;
-  }
-  const startsInMs = availability.startsInMs(needs.cpuMillis);
-  const isFreeNow = startsInMs === 0 && hasEnough({ ...needs, cpuMillis: 0 }, free);
-  return isFreeNow ? 0 : Math.max(startsInMs, 1);
-};
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -176,7 +176,7 @@
     });
     this.heartbeatExchange = FleetHeartbeatExchange.create({
       ...{ clock, ages, contact, leases, own: member, logger: this.logger, routing, lengths },
-      ...{ speeds, view, router, dispatcher, held, confirmationMs },
+      ...{ metrics, speeds, view, router, dispatcher, held, confirmationMs },
       jobs: {
         listHeld,
         listCancelled: () => jobs.listCancelled(),
--- a/src/fleet/fleetHeartbeatExchange.spec.ts
+++ b/src/fleet/fleetHeartbeatExchange.spec.ts
@@ -1,5 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import { noMetrics } from '../adapters/system/noMetrics.js';
 import type { BatchRouter } from '../bestEffort/batchRouter.js';
 import type { HeldJob, RunningJobs } from '../bestEffort/runningJobs.js';
 import { FleetView } from '../bestEffort/fleetView.js';
@@ -43,6 +44,7 @@
     leases: RequesterLeases.create(ages),
     own: { incarnation: ownId, address: '127.0.0.1:1', failureDomainId: 'east', weight: 1 },
     logger: silentLogger,
+    metrics: noMetrics,
     routing: RoutingStore.create(),
     lengths: RunTimePredictor.create(),
     speeds: WorkerSpeedCache.create(),
--- a/src/fleet/fleetHeartbeatExchange.ts
+++ b/src/fleet/fleetHeartbeatExchange.ts
@@ -12,6 +12,7 @@
 import type { Clock } from '../ports/clock.js';
 import type { BatchRequest } from '../ports/fleetPeers.js';
 import type { Logger } from '../ports/logger.js';
+import type { Metrics } from '../ports/metrics.js';
 import type { RoutingStore } from '../routing/routingStore.js';
 import type { FleetHeartbeat, Member } from '../types/fleet.js';
 import { isInvalidField } from '../types/tolerant.js';
@@ -24,6 +25,7 @@
 import { NewContacts } from './newContacts.js';
 import type { RequesterLeases } from './requesterLeases.js';
 import { maxSharingSilenceMs } from './requesterTimes.js';
+import { RoomStatements } from './roomStatements.js';
 
 /**
  * Age up to which a batch that the requester's heartbeat does not list is kept, in milliseconds: it
@@ -39,6 +41,7 @@
   readonly leases: RequesterLeases;
   readonly own: Member;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly routing: RoutingStore;
   readonly lengths: RunTimePredictor;
   readonly speeds: WorkerSpeedCache;
@@ -59,12 +62,14 @@
   /** Processes that are told of all suspects, since they have not heard what was announced before. */
   private readonly newContacts: NewContacts;
   private readonly statements: HeldStatements;
+  private readonly rooms: RoomStatements;
 
   private constructor(private readonly options: FleetHeartbeatExchangeOptions) {
     const { clock, held, jobs, own } = options;
     this.newContacts = NewContacts.create(clock, announcementMs);
     const listHeld = () => jobs.listHeld();
     this.statements = HeldStatements.create({ clock, ownId: own.incarnation, listHeld, held });
+    this.rooms = RoomStatements.create(options);
   }
 
   static create(options: FleetHeartbeatExchangeOptions): FleetHeartbeatExchange {
@@ -90,8 +95,9 @@
     load.workers.forEach((worker) => speeds.record(worker));
     const { heldUpMs } = contact;
     const roundTripMs = peer === undefined ? undefined : ages.shortestRoundTripMs(peer);
-    const isSameDomain =
-      peer !== undefined && this.isInOwnDomain(peers().find(peer)?.heartbeat?.member);
+    const receiver = peer === undefined ? undefined : peers().find(peer)?.heartbeat?.member;
+    const isSameDomain = this.isInOwnDomain(receiver);
+    const domainRooms = this.rooms.compose(receiver);
     const audience = this.audienceOf(peer, isSameDomain);
     const suspects = dispatcher.suspects.listAnnounced(audience);
     const doubts = dispatcher.doubts.listAnnounced(audience);
@@ -105,6 +111,7 @@
       isLeaving: this.isLeaving,
       load,
       askedBatchIds: router.requestedBatchIds(peer),
+      ...(domainRooms.length > 0 ? { domainRooms } : {}),
       ...(heldUpMs > 0 ? { heldUpMs } : {}),
       ...(roundTripMs === undefined ? {} : { roundTripMs }),
       ...(suspects.length > 0 ? { suspects } : {}),
@@ -137,6 +144,7 @@
     this.newContacts.record(incarnation);
     const isSameDomain = this.isInOwnDomain(member);
     view.recordLoad(incarnation, load, isSameDomain ? 'near' : 'far', ageMs);
+    this.rooms.receive(heartbeat, ageMs);
     load.workers.forEach((worker) => speeds.record(worker));
     const source = isSameDomain ? 'own-domain' : 'other-domain';
     if (heartbeat.suspects !== undefined) {
@@ -165,13 +173,13 @@
    * peer, may be from before the requester was lost.
    */
   handleRequestLoad({ askedBy, sentAtMs, load }: BatchRequest): void {
-    const { ages, logger, peers, view } = this.options;
+    const { ages, peers, view } = this.options;
     const member = peers().find(askedBy)?.heartbeat?.member;
     if (load === undefined || sentAtMs === undefined || member === undefined) {
       return;
     }
     if (isInvalidField(load)) {
-      logger.warn('A field of a message is ignored.', { nodeId: askedBy, fields: 'load' });
+      this.rooms.reportIgnored(askedBy, { load: 1 });
       return;
     }
     const locality = this.isInOwnDomain(member) ? 'near' : 'far';
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -3,6 +3,7 @@
  * they exchange.
  */
 import { z } from 'zod';
+import { domainRoomsSchema } from './domainRooms.js';
 import { lengthSumsSchema, workerSlowdownSchema } from './learned.js';
 import { statedLossesSchema } from './losses.js';
 import { ipPortSchema } from './networkAddress.js';
@@ -132,6 +133,11 @@
   /** Whether the sender is shutting down. */
   isLeaving: z.boolean(),
   load: memberLoadSchema,
+  /**
+   * Free capacity of failure domains (`domainRoomSchema`), if any is known: the sender's own and those that it has heard of;
+   * to daemons of other domains only. The entries are checked one by one. Earlier versions omit it.
+   */
+  domainRooms: tolerantField(domainRoomsSchema),
   /** Batches that the sender has requested from the receiver and still waits for. */
   askedBatchIds: z.array(z.string()),
   /**
