--- a/src/bestEffort/fleetView.spec.ts
+++ b/src/bestEffort/fleetView.spec.ts
@@ -27,19 +27,15 @@
 
 const createView = () => {
   const clock = FakeClock.create();
-  let computedLoads = 0;
   const view = FleetView.create({
     clock,
     ownId: 'own',
-    ownLoad: () => {
-      computedLoads += 1;
-      return { workers: [] };
-    },
+    ownLoad: () => ({ workers: [] }),
     findWorker: record,
   });
   const freeCpuMillis = () =>
     view.workers('fit', 'fleet', 0).map(({ availability }) => availability.free);
-  return { clock, view, freeCpuMillis, computedLoads: () => computedLoads };
+  return { clock, view, freeCpuMillis };
 };
 
 // Guards against plans on an old report although a reply has brought a newer one.
@@ -71,17 +67,6 @@
   assert.equal(freeCpuMillis(), [4_000]);
 });
 
-// Guards against one computation of the load for each of the requests that a step sends at once.
-test('the own load is computed once for the messages that are sent at one time', async () => {
-  const { clock, view, computedLoads } = createView();
-  view.ownReport();
-  view.ownReport();
-  assert.is(computedLoads(), 1);
-  await clock.advance(5);
-  view.ownReport();
-  assert.is(computedLoads(), 2);
-});
-
 // Guards against admission by capacity that is out of reach, was reported long ago, or is promised to tasks on their way.
 test('the load of a service is that of its own failure domain, by recent reports, less what was sent', async () => {
   const { clock, view } = createView();
--- a/src/bestEffort/fleetView.ts
+++ b/src/bestEffort/fleetView.ts
@@ -23,8 +23,6 @@
  * milliseconds; their reservations are kept.
  */
 const reportDelayMs = 6;
-/** Time for which a computed load is sent again: the requests of one step leave within this time. */
-const maxReuseMs = 2;
 
 /**
  * Which workers a plan considers. `free-in-domain`: those of this failure domain that report enough free
@@ -65,7 +63,6 @@
 
 export class FleetView {
   private readonly loads = new Map<string, ReportedLoad>();
-  private lastOwnReport: { readonly load: MemberLoad; readonly atMs: number } | undefined;
 
   /** Free capacity of other failure domains, as heard of. */
   readonly rooms: DomainRooms;
@@ -148,12 +145,8 @@
    * dispatcher is read anew for each plan and needs no reservations.
    */
   reserve(reservation: Reservation): void {
-    if (reservation.dispatcherId === this.options.ownId) {
-      this.lastOwnReport = undefined;
-      return;
-    }
     const reported = this.loads.get(reservation.dispatcherId);
-    if (reported === undefined) {
+    if (reported === undefined || reservation.dispatcherId === this.options.ownId) {
       return;
     }
     const timed = { ...reservation, reservedAtMs: this.options.clock.nowMs() };
@@ -161,13 +154,9 @@
     this.loads.set(reservation.dispatcherId, { ...reported, reservations });
   }
 
-  /** Returns the load of this daemon's own dispatcher for a message; one computed a short while ago is used again. */
+  /** Returns the load of this daemon's own dispatcher, for a message. */
   ownReport(): MemberLoad {
-    const nowMs = this.options.clock.nowMs();
-    if (this.lastOwnReport === undefined || nowMs - this.lastOwnReport.atMs > maxReuseMs) {
-      this.lastOwnReport = { load: this.options.ownLoad(), atMs: nowMs };
-    }
-    return this.lastOwnReport.load;
+    return this.options.ownLoad();
   }
 
   /** Sums the load of a service up in this daemon's own failure domain. Reports that have expired do not count. */
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -21,7 +21,7 @@
 import type { LeaseTimes } from './leaseTimes.js';
 import { LostRuns } from './lostRuns.js';
 import type { ManagedWorker } from './managedWorker.js';
-import { composeMemberLoad } from './memberLoad.js';
+import { MemberLoadReports } from './memberLoad.js';
 import { TaskRetries } from './taskRetries.js';
 import { recordOutcome } from './recordOutcome.js';
 import { describeEvidence } from './runEvidence.js';
@@ -53,6 +53,7 @@
   /** Starts that may still be carried out, of this daemon and of other ones. */
   readonly doubts: DoubtedStarts;
   private readonly batches: BatchTable;
+  private readonly loadReports: MemberLoadReports;
   private readonly workers: WorkerPool;
   private readonly starter: TaskStarter;
   private readonly retries: TaskRetries;
@@ -75,9 +76,7 @@
       onAvailabilityChange: () => this.starter.startReadyTasks(),
     });
     this.starter = TaskStarter.create({
-      ...options,
-      logger,
-      supervisor,
+      ...{ ...options, logger, supervisor },
       workers: this.workers,
       awaitsProof: (task) => this.retries.awaitsProof(task),
     });
@@ -86,6 +85,7 @@
       ...{ logger, starter, suspects, doubts },
       isBoundTo: (task, workerId) => this.workers.isBoundTo(task, workerId),
     });
+    this.loadReports = MemberLoadReports.create(options.clock, this.workers);
     const lapsedRuns = LapsedRuns.create();
     this.lostRuns = LostRuns.create({ logger, lapsedRuns, doubts, retries: this.retries });
   }
@@ -248,7 +248,7 @@
 
   /** Returns the free capacity of the workers and the waiting work, as reported to the other daemons. */
   load(): MemberLoad {
-    return composeMemberLoad(this.workers, this.starter.listWaiting());
+    return this.loadReports.compose(this.starter.listWaiting());
   }
 
   /** Stops all runs; each task is returned once the end of its run is proved. */
--- a/src/dispatch/memberLoad.spec.ts
+++ b/src/dispatch/memberLoad.spec.ts
@@ -31,6 +31,26 @@
   await closeDispatcher(fixture);
 });
 
+// Guards against one computation for each message of a step, and against a reply that hides what its batch has changed.
+test('a load is used again until runs or waiting tasks change, or a short time has passed', async () => {
+  const fixture = await createDispatcherFixture({ workerCount: 1, runMs: 100 });
+  const { dispatcher, clock } = fixture;
+  const idle = dispatcher.load();
+  assert.is(dispatcher.load(), idle);
+  const ended = dispatcher.run('vm', patientBatch(6));
+  const busy = dispatcher.load();
+  assert.ok((busy.workers[0]?.free.cpuMillis ?? 0) < (idle.workers[0]?.free.cpuMillis ?? 0));
+  void dispatcher.run('vm', patientBatch(1, { batchId: 'b-2', jobId: '0000000000000002' }));
+  assert.is.not(dispatcher.load(), busy);
+  const sent = dispatcher.load();
+  await clock.advance(3);
+  assert.is.not(dispatcher.load(), sent);
+  await clock.advance(5_000);
+  await ended;
+  assert.equal(dispatcher.load().workers[0]?.free, idle.workers[0]?.free);
+  await closeDispatcher(fixture);
+});
+
 // Guards against a whole message that is rejected for one new field.
 test('waiting work of another form is marked, and the rest of the load counts', () => {
   const workers = [
--- a/src/dispatch/memberLoad.ts
+++ b/src/dispatch/memberLoad.ts
@@ -1,26 +1,62 @@
 /**
  * The load that a dispatcher reports: the free capacity of its workers, and the work that waits for them.
  */
+import type { Clock } from '../ports/clock.js';
 import type { MemberLoad } from '../types/fleet.js';
 import type { WaitingWork } from '../types/serviceLoad.js';
 import type { BatchedTask } from './openBatch.js';
 import type { WorkerPool } from './workerPool.js';
 
-/**
- * Composes the load.
- *
- * @param workers - the workers of the dispatcher
- * @param waiting - its waiting tasks, in the order in which they reserve capacity
- */
-export const composeMemberLoad = (
-  workers: Pick<WorkerPool, 'computeLoads'>,
-  waiting: readonly BatchedTask[],
-): MemberLoad => {
-  const loads = workers.computeLoads(waiting);
-  return waiting.length === 0
-    ? { workers: loads }
-    : { workers: loads, waiting: sumWaitingTasks(waiting) };
-};
+/** Time for which a load is reused, in milliseconds: messages of one step leave, and replies come, within this time. */
+const maxReuseMs = 2;
+
+/** A load, and the state of the dispatcher that it was computed from. */
+interface ComputedLoad {
+  readonly load: MemberLoad;
+  readonly atMs: number;
+  readonly stamp: string;
+  readonly waiting: readonly BatchedTask[];
+}
+
+export class MemberLoadReports {
+  private last: ComputedLoad | undefined;
+
+  private constructor(
+    private readonly clock: Clock,
+    private readonly workers: Pick<WorkerPool, 'computeLoads' | 'loadStamp'>,
+  ) {}
+
+  static create(
+    clock: Clock,
+    workers: Pick<WorkerPool, 'computeLoads' | 'loadStamp'>,
+  ): MemberLoadReports {
+    return new MemberLoadReports(clock, workers);
+  }
+
+  /**
+   * Composes the load, or returns the last one if neither the runs nor the waiting tasks have changed since.
+   *
+   * @param waiting - the waiting tasks, in the order in which they reserve capacity
+   */
+  compose(waiting: readonly BatchedTask[]): MemberLoad {
+    const nowMs = this.clock.nowMs();
+    const stamp = this.workers.loadStamp();
+    const isCurrent =
+      this.last?.stamp === stamp &&
+      nowMs - this.last.atMs <= maxReuseMs &&
+      hasSameTasks(this.last.waiting, waiting);
+    if (this.last === undefined || !isCurrent) {
+      const workers = this.workers.computeLoads(waiting);
+      const load =
+        waiting.length === 0 ? { workers } : { workers, waiting: sumWaitingTasks(waiting) };
+      this.last = { load, atMs: nowMs, stamp, waiting };
+    }
+    return this.last.load;
+  }
+}
+
+const hasSameTasks = (a: readonly BatchedTask[], b: readonly BatchedTask[]): boolean =>
+  a.length === b.length && a.every((task, index) => task === b[index]);
 
 /** Sums waiting tasks up by service and priority. */
 export const sumWaitingTasks = (waiting: readonly BatchedTask[]): WaitingWork[] =>
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -98,6 +98,13 @@
     return forecast.loads();
   }
 
+  /** Describes what the load of the workers is computed from, without the passage of time and the waiting tasks. */
+  loadStamp(): string {
+    return [...this.workers.values()]
+      .map((worker) => `${worker.workerId} ${worker.isOpen} ${worker.runStamp}`)
+      .join();
+  }
+
   /**
    * Finds the tasks whose expected wait for free capacity is longer than their batch allows. Suspects wait
    * for a worker of their own instead.
