--- /dev/null
+++ b/src/bestEffort/fleetView.spec.ts
@@ -0,0 +1,105 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { FakeClock } from '../testing/fakeClock.js';
+import type { MemberLoad } from '../types/fleet.js';
+import type { WorkerRecord } from '../types/workers.js';
+import { FleetView } from './fleetView.js';
+
+const loadOf = (...freeCpuMillis: number[]): MemberLoad => ({
+  workers: freeCpuMillis.map((cpuMillis, index) => ({
+    workerId: `w-${index}`,
+    free: { cpuMillis, memoryMb: 1_000, accelerators: 0 },
+    slowness: 1,
+    isOpen: true,
+    releases: [],
+  })),
+});
+
+const record = (workerId: string): WorkerRecord => ({
+  workerId,
+  address: '127.0.0.1:1',
+  serviceId: 'fit',
+  failureDomainId: 'east',
+  labels: [],
+  capacity: { cpuMillis: 32_000, memoryMb: 1_000, accelerators: 0 },
+  state: 'ready',
+});
+
+const createView = () => {
+  const clock = FakeClock.create();
+  const view = FleetView.create({
+    clock,
+    ownId: 'own',
+    ownLoad: () => ({ workers: [] }),
+    findWorker: record,
+  });
+  const freeCpuMillis = () =>
+    view.workers('fit', 'fleet', 0).map(({ availability }) => availability.free);
+  return { clock, view, freeCpuMillis };
+};
+
+// Guards against plans on an old report although a reply has brought a newer one.
+test('the load of a reply replaces the known one and renews its age', async () => {
+  const { clock, view, freeCpuMillis } = createView();
+  view.recordLoad('other', loadOf(4_000, 8_000), 'near');
+  await clock.advance(900);
+  view.renewLoad('other', loadOf(16_000), 20);
+  await clock.advance(900);
+  assert.equal(freeCpuMillis(), [16_000]);
+});
+
+// Guards against a held-up message that undoes what a newer one has told.
+test('a load that is older than the known one is ignored', async () => {
+  const { clock, view, freeCpuMillis } = createView();
+  await clock.advance(100);
+  view.recordLoad('other', loadOf(4_000), 'near');
+  view.recordLoad('other', loadOf(8_000), 'near', 50);
+  view.renewLoad('other', loadOf(8_000), 50);
+  assert.equal(freeCpuMillis(), [4_000]);
+});
+
+// Guards against a dispatcher that loses its workers in the view by answering without having looked at the batch.
+test('an empty load in a reply, or one of an unknown dispatcher, changes nothing', () => {
+  const { view, freeCpuMillis } = createView();
+  view.recordLoad('other', loadOf(4_000), 'near');
+  view.renewLoad('other', loadOf(), 0);
+  view.renewLoad('forgotten', loadOf(8_000), 0);
+  assert.equal(freeCpuMillis(), [4_000]);
+});
+
+// Guards against admission by capacity that is out of reach, was reported long ago, or is promised to tasks on their way.
+test('the load of a service is that of its own failure domain, by recent reports, less what was sent', async () => {
+  const { clock, view } = createView();
+  const work = { serviceId: 'fit', taskCount: 2, coreMs: 500 };
+  view.recordLoad('expired', loadOf(1_000), 'near');
+  await clock.advance(900);
+  view.recordLoad('far', loadOf(2_000), 'far');
+  view.recordLoad('older', { ...loadOf(4_000), waiting: [{ ...work, priority: 1 }] }, 'near', 300);
+  view.recordLoad(
+    'newer',
+    {
+      ...loadOf(8_000, 16_000),
+      waiting: [
+        { ...work, priority: 1 },
+        { ...work, priority: 0 },
+        { ...work, serviceId: 'other', priority: 0 },
+      ],
+    },
+    'near',
+  );
+  view.recordLoad('invalid', { ...loadOf(32_000), waiting: { kind: 'invalid' } }, 'near');
+  view.reserve({ dispatcherId: 'newer', workerId: 'w-0', cpuMillis: 9_000, runMs: 100 });
+  await clock.advance(200);
+  assert.equal(view.serviceLoad('fit'), {
+    freeCpuMillis: 4_000 + 16_000 + 32_000,
+    capacityCpuMillis: 4 * 32_000,
+    waiting: [
+      { ...work, priority: 0 },
+      { ...work, priority: 1, taskCount: 4, coreMs: 1_000 },
+    ],
+    oldestReportAgeMs: 500,
+  });
+  assert.is(view.serviceLoad('unknown').capacityCpuMillis, 0);
+});
+
+test.run();
