Limits on the memory that clients make a daemon hold

A daemon kept a buffer for each chunk of a body, served all pipelined requests of a connection at once, and kept their responses until they were read, so that a few hundred clients exhausted its memory.

Requests are now counted in bytes for the whole process, in three pools: bodies that come, requests that are served, responses that wait. Room is made at the expense of the oldest unfinished body or the longest unread response. A request is refused with 503 only if no task of its job can have run for another request; otherwise its connection is closed. Chunks are copied into one growing buffer. The limits are in the table `clientLimits` of the settings file, and their defaults follow `limits.memoryMb`.

--- a/src/adapters/http/httpServer.ts
+++ b/src/adapters/http/httpServer.ts
@@ -6,6 +6,7 @@
 import { Server as NetServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
+import { onceOver } from './requestEnd.js';
 
 const maxHeaderBytes = 8_192;
 const maxHeaders = 64;
@@ -69,6 +70,8 @@
     );
     httpServer.server.maxHeadersCount = maxHeaders;
     httpServer.server.maxConnections = options.maxConnections;
+    // Each open request of a connection listens to its socket.
+    httpServer.server.on('connection', (socket) => socket.setMaxListeners(0));
     if (options.onConnection !== undefined) {
       const { onConnection } = options;
       httpServer.server.on('connection', onConnection);
@@ -148,8 +151,12 @@
   }
 
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (request.socket.destroyed) {
+      // It was parsed with an earlier one of its connection, which has been closed since.
+      return;
+    }
     this.openResponses.add(response);
-    response.once('close', () => this.openResponses.delete(response));
+    onceOver(request, response, () => this.openResponses.delete(response));
     if (this.isDraining) {
       response.shouldKeepAlive = false;
     }
--- a/src/bestEffort/endedJobs.ts
+++ b/src/bestEffort/endedJobs.ts
@@ -86,6 +86,12 @@
     }
   }
 
+  /** Whether a task may have run of a job that has ended here. */
+  mayHaveRun(jobId: string): boolean {
+    const job = this.jobs.get(jobId);
+    return job === undefined ? this.clock.nowMs() < this.forgottenUntilMs : job.mayHaveStarted;
+  }
+
   /** Lists the jobs of which runs may go on, with the time by which they have ended, in monotonic time. */
   listRunning(): readonly (Pick<EndedJob, 'jobId' | 'statedFromMs'> & { untilMs: number })[] {
     const nowMs = this.clock.nowMs();
--- a/src/bestEffort/runningJobs.ts
+++ b/src/bestEffort/runningJobs.ts
@@ -154,6 +154,11 @@
     return job.run.mayHaveStarted ? 'running' : 'queued';
   }
 
+  /** Whether a task of a job may have run here, or may run. */
+  mayHaveRun(jobId: string): boolean {
+    return this.jobs.has(jobId) || this.ended.mayHaveRun(jobId);
+  }
+
   /**
    * Cancels a job for all its callers. It is remembered for some time, so that a request for it that comes
    * only now starts nothing.
--- a/src/fleet/jobIntake.ts
+++ b/src/fleet/jobIntake.ts
@@ -147,6 +147,11 @@
     return joins.isWaiting(jobId) ? 'running' : jobs.state(jobId);
   }
 
+  mayHaveRun(jobId: string): boolean {
+    const { jobs, joins } = this.options;
+    return joins.isWaiting(jobId) || jobs.mayHaveRun(jobId) || this.listHolders(jobId).length > 0;
+  }
+
   cancel(jobId: string): Promise<CancellationOutcome> {
     return this.options.cancellation.cancel(jobId);
   }
--- /dev/null
+++ b/src/limits/requestLedger.ts
@@ -0,0 +1,167 @@
+/**
+ * Decides what becomes of the requests of clients when they need more memory than is allowed. A request goes through three
+ * phases, and is counted in bytes in the pool of its phase: its body comes, it is served, its response is sent.
+ *
+ * Ordinary clients send a body at once and read a response at once. So room is made at the expense of the request that has
+ * been in the first or the last phase for longest. A request that is being served keeps its room until it has its response.
+ */
+import type { ClientLimits } from './clientLimits.js';
+import { BytePool } from './bytePool.js';
+import type { PoolShare } from './bytePool.js';
+
+/** Memory of a request and its response in Node.js, without the body, in bytes. */
+const requestBytes = 4_096;
+/** Memory of a job in progress, without its content, in bytes. */
+const jobBytes = 6_144;
+/** Memory of the content of a job over the bytes of its body: the text while it is parsed, and what is parsed. */
+const contentFactor = 2;
+/**
+ * Part of the pool of served requests that clients which send several at a time on a connection may fill; the rest is left to
+ * the others.
+ */
+const pipelinedPart = 0.5;
+
+/** The limits that a request may reach. */
+export type ClientLimit =
+  'requests-per-connection' | 'unfinished-bodies' | 'open-requests' | 'unread-responses';
+
+/** A request for which there is no room. `refuse`: nothing of it has been started. */
+export interface Refusal {
+  readonly kind: 'refuse';
+  readonly limit: ClientLimit;
+}
+
+/** What becomes of a request whose body has ended. */
+export type ServeDecision = { readonly kind: 'serve' } | Refusal;
+
+/** How a request gives way to others. `disconnect`: its connection is closed. */
+export type GivingWay = Refusal | { readonly kind: 'disconnect'; readonly limit: ClientLimit };
+
+/** Ends a request that gives way. */
+export type GiveWay = (how: GivingWay) => void;
+
+/** The requests of one connection. */
+interface ConnectionUse {
+  open: number;
+}
+
+interface RequestPools {
+  readonly unfinishedBodies: BytePool;
+  readonly openRequests: BytePool;
+  readonly unreadResponses: BytePool;
+}
+
+export class RequestLedger {
+  private readonly connections = new WeakMap<object, ConnectionUse>();
+  private readonly pools: RequestPools;
+
+  private constructor(private readonly limits: ClientLimits) {
+    this.pools = {
+      unfinishedBodies: BytePool.create(limits.unfinishedBodyBytes),
+      openRequests: BytePool.create(limits.openRequestBytes),
+      unreadResponses: BytePool.create(limits.unreadResponseBytes),
+    };
+  }
+
+  static create(limits: ClientLimits): RequestLedger {
+    return new RequestLedger(limits);
+  }
+
+  /** Bytes that are counted now, of all phases. */
+  get heldBytes(): number {
+    const { unfinishedBodies, openRequests, unreadResponses } = this.pools;
+    return unfinishedBodies.bytes + openRequests.bytes + unreadResponses.bytes;
+  }
+
+  /**
+   * Counts a request whose head was read, until it is closed.
+   *
+   * @param connection - identifies its connection
+   * @param giveWay - called when it has to give way to another request
+   * @returns the entry, or nothing if the connection has too many requests and is to be closed
+   */
+  open(connection: object, giveWay: GiveWay): RequestEntry | undefined {
+    const use = this.connections.get(connection) ?? { open: 0 };
+    if (use.open >= this.limits.requestsPerConnection) {
+      return undefined;
+    }
+    this.connections.set(connection, use);
+    use.open += 1;
+    return new RequestEntry(this.pools, use, giveWay);
+  }
+}
+
+/** One request, in one phase at a time. */
+export class RequestEntry {
+  private pool: BytePool;
+  private readonly isPipelined: boolean;
+  private share: PoolShare;
+  private isClosed = false;
+
+  /** Used by the ledger only. */
+  constructor(
+    private readonly pools: RequestPools,
+    private readonly use: ConnectionUse,
+    private readonly giveWay: GiveWay,
+  ) {
+    this.isPipelined = use.open > 1;
+    this.pool = pools.unfinishedBodies;
+    this.share = this.pool.add(requestBytes, () =>
+      this.giveWay({ kind: 'refuse', limit: 'unfinished-bodies' }),
+    );
+    this.pool.evictOldest();
+  }
+
+  /**
+   * Counts the memory that the body takes so far. Other requests may have to give way.
+   *
+   * @param bytes - size of the buffer, in bytes
+   * @returns false if this request has had to give way itself
+   */
+  holdBody(bytes: number): boolean {
+    this.pool.resize(this.share, requestBytes + bytes);
+    this.pool.evictOldest();
+    return this.pool.holds(this.share);
+  }
+
+  /** Decides whether a request is served whose body has ended. */
+  serve(bodyBytes: number): ServeDecision {
+    const { openRequests } = this.pools;
+    const neededBytes = requestBytes + jobBytes + bodyBytes * contentFactor;
+    if (!openRequests.hasRoom(neededBytes, this.isPipelined ? pipelinedPart : 1)) {
+      return { kind: 'refuse', limit: 'open-requests' };
+    }
+    this.moveTo(openRequests, neededBytes, () => undefined);
+    return { kind: 'serve' };
+  }
+
+  /**
+   * Counts a response from when it is written until the connection has taken it. The requests whose responses have waited
+   * longest may have to give way.
+   */
+  respond(bytes: number): void {
+    const { unreadResponses } = this.pools;
+    this.moveTo(unreadResponses, requestBytes + bytes, () =>
+      this.giveWay({ kind: 'disconnect', limit: 'unread-responses' }),
+    );
+    unreadResponses.evictOldest();
+  }
+
+  /** Releases the room of a request that is over. */
+  close(): void {
+    if (!this.isClosed) {
+      this.isClosed = true;
+      this.pool.remove(this.share);
+      this.use.open -= 1;
+    }
+  }
+
+  private moveTo(pool: BytePool, bytes: number, onEvict: () => void): void {
+    if (this.isClosed) {
+      return;
+    }
+    this.pool.remove(this.share);
+    this.pool = pool;
+    this.share = pool.add(bytes, onEvict);
+  }
+}
--- a/src/ports/jobs.ts
+++ b/src/ports/jobs.ts
@@ -92,6 +92,8 @@
     earliestSentAtMs?: number,
   ): Promise<JobEnd>;
   state(jobId: string): JobState;
+  /** Whether a task of a job may have run, or may run, for another request as far as is known here. */
+  mayHaveRun(jobId: string): boolean;
   /** Cancels a job wherever it runs. */
   cancel(jobId: string): Promise<CancellationOutcome>;
   /** @returns number of the route's jobs of which no task has started */
--- a/src/programs/toucandyked/platformProcess.ts
+++ b/src/programs/toucandyked/platformProcess.ts
@@ -24,6 +24,7 @@
   requesterRunsEndMs,
   runsEndBeforeResend,
 } from '../../fleet/requesterTimes.js';
+import { LimitReports } from '../../limits/limitReports.js';
 import type { Clock } from '../../ports/clock.js';
 import type { Logger } from '../../ports/logger.js';
 import { TaskSupervisor } from '../../utils/taskSupervisor.js';
@@ -95,12 +96,15 @@
       service: daemon.peerService,
       logger,
     });
+    const limitReports = LimitReports.create({ clock, logger, metrics });
     const front = await JobHttpServer.create({
       callers: splitAddress(listen.callers),
       readiness: splitAddress(listen.readiness),
       service: daemon.intake,
       connections: daemon.connections,
       logger,
+      clientLimits: settings.clientLimits,
+      onLimitReached: (limit, outcome) => limitReports.record(limit, outcome),
     });
     await metrics.serve(splitAddress(settings.metricsAddress));
     const log = logger.forPart('process');
--- a/standins/platform/platformFixture.ts
+++ b/standins/platform/platformFixture.ts
@@ -3,6 +3,7 @@
  */
 import { createServer } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { completeClientLimits } from '../../src/limits/clientLimits.js';
 import { PlatformProcess } from '../../src/programs/toucandyked/platformProcess.js';
 import type { PlatformSettings } from '../../platform/settings.js';
 import type { LineWriter } from '../../src/adapters/system/roarrLogger.js';
@@ -92,6 +93,7 @@
       weight: 1,
       maxLeaseMs: 1_000,
       farRackFactor: 1.5,
+      clientLimits: completeClientLimits(),
       stopGraceMs: 6_000,
     };
     const daemon = await PlatformProcess.create(settings, writeLog);
