--- a/bench/fleetLoad.ts
+++ b/bench/fleetLoad.ts
@@ -1,8 +1,9 @@
 /**
- * `npm run bench:fleet-load [-- --rates 1.0,1.2 --seconds 8 --seed 1]`: plays arrivals of three routes against
- * real daemons in virtual time, and prints by route how many jobs end within their objective, how long
- * tasks wait for a worker, and the share of the workers' cores in use. The same arrivals are played against one
- * queue with full knowledge of the workers, which bounds what any placement reaches.
+ * `npm run bench:fleet-load [-- --rates 1.0,1.2 --seconds 8 --seed 1 --daemons 8 --restarts --trace]`: plays
+ * arrivals of three routes against real daemons in virtual time, and prints by route how many jobs end within
+ * their objective, how long tasks wait for a worker, and the share of the workers' cores in use. The same arrivals
+ * are played against one queue with full knowledge of the workers, which bounds what any placement reaches.
+ * `--restarts` stops daemons as planned meanwhile, in two overlapping series; `--trace` prints what the daemons log.
  */
 import { parseArgs } from 'node:util';
 import type { JobEnd } from '../src/ports/jobs.js';
@@ -12,14 +13,16 @@
 import type { ModelRun } from '../src/testing/model/modelRun.js';
 import { ModelStore } from '../src/testing/model/modelStore.js';
 import { ModelWorker } from '../src/testing/model/modelWorker.js';
+import type { CreateLogger } from '../src/testing/model/modelFleet.js';
+import { createTimedLogger } from '../src/testing/model/timedLogger.js';
 import { silentLogger } from '../src/testing/silentLogger.js';
 import { createArrivals, objectiveMsOf, routes, serviceId, workerSizes } from './load/arrivals.js';
 import type { Arrival } from './load/arrivals.js';
 import { playOneQueue } from './load/oneQueue.js';
+import { PlannedRestarts } from './load/plannedRestarts.js';
 import { printReport } from './load/loadReport.js';
 import type { JobOutcome } from './load/loadReport.js';
 
-const daemonCount = 8;
 const workerCount = 48;
 const failureDomainId = 'one';
 /** Time until the daemons serve their workers, in milliseconds. */
@@ -34,11 +37,20 @@
     rates: { type: 'string', default: '0.8,1.0,1.2,1.4' },
     seconds: { type: 'string', default: '6' },
     seed: { type: 'string', default: '1' },
+    daemons: { type: 'string', default: '8' },
+    restarts: { type: 'boolean', default: false },
+    trace: { type: 'boolean', default: false },
   },
 });
 
+const createLogger: CreateLogger = values.trace
+  ? createTimedLogger((line) => void process.stdout.write(`${line}\n`))
+  : () => silentLogger;
+
+const daemonCount = Number(values.daemons);
+
 /** Plays arrivals against daemons. */
-const playFleet = async (arrivals: readonly Arrival[]): Promise<JobOutcome[]> => {
+const playFleet = async (arrivals: readonly Arrival[], seconds: number): Promise<JobOutcome[]> => {
   const time = FakeClock.create(1);
   const network = ModelNetwork.create(time);
   const store = ModelStore.create(time, network, {
@@ -65,7 +77,7 @@
   const daemons: readonly ModelDaemon[] = Array.from({ length: daemonCount }, (_, index) =>
     ModelDaemon.create({
       ...{ time, network, store, failureDomainId, failureDomainIds: [failureDomainId] },
-      ...{ startsStateLifetime: true, createLogger: () => silentLogger },
+      ...{ startsStateLifetime: true, createLogger },
       workers: new Map(workers.map((worker) => [worker.workerId, worker])),
       address: `10.0.0.${index + 1}:7000`,
       seed: index + 1,
@@ -74,10 +86,15 @@
   );
   daemons.forEach(({ address }) => network.setDelayTo(address, messageDelayMs));
   await time.advance(warmUpMs);
+  const restarts = values.restarts
+    ? PlannedRestarts.begin(time, daemons, { workerCount, untilMs: seconds * 1_000 })
+    : undefined;
   const outcomes: JobOutcome[] = [];
   const submit = async (arrival: Arrival): Promise<void> => {
     const { jobId, route, taskCount, runMs, estimatedMs, cpuMillis, deadlineMs, daemon } = arrival;
-    const intake = daemons[daemon % daemonCount]?.current?.daemon.intake;
+    const index = daemon % daemonCount;
+    const reached = restarts === undefined ? daemons[index] : restarts.reachedBy(index);
+    const intake = reached?.current?.daemon.intake;
     const match = intake?.findRoute(route.host, `${route.pathPrefix}${jobId}`);
     if (intake === undefined || match?.kind !== 'found') {
       throw new Error(`The route ${route.routeId} is not served.`);
@@ -105,7 +122,9 @@
       deadlineMs,
       new AbortController().signal,
     );
-    outcomes.push({ arrival, end: end.kind, durationMs: time.nowMs() - sentAtMs });
+    const durationMs = time.nowMs() - sentAtMs;
+    outcomes.push({ arrival, end: end.kind, durationMs });
+    restarts?.recordEnd(arrival, end, durationMs <= objectiveMsOf(arrival));
   };
   let elapsedMs = 0;
   for (const arrival of arrivals) {
@@ -114,6 +133,7 @@
     void submit(arrival);
   }
   await time.advance(settleMs);
+  restarts?.print();
   daemons.forEach((daemon) => daemon.kill());
   return outcomes;
 };
@@ -122,7 +142,7 @@
 for (const rate of values.rates.split(',').map(Number)) {
   const arrivals = createArrivals({ seed: Number(values.seed), rate, seconds, workerCount });
   const startedAtMs = performance.now();
-  const fleet = await playFleet(arrivals);
+  const fleet = await playFleet(arrivals, seconds);
   const elapsedS = (performance.now() - startedAtMs) / 1_000;
   printReport(`daemons, load ${rate}`, arrivals, fleet, objectiveMsOf);
   printReport(
