Raised fencing tokens: ask the worker at once

Each change of any shard raises the tokens of all daemons of the failure domain. A worker with runs was then closed until its pending hold ended, up to 0.3 s, its closure was reported to the fleet, and tasks sent to it were returned. It is asked at once with the new token now, and counts as accepting tasks until it answers; nothing starts or is renewed before the answer, as before.

--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -26,6 +26,7 @@
 import type { Addressee } from './silenceEvidence.js';
 import { WorkerReports, idlePollMs } from './workerReports.js';
 import { WorkerHealth } from './workerHealth.js';
+import { WorkerTakeOver } from './workerTakeOver.js';
 
 export interface ManagedWorkerOptions extends DoubtListeners, WorkerLinkOptions {
   /** Tasks of all workers' runs. */
@@ -53,8 +54,7 @@
   private readonly orders: RunOrders;
   private readonly reports: WorkerReports;
   private readonly sleeper: WakeableSleep;
-  /** Whether all runs of earlier dispatchers have ended, so that leases may be renewed. */
-  private isTakenOver = false;
+  private readonly takeOver: WorkerTakeOver;
   private isDraining = false;
   private isRetired = false;
   private isClosed = false;
@@ -85,7 +85,14 @@
       poll: () => this.reports.poll(),
       onNewLifetime: () => this.reports.beginLifetime(),
     });
-    const run = (): Promise<void> => this.runLoop().finally(() => (this.isTakenOver = false));
+    this.takeOver = WorkerTakeOver.create({
+      ...{ clock, logger, runs, workerId: link.workerId, reports: () => this.reports },
+      onTakeOver: () => {
+        options.onTakeOver?.(this.workerId);
+        options.onAvailabilityChange();
+      },
+    });
+    const run = (): Promise<void> => this.runLoop().finally(() => this.takeOver.reset());
     this.loop = options.supervisor.keep('a worker', run, this.stop.signal);
   }
 
@@ -117,7 +124,7 @@
 
   /** Whether the worker may start tasks now, or when its runs have ended that a lease may cover. */
   get isInService(): boolean {
-    return this.isAvailable || (this.isAssigned && this.runs.hasLeasedRuns);
+    return this.isAcceptingTasks || (this.isAssigned && this.runs.hasLeasedRuns);
   }
 
   /** Whether any task may start on the worker now, capacity aside. */
@@ -125,10 +132,23 @@
     return this.isAvailable && this.reservation.task === undefined;
   }
 
+  /** Whether tasks may be sent for the worker: it is open, or is expected to be with its next answer. */
+  get acceptsTasks(): boolean {
+    return this.isAcceptingTasks && this.reservation.task === undefined;
+  }
+
+  private get isAcceptingTasks(): boolean {
+    return this.isUsable && (this.takeOver.isDone || this.takeOver.isConfirming);
+  }
+
   /** Like `isOpen`, but for the task that the worker may be reserved for. */
   get isAvailable(): boolean {
+    return this.takeOver.isDone && this.isUsable;
+  }
+
+  /** Whether the worker may start tasks as far as it is taken over. */
+  private get isUsable(): boolean {
     return (
-      this.isTakenOver &&
       this.isAssigned &&
       !this.link.isFenced &&
       this.reports.isAnswering &&
@@ -163,7 +183,7 @@
     this.link.addressee = 'worker';
     this.isDraining = false;
     if (this.link.raiseToken(fencingToken)) {
-      this.isTakenOver = false;
+      this.takeOver.raiseToken();
       this.sleeper.wake();
     }
     if (this.reports.mayHaveRestarted) {
@@ -234,13 +254,13 @@
   private async runLoop(): Promise<void> {
     while (!this.isClosed) {
       if (this.link.isFenced) {
-        this.isTakenOver = false;
+        this.takeOver.reset();
         await this.waitForToken();
       } else if (this.isRetired) {
         await this.reports.readWithoutRenewal();
         await this.options.clock.sleep(checkPauseMs);
-      } else if (!this.isTakenOver) {
-        await this.takeOver();
+      } else if (!this.takeOver.isDone) {
+        await this.takeOver.attempt();
       } else {
         await this.reports.waitWhileIdle();
         await this.holdOnce();
@@ -256,24 +276,8 @@
     this.reports.endLapsedRuns('fenced');
   }
 
-  /** Reads reports without renewing leases, which stops orphaned runs, until only own runs are left. */
-  private async takeOver(): Promise<void> {
-    const report = await this.reports.readWithoutRenewal();
-    if (report === undefined) {
-      return;
-    }
-    if (report.running.some(({ taskName, run }) => this.runs.get(taskName)?.run !== run)) {
-      await this.options.clock.sleep(checkPauseMs);
-      return;
-    }
-    this.isTakenOver = true;
-    this.options.logger.info('The worker is taken over.', { workerId: this.workerId });
-    this.options.onTakeOver?.(this.workerId);
-    this.options.onAvailabilityChange();
-  }
-
   private async holdOnce(): Promise<void> {
-    if (!this.isClosed && this.isTakenOver) {
+    if (!this.isClosed && this.takeOver.isDone) {
       this.options.beforeOrders?.();
       await this.reports.hold();
     }
--- a/src/dispatch/runOrders.ts
+++ b/src/dispatch/runOrders.ts
@@ -24,7 +24,7 @@
   /** Starts at all workers that were never answered. */
   readonly unanswered: UnansweredStarts;
   /** Reads and applies the worker's report at once. */
-  readonly poll: () => Promise<void>;
+  readonly poll: () => Promise<unknown>;
   /** Pause of the worker's holds; is ended after a start without an answer, which may mean that the worker is silent. */
   readonly sleeper: WakeableSleep;
   /** Called with a run whose start the worker has acknowledged. */
--- a/src/dispatch/workerForecast.ts
+++ b/src/dispatch/workerForecast.ts
@@ -29,7 +29,7 @@
   }
 
   /**
-   * Reserves cores for a waiting task on the open worker where it is expected to end first.
+   * Reserves cores for a waiting task on the worker that accepts tasks and where it is expected to end first.
    *
    * @returns its expected wait, in milliseconds; infinite if no worker ever has enough cores
    */
@@ -40,7 +40,7 @@
     let bestEndMs = Infinity;
     for (const profiled of this.profiledWorkers) {
       const endMs = profiled.profile.startsInMs(cpuMillis) + estimatedMs * profiled.slowness;
-      if (profiled.worker.isOpen && endMs < bestEndMs) {
+      if (profiled.worker.acceptsTasks && endMs < bestEndMs) {
         best = profiled;
         bestEndMs = endMs;
       }
@@ -59,7 +59,7 @@
       workerId: worker.workerId,
       free: { ...worker.free, cpuMillis: profile.free },
       slowness: roundToHundredths(slowness),
-      isOpen: worker.isOpen,
+      isOpen: worker.acceptsTasks,
       releases: [...profile.releases],
     }));
   }
--- a/src/dispatch/workerReports.ts
+++ b/src/dispatch/workerReports.ts
@@ -146,18 +146,16 @@
     return this.sendHold(0);
   }
 
-  /** Reads and applies a report at once, also while another hold waits; ignores a failure. */
-  async poll(): Promise<void> {
+  /** Reads and applies a report at once, also while another hold waits; returns nothing if none was applied. */
+  async poll(): Promise<WorkerReport | undefined> {
     const { clock, link } = this.options;
     if (link.isFenced || this.isClosed) {
-      return;
+      return undefined;
     }
     const lastSeenEnd = this.acknowledgeableEnd;
     const request = { requestedAtMs: clock.nowMs(), entry: link.record };
     const reply = await link.hold({ lastSeenEnd, waitMs: 0, renewalLimitMs: undefined });
-    if (reply.kind === 'held') {
-      this.applyReport(reply, request);
-    }
+    return reply.kind === 'held' && this.applyReport(reply, request) ? reply.report : undefined;
   }
 
   /**
