Planned changes: workers are handed over on request, a few at a time

A daemon that left or lost a shard closed all its workers at once, and the store gave them away only when their last run had ended; the next owner learned of them with its next renewal, and a daemon that left was still assigned shards meanwhile. A daemon gives the shards up at once now, and goes on dispatching with the token that it has until the next owner asks for a worker in its heartbeat (awaitedWorkerIds, optional). It releases a quarter of them at a time, the least busy first; the next owner takes a worker over when no heartbeat lists it any more, after 0.9 s without word of its dispatcher, or after 5 s. Where a daemon of the failure domain does not ask, the hand-over is as before. Tokens, leases and run evidence hold as they are: a kept worker never gets the token of a grant that lacks it.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -27,6 +27,7 @@
 import type { RunEvidence } from './runEvidence.js';
 import { OpenBatch } from './openBatch.js';
 import { WorkerPool } from './workerPool.js';
+import type { HeldWorker } from './workerPool.js';
 import { TaskStarter } from './taskStarter.js';
 import type { Batch, BatchReply } from '../types/dispatch.js';
 
@@ -93,19 +94,18 @@
     return new Dispatcher(options);
   }
 
-  /**
-   * Sets the workers to which this daemon dispatches.
-   *
-   * @param records - their entries in the store
-   * @param fencingToken - the token of the grant of their shards
-   * @returns a promise that resolves when all other workers are released
-   */
-  setWorkers(records: readonly WorkerRecord[], fencingToken: number): Promise<void> {
-    const released = this.workers.setWorkers(records, fencingToken);
+  /** Sets the workers to which this daemon dispatches, like `WorkerPool.setWorkers`. */
+  setWorkers(...workers: Parameters<WorkerPool['setWorkers']>): Promise<void> {
+    const released = this.workers.setWorkers(...workers);
     this.starter.startReadyTasks();
     return released;
   }
 
+  /** Lists the workers that are not released yet. */
+  listHeldWorkers(): HeldWorker[] {
+    return this.workers.listHeld();
+  }
+
   /** Records the entries of all workers, also of those to which other daemons dispatch. */
   recordEntries(records: readonly WorkerRecord[]): void {
     this.lostRuns.resolveListed(records);
--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -108,6 +108,11 @@
     return this.link.record;
   }
 
+  /** Whether another daemon has taken the worker over. */
+  get isFenced(): boolean {
+    return this.link.isFenced;
+  }
+
   get runCount(): number {
     return this.runs.size;
   }
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -36,6 +36,18 @@
   readonly speeds: WorkerSpeedCache;
 }
 
+/** A worker that has not been released. */
+export interface HeldWorker {
+  readonly workerId: string;
+  readonly address: string;
+  /** Whether another daemon has taken it over. */
+  readonly isFenced: boolean;
+  /** Whether it accepts tasks now. */
+  readonly isServing: boolean;
+  /** Number of its runs. */
+  readonly runCount: number;
+}
+
 /** A worker of this daemon as a candidate for a task. */
 export interface LocalCandidate extends Candidate {
   readonly worker: ManagedWorker;
@@ -66,9 +78,14 @@
    *
    * @param records - their entries in the store
    * @param fencingToken - the token of the grant of their shards
+   * @param keptIds - those that are kept with the token that they have, since the grant no longer contains them
    * @returns a promise that resolves when all other workers are released
    */
-  async setWorkers(records: readonly WorkerRecord[], fencingToken: number): Promise<void> {
+  async setWorkers(
+    records: readonly WorkerRecord[],
+    fencingToken: number,
+    keptIds: ReadonlySet<string> = new Set(),
+  ): Promise<void> {
     const wanted = new Map(records.map((record) => [record.workerId, record]));
     const released: Promise<void>[] = [];
     for (const [workerId, worker] of this.workers) {
@@ -76,7 +93,7 @@
       if (record === undefined) {
         released.push(this.drainAndRemove(worker));
       } else if (worker.record.address === record.address) {
-        worker.update(record, fencingToken);
+        worker.update(record, keptIds.has(workerId) ? 0 : fencingToken);
       } else {
         this.workers.delete(workerId);
         this.unanswered.forgetWorker(workerId);
@@ -84,13 +101,24 @@
       }
     }
     for (const [workerId, record] of wanted) {
-      if (!this.workers.has(workerId)) {
+      if (!this.workers.has(workerId) && !keptIds.has(workerId)) {
         this.workers.set(workerId, this.createWorker(record, fencingToken));
       }
     }
     await Promise.all(released);
   }
 
+  /** Lists the workers that are not released yet. */
+  listHeld(): HeldWorker[] {
+    return [...this.workers.values()].map((worker) => ({
+      workerId: worker.workerId,
+      address: worker.record.address,
+      isFenced: worker.isFenced,
+      isServing: worker.acceptsTasks,
+      runCount: worker.runCount,
+    }));
+  }
+
   /** Computes the free capacity of each worker after the waiting tasks have reserved theirs. */
   computeLoads(waiting: readonly BatchedTask[]): WorkerLoad[] {
     const forecast = this.forecast();
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -26,13 +26,14 @@
 import { PeerService } from './peerService.js';
 import { RequesterLeases } from './requesterLeases.js';
 import { RequesterMonitor } from './requesterMonitor.js';
-import { leaseTimesFor } from './requesterTimes.js';
+import { leaseTimesFor, maxSharingSilenceMs } from './requesterTimes.js';
 import { HeldJobs } from './heldJobs.js';
 import type { JobCancellation } from './jobCancellation.js';
 import { createJobFront } from './jobFront.js';
 import type { JobIntake } from './jobIntake.js';
 import { LearnedBackup } from './learnedBackup.js';
-import { handOverWorkers } from './workerHandOver.js';
+import { readClaims } from './workerClaims.js';
+import { createHandOver, handOverWorkers } from './workerHandOver.js';
 import { ServedWorkers } from './servedWorkers.js';
 import { ShardMembership } from './shardMembership.js';
 import { isNeededAsDispatcher } from './standby.js';
@@ -110,10 +111,14 @@
         void supervisor.attempt('releasing workers', () => this.servedWorkers.update()),
     });
     this.servedWorkers = ServedWorkers.create({
+      ...{ clock, logger, metrics },
       failureDomainId: member.failureDomainId,
       shardCount: store.shardCount,
       directory: this.directory,
       dispatcher: this.dispatcher,
+      claims: () => readClaims(this.peers.domainHeartbeats(maxSharingSilenceMs)),
+      hasUnheardPeers: () => this.peers.hasUnheardDomainPeers,
+      onNews: () => this.peers.tellNews(),
     });
     this.routingFollower = RoutingFollower.create({ ...common, routing: this.routing });
     this.view = FleetView.create({
@@ -182,6 +187,7 @@
         listCancelled: () => jobs.listCancelled(),
         recordCancelled: (job) => jobs.recordCancelled(job),
       },
+      listAwaited: () => this.servedWorkers.listAwaited(),
       peers: () => this.peers,
     });
     this.peers = FleetPeers.create({
@@ -194,6 +200,7 @@
       onHeartbeat: (heartbeat) => {
         standstills.check();
         this.heartbeatExchange.handleHeartbeat(heartbeat);
+        this.servedWorkers.checkClaims();
       },
       onRoundTrip: (incarnation, durationMs) => ages.recordRoundTrip(incarnation, durationMs),
       isDispatching: () => this.dispatcher.workerCount > 0,
@@ -262,12 +269,7 @@
     this.heartbeatExchange.leave();
     this.intake.leave();
     const { dispatcher, servedWorkers, shards } = this;
-    const handOver = {
-      releaseWorkers: () => servedWorkers.release(),
-      stopRuns: () => dispatcher.stopRuns(),
-      closeDispatcher: () => dispatcher.close(),
-      leaveShards: () => shards.leave(),
-    };
+    const handOver = createHandOver({ dispatcher, servedWorkers, shards });
     await handOverWorkers({ clock: this.ports.clock, logger: this.logger }, handOver, endAtMs);
   }
 
@@ -284,6 +286,7 @@
   /** Stops all activity and closes the connections to workers and the store. */
   async close(): Promise<void> {
     this.cancellation.close();
+    this.servedWorkers.close();
     await Promise.all([this.shards.close(), this.peers.close(), this.routingFollower.close()]);
     await Promise.all([
       this.learned.close(),
--- a/src/fleet/fleetHeartbeatExchange.ts
+++ b/src/fleet/fleetHeartbeatExchange.ts
@@ -47,6 +47,8 @@
   readonly held: HeldJobs;
   /** Time from the last word of a requester by which none of its runs goes on, in milliseconds. */
   readonly confirmationMs: number;
+  /** Returns the workers that this daemon waits for; left out where it asks for none before it takes them over. */
+  readonly listAwaited?: () => string[];
   /** Returns the peers; a function, since they are created after this object. */
   readonly peers: () => FleetPeers;
 }
@@ -84,6 +86,7 @@
   composeHeartbeat(peer: string | undefined, isFull: boolean): FleetHeartbeat {
     const { ages, contact, own, dispatcher, jobs, lengths, peers, router, routing, speeds } =
       this.options;
+    const { listAwaited } = this.options;
     const load = dispatcher.load();
     load.workers.forEach((worker) => speeds.record(worker));
     const { heldUpMs } = contact;
@@ -109,6 +112,7 @@
       ...(doubts.length > 0 ? { doubts } : {}),
       ...(heldJobs.length > 0 ? { heldJobs } : {}),
       ...(cancelledJobs.length > 0 ? { cancelledJobs } : {}),
+      ...(isSameDomain && listAwaited !== undefined ? { awaitedWorkerIds: listAwaited() } : {}),
       ...(isFull ? { lengths: lengths.share(), heardMembers: peers().heardMembers() } : {}),
       ...(isFull && isSameDomain ? { speeds: speeds.list() } : {}),
     };
--- a/src/fleet/fleetPeers.ts
+++ b/src/fleet/fleetPeers.ts
@@ -129,16 +129,26 @@
 
   /** @returns the other daemons of this domain that sent a message within `takeoverAfterMs` */
   presentDomainMembers(): Member[] {
+    return this.domainHeartbeats(takeoverAfterMs).map(({ member }) => member);
+  }
+
+  /** @returns the last heartbeats of the other daemons of this domain that sent a message within a time in milliseconds */
+  domainHeartbeats(maxSilenceMs: number): FleetHeartbeat[] {
     const nowMs = this.options.clock.nowMs();
     return [...this.peers.values()].flatMap((peer) =>
       this.isInOwnDomain(peer) &&
-      peer.hadContactWithin(nowMs, takeoverAfterMs) &&
+      peer.hadContactWithin(nowMs, maxSilenceMs) &&
       peer.heartbeat !== undefined
-        ? [peer.heartbeat.member]
+        ? [peer.heartbeat]
         : [],
     );
   }
 
+  /** Whether other daemons of this domain may be there that were not heard yet. */
+  get hasUnheardDomainPeers(): boolean {
+    return !this.hasListedAll || this.silent().some((peer) => this.isInOwnDomain(peer));
+  }
+
   /**
    * Handles a heartbeat that a peer sent of its own accord. It may have been held up, so that another
    * process than the one heard of lately has to answer a heartbeat first: only one of them is there.
--- a/src/fleet/servedWorkers.spec.ts
+++ b/src/fleet/servedWorkers.spec.ts
@@ -1,19 +1,23 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
+import { noMetrics } from '../adapters/system/noMetrics.js';
 import type { Dispatcher } from '../dispatch/dispatcher.js';
 import { workerFixture } from '../testing/dispatchFixtures.js';
 import { FakeClock } from '../testing/fakeClock.js';
 import { createGrantingStore, createMembership } from '../testing/membershipFixture.js';
+import { silentLogger } from '../testing/silentLogger.js';
 import { createDeferred } from '../utils/deferred.js';
 import type { WorkerDirectory } from '../workers/workerDirectory.js';
 import { ServedWorkers } from './servedWorkers.js';
+import { readClaims } from './workerClaims.js';
 
 /** Served workers whose release ends when the test says so. */
 const createFixture = () => {
   const released = createDeferred<undefined>();
   const tokens: number[] = [];
-  const dispatcher: Pick<Dispatcher, 'setWorkers' | 'recordEntries'> = {
+  const dispatcher: Pick<Dispatcher, 'setWorkers' | 'recordEntries' | 'listHeldWorkers'> = {
     recordEntries: () => undefined,
+    listHeldWorkers: () => [],
     setWorkers: async (records, token) => {
       tokens.push(token);
       await (records.length === 0 ? released.promise : undefined);
@@ -21,6 +25,10 @@
   };
   const directory: Pick<WorkerDirectory, 'list'> = { list: () => [workerFixture] };
   const served = ServedWorkers.create({
+    ...{ clock: FakeClock.create(), logger: silentLogger, metrics: noMetrics },
+    claims: () => readClaims([]),
+    hasUnheardPeers: () => false,
+    onNews: () => undefined,
     failureDomainId: workerFixture.failureDomainId,
     shardCount: 1,
     directory: directory as WorkerDirectory,
--- a/src/fleet/shardMembership.ts
+++ b/src/fleet/shardMembership.ts
@@ -6,6 +6,7 @@
 import type { Clock } from '../ports/clock.js';
 import type { FleetStore } from '../ports/fleetStore.js';
 import type { Logger } from '../ports/logger.js';
+import { abortQuietly } from '../utils/abortQuietly.js';
 import { DependencyMonitor } from '../utils/dependencyMonitor.js';
 import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import { WakeableSleep } from '../utils/wakeableSleep.js';
@@ -24,7 +25,7 @@
   /**
    * Called with every change of the grant.
    *
-   * @returns a promise that resolves when the workers of lost shards are released
+   * @returns a promise that resolves when the workers of lost shards are released, or may be kept until they are asked for
    */
   readonly onGrant: (grant: ShardGrant) => Promise<unknown>;
   /** Called when the store answers again after it did not. */
@@ -110,11 +111,10 @@
 
   /** Releases the workers as their runs end, then gives the shards back to the store. */
   private async releaseShards(): Promise<void> {
-    const { clock, onGrant } = this.options;
     const { generation } = this.grant;
     this.logger.info('This daemon releases its shards to larger daemons.', { generation });
     this.grant = { generation, shards: [] };
-    await Promise.race([onGrant(this.grant), clock.sleep(maxReleaseMs, this.stop.signal)]);
+    await this.awaitRelease(this.grant);
     await this.leaveStore();
     this.isMember = false;
   }
@@ -151,10 +151,18 @@
     void this.options.supervisor.attempt('releasing workers', () => this.confirmRelease(grant));
   }
 
+  /** Applies a grant, and waits until the workers of lost shards are released or may be kept until they are asked for. */
+  private async awaitRelease(grant: ShardGrant): Promise<void> {
+    const { clock, onGrant } = this.options;
+    const timer = new AbortController();
+    const timeUp = clock.sleep(maxReleaseMs, AbortSignal.any([this.stop.signal, timer.signal]));
+    await Promise.race([onGrant(grant), timeUp]);
+    abortQuietly(timer);
+  }
+
   /** Confirms a generation with the next renewal, once the workers of lost shards are released. */
   private async confirmRelease(grant: ShardGrant): Promise<void> {
-    const { clock, onGrant } = this.options;
-    await Promise.race([onGrant(grant), clock.sleep(maxReleaseMs, this.stop.signal)]);
+    await this.awaitRelease(grant);
     if (grant.generation > this.confirmedGeneration && this.grant === grant) {
       this.confirmedGeneration = grant.generation;
       this.renewalDelay.wake();
--- a/src/fleet/workerHandOver.spec.ts
+++ b/src/fleet/workerHandOver.spec.ts
@@ -37,6 +37,8 @@
   void handOverWorkers(
     { clock, logger: silentLogger },
     {
+      canYield: () => false,
+      yieldWorkers: () => Promise.reject(new Error('not to be called')),
       releaseWorkers: () => dispatcher.setWorkers([], 1),
       stopRuns: () => dispatcher.stopRuns(),
       closeDispatcher: () => dispatcher.close(),
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -142,6 +142,11 @@
   heldJobs: z.array(heldJobsSchema).optional(),
   /** Jobs that were cancelled in the last minute, if there are any; to a process with which contact has just begun. */
   cancelledJobs: z.array(cancelledJobSchema).optional(),
+  /**
+   * Workers that are assigned to the sender while the receiver or another daemon of the failure domain still dispatches to
+   * them. Earlier versions omit it, and take workers over without asking.
+   */
+  awaitedWorkerIds: z.array(z.string().max(128)).max(4_096).optional(),
   /** What the sender has learned of run times; in some heartbeats only. */
   lengths: z.array(lengthSumsSchema).optional(),
   /** Slowdown factors of workers; sent together with `lengths`, within a failure domain only. */
