Planned stop ends in time whatever hangs; new members renew their membership often

Closing the front was awaited without a bound at the end of a planned stop, so that the platform had to kill the process where it hung. A new member renews every 150 ms in its first 4 s, since after the loss of all daemons nobody serves a worker until the earlier memberships have expired and the new members have renewed: within 0.2 s of it instead of up to 0.6 s. Every heartbeat states awaitedWorkerIds, also the first one to an unknown process, so that a new daemon does not end a hand-over on request.

--- a/src/fleet/fleetHeartbeatExchange.ts
+++ b/src/fleet/fleetHeartbeatExchange.ts
@@ -112,7 +112,7 @@
       ...(doubts.length > 0 ? { doubts } : {}),
       ...(heldJobs.length > 0 ? { heldJobs } : {}),
       ...(cancelledJobs.length > 0 ? { cancelledJobs } : {}),
-      ...(isSameDomain && listAwaited !== undefined ? { awaitedWorkerIds: listAwaited() } : {}),
+      ...(listAwaited === undefined ? {} : { awaitedWorkerIds: listAwaited() }),
       ...(isFull ? { lengths: lengths.share(), heardMembers: peers().heardMembers() } : {}),
       ...(isFull && isSameDomain ? { speeds: speeds.list() } : {}),
     };
--- a/src/fleet/plannedRestart.spec.ts
+++ b/src/fleet/plannedRestart.spec.ts
@@ -87,4 +87,18 @@
   fleet.close();
 });
 
+// Guards against workers that wait for the next renewal of a new daemon after the earlier memberships have expired.
+test('after the loss of all daemons the workers are served within 0.2 s of the end of the earlier memberships', async () => {
+  for (const phaseMs of [0, 150, 300, 450]) {
+    const { fleet, countUnserved, sampleFor } = await createFleet();
+    await sampleFor(1_000 + phaseMs);
+    fleet.daemons.forEach((daemon) => daemon.kill());
+    await sampleFor(100);
+    fleet.daemons.forEach((daemon) => daemon.start());
+    await sampleFor(2_100);
+    assert.is(countUnserved(), 0, `phase ${phaseMs} ms`);
+    fleet.close();
+  }
+});
+
 test.run();
--- a/src/fleet/plannedStop.ts
+++ b/src/fleet/plannedStop.ts
@@ -61,7 +61,7 @@
     Promise.all([handedOver, closed]),
     clock.sleep(Math.max(endAtMs - clock.nowMs(), 0) + handOverSlackMs),
   ]);
-  await front.kill();
+  await Promise.race([front.kill(), clock.sleep(pollMs)]);
   await Promise.race([daemon.close(), clock.sleep(pollMs)]);
   await Promise.race([closeInterfaces(), clock.sleep(pollMs)]);
 };
--- a/src/fleet/shardMembership.ts
+++ b/src/fleet/shardMembership.ts
@@ -13,6 +13,13 @@
 import type { Member, ShardGrant } from '../types/fleet.js';
 
 const renewPeriodMs = 600;
+/**
+ * Period of a new member, in milliseconds: its share changes several times. After the loss of all daemons nobody serves the workers
+ * until the earlier memberships have expired and a new member has renewed.
+ */
+const newMemberRenewPeriodMs = 150;
+/** Time for which a member is new, in milliseconds: the earlier memberships have expired by then. */
+const newMemberMs = 4_000;
 /** Longest wait for runs on the workers of a lost shard before it goes to another daemon. */
 const maxReleaseMs = 2_000;
 
@@ -46,12 +53,14 @@
   private refreshes = 0;
   private readonly stop = new AbortController();
   private readonly logger: Logger;
+  private readonly createdAtMs: number;
   private readonly dependency: DependencyMonitor;
   private readonly renewalDelay: WakeableSleep;
   private readonly renewing: Promise<void>;
 
   private constructor(private readonly options: ShardMembershipOptions) {
     this.logger = options.logger.forPart('shards');
+    this.createdAtMs = options.clock.nowMs();
     this.dependency = DependencyMonitor.create(
       'membership in the store',
       this.logger,
@@ -98,6 +107,11 @@
     await this.renewing;
   }
 
+  private get renewPauseMs(): number {
+    const isNew = this.options.clock.nowMs() - this.createdAtMs < newMemberMs;
+    return isNew && this.isMember ? newMemberRenewPeriodMs : renewPeriodMs;
+  }
+
   private async renewPeriodically(): Promise<void> {
     while (!this.stop.signal.aborted) {
       if (this.options.isNeeded()) {
@@ -105,7 +119,7 @@
       } else if (this.isMember) {
         await this.releaseShards();
       }
-      await this.renewalDelay.sleep(renewPeriodMs);
+      await this.renewalDelay.sleep(this.renewPauseMs);
     }
   }
 
