--- a/src/fleet/servedWorkers.ts
+++ b/src/fleet/servedWorkers.ts
@@ -232,7 +232,7 @@
     for (const workerId of newlyReleasing) {
       this.logger.info('A worker is handed over.', { workerId });
     }
-    metrics.count('workers_handed_over', gone.length, []);
+    metrics.count('workers_handed_over', gone.length);
     if (newlyAwaited.length > 0 || newlyReleasing.length > 0 || gone.length > 0) {
       onNews();
     }
--- a/src/fleet/workerHandOver.spec.ts
+++ b/src/fleet/workerHandOver.spec.ts
@@ -4,7 +4,8 @@
 import type { DispatcherFixture } from '../testing/dispatcherFixture.js';
 import { silentLogger } from '../testing/silentLogger.js';
 import type { TaskEnd } from '../types/dispatch.js';
-import { stopAheadMs, handOverWorkers } from './workerHandOver.js';
+import { FakeClock } from '../testing/fakeClock.js';
+import { stopAheadMs, handOverWorkers, yieldAheadMs } from './workerHandOver.js';
 
 const taskCount = 3;
 const endInMs = 2_000;
@@ -104,4 +105,38 @@
   await fixture.clock.advance(2_000);
 });
 
+/** Hands over on request, with a release that takes a time, and returns the steps with their times. */
+const yieldFor = async (releaseMs: number): Promise<readonly string[]> => {
+  const clock = FakeClock.create();
+  const steps: string[] = [];
+  const step = (name: string): void => void steps.push(`${name} ${clock.nowMs()}`);
+  const steppedAsync = async (name: string): Promise<void> => step(name);
+  void handOverWorkers(
+    { clock, logger: silentLogger },
+    {
+      canYield: () => true,
+      yieldWorkers: async (untilMs) => {
+        step(`yield until ${untilMs}`);
+        await clock.sleep(releaseMs);
+      },
+      releaseWorkers: () => Promise.reject(new Error('not to be called')),
+      stopRuns: () => step('stop'),
+      closeDispatcher: () => steppedAsync('close'),
+      leaveShards: () => steppedAsync('leave'),
+    },
+    endInMs,
+  ).then(() => step('end'));
+  await clock.advance(endInMs * 2);
+  return steps;
+};
+
+// Guards against shards that are given up only after the runs have ended, so that nobody serves their workers meanwhile.
+test('shards are given up first where others ask for workers, and the dispatcher is closed last', async () => {
+  const untilMs = endInMs - stopAheadMs - yieldAheadMs;
+  const begin = ['leave 0', `yield until ${untilMs} 0`];
+  assert.equal(await yieldFor(400), [...begin, 'close 400', 'end 400']);
+  const late = [`stop ${endInMs - stopAheadMs}`, `close ${endInMs}`, `end ${endInMs}`];
+  assert.equal(await yieldFor(60_000), [...begin, ...late]);
+});
+
 test.run();
