--- a/src/fleet/shardMembership.ts
+++ b/src/fleet/shardMembership.ts
@@ -6,12 +6,20 @@
 import type { Clock } from '../ports/clock.js';
 import type { FleetStore } from '../ports/fleetStore.js';
 import type { Logger } from '../ports/logger.js';
+import { abortQuietly } from '../utils/abortQuietly.js';
 import { DependencyMonitor } from '../utils/dependencyMonitor.js';
 import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import { WakeableSleep } from '../utils/wakeableSleep.js';
 import type { Member, ShardGrant } from '../types/fleet.js';
 
 const renewPeriodMs = 600;
+/**
+ * Period of a new member, in milliseconds: its share changes several times. After the loss of all daemons nobody serves the workers
+ * until the earlier memberships have expired and a new member has renewed.
+ */
+const newMemberRenewPeriodMs = 150;
+/** Time for which a member is new, in milliseconds: the earlier memberships have expired by then. */
+const newMemberMs = 4_000;
 /** Longest wait for runs on the workers of a lost shard before it goes to another daemon. */
 const maxReleaseMs = 2_000;
 
@@ -24,7 +32,7 @@
   /**
    * Called with every change of the grant.
    *
-   * @returns a promise that resolves when the workers of lost shards are released
+   * @returns a promise that resolves when the workers of lost shards are released, or may be kept until they are asked for
    */
   readonly onGrant: (grant: ShardGrant) => Promise<unknown>;
   /** Called when the store answers again after it did not. */
@@ -45,12 +53,14 @@
   private refreshes = 0;
   private readonly stop = new AbortController();
   private readonly logger: Logger;
+  private readonly createdAtMs: number;
   private readonly dependency: DependencyMonitor;
   private readonly renewalDelay: WakeableSleep;
   private readonly renewing: Promise<void>;
 
   private constructor(private readonly options: ShardMembershipOptions) {
     this.logger = options.logger.forPart('shards');
+    this.createdAtMs = options.clock.nowMs();
     this.dependency = DependencyMonitor.create(
       'membership in the store',
       this.logger,
@@ -97,6 +107,11 @@
     await this.renewing;
   }
 
+  private get renewPauseMs(): number {
+    const isNew = this.options.clock.nowMs() - this.createdAtMs < newMemberMs;
+    return isNew && this.isMember ? newMemberRenewPeriodMs : renewPeriodMs;
+  }
+
   private async renewPeriodically(): Promise<void> {
     while (!this.stop.signal.aborted) {
       if (this.options.isNeeded()) {
@@ -104,17 +119,16 @@
       } else if (this.isMember) {
         await this.releaseShards();
       }
-      await this.renewalDelay.sleep(renewPeriodMs);
+      await this.renewalDelay.sleep(this.renewPauseMs);
     }
   }
 
   /** Releases the workers as their runs end, then gives the shards back to the store. */
   private async releaseShards(): Promise<void> {
-    const { clock, onGrant } = this.options;
     const { generation } = this.grant;
     this.logger.info('This daemon releases its shards to larger daemons.', { generation });
     this.grant = { generation, shards: [] };
-    await Promise.race([onGrant(this.grant), clock.sleep(maxReleaseMs, this.stop.signal)]);
+    await this.awaitRelease(this.grant);
     await this.leaveStore();
     this.isMember = false;
   }
@@ -151,10 +165,18 @@
     void this.options.supervisor.attempt('releasing workers', () => this.confirmRelease(grant));
   }
 
+  /** Applies a grant, and waits until the workers of lost shards are released or may be kept until they are asked for. */
+  private async awaitRelease(grant: ShardGrant): Promise<void> {
+    const { clock, onGrant } = this.options;
+    const timer = new AbortController();
+    const timeUp = clock.sleep(maxReleaseMs, AbortSignal.any([this.stop.signal, timer.signal]));
+    await Promise.race([onGrant(grant), timeUp]);
+    abortQuietly(timer);
+  }
+
   /** Confirms a generation with the next renewal, once the workers of lost shards are released. */
   private async confirmRelease(grant: ShardGrant): Promise<void> {
-    const { clock, onGrant } = this.options;
-    await Promise.race([onGrant(grant), clock.sleep(maxReleaseMs, this.stop.signal)]);
+    await this.awaitRelease(grant);
     if (grant.generation > this.confirmedGeneration && this.grant === grant) {
       this.confirmedGeneration = grant.generation;
       this.renewalDelay.wake();
