Order waiting tasks by priority with aging, and reserve a worker for the first blocked one

Tasks of all routes started by latest start alone, so that late and less urgent tasks took the cores of urgent ones. Where a service has batches of several priorities, tasks start by priority, rise as their time runs out, and go last once they can no longer meet their objective.

--- a/src/dispatch/taskStarter.ts
+++ b/src/dispatch/taskStarter.ts
@@ -4,21 +4,27 @@
  */
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
+import type { Metrics } from '../ports/metrics.js';
 import type { Random } from '../ports/random.js';
+import { ServicePriorities } from '../scheduling/servicePriorities.js';
+import { mayBackfill } from '../scheduling/startReservation.js';
+import type { StartReservation } from '../scheduling/startReservation.js';
 import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import type { BatchedTask, OpenBatch } from './openBatch.js';
 import type { LocalCandidate, WorkerPool } from './workerPool.js';
 import { longestLeaseDurationMs, maxDrift } from './leaseTimes.js';
 import type { LeaseTimes } from './leaseTimes.js';
-import { toStatedLosses } from './taskLosses.js';
+import { returnTask } from './taskReturns.js';
+import { ReservedStarts } from './reservedStarts.js';
 import { idlePollMs } from './workerReports.js';
 import { isSuspect } from './suspectIsolation.js';
 import { demandOf, taskNameOf } from './taskNames.js';
 import { WaitingTasks } from './waitingTasks.js';
-import { chooseWorker, missesObjective } from './workerChoice.js';
+import type { WaitingEntry } from './waitingTasks.js';
+import { chooseWorker, expectedRunMs, missesObjective } from './workerChoice.js';
 import type { RatedCandidate, TaskDemand } from './workerChoice.js';
 
-/** A pass over the waiting tasks ends after this many that cannot start. */
+/** A pass over the waiting tasks of a service ends after this many that cannot start. */
 const maxBlockedTasks = 6;
 /** Period of the passes while tasks wait, since some may start or expire without an event. */
 const retryPeriodMs = 25;
@@ -34,10 +40,19 @@
  */
 type StartAttempt = 'settled' | 'blocked' | 'held';
 
+/** What a pass over the waiting tasks of a service has found so far. */
+interface Pass {
+  /** Whether priorities decide, so that workers are reserved and late tasks deferred. */
+  readonly isRanked: boolean;
+  /** The worker that is reserved for the first blocked task. */
+  reservation: StartReservation | undefined;
+}
+
 export interface TaskStarterOptions {
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly workers: WorkerPool;
   readonly farRackFactor: number;
   readonly leaseTimes: LeaseTimes;
@@ -50,11 +65,15 @@
 
 export class TaskStarter {
   private readonly waiting = WaitingTasks.create();
+  private readonly priorities = ServicePriorities.create();
+  private readonly reservedStarts: ReservedStarts;
   private readonly stop = new AbortController();
   private isStartingTasks = false;
   private isRetryScheduled = false;
 
-  private constructor(private readonly options: TaskStarterOptions) {}
+  private constructor(private readonly options: TaskStarterOptions) {
+    this.reservedStarts = ReservedStarts.create(options);
+  }
 
   static create(options: TaskStarterOptions): TaskStarter {
     return new TaskStarter(options);
@@ -73,7 +92,12 @@
       returnTask(task, 'no worker here is in service for it');
       return;
     }
-    this.waiting.push(task, demand.objectiveAtMs - fastestRunMs * (1 + startMargin));
+    const { serviceId, priority } = task.batch.content;
+    const nowMs = this.options.clock.nowMs();
+    this.priorities.record(serviceId, priority, nowMs);
+    const startByMs = demand.objectiveAtMs - fastestRunMs * (1 + startMargin);
+    this.waiting.push(task, startByMs, nowMs);
+    this.waiting.refresh(serviceId, this.priorities.areSeveral(serviceId, nowMs), nowMs);
   }
 
   remove(task: BatchedTask): void {
@@ -110,13 +134,7 @@
     }
     this.options.beforeOrders?.();
     this.isStartingTasks = true;
-    let blocked = 0;
-    for (const task of this.waiting.list()) {
-      if (blocked >= maxBlockedTasks) {
-        break;
-      }
-      blocked += this.tryStartSafely(task) === 'blocked' ? 1 : 0;
-    }
+    this.waiting.serviceIds.forEach((serviceId) => this.startTasksOf(serviceId));
     this.isStartingTasks = false;
     if (this.waiting.size > 0) {
       void this.scheduleRetry();
@@ -127,6 +145,22 @@
     this.stop.abort();
   }
 
+  private startTasksOf(serviceId: string): void {
+    const nowMs = this.options.clock.nowMs();
+    const isRanked = this.priorities.areSeveral(serviceId, nowMs);
+    this.waiting.refresh(serviceId, isRanked, nowMs);
+    const pass: Pass = { isRanked, reservation: undefined };
+    let blocked = 0;
+    let entry = this.waiting.next(serviceId);
+    while (entry !== undefined && blocked < maxBlockedTasks) {
+      blocked += this.tryStartSafely(entry, pass) === 'blocked' ? 1 : 0;
+      entry = this.waiting.next(serviceId, entry);
+    }
+    if (pass.reservation === undefined) {
+      this.reservedStarts.release(serviceId);
+    }
+  }
+
   private async scheduleRetry(): Promise<void> {
     if (this.isRetryScheduled) {
       return;
@@ -137,17 +171,24 @@
     this.startReadyTasks();
   }
 
-  /** Like `tryStart`, but an error leaves the task waiting, and the others go on. */
-  private tryStartSafely(task: BatchedTask): StartAttempt {
+  /** Like `tryStart`, but an error leaves the task waiting. A worker is reserved for the first task that is blocked. */
+  private tryStartSafely(entry: WaitingEntry, pass: Pass): StartAttempt {
+    const { task } = entry;
     try {
-      return this.tryStart(task);
+      const attempt = this.tryStart(entry, pass);
+      if (attempt === 'blocked' && pass.isRanked) {
+        const { workers } = this.options;
+        pass.reservation ??= this.reservedStarts.reserve(task, workers.openOutlooks(task));
+      }
+      return attempt;
     } catch (error) {
       this.options.supervisor.report('starting a task', error);
       return 'blocked';
     }
   }
 
-  private tryStart(task: BatchedTask): StartAttempt {
+  private tryStart(entry: WaitingEntry, pass: Pass): StartAttempt {
+    const { task } = entry;
     const { clock, workers } = this.options;
     const nowMs = clock.nowMs();
     const demand = demandOf(task);
@@ -173,7 +214,10 @@
     if (workers.hasRunOf(task) || this.options.awaitsProof(task)) {
       return 'held';
     }
-    const chosen = this.choose(task, demand, nowMs);
+    if (this.isDeferred(entry, pass, demand.objectiveAtMs - fastestRunMs)) {
+      return 'held';
+    }
+    const chosen = this.choose(task, demand, nowMs, pass.reservation);
     // A late start is put off as long as a faster worker could still meet the objective.
     const canMeetObjective = nowMs + fastestRunMs <= demand.objectiveAtMs;
     if (chosen === undefined || (missesObjective(demand, chosen, nowMs) && canMeetObjective)) {
@@ -182,9 +226,28 @@
     }
     this.waiting.remove(task);
     this.start(task, chosen);
+    if (pass.reservation !== undefined) {
+      this.reservedStarts.recordStart(pass.reservation, chosen.candidate.workerId);
+    }
     return 'settled';
   }
 
+  /**
+   * Puts a task behind those that can still meet their objective if no worker can end it by then any more. The same pass
+   * reaches it again there.
+   *
+   * @param latestStartMs - latest start that meets the objective on the fastest worker, in monotonic time
+   */
+  private isDeferred({ task, isLate }: WaitingEntry, pass: Pass, latestStartMs: number): boolean {
+    const nowMs = this.options.clock.nowMs();
+    if (!pass.isRanked || isLate || nowMs <= latestStartMs) {
+      return false;
+    }
+    this.waiting.defer(task, nowMs);
+    this.options.metrics.count('deferred_tasks', 1);
+    return true;
+  }
+
   /** Ends a task that can no longer end in time. */
   private expire(task: BatchedTask): void {
     this.waiting.remove(task);
@@ -200,12 +263,20 @@
     task: BatchedTask,
     demand: TaskDemand,
     nowMs: number,
+    reservation: StartReservation | undefined,
   ): RatedCandidate<LocalCandidate> | undefined {
     const { random, workers, farRackFactor } = this.options;
     const candidates = isSuspect(task)
       ? workers.isolatedCandidateFor(task)
       : workers.candidatesFor(task);
-    return chooseWorker(demand, candidates, { nowMs, farRackFactor, random: () => random.next() });
+    const isAllowed = (one: LocalCandidate): boolean =>
+      reservation === undefined ||
+      mayBackfill(reservation, one.workerId, nowMs + expectedRunMs(demand, one, farRackFactor));
+    return chooseWorker(demand, candidates.filter(isAllowed), {
+      nowMs,
+      farRackFactor,
+      random: () => random.next(),
+    });
   }
 
   private start(
@@ -226,10 +297,3 @@
     candidate.worker.start({ task, taskName, needs, expectedMs });
   }
 }
-
-/** Returns a task that is not running to its requester, which may send it to another dispatcher. */
-const returnTask = (task: BatchedTask, reason: string): void => {
-  const { index, nextRun, failedRuns, losses } = task;
-  const returned = { index, nextRun, failedRuns, ...toStatedLosses(losses) };
-  task.batch.end(task, { kind: 'returned', task: returned, reason });
-};
--- a/src/dispatch/workerForecast.ts
+++ b/src/dispatch/workerForecast.ts
@@ -29,18 +29,19 @@
   }
 
   /**
-   * Reserves cores for a waiting task on the open worker where it is expected to end first.
+   * Reserves cores for a waiting task on the open worker of its service where it is expected to end first.
    *
    * @returns its expected wait, in milliseconds; infinite if no worker ever has enough cores
    */
   reserve({ batch }: BatchedTask): number {
-    const { needs, estimatedMs } = batch.content;
+    const { needs, estimatedMs, serviceId } = batch.content;
     const { cpuMillis } = needs.resources;
     let best: ProfiledWorker | undefined;
     let bestEndMs = Infinity;
     for (const profiled of this.profiledWorkers) {
       const endMs = profiled.profile.startsInMs(cpuMillis) + estimatedMs * profiled.slowness;
-      if (profiled.worker.isOpen && endMs < bestEndMs) {
+      const { isOpen, record } = profiled.worker;
+      if (isOpen && record.serviceId === serviceId && endMs < bestEndMs) {
         best = profiled;
         bestEndMs = endMs;
       }
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -20,6 +20,8 @@
 import { expectedRunMs } from './workerChoice.js';
 import type { Candidate, TaskDemand } from './workerChoice.js';
 import { canStartNow, fits, isEligible } from './workerEligibility.js';
+import { CapacityProfile } from './capacityProfile.js';
+import type { WorkerOutlook } from '../scheduling/startReservation.js';
 import { WorkerForecast } from './workerForecast.js';
 
 export interface WorkerPoolOptions extends Pick<
@@ -136,6 +138,13 @@
       .map((worker) => this.toCandidate(worker));
   }
 
+  /** @returns the forecasts of the workers that may start a task as soon as their capacity suffices */
+  openOutlooks(task: BatchedTask): WorkerOutlook[] {
+    return this.listAllowed(task)
+      .filter((worker) => canStartNow(worker, task) && fits(worker, task))
+      .map((worker) => toOutlook(worker));
+  }
+
   /** @returns the worker on which a suspect may start alone now, if there is one */
   isolatedCandidateFor(task: BatchedTask): LocalCandidate[] {
     const worker = reserveWorker(task, this.listAllowed(task), (one) => isEligible(one, task));
@@ -241,3 +250,8 @@
     return WorkerForecast.create([...this.workers.values()], this.options.clock.nowMs());
   }
 }
+
+const toOutlook = (worker: ManagedWorker): WorkerOutlook => ({
+  workerId: worker.workerId,
+  profile: CapacityProfile.create(worker.unusedCpuMillis, worker.releases()),
+});
--- a/src/types/dispatch.ts
+++ b/src/types/dispatch.ts
@@ -58,7 +58,10 @@
   runsEndInMs: z.number().optional(),
   /** A task whose wait for free capacity is expected to be longer is returned at once. */
   maxWaitMs: z.number().nonnegative(),
-  /** Priority of the route. The dispatcher does not read it: it runs tasks regardless of priority. */
+  /**
+   * Priority of the route; 0 is the most urgent. It decides the order only among the routes of one service that have
+   * different priorities.
+   */
   priority: z.number().int(),
   /** Failed runs of a task after which the task has failed. */
   maxFailedRuns: z.number().int().positive(),
