--- a/bench/placements.ts
+++ b/bench/placements.ts
@@ -1,10 +1,9 @@
 /**
  * `npm run bench:placements`: measures the time of one placement at a dispatcher, against the number of its workers and of
- * the tasks that wait. One placement: a task arrives, a run ends, and the first waiting task starts on the free worker.
+ * the tasks that wait. One placement: cores become free on one worker, a task arrives, and the first waiting task starts.
  */
 import { noMetrics } from '../src/adapters/system/noMetrics.js';
 import { OpenBatch } from '../src/dispatch/openBatch.js';
-import type { BatchedTask } from '../src/dispatch/openBatch.js';
 import { unconfirmedLeaseTimes } from '../src/dispatch/leaseTimes.js';
 import { TaskStarter } from '../src/dispatch/taskStarter.js';
 import { WorkerPool } from '../src/dispatch/workerPool.js';
@@ -14,6 +13,7 @@
 import { silentLogger } from '../src/testing/silentLogger.js';
 import { silentSupervisor } from '../src/testing/silentSupervisor.js';
 import { SimulatedWorkers } from '../src/testing/simulatedWorkers.js';
+import type { WorkerRecord } from '../src/types/workers.js';
 import { WorkerSpeedCache } from '../src/workers/workerSpeedCache.js';
 
 const workerCounts = [30, 97, 300, 910] as const;
@@ -29,6 +29,12 @@
 /** One task occupies a whole worker. */
 const needs = { resources: { cpuMillis: 32_000, memoryMb: 64, accelerators: 0 } };
 
+/** Makes room for one more task. */
+const withMoreCores = (record: WorkerRecord): WorkerRecord => {
+  const cpuMillis = record.capacity.cpuMillis + needs.resources.cpuMillis;
+  return { ...record, capacity: { ...record.capacity, cpuMillis } };
+};
+
 /** @returns microseconds of one placement */
 const measure = async (workerCount: number, waitingCount: number): Promise<number> => {
   const clock = FakeClock.create();
@@ -38,7 +44,6 @@
   const workers = SimulatedWorkers.create({
     ...{ clock, runMs: longMs, startedAtMs: 5, crashesWorker: () => false },
   });
-  const running: { end: () => void; task: BatchedTask }[] = [];
   const common = { clock, logger: silentLogger, supervisor, leaseTimes, farRackFactor: 1.5 };
   const pool = WorkerPool.create({
     ...{ ...common, workers, speeds: WorkerSpeedCache.create() },
@@ -48,7 +53,7 @@
   const starter = TaskStarter.create({
     ...{ ...common, random, metrics: noMetrics, workers: pool, awaitsProof: () => false },
   });
-  const records = Array.from({ length: workerCount }, (_, index) => ({
+  let records = Array.from({ length: workerCount }, (_, index) => ({
     ...workerFixture,
     workerId: `i-${index}`,
     address: `127.0.0.1:${index}`,
@@ -81,15 +86,41 @@
   if (queued() !== waitingCount) {
     throw new Error(`${queued()} tasks wait instead of ${waitingCount}.`);
   }
-  void running;
   let elapsedMs = 0;
   for (let number = 0; number < warmUpPlacements + measuredPlacements; number += 1) {
-    pool.endRunForMeasurement(number);
+    records = records.map((record, index) =>
+      index === number % workerCount ? withMoreCores(record) : record,
+    );
+    void pool.setWorkers(records, 1);
     const startedAtMs = performance.now();
     enqueue();
     starter.startReadyTasks();
     elapsedMs += number < warmUpPlacements ? 0 : performance.now() - startedAtMs;
   }
+  if (queued() !== waitingCount) {
+    throw new Error(`${queued()} tasks wait after the placements instead of ${waitingCount}.`);
+  }
   starter.close();
   return (elapsedMs / measuredPlacements) * microsecondsPerMs;
 };
+
+/** Prints a cost for each count, and the exponent by which it grows with the count. */
+const printSeries = async (
+  unit: string,
+  counts: readonly number[],
+  measureAt: (count: number) => Promise<number>,
+): Promise<void> => {
+  const costsUs: number[] = [];
+  for (const count of counts) {
+    const costUs = await measureAt(count);
+    costsUs.push(costUs);
+    process.stdout.write(`${count} ${unit}: ${costUs.toFixed(1)} µs for a placement\n`);
+  }
+  const growth = Math.log((costsUs.at(-1) ?? 1) / (costsUs[0] ?? 1));
+  const exponent = growth / Math.log((counts.at(-1) ?? 1) / (counts[0] ?? 1));
+  process.stdout.write(`exponent ${exponent.toFixed(2)} in the ${unit}\n`);
+};
+
+await printSeries('workers', workerCounts, (count) => measure(count, fixedWaiting));
+await printSeries('waiting tasks', waitingCounts, (count) => measure(fixedWorkers, count));
+process.exit(0);
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -121,8 +121,10 @@
     const nowMs = this.options.clock.nowMs();
     let fastestRunMs: number | undefined;
     const bound = this.boundWorkerOf(task);
-    const eligible = [...this.workers.values()].filter((worker) => isEligible(worker, task));
-    for (const worker of bound === undefined ? eligible : [bound]) {
+    for (const worker of bound === undefined ? this.workers.values() : [bound]) {
+      if (bound === undefined && !isEligible(worker, task)) {
+        continue;
+      }
       const { labels } = worker.record;
       const slowness = worker.speed.slowness(nowMs);
       const runMs = expectedRunMs(demand, { slowness, labels }, this.options.farRackFactor);
@@ -131,10 +133,11 @@
     return fastestRunMs;
   }
 
-  /** @returns the workers that may start a task now, free capacity and labels not yet checked */
+  /** @returns the workers with free cores that may start a task now; other resources and labels are not yet checked */
   candidatesFor(task: BatchedTask): LocalCandidate[] {
+    const { cpuMillis } = task.batch.content.needs.resources;
     return this.listAllowed(task)
-      .filter((worker) => canStartNow(worker, task))
+      .filter((worker) => worker.unusedCpuMillis >= cpuMillis && canStartNow(worker, task))
       .map((worker) => this.toCandidate(worker));
   }
 
