--- a/src/dispatch/taskStarter.ts
+++ b/src/dispatch/taskStarter.ts
@@ -134,7 +134,8 @@
     }
     this.options.beforeOrders?.();
     this.isStartingTasks = true;
-    this.waiting.serviceIds.forEach((serviceId) => this.startTasksOf(serviceId));
+    const { workers } = this.options;
+    workers.duringPass(() => this.waiting.serviceIds.forEach((id) => this.startTasksOf(id)));
     this.isStartingTasks = false;
     if (this.waiting.size > 0) {
       void this.scheduleRetry();
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -43,10 +43,18 @@
   readonly worker: ManagedWorker;
 }
 
+/** A worker in service, and its slowdown factor. */
+interface ServingWorker {
+  readonly worker: ManagedWorker;
+  readonly slowness: number;
+}
+
 export class WorkerPool {
   private readonly workers = new Map<string, ManagedWorker>();
   private readonly activeTasks = ActiveTasks.create();
   private readonly unanswered: UnansweredStarts;
+  /** The workers in service, while a pass over the waiting tasks goes on. */
+  private servingWorkers: readonly ServingWorker[] | undefined;
   /** Workers at an earlier address of theirs, until their runs there are proved to have ended. */
   private readonly retired = new Set<ManagedWorker>();
 
@@ -121,18 +129,34 @@
     const nowMs = this.options.clock.nowMs();
     let fastestRunMs: number | undefined;
     const bound = this.boundWorkerOf(task);
-    for (const worker of bound === undefined ? this.workers.values() : [bound]) {
-      if (bound === undefined && !isEligible(worker, task)) {
+    const serving = this.servingWorkers ?? this.listServing();
+    for (const { worker, slowness } of bound === undefined ? serving : [toServing(bound, nowMs)]) {
+      if (
+        bound === undefined &&
+        (task.avoidedWorkerIds.has(worker.workerId) || !fits(worker, task))
+      ) {
         continue;
       }
       const { labels } = worker.record;
-      const slowness = worker.speed.slowness(nowMs);
       const runMs = expectedRunMs(demand, { slowness, labels }, this.options.farRackFactor);
       fastestRunMs = Math.min(runMs, fastestRunMs ?? runMs);
     }
     return fastestRunMs;
   }
 
+  /**
+   * Calls a function that starts tasks and waits for nothing meanwhile. The workers in service are listed only once for it:
+   * a start takes no worker out of service, and everything else that does is an event of its own.
+   */
+  duringPass(startTasks: () => void): void {
+    this.servingWorkers = this.listServing();
+    try {
+      startTasks();
+    } finally {
+      this.servingWorkers = undefined;
+    }
+  }
+
   /** @returns the workers with free cores that may start a task now; other resources and labels are not yet checked */
   candidatesFor(task: BatchedTask): LocalCandidate[] {
     const { cpuMillis } = task.batch.content.needs.resources;
@@ -249,11 +273,27 @@
     }
   }
 
+  private listServing(): ServingWorker[] {
+    const nowMs = this.options.clock.nowMs();
+    const serving: ServingWorker[] = [];
+    for (const worker of this.workers.values()) {
+      if (worker.isInService) {
+        serving.push(toServing(worker, nowMs));
+      }
+    }
+    return serving;
+  }
+
   private forecast(): WorkerForecast {
     return WorkerForecast.create([...this.workers.values()], this.options.clock.nowMs());
   }
 }
 
+const toServing = (worker: ManagedWorker, nowMs: number): ServingWorker => ({
+  worker,
+  slowness: worker.speed.slowness(nowMs),
+});
+
 const toOutlook = (worker: ManagedWorker): WorkerOutlook => ({
   workerId: worker.workerId,
   profile: CapacityProfile.create(worker.unusedCpuMillis, worker.releases()),
