--- a/src/dispatch/workerForecast.ts
+++ b/src/dispatch/workerForecast.ts
@@ -29,18 +29,19 @@
   }
 
   /**
-   * Reserves cores for a waiting task on the worker that accepts tasks and where it is expected to end first.
+   * Reserves cores for a waiting task on the worker of its service that accepts tasks and where it is expected to end first.
    *
    * @returns its expected wait, in milliseconds; infinite if no worker ever has enough cores
    */
   reserve({ batch }: BatchedTask): number {
-    const { needs, estimatedMs } = batch.content;
+    const { needs, estimatedMs, serviceId } = batch.content;
     const { cpuMillis } = needs.resources;
     let best: ProfiledWorker | undefined;
     let bestEndMs = Infinity;
     for (const profiled of this.profiledWorkers) {
       const endMs = profiled.profile.startsInMs(cpuMillis) + estimatedMs * profiled.slowness;
-      if (profiled.worker.acceptsTasks && endMs < bestEndMs) {
+      const { acceptsTasks, record } = profiled.worker;
+      if (acceptsTasks && record.serviceId === serviceId && endMs < bestEndMs) {
         best = profiled;
         bestEndMs = endMs;
       }
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -20,6 +20,8 @@
 import { expectedRunMs } from './workerChoice.js';
 import type { Candidate, TaskDemand } from './workerChoice.js';
 import { canStartNow, fits, isEligible } from './workerEligibility.js';
+import { CapacityProfile } from './capacityProfile.js';
+import type { WorkerOutlook } from '../scheduling/startReservation.js';
 import { WorkerForecast } from './workerForecast.js';
 
 export interface WorkerPoolOptions extends Pick<
@@ -53,10 +55,18 @@
   readonly worker: ManagedWorker;
 }
 
+/** A worker in service, and its slowdown factor. */
+interface ServingWorker {
+  readonly worker: ManagedWorker;
+  readonly slowness: number;
+}
+
 export class WorkerPool {
   private readonly workers = new Map<string, ManagedWorker>();
   private readonly activeTasks = ActiveTasks.create();
   private readonly unanswered: UnansweredStarts;
+  /** The workers in service, while a pass over the waiting tasks goes on. */
+  private servingWorkers: readonly ServingWorker[] | undefined;
   /** Workers at an earlier address of theirs, until their runs there are proved to have ended. */
   private readonly retired = new Set<ManagedWorker>();
 
@@ -154,23 +164,49 @@
     const nowMs = this.options.clock.nowMs();
     let fastestRunMs: number | undefined;
     const bound = this.boundWorkerOf(task);
-    const eligible = [...this.workers.values()].filter((worker) => isEligible(worker, task));
-    for (const worker of bound === undefined ? eligible : [bound]) {
+    const serving = this.servingWorkers ?? this.listServing();
+    for (const { worker, slowness } of bound === undefined ? serving : [toServing(bound, nowMs)]) {
+      if (
+        bound === undefined &&
+        (task.avoidedWorkerIds.has(worker.workerId) || !fits(worker, task))
+      ) {
+        continue;
+      }
       const { labels } = worker.record;
-      const slowness = worker.speed.slowness(nowMs);
       const runMs = expectedRunMs(demand, { slowness, labels }, this.options.farRackFactor);
       fastestRunMs = Math.min(runMs, fastestRunMs ?? runMs);
     }
     return fastestRunMs;
   }
 
-  /** @returns the workers that may start a task now, free capacity and labels not yet checked */
+  /**
+   * Calls a function that starts tasks and waits for nothing meanwhile. The workers in service are listed only once for it:
+   * a start takes no worker out of service, and everything else that does is an event of its own.
+   */
+  duringPass(startTasks: () => void): void {
+    this.servingWorkers = this.listServing();
+    try {
+      startTasks();
+    } finally {
+      this.servingWorkers = undefined;
+    }
+  }
+
+  /** @returns the workers with free cores that may start a task now; other resources and labels are not yet checked */
   candidatesFor(task: BatchedTask): LocalCandidate[] {
+    const { cpuMillis } = task.batch.content.needs.resources;
     return this.listAllowed(task)
-      .filter((worker) => canStartNow(worker, task))
+      .filter((worker) => worker.unusedCpuMillis >= cpuMillis && canStartNow(worker, task))
       .map((worker) => this.toCandidate(worker));
   }
 
+  /** @returns the forecasts of the workers that may start a task as soon as their capacity suffices */
+  openOutlooks(task: BatchedTask): WorkerOutlook[] {
+    return this.listAllowed(task)
+      .filter((worker) => canStartNow(worker, task) && fits(worker, task))
+      .map((worker) => toOutlook(worker));
+  }
+
   /** @returns the worker on which a suspect may start alone now, if there is one */
   isolatedCandidateFor(task: BatchedTask): LocalCandidate[] {
     const worker = reserveWorker(task, this.listAllowed(task), (one) => isEligible(one, task));
@@ -272,7 +308,28 @@
     }
   }
 
+  private listServing(): ServingWorker[] {
+    const nowMs = this.options.clock.nowMs();
+    const serving: ServingWorker[] = [];
+    for (const worker of this.workers.values()) {
+      if (worker.isInService) {
+        serving.push(toServing(worker, nowMs));
+      }
+    }
+    return serving;
+  }
+
   private forecast(): WorkerForecast {
     return WorkerForecast.create([...this.workers.values()], this.options.clock.nowMs());
   }
 }
+
+const toServing = (worker: ManagedWorker, nowMs: number): ServingWorker => ({
+  worker,
+  slowness: worker.speed.slowness(nowMs),
+});
+
+const toOutlook = (worker: ManagedWorker): WorkerOutlook => ({
+  workerId: worker.workerId,
+  profile: CapacityProfile.create(worker.unusedCpuMillis, worker.releases()),
+});
