Admission by priority, retry times in turn, and overload of a daemon

Jobs were refused when their plan was 15% late, whatever their priority, so that the widest and most urgent jobs were refused most. Less urgent jobs now leave free cores for more urgent routes in proportion to the recent demand: they wait at their requester while their objective permits it, and are refused then. While routes of different priority compete, no job is admitted that is expected to end after its objective. Refused callers are told to retry one after the other. A daemon whose requests wait reports that it is not ready, for at most 2 s in 6 s.

--- a/bench/load/loadReport.ts
+++ b/bench/load/loadReport.ts
@@ -17,6 +17,30 @@
 const quantile = (values: readonly number[], share: number): number =>
   [...values].sort((a, b) => a - b)[Math.floor(share * (values.length - 1))] ?? 0;
 
+/** Share of its value that a response keeps after the objective, until three times the objective. */
+const lateValueShare = 0.2;
+const worthlessFactor = 3;
+
+const coreMsOf = ({ taskCount, runMs, cpuMillis }: Arrival): number =>
+  (taskCount * runMs * cpuMillis) / 1_000;
+
+/** @returns the share of the core-milliseconds asked for that callers get, late responses at a fifth */
+const servedShareOf = (
+  arrivals: readonly Arrival[],
+  outcomes: readonly JobOutcome[],
+  objectiveMsOf: (arrival: Arrival) => number,
+): number => {
+  const askedCoreMs = arrivals.reduce((sum, arrival) => sum + coreMsOf(arrival), 0);
+  const servedCoreMs = outcomes.reduce((sum, { arrival, end, durationMs }) => {
+    const objectiveMs = objectiveMsOf(arrival);
+    if (end !== 'completed' || durationMs > worthlessFactor * objectiveMs) {
+      return sum;
+    }
+    return sum + coreMsOf(arrival) * (durationMs <= objectiveMs ? 1 : lateValueShare);
+  }, 0);
+  return servedCoreMs / Math.max(askedCoreMs, 1);
+};
+
 export const printReport = (
   title: string,
   arrivals: readonly Arrival[],
@@ -43,4 +67,6 @@
         ).toFixed(0)} ms\n`,
     );
   }
+  const share = servedShareOf(arrivals, outcomes, objectiveMsOf);
+  process.stdout.write(`  value of the responses: ${percent(share, 1)} of the core-ms asked for\n`);
 };
--- a/src/bestEffort/jobContext.ts
+++ b/src/bestEffort/jobContext.ts
@@ -52,7 +52,10 @@
   wasOffered = false;
   /** Set once the job has its result; no further batch is sent then. */
   hasEnded = false;
-  private readonly arrivedAtMs: number;
+  /** Set once a plan for tasks of the job is carried out. */
+  wasAdmitted = false;
+  /** Monotonic time at which the request was read, in milliseconds. */
+  readonly arrivedAtMs: number;
 
   private constructor(private readonly options: JobContextOptions) {
     const { clock, lengths, leaseTimes, route, request, deadlineMs, waitedMs } = options;
--- a/src/bestEffort/jobRun.ts
+++ b/src/bestEffort/jobRun.ts
@@ -15,7 +15,7 @@
 import { createDeferred } from '../utils/deferred.js';
 import { TaskSupervisor } from '../utils/taskSupervisor.js';
 import { JobContext } from './jobContext.js';
-import { computeRetryAfterMs, criticalPathMs } from './objective.js';
+import { criticalPathMs } from './objective.js';
 import type { RunTimePredictor } from './runTimePredictor.js';
 import { firstUnsuccessful } from './stepEnd.js';
 import type { StepEnd } from './stepEnd.js';
@@ -152,14 +152,14 @@
    * refused, which tells the caller that it is safe to send it again.
    */
   private async resolveGivenUp(reason: string): Promise<JobEnd> {
-    const { clock } = this.options;
+    const { clock, admission } = this.options;
     const untilMs = clock.nowMs() + withdrawalWaitMs;
     while (this.job.openBatches.size > 0 && clock.nowMs() < untilMs) {
       await clock.sleep(withdrawalWaitMs / 10);
     }
     return this.job.mayHaveStarted
       ? { kind: 'given-up', reason }
-      : { kind: 'refused', reason, retryAfterMs: computeRetryAfterMs(0) };
+      : { kind: 'refused', reason, retryAfterMs: admission.retryAfterMs(this.job, 0) };
   }
 
   private async awaitGiveUpTime(signal: AbortSignal): Promise<JobEnd> {
@@ -174,6 +174,7 @@
     if (isHeldElsewhere()) {
       return { kind: 'held-elsewhere' };
     }
+    this.options.admission.recordArrival(this.job);
     const ends: Promise<StepEnd>[] = [];
     for (const [index, step] of this.job.steps.entries()) {
       ends.push(this.runWhenReady(step, index, ends));
@@ -218,7 +219,10 @@
       case 'refused':
         return this.job.mayHaveStarted
           ? { kind: 'given-up', reason: end.reason }
-          : { kind: 'refused', reason: end.reason, retryAfterMs: computeRetryAfterMs(end.waitMs) };
+          : {
+              ...{ kind: 'refused', reason: end.reason },
+              retryAfterMs: this.options.admission.retryAfterMs(this.job, end.waitMs),
+            };
       default:
         return unreachable(end);
     }
--- a/src/bestEffort/objective.ts
+++ b/src/bestEffort/objective.ts
@@ -12,8 +12,6 @@
 const admissionToleranceShare = 0.15;
 /** A job is given up after this many times its objective; run times are known to within a fifth. */
 const giveUpFactor = 3.6;
-/** Shortest time after which a refused caller is asked to retry, in milliseconds. */
-const minRetryAfterMs = 1_000;
 
 /**
  * Computes the expected time from the start of each step to the end of the job, in milliseconds:
@@ -56,6 +54,3 @@
 /** @returns how late after its objective an admitted job may be expected to end, in milliseconds */
 export const admissionToleranceMs = (objectiveMs: number): number =>
   objectiveMs * admissionToleranceShare;
-
-/** @returns time after which a refused caller is asked to retry, in milliseconds */
-export const computeRetryAfterMs = (waitMs: number): number => Math.max(waitMs, minRetryAfterMs);
--- a/src/bestEffort/stepRun.spec.ts
+++ b/src/bestEffort/stepRun.spec.ts
@@ -6,6 +6,7 @@
 import type { JobEnd, JobRequest } from '../ports/jobs.js';
 import { routeFixture } from '../testing/dispatchFixtures.js';
 import { FakeClock } from '../testing/fakeClock.js';
+import { planDecides } from '../testing/planDecides.js';
 import { silentLogger } from '../testing/silentLogger.js';
 import type { Batch, BatchReply, TaskEnd } from '../types/dispatch.js';
 import type { BatchSender } from './batchSender.js';
@@ -73,6 +74,7 @@
   const jobs = RunningJobs.create({
     ...{ clock, logger: silentLogger, metrics: noMetrics, sender },
     planner: planner as StepPlanner,
+    admission: planDecides(clock),
     lengths: RunTimePredictor.create(),
     leaseTimes: unconfirmedLeaseTimes(1_000),
     contact: CallerContact.create(clock),
--- a/src/bestEffort/stepRun.ts
+++ b/src/bestEffort/stepRun.ts
@@ -2,6 +2,8 @@
  * Runs the tasks of one step: sends them to dispatchers in batches, and reassigns the tasks that certainly run
  * nowhere: those that a dispatcher returns, and those that expired before anything of their batch was started.
  */
+import type { CheckedPlan, JobAdmission } from '../admission/jobAdmission.js';
+import type { TaskDemand } from '../dispatch/workerChoice.js';
 import type { BatchTask, TaskEnd } from '../types/dispatch.js';
 import { unreachable } from '../errors/unreachable.js';
 import type { Clock } from '../ports/clock.js';
@@ -9,6 +11,8 @@
 import type { Logger } from '../ports/logger.js';
 import type { BatchResult, BatchSender } from './batchSender.js';
 import { composeBatch } from './composeBatch.js';
+import { findExpired, toPlanning } from './stepPlanning.js';
+import type { PlacementRequest, Planning } from './stepPlanning.js';
 import { firstUnsuccessful, stepDone } from './stepEnd.js';
 import type { StepEnd } from './stepEnd.js';
 import type { StepPlanner, PlannedBatch, StepPlan } from './stepPlanner.js';
@@ -31,25 +35,14 @@
   readonly logger: Logger;
   readonly planner: StepPlanner;
   readonly sender: BatchSender;
+  readonly admission: Pick<
+    JobAdmission,
+    'decide' | 'recordArrival' | 'recordAdmission' | 'retryAfterMs'
+  >;
   /** Ends the jobs from before a standstill of this process. */
   readonly standstills: Pick<StandstillDetector, 'check' | 'settlingMs'>;
 }
 
-/** Tasks to be sent to dispatchers, with the outcome of earlier attempts. */
-interface PlacementRequest {
-  readonly tasks: readonly BatchTask[];
-  /** Dispatchers that returned the tasks. */
-  readonly excludedDispatcherIds: ReadonlySet<string>;
-  /** How often the tasks were returned so far. */
-  readonly reassignments: number;
-}
-
-/** What comes of an attempt to plan tasks. `later`: no dispatcher can take them now. */
-type Planning =
-  | { readonly kind: 'planned'; readonly plan: StepPlan }
-  | { readonly kind: 'later' }
-  | Extract<StepEnd, { kind: 'refused' }>;
-
 export class StepRun {
   private constructor(
     private readonly options: StepRunOptions,
@@ -91,7 +84,7 @@
           planning.plan.batches.map((batch) => this.send(batch, planning.plan, request)),
         );
       case 'later':
-        await this.options.clock.sleep(retryPauseMs);
+        await this.options.clock.sleep(planning.pauseMs);
         return this.place(request);
       case 'refused':
         return planning;
@@ -102,40 +95,52 @@
 
   /**
    * Plans tasks and reserves capacity for them. Dispatchers that returned them are used only if no
-   * other can run them. A job that cannot have started is refused if tasks have to wait and the job
-   * would then end too late.
+   * other can run them. A job that cannot have started waits or is refused as the admission decides.
    */
   private plan({ tasks, excludedDispatcherIds }: PlacementRequest): Planning {
-    const { clock, planner } = this.options;
-    const { serviceId } = this.job.route;
-    const demand = this.job.demandOf(this.index);
+    const { admission, planner } = this.options;
+    const { job } = this;
+    const { serviceId } = job.route;
+    const demand = job.demandOf(this.index);
+    const isUnstarted = !job.mayHaveStarted;
+    const early = isUnstarted ? toPlanning(admission.decide(job, demand)) : undefined;
+    if (early !== undefined) {
+      return early;
+    }
     const plan =
       planner.plan(serviceId, demand, tasks, excludedDispatcherIds) ??
       planner.plan(serviceId, demand, tasks, new Set());
     if (plan === undefined) {
-      const isTimeLeft = clock.nowMs() + retryPauseMs + demand.estimatedMs <= demand.giveUpAtMs;
-      if (this.job.mayHaveStarted && isTimeLeft) {
-        return { kind: 'later' };
-      }
-      return { kind: 'refused', reason: 'no dispatcher has a worker for it', waitMs: 0 };
+      return this.planningWithoutWorkers(demand);
     }
-    const lateMs = plan.lastEndAtMs - demand.objectiveAtMs;
-    const isTooLate = plan.longestWaitMs > 0 && plan.lastEndAtMs > this.job.latestAdmissibleEndAtMs;
-    if (isTooLate && !this.job.mayHaveStarted) {
-      const nowMs = clock.nowMs();
-      this.options.logger.info('No room is free in time.', {
-        jobId: this.job.request.jobId,
-        count: tasks.length,
-        expectedMs: Math.round(plan.lastEndAtMs - nowMs),
-        leftMs: Math.round(demand.objectiveAtMs - nowMs),
-        ageMs: plan.oldestReportAgeMs,
-      });
-      return { kind: 'refused', reason: 'its objective cannot be met', waitMs: lateMs };
+    const late = isUnstarted
+      ? toPlanning(admission.decide(job, demand, this.forecastOf(plan)))
+      : undefined;
+    if (late !== undefined) {
+      return late;
+    }
+    if (!job.wasAdmitted) {
+      job.wasAdmitted = true;
+      admission.recordAdmission(job);
     }
     planner.commit(plan);
     return { kind: 'planned', plan };
   }
 
+  private forecastOf({ longestWaitMs, lastEndAtMs, oldestReportAgeMs }: StepPlan): CheckedPlan {
+    const endsInMs = lastEndAtMs - this.options.clock.nowMs();
+    return { longestWaitMs, endsInMs, oldestReportAgeMs };
+  }
+
+  /** @returns what becomes of tasks that no dispatcher can take now */
+  private planningWithoutWorkers({ estimatedMs, giveUpAtMs }: TaskDemand): Planning {
+    const nowMs = this.options.clock.nowMs();
+    const isTimeLeft = nowMs + retryPauseMs + estimatedMs <= giveUpAtMs;
+    return this.job.mayHaveStarted && isTimeLeft
+      ? { kind: 'later', pauseMs: retryPauseMs }
+      : { kind: 'refused', reason: 'no dispatcher has a worker for it', waitMs: 0 };
+  }
+
   /**
    * Sends a batch and waits for its tasks. Tasks that the dispatcher returns at once are reassigned
    * while a second request for the same batch waits for the others.
@@ -283,9 +288,3 @@
     }
   }
 }
-
-/** Finds the tasks that expired, as they were sent. */
-const findExpired = (ends: readonly TaskEnd[], { tasks }: PlacementRequest): BatchTask[] => {
-  const indexes = new Set(ends.flatMap((end) => (end.kind === 'expired' ? [end.index] : [])));
-  return tasks.filter(({ index }) => indexes.has(index));
-};
--- a/src/fleet/callerContact.ts
+++ b/src/fleet/callerContact.ts
@@ -41,12 +41,21 @@
   private constructor(
     private readonly clock: Clock,
     private readonly backlog: AcceptBacklog,
+    private readonly onWait: (waitMs: number) => void,
   ) {
     this.readUntilMs = clock.nowMs();
   }
 
-  static create(clock: Clock, backlog = AcceptBacklog.create(clock)): CallerContact {
-    return new CallerContact(clock, backlog);
+  /**
+   * @param onWait - called after each reading with the longest time for which a request on an open connection waited for
+   *   it, in milliseconds
+   */
+  static create(
+    clock: Clock,
+    backlog = AcceptBacklog.create(clock),
+    onWait: (waitMs: number) => void = () => undefined,
+  ): CallerContact {
+    return new CallerContact(clock, backlog, onWait);
   }
 
   /**
@@ -56,9 +65,12 @@
    */
   async read(): Promise<number> {
     const arrivedByMs = this.clock.nowMs();
+    const unreadMs = this.unreadMs(arrivedByMs);
     await this.backlog.poll();
     this.readUntilMs = Math.max(this.readUntilMs, arrivedByMs);
-    return this.clock.nowMs() - arrivedByMs;
+    const turnMs = this.clock.nowMs() - arrivedByMs;
+    this.onWait(Math.max(turnMs, unreadMs));
+    return turnMs;
   }
 
   /** Records that the VM was suspended, in milliseconds, which the monotonic clock omits. */
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -2,6 +2,8 @@
  * A daemon of a fleet: accepts jobs from callers, divides their tasks among the dispatchers of the
  * fleet, and is itself the dispatcher of some workers.
  */
+import { JobAdmission } from '../admission/jobAdmission.js';
+import { createServiceLoadOf } from '../admission/serviceLoadOfView.js';
 import { BatchRouter } from '../bestEffort/batchRouter.js';
 import { FleetView } from '../bestEffort/fleetView.js';
 import { StepPlanner } from '../bestEffort/stepPlanner.js';
@@ -16,9 +18,8 @@
 import { TaskSupervisor } from '../utils/taskSupervisor.js';
 import { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import { WorkerDirectory } from '../workers/workerDirectory.js';
-import { AcceptBacklog } from './acceptBacklog.js';
+import { createCallerSide } from './callerSide.js';
 import { BatchIntake } from './batchIntake.js';
-import { CallerContact } from './callerContact.js';
 import type { FleetIdentity, FleetPorts } from './fleetIdentity.js';
 import { FleetHeartbeatExchange } from './fleetHeartbeatExchange.js';
 import { FleetPeers } from './fleetPeers.js';
@@ -88,9 +89,7 @@
       },
     });
     this.standstills = standstills;
-    const callersLogger = logger.forPart('callers');
-    const backlog = AcceptBacklog.create(clock, { logger: callersLogger, standstills });
-    const contact = CallerContact.create(clock, backlog);
+    const { backlog, contact, overload } = createCallerSide({ ...common, standstills });
     this.connections = backlog;
     this.dispatcher = Dispatcher.create({
       clock,
@@ -137,6 +136,10 @@
       logger: this.logger,
       metrics,
       planner,
+      admission: JobAdmission.create({
+        ...{ clock, random, metrics, logger: this.logger },
+        serviceLoadOf: createServiceLoadOf(clock, this.view),
+      }),
       sender: this.router,
       lengths: this.lengths,
       leaseTimes,
@@ -145,7 +148,6 @@
     });
     const { lengths, speeds, routing, directory, jobs, view, router, dispatcher } = this;
     const held = HeldJobs.create(clock, ownId);
-    const { confirmationMs } = leaseTimes;
     const front = createJobFront({
       clock,
       logger: this.logger,
@@ -159,6 +161,7 @@
       contact,
       jobs,
       held,
+      overload,
       standstills,
       leaseTimes,
       peers: () => this.peers,
@@ -176,7 +179,7 @@
     });
     this.heartbeatExchange = FleetHeartbeatExchange.create({
       ...{ clock, ages, contact, leases, own: member, logger: this.logger, routing, lengths },
-      ...{ speeds, view, router, dispatcher, held, confirmationMs },
+      ...{ speeds, view, router, dispatcher, held, confirmationMs: leaseTimes.confirmationMs },
       jobs: {
         listHeld,
         listCancelled: () => jobs.listCancelled(),
--- a/src/fleet/jobIntake.spec.ts
+++ b/src/fleet/jobIntake.spec.ts
@@ -34,11 +34,16 @@
   joins: noJobIsHeld as JobJoins,
 };
 const promptRequests = {
+  overload: { isReady: true },
   contact: { waitOf: () => ({ waitedMs: 0, acceptWaitMs: 0, unreadMs: 0, linkDelayMs: 0 }) },
   standstills: { check: () => undefined },
 };
 
-const requestOf = (jobId: string): JobRequest => ({ jobId, spec: '', steps: [], unsupported: [] });
+const needs = { resources: { cpuMillis: 1_000, memoryMb: 64, accelerators: 0 } };
+const requestOf = (jobId: string): JobRequest => ({
+  ...{ jobId, spec: '', unsupported: [] },
+  steps: [{ taskCount: 1, estimatedMs: 1_000, after: [], needs }],
+});
 
 test('a stopping daemon answers a repeated request of a running job with the end of that job', async () => {
   const jobs: Pick<RunningJobs, 'state' | 'submit'> = {
--- a/src/fleet/jobIntake.ts
+++ b/src/fleet/jobIntake.ts
@@ -1,7 +1,10 @@
 /**
  * Accepts the jobs of callers: finds their route, rejects what cannot run here, and runs the rest.
  */
+import type { DaemonOverload } from '../admission/daemonOverload.js';
+import { timelinessOf } from '../admission/requestTimeliness.js';
 import { countJobEnd } from '../bestEffort/countJobEnd.js';
+import { computeObjectiveMs, criticalPathMs } from '../bestEffort/objective.js';
 import type { RunningJobs } from '../bestEffort/runningJobs.js';
 import type { Dispatcher } from '../dispatch/dispatcher.js';
 import { unreachable } from '../errors/unreachable.js';
@@ -18,31 +21,25 @@
 import type { Metrics } from '../ports/metrics.js';
 import type { RoutingStore } from '../routing/routingStore.js';
 import type { Route } from '../types/routing.js';
-import type { TaskFit, WorkerDirectory } from '../workers/workerDirectory.js';
+import type { WorkerDirectory } from '../workers/workerDirectory.js';
 import { describeWait } from './callerContact.js';
 import type { CallerContact, RequestWait } from './callerContact.js';
 import type { HeldJobs } from './heldJobs.js';
 import type { JobCancellation } from './jobCancellation.js';
 import type { JobJoins, JoinRequest } from './jobJoins.js';
+import { rejectionForSize } from './sizeRejection.js';
+import type { Rejection } from './sizeRejection.js';
 import type { StandstillDetector } from './standstillDetector.js';
 
 /** Time after which a job with unsupported demands may be sent again, in milliseconds. */
 const unsupportedRetryAfterMs = 60_000;
 /** Time after which a job that a stopping daemon refused may be sent again, in milliseconds. */
 const shutdownRetryAfterMs = 1_000;
-/** Time after which a job may be sent again that needs more than shrunk workers have, in milliseconds. */
-const shrunkRetryAfterMs = 2_000;
-/**
- * Time after which a job may be sent again that no listed worker is large enough for, in milliseconds. A worker
- * that restarts is listed again within seconds; most others are not back soon.
- */
-const unlistedRetryAfterMs = 5_000;
+/** Time after which a job may be sent again that this daemon read too late, in milliseconds. */
+const overloadRetryAfterMs = 1_000;
 /** Largest body of a request before the first routing configuration is in force. */
 const defaultMaxBodyBytes = 262_144;
 
-/** The end of a job that is rejected at once: no task of it has failed, and nothing shows that none can run later. */
-type Rejection = Extract<JobEnd, { kind: 'refused' }>;
-
 /** An attempt whose job starts here, or waits since another daemon holds it. */
 interface Attempt extends JoinRequest {
   /** For how long its request may have waited until it was read. */
@@ -62,6 +59,8 @@
   readonly dispatcher: Pick<Dispatcher, 'openBatchesOfJob'>;
   /** Tells for how long a request may have waited. */
   readonly contact: Pick<CallerContact, 'waitOf'>;
+  /** Whether this daemon keeps up with its callers. */
+  readonly overload: Pick<DaemonOverload, 'isReady'>;
   /** Finds a suspension of the VM, which counts as time waited. */
   readonly standstills: Pick<StandstillDetector, 'check'>;
 }
@@ -92,7 +91,8 @@
   }
 
   isReady(): boolean {
-    return this.intakeState === 'open' && this.options.routing.current !== undefined;
+    const { routing, overload } = this.options;
+    return this.intakeState === 'open' && routing.current !== undefined && overload.isReady;
   }
 
   maxBodyBytes(): number {
@@ -126,9 +126,13 @@
       ...{ route, request, deadlineMs, signal, wait },
       earliestSentAtMs: clock.nowMs() - wait.waitedMs,
     };
-    return joins.isHeldElsewhere(request.jobId)
-      ? this.join(attempt)
-      : this.start(attempt, deadlineMs, earliestSentAtMs);
+    if (joins.isHeldElsewhere(request.jobId)) {
+      return this.join(attempt);
+    }
+    const late = this.rejectionForWait(attempt);
+    return late === undefined
+      ? this.start(attempt, deadlineMs, earliestSentAtMs)
+      : this.reject(route, request, late, wait);
   }
 
   /** Number of jobs that have no answer yet. */
@@ -206,6 +210,32 @@
     }
   }
 
+  /**
+   * @returns how a job ends whose request waited too long here to be of use. A job of which a task may run, for an earlier
+   *   request here or at another daemon, is not refused.
+   */
+  private rejectionForWait({ route, request, deadlineMs, wait }: Attempt): Rejection | undefined {
+    const timeliness = timelinessOf({
+      ...{ waitedMs: wait.waitedMs, deadlineMs },
+      declaredMs: criticalPathMs(request.steps),
+      objectiveMs: computeObjectiveMs(route, request.steps),
+    });
+    const { jobId } = request;
+    switch (timeliness.kind) {
+      case 'in-time':
+        return undefined;
+      case 'too-late':
+        return this.options.jobs.state(jobId) === 'unknown' && this.listHolders(jobId).length === 0
+          ? {
+              ...{ kind: 'refused', reason: 'its request waited too long to be read' },
+              retryAfterMs: overloadRetryAfterMs,
+            }
+          : undefined;
+      default:
+        return unreachable(timeliness);
+    }
+  }
+
   private reject(
     { routeId }: Route,
     { jobId }: JobRequest,
@@ -237,43 +267,6 @@
       const reason = 'the daemon stops';
       return { kind: 'refused', reason, retryAfterMs: shutdownRetryAfterMs };
     }
-    return this.rejectionForSize(route, request);
-  }
-
-  /**
-   * @returns how a job ends of which some step fits on no listed worker, however much of it is free: by the step
-   *   that may have to wait longest
-   */
-  private rejectionForSize({ serviceId }: Route, { steps }: JobRequest): Rejection | undefined {
-    const rejections = steps.flatMap(({ needs: { resources, requiredLabel } }) => {
-      const rejection = toRejection(
-        this.options.directory.fitOf(serviceId, resources, requiredLabel),
-      );
-      return rejection === undefined ? [] : [rejection];
-    });
-    return rejections.sort((a, b) => b.retryAfterMs - a.retryAfterMs)[0];
+    return rejectionForSize(this.options.directory, route, request);
   }
 }
-
-/** @returns how a job is rejected of which a task has this fit, or nothing if its plan decides */
-const toRejection = (fit: TaskFit): Rejection | undefined => {
-  switch (fit) {
-    case 'fits':
-    case 'unknown':
-      return undefined;
-    case 'shrunk':
-      return {
-        kind: 'refused',
-        reason: 'no worker of the service is large enough now',
-        retryAfterMs: shrunkRetryAfterMs,
-      };
-    case 'unlisted':
-      return {
-        kind: 'refused',
-        reason: 'no worker that is listed now has the label and the size for it',
-        retryAfterMs: unlistedRetryAfterMs,
-      };
-    default:
-      return unreachable(fit);
-  }
-};
--- a/src/ports/logger.ts
+++ b/src/ports/logger.ts
@@ -18,6 +18,8 @@
   readonly workerId?: string;
   /** Capacity of a worker, in thousandths of a core. */
   readonly cpuMillis?: number;
+  /** Cores that are kept free for more urgent jobs, in thousandths. */
+  readonly reservedCpuMillis?: number;
   readonly state?: string;
   /** Incarnation of a daemon. */
   readonly nodeId?: string;
--- /dev/null
+++ b/src/testing/planDecides.ts
@@ -0,0 +1,16 @@
+/**
+ * Admission without load reports: nothing is reserved, and the plan of a job alone decides.
+ */
+import { noMetrics } from '../adapters/system/noMetrics.js';
+import { JobAdmission } from '../admission/jobAdmission.js';
+import type { Clock } from '../ports/clock.js';
+import { SeededRandom } from './seededRandom.js';
+import { silentLogger } from './silentLogger.js';
+
+export const planDecides = (clock: Clock): JobAdmission =>
+  JobAdmission.create({
+    ...{ clock, logger: silentLogger, metrics: noMetrics, random: SeededRandom.create(1) },
+    serviceLoadOf: () => ({
+      ...{ freeCpuMillis: 0, capacityCpuMillis: 0, waiting: [], oldestReportAgeMs: 0 },
+    }),
+  });
