--- a/src/bestEffort/jobContext.ts
+++ b/src/bestEffort/jobContext.ts
@@ -61,7 +61,10 @@
   wasOffered = false;
   /** Set once the job has its result; no further batch is sent then. */
   hasEnded = false;
-  private readonly arrivedAtMs: number;
+  /** Set once a plan for tasks of the job is carried out. */
+  wasAdmitted = false;
+  /** Monotonic time at which the request was read, in milliseconds. */
+  readonly arrivedAtMs: number;
 
   private constructor(private readonly options: JobContextOptions) {
     const { clock, lengths, leaseTimes, route, request, deadlineMs, waitedMs } = options;
@@ -101,8 +104,16 @@
 
   /** Latest expected end, in monotonic milliseconds, with which the job is still admitted. */
   get latestAdmissibleEndAtMs(): number {
-    const latestMs = this.arrivedAtMs + this.objectiveMs + admissionToleranceMs(this.objectiveMs);
-    return latestMs - Math.max(...this.steps.map((_, index) => this.spreadMsOf(index)));
+    return this.objectiveAtMs + admissionToleranceMs(this.objectiveMs);
+  }
+
+  /**
+   * Expected end, in monotonic milliseconds, with which the job meets its objective: plans expect that the longest
+   * task of a step takes as long as a typical one.
+   */
+  get objectiveAtMs(): number {
+    const spreadsMs = this.steps.map((_, index) => this.spreadMsOf(index));
+    return this.arrivedAtMs + this.objectiveMs - Math.max(...spreadsMs);
   }
 
   /**
