--- a/src/admission/admissionDecision.ts
+++ b/src/admission/admissionDecision.ts
@@ -10,7 +10,7 @@
  * Least share of its recent demand, in core-milliseconds, that a route gets before the others: below it, its jobs leave
  * nothing free for more urgent ones.
  */
-const minServedShare = 0.7;
+const minServedShare = 0.5;
 /** Slack at which a waiting job is decided on, in milliseconds: for the way to a dispatcher and to the worker. */
 const decisionSlackMs = 20;
 
--- a/src/admission/jobAdmission.ts
+++ b/src/admission/jobAdmission.ts
@@ -44,12 +44,12 @@
   }
 
   /** Counts a job towards the recent demand, before it is decided on for the first time. */
-  recordArrival({ route, steps }: JobContext): void {
+  recordArrival({ route, steps }: Pick<JobContext, 'route' | 'steps'>): void {
     this.demand.recordAsked(route, steps);
   }
 
   /** Counts a job that is admitted; called when its first plan is carried out. */
-  recordAdmission({ route, steps }: JobContext): void {
+  recordAdmission({ route, steps }: Pick<JobContext, 'route' | 'steps'>): void {
     this.demand.recordAdmitted(route, steps);
   }
 
--- a/src/bestEffort/stepRun.spec.ts
+++ b/src/bestEffort/stepRun.spec.ts
@@ -2,11 +2,13 @@
 import * as assert from 'uvu/assert';
 import { unconfirmedLeaseTimes } from '../dispatch/leaseTimes.js';
 import { noMetrics } from '../adapters/system/noMetrics.js';
+import { JobAdmission } from '../admission/jobAdmission.js';
 import { CallerContact } from '../fleet/callerContact.js';
 import type { JobEnd, JobRequest } from '../ports/jobs.js';
 import { routeFixture } from '../testing/dispatchFixtures.js';
 import { FakeClock } from '../testing/fakeClock.js';
 import { planDecides } from '../testing/planDecides.js';
+import { SeededRandom } from '../testing/seededRandom.js';
 import { silentLogger } from '../testing/silentLogger.js';
 import type { Batch, BatchReply, TaskEnd } from '../types/dispatch.js';
 import type { BatchSender } from './batchSender.js';
@@ -38,6 +40,7 @@
 const createFixture = (
   dispatcherIds: (planCount: number) => readonly string[] | undefined,
   reply: (batch: Batch, batchCount: number) => Promise<BatchReply> | BatchReply,
+  createAdmission: (clock: FakeClock) => JobAdmission = planDecides,
 ) => {
   const clock = FakeClock.create();
   const batches: Batch[] = [];
@@ -74,7 +77,7 @@
   const jobs = RunningJobs.create({
     ...{ clock, logger: silentLogger, metrics: noMetrics, sender },
     planner: planner as StepPlanner,
-    admission: planDecides(clock),
+    admission: createAdmission(clock),
     lengths: RunTimePredictor.create(),
     leaseTimes: unconfirmedLeaseTimes(1_000),
     contact: CallerContact.create(clock),
@@ -189,4 +192,46 @@
   assert.equal(ended.end, { kind: 'completed' });
 });
 
+/** Admission with demand of a more urgent route, and load reports until 40 ms have passed. */
+const scarceUntilReportsExpire = (clock: FakeClock): JobAdmission => {
+  const capacityCpuMillis = 640_000;
+  const admission = JobAdmission.create({
+    ...{ clock, logger: silentLogger, metrics: noMetrics, random: SeededRandom.create(1) },
+    serviceLoadOf: () => ({
+      ...{ freeCpuMillis: 0, waiting: [], oldestReportAgeMs: 900 },
+      capacityCpuMillis: clock.nowMs() < 40 ? capacityCpuMillis : 0,
+    }),
+  });
+  const urgentRoute = { ...routeFixture, routeId: 'urgent', priority: -1 };
+  admission.recordArrival({ route: urgentRoute, steps: request.steps });
+  const usual = { route: routeFixture, steps: request.steps };
+  admission.recordArrival(usual);
+  admission.recordAdmission(usual);
+  return admission;
+};
+
+// Guards against a job that waits for free capacity that no report shows any more, until its caller has left.
+test('a job that waits when the load reports expire goes to what is left', async () => {
+  const { clock, ended, batches } = createFixture(() => ['own'], allDone, scarceUntilReportsExpire);
+  await clock.advance(30);
+  assert.is(batches.length, 0);
+  await clock.advance(40);
+  assert.is(batches.length, 1);
+  assert.equal(ended.end, { kind: 'completed' });
+});
+
+// Guards against a caller that learns only at its deadline that no worker can be reached, and against a batch sent before.
+test('a job that waits when the load reports of all workers expire is refused at once', async () => {
+  const { clock, ended, batches } = createFixture(
+    () => undefined,
+    allDone,
+    scarceUntilReportsExpire,
+  );
+  await clock.advance(30);
+  assert.is(ended.end, undefined);
+  await clock.advance(40);
+  assert.is(ended.end?.kind, 'refused');
+  assert.is(batches.length, 0);
+});
+
 test.run();
--- a/src/fleet/jobIntake.spec.ts
+++ b/src/fleet/jobIntake.spec.ts
@@ -226,4 +226,41 @@
   assert.equal(await end, { kind: 'completed' });
 });
 
+// Guards against a job that occupies workers although its caller leaves, or has no use for a response, before its end;
+// and against a refusal of a job of which a task may have run for an earlier request.
+test('a request that waited too long to be read is refused at once, unless a task of its job may have run', async () => {
+  const clock = FakeClock.create();
+  let waitedMs = 4_700;
+  const started: string[] = [];
+  const jobs: Pick<RunningJobs, 'state' | 'submit'> = {
+    state: (jobId) => (jobId === 'running' ? 'running' : 'unknown'),
+    submit: (_route, { jobId }) => {
+      started.push(jobId);
+      return Promise.resolve({ kind: 'completed' });
+    },
+  };
+  const directory: Pick<WorkerDirectory, 'fitOf'> = { fitOf: () => 'fits' };
+  const intake = JobIntake.create({
+    ...{ clock, logger: silentLogger, metrics: noMetrics, routing: RoutingStore.create() },
+    ...noJoins,
+    ...promptRequests,
+    held: {
+      claimsOn: (jobId) =>
+        jobId === 'held' ? [{ jobId, holder: 'other', via: undefined, untilMs: 9_000 }] : [],
+    },
+    contact: { waitOf: () => ({ waitedMs, acceptWaitMs: 0, unreadMs: waitedMs, linkDelayMs: 0 }) },
+    directory: directory as WorkerDirectory,
+    jobs: jobs as RunningJobs,
+    cancellation: undefined as unknown as JobCancellation,
+  });
+  const { signal } = new AbortController();
+  const submit = (jobId: string) => intake.submit(route, requestOf(jobId), 5_000, signal);
+  assert.is((await submit('late')).kind, 'refused');
+  assert.is((await submit('running')).kind, 'completed');
+  assert.is((await submit('held')).kind, 'completed');
+  waitedMs = 1_000;
+  assert.is((await submit('prompt')).kind, 'completed');
+  assert.equal(started, ['running', 'held', 'prompt']);
+});
+
 test.run();
