--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -28,7 +28,7 @@
 import type { RunEvidence } from './runEvidence.js';
 import { OpenBatch } from './openBatch.js';
 import { WorkerPool } from './workerPool.js';
-import type { HeldWorker } from './workerPool.js';
+import type { HeldWorker } from './workerViews.js';
 import { TaskStarter } from './taskStarter.js';
 import type { Batch, BatchReply } from '../types/dispatch.js';
 
--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -129,12 +129,12 @@
 
   /** Free cores in thousandths; below 0 while runs use more than the worker has, after it has shrunk. */
   get unusedCpuMillis(): number {
-    return this.link.record.capacity.cpuMillis - this.runs.used.cpuMillis;
+    return this.record.capacity.cpuMillis - this.runs.used.cpuMillis;
   }
 
   /** Whether the worker may start tasks now, or when its runs have ended that a lease may cover. */
   get isInService(): boolean {
-    return this.isAcceptingTasks || (this.isAssigned && this.runs.hasLeasedRuns);
+    return this.isExpected || (this.isAssigned && this.runs.hasLeasedRuns);
   }
 
   /** Whether any task may start on the worker now, capacity aside. */
@@ -144,11 +144,7 @@
 
   /** Whether tasks may be sent for the worker: it is open, or is expected to be with its next answer. */
   get acceptsTasks(): boolean {
-    return this.isAcceptingTasks && this.reservation.task === undefined;
-  }
-
-  private get isAcceptingTasks(): boolean {
-    return this.isUsable && (this.takeOver.isDone || this.takeOver.isConfirming);
+    return this.isExpected && this.reservation.task === undefined;
   }
 
   /** Like `isOpen`, but for the task that the worker may be reserved for. */
@@ -156,11 +152,16 @@
     return this.takeOver.isDone && this.isUsable;
   }
 
+  /** Like `isAvailable`, now or with the next answer of the worker. */
+  private get isExpected(): boolean {
+    return this.isUsable && this.takeOver.isDoneOrConfirming;
+  }
+
   /** Whether the worker may start tasks as far as it is taken over. */
   private get isUsable(): boolean {
     return (
       this.isAssigned &&
-      !this.link.isFenced &&
+      !this.isFenced &&
       this.reports.isAnswering &&
       this.health.canStart(this.runs.size)
     );
@@ -263,7 +264,7 @@
 
   private async runLoop(): Promise<void> {
     while (!this.isClosed) {
-      if (this.link.isFenced) {
+      if (this.isFenced) {
         this.takeOver.reset();
         await this.waitForToken();
       } else if (this.isRetired) {
@@ -273,7 +274,10 @@
         await this.takeOver.attempt();
       } else {
         await this.reports.waitWhileIdle();
-        await this.holdOnce();
+        if (!this.isClosed && this.takeOver.isDone) {
+          this.options.beforeOrders?.();
+          await this.reports.hold();
+        }
       }
     }
   }
@@ -281,18 +285,10 @@
   /** Waits for a higher fencing token while another dispatcher uses the worker; the runs here end with their leases. */
   private async waitForToken(): Promise<void> {
     const leaseLeftMs = this.link.leaseClock.msUntilAllLeasesEnded();
-    const pauseMs = this.runs.hasLeasedRuns ? leaseLeftMs + 1 : idlePollMs;
-    await this.sleeper.sleep(pauseMs);
+    await this.sleeper.sleep(this.runs.hasLeasedRuns ? leaseLeftMs + 1 : idlePollMs);
     this.reports.endLapsedRuns('fenced');
   }
 
-  private async holdOnce(): Promise<void> {
-    if (!this.isClosed && this.takeOver.isDone) {
-      this.options.beforeOrders?.();
-      await this.reports.hold();
-    }
-  }
-
   /** Records that the worker has a run, and wakes the loop so that its lease is renewed. */
   private markStarted(run: ActiveRun): void {
     if (run.phase === 'in-doubt') {
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -18,11 +18,12 @@
 import { isSuspect, reserveWorker } from './suspectIsolation.js';
 import { taskNameOf } from './taskNames.js';
 import { expectedRunMs } from './workerChoice.js';
-import type { Candidate, TaskDemand } from './workerChoice.js';
+import type { TaskDemand } from './workerChoice.js';
 import { canStartNow, fits, isEligible } from './workerEligibility.js';
-import { CapacityProfile } from './capacityProfile.js';
 import type { WorkerOutlook } from '../scheduling/startReservation.js';
 import { WorkerForecast } from './workerForecast.js';
+import { describeLoadState, toCandidate, toHeld, toOutlook, toServing } from './workerViews.js';
+import type { HeldWorker, LocalCandidate, ServingWorker } from './workerViews.js';
 
 export interface WorkerPoolOptions extends Pick<
   ManagedWorkerOptions,
@@ -38,29 +39,6 @@
   readonly speeds: WorkerSpeedCache;
 }
 
-/** A worker that has not been released. */
-export interface HeldWorker {
-  readonly workerId: string;
-  readonly address: string;
-  /** Whether another daemon has taken it over. */
-  readonly isFenced: boolean;
-  /** Whether it accepts tasks now. */
-  readonly isServing: boolean;
-  /** Number of its runs. */
-  readonly runCount: number;
-}
-
-/** A worker of this daemon as a candidate for a task. */
-export interface LocalCandidate extends Candidate {
-  readonly worker: ManagedWorker;
-}
-
-/** A worker in service, and its slowdown factor. */
-interface ServingWorker {
-  readonly worker: ManagedWorker;
-  readonly slowness: number;
-}
-
 export class WorkerPool {
   private readonly workers = new Map<string, ManagedWorker>();
   private readonly activeTasks = ActiveTasks.create();
@@ -120,13 +98,7 @@
 
   /** Lists the workers that are not released yet. */
   listHeld(): HeldWorker[] {
-    return [...this.workers.values()].map((worker) => ({
-      workerId: worker.workerId,
-      address: worker.record.address,
-      isFenced: worker.isFenced,
-      isServing: worker.acceptsTasks,
-      runCount: worker.runCount,
-    }));
+    return [...this.workers.values()].map(toHeld);
   }
 
   /** Computes the free capacity of each worker after the waiting tasks have reserved theirs. */
@@ -138,9 +110,7 @@
 
   /** Describes what the load of the workers is computed from, without the passage of time and the waiting tasks. */
   loadStamp(): string {
-    return [...this.workers.values()]
-      .map((worker) => `${worker.workerId} ${worker.isOpen} ${worker.runStamp}`)
-      .join();
+    return describeLoadState(this.workers.values());
   }
 
   /**
@@ -195,23 +165,24 @@
   /** @returns the workers with free cores that may start a task now; other resources and labels are not yet checked */
   candidatesFor(task: BatchedTask): LocalCandidate[] {
     const { cpuMillis } = task.batch.content.needs.resources;
+    const nowMs = this.options.clock.nowMs();
     return this.listAllowed(task)
       .filter((worker) => worker.unusedCpuMillis >= cpuMillis && canStartNow(worker, task))
-      .map((worker) => this.toCandidate(worker));
+      .map((worker) => toCandidate(worker, nowMs));
   }
 
   /** @returns the forecasts of the workers that may start a task as soon as their capacity suffices */
   openOutlooks(task: BatchedTask): WorkerOutlook[] {
     return this.listAllowed(task)
       .filter((worker) => canStartNow(worker, task) && fits(worker, task))
-      .map((worker) => toOutlook(worker));
+      .map(toOutlook);
   }
 
   /** @returns the worker on which a suspect may start alone now, if there is one */
   isolatedCandidateFor(task: BatchedTask): LocalCandidate[] {
     const worker = reserveWorker(task, this.listAllowed(task), (one) => isEligible(one, task));
     const canStart = worker?.runCount === 0 && worker.canRunUntil(task.batch.runsUntilMs);
-    return canStart ? [this.toCandidate(worker)] : [];
+    return canStart ? [toCandidate(worker, this.options.clock.nowMs())] : [];
   }
 
   /** Whether a run of a task, asked for by whichever batch, is not proved to have ended. */
@@ -268,19 +239,6 @@
     this.retired.delete(worker);
   }
 
-  private toCandidate(worker: ManagedWorker): LocalCandidate {
-    return {
-      worker,
-      workerId: worker.workerId,
-      labels: worker.record.labels,
-      free: worker.free,
-      startsInMs: 0,
-      slowness: worker.speed.slowness(this.options.clock.nowMs()),
-      deliveryMs: 0,
-      messageCost: 0,
-    };
-  }
-
   private createWorker(record: WorkerRecord, fencingToken: number): ManagedWorker {
     const rememberedSlowness = this.options.speeds.get(record.workerId);
     const { activeTasks, unanswered, options } = this;
@@ -323,13 +281,3 @@
     return WorkerForecast.create([...this.workers.values()], this.options.clock.nowMs());
   }
 }
-
-const toServing = (worker: ManagedWorker, nowMs: number): ServingWorker => ({
-  worker,
-  slowness: worker.speed.slowness(nowMs),
-});
-
-const toOutlook = (worker: ManagedWorker): WorkerOutlook => ({
-  workerId: worker.workerId,
-  profile: CapacityProfile.create(worker.unusedCpuMillis, worker.releases()),
-});
--- a/src/dispatch/workerTakeOver.ts
+++ b/src/dispatch/workerTakeOver.ts
@@ -42,9 +42,9 @@
     return this.state === 'done';
   }
 
-  /** Whether the worker is expected to be taken over with its next answer. */
-  get isConfirming(): boolean {
-    return this.state === 'confirming';
+  /** Whether the worker is taken over, or expected to be with its next answer. */
+  get isDoneOrConfirming(): boolean {
+    return this.state !== 'pending';
   }
 
   /** Records that another dispatcher may have the worker, or that nothing is known of it. */
--- a/src/fleet/servedWorkers.ts
+++ b/src/fleet/servedWorkers.ts
@@ -3,7 +3,7 @@
  * granted to it, and those of shards that it has lost, until the daemon that got them asks for them.
  */
 import type { Dispatcher } from '../dispatch/dispatcher.js';
-import type { HeldWorker } from '../dispatch/workerPool.js';
+import type { HeldWorker } from '../dispatch/workerViews.js';
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
 import type { Metrics } from '../ports/metrics.js';
--- a/src/fleet/workerClaims.ts
+++ b/src/fleet/workerClaims.ts
@@ -2,7 +2,7 @@
  * Divides workers between daemons while a shard changes hands: the daemon that had the shard goes on dispatching to its
  * workers, and releases one after the other to the daemon that was granted the shard and asks for them.
  */
-import type { HeldWorker } from '../dispatch/workerPool.js';
+import type { HeldWorker } from '../dispatch/workerViews.js';
 import type { FleetHeartbeat } from '../types/fleet.js';
 import type { WorkerRecord } from '../types/workers.js';
 
