--- a/src/adapters/http/httpServer.ts
+++ b/src/adapters/http/httpServer.ts
@@ -6,7 +6,6 @@
 import { Server as NetServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
-import { onceOver } from './requestEnd.js';
 
 const maxHeaderBytes = 8_192;
 const maxHeaders = 64;
@@ -44,7 +43,8 @@
 
 export class HttpServer {
   private isDraining = false;
-  private readonly openResponses = new Set<ServerResponse>();
+  /** By connection, since Node.js does not report the end of a pipelined one whose connection closes before its turn. */
+  private readonly openResponses = new Map<Socket, Set<ServerResponse>>();
   private listenAddress = '';
   private server!: Server;
 
@@ -70,8 +70,6 @@
     );
     httpServer.server.maxHeadersCount = maxHeaders;
     httpServer.server.maxConnections = options.maxConnections;
-    // Each open request of a connection listens to its socket.
-    httpServer.server.on('connection', (socket) => socket.setMaxListeners(0));
     if (options.onConnection !== undefined) {
       const { onConnection } = options;
       httpServer.server.on('connection', onConnection);
@@ -105,8 +103,8 @@
   /** From now on, closes each connection after its next response; new ones are still accepted. */
   drain(): void {
     this.isDraining = true;
-    for (const response of this.openResponses) {
-      response.shouldKeepAlive = false;
+    for (const responses of this.openResponses.values()) {
+      responses.forEach((response) => (response.shouldKeepAlive = false));
     }
   }
 
@@ -150,13 +148,22 @@
     }
   }
 
+  private addConnection(socket: Socket): Set<ServerResponse> {
+    const open = new Set<ServerResponse>();
+    this.openResponses.set(socket, open);
+    socket.once('close', () => this.openResponses.delete(socket));
+    return open;
+  }
+
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    if (request.socket.destroyed) {
+    const { socket } = request;
+    if (socket.destroyed) {
       // It was parsed with an earlier one of its connection, which has been closed since.
       return;
     }
-    this.openResponses.add(response);
-    onceOver(request, response, () => this.openResponses.delete(response));
+    const open = this.openResponses.get(socket) ?? this.addConnection(socket);
+    open.add(response);
+    response.once('close', () => open.delete(response));
     if (this.isDraining) {
       response.shouldKeepAlive = false;
     }
@@ -167,7 +174,7 @@
       this.options.onError?.(String(error));
       response.destroy();
     }
-    if (this.openResponses.has(response) && (response.socket?.writableLength ?? 0) > 0) {
+    if (open.has(response) && (response.socket?.writableLength ?? 0) > 0) {
       limitReadTime(response);
     }
   }
--- a/src/adapters/http/requestRoom.ts
+++ b/src/adapters/http/requestRoom.ts
@@ -51,6 +51,10 @@
       return undefined;
     }
     room.entry = entry;
+    if (entry.isPipelined) {
+      // Each open request listens to its socket; those of a connection with one at a time are never that many.
+      request.socket.setMaxListeners(0);
+    }
     onceOver(request, response, () => entry.close());
     return room;
   }
--- a/src/limits/requestLedger.ts
+++ b/src/limits/requestLedger.ts
@@ -94,7 +94,8 @@
 /** One request, in one phase at a time. */
 export class RequestEntry {
   private pool: BytePool;
-  private readonly isPipelined: boolean;
+  /** Whether it came before an earlier request of its connection was over. */
+  readonly isPipelined: boolean;
   private share: PoolShare;
   private isClosed = false;
 
