--- a/src/bestEffort/fleetView.ts
+++ b/src/bestEffort/fleetView.ts
@@ -192,11 +192,6 @@
       .map(({ receivedAtMs, ...reported }) => ({ ...reported, ageMs: nowMs - receivedAtMs }));
   }
 
-  /** Whether a dispatcher of another failure domain is in the view. */
-  get hasFarDispatchers(): boolean {
-    return [...this.loads.values()].some(({ locality }) => locality === 'far');
-  }
-
   /**
    * Lists the workers of a service that accept tasks, at dispatchers with a recent load.
    *
--- a/src/bestEffort/stepPlanner.ts
+++ b/src/bestEffort/stepPlanner.ts
@@ -71,8 +71,8 @@
 
   /**
    * Plans tasks of a step. The workers with free cores in this daemon's own failure domain are
-   * considered first, which are enough for most steps; all workers there, and then those of other
-   * domains, only if the step could otherwise not start every task at once and meet the objective.
+   * considered first, which are enough for most steps; all workers there, and those of other domains that can
+   * start a task now, only if the step could otherwise not start every task at once and meet the objective.
    *
    * @param serviceId - service whose workers run the tasks
    * @param demand - resources, expected run time and time limits of each task
@@ -89,10 +89,15 @@
   ): StepPlan | undefined {
     const { clock, view } = this.options;
     const nowMs = clock.nowMs();
-    const planWithin = (scope: Scope): StepPlan | undefined => {
+    const { cpuMillis } = demand.needs.resources;
+    const planWithin = (scope: Scope, farDomainIds?: readonly string[]): StepPlan | undefined => {
       const workers = view
-        .workers(serviceId, scope, demand.needs.resources.cpuMillis)
-        .filter(({ dispatcherId }) => !excludedDispatcherIds.has(dispatcherId));
+        .workers(serviceId, scope, cpuMillis)
+        .filter(({ dispatcherId }) => !excludedDispatcherIds.has(dispatcherId))
+        .filter(
+          ({ locality, failureDomainId }) =>
+            locality !== 'far' || (farDomainIds?.includes(failureDomainId) ?? true),
+        );
       return this.planWithWorkers(workers, demand, tasks, nowMs);
     };
     const meetsObjective = (plan: StepPlan | undefined): boolean =>
@@ -101,7 +106,11 @@
     if (meetsObjective(withFreeCores)) {
       return withFreeCores;
     }
-    return view.hasFarDispatchers ? planWithin('fleet') : planWithin('own-domain');
+    const farDomainIds = view.farDomainsWithRoom(serviceId, cpuMillis);
+    // Where no domain can start a task now, it waits in this one, or elsewhere if no worker here can end it in time.
+    const plan =
+      farDomainIds.length > 0 ? planWithin('fleet', farDomainIds) : planWithin('own-domain');
+    return plan ?? planWithin('fleet');
   }
 
   /** Plans with the given workers, whose snapshots it changes. */
--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -266,7 +266,10 @@
     while (!this.isClosed) {
       if (this.isFenced) {
         this.takeOver.reset();
-        await this.waitForToken();
+        // Waits for a higher token; the runs here end with their leases.
+        const leaseLeftMs = this.link.leaseClock.msUntilAllLeasesEnded();
+        await this.sleeper.sleep(this.runs.hasLeasedRuns ? leaseLeftMs + 1 : idlePollMs);
+        this.reports.endLapsedRuns('fenced');
       } else if (this.isRetired) {
         await this.reports.readWithoutRenewal();
         await this.options.clock.sleep(checkPauseMs);
@@ -282,13 +285,6 @@
     }
   }
 
-  /** Waits for a higher fencing token while another dispatcher uses the worker; the runs here end with their leases. */
-  private async waitForToken(): Promise<void> {
-    const leaseLeftMs = this.link.leaseClock.msUntilAllLeasesEnded();
-    await this.sleeper.sleep(this.runs.hasLeasedRuns ? leaseLeftMs + 1 : idlePollMs);
-    this.reports.endLapsedRuns('fenced');
-  }
-
   /** Records that the worker has a run, and wakes the loop so that its lease is renewed. */
   private markStarted(run: ActiveRun): void {
     if (run.phase === 'in-doubt') {
