--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -266,7 +266,6 @@
     while (!this.isClosed) {
       if (this.isFenced) {
         this.takeOver.reset();
-        // Waits for a higher token; the runs here end with their leases.
         const leaseLeftMs = this.link.leaseClock.msUntilAllLeasesEnded();
         await this.sleeper.sleep(this.runs.hasLeasedRuns ? leaseLeftMs + 1 : idlePollMs);
         this.reports.endLapsedRuns('fenced');
@@ -277,14 +276,18 @@
         await this.takeOver.attempt();
       } else {
         await this.reports.waitWhileIdle();
-        if (!this.isClosed && this.takeOver.isDone) {
-          this.options.beforeOrders?.();
-          await this.reports.hold();
-        }
+        await this.holdOnce();
       }
     }
   }
 
+  private async holdOnce(): Promise<void> {
+    if (!this.isClosed && this.takeOver.isDone) {
+      this.options.beforeOrders?.();
+      await this.reports.hold();
+    }
+  }
+
   /** Records that the worker has a run, and wakes the loop so that its lease is renewed. */
   private markStarted(run: ActiveRun): void {
     if (run.phase === 'in-doubt') {
--- a/src/dispatch/taskStarter.ts
+++ b/src/dispatch/taskStarter.ts
@@ -7,7 +7,6 @@
 import type { Metrics } from '../ports/metrics.js';
 import type { Random } from '../ports/random.js';
 import { ServicePriorities } from '../scheduling/servicePriorities.js';
-import { mayBackfill } from '../scheduling/startReservation.js';
 import type { StartReservation } from '../scheduling/startReservation.js';
 import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import type { BatchedTask, OpenBatch } from './openBatch.js';
@@ -22,8 +21,9 @@
 import { demandOf, taskNameOf } from './taskNames.js';
 import { WaitingTasks } from './waitingTasks.js';
 import type { WaitingEntry } from './waitingTasks.js';
-import { chooseWorker, expectedRunMs, missesObjective } from './workerChoice.js';
-import type { RatedCandidate, TaskDemand } from './workerChoice.js';
+import { chooseLocally } from './localChoice.js';
+import { missesObjective } from './workerChoice.js';
+import type { RatedCandidate } from './workerChoice.js';
 
 /** A pass over the waiting tasks of a service ends after this many that cannot start. */
 const maxBlockedTasks = 6;
@@ -96,9 +96,8 @@
     const { serviceId, priority } = task.batch.content;
     const nowMs = this.options.clock.nowMs();
     this.priorities.record(serviceId, priority, nowMs);
-    const startByMs = demand.objectiveAtMs - fastestRunMs * (1 + startMargin);
-    this.waiting.push(task, startByMs, nowMs);
-    this.waiting.refresh(serviceId, this.priorities.areSeveral(serviceId, nowMs), nowMs);
+    this.waiting.push(task, demand.objectiveAtMs - fastestRunMs * (1 + startMargin), nowMs);
+    this.refreshOrder(serviceId);
   }
 
   remove(task: BatchedTask): void {
@@ -135,8 +134,9 @@
     }
     this.options.beforeOrders?.();
     this.isStartingTasks = true;
-    const { workers } = this.options;
-    workers.duringPass(() => this.waiting.serviceIds.forEach((id) => this.startTasksOf(id)));
+    this.options.workers.duringPass(() => {
+      this.waiting.serviceIds.forEach((id) => this.startTasksOf(id));
+    });
     this.isStartingTasks = false;
     if (this.waiting.size > 0) {
       void this.scheduleRetry();
@@ -147,11 +147,16 @@
     this.stop.abort();
   }
 
-  private startTasksOf(serviceId: string): void {
+  /** @returns whether priorities decide the order */
+  private refreshOrder(serviceId: string): boolean {
     const nowMs = this.options.clock.nowMs();
     const isRanked = this.priorities.areSeveral(serviceId, nowMs);
     this.waiting.refresh(serviceId, isRanked, nowMs);
-    const pass: Pass = { isRanked, reservation: undefined };
+    return isRanked;
+  }
+
+  private startTasksOf(serviceId: string): void {
+    const pass: Pass = { isRanked: this.refreshOrder(serviceId), reservation: undefined };
     let blocked = 0;
     let entry = this.waiting.next(serviceId);
     while (entry !== undefined && blocked < maxBlockedTasks) {
@@ -191,8 +196,8 @@
 
   private tryStart(entry: WaitingEntry, pass: Pass): StartAttempt {
     const { task } = entry;
-    const { clock, workers } = this.options;
-    const nowMs = clock.nowMs();
+    const { workers } = this.options;
+    const nowMs = this.options.clock.nowMs();
     const demand = demandOf(task);
     const lastEndAtMs = task.batch.wasOffered ? demand.giveUpAtMs : task.batch.expiresAtMs;
     const leaseEndAtMs = nowMs + longestLeaseDurationMs(this.options.leaseTimes);
@@ -219,7 +224,7 @@
     if (this.isDeferred(entry, pass, demand.objectiveAtMs - fastestRunMs)) {
       return 'held';
     }
-    const chosen = this.choose(task, demand, nowMs, pass.reservation);
+    const chosen = chooseLocally(task, demand, pass.reservation, { ...this.options, nowMs });
     // A late start is put off as long as a faster worker could still meet the objective.
     const canMeetObjective = nowMs + fastestRunMs <= demand.objectiveAtMs;
     if (chosen === undefined || (missesObjective(demand, chosen, nowMs) && canMeetObjective)) {
@@ -261,26 +266,6 @@
     return atMs + longestLeaseDurationMs(this.options.leaseTimes) <= batch.runsUntilMs;
   }
 
-  private choose(
-    task: BatchedTask,
-    demand: TaskDemand,
-    nowMs: number,
-    reservation: StartReservation | undefined,
-  ): RatedCandidate<LocalCandidate> | undefined {
-    const { random, workers, farRackFactor } = this.options;
-    const candidates = isSuspect(task)
-      ? workers.isolatedCandidateFor(task)
-      : workers.candidatesFor(task);
-    const isAllowed = (one: LocalCandidate): boolean =>
-      reservation === undefined ||
-      mayBackfill(reservation, one.workerId, nowMs + expectedRunMs(demand, one, farRackFactor));
-    return chooseWorker(demand, candidates.filter(isAllowed), {
-      nowMs,
-      farRackFactor,
-      random: () => random.next(),
-    });
-  }
-
   private start(
     task: BatchedTask,
     { candidate, expectedMs }: RatedCandidate<LocalCandidate>,
