--- a/src/bestEffort/fleetView.ts
+++ b/src/bestEffort/fleetView.ts
@@ -159,12 +159,16 @@
     return this.options.ownLoad();
   }
 
-  /** Sums the load of a service up in this daemon's own failure domain. Reports that have expired do not count. */
-  serviceLoad(serviceId: string): ServiceLoad {
+  /**
+   * Sums the load of a service up in this daemon's own failure domain. Reports that have expired do not count.
+   *
+   * @param taskCpuMillis - cores count as free only in whole tasks of this size
+   */
+  serviceLoad(serviceId: string, taskCpuMillis?: number): ServiceLoad {
     const { findWorker, ownId } = this.options;
     this.recordLoad(ownId, this.ownReport(), 'own');
     const reports = this.recentReports((locality) => locality !== 'far');
-    return sumServiceLoad(serviceId, reports, findWorker);
+    return sumServiceLoad(serviceId, reports, findWorker, taskCpuMillis);
   }
 
   /**
--- a/src/bestEffort/serviceLoads.ts
+++ b/src/bestEffort/serviceLoads.ts
@@ -22,11 +22,14 @@
  * @param serviceId - the service
  * @param reports - the reports of the dispatchers
  * @param findWorker - returns the directory entry of a worker, if it is listed
+ * @param taskCpuMillis - cores count as free only in whole tasks of this size: on loaded workers, much of what is free is
+ *   in pieces in which no task fits
  */
 export const sumServiceLoad = (
   serviceId: string,
   reports: readonly CountedReport[],
   findWorker: (workerId: string) => WorkerRecord | undefined,
+  taskCpuMillis = 1,
 ): ServiceLoad => {
   let freeCpuMillis = 0;
   let capacityCpuMillis = 0;
@@ -38,7 +41,8 @@
       if (!isOpen || record?.serviceId !== serviceId) {
         continue;
       }
-      freeCpuMillis += Math.max(free.cpuMillis - (reservedCpuMillis.get(workerId) ?? 0), 0);
+      const unreserved = Math.max(free.cpuMillis - (reservedCpuMillis.get(workerId) ?? 0), 0);
+      freeCpuMillis += Math.floor(unreserved / taskCpuMillis) * taskCpuMillis;
       capacityCpuMillis += record.capacity.cpuMillis;
       oldestReportAgeMs = Math.max(oldestReportAgeMs, ageMs);
     }
