--- a/bench/fleetLoad.ts
+++ b/bench/fleetLoad.ts
@@ -1,5 +1,5 @@
 /**
- * `npm run bench:fleet-load [-- --rates 1.0,1.2 --seconds 8 --seed 1 --daemons 8 --restarts --trace]`: plays
+ * `npm run bench:fleet-load [-- --rates 1.0,1.2 --seconds 8 --seed 1 --daemons 8 --policy priority --restarts --trace]`: plays
  * arrivals of three routes against real daemons in virtual time, and prints by route how many jobs end within
  * their objective, how long tasks wait for a worker, and the share of the workers' cores in use. The same arrivals
  * are played against one queue with full knowledge of the workers, which bounds what any placement reaches.
@@ -15,6 +15,7 @@
 import { ModelWorker } from '../src/testing/model/modelWorker.js';
 import type { CreateLogger } from '../src/testing/model/modelFleet.js';
 import { createTimedLogger } from '../src/testing/model/timedLogger.js';
+import { schedulingPolicySchema } from '../src/types/schedulingPolicy.js';
 import { silentLogger } from '../src/testing/silentLogger.js';
 import { createArrivals, objectiveMsOf, routes, serviceId, workerSizes } from './load/arrivals.js';
 import type { Arrival } from './load/arrivals.js';
@@ -38,6 +39,7 @@
     seconds: { type: 'string', default: '6' },
     seed: { type: 'string', default: '1' },
     daemons: { type: 'string', default: '8' },
+    policy: { type: 'string', default: 'deadline' },
     restarts: { type: 'boolean', default: false },
     trace: { type: 'boolean', default: false },
   },
@@ -48,6 +50,7 @@
   : () => silentLogger;
 
 const daemonCount = Number(values.daemons);
+const schedulingPolicy = schedulingPolicySchema.parse(values.policy);
 
 /** Plays arrivals against daemons. */
 const playFleet = async (arrivals: readonly Arrival[], seconds: number): Promise<JobOutcome[]> => {
@@ -77,7 +80,7 @@
   const daemons: readonly ModelDaemon[] = Array.from({ length: daemonCount }, (_, index) =>
     ModelDaemon.create({
       ...{ time, network, store, failureDomainId, failureDomainIds: [failureDomainId] },
-      ...{ startsStateLifetime: true, createLogger },
+      ...{ startsStateLifetime: true, createLogger, schedulingPolicy },
       workers: new Map(workers.map((worker) => [worker.workerId, worker])),
       address: `10.0.0.${index + 1}:7000`,
       seed: index + 1,
--- a/bench/placements.ts
+++ b/bench/placements.ts
@@ -51,6 +51,7 @@
     onAvailabilityChange: () => undefined,
   });
   const starter = TaskStarter.create({
+    schedulingPolicy: 'priority',
     ...{ ...common, random, metrics: noMetrics, workers: pool, awaitsProof: () => false },
   });
   let records = Array.from({ length: workerCount }, (_, index) => ({
--- a/src/admission/jobAdmission.ts
+++ b/src/admission/jobAdmission.ts
@@ -9,6 +9,7 @@
 import type { Logger } from '../ports/logger.js';
 import type { Metrics } from '../ports/metrics.js';
 import type { Random } from '../ports/random.js';
+import type { SchedulingPolicy } from '../types/schedulingPolicy.js';
 import type { TaskDemand } from '../dispatch/workerChoice.js';
 import { decideAdmission, refusalReasons } from './admissionDecision.js';
 import type { AdmissionDecision, PlanForecast, ReservedCapacity } from './admissionDecision.js';
@@ -23,6 +24,7 @@
   readonly metrics: Metrics;
   readonly random: Random;
   readonly serviceLoadOf: ServiceLoadOf;
+  readonly schedulingPolicy: SchedulingPolicy;
 }
 
 /** A plan with the age of the load reports that it relies on. */
@@ -91,13 +93,14 @@
   private latestEndAtMs(job: JobContext): number {
     const { route } = job;
     const priorities = this.demand.ofService(route.serviceId).map(({ priority }) => priority);
-    return new Set(priorities).size > 1 ? job.objectiveAtMs : job.latestAdmissibleEndAtMs;
+    const isCompeting = this.decidesByPriority && new Set(priorities).size > 1;
+    return isCompeting ? job.objectiveAtMs : job.latestAdmissibleEndAtMs;
   }
 
   private reserveOf({ route }: JobContext): ReservedCapacity | undefined {
     const { serviceId, priority } = route;
     const reserve = reserveFor(this.demand.ofService(serviceId), priority);
-    if (reserve === undefined) {
+    if (!this.decidesByPriority || reserve === undefined) {
       return undefined;
     }
     const load = this.options.serviceLoadOf(serviceId, reserve.taskCpuMillis);
@@ -109,6 +112,18 @@
     };
   }
 
+  private get decidesByPriority(): boolean {
+    const { schedulingPolicy } = this.options;
+    switch (schedulingPolicy) {
+      case 'deadline':
+        return false;
+      case 'priority':
+        return true;
+      default:
+        return unreachable(schedulingPolicy);
+    }
+  }
+
   private report(
     decision: AdmissionDecision,
     { request, route }: JobContext,
--- a/src/bestEffort/batchRouter.ts
+++ b/src/bestEffort/batchRouter.ts
@@ -171,16 +171,6 @@
       : returnUnsent(batch, reason);
   }
 
-  /** Records the load in a reply: of all workers where the reply has a timestamp, otherwise of some. */
-  private recordReplyLoad(dispatcherId: string, { load, sentAtMs }: BatchReply): void {
-    const { ages, view } = this.options;
-    if (sentAtMs === undefined) {
-      view.updateWorkers(dispatcherId, load);
-    } else {
-      view.renewLoad(dispatcherId, load, ages.ageMs(dispatcherId, sentAtMs));
-    }
-  }
-
   private countBatches(dispatcherId: string, change: number): void {
     const count = (this.batchCounts.get(dispatcherId) ?? 0) + change;
     if (count > 0) {
@@ -218,14 +208,13 @@
           sentAtMs: ages.timestampMs(),
           ...(heldUpMs > 0 ? { heldUpMs } : {}),
           dispatcherId,
-          load: view.ownReport(),
           batch: shortenTimeLimits(batch, sentAtMs - firstSentAtMs),
         },
         answerTimeoutMs,
       );
       if (reply.isOk()) {
         peers().recordContact(dispatcherId);
-        this.recordReplyLoad(dispatcherId, reply.value);
+        view.updateWorkers(dispatcherId, reply.value.load);
         if (reply.value.isPartial) {
           this.accepted.add(batch.batchId);
         }
--- a/src/bestEffort/fleetView.ts
+++ b/src/bestEffort/fleetView.ts
@@ -96,20 +96,6 @@
     this.loads.set(dispatcherId, { load, locality, receivedAtMs, reservations });
   }
 
-  /**
-   * Records the load of all workers of a dispatcher that is in the view already. An empty load says nothing.
-   *
-   * @param dispatcherId - incarnation of the daemon
-   * @param load - its workers and their free capacity
-   * @param ageMs - time since the load was reported, in milliseconds
-   */
-  renewLoad(dispatcherId: string, load: MemberLoad, ageMs: number): void {
-    const known = this.loads.get(dispatcherId);
-    if (known !== undefined && load.workers.length > 0) {
-      this.recordLoad(dispatcherId, load, known.locality, ageMs);
-    }
-  }
-
   /**
    * Records the newest load of some workers of a dispatcher that is in the view already, and drops the
    * reservations that it includes. The other workers stay as they were reported.
@@ -154,19 +140,14 @@
     this.loads.set(reservation.dispatcherId, { ...reported, reservations });
   }
 
-  /** Returns the load of this daemon's own dispatcher, for a message. */
-  ownReport(): MemberLoad {
-    return this.options.ownLoad();
-  }
-
   /**
    * Sums the load of a service up in this daemon's own failure domain. Reports that have expired do not count.
    *
    * @param taskCpuMillis - cores count as free only in whole tasks of this size
    */
   serviceLoad(serviceId: string, taskCpuMillis?: number): ServiceLoad {
-    const { findWorker, ownId } = this.options;
-    this.recordLoad(ownId, this.ownReport(), 'own');
+    const { findWorker, ownId, ownLoad } = this.options;
+    this.recordLoad(ownId, ownLoad(), 'own');
     const reports = this.recentReports((locality) => locality !== 'far');
     return sumServiceLoad(serviceId, reports, findWorker, taskCpuMillis);
   }
--- a/src/bestEffort/stepRun.spec.ts
+++ b/src/bestEffort/stepRun.spec.ts
@@ -197,6 +197,7 @@
   const capacityCpuMillis = 640_000;
   const admission = JobAdmission.create({
     ...{ clock, logger: silentLogger, metrics: noMetrics, random: SeededRandom.create(1) },
+    schedulingPolicy: 'priority',
     serviceLoadOf: () => ({
       ...{ freeCpuMillis: 0, waiting: [], oldestReportAgeMs: 900 },
       capacityCpuMillis: clock.nowMs() < 40 ? capacityCpuMillis : 0,
--- a/src/dispatch/batchReplies.ts
+++ b/src/dispatch/batchReplies.ts
@@ -15,10 +15,17 @@
 }
 
 /**
- * Composes the answer to the request of a batch. It contains the load of all workers, so that the requester plans its
- * next tasks with a fresh report.
+ * Composes the answer to the request of a batch. It contains the load that the requester needs: of the workers to
+ * which its tasks were assigned, or of all where tasks are returned, since its view of them was wrong.
  */
 export const composeReply = (
-  { wasOffered }: OpenBatch,
+  { usedWorkerIds, wasOffered }: OpenBatch,
   { ends, isPartial, load }: ReplyContent,
-): BatchReply => ({ isPartial, ends: [...ends], wasOffered, load });
+): BatchReply => ({
+  isPartial,
+  ends: [...ends],
+  wasOffered,
+  load: ends.some(({ kind }) => kind === 'returned')
+    ? load
+    : { workers: load.workers.filter(({ workerId }) => usedWorkerIds.has(workerId)) },
+});
--- a/src/dispatch/confirmedBatches.spec.ts
+++ b/src/dispatch/confirmedBatches.spec.ts
@@ -27,6 +27,7 @@
     return { kind: 'started', workerClockMs: clock.nowMs() };
   };
   const dispatcher = Dispatcher.create({
+    schedulingPolicy: 'priority',
     ...{ clock, workers, leaseTimes, logger: silentLogger, metrics: noMetrics },
     ...{ random: SeededRandom.create(1), farRackFactor: 1, speeds: WorkerSpeedCache.create() },
   });
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -10,6 +10,7 @@
 import type { WorkerPort } from '../ports/workers.js';
 import { TaskSupervisor } from '../utils/taskSupervisor.js';
 import type { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
+import type { SchedulingPolicy } from '../types/schedulingPolicy.js';
 import type { WorkerRecord } from '../types/workers.js';
 import type { ActiveRun } from './activeRun.js';
 import { composeReply } from './batchReplies.js';
@@ -28,7 +29,6 @@
 import type { RunEvidence } from './runEvidence.js';
 import { OpenBatch } from './openBatch.js';
 import { WorkerPool } from './workerPool.js';
-import type { HeldWorker } from './workerViews.js';
 import { TaskStarter } from './taskStarter.js';
 import type { Batch, BatchReply } from '../types/dispatch.js';
 
@@ -40,6 +40,7 @@
   readonly workers: WorkerPort;
   readonly leaseTimes: LeaseTimes;
   readonly farRackFactor: number;
+  readonly schedulingPolicy: SchedulingPolicy;
   /** Called before tasks are started and leases are renewed; may withdraw batches. */
   readonly beforeOrders?: () => void;
   /** Called when a worker has likely crashed under a task. */
@@ -87,8 +88,8 @@
       isBoundTo: (task, workerId) => this.workers.isBoundTo(task, workerId),
     });
     this.loadReports = MemberLoadReports.create(options.clock, this.workers);
-    const lapsedRuns = LapsedRuns.create();
-    this.lostRuns = LostRuns.create({ logger, lapsedRuns, doubts, retries: this.retries });
+    const { retries } = this;
+    this.lostRuns = LostRuns.create({ logger, lapsedRuns: LapsedRuns.create(), doubts, retries });
   }
 
   static create(options: DispatcherOptions): Dispatcher {
@@ -103,7 +104,7 @@
   }
 
   /** Lists the workers that are not released yet. */
-  listHeldWorkers(): HeldWorker[] {
+  listHeldWorkers(): ReturnType<WorkerPool['listHeld']> {
     return this.workers.listHeld();
   }
 
@@ -285,9 +286,7 @@
     const labels = [`outcome:${description.outcome}`, `cause:${causeLabel(description)}`];
     this.options.metrics.count('runs', 1, labels);
     this.logger.info('A run has ended.', {
-      taskName: run.taskName,
-      run: run.run,
-      workerId: worker.workerId,
+      ...{ taskName: run.taskName, run: run.run, workerId: worker.workerId },
       durationMs: Math.round(nowMs - run.startSentAtMs),
       expectedMs: Math.round(run.expectedMs),
       ...description,
--- a/src/dispatch/taskStarter.ts
+++ b/src/dispatch/taskStarter.ts
@@ -8,6 +8,7 @@
 import type { Random } from '../ports/random.js';
 import { ServicePriorities } from '../scheduling/servicePriorities.js';
 import type { StartReservation } from '../scheduling/startReservation.js';
+import type { SchedulingPolicy } from '../types/schedulingPolicy.js';
 import type { TaskSupervisor } from '../utils/taskSupervisor.js';
 import type { BatchedTask, OpenBatch } from './openBatch.js';
 import type { WorkerPool } from './workerPool.js';
@@ -56,6 +57,7 @@
   readonly metrics: Metrics;
   readonly workers: WorkerPool;
   readonly farRackFactor: number;
+  readonly schedulingPolicy: SchedulingPolicy;
   readonly leaseTimes: LeaseTimes;
   /** Whether a task has to wait for proof of what became of its earlier runs. */
   readonly awaitsProof: (task: BatchedTask) => boolean;
@@ -66,13 +68,14 @@
 
 export class TaskStarter {
   private readonly waiting = WaitingTasks.create();
-  private readonly priorities = ServicePriorities.create();
+  private readonly priorities: ServicePriorities;
   private readonly reservedStarts: ReservedStarts;
   private readonly stop = new AbortController();
   private isStartingTasks = false;
   private isRetryScheduled = false;
 
   private constructor(private readonly options: TaskStarterOptions) {
+    this.priorities = ServicePriorities.create(options.schedulingPolicy);
     this.reservedStarts = ReservedStarts.create(options);
   }
 
@@ -150,7 +153,7 @@
   /** @returns whether priorities decide the order */
   private refreshOrder(serviceId: string): boolean {
     const nowMs = this.options.clock.nowMs();
-    const isRanked = this.priorities.areSeveral(serviceId, nowMs);
+    const isRanked = this.priorities.decide(serviceId, nowMs);
     this.waiting.refresh(serviceId, isRanked, nowMs);
     return isRanked;
   }
--- a/src/fleet/batchIntake.spec.ts
+++ b/src/fleet/batchIntake.spec.ts
@@ -30,6 +30,7 @@
     workers,
     leaseTimes: unconfirmedLeaseTimes(1_000),
     farRackFactor: 1,
+    schedulingPolicy: 'priority',
     speeds: WorkerSpeedCache.create(),
   });
   void dispatcher.setWorkers([worker], 1);
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -73,6 +73,7 @@
   ) {
     const { clock, random, logger, metrics, store, workers, connector } = ports;
     const { member, longestLeaseMs, callerResendMs, farRackFactor, stopGraceMs } = identity;
+    const { schedulingPolicy = 'deadline' } = identity;
     const ownId = member.incarnation;
     const ages = MessageAges.create(clock);
     const leases = RequesterLeases.create(ages);
@@ -93,13 +94,7 @@
     const { backlog, contact, overload } = createCallerSide({ ...common, standstills });
     this.connections = backlog;
     this.dispatcher = Dispatcher.create({
-      clock,
-      random,
-      logger,
-      metrics,
-      workers,
-      leaseTimes,
-      farRackFactor,
+      ...{ clock, random, logger, metrics, workers, leaseTimes, farRackFactor, schedulingPolicy },
       speeds: this.speeds,
       beforeOrders: () => standstills.check(),
       onLikelyCrash: () => this.peers.tellNews(),
@@ -142,7 +137,7 @@
       metrics,
       planner,
       admission: JobAdmission.create({
-        ...{ clock, random, metrics, logger: this.logger },
+        ...{ clock, random, metrics, logger: this.logger, schedulingPolicy },
         serviceLoadOf: createServiceLoadOf(clock, this.view),
       }),
       sender: this.router,
--- a/src/fleet/fleetHeartbeatExchange.ts
+++ b/src/fleet/fleetHeartbeatExchange.ts
@@ -10,12 +10,10 @@
 import type { Dispatcher } from '../dispatch/dispatcher.js';
 import { unreachable } from '../errors/unreachable.js';
 import type { Clock } from '../ports/clock.js';
-import type { BatchRequest } from '../ports/fleetPeers.js';
 import type { Logger } from '../ports/logger.js';
 import type { Metrics } from '../ports/metrics.js';
 import type { RoutingStore } from '../routing/routingStore.js';
 import type { FleetHeartbeat, Member } from '../types/fleet.js';
-import { isInvalidField } from '../types/tolerant.js';
 import type { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import type { CallerContact } from './callerContact.js';
 import type { FleetPeers, PeerLoss } from './fleetPeers.js';
@@ -172,24 +170,6 @@
     }
   }
 
-  /**
-   * Records the load that the request of a batch carries. A request whose age is not known, or whose requester is not a
-   * peer, may be from before the requester was lost.
-   */
-  handleRequestLoad({ askedBy, sentAtMs, load }: BatchRequest): void {
-    const { ages, peers, view } = this.options;
-    const member = peers().find(askedBy)?.heartbeat?.member;
-    if (load === undefined || sentAtMs === undefined || member === undefined) {
-      return;
-    }
-    if (isInvalidField(load)) {
-      this.rooms.reportIgnored(askedBy, { load: 1 });
-      return;
-    }
-    const locality = this.isInOwnDomain(member) ? 'near' : 'far';
-    view.recordLoad(askedBy, load, locality, ages.ageMs(askedBy, sentAtMs));
-  }
-
   /**
    * Handles the loss of a process: drops its load and fails the batches there. Its own batches here are
    * withdrawn at once if it is certainly gone, and otherwise when its lease is over.
--- a/src/fleet/fleetIdentity.ts
+++ b/src/fleet/fleetIdentity.ts
@@ -9,6 +9,7 @@
 import type { Random } from '../ports/random.js';
 import type { WorkerPort } from '../ports/workers.js';
 import type { Member } from '../types/fleet.js';
+import type { SchedulingPolicy } from '../types/schedulingPolicy.js';
 
 export interface FleetPorts {
   readonly clock: Clock;
@@ -33,4 +34,6 @@
   readonly farRackFactor: number;
   /** Longest time for which a daemon that stops as planned keeps its jobs, in milliseconds. */
   readonly stopGraceMs: number;
+  /** How jobs that compete for workers are ordered and admitted; `deadline` if left out. */
+  readonly schedulingPolicy?: SchedulingPolicy | undefined;
 }
--- a/src/fleet/peerService.ts
+++ b/src/fleet/peerService.ts
@@ -60,14 +60,12 @@
   }
 
   /** Runs a batch that another daemon requests; the answer may be partial. */
-  async runBatch(request: BatchRequest): Promise<BatchReply> {
+  runBatch(request: BatchRequest): Promise<BatchReply> {
     this.options.standstills.check();
-    const { ages, batchIntake, heartbeatExchange, peers } = this.options;
+    const { ages, batchIntake, peers } = this.options;
     const { askedBy, sentAtMs } = request;
     peers.recordContact(askedBy, sentAtMs === undefined ? 0 : ages.ageMs(askedBy, sentAtMs));
-    heartbeatExchange.handleRequestLoad(request);
-    const reply = await batchIntake.run(request);
-    return { ...reply, sentAtMs: ages.timestampMs() };
+    return batchIntake.run(request);
   }
 
   withdrawBatch({ batchId }: BatchWithdrawal): void {
--- a/src/ports/fleetPeers.ts
+++ b/src/ports/fleetPeers.ts
@@ -3,11 +3,10 @@
 import { z } from 'zod';
 import { batchReplySchema, batchSchema } from '../types/dispatch.js';
 import type { BatchReply } from '../types/dispatch.js';
-import { fleetHeartbeatSchema, memberLoadSchema } from '../types/fleet.js';
+import { fleetHeartbeatSchema } from '../types/fleet.js';
 import type { FleetHeartbeat } from '../types/fleet.js';
 import { routingSchema } from '../types/routing.js';
 import type { Routing } from '../types/routing.js';
-import { tolerantField } from '../types/tolerant.js';
 import type { PeerError } from './peers.js';
 
 /** A batch and its requester. */
@@ -20,8 +19,6 @@
   heldUpMs: fleetHeartbeatSchema.shape.heldUpMs,
   /** Incarnation of the daemon that is meant to run the batch; earlier versions omit it. */
   dispatcherId: z.string().optional(),
-  /** Load of all workers of the requester; earlier versions omit it. */
-  load: tolerantField(memberLoadSchema),
   batch: batchSchema,
 });
 export type BatchRequest = z.infer<typeof batchRequestSchema>;
--- a/src/programs/toucandyked/platformProcess.ts
+++ b/src/programs/toucandyked/platformProcess.ts
@@ -80,6 +80,7 @@
         callerResendMs: settings.callerResendMs,
         farRackFactor: settings.farRackFactor,
         stopGraceMs: settings.stopGraceMs,
+        schedulingPolicy: settings.schedulingPolicy,
       },
       {
         clock,
--- a/src/scheduling/servicePriorities.ts
+++ b/src/scheduling/servicePriorities.ts
@@ -2,6 +2,8 @@
  * Which services have batches of several priorities. Only there do priorities decide; the tasks of the others start by
  * latest start alone.
  */
+import { unreachable } from '../errors/unreachable.js';
+import type { SchedulingPolicy } from '../types/schedulingPolicy.js';
 
 /** A priority counts for this long after its last batch; routes with fewer requests need no protection. */
 const retentionMs = 60_000;
@@ -10,12 +12,10 @@
   /** For each service, when the last batch of each priority arrived, in monotonic time. */
   private readonly seenAtMs = new Map<string, Map<number, number>>();
 
-  private constructor() {
-    // Built by create.
-  }
+  private constructor(private readonly policy: SchedulingPolicy) {}
 
-  static create(): ServicePriorities {
-    return new ServicePriorities();
+  static create(policy: SchedulingPolicy): ServicePriorities {
+    return new ServicePriorities(policy);
   }
 
   /** Records a batch. */
@@ -24,8 +24,20 @@
     this.seenAtMs.set(serviceId, ofService.set(priority, nowMs));
   }
 
+  /** Whether priorities decide the order of the tasks of a service. */
+  decide(serviceId: string, nowMs: number): boolean {
+    switch (this.policy) {
+      case 'deadline':
+        return false;
+      case 'priority':
+        return this.areSeveral(serviceId, nowMs);
+      default:
+        return unreachable(this.policy);
+    }
+  }
+
   /** Whether batches of several priorities have arrived lately. */
-  areSeveral(serviceId: string, nowMs: number): boolean {
+  private areSeveral(serviceId: string, nowMs: number): boolean {
     const ofService = this.seenAtMs.get(serviceId);
     if (ofService === undefined || ofService.size < 2) {
       return false;
--- a/src/testing/dispatcherFixture.ts
+++ b/src/testing/dispatcherFixture.ts
@@ -66,6 +66,7 @@
     workers,
     leaseTimes: unconfirmedLeaseTimes(1_000),
     farRackFactor: 1.5,
+    schedulingPolicy: 'priority',
     speeds: WorkerSpeedCache.create(),
   });
   const records = Array.from({ length: workerCount }, (_, index) => ({
--- a/src/testing/planDecides.ts
+++ b/src/testing/planDecides.ts
@@ -10,6 +10,7 @@
 export const planDecides = (clock: Clock): JobAdmission =>
   JobAdmission.create({
     ...{ clock, logger: silentLogger, metrics: noMetrics, random: SeededRandom.create(1) },
+    schedulingPolicy: 'priority',
     serviceLoadOf: () => ({
       ...{ freeCpuMillis: 0, capacityCpuMillis: 0, waiting: [], oldestReportAgeMs: 0 },
     }),
--- a/src/types/dispatch.ts
+++ b/src/types/dispatch.ts
@@ -104,12 +104,7 @@
   ends: z.array(taskEndSchema),
   /** Whether any worker was asked to start one of the tasks. */
   wasOffered: z.boolean(),
-  /**
-   * Load of all workers of the dispatcher; empty if it has not handled the batch. Earlier versions list only the workers
-   * to which tasks were assigned, unless tasks are returned.
-   */
+  /** Load of the workers to which tasks were assigned; of all workers where tasks are returned. */
   load: memberLoadSchema,
-  /** Timestamp of the dispatcher (`fleet/messageAges`), in milliseconds; earlier versions omit it. */
-  sentAtMs: z.number().optional(),
 });
 export type BatchReply = z.infer<typeof batchReplySchema>;
--- /dev/null
+++ b/src/types/schedulingPolicy.ts
@@ -0,0 +1,12 @@
+/**
+ * How jobs that compete for the workers of a service are ordered and admitted.
+ */
+import { z } from 'zod';
+
+/**
+ * `deadline`: by the time by which a task has to start, whatever its priority. `priority`: while routes of different
+ * priority compete, by priority with aging; the first blocked task reserves a worker, and less urgent jobs leave free
+ * cores for more urgent routes.
+ */
+export const schedulingPolicySchema = z.enum(['deadline', 'priority']);
+export type SchedulingPolicy = z.infer<typeof schedulingPolicySchema>;
