--- a/src/admission/jobAdmission.ts
+++ b/src/admission/jobAdmission.ts
@@ -9,6 +9,7 @@
 import type { Logger } from '../ports/logger.js';
 import type { Metrics } from '../ports/metrics.js';
 import type { Random } from '../ports/random.js';
+import { mayDecideByPriority } from '../types/schedulingPolicy.js';
 import type { SchedulingPolicy } from '../types/schedulingPolicy.js';
 import type { TaskDemand } from '../dispatch/workerChoice.js';
 import { decideAdmission, refusalReasons } from './admissionDecision.js';
@@ -88,7 +89,7 @@
 
   /**
    * Latest expected end with which a job is admitted. While routes of different priority compete, capacity is not spent on
-   * responses that are expected after the objective, which have a fifth of their value.
+   * responses that are expected after the objective, which are worth little to their callers.
    */
   private latestEndAtMs(job: JobContext): number {
     const { route } = job;
@@ -113,15 +114,7 @@
   }
 
   private get decidesByPriority(): boolean {
-    const { schedulingPolicy } = this.options;
-    switch (schedulingPolicy) {
-      case 'deadline':
-        return false;
-      case 'priority':
-        return true;
-      default:
-        return unreachable(schedulingPolicy);
-    }
+    return mayDecideByPriority(this.options.schedulingPolicy);
   }
 
   private report(
--- a/src/dispatch/memberLoad.ts
+++ b/src/dispatch/memberLoad.ts
@@ -7,7 +7,10 @@
 import type { BatchedTask } from './openBatch.js';
 import type { WorkerPool } from './workerPool.js';
 
-/** Time for which a load is reused, in milliseconds: messages of one step leave, and replies come, within this time. */
+/**
+ * Time for which a load is reused, in milliseconds: plans, replies and heartbeats within a few turns of the event loop need
+ * the same one.
+ */
 const maxReuseMs = 2;
 
 /** A load, and the state of the dispatcher that it was computed from. */
--- a/src/fleet/callerSide.ts
+++ b/src/fleet/callerMonitoring.ts
@@ -9,21 +9,21 @@
 import { CallerContact } from './callerContact.js';
 import type { StandstillDetector } from './standstillDetector.js';
 
-export interface CallerSideOptions {
+export interface CallerMonitoringOptions {
   readonly clock: Clock;
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly standstills: Pick<StandstillDetector, 'check'>;
 }
 
-export interface CallerSide {
+export interface CallerMonitoring {
   readonly backlog: AcceptBacklog;
   readonly contact: CallerContact;
   /** Whether this daemon keeps up with its callers. */
   readonly overload: DaemonOverload;
 }
 
-export const createCallerSide = (options: CallerSideOptions): CallerSide => {
+export const createCallerMonitoring = (options: CallerMonitoringOptions): CallerMonitoring => {
   const { clock, metrics, standstills } = options;
   const logger = options.logger.forPart('callers');
   const backlog = AcceptBacklog.create(clock, { logger, standstills });
--- a/src/fleet/fleetDaemon.ts
+++ b/src/fleet/fleetDaemon.ts
@@ -18,7 +18,7 @@
 import { TaskSupervisor } from '../utils/taskSupervisor.js';
 import { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
 import { WorkerDirectory } from '../workers/workerDirectory.js';
-import { createCallerSide } from './callerSide.js';
+import { createCallerMonitoring } from './callerMonitoring.js';
 import { BatchIntake } from './batchIntake.js';
 import type { FleetIdentity, FleetPorts } from './fleetIdentity.js';
 import { FleetHeartbeatExchange } from './fleetHeartbeatExchange.js';
@@ -91,7 +91,7 @@
       },
     });
     this.standstills = standstills;
-    const { backlog, contact, overload } = createCallerSide({ ...common, standstills });
+    const { backlog, contact, overload } = createCallerMonitoring({ ...common, standstills });
     this.connections = backlog;
     this.dispatcher = Dispatcher.create({
       ...{ clock, random, logger, metrics, workers, leaseTimes, farRackFactor, schedulingPolicy },
--- a/src/fleet/servedWorkers.ts
+++ b/src/fleet/servedWorkers.ts
@@ -17,15 +17,15 @@
 /** Period in which the claims of other daemons are looked at while workers change hands, in milliseconds. */
 const claimCheckMs = 20;
 /**
- * Longest wait for the word that a worker accepts tasks at its new dispatcher, in milliseconds: 0.1 s usually. After that
- * more are released.
+ * Longest time for which a released worker counts as changing hands, in milliseconds; usually it takes 0.1 s. After that
+ * further workers are released.
  */
 const maxTakeOverMs = 500;
 /**
  * Time after its start in which a daemon waits for the heartbeats of daemons that it has not heard yet, in milliseconds:
  * it would otherwise take over workers that one of them dispatches to, and stop the runs there.
  */
-const meetingMs = 300;
+const peerDiscoveryMs = 300;
 
 export interface ServedWorkersOptions {
   readonly clock: Clock;
@@ -58,7 +58,7 @@
   /** Workers that were neither granted nor released at the last check. */
   private ungrantedIds: ReadonlySet<string> = new Set();
   /** When workers were released that no other daemon is known to have taken over, in monotonic time. */
-  private readonly untakenSinceMs = new Map<string, number>();
+  private readonly unclaimedSinceMs = new Map<string, number>();
   /** When workers were taken over that were waited for and that accept no tasks here yet, in monotonic time. */
   private readonly takingSinceMs = new Map<string, number>();
   /** Identifies what the dispatcher was given last. */
@@ -169,12 +169,12 @@
     const known = claims();
     const held = dispatcher.listHeldWorkers();
     this.recordTaken(known, held);
-    const untakenCount = this.untakenSinceMs.size;
+    const unclaimedCount = this.unclaimedSinceMs.size;
     const division = divideWorkers({
-      ...{ listed, granted, held, claims: known, awaitedSinceMs, releasingIds, untakenCount },
+      ...{ listed, granted, held, claims: known, awaitedSinceMs, releasingIds, unclaimedCount },
       nowMs,
       mayKeep: known.doAllAsk,
-      isMeetingPeers: nowMs - this.createdAtMs < meetingMs && hasUnheardPeers(),
+      isDiscoveringPeers: nowMs - this.createdAtMs < peerDiscoveryMs && hasUnheardPeers(),
     });
     const { served, kept } = division;
     const keptIds = new Set(kept.map(({ workerId }) => workerId));
@@ -195,9 +195,9 @@
   /** Records which workers accept tasks by now, here and at the daemons that they were released to. */
   private recordTaken({ heldIds }: WorkerClaims, held: readonly HeldWorker[]): void {
     const nowMs = this.options.clock.nowMs();
-    for (const [id, sinceMs] of this.untakenSinceMs) {
+    for (const [id, sinceMs] of this.unclaimedSinceMs) {
       if (heldIds.has(id) || nowMs - sinceMs >= maxTakeOverMs) {
-        this.untakenSinceMs.delete(id);
+        this.unclaimedSinceMs.delete(id);
       }
     }
     const served = new Set(held.flatMap((one) => (one.isServing ? [one.workerId] : [])));
@@ -220,7 +220,7 @@
       this.awaitedSinceMs.delete(id);
       this.takingSinceMs.set(id, clock.nowMs());
     }
-    gone.forEach((id) => this.untakenSinceMs.set(id, clock.nowMs()));
+    gone.forEach((id) => this.unclaimedSinceMs.set(id, clock.nowMs()));
     newlyAwaited.forEach((id) => this.awaitedSinceMs.set(id, clock.nowMs()));
     this.releasingIds = new Set(division.releasingIds);
     this.ungrantedIds = ungrantedIds;
@@ -253,9 +253,9 @@
 
   /** Whether workers change hands that are not all released for good. */
   private isChanging(): boolean {
-    const { awaitedSinceMs, ungrantedIds, takingSinceMs, untakenSinceMs } = this;
+    const { awaitedSinceMs, ungrantedIds, takingSinceMs, unclaimedSinceMs } = this;
     const isPending =
-      awaitedSinceMs.size + ungrantedIds.size + takingSinceMs.size + untakenSinceMs.size > 0;
+      awaitedSinceMs.size + ungrantedIds.size + takingSinceMs.size + unclaimedSinceMs.size > 0;
     return isPending && this.releasing === undefined && !this.stop.signal.aborted;
   }
 }
--- a/src/fleet/workerClaims.ts
+++ b/src/fleet/workerClaims.ts
@@ -46,11 +46,11 @@
   /** Workers whose release has begun. */
   readonly releasingIds: ReadonlySet<string>;
   /** Number of workers that were released a short while ago and that no other daemon dispatches to yet. */
-  readonly untakenCount: number;
+  readonly unclaimedCount: number;
   /** Whether workers that are no longer granted may be kept until they are asked for. */
   readonly mayKeep: boolean;
   /** Whether the other daemons may not have been heard yet, so that what they hold is unknown. */
-  readonly isMeetingPeers: boolean;
+  readonly isDiscoveringPeers: boolean;
   readonly nowMs: number;
 }
 
@@ -90,16 +90,16 @@
 /** Whether a worker that was granted is not taken over yet, since another daemon dispatches to it. */
 const mustAwait = (
   workerId: string,
-  { claims, awaitedSinceMs, isMeetingPeers, nowMs }: DivisionInput,
+  { claims, awaitedSinceMs, isDiscoveringPeers, nowMs }: DivisionInput,
 ): boolean => {
   const sinceMs = awaitedSinceMs.get(workerId) ?? nowMs;
-  return isMeetingPeers || (claims.heldIds.has(workerId) && nowMs - sinceMs < maxAwaitMs);
+  return isDiscoveringPeers || (claims.heldIds.has(workerId) && nowMs - sinceMs < maxAwaitMs);
 };
 
 /** Chooses the workers that get no more runs: those that are asked for, the least busy ones first, a few at a time. */
 const chooseReleasing = (
   ungranted: readonly HeldWorker[],
-  { claims, releasingIds, untakenCount, mayKeep }: DivisionInput,
+  { claims, releasingIds, unclaimedCount, mayKeep }: DivisionInput,
 ): string[] => {
   if (!mayKeep) {
     return ungranted.map(({ workerId }) => workerId);
@@ -107,8 +107,8 @@
   const forced = ungranted.filter(
     ({ workerId, isFenced }) => isFenced || releasingIds.has(workerId),
   );
-  const maxReleasing = Math.ceil((ungranted.length + untakenCount) * releasedShare);
-  const places = Math.max(maxReleasing - forced.length - untakenCount, 0);
+  const maxReleasing = Math.ceil((ungranted.length + unclaimedCount) * releasedShare);
+  const places = Math.max(maxReleasing - forced.length - unclaimedCount, 0);
   const asked = ungranted
     .filter((worker) => claims.awaitedIds.has(worker.workerId) && !forced.includes(worker))
     .sort((a, b) => a.runCount - b.runCount)
--- a/src/limits/bytePool.ts
+++ b/src/limits/bytePool.ts
@@ -55,11 +55,6 @@
     }
   }
 
-  /** Whether a holder was neither removed nor evicted. */
-  holds(share: PoolShare): boolean {
-    return this.shares.has(share);
-  }
-
   remove(share: PoolShare): void {
     if (this.shares.delete(share)) {
       this.heldBytes -= share.bytes;
--- a/src/limits/requestLedger.ts
+++ b/src/limits/requestLedger.ts
@@ -117,12 +117,10 @@
    * Counts the memory that the body takes so far. Other requests may have to give way.
    *
    * @param bytes - size of the buffer, in bytes
-   * @returns false if this request has had to give way itself
    */
-  holdBody(bytes: number): boolean {
+  holdBody(bytes: number): void {
     this.pool.resize(this.share, requestBytes + bytes);
     this.pool.evictOldest();
-    return this.pool.holds(this.share);
   }
 
   /** Decides whether a request is served whose body has ended. */
--- a/src/scheduling/servicePriorities.ts
+++ b/src/scheduling/servicePriorities.ts
@@ -1,8 +1,8 @@
 /**
- * Which services have batches of several priorities. Only there do priorities decide; the tasks of the others start by
- * latest start alone.
+ * Decides for which services priorities count: with the policy `priority`, for those that have had batches of several
+ * priorities lately. The tasks of the others start by latest start alone.
  */
-import { unreachable } from '../errors/unreachable.js';
+import { mayDecideByPriority } from '../types/schedulingPolicy.js';
 import type { SchedulingPolicy } from '../types/schedulingPolicy.js';
 
 /** A priority counts for this long after its last batch; routes with fewer requests need no protection. */
@@ -26,14 +26,7 @@
 
   /** Whether priorities decide the order of the tasks of a service. */
   decide(serviceId: string, nowMs: number): boolean {
-    switch (this.policy) {
-      case 'deadline':
-        return false;
-      case 'priority':
-        return this.areSeveral(serviceId, nowMs);
-      default:
-        return unreachable(this.policy);
-    }
+    return mayDecideByPriority(this.policy) && this.areSeveral(serviceId, nowMs);
   }
 
   /** Whether batches of several priorities have arrived lately. */
--- a/src/testing/model/earlierVersion.ts
+++ b/src/testing/model/earlierVersion.ts
@@ -1,5 +1,5 @@
 /**
- * Messages as a daemon of the version before waiting work and domain rooms sends and understands them.
+ * Messages as the version before waiting work, domain rooms and awaited workers sends and understands them.
  */
 import type { FleetService } from '../../ports/fleetPeers.js';
 import type { BatchReply } from '../../types/dispatch.js';
@@ -23,6 +23,7 @@
 
 const stripHeartbeat = ({
   domainRooms: _rooms,
+  awaitedWorkerIds: _awaited,
   load,
   ...rest
 }: FleetHeartbeat): FleetHeartbeat => ({
--- a/src/testing/planDecides.ts
+++ b/src/testing/planOnlyAdmission.ts
@@ -7,10 +7,10 @@
 import { SeededRandom } from './seededRandom.js';
 import { silentLogger } from './silentLogger.js';
 
-export const planDecides = (clock: Clock): JobAdmission =>
+export const createPlanOnlyAdmission = (clock: Clock): JobAdmission =>
   JobAdmission.create({
     ...{ clock, logger: silentLogger, metrics: noMetrics, random: SeededRandom.create(1) },
-    schedulingPolicy: 'priority',
+    schedulingPolicy: 'deadline',
     serviceLoadOf: () => ({
       ...{ freeCpuMillis: 0, capacityCpuMillis: 0, waiting: [], oldestReportAgeMs: 0 },
     }),
--- a/src/types/dispatch.ts
+++ b/src/types/dispatch.ts
@@ -59,8 +59,8 @@
   /** A task whose wait for free capacity is expected to be longer is returned at once. */
   maxWaitMs: z.number().nonnegative(),
   /**
-   * Priority of the route; 0 is the most urgent. It decides the order only among the routes of one service that have
-   * different priorities.
+   * Priority of the route; 0 is the most urgent. It decides the order only with the scheduling policy `priority`, among the
+   * routes of one service that have different priorities.
    */
   priority: z.number().int(),
   /** Failed runs of a task after which the task has failed. */
--- a/src/types/schedulingPolicy.ts
+++ b/src/types/schedulingPolicy.ts
@@ -2,6 +2,7 @@
  * How jobs that compete for the workers of a service are ordered and admitted.
  */
 import { z } from 'zod';
+import { unreachable } from '../errors/unreachable.js';
 
 /**
  * `deadline`: by the time by which a task has to start, whatever its priority. `priority`: while routes of different
@@ -10,3 +11,15 @@
  */
 export const schedulingPolicySchema = z.enum(['deadline', 'priority']);
 export type SchedulingPolicy = z.infer<typeof schedulingPolicySchema>;
+
+/** Whether priorities count where routes of different priority compete. */
+export const mayDecideByPriority = (policy: SchedulingPolicy): boolean => {
+  switch (policy) {
+    case 'deadline':
+      return false;
+    case 'priority':
+      return true;
+    default:
+      return unreachable(policy);
+  }
+};
