--- a/src/bestEffort/fleetView.ts
+++ b/src/bestEffort/fleetView.ts
@@ -2,12 +2,10 @@
  * This daemon's view of the free capacity at every dispatcher: the last load that each reported,
  * less the tasks that this daemon has sent there since.
  */
-import { DomainRooms } from '../fleet/domainRooms.js';
 import type { MemberLoad } from '../types/fleet.js';
 import type { Clock } from '../ports/clock.js';
 import type { ServiceLoad } from '../types/serviceLoad.js';
 import type { WorkerRecord } from '../types/workers.js';
-import { listFarDomainsWithRoom } from './farDomains.js';
 import { sumServiceLoad } from './serviceLoads.js';
 import type { CountedReport } from './serviceLoads.js';
 import { toSnapshot } from './workerSnapshot.js';
@@ -64,12 +62,7 @@
 export class FleetView {
   private readonly loads = new Map<string, ReportedLoad>();
 
-  /** Free capacity of other failure domains, as heard of. */
-  readonly rooms: DomainRooms;
-
-  private constructor(private readonly options: FleetViewOptions) {
-    this.rooms = DomainRooms.create(options.clock);
-  }
+  private constructor(private readonly options: FleetViewOptions) {}
 
   static create(options: FleetViewOptions): FleetView {
     return new FleetView(options);
@@ -152,19 +145,9 @@
     return sumServiceLoad(serviceId, reports, findWorker, taskCpuMillis);
   }
 
-  /**
-   * Lists the other failure domains that can start a task now, the one with the most free cores first. A plan can
-   * skip the workers of the others, which only let it wait.
-   *
-   * @param serviceId - service of the task
-   * @param cpuMillis - cores that it needs, in thousandths
-   */
-  farDomainsWithRoom(serviceId: string, cpuMillis: number): string[] {
-    return listFarDomainsWithRoom(serviceId, cpuMillis, {
-      reports: this.recentReports((locality) => locality === 'far'),
-      findWorker: this.options.findWorker,
-      findRoom: (failureDomainId) => this.rooms.find(failureDomainId, serviceId),
-    });
+  /** Whether a dispatcher of another failure domain is in the view. */
+  get hasFarDispatchers(): boolean {
+    return [...this.loads.values()].some(({ locality }) => locality === 'far');
   }
 
   private recentReports(isCounted: (locality: Locality) => boolean): CountedReport[] {
--- a/src/bestEffort/serviceLoads.ts
+++ b/src/bestEffort/serviceLoads.ts
@@ -1,17 +1,13 @@
 /**
  * Sums the load of one service up from load reports.
  */
-import { mergeWaitingWork } from '../dispatch/memberLoad.js';
 import type { MemberLoad } from '../types/fleet.js';
 import type { ServiceLoad } from '../types/serviceLoad.js';
-import { isInvalidField } from '../types/tolerant.js';
 import type { WorkerRecord } from '../types/workers.js';
 
 /** The load of a dispatcher that counts in a sum. */
 export interface CountedReport {
   readonly load: MemberLoad;
-  /** Time since it was reported, in milliseconds. */
-  readonly ageMs: number;
   /** Cores of tasks that were sent there since, in thousandths, by worker. */
   readonly reservations: readonly { readonly workerId: string; readonly cpuMillis: number }[];
 }
@@ -33,8 +29,7 @@
 ): ServiceLoad => {
   let freeCpuMillis = 0;
   let capacityCpuMillis = 0;
-  let oldestReportAgeMs = 0;
-  for (const { load, ageMs, reservations } of reports) {
+  for (const { load, reservations } of reports) {
     const reservedCpuMillis = sumByWorker(reservations);
     for (const { workerId, free, isOpen } of load.workers) {
       const record = findWorker(workerId);
@@ -44,20 +39,9 @@
       const unreserved = Math.max(free.cpuMillis - (reservedCpuMillis.get(workerId) ?? 0), 0);
       freeCpuMillis += Math.floor(unreserved / taskCpuMillis) * taskCpuMillis;
       capacityCpuMillis += record.capacity.cpuMillis;
-      oldestReportAgeMs = Math.max(oldestReportAgeMs, ageMs);
     }
   }
-  const waiting = reports.flatMap(({ load }) =>
-    load.waiting === undefined || isInvalidField(load.waiting)
-      ? []
-      : load.waiting.filter((work) => work.serviceId === serviceId),
-  );
-  return {
-    freeCpuMillis,
-    capacityCpuMillis,
-    waiting: mergeWaitingWork(waiting),
-    oldestReportAgeMs,
-  };
+  return { freeCpuMillis, capacityCpuMillis };
 };
 
 const sumByWorker = (reservations: CountedReport['reservations']): ReadonlyMap<string, number> => {
--- a/src/bestEffort/stepPlanner.ts
+++ b/src/bestEffort/stepPlanner.ts
@@ -71,8 +71,8 @@
 
   /**
    * Plans tasks of a step. The workers with free cores in this daemon's own failure domain are
-   * considered first, which are enough for most steps; all workers there, and those of other domains that can
-   * start a task now, only if the step could otherwise not start every task at once and meet the objective.
+   * considered first, which are enough for most steps; all workers there, and then those of other
+   * domains, only if the step could otherwise not start every task at once and meet the objective.
    *
    * @param serviceId - service whose workers run the tasks
    * @param demand - resources, expected run time and time limits of each task
@@ -89,15 +89,10 @@
   ): StepPlan | undefined {
     const { clock, view } = this.options;
     const nowMs = clock.nowMs();
-    const { cpuMillis } = demand.needs.resources;
-    const planWithin = (scope: Scope, farDomainIds?: readonly string[]): StepPlan | undefined => {
+    const planWithin = (scope: Scope): StepPlan | undefined => {
       const workers = view
-        .workers(serviceId, scope, cpuMillis)
-        .filter(({ dispatcherId }) => !excludedDispatcherIds.has(dispatcherId))
-        .filter(
-          ({ locality, failureDomainId }) =>
-            locality !== 'far' || (farDomainIds?.includes(failureDomainId) ?? true),
-        );
+        .workers(serviceId, scope, demand.needs.resources.cpuMillis)
+        .filter(({ dispatcherId }) => !excludedDispatcherIds.has(dispatcherId));
       return this.planWithWorkers(workers, demand, tasks, nowMs);
     };
     const meetsObjective = (plan: StepPlan | undefined): boolean =>
@@ -106,11 +101,7 @@
     if (meetsObjective(withFreeCores)) {
       return withFreeCores;
     }
-    const farDomainIds = view.farDomainsWithRoom(serviceId, cpuMillis);
-    // Where no domain can start a task now, it waits in this one, or elsewhere if no worker here can end it in time.
-    const plan =
-      farDomainIds.length > 0 ? planWithin('fleet', farDomainIds) : planWithin('own-domain');
-    return plan ?? planWithin('fleet');
+    return view.hasFarDispatchers ? planWithin('fleet') : planWithin('own-domain');
   }
 
   /** Plans with the given workers, whose snapshots it changes. */
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -22,7 +22,6 @@
 import type { LeaseTimes } from './leaseTimes.js';
 import { LostRuns } from './lostRuns.js';
 import type { ManagedWorker } from './managedWorker.js';
-import { MemberLoadReports } from './memberLoad.js';
 import { TaskRetries } from './taskRetries.js';
 import { recordOutcome } from './recordOutcome.js';
 import { describeEvidence } from './runEvidence.js';
@@ -55,7 +54,6 @@
   /** Starts that may still be carried out, of this daemon and of other ones. */
   readonly doubts: DoubtedStarts;
   private readonly batches: BatchTable;
-  private readonly loadReports: MemberLoadReports;
   private readonly workers: WorkerPool;
   private readonly starter: TaskStarter;
   private readonly retries: TaskRetries;
@@ -87,7 +85,6 @@
       ...{ logger, starter, suspects, doubts },
       isBoundTo: (task, workerId) => this.workers.isBoundTo(task, workerId),
     });
-    this.loadReports = MemberLoadReports.create(options.clock, this.workers);
     const { retries } = this;
     this.lostRuns = LostRuns.create({ logger, lapsedRuns: LapsedRuns.create(), doubts, retries });
   }
@@ -247,9 +244,9 @@
     return this.workers.size;
   }
 
-  /** Returns the free capacity of the workers and the waiting work, as reported to the other daemons. */
+  /** Returns the free capacity of the workers, as reported to the other daemons. */
   load(): MemberLoad {
-    return this.loadReports.compose(this.starter.listWaiting());
+    return { workers: this.workers.computeLoads(this.starter.listWaiting()) };
   }
 
   /** Stops all runs; each task is returned once the end of its run is proved. */
--- a/src/dispatch/managedWorker.ts
+++ b/src/dispatch/managedWorker.ts
@@ -117,11 +117,6 @@
     return this.runs.size;
   }
 
-  /** Changes with every run that begins or ends, and with the capacity. */
-  get runStamp(): string {
-    return `${this.runs.changeCount} ${this.unusedCpuMillis}`;
-  }
-
   /** @returns the worker's capacity less the needs of its runs */
   get free(): Resources {
     return subtractResources(this.link.record.capacity, this.runs.used);
--- a/src/dispatch/runTable.ts
+++ b/src/dispatch/runTable.ts
@@ -16,7 +16,6 @@
 export class RunTable {
   private readonly runs = new Map<string, ActiveRun>();
   private usedResources: Resources = noResources;
-  private changes = 0;
 
   private constructor(
     private readonly activeTasks: ActiveTasks,
@@ -35,11 +34,6 @@
     return this.runs.size;
   }
 
-  /** Number of runs that were added or removed so far. */
-  get changeCount(): number {
-    return this.changes;
-  }
-
   /** Sum of the resources that the runs occupy. */
   get used(): Resources {
     return this.usedResources;
@@ -74,7 +68,6 @@
 
   add(run: ActiveRun): void {
     this.runs.set(run.taskName, run);
-    this.changes += 1;
     this.activeTasks.addRun(run.taskName);
     this.usedResources = addResources(this.usedResources, run.needs);
   }
@@ -83,7 +76,6 @@
   finish(run: ActiveRun, evidence: RunEvidence): void {
     if (this.has(run)) {
       this.runs.delete(run.taskName);
-      this.changes += 1;
       this.activeTasks.removeRun(run.taskName);
       this.usedResources = subtractResources(this.usedResources, run.needs);
       this.onEnd(run, evidence);
--- a/src/dispatch/workerPool.ts
+++ b/src/dispatch/workerPool.ts
@@ -22,7 +22,7 @@
 import { canStartNow, fits, isEligible } from './workerEligibility.js';
 import type { WorkerOutlook } from '../scheduling/startReservation.js';
 import { WorkerForecast } from './workerForecast.js';
-import { describeLoadState, toCandidate, toHeld, toOutlook, toServing } from './workerViews.js';
+import { toCandidate, toHeld, toOutlook, toServing } from './workerViews.js';
 import type { HeldWorker, LocalCandidate, ServingWorker } from './workerViews.js';
 
 export interface WorkerPoolOptions extends Pick<
@@ -108,11 +108,6 @@
     return forecast.loads();
   }
 
-  /** Describes what the load of the workers is computed from, without the passage of time and the waiting tasks. */
-  loadStamp(): string {
-    return describeLoadState(this.workers.values());
-  }
-
   /**
    * Finds the tasks whose expected wait for free capacity is longer than their batch allows. Suspects wait
    * for a worker of their own instead.
--- a/src/dispatch/workerViews.ts
+++ b/src/dispatch/workerViews.ts
@@ -57,9 +57,3 @@
   workerId: worker.workerId,
   profile: CapacityProfile.create(worker.unusedCpuMillis, worker.releases()),
 });
-
-/** Describes what the reported load of workers is computed from, without the passage of time and the waiting tasks. */
-export const describeLoadState = (workers: Iterable<ManagedWorker>): string =>
-  [...workers]
-    .map((worker) => `${worker.workerId} ${worker.acceptsTasks} ${worker.runStamp}`)
-    .join();
--- a/src/fleet/contacts.ts
+++ b/src/fleet/contacts.ts
@@ -14,16 +14,13 @@
   /** Result of `rankContact`; the lowest ranks are preferred. */
   readonly rank: number;
   readonly isReachable: boolean;
-  /** Whether it has free capacity, by its last heartbeat. */
-  readonly hasFreeCapacity: boolean;
   /** Number of heartbeats without an answer since it was last reachable. */
   readonly unansweredHeartbeats: number;
 }
 
 /**
  * Chooses the contacts. Daemons are ranked by a hash of both addresses, so that contacts are spread
- * evenly. Reachable daemons are chosen first, and among them those with free capacity, since only
- * workers of reachable daemons can be planned with; while a domain has too few of them, the unreachable
+ * evenly. Reachable daemons are chosen first; while a domain has too few of them, the unreachable
  * ones with the fewest unanswered heartbeats are tried too, so that each gets its turn.
  *
  * @param daemons - the daemons of other failure domains
@@ -40,10 +37,7 @@
 
 const chooseInDomain = (daemons: readonly RemoteDomainDaemon[]): string[] => {
   const ranked = [...daemons].sort((a, b) => a.rank - b.rank);
-  const reachable = ranked
-    .filter(({ isReachable }) => isReachable)
-    .sort((a, b) => Number(b.hasFreeCapacity) - Number(a.hasFreeCapacity))
-    .slice(0, contactsPerDomain);
+  const reachable = ranked.filter(({ isReachable }) => isReachable).slice(0, contactsPerDomain);
   const tryCount = reachable.length < contactsPerDomain ? contactsPerDomain : 0;
   const tried = ranked
     .filter(({ isReachable }) => !isReachable)
--- a/src/fleet/fleetHeartbeatExchange.ts
+++ b/src/fleet/fleetHeartbeatExchange.ts
@@ -11,7 +11,6 @@
 import { unreachable } from '../errors/unreachable.js';
 import type { Clock } from '../ports/clock.js';
 import type { Logger } from '../ports/logger.js';
-import type { Metrics } from '../ports/metrics.js';
 import type { RoutingStore } from '../routing/routingStore.js';
 import type { FleetHeartbeat, Member } from '../types/fleet.js';
 import type { WorkerSpeedCache } from '../workers/workerSpeedCache.js';
@@ -23,7 +22,6 @@
 import { NewContacts } from './newContacts.js';
 import type { RequesterLeases } from './requesterLeases.js';
 import { maxSharingSilenceMs } from './requesterTimes.js';
-import { RoomStatements } from './roomStatements.js';
 
 /**
  * Age up to which a batch that the requester's heartbeat does not list is kept, in milliseconds: it
@@ -39,7 +37,6 @@
   readonly leases: RequesterLeases;
   readonly own: Member;
   readonly logger: Logger;
-  readonly metrics: Metrics;
   readonly routing: RoutingStore;
   readonly lengths: RunTimePredictor;
   readonly speeds: WorkerSpeedCache;
@@ -62,14 +59,12 @@
   /** Processes that are told of all suspects, since they have not heard what was announced before. */
   private readonly newContacts: NewContacts;
   private readonly statements: HeldStatements;
-  private readonly rooms: RoomStatements;
 
   private constructor(private readonly options: FleetHeartbeatExchangeOptions) {
     const { clock, held, jobs, own } = options;
     this.newContacts = NewContacts.create(clock, announcementMs);
     const listHeld = () => jobs.listHeld();
     this.statements = HeldStatements.create({ clock, ownId: own.incarnation, listHeld, held });
-    this.rooms = RoomStatements.create(options);
   }
 
   static create(options: FleetHeartbeatExchangeOptions): FleetHeartbeatExchange {
@@ -96,9 +91,8 @@
     load.workers.forEach((worker) => speeds.record(worker));
     const { heldUpMs } = contact;
     const roundTripMs = peer === undefined ? undefined : ages.shortestRoundTripMs(peer);
-    const receiver = peer === undefined ? undefined : peers().find(peer)?.heartbeat?.member;
-    const isSameDomain = this.isInOwnDomain(receiver);
-    const domainRooms = this.rooms.compose(receiver);
+    const isSameDomain =
+      peer !== undefined && this.isInOwnDomain(peers().find(peer)?.heartbeat?.member);
     const audience = this.audienceOf(peer, isSameDomain);
     const suspects = dispatcher.suspects.listAnnounced(audience);
     const doubts = dispatcher.doubts.listAnnounced(audience);
@@ -112,7 +106,6 @@
       isLeaving: this.isLeaving,
       load,
       askedBatchIds: router.requestedBatchIds(peer),
-      ...(domainRooms.length > 0 ? { domainRooms } : {}),
       ...(heldUpMs > 0 ? { heldUpMs } : {}),
       ...(roundTripMs === undefined ? {} : { roundTripMs }),
       ...(suspects.length > 0 ? { suspects } : {}),
@@ -146,7 +139,6 @@
     this.newContacts.record(incarnation);
     const isSameDomain = this.isInOwnDomain(member);
     view.recordLoad(incarnation, load, isSameDomain ? 'near' : 'far', ageMs);
-    this.rooms.receive(heartbeat, ageMs);
     load.workers.forEach((worker) => speeds.record(worker));
     const source = isSameDomain ? 'own-domain' : 'other-domain';
     if (heartbeat.suspects !== undefined) {
--- a/src/fleet/fleetPeer.ts
+++ b/src/fleet/fleetPeer.ts
@@ -21,12 +21,6 @@
   readonly sentAtMs: number;
 }
 
-/**
- * Share of the cores of its workers from which a daemon counts as one with free capacity. Below it, a few small gaps would
- * make daemons change their contacts with each heartbeat.
- */
-const minFreeShare = 0.1;
-
 export class FleetPeer {
   /** The last heartbeat that was received. */
   heartbeat: FleetHeartbeat | undefined;
@@ -151,16 +145,6 @@
     return (this.heartbeat?.load.workers.length ?? 0) > 0;
   }
 
-  /** Whether a part of its cores is free that lets it take tasks, by its last heartbeat. */
-  get hasFreeCapacity(): boolean {
-    const open = (this.heartbeat?.load.workers ?? []).filter(({ isOpen }) => isOpen);
-    const freeCpuMillis = sum(open.map(({ free }) => free.cpuMillis));
-    const busyCpuMillis = sum(
-      open.flatMap(({ releases }) => releases.map(({ cpuMillis }) => cpuMillis)),
-    );
-    return freeCpuMillis > minFreeShare * (freeCpuMillis + busyCpuMillis);
-  }
-
   /**
    * Checks whether the peer sent a message recently.
    *
@@ -187,6 +171,3 @@
     await this.link.close();
   }
 }
-
-const sum = (values: readonly number[]): number =>
-  values.reduce((total, value) => total + value, 0);
--- a/src/fleet/heartbeatDuty.ts
+++ b/src/fleet/heartbeatDuty.ts
@@ -30,7 +30,6 @@
         ...peer.known,
         rank: peer.contactRank,
         isReachable: this.relations.isReachable(peer),
-        hasFreeCapacity: peer.hasFreeCapacity,
         unansweredHeartbeats: peer.unansweredHeartbeats,
       })),
     );
--- a/src/testing/planOnlyAdmission.ts
+++ b/src/testing/planOnlyAdmission.ts
@@ -12,6 +12,6 @@
     ...{ clock, logger: silentLogger, metrics: noMetrics, random: SeededRandom.create(1) },
     schedulingPolicy: 'deadline',
     serviceLoadOf: () => ({
-      ...{ freeCpuMillis: 0, capacityCpuMillis: 0, waiting: [], oldestReportAgeMs: 0 },
+      ...{ freeCpuMillis: 0, capacityCpuMillis: 0 },
     }),
   });
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -3,13 +3,10 @@
  * they exchange.
  */
 import { z } from 'zod';
-import { domainRoomsSchema } from './domainRooms.js';
 import { lengthSumsSchema, workerSlowdownSchema } from './learned.js';
 import { statedLossesSchema } from './losses.js';
 import { ipPortSchema } from './networkAddress.js';
 import { resourcesSchema } from './resources.js';
-import { waitingWorkSchema } from './serviceLoad.js';
-import { tolerantField } from './tolerant.js';
 
 /** A daemon of the fleet. */
 export const memberSchema = z.object({
@@ -58,11 +55,7 @@
 export type WorkerLoad = z.infer<typeof workerLoadSchema>;
 
 /** The load of all workers of one daemon. */
-export const memberLoadSchema = z.object({
-  workers: z.array(workerLoadSchema),
-  /** Work that waits at the daemon, by service and priority, if there is any; earlier versions omit it. */
-  waiting: tolerantField(z.array(waitingWorkSchema)),
-});
+export const memberLoadSchema = z.object({ workers: z.array(workerLoadSchema) });
 export type MemberLoad = z.infer<typeof memberLoadSchema>;
 
 /** A task under which workers were lost, which may be the cause. */
@@ -133,11 +126,6 @@
   /** Whether the sender is shutting down. */
   isLeaving: z.boolean(),
   load: memberLoadSchema,
-  /**
-   * Free capacity of failure domains (`domainRoomSchema`), if any is known: the sender's own and those that it has heard of;
-   * to daemons of other domains only. The entries are checked one by one. Earlier versions omit it.
-   */
-  domainRooms: tolerantField(domainRoomsSchema),
   /** Batches that the sender has requested from the receiver and still waits for. */
   askedBatchIds: z.array(z.string()),
   /**
