Of two contacts that send heartbeats at once, one sends the next a period later

Since workers are handed over on request, news makes daemons of different failure domains send heartbeats at the same moment. Both then paused for 0.9 to 1.2 s, in step from then on, while loads count for 1 s, so that plans lacked the workers of other domains. Now the lower address does not wait for the other one.

--- a/src/fleet/heartbeatDuty.ts
+++ b/src/fleet/heartbeatDuty.ts
@@ -6,8 +6,11 @@
 import type { FleetPeer } from './fleetPeer.js';
 import type { PeerRelations, PeerRelationsOptions } from './peerRelations.js';
 
-/** A peer in another failure domain that sent a heartbeat within this many periods is not sent one. */
-const recentInboundPeriods = 1.5;
+/**
+ * A peer in another failure domain that sent a heartbeat within this many periods is not sent one. The two sides differ:
+ * after heartbeats that both sent at once, both would otherwise pause for so long that their loads expire.
+ */
+const recentInboundPeriods = { lowerAddress: 0.75, higherAddress: 1.5 } as const;
 
 export class HeartbeatDuty {
   /** Addresses of the chosen contacts in other failure domains. */
@@ -42,7 +45,7 @@
 
   /**
    * Within a domain the lower address sends, and the other one, too, once that is late; across domains, either side that
-   * keeps contact. News is sent by either side at once.
+   * keeps contact, the lower address first. News is sent by either side at once.
    */
   mustSend(peer: FleetPeer): boolean {
     const { clock, own } = this.options;
@@ -59,10 +62,11 @@
       return false;
     }
     const sinceInboundMs = clock.nowMs() - peer.lastInboundHeartbeatAtMs;
+    const periodMs = this.relations.heartbeatPeriodMs(peer);
+    const side = own.address < peer.address ? 'lowerAddress' : 'higherAddress';
     return this.relations.isInOwnDomain(peer)
-      ? own.address < peer.address ||
-          sinceInboundMs > longestPauseMs(this.relations.heartbeatPeriodMs(peer))
-      : sinceInboundMs > recentInboundPeriods * this.relations.heartbeatPeriodMs(peer);
+      ? side === 'lowerAddress' || sinceInboundMs > longestPauseMs(periodMs)
+      : sinceInboundMs > recentInboundPeriods[side] * periodMs;
   }
 
   /** Whether heartbeats with a peer are needed: same domain, chosen contact, or shared batches. */
