A daemon that loses its last shard releases its workers

The assignment without any worker was taken for the one that the dispatcher had been given last, so that a daemon that lost all its shards went on dispatching with its earlier token, and confirmed the loss at once. Fencing kept tasks from running twice; the next owner had to wait for 5 s or stopped the runs. The new test fails on the code before.

--- a/src/fleet/servedWorkers.spec.ts
+++ b/src/fleet/servedWorkers.spec.ts
@@ -76,4 +76,17 @@
   assert.is(ended.length, 3);
 });
 
+// Guards against a daemon that goes on dispatching, and confirms the loss of its shards, when no worker is left to it.
+test('a daemon that loses its last shard releases its workers before it confirms that', async () => {
+  const { served, released, tokens } = createFixture();
+  await served.applyGrant({ generation: 1, shards: [0] });
+  let hasReleased = false;
+  const lost = served.applyGrant({ generation: 2, shards: [] }).then(() => (hasReleased = true));
+  await new Promise((resolve) => setImmediate(resolve));
+  assert.equal(tokens, [1, 2]);
+  assert.not.ok(hasReleased);
+  released.resolve(undefined);
+  await lost;
+});
+
 test.run();
--- a/src/fleet/servedWorkers.ts
+++ b/src/fleet/servedWorkers.ts
@@ -61,8 +61,8 @@
   private readonly unclaimedSinceMs = new Map<string, number>();
   /** When workers were taken over that were waited for and that accept no tasks here yet, in monotonic time. */
   private readonly takingSinceMs = new Map<string, number>();
-  /** Identifies what the dispatcher was given last. */
-  private lastAssignment = '';
+  /** Identifies what the dispatcher was given last; undefined if that has to be given again. */
+  private lastAssignment: string | undefined;
   private isFollowing = false;
   private readonly stop = new AbortController();
   private readonly logger: Logger;
@@ -113,7 +113,7 @@
     this.listed = all.filter((worker) => worker.failureDomainId === failureDomainId);
     const shards = this.keepUntilMs === undefined ? this.grant.shards : [];
     this.granted = workersOfShards(this.listed, shards, shardCount);
-    this.lastAssignment = '';
+    this.lastAssignment = undefined;
     return this.assign();
   }
 
