--- a/src/fleet/lostEnds.spec.ts
+++ b/src/fleet/lostEnds.spec.ts
@@ -4,7 +4,8 @@
 import {
   lateAnswersToWaitingAttempts,
   lostEndAcrossDomains,
-  lostEndBesideSlowDaemons,
+  lostEndAndHeardClaim,
+  lostEndAndUnheardClaim,
   lostEndInDomain,
 } from '../testing/model/lostEndScenarios.js';
 import type { Scenario } from '../testing/model/modelEvents.js';
@@ -38,7 +39,12 @@
 
 // Guards against a next attempt that starts beside the first one where the daemons are slow, so that what they tell each other is as late as what callers send.
 test('no next attempt runs beside the first one at slow daemons, whose end was lost', async () => {
-  await checkScenario(lostEndBesideSlowDaemons);
+  await checkScenario(lostEndAndHeardClaim);
+});
+
+// Guards against the same where the next attempt is read before the word of the one that runs.
+test('no next attempt runs beside the first one at slow daemons, before its claim is heard', async () => {
+  await checkScenario(lostEndAndUnheardClaim);
 });
 
 test.run();
--- a/src/testing/model/lostEndScenarios.ts
+++ b/src/testing/model/lostEndScenarios.ts
@@ -62,7 +62,7 @@
 };
 
 /** All daemons are slow, so that what they tell each other is late, too, and the third attempt is the one that runs on. */
-export const lostEndBesideSlowDaemons: Scenario = {
+const lostEndBesideSlowDaemons = (slowAtMs: number, turnMs: number): Scenario => ({
   ...createScenario(
     ['east', 'east', 'east'],
     [['east', 3]],
@@ -72,12 +72,17 @@
         ...{ deadlineMs: 5_635, leavesAfterMs: 295 },
       }),
       loseEnds(2_588, 2, 3_098),
-      { kind: 'slow', atMs: 1_487, daemon: null, turnsMs: [429], forMs: 5_182 },
+      { kind: 'slow', atMs: slowAtMs, daemon: null, turnsMs: [turnMs], forMs: 5_182 },
     ],
   ),
   seed: 201_716,
   startsStateLifetime: true,
-};
+});
+
+/** The daemon that reads the fourth attempt has heard by then that the third one runs. */
+export const lostEndAndHeardClaim = lostEndBesideSlowDaemons(1_487, 429);
+/** The daemon that reads the next attempt hears only afterwards that the one before runs. */
+export const lostEndAndUnheardClaim = lostEndBesideSlowDaemons(1_260, 345);
 
 const waitingDaemons = [0, 1] as const;
 
