--- a/review/harness-2/deployment.ts
+++ b/review/harness-2/deployment.ts
@@ -42,6 +42,8 @@
   readonly daemons: DaemonProcess[] = [];
   readonly workers: WorkerStandIn[] = [];
   private readonly proxies: OrderProxy[] = [];
+  /** Where each worker gets its orders, by its id. */
+  private readonly addresses = new Map<string, string>();
 
   private constructor(
     readonly store: StoreStandIn,
@@ -104,6 +106,20 @@
     await back;
   }
 
+  /**
+   * Stops a worker as planned, and starts it again under its id: it reports that it is draining, serves on for a while, and
+   * exits, whereupon its entry goes.
+   */
+  async drainAndRestart(worker: WorkerStandIn, servesForMs: number, downMs: number): Promise<void> {
+    const { workerId } = worker;
+    const log = this.store.log(workerTopic);
+    log.append(workerId, worker.composeEntry('draining', this.addresses.get(workerId)));
+    await sleep(servesForMs);
+    const back = worker.crash(downMs);
+    log.append(workerId, Buffer.alloc(0));
+    await back;
+  }
+
   private async addWorker(
     workerId: string,
     zone: string,
@@ -120,6 +136,7 @@
       this.proxies.push(proxy);
       ({ address } = proxy);
     }
+    this.addresses.set(workerId, address);
     const register = (): void =>
       this.store.log(workerTopic).append(workerId, worker.composeEntry('ready', address));
     worker.onRestart = register;
