A connection that is closed for its requests keeps no chunks of their bodies

Seen: 300 clients that send eight jobs and a ninth whose body comes in chunks of one byte end a daemon with a heap of 64 MB (SIGABRT after 1.4 s). Cause: the connection is closed at the ninth request, and its parser stopped at the tenth. The body of the ninth comes in the same read of 64 KB, some 10,000 chunks, and Node.js keeps a buffer for each of them until the connection has closed, at the end of the turn of the event loop. Change: the parser of a connection that is closed also drops the rest of the body, by its function for a part of a body, which is put back when Node.js hands the parser on.

--- /dev/null
+++ b/src/adapters/http/stopParsing.ts
@@ -0,0 +1,51 @@
+/**
+ * Stops the HTTP parser of a connection. By itself, Node.js parses everything in the 64 KB that it has read, also once the
+ * connection is closed or is to be closed: thousands of requests, or of chunks of a body, of each client.
+ */
+import type { Socket } from 'node:net';
+
+/** The property of a parser with its function for a part of a body. */
+const onBody = 3;
+/** Result of `onIncoming` that announces another protocol, at which the parser stops. */
+const protocolChanges = 2;
+
+/** What Node.js attaches to the socket of an HTTP connection; it is not documented, and may be missing. */
+interface ParsedSocket {
+  readonly parser?: ConnectionParser | null;
+}
+
+interface ConnectionParser {
+  onIncoming?: unknown;
+  /** The request that is parsed. */
+  incoming?: unknown;
+  [onBody]?: unknown;
+}
+
+/**
+ * Stops parsing at the next request of a connection, and drops the rest of the body that comes. What Node.js does not offer
+ * any more is left out; then more is parsed, and nothing else changes.
+ */
+export const stopParsing = (socket: Socket): void => {
+  const { parser } = socket as ParsedSocket;
+  if (parser?.onIncoming === undefined || parser.onIncoming === null) {
+    return;
+  }
+  parser.onIncoming = () => {
+    // Node.js would hand a parser on to another connection whose request asks for another protocol.
+    parser.incoming = null;
+    return protocolChanges;
+  };
+  dropBody(socket, parser);
+};
+
+/** Drops the body until the connection is closed, when Node.js hands the parser on to another one. */
+const dropBody = (socket: Socket, parser: ConnectionParser): void => {
+  const original = parser[onBody];
+  if (typeof original !== 'function') {
+    return;
+  }
+  parser[onBody] = undefined;
+  socket.once('close', () => {
+    parser[onBody] = original;
+  });
+};
