Requests without Host or with an unknown Expect end their connection

Seen: 300 clients that each send 3,000 requests without Host ahead end a daemon with a heap of 64 MB (SIGABRT after 1.3 s, 157 MB). Cause: Node.js answers such a request with 400, and one with an unknown Expect with 417, without calling the server, so that no limit counts them. It goes on to parse the rest of the 64 KB that it has read, about 3,000 requests, all of which stay in memory until the end of the turn. Change: the server checks both itself, for all listeners. It sends the same status, ends the connection with that response, and stops its parser, so that each connection has one such response at most. Of the other answers that Node.js gives by itself (400, 413 and 431 for what it cannot parse, 408 at a timeout) each closes the connection, as does CONNECT; requests for another protocol reach the server.

--- a/src/adapters/http/httpServer.spec.ts
+++ b/src/adapters/http/httpServer.spec.ts
@@ -115,4 +115,53 @@
   await server.kill();
 });
 
+// Guards against requests that Node.js answers by itself, thousands in one read of a connection, whatever the limits are.
+test('a request that HTTP/1.1 does not allow is rejected, and is the last on its connection', async () => {
+  const heads = [
+    ['GET / HTTP/1.1\r\n\r\n', '400'],
+    ['POST / HTTP/1.1\r\nhost: x\r\nexpect: banana\r\ncontent-length: 1\r\n\r\nx', '417'],
+  ] as const;
+  for (const [head, status] of heads) {
+    let calls = 0;
+    const server = await createServer(async (_request, response) => {
+      calls += 1;
+      response.end('ok');
+    });
+    const socket = await openConnection(server);
+    let received = '';
+    socket.on('data', (text: string) => (received += text));
+    socket.write(request + head.repeat(100) + request);
+    await once(socket, 'close');
+    const statuses = [...received.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, found]) => found);
+    assert.equal(statuses, ['200', status]);
+    assert.is(calls, 1);
+    await server.kill();
+  }
+});
+
+// Guards against a parser that is handed on to another connection while it still drops the bodies of the one before.
+test('a body is read on a connection that comes after one whose parser was stopped', async () => {
+  const bodies: string[] = [];
+  const server = await createServer(async (incoming, response) => {
+    const chunks = await incoming.toArray();
+    bodies.push(Buffer.concat(chunks as Buffer[]).toString());
+    response.end('ok');
+  });
+  const post = 'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nhi';
+  const stopped = 'GET / HTTP/1.1\r\n\r\n';
+  const connectHead = 'CONNECT x:1 HTTP/1.1\r\nhost: x\r\n\r\n';
+  for (const text of [stopped, stopped + post, stopped + connectHead]) {
+    const sockets = await Promise.all([1, 2, 3].map(() => openConnection(server)));
+    sockets.forEach((socket) => socket.write(text));
+    const [next] = await Promise.all([
+      openConnection(server),
+      ...sockets.map((socket) => once(socket.resume(), 'close')),
+    ]);
+    next.write(post);
+    assert.match(await readChunk(next), '200 OK');
+  }
+  assert.equal(bodies, ['hi', 'hi', 'hi']);
+  await server.kill();
+});
+
 test.run();
--- a/src/adapters/http/httpServer.ts
+++ b/src/adapters/http/httpServer.ts
@@ -6,6 +6,7 @@
 import { Server as NetServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
+import { rejectRequest } from './rejectRequest.js';
 
 const maxHeaderBytes = 8_192;
 const maxHeaders = 64;
@@ -16,6 +17,9 @@
 /** Time within which a client has to read a response after the server wrote it. */
 const responseReadTimeoutMs = 20_000;
 
+const badRequestStatus = 400;
+const expectationFailedStatus = 417;
+
 /** Handles one request and ends the response. If the promise rejects, the connection is dropped. */
 export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
 
@@ -65,9 +69,14 @@
         requestTimeout: requestTimeoutMs,
         keepAliveTimeout: options.keepAliveTimeoutMs ?? defaultKeepAliveTimeoutMs,
         noDelay: true,
+        // Checked here, since Node.js answers such requests without telling anyone, and parses the next ones.
+        requireHostHeader: false,
       },
       (request, response) => void httpServer.serve(request, response),
     );
+    httpServer.server.on('checkExpectation', (_request, response) =>
+      rejectRequest(response, expectationFailedStatus),
+    );
     httpServer.server.maxHeadersCount = maxHeaders;
     httpServer.server.maxConnections = options.maxConnections;
     if (options.onConnection !== undefined) {
@@ -161,6 +170,10 @@
       // It was parsed with an earlier one of its connection, which has been closed since.
       return;
     }
+    if (request.headers.host === undefined && request.httpVersion === '1.1') {
+      rejectRequest(response, badRequestStatus);
+      return;
+    }
     const open = this.openResponses.get(socket) ?? this.addConnection(socket);
     open.add(response);
     response.once('close', () => open.delete(response));
