A connection has as many requests in one turn as it may have open

Cause: a request that is refused at once is over before the next one is parsed, so that a connection hardly ever has two open, and the limit on open requests is not reached. One read of a connection holds hundreds of them, all of which are served in one turn of the event loop. Change: the ledger also counts the requests of a connection that were read in the present turn; more than requestsPerConnection close the connection. A client that has at most that many under way does not reach it: its next ones come after a response, in a later turn.

--- a/src/limits/clientLimits.ts
+++ b/src/limits/clientLimits.ts
@@ -25,8 +25,8 @@
   /** Open connections; further ones are dropped when they are accepted. */
   connections: z.number().int().positive().default(3_000),
   /**
-   * Requests on one connection whose responses are not yet sent; one more closes the connection. Clients send one at a
-   * time, which leaves room for a few that were sent early.
+   * Requests on one connection whose responses are not yet sent, or that were read in one turn of the event loop; one more
+   * closes the connection. Clients send one at a time, which leaves room for a few that were sent early.
    */
   requestsPerConnection: z.number().int().positive().default(8),
   /** Requests whose body has not ended, with the bytes that have come. */
--- a/src/limits/requestLedger.spec.ts
+++ b/src/limits/requestLedger.spec.ts
@@ -29,7 +29,7 @@
 // Guards against defaults that conforming clients reach: one request at a time on each of 3,000 connections.
 test('the defaults leave room for an ordinary request on every connection, in each phase', () => {
   const limits = completeClientLimits({}, 210);
-  const ledger = RequestLedger.create(limits);
+  const ledger = RequestLedger.create(limits, FakeClock.create());
   const opened = Array.from({ length: limits.connections }, () => open(ledger));
   opened.forEach(({ entry }) => entry.holdBody(ordinaryBodyBytes));
   const served = opened.map(({ entry }) => entry.serve(ordinaryBodyBytes));
@@ -42,7 +42,7 @@
 
 // Guards against unfinished bodies that keep ordinary clients out, and against limits that the largest body exceeds.
 test('the oldest unfinished bodies give way to newer ones, and a single largest body is served', () => {
-  const ledger = RequestLedger.create(smallLimits);
+  const ledger = RequestLedger.create(smallLimits, FakeClock.create());
   const stuck = Array.from({ length: 40 }, () => open(ledger));
   stuck.forEach(({ entry }) => entry.holdBody(16_384));
   const largest = open(ledger);
@@ -55,7 +55,7 @@
 
 // Guards against clients that pipeline and leave no room for those that send one request at a time.
 test('pipelined requests fill half of the room for served requests, and too many close their connection', () => {
-  const ledger = RequestLedger.create(smallLimits);
+  const ledger = RequestLedger.create(smallLimits, FakeClock.create());
   const crowd = Array.from({ length: 20 }, () => ({}));
   const decisions = crowd.flatMap((connection) =>
     [1, 2, 3].map(() => open(ledger, connection).entry.serve(ordinaryBodyBytes)),
@@ -72,9 +72,26 @@
   );
 });
 
+// Guards against requests that are refused at once, so that thousands of them are never open at the same time.
+test('a connection has as many requests in a turn of the event loop as it may have open', async () => {
+  const clock = FakeClock.create();
+  const ledger = RequestLedger.create(smallLimits, clock);
+  const connection = {};
+  const openAndClose = (): boolean => {
+    const entry = ledger.open(connection, () => undefined);
+    entry?.close();
+    return entry !== undefined;
+  };
+  for (let turn = 0; turn < 2; turn += 1) {
+    const opened = Array.from({ length: smallLimits.requestsPerConnection + 2 }, openAndClose);
+    assert.is(opened.filter(Boolean).length, smallLimits.requestsPerConnection);
+    await clock.advance(1);
+  }
+});
+
 // Guards against responses that are kept for as long as their clients do not read them.
 test('the responses that wait longest give way, and a request that is over gives back its room once', () => {
-  const ledger = RequestLedger.create(smallLimits);
+  const ledger = RequestLedger.create(smallLimits, FakeClock.create());
   const waiting = Array.from({ length: 20 }, () => open(ledger));
   waiting.forEach(({ entry }) => entry.respond(400));
   assert.equal(waiting[0]?.ends, [{ kind: 'disconnect', limit: 'unread-responses' }]);
--- a/src/limits/requestLedger.ts
+++ b/src/limits/requestLedger.ts
@@ -5,9 +5,12 @@
  * Ordinary clients send a body at once and read a response at once. So room is made at the expense of the request that has
  * been in the first or the last phase for longest. A request that is being served keeps its room until it has its response.
  */
+import type { Clock } from '../ports/clock.js';
 import type { ClientLimits } from './clientLimits.js';
 import { BytePool } from './bytePool.js';
 import type { PoolShare } from './bytePool.js';
+import { ConnectionRequests } from './connectionRequests.js';
+import type { ConnectionUse } from './connectionRequests.js';
 
 /** Memory of a request and its response in Node.js, without the body, in bytes. */
 const requestBytes = 4_096;
@@ -40,36 +43,33 @@
 /** Ends a request that gives way. */
 export type GiveWay = (how: GivingWay) => void;
 
-/** The requests of one connection. */
-interface ConnectionUse {
-  open: number;
-}
-
-interface RequestPools {
+/** What all requests share. */
+interface SharedRoom {
   readonly unfinishedBodies: BytePool;
   readonly openRequests: BytePool;
   readonly unreadResponses: BytePool;
 }
 
 export class RequestLedger {
-  private readonly connections = new WeakMap<object, ConnectionUse>();
-  private readonly pools: RequestPools;
+  private readonly connections: ConnectionRequests;
+  private readonly shared: SharedRoom;
 
-  private constructor(private readonly limits: ClientLimits) {
-    this.pools = {
+  private constructor(limits: ClientLimits, clock: Clock) {
+    this.connections = ConnectionRequests.create(clock, limits.requestsPerConnection);
+    this.shared = {
       unfinishedBodies: BytePool.create(limits.unfinishedBodyBytes),
       openRequests: BytePool.create(limits.openRequestBytes),
       unreadResponses: BytePool.create(limits.unreadResponseBytes),
     };
   }
 
-  static create(limits: ClientLimits): RequestLedger {
-    return new RequestLedger(limits);
+  static create(limits: ClientLimits, clock: Clock): RequestLedger {
+    return new RequestLedger(limits, clock);
   }
 
   /** Bytes that are counted now, of all phases. */
   get heldBytes(): number {
-    const { unfinishedBodies, openRequests, unreadResponses } = this.pools;
+    const { unfinishedBodies, openRequests, unreadResponses } = this.shared;
     return unfinishedBodies.bytes + openRequests.bytes + unreadResponses.bytes;
   }
 
@@ -81,13 +81,8 @@
    * @returns the entry, or nothing if the connection has too many requests and is to be closed
    */
   open(connection: object, giveWay: GiveWay): RequestEntry | undefined {
-    const use = this.connections.get(connection) ?? { open: 0 };
-    if (use.open >= this.limits.requestsPerConnection) {
-      return undefined;
-    }
-    this.connections.set(connection, use);
-    use.open += 1;
-    return new RequestEntry(this.pools, use, giveWay);
+    const use = this.connections.open(connection);
+    return use === undefined ? undefined : new RequestEntry(this.shared, use, giveWay);
   }
 }
 
@@ -101,12 +96,12 @@
 
   /** Used by the ledger only. */
   constructor(
-    private readonly pools: RequestPools,
+    private readonly shared: SharedRoom,
     private readonly use: ConnectionUse,
     private readonly giveWay: GiveWay,
   ) {
     this.isPipelined = use.open > 1;
-    this.pool = pools.unfinishedBodies;
+    this.pool = shared.unfinishedBodies;
     this.share = this.pool.add(requestBytes, () =>
       this.giveWay({ kind: 'refuse', limit: 'unfinished-bodies' }),
     );
@@ -125,7 +120,7 @@
 
   /** Decides whether a request is served whose body has ended. */
   serve(bodyBytes: number): ServeDecision {
-    const { openRequests } = this.pools;
+    const { openRequests } = this.shared;
     const neededBytes = requestBytes + jobBytes + bodyBytes * contentFactor;
     if (!openRequests.hasRoom(neededBytes, this.isPipelined ? pipelinedPart : 1)) {
       return { kind: 'refuse', limit: 'open-requests' };
@@ -139,7 +134,7 @@
    * longest may have to give way.
    */
   respond(bytes: number): void {
-    const { unreadResponses } = this.pools;
+    const { unreadResponses } = this.shared;
     this.moveTo(unreadResponses, requestBytes + bytes, () =>
       this.giveWay({ kind: 'disconnect', limit: 'unread-responses' }),
     );
--- a/src/programs/toucandyked/platformProcess.ts
+++ b/src/programs/toucandyked/platformProcess.ts
@@ -103,6 +103,7 @@
       readiness: splitAddress(listen.readiness),
       service: daemon.intake,
       connections: daemon.connections,
+      clock,
       logger,
       clientLimits: settings.clientLimits,
       onLimitReached: (limit, outcome) => limitReports.record(limit, outcome),
