Chunks of bodies beyond the first 512 of each are limited for each second

Memory is not affected. Change: a token bucket for the whole process, bodyChunksPerS, 32,768 by default. A body beyond its first 512 chunks takes a token for each; without one it is refused with 503, or its connection closed where its job may have run, and the parser of the connection is stopped. A client alone may send 32 KB byte by byte, and bodies in ordinary chunks take no token.

--- a/src/adapters/http/requestRoom.ts
+++ b/src/adapters/http/requestRoom.ts
@@ -63,6 +63,10 @@
     this.entry.holdBody(bytes);
   }
 
+  chunk(): void {
+    this.entry.readChunk();
+  }
+
   /** Counts a request as served from now on; without a body, `bytes` is 0. */
   end(bytes: number): Problem | undefined {
     this.stop = undefined;
@@ -122,6 +126,6 @@
 }
 
 const createRefusal = (): Problem =>
-  createProblem('overloaded', 'Clients take too much memory of this daemon.', {
+  createProblem('overloaded', 'Clients send more than this daemon has room for.', {
     ...{ retryAfterMs, runState: 'not-run' },
   });
--- a/src/limits/clientLimits.ts
+++ b/src/limits/clientLimits.ts
@@ -29,6 +29,11 @@
    * closes the connection. Clients send one at a time, which leaves room for a few that were sent early.
    */
   requestsPerConnection: z.number().int().positive().default(8),
+  /**
+   * Chunks of bodies in a second, beyond the first 512 of each body; a body with one more is refused. A body of 32 KB may come
+   * byte by byte.
+   */
+  bodyChunksPerS: z.number().int().positive().default(32_768),
   /** Requests whose body has not ended, with the bytes that have come. */
   unfinishedBodyBytes: bytesFrom(minUnfinishedBodyBytes),
   /** Requests that are being served, with their jobs. */
--- a/src/limits/requestLedger.spec.ts
+++ b/src/limits/requestLedger.spec.ts
@@ -89,6 +89,26 @@
   }
 });
 
+// Guards against bodies within their limit in bytes that come in very many chunks, and against refusing ordinary ones for them.
+test('chunks beyond the first ones of each body are limited in all, for each second', async () => {
+  const clock = FakeClock.create();
+  const limits = { ...smallLimits, bodyChunksPerS: 1_000 };
+  const ledger = RequestLedger.create(limits, clock);
+  const readBody = (chunks: number): GivingWay[] => {
+    const { entry, ends } = open(ledger);
+    for (let chunk = 0; chunk < chunks && ends.length === 0; chunk += 1) {
+      entry.readChunk();
+    }
+    return ends;
+  };
+  const refusal: GivingWay = { kind: 'refuse', limit: 'body-chunks' };
+  assert.equal(readBody(1_500), []);
+  assert.equal(readBody(1_500), [refusal]);
+  assert.equal(readBody(512), []);
+  await clock.advance(1_000);
+  assert.equal(readBody(1_500), []);
+});
+
 // Guards against responses that are kept for as long as their clients do not read them.
 test('the responses that wait longest give way, and a request that is over gives back its room once', () => {
   const ledger = RequestLedger.create(smallLimits, FakeClock.create());
--- a/src/limits/requestLedger.ts
+++ b/src/limits/requestLedger.ts
@@ -9,6 +9,7 @@
 import type { ClientLimits } from './clientLimits.js';
 import { BytePool } from './bytePool.js';
 import type { PoolShare } from './bytePool.js';
+import { ChunkBudget } from './chunkBudget.js';
 import { ConnectionRequests } from './connectionRequests.js';
 import type { ConnectionUse } from './connectionRequests.js';
 
@@ -23,10 +24,16 @@
  * the others.
  */
 const pipelinedPart = 0.5;
+/** Chunks of a body that are always read; the bodies of ordinary clients have fewer. */
+const freeChunks = 512;
 
 /** The limits that a request may reach. */
 export type ClientLimit =
-  'requests-per-connection' | 'unfinished-bodies' | 'open-requests' | 'unread-responses';
+  | 'requests-per-connection'
+  | 'unfinished-bodies'
+  | 'body-chunks'
+  | 'open-requests'
+  | 'unread-responses';
 
 /** A request for which there is no room. `refuse`: nothing of it has been started. */
 export interface Refusal {
@@ -45,6 +52,7 @@
 
 /** What all requests share. */
 interface SharedRoom {
+  readonly bodyChunks: ChunkBudget;
   readonly unfinishedBodies: BytePool;
   readonly openRequests: BytePool;
   readonly unreadResponses: BytePool;
@@ -57,6 +65,7 @@
   private constructor(limits: ClientLimits, clock: Clock) {
     this.connections = ConnectionRequests.create(clock, limits.requestsPerConnection);
     this.shared = {
+      bodyChunks: ChunkBudget.create(clock, limits.bodyChunksPerS),
       unfinishedBodies: BytePool.create(limits.unfinishedBodyBytes),
       openRequests: BytePool.create(limits.openRequestBytes),
       unreadResponses: BytePool.create(limits.unreadResponseBytes),
@@ -93,6 +102,7 @@
   readonly isPipelined: boolean;
   private share: PoolShare;
   private isClosed = false;
+  private chunkCount = 0;
 
   /** Used by the ledger only. */
   constructor(
@@ -118,6 +128,14 @@
     this.pool.evictOldest();
   }
 
+  /** Counts a chunk of the body. The request has to give way if too many chunks are read in all. */
+  readChunk(): void {
+    this.chunkCount += 1;
+    if (this.chunkCount > freeChunks && !this.shared.bodyChunks.take()) {
+      this.giveWay({ kind: 'refuse', limit: 'body-chunks' });
+    }
+  }
+
   /** Decides whether a request is served whose body has ended. */
   serve(bodyBytes: number): ServeDecision {
     const { openRequests } = this.shared;
