What a newcomer stumbled on: names of the chunk count, and why a parser is stopped without a request

Cause: chunk and readChunk said neither that they count nor that they refuse; the comments of stopParsing.ts left out when a parser is reused. Change: names and comments only. Measured: the specs of httpServer (8), sendJson (1), readJsonBody (1), requestLedger (7), jobHttpServer (10) and decoding (10) pass.

--- a/src/adapters/http/discardBody.ts
+++ b/src/adapters/http/discardBody.ts
@@ -10,5 +10,5 @@
  * @param room - counts the chunks of the body
  */
 export const discardBody = (request: IncomingMessage, room: BodyRoom): void => {
-  request.on('data', () => room.chunk());
+  request.on('data', () => room.countChunk());
 };
--- a/src/adapters/http/readJsonBody.spec.ts
+++ b/src/adapters/http/readJsonBody.spec.ts
@@ -17,7 +17,7 @@
     handle: async (request, response) => {
       const body = await readJsonBody(request, maxBytes, undefined, {
         hold: (bytes) => void heldBytes.push(bytes),
-        chunk: () => undefined,
+        countChunk: () => undefined,
         end: () => undefined,
         onStop: () => undefined,
       });
--- a/src/adapters/http/readJsonBody.ts
+++ b/src/adapters/http/readJsonBody.ts
@@ -21,7 +21,7 @@
    */
   hold(bytes: number): void;
   /** Counts a chunk of the body. If there were too many, calls the function of `onStop`. */
-  chunk(): void;
+  countChunk(): void;
   /** Counts a complete body before it is parsed; a problem refuses it. */
   end(bytes: number): Problem | undefined;
   /** Takes a function that stops reading with a problem, which may be called until the body has ended. */
@@ -31,7 +31,7 @@
 /** Room without a limit beyond that of each body. */
 const unlimitedRoom: BodyRoom = {
   hold: () => undefined,
-  chunk: () => undefined,
+  countChunk: () => undefined,
   end: () => undefined,
   onStop: () => undefined,
 };
@@ -90,7 +90,7 @@
       if (body.capacity !== capacityBefore) {
         room.hold(body.capacity);
       }
-      room.chunk();
+      room.countChunk();
     };
     const onTruncated = (): void => stop(createProblem('invalid-request', 'The body was cut off.'));
     room.onStop(stop);
--- a/src/adapters/http/requestRoom.ts
+++ b/src/adapters/http/requestRoom.ts
@@ -63,8 +63,8 @@
     this.entry.holdBody(bytes);
   }
 
-  chunk(): void {
-    this.entry.readChunk();
+  countChunk(): void {
+    this.entry.countChunk();
   }
 
   /** Counts a request as served from now on; without a body, `bytes` is 0. */
--- a/src/adapters/http/stopParsing.ts
+++ b/src/adapters/http/stopParsing.ts
@@ -4,7 +4,7 @@
  */
 import type { Socket } from 'node:net';
 
-/** The property of a parser with its function for a part of a body. */
+/** Property in which a parser of Node.js has its callback for a part of a body. */
 const onBody = 3;
 /** Result of `onIncoming` that announces another protocol, at which the parser stops. */
 const protocolChanges = 2;
@@ -31,14 +31,14 @@
     return;
   }
   parser.onIncoming = () => {
-    // Node.js would hand a parser on to another connection whose request asks for another protocol.
+    // Node.js changes the protocol of no connection without a request. It would reuse the parser at once for another one.
     parser.incoming = null;
     return protocolChanges;
   };
   dropBody(socket, parser);
 };
 
-/** Drops the body until the connection is closed, when Node.js hands the parser on to another one. */
+/** Drops the body until the connection is closed. Node.js reuses the parser after that, so the callback is put back. */
 const dropBody = (socket: Socket, parser: ConnectionParser): void => {
   const original = parser[onBody];
   if (typeof original !== 'function') {
--- a/src/limits/requestLedger.spec.ts
+++ b/src/limits/requestLedger.spec.ts
@@ -97,7 +97,7 @@
   const readBody = (chunks: number): GivingWay[] => {
     const { entry, ends } = open(ledger);
     for (let chunk = 0; chunk < chunks && ends.length === 0; chunk += 1) {
-      entry.readChunk();
+      entry.countChunk();
     }
     return ends;
   };
--- a/src/limits/requestLedger.ts
+++ b/src/limits/requestLedger.ts
@@ -129,7 +129,7 @@
   }
 
   /** Counts a chunk of the body. The request has to give way if too many chunks are read in all. */
-  readChunk(): void {
+  countChunk(): void {
     this.chunkCount += 1;
     if (this.chunkCount > freeChunks && !this.shared.bodyChunks.take()) {
       this.giveWay({ kind: 'refuse', limit: 'body-chunks' });
