The response to a rejected request has to be read in time, as any other

Cause: found while reading the change: a response with 400 or 417 had no time within which a client has to read it, so that its connection could stay open.

--- a/src/adapters/http/httpServer.ts
+++ b/src/adapters/http/httpServer.ts
@@ -74,9 +74,10 @@
       },
       (request, response) => void httpServer.serve(request, response),
     );
-    httpServer.server.on('checkExpectation', (_request, response) =>
-      rejectRequest(response, expectationFailedStatus),
-    );
+    httpServer.server.on('checkExpectation', (_request, response) => {
+      rejectRequest(response, expectationFailedStatus);
+      limitReadTime(response);
+    });
     httpServer.server.maxHeadersCount = maxHeaders;
     httpServer.server.maxConnections = options.maxConnections;
     if (options.onConnection !== undefined) {
@@ -172,6 +173,7 @@
     }
     if (request.headers.host === undefined && request.httpVersion === '1.1') {
       rejectRequest(response, badRequestStatus);
+      limitReadTime(response);
       return;
     }
     const open = this.openResponses.get(socket) ?? this.addConnection(socket);
